--- /dev/null
+++ b/crates/dispatch/src/decide.rs
@@ -0,0 +1,775 @@
+//! The decisions of grebeusher: which executor gets a work unit, and what becomes of it.
+//!
+//! A caller builds one [`Dispatcher`] a node, hands it a [`Host`] to act through, tells it what is promised
+//! (`allowing`, `cold_starts`, `noticing`, `customers`), calls `start`, and then calls one method for each thing
+//! that happens, with the time at which it happened. Nothing else drives it: no clock, no I/O, no threads.
+//! The interface is set down in `host.rs` (what it asks), `tariffs.rs`, `ids.rs` and `time.rs` (its vocabulary).
+//!
+//! The design (SITA-E, `docs/design.md`): the size of a work unit picks a lane by cut-offs that equalise the
+//! summed size per worker; inside the lane a random pick is weighted by one minus the utilisation.
+//! Beside it stand six mechanisms:
+//!   1. following the list           `listed`, `list_broken`
+//!   2. setting aside                `set_aside`
+//!   3. cold caps                    `Executor::cold_admits`
+//!   4. further allocations          `review`, `renew`
+//!   5. turn-backs with fairness     `hopeless`, `Allotment`
+//!   6. corrected utilisation and overflow from a jammed lane    `Executor::load`, `pick`
+
+use crate::host::Host;
+use crate::ids::{AllocationId, ExecutorId, UnitId};
+use crate::tariffs::{
+    Allowance, Arrival, ColdStart, Effect, Ending, Group, Listing, Report, Standing, Tariff,
+};
+use crate::time::{Moment, Span};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg32;
+use std::collections::{BTreeMap, VecDeque};
+
+const BEAT: u64 = 0;
+const FOLLOW: u64 = 1;
+const FIRST_UNIT: u64 = 2;
+/// Housekeeping runs this often: well under the seconds after which reports and lists change.
+const BEAT_EVERY: Span = Span::millis(250);
+/// The final answer is due this long before patience ends: a few batches of any caller.
+const ANSWER_MARGIN: Span = Span::millis(20);
+
+/// An allocation that is still out, as its executor's record keeps it.
+struct Flight {
+    id: AllocationId,
+    size: f64,
+    sent: Moment,
+    started: Option<Moment>,
+    heard: Moment,
+}
+
+/// All that is known of one executor.
+struct Executor {
+    hash: u64,
+    standing: Standing,
+    started: Option<Moment>,
+    kind: usize,
+    zone: usize,
+    cell: usize,
+    weight: f64,
+    lane: usize,
+    utilisation: f64,
+    reported: Option<Moment>,
+    probing: Option<Moment>,
+    slots: f64,
+    flights: Vec<Flight>,
+    answers: usize,
+    speed: f64,
+    aside_until: Moment,
+    lost_probes: u32,
+    cold_level: f64,
+    cold_at: Moment,
+}
+
+impl Executor {
+    /// Utilisation as of now: the report is late, so own allocations sent since it was taken are added, and one
+    /// that waits to start shows that the executor is full whatever the report says. Guards against piling work
+    /// on one idle-looking executor. `None` where nothing is known.
+    fn load(&self, now: Moment, tells_start: bool) -> Option<f64> {
+        // A start is told within a round trip and a hand-shake; waits much longer than that are waits for a slot.
+        const UNHEARD: Span = Span::millis(60);
+        // Reports are averages over about a second: what was sent in the last one is not in them yet.
+        const LAG: Span = Span::millis(1000);
+        // After several usual report spans the figure says nothing any more.
+        const STALE: Span = Span::millis(6000);
+        let own = self.flights.len() as f64 / self.slots;
+        let waiting = |f: &&Flight| f.started.is_none() && now.since(f.sent) > UNHEARD;
+        let queued = self.flights.iter().filter(waiting).count();
+        if tells_start && queued > 0 {
+            return Some(1.0 + queued as f64 / self.slots);
+        }
+        match self.reported {
+            Some(at) if now.since(at) < STALE => {
+                let recent = self.flights.iter().filter(|f| f.sent > at - LAG).count();
+                Some((self.utilisation + recent as f64 / self.slots).max(own))
+            }
+            _ if own > 0.0 => Some(own),
+            _ => None,
+        }
+    }
+
+    /// Whether a cold executor can take this much more. Its capacity is at least the cold share and grows at least
+    /// evenly; this node takes no more than its part of what all nodes may send within any window. A leaky level
+    /// of half that part lets no window see more than the whole. Guards against all nodes pushing it over.
+    fn cold_admits(&mut self, cold: &ColdStart, capacity: f64, now: Moment, size: f64) -> bool {
+        let Some(started) = self.started else { return true };
+        let age = now.since(started).as_secs() / cold.warm_within.as_secs().max(0.001);
+        if age >= 1.0 {
+            return true;
+        }
+        let share = cold.share + (1.0 - cold.share) * age;
+        let window = cold.fall_window.as_secs().max(0.001);
+        let part = cold.fall_factor * share * capacity * window;
+        let level = self.cold_level - now.since(self.cold_at).as_secs() * part / 2.0 / window;
+        self.cold_level = level.max(0.0);
+        self.cold_at = now;
+        self.flights.len() <= self.answers && self.cold_level + size <= part / 2.0
+    }
+}
+
+/// One allocation of a work unit.
+struct Allocation {
+    executor: ExecutorId,
+    zone: usize,
+    cell: usize,
+    sent: Moment,
+    open: bool,
+    may_have_run: bool,
+    recalled: bool,
+}
+
+/// A work unit that still owes its final answer.
+struct Work {
+    tariff: usize,
+    arrived: Moment,
+    quoted: Span,
+    patience_ends: Moment,
+    size: f64,
+    allocations: Vec<Allocation>,
+    streaming: bool,
+    held: bool,
+    over_share: bool,
+}
+
+/// What a customer may send within its share, as this node's part of it.
+struct Allotment {
+    per_s: f64,
+    level: f64,
+    at: Moment,
+}
+
+impl Allotment {
+    /// Counts one work unit and tells whether it is beyond the share.
+    fn beyond(&mut self, now: Moment) -> bool {
+        // Two seconds' worth may come at once: bursts shorter than that are no overuse.
+        const BURST_S: f64 = 2.0;
+        let leaked = now.since(self.at).as_secs() * self.per_s;
+        self.level = (self.level - leaked).max(0.0);
+        self.at = now;
+        if self.level + 1.0 > self.per_s * BURST_S {
+            return true;
+        }
+        self.level += 1.0;
+        false
+    }
+}
+
+pub struct Dispatcher<H: Host> {
+    host: H,
+    chance: Pcg32,
+    nodes: f64,
+    tariffs: Vec<Tariff>,
+    allowance: Allowance,
+    cold: ColdStart,
+    asks_list: bool,
+    may_probe: bool,
+    tells_start: bool,
+    progress: Option<Span>,
+    allotments: Vec<Allotment>,
+    executors: Vec<Executor>,
+    work: BTreeMap<UnitId, Work>,
+    held: VecDeque<UnitId>,
+    follow_tries: u32,
+    sample: VecDeque<f64>,
+    median: f64,
+    cut_offs: Vec<f64>,
+    recut: Moment,
+    unit_capacity: f64,
+}
+
+impl<H: Host> Dispatcher<H> {
+    pub fn new(host: H, seed: u64, nodes: usize, tariffs: Vec<Tariff>) -> Self {
+        Dispatcher {
+            host,
+            chance: Pcg32::seed_from_u64(seed),
+            nodes: nodes.max(1) as f64,
+            tariffs,
+            allowance: Allowance {
+                most_allocations: 1,
+                second_copies: false,
+                recalls: false,
+                longest_come_back: None,
+            },
+            cold: ColdStart {
+                share: 0.0,
+                warm_within: Span(0),
+                fall_factor: 1.0,
+                fall_window: Span::millis(1000),
+            },
+            asks_list: false,
+            may_probe: false,
+            tells_start: false,
+            progress: None,
+            allotments: Vec::new(),
+            executors: Vec::new(),
+            work: BTreeMap::new(),
+            held: VecDeque::new(),
+            follow_tries: 0,
+            sample: VecDeque::new(),
+            median: 1.0,
+            cut_offs: Vec::new(),
+            recut: Moment(0),
+            unit_capacity: 1.0,
+        }
+    }
+
+    pub fn allowing(mut self, allowance: Allowance) -> Self {
+        self.allowance = allowance;
+        self
+    }
+
+    pub fn cold_starts(mut self, cold: ColdStart) -> Self {
+        self.cold = cold;
+        self
+    }
+
+    /// Whether the list must be asked for, executors may be probed, and what is told of running work.
+    pub fn noticing(mut self, asks_list: bool, probes: bool, starts: bool, progress: Option<Span>) -> Self {
+        (self.asks_list, self.may_probe) = (asks_list, probes);
+        (self.tells_start, self.progress) = (starts, progress.filter(|p| p.0 > 0));
+        self
+    }
+
+    /// Each customer's work units a second within its share, at all nodes together.
+    pub fn customers(mut self, quotas: &[f64]) -> Self {
+        let part = |q: &f64| Allotment { per_s: q / self.nodes, level: 0.0, at: Moment(0) };
+        self.allotments = quotas.iter().map(part).collect();
+        self
+    }
+
+    pub fn start(&mut self, now: Moment) {
+        self.recut = now;
+        // Nodes that start together must not beat, probe and ask together.
+        let first = Span((BEAT_EVERY.0 as f64 * self.chance.random::<f64>()) as u64);
+        self.host.wake(first, BEAT);
+        if self.asks_list {
+            self.host.follow_list();
+        }
+    }
+
+    /// The executor list, whole or only what changed in it.
+    pub fn listed(&mut self, now: Moment, whole: bool, entries: &[Listing<'_>]) {
+        self.follow_tries = 0;
+        if whole {
+            // Absent from a whole list means gone.
+            self.executors.iter_mut().for_each(|e| e.standing = Standing::Gone);
+        }
+        for entry in entries {
+            let index = entry.executor.0;
+            while self.executors.len() <= index {
+                self.executors.push(Executor {
+                    hash: 0,
+                    standing: Standing::Gone,
+                    started: None,
+                    kind: 0,
+                    zone: 0,
+                    cell: 0,
+                    weight: 1.0,
+                    lane: 0,
+                    utilisation: 0.0,
+                    reported: None,
+                    probing: None,
+                    slots: 1.0,
+                    flights: Vec::new(),
+                    answers: 0,
+                    speed: 0.0,
+                    aside_until: Moment(0),
+                    lost_probes: 0,
+                    cold_level: 0.0,
+                    cold_at: now,
+                });
+            }
+            let e = &mut self.executors[index];
+            e.hash = fixed_hash(entry.name);
+            e.standing = entry.standing;
+            (e.kind, e.zone, e.cell) = (entry.kind, entry.zone, entry.cell);
+            e.weight = if entry.weight > 0.0 && entry.weight.is_finite() { entry.weight } else { 1.0 };
+            if entry.started > e.started {
+                // A restarted process is cold and owes nothing to its past.
+                e.started = entry.started;
+                (e.reported, e.utilisation, e.answers) = (None, 0.0, 0);
+                (e.aside_until, e.lost_probes) = (Moment(0), 0);
+                (e.cold_level, e.cold_at) = (0.0, now);
+            }
+        }
+        self.form_lanes();
+        self.serve_held(now);
+    }
+
+    /// The list could not be had, or its changes stopped coming.
+    pub fn list_broken(&mut self) {
+        if !self.asks_list {
+            return;
+        }
+        // All nodes lose the list together and a failed call costs it too: wait 0.5 to 1.5 s, doubled up to 4 s,
+        // which stays under the spans after which an unasked list counts as told.
+        let wait = (0.5 + self.chance.random::<f64>()) * f64::from(1 << self.follow_tries.min(2));
+        self.follow_tries += 1;
+        self.host.wake(Span::secs(wait.min(4.0)), FOLLOW);
+    }
+
+    /// A work unit came in; it owes exactly one final answer from here on.
+    pub fn arrived(&mut self, now: Moment, unit: UnitId, arrival: &Arrival) {
+        // Sizes beyond any sense would own the cut-offs alone: a millisecond to a day is what work takes.
+        const SENSIBLE: (f64, f64) = (0.001, 86_400.0);
+        const SAMPLE: usize = 1000; // design page
+        let slots = if arrival.slots > 0.0 && arrival.slots.is_finite() { arrival.slots } else { 1.0 };
+        let hinted = arrival.hint.filter(|h| h.0 > 0);
+        let size = match hinted {
+            Some(hint) => (hint.as_secs() * slots).clamp(SENSIBLE.0, SENSIBLE.1),
+            None => self.median,
+        };
+        if hinted.is_some() {
+            self.sample.push_back(size);
+            if self.sample.len() > SAMPLE {
+                self.sample.pop_front();
+            }
+        }
+        let tariff = arrival.tariff.min(self.tariffs.len() - 1);
+        let terms = &self.tariffs[tariff];
+        let quoted = terms.quoted_time + Span::secs(terms.stretch * size / slots);
+        let over_share = self.allotments.get_mut(arrival.customer).is_some_and(|a| a.beyond(now));
+        let work = Work {
+            tariff,
+            arrived: now,
+            quoted,
+            patience_ends: arrival.patience_ends,
+            size,
+            allocations: Vec::new(),
+            streaming: false,
+            held: false,
+            over_share,
+        };
+        self.work.insert(unit, work);
+        self.place(now, unit);
+    }
+
+    /// An answer began to stream: it belongs to the client now, and patience no longer ends.
+    pub fn streaming(&mut self, _now: Moment, unit: UnitId) {
+        if let Some(work) = self.work.get_mut(&unit) {
+            work.streaming = true;
+        }
+    }
+
+    /// An executor told that an allocation started, or how far it is.
+    pub fn noticed(&mut self, now: Moment, id: AllocationId, executor: ExecutorId) {
+        let Some(e) = self.executors.get_mut(executor.0) else { return };
+        if let Some(flight) = e.flights.iter_mut().find(|f| f.id == id) {
+            flight.started.get_or_insert(now);
+            flight.heard = now;
+        }
+        let running = e.flights.iter().filter(|f| f.started.is_some()).count();
+        e.slots = e.slots.max(running as f64);
+    }
+
+    /// An allocation ended. `finished`: its work unit has had its final answer.
+    pub fn ended(
+        &mut self,
+        now: Moment,
+        id: AllocationId,
+        executor: ExecutorId,
+        ending: Ending,
+        finished: bool,
+        report: Option<Report>,
+    ) {
+        self.health(now, id, executor, ending, report);
+        let unit = id.unit;
+        if let Some(work) = self.work.get_mut(&unit) {
+            if let Some(allocation) = work.allocations.get_mut(id.number) {
+                allocation.open = false;
+                allocation.may_have_run = !ending.proves_not_run();
+            }
+            if finished {
+                self.finish(unit);
+            } else {
+                self.renew(now, unit, ending);
+            }
+        }
+        self.serve_held(now);
+    }
+
+    /// The client left, or the work unit ended elsewhere: no answer is owed.
+    pub fn withdrawn(&mut self, unit: UnitId) {
+        if self.work.contains_key(&unit) {
+            self.finish(unit);
+        }
+    }
+
+    pub fn probed(&mut self, now: Moment, executor: ExecutorId, answered: bool, report: Option<Report>) {
+        let Some(e) = self.executors.get_mut(executor.0) else { return };
+        e.probing = None;
+        if answered {
+            e.lost_probes = 0;
+            if let Some(report) = report {
+                take_report(e, now, report);
+            }
+        } else {
+            // A lost probe may only mean a full waiting room; several in a row with no other sign mean silence.
+            e.lost_probes += 1;
+            (e.utilisation, e.reported) = (1.0, Some(now));
+            if e.lost_probes >= 2 {
+                self.set_aside(now, executor);
+            }
+        }
+    }
+
+    /// An alarm set earlier fell due.
+    pub fn rang(&mut self, now: Moment, alarm: u64) {
+        match alarm {
+            BEAT => self.beat(now),
+            FOLLOW => self.host.follow_list(),
+            _ => self.review(now, UnitId(alarm - FIRST_UNIT)),
+        }
+    }
+
+    /// Sorts the ready executors by the fixed hash of their ids into two equal lanes, the same at every node.
+    fn form_lanes(&mut self) {
+        let mut ready: Vec<usize> =
+            (0..self.executors.len()).filter(|&i| self.executors[i].standing == Standing::Ready).collect();
+        ready.sort_by_key(|&i| (self.executors[i].hash, i));
+        let half = ready.len().div_ceil(2);
+        for (rank, &i) in ready.iter().enumerate() {
+            self.executors[i].lane = usize::from(rank >= half);
+        }
+    }
+
+    /// Cut-offs such that each lane's part of the summed size matches its part of the workers.
+    fn recompute_cut_offs(&mut self) {
+        const FEWEST: usize = 50; // design page: below this one lane holds every worker
+        let mut sizes: Vec<f64> = self.sample.iter().copied().collect();
+        sizes.sort_by(f64::total_cmp);
+        if let Some(&middle) = sizes.get(sizes.len() / 2) {
+            self.median = middle;
+        }
+        self.cut_offs.clear();
+        let ready = |e: &&Executor| e.standing == Standing::Ready;
+        let all = self.executors.iter().filter(ready).count();
+        let first = self.executors.iter().filter(ready).filter(|e| e.lane == 0).count();
+        if sizes.len() >= FEWEST && first < all {
+            let due = sizes.iter().sum::<f64>() * first as f64 / all as f64;
+            let mut sum = 0.0;
+            let cut = sizes.iter().find(|&&s| {
+                sum += s;
+                sum >= due
+            });
+            self.cut_offs.extend(cut);
+        }
+        // What a unit of registered weight can do, from the executors whose pace and slots have been seen.
+        let seen = |e: &&Executor| e.standing == Standing::Ready && e.speed > 0.0;
+        let able: f64 = self.executors.iter().filter(seen).map(|e| e.speed * e.slots).sum();
+        let weight: f64 = self.executors.iter().filter(seen).map(|e| e.weight).sum();
+        if weight > 0.0 {
+            self.unit_capacity = able / weight;
+        }
+    }
+
+    /// The design's choice: the lane by size, the executor by a weighted random pick inside it.
+    fn pick(&mut self, now: Moment, unit: UnitId) -> Option<(ExecutorId, bool)> {
+        const FLOOR: f64 = 0.02; // open by the design: low, since the correction already tells full from idle
+        let work = &self.work[&unit];
+        let size = work.size;
+        let lane = self.cut_offs.iter().filter(|&&cut| size > cut).count();
+        let terms = self.tariffs[work.tariff];
+        let tells_start = self.tells_start;
+        let part = self.unit_capacity / self.nodes;
+        let mut able: Vec<(usize, Option<f64>)> = Vec::with_capacity(self.executors.len());
+        for (i, e) in self.executors.iter_mut().enumerate() {
+            if e.standing == Standing::Ready
+                && now >= e.aside_until
+                && terms.kind.is_none_or(|kind| kind == e.kind)
+                && in_group(work, terms.effect, now, e.zone, e.cell)
+                && !work.allocations.iter().any(|a| a.open && a.executor.0 == i)
+                && e.cold_admits(&self.cold, part * e.weight, now, size)
+            {
+                able.push((i, e.load(now, tells_start)));
+            }
+        }
+        let one_lane = self.cut_offs.is_empty();
+        let in_lane = |i: usize| one_lane || self.executors[i].lane == lane;
+        let free = |load: Option<f64>| load.is_none_or(|l| l < 1.0);
+        // Overflow: a lane with every worker full borrows those workers of the other that are not.
+        let lane_has = able.iter().any(|&(i, _)| in_lane(i));
+        let lane_free = able.iter().any(|&(i, load)| in_lane(i) && free(load));
+        let any_free = able.iter().any(|&(_, load)| free(load));
+        if lane_free {
+            able.retain(|&(i, load)| in_lane(i) && free(load));
+        } else if any_free {
+            able.retain(|&(_, load)| free(load));
+        } else if lane_has {
+            able.retain(|&(i, _)| in_lane(i));
+        }
+        let weight = |load: f64| if load < 1.0 { (1.0 - load).max(FLOOR) } else { FLOOR / load };
+        let known: Vec<f64> = able.iter().filter_map(|&(_, load)| load.map(weight)).collect();
+        let mean = if known.is_empty() { 1.0 } else { known.iter().sum::<f64>() / known.len() as f64 };
+        let weights: Vec<f64> = able.iter().map(|&(_, load)| load.map_or(mean, weight)).collect();
+        let mut at = self.chance.random::<f64>() * weights.iter().sum::<f64>();
+        for (&(i, _), w) in able.iter().zip(&weights) {
+            at -= w;
+            if at < 0.0 {
+                return Some((ExecutorId(i), any_free));
+            }
+        }
+        able.last().map(|&(i, _)| (ExecutorId(i), any_free))
+    }
+
+    /// Sends the work unit where the design says, holds it while nothing can take it, or turns it back.
+    fn place(&mut self, now: Moment, unit: UnitId) {
+        let picked = self.pick(now, unit);
+        let Some(work) = self.work.get_mut(&unit) else { return };
+        if work.patience_ends <= now + ANSWER_MARGIN {
+            return self.answer(unit);
+        }
+        match picked {
+            Some((executor, any_free)) => {
+                if !any_free && work.allocations.is_empty() && work.over_share {
+                    return self.answer(unit);
+                }
+                self.send(now, unit, executor);
+            }
+            None if work.held => {}
+            None => {
+                work.held = true;
+                self.held.push_back(unit);
+            }
+        }
+    }
+
+    fn send(&mut self, now: Moment, unit: UnitId, executor: ExecutorId) {
+        // A unit that waits to start this long on one executor is looked at again.
+        const REVIEW_AFTER: Span = Span::millis(150);
+        let Some(work) = self.work.get_mut(&unit) else { return };
+        let go = work.allocations.len();
+        let e = &mut self.executors[executor.0];
+        work.held = false;
+        work.allocations.push(Allocation {
+            executor,
+            zone: e.zone,
+            cell: e.cell,
+            sent: now,
+            open: true,
+            may_have_run: true,
+            recalled: false,
+        });
+        let (size, time_out) = (work.size, (work.patience_ends - ANSWER_MARGIN).since(now));
+        e.flights.push(Flight {
+            id: AllocationId { unit, number: go },
+            size,
+            sent: now,
+            started: None,
+            heard: now,
+        });
+        e.cold_level += size;
+        self.host.allocate(unit, executor, time_out);
+        if self.tariffs[work.tariff].effect == Effect::Retriable {
+            self.host.wake(REVIEW_AFTER, FIRST_UNIT + unit.0);
+        }
+    }
+
+    /// Looks at a retriable work unit that is out: one that has not started where it waits, or whose executor fell
+    /// silent, is recalled and sent to an executor that is not full.
+    fn review(&mut self, now: Moment, unit: UnitId) {
+        const AGAIN: Span = Span::millis(250); // a few looks within the shortest quoted times
+        let Some(work) = self.work.get(&unit) else { return };
+        if work.streaming || work.held {
+            return;
+        }
+        let go = work.allocations.len().saturating_sub(1);
+        let Some(last) = work.allocations.last().filter(|a| a.open && !a.recalled) else { return };
+        let executor = last.executor;
+        let id = AllocationId { unit, number: go };
+        let Some(flight) = self.executors[executor.0].flights.iter().find(|f| f.id == id) else { return };
+        // Progress is told at a steady pace: two and a half paces without a word are no chance.
+        let silent = self
+            .progress
+            .is_some_and(|pace| flight.started.is_some() && now.since(flight.heard).0 > pace.0 * 5 / 2);
+        let waits = self.tells_start && flight.started.is_none();
+        if silent {
+            self.set_aside(now, executor);
+        }
+        if (waits || silent) && self.may_allocate(unit, self.allowance.recalls) {
+            if let Some((better, true)) = self.pick(now, unit) {
+                if self.allowance.second_copies {
+                    self.send(now, unit, better);
+                }
+                if let Some(w) = self.work.get_mut(&unit) {
+                    w.allocations[go].recalled = true;
+                }
+                self.host.recall(id);
+                return;
+            }
+        }
+        self.host.wake(AGAIN, FIRST_UNIT + unit.0);
+    }
+
+    /// Whether one more allocation is allowed; `recalling`: the open ones are about to be recalled.
+    fn may_allocate(&self, unit: UnitId, recalling: bool) -> bool {
+        let work = &self.work[&unit];
+        let open = work.allocations.iter().any(|a| a.open);
+        let ran = work.allocations.iter().any(|a| a.may_have_run);
+        let binding = self.tariffs[work.tariff].effect == Effect::Binding;
+        work.allocations.len() < self.allowance.most_allocations
+            && !(binding && ran)
+            && (!open || recalling || self.allowance.second_copies)
+    }
+
+    /// An allocation ended without an answer: another one, or the final answer.
+    fn renew(&mut self, now: Moment, unit: UnitId, ending: Ending) {
+        let Some(work) = self.work.get(&unit) else { return };
+        let out_of_time = work.patience_ends <= now + ANSWER_MARGIN;
+        if !out_of_time && work.allocations.iter().any(|a| a.open) {
+            return; // another copy is still out
+        }
+        let stale = ending == Ending::NeverSent;
+        if out_of_time || stale || !self.may_allocate(unit, false) {
+            return self.answer(unit);
+        }
+        self.place(now, unit);
+    }
+
+    /// The final answer to a work unit that is given up: a turn-back where trying again is harmless.
+    fn answer(&mut self, unit: UnitId) {
+        // Long enough for a slot to come free, short against any patience.
+        const COME_BACK: Span = Span::millis(500);
+        let Some(work) = self.work.get(&unit) else { return };
+        let ran = work.allocations.iter().any(|a| a.may_have_run);
+        let harmless = match self.tariffs[work.tariff].effect {
+            Effect::Retriable => true,
+            Effect::Fingerprinted { group, .. } => !ran || group == Group::All,
+            Effect::Binding => !ran,
+        };
+        let come_back = self.allowance.longest_come_back.map(|longest| longest.min(COME_BACK));
+        self.finish(unit);
+        if harmless {
+            self.host.turn_back(unit, come_back);
+        } else {
+            self.host.forfeit(unit);
+        }
+    }
+
+    /// Forgets a work unit and recalls what is still out for it, so that nobody works for nothing.
+    fn finish(&mut self, unit: UnitId) {
+        let Some(work) = self.work.remove(&unit) else { return };
+        for (number, allocation) in work.allocations.iter().enumerate() {
+            if allocation.open && !allocation.recalled && self.allowance.recalls {
+                self.host.recall(AllocationId { unit, number });
+            }
+        }
+    }
+
+    /// Tries the held work units again, oldest first, and gives up those whose quoted time is past.
+    fn serve_held(&mut self, now: Moment) {
+        for _ in 0..self.held.len() {
+            let Some(unit) = self.held.pop_front() else { return };
+            let Some(work) = self.work.get(&unit).filter(|w| w.held) else { continue };
+            if work.arrived + work.quoted <= now || work.patience_ends <= now + ANSWER_MARGIN {
+                self.answer(unit);
+                continue;
+            }
+            self.place(now, unit);
+            if self.work.get(&unit).is_some_and(|w| w.held) {
+                self.held.push_back(unit);
+            }
+        }
+    }
+
+    /// What an ending says of the executor.
+    fn health(
+        &mut self,
+        now: Moment,
+        id: AllocationId,
+        executor: ExecutorId,
+        ending: Ending,
+        report: Option<Report>,
+    ) {
+        let Some(e) = self.executors.get_mut(executor.0) else { return };
+        let at = e.flights.iter().position(|f| f.id == id);
+        let flight = at.map(|at| e.flights.swap_remove(at));
+        if let Some(report) = report {
+            take_report(e, now, report);
+        }
+        match ending {
+            Ending::Fulfilled => {
+                e.answers += 1;
+                e.lost_probes = 0;
+                if let Some((size, started)) = flight.and_then(|f| Some((f.size, f.started?))) {
+                    let pace = size / now.since(started).as_secs().max(0.001);
+                    // A slow mean: one noisy hint must not move it far.
+                    e.speed = if e.speed > 0.0 { e.speed * 0.9 + pace * 0.1 } else { pace };
+                }
+            }
+            Ending::Full => (e.utilisation, e.reported) = (1.0, Some(now)),
+            Ending::Error | Ending::Refused => self.set_aside(now, executor),
+            _ => {}
+        }
+    }
+
+    /// Leaves an executor out for a fixed time plus a random part, so that the nodes do not come back together.
+    /// Never more than half of the ready ones: trouble of all is not the fault of each.
+    fn set_aside(&mut self, now: Moment, executor: ExecutorId) {
+        // Seconds: long enough to pass over most of a short trouble, short enough to find the end of a long one.
+        const FIXED_S: f64 = 3.0;
+        const RANDOM_S: f64 = 2.0;
+        let ready = |e: &&Executor| e.standing == Standing::Ready;
+        let all = self.executors.iter().filter(ready).count();
+        let out = self.executors.iter().filter(ready).filter(|e| e.aside_until > now).count();
+        if (out + 1) * 2 <= all {
+            let span = Span::secs(FIXED_S + RANDOM_S * self.chance.random::<f64>());
+            self.executors[executor.0].aside_until = now + span;
+        }
+    }
+
+    /// Housekeeping: probes, cut-offs, held work units.
+    fn beat(&mut self, now: Moment) {
+        const RECUT_EVERY: Span = Span::millis(5000); // design page
+        // Probed when nothing was heard for this long: about the pace at which reports are made anew.
+        const PROBE_AFTER: Span = Span::millis(1500);
+        self.host.wake(BEAT_EVERY, BEAT);
+        if self.may_probe {
+            for (i, e) in self.executors.iter_mut().enumerate() {
+                let due = e.reported.is_none_or(|at| now.since(at) >= PROBE_AFTER);
+                if e.standing == Standing::Ready && e.probing.is_none() && due {
+                    e.probing = Some(now);
+                    self.host.probe(ExecutorId(i));
+                }
+            }
+        }
+        if now.since(self.recut) >= RECUT_EVERY || (self.cut_offs.is_empty() && self.sample.len() >= 50) {
+            self.recut = now;
+            self.recompute_cut_offs();
+        }
+        self.serve_held(now);
+    }
+}
+
+/// Whether an executor here may get a work unit some of whose allocations may have run: a fingerprinted one
+/// only inside the group that drops its repeats and while the first is still remembered.
+fn in_group(work: &Work, effect: Effect, now: Moment, zone: usize, cell: usize) -> bool {
+    let Effect::Fingerprinted { group, memory_span } = effect else { return true };
+    work.allocations.iter().filter(|a| a.may_have_run).all(|a| {
+        let inside = match group {
+            Group::All => true,
+            Group::Zone => a.zone == zone,
+            Group::Cell => a.cell == cell,
+        };
+        inside && now < a.sent + memory_span
+    })
+}
+
+fn take_report(e: &mut Executor, now: Moment, report: Report) {
+    if let Some(utilisation) = report.utilisation.filter(|u| u.is_finite()) {
+        e.utilisation = utilisation.clamp(0.0, 1.0);
+        e.reported = Some(now);
+    }
+    if let Some(free) = report.free_slots.filter(|f| f.is_finite()) {
+        e.slots = e.slots.max(free.round());
+    }
+}
+
+/// FNV-1a over the id: fixed, so that every node and every version forms the same lanes.
+fn fixed_hash(name: &str) -> u64 {
+    name.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3))
+}
--- /dev/null
+++ b/crates/dispatch/src/host.rs
@@ -0,0 +1,20 @@
+//! What the decisions ask of whoever runs them.
+
+use crate::ids::{AllocationId, ExecutorId, UnitId};
+use crate::time::Span;
+
+pub trait Host {
+    /// Sends the work unit to the executor. Allocations of a unit are numbered from 0 in this order.
+    fn allocate(&mut self, unit: UnitId, executor: ExecutorId, time_out: Span);
+    /// Stops waiting for one allocation.
+    fn recall(&mut self, allocation: AllocationId);
+    /// Final answer: trying again is harmless, if given after this span.
+    fn turn_back(&mut self, unit: UnitId, come_back: Option<Span>);
+    /// Final answer: nothing is promised.
+    fn forfeit(&mut self, unit: UnitId);
+    /// Asks for a call of `rang` with this alarm.
+    fn wake(&mut self, after: Span, alarm: u64);
+    fn probe(&mut self, executor: ExecutorId);
+    /// Asks to be told of changes to the executor list.
+    fn follow_list(&mut self);
+}
--- /dev/null
+++ b/crates/dispatch/src/lib.rs
@@ -0,0 +1,9 @@
+//! The decisions of grebeusher and the vocabulary they are written in.
+//!
+//! [`decide`] holds every choice; the other modules only name things.
+
+pub mod decide;
+pub mod host;
+pub mod ids;
+pub mod tariffs;
+pub mod time;
--- /dev/null
+++ b/crates/dispatch/src/tariffs.rs
@@ -0,0 +1,107 @@
+//! What is known of work units, allocations and executors when something is told of them.
+
+use crate::ids::ExecutorId;
+use crate::time::{Moment, Span};
+
+/// Which executors drop repeats of a fingerprinted work unit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Group {
+    All,
+    Zone,
+    Cell,
+}
+
+/// How often the effect of a work unit may happen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    Retriable,
+    Fingerprinted { group: Group, memory_span: Span },
+    Binding,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub struct Tariff {
+    pub effect: Effect,
+    /// Within which an answer is wanted, before the stretch.
+    pub quoted_time: Span,
+    /// The quoted time grows by this multiple of the work unit's own size.
+    pub stretch: f64,
+    pub earnings: f64,
+    /// The one kind of executor that can run it, if only one can.
+    pub kind: Option<usize>,
+}
+
+/// What comes with a work unit.
+#[derive(Clone, Copy, Debug)]
+pub struct Arrival {
+    pub tariff: usize,
+    pub customer: usize,
+    pub patience_ends: Moment,
+    pub hint: Option<Span>,
+    pub slots: f64,
+}
+
+/// How an allocation ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    Fulfilled,
+    Error,
+    Full,
+    TimedOut,
+    Refused,
+    Reset,
+    Recalled,
+    NeverSent,
+}
+
+impl Ending {
+    pub fn proves_not_run(self) -> bool {
+        matches!(self, Ending::Full | Ending::Refused | Ending::NeverSent)
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    Ready,
+    Draining,
+    Gone,
+}
+
+/// One line of the executor list.
+#[derive(Clone, Copy, Debug)]
+pub struct Listing<'a> {
+    pub executor: ExecutorId,
+    pub name: &'a str,
+    pub standing: Standing,
+    pub started: Option<Moment>,
+    pub kind: usize,
+    pub zone: usize,
+    pub cell: usize,
+    pub weight: f64,
+}
+
+/// The values of a load report that the decisions use; any may be absent.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Report {
+    pub utilisation: Option<f64>,
+    pub free_slots: Option<f64>,
+}
+
+/// How often and in what way a work unit may be allocated.
+#[derive(Clone, Copy, Debug)]
+pub struct Allowance {
+    pub most_allocations: usize,
+    pub second_copies: bool,
+    pub recalls: bool,
+    /// The longest wait that a client told to come back keeps to, where it can be told.
+    pub longest_come_back: Option<Span>,
+}
+
+/// What is promised of an executor that has just started.
+#[derive(Clone, Copy, Debug)]
+pub struct ColdStart {
+    pub share: f64,
+    pub warm_within: Span,
+    pub fall_factor: f64,
+    pub fall_window: Span,
+}
