--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -129,6 +129,7 @@
     quoted: Span,
     patience_ends: Moment,
     size: f64,
+    key: Option<u64>,
     allocations: Vec<Allocation>,
     streaming: bool,
     held: bool,
@@ -339,6 +340,7 @@
             quoted,
             patience_ends: arrival.patience_ends,
             size,
+            key: arrival.key,
             allocations: Vec::new(),
             streaming: false,
             held: false,
@@ -502,6 +504,9 @@
         } else if lane_has {
             able.retain(|&(i, _)| in_lane(i));
         }
+        if let Some(key) = work.key {
+            self.keep_home(key, &mut able);
+        }
         let weight = |load: f64| if load < 1.0 { (1.0 - load).max(FLOOR) } else { FLOOR / load };
         let known: Vec<f64> = able.iter().filter_map(|&(_, load)| load.map(weight)).collect();
         let mean = if known.is_empty() { 1.0 } else { known.iter().sum::<f64>() / known.len() as f64 };
@@ -516,6 +521,15 @@
         able.last().map(|&(i, _)| (ExecutorId(i), any_free))
     }
 
+    /// Lane forming for work that needs a program or data set: inside the lane, the fixed hash of key and id ranks
+    /// the workers, the same at every node, and the first that are not full are the key's own. Guards against
+    /// every worker fetching everything from the one shared store.
+    fn keep_home(&self, key: u64, able: &mut Vec<(usize, Option<f64>)>) {
+        const HOMES: usize = 2; // a choice is left to the weights, and one worker lost does not lose the key
+        able.sort_by_key(|&(i, _)| std::cmp::Reverse(mixed(self.executors[i].hash ^ key)));
+        able.truncate(HOMES);
+    }
+
     /// Sends the work unit where the design says, holds it while nothing can take it, or turns it back.
     fn place(&mut self, now: Moment, unit: UnitId) {
         let picked = self.pick(now, unit);
@@ -587,10 +601,11 @@
             .progress
             .is_some_and(|pace| flight.started.is_some() && now.since(flight.heard).0 > pace.0 * 5 / 2);
         let waits = self.tells_start && flight.started.is_none();
+        let _ = waits;
         if silent {
             self.set_aside(now, executor);
         }
-        if (waits || silent) && self.may_allocate(unit, self.allowance.recalls) {
+        if silent && self.may_allocate(unit, self.allowance.recalls) {
             if let Some((better, true)) = self.pick(now, unit) {
                 if self.allowance.second_copies {
                     self.send(now, unit, better);
@@ -773,3 +788,10 @@
 fn fixed_hash(name: &str) -> u64 {
     name.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3))
 }
+
+/// Spreads the bits of a key and an id taken together, so that each key ranks the executors in its own order.
+fn mixed(bits: u64) -> u64 {
+    let bits = (bits ^ (bits >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let bits = (bits ^ (bits >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    bits ^ (bits >> 31)
+}
--- a/crates/dispatch/src/tariffs.rs
+++ b/crates/dispatch/src/tariffs.rs
@@ -37,6 +37,8 @@
     pub tariff: usize,
     pub customer: usize,
     pub patience_ends: Moment,
+    /// What the work needs beside the executor: a program or a data set, if it names one.
+    pub key: Option<u64>,
     pub hint: Option<Span>,
     pub slots: f64,
 }
