--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -525,7 +525,7 @@
     /// the workers, the same at every node, and the first that are not full are the key's own. Guards against
     /// every worker fetching everything from the one shared store.
     fn keep_home(&self, key: u64, able: &mut Vec<(usize, Option<f64>)>) {
-        const HOMES: usize = 2; // a choice is left to the weights, and one worker lost does not lose the key
+        const HOMES: usize = 1; // trial
         able.sort_by_key(|&(i, _)| std::cmp::Reverse(mixed(self.executors[i].hash ^ key)));
         able.truncate(HOMES);
     }
