--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -525,7 +525,7 @@
     /// the workers, the same at every node, and the first that are not full are the key's own. Guards against
     /// every worker fetching everything from the one shared store.
     fn keep_home(&self, key: u64, able: &mut Vec<(usize, Option<f64>)>) {
-        const HOMES: usize = 1; // trial
+        const HOMES: usize = 2;
         able.sort_by_key(|&(i, _)| std::cmp::Reverse(mixed(self.executors[i].hash ^ key)));
         able.truncate(HOMES);
     }
@@ -781,6 +781,8 @@
     }
     if let Some(free) = report.free_slots.filter(|f| f.is_finite()) {
         e.slots = e.slots.max(free.round());
+        // Cores may idle while every slot is held by work that waits for something: no slot, no room.
+        e.utilisation = e.utilisation.max(1.0 - free / e.slots).clamp(0.0, 1.0);
     }
 }
 
