--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -69,7 +69,7 @@
     /// Utilisation as of now: the report is late, so own allocations sent since it was taken are added, and one
     /// that waits to start shows that the executor is full whatever the report says. Guards against piling work
     /// on one idle-looking executor. `None` where nothing is known.
-    fn load(&self, now: Moment, tells_start: bool) -> Option<f64> {
+    fn load(&self, now: Moment, tells_start: bool) -> (Option<f64>, bool) {
         // A start is told within a round trip and a hand-shake; waits much longer than that are waits for a slot.
         const UNHEARD: Span = Span::millis(60);
         // Reports are averages over about a second: what was sent in the last one is not in them yet.
@@ -80,16 +80,17 @@
         let waiting = |f: &&Flight| f.started.is_none() && now.since(f.sent) > UNHEARD;
         let queued = self.flights.iter().filter(waiting).count();
         if tells_start && queued > 0 {
-            return Some(1.0 + queued as f64 / self.slots);
+            return (Some(1.0 + queued as f64 / self.slots), true);
         }
-        match self.reported {
+        let load = match self.reported {
             Some(at) if now.since(at) < STALE => {
                 let recent = self.flights.iter().filter(|f| f.sent > at - LAG).count();
                 Some((self.utilisation + recent as f64 / self.slots).max(own))
             }
             _ if own > 0.0 => Some(own),
             _ => None,
-        }
+        };
+        (load, own >= 1.0)
     }
 
     /// Whether a cold executor can take this much more. Its capacity is at least the cold share and grows at least
@@ -471,14 +472,14 @@
 
     /// The design's choice: the lane by size, the executor by a weighted random pick inside it.
     fn pick(&mut self, now: Moment, unit: UnitId) -> Option<(ExecutorId, bool)> {
-        const FLOOR: f64 = 0.02; // open by the design: low, since the correction already tells full from idle
+        const FLOOR: f64 = 0.1; // design page
         let work = &self.work[&unit];
         let size = work.size;
         let lane = self.cut_offs.iter().filter(|&&cut| size > cut).count();
         let terms = self.tariffs[work.tariff];
         let tells_start = self.tells_start;
         let part = self.unit_capacity / self.nodes;
-        let mut able: Vec<(usize, Option<f64>)> = Vec::with_capacity(self.executors.len());
+        let mut able: Vec<(usize, (Option<f64>, bool))> = Vec::with_capacity(self.executors.len());
         for (i, e) in self.executors.iter_mut().enumerate() {
             if e.standing == Standing::Ready
                 && now >= e.aside_until
@@ -492,7 +493,7 @@
         }
         let one_lane = self.cut_offs.is_empty();
         let in_lane = |i: usize| one_lane || self.executors[i].lane == lane;
-        let free = |load: Option<f64>| load.is_none_or(|l| l < 1.0);
+        let free = |(_, full): (Option<f64>, bool)| !full;
         // Overflow: a lane with every worker full borrows those workers of the other that are not.
         let lane_has = able.iter().any(|&(i, _)| in_lane(i));
         let lane_free = able.iter().any(|&(i, load)| in_lane(i) && free(load));
@@ -508,9 +509,9 @@
             self.keep_home(key, &mut able);
         }
         let weight = |load: f64| if load < 1.0 { (1.0 - load).max(FLOOR) } else { FLOOR / load };
-        let known: Vec<f64> = able.iter().filter_map(|&(_, load)| load.map(weight)).collect();
+        let known: Vec<f64> = able.iter().filter_map(|&(_, (load, _))| load.map(weight)).collect();
         let mean = if known.is_empty() { 1.0 } else { known.iter().sum::<f64>() / known.len() as f64 };
-        let weights: Vec<f64> = able.iter().map(|&(_, load)| load.map_or(mean, weight)).collect();
+        let weights: Vec<f64> = able.iter().map(|&(_, (load, _))| load.map_or(mean, weight)).collect();
         let mut at = self.chance.random::<f64>() * weights.iter().sum::<f64>();
         for (&(i, _), w) in able.iter().zip(&weights) {
             at -= w;
@@ -524,7 +525,7 @@
     /// Lane forming for work that needs a program or data set: inside the lane, the fixed hash of key and id ranks
     /// the workers, the same at every node, and the first that are not full are the key's own. Guards against
     /// every worker fetching everything from the one shared store.
-    fn keep_home(&self, key: u64, able: &mut Vec<(usize, Option<f64>)>) {
+    fn keep_home(&self, key: u64, able: &mut Vec<(usize, (Option<f64>, bool))>) {
         const HOMES: usize = 2;
         able.sort_by_key(|&(i, _)| std::cmp::Reverse(mixed(self.executors[i].hash ^ key)));
         able.truncate(HOMES);
