--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -602,11 +602,11 @@
             .progress
             .is_some_and(|pace| flight.started.is_some() && now.since(flight.heard).0 > pace.0 * 5 / 2);
         let waits = self.tells_start && flight.started.is_none();
-        let _ = waits;
+
         if silent {
             self.set_aside(now, executor);
         }
-        if silent && self.may_allocate(unit, self.allowance.recalls) {
+        if (waits || silent) && self.may_allocate(unit, self.allowance.recalls) {
             if let Some((better, true)) = self.pick(now, unit) {
                 if self.allowance.second_copies {
                     self.send(now, unit, better);
