--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -555,7 +555,7 @@
 
     fn send(&mut self, now: Moment, unit: UnitId, executor: ExecutorId) {
         // A unit that waits to start this long on one executor is looked at again.
-        const REVIEW_AFTER: Span = Span::millis(150);
+        const REVIEW_AFTER: Span = Span::millis(500);
         let Some(work) = self.work.get_mut(&unit) else { return };
         let go = work.allocations.len();
         let e = &mut self.executors[executor.0];
