--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -555,7 +555,7 @@
 
     fn send(&mut self, now: Moment, unit: UnitId, executor: ExecutorId) {
         // A unit that waits to start this long on one executor is looked at again.
-        const REVIEW_AFTER: Span = Span::millis(500);
+        const REVIEW_AFTER: Span = Span::millis(150);
         let Some(work) = self.work.get_mut(&unit) else { return };
         let go = work.allocations.len();
         let e = &mut self.executors[executor.0];
@@ -601,7 +601,8 @@
         let silent = self
             .progress
             .is_some_and(|pace| flight.started.is_some() && now.since(flight.heard).0 > pace.0 * 5 / 2);
-        let waits = self.tells_start && flight.started.is_none();
+        // A recalled one may run on: where no second copy is allowed, a move would be just that.
+        let waits = self.tells_start && flight.started.is_none() && self.allowance.second_copies;
 
         if silent {
             self.set_aside(now, executor);
