--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -61,6 +61,8 @@
     speed: f64,
     aside_until: Moment,
     lost_probes: u32,
+    last_wait: f64,
+    last_start: Moment,
     cold_level: f64,
     cold_at: Moment,
 }
@@ -93,6 +95,19 @@
         (load, own >= 1.0)
     }
 
+    /// Seconds that own allocations wait here for a slot: the age of the oldest that waits now, or what the last one
+    /// to start waited, which counts for less as it ages.
+    fn wait(&self, now: Moment, tells_start: bool) -> f64 {
+        const HALVES_EVERY_S: f64 = 2.0; // about the run of a few work units, after which a queue is another
+        if !tells_start {
+            return 0.0;
+        }
+        let waiting = self.flights.iter().filter(|f| f.started.is_none());
+        let oldest = waiting.map(|f| now.since(f.sent).as_secs()).fold(0.0, f64::max);
+        let past = self.last_wait * 0.5_f64.powf(now.since(self.last_start).as_secs() / HALVES_EVERY_S);
+        oldest.max(past)
+    }
+
     /// Whether a cold executor can take this much more. Its capacity is at least the cold share and grows at least
     /// evenly; this node takes no more than its part of what all nodes may send within any window. A leaky level
     /// of half that part lets no window see more than the whole. Guards against all nodes pushing it over.
@@ -137,6 +152,11 @@
     over_share: bool,
 }
 
+struct Picked {
+    executor: ExecutorId,
+    any_free: bool,
+}
+
 /// What a customer may send within its share, as this node's part of it.
 struct Allotment {
     per_s: f64,
@@ -281,6 +301,8 @@
                     speed: 0.0,
                     aside_until: Moment(0),
                     lost_probes: 0,
+                    last_wait: 0.0,
+                    last_start: now,
                     cold_level: 0.0,
                     cold_at: now,
                 });
@@ -362,7 +384,10 @@
     pub fn noticed(&mut self, now: Moment, id: AllocationId, executor: ExecutorId) {
         let Some(e) = self.executors.get_mut(executor.0) else { return };
         if let Some(flight) = e.flights.iter_mut().find(|f| f.id == id) {
-            flight.started.get_or_insert(now);
+            if flight.started.is_none() {
+                flight.started = Some(now);
+                (e.last_wait, e.last_start) = (now.since(flight.sent).as_secs(), now);
+            }
             flight.heard = now;
         }
         let running = e.flights.iter().filter(|f| f.started.is_some()).count();
@@ -471,7 +496,7 @@
     }
 
     /// The design's choice: the lane by size, the executor by a weighted random pick inside it.
-    fn pick(&mut self, now: Moment, unit: UnitId) -> Option<(ExecutorId, bool)> {
+    fn pick(&mut self, now: Moment, unit: UnitId) -> Option<Picked> {
         const FLOOR: f64 = 0.1; // design page
         let work = &self.work[&unit];
         let size = work.size;
@@ -516,10 +541,24 @@
         for (&(i, _), w) in able.iter().zip(&weights) {
             at -= w;
             if at < 0.0 {
-                return Some((ExecutorId(i), any_free));
+                return Some(Picked { executor: ExecutorId(i), any_free });
             }
         }
-        able.last().map(|&(i, _)| (ExecutorId(i), any_free))
+        able.last().map(|&(i, _)| Picked { executor: ExecutorId(i), any_free })
+    }
+
+    /// Whether the work unit would miss its quoted time even where the wait is shortest. Guards against queues that
+    /// make all late: what cannot be in time is turned back while that is prompt.
+    fn hopeless(&self, now: Moment, work: &Work) -> bool {
+        let kind = self.tariffs[work.tariff].kind;
+        let left = (work.arrived + work.quoted).since(now).as_secs();
+        self.executors
+            .iter()
+            .filter(|e| e.standing == Standing::Ready && kind.is_none_or(|k| k == e.kind))
+            .all(|e| {
+                let run = if e.speed > 0.0 { work.size / e.speed } else { 0.0 };
+                e.aside_until > now || e.wait(now, self.tells_start) + run > left
+            })
     }
 
     /// Lane forming for work that needs a program or data set: inside the lane, the fixed hash of key and id ranks
@@ -539,8 +578,9 @@
             return self.answer(unit);
         }
         match picked {
-            Some((executor, any_free)) => {
-                if !any_free && work.allocations.is_empty() && work.over_share {
+            Some(Picked { executor, any_free }) => {
+                let fresh = work.allocations.iter().all(|a| !a.may_have_run);
+                if !any_free && fresh && (work.over_share || self.hopeless(now, &self.work[&unit])) {
                     return self.answer(unit);
                 }
                 self.send(now, unit, executor);
@@ -608,7 +648,7 @@
             self.set_aside(now, executor);
         }
         if (waits || silent) && self.may_allocate(unit, self.allowance.recalls) {
-            if let Some((better, true)) = self.pick(now, unit) {
+            if let Some(Picked { executor: better, any_free: true }) = self.pick(now, unit) {
                 if self.allowance.second_copies {
                     self.send(now, unit, better);
                 }
@@ -718,7 +758,9 @@
                     e.speed = if e.speed > 0.0 { e.speed * 0.9 + pace * 0.1 } else { pace };
                 }
             }
-            Ending::Full => (e.utilisation, e.reported) = (1.0, Some(now)),
+            // A full waiting room empties in about a run: nothing until then, or it would answer fastest of all
+            // and draw the more work the fuller it is.
+            Ending::Full => e.aside_until = now + Span::secs(0.5 + 0.5 * self.chance.random::<f64>()),
             Ending::Error | Ending::Refused => self.set_aside(now, executor),
             _ => {}
         }
