--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -23,6 +23,7 @@
 use crate::time::{Moment, Span};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg32;
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, VecDeque};
 
 const BEAT: u64 = 0;
@@ -68,31 +69,22 @@
 }
 
 impl Executor {
-    /// Utilisation as of now: the report is late, so own allocations sent since it was taken are added, and one
-    /// that waits to start shows that the executor is full whatever the report says. Guards against piling work
-    /// on one idle-looking executor. `None` where nothing is known.
-    fn load(&self, now: Moment, tells_start: bool) -> (Option<f64>, bool) {
-        // A start is told within a round trip and a hand-shake; waits much longer than that are waits for a slot.
-        const UNHEARD: Span = Span::millis(60);
+    /// Utilisation as of now: the report is late, so own allocations sent since it was taken are added. Guards
+    /// against piling work on one idle-looking executor. `None` where nothing is known.
+    fn load(&self, now: Moment) -> Option<f64> {
         // Reports are averages over about a second: what was sent in the last one is not in them yet.
         const LAG: Span = Span::millis(1000);
         // After several usual report spans the figure says nothing any more.
         const STALE: Span = Span::millis(6000);
         let own = self.flights.len() as f64 / self.slots;
-        let waiting = |f: &&Flight| f.started.is_none() && now.since(f.sent) > UNHEARD;
-        let queued = self.flights.iter().filter(waiting).count();
-        if tells_start && queued > 0 {
-            return (Some(1.0 + queued as f64 / self.slots), true);
-        }
-        let load = match self.reported {
+        match self.reported {
             Some(at) if now.since(at) < STALE => {
                 let recent = self.flights.iter().filter(|f| f.sent > at - LAG).count();
                 Some((self.utilisation + recent as f64 / self.slots).max(own))
             }
             _ if own > 0.0 => Some(own),
             _ => None,
-        };
-        (load, own >= 1.0)
+        }
     }
 
     /// Seconds that own allocations wait here for a slot: the age of the oldest that waits now, or what the last one
@@ -108,6 +100,15 @@
         oldest.max(past)
     }
 
+    /// Whether own evidence leaves room here for a work unit that can spare `slack` seconds: late reports do not
+    /// count, since all nodes would believe them at once and crowd onto the few that look free.
+    fn has_room(&self, now: Moment, tells_start: bool, slack: f64) -> bool {
+        const PART: f64 = 0.25; // of the slack may go into waiting: the estimate is of the past, the queue may grow
+        const TOLD_WITHIN: f64 = 0.06; // seconds: a start is told within a round trip and a hand-shake
+        (self.flights.len() as f64) < self.slots
+            && self.wait(now, tells_start) <= (slack * PART).max(TOLD_WITHIN)
+    }
+
     /// Whether a cold executor can take this much more. Its capacity is at least the cold share and grows at least
     /// evenly; this node takes no more than its part of what all nodes may send within any window. A leaky level
     /// of half that part lets no window see more than the whole. Guards against all nodes pushing it over.
@@ -152,9 +153,17 @@
     over_share: bool,
 }
 
+/// An executor that could take a work unit.
+struct Candidate {
+    at: usize,
+    in_lane: bool,
+    room: bool,
+    load: Option<f64>,
+}
+
 struct Picked {
     executor: ExecutorId,
-    any_free: bool,
+    any_room: bool,
 }
 
 /// What a customer may send within its share, as this node's part of it.
@@ -504,47 +513,49 @@
         let terms = self.tariffs[work.tariff];
         let tells_start = self.tells_start;
         let part = self.unit_capacity / self.nodes;
-        let mut able: Vec<(usize, (Option<f64>, bool))> = Vec::with_capacity(self.executors.len());
-        for (i, e) in self.executors.iter_mut().enumerate() {
+        let left = (work.arrived + work.quoted).since(now).as_secs() - size;
+        let one_lane = self.cut_offs.is_empty();
+        let mut able: Vec<Candidate> = Vec::with_capacity(self.executors.len());
+        for (at, e) in self.executors.iter_mut().enumerate() {
             if e.standing == Standing::Ready
                 && now >= e.aside_until
                 && terms.kind.is_none_or(|kind| kind == e.kind)
                 && in_group(work, terms.effect, now, e.zone, e.cell)
-                && !work.allocations.iter().any(|a| a.open && a.executor.0 == i)
+                && !work.allocations.iter().any(|a| a.open && a.executor.0 == at)
                 && e.cold_admits(&self.cold, part * e.weight, now, size)
             {
-                able.push((i, e.load(now, tells_start)));
+                let in_lane = one_lane || e.lane == lane;
+                able.push(Candidate {
+                    at,
+                    in_lane,
+                    room: e.has_room(now, tells_start, left),
+                    load: e.load(now),
+                });
             }
         }
-        let one_lane = self.cut_offs.is_empty();
-        let in_lane = |i: usize| one_lane || self.executors[i].lane == lane;
-        let free = |(_, full): (Option<f64>, bool)| !full;
-        // Overflow: a lane with every worker full borrows those workers of the other that are not.
-        let lane_has = able.iter().any(|&(i, _)| in_lane(i));
-        let lane_free = able.iter().any(|&(i, load)| in_lane(i) && free(load));
-        let any_free = able.iter().any(|&(_, load)| free(load));
-        if lane_free {
-            able.retain(|&(i, load)| in_lane(i) && free(load));
-        } else if any_free {
-            able.retain(|&(_, load)| free(load));
-        } else if lane_has {
-            able.retain(|&(i, _)| in_lane(i));
+        // Overflow: a lane with no room left borrows those workers of the other that have some.
+        let any_room = able.iter().any(|c| c.room);
+        if able.iter().any(|c| c.in_lane && c.room) {
+            able.retain(|c| c.in_lane && c.room);
+        } else if any_room {
+            able.retain(|c| c.room);
+        } else if able.iter().any(|c| c.in_lane) {
+            able.retain(|c| c.in_lane);
         }
         if let Some(key) = work.key {
             self.keep_home(key, &mut able);
         }
         let weight = |load: f64| if load < 1.0 { (1.0 - load).max(FLOOR) } else { FLOOR / load };
-        let known: Vec<f64> = able.iter().filter_map(|&(_, (load, _))| load.map(weight)).collect();
+        let known: Vec<f64> = able.iter().filter_map(|c| c.load.map(weight)).collect();
         let mean = if known.is_empty() { 1.0 } else { known.iter().sum::<f64>() / known.len() as f64 };
-        let weights: Vec<f64> = able.iter().map(|&(_, (load, _))| load.map_or(mean, weight)).collect();
-        let mut at = self.chance.random::<f64>() * weights.iter().sum::<f64>();
-        for (&(i, _), w) in able.iter().zip(&weights) {
-            at -= w;
-            if at < 0.0 {
-                return Some(Picked { executor: ExecutorId(i), any_free });
-            }
-        }
-        able.last().map(|&(i, _)| Picked { executor: ExecutorId(i), any_free })
+        let weights: Vec<f64> = able.iter().map(|c| c.load.map_or(mean, weight)).collect();
+        let mut point = self.chance.random::<f64>() * weights.iter().sum::<f64>();
+        let picked = weights.iter().position(|w| {
+            point -= w;
+            point < 0.0
+        });
+        let chosen = able.get(picked.unwrap_or(able.len().saturating_sub(1)))?;
+        Some(Picked { executor: ExecutorId(chosen.at), any_room })
     }
 
     /// Whether the work unit would miss its quoted time even where the wait is shortest. Guards against queues that
@@ -564,9 +575,9 @@
     /// Lane forming for work that needs a program or data set: inside the lane, the fixed hash of key and id ranks
     /// the workers, the same at every node, and the first that are not full are the key's own. Guards against
     /// every worker fetching everything from the one shared store.
-    fn keep_home(&self, key: u64, able: &mut Vec<(usize, (Option<f64>, bool))>) {
+    fn keep_home(&self, key: u64, able: &mut Vec<Candidate>) {
         const HOMES: usize = 2;
-        able.sort_by_key(|&(i, _)| std::cmp::Reverse(mixed(self.executors[i].hash ^ key)));
+        able.sort_by_key(|c| Reverse(mixed(self.executors[c.at].hash ^ key)));
         able.truncate(HOMES);
     }
 
@@ -578,9 +589,9 @@
             return self.answer(unit);
         }
         match picked {
-            Some(Picked { executor, any_free }) => {
+            Some(Picked { executor, any_room }) => {
                 let fresh = work.allocations.iter().all(|a| !a.may_have_run);
-                if !any_free && fresh && (work.over_share || self.hopeless(now, &self.work[&unit])) {
+                if !any_room && fresh && (work.over_share || self.hopeless(now, &self.work[&unit])) {
                     return self.answer(unit);
                 }
                 self.send(now, unit, executor);
@@ -648,7 +659,7 @@
             self.set_aside(now, executor);
         }
         if (waits || silent) && self.may_allocate(unit, self.allowance.recalls) {
-            if let Some(Picked { executor: better, any_free: true }) = self.pick(now, unit) {
+            if let Some(Picked { executor: better, any_room: true }) = self.pick(now, unit) {
                 if self.allowance.second_copies {
                     self.send(now, unit, better);
                 }
