--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -100,13 +100,13 @@
         oldest.max(past)
     }
 
-    /// Whether own evidence leaves room here for a work unit that can spare `slack` seconds: late reports do not
+    /// Whether own evidence leaves room here for a work unit that can `spare` some seconds: late reports do not
     /// count, since all nodes would believe them at once and crowd onto the few that look free.
-    fn has_room(&self, now: Moment, tells_start: bool, slack: f64) -> bool {
-        const PART: f64 = 0.25; // of the slack may go into waiting: the estimate is of the past, the queue may grow
-        const TOLD_WITHIN: f64 = 0.06; // seconds: a start is told within a round trip and a hand-shake
+    fn has_room(&self, now: Moment, tells_start: bool, spare: f64) -> bool {
+        const TOLD_WITHIN: Span = Span::millis(60); // a start is told within a round trip and a hand-shake
+        let waits = |f: &Flight| tells_start && f.started.is_none() && now.since(f.sent) > TOLD_WITHIN;
         (self.flights.len() as f64) < self.slots
-            && self.wait(now, tells_start) <= (slack * PART).max(TOLD_WITHIN)
+            && (!self.flights.iter().any(waits) || self.wait(now, tells_start) <= spare)
     }
 
     /// Whether a cold executor can take this much more. Its capacity is at least the cold share and grows at least
@@ -513,7 +513,10 @@
         let terms = self.tariffs[work.tariff];
         let tells_start = self.tells_start;
         let part = self.unit_capacity / self.nodes;
-        let left = (work.arrived + work.quoted).since(now).as_secs() - size;
+        // Keyed work waits a little at its home rather than fetch elsewhere; other work waits nowhere by choice.
+        const PART: f64 = 0.25; // of the slack: the estimate is of the past, and the queue may grow
+        let slack = (work.arrived + work.quoted).since(now).as_secs() - size;
+        let spare = if work.key.is_some() { slack * PART } else { 0.0 };
         let one_lane = self.cut_offs.is_empty();
         let mut able: Vec<Candidate> = Vec::with_capacity(self.executors.len());
         for (at, e) in self.executors.iter_mut().enumerate() {
@@ -528,7 +531,7 @@
                 able.push(Candidate {
                     at,
                     in_lane,
-                    room: e.has_room(now, tells_start, left),
+                    room: e.has_room(now, tells_start, spare),
                     load: e.load(now),
                 });
             }
@@ -562,14 +565,11 @@
     /// make all late: what cannot be in time is turned back while that is prompt.
     fn hopeless(&self, now: Moment, work: &Work) -> bool {
         let kind = self.tariffs[work.tariff].kind;
-        let left = (work.arrived + work.quoted).since(now).as_secs();
+        let slack = (work.arrived + work.quoted).since(now).as_secs() - work.size;
         self.executors
             .iter()
             .filter(|e| e.standing == Standing::Ready && kind.is_none_or(|k| k == e.kind))
-            .all(|e| {
-                let run = if e.speed > 0.0 { work.size / e.speed } else { 0.0 };
-                e.aside_until > now || e.wait(now, self.tells_start) + run > left
-            })
+            .all(|e| e.aside_until > now || e.wait(now, self.tells_start) > slack.max(0.1))
     }
 
     /// Lane forming for work that needs a program or data set: inside the lane, the fixed hash of key and id ranks
@@ -591,7 +591,7 @@
         match picked {
             Some(Picked { executor, any_room }) => {
                 let fresh = work.allocations.iter().all(|a| !a.may_have_run);
-                if !any_room && fresh && (work.over_share || self.hopeless(now, &self.work[&unit])) {
+                if fresh && ((!any_room && work.over_share) || self.hopeless(now, &self.work[&unit])) {
                     return self.answer(unit);
                 }
                 self.send(now, unit, executor);
