--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -94,19 +94,24 @@
         if !tells_start {
             return 0.0;
         }
-        let waiting = self.flights.iter().filter(|f| f.started.is_none());
-        let oldest = waiting.map(|f| now.since(f.sent).as_secs()).fold(0.0, f64::max);
         let past = self.last_wait * 0.5_f64.powf(now.since(self.last_start).as_secs() / HALVES_EVERY_S);
-        oldest.max(past)
+        self.oldest_wait(now).max(past)
+    }
+
+    fn oldest_wait(&self, now: Moment) -> f64 {
+        let waiting = self.flights.iter().filter(|f| f.started.is_none());
+        waiting.map(|f| now.since(f.sent).as_secs()).fold(0.0, f64::max)
     }
 
     /// Whether own evidence leaves room here for a work unit that can `spare` some seconds: late reports do not
     /// count, since all nodes would believe them at once and crowd onto the few that look free.
-    fn has_room(&self, now: Moment, tells_start: bool, spare: f64) -> bool {
-        const TOLD_WITHIN: Span = Span::millis(60); // a start is told within a round trip and a hand-shake
-        let waits = |f: &Flight| tells_start && f.started.is_none() && now.since(f.sent) > TOLD_WITHIN;
-        (self.flights.len() as f64) < self.slots
-            && (!self.flights.iter().any(waits) || self.wait(now, tells_start) <= spare)
+    fn has_room(&self, now: Moment, tells_start: bool, spare: Option<f64>) -> bool {
+        const TOLD_WITHIN: f64 = 0.06; // seconds: a start is told within a round trip and a hand-shake
+        let waits = match spare {
+            Some(spare) => self.wait(now, tells_start) > spare.max(TOLD_WITHIN),
+            None => tells_start && self.oldest_wait(now) > TOLD_WITHIN,
+        };
+        (self.flights.len() as f64) < self.slots && !waits
     }
 
     /// Whether a cold executor can take this much more. Its capacity is at least the cold share and grows at least
@@ -516,7 +521,7 @@
         // Keyed work waits a little at its home rather than fetch elsewhere; other work waits nowhere by choice.
         const PART: f64 = 0.25; // of the slack: the estimate is of the past, and the queue may grow
         let slack = (work.arrived + work.quoted).since(now).as_secs() - size;
-        let spare = if work.key.is_some() { slack * PART } else { 0.0 };
+        let spare = work.key.map(|_| slack * PART);
         let one_lane = self.cut_offs.is_empty();
         let mut able: Vec<Candidate> = Vec::with_capacity(self.executors.len());
         for (at, e) in self.executors.iter_mut().enumerate() {
@@ -653,7 +658,10 @@
             .progress
             .is_some_and(|pace| flight.started.is_some() && now.since(flight.heard).0 > pace.0 * 5 / 2);
         // A recalled one may run on: where no second copy is allowed, a move would be just that.
-        let waits = self.tells_start && flight.started.is_none() && self.allowance.second_copies;
+        let waits = self.tells_start
+            && flight.started.is_none()
+            && self.allowance.second_copies
+            && work.key.is_none();
 
         if silent {
             self.set_aside(now, executor);
