--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -660,8 +660,7 @@
         // A recalled one may run on: where no second copy is allowed, a move would be just that.
         let waits = self.tells_start
             && flight.started.is_none()
-            && self.allowance.second_copies
-            && work.key.is_none();
+            && self.allowance.second_copies;
 
         if silent {
             self.set_aside(now, executor);
