--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -473,7 +473,7 @@
         let mut ready: Vec<usize> =
             (0..self.executors.len()).filter(|&i| self.executors[i].standing == Standing::Ready).collect();
         ready.sort_by_key(|&i| (self.executors[i].hash, i));
-        let half = ready.len().div_ceil(2);
+        let half = (ready.len() * 3).div_ceil(4);
         for (rank, &i) in ready.iter().enumerate() {
             self.executors[i].lane = usize::from(rank >= half);
         }
@@ -658,9 +658,7 @@
             .progress
             .is_some_and(|pace| flight.started.is_some() && now.since(flight.heard).0 > pace.0 * 5 / 2);
         // A recalled one may run on: where no second copy is allowed, a move would be just that.
-        let waits = self.tells_start
-            && flight.started.is_none()
-            && self.allowance.second_copies;
+        let waits = self.tells_start && flight.started.is_none() && self.allowance.second_copies;
 
         if silent {
             self.set_aside(now, executor);
