--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -473,7 +473,7 @@
         let mut ready: Vec<usize> =
             (0..self.executors.len()).filter(|&i| self.executors[i].standing == Standing::Ready).collect();
         ready.sort_by_key(|&i| (self.executors[i].hash, i));
-        let half = (ready.len() * 3).div_ceil(4);
+        let half = (ready.len() * 2).div_ceil(3);
         for (rank, &i) in ready.iter().enumerate() {
             self.executors[i].lane = usize::from(rank >= half);
         }
