--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -472,8 +472,11 @@
     fn form_lanes(&mut self) {
         let mut ready: Vec<usize> =
             (0..self.executors.len()).filter(|&i| self.executors[i].standing == Standing::Ready).collect();
-        ready.sort_by_key(|&i| (self.executors[i].hash, i));
-        let half = (ready.len() * 2).div_ceil(3);
+        ready.sort_by(|&a, &b| {
+            let (a, b) = (&self.executors[a], &self.executors[b]);
+            a.weight.total_cmp(&b.weight).then(a.hash.cmp(&b.hash))
+        });
+        let half = (ready.len() * 3).div_ceil(4);
         for (rank, &i) in ready.iter().enumerate() {
             self.executors[i].lane = usize::from(rank >= half);
         }
