Two broken rules mended: held units have their own alarm, cold caps keep half in reserve

A unit is also not sent again where it failed while another executor is there: a crashed one looked idle and was asked at once.

--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -115,8 +115,8 @@
     }
 
     /// Whether a cold executor can take this much more. Its capacity is at least the cold share and grows at least
-    /// evenly; this node takes no more than its part of what all nodes may send within any window. A leaky level
-    /// of half that part lets no window see more than the whole. Guards against all nodes pushing it over.
+    /// evenly; this node takes no more than its part of what all nodes may send within any window. Guards against
+    /// all nodes pushing it over.
     fn cold_admits(&mut self, cold: &ColdStart, capacity: f64, now: Moment, size: f64) -> bool {
         let Some(started) = self.started else { return true };
         let age = now.since(started).as_secs() / cold.warm_within.as_secs().max(0.001);
@@ -125,11 +125,13 @@
         }
         let share = cold.share + (1.0 - cold.share) * age;
         let window = cold.fall_window.as_secs().max(0.001);
-        let part = cold.fall_factor * share * capacity * window;
-        let level = self.cold_level - now.since(self.cold_at).as_secs() * part / 2.0 / window;
+        // A leaky level that holds and leaks a quarter of the part lets no window see more than half of it: the
+        // other half covers rough hints and a cold executor that is slower than the slowest seen.
+        let part = cold.fall_factor * share * capacity * window / 4.0;
+        let level = self.cold_level - now.since(self.cold_at).as_secs() * part / window;
         self.cold_level = level.max(0.0);
         self.cold_at = now;
-        self.flights.len() <= self.answers && self.cold_level + size <= part / 2.0
+        self.flights.len() <= self.answers && self.cold_level + size <= part
     }
 }
 
@@ -155,6 +157,7 @@
     allocations: Vec<Allocation>,
     streaming: bool,
     held: bool,
+    hold_ends: Moment,
     over_share: bool,
 }
 
@@ -381,6 +384,7 @@
             allocations: Vec::new(),
             streaming: false,
             held: false,
+            hold_ends: now,
             over_share,
         };
         self.work.insert(unit, work);
@@ -503,13 +507,10 @@
             });
             self.cut_offs.extend(cut);
         }
-        // What a unit of registered weight can do, from the executors whose pace and slots have been seen.
+        // What a unit of registered weight can do at least, from the executors whose pace and slots have been seen.
         let seen = |e: &&Executor| e.standing == Standing::Ready && e.speed > 0.0;
-        let able: f64 = self.executors.iter().filter(seen).map(|e| e.speed * e.slots).sum();
-        let weight: f64 = self.executors.iter().filter(seen).map(|e| e.weight).sum();
-        if weight > 0.0 {
-            self.unit_capacity = able / weight;
-        }
+        let able = self.executors.iter().filter(seen).map(|e| e.speed * e.slots / e.weight);
+        self.unit_capacity = able.reduce(f64::min).unwrap_or(self.unit_capacity);
     }
 
     /// The design's choice: the lane by size, the executor by a weighted random pick inside it.
@@ -544,6 +545,11 @@
                 });
             }
         }
+        // One that failed this unit is not asked again while another is there: a crash looks idle at once.
+        let tried = |c: &Candidate| work.allocations.iter().any(|a| a.executor.0 == c.at);
+        if !able.iter().all(tried) {
+            able.retain(|c| !tried(c));
+        }
         // Overflow: a lane with no room left borrows those workers of the other that have some.
         let any_room = able.iter().any(|c| c.room);
         if able.iter().any(|c| c.in_lane && c.room) {
@@ -591,6 +597,8 @@
 
     /// Sends the work unit where the design says, holds it while nothing can take it, or turns it back.
     fn place(&mut self, now: Moment, unit: UnitId) {
+        // Long enough for one set aside to return or a slot to come free; longer waits seldom end in an answer.
+        const HOLD_MOST: Span = Span::millis(1000);
         let picked = self.pick(now, unit);
         let Some(work) = self.work.get_mut(&unit) else { return };
         if work.patience_ends <= now + ANSWER_MARGIN {
@@ -606,7 +614,11 @@
             }
             None if work.held => {}
             None => {
+                // Its own alarm: patience may end between two beats.
                 work.held = true;
+                let until = (now + HOLD_MOST).min(work.arrived + work.quoted);
+                work.hold_ends = until.min(work.patience_ends - ANSWER_MARGIN);
+                self.host.wake(work.hold_ends.since(now), FIRST_UNIT + unit.0);
                 self.held.push_back(unit);
             }
         }
@@ -648,6 +660,9 @@
     fn review(&mut self, now: Moment, unit: UnitId) {
         const AGAIN: Span = Span::millis(250); // a few looks within the shortest quoted times
         let Some(work) = self.work.get(&unit) else { return };
+        if work.held && work.hold_ends <= now {
+            return self.answer(unit);
+        }
         if work.streaming || work.held {
             return;
         }
@@ -741,7 +756,7 @@
         for _ in 0..self.held.len() {
             let Some(unit) = self.held.pop_front() else { return };
             let Some(work) = self.work.get(&unit).filter(|w| w.held) else { continue };
-            if work.arrived + work.quoted <= now || work.patience_ends <= now + ANSWER_MARGIN {
+            if work.hold_ends <= now {
                 self.answer(unit);
                 continue;
             }
