--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -60,6 +60,8 @@
     flights: Vec<Flight>,
     answers: usize,
     speed: f64,
+    /// Work a second when warm; one standard core until its kind has been seen.
+    capacity: f64,
     aside_until: Moment,
     lost_probes: u32,
     last_wait: f64,
@@ -117,7 +119,7 @@
     /// Whether a cold executor can take this much more. Its capacity is at least the cold share and grows at least
     /// evenly; this node takes no more than its part of what all nodes may send within any window. Guards against
     /// all nodes pushing it over.
-    fn cold_admits(&mut self, cold: &ColdStart, capacity: f64, now: Moment, size: f64) -> bool {
+    fn cold_admits(&mut self, cold: &ColdStart, nodes: f64, now: Moment, size: f64) -> bool {
         let Some(started) = self.started else { return true };
         let age = now.since(started).as_secs() / cold.warm_within.as_secs().max(0.001);
         if age >= 1.0 {
@@ -126,8 +128,8 @@
         let share = cold.share + (1.0 - cold.share) * age;
         let window = cold.fall_window.as_secs().max(0.001);
         // A leaky level that holds and leaks a quarter of the part lets no window see more than half of it: the
-        // other half covers rough hints and a cold executor that is slower than the slowest seen.
-        let part = cold.fall_factor * share * capacity * window / 4.0;
+        // other half covers rough hints and a cold executor that is slower than its kind.
+        let part = cold.fall_factor * share * self.capacity / nodes * window / 4.0;
         let level = self.cold_level - now.since(self.cold_at).as_secs() * part / window;
         self.cold_level = level.max(0.0);
         self.cold_at = now;
@@ -217,7 +219,6 @@
     median: f64,
     cut_offs: Vec<f64>,
     recut: Moment,
-    unit_capacity: f64,
 }
 
 impl<H: Host> Dispatcher<H> {
@@ -252,7 +253,6 @@
             median: 1.0,
             cut_offs: Vec::new(),
             recut: Moment(0),
-            unit_capacity: 1.0,
         }
     }
 
@@ -316,6 +316,7 @@
                     flights: Vec::new(),
                     answers: 0,
                     speed: 0.0,
+                    capacity: 1.0,
                     aside_until: Moment(0),
                     lost_probes: 0,
                     last_wait: 0.0,
@@ -507,10 +508,17 @@
             });
             self.cut_offs.extend(cut);
         }
-        // What a unit of registered weight can do at least, from the executors whose pace and slots have been seen.
+        // What an executor can do when warm: the mean of its kind, from those whose pace and slots have been seen.
         let seen = |e: &&Executor| e.standing == Standing::Ready && e.speed > 0.0;
-        let able = self.executors.iter().filter(seen).map(|e| e.speed * e.slots / e.weight);
-        self.unit_capacity = able.reduce(f64::min).unwrap_or(self.unit_capacity);
+        let known: Vec<(usize, f64)> =
+            self.executors.iter().filter(seen).map(|e| (e.kind, e.speed * e.slots)).collect();
+        for e in &mut self.executors {
+            let like = known.iter().filter(|(kind, _)| *kind == e.kind).map(|(_, able)| able);
+            let (sum, count) = like.fold((0.0, 0.0), |(sum, count), able| (sum + able, count + 1.0));
+            if count > 0.0 {
+                e.capacity = sum / count;
+            }
+        }
     }
 
     /// The design's choice: the lane by size, the executor by a weighted random pick inside it.
@@ -521,7 +529,6 @@
         let lane = self.cut_offs.iter().filter(|&&cut| size > cut).count();
         let terms = self.tariffs[work.tariff];
         let tells_start = self.tells_start;
-        let part = self.unit_capacity / self.nodes;
         // Keyed work waits a little at its home rather than fetch elsewhere; other work waits nowhere by choice.
         const PART: f64 = 0.25; // of the slack: the estimate is of the past, and the queue may grow
         let slack = (work.arrived + work.quoted).since(now).as_secs() - size;
@@ -534,7 +541,7 @@
                 && terms.kind.is_none_or(|kind| kind == e.kind)
                 && in_group(work, terms.effect, now, e.zone, e.cell)
                 && !work.allocations.iter().any(|a| a.open && a.executor.0 == at)
-                && e.cold_admits(&self.cold, part * e.weight, now, size)
+                && e.cold_admits(&self.cold, self.nodes, now, size)
             {
                 let in_lane = one_lane || e.lane == lane;
                 able.push(Candidate {
