--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -670,7 +670,8 @@
         if work.held && work.hold_ends <= now {
             return self.answer(unit);
         }
-        if work.streaming || work.held {
+        let retriable = self.tariffs[work.tariff].effect == Effect::Retriable;
+        if work.streaming || work.held || !retriable {
             return;
         }
         let go = work.allocations.len().saturating_sub(1);
@@ -688,17 +689,18 @@
         if silent {
             self.set_aside(now, executor);
         }
-        if (waits || silent) && self.may_allocate(unit, self.allowance.recalls) {
-            if let Some(Picked { executor: better, any_room: true }) = self.pick(now, unit) {
-                if self.allowance.second_copies {
-                    self.send(now, unit, better);
-                }
-                if let Some(w) = self.work.get_mut(&unit) {
-                    w.allocations[go].recalled = true;
-                }
-                self.host.recall(id);
-                return;
+        if (waits || silent)
+            && self.may_allocate(unit, self.allowance.recalls)
+            && let Some(Picked { executor: better, any_room: true }) = self.pick(now, unit)
+        {
+            if self.allowance.second_copies {
+                self.send(now, unit, better);
             }
+            if let Some(work) = self.work.get_mut(&unit) {
+                work.allocations[go].recalled = true;
+            }
+            self.host.recall(id);
+            return;
         }
         self.host.wake(AGAIN, FIRST_UNIT + unit.0);
     }
--- /dev/null
+++ b/crates/dispatch/tests/fake/mod.rs
@@ -0,0 +1,178 @@
+//! One tiny fake host that writes down what it is asked, and a story that plays against it.
+
+use grebeusher_dispatch::decide::Dispatcher;
+use grebeusher_dispatch::host::Host;
+use grebeusher_dispatch::ids::{AllocationId, ExecutorId, UnitId};
+use grebeusher_dispatch::tariffs::*;
+use grebeusher_dispatch::time::{Moment, Span};
+use std::cell::RefCell;
+use std::rc::Rc;
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Said {
+    Allocate(u64, usize, Span),
+    Recall(u64, usize),
+    TurnBack(u64),
+    Forfeit(u64),
+    Wake(Span, u64),
+    Probe(usize),
+    Follow,
+}
+
+#[derive(Clone, Default)]
+pub struct Fake(pub Rc<RefCell<Vec<Said>>>);
+
+impl Host for Fake {
+    fn allocate(&mut self, unit: UnitId, executor: ExecutorId, time_out: Span) {
+        self.0.borrow_mut().push(Said::Allocate(unit.0, executor.0, time_out));
+    }
+    fn recall(&mut self, allocation: AllocationId) {
+        self.0.borrow_mut().push(Said::Recall(allocation.unit.0, allocation.number));
+    }
+    fn turn_back(&mut self, unit: UnitId, _come_back: Option<Span>) {
+        self.0.borrow_mut().push(Said::TurnBack(unit.0));
+    }
+    fn forfeit(&mut self, unit: UnitId) {
+        self.0.borrow_mut().push(Said::Forfeit(unit.0));
+    }
+    fn wake(&mut self, after: Span, alarm: u64) {
+        self.0.borrow_mut().push(Said::Wake(after, alarm));
+    }
+    fn probe(&mut self, executor: ExecutorId) {
+        self.0.borrow_mut().push(Said::Probe(executor.0));
+    }
+    fn follow_list(&mut self) {
+        self.0.borrow_mut().push(Said::Follow);
+    }
+}
+
+pub const ALLOWANCE: Allowance =
+    Allowance { most_allocations: 4, second_copies: true, recalls: true, longest_come_back: None };
+pub const RETRIABLE: usize = 0;
+pub const BINDING: usize = 1;
+pub const IN_ZONE: usize = 2;
+pub const ANYWHERE: usize = 3;
+
+pub fn tariffs() -> Vec<Tariff> {
+    let memory_span = Span::millis(3000);
+    let effects = [
+        Effect::Retriable,
+        Effect::Binding,
+        Effect::Fingerprinted { group: Group::Zone, memory_span },
+        Effect::Fingerprinted { group: Group::All, memory_span },
+    ];
+    let tariff =
+        |effect| Tariff { effect, quoted_time: Span::millis(500), stretch: 2.0, earnings: 1.0, kind: None };
+    effects.into_iter().map(tariff).collect()
+}
+
+pub fn dispatcher(host: Fake, allowance: Allowance) -> Dispatcher<Fake> {
+    let cold = ColdStart {
+        share: 0.2,
+        warm_within: Span::millis(20_000),
+        fall_factor: 2.0,
+        fall_window: Span::millis(1000),
+    };
+    Dispatcher::new(host, 7, 2, tariffs()).allowing(allowance).cold_starts(cold).noticing(
+        true,
+        true,
+        true,
+        Some(Span::millis(1000)),
+    )
+}
+
+/// A node some way into its life, with a clock of its own.
+pub struct Story {
+    pub node: Dispatcher<Fake>,
+    pub said: Fake,
+    pub now: Moment,
+}
+
+impl Story {
+    pub fn with(executors: usize, allowance: Allowance) -> Story {
+        let said = Fake::default();
+        let now = Moment(1_000_000_000_000);
+        let mut story = Story { node: dispatcher(said.clone(), allowance), said, now };
+        story.node.start(now);
+        let names: Vec<String> = (0..executors).map(|i| format!("executor-{i}")).collect();
+        let entries: Vec<Listing> = names.iter().enumerate().map(|(i, name)| listing(i, name)).collect();
+        story.node.listed(now, true, &entries);
+        story.said.0.borrow_mut().clear();
+        story
+    }
+
+    pub fn of(executors: usize) -> Story {
+        Story::with(executors, ALLOWANCE)
+    }
+
+    pub fn pass(&mut self, ms: u64) {
+        self.now = self.now + Span::millis(ms);
+    }
+
+    pub fn arrive(&mut self, unit: u64, tariff: usize, size_ms: u64) {
+        self.arrive_with(unit, tariff, size_ms, None, 10_000);
+    }
+
+    pub fn arrive_with(
+        &mut self,
+        unit: u64,
+        tariff: usize,
+        size_ms: u64,
+        key: Option<u64>,
+        patience_ms: u64,
+    ) {
+        let patience_ends = self.now + Span::millis(patience_ms);
+        let hint = Some(Span::millis(size_ms));
+        let arrival = Arrival { tariff, customer: 0, patience_ends, key, hint, slots: 1.0 };
+        self.node.arrived(self.now, UnitId(unit), &arrival);
+    }
+
+    pub fn end(&mut self, unit: u64, go: usize, executor: usize, ending: Ending) {
+        self.end_with(unit, go, executor, ending, None);
+    }
+
+    pub fn end_with(
+        &mut self,
+        unit: u64,
+        go: usize,
+        executor: usize,
+        ending: Ending,
+        report: Option<Report>,
+    ) {
+        let id = AllocationId { unit: UnitId(unit), number: go };
+        let finished = ending == Ending::Fulfilled;
+        self.node.ended(self.now, id, ExecutorId(executor), ending, finished, report);
+    }
+
+    pub fn start_of(&mut self, unit: u64, go: usize, executor: usize) {
+        self.node.noticed(self.now, AllocationId { unit: UnitId(unit), number: go }, ExecutorId(executor));
+    }
+
+    /// What was said since the last look, without the alarms.
+    pub fn heard(&mut self) -> Vec<Said> {
+        let mut said = self.said.0.take();
+        said.retain(|s| !matches!(s, Said::Wake(..)));
+        said
+    }
+
+    /// The executor that the one thing said was an allocation to.
+    pub fn sent_to(&mut self) -> usize {
+        match self.heard()[..] {
+            [Said::Allocate(_, executor, _)] => executor,
+            ref other => panic!("expected one allocation, heard {other:?}"),
+        }
+    }
+}
+
+pub fn listing(index: usize, name: &str) -> Listing<'_> {
+    Listing {
+        executor: ExecutorId(index),
+        name,
+        standing: Standing::Ready,
+        started: None,
+        kind: 0,
+        zone: index % 2,
+        cell: 0,
+        weight: 1.0,
+    }
+}
--- /dev/null
+++ b/crates/dispatch/tests/stories.rs
@@ -0,0 +1,427 @@
+//! Short stories, one for each rule and each failure met.
+
+mod fake;
+
+use fake::*;
+use grebeusher_dispatch::ids::{ExecutorId, UnitId};
+use grebeusher_dispatch::tariffs::*;
+use grebeusher_dispatch::time::{Moment, Span};
+
+const UNIT_ALARMS: u64 = 2;
+
+#[test]
+fn long_work_and_short_work_part_ways_once_fifty_sizes_are_known() {
+    let mut story = Story::of(8);
+    let (mut short, mut long) = ([0; 8], [0; 8]);
+    for unit in 0..400 {
+        // Short work brings just over three quarters of all, as the first lane holds of the workers.
+        let is_long = unit % 10 == 0;
+        story.arrive(unit, BINDING, if is_long { 700 } else { 300 });
+        let executor = story.sent_to();
+        story.end(unit, 0, executor, Ending::Fulfilled);
+        if unit == 60 {
+            story.pass(300);
+            story.node.rang(story.now, 0);
+            story.heard();
+        }
+        if unit > 60 {
+            if is_long { long[executor] += 1 } else { short[executor] += 1 }
+        }
+    }
+    assert_eq!(short.iter().filter(|&&n| n > 0).count(), 6, "{short:?}");
+    assert_eq!(long.iter().filter(|&&n| n > 0).count(), 2, "{long:?}");
+    assert!((0..8).all(|i| short[i] == 0 || long[i] == 0), "no worker takes both: {short:?} {long:?}");
+}
+
+#[test]
+fn inside_a_lane_the_pick_follows_reported_utilisation() {
+    let mut story = Story::of(2);
+    let mut sent = [0; 2];
+    for unit in 0..2000 {
+        story.arrive(unit, BINDING, 100);
+        let executor = story.sent_to();
+        sent[executor] += 1;
+        let report = Report { utilisation: Some([0.8, 0.2][executor]), free_slots: None };
+        story.end_with(unit, 0, executor, Ending::Fulfilled, Some(report));
+    }
+    let share = sent[1] as f64 / 2000.0;
+    assert!((0.75..0.85).contains(&share), "weights 0.2 and 0.8, yet the idle one got {share}");
+}
+
+#[test]
+fn own_recent_sends_correct_a_late_report() {
+    // Failure: one idle-looking executor drew a pile of work between two reports.
+    let mut story = Story::of(2);
+    for executor in 0..2 {
+        let report = Report { utilisation: Some([0.9, 0.0][executor]), free_slots: Some(4.0) };
+        story.node.probed(story.now, ExecutorId(executor), true, Some(report));
+    }
+    let mut sent = [0; 2];
+    for unit in 0..6 {
+        story.arrive(unit, BINDING, 1000);
+        sent[story.sent_to()] += 1;
+    }
+    assert!(sent[0] >= 1, "all six went to the one that had looked idle");
+}
+
+#[test]
+fn binding_work_that_may_have_run_is_forfeited_and_never_sent_again() {
+    for ending in [Ending::Error, Ending::Reset, Ending::TimedOut, Ending::Recalled] {
+        let mut story = Story::of(4);
+        story.arrive(1, BINDING, 100);
+        let executor = story.sent_to();
+        story.end(1, 0, executor, ending);
+        assert_eq!(story.heard(), [Said::Forfeit(1)], "after {ending:?}");
+    }
+}
+
+#[test]
+fn binding_work_proved_not_to_have_run_gets_another_executor() {
+    for ending in [Ending::Full, Ending::Refused] {
+        let mut story = Story::of(4);
+        story.arrive(1, BINDING, 100);
+        let first = story.sent_to();
+        story.end(1, 0, first, ending);
+        assert_ne!(story.sent_to(), first, "after {ending:?}");
+    }
+}
+
+#[test]
+fn allocations_end_at_the_number_allowed() {
+    let mut story = Story::with(6, Allowance { most_allocations: 2, ..ALLOWANCE });
+    story.arrive(1, BINDING, 100);
+    let first = story.sent_to();
+    story.end(1, 0, first, Ending::Full);
+    let second = story.sent_to();
+    story.end(1, 1, second, Ending::Full);
+    assert_eq!(story.heard(), [Said::TurnBack(1)]);
+}
+
+#[test]
+fn fingerprinted_work_repeats_only_inside_its_group_and_memory_span() {
+    let mut story = Story::of(6);
+    story.arrive(1, IN_ZONE, 100);
+    let first = story.sent_to();
+    story.end(1, 0, first, Ending::Reset);
+    let second = story.sent_to();
+    assert_eq!(second % 2, first % 2, "another zone does not know the mark");
+    story.pass(3100);
+    story.end(1, 1, second, Ending::Reset);
+    assert_eq!(
+        story.heard(),
+        [Said::Forfeit(1)],
+        "no executor remembers it, and a turn-back promises too much"
+    );
+
+    story.arrive(2, ANYWHERE, 100);
+    let first = story.sent_to();
+    story.pass(9990);
+    story.end(2, 0, first, Ending::TimedOut);
+    assert_eq!(story.heard(), [Said::TurnBack(2)], "all executors drop its repeats");
+}
+
+#[test]
+fn the_last_allocation_is_given_up_before_patience_ends() {
+    let mut story = Story::of(2);
+    story.arrive(1, BINDING, 100);
+    let Said::Allocate(_, executor, time_out) = story.heard()[0] else { panic!("not sent") };
+    assert!(time_out < Span::millis(10_000) && time_out > Span::millis(9900));
+    story.pass(9990);
+    story.end(1, 0, executor, Ending::TimedOut);
+    assert_eq!(story.heard(), [Said::Forfeit(1)]);
+    story.arrive_with(2, RETRIABLE, 100, None, 5);
+    assert_eq!(story.heard(), [Said::TurnBack(2)], "no time to send it at all");
+}
+
+#[test]
+fn held_work_is_answered_by_its_own_alarm() {
+    // Failure: patience ended between two beats, and a held work unit got no answer.
+    let mut story = Story::of(0);
+    story.arrive_with(1, BINDING, 100, None, 100);
+    let alarms = story.said.0.take();
+    let [Said::Wake(after, alarm)] = alarms[..] else { panic!("{alarms:?}") };
+    assert!(after < Span::millis(100));
+    story.now = story.now + after;
+    story.node.rang(story.now, alarm);
+    assert_eq!(story.heard(), [Said::TurnBack(1)]);
+}
+
+#[test]
+fn held_work_goes_out_when_an_executor_comes() {
+    let mut story = Story::of(0);
+    story.arrive(1, BINDING, 100);
+    assert_eq!(story.heard(), []);
+    story.node.listed(story.now, false, &[listing(0, "late")]);
+    assert_eq!(story.sent_to(), 0);
+}
+
+#[test]
+fn draining_gone_and_unlisted_executors_get_nothing_new() {
+    let mut story = Story::of(4);
+    let draining = Listing { standing: Standing::Draining, ..listing(0, "executor-0") };
+    let gone = Listing { standing: Standing::Gone, ..listing(1, "executor-1") };
+    story.node.listed(story.now, false, &[draining, gone]);
+    for unit in 0..20 {
+        story.arrive(unit, BINDING, 100);
+        let executor = story.sent_to();
+        assert!(executor >= 2);
+        story.end(unit, 0, executor, Ending::Fulfilled);
+    }
+    story.node.listed(story.now, true, &[listing(3, "executor-3")]);
+    for unit in 20..40 {
+        story.arrive(unit, BINDING, 100);
+        assert_eq!(story.sent_to(), 3, "absent from a whole list means gone");
+        story.end(unit, 0, 3, Ending::Fulfilled);
+    }
+}
+
+#[test]
+fn a_broken_list_is_asked_for_again_after_a_growing_spread() {
+    let mut story = Story::of(1);
+    let mut waits = Vec::new();
+    for _ in 0..4 {
+        story.node.list_broken();
+        let said = story.said.0.take();
+        let [Said::Wake(after, alarm)] = said[..] else { panic!("{said:?}") };
+        waits.push(after);
+        story.node.rang(story.now, alarm);
+        assert_eq!(story.heard(), [Said::Follow]);
+    }
+    assert!(waits[0] >= Span::millis(500) && waits[0] <= Span::millis(1500), "{waits:?}");
+    assert!(waits[2] >= Span::millis(2000) && waits[3] <= Span::millis(4000), "{waits:?}");
+}
+
+#[test]
+fn a_cold_executor_is_sent_no_more_than_this_nodes_part() {
+    // Failure: an executor slower than the mean fell over under what all nodes together had sent it.
+    let mut story = Story::of(0);
+    let started = Some(story.now);
+    story.node.listed(story.now, false, &[Listing { started, ..listing(0, "cold") }]);
+    let mut sent: Vec<(Moment, f64)> = Vec::new();
+    for unit in 0..400 {
+        story.arrive_with(unit, BINDING, 20, None, 10_000);
+        for said in story.heard() {
+            if let Said::Allocate(unit, 0, _) = said {
+                sent.push((story.now, 0.02));
+                story.end(unit, 0, 0, Ending::Fulfilled);
+            }
+        }
+        story.pass(10);
+    }
+    for (i, &(from, _)) in sent.iter().enumerate() {
+        let window = sent[i..].iter().take_while(|(at, _)| at.since(from) < Span::millis(1000));
+        let work: f64 = window.map(|(_, size)| size).sum();
+        // Half of factor 2 x share x one core x 1 s over two nodes; the share at the window's end.
+        let share = 0.2 + 0.8 * (from.since(started.unwrap()).as_secs() + 1.0) / 20.0;
+        assert!(work <= 0.5 * 2.0 * share / 2.0 + 0.001, "sent {work} s in one window at share {share}");
+    }
+    assert!(sent.len() > 10, "warming work reaches it");
+}
+
+#[test]
+fn a_restarted_executor_is_cold_again_and_its_old_trouble_forgotten() {
+    let mut story = Story::of(1);
+    story.node.listed(story.now, false, &[Listing { started: Some(story.now), ..listing(0, "executor-0") }]);
+    story.arrive(1, BINDING, 5000);
+    assert_eq!(story.heard(), [], "too much for a cold one");
+}
+
+#[test]
+fn an_executor_that_fails_is_set_aside_for_a_while() {
+    // Failure: answers with errors come fast, and an executor that fails looked idle and drew work.
+    let mut story = Story::of(4);
+    story.arrive(1, RETRIABLE, 100);
+    let sick = story.sent_to();
+    story.end(1, 0, sick, Ending::Error);
+    assert_ne!(story.sent_to(), sick, "a retriable unit is tried elsewhere");
+    let mut came_back = None;
+    for unit in 10..700 {
+        story.pass(10);
+        story.arrive(unit, BINDING, 1);
+        let executor = story.sent_to();
+        story.end(unit, 0, executor, Ending::Fulfilled);
+        if executor == sick && came_back.is_none() {
+            came_back = Some(unit * 10 - 90);
+        }
+    }
+    let after = came_back.expect("it returns");
+    assert!((3000..5500).contains(&after), "after {after} ms");
+}
+
+#[test]
+fn setting_aside_never_takes_more_than_half_of_the_executors() {
+    let mut story = Story::of(4);
+    for unit in 0..20 {
+        story.arrive(unit, BINDING, 100);
+        let executor = story.sent_to();
+        story.end(unit, 0, executor, Ending::Error);
+        assert_eq!(story.heard(), [Said::Forfeit(unit)], "sent although all of them fail");
+    }
+}
+
+#[test]
+fn a_full_executor_rests_before_it_is_asked_again() {
+    // Failure: what is full answers at once, and drew the more work the fuller it was.
+    let mut story = Story::of(1);
+    story.arrive(1, BINDING, 100);
+    let executor = story.sent_to();
+    story.end(1, 0, executor, Ending::Full);
+    assert_eq!(story.heard(), []);
+    story.arrive(2, BINDING, 100);
+    assert_eq!(story.heard(), [], "held while it rests");
+}
+
+#[test]
+fn retriable_work_that_waits_is_moved_where_two_may_be_out() {
+    for (second_copies, tariff, moved) in
+        [(true, RETRIABLE, true), (false, RETRIABLE, false), (true, BINDING, false)]
+    {
+        let mut story = Story::with(3, Allowance { second_copies, ..ALLOWANCE });
+        story.arrive(1, tariff, 100);
+        let first = story.sent_to();
+        story.pass(150);
+        story.node.rang(story.now, UNIT_ALARMS + 1);
+        match (moved, &story.heard()[..]) {
+            (true, [Said::Allocate(1, other, _), Said::Recall(1, 0)]) => assert_ne!(*other, first),
+            (false, []) => {}
+            (_, other) => panic!("copies {second_copies}, tariff {tariff}: {other:?}"),
+        }
+    }
+}
+
+#[test]
+fn work_that_runs_is_left_alone_until_its_executor_falls_silent() {
+    let mut story = Story::with(3, Allowance { second_copies: false, ..ALLOWANCE });
+    story.arrive(1, RETRIABLE, 5000);
+    let first = story.sent_to();
+    story.start_of(1, 0, first);
+    story.pass(1000);
+    story.node.rang(story.now, UNIT_ALARMS + 1);
+    assert_eq!(story.heard(), []);
+    story.pass(2000);
+    story.node.rang(story.now, UNIT_ALARMS + 1);
+    assert_eq!(story.heard(), [Said::Recall(1, 0)], "one at a time: recalled first");
+    story.end(1, 0, first, Ending::Recalled);
+    assert_ne!(story.sent_to(), first);
+}
+
+#[test]
+fn work_that_cannot_be_in_time_anywhere_is_turned_back_at_once() {
+    // Failure: under overload every queue grew until all answers were late.
+    let mut story = Story::of(2);
+    for unit in 0..2 {
+        story.arrive(unit, BINDING, 100);
+    }
+    story.pass(3000);
+    story.heard();
+    story.arrive(9, BINDING, 100);
+    assert_eq!(story.heard(), [Said::TurnBack(9)]);
+}
+
+#[test]
+fn what_a_customer_sends_beyond_its_share_is_turned_back_first() {
+    let said = Fake::default();
+    let now = Moment(1);
+    // Two nodes: one work unit a second here, and two at once before that is overuse.
+    let mut node = dispatcher(said.clone(), ALLOWANCE).customers(&[2.0, f64::INFINITY]);
+    node.start(now);
+    node.listed(now, true, &[listing(0, "only")]);
+    said.0.borrow_mut().clear();
+    let patience_ends = now + Span::millis(10_000);
+    let hint = Some(Span::millis(2000));
+    for (unit, customer) in [(0, 0), (1, 0), (2, 0), (3, 1)] {
+        let arrival = Arrival { tariff: BINDING, customer, patience_ends, key: None, hint, slots: 1.0 };
+        node.arrived(now, UnitId(unit), &arrival);
+    }
+    let turned_back: Vec<Said> =
+        said.0.take().into_iter().filter(|s| matches!(s, Said::TurnBack(_))).collect();
+    assert_eq!(turned_back, [Said::TurnBack(2)]);
+}
+
+#[test]
+fn keyed_work_keeps_to_its_homes_while_they_have_room() {
+    // Failure: every executor fetched every data set, and the one shared store jammed them all.
+    let mut story = Story::of(8);
+    let mut homes = [0; 8];
+    for unit in 0..60 {
+        story.arrive_with(unit, BINDING, 100, Some(42), 10_000);
+        let executor = story.sent_to();
+        homes[executor] += 1;
+        story.end(unit, 0, executor, Ending::Fulfilled);
+    }
+    assert_eq!(homes.iter().filter(|&&n| n > 0).count(), 2, "{homes:?}");
+}
+
+#[test]
+fn executors_without_word_are_probed_one_probe_at_a_time() {
+    let mut story = Story::of(2);
+    story.node.rang(story.now, 0);
+    assert_eq!(story.heard(), [Said::Probe(0), Said::Probe(1)]);
+    story.pass(2000);
+    story.node.probed(
+        story.now,
+        ExecutorId(0),
+        true,
+        Some(Report { utilisation: Some(0.5), free_slots: None }),
+    );
+    story.node.rang(story.now, 0);
+    assert_eq!(story.heard(), [], "one has just reported, the other's probe is still out");
+}
+
+#[test]
+fn late_and_unknown_word_changes_nothing() {
+    let mut story = Story::of(2);
+    story.arrive(1, RETRIABLE, 100);
+    let executor = story.sent_to();
+    story.node.withdrawn(UnitId(1));
+    assert_eq!(story.heard(), [Said::Recall(1, 0)], "nobody works for nothing");
+    story.end(1, 0, executor, Ending::Recalled);
+    story.end(77, 3, 99, Ending::Error);
+    story.start_of(77, 0, 99);
+    story.node.withdrawn(UnitId(77));
+    story.node.streaming(story.now, UnitId(77));
+    story.node.probed(story.now, ExecutorId(99), false, None);
+    story.node.rang(story.now, 12_345);
+    assert_eq!(story.heard(), []);
+}
+
+#[test]
+fn absurd_figures_are_bounded() {
+    let mut story = Story::of(3);
+    let odd = Listing { weight: f64::NAN, ..listing(1, "executor-1") };
+    story.node.listed(story.now, false, &[Listing { weight: 0.0, ..listing(0, "executor-0") }, odd]);
+    let report = Report { utilisation: Some(f64::NAN), free_slots: Some(f64::INFINITY) };
+    story.node.probed(story.now, ExecutorId(0), true, Some(report));
+    story.node.probed(
+        story.now,
+        ExecutorId(1),
+        true,
+        Some(Report { utilisation: Some(-7.0), free_slots: None }),
+    );
+    let patience_ends = story.now + Span::millis(1000);
+    for (unit, (hint, slots)) in
+        [(Span(0), 0.0), (Span(u64::MAX), f64::NAN), (Span(1), f64::INFINITY)].into_iter().enumerate()
+    {
+        let arrival = Arrival { tariff: 99, customer: 9, patience_ends, key: None, hint: Some(hint), slots };
+        story.node.arrived(story.now, UnitId(unit as u64), &arrival);
+    }
+    for _ in 0..30 {
+        story.pass(250);
+        story.node.rang(story.now, 0);
+    }
+    assert_eq!(story.heard().iter().filter(|s| matches!(s, Said::Allocate(..))).count(), 3);
+}
+
+#[test]
+fn the_same_events_bring_the_same_actions() {
+    let play = || {
+        let mut story = Story::of(5);
+        for unit in 0..200 {
+            story.arrive(unit, (unit % 4) as usize, 50 + unit * 37 % 900);
+            story.pass(20);
+            story.node.rang(story.now, if unit % 10 == 0 { 0 } else { UNIT_ALARMS + unit });
+        }
+        story.said.0.take()
+    };
+    assert_eq!(play(), play());
+}
