--- a/crates/dispatch/tests/stories.rs
+++ b/crates/dispatch/tests/stories.rs
@@ -195,8 +195,8 @@
 fn a_cold_executor_is_sent_no_more_than_this_nodes_part() {
     // Failure: an executor slower than the mean fell over under what all nodes together had sent it.
     let mut story = Story::of(0);
-    let started = Some(story.now);
-    story.node.listed(story.now, false, &[Listing { started, ..listing(0, "cold") }]);
+    let started = story.now;
+    story.node.listed(story.now, false, &[Listing { started: Some(started), ..listing(0, "cold") }]);
     let mut sent: Vec<(Moment, f64)> = Vec::new();
     for unit in 0..400 {
         story.arrive_with(unit, BINDING, 20, None, 10_000);
@@ -212,7 +212,7 @@
         let window = sent[i..].iter().take_while(|(at, _)| at.since(from) < Span::millis(1000));
         let work: f64 = window.map(|(_, size)| size).sum();
         // Half of factor 2 x share x one core x 1 s over two nodes; the share at the window's end.
-        let share = 0.2 + 0.8 * (from.since(started.unwrap()).as_secs() + 1.0) / 20.0;
+        let share = 0.2 + 0.8 * (from.since(started).as_secs() + 1.0) / 20.0;
         assert!(work <= 0.5 * 2.0 * share / 2.0 + 0.001, "sent {work} s in one window at share {share}");
     }
     assert!(sent.len() > 10, "warming work reaches it");
