--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -597,7 +597,7 @@
     /// the workers, the same at every node, and the first that are not full are the key's own. Guards against
     /// every worker fetching everything from the one shared store.
     fn keep_home(&self, key: u64, able: &mut Vec<Candidate>) {
-        const HOMES: usize = 2;
+        const HOMES: usize = 1;
         able.sort_by_key(|c| Reverse(mixed(self.executors[c.at].hash ^ key)));
         able.truncate(HOMES);
     }
