--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -176,6 +176,19 @@
     any_room: bool,
 }
 
+impl Work {
+    /// Seconds left for waiting if the quoted time is to be kept.
+    fn slack(&self, now: Moment) -> f64 {
+        (self.arrived + self.quoted).since(now).as_secs() - self.size
+    }
+
+    /// Keyed work waits a little at its home rather than fetch elsewhere; other work waits nowhere by choice.
+    fn spare(&self, now: Moment) -> Option<f64> {
+        const PART: f64 = 0.25; // of the slack: the estimate is of the past, and the queue may grow
+        self.key.map(|_| self.slack(now) * PART)
+    }
+}
+
 /// What a customer may send within its share, as this node's part of it.
 struct Allotment {
     per_s: f64,
@@ -529,10 +542,7 @@
         let lane = self.cut_offs.iter().filter(|&&cut| size > cut).count();
         let terms = self.tariffs[work.tariff];
         let tells_start = self.tells_start;
-        // Keyed work waits a little at its home rather than fetch elsewhere; other work waits nowhere by choice.
-        const PART: f64 = 0.25; // of the slack: the estimate is of the past, and the queue may grow
-        let slack = (work.arrived + work.quoted).since(now).as_secs() - size;
-        let spare = work.key.map(|_| slack * PART);
+        let spare = work.spare(now);
         let one_lane = self.cut_offs.is_empty();
         let mut able: Vec<Candidate> = Vec::with_capacity(self.executors.len());
         for (at, e) in self.executors.iter_mut().enumerate() {
@@ -586,7 +596,7 @@
     /// make all late: what cannot be in time is turned back while that is prompt.
     fn hopeless(&self, now: Moment, work: &Work) -> bool {
         let kind = self.tariffs[work.tariff].kind;
-        let slack = (work.arrived + work.quoted).since(now).as_secs() - work.size;
+        let slack = work.slack(now);
         self.executors
             .iter()
             .filter(|e| e.standing == Standing::Ready && kind.is_none_or(|k| k == e.kind))
@@ -684,7 +694,10 @@
             .progress
             .is_some_and(|pace| flight.started.is_some() && now.since(flight.heard).0 > pace.0 * 5 / 2);
         // A recalled one may run on: where no second copy is allowed, a move would be just that.
-        let waits = self.tells_start && flight.started.is_none() && self.allowance.second_copies;
+        let waits = self.tells_start
+            && flight.started.is_none()
+            && now.since(flight.sent).as_secs() > work.spare(now).unwrap_or(0.0)
+            && self.allowance.second_copies;
 
         if silent {
             self.set_aside(now, executor);
