--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -699,9 +699,13 @@
             && now.since(flight.sent).as_secs() > work.spare(now).unwrap_or(0.0)
             && self.allowance.second_copies;
 
+        let lost = waits && work.slack(now) < 0.0;
         if silent {
             self.set_aside(now, executor);
         }
+        if lost {
+            return self.answer(unit);
+        }
         if (waits || silent)
             && self.may_allocate(unit, self.allowance.recalls)
             && let Some(Picked { executor: better, any_room: true }) = self.pick(now, unit)
