--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -703,9 +703,7 @@
         if silent {
             self.set_aside(now, executor);
         }
-        if lost {
-            return self.answer(unit);
-        }
+
         if (waits || silent)
             && self.may_allocate(unit, self.allowance.recalls)
             && let Some(Picked { executor: better, any_room: true }) = self.pick(now, unit)
@@ -719,6 +717,10 @@
             self.host.recall(id);
             return;
         }
+        // No room anywhere and too late already: what waits on only makes the next one late as well.
+        if lost {
+            return self.answer(unit);
+        }
         self.host.wake(AGAIN, FIRST_UNIT + unit.0);
     }
 
