--- a/crates/benchlink/src/facts.rs
+++ b/crates/benchlink/src/facts.rs
@@ -82,6 +82,7 @@
             flag(&family["tells_start"]),
             Some(span(&family["progress_ns"])),
         )
+        .queueing(family["queue_order"] != "priority")
         .customers(&quotas);
     Ok(Instance { dispatcher, door, utilisation_at: field("load_share"), free_slots_at: free_slots })
 }
--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -223,6 +223,7 @@
     may_probe: bool,
     tells_start: bool,
     progress: Option<Span>,
+    in_order: bool,
     allotments: Vec<Allotment>,
     executors: Vec<Executor>,
     work: BTreeMap<UnitId, Work>,
@@ -257,6 +258,7 @@
             may_probe: false,
             tells_start: false,
             progress: None,
+            in_order: true,
             allotments: Vec::new(),
             executors: Vec::new(),
             work: BTreeMap::new(),
@@ -286,6 +288,12 @@
         self
     }
 
+    /// Whether executors serve their queues in order of arrival; otherwise by the tariffs' priority.
+    pub fn queueing(mut self, in_order: bool) -> Self {
+        self.in_order = in_order;
+        self
+    }
+
     /// Each customer's work units a second within its share, at all nodes together.
     pub fn customers(mut self, quotas: &[f64]) -> Self {
         let part = |q: &f64| Allotment { per_s: q / self.nodes, level: 0.0, at: Moment(0) };
@@ -699,7 +707,7 @@
             && now.since(flight.sent).as_secs() > work.spare(now).unwrap_or(0.0)
             && self.allowance.second_copies;
 
-        let lost = waits && work.slack(now) < 0.0;
+        let lost = waits && self.in_order && work.slack(now) < 0.0;
         if silent {
             self.set_aside(now, executor);
         }
@@ -717,7 +725,7 @@
             self.host.recall(id);
             return;
         }
-        // No room anywhere and too late already: what waits on only makes the next one late as well.
+        // No room anywhere and too late already: in a queue served in order it only makes the next one late as well.
         if lost {
             return self.answer(unit);
         }
