--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -116,10 +116,14 @@
         (self.flights.len() as f64) < self.slots && !waits
     }
 
-    /// Whether a cold executor can take this much more. Its capacity is at least the cold share and grows at least
-    /// evenly; this node takes no more than its part of what all nodes may send within any window. Guards against
-    /// all nodes pushing it over.
-    fn cold_admits(&mut self, cold: &ColdStart, nodes: f64, now: Moment, size: f64) -> bool {
+    /// Whether a cold executor can take one more that counts for `charge`. Its capacity is at least the cold share and
+    /// grows at least evenly. What all nodes may send within a window is often less than one work unit a node, so
+    /// the fixed hash gives each cold executor to one node, and the others leave it alone until it is warm. Guards
+    /// against all nodes together pushing it over.
+    fn cold_admits(&mut self, cold: &ColdStart, node: u64, nodes: u64, now: Moment, charge: f64) -> bool {
+        // Of the budget: held at most, and leaked within a window. What is left covers one slower than its kind.
+        const HELD: f64 = 0.4;
+        const LEAKED: f64 = 0.35;
         let Some(started) = self.started else { return true };
         let age = now.since(started).as_secs() / cold.warm_within.as_secs().max(0.001);
         if age >= 1.0 {
@@ -127,13 +131,13 @@
         }
         let share = cold.share + (1.0 - cold.share) * age;
         let window = cold.fall_window.as_secs().max(0.001);
-        // A leaky level that holds and leaks a quarter of the part lets no window see more than half of it: the
-        // other half covers rough hints and a cold executor that is slower than its kind.
-        let part = cold.fall_factor * share * self.capacity / nodes * window / 4.0;
-        let level = self.cold_level - now.since(self.cold_at).as_secs() * part / window;
+        let budget = cold.fall_factor * share * self.capacity * window;
+        let level = self.cold_level - now.since(self.cold_at).as_secs() * budget * LEAKED / window;
         self.cold_level = level.max(0.0);
         self.cold_at = now;
-        self.flights.len() <= self.answers && self.cold_level + size <= part
+        self.hash % nodes == node
+            && self.flights.len() <= self.answers
+            && self.cold_level + charge <= budget * HELD
     }
 }
 
@@ -215,7 +219,8 @@
 pub struct Dispatcher<H: Host> {
     host: H,
     chance: Pcg32,
-    nodes: f64,
+    node: u64,
+    nodes: u64,
     tariffs: Vec<Tariff>,
     allowance: Allowance,
     cold: ColdStart,
@@ -231,16 +236,18 @@
     follow_tries: u32,
     sample: VecDeque<f64>,
     median: f64,
+    mean: f64,
     cut_offs: Vec<f64>,
     recut: Moment,
 }
 
 impl<H: Host> Dispatcher<H> {
-    pub fn new(host: H, seed: u64, nodes: usize, tariffs: Vec<Tariff>) -> Self {
+    pub fn new(host: H, seed: u64, node: u64, nodes: u64, tariffs: Vec<Tariff>) -> Self {
         Dispatcher {
             host,
             chance: Pcg32::seed_from_u64(seed),
-            nodes: nodes.max(1) as f64,
+            node,
+            nodes: nodes.max(1),
             tariffs,
             allowance: Allowance {
                 most_allocations: 1,
@@ -266,6 +273,7 @@
             follow_tries: 0,
             sample: VecDeque::new(),
             median: 1.0,
+            mean: 1.0,
             cut_offs: Vec::new(),
             recut: Moment(0),
         }
@@ -296,7 +304,7 @@
 
     /// Each customer's work units a second within its share, at all nodes together.
     pub fn customers(mut self, quotas: &[f64]) -> Self {
-        let part = |q: &f64| Allotment { per_s: q / self.nodes, level: 0.0, at: Moment(0) };
+        let part = |q: &f64| Allotment { per_s: q / self.nodes as f64, level: 0.0, at: Moment(0) };
         self.allotments = quotas.iter().map(part).collect();
         self
     }
@@ -515,6 +523,7 @@
         sizes.sort_by(f64::total_cmp);
         if let Some(&middle) = sizes.get(sizes.len() / 2) {
             self.median = middle;
+            self.mean = sizes.iter().sum::<f64>() / sizes.len() as f64;
         }
         self.cut_offs.clear();
         let ready = |e: &&Executor| e.standing == Standing::Ready;
@@ -552,6 +561,7 @@
         let tells_start = self.tells_start;
         let spare = work.spare(now);
         let one_lane = self.cut_offs.is_empty();
+        let charge = size.max(self.mean);
         let mut able: Vec<Candidate> = Vec::with_capacity(self.executors.len());
         for (at, e) in self.executors.iter_mut().enumerate() {
             if e.standing == Standing::Ready
@@ -559,7 +569,7 @@
                 && terms.kind.is_none_or(|kind| kind == e.kind)
                 && in_group(work, terms.effect, now, e.zone, e.cell)
                 && !work.allocations.iter().any(|a| a.open && a.executor.0 == at)
-                && e.cold_admits(&self.cold, self.nodes, now, size)
+                && e.cold_admits(&self.cold, self.node, self.nodes, now, charge)
             {
                 let in_lane = one_lane || e.lane == lane;
                 able.push(Candidate {
@@ -615,7 +625,7 @@
     /// the workers, the same at every node, and the first that are not full are the key's own. Guards against
     /// every worker fetching everything from the one shared store.
     fn keep_home(&self, key: u64, able: &mut Vec<Candidate>) {
-        const HOMES: usize = 1;
+        const HOMES: usize = 2; // leaves the weighted pick its choice, and one worker lost does not lose the key
         able.sort_by_key(|c| Reverse(mixed(self.executors[c.at].hash ^ key)));
         able.truncate(HOMES);
     }
@@ -673,7 +683,8 @@
             started: None,
             heard: now,
         });
-        e.cold_level += size;
+        // A cold executor falls by the number of its work units as well: each counts for a mean one at least.
+        e.cold_level += size.max(self.mean);
         self.host.allocate(unit, executor, time_out);
         if self.tariffs[work.tariff].effect == Effect::Retriable {
             self.host.wake(REVIEW_AFTER, FIRST_UNIT + unit.0);
