--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -59,6 +59,8 @@
     slots: f64,
     flights: Vec<Flight>,
     answers: usize,
+    reset: Option<Moment>,
+    died: Option<Moment>,
     speed: f64,
     /// Work a second when warm; one standard core until its kind has been seen.
     capacity: f64,
@@ -124,7 +126,7 @@
         // Of the budget: held at most, and leaked within a window. What is left covers one slower than its kind.
         const HELD: f64 = 0.4;
         const LEAKED: f64 = 0.35;
-        let Some(started) = self.started else { return true };
+        let Some(started) = self.started.max(self.died) else { return true };
         let age = now.since(started).as_secs() / cold.warm_within.as_secs().max(0.001);
         if age >= 1.0 {
             return true;
@@ -344,6 +346,8 @@
                     slots: 1.0,
                     flights: Vec::new(),
                     answers: 0,
+                    reset: None,
+                    died: None,
                     speed: 0.0,
                     capacity: 1.0,
                     aside_until: Moment(0),
@@ -842,7 +846,17 @@
             // A full waiting room empties in about a run: nothing until then, or it would answer fastest of all
             // and draw the more work the fuller it is.
             Ending::Full => e.aside_until = now + Span::secs(0.5 + 0.5 * self.chance.random::<f64>()),
-            Ending::Error | Ending::Refused => self.set_aside(now, executor),
+            Ending::Reset => e.reset = Some(now),
+            Ending::Error => self.set_aside(now, executor),
+            Ending::Refused => {
+                // Connections broke and now none is made: the process is gone, and what comes back under this id is
+                // cold long before the list says so. Guards against pushing it over untold.
+                const TOGETHER: Span = Span::millis(5000);
+                if e.reset.is_some_and(|at| now.since(at) < TOGETHER) {
+                    (e.died, e.answers, e.cold_level) = (Some(now), 0, 0.0);
+                }
+                self.set_aside(now, executor);
+            }
             _ => {}
         }
     }
--- a/crates/dispatch/tests/stories.rs
+++ b/crates/dispatch/tests/stories.rs
@@ -232,6 +232,23 @@
     assert_eq!(story.heard(), [], "too much for a cold one");
 }
 
+#[test]
+fn an_executor_whose_connections_broke_and_are_refused_comes_back_cold() {
+    // Failure: what had crashed came back cold before the list said so, and was pushed over at once.
+    let mut story = Story::of(1);
+    story.arrive(1, BINDING, 100);
+    story.end(1, 0, 0, Ending::Reset);
+    story.arrive(2, BINDING, 100);
+    story.end(2, 0, 0, Ending::Refused);
+    story.pass(6000);
+    story.heard();
+    story.arrive(3, BINDING, 100);
+    assert_eq!(story.heard(), [], "not before it has warmed a little");
+    story.pass(16_000);
+    story.arrive(4, BINDING, 100);
+    assert!(story.heard().iter().any(|s| matches!(s, Said::Allocate(4, 0, _))));
+}
+
 #[test]
 fn an_executor_that_fails_is_set_aside_for_a_while() {
     // Failure: answers with errors come fast, and an executor that fails looked idle and drew work.
