--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -622,7 +622,7 @@
         self.executors
             .iter()
             .filter(|e| e.standing == Standing::Ready && kind.is_none_or(|k| k == e.kind))
-            .all(|e| e.aside_until > now || e.wait(now, self.tells_start) > (slack * 0.5).max(0.1))
+            .all(|e| e.aside_until > now || e.wait(now, self.tells_start) > (slack * 0.25).max(0.1))
     }
 
     /// Lane forming for work that needs a program or data set: inside the lane, the fixed hash of key and id ranks
