--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -618,11 +618,14 @@
     /// make all late: what cannot be in time is turned back while that is prompt.
     fn hopeless(&self, now: Moment, work: &Work) -> bool {
         let kind = self.tariffs[work.tariff].kind;
-        let slack = work.slack(now);
+        // Waits grow while a queue builds, so less than the slack is allowed: the less a tariff earns, the less.
+        let best = self.tariffs.iter().map(|t| t.earnings).fold(0.0, f64::max);
+        let part = if best > 0.0 { self.tariffs[work.tariff].earnings / best } else { 1.0 };
+        let most = (work.slack(now) * part).max(0.1);
         self.executors
             .iter()
             .filter(|e| e.standing == Standing::Ready && kind.is_none_or(|k| k == e.kind))
-            .all(|e| e.aside_until > now || e.wait(now, self.tells_start) > (slack * 0.25).max(0.1))
+            .all(|e| e.aside_until > now || e.wait(now, self.tells_start) > most)
     }
 
     /// Lane forming for work that needs a program or data set: inside the lane, the fixed hash of key and id ranks
