--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -584,6 +584,12 @@
                 });
             }
         }
+        if let Some(key) = work.key {
+            if able.iter().any(|c| c.in_lane) {
+                able.retain(|c| c.in_lane);
+            }
+            self.keep_home(key, &mut able);
+        }
         // One that failed this unit is not asked again while another is there: a crash looks idle at once.
         let tried = |c: &Candidate| work.allocations.iter().any(|a| a.executor.0 == c.at);
         if !able.iter().all(tried) {
@@ -598,9 +604,6 @@
         } else if able.iter().any(|c| c.in_lane) {
             able.retain(|c| c.in_lane);
         }
-        if let Some(key) = work.key {
-            self.keep_home(key, &mut able);
-        }
         let weight = |load: f64| if load < 1.0 { (1.0 - load).max(FLOOR) } else { FLOOR / load };
         let known: Vec<f64> = able.iter().filter_map(|c| c.load.map(weight)).collect();
         let mean = if known.is_empty() { 1.0 } else { known.iter().sum::<f64>() / known.len() as f64 };
@@ -632,7 +635,7 @@
     /// the workers, the same at every node, and the first that are not full are the key's own. Guards against
     /// every worker fetching everything from the one shared store.
     fn keep_home(&self, key: u64, able: &mut Vec<Candidate>) {
-        const HOMES: usize = 2; // leaves the weighted pick its choice, and one worker lost does not lose the key
+        const HOMES: usize = 3; // leaves the weighted pick its choice, and one worker lost does not lose the key
         able.sort_by_key(|c| Reverse(mixed(self.executors[c.at].hash ^ key)));
         able.truncate(HOMES);
     }
