--- a/crates/benchlink/src/facts.rs
+++ b/crates/benchlink/src/facts.rs
@@ -42,6 +42,7 @@
                 quoted_time: span(&tariff["quoted_time_ns"]),
                 stretch: stretch.unwrap_or(0.0),
                 earnings: tariff["earnings"].as_f64().unwrap_or(1.0),
+                priority: family["class_priority"][at].as_u64().unwrap_or(0) as u32,
                 kind: family["class_kind"][at].as_u64().map(|kind| kind as usize),
             })
         })
--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -38,6 +38,7 @@
 struct Flight {
     id: AllocationId,
     size: f64,
+    rank: u32,
     sent: Moment,
     started: Option<Moment>,
     heard: Moment,
@@ -66,8 +67,7 @@
     capacity: f64,
     aside_until: Moment,
     lost_probes: u32,
-    last_wait: f64,
-    last_start: Moment,
+    past_waits: BTreeMap<u32, (f64, Moment)>,
     cold_level: f64,
     cold_at: Moment,
 }
@@ -91,31 +91,30 @@
         }
     }
 
-    /// Seconds that own allocations wait here for a slot: the age of the oldest that waits now, or what the last one
-    /// to start waited, which counts for less as it ages.
-    fn wait(&self, now: Moment, tells_start: bool) -> f64 {
+    /// Seconds that own allocations of this rank or a higher one wait here for a slot: the age of the oldest that
+    /// waits now, or what the last one to start waited, which counts for less as it ages.
+    fn wait(&self, now: Moment, rank: u32) -> f64 {
         const HALVES_EVERY_S: f64 = 2.0; // about the run of a few work units, after which a queue is another
-        if !tells_start {
-            return 0.0;
-        }
-        let past = self.last_wait * 0.5_f64.powf(now.since(self.last_start).as_secs() / HALVES_EVERY_S);
-        self.oldest_wait(now).max(past)
+        let fades =
+            |&(wait, at): &(f64, Moment)| wait * 0.5_f64.powf(now.since(at).as_secs() / HALVES_EVERY_S);
+        self.past_waits.range(rank..).map(|(_, past)| fades(past)).fold(self.oldest_wait(now, rank), f64::max)
     }
 
-    fn oldest_wait(&self, now: Moment) -> f64 {
-        let waiting = self.flights.iter().filter(|f| f.started.is_none());
+    fn oldest_wait(&self, now: Moment, rank: u32) -> f64 {
+        let waiting = self.flights.iter().filter(|f| f.started.is_none() && f.rank >= rank);
         waiting.map(|f| now.since(f.sent).as_secs()).fold(0.0, f64::max)
     }
 
     /// Whether own evidence leaves room here for a work unit that can `spare` some seconds: late reports do not
     /// count, since all nodes would believe them at once and crowd onto the few that look free.
-    fn has_room(&self, now: Moment, tells_start: bool, spare: Option<f64>) -> bool {
+    fn has_room(&self, now: Moment, rank: u32, spare: Option<f64>) -> bool {
         const TOLD_WITHIN: f64 = 0.06; // seconds: a start is told within a round trip and a hand-shake
         let waits = match spare {
-            Some(spare) => self.wait(now, tells_start) > spare.max(TOLD_WITHIN),
-            None => tells_start && self.oldest_wait(now) > TOLD_WITHIN,
+            Some(spare) => self.wait(now, rank) > spare.max(TOLD_WITHIN),
+            None => self.oldest_wait(now, rank) > TOLD_WITHIN,
         };
-        (self.flights.len() as f64) < self.slots && !waits
+        let ahead = self.flights.iter().filter(|f| f.rank >= rank).count();
+        (ahead as f64) < self.slots && !waits
     }
 
     /// Whether a cold executor can take one more that counts for `charge`. Its capacity is at least the cold share and
@@ -161,6 +160,8 @@
     quoted: Span,
     patience_ends: Moment,
     size: f64,
+    /// By priority where executors queue by it; one rank for all where they serve in order.
+    rank: u32,
     key: Option<u64>,
     allocations: Vec<Allocation>,
     streaming: bool,
@@ -352,8 +353,7 @@
                     capacity: 1.0,
                     aside_until: Moment(0),
                     lost_probes: 0,
-                    last_wait: 0.0,
-                    last_start: now,
+                    past_waits: BTreeMap::new(),
                     cold_level: 0.0,
                     cold_at: now,
                 });
@@ -414,6 +414,7 @@
             quoted,
             patience_ends: arrival.patience_ends,
             size,
+            rank: if self.in_order { 0 } else { terms.priority },
             key: arrival.key,
             allocations: Vec::new(),
             streaming: false,
@@ -438,7 +439,7 @@
         if let Some(flight) = e.flights.iter_mut().find(|f| f.id == id) {
             if flight.started.is_none() {
                 flight.started = Some(now);
-                (e.last_wait, e.last_start) = (now.since(flight.sent).as_secs(), now);
+                e.past_waits.insert(flight.rank, (now.since(flight.sent).as_secs(), now));
             }
             flight.heard = now;
         }
@@ -562,7 +563,6 @@
         let size = work.size;
         let lane = self.cut_offs.iter().filter(|&&cut| size > cut).count();
         let terms = self.tariffs[work.tariff];
-        let tells_start = self.tells_start;
         let spare = work.spare(now);
         let one_lane = self.cut_offs.is_empty();
         let charge = size.max(self.mean);
@@ -579,7 +579,7 @@
                 able.push(Candidate {
                     at,
                     in_lane,
-                    room: e.has_room(now, tells_start, spare),
+                    room: e.has_room(now, work.rank, spare),
                     load: e.load(now),
                 });
             }
@@ -628,7 +628,7 @@
         self.executors
             .iter()
             .filter(|e| e.standing == Standing::Ready && kind.is_none_or(|k| k == e.kind))
-            .all(|e| e.aside_until > now || e.wait(now, self.tells_start) > most)
+            .all(|e| e.aside_until > now || e.wait(now, work.rank) > most)
     }
 
     /// Lane forming for work that needs a program or data set: inside the lane, the fixed hash of key and id ranks
@@ -686,13 +686,10 @@
             recalled: false,
         });
         let (size, time_out) = (work.size, (work.patience_ends - ANSWER_MARGIN).since(now));
-        e.flights.push(Flight {
-            id: AllocationId { unit, number: go },
-            size,
-            sent: now,
-            started: None,
-            heard: now,
-        });
+        // Where starts are not told, nothing is known to wait.
+        let started = if self.tells_start { None } else { Some(now) };
+        let id = AllocationId { unit, number: go };
+        e.flights.push(Flight { id, size, rank: work.rank, sent: now, started, heard: now });
         // A cold executor falls by the number of its work units as well: each counts for a mean one at least.
         e.cold_level += size.max(self.mean);
         self.host.allocate(unit, executor, time_out);
@@ -723,8 +720,7 @@
             .progress
             .is_some_and(|pace| flight.started.is_some() && now.since(flight.heard).0 > pace.0 * 5 / 2);
         // A recalled one may run on: where no second copy is allowed, a move would be just that.
-        let waits = self.tells_start
-            && flight.started.is_none()
+        let waits = flight.started.is_none()
             && now.since(flight.sent).as_secs() > work.spare(now).unwrap_or(0.0)
             && self.allowance.second_copies;
 
--- a/crates/dispatch/tests/fake/mod.rs
+++ b/crates/dispatch/tests/fake/mod.rs
@@ -61,8 +61,14 @@
         Effect::Fingerprinted { group: Group::Zone, memory_span },
         Effect::Fingerprinted { group: Group::All, memory_span },
     ];
-    let tariff =
-        |effect| Tariff { effect, quoted_time: Span::millis(500), stretch: 2.0, earnings: 1.0, kind: None };
+    let tariff = |effect| Tariff {
+        effect,
+        quoted_time: Span::millis(500),
+        stretch: 2.0,
+        earnings: 1.0,
+        priority: 0,
+        kind: None,
+    };
     effects.into_iter().map(tariff).collect()
 }
 
