--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -113,8 +113,7 @@
             Some(spare) => self.wait(now, rank) > spare.max(TOLD_WITHIN),
             None => self.oldest_wait(now, rank) > TOLD_WITHIN,
         };
-        let ahead = self.flights.iter().filter(|f| f.rank >= rank).count();
-        (ahead as f64) < self.slots && !waits
+        (self.flights.len() as f64) < self.slots && !waits
     }
 
     /// Whether a cold executor can take one more that counts for `charge`. Its capacity is at least the cold share and
@@ -724,7 +723,7 @@
             && now.since(flight.sent).as_secs() > work.spare(now).unwrap_or(0.0)
             && self.allowance.second_copies;
 
-        let lost = waits && work.slack(now) < 0.0;
+        let lost = waits && self.in_order && work.slack(now) < 0.0;
         if silent {
             self.set_aside(now, executor);
         }
