--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -562,7 +562,6 @@
         let size = work.size;
         let lane = self.cut_offs.iter().filter(|&&cut| size > cut).count();
         let terms = self.tariffs[work.tariff];
-        let spare = work.spare(now);
         let one_lane = self.cut_offs.is_empty();
         let charge = size.max(self.mean);
         let mut able: Vec<Candidate> = Vec::with_capacity(self.executors.len());
@@ -575,25 +574,18 @@
                 && e.cold_admits(&self.cold, self.node, self.nodes, now, charge)
             {
                 let in_lane = one_lane || e.lane == lane;
-                able.push(Candidate {
-                    at,
-                    in_lane,
-                    room: e.has_room(now, work.rank, spare),
-                    load: e.load(now),
-                });
+                let (room, load) = (e.has_room(now, work.rank, None), e.load(now));
+                able.push(Candidate { at, in_lane, room, load });
             }
         }
-        if let Some(key) = work.key {
-            if able.iter().any(|c| c.in_lane) {
-                able.retain(|c| c.in_lane);
-            }
-            self.keep_home(key, &mut able);
-        }
         // One that failed this unit is not asked again while another is there: a crash looks idle at once.
         let tried = |c: &Candidate| work.allocations.iter().any(|a| a.executor.0 == c.at);
         if !able.iter().all(tried) {
             able.retain(|c| !tried(c));
         }
+        if let Some(key) = work.key {
+            self.keep_home(now, key, work, &mut able);
+        }
         // Overflow: a lane with no room left borrows those workers of the other that have some.
         let any_room = able.iter().any(|c| c.room);
         if able.iter().any(|c| c.in_lane && c.room) {
@@ -630,6 +622,36 @@
             .all(|e| e.aside_until > now || e.wait(now, work.rank) > most)
     }
 
+    /// Lane forming for work that needs a program or data set: inside the lane, the fixed hash of key and id ranks
+    /// the workers, the same at every node, and the first are the key's homes. It leaves them only while none of
+    /// them has room and another worker has. Guards against all fetching everything from the one shared store.
+    fn keep_home(&self, now: Moment, key: u64, work: &Work, able: &mut Vec<Candidate>) {
+        const HOMES: usize = 3; // leaves the weighted pick its choice, and one worker lost does not lose the key
+        able.sort_by_key(|c| (!c.in_lane, Reverse(mixed(self.executors[c.at].hash ^ key))));
+        let spare = work.spare(now);
+        let homes = able.len().min(HOMES);
+        for home in &mut able[..homes] {
+            home.room = self.executors[home.at].has_room(now, work.rank, spare);
+        }
+        if able[..homes].iter().any(|home| home.room) || !able.iter().any(|c| c.room) {
+            able.truncate(HOMES);
+        }
+    }
+
+    /// Whether the work unit would miss its quoted time even where the wait is shortest. Guards against queues that
+    /// make all late: what cannot be in time is turned back while that is prompt.
+    fn hopeless(&self, now: Moment, work: &Work) -> bool {
+        let kind = self.tariffs[work.tariff].kind;
+        // Waits grow while a queue builds, so less than the slack is allowed: the less a tariff earns, the less.
+        let best = self.tariffs.iter().map(|t| t.earnings).fold(0.0, f64::max);
+        let part = if best > 0.0 { self.tariffs[work.tariff].earnings / best } else { 1.0 };
+        let most = (work.slack(now) * part).max(0.1);
+        self.executors
+            .iter()
+            .filter(|e| e.standing == Standing::Ready && kind.is_none_or(|k| k == e.kind))
+            .all(|e| e.aside_until > now || e.wait(now, work.rank) > most)
+    }
+
     /// Lane forming for work that needs a program or data set: inside the lane, the fixed hash of key and id ranks
     /// the workers, the same at every node, and the first that are not full are the key's own. Guards against
     /// every worker fetching everything from the one shared store.
@@ -723,7 +745,7 @@
             && now.since(flight.sent).as_secs() > work.spare(now).unwrap_or(0.0)
             && self.allowance.second_copies;
 
-        let lost = waits && self.in_order && work.slack(now) < 0.0;
+        let lost = waits && work.slack(now) < 0.0;
         if silent {
             self.set_aside(now, executor);
         }
