--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -638,29 +638,6 @@
         }
     }
 
-    /// Whether the work unit would miss its quoted time even where the wait is shortest. Guards against queues that
-    /// make all late: what cannot be in time is turned back while that is prompt.
-    fn hopeless(&self, now: Moment, work: &Work) -> bool {
-        let kind = self.tariffs[work.tariff].kind;
-        // Waits grow while a queue builds, so less than the slack is allowed: the less a tariff earns, the less.
-        let best = self.tariffs.iter().map(|t| t.earnings).fold(0.0, f64::max);
-        let part = if best > 0.0 { self.tariffs[work.tariff].earnings / best } else { 1.0 };
-        let most = (work.slack(now) * part).max(0.1);
-        self.executors
-            .iter()
-            .filter(|e| e.standing == Standing::Ready && kind.is_none_or(|k| k == e.kind))
-            .all(|e| e.aside_until > now || e.wait(now, work.rank) > most)
-    }
-
-    /// Lane forming for work that needs a program or data set: inside the lane, the fixed hash of key and id ranks
-    /// the workers, the same at every node, and the first that are not full are the key's own. Guards against
-    /// every worker fetching everything from the one shared store.
-    fn keep_home(&self, key: u64, able: &mut Vec<Candidate>) {
-        const HOMES: usize = 3; // leaves the weighted pick its choice, and one worker lost does not lose the key
-        able.sort_by_key(|c| Reverse(mixed(self.executors[c.at].hash ^ key)));
-        able.truncate(HOMES);
-    }
-
     /// Sends the work unit where the design says, holds it while nothing can take it, or turns it back.
     fn place(&mut self, now: Moment, unit: UnitId) {
         // Long enough for one set aside to return or a slot to come free; longer waits seldom end in an answer.
@@ -745,7 +722,7 @@
             && now.since(flight.sent).as_secs() > work.spare(now).unwrap_or(0.0)
             && self.allowance.second_copies;
 
-        let lost = waits && work.slack(now) < 0.0;
+        let lost = waits && self.in_order && work.slack(now) < 0.0;
         if silent {
             self.set_aside(now, executor);
         }
