--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -722,7 +722,7 @@
             && now.since(flight.sent).as_secs() > work.spare(now).unwrap_or(0.0)
             && self.allowance.second_copies;
 
-        let lost = waits && self.in_order && work.slack(now) < 0.0;
+        let lost = waits && work.slack(now) < 0.0;
         if silent {
             self.set_aside(now, executor);
         }
