--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -180,6 +180,7 @@
 struct Picked {
     executor: ExecutorId,
     any_room: bool,
+    least_wait: f64,
 }
 
 impl Work {
@@ -574,18 +575,18 @@
                 && e.cold_admits(&self.cold, self.node, self.nodes, now, charge)
             {
                 let in_lane = one_lane || e.lane == lane;
-                let (room, load) = (e.has_room(now, work.rank, None), e.load(now));
+                let (room, load) = (e.has_room(now, work.rank, work.spare(now)), e.load(now));
                 able.push(Candidate { at, in_lane, room, load });
             }
         }
+        if let Some(key) = work.key {
+            self.keep_home(key, &mut able);
+        }
         // One that failed this unit is not asked again while another is there: a crash looks idle at once.
         let tried = |c: &Candidate| work.allocations.iter().any(|a| a.executor.0 == c.at);
         if !able.iter().all(tried) {
             able.retain(|c| !tried(c));
         }
-        if let Some(key) = work.key {
-            self.keep_home(now, key, work, &mut able);
-        }
         // Overflow: a lane with no room left borrows those workers of the other that have some.
         let any_room = able.iter().any(|c| c.room);
         if able.iter().any(|c| c.in_lane && c.room) {
@@ -605,37 +606,34 @@
             point < 0.0
         });
         let chosen = able.get(picked.unwrap_or(able.len().saturating_sub(1)))?;
-        Some(Picked { executor: ExecutorId(chosen.at), any_room })
+        let waits = able.iter().map(|c| self.executors[c.at].wait(now, work.rank));
+        let least_wait = waits.fold(f64::INFINITY, f64::min);
+        Some(Picked { executor: ExecutorId(chosen.at), any_room, least_wait })
     }
 
-    /// Whether the work unit would miss its quoted time even where the wait is shortest. Guards against queues that
-    /// make all late: what cannot be in time is turned back while that is prompt.
-    fn hopeless(&self, now: Moment, work: &Work) -> bool {
-        let kind = self.tariffs[work.tariff].kind;
-        // Waits grow while a queue builds, so less than the slack is allowed: the less a tariff earns, the less.
+    /// Whether a wait is too long to start with: the work unit would be late, and make others late. Waits grow while a
+    /// queue builds, so less than the slack is allowed: the less a tariff earns, the less; and next to none beyond
+    /// a customer's share. Guards against queues in which all is late.
+    fn hopeless(&self, now: Moment, work: &Work, wait: f64) -> bool {
         let best = self.tariffs.iter().map(|t| t.earnings).fold(0.0, f64::max);
-        let part = if best > 0.0 { self.tariffs[work.tariff].earnings / best } else { 1.0 };
-        let most = (work.slack(now) * part).max(0.1);
-        self.executors
-            .iter()
-            .filter(|e| e.standing == Standing::Ready && kind.is_none_or(|k| k == e.kind))
-            .all(|e| e.aside_until > now || e.wait(now, work.rank) > most)
+        let part = match self.tariffs[work.tariff].earnings / best {
+            _ if work.over_share => 0.0,
+            part if part.is_finite() => part,
+            _ => 1.0,
+        };
+        wait > (work.slack(now) * part).max(0.1)
     }
 
     /// Lane forming for work that needs a program or data set: inside the lane, the fixed hash of key and id ranks
-    /// the workers, the same at every node, and the first are the key's homes. It leaves them only while none of
-    /// them has room and another worker has. Guards against all fetching everything from the one shared store.
-    fn keep_home(&self, now: Moment, key: u64, work: &Work, able: &mut Vec<Candidate>) {
+    /// the workers, the same at every node, and the first are the key's homes. Guards against every worker fetching
+    /// everything from the one shared store, until all slots are held by fetches.
+    fn keep_home(&self, key: u64, able: &mut Vec<Candidate>) {
         const HOMES: usize = 3; // leaves the weighted pick its choice, and one worker lost does not lose the key
-        able.sort_by_key(|c| (!c.in_lane, Reverse(mixed(self.executors[c.at].hash ^ key))));
-        let spare = work.spare(now);
-        let homes = able.len().min(HOMES);
-        for home in &mut able[..homes] {
-            home.room = self.executors[home.at].has_room(now, work.rank, spare);
-        }
-        if able[..homes].iter().any(|home| home.room) || !able.iter().any(|c| c.room) {
-            able.truncate(HOMES);
+        if able.iter().any(|c| c.in_lane) {
+            able.retain(|c| c.in_lane);
         }
+        able.sort_by_key(|c| Reverse(mixed(self.executors[c.at].hash ^ key)));
+        able.truncate(HOMES);
     }
 
     /// Sends the work unit where the design says, holds it while nothing can take it, or turns it back.
@@ -648,9 +646,9 @@
             return self.answer(unit);
         }
         match picked {
-            Some(Picked { executor, any_room }) => {
+            Some(Picked { executor, least_wait, .. }) => {
                 let fresh = work.allocations.iter().all(|a| !a.may_have_run);
-                if fresh && ((!any_room && work.over_share) || self.hopeless(now, &self.work[&unit])) {
+                if fresh && self.hopeless(now, &self.work[&unit], least_wait) {
                     return self.answer(unit);
                 }
                 self.send(now, unit, executor);
@@ -729,7 +727,7 @@
 
         if (waits || silent)
             && self.may_allocate(unit, self.allowance.recalls)
-            && let Some(Picked { executor: better, any_room: true }) = self.pick(now, unit)
+            && let Some(Picked { executor: better, any_room: true, .. }) = self.pick(now, unit)
         {
             if self.allowance.second_copies {
                 self.send(now, unit, better);
