--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -307,7 +307,8 @@
 
     /// Each customer's work units a second within its share, at all nodes together.
     pub fn customers(mut self, quotas: &[f64]) -> Self {
-        let part = |q: &f64| Allotment { per_s: q / self.nodes as f64 * 4.0, level: 0.0, at: Moment(0) };
+        // Traffic is uneven over the nodes: twice the even part, or much that lies within the share is turned back.
+        let part = |q: &f64| Allotment { per_s: q / self.nodes as f64 * 2.0, level: 0.0, at: Moment(0) };
         self.allotments = quotas.iter().map(part).collect();
         self
     }
--- a/crates/dispatch/tests/stories.rs
+++ b/crates/dispatch/tests/stories.rs
@@ -345,8 +345,8 @@
 fn what_a_customer_sends_beyond_its_share_is_turned_back_first() {
     let said = Fake::default();
     let now = Moment(1);
-    // Two nodes: one work unit a second here, and two at once before that is overuse.
-    let mut node = dispatcher(said.clone(), 0, ALLOWANCE).customers(&[2.0, f64::INFINITY]);
+    // Two nodes: one work unit a second here, twice the even part, and two at once before that is overuse.
+    let mut node = dispatcher(said.clone(), 0, ALLOWANCE).customers(&[1.0, f64::INFINITY]);
     node.start(now);
     node.listed(now, true, &[listing(0, "only")]);
     said.0.borrow_mut().clear();
