--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -588,6 +588,8 @@
         if !able.iter().all(tried) {
             able.retain(|c| !tried(c));
         }
+        let waits = able.iter().map(|c| self.executors[c.at].wait(now, work.rank));
+        let least_wait = waits.fold(f64::INFINITY, f64::min);
         // Overflow: a lane with no room left borrows those workers of the other that have some.
         let any_room = able.iter().any(|c| c.room);
         if able.iter().any(|c| c.in_lane && c.room) {
@@ -607,8 +609,6 @@
             point < 0.0
         });
         let chosen = able.get(picked.unwrap_or(able.len().saturating_sub(1)))?;
-        let waits = able.iter().map(|c| self.executors[c.at].wait(now, work.rank));
-        let least_wait = waits.fold(f64::INFINITY, f64::min);
         Some(Picked { executor: ExecutorId(chosen.at), any_room, least_wait })
     }
 
