--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -588,10 +588,11 @@
         if !able.iter().all(tried) {
             able.retain(|c| !tried(c));
         }
-        let waits = able.iter().map(|c| self.executors[c.at].wait(now, work.rank));
-        let least_wait = waits.fold(f64::INFINITY, f64::min);
         // Overflow: a lane with no room left borrows those workers of the other that have some.
         let any_room = able.iter().any(|c| c.room);
+        let asked = able.iter().filter(|c| c.room || !any_room);
+        let least_wait =
+            asked.map(|c| self.executors[c.at].wait(now, work.rank)).fold(f64::INFINITY, f64::min);
         if able.iter().any(|c| c.in_lane && c.room) {
             able.retain(|c| c.in_lane && c.room);
         } else if any_room {
