--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -590,7 +590,8 @@
         }
         // Overflow: a lane with no room left borrows those workers of the other that have some.
         let any_room = able.iter().any(|c| c.room);
-        let asked = able.iter().filter(|c| c.room || !any_room);
+        // Keyed work waits where it is sent; other work may yet overflow or move to the shortest wait of all.
+        let asked = able.iter().filter(|c| c.room || !any_room || work.key.is_none());
         let least_wait =
             asked.map(|c| self.executors[c.at].wait(now, work.rank)).fold(f64::INFINITY, f64::min);
         if able.iter().any(|c| c.in_lane && c.room) {
