--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -1,9 +1,9 @@
 //! The decisions of grebeusher: which executor gets a work unit, and what becomes of it.
 //!
 //! A caller builds one [`Dispatcher`] a node, hands it a [`Host`] to act through, tells it what is promised
-//! (`allowing`, `cold_starts`, `noticing`, `customers`), calls `start`, and then calls one method for each thing
-//! that happens, with the time at which it happened. Nothing else drives it: no clock, no I/O, no threads.
-//! The interface is set down in `host.rs` (what it asks), `tariffs.rs`, `ids.rs` and `time.rs` (its vocabulary).
+//! (`allowing`, `cold_starts`, `noticing`, `queueing`, `customers`), calls `start`, and then one method for
+//! each thing that happens, with the time at which it happened. Nothing else drives it: no clock, no I/O.
+//! The interface is set down in `host.rs` (what it asks), and in `tariffs.rs`, `ids.rs` and `time.rs`.
 //!
 //! The design (SITA-E, `docs/design.md`): the size of a work unit picks a lane by cut-offs that equalise the
 //! summed size per worker; inside the lane a random pick is weighted by one minus the utilisation.
@@ -45,6 +45,7 @@
 }
 
 /// All that is known of one executor.
+#[derive(Default)]
 struct Executor {
     hash: u64,
     standing: Standing,
@@ -56,7 +57,7 @@
     lane: usize,
     utilisation: f64,
     reported: Option<Moment>,
-    probing: Option<Moment>,
+    probing: bool,
     slots: f64,
     flights: Vec<Flight>,
     answers: usize,
@@ -73,8 +74,8 @@
 }
 
 impl Executor {
-    /// Utilisation as of now: the report is late, so own allocations sent since it was taken are added. Guards
-    /// against piling work on one idle-looking executor. `None` where nothing is known.
+    /// Utilisation as of now: the report is late, so own allocations sent since it was taken are added.
+    /// Guards against piling work on one idle-looking executor. `None` where nothing is known.
     fn load(&self, now: Moment) -> Option<f64> {
         // Reports are averages over about a second: what was sent in the last one is not in them yet.
         const LAG: Span = Span::millis(1000);
@@ -91,8 +92,8 @@
         }
     }
 
-    /// Seconds that own allocations of this rank or a higher one wait here for a slot: the age of the oldest that
-    /// waits now, or what the last one to start waited, which counts for less as it ages.
+    /// Seconds that own allocations of this rank or a higher one wait here for a slot: the age of the
+    /// oldest that waits now, or what the last one to start waited, which counts for less as it ages.
     fn wait(&self, now: Moment, rank: u32) -> f64 {
         const HALVES_EVERY_S: f64 = 2.0; // about the run of a few work units, after which a queue is another
         let fades =
@@ -105,8 +106,8 @@
         waiting.map(|f| now.since(f.sent).as_secs()).fold(0.0, f64::max)
     }
 
-    /// Whether own evidence leaves room here for a work unit that can `spare` some seconds: late reports do not
-    /// count, since all nodes would believe them at once and crowd onto the few that look free.
+    /// Whether own evidence leaves room here for a work unit that can `spare` some seconds: late reports
+    /// do not count, since all nodes would believe them at once and crowd onto the few that look free.
     fn has_room(&self, now: Moment, rank: u32, spare: Option<f64>) -> bool {
         const TOLD_WITHIN: f64 = 0.06; // seconds: a start is told within a round trip and a hand-shake
         let waits = match spare {
@@ -116,12 +117,13 @@
         (self.flights.len() as f64) < self.slots && !waits
     }
 
-    /// Whether a cold executor can take one more that counts for `charge`. Its capacity is at least the cold share and
-    /// grows at least evenly. What all nodes may send within a window is often less than one work unit a node, so
-    /// the fixed hash gives each cold executor to one node, and the others leave it alone until it is warm. Guards
-    /// against all nodes together pushing it over.
+    /// Whether a cold executor can take one more that counts for `charge`. Its capacity is at least the
+    /// cold share and grows at least evenly. What all nodes may send within a window is often less than
+    /// one work unit a node, so the fixed hash gives each cold executor to one node, and the others leave
+    /// it alone until it is warm. Guards against all nodes together pushing it over.
     fn cold_admits(&mut self, cold: &ColdStart, node: u64, nodes: u64, now: Moment, charge: f64) -> bool {
-        // Of the budget: held at most, and leaked within a window. What is left covers one slower than its kind.
+        // Of the budget: held at most, and leaked within a window. What is left covers one slower than its
+        // kind.
         const HELD: f64 = 0.4;
         const LEAKED: f64 = 0.35;
         let Some(started) = self.started.max(self.died) else { return true };
@@ -189,7 +191,8 @@
         (self.arrived + self.quoted).since(now).as_secs() - self.size
     }
 
-    /// Keyed work waits a little at its home rather than fetch elsewhere; other work waits nowhere by choice.
+    /// Keyed work waits a little at its home rather than fetch elsewhere; other work waits nowhere by
+    /// choice.
     fn spare(&self, now: Moment) -> Option<f64> {
         const PART: f64 = 0.25; // of the slack: the estimate is of the past, and the queue may grow
         self.key.map(|_| self.slack(now) * PART)
@@ -307,7 +310,8 @@
 
     /// Each customer's work units a second within its share, at all nodes together.
     pub fn customers(mut self, quotas: &[f64]) -> Self {
-        // Traffic is uneven over the nodes: twice the even part, or much that lies within the share is turned back.
+        // Traffic is uneven over the nodes: twice the even part, or much that lies within the share is
+        // turned back.
         let part = |q: &f64| Allotment { per_s: q / self.nodes as f64 * 2.0, level: 0.0, at: Moment(0) };
         self.allotments = quotas.iter().map(part).collect();
         self
@@ -334,29 +338,10 @@
             let index = entry.executor.0;
             while self.executors.len() <= index {
                 self.executors.push(Executor {
-                    hash: 0,
-                    standing: Standing::Gone,
-                    started: None,
-                    kind: 0,
-                    zone: 0,
-                    cell: 0,
-                    weight: 1.0,
-                    lane: 0,
-                    utilisation: 0.0,
-                    reported: None,
-                    probing: None,
                     slots: 1.0,
-                    flights: Vec::new(),
-                    answers: 0,
-                    reset: None,
-                    died: None,
-                    speed: 0.0,
                     capacity: 1.0,
-                    aside_until: Moment(0),
-                    lost_probes: 0,
-                    past_waits: BTreeMap::new(),
-                    cold_level: 0.0,
                     cold_at: now,
+                    ..Executor::default()
                 });
             }
             let e = &mut self.executors[index];
@@ -381,8 +366,8 @@
         if !self.asks_list {
             return;
         }
-        // All nodes lose the list together and a failed call costs it too: wait 0.5 to 1.5 s, doubled up to 4 s,
-        // which stays under the spans after which an unasked list counts as told.
+        // All nodes lose the list together and a failed call costs it too: wait 0.5 to 1.5 s, doubled up
+        // to 4 s, which stays under the spans after which an unasked list counts as told.
         let wait = (0.5 + self.chance.random::<f64>()) * f64::from(1 << self.follow_tries.min(2));
         self.follow_tries += 1;
         self.host.wake(Span::secs(wait.min(4.0)), FOLLOW);
@@ -483,14 +468,15 @@
 
     pub fn probed(&mut self, now: Moment, executor: ExecutorId, answered: bool, report: Option<Report>) {
         let Some(e) = self.executors.get_mut(executor.0) else { return };
-        e.probing = None;
+        e.probing = false;
         if answered {
             e.lost_probes = 0;
             if let Some(report) = report {
                 take_report(e, now, report);
             }
         } else {
-            // A lost probe may only mean a full waiting room; several in a row with no other sign mean silence.
+            // A lost probe may only mean a full waiting room; several in a row with no other sign mean
+            // silence.
             e.lost_probes += 1;
             (e.utilisation, e.reported) = (1.0, Some(now));
             if e.lost_probes >= 2 {
@@ -508,7 +494,8 @@
         }
     }
 
-    /// Sorts the ready executors by the fixed hash of their ids into two equal lanes, the same at every node.
+    /// Sorts the ready executors by the fixed hash of their ids into two equal lanes, the same at every
+    /// node.
     fn form_lanes(&mut self) {
         let mut ready: Vec<usize> =
             (0..self.executors.len()).filter(|&i| self.executors[i].standing == Standing::Ready).collect();
@@ -544,7 +531,8 @@
             });
             self.cut_offs.extend(cut);
         }
-        // What an executor can do when warm: the mean of its kind, from those whose pace and slots have been seen.
+        // What an executor can do when warm: the mean of its kind, from those whose pace and slots have
+        // been seen.
         let seen = |e: &&Executor| e.standing == Standing::Ready && e.speed > 0.0;
         let known: Vec<(usize, f64)> =
             self.executors.iter().filter(seen).map(|e| (e.kind, e.speed * e.slots)).collect();
@@ -590,7 +578,8 @@
         }
         // Overflow: a lane with no room left borrows those workers of the other that have some.
         let any_room = able.iter().any(|c| c.room);
-        // Keyed work waits where it is sent; other work may yet overflow or move to the shortest wait of all.
+        // Keyed work waits where it is sent; other work may yet overflow or move to the shortest wait of
+        // all.
         let asked = able.iter().filter(|c| c.room || !any_room || work.key.is_none());
         let least_wait =
             asked.map(|c| self.executors[c.at].wait(now, work.rank)).fold(f64::INFINITY, f64::min);
@@ -614,9 +603,9 @@
         Some(Picked { executor: ExecutorId(chosen.at), any_room, least_wait })
     }
 
-    /// Whether a wait is too long to start with: the work unit would be late, and make others late. Waits grow while a
-    /// queue builds, so less than the slack is allowed: the less a tariff earns, the less; and next to none beyond
-    /// a customer's share. Guards against queues in which all is late.
+    /// Whether a wait is too long to start with: the work unit would be late, and make others late. Waits
+    /// grow while a queue builds, so less than the slack is allowed: the less a tariff earns, the less;
+    /// and next to none beyond a customer's share. Guards against queues in which all is late.
     fn hopeless(&self, now: Moment, work: &Work, wait: f64) -> bool {
         let best = self.tariffs.iter().map(|t| t.earnings).fold(0.0, f64::max);
         let part = match self.tariffs[work.tariff].earnings / best {
@@ -627,11 +616,12 @@
         wait > (work.slack(now) * part).max(0.1)
     }
 
-    /// Lane forming for work that needs a program or data set: inside the lane, the fixed hash of key and id ranks
-    /// the workers, the same at every node, and the first are the key's homes. Guards against every worker fetching
-    /// everything from the one shared store, until all slots are held by fetches.
+    /// Lane forming for work that needs a program or data set: inside the lane, the fixed hash of key and
+    /// id ranks the workers, the same at every node, and the first are the key's homes. Guards against
+    /// every worker fetching everything from the one shared store, until all slots are held by fetches.
     fn keep_home(&self, key: u64, able: &mut Vec<Candidate>) {
-        const HOMES: usize = 3; // leaves the weighted pick its choice, and one worker lost does not lose the key
+        // Leaves the weighted pick its choice, and one worker lost does not lose the key.
+        const HOMES: usize = 3;
         if able.iter().any(|c| c.in_lane) {
             able.retain(|c| c.in_lane);
         }
@@ -641,7 +631,8 @@
 
     /// Sends the work unit where the design says, holds it while nothing can take it, or turns it back.
     fn place(&mut self, now: Moment, unit: UnitId) {
-        // Long enough for one set aside to return or a slot to come free; longer waits seldom end in an answer.
+        // Long enough for one set aside to return or a slot to come free; longer waits seldom end in an
+        // answer.
         const HOLD_MOST: Span = Span::millis(1000);
         let picked = self.pick(now, unit);
         let Some(work) = self.work.get_mut(&unit) else { return };
@@ -689,7 +680,8 @@
         let started = if self.tells_start { None } else { Some(now) };
         let id = AllocationId { unit, number: go };
         e.flights.push(Flight { id, size, rank: work.rank, sent: now, started, heard: now });
-        // A cold executor falls by the number of its work units as well: each counts for a mean one at least.
+        // A cold executor falls by the number of its work units as well: each counts for a mean one at
+        // least.
         e.cold_level += size.max(self.mean);
         self.host.allocate(unit, executor, time_out);
         if self.tariffs[work.tariff].effect == Effect::Retriable {
@@ -697,8 +689,8 @@
         }
     }
 
-    /// Looks at a retriable work unit that is out: one that has not started where it waits, or whose executor fell
-    /// silent, is recalled and sent to an executor that is not full.
+    /// Looks at a retriable work unit that is out: one that has not started where it waits, or whose
+    /// executor fell silent, is recalled and sent to an executor that is not full.
     fn review(&mut self, now: Moment, unit: UnitId) {
         const AGAIN: Span = Span::millis(250); // a few looks within the shortest quoted times
         let Some(work) = self.work.get(&unit) else { return };
@@ -741,7 +733,8 @@
             self.host.recall(id);
             return;
         }
-        // No room anywhere and too late already: in a queue served in order it only makes the next one late as well.
+        // No room anywhere and too late already: in a queue served in order it only makes the next one
+        // late as well.
         if lost {
             return self.answer(unit);
         }
@@ -761,7 +754,8 @@
 
     /// An allocation ended without an answer: another one, or the final answer.
     fn renew(&mut self, now: Moment, unit: UnitId, ending: Ending) {
-        let Some(work) = self.work.get(&unit) else { return };
+        // A stream that has started is the answer, whatever became of another copy and of patience.
+        let Some(work) = self.work.get(&unit).filter(|w| !w.streaming) else { return };
         let out_of_time = work.patience_ends <= now + ANSWER_MARGIN;
         if !out_of_time && work.allocations.iter().any(|a| a.open) {
             return; // another copy is still out
@@ -844,14 +838,14 @@
                     e.speed = if e.speed > 0.0 { e.speed * 0.9 + pace * 0.1 } else { pace };
                 }
             }
-            // A full waiting room empties in about a run: nothing until then, or it would answer fastest of all
-            // and draw the more work the fuller it is.
+            // A full waiting room empties in about a run: nothing until then, or it would answer fastest
+            // of all and draw the more work the fuller it is.
             Ending::Full => e.aside_until = now + Span::secs(0.5 + 0.5 * self.chance.random::<f64>()),
             Ending::Reset => e.reset = Some(now),
             Ending::Error => self.set_aside(now, executor),
             Ending::Refused => {
-                // Connections broke and now none is made: the process is gone, and what comes back under this id is
-                // cold long before the list says so. Guards against pushing it over untold.
+                // Connections broke and now none is made: the process is gone, and what comes back under
+                // this id is cold long before the list says so. Guards against pushing it over untold.
                 const TOGETHER: Span = Span::millis(5000);
                 if e.reset.is_some_and(|at| now.since(at) < TOGETHER) {
                     (e.died, e.answers, e.cold_level) = (Some(now), 0, 0.0);
@@ -862,10 +856,11 @@
         }
     }
 
-    /// Leaves an executor out for a fixed time plus a random part, so that the nodes do not come back together.
-    /// Never more than half of the ready ones: trouble of all is not the fault of each.
+    /// Leaves an executor out for a fixed time plus a random part, so that the nodes do not come back
+    /// together. Never more than half of the ready ones: trouble of all is not the fault of each.
     fn set_aside(&mut self, now: Moment, executor: ExecutorId) {
-        // Seconds: long enough to pass over most of a short trouble, short enough to find the end of a long one.
+        // Seconds: long enough to pass over most of a short trouble, short enough to find the end of a
+        // long one.
         const FIXED_S: f64 = 3.0;
         const RANDOM_S: f64 = 2.0;
         let ready = |e: &&Executor| e.standing == Standing::Ready;
@@ -886,8 +881,8 @@
         if self.may_probe {
             for (i, e) in self.executors.iter_mut().enumerate() {
                 let due = e.reported.is_none_or(|at| now.since(at) >= PROBE_AFTER);
-                if e.standing == Standing::Ready && e.probing.is_none() && due {
-                    e.probing = Some(now);
+                if e.standing == Standing::Ready && !e.probing && due {
+                    e.probing = true;
                     self.host.probe(ExecutorId(i));
                 }
             }
@@ -931,7 +926,8 @@
     name.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3))
 }
 
-/// Spreads the bits of a key and an id taken together, so that each key ranks the executors in its own order.
+/// Spreads the bits of a key and an id taken together, so that each key ranks the executors in its own
+/// order.
 fn mixed(bits: u64) -> u64 {
     let bits = (bits ^ (bits >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
     let bits = (bits ^ (bits >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
--- a/crates/dispatch/src/tariffs.rs
+++ b/crates/dispatch/src/tariffs.rs
@@ -64,10 +64,11 @@
     }
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Standing {
     Ready,
     Draining,
+    #[default]
     Gone,
 }
 
--- a/crates/dispatch/tests/stories.rs
+++ b/crates/dispatch/tests/stories.rs
@@ -133,6 +133,21 @@
     assert_eq!(story.heard(), [Said::TurnBack(2)], "no time to send it at all");
 }
 
+#[test]
+fn an_answer_that_streams_outlives_patience_and_other_copies() {
+    let mut story = Story::of(2);
+    story.arrive(1, RETRIABLE, 100);
+    let first = story.sent_to();
+    story.pass(150);
+    story.node.rang(story.now, UNIT_ALARMS + 1);
+    story.heard();
+    story.node.streaming(story.now, UnitId(1));
+    story.pass(20_000);
+    story.end(1, 0, first, Ending::Recalled);
+    story.node.rang(story.now, UNIT_ALARMS + 1);
+    assert_eq!(story.heard(), []);
+}
+
 #[test]
 fn held_work_is_answered_by_its_own_alarm() {
     // Failure: patience ended between two beats, and a held work unit got no answer.
