--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -711,6 +711,9 @@
             .progress
             .is_some_and(|pace| flight.started.is_some() && now.since(flight.heard).0 > pace.0 * 5 / 2);
         // A recalled one may run on: where no second copy is allowed, a move would be just that.
+        // A few moves find room if there is any; more only cost crossings and hand-shakes.
+        const MOVES: usize = 2;
+        let moved_enough = work.allocations.len() > MOVES;
         let waits = flight.started.is_none()
             && now.since(flight.sent).as_secs() > work.spare(now).unwrap_or(0.0)
             && self.allowance.second_copies;
@@ -720,7 +723,7 @@
             self.set_aside(now, executor);
         }
 
-        if (waits || silent)
+        if ((waits && !moved_enough) || silent)
             && self.may_allocate(unit, self.allowance.recalls)
             && let Some(Picked { executor: better, any_room: true, .. }) = self.pick(now, unit)
         {
