--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -41,6 +41,7 @@
     rank: u32,
     sent: Moment,
     started: Option<Moment>,
+    done: f64,
     heard: Moment,
 }
 
@@ -419,18 +420,32 @@
         }
     }
 
-    /// An executor told that an allocation started, or how far it is.
-    pub fn noticed(&mut self, now: Moment, id: AllocationId, executor: ExecutorId) {
+    /// An executor told that an allocation started, or which share of it is done.
+    pub fn noticed(&mut self, now: Moment, id: AllocationId, executor: ExecutorId, done: Option<f64>) {
+        // Slower than this against its kind is trouble; less may be a rough hint, or all may be slow together.
+        const SLOWER: f64 = 3.0;
         let Some(e) = self.executors.get_mut(executor.0) else { return };
+        let usual = e.capacity / e.slots;
+        let mut slow = false;
         if let Some(flight) = e.flights.iter_mut().find(|f| f.id == id) {
             if flight.started.is_none() {
                 flight.started = Some(now);
                 e.past_waits.insert(flight.rank, (now.since(flight.sent).as_secs(), now));
             }
+            if let Some(done) = done {
+                // From one note to the next, so that a fetch before the work does not count.
+                let pace = (done - flight.done) * flight.size / now.since(flight.heard).as_secs().max(0.001);
+                slow = flight.done > 0.0 && pace * SLOWER < usual;
+                flight.done = done;
+            }
             flight.heard = now;
         }
         let running = e.flights.iter().filter(|f| f.started.is_some()).count();
         e.slots = e.slots.max(running as f64);
+        // A slow executor answers late whatever its utilisation, and holds on to what it gets.
+        if slow {
+            self.set_aside(now, executor);
+        }
     }
 
     /// An allocation ended. `finished`: its work unit has had its final answer.
@@ -679,7 +694,7 @@
         // Where starts are not told, nothing is known to wait.
         let started = if self.tells_start { None } else { Some(now) };
         let id = AllocationId { unit, number: go };
-        e.flights.push(Flight { id, size, rank: work.rank, sent: now, started, heard: now });
+        e.flights.push(Flight { id, size, rank: work.rank, sent: now, started, done: 0.0, heard: now });
         // A cold executor falls by the number of its work units as well: each counts for a mean one at
         // least.
         e.cold_level += size.max(self.mean);
@@ -711,9 +726,6 @@
             .progress
             .is_some_and(|pace| flight.started.is_some() && now.since(flight.heard).0 > pace.0 * 5 / 2);
         // A recalled one may run on: where no second copy is allowed, a move would be just that.
-        // A few moves find room if there is any; more only cost crossings and hand-shakes.
-        const MOVES: usize = 2;
-        let moved_enough = work.allocations.len() > MOVES;
         let waits = flight.started.is_none()
             && now.since(flight.sent).as_secs() > work.spare(now).unwrap_or(0.0)
             && self.allowance.second_copies;
@@ -723,7 +735,7 @@
             self.set_aside(now, executor);
         }
 
-        if ((waits && !moved_enough) || silent)
+        if (waits || silent)
             && self.may_allocate(unit, self.allowance.recalls)
             && let Some(Picked { executor: better, any_room: true, .. }) = self.pick(now, unit)
         {
--- a/crates/dispatch/tests/fake/mod.rs
+++ b/crates/dispatch/tests/fake/mod.rs
@@ -156,7 +156,8 @@
     }
 
     pub fn start_of(&mut self, unit: u64, go: usize, executor: usize) {
-        self.node.noticed(self.now, AllocationId { unit: UnitId(unit), number: go }, ExecutorId(executor));
+        let id = AllocationId { unit: UnitId(unit), number: go };
+        self.node.noticed(self.now, id, ExecutorId(executor), None);
     }
 
     /// What was said since the last look, without the alarms.
