--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -423,7 +423,7 @@
     /// An executor told that an allocation started, or which share of it is done.
     pub fn noticed(&mut self, now: Moment, id: AllocationId, executor: ExecutorId, done: Option<f64>) {
         // Slower than this against its kind is trouble; less may be a rough hint, or all may be slow together.
-        const SLOWER: f64 = 3.0;
+        const SLOWER: f64 = 5.0;
         let Some(e) = self.executors.get_mut(executor.0) else { return };
         let usual = e.capacity / e.slots;
         let mut slow = false;
