--- a/crates/benchlink/src/main.rs
+++ b/crates/benchlink/src/main.rs
@@ -50,8 +50,6 @@
     slots: Option<f64>,
     bits: u64,
     go: usize,
-    sort: u64,
-    value: Option<f64>,
     #[serde(borrow)]
     executor: Option<Cow<'a, str>>,
     #[serde(borrow)]
@@ -175,7 +173,7 @@
                 let executor = self.known_executor(line)?;
                 self.call_known(line, |node, now, id| {
                     if let Some(executor) = executor {
-                        node.dispatcher.noticed(now, id, executor, line.value.filter(|_| line.sort == 2));
+                        node.dispatcher.noticed(now, id, executor);
                     }
                 })
             }
--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -41,7 +41,6 @@
     rank: u32,
     sent: Moment,
     started: Option<Moment>,
-    done: f64,
     heard: Moment,
 }
 
@@ -420,32 +419,18 @@
         }
     }
 
-    /// An executor told that an allocation started, or which share of it is done.
-    pub fn noticed(&mut self, now: Moment, id: AllocationId, executor: ExecutorId, done: Option<f64>) {
-        // Slower than this against its kind is trouble; less may be a rough hint, or all may be slow together.
-        const SLOWER: f64 = 5.0;
+    /// An executor told that an allocation started, or how far it is.
+    pub fn noticed(&mut self, now: Moment, id: AllocationId, executor: ExecutorId) {
         let Some(e) = self.executors.get_mut(executor.0) else { return };
-        let usual = e.capacity / e.slots;
-        let mut slow = false;
         if let Some(flight) = e.flights.iter_mut().find(|f| f.id == id) {
             if flight.started.is_none() {
                 flight.started = Some(now);
                 e.past_waits.insert(flight.rank, (now.since(flight.sent).as_secs(), now));
             }
-            if let Some(done) = done {
-                // From one note to the next, so that a fetch before the work does not count.
-                let pace = (done - flight.done) * flight.size / now.since(flight.heard).as_secs().max(0.001);
-                slow = flight.done > 0.0 && pace * SLOWER < usual;
-                flight.done = done;
-            }
             flight.heard = now;
         }
         let running = e.flights.iter().filter(|f| f.started.is_some()).count();
         e.slots = e.slots.max(running as f64);
-        // A slow executor answers late whatever its utilisation, and holds on to what it gets.
-        if slow {
-            self.set_aside(now, executor);
-        }
     }
 
     /// An allocation ended. `finished`: its work unit has had its final answer.
@@ -568,7 +553,7 @@
         let lane = self.cut_offs.iter().filter(|&&cut| size > cut).count();
         let terms = self.tariffs[work.tariff];
         let one_lane = self.cut_offs.is_empty();
-        let charge = size.max(self.mean);
+        let charge = size.clamp(self.mean, 2.0 * self.mean);
         let mut able: Vec<Candidate> = Vec::with_capacity(self.executors.len());
         for (at, e) in self.executors.iter_mut().enumerate() {
             if e.standing == Standing::Ready
@@ -694,10 +679,10 @@
         // Where starts are not told, nothing is known to wait.
         let started = if self.tells_start { None } else { Some(now) };
         let id = AllocationId { unit, number: go };
-        e.flights.push(Flight { id, size, rank: work.rank, sent: now, started, done: 0.0, heard: now });
+        e.flights.push(Flight { id, size, rank: work.rank, sent: now, started, heard: now });
         // A cold executor falls by the number of its work units as well: each counts for a mean one at
         // least.
-        e.cold_level += size.max(self.mean);
+        e.cold_level += size.clamp(self.mean, 2.0 * self.mean);
         self.host.allocate(unit, executor, time_out);
         if self.tariffs[work.tariff].effect == Effect::Retriable {
             self.host.wake(REVIEW_AFTER, FIRST_UNIT + unit.0);
--- a/crates/dispatch/tests/fake/mod.rs
+++ b/crates/dispatch/tests/fake/mod.rs
@@ -156,8 +156,7 @@
     }
 
     pub fn start_of(&mut self, unit: u64, go: usize, executor: usize) {
-        let id = AllocationId { unit: UnitId(unit), number: go };
-        self.node.noticed(self.now, id, ExecutorId(executor), None);
+        self.node.noticed(self.now, AllocationId { unit: UnitId(unit), number: go }, ExecutorId(executor));
     }
 
     /// What was said since the last look, without the alarms.
