--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -117,12 +117,6 @@
         (self.flights.len() as f64) < self.slots && !waits
     }
 
-    /// How much of the span within which it is warm at the latest has passed since its start.
-    fn warmth(&self, cold: &ColdStart, now: Moment) -> f64 {
-        let started = self.started.max(self.died);
-        started.map_or(1.0, |at| now.since(at).as_secs() / cold.warm_within.as_secs().max(0.001))
-    }
-
     /// Whether a cold executor can take one more that counts for `charge`. Its capacity is at least the
     /// cold share and grows at least evenly. What all nodes may send within a window is often less than
     /// one work unit a node, so the fixed hash gives each cold executor to one node, and the others leave
@@ -132,11 +126,12 @@
         // kind.
         const HELD: f64 = 0.4;
         const LEAKED: f64 = 0.35;
-        let warmth = self.warmth(cold, now);
-        if warmth >= 1.0 {
+        let Some(started) = self.started.max(self.died) else { return true };
+        let age = now.since(started).as_secs() / cold.warm_within.as_secs().max(0.001);
+        if age >= 1.0 {
             return true;
         }
-        let share = cold.share + (1.0 - cold.share) * warmth;
+        let share = cold.share + (1.0 - cold.share) * age;
         let window = cold.fall_window.as_secs().max(0.001);
         let budget = cold.fall_factor * share * self.capacity * window;
         let level = self.cold_level - now.since(self.cold_at).as_secs() * budget * LEAKED / window;
@@ -249,7 +244,6 @@
     median: f64,
     mean: f64,
     cut_offs: Vec<f64>,
-    first_share: f64,
     recut: Moment,
 }
 
@@ -287,7 +281,6 @@
             median: 1.0,
             mean: 1.0,
             cut_offs: Vec::new(),
-            first_share: 1.0,
             recut: Moment(0),
         }
     }
@@ -364,7 +357,7 @@
                 (e.cold_level, e.cold_at) = (0.0, now);
             }
         }
-        self.form_lanes(now);
+        self.form_lanes();
         self.serve_held(now);
     }
 
@@ -501,30 +494,19 @@
         }
     }
 
-    /// Sorts the ready executors by registered weight, then by the fixed hash of their ids, into two lanes, the same
-    /// at every node: long work earns by its size and is late on a slow worker, so it gets the heaviest quarter.
-    /// Cold executors take short work and count for no lane: lanes cut by workers that take nothing jam.
-    fn form_lanes(&mut self, now: Moment) {
-        let warm = |e: &Executor| e.warmth(&self.cold, now) >= 1.0;
-        let any_warm = self.executors.iter().any(|e| e.standing == Standing::Ready && warm(e));
-        let mut ready: Vec<usize> = Vec::with_capacity(self.executors.len());
-        for at in 0..self.executors.len() {
-            let e = &self.executors[at];
-            let counted = e.standing == Standing::Ready && (warm(e) || !any_warm);
-            if counted {
-                ready.push(at);
-            }
-        }
+    /// Sorts the ready executors by the fixed hash of their ids into two equal lanes, the same at every
+    /// node.
+    fn form_lanes(&mut self) {
+        let mut ready: Vec<usize> =
+            (0..self.executors.len()).filter(|&i| self.executors[i].standing == Standing::Ready).collect();
         ready.sort_by(|&a, &b| {
             let (a, b) = (&self.executors[a], &self.executors[b]);
             a.weight.total_cmp(&b.weight).then(a.hash.cmp(&b.hash))
         });
-        self.executors.iter_mut().for_each(|e| e.lane = 0);
-        let first = (ready.len() * 3).div_ceil(4);
-        for &at in &ready[first..] {
-            self.executors[at].lane = 1;
+        let half = (ready.len() * 3).div_ceil(4);
+        for (rank, &i) in ready.iter().enumerate() {
+            self.executors[i].lane = usize::from(rank >= half);
         }
-        self.first_share = if ready.is_empty() { 1.0 } else { first as f64 / ready.len() as f64 };
     }
 
     /// Cut-offs such that each lane's part of the summed size matches its part of the workers.
@@ -537,8 +519,11 @@
             self.mean = sizes.iter().sum::<f64>() / sizes.len() as f64;
         }
         self.cut_offs.clear();
-        if sizes.len() >= FEWEST && self.first_share < 1.0 {
-            let due = sizes.iter().sum::<f64>() * self.first_share;
+        let ready = |e: &&Executor| e.standing == Standing::Ready;
+        let all = self.executors.iter().filter(ready).count();
+        let first = self.executors.iter().filter(ready).filter(|e| e.lane == 0).count();
+        if sizes.len() >= FEWEST && first < all {
+            let due = sizes.iter().sum::<f64>() * first as f64 / all as f64;
             let mut sum = 0.0;
             let cut = sizes.iter().find(|&&s| {
                 sum += s;
@@ -904,7 +889,6 @@
         }
         if now.since(self.recut) >= RECUT_EVERY || (self.cut_offs.is_empty() && self.sample.len() >= 50) {
             self.recut = now;
-            self.form_lanes(now);
             self.recompute_cut_offs();
         }
         self.serve_held(now);
