--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -547,7 +547,7 @@
 
     /// The design's choice: the lane by size, the executor by a weighted random pick inside it.
     fn pick(&mut self, now: Moment, unit: UnitId) -> Option<Picked> {
-        const FLOOR: f64 = 0.1; // design page
+        const FLOOR: f64 = 0.03; // trial
         let work = &self.work[&unit];
         let size = work.size;
         let lane = self.cut_offs.iter().filter(|&&cut| size > cut).count();
