--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -547,7 +547,7 @@
 
     /// The design's choice: the lane by size, the executor by a weighted random pick inside it.
     fn pick(&mut self, now: Moment, unit: UnitId) -> Option<Picked> {
-        const FLOOR: f64 = 0.03; // trial
+        const FLOOR: f64 = 0.1; // design page
         let work = &self.work[&unit];
         let size = work.size;
         let lane = self.cut_offs.iter().filter(|&&cut| size > cut).count();
@@ -876,7 +876,7 @@
     fn beat(&mut self, now: Moment) {
         const RECUT_EVERY: Span = Span::millis(5000); // design page
         // Probed when nothing was heard for this long: about the pace at which reports are made anew.
-        const PROBE_AFTER: Span = Span::millis(1500);
+        const PROBE_AFTER: Span = Span::millis(750);
         self.host.wake(BEAT_EVERY, BEAT);
         if self.may_probe {
             for (i, e) in self.executors.iter_mut().enumerate() {
