--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -876,7 +876,7 @@
     fn beat(&mut self, now: Moment) {
         const RECUT_EVERY: Span = Span::millis(5000); // design page
         // Probed when nothing was heard for this long: about the pace at which reports are made anew.
-        const PROBE_AFTER: Span = Span::millis(750);
+        const PROBE_AFTER: Span = Span::millis(1500);
         self.host.wake(BEAT_EVERY, BEAT);
         if self.may_probe {
             for (i, e) in self.executors.iter_mut().enumerate() {
