--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -769,7 +769,7 @@
     /// The final answer to a work unit that is given up: a turn-back where trying again is harmless.
     fn answer(&mut self, unit: UnitId) {
         // Long enough for a slot to come free, short against any patience.
-        const COME_BACK: Span = Span::millis(200);
+        const COME_BACK: Span = Span::millis(500);
         let Some(work) = self.work.get(&unit) else { return };
         let ran = work.allocations.iter().any(|a| a.may_have_run);
         let harmless = match self.tariffs[work.tariff].effect {
