--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -718,7 +718,8 @@
         if silent {
             self.set_aside(now, executor);
         }
-        if (waits || silent)
+        if false
+            && (waits || silent)
             && self.may_allocate(unit, self.allowance.recalls)
             && let Some(Picked { executor: better, any_room: true, .. }) = self.pick(now, unit)
         {
