--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -644,7 +644,7 @@
         match picked {
             Some(Picked { executor, least_wait, .. }) => {
                 let fresh = work.allocations.iter().all(|a| !a.may_have_run);
-                if fresh && self.hopeless(now, &self.work[&unit], least_wait) {
+                if false && fresh && self.hopeless(now, &self.work[&unit], least_wait) {
                     return self.answer(unit);
                 }
                 self.send(now, unit, executor);
@@ -718,8 +718,7 @@
         if silent {
             self.set_aside(now, executor);
         }
-        if false
-            && (waits || silent)
+        if (waits || silent)
             && self.may_allocate(unit, self.allowance.recalls)
             && let Some(Picked { executor: better, any_room: true, .. }) = self.pick(now, unit)
         {
