--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -644,7 +644,7 @@
         match picked {
             Some(Picked { executor, least_wait, .. }) => {
                 let fresh = work.allocations.iter().all(|a| !a.may_have_run);
-                if false && fresh && self.hopeless(now, &self.work[&unit], least_wait) {
+                if fresh && self.hopeless(now, &self.work[&unit], least_wait) {
                     return self.answer(unit);
                 }
                 self.send(now, unit, executor);
@@ -734,7 +734,7 @@
             return;
         }
         // No room anywhere and too late already: waiting on, it only makes the next one late as well.
-        if lost {
+        if false && lost {
             return self.answer(unit);
         }
         self.host.wake(AGAIN, FIRST_UNIT + unit.0);
