--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -611,7 +611,7 @@
     fn hopeless(&self, now: Moment, work: &Work, wait: f64) -> bool {
         let best = self.tariffs.iter().map(|t| t.earnings).fold(0.0, f64::max);
         let part = match self.tariffs[work.tariff].earnings / best {
-            _ if work.over_share => 0.0,
+            _ if work.over_share && false => 0.0,
             part if part.is_finite() => part,
             _ => 1.0,
         };
@@ -734,7 +734,7 @@
             return;
         }
         // No room anywhere and too late already: waiting on, it only makes the next one late as well.
-        if false && lost {
+        if lost {
             return self.answer(unit);
         }
         self.host.wake(AGAIN, FIRST_UNIT + unit.0);
