--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -400,7 +400,7 @@
             quoted,
             patience_ends: arrival.patience_ends,
             size,
-            rank: if self.in_order { 0 } else { terms.priority },
+            rank: if true { 0 } else { terms.priority },
             key: arrival.key,
             allocations: Vec::new(),
             streaming: false,
@@ -611,7 +611,7 @@
     fn hopeless(&self, now: Moment, work: &Work, wait: f64) -> bool {
         let best = self.tariffs.iter().map(|t| t.earnings).fold(0.0, f64::max);
         let part = match self.tariffs[work.tariff].earnings / best {
-            _ if work.over_share && false => 0.0,
+            _ if work.over_share => 0.0,
             part if part.is_finite() => part,
             _ => 1.0,
         };
