--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -400,7 +400,7 @@
             quoted,
             patience_ends: arrival.patience_ends,
             size,
-            rank: if true { 0 } else { terms.priority },
+            rank: if self.in_order { 0 } else { terms.priority },
             key: arrival.key,
             allocations: Vec::new(),
             streaming: false,
