--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -1,7 +1,7 @@
 //! The decisions of grebeusher: which executor gets a work unit, and what becomes of it.
 //!
 //! A caller builds one [`Dispatcher`] a node, hands it a [`Host`] to act through, tells it what is promised
-//! (`allowing`, `cold_starts`, `noticing`, `queueing`, `customers`), calls `start`, and then one method for
+//! (`allowing`, `cold_starts`, `noticing`, `customers`), calls `start`, and then one method for
 //! each thing that happens, with the time at which it happened. Nothing else drives it: no clock, no I/O.
 //! The interface is set down in `host.rs` (what it asks), and in `tariffs.rs`, `ids.rs` and `time.rs`.
 //!
@@ -38,7 +38,6 @@
 struct Flight {
     id: AllocationId,
     size: f64,
-    rank: u32,
     sent: Moment,
     started: Option<Moment>,
     heard: Moment,
@@ -68,7 +67,8 @@
     capacity: f64,
     aside_until: Moment,
     lost_probes: u32,
-    past_waits: BTreeMap<u32, (f64, Moment)>,
+    last_wait: f64,
+    last_start: Moment,
     cold_level: f64,
     cold_at: Moment,
 }
@@ -92,27 +92,26 @@
         }
     }
 
-    /// Seconds that own allocations of this rank or a higher one wait here for a slot: the age of the
-    /// oldest that waits now, or what the last one to start waited, which counts for less as it ages.
-    fn wait(&self, now: Moment, rank: u32) -> f64 {
+    /// Seconds that own allocations wait here for a slot: the age of the oldest that waits now, or what the
+    /// last one to start waited, which counts for less as it ages.
+    fn wait(&self, now: Moment) -> f64 {
         const HALVES_EVERY_S: f64 = 2.0; // about the run of a few work units, after which a queue is another
-        let fades =
-            |&(wait, at): &(f64, Moment)| wait * 0.5_f64.powf(now.since(at).as_secs() / HALVES_EVERY_S);
-        self.past_waits.range(rank..).map(|(_, past)| fades(past)).fold(self.oldest_wait(now, rank), f64::max)
+        let past = self.last_wait * 0.5_f64.powf(now.since(self.last_start).as_secs() / HALVES_EVERY_S);
+        self.oldest_wait(now).max(past)
     }
 
-    fn oldest_wait(&self, now: Moment, rank: u32) -> f64 {
-        let waiting = self.flights.iter().filter(|f| f.started.is_none() && f.rank >= rank);
+    fn oldest_wait(&self, now: Moment) -> f64 {
+        let waiting = self.flights.iter().filter(|f| f.started.is_none());
         waiting.map(|f| now.since(f.sent).as_secs()).fold(0.0, f64::max)
     }
 
     /// Whether own evidence leaves room here for a work unit that can `spare` some seconds: late reports
     /// do not count, since all nodes would believe them at once and crowd onto the few that look free.
-    fn has_room(&self, now: Moment, rank: u32, spare: Option<f64>) -> bool {
+    fn has_room(&self, now: Moment, spare: Option<f64>) -> bool {
         const TOLD_WITHIN: f64 = 0.06; // seconds: a start is told within a round trip and a hand-shake
         let waits = match spare {
-            Some(spare) => self.wait(now, rank) > spare.max(TOLD_WITHIN),
-            None => self.oldest_wait(now, rank) > TOLD_WITHIN,
+            Some(spare) => self.wait(now) > spare.max(TOLD_WITHIN),
+            None => self.oldest_wait(now) > TOLD_WITHIN,
         };
         (self.flights.len() as f64) < self.slots && !waits
     }
@@ -161,8 +160,6 @@
     quoted: Span,
     patience_ends: Moment,
     size: f64,
-    /// By priority where executors queue by it; one rank for all where they serve in order.
-    rank: u32,
     key: Option<u64>,
     allocations: Vec<Allocation>,
     streaming: bool,
@@ -234,7 +231,6 @@
     may_probe: bool,
     tells_start: bool,
     progress: Option<Span>,
-    in_order: bool,
     allotments: Vec<Allotment>,
     executors: Vec<Executor>,
     work: BTreeMap<UnitId, Work>,
@@ -271,7 +267,6 @@
             may_probe: false,
             tells_start: false,
             progress: None,
-            in_order: true,
             allotments: Vec::new(),
             executors: Vec::new(),
             work: BTreeMap::new(),
@@ -302,12 +297,6 @@
         self
     }
 
-    /// Whether executors serve their queues in order of arrival; otherwise by the tariffs' priority.
-    pub fn queueing(mut self, in_order: bool) -> Self {
-        self.in_order = in_order;
-        self
-    }
-
     /// Each customer's work units a second within its share, at all nodes together.
     pub fn customers(mut self, quotas: &[f64]) -> Self {
         // Traffic is uneven over the nodes: twice the even part, or much that lies within the share is
@@ -400,7 +389,6 @@
             quoted,
             patience_ends: arrival.patience_ends,
             size,
-            rank: if self.in_order { 0 } else { terms.priority },
             key: arrival.key,
             allocations: Vec::new(),
             streaming: false,
@@ -425,7 +413,7 @@
         if let Some(flight) = e.flights.iter_mut().find(|f| f.id == id) {
             if flight.started.is_none() {
                 flight.started = Some(now);
-                e.past_waits.insert(flight.rank, (now.since(flight.sent).as_secs(), now));
+                (e.last_wait, e.last_start) = (now.since(flight.sent).as_secs(), now);
             }
             flight.heard = now;
         }
@@ -566,7 +554,7 @@
                 && e.cold_admits(&self.cold, self.node, self.nodes, now, charge)
             {
                 let in_lane = one_lane || e.lane == lane;
-                let (room, load) = (e.has_room(now, work.rank, work.spare(now)), e.load(now));
+                let (room, load) = (e.has_room(now, work.spare(now)), e.load(now));
                 able.push(Candidate { at, in_lane, room, load });
             }
         }
@@ -583,8 +571,7 @@
         // Keyed work waits where it is sent; other work may yet overflow or move to the shortest wait of
         // all.
         let asked = able.iter().filter(|c| c.room || !any_room || work.key.is_none());
-        let least_wait =
-            asked.map(|c| self.executors[c.at].wait(now, work.rank)).fold(f64::INFINITY, f64::min);
+        let least_wait = asked.map(|c| self.executors[c.at].wait(now)).fold(f64::INFINITY, f64::min);
         if able.iter().any(|c| c.in_lane && c.room) {
             able.retain(|c| c.in_lane && c.room);
         } else if any_room {
@@ -681,7 +668,7 @@
         // Where starts are not told, nothing is known to wait.
         let started = if self.tells_start { None } else { Some(now) };
         let id = AllocationId { unit, number: go };
-        e.flights.push(Flight { id, size, rank: work.rank, sent: now, started, heard: now });
+        e.flights.push(Flight { id, size, sent: now, started, heard: now });
         e.cold_level += charge(size, self.mean);
         self.host.allocate(unit, executor, time_out);
         if self.tariffs[work.tariff].effect == Effect::Retriable {
--- a/crates/dispatch/src/tariffs.rs
+++ b/crates/dispatch/src/tariffs.rs
@@ -27,8 +27,6 @@
     /// The quoted time grows by this multiple of the work unit's own size.
     pub stretch: f64,
     pub earnings: f64,
-    /// Higher ones are started first where executors queue by it.
-    pub priority: u32,
     /// The one kind of executor that can run it, if only one can.
     pub kind: Option<usize>,
 }
