--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -179,7 +179,7 @@
 struct Picked {
     executor: ExecutorId,
     any_room: bool,
-    least_wait: f64,
+    wait: f64,
 }
 
 impl Work {
@@ -589,7 +589,9 @@
             point < 0.0
         });
         let chosen = able.get(picked.unwrap_or(able.len().saturating_sub(1)))?;
-        Some(Picked { executor: ExecutorId(chosen.at), any_room, least_wait })
+        // With no room anywhere it waits where it goes: the least wait of all would promise too much.
+        let wait = if any_room { least_wait } else { self.executors[chosen.at].wait(now) };
+        Some(Picked { executor: ExecutorId(chosen.at), any_room, wait })
     }
 
     /// Whether a wait is too long to start with: the work unit would be late, and make others late. Waits
@@ -629,9 +631,9 @@
             return self.answer(unit);
         }
         match picked {
-            Some(Picked { executor, least_wait, .. }) => {
+            Some(Picked { executor, wait, .. }) => {
                 let fresh = work.allocations.iter().all(|a| !a.may_have_run);
-                if fresh && self.hopeless(now, &self.work[&unit], least_wait) {
+                if fresh && self.hopeless(now, &self.work[&unit], wait) {
                     return self.answer(unit);
                 }
                 self.send(now, unit, executor);
--- a/crates/dispatch/tests/stories.rs
+++ b/crates/dispatch/tests/stories.rs
@@ -422,6 +422,31 @@
     assert_eq!(story.heard(), [Said::TurnBack(9)]);
 }
 
+#[test]
+fn without_room_anywhere_work_is_judged_by_the_wait_where_it_would_go() {
+    // Failure: the shortest wait of all let work into long queues, and half of the answers were late.
+    let mut story = Story::of(2);
+    story.arrive(0, BINDING, 100);
+    let long = story.sent_to();
+    story.pass(2900);
+    story.arrive(1, BINDING, 100);
+    assert_eq!(story.sent_to(), 1 - long, "the other has room");
+    story.pass(100);
+    let mut turned_back = 0;
+    for unit in 10..50 {
+        story.arrive(unit, BINDING, 100);
+        match story.heard()[..] {
+            [Said::TurnBack(_)] => turned_back += 1,
+            [Said::Allocate(_, executor, _)] => {
+                assert_eq!(executor, 1 - long);
+                story.end(unit, 0, executor, Ending::Fulfilled);
+            }
+            ref other => panic!("{other:?}"),
+        }
+    }
+    assert!(turned_back > 0, "none would have gone to the long queue");
+}
+
 #[test]
 fn what_a_customer_sends_beyond_its_share_is_turned_back_first() {
     let said = Fake::default();
