Tidied after rereading: ready executors counted in one place, zones kept in one record

The same filter over ready executors stood three times, the sum of the sample was taken twice, the least sample stood as 50 in two places, and an allocation kept a copy of its executor's zone and cell.

--- a/crates/benchlink/src/main.rs
+++ b/crates/benchlink/src/main.rs
@@ -7,7 +7,7 @@
 use clap::Parser;
 use door::{Door, Wire};
 use grebeusher_dispatch::decide::Dispatcher;
-use grebeusher_dispatch::ids::AllocationId;
+use grebeusher_dispatch::ids::{AllocationId, ExecutorId};
 use grebeusher_dispatch::tariffs::{Arrival, Ending, Listing, Report, Standing};
 use grebeusher_dispatch::time::{Moment, Span};
 use serde::Deserialize;
@@ -168,7 +168,7 @@
                     node.dispatcher.arrived(now, unit, &arrival);
                 })
             }
-            "head_received" => self.call_known(line, |node, now, id| node.dispatcher.streaming(now, id.unit)),
+            "head_received" => self.call_known(line, |node, _, id| node.dispatcher.streaming(id.unit)),
             "hint_update" => {
                 let executor = self.known_executor(line)?;
                 self.call_known(line, |node, now, id| {
@@ -236,10 +236,7 @@
         self.call(line, |node, now| call(node, now, AllocationId { unit, number: line.go }))
     }
 
-    fn known_executor(
-        &mut self,
-        line: &Line,
-    ) -> Result<Option<grebeusher_dispatch::ids::ExecutorId>, String> {
+    fn known_executor(&mut self, line: &Line) -> Result<Option<ExecutorId>, String> {
         let name = line.executor.as_deref().ok_or("no executor")?;
         Ok(self.instance(line)?.door.borrow().known_executor(name))
     }
--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -34,6 +34,9 @@
 /// The final answer is due this long before patience ends: a few batches of any caller.
 const ANSWER_MARGIN: Span = Span::millis(20);
 
+/// Below this many sizes one lane holds every worker (design page).
+const FEWEST: usize = 50;
+
 /// An allocation that is still out, as its executor's record keeps it.
 struct Flight {
     id: AllocationId,
@@ -145,8 +148,6 @@
 /// One allocation of a work unit.
 struct Allocation {
     executor: ExecutorId,
-    zone: usize,
-    cell: usize,
     sent: Moment,
     open: bool,
     may_have_run: bool,
@@ -401,7 +402,7 @@
     }
 
     /// An answer began to stream: it belongs to the client now, and patience no longer ends.
-    pub fn streaming(&mut self, _now: Moment, unit: UnitId) {
+    pub fn streaming(&mut self, unit: UnitId) {
         if let Some(work) = self.work.get_mut(&unit) {
             work.streaming = true;
         }
@@ -449,9 +450,7 @@
 
     /// The client left, or the work unit ended elsewhere: no answer is owed.
     pub fn withdrawn(&mut self, unit: UnitId) {
-        if self.work.contains_key(&unit) {
-            self.finish(unit);
-        }
+        self.finish(unit);
     }
 
     pub fn probed(&mut self, now: Moment, executor: ExecutorId, answered: bool, report: Option<Report>) {
@@ -499,21 +498,24 @@
         }
     }
 
+    fn ready(&self) -> impl Iterator<Item = &Executor> {
+        self.executors.iter().filter(|e| e.standing == Standing::Ready)
+    }
+
     /// Cut-offs such that each lane's part of the summed size matches its part of the workers.
     fn recompute_cut_offs(&mut self) {
-        const FEWEST: usize = 50; // design page: below this one lane holds every worker
         let mut sizes: Vec<f64> = self.sample.iter().copied().collect();
         sizes.sort_by(f64::total_cmp);
+        let total: f64 = sizes.iter().sum();
         if let Some(&middle) = sizes.get(sizes.len() / 2) {
             self.median = middle;
-            self.mean = sizes.iter().sum::<f64>() / sizes.len() as f64;
+            self.mean = total / sizes.len() as f64;
         }
         self.cut_offs.clear();
-        let ready = |e: &&Executor| e.standing == Standing::Ready;
-        let all = self.executors.iter().filter(ready).count();
-        let first = self.executors.iter().filter(ready).filter(|e| e.lane == 0).count();
+        let all = self.ready().count();
+        let first = self.ready().filter(|e| e.lane == 0).count();
         if sizes.len() >= FEWEST && first < all {
-            let due = sizes.iter().sum::<f64>() * first as f64 / all as f64;
+            let due = total * first as f64 / all as f64;
             let mut sum = 0.0;
             let cut = sizes.iter().find(|&&s| {
                 sum += s;
@@ -523,9 +525,8 @@
         }
         // What an executor can do when warm: the mean of its kind, from those whose pace and slots have
         // been seen.
-        let seen = |e: &&Executor| e.standing == Standing::Ready && e.speed > 0.0;
-        let known: Vec<(usize, f64)> =
-            self.executors.iter().filter(seen).map(|e| (e.kind, e.speed * e.slots)).collect();
+        let seen = self.ready().filter(|e| e.speed > 0.0);
+        let known: Vec<(usize, f64)> = seen.map(|e| (e.kind, e.speed * e.slots)).collect();
         for e in &mut self.executors {
             let like = known.iter().filter(|(kind, _)| *kind == e.kind).map(|(_, able)| able);
             let (sum, count) = like.fold((0.0, 0.0), |(sum, count), able| (sum + able, count + 1.0));
@@ -544,17 +545,20 @@
         let terms = self.tariffs[work.tariff];
         let one_lane = self.cut_offs.is_empty();
         let charge = charge(size, self.mean);
+        let spare = work.spare(now);
+        let ran = work.allocations.iter().find(|a| a.may_have_run);
+        let ran = ran.map(|a| (a.sent, self.executors[a.executor.0].zone, self.executors[a.executor.0].cell));
         let mut able: Vec<Candidate> = Vec::with_capacity(self.executors.len());
         for (at, e) in self.executors.iter_mut().enumerate() {
             if e.standing == Standing::Ready
                 && now >= e.aside_until
                 && terms.kind.is_none_or(|kind| kind == e.kind)
-                && in_group(work, terms.effect, now, e.zone, e.cell)
+                && in_group(ran, terms.effect, now, e.zone, e.cell)
                 && !work.allocations.iter().any(|a| a.open && a.executor.0 == at)
                 && e.cold_admits(&self.cold, self.node, self.nodes, now, charge)
             {
                 let in_lane = one_lane || e.lane == lane;
-                let (room, load) = (e.has_room(now, work.spare(now)), e.load(now));
+                let (room, load) = (e.has_room(now, spare), e.load(now));
                 able.push(Candidate { at, in_lane, room, load });
             }
         }
@@ -659,8 +663,6 @@
         work.held = false;
         work.allocations.push(Allocation {
             executor,
-            zone: e.zone,
-            cell: e.cell,
             sent: now,
             open: true,
             may_have_run: true,
@@ -851,9 +853,8 @@
         // long one.
         const FIXED_S: f64 = 3.0;
         const RANDOM_S: f64 = 2.0;
-        let ready = |e: &&Executor| e.standing == Standing::Ready;
-        let all = self.executors.iter().filter(ready).count();
-        let out = self.executors.iter().filter(ready).filter(|e| e.aside_until > now).count();
+        let all = self.ready().count();
+        let out = self.ready().filter(|e| e.aside_until > now).count();
         if (out + 1) * 2 <= all {
             let span = Span::secs(FIXED_S + RANDOM_S * self.chance.random::<f64>());
             self.executors[executor.0].aside_until = now + span;
@@ -875,7 +876,7 @@
                 }
             }
         }
-        if now.since(self.recut) >= RECUT_EVERY || (self.cut_offs.is_empty() && self.sample.len() >= 50) {
+        if now.since(self.recut) >= RECUT_EVERY || (self.cut_offs.is_empty() && self.sample.len() >= FEWEST) {
             self.recut = now;
             self.recompute_cut_offs();
         }
@@ -883,18 +884,26 @@
     }
 }
 
-/// Whether an executor here may get a work unit some of whose allocations may have run: a fingerprinted one
-/// only inside the group that drops its repeats and while the first is still remembered.
-fn in_group(work: &Work, effect: Effect, now: Moment, zone: usize, cell: usize) -> bool {
-    let Effect::Fingerprinted { group, memory_span } = effect else { return true };
-    work.allocations.iter().filter(|a| a.may_have_run).all(|a| {
-        let inside = match group {
-            Group::All => true,
-            Group::Zone => a.zone == zone,
-            Group::Cell => a.cell == cell,
-        };
-        inside && now < a.sent + memory_span
-    })
+/// Whether an executor here may get a work unit whose first allocation that may have run was sent at that
+/// time into that zone and cell: a fingerprinted one only inside the group that drops its repeats, where
+/// all later ones are too, and while the first is still remembered.
+fn in_group(
+    ran: Option<(Moment, usize, usize)>,
+    effect: Effect,
+    now: Moment,
+    zone: usize,
+    cell: usize,
+) -> bool {
+    let (Effect::Fingerprinted { group, memory_span }, Some((sent, ran_zone, ran_cell))) = (effect, ran)
+    else {
+        return true;
+    };
+    let inside = match group {
+        Group::All => true,
+        Group::Zone => ran_zone == zone,
+        Group::Cell => ran_cell == cell,
+    };
+    inside && now < sent + memory_span
 }
 
 fn take_report(e: &mut Executor, now: Moment, report: Report) {
--- a/crates/dispatch/tests/stories.rs
+++ b/crates/dispatch/tests/stories.rs
@@ -147,7 +147,7 @@
     story.pass(150);
     story.node.rang(story.now, UNIT_ALARMS + 1);
     story.heard();
-    story.node.streaming(story.now, UnitId(1));
+    story.node.streaming(UnitId(1));
     story.pass(20_000);
     story.end(1, 0, first, Ending::Recalled);
     story.node.rang(story.now, UNIT_ALARMS + 1);
@@ -509,7 +509,7 @@
     story.end(77, 3, 99, Ending::Error);
     story.start_of(77, 0, 99);
     story.node.withdrawn(UnitId(77));
-    story.node.streaming(story.now, UnitId(77));
+    story.node.streaming(UnitId(77));
     story.node.probed(story.now, ExecutorId(99), false, None);
     story.node.rang(story.now, 12_345);
     assert_eq!(story.heard(), []);
