--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -33,9 +33,13 @@
 const BEAT_EVERY: Span = Span::millis(250);
 /// The final answer is due this long before patience ends: a few batches of any caller.
 const ANSWER_MARGIN: Span = Span::millis(20);
+/// A probe is answered within this by an executor that has time for it: a few round trips and a hand-shake.
+const ANSWERS_WITHIN: Span = Span::millis(10);
 
 /// Below this many sizes one lane holds every worker (design page).
 const FEWEST: usize = 50;
+/// Twice doubled is four times as many, and then of both lanes.
+const FURTHEST: u32 = 2;
 
 /// An allocation that is still out, as its executor's record keeps it.
 struct Flight {
@@ -59,7 +63,10 @@
     lane: usize,
     utilisation: f64,
     reported: Option<Moment>,
+    /// Place in the order in which this node uses executors.
+    rank: u64,
     probing: bool,
+    asked: Moment,
     slots: f64,
     flights: Vec<Flight>,
     answers: usize,
@@ -108,10 +115,13 @@
         waiting.map(|f| now.since(f.sent).as_secs()).fold(0.0, f64::max)
     }
 
-    /// Whether own evidence leaves room here for a work unit that can `spare` some seconds: late reports
-    /// do not count, since all nodes would believe them at once and crowd onto the few that look free.
+    /// Whether there is room here for a work unit that can `spare` some seconds. Own evidence counts, and a
+    /// report that was asked for just now, or an answer to that which stays out.
     fn has_room(&self, now: Moment, spare: Option<f64>) -> bool {
         const TOLD_WITHIN: f64 = 0.06; // seconds: a start is told within a round trip and a hand-shake
+        if self.probing && now.since(self.asked) >= ANSWERS_WITHIN {
+            return false;
+        }
         let waits = match spare {
             Some(spare) => self.wait(now) > spare.max(TOLD_WITHIN),
             None => self.oldest_wait(now) > TOLD_WITHIN,
@@ -119,29 +129,32 @@
         (self.flights.len() as f64) < self.slots && !waits
     }
 
-    /// Whether a cold executor can take one more that counts for `charge`. Its capacity is at least the
-    /// cold share and grows at least evenly. What all nodes may send within a window is often less than
-    /// one work unit a node, so the fixed hash gives each cold executor to one node, and the others leave
-    /// it alone until it is warm. Guards against all nodes together pushing it over.
-    fn cold_admits(&mut self, cold: &ColdStart, node: u64, nodes: u64, now: Moment, charge: f64) -> bool {
-        // Of the budget: held at most, and leaked within a window. What is left covers one slower than its
-        // kind.
-        const HELD: f64 = 0.4;
-        const LEAKED: f64 = 0.35;
-        let Some(started) = self.started.max(self.died) else { return true };
+    /// The work that all nodes together may send here within a window, while it is cold: its capacity is at
+    /// least the cold share and grows at least evenly.
+    fn cold_budget(&self, cold: &ColdStart, now: Moment) -> Option<f64> {
+        let started = self.started.max(self.died)?;
         let age = now.since(started).as_secs() / cold.warm_within.as_secs().max(0.001);
-        if age >= 1.0 {
-            return true;
-        }
         let share = cold.share + (1.0 - cold.share) * age;
-        let window = cold.fall_window.as_secs().max(0.001);
-        let budget = cold.fall_factor * share * self.capacity * window;
-        let level = self.cold_level - now.since(self.cold_at).as_secs() * budget * LEAKED / window;
-        self.cold_level = level.max(0.0);
-        self.cold_at = now;
-        self.hash % nodes == node
-            && self.flights.len() <= self.answers
-            && self.cold_level + charge <= budget * HELD
+        (age < 1.0).then(|| cold.fall_factor * share * self.capacity * cold.fall_window.as_secs().max(0.001))
+    }
+
+    /// What was sent here and has not leaked away within windows of that budget.
+    fn cold_level(&self, cold: &ColdStart, budget: f64, now: Moment) -> f64 {
+        const LEAKED: f64 = 0.35; // of the budget in a window
+        let windows = now.since(self.cold_at).as_secs() / cold.fall_window.as_secs().max(0.001);
+        (self.cold_level - windows * budget * LEAKED).max(0.0)
+    }
+
+    /// Whether a cold executor can take one more that counts for `charge`. What all nodes may send within a
+    /// window is often less than one work unit a node, so the fixed hash gives each cold executor to one
+    /// node, and the others leave it alone until it is warm. Guards against all nodes together pushing it
+    /// over.
+    fn cold_admits(&self, cold: &ColdStart, mine: bool, now: Moment, charge: f64) -> bool {
+        // With what leaks within a window three quarters: the rest covers one slower than its kind.
+        const HELD: f64 = 0.4;
+        let Some(budget) = self.cold_budget(cold, now) else { return true };
+        mine && self.flights.len() <= self.answers
+            && self.cold_level(cold, budget, now) + charge <= budget * HELD
     }
 }
 
@@ -167,6 +180,8 @@
     held: bool,
     hold_ends: Moment,
     over_share: bool,
+    /// How often the number of executors that are looked at was doubled, none of them having room.
+    reach: u32,
 }
 
 /// An executor that could take a work unit.
@@ -177,10 +192,15 @@
     load: Option<f64>,
 }
 
-struct Picked {
-    executor: ExecutorId,
-    any_room: bool,
-    wait: f64,
+enum Picked {
+    Found {
+        executor: ExecutorId,
+        any_room: bool,
+        wait: f64,
+    },
+    /// Probes are out whose answers may tell of room; the unit's alarm rings when they are due.
+    Asking,
+    Nobody,
 }
 
 impl Work {
@@ -234,6 +254,9 @@
     progress: Option<Span>,
     allotments: Vec<Allotment>,
     executors: Vec<Executor>,
+    /// The ready executors in the order in which this node uses them.
+    roster: Vec<usize>,
+    out: usize,
     work: BTreeMap<UnitId, Work>,
     held: VecDeque<UnitId>,
     follow_tries: u32,
@@ -270,6 +293,8 @@
             progress: None,
             allotments: Vec::new(),
             executors: Vec::new(),
+            roster: Vec::new(),
+            out: 0,
             work: BTreeMap::new(),
             held: VecDeque::new(),
             follow_tries: 0,
@@ -336,6 +361,8 @@
             }
             let e = &mut self.executors[index];
             e.hash = fixed_hash(entry.name);
+            // The node's own order; first come those that it answers for while they are cold.
+            e.rank = if e.hash % self.nodes == self.node { 0 } else { mixed(e.hash ^ mixed(self.node + 1)) };
             e.standing = entry.standing;
             (e.kind, e.zone, e.cell) = (entry.kind, entry.zone, entry.cell);
             e.weight = if entry.weight > 0.0 && entry.weight.is_finite() { entry.weight } else { 1.0 };
@@ -396,6 +423,7 @@
             held: false,
             hold_ends: now,
             over_share,
+            reach: 0,
         };
         self.work.insert(unit, work);
         self.place(now, unit);
@@ -486,20 +514,21 @@
     /// idle: it gets the heaviest quarter. Short work bears most fetches and hand-shakes, which no size
     /// shows.
     fn form_lanes(&mut self) {
-        let mut ready: Vec<usize> =
-            (0..self.executors.len()).filter(|&i| self.executors[i].standing == Standing::Ready).collect();
-        ready.sort_by(|&a, &b| {
+        let ready = |i: &usize| self.executors[*i].standing == Standing::Ready;
+        self.roster = (0..self.executors.len()).filter(ready).collect();
+        self.roster.sort_by(|&a, &b| {
             let (a, b) = (&self.executors[a], &self.executors[b]);
             a.weight.total_cmp(&b.weight).then(a.hash.cmp(&b.hash))
         });
-        let first = (ready.len() * 3).div_ceil(4);
-        for (rank, &i) in ready.iter().enumerate() {
+        let first = (self.roster.len() * 3).div_ceil(4);
+        for (rank, &i) in self.roster.iter().enumerate() {
             self.executors[i].lane = usize::from(rank >= first);
         }
+        self.roster.sort_by_key(|&i| self.executors[i].rank);
     }
 
     fn ready(&self) -> impl Iterator<Item = &Executor> {
-        self.executors.iter().filter(|e| e.standing == Standing::Ready)
+        self.roster.iter().map(|&i| &self.executors[i])
     }
 
     /// Cut-offs such that each lane's part of the summed size matches its part of the workers.
@@ -536,46 +565,93 @@
         }
     }
 
-    /// The design's choice: the lane by size, the executor by a weighted random pick inside it.
-    fn pick(&mut self, now: Moment, unit: UnitId) -> Option<Picked> {
-        const FLOOR: f64 = 0.1; // design page
-        let work = &self.work[&unit];
-        let size = work.size;
-        let lane = self.cut_offs.iter().filter(|&&cut| size > cut).count();
-        let terms = self.tariffs[work.tariff];
+    /// Those that a work unit may go to: of its lane, in the order in which this node uses them, as many as it
+    /// reaches; at the furthest of both lanes (overflow). A node that sends little uses few, so that what it
+    /// knows of them is fresh; the more it has out the more it uses. Guards against probes of every node
+    /// to every executor, which cost more than they tell, and against picks among executors unheard of.
+    fn within_reach(&self, now: Moment, work: &Work) -> Vec<Candidate> {
+        // Several to pick from, so that some have room; one more for each allocation that fills a slot.
+        const FEW: usize = 4;
+        let lane = self.cut_offs.iter().filter(|&&cut| work.size > cut).count();
         let one_lane = self.cut_offs.is_empty();
-        let charge = charge(size, self.mean);
+        let kind = self.tariffs[work.tariff].kind;
+        let effect = self.tariffs[work.tariff].effect;
+        let charge = charge(work.size, self.mean);
         let spare = work.spare(now);
         let ran = work.allocations.iter().find(|a| a.may_have_run);
         let ran = ran.map(|a| (a.sent, self.executors[a.executor.0].zone, self.executors[a.executor.0].cell));
-        let mut able: Vec<Candidate> = Vec::with_capacity(self.executors.len());
-        for (at, e) in self.executors.iter_mut().enumerate() {
-            if e.standing == Standing::Ready
-                && now >= e.aside_until
-                && terms.kind.is_none_or(|kind| kind == e.kind)
-                && in_group(ran, terms.effect, now, e.zone, e.cell)
+        let candidate = |&at: &usize| {
+            let e = &self.executors[at];
+            let able = now >= e.aside_until
+                && kind.is_none_or(|kind| kind == e.kind)
+                && in_group(ran, effect, now, e.zone, e.cell)
                 && !work.allocations.iter().any(|a| a.open && a.executor.0 == at)
-                && e.cold_admits(&self.cold, self.node, self.nodes, now, charge)
-            {
-                let in_lane = one_lane || e.lane == lane;
-                let (room, load) = (e.has_room(now, spare), e.load(now));
-                able.push(Candidate { at, in_lane, room, load });
-            }
+                && e.cold_admits(&self.cold, e.hash % self.nodes == self.node, now, charge);
+            let in_lane = one_lane || e.lane == lane;
+            able.then(|| Candidate { at, in_lane, room: e.has_room(now, spare), load: e.load(now) })
+        };
+        let mut able = self.roster.iter().filter_map(candidate);
+        let most = if work.key.is_some() { usize::MAX } else { (FEW + self.out) << work.reach };
+        let mut reached: Vec<Candidate> = if work.key.is_none() && work.reach == FURTHEST {
+            able.take(most).collect()
+        } else {
+            able.by_ref().filter(|c| c.in_lane).take(most).collect()
+        };
+        if reached.is_empty() {
+            // No worker of the lane can take it: all that can.
+            reached = self.roster.iter().filter_map(candidate).take(most).collect();
         }
         if let Some(key) = work.key {
-            self.keep_home(key, &mut able);
+            self.keep_home(key, &mut reached);
         }
         // One that failed this unit is not asked again while another is there: a crash looks idle at once.
         let tried = |c: &Candidate| work.allocations.iter().any(|a| a.executor.0 == c.at);
-        if !able.iter().all(tried) {
-            able.retain(|c| !tried(c));
+        if !reached.iter().all(tried) {
+            reached.retain(|c| !tried(c));
         }
-        // Overflow: a lane with no room left borrows those workers of the other that have some.
-        let any_room = able.iter().any(|c| c.room);
+        reached
+    }
+
+    /// Asks candidates for their load where it was not heard of lately; whether an answer is to come.
+    fn ask(&mut self, now: Moment, candidates: &[Candidate]) -> bool {
+        // About the pace at which reports are made anew: asking again sooner tells nothing more.
+        const FRESH: Span = Span::millis(500);
+        let mut out = false;
+        for c in candidates.iter().filter(|_| self.may_probe) {
+            let e = &mut self.executors[c.at];
+            let heard = e.reported.unwrap_or_default().max(e.asked);
+            if !e.probing && now.since(heard) >= FRESH {
+                (e.probing, e.asked) = (true, now);
+                self.host.probe(ExecutorId(c.at));
+            }
+            out |= e.probing && now.since(e.asked) < ANSWERS_WITHIN;
+        }
+        out
+    }
+
+    /// The design's choice: the lane by size, the executor by a weighted random pick inside it.
+    fn pick(&mut self, now: Moment, unit: UnitId) -> Picked {
+        const FLOOR: f64 = 0.1; // design page
+        let (able, any_room) = loop {
+            let Some(work) = self.work.get(&unit) else { return Picked::Nobody };
+            let able = self.within_reach(now, work);
+            let (reach, keyed) = (work.reach, work.key.is_some());
+            if self.ask(now, &able) {
+                self.host.wake(ANSWERS_WITHIN, FIRST_UNIT + unit.0);
+                return Picked::Asking;
+            }
+            let any_room = able.iter().any(|c| c.room);
+            if any_room || keyed || reach == FURTHEST {
+                break (able, any_room);
+            }
+            self.work.entry(unit).and_modify(|work| work.reach += 1);
+        };
+        let keyed = self.work[&unit].key.is_some();
         // Keyed work waits where it is sent; other work may yet overflow or move to the shortest wait of
         // all.
-        let asked = able.iter().filter(|c| c.room || !any_room || work.key.is_none());
+        let asked = able.iter().filter(|c| c.room || !any_room || !keyed);
         let least_wait = asked.map(|c| self.executors[c.at].wait(now)).fold(f64::INFINITY, f64::min);
+        let mut able = able;
         if able.iter().any(|c| c.in_lane && c.room) {
             able.retain(|c| c.in_lane && c.room);
         } else if any_room {
@@ -592,10 +668,12 @@
             point -= w;
             point < 0.0
         });
-        let chosen = able.get(picked.unwrap_or(able.len().saturating_sub(1)))?;
+        let Some(chosen) = able.get(picked.unwrap_or(able.len().saturating_sub(1))) else {
+            return Picked::Nobody;
+        };
         // With no room anywhere it waits where it goes: the least wait of all would promise too much.
         let wait = if any_room { least_wait } else { self.executors[chosen.at].wait(now) };
-        Some(Picked { executor: ExecutorId(chosen.at), any_room, wait })
+        Picked::Found { executor: ExecutorId(chosen.at), any_room, wait }
     }
 
     /// Whether a wait is too long to start with: the work unit would be late, and make others late. Waits
@@ -635,15 +713,14 @@
             return self.answer(unit);
         }
         match picked {
-            Some(Picked { executor, wait, .. }) => {
+            Picked::Found { executor, wait, .. } => {
                 let fresh = work.allocations.iter().all(|a| !a.may_have_run);
                 if fresh && self.hopeless(now, &self.work[&unit], wait) {
                     return self.answer(unit);
                 }
                 self.send(now, unit, executor);
             }
-            None if work.held => {}
-            None => {
+            Picked::Nobody if !work.held => {
                 // Its own alarm: patience may end between two beats.
                 work.held = true;
                 let until = (now + HOLD_MOST).min(work.arrived + work.quoted);
@@ -651,6 +728,7 @@
                 self.host.wake(work.hold_ends.since(now), FIRST_UNIT + unit.0);
                 self.held.push_back(unit);
             }
+            _ => {}
         }
     }
 
@@ -660,7 +738,8 @@
         let Some(work) = self.work.get_mut(&unit) else { return };
         let go = work.allocations.len();
         let e = &mut self.executors[executor.0];
-        work.held = false;
+        (work.held, work.reach) = (false, 0);
+        self.out += 1;
         work.allocations.push(Allocation {
             executor,
             sent: now,
@@ -673,7 +752,10 @@
         let started = if self.tells_start { None } else { Some(now) };
         let id = AllocationId { unit, number: go };
         e.flights.push(Flight { id, size, sent: now, started, heard: now });
-        e.cold_level += charge(size, self.mean);
+        if let Some(budget) = e.cold_budget(&self.cold, now) {
+            (e.cold_level, e.cold_at) =
+                (e.cold_level(&self.cold, budget, now) + charge(size, self.mean), now);
+        }
         self.host.allocate(unit, executor, time_out);
         if self.tariffs[work.tariff].effect == Effect::Retriable {
             self.host.wake(REVIEW_AFTER, FIRST_UNIT + unit.0);
@@ -689,7 +771,13 @@
             return self.answer(unit);
         }
         let retriable = self.tariffs[work.tariff].effect == Effect::Retriable;
-        if work.streaming || work.held || !retriable {
+        if work.streaming || work.held {
+            return;
+        }
+        if work.allocations.iter().all(|a| !a.open) {
+            return self.place(now, unit); // what was asked for has been answered, or will not be
+        }
+        if !retriable {
             return;
         }
         let go = work.allocations.len().saturating_sub(1);
@@ -709,20 +797,14 @@
         if silent {
             self.set_aside(now, executor);
         }
-        if (waits || silent)
-            && self.may_allocate(unit, self.allowance.recalls)
-            && let Some(Picked { executor: better, any_room: true, .. }) = self.pick(now, unit)
-        {
-            if self.allowance.second_copies {
-                self.send(now, unit, better);
-            }
-            if let Some(work) = self.work.get_mut(&unit) {
-                work.allocations[go].recalled = true;
-            }
-            if self.allowance.recalls {
-                self.host.recall(id);
+        if (waits || silent) && self.may_allocate(unit, self.allowance.recalls) {
+            match self.pick(now, unit) {
+                Picked::Asking => return,
+                Picked::Found { executor: better, any_room: true, .. } => {
+                    return self.move_on(now, id, better);
+                }
+                _ => {}
             }
-            return;
         }
         // No room anywhere and too late already: waiting on, it only makes the next one late as well.
         if lost {
@@ -731,6 +813,20 @@
         self.host.wake(AGAIN, FIRST_UNIT + unit.0);
     }
 
+    /// Recalls an allocation and sends its work unit elsewhere: at once where two may be out, else when the
+    /// recalled one has ended.
+    fn move_on(&mut self, now: Moment, from: AllocationId, to: ExecutorId) {
+        if self.allowance.second_copies {
+            self.send(now, from.unit, to);
+        }
+        if let Some(work) = self.work.get_mut(&from.unit) {
+            work.allocations[from.number].recalled = true;
+        }
+        if self.allowance.recalls {
+            self.host.recall(from);
+        }
+    }
+
     /// Whether one more allocation is allowed; `recalling`: the open ones are about to be recalled.
     fn may_allocate(&self, unit: UnitId, recalling: bool) -> bool {
         let work = &self.work[&unit];
@@ -815,6 +911,7 @@
         let Some(e) = self.executors.get_mut(executor.0) else { return };
         let at = e.flights.iter().position(|f| f.id == id);
         let flight = at.map(|at| e.flights.swap_remove(at));
+        self.out -= usize::from(flight.is_some());
         if let Some(report) = report {
             take_report(e, now, report);
         }
@@ -864,18 +961,7 @@
     /// Housekeeping: probes, cut-offs, held work units.
     fn beat(&mut self, now: Moment) {
         const RECUT_EVERY: Span = Span::millis(5000); // design page
-        // Probed when nothing was heard for this long: about the pace at which reports are made anew.
-        const PROBE_AFTER: Span = Span::millis(1500);
         self.host.wake(BEAT_EVERY, BEAT);
-        if self.may_probe {
-            for (i, e) in self.executors.iter_mut().enumerate() {
-                let due = e.reported.is_none_or(|at| now.since(at) >= PROBE_AFTER);
-                if e.standing == Standing::Ready && !e.probing && due {
-                    e.probing = true;
-                    self.host.probe(ExecutorId(i));
-                }
-            }
-        }
         if now.since(self.recut) >= RECUT_EVERY || (self.cut_offs.is_empty() && self.sample.len() >= FEWEST) {
             self.recut = now;
             self.recompute_cut_offs();
