--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -115,13 +115,10 @@
         waiting.map(|f| now.since(f.sent).as_secs()).fold(0.0, f64::max)
     }
 
-    /// Whether there is room here for a work unit that can `spare` some seconds. Own evidence counts, and a
-    /// report that was asked for just now, or an answer to that which stays out.
+    /// Whether there is room here for a work unit that can `spare` some seconds. Only own evidence
+    /// counts: late reports would send all nodes onto the few that look free.
     fn has_room(&self, now: Moment, spare: Option<f64>) -> bool {
         const TOLD_WITHIN: f64 = 0.06; // seconds: a start is told within a round trip and a hand-shake
-        if self.probing && now.since(self.asked) >= ANSWERS_WITHIN {
-            return false;
-        }
         let waits = match spare {
             Some(spare) => self.wait(now) > spare.max(TOLD_WITHIN),
             None => self.oldest_wait(now) > TOLD_WITHIN,
@@ -615,7 +612,7 @@
     /// Asks candidates for their load where it was not heard of lately; whether an answer is to come.
     fn ask(&mut self, now: Moment, candidates: &[Candidate]) -> bool {
         // About the pace at which reports are made anew: asking again sooner tells nothing more.
-        const FRESH: Span = Span::millis(500);
+        const FRESH: Span = Span::millis(1500);
         let mut out = false;
         for c in candidates.iter().filter(|_| self.may_probe) {
             let e = &mut self.executors[c.at];
