--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -628,7 +628,7 @@
 
     /// The design's choice: the lane by size, the executor by a weighted random pick inside it.
     fn pick(&mut self, now: Moment, unit: UnitId) -> Picked {
-        const FLOOR: f64 = 0.1; // design page
+        const FLOOR: f64 = 0.02; // open in the design
         let (able, any_room) = loop {
             let Some(work) = self.work.get(&unit) else { return Picked::Nobody };
             let able = self.within_reach(now, work);
