--- a/crates/benchlink/src/facts.rs
+++ b/crates/benchlink/src/facts.rs
@@ -82,6 +82,7 @@
             flag(&family["tells_start"]),
             Some(span(&family["progress_ns"])),
         )
-        .customers(&quotas);
+        .customers(&quotas)
+        .standing_in(facts["az"].as_u64().unwrap_or(0) as usize);
     Ok(Instance { dispatcher, door, utilisation_at: field("load_share"), free_slots_at: free_slots })
 }
--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -250,6 +250,7 @@
     chance: Pcg32,
     node: u64,
     nodes: u64,
+    zone: usize,
     tariffs: Vec<Tariff>,
     allowance: Allowance,
     cold: ColdStart,
@@ -279,6 +280,7 @@
             chance: Pcg32::seed_from_u64(seed),
             node,
             nodes: nodes.max(1),
+            zone: 0,
             tariffs,
             allowance: Allowance {
                 most_allocations: 1,
@@ -337,6 +339,12 @@
         self
     }
 
+    /// The zone in which this node stands.
+    pub fn standing_in(mut self, zone: usize) -> Self {
+        self.zone = zone;
+        self
+    }
+
     pub fn start(&mut self, now: Moment) {
         self.recut = now;
         // Nodes that start together must not beat, probe and ask together.
@@ -529,7 +537,7 @@
         for (rank, &i) in self.roster.iter().enumerate() {
             self.executors[i].lane = usize::from(rank >= first);
         }
-        self.roster.sort_by_key(|&i| self.executors[i].rank);
+        self.roster.sort_by_key(|&i| (self.executors[i].zone != self.zone, self.executors[i].rank));
     }
 
     fn ready(&self) -> impl Iterator<Item = &Executor> {
