--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -232,12 +232,14 @@
 impl Allotment {
     /// Counts one work unit and tells whether it is beyond the share.
     fn beyond(&mut self, now: Moment) -> bool {
-        // Two seconds' worth may come at once: bursts shorter than that are no overuse.
+        // Two seconds' worth may come at once: bursts shorter than that are no overuse. Where that is next to
+        // nothing a node sees too little to tell: fewer than these are no overuse either.
         const BURST_S: f64 = 2.0;
+        const TOO_FEW: f64 = 4.0;
         let leaked = now.since(self.at).as_secs() * self.per_s;
         self.level = (self.level - leaked).max(0.0);
         self.at = now;
-        if self.level + 1.0 > self.per_s * BURST_S {
+        if self.level + 1.0 > (self.per_s * BURST_S).max(TOO_FEW) {
             return true;
         }
         self.level += 1.0;
