--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -623,7 +623,7 @@
             reached = self.roster.iter().filter_map(candidate).take(most).collect();
         }
         if let Some(key) = work.key {
-            self.keep_home(key, work.reach, &mut reached);
+            self.keep_home(key, &mut reached);
         }
         // One that failed this unit is not asked again while another is there: a crash looks idle at once.
         let tried = |c: &Candidate| work.allocations.iter().any(|a| a.executor.0 == c.at);
@@ -656,13 +656,13 @@
         let (able, any_room) = loop {
             let Some(work) = self.work.get(&unit) else { return Picked::Nobody };
             let able = self.within_reach(now, work);
-            let reach = work.reach;
+            let (reach, keyed) = (work.reach, work.key.is_some());
             if self.ask(now, &able) {
                 self.host.wake(ANSWERS_WITHIN, FIRST_UNIT + unit.0);
                 return Picked::Asking;
             }
             let any_room = able.iter().any(|c| c.room);
-            if any_room || reach == FURTHEST {
+            if any_room || keyed || reach == FURTHEST {
                 break (able, any_room);
             }
             self.work.entry(unit).and_modify(|work| work.reach += 1);
@@ -717,14 +717,14 @@
     /// Lane forming for work that needs a program or data set: inside the lane, the fixed hash of key and
     /// id ranks the workers, the same at every node, and the first are the key's homes. Guards against
     /// every worker fetching everything from the one shared store, until all slots are held by fetches.
-    fn keep_home(&self, key: u64, reach: u32, able: &mut Vec<Candidate>) {
+    fn keep_home(&self, key: u64, able: &mut Vec<Candidate>) {
         // Leaves the weighted pick its choice, and one worker lost does not lose the key.
         const HOMES: usize = 3;
         if able.iter().any(|c| c.in_lane) {
             able.retain(|c| c.in_lane);
         }
         able.sort_by_key(|c| Reverse(mixed(self.executors[c.at].hash ^ key)));
-        able.truncate(HOMES << reach);
+        able.truncate(HOMES);
     }
 
     /// Sends the work unit where the design says, holds it while nothing can take it, or turns it back.
@@ -763,9 +763,7 @@
         let Some(work) = self.work.get_mut(&unit) else { return };
         let go = work.allocations.len();
         let e = &mut self.executors[executor.0];
-        work.held = false;
-        // It waits: further ones are looked at if it has to be moved.
-        work.reach = u32::min(work.allocations.len() as u32 + 1, FURTHEST);
+        (work.held, work.reach) = (false, 0);
         self.out += 1;
         work.allocations.push(Allocation {
             executor,
