--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -37,7 +37,7 @@
 const ANSWERS_WITHIN: Span = Span::millis(10);
 
 /// Below this many sizes one lane holds every worker (design page).
-const FEWEST: usize = 10;
+const FEWEST: usize = 50;
 /// Twice doubled is four times as many, and then of both lanes.
 const FURTHEST: u32 = 2;
 
