--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -65,6 +65,8 @@
     reported: Option<Moment>,
     /// Place in the order in which this node uses executors.
     rank: u64,
+    /// How many nodes come before this one among those that may warm it.
+    distance: u64,
     probing: bool,
     asked: Moment,
     slots: f64,
@@ -79,8 +81,8 @@
     lost_probes: u32,
     last_wait: f64,
     last_start: Moment,
-    cold_level: f64,
-    cold_at: Moment,
+    /// What was sent here while it was cold, and what it counts for.
+    cold_sent: Vec<(Moment, f64)>,
 }
 
 impl Executor {
@@ -143,23 +145,18 @@
         (age < 1.0).then(|| cold.fall_factor * share * self.capacity * cold.fall_window.as_secs().max(0.001))
     }
 
-    /// What was sent here and has not leaked away within windows of that budget.
-    fn cold_level(&self, cold: &ColdStart, budget: f64, now: Moment) -> f64 {
-        const LEAKED: f64 = 0.35; // of the budget in a window
-        let windows = now.since(self.cold_at).as_secs() / cold.fall_window.as_secs().max(0.001);
-        (self.cold_level - windows * budget * LEAKED).max(0.0)
-    }
-
-    /// Whether a cold executor can take one more that counts for `charge`. What all nodes may send within a
-    /// window is often less than one work unit a node, so the fixed hash gives each cold executor to one
-    /// node, and the others leave it alone until it is warm. Guards against all nodes together pushing it
-    /// over.
-    fn cold_admits(&self, cold: &ColdStart, mine: bool, now: Moment, charge: f64) -> bool {
-        // With what leaks within a window three quarters: the rest covers one slower than its kind.
-        const HELD: f64 = 0.4;
-        let Some(budget) = self.cold_budget(cold, now) else { return true };
-        mine && self.flights.len() <= self.answers
-            && self.cold_level(cold, budget, now) + charge <= budget * HELD
+    /// Whether a cold executor can take one more that counts for `charge`, a mean one counting for `mean`.
+    /// Its budget is split among as many nodes as get a mean unit each of it, one at least: those nearest
+    /// after its fixed hash; the others leave it alone until it is warm. Guards against all nodes together
+    /// pushing it over.
+    fn cold_admits(&self, cold: &ColdStart, distance: u64, now: Moment, mean: f64, charge: f64) -> bool {
+        const USED: f64 = 0.75; // of the budget: the rest covers one slower than its kind
+        let Some(budget) = self.cold_budget(cold, now).map(|budget| budget * USED) else { return true };
+        let owners = (budget / mean).floor().max(1.0);
+        let sent = self.cold_sent.iter().filter(|(at, _)| now.since(*at) <= cold.fall_window);
+        (distance as f64) < owners
+            && self.flights.len() <= self.answers
+            && sent.map(|(_, charge)| charge).sum::<f64>() + charge <= budget / owners
     }
 }
 
@@ -367,17 +364,12 @@
         for entry in entries {
             let index = entry.executor.0;
             while self.executors.len() <= index {
-                self.executors.push(Executor {
-                    slots: 1.0,
-                    capacity: 1.0,
-                    cold_at: now,
-                    ..Executor::default()
-                });
+                self.executors.push(Executor { slots: 1.0, capacity: 1.0, ..Executor::default() });
             }
             let e = &mut self.executors[index];
             e.hash = fixed_hash(entry.name);
-            // The node's own order; first come those that it answers for while they are cold.
-            e.rank = if e.hash % self.nodes == self.node { 0 } else { mixed(e.hash ^ mixed(self.node + 1)) };
+            e.rank = mixed(e.hash ^ mixed(self.node + 1));
+            e.distance = (self.node % self.nodes + self.nodes - e.hash % self.nodes) % self.nodes;
             e.standing = entry.standing;
             (e.kind, e.zone, e.cell) = (entry.kind, entry.zone, entry.cell);
             e.weight = if entry.weight > 0.0 && entry.weight.is_finite() { entry.weight } else { 1.0 };
@@ -386,10 +378,10 @@
                 e.started = entry.started;
                 (e.reported, e.utilisation, e.answers) = (None, 0.0, 0);
                 (e.aside_until, e.lost_probes) = (Moment(0), 0);
-                (e.cold_level, e.cold_at) = (0.0, now);
+                e.cold_sent.clear();
             }
         }
-        self.form_lanes();
+        self.form_lanes(now);
         self.serve_held(now);
     }
 
@@ -528,7 +520,7 @@
     /// lanes, the same at every node. Long work earns by its size and is late on a slow worker however
     /// idle: it gets the heaviest quarter. Short work bears most fetches and hand-shakes, which no size
     /// shows.
-    fn form_lanes(&mut self) {
+    fn form_lanes(&mut self, now: Moment) {
         let ready = |i: &usize| self.executors[*i].standing == Standing::Ready;
         self.roster = (0..self.executors.len()).filter(ready).collect();
         self.roster.sort_by(|&a, &b| {
@@ -542,9 +534,15 @@
         // Those of the node's own zone come three times as far to the front: crossing costs, yet a zone must
         // not be left to itself, since neither workers nor clients are spread evenly.
         const NEARER: u64 = 3;
+        // Before all of them come the cold ones that this node may have to warm, or few would be warmed.
+        const WARMERS: u64 = 4;
         self.roster.sort_by_key(|&i| {
             let e = &self.executors[i];
-            if e.zone == self.zone { e.rank / NEARER } else { e.rank }
+            match e.cold_budget(&self.cold, now) {
+                Some(_) if e.distance < WARMERS => 0,
+                _ if e.zone == self.zone => e.rank / NEARER,
+                _ => e.rank,
+            }
         });
     }
 
@@ -573,15 +571,15 @@
             });
             self.cut_offs.extend(cut);
         }
-        // What an executor can do when warm: the mean of its kind, from those whose pace and slots have
-        // been seen.
-        let seen = self.ready().filter(|e| e.speed > 0.0);
-        let known: Vec<(usize, f64)> = seen.map(|e| (e.kind, e.speed * e.slots)).collect();
+        // What an executor can do when warm: the mean pace and the most slots seen of its kind.
+        let mut kinds: BTreeMap<usize, (f64, f64, f64)> = BTreeMap::new();
+        for e in self.ready().filter(|e| e.speed > 0.0) {
+            let (speeds, count, slots) = kinds.entry(e.kind).or_default();
+            (*speeds, *count, *slots) = (*speeds + e.speed, *count + 1.0, slots.max(e.slots));
+        }
         for e in &mut self.executors {
-            let like = known.iter().filter(|(kind, _)| *kind == e.kind).map(|(_, able)| able);
-            let (sum, count) = like.fold((0.0, 0.0), |(sum, count), able| (sum + able, count + 1.0));
-            if count > 0.0 {
-                e.capacity = sum / count;
+            if let Some((speeds, count, slots)) = kinds.get(&e.kind) {
+                e.capacity = speeds / count * slots;
             }
         }
     }
@@ -607,7 +605,7 @@
                 && kind.is_none_or(|kind| kind == e.kind)
                 && in_group(ran, effect, now, e.zone, e.cell)
                 && !work.allocations.iter().any(|a| a.open && a.executor.0 == at)
-                && e.cold_admits(&self.cold, e.hash % self.nodes == self.node, now, charge);
+                && e.cold_admits(&self.cold, e.distance, now, self.mean, charge);
             let in_lane = one_lane || e.lane == lane;
             able.then(|| Candidate { at, in_lane, room: e.has_room(now, spare), load: e.load(now) })
         };
@@ -777,9 +775,9 @@
         let started = if self.tells_start { None } else { Some(now) };
         let id = AllocationId { unit, number: go };
         e.flights.push(Flight { id, size, sent: now, started, heard: now });
-        if let Some(budget) = e.cold_budget(&self.cold, now) {
-            (e.cold_level, e.cold_at) =
-                (e.cold_level(&self.cold, budget, now) + charge(size, self.mean), now);
+        if e.cold_budget(&self.cold, now).is_some() {
+            e.cold_sent.retain(|(at, _)| now.since(*at) <= self.cold.fall_window);
+            e.cold_sent.push((now, charge(size, self.mean)));
         }
         self.host.allocate(unit, executor, time_out);
         if self.tariffs[work.tariff].effect == Effect::Retriable {
@@ -960,7 +958,7 @@
                 // this id is cold long before the list says so. Guards against pushing it over untold.
                 const TOGETHER: Span = Span::millis(5000);
                 if e.reset.is_some_and(|at| now.since(at) < TOGETHER) {
-                    (e.died, e.answers, e.cold_level) = (Some(now), 0, 0.0);
+                    (e.died, e.answers) = (Some(now), 0);
                 }
                 self.set_aside(now, executor);
             }
