--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -621,7 +621,7 @@
             reached = self.roster.iter().filter_map(candidate).take(most).collect();
         }
         if let Some(key) = work.key {
-            self.keep_home(key, &mut reached);
+            self.keep_home(now, key, &mut reached);
         }
         // One that failed this unit is not asked again while another is there: a crash looks idle at once.
         let tried = |c: &Candidate| work.allocations.iter().any(|a| a.executor.0 == c.at);
@@ -715,14 +715,18 @@
     /// Lane forming for work that needs a program or data set: inside the lane, the fixed hash of key and
     /// id ranks the workers, the same at every node, and the first are the key's homes. Guards against
     /// every worker fetching everything from the one shared store, until all slots are held by fetches.
-    fn keep_home(&self, key: u64, able: &mut Vec<Candidate>) {
+    fn keep_home(&self, now: Moment, key: u64, able: &mut Vec<Candidate>) {
         // Leaves the weighted pick its choice, and one worker lost does not lose the key.
         const HOMES: usize = 3;
         if able.iter().any(|c| c.in_lane) {
             able.retain(|c| c.in_lane);
         }
-        able.sort_by_key(|c| Reverse(mixed(self.executors[c.at].hash ^ key)));
-        able.truncate(HOMES);
+        // One that may take something while cold is a home of every key: at a node that sees little, too few
+        // units would name its own.
+        let cold = |c: &Candidate| self.executors[c.at].cold_budget(&self.cold, now).is_some();
+        let homes = HOMES + able.iter().filter(|c| cold(c)).count();
+        able.sort_by_key(|c| (!cold(c), Reverse(mixed(self.executors[c.at].hash ^ key))));
+        able.truncate(homes);
     }
 
     /// Sends the work unit where the design says, holds it while nothing can take it, or turns it back.
