--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -265,7 +265,10 @@
     work: BTreeMap<UnitId, Work>,
     held: VecDeque<UnitId>,
     follow_tries: u32,
-    sample: VecDeque<f64>,
+    /// Recent sized work: size, and key where it names one.
+    sample: VecDeque<(f64, Option<u64>)>,
+    /// How often the sample names each key.
+    named: BTreeMap<u64, usize>,
     median: f64,
     mean: f64,
     cut_offs: Vec<f64>,
@@ -305,6 +308,7 @@
             held: VecDeque::new(),
             follow_tries: 0,
             sample: VecDeque::new(),
+            named: BTreeMap::new(),
             median: 1.0,
             mean: 1.0,
             cut_offs: Vec::new(),
@@ -409,9 +413,13 @@
             None => self.median,
         };
         if hinted.is_some() {
-            self.sample.push_back(size);
-            if self.sample.len() > SAMPLE {
-                self.sample.pop_front();
+            self.sample.push_back((size, arrival.key));
+            arrival.key.map(|key| *self.named.entry(key).or_default() += 1);
+            if self.sample.len() > SAMPLE
+                && let Some((_, Some(key))) = self.sample.pop_front()
+            {
+                self.named.entry(key).and_modify(|n| *n -= 1);
+                self.named.retain(|_, n| *n > 0);
             }
         }
         let tariff = arrival.tariff.min(self.tariffs.len() - 1);
@@ -552,7 +560,7 @@
 
     /// Cut-offs such that each lane's part of the summed size matches its part of the workers.
     fn recompute_cut_offs(&mut self) {
-        let mut sizes: Vec<f64> = self.sample.iter().copied().collect();
+        let mut sizes: Vec<f64> = self.sample.iter().map(|(size, _)| *size).collect();
         sizes.sort_by(f64::total_cmp);
         let total: f64 = sizes.iter().sum();
         if let Some(&middle) = sizes.get(sizes.len() / 2) {
@@ -731,7 +739,12 @@
         // One that may take something while cold is a home of every key: at a node that sees little, too few
         // units would name its own.
         let cold = |c: &Candidate| self.executors[c.at].cold_budget(&self.cold, now).is_some();
-        let homes = HOMES + able.iter().filter(|c| cold(c)).count();
+        // The more often a key is named the more homes it has: twice its part of the work, in workers, so that
+        // it fills half of each. Guards against three full homes of a common key while the others idle.
+        const SPREAD: f64 = 2.0;
+        let again = self.named.get(&key).map_or(0, |n| n - 1) as f64; // once named, it may be rare
+        let part = again / self.sample.len().max(1) as f64 * able.len() as f64;
+        let homes = HOMES.max((part * SPREAD) as usize) + able.iter().filter(|c| cold(c)).count();
         able.sort_by_key(|c| (!cold(c), Reverse(mixed(self.executors[c.at].hash ^ key))));
         able.truncate(homes);
     }
