--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -642,7 +642,7 @@
     /// Asks candidates for their load where it was not heard of lately; whether an answer is to come.
     fn ask(&mut self, now: Moment, candidates: &[Candidate]) -> bool {
         // About the pace at which reports are made anew: asking again sooner tells nothing more.
-        const FRESH: Span = Span::millis(1500);
+        const FRESH: Span = Span::millis(500);
         let mut out = false;
         for c in candidates.iter().filter(|_| self.may_probe) {
             let e = &mut self.executors[c.at];
@@ -741,7 +741,7 @@
         let cold = |c: &Candidate| self.executors[c.at].cold_budget(&self.cold, now).is_some();
         // The more often a key is named the more homes it has: twice its part of the work, in workers, so that
         // it fills half of each. Guards against three full homes of a common key while the others idle.
-        const SPREAD: f64 = 4.0;
+        const SPREAD: f64 = 2.0;
         let again = self.named.get(&key).map_or(0, |n| n - 1) as f64; // once named, it may be rare
         let part = again / self.sample.len().max(1) as f64 * able.len() as f64;
         let homes = HOMES.max((part * SPREAD) as usize) + able.iter().filter(|c| cold(c)).count();
