--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -642,7 +642,7 @@
     /// Asks candidates for their load where it was not heard of lately; whether an answer is to come.
     fn ask(&mut self, now: Moment, candidates: &[Candidate]) -> bool {
         // About the pace at which reports are made anew: asking again sooner tells nothing more.
-        const FRESH: Span = Span::millis(3000);
+        const FRESH: Span = Span::millis(6000);
         let mut out = false;
         for c in candidates.iter().filter(|_| self.may_probe) {
             let e = &mut self.executors[c.at];
