--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -109,7 +109,7 @@
     fn trust(&self, now: Moment, run: f64) -> f64 {
         const MADE_BEFORE_S: f64 = 1.0; // reports are some part of a second old when they come
         let age = self.reported.map_or(f64::INFINITY, |at| now.since(at).as_secs()) + MADE_BEFORE_S;
-        if self.flights.is_empty() { (-age / run).exp() } else { 1.0 }
+        if self.flights.is_empty() { 0.0 * (-age / run).exp() } else { 1.0 }
     }
 
     /// Seconds that own allocations wait here for a slot: the age of the oldest that waits now, or what the
