--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -109,7 +109,7 @@
     fn trust(&self, now: Moment, run: f64) -> f64 {
         const MADE_BEFORE_S: f64 = 1.0; // reports are some part of a second old when they come
         let age = self.reported.map_or(f64::INFINITY, |at| now.since(at).as_secs()) + MADE_BEFORE_S;
-        if self.flights.is_empty() { 0.0 * (-age / run).exp() } else { 1.0 }
+        if self.flights.is_empty() { (-age / run).exp() } else { 1.0 }
     }
 
     /// Seconds that own allocations wait here for a slot: the age of the oldest that waits now, or what the
@@ -1045,9 +1045,9 @@
         e.reported = Some(now);
     }
     if let Some(free) = report.free_slots.filter(|f| f.is_finite()) {
-        e.slots = e.slots.max(free.round());
+        let seen = e.slots.max(free.round());
         // Cores may idle while every slot is held by work that waits for something: no slot, no room.
-        e.utilisation = e.utilisation.max(1.0 - free / e.slots).clamp(0.0, 1.0);
+        e.utilisation = e.utilisation.max(1.0 - free / seen).clamp(0.0, 1.0);
     }
 }
 
