--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -33,8 +33,6 @@
 const BEAT_EVERY: Span = Span::millis(250);
 /// The final answer is due this long before patience ends: a few batches of any caller.
 const ANSWER_MARGIN: Span = Span::millis(20);
-/// A probe is answered within this by an executor that has time for it: a few round trips and a hand-shake.
-const ANSWERS_WITHIN: Span = Span::millis(10);
 
 /// Below this many sizes one lane holds every worker (design page).
 const FEWEST: usize = 50;
@@ -194,15 +192,10 @@
     load: Option<f64>,
 }
 
-enum Picked {
-    Found {
-        executor: ExecutorId,
-        any_room: bool,
-        wait: f64,
-    },
-    /// Probes are out whose answers may tell of room; the unit's alarm rings when they are due.
-    Asking,
-    Nobody,
+struct Picked {
+    executor: ExecutorId,
+    any_room: bool,
+    wait: f64,
 }
 
 impl Work {
@@ -639,34 +632,13 @@
         reached
     }
 
-    /// Asks candidates for their load where it was not heard of lately; whether an answer is to come.
-    fn ask(&mut self, now: Moment, candidates: &[Candidate]) -> bool {
-        // About the pace at which reports are made anew: asking again sooner tells nothing more.
-        const FRESH: Span = Span::millis(3000);
-        let mut out = false;
-        for c in candidates.iter().filter(|_| self.may_probe) {
-            let e = &mut self.executors[c.at];
-            let heard = e.reported.unwrap_or_default().max(e.asked);
-            if !e.probing && now.since(heard) >= FRESH {
-                (e.probing, e.asked) = (true, now);
-                self.host.probe(ExecutorId(c.at));
-            }
-            out |= false;
-        }
-        out
-    }
-
     /// The design's choice: the lane by size, the executor by a weighted random pick inside it.
-    fn pick(&mut self, now: Moment, unit: UnitId) -> Picked {
+    fn pick(&mut self, now: Moment, unit: UnitId) -> Option<Picked> {
         const FLOOR: f64 = 0.02; // open in the design
         let (able, any_room) = loop {
-            let Some(work) = self.work.get(&unit) else { return Picked::Nobody };
+            let work = self.work.get(&unit)?;
             let able = self.within_reach(now, work);
             let (reach, keyed) = (work.reach, work.key.is_some());
-            if self.ask(now, &able) {
-                self.host.wake(ANSWERS_WITHIN, FIRST_UNIT + unit.0);
-                return Picked::Asking;
-            }
             let any_room = able.iter().any(|c| c.room);
             if any_room || keyed || reach == FURTHEST {
                 break (able, any_room);
@@ -706,12 +678,10 @@
             point -= w;
             point < 0.0
         });
-        let Some(chosen) = able.get(picked.unwrap_or(able.len().saturating_sub(1))) else {
-            return Picked::Nobody;
-        };
+        let chosen = able.get(picked.unwrap_or(able.len().saturating_sub(1)))?;
         // With no room anywhere it waits where it goes: the least wait of all would promise too much.
         let wait = if any_room { least_wait } else { self.executors[chosen.at].wait(now) };
-        Picked::Found { executor: ExecutorId(chosen.at), any_room, wait }
+        Some(Picked { executor: ExecutorId(chosen.at), any_room, wait })
     }
 
     /// Whether a wait is too long to start with: the work unit would be late, and make others late. Waits
@@ -760,14 +730,15 @@
             return self.answer(unit);
         }
         match picked {
-            Picked::Found { executor, wait, .. } => {
+            Some(Picked { executor, wait, .. }) => {
                 let fresh = work.allocations.iter().all(|a| !a.may_have_run);
                 if fresh && self.hopeless(now, &self.work[&unit], wait) {
                     return self.answer(unit);
                 }
                 self.send(now, unit, executor);
             }
-            Picked::Nobody if !work.held => {
+            None if work.held => {}
+            None => {
                 // Its own alarm: patience may end between two beats.
                 work.held = true;
                 let until = (now + HOLD_MOST).min(work.arrived + work.quoted);
@@ -775,13 +746,15 @@
                 self.host.wake(work.hold_ends.since(now), FIRST_UNIT + unit.0);
                 self.held.push_back(unit);
             }
-            _ => {}
         }
     }
 
     fn send(&mut self, now: Moment, unit: UnitId, executor: ExecutorId) {
         // A unit that waits to start this long on one executor is looked at again.
         const REVIEW_AFTER: Span = Span::millis(150);
+        // Every few seconds each executor that is used (design page), however many there are. Guards against
+        // probes of every node to every executor, which cost more than they tell.
+        const PROBE_EVERY: Span = Span::millis(3000);
         let Some(work) = self.work.get_mut(&unit) else { return };
         let go = work.allocations.len();
         let e = &mut self.executors[executor.0];
@@ -803,6 +776,11 @@
             e.cold_sent.retain(|(at, _)| now.since(*at) <= self.cold.fall_window);
             e.cold_sent.push((now, charge(size, self.mean)));
         }
+        let heard = e.reported.unwrap_or_default().max(e.asked);
+        if self.may_probe && !e.probing && now.since(heard) >= PROBE_EVERY {
+            (e.probing, e.asked) = (true, now);
+            self.host.probe(executor);
+        }
         self.host.allocate(unit, executor, time_out);
         if self.tariffs[work.tariff].effect == Effect::Retriable {
             self.host.wake(REVIEW_AFTER, FIRST_UNIT + unit.0);
@@ -818,13 +796,7 @@
             return self.answer(unit);
         }
         let retriable = self.tariffs[work.tariff].effect == Effect::Retriable;
-        if work.streaming || work.held {
-            return;
-        }
-        if work.allocations.iter().all(|a| !a.open) {
-            return self.place(now, unit); // what was asked for has been answered, or will not be
-        }
-        if !retriable {
+        if work.streaming || work.held || !retriable {
             return;
         }
         let go = work.allocations.len().saturating_sub(1);
@@ -844,14 +816,11 @@
         if silent {
             self.set_aside(now, executor);
         }
-        if (waits || silent) && self.may_allocate(unit, self.allowance.recalls) {
-            match self.pick(now, unit) {
-                Picked::Asking => return,
-                Picked::Found { executor: better, any_room: true, .. } => {
-                    return self.move_on(now, id, better);
-                }
-                _ => {}
-            }
+        if (waits || silent)
+            && self.may_allocate(unit, self.allowance.recalls)
+            && let Some(Picked { executor: better, any_room: true, .. }) = self.pick(now, unit)
+        {
+            return self.move_on(now, id, better);
         }
         // No room anywhere and too late already: waiting on, it only makes the next one late as well.
         if lost {
