--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -76,7 +76,6 @@
     /// Work a second when warm; one standard core until its kind has been seen.
     capacity: f64,
     aside_until: Moment,
-    lost_probes: u32,
     last_wait: f64,
     last_start: Moment,
     /// What was sent here while it was cold, and what it counts for.
@@ -374,7 +373,7 @@
                 // A restarted process is cold and owes nothing to its past.
                 e.started = entry.started;
                 (e.reported, e.utilisation, e.answers) = (None, 0.0, 0);
-                (e.aside_until, e.lost_probes) = (Moment(0), 0);
+                e.aside_until = Moment(0);
                 e.cold_sent.clear();
             }
         }
@@ -489,22 +488,13 @@
         self.finish(unit);
     }
 
-    pub fn probed(&mut self, now: Moment, executor: ExecutorId, answered: bool, report: Option<Report>) {
+    /// A probe ended. One without an answer may mean a full waiting room or a loss on the way: that says too
+    /// little to act on.
+    pub fn probed(&mut self, now: Moment, executor: ExecutorId, report: Option<Report>) {
         let Some(e) = self.executors.get_mut(executor.0) else { return };
         e.probing = false;
-        if answered {
-            e.lost_probes = 0;
-            if let Some(report) = report {
-                take_report(e, now, report);
-            }
-        } else {
-            // A lost probe may only mean a full waiting room; several in a row with no other sign mean
-            // silence.
-            e.lost_probes += 1;
-            (e.utilisation, e.reported) = (1.0, Some(now));
-            if e.lost_probes >= 2 {
-                self.set_aside(now, executor);
-            }
+        if let Some(report) = report {
+            take_report(e, now, report);
         }
     }
 
@@ -934,7 +924,6 @@
         match ending {
             Ending::Fulfilled => {
                 e.answers += 1;
-                e.lost_probes = 0;
                 if let Some((size, started)) = flight.and_then(|f| Some((f.size, f.started?))) {
                     let pace = size / now.since(started).as_secs().max(0.001);
                     // A slow mean: one noisy hint must not move it far.
