--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -101,14 +101,6 @@
         }
     }
 
-    /// How much the last report still says: work that ran when it was made has ended since, the sooner the
-    /// shorter work is. Guards against all nodes crowding by turns onto whoever looked idle a while ago.
-    fn trust(&self, now: Moment, run: f64) -> f64 {
-        const MADE_BEFORE_S: f64 = 1.0; // reports are some part of a second old when they come
-        let age = self.reported.map_or(f64::INFINITY, |at| now.since(at).as_secs()) + MADE_BEFORE_S;
-        if self.flights.is_empty() { (-age / run).exp() } else { 1.0 }
-    }
-
     /// Seconds that own allocations wait here for a slot: the age of the oldest that waits now, or what the
     /// last one to start waited, which counts for less as it ages.
     fn wait(&self, now: Moment) -> f64 {
@@ -624,7 +616,7 @@
 
     /// The design's choice: the lane by size, the executor by a weighted random pick inside it.
     fn pick(&mut self, now: Moment, unit: UnitId) -> Option<Picked> {
-        const FLOOR: f64 = 0.02; // open in the design
+        const FLOOR: f64 = 0.3; // open
         let (able, any_room) = loop {
             let work = self.work.get(&unit)?;
             let able = self.within_reach(now, work);
@@ -658,11 +650,7 @@
         let weight = |load: f64| if load < 1.0 { (1.0 - load).max(FLOOR) } else { FLOOR / load };
         let known: Vec<f64> = able.iter().filter_map(|c| c.load.map(weight)).collect();
         let mean = if known.is_empty() { 1.0 } else { known.iter().sum::<f64>() / known.len() as f64 };
-        // A late report counts in part as none: that much nearer to the mean.
-        let run = self.mean;
-        let late = |c: &Candidate| self.executors[c.at].trust(now, run);
-        let own = |c: &Candidate, load| mean + (weight(load) - mean) * late(c);
-        let weights: Vec<f64> = able.iter().map(|c| c.load.map_or(mean, |load| own(c, load))).collect();
+        let weights: Vec<f64> = able.iter().map(|c| c.load.map_or(mean, weight)).collect();
         let mut point = self.chance.random::<f64>() * weights.iter().sum::<f64>();
         let picked = weights.iter().position(|w| {
             point -= w;
