--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -198,7 +198,7 @@
     /// Keyed work waits a little at its home rather than fetch elsewhere; other work waits nowhere by
     /// choice.
     fn spare(&self, now: Moment) -> Option<f64> {
-        const PART: f64 = 0.25; // of the slack: the estimate is of the past, and the queue may grow
+        const PART: f64 = 1.0; // of the slack: the estimate is of the past, and the queue may grow
         self.key.map(|_| self.slack(now) * PART)
     }
 }
@@ -616,7 +616,7 @@
 
     /// The design's choice: the lane by size, the executor by a weighted random pick inside it.
     fn pick(&mut self, now: Moment, unit: UnitId) -> Option<Picked> {
-        const FLOOR: f64 = 0.3; // open
+        const FLOOR: f64 = 0.1; // design page
         let (able, any_room) = loop {
             let work = self.work.get(&unit)?;
             let able = self.within_reach(now, work);
