--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -198,7 +198,7 @@
     /// Keyed work waits a little at its home rather than fetch elsewhere; other work waits nowhere by
     /// choice.
     fn spare(&self, now: Moment) -> Option<f64> {
-        const PART: f64 = 1.0; // of the slack: the estimate is of the past, and the queue may grow
+        const PART: f64 = 0.25; // of the slack: the estimate is of the past, and the queue may grow
         self.key.map(|_| self.slack(now) * PART)
     }
 }
