--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -67,7 +67,10 @@
     distance: u64,
     probing: bool,
     asked: Moment,
+    /// Slots that own work has filled at once, and the most that were reported free: a report is noisy and of a
+    /// while ago, so that room goes by the first, and what all nodes together may send by both.
     slots: f64,
+    most_free: f64,
     flights: Vec<Flight>,
     answers: usize,
     reset: Option<Moment>,
@@ -558,7 +561,8 @@
         let mut kinds: BTreeMap<usize, (f64, f64, f64)> = BTreeMap::new();
         for e in self.ready().filter(|e| e.speed > 0.0) {
             let (speeds, count, slots) = kinds.entry(e.kind).or_default();
-            (*speeds, *count, *slots) = (*speeds + e.speed, *count + 1.0, slots.max(e.slots));
+            (*speeds, *count, *slots) =
+                (*speeds + e.speed, *count + 1.0, slots.max(e.slots).max(e.most_free));
         }
         for e in &mut self.executors {
             if let Some((speeds, count, slots)) = kinds.get(&e.kind) {
@@ -991,9 +995,9 @@
         e.reported = Some(now);
     }
     if let Some(free) = report.free_slots.filter(|f| f.is_finite()) {
-        let seen = e.slots.max(free.round());
+        e.most_free = e.most_free.max(free.round());
         // Cores may idle while every slot is held by work that waits for something: no slot, no room.
-        e.utilisation = e.utilisation.max(1.0 - free / seen).clamp(0.0, 1.0);
+        e.utilisation = e.utilisation.max(1.0 - free / e.slots.max(e.most_free)).clamp(0.0, 1.0);
     }
 }
 
