--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -521,7 +521,7 @@
         // not be left to itself, since neither workers nor clients are spread evenly.
         const NEARER: u64 = 3;
         // Before all of them come the cold ones that this node may have to warm, or few would be warmed.
-        const WARMERS: u64 = 4;
+        const WARMERS: u64 = 16;
         self.roster.sort_by_key(|&i| {
             let e = &self.executors[i];
             match e.cold_budget(&self.cold, now) {
