--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -520,12 +520,11 @@
         // Those of the node's own zone come three times as far to the front: crossing costs, yet a zone must
         // not be left to itself, since neither workers nor clients are spread evenly.
         const NEARER: u64 = 3;
-        // Before all of them come the cold ones that this node may have to warm, or few would be warmed.
-        const WARMERS: u64 = 16;
+        // Before all come the cold ones, or the few that may send to them would leave them idle.
         self.roster.sort_by_key(|&i| {
             let e = &self.executors[i];
             match e.cold_budget(&self.cold, now) {
-                Some(_) if e.distance < WARMERS => 0,
+                Some(_) => 0,
                 _ if e.zone == self.zone => e.rank / NEARER,
                 _ => e.rank,
             }
