--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -36,8 +36,6 @@
 
 /// Below this many sizes one lane holds every worker (design page).
 const FEWEST: usize = 50;
-/// Twice doubled is four times as many, and then of both lanes.
-const FURTHEST: u32 = 2;
 
 /// An allocation that is still out, as its executor's record keeps it.
 struct Flight {
@@ -174,8 +172,6 @@
     held: bool,
     hold_ends: Moment,
     over_share: bool,
-    /// How often the number of executors that are looked at was doubled, none of them having room.
-    reach: u32,
 }
 
 /// An executor that could take a work unit.
@@ -425,7 +421,6 @@
             held: false,
             hold_ends: now,
             over_share,
-            reach: 0,
         };
         self.work.insert(unit, work);
         self.place(now, unit);
@@ -570,13 +565,11 @@
         }
     }
 
-    /// Those that a work unit may go to: of its lane, in the order in which this node uses them, as many as it
-    /// reaches; at the furthest of both lanes (overflow). A node that sends little uses few, so that what it
-    /// knows of them is fresh; the more it has out the more it uses. Guards against probes of every node
-    /// to every executor, which cost more than they tell, and against picks among executors unheard of.
-    fn within_reach(&self, now: Moment, work: &Work) -> Vec<Candidate> {
-        // Several to pick from, so that some have room; one more for each allocation that fills a slot.
-        const FEW: usize = 4;
+    /// Those that a work unit may go to: of its lane, in the order in which this node uses them, a few and one
+    /// more for each allocation that is out; or all of both lanes. A node that sends little uses few and so
+    /// hears of them. Guards against picks that go through a large fleet, one unheard of after the other.
+    fn candidates(&self, now: Moment, work: &Work, few: bool) -> Vec<Candidate> {
+        const FEW: usize = 4; // leaves the weighted pick its choice
         let lane = self.cut_offs.iter().filter(|&&cut| work.size > cut).count();
         let one_lane = self.cut_offs.is_empty();
         let kind = self.tariffs[work.tariff].kind;
@@ -595,47 +588,41 @@
             let in_lane = one_lane || e.lane == lane;
             able.then(|| Candidate { at, in_lane, room: e.has_room(now, spare), load: e.load(now) })
         };
-        let mut able = self.roster.iter().filter_map(candidate);
-        let most = if work.key.is_some() { usize::MAX } else { (FEW + self.out) << work.reach };
-        let mut reached: Vec<Candidate> = if work.key.is_none() && work.reach == FURTHEST {
-            able.take(most).collect()
-        } else {
-            able.by_ref().filter(|c| c.in_lane).take(most).collect()
-        };
-        if reached.is_empty() {
-            // No worker of the lane can take it: all that can.
-            reached = self.roster.iter().filter_map(candidate).take(most).collect();
+        let able = || self.roster.iter().filter_map(candidate);
+        let most = if work.key.is_none() { FEW + self.out } else { usize::MAX };
+        let mut found: Vec<Candidate> = Vec::new();
+        if few {
+            found.extend(able().filter(|c| c.in_lane).take(most));
+        }
+        if found.is_empty() {
+            // No worker of the lane can take it, or none of the few has room: all that can.
+            found.extend(able());
         }
         if let Some(key) = work.key {
-            self.keep_home(now, key, &mut reached);
+            self.keep_home(now, key, &mut found);
         }
         // One that failed this unit is not asked again while another is there: a crash looks idle at once.
         let tried = |c: &Candidate| work.allocations.iter().any(|a| a.executor.0 == c.at);
-        if !reached.iter().all(tried) {
-            reached.retain(|c| !tried(c));
+        if !found.iter().all(tried) {
+            found.retain(|c| !tried(c));
         }
-        reached
+        found
     }
 
     /// The design's choice: the lane by size, the executor by a weighted random pick inside it.
     fn pick(&mut self, now: Moment, unit: UnitId) -> Option<Picked> {
         const FLOOR: f64 = 0.1; // design page
-        let (able, any_room) = loop {
-            let work = self.work.get(&unit)?;
-            let able = self.within_reach(now, work);
-            let (reach, keyed) = (work.reach, work.key.is_some());
-            let any_room = able.iter().any(|c| c.room);
-            if any_room || keyed || reach == FURTHEST {
-                break (able, any_room);
-            }
-            self.work.entry(unit).and_modify(|work| work.reach += 1);
-        };
-        let keyed = self.work[&unit].key.is_some();
+        let work = self.work.get(&unit)?;
+        let keyed = work.key.is_some();
+        let mut able = self.candidates(now, work, true);
+        if !keyed && !able.iter().any(|c| c.room) {
+            able = self.candidates(now, work, false);
+        }
+        let any_room = able.iter().any(|c| c.room);
         // Keyed work waits where it is sent; other work may yet overflow or move to the shortest wait of
         // all.
         let asked = able.iter().filter(|c| c.room || !any_room || !keyed);
         let least_wait = asked.map(|c| self.executors[c.at].wait(now)).fold(f64::INFINITY, f64::min);
-        let mut able = able;
         // What a cold one may take it gets first: the few nodes that may send to it see little, and left to
         // chance it would idle while the others are full.
         let warms = |c: &Candidate| {
@@ -739,7 +726,7 @@
         let Some(work) = self.work.get_mut(&unit) else { return };
         let go = work.allocations.len();
         let e = &mut self.executors[executor.0];
-        (work.held, work.reach) = (false, 0);
+        work.held = false;
         self.out += 1;
         work.allocations.push(Allocation {
             executor,
