--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -509,10 +509,8 @@
     fn form_lanes(&mut self, now: Moment) {
         let ready = |i: &usize| self.executors[*i].standing == Standing::Ready;
         self.roster = (0..self.executors.len()).filter(ready).collect();
-        self.roster.sort_by(|&a, &b| {
-            let (a, b) = (&self.executors[a], &self.executors[b]);
-            a.weight.total_cmp(&b.weight).then(a.hash.cmp(&b.hash))
-        });
+        // Weights are above nothing, where their bits are in the order of their values.
+        self.roster.sort_by_cached_key(|&i| (self.executors[i].weight.to_bits(), self.executors[i].hash));
         // Two or three are two lanes as well.
         let first = (self.roster.len() * 3).div_ceil(4).min(self.roster.len().max(2) - 1);
         for (rank, &i) in self.roster.iter().enumerate() {
@@ -522,7 +520,7 @@
         // not be left to itself, since neither workers nor clients are spread evenly.
         const NEARER: u64 = 3;
         // Before all come the cold ones, or the few that may send to them would leave them idle.
-        self.roster.sort_by_key(|&i| {
+        self.roster.sort_by_cached_key(|&i| {
             let e = &self.executors[i];
             match e.cold_budget(&self.cold, now) {
                 Some(_) => 0,
@@ -572,10 +570,11 @@
     }
 
     /// Those that a work unit may go to: of its lane, in the order in which this node uses them, a few and one
-    /// more for each allocation that is out; or all of both lanes. A node that sends little uses few and so
+    /// more for each allocation that is out; or many of both lanes. A node that sends little uses few and so
     /// hears of them. Guards against picks that go through a large fleet, one unheard of after the other.
     fn candidates(&self, now: Moment, work: &Work, few: bool) -> Vec<Candidate> {
         const FEW: usize = 4; // leaves the weighted pick its choice
+        const MORE: usize = 8; // times as many: one of them has room unless nearly all are full
         let lane = self.cut_offs.iter().filter(|&&cut| work.size > cut).count();
         let one_lane = self.cut_offs.is_empty();
         let kind = self.tariffs[work.tariff].kind;
@@ -602,7 +601,7 @@
         }
         if found.is_empty() {
             // No worker of the lane can take it, or none of the few has room: all that can.
-            found.extend(able());
+            found.extend(able().take(most.saturating_mul(MORE)));
         }
         if let Some(key) = work.key {
             self.keep_home(now, key, &mut found);
