--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -142,11 +142,11 @@
     fn cold_admits(&self, cold: &ColdStart, nodes: u64, now: Moment, mean: f64, charge: f64) -> bool {
         const USED: f64 = 0.75; // of the budget: the rest covers one slower than its kind
         let Some(budget) = self.cold_budget(cold, now).map(|budget| budget * USED) else { return true };
-        let owners = (budget / mean).floor().clamp(1.0, nodes as f64);
+        let owners = ((budget / mean) as u64).clamp(1, nodes);
         let sent = self.cold_sent.iter().filter(|(at, _)| now.since(*at) <= cold.fall_window);
-        (self.distance as f64) < owners
+        self.distance < owners
             && self.flights.len() <= self.answers
-            && sent.map(|(_, charge)| charge).sum::<f64>() + charge <= budget / owners
+            && sent.map(|(_, charge)| charge).sum::<f64>() + charge <= budget / owners as f64
     }
 }
 
@@ -519,11 +519,13 @@
         // Those of the node's own zone come three times as far to the front: crossing costs, yet a zone must
         // not be left to itself, since neither workers nor clients are spread evenly.
         const NEARER: u64 = 3;
-        // Before all come the cold ones, or the few that may send to them would leave them idle.
+        // Before all come the cold ones that this node may warm, or they would idle. A budget that grows to the
+        // full capacity of a few slots is seldom split among more nodes.
+        const WARMERS: u64 = 8;
         self.roster.sort_by_cached_key(|&i| {
             let e = &self.executors[i];
             match e.cold_budget(&self.cold, now) {
-                Some(_) => 0,
+                Some(_) if e.distance < WARMERS => 0,
                 _ if e.zone == self.zone => e.rank / NEARER,
                 _ => e.rank,
             }
