--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -103,11 +103,14 @@
     }
 
     /// Seconds that own allocations wait here for a slot: the age of the oldest that waits now, or what the
-    /// last one to start waited, which counts for less as it ages.
-    fn wait(&self, now: Moment) -> f64 {
+    /// last one to start waited, which counts for less as it ages. `None` where nothing was sent lately.
+    fn wait(&self, now: Moment) -> Option<f64> {
         const HALVES_EVERY_S: f64 = 2.0; // about the run of a few work units, after which a queue is another
-        let past = self.last_wait * 0.5_f64.powf(now.since(self.last_start).as_secs() / HALVES_EVERY_S);
-        self.oldest_wait(now).max(past)
+        const STALE_S: f64 = 6.0; // as a report
+        let age = now.since(self.last_start).as_secs();
+        let past = self.last_wait * 0.5_f64.powf(age / HALVES_EVERY_S);
+        let waits = self.flights.iter().any(|f| f.started.is_none());
+        (waits || age < STALE_S).then(|| self.oldest_wait(now).max(past))
     }
 
     fn oldest_wait(&self, now: Moment) -> f64 {
@@ -120,7 +123,7 @@
     fn has_room(&self, now: Moment, spare: Option<f64>) -> bool {
         const TOLD_WITHIN: f64 = 0.06; // seconds: a start is told within a round trip and a hand-shake
         let waits = match spare {
-            Some(spare) => self.wait(now) > spare.max(TOLD_WITHIN),
+            Some(spare) => self.wait(now).unwrap_or(0.0) > spare.max(TOLD_WITHIN),
             None => self.oldest_wait(now) > TOLD_WITHIN,
         };
         (self.flights.len() as f64) < self.slots && !waits
@@ -180,6 +183,7 @@
     in_lane: bool,
     room: bool,
     load: Option<f64>,
+    wait: Option<f64>,
 }
 
 struct Picked {
@@ -593,7 +597,8 @@
                 && !work.allocations.iter().any(|a| a.open && a.executor.0 == at)
                 && e.cold_admits(&self.cold, self.nodes, now, self.mean, charge);
             let in_lane = one_lane || e.lane == lane;
-            able.then(|| Candidate { at, in_lane, room: e.has_room(now, spare), load: e.load(now) })
+            let (room, wait) = (e.has_room(now, spare), e.wait(now));
+            able.then(|| Candidate { at, in_lane, room, load: e.load(now), wait })
         };
         let able = || self.roster.iter().filter_map(candidate);
         let most = if work.key.is_none() { FEW + self.out } else { usize::MAX };
@@ -605,6 +610,17 @@
             // No worker of the lane can take it, or none of the few has room: all that can.
             found.extend(able().take(most.saturating_mul(MORE)));
         }
+        // One that nothing was sent to lately is taken for as full as the others of its lane that something was
+        // sent to. Guards against a node that sees little taking every executor for free.
+        for in_lane in [true, false] {
+            let waits = found.iter().filter(|c| c.in_lane == in_lane).filter_map(|c| c.wait);
+            let (sum, count) = waits.fold((0.0, 0.0), |(sum, count), wait| (sum + wait, count + 1.0));
+            let mean = if count > 0.0 { sum / count } else { 0.0 };
+            for c in found.iter_mut().filter(|c| c.in_lane == in_lane && c.wait.is_none()) {
+                c.wait = Some(mean);
+                c.room &= mean <= (work.slack(now) * 0.25).max(0.1);
+            }
+        }
         if let Some(key) = work.key {
             self.keep_home(now, key, &mut found);
         }
@@ -629,7 +645,7 @@
         // Keyed work waits where it is sent; other work may yet overflow or move to the shortest wait of
         // all.
         let asked = able.iter().filter(|c| c.room || !any_room || !keyed);
-        let least_wait = asked.map(|c| self.executors[c.at].wait(now)).fold(f64::INFINITY, f64::min);
+        let least_wait = asked.filter_map(|c| c.wait).fold(f64::INFINITY, f64::min);
         // What a cold one may take it gets first: the few nodes that may send to it see little, and left to
         // chance it would idle while the others are full.
         let warms = |c: &Candidate| {
@@ -655,7 +671,7 @@
         });
         let chosen = able.get(picked.unwrap_or(able.len().saturating_sub(1)))?;
         // With no room anywhere it waits where it goes: the least wait of all would promise too much.
-        let wait = if any_room { least_wait } else { self.executors[chosen.at].wait(now) };
+        let wait = if any_room { least_wait } else { chosen.wait.unwrap_or(0.0) };
         Some(Picked { executor: ExecutorId(chosen.at), any_room, wait })
     }
 
