--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -646,7 +646,14 @@
         // all.
         let asked = able.iter().filter(|c| c.room || !any_room || !keyed);
         let least_wait = asked.filter_map(|c| c.wait).fold(f64::INFINITY, f64::min);
-        if able.iter().any(|c| c.in_lane && c.room) {
+        // What a cold one may take it gets first: the few nodes that may send to it see little, and left to
+        // chance it would idle while the others are full.
+        let warms = |c: &Candidate| {
+            c.in_lane && c.room && self.executors[c.at].cold_budget(&self.cold, now).is_some()
+        };
+        if able.iter().any(warms) {
+            able.retain(warms);
+        } else if able.iter().any(|c| c.in_lane && c.room) {
             able.retain(|c| c.in_lane && c.room);
         } else if any_room {
             able.retain(|c| c.room);
