--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -372,7 +372,7 @@
                 e.cold_sent.clear();
             }
         }
-        self.form_lanes(now);
+        self.form_lanes();
         self.serve_held(now);
     }
 
@@ -510,7 +510,7 @@
     /// lanes, the same at every node. Long work earns by its size and is late on a slow worker however
     /// idle: it gets the heaviest quarter. Short work bears most fetches and hand-shakes, which no size
     /// shows.
-    fn form_lanes(&mut self, now: Moment) {
+    fn form_lanes(&mut self) {
         let ready = |i: &usize| self.executors[*i].standing == Standing::Ready;
         self.roster = (0..self.executors.len()).filter(ready).collect();
         // Weights are above nothing, where their bits are in the order of their values.
@@ -523,16 +523,9 @@
         // Those of the node's own zone come three times as far to the front: crossing costs, yet a zone must
         // not be left to itself, since neither workers nor clients are spread evenly.
         const NEARER: u64 = 3;
-        // Before all come the cold ones that this node may warm, or they would idle. A budget that grows to the
-        // full capacity of a few slots is seldom split among more nodes.
-        const WARMERS: u64 = 8;
         self.roster.sort_by_cached_key(|&i| {
             let e = &self.executors[i];
-            match e.cold_budget(&self.cold, now) {
-                Some(_) if e.distance < WARMERS => 0,
-                _ if e.zone == self.zone => e.rank / NEARER,
-                _ => e.rank,
-            }
+            if e.zone == self.zone { e.rank / NEARER } else { e.rank }
         });
     }
 
@@ -622,7 +615,7 @@
             }
         }
         if let Some(key) = work.key {
-            self.keep_home(now, key, &mut found);
+            self.keep_home(key, &mut found);
         }
         // One that failed this unit is not asked again while another is there: a crash looks idle at once.
         let tried = |c: &Candidate| work.allocations.iter().any(|a| a.executor.0 == c.at);
@@ -646,14 +639,7 @@
         // all.
         let asked = able.iter().filter(|c| c.room || !any_room || !keyed);
         let least_wait = asked.filter_map(|c| c.wait).fold(f64::INFINITY, f64::min);
-        // What a cold one may take it gets first: the few nodes that may send to it see little, and left to
-        // chance it would idle while the others are full.
-        let warms = |c: &Candidate| {
-            c.in_lane && c.room && self.executors[c.at].cold_budget(&self.cold, now).is_some()
-        };
-        if able.iter().any(warms) {
-            able.retain(warms);
-        } else if able.iter().any(|c| c.in_lane && c.room) {
+        if able.iter().any(|c| c.in_lane && c.room) {
             able.retain(|c| c.in_lane && c.room);
         } else if any_room {
             able.retain(|c| c.room);
@@ -691,22 +677,19 @@
     /// Lane forming for work that needs a program or data set: inside the lane, the fixed hash of key and
     /// id ranks the workers, the same at every node, and the first are the key's homes. Guards against
     /// every worker fetching everything from the one shared store, until all slots are held by fetches.
-    fn keep_home(&self, now: Moment, key: u64, able: &mut Vec<Candidate>) {
+    fn keep_home(&self, key: u64, able: &mut Vec<Candidate>) {
         // Leaves the weighted pick its choice, and one worker lost does not lose the key.
         const HOMES: usize = 3;
         if able.iter().any(|c| c.in_lane) {
             able.retain(|c| c.in_lane);
         }
-        // One that may take something while cold is a home of every key: at a node that sees little, too few
-        // units would name its own.
-        let cold = |c: &Candidate| self.executors[c.at].cold_budget(&self.cold, now).is_some();
         // The more often a key is named the more homes it has: twice its part of the work, in workers, so that
         // it fills half of each. Guards against three full homes of a common key while the others idle.
         const SPREAD: f64 = 2.0;
         let again = self.named.get(&key).map_or(0, |n| n - 1) as f64; // once named, it may be rare
         let part = again / self.sample.len().max(1) as f64 * able.len() as f64;
-        let homes = HOMES.max((part * SPREAD) as usize) + able.iter().filter(|c| cold(c)).count();
-        able.sort_by_key(|c| (!cold(c), Reverse(mixed(self.executors[c.at].hash ^ key))));
+        let homes = HOMES.max((part * SPREAD) as usize);
+        able.sort_by_key(|c| Reverse(mixed(self.executors[c.at].hash ^ key)));
         able.truncate(homes);
     }
 
