--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -372,7 +372,7 @@
                 e.cold_sent.clear();
             }
         }
-        self.form_lanes();
+        self.form_lanes(now);
         self.serve_held(now);
     }
 
@@ -510,7 +510,7 @@
     /// lanes, the same at every node. Long work earns by its size and is late on a slow worker however
     /// idle: it gets the heaviest quarter. Short work bears most fetches and hand-shakes, which no size
     /// shows.
-    fn form_lanes(&mut self) {
+    fn form_lanes(&mut self, now: Moment) {
         let ready = |i: &usize| self.executors[*i].standing == Standing::Ready;
         self.roster = (0..self.executors.len()).filter(ready).collect();
         // Weights are above nothing, where their bits are in the order of their values.
@@ -523,9 +523,16 @@
         // Those of the node's own zone come three times as far to the front: crossing costs, yet a zone must
         // not be left to itself, since neither workers nor clients are spread evenly.
         const NEARER: u64 = 3;
+        // Before all come the cold ones that this node may warm, or they would idle. A budget that grows to the
+        // full capacity of a few slots is seldom split among more nodes.
+        const WARMERS: u64 = 8;
         self.roster.sort_by_cached_key(|&i| {
             let e = &self.executors[i];
-            if e.zone == self.zone { e.rank / NEARER } else { e.rank }
+            match e.cold_budget(&self.cold, now) {
+                Some(_) if e.distance < WARMERS => 0,
+                _ if e.zone == self.zone => e.rank / NEARER,
+                _ => e.rank,
+            }
         });
     }
 
