--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -118,6 +118,17 @@
         waiting.map(|f| now.since(f.sent).as_secs()).fold(0.0, f64::max)
     }
 
+    /// Whether there is room here for a work unit that can `spare` some seconds. Only own evidence
+    /// counts: late reports would send all nodes onto the few that look free.
+    fn has_room(&self, now: Moment, spare: Option<f64>) -> bool {
+        const TOLD_WITHIN: f64 = 0.06; // seconds: a start is told within a round trip and a hand-shake
+        let waits = match spare {
+            Some(spare) => self.wait(now).unwrap_or(0.0) > spare.max(TOLD_WITHIN),
+            None => self.oldest_wait(now) > TOLD_WITHIN,
+        };
+        (self.flights.len() as f64) < self.slots && !waits
+    }
+
     /// The work that all nodes together may send here within a window, while it is cold: its capacity is at
     /// least the cold share and grows at least evenly.
     fn cold_budget(&self, cold: &ColdStart, now: Moment) -> Option<f64> {
@@ -187,11 +198,11 @@
         (self.arrived + self.quoted).since(now).as_secs() - self.size
     }
 
-    /// Seconds that it may wait where it is sent.
-    fn spare(&self, now: Moment) -> f64 {
+    /// Keyed work waits a little at its home rather than fetch elsewhere; other work waits nowhere by
+    /// choice.
+    fn spare(&self, now: Moment) -> Option<f64> {
         const PART: f64 = 0.25; // of the slack: the estimate is of the past, and the queue may grow
-        const TOLD_WITHIN: f64 = 0.1; // seconds: a start is told within a few round trips and a hand-shake
-        (self.slack(now) * PART).max(TOLD_WITHIN)
+        self.key.map(|_| self.slack(now) * PART)
     }
 }
 
@@ -586,8 +597,8 @@
                 && !work.allocations.iter().any(|a| a.open && a.executor.0 == at)
                 && e.cold_admits(&self.cold, self.nodes, now, self.mean, charge);
             let in_lane = one_lane || e.lane == lane;
-            let room = (e.flights.len() as f64) < e.slots;
-            able.then(|| Candidate { at, in_lane, room, load: e.load(now), wait: e.wait(now) })
+            let (room, wait) = (e.has_room(now, spare), e.wait(now));
+            able.then(|| Candidate { at, in_lane, room, load: e.load(now), wait })
         };
         let able = || self.roster.iter().filter_map(candidate);
         let most = if work.key.is_none() { FEW + self.out } else { usize::MAX };
@@ -605,8 +616,9 @@
             let waits = found.iter().filter(|c| c.in_lane == in_lane).filter_map(|c| c.wait);
             let (sum, count) = waits.fold((0.0, 0.0), |(sum, count), wait| (sum + wait, count + 1.0));
             let mean = if count > 0.0 { sum / count } else { 0.0 };
-            for c in found.iter_mut().filter(|c| c.in_lane == in_lane) {
-                c.room &= *c.wait.get_or_insert(mean) <= spare;
+            for c in found.iter_mut().filter(|c| c.in_lane == in_lane && c.wait.is_none()) {
+                c.wait = Some(mean);
+                c.room &= mean <= (work.slack(now) * 0.5).max(0.1);
             }
         }
         if let Some(key) = work.key {
@@ -779,7 +791,7 @@
             .is_some_and(|pace| flight.started.is_some() && now.since(flight.heard).0 > pace.0 * 5 / 2);
         // A recalled one may run on: where no second copy is allowed, a move would be just that.
         let waits = flight.started.is_none()
-            && now.since(flight.sent).as_secs() > work.spare(now)
+            && now.since(flight.sent).as_secs() > work.spare(now).unwrap_or(0.0)
             && self.allowance.second_copies;
         let lost = waits && work.slack(now) < 0.0;
         if silent {
