--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -108,25 +108,22 @@
         const HALVES_EVERY_S: f64 = 2.0; // about the run of a few work units, after which a queue is another
         const STALE_S: f64 = 6.0; // as a report
         let age = now.since(self.last_start).as_secs();
-        let past = self.last_wait * 0.5_f64.powf(age / HALVES_EVERY_S);
-        let waits = self.flights.iter().any(|f| f.started.is_none());
-        (waits || age < STALE_S).then(|| self.oldest_wait(now).max(past))
+        let past = (age < STALE_S).then(|| self.last_wait * 0.5_f64.powf(age / HALVES_EVERY_S));
+        past.into_iter().chain(self.oldest_wait(now)).reduce(f64::max)
     }
 
-    fn oldest_wait(&self, now: Moment) -> f64 {
+    fn oldest_wait(&self, now: Moment) -> Option<f64> {
         let waiting = self.flights.iter().filter(|f| f.started.is_none());
-        waiting.map(|f| now.since(f.sent).as_secs()).fold(0.0, f64::max)
+        waiting.map(|f| now.since(f.sent).as_secs()).reduce(f64::max)
     }
 
-    /// Whether there is room here for a work unit that can `spare` some seconds. Only own evidence
-    /// counts: late reports would send all nodes onto the few that look free.
+    /// Whether own evidence leaves room here for one more; what names a key may wait and has some to `spare`.
+    /// Late reports do not count: they would send all nodes onto the few that look free.
     fn has_room(&self, now: Moment, spare: Option<f64>) -> bool {
         const TOLD_WITHIN: f64 = 0.06; // seconds: a start is told within a round trip and a hand-shake
-        let waits = match spare {
-            Some(spare) => self.wait(now).unwrap_or(0.0) > spare.max(TOLD_WITHIN),
-            None => self.oldest_wait(now) > TOLD_WITHIN,
-        };
-        (self.flights.len() as f64) < self.slots && !waits
+        let wait = if spare.is_some() { self.wait(now) } else { self.oldest_wait(now) };
+        (self.flights.len() as f64) < self.slots
+            && wait.is_none_or(|wait| wait <= spare.unwrap_or(0.0).max(TOLD_WITHIN))
     }
 
     /// The work that all nodes together may send here within a window, while it is cold: its capacity is at
@@ -198,11 +195,10 @@
         (self.arrived + self.quoted).since(now).as_secs() - self.size
     }
 
-    /// Keyed work waits a little at its home rather than fetch elsewhere; other work waits nowhere by
-    /// choice.
-    fn spare(&self, now: Moment) -> Option<f64> {
+    /// Seconds that it may wait where it is sent without being late.
+    fn spare(&self, now: Moment) -> f64 {
         const PART: f64 = 0.25; // of the slack: the estimate is of the past, and the queue may grow
-        self.key.map(|_| self.slack(now) * PART)
+        self.slack(now) * PART
     }
 }
 
@@ -223,11 +219,9 @@
         let leaked = now.since(self.at).as_secs() * self.per_s;
         self.level = (self.level - leaked).max(0.0);
         self.at = now;
-        if self.level + 1.0 > (self.per_s * BURST_S).max(TOO_FEW) {
-            return true;
-        }
-        self.level += 1.0;
-        false
+        let beyond = self.level + 1.0 > (self.per_s * BURST_S).max(TOO_FEW);
+        self.level += f64::from(u8::from(!beyond));
+        beyond
     }
 }
 
@@ -271,18 +265,8 @@
             nodes: nodes.max(1),
             zone: 0,
             tariffs,
-            allowance: Allowance {
-                most_allocations: 1,
-                second_copies: false,
-                recalls: false,
-                longest_come_back: None,
-            },
-            cold: ColdStart {
-                share: 0.0,
-                warm_within: Span(0),
-                fall_factor: 1.0,
-                fall_window: Span::millis(1000),
-            },
+            allowance: Allowance::default(),
+            cold: ColdStart::default(),
             asks_list: false,
             may_probe: false,
             tells_start: false,
@@ -562,15 +546,15 @@
             self.cut_offs.extend(cut);
         }
         // What an executor can do when warm: the mean pace and the most slots seen of its kind.
-        let mut kinds: BTreeMap<usize, (f64, f64, f64)> = BTreeMap::new();
+        let mut kinds: BTreeMap<usize, (Vec<f64>, f64)> = BTreeMap::new();
         for e in self.ready().filter(|e| e.speed > 0.0) {
-            let (speeds, count, slots) = kinds.entry(e.kind).or_default();
-            (*speeds, *count, *slots) =
-                (*speeds + e.speed, *count + 1.0, slots.max(e.slots).max(e.most_free));
+            let (speeds, slots) = kinds.entry(e.kind).or_default();
+            speeds.push(e.speed);
+            *slots = slots.max(e.slots).max(e.most_free);
         }
         for e in &mut self.executors {
-            if let Some((speeds, count, slots)) = kinds.get(&e.kind) {
-                e.capacity = speeds / count * slots;
+            if let Some((speeds, slots)) = kinds.get(&e.kind) {
+                e.capacity = speeds.iter().sum::<f64>() / speeds.len() as f64 * slots;
             }
         }
     }
@@ -597,8 +581,13 @@
                 && !work.allocations.iter().any(|a| a.open && a.executor.0 == at)
                 && e.cold_admits(&self.cold, self.nodes, now, self.mean, charge);
             let in_lane = one_lane || e.lane == lane;
-            let (room, wait) = (e.has_room(now, spare), e.wait(now));
-            able.then(|| Candidate { at, in_lane, room, load: e.load(now), wait })
+            able.then(|| Candidate {
+                at,
+                in_lane,
+                room: e.has_room(now, work.key.map(|_| spare)),
+                load: e.load(now),
+                wait: e.wait(now),
+            })
         };
         let able = || self.roster.iter().filter_map(candidate);
         let most = if work.key.is_none() { FEW + self.out } else { usize::MAX };
@@ -613,12 +602,11 @@
         // One that nothing was sent to lately is taken for as full as the others of its lane that something was
         // sent to. Guards against a node that sees little taking every executor for free.
         for in_lane in [true, false] {
-            let waits = found.iter().filter(|c| c.in_lane == in_lane).filter_map(|c| c.wait);
-            let (sum, count) = waits.fold((0.0, 0.0), |(sum, count), wait| (sum + wait, count + 1.0));
-            let mean = if count > 0.0 { sum / count } else { 0.0 };
+            let waits: Vec<f64> =
+                found.iter().filter(|c| c.in_lane == in_lane).filter_map(|c| c.wait).collect();
+            let mean = waits.iter().sum::<f64>() / waits.len().max(1) as f64;
             for c in found.iter_mut().filter(|c| c.in_lane == in_lane && c.wait.is_none()) {
-                c.wait = Some(mean);
-                c.room &= mean <= (work.slack(now) * 0.5).max(0.1);
+                (c.wait, c.room) = (Some(mean), c.room && mean <= spare.max(0.1));
             }
         }
         if let Some(key) = work.key {
@@ -791,7 +779,7 @@
             .is_some_and(|pace| flight.started.is_some() && now.since(flight.heard).0 > pace.0 * 5 / 2);
         // A recalled one may run on: where no second copy is allowed, a move would be just that.
         let waits = flight.started.is_none()
-            && now.since(flight.sent).as_secs() > work.spare(now).unwrap_or(0.0)
+            && now.since(flight.sent).as_secs() > work.key.map_or(0.0, |_| work.spare(now))
             && self.allowance.second_copies;
         let lost = waits && work.slack(now) < 0.0;
         if silent {
--- a/crates/dispatch/src/tariffs.rs
+++ b/crates/dispatch/src/tariffs.rs
@@ -91,7 +91,7 @@
 }
 
 /// How often and in what way a work unit may be allocated.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct Allowance {
     pub most_allocations: usize,
     pub second_copies: bool,
@@ -101,7 +101,7 @@
 }
 
 /// What is promised of an executor that has just started.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct ColdStart {
     pub share: f64,
     pub warm_within: Span,
