--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -16,11 +16,10 @@
 //!   6. corrected utilisation and overflow from a jammed lane    `Executor::load`, `pick`
 
 use crate::host::Host;
-use crate::ids::{AllocationId, ExecutorId, UnitId};
-use crate::tariffs::{
-    Allowance, Arrival, ColdStart, Effect, Ending, Group, Listing, Report, Standing, Tariff,
-};
+use crate::ids::{AllocationId, ExecutorId, UnitId, fixed_hash, mixed};
+use crate::tariffs::{Allowance, Arrival, ColdStart, Effect, Ending, Listing, Report, Standing, Tariff};
 use crate::time::{Moment, Span};
+use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg32;
 use std::cmp::Reverse;
@@ -577,7 +576,9 @@
             let e = &self.executors[at];
             let able = now >= e.aside_until
                 && kind.is_none_or(|kind| kind == e.kind)
-                && in_group(ran, effect, now, e.zone, e.cell)
+                && ran.is_none_or(|(sent, zone, cell)| {
+                    effect.repeats(now, sent, zone == e.zone, cell == e.cell)
+                })
                 && !work.allocations.iter().any(|a| a.open && a.executor.0 == at)
                 && e.cold_admits(&self.cold, self.nodes, now, self.mean, charge);
             let in_lane = one_lane || e.lane == lane;
@@ -602,9 +603,11 @@
         // One that nothing was sent to lately is taken for as full as the others of its lane that something was
         // sent to. Guards against a node that sees little taking every executor for free.
         for in_lane in [true, false] {
-            let waits: Vec<f64> =
+            let mut waits: Vec<f64> =
                 found.iter().filter(|c| c.in_lane == in_lane).filter_map(|c| c.wait).collect();
-            let mean = waits.iter().sum::<f64>() / waits.len().max(1) as f64;
+            waits.push(0.0);
+            waits.sort_by(f64::total_cmp);
+            let mean = waits[(waits.len() - 1) / 2];
             for c in found.iter_mut().filter(|c| c.in_lane == in_lane && c.wait.is_none()) {
                 (c.wait, c.room) = (Some(mean), c.room && mean <= spare.max(0.1));
             }
@@ -634,23 +637,13 @@
         // all.
         let asked = able.iter().filter(|c| c.room || !any_room || !keyed);
         let least_wait = asked.filter_map(|c| c.wait).fold(f64::INFINITY, f64::min);
-        if able.iter().any(|c| c.in_lane && c.room) {
-            able.retain(|c| c.in_lane && c.room);
-        } else if any_room {
-            able.retain(|c| c.room);
-        } else if able.iter().any(|c| c.in_lane) {
-            able.retain(|c| c.in_lane);
-        }
+        // Those with room before the others, and among them those of the lane.
+        let best = able.iter().map(|c| (c.room, c.in_lane)).max();
+        able.retain(|c| Some((c.room, c.in_lane)) == best);
         let weight = |load: f64| if load < 1.0 { (1.0 - load).max(FLOOR) } else { FLOOR / load };
         let known: Vec<f64> = able.iter().filter_map(|c| c.load.map(weight)).collect();
         let mean = if known.is_empty() { 1.0 } else { known.iter().sum::<f64>() / known.len() as f64 };
-        let weights: Vec<f64> = able.iter().map(|c| c.load.map_or(mean, weight)).collect();
-        let mut point = self.chance.random::<f64>() * weights.iter().sum::<f64>();
-        let picked = weights.iter().position(|w| {
-            point -= w;
-            point < 0.0
-        });
-        let chosen = able.get(picked.unwrap_or(able.len().saturating_sub(1)))?;
+        let chosen = able.choose_weighted(&mut self.chance, |c| c.load.map_or(mean, weight)).ok()?;
         // With no room anywhere it waits where it goes: the least wait of all would promise too much.
         let wait = if any_room { least_wait } else { chosen.wait.unwrap_or(0.0) };
         Some(Picked { executor: ExecutorId(chosen.at), any_room, wait })
@@ -844,11 +837,7 @@
         const COME_BACK: Span = Span::millis(500);
         let Some(work) = self.work.get(&unit) else { return };
         let ran = work.allocations.iter().any(|a| a.may_have_run);
-        let harmless = match self.tariffs[work.tariff].effect {
-            Effect::Retriable => true,
-            Effect::Fingerprinted { group, .. } => !ran || group == Group::All,
-            Effect::Binding => !ran,
-        };
+        let harmless = !ran || self.tariffs[work.tariff].effect.harmless();
         let come_back = self.allowance.longest_come_back.map(|longest| longest.min(COME_BACK));
         self.finish(unit);
         if harmless {
@@ -954,28 +943,6 @@
     }
 }
 
-/// Whether an executor here may get a work unit whose first allocation that may have run was sent at that
-/// time into that zone and cell: a fingerprinted one only inside the group that drops its repeats, where
-/// all later ones are too, and while the first is still remembered.
-fn in_group(
-    ran: Option<(Moment, usize, usize)>,
-    effect: Effect,
-    now: Moment,
-    zone: usize,
-    cell: usize,
-) -> bool {
-    let (Effect::Fingerprinted { group, memory_span }, Some((sent, ran_zone, ran_cell))) = (effect, ran)
-    else {
-        return true;
-    };
-    let inside = match group {
-        Group::All => true,
-        Group::Zone => ran_zone == zone,
-        Group::Cell => ran_cell == cell,
-    };
-    inside && now < sent + memory_span
-}
-
 fn take_report(e: &mut Executor, now: Moment, report: Report) {
     if let Some(utilisation) = report.utilisation.filter(|u| u.is_finite()) {
         e.utilisation = utilisation.clamp(0.0, 1.0);
@@ -993,16 +960,3 @@
 fn charge(size: f64, mean: f64) -> f64 {
     size.clamp(mean, 2.0 * mean)
 }
-
-/// FNV-1a over the id: fixed, so that every node and every version forms the same lanes.
-fn fixed_hash(name: &str) -> u64 {
-    name.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3))
-}
-
-/// Spreads the bits of a key and an id taken together, so that each key ranks the executors in its own
-/// order.
-fn mixed(bits: u64) -> u64 {
-    let bits = (bits ^ (bits >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    let bits = (bits ^ (bits >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    bits ^ (bits >> 31)
-}
--- a/crates/dispatch/src/tariffs.rs
+++ b/crates/dispatch/src/tariffs.rs
@@ -19,6 +19,30 @@
     Binding,
 }
 
+impl Effect {
+    /// Whether one that may have run since it was `sent` may be sent again now, into the zone and cell of that
+    /// time or not: a fingerprinted one only inside the group that drops its repeats, while it is remembered.
+    pub fn repeats(self, now: Moment, sent: Moment, same_zone: bool, same_cell: bool) -> bool {
+        match self {
+            Effect::Retriable => true,
+            Effect::Binding => false,
+            Effect::Fingerprinted { group, memory_span } => {
+                let inside = match group {
+                    Group::All => true,
+                    Group::Zone => same_zone,
+                    Group::Cell => same_cell,
+                };
+                inside && now < sent + memory_span
+            }
+        }
+    }
+
+    /// Whether the client may try one again that may have run.
+    pub fn harmless(self) -> bool {
+        matches!(self, Effect::Retriable | Effect::Fingerprinted { group: Group::All, .. })
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 pub struct Tariff {
     pub effect: Effect,
