--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -602,12 +602,11 @@
         }
         // One that nothing was sent to lately is taken for as full as the others of its lane that something was
         // sent to. Guards against a node that sees little taking every executor for free.
+        const SILENT_S: f64 = 6.0; // a longer wait may be that of an executor lost, which tells nothing of others
         for in_lane in [true, false] {
-            let mut waits: Vec<f64> =
-                found.iter().filter(|c| c.in_lane == in_lane).filter_map(|c| c.wait).collect();
-            waits.push(0.0);
-            waits.sort_by(f64::total_cmp);
-            let mean = waits[(waits.len() - 1) / 2];
+            let known = found.iter().filter(|c| c.in_lane == in_lane).filter_map(|c| c.wait);
+            let waits: Vec<f64> = known.filter(|&wait| wait < SILENT_S).collect();
+            let mean = waits.iter().sum::<f64>() / waits.len().max(1) as f64;
             for c in found.iter_mut().filter(|c| c.in_lane == in_lane && c.wait.is_none()) {
                 (c.wait, c.room) = (Some(mean), c.room && mean <= spare.max(0.1));
             }
