--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -1,8 +1,8 @@
 //! The decisions of grebeusher: which executor gets a work unit, and what becomes of it.
 //!
 //! A caller builds one [`Dispatcher`] a node, hands it a [`Host`] to act through, tells it what is promised
-//! (`allowing`, `cold_starts`, `noticing`, `customers`), calls `start`, and then one method for
-//! each thing that happens, with the time at which it happened. Nothing else drives it: no clock, no I/O.
+//! (`allowing`, `cold_starts`, `noticing`, `customers`, `standing_in`), calls `start`, and then one method
+//! for each thing that happens, with the time at which it happened. Nothing else drives it: no clock, no I/O.
 //! The interface is set down in `host.rs` (what it asks), and in `tariffs.rs`, `ids.rs` and `time.rs`.
 //!
 //! The design (SITA-E, `docs/design.md`): the size of a work unit picks a lane by cut-offs that equalise the
@@ -10,10 +10,10 @@
 //! Beside it stand six mechanisms:
 //!   1. following the list           `listed`, `list_broken`
 //!   2. setting aside                `set_aside`
-//!   3. cold caps                    `Executor::cold_admits`
+//!   3. cold budgets                 `Executor::cold_admits`
 //!   4. further allocations          `review`, `renew`
 //!   5. turn-backs with fairness     `hopeless`, `Allotment`
-//!   6. corrected utilisation and overflow from a jammed lane    `Executor::load`, `pick`
+//!   6. own evidence: corrected utilisation, room, overflow    `Executor::load`, `has_room`, `candidates`
 
 use crate::host::Host;
 use crate::ids::{AllocationId, ExecutorId, UnitId, fixed_hash, mixed};
@@ -64,8 +64,8 @@
     distance: u64,
     probing: bool,
     asked: Moment,
-    /// Slots that own work has filled at once, and the most that were reported free: a report is noisy and of a
-    /// while ago, so that room goes by the first, and what all nodes together may send by both.
+    /// Slots that own work has filled at once, and the most that were reported free: a report is noisy and
+    /// of a while ago, so room goes by the first, and what all nodes together may send by both.
     slots: f64,
     most_free: f64,
     flights: Vec<Flight>,
@@ -506,8 +506,8 @@
         // Those of the node's own zone come three times as far to the front: crossing costs, yet a zone must
         // not be left to itself, since neither workers nor clients are spread evenly.
         const NEARER: u64 = 3;
-        // Before all come the cold ones that this node may warm, or they would idle. A budget that grows to the
-        // full capacity of a few slots is seldom split among more nodes.
+        // Before all come the cold ones that this node may warm, or they would idle. A budget that grows to
+        // the full capacity of a few slots is seldom split among more nodes.
         const WARMERS: u64 = 8;
         self.roster.sort_by_cached_key(|&i| {
             let e = &self.executors[i];
@@ -558,18 +558,15 @@
         }
     }
 
-    /// Those that a work unit may go to: of its lane, in the order in which this node uses them, a few and one
-    /// more for each allocation that is out; or many of both lanes. A node that sends little uses few and so
-    /// hears of them. Guards against picks that go through a large fleet, one unheard of after the other.
+    /// Those that a work unit may go to: of its lane, in the order in which this node uses them, a few and
+    /// one more for each allocation that is out; or many of both lanes. A node that sends little uses few
+    /// and so hears of them. Guards against picks all through a large fleet, one unheard of after the other.
     fn candidates(&self, now: Moment, work: &Work, few: bool) -> Vec<Candidate> {
         const FEW: usize = 4; // leaves the weighted pick its choice
         const MORE: usize = 8; // times as many: one of them has room unless nearly all are full
         let lane = self.cut_offs.iter().filter(|&&cut| work.size > cut).count();
-        let one_lane = self.cut_offs.is_empty();
-        let kind = self.tariffs[work.tariff].kind;
-        let effect = self.tariffs[work.tariff].effect;
-        let charge = charge(work.size, self.mean);
-        let spare = work.spare(now);
+        let Tariff { kind, effect, .. } = self.tariffs[work.tariff];
+        let (charge, spare) = (charge(work.size, self.mean), work.spare(now));
         let ran = work.allocations.iter().find(|a| a.may_have_run);
         let ran = ran.map(|a| (a.sent, self.executors[a.executor.0].zone, self.executors[a.executor.0].cell));
         let candidate = |&at: &usize| {
@@ -581,7 +578,7 @@
                 })
                 && !work.allocations.iter().any(|a| a.open && a.executor.0 == at)
                 && e.cold_admits(&self.cold, self.nodes, now, self.mean, charge);
-            let in_lane = one_lane || e.lane == lane;
+            let in_lane = self.cut_offs.is_empty() || e.lane == lane;
             able.then(|| Candidate {
                 at,
                 in_lane,
@@ -592,21 +589,20 @@
         };
         let able = || self.roster.iter().filter_map(candidate);
         let most = if work.key.is_none() { FEW + self.out } else { usize::MAX };
-        let mut found: Vec<Candidate> = Vec::new();
-        if few {
-            found.extend(able().filter(|c| c.in_lane).take(most));
-        }
+        let in_lane = able().filter(|c| few && c.in_lane);
+        let mut found: Vec<Candidate> = in_lane.take(most).collect();
         if found.is_empty() {
             // No worker of the lane can take it, or none of the few has room: all that can.
             found.extend(able().take(most.saturating_mul(MORE)));
         }
-        // One that nothing was sent to lately is taken for as full as the others of its lane that something was
-        // sent to. Guards against a node that sees little taking every executor for free.
-        const SILENT_S: f64 = 6.0; // a longer wait may be that of an executor lost, which tells nothing of others
+        // One that nothing was sent to lately is taken for as full as those of its lane that something was
+        // sent to. Guards against a node that sees little taking every executor for free. A longer wait may
+        // be that of an executor lost, and one alone may be slow: they tell nothing of others.
+        const SILENT_S: f64 = 6.0;
         for in_lane in [true, false] {
             let known = found.iter().filter(|c| c.in_lane == in_lane).filter_map(|c| c.wait);
             let waits: Vec<f64> = known.filter(|&wait| wait < SILENT_S).collect();
-            let mean = waits.iter().sum::<f64>() / waits.len().max(1) as f64;
+            let mean = if waits.len() > 1 { waits.iter().sum::<f64>() / waits.len() as f64 } else { 0.0 };
             for c in found.iter_mut().filter(|c| c.in_lane == in_lane && c.wait.is_none()) {
                 (c.wait, c.room) = (Some(mean), c.room && mean <= spare.max(0.1));
             }
@@ -670,8 +666,8 @@
         if able.iter().any(|c| c.in_lane) {
             able.retain(|c| c.in_lane);
         }
-        // The more often a key is named the more homes it has: twice its part of the work, in workers, so that
-        // it fills half of each. Guards against three full homes of a common key while the others idle.
+        // The more often a key is named the more homes it has: twice its part of the work, in workers, so
+        // that it fills half of each. Guards against full homes of a common key while the others idle.
         const SPREAD: f64 = 2.0;
         let again = self.named.get(&key).map_or(0, |n| n - 1) as f64; // once named, it may be rare
         let part = again / self.sample.len().max(1) as f64 * able.len() as f64;
--- a/crates/dispatch/src/tariffs.rs
+++ b/crates/dispatch/src/tariffs.rs
@@ -20,8 +20,8 @@
 }
 
 impl Effect {
-    /// Whether one that may have run since it was `sent` may be sent again now, into the zone and cell of that
-    /// time or not: a fingerprinted one only inside the group that drops its repeats, while it is remembered.
+    /// Whether one that may have run since it was `sent` may be sent again now, into the same zone and cell
+    /// or not: a fingerprinted one only inside the group that drops its repeats, while it is remembered.
     pub fn repeats(self, now: Moment, sent: Moment, same_zone: bool, same_cell: bool) -> bool {
         match self {
             Effect::Retriable => true,
