--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -140,11 +140,12 @@
     /// pushing it over.
     fn cold_admits(&self, cold: &ColdStart, nodes: u64, now: Moment, mean: f64, charge: f64) -> bool {
         const USED: f64 = 0.75; // of the budget: the rest covers one slower than its kind
+        const FIRST: usize = 3; // in flight before any answer: a long one must not keep all others out
         let Some(budget) = self.cold_budget(cold, now).map(|budget| budget * USED) else { return true };
         let owners = ((budget / mean) as u64).clamp(1, nodes);
         let sent = self.cold_sent.iter().filter(|(at, _)| now.since(*at) <= cold.fall_window);
         self.distance < owners
-            && self.flights.len() <= self.answers
+            && self.flights.len() < FIRST + self.answers
             && sent.map(|(_, charge)| charge).sum::<f64>() + charge <= budget / owners as f64
     }
 }
@@ -608,7 +609,7 @@
             }
         }
         if let Some(key) = work.key {
-            self.keep_home(key, &mut found);
+            self.keep_home(now, key, &mut found);
         }
         // One that failed this unit is not asked again while another is there: a crash looks idle at once.
         let tried = |c: &Candidate| work.allocations.iter().any(|a| a.executor.0 == c.at);
@@ -660,7 +661,7 @@
     /// Lane forming for work that needs a program or data set: inside the lane, the fixed hash of key and
     /// id ranks the workers, the same at every node, and the first are the key's homes. Guards against
     /// every worker fetching everything from the one shared store, until all slots are held by fetches.
-    fn keep_home(&self, key: u64, able: &mut Vec<Candidate>) {
+    fn keep_home(&self, now: Moment, key: u64, able: &mut Vec<Candidate>) {
         // Leaves the weighted pick its choice, and one worker lost does not lose the key.
         const HOMES: usize = 3;
         if able.iter().any(|c| c.in_lane) {
@@ -672,7 +673,9 @@
         let again = self.named.get(&key).map_or(0, |n| n - 1) as f64; // once named, it may be rare
         let part = again / self.sample.len().max(1) as f64 * able.len() as f64;
         let homes = HOMES.max((part * SPREAD) as usize);
-        able.sort_by_key(|c| Reverse(mixed(self.executors[c.at].hash ^ key)));
+        let cold = |c: &Candidate| self.executors[c.at].cold_budget(&self.cold, now).is_some();
+        able.sort_by_key(|c| (!cold(c), Reverse(mixed(self.executors[c.at].hash ^ key))));
+        let homes = homes + able.iter().filter(|c| cold(c)).count();
         able.truncate(homes);
     }
 
