--- a/crates/benchlink/src/facts.rs
+++ b/crates/benchlink/src/facts.rs
@@ -41,6 +41,7 @@
                 effect,
                 quoted_time: span(&tariff["quoted_time_ns"]),
                 stretch: stretch.unwrap_or(0.0),
+                patience: span(&tariff["patience_ns"]),
                 earnings: tariff["earnings"].as_f64().unwrap_or(1.0),
                 kind: family["class_kind"][at].as_u64().map(|kind| kind as usize),
             })
--- a/crates/benchlink/src/main.rs
+++ b/crates/benchlink/src/main.rs
@@ -159,6 +159,7 @@
                     tariff: line.class,
                     customer: line.customer,
                     patience_ends: Moment(line.not_after_ns),
+                    repeat: line.bits & 2 > 0,
                     key,
                     hint: Some(Span(line.effort_ns as u64)).filter(|_| line.bits & 1 != 0),
                     slots: line.slots.unwrap_or(1.0),
--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -162,7 +162,7 @@
 /// A work unit that still owes its final answer.
 struct Work {
     tariff: usize,
-    arrived: Moment,
+    asked: Moment,
     quoted: Span,
     patience_ends: Moment,
     size: f64,
@@ -192,7 +192,7 @@
 impl Work {
     /// Seconds left for waiting if the quoted time is to be kept.
     fn slack(&self, now: Moment) -> f64 {
-        (self.arrived + self.quoted).since(now).as_secs() - self.size
+        (self.asked + self.quoted).since(now).as_secs() - self.size
     }
 
     /// Seconds that it may wait where it is sent without being late.
@@ -400,11 +400,15 @@
         }
         let tariff = arrival.tariff.min(self.tariffs.len() - 1);
         let terms = &self.tariffs[tariff];
+        // The quoted time runs from a client's first try. Guards against late repeats taking the place of what
+        // can still be in time.
+        let first_try = now.min(arrival.patience_ends - terms.patience);
+        let asked = if arrival.repeat { first_try } else { now };
         let quoted = terms.quoted_time + Span::secs(terms.stretch * size / slots);
         let over_share = self.allotments.get_mut(arrival.customer).is_some_and(|a| a.beyond(now));
         let work = Work {
             tariff,
-            arrived: now,
+            asked,
             quoted,
             patience_ends: arrival.patience_ends,
             size,
@@ -634,11 +638,8 @@
         let asked = able.iter().filter(|c| c.room || !any_room || !keyed);
         let least_wait = asked.filter_map(|c| c.wait).fold(f64::INFINITY, f64::min);
         // Those with room before the others, and among them those of the lane.
-        let rank = |c: &Candidate| {
-            (c.room, c.in_lane, c.room && self.executors[c.at].cold_budget(&self.cold, now).is_some())
-        };
-        let best = able.iter().map(rank).max();
-        able.retain(|c| Some(rank(c)) == best);
+        let best = able.iter().map(|c| (c.room, c.in_lane)).max();
+        able.retain(|c| Some((c.room, c.in_lane)) == best);
         let weight = |load: f64| if load < 1.0 { (1.0 - load).max(FLOOR) } else { FLOOR / load };
         let known: Vec<f64> = able.iter().filter_map(|c| c.load.map(weight)).collect();
         let mean = if known.is_empty() { 1.0 } else { known.iter().sum::<f64>() / known.len() as f64 };
@@ -704,7 +705,7 @@
             None => {
                 // Its own alarm: patience may end between two beats.
                 work.held = true;
-                let until = (now + HOLD_MOST).min(work.arrived + work.quoted);
+                let until = (now + HOLD_MOST).min(work.asked + work.quoted);
                 work.hold_ends = until.min(work.patience_ends - ANSWER_MARGIN);
                 self.host.wake(work.hold_ends.since(now), FIRST_UNIT + unit.0);
                 self.held.push_back(unit);
--- a/crates/dispatch/src/tariffs.rs
+++ b/crates/dispatch/src/tariffs.rs
@@ -50,6 +50,8 @@
     pub quoted_time: Span,
     /// The quoted time grows by this multiple of the work unit's own size.
     pub stretch: f64,
+    /// After which the client gives up, counted from its first try.
+    pub patience: Span,
     pub earnings: f64,
     /// The one kind of executor that can run it, if only one can.
     pub kind: Option<usize>,
@@ -61,6 +63,8 @@
     pub tariff: usize,
     pub customer: usize,
     pub patience_ends: Moment,
+    /// The client marks it as one that it has sent before.
+    pub repeat: bool,
     /// What the work needs beside the executor: a program or a data set, if it names one.
     pub key: Option<u64>,
     pub hint: Option<Span>,
--- a/crates/dispatch/tests/fake/mod.rs
+++ b/crates/dispatch/tests/fake/mod.rs
@@ -63,8 +63,14 @@
         Effect::Fingerprinted { group: Group::Zone, memory_span },
         Effect::Fingerprinted { group: Group::All, memory_span },
     ];
-    let tariff =
-        |effect| Tariff { effect, quoted_time: Span::millis(500), stretch: 2.0, earnings: 1.0, kind: None };
+    let tariff = |effect| Tariff {
+        effect,
+        quoted_time: Span::millis(500),
+        stretch: 2.0,
+        patience: Span::millis(10_000),
+        earnings: 1.0,
+        kind: None,
+    };
     effects.into_iter().map(tariff).collect()
 }
 
@@ -135,7 +141,7 @@
     ) {
         let patience_ends = self.now + Span::millis(patience_ms);
         let hint = Some(Span::millis(size_ms));
-        let arrival = Arrival { tariff, customer: 0, patience_ends, key, hint, slots: 1.0 };
+        let arrival = Arrival { tariff, customer: 0, patience_ends, repeat: false, key, hint, slots: 1.0 };
         self.node.arrived(self.now, UnitId(unit), &arrival);
     }
 
--- a/crates/dispatch/tests/stories.rs
+++ b/crates/dispatch/tests/stories.rs
@@ -480,6 +480,24 @@
     assert!(turned_back > 0, "none would have gone to the long queue");
 }
 
+#[test]
+fn a_repeat_is_judged_by_the_first_try_of_its_client() {
+    // Failure: repeats past their quoted time took the place of what could still be in time.
+    let mut story = Story::of(1);
+    story.arrive(0, BINDING, 100);
+    story.sent_to();
+    story.pass(150);
+    for (unit, repeat) in [(1, true), (2, false)] {
+        // It has waited for five of its ten seconds already, if it is the same client's second try.
+        let patience_ends = story.now + Span::millis(5000);
+        let hint = Some(Span::millis(100));
+        let arrival =
+            Arrival { tariff: BINDING, customer: 0, patience_ends, repeat, key: None, hint, slots: 1.0 };
+        story.node.arrived(story.now, UnitId(unit), &arrival);
+        assert_eq!(matches!(story.heard()[..], [Said::TurnBack(_)]), repeat);
+    }
+}
+
 #[test]
 fn what_a_customer_sends_beyond_its_share_is_turned_back_first() {
     let said = Fake::default();
@@ -493,7 +511,8 @@
     let hint = Some(Span::millis(2000));
     for (unit, customer) in (0..9).map(|unit| (unit, 0)).chain([(9, 1)]) {
         let at = if unit < 8 { now } else { now + Span::millis(200) };
-        let arrival = Arrival { tariff: BINDING, customer, patience_ends, key: None, hint, slots: 1.0 };
+        let arrival =
+            Arrival { tariff: BINDING, customer, patience_ends, repeat: false, key: None, hint, slots: 1.0 };
         node.arrived(at, UnitId(unit), &arrival);
     }
     let turned_back: Vec<Said> =
@@ -619,7 +638,15 @@
     for (unit, (hint, slots)) in
         [(Span(0), 0.0), (Span(u64::MAX), f64::NAN), (Span(1), f64::INFINITY)].into_iter().enumerate()
     {
-        let arrival = Arrival { tariff: 99, customer: 9, patience_ends, key: None, hint: Some(hint), slots };
+        let arrival = Arrival {
+            tariff: 99,
+            customer: 9,
+            patience_ends,
+            repeat: false,
+            key: None,
+            hint: Some(hint),
+            slots,
+        };
         story.node.arrived(story.now, UnitId(unit as u64), &arrival);
     }
     for _ in 0..30 {
