--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -383,7 +383,7 @@
             Some(hint) => (hint.as_secs() * slots).clamp(SENSIBLE.0, SENSIBLE.1),
             None => self.median,
         };
-        if hinted.is_some() {
+        if hinted.is_some() && !arrival.repeat {
             self.sample.push_back((size, arrival.key));
             if let Some(key) = arrival.key {
                 *self.named.entry(key).or_default() += 1;
@@ -405,7 +405,8 @@
         let first_try = now.min(arrival.patience_ends - terms.patience);
         let asked = if arrival.repeat { first_try } else { now };
         let quoted = terms.quoted_time + Span::secs(terms.stretch * size / slots);
-        let over_share = self.allotments.get_mut(arrival.customer).is_some_and(|a| a.beyond(now));
+        let allotment = self.allotments.get_mut(arrival.customer).filter(|_| !arrival.repeat);
+        let over_share = allotment.is_some_and(|a| a.beyond(now));
         let work = Work {
             tariff,
             asked,
