--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -383,7 +383,7 @@
             Some(hint) => (hint.as_secs() * slots).clamp(SENSIBLE.0, SENSIBLE.1),
             None => self.median,
         };
-        if hinted.is_some() && !arrival.repeat {
+        if hinted.is_some() {
             self.sample.push_back((size, arrival.key));
             if let Some(key) = arrival.key {
                 *self.named.entry(key).or_default() += 1;
@@ -405,8 +405,7 @@
         let first_try = now.min(arrival.patience_ends - terms.patience);
         let asked = if arrival.repeat { first_try } else { now };
         let quoted = terms.quoted_time + Span::secs(terms.stretch * size / slots);
-        let allotment = self.allotments.get_mut(arrival.customer).filter(|_| !arrival.repeat);
-        let over_share = allotment.is_some_and(|a| a.beyond(now));
+        let over_share = self.allotments.get_mut(arrival.customer).is_some_and(|a| a.beyond(now));
         let work = Work {
             tariff,
             asked,
@@ -568,7 +567,7 @@
     /// one more for each allocation that is out; or many of both lanes. A node that sends little uses few
     /// and so hears of them. Guards against picks all through a large fleet, one unheard of after the other.
     fn candidates(&self, now: Moment, work: &Work, few: bool) -> Vec<Candidate> {
-        const FEW: usize = 4; // leaves the weighted pick its choice
+        const FEW: usize = 2; // leaves the weighted pick its choice
         const MORE: usize = 8; // times as many: one of them has room unless nearly all are full
         let lane = self.cut_offs.iter().filter(|&&cut| work.size > cut).count();
         let Tariff { kind, effect, .. } = self.tariffs[work.tariff];
