--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -510,7 +510,7 @@
         }
         // Those of the node's own zone come three times as far to the front: crossing costs, yet a zone must
         // not be left to itself, since neither workers nor clients are spread evenly.
-        const NEARER: u64 = 6;
+        const NEARER: u64 = 12;
         // Before all come the cold ones that this node may warm, or they would idle. A budget that grows to
         // the full capacity of a few slots is seldom split among more nodes.
         const WARMERS: u64 = 8;
