--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -508,9 +508,9 @@
         for (rank, &i) in self.roster.iter().enumerate() {
             self.executors[i].lane = usize::from(rank >= first);
         }
-        // Those of the node's own zone come three times as far to the front: crossing costs, yet a zone must
+        // Those of the node's own zone come six times as far to the front: crossing costs, yet a zone must
         // not be left to itself, since neither workers nor clients are spread evenly.
-        const NEARER: u64 = 12;
+        const NEARER: u64 = 6;
         // Before all come the cold ones that this node may warm, or they would idle. A budget that grows to
         // the full capacity of a few slots is seldom split among more nodes.
         const WARMERS: u64 = 8;
@@ -567,7 +567,7 @@
     /// one more for each allocation that is out; or many of both lanes. A node that sends little uses few
     /// and so hears of them. Guards against picks all through a large fleet, one unheard of after the other.
     fn candidates(&self, now: Moment, work: &Work, few: bool) -> Vec<Candidate> {
-        const FEW: usize = 4; // leaves the weighted pick its choice
+        const FEW: usize = 2; // leaves the weighted pick its choice
         const MORE: usize = 8; // times as many: one of them has room unless nearly all are full
         let lane = self.cut_offs.iter().filter(|&&cut| work.size > cut).count();
         let Tariff { kind, effect, .. } = self.tariffs[work.tariff];
