--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -322,8 +322,7 @@
     pub fn start(&mut self, now: Moment) {
         self.recut = now;
         // Nodes that start together must not beat, probe and ask together.
-        let first = Span((BEAT_EVERY.0 as f64 * self.chance.random::<f64>()) as u64);
-        self.host.wake(first, BEAT);
+        self.host.wake(Span::secs(BEAT_EVERY.as_secs() * self.chance.random::<f64>()), BEAT);
         if self.asks_list {
             self.host.follow_list();
         }
@@ -379,10 +378,8 @@
         const SAMPLE: usize = 1000; // design page
         let slots = if arrival.slots > 0.0 && arrival.slots.is_finite() { arrival.slots } else { 1.0 };
         let hinted = arrival.hint.filter(|h| h.0 > 0);
-        let size = match hinted {
-            Some(hint) => (hint.as_secs() * slots).clamp(SENSIBLE.0, SENSIBLE.1),
-            None => self.median,
-        };
+        let sized = |hint: Span| (hint.as_secs() * slots).clamp(SENSIBLE.0, SENSIBLE.1);
+        let size = hinted.map_or(self.median, sized);
         if hinted.is_some() {
             self.sample.push_back((size, arrival.key));
             if let Some(key) = arrival.key {
@@ -400,10 +397,9 @@
         }
         let tariff = arrival.tariff.min(self.tariffs.len() - 1);
         let terms = &self.tariffs[tariff];
-        // The quoted time runs from a client's first try. Guards against late repeats taking the place of what
-        // can still be in time.
-        let first_try = now.min(arrival.patience_ends - terms.patience);
-        let asked = if arrival.repeat { first_try } else { now };
+        // The quoted time runs from a client's first try. Guards against late repeats taking the place of
+        // what can still be in time.
+        let asked = if arrival.repeat { now.min(arrival.patience_ends - terms.patience) } else { now };
         let quoted = terms.quoted_time + Span::secs(terms.stretch * size / slots);
         let over_share = self.allotments.get_mut(arrival.customer).is_some_and(|a| a.beyond(now));
         let work = Work {
@@ -567,7 +563,7 @@
     /// one more for each allocation that is out; or many of both lanes. A node that sends little uses few
     /// and so hears of them. Guards against picks all through a large fleet, one unheard of after the other.
     fn candidates(&self, now: Moment, work: &Work, few: bool) -> Vec<Candidate> {
-        const FEW: usize = 2; // leaves the weighted pick its choice
+        const FEW: usize = 3; // leaves the weighted pick its choice
         const MORE: usize = 8; // times as many: one of them has room unless nearly all are full
         let lane = self.cut_offs.iter().filter(|&&cut| work.size > cut).count();
         let Tariff { kind, effect, .. } = self.tariffs[work.tariff];
@@ -668,19 +664,15 @@
     fn keep_home(&self, now: Moment, key: u64, able: &mut Vec<Candidate>) {
         // Leaves the weighted pick its choice, and one worker lost does not lose the key.
         const HOMES: usize = 3;
-        if able.iter().any(|c| c.in_lane) {
-            able.retain(|c| c.in_lane);
-        }
         // The more often a key is named the more homes it has: twice its part of the work, in workers, so
         // that it fills half of each. Guards against full homes of a common key while the others idle.
         const SPREAD: f64 = 2.0;
         let again = self.named.get(&key).map_or(0, |n| n - 1) as f64; // once named, it may be rare
         let part = again / self.sample.len().max(1) as f64 * able.len() as f64;
-        let homes = HOMES.max((part * SPREAD) as usize);
+        // Cold ones that this node may warm are homes of every key: too few of its units name their own.
         let cold = |c: &Candidate| self.executors[c.at].cold_budget(&self.cold, now).is_some();
         able.sort_by_key(|c| (!cold(c), Reverse(mixed(self.executors[c.at].hash ^ key))));
-        let homes = homes + able.iter().filter(|c| cold(c)).count();
-        able.truncate(homes);
+        able.truncate(HOMES.max((part * SPREAD) as usize) + able.iter().filter(|c| cold(c)).count());
     }
 
     /// Sends the work unit where the design says, holds it while nothing can take it, or turns it back.
@@ -826,8 +818,7 @@
         if !out_of_time && work.allocations.iter().any(|a| a.open) {
             return; // another copy is still out
         }
-        let stale = ending == Ending::NeverSent;
-        if out_of_time || stale || !self.may_allocate(unit, false) {
+        if out_of_time || ending == Ending::NeverSent || !self.may_allocate(unit, false) {
             return self.answer(unit);
         }
         self.place(now, unit);
@@ -885,8 +876,7 @@
         report: Option<Report>,
     ) {
         let Some(e) = self.executors.get_mut(executor.0) else { return };
-        let at = e.flights.iter().position(|f| f.id == id);
-        let flight = at.map(|at| e.flights.swap_remove(at));
+        let flight = e.flights.iter().position(|f| f.id == id).map(|at| e.flights.swap_remove(at));
         self.out -= usize::from(flight.is_some());
         if let Some(report) = report {
             take_report(e, now, report);
