--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -142,7 +142,7 @@
         const USED: f64 = 0.75; // of the budget: the rest covers one slower than its kind
         const FIRST: usize = 3; // in flight before any answer: a long one must not keep all others out
         let Some(budget) = self.cold_budget(cold, now).map(|budget| budget * USED) else { return true };
-        let owners = ((3.0 * budget / mean) as u64).clamp(1, nodes);
+        let owners = ((2.0 * budget / mean) as u64).clamp(1, nodes);
         let sent = self.cold_sent.iter().filter(|(at, _)| now.since(*at) <= cold.fall_window);
         self.distance < owners
             && self.flights.len() < FIRST + self.answers
