--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -125,6 +125,13 @@
             && wait.is_none_or(|wait| wait <= spare.unwrap_or(0.0).max(TOLD_WITHIN))
     }
 
+    /// Whether running work fell silent here: progress is told at a steady pace, and two and a half paces
+    /// without a word are no chance. Guards against sending on to an executor that hangs.
+    fn silent(&self, now: Moment, pace: Option<Span>) -> bool {
+        let mut running = self.flights.iter().filter(|f| f.started.is_some());
+        pace.is_some_and(|pace| running.any(|f| now.since(f.heard).0 > pace.0 * 5 / 2))
+    }
+
     /// The work that all nodes together may send here within a window, while it is cold: its capacity is at
     /// least the cold share and grows at least evenly.
     fn cold_budget(&self, cold: &ColdStart, now: Moment) -> Option<f64> {
@@ -142,11 +149,11 @@
         const USED: f64 = 0.75; // of the budget: the rest covers one slower than its kind
         const FIRST: usize = 3; // in flight before any answer: a long one must not keep all others out
         let Some(budget) = self.cold_budget(cold, now).map(|budget| budget * USED) else { return true };
-        let owners = ((2.0 * budget / mean) as u64).clamp(1, nodes);
+        let owners = ((budget / mean) as u64).clamp(1, nodes);
         let sent = self.cold_sent.iter().filter(|(at, _)| now.since(*at) <= cold.fall_window);
         self.distance < owners
             && self.flights.len() < FIRST + self.answers
-            && sent.map(|(_, charge)| charge).sum::<f64>() + charge <= (budget / owners as f64).max(mean)
+            && sent.map(|(_, charge)| charge).sum::<f64>() + charge <= budget / owners as f64
     }
 }
 
@@ -583,7 +590,7 @@
             able.then(|| Candidate {
                 at,
                 in_lane,
-                room: e.has_room(now, work.key.map(|_| spare)),
+                room: e.has_room(now, work.key.map(|_| spare)) && !e.silent(now, self.progress),
                 load: e.load(now),
                 wait: e.wait(now),
             })
