--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -72,7 +72,9 @@
     answers: usize,
     reset: Option<Moment>,
     died: Option<Moment>,
-    speed: f64,
+    /// Size of the own work that was answered, and the seconds that it ran.
+    done: f64,
+    ran: f64,
     /// Work a second when warm; one standard core until its kind has been seen.
     capacity: f64,
     aside_until: Moment,
@@ -545,16 +547,16 @@
             });
             self.cut_offs.extend(cut);
         }
-        // What an executor can do when warm: the mean pace and the most slots seen of its kind.
-        let mut kinds: BTreeMap<usize, (Vec<f64>, f64)> = BTreeMap::new();
-        for e in self.ready().filter(|e| e.speed > 0.0) {
-            let (speeds, slots) = kinds.entry(e.kind).or_default();
-            speeds.push(e.speed);
-            *slots = slots.max(e.slots).max(e.most_free);
+        // What an executor can do when warm: the pace of its kind over all that ran, since short work runs
+        // slower by what it fetches, and the most slots seen.
+        let mut kinds: BTreeMap<usize, (f64, f64, f64)> = BTreeMap::new();
+        for e in self.ready().filter(|e| e.ran > 0.0) {
+            let (done, ran, slots) = kinds.entry(e.kind).or_default();
+            (*done, *ran, *slots) = (*done + e.done, *ran + e.ran, slots.max(e.slots).max(e.most_free));
         }
         for e in &mut self.executors {
-            if let Some((speeds, slots)) = kinds.get(&e.kind) {
-                e.capacity = speeds.iter().sum::<f64>() / speeds.len() as f64 * slots;
+            if let Some((done, ran, slots)) = kinds.get(&e.kind) {
+                e.capacity = done / ran * slots;
             }
         }
     }
@@ -885,9 +887,7 @@
             Ending::Fulfilled => {
                 e.answers += 1;
                 if let Some((size, started)) = flight.and_then(|f| Some((f.size, f.started?))) {
-                    let pace = size / now.since(started).as_secs().max(0.001);
-                    // A slow mean: one noisy hint must not move it far.
-                    e.speed = if e.speed > 0.0 { e.speed * 0.9 + pace * 0.1 } else { pace };
+                    (e.done, e.ran) = (e.done + size, e.ran + now.since(started).as_secs());
                 }
             }
             // A full waiting room empties in about a run: nothing until then, or it would answer fastest
