--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -636,8 +636,11 @@
         let asked = able.iter().filter(|c| c.room || !any_room || !keyed);
         let least_wait = asked.filter_map(|c| c.wait).fold(f64::INFINITY, f64::min);
         // Those with room before the others, and among them those of the lane.
-        let best = able.iter().map(|c| (c.room, c.in_lane)).max();
-        able.retain(|c| Some((c.room, c.in_lane)) == best);
+        let rank = |c: &Candidate| {
+            (c.room, c.in_lane, c.room && self.executors[c.at].cold_budget(&self.cold, now).is_some())
+        };
+        let best = able.iter().map(rank).max();
+        able.retain(|c| Some(rank(c)) == best);
         let weight = |load: f64| if load < 1.0 { (1.0 - load).max(FLOOR) } else { FLOOR / load };
         let known: Vec<f64> = able.iter().filter_map(|c| c.load.map(weight)).collect();
         let mean = if known.is_empty() { 1.0 } else { known.iter().sum::<f64>() / known.len() as f64 };
