--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -141,7 +141,7 @@
     /// after its fixed hash; the others leave it alone until it is warm. Guards against all nodes together
     /// pushing it over.
     fn cold_admits(&self, cold: &ColdStart, nodes: u64, now: Moment, mean: f64, charge: f64) -> bool {
-        const USED: f64 = 1.0; // of the budget: the rest covers one slower than its kind
+        const USED: f64 = 0.9; // of the budget: the rest covers one slower than its kind
         const FIRST: usize = 3; // in flight before any answer: a long one must not keep all others out
         let Some(budget) = self.cold_budget(cold, now).map(|budget| budget * USED) else { return true };
         let owners = ((budget / mean) as u64).clamp(1, nodes);
@@ -635,10 +635,10 @@
         // all.
         let asked = able.iter().filter(|c| c.room || !any_room || !keyed);
         let least_wait = asked.filter_map(|c| c.wait).fold(f64::INFINITY, f64::min);
-        // Those with room before the others, and among them those of the lane.
-        let rank = |c: &Candidate| {
-            (c.room, c.in_lane, c.room && self.executors[c.at].cold_budget(&self.cold, now).is_some())
-        };
+        // Those with room before the others, of these those of the lane, and of these cold ones that may take
+        // some: the few nodes that warm one see little, and left to chance it would idle.
+        let cold = |c: &Candidate| self.executors[c.at].cold_budget(&self.cold, now).is_some();
+        let rank = |c: &Candidate| (c.room, c.in_lane, c.room && cold(c));
         let best = able.iter().map(rank).max();
         able.retain(|c| Some(rank(c)) == best);
         let weight = |load: f64| if load < 1.0 { (1.0 - load).max(FLOOR) } else { FLOOR / load };
