--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -34,7 +34,7 @@
 const ANSWER_MARGIN: Span = Span::millis(20);
 
 /// Below this many sizes one lane holds every worker (design page).
-const FEWEST: usize = 50;
+const FEWEST: usize = 10;
 
 /// An allocation that is still out, as its executor's record keeps it.
 struct Flight {
