--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -34,7 +34,7 @@
 const ANSWER_MARGIN: Span = Span::millis(20);
 
 /// Below this many sizes one lane holds every worker (design page).
-const FEWEST: usize = 10;
+const FEWEST: usize = 50;
 
 /// An allocation that is still out, as its executor's record keeps it.
 struct Flight {
@@ -657,7 +657,7 @@
         let best = self.tariffs.iter().map(|t| t.earnings).fold(0.0, f64::max);
         let part = match self.tariffs[work.tariff].earnings / best {
             _ if work.over_share => 0.0,
-            part if part.is_finite() => part,
+            part if part.is_finite() => part.max(0.5),
             _ => 1.0,
         };
         wait > (work.slack(now) * part).max(0.1)
