--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -657,7 +657,7 @@
         let best = self.tariffs.iter().map(|t| t.earnings).fold(0.0, f64::max);
         let part = match self.tariffs[work.tariff].earnings / best {
             _ if work.over_share => 0.0,
-            part if part.is_finite() => part.max(0.5),
+            part if part.is_finite() => part.max(0.75),
             _ => 1.0,
         };
         wait > (work.slack(now) * part).max(0.1)
