--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -638,7 +638,8 @@
         // Those with room before the others, of these those of the lane, and of these cold ones that may take
         // some: the few nodes that warm one see little, and left to chance it would idle.
         let cold = |c: &Candidate| self.executors[c.at].cold_budget(&self.cold, now).is_some();
-        let rank = |c: &Candidate| (c.room, c.in_lane, c.room && cold(c));
+        let near = |c: &Candidate| c.room && self.executors[c.at].zone == self.zone;
+        let rank = |c: &Candidate| (c.room, c.in_lane, c.room && cold(c), near(c));
         let best = able.iter().map(rank).max();
         able.retain(|c| Some(rank(c)) == best);
         let weight = |load: f64| if load < 1.0 { (1.0 - load).max(FLOOR) } else { FLOOR / load };
@@ -657,7 +658,7 @@
         let best = self.tariffs.iter().map(|t| t.earnings).fold(0.0, f64::max);
         let part = match self.tariffs[work.tariff].earnings / best {
             _ if work.over_share => 0.0,
-            part if part.is_finite() => part.max(0.75),
+            part if part.is_finite() => part,
             _ => 1.0,
         };
         wait > (work.slack(now) * part).max(0.1)
