--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -562,7 +562,7 @@
     }
 
     /// Those that a work unit may go to: of its lane, in the order in which this node uses them, a few and
-    /// one more for each allocation that is out; or many of both lanes. A node that sends little uses few
+    /// one more for every two allocations out; or many of both lanes. A node that sends little uses few
     /// and so hears of them. Guards against picks all through a large fleet, one unheard of after the other.
     fn candidates(&self, now: Moment, work: &Work, few: bool) -> Vec<Candidate> {
         const FEW: usize = 3; // leaves the weighted pick its choice
@@ -591,7 +591,7 @@
             })
         };
         let able = || self.roster.iter().filter_map(candidate);
-        let most = if work.key.is_none() { FEW + self.out } else { usize::MAX };
+        let most = if work.key.is_none() { FEW + self.out / 2 } else { usize::MAX };
         let in_lane = able().filter(|c| few && c.in_lane);
         let mut found: Vec<Candidate> = in_lane.take(most).collect();
         if found.is_empty() {
@@ -638,8 +638,7 @@
         // Those with room before the others, of these those of the lane, and of these cold ones that may take
         // some: the few nodes that warm one see little, and left to chance it would idle.
         let cold = |c: &Candidate| self.executors[c.at].cold_budget(&self.cold, now).is_some();
-        let near = |c: &Candidate| c.room && self.executors[c.at].zone == self.zone;
-        let rank = |c: &Candidate| (c.room, c.in_lane, c.room && cold(c), near(c));
+        let rank = |c: &Candidate| (c.room, c.in_lane, c.room && cold(c));
         let best = able.iter().map(rank).max();
         able.retain(|c| Some(rank(c)) == best);
         let weight = |load: f64| if load < 1.0 { (1.0 - load).max(FLOOR) } else { FLOOR / load };
