--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -22,6 +22,7 @@
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg32;
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, VecDeque};
 
 const BEAT: u64 = 0;
@@ -675,12 +676,7 @@
         let part = again / self.sample.len().max(1) as f64 * able.len() as f64;
         // Cold ones that this node may warm are homes of every key: too few of its units name their own.
         let cold = |c: &Candidate| self.executors[c.at].cold_budget(&self.cold, now).is_some();
-        let rank = |c: &Candidate| {
-            let e = &self.executors[c.at];
-            let r = mixed(e.hash ^ key);
-            if e.zone == self.zone { r / 2 } else { r }
-        };
-        able.sort_by_key(|c| (!cold(c), rank(c)));
+        able.sort_by_key(|c| (!cold(c), Reverse(mixed(self.executors[c.at].hash ^ key))));
         able.truncate(HOMES.max((part * SPREAD) as usize) + able.iter().filter(|c| cold(c)).count());
     }
 
