--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -130,10 +130,10 @@
     /// The work that all nodes together may send here within a window, while it is cold: its capacity is at
     /// least the cold share and grows at least evenly.
     fn cold_budget(&self, cold: &ColdStart, now: Moment) -> Option<f64> {
-        let started = self.started.max(self.died)?;
+        let started = self.started.max(self.died).filter(|&at| now < at + cold.warm_within)?;
         let age = now.since(started).as_secs() / cold.warm_within.as_secs().max(0.001);
         let share = cold.share + (1.0 - cold.share) * age;
-        (age < 1.0).then(|| cold.fall_factor * share * self.capacity * cold.fall_window.as_secs().max(0.001))
+        Some(cold.fall_factor * share * self.capacity * cold.fall_window.as_secs().max(0.001))
     }
 
     /// Whether a cold executor can take one more that counts for `charge`, a mean one counting for `mean`.
@@ -566,12 +566,13 @@
     /// and so hears of them. Guards against picks all through a large fleet, one unheard of after the other.
     fn candidates(&self, now: Moment, work: &Work, few: bool) -> Vec<Candidate> {
         const FEW: usize = 3; // leaves the weighted pick its choice
-        const MORE: usize = 8; // times as many: one of them has room unless nearly all are full
+        const MORE: usize = 4; // times as many: one of them has room unless nearly all are full
         let lane = self.cut_offs.iter().filter(|&&cut| work.size > cut).count();
         let Tariff { kind, effect, .. } = self.tariffs[work.tariff];
         let (charge, spare) = (charge(work.size, self.mean), work.spare(now));
         let ran = work.allocations.iter().find(|a| a.may_have_run);
         let ran = ran.map(|a| (a.sent, self.executors[a.executor.0].zone, self.executors[a.executor.0].cell));
+        let in_lane = |at: usize| self.cut_offs.is_empty() || self.executors[at].lane == lane;
         let candidate = |&at: &usize| {
             let e = &self.executors[at];
             let able = now >= e.aside_until
@@ -581,22 +582,20 @@
                 })
                 && !work.allocations.iter().any(|a| a.open && a.executor.0 == at)
                 && e.cold_admits(&self.cold, self.nodes, now, self.mean, charge);
-            let in_lane = self.cut_offs.is_empty() || e.lane == lane;
             able.then(|| Candidate {
                 at,
-                in_lane,
+                in_lane: in_lane(at),
                 room: e.has_room(now, work.key.map(|_| spare)),
                 load: e.load(now),
                 wait: e.wait(now),
             })
         };
-        let able = || self.roster.iter().filter_map(candidate);
         let most = if work.key.is_none() { FEW + self.out / 2 } else { usize::MAX };
-        let in_lane = able().filter(|c| few && c.in_lane);
-        let mut found: Vec<Candidate> = in_lane.take(most).collect();
+        let lane = self.roster.iter().filter(|&&at| few && in_lane(at));
+        let mut found: Vec<Candidate> = lane.filter_map(candidate).take(most).collect();
         if found.is_empty() {
             // No worker of the lane can take it, or none of the few has room: all that can.
-            found.extend(able().take(most.saturating_mul(MORE)));
+            found.extend(self.roster.iter().filter_map(candidate).take(most.saturating_mul(MORE)));
         }
         // One that nothing was sent to lately is taken for as full as those of its lane that something was
         // sent to. Guards against a node that sees little taking every executor for free. A longer wait may
