--- a/crates/dispatch/tests/stories.rs
+++ b/crates/dispatch/tests/stories.rs
@@ -593,6 +593,59 @@
     assert!(busy.len() > 30, "each slot is filled once before any twice: {busy:?}");
 }
 
+#[test]
+fn executors_not_heard_of_are_taken_for_as_full_as_the_others() {
+    // Failure: a node with one or two units out took every executor it had not used for free, and sent on into queues.
+    let mut story = Story::of(100);
+    let mut out = Vec::new();
+    for unit in 0..2 {
+        story.arrive(unit, BINDING, 100);
+        out.push(story.sent_to());
+        story.pass(100);
+    }
+    story.arrive(2, BINDING, 100);
+    assert!(!out.contains(&story.sent_to()), "they wait, but not long yet");
+    story.pass(3000);
+    story.arrive(3, BINDING, 100);
+    assert_eq!(story.heard(), [Said::TurnBack(3)], "all that is known says that it would be late");
+    story.pass(6000);
+    story.arrive(4, BINDING, 100);
+    assert!(!out.contains(&story.sent_to()), "so long a wait may be that of lost executors");
+}
+
+#[test]
+fn slots_reported_free_make_no_room_where_own_work_waits() {
+    // Failure: a late report of free slots sent a second unit where the first one waited.
+    let mut story = Story::of(2);
+    for executor in 0..2 {
+        let free = Report { utilisation: Some(0.1), free_slots: Some(4.0) };
+        story.node.probed(story.now, ExecutorId(executor), Some(free));
+    }
+    story.arrive(1, BINDING, 100);
+    let first = story.sent_to();
+    story.arrive(2, BINDING, 100);
+    assert_eq!(story.sent_to(), 1 - first);
+}
+
+#[test]
+fn a_long_unit_does_not_keep_a_cold_executor_to_itself() {
+    // Failure: one long unit was all that a cold executor had in flight, and the warm ones were full.
+    let mut sent = 0;
+    for node in 0..2 {
+        let mut story = Story::at(node, 0, ALLOWANCE, false);
+        let started = story.now;
+        story.node.listed(started, false, &[Listing { started: Some(started), ..listing(0, "cold") }]);
+        story.pass(15_000);
+        for unit in 0..4 {
+            story.arrive(unit, BINDING, UNHINTED);
+            sent += story.heard().iter().filter(|s| matches!(s, Said::Allocate(..))).count();
+            story.start_of(unit, 0, 0);
+            story.pass(1100);
+        }
+    }
+    assert!(sent > 2, "{sent}");
+}
+
 #[test]
 fn a_common_key_has_more_homes_than_a_rare_one() {
     // Failure: three homes of a key that a quarter of the work named were full while the others idled.
