--- a/crates/dispatch/tests/stories.rs
+++ b/crates/dispatch/tests/stories.rs
@@ -594,10 +594,14 @@
         let free = Report { utilisation: Some(0.1), free_slots: Some(4.0) };
         story.node.probed(story.now, ExecutorId(executor), Some(free));
     }
-    story.arrive(1, BINDING, 100);
-    let first = story.sent_to();
-    story.arrive(2, BINDING, 100);
-    assert_eq!(story.sent_to(), 1 - first);
+    for unit in (0..40).step_by(2) {
+        story.arrive(unit, BINDING, UNHINTED);
+        let first = story.sent_to();
+        story.arrive(unit + 1, BINDING, UNHINTED);
+        assert_eq!(story.sent_to(), 1 - first);
+        story.end(unit, 0, first, Ending::Fulfilled);
+        story.end(unit + 1, 0, 1 - first, Ending::Fulfilled);
+    }
 }
 
 #[test]
