--- a/crates/dispatch/tests/stories.rs
+++ b/crates/dispatch/tests/stories.rs
@@ -235,8 +235,7 @@
     let mut waits = Vec::new();
     for _ in 0..4 {
         story.node.list_broken();
-        let said = story.said.0.take();
-        let [Said::Wake(after, alarm)] = said[..] else { panic!("{said:?}") };
+        let [Said::Wake(after, alarm)] = story.said.0.take()[..] else { panic!("one alarm") };
         waits.push(after);
         story.node.rang(story.now, alarm);
         assert_eq!(story.heard(), [Said::Follow]);
@@ -610,8 +609,7 @@
     let mut sent = 0;
     for node in 0..2 {
         let mut story = Story::at(node, 0, ALLOWANCE, false);
-        let started = story.now;
-        story.node.listed(started, false, &[Listing { started: Some(started), ..listing(0, "cold") }]);
+        story.node.listed(story.now, false, &[Listing { started: Some(story.now), ..listing(0, "cold") }]);
         story.pass(15_000);
         for unit in 0..4 {
             story.arrive(unit, BINDING, UNHINTED);
