--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -687,13 +687,13 @@
         let picked = self.pick(now, unit);
         let Some(work) = self.work.get_mut(&unit) else { return };
         if work.patience_ends <= now + ANSWER_MARGIN {
-            return self.answer(now, unit);
+            return self.answer(unit);
         }
         match picked {
             Some(Picked { executor, wait, .. }) => {
                 let fresh = work.allocations.iter().all(|a| !a.may_have_run);
                 if fresh && self.hopeless(now, &self.work[&unit], wait) {
-                    return self.answer(now, unit);
+                    return self.answer(unit);
                 }
                 self.send(now, unit, executor);
             }
@@ -753,7 +753,7 @@
         const AGAIN: Span = Span::millis(250); // a few looks within the shortest quoted times
         let Some(work) = self.work.get(&unit) else { return };
         if work.held && work.hold_ends <= now {
-            return self.answer(now, unit);
+            return self.answer(unit);
         }
         let retriable = self.tariffs[work.tariff].effect == Effect::Retriable;
         if work.streaming || work.held || !retriable {
@@ -784,7 +784,7 @@
         }
         // No room anywhere and too late already: waiting on, it only makes the next one late as well.
         if lost {
-            return self.answer(now, unit);
+            return self.answer(unit);
         }
         self.host.wake(AGAIN, FIRST_UNIT + unit.0);
     }
@@ -823,20 +823,19 @@
             return; // another copy is still out
         }
         if out_of_time || ending == Ending::NeverSent || !self.may_allocate(unit, false) {
-            return self.answer(now, unit);
+            return self.answer(unit);
         }
         self.place(now, unit);
     }
 
     /// The final answer to a work unit that is given up: a turn-back where trying again is harmless.
-    fn answer(&mut self, now: Moment, unit: UnitId) {
+    fn answer(&mut self, unit: UnitId) {
         // Long enough for a slot to come free, short against any patience.
         const COME_BACK: Span = Span::millis(500);
         let Some(work) = self.work.get(&unit) else { return };
         let ran = work.allocations.iter().any(|a| a.may_have_run);
         let harmless = !ran || self.tariffs[work.tariff].effect.harmless();
-        let late = work.slack(now) < 0.0;
-        let come_back = self.allowance.longest_come_back.map(|longest| if late { longest } else { longest.min(COME_BACK) });
+        let come_back = self.allowance.longest_come_back.map(|longest| longest.min(COME_BACK));
         self.finish(unit);
         if harmless {
             self.host.turn_back(unit, come_back);
@@ -861,7 +860,7 @@
             let Some(unit) = self.held.pop_front() else { return };
             let Some(work) = self.work.get(&unit).filter(|w| w.held) else { continue };
             if work.hold_ends <= now {
-                self.answer(now, unit);
+                self.answer(unit);
                 continue;
             }
             self.place(now, unit);
