--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -82,6 +82,7 @@
     last_start: Moment,
     /// What was sent here while it was cold, and what it counts for.
     cold_sent: Vec<(Moment, f64)>,
+    slow: bool,
 }
 
 impl Executor {
@@ -557,6 +558,8 @@
         for e in &mut self.executors {
             if let Some((done, ran, slots)) = kinds.get(&e.kind) {
                 e.capacity = done / ran * slots;
+                e.slow = e.ran > 1.0 && e.done / e.ran < 0.4 * done / ran;
+                (e.done, e.ran) = (e.done * 0.7, e.ran * 0.7);
             }
         }
     }
@@ -585,7 +588,7 @@
             able.then(|| Candidate {
                 at,
                 in_lane: in_lane(at),
-                room: e.has_room(now, work.key.map(|_| spare)),
+                room: e.has_room(now, work.key.map(|_| spare)) && !e.slow,
                 load: e.load(now),
                 wait: e.wait(now),
             })
