--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -82,8 +82,6 @@
     last_start: Moment,
     /// What was sent here while it was cold, and what it counts for.
     cold_sent: Vec<(Moment, f64)>,
-    slow: bool,
-    pace: f64,
 }
 
 impl Executor {
@@ -129,11 +127,6 @@
             && wait.is_none_or(|wait| wait <= spare.unwrap_or(0.0).max(TOLD_WITHIN))
     }
 
-    fn overrun(&self, now: Moment) -> bool {
-        let ran = |f: &Flight| f.started.map_or(0.0, |at| now.since(at).as_secs());
-        self.pace > 0.0 && self.flights.iter().any(|f| ran(f) > 0.5 + 3.0 * f.size / self.pace)
-    }
-
     /// The work that all nodes together may send here within a window, while it is cold: its capacity is at
     /// least the cold share and grows at least evenly.
     fn cold_budget(&self, cold: &ColdStart, now: Moment) -> Option<f64> {
@@ -564,9 +557,6 @@
         for e in &mut self.executors {
             if let Some((done, ran, slots)) = kinds.get(&e.kind) {
                 e.capacity = done / ran * slots;
-                e.pace = done / ran;
-                e.slow = e.ran > 1.0 && e.done / e.ran < 0.4 * done / ran;
-                (e.done, e.ran) = (e.done * 0.7, e.ran * 0.7);
             }
         }
     }
@@ -595,7 +585,7 @@
             able.then(|| Candidate {
                 at,
                 in_lane: in_lane(at),
-                room: e.has_room(now, work.key.map(|_| spare)) && !e.slow && !e.overrun(now),
+                room: e.has_room(now, work.key.map(|_| spare)),
                 load: e.load(now),
                 wait: e.wait(now),
             })
