--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -199,7 +199,7 @@
 
     /// Seconds that it may wait where it is sent without being late.
     fn spare(&self, now: Moment) -> f64 {
-        const PART: f64 = 0.5; // of the slack: the estimate is of the past, and the queue may grow
+        const PART: f64 = 0.25; // of the slack: the estimate is of the past, and the queue may grow
         self.slack(now) * PART
     }
 }
