--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -323,7 +323,7 @@
 
     pub fn start(&mut self, now: Moment) {
         self.recut = now;
-        // Nodes that start together must not beat, probe and ask together.
+        // Nodes that start together must not beat together.
         self.host.wake(Span::secs(BEAT_EVERY.as_secs() * self.chance.random::<f64>()), BEAT);
         if self.asks_list {
             self.host.follow_list();
@@ -344,7 +344,7 @@
             }
             let e = &mut self.executors[index];
             e.hash = fixed_hash(entry.name);
-            e.rank = mixed(e.hash ^ mixed(self.node + 1));
+            e.rank = mixed(e.hash ^ mixed(self.node.wrapping_add(1)));
             e.distance = (self.node % self.nodes + self.nodes - e.hash % self.nodes) % self.nodes;
             e.standing = entry.standing;
             (e.kind, e.zone, e.cell) = (entry.kind, entry.zone, entry.cell);
@@ -594,7 +594,7 @@
         let lane = self.roster.iter().filter(|&&at| few && in_lane(at));
         let mut found: Vec<Candidate> = lane.filter_map(candidate).take(most).collect();
         if found.is_empty() {
-            // No worker of the lane can take it, or none of the few has room: all that can.
+            // No worker of the lane can take it, or none of the few has room: those of both that can.
             found.extend(self.roster.iter().filter_map(candidate).take(most.saturating_mul(MORE)));
         }
         // One that nothing was sent to lately is taken for as full as those of its lane that something was
@@ -925,7 +925,7 @@
         }
     }
 
-    /// Housekeeping: probes, cut-offs, held work units.
+    /// Housekeeping: cut-offs, held work units.
     fn beat(&mut self, now: Moment) {
         const RECUT_EVERY: Span = Span::millis(5000); // design page
         self.host.wake(BEAT_EVERY, BEAT);
--- a/crates/dispatch/tests/stories.rs
+++ b/crates/dispatch/tests/stories.rs
@@ -656,7 +656,7 @@
 
 #[test]
 fn absurd_figures_are_bounded() {
-    let mut story = Story::of(3);
+    let mut story = Story::at(u64::MAX, 3, ALLOWANCE, false);
     let odd = Listing { weight: f64::NAN, ..listing(1, "executor-1") };
     story.node.listed(story.now, false, &[Listing { weight: 0.0, ..listing(0, "executor-0") }, odd]);
     let report = Report { utilisation: Some(f64::NAN), free_slots: Some(f64::INFINITY) };
