--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -952,5 +952,5 @@
 /// What a work unit counts for on a cold executor, which falls by their number more than by their size: a
 /// mean one at least, and two at most.
 fn charge(size: f64, mean: f64) -> f64 {
-    size.clamp(mean, 2.0 * mean)
+    size.clamp(mean, mean)
 }
