--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -141,10 +141,10 @@
     /// after its fixed hash; the others leave it alone until it is warm. Guards against all nodes together
     /// pushing it over.
     fn cold_admits(&self, cold: &ColdStart, nodes: u64, now: Moment, mean: f64, charge: f64) -> bool {
-        const USED: f64 = 0.7; // of the budget: the rest covers one slower than its kind
+        const USED: f64 = 0.9; // of the budget: the rest covers one slower than its kind
         const FIRST: usize = 3; // in flight before any answer: a long one must not keep all others out
         let Some(budget) = self.cold_budget(cold, now).map(|budget| budget * USED) else { return true };
-        let owners = ((budget / mean) as u64).clamp(1, nodes);
+        let owners = ((budget / (2.0 * mean)) as u64).clamp(1, nodes);
         let sent = self.cold_sent.iter().filter(|(at, _)| now.since(*at) <= cold.fall_window);
         self.distance < owners
             && self.flights.len() < FIRST + self.answers
@@ -952,5 +952,5 @@
 /// What a work unit counts for on a cold executor, which falls by their number more than by their size: a
 /// mean one at least, and two at most.
 fn charge(size: f64, mean: f64) -> f64 {
-    size.clamp(mean, mean)
+    size.clamp(mean, 2.0 * mean)
 }
