--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -141,7 +141,7 @@
     /// after its fixed hash; the others leave it alone until it is warm. Guards against all nodes together
     /// pushing it over.
     fn cold_admits(&self, cold: &ColdStart, nodes: u64, now: Moment, mean: f64, charge: f64) -> bool {
-        const USED: f64 = 0.75; // of the budget: the rest covers one slower than its kind
+        const USED: f64 = 0.9; // of the budget: the rest covers one slower than its kind
         const FIRST: usize = 3; // in flight before any answer: a long one must not keep all others out
         let Some(budget) = self.cold_budget(cold, now).map(|budget| budget * USED) else { return true };
         let owners = ((budget / (2.0 * mean)) as u64).clamp(1, nodes);
