--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -137,14 +137,14 @@
     }
 
     /// Whether a cold executor can take one more that counts for `charge`, a mean one counting for `mean`.
-    /// Its budget is split among as many nodes as get a mean unit each of it, one at least: those nearest
+    /// Its budget is split among as many nodes as get a heavy unit each of it, one at least: those nearest
     /// after its fixed hash; the others leave it alone until it is warm. Guards against all nodes together
     /// pushing it over.
     fn cold_admits(&self, cold: &ColdStart, nodes: u64, now: Moment, mean: f64, charge: f64) -> bool {
-        const USED: f64 = 0.9; // of the budget: the rest covers one slower than its kind
+        const USED: f64 = 0.8; // of the budget: the rest covers one slower than its kind
         const FIRST: usize = 3; // in flight before any answer: a long one must not keep all others out
         let Some(budget) = self.cold_budget(cold, now).map(|budget| budget * USED) else { return true };
-        let owners = ((budget / (2.0 * mean)) as u64).clamp(1, nodes);
+        let owners = ((budget / (HEAVY * mean)) as u64).clamp(1, nodes);
         let sent = self.cold_sent.iter().filter(|(at, _)| now.since(*at) <= cold.fall_window);
         self.distance < owners
             && self.flights.len() < FIRST + self.answers
@@ -952,5 +952,6 @@
 /// What a work unit counts for on a cold executor, which falls by their number more than by their size: a
 /// mean one at least, and two at most.
 fn charge(size: f64, mean: f64) -> f64 {
-    size.clamp(mean, 2.0 * mean)
+    size.clamp(mean, HEAVY * mean)
 }
+const HEAVY: f64 = 2.0; // each node that may warm one gets room for as much, or heavy work is kept out
--- a/crates/dispatch/tests/stories.rs
+++ b/crates/dispatch/tests/stories.rs
@@ -605,14 +605,14 @@
 
 #[test]
 fn a_long_unit_does_not_keep_a_cold_executor_to_itself() {
-    // Failure: one long unit was all that a cold executor had in flight, and the warm ones were full.
+    // Failures: one long unit was all that it had in flight, and what was heavier than a mean one got none of it.
     let mut sent = 0;
     for node in 0..2 {
         let mut story = Story::at(node, 0, ALLOWANCE, false);
         story.node.listed(story.now, false, &[Listing { started: Some(story.now), ..listing(0, "cold") }]);
         story.pass(15_000);
         for unit in 0..4 {
-            story.arrive(unit, BINDING, UNHINTED);
+            story.arrive(unit, BINDING, 2000);
             sent += story.heard().iter().filter(|s| matches!(s, Said::Allocate(..))).count();
             story.start_of(unit, 0, 0);
             story.pass(1100);
