--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -695,7 +695,7 @@
             Some(Picked { executor, wait, .. }) => {
                 let fresh = work.allocations.iter().all(|a| !a.may_have_run);
                 let pace = self.executors[executor.0].pace;
-                let wait = if pace > 0.0 && work.key.is_none() && wait > 0.1 {
+                let wait = if pace > 0.0 && work.key.is_none() && wait > work.spare(now).max(0.1) {
                     wait + (work.size / pace - work.size).max(0.0)
                 } else {
                     wait
