--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -82,7 +82,6 @@
     last_start: Moment,
     /// What was sent here while it was cold, and what it counts for.
     cold_sent: Vec<(Moment, f64)>,
-    pace: f64,
 }
 
 impl Executor {
@@ -558,7 +557,6 @@
         for e in &mut self.executors {
             if let Some((done, ran, slots)) = kinds.get(&e.kind) {
                 e.capacity = done / ran * slots;
-                e.pace = done / ran;
             }
         }
     }
@@ -694,12 +692,6 @@
         match picked {
             Some(Picked { executor, wait, .. }) => {
                 let fresh = work.allocations.iter().all(|a| !a.may_have_run);
-                let pace = self.executors[executor.0].pace;
-                let wait = if pace > 0.0 && work.key.is_none() && wait > work.spare(now).max(0.1) {
-                    wait + (work.size / pace - work.size).max(0.0)
-                } else {
-                    wait
-                };
                 if fresh && self.hopeless(now, &self.work[&unit], wait) {
                     return self.answer(unit);
                 }
