--- a/crates/node/src/wire/clients.rs
+++ b/crates/node/src/wire/clients.rs
@@ -349,6 +349,7 @@
     /// Answers what is no request, and closes.
     fn reject(&self, place: usize, Malformed(status): Malformed) {
         self.counters.bad_requests.up();
+        debug!("caller {place} is answered {status} and closed");
         {
             let mut callers = self.callers.borrow_mut();
             let Callers { kept, slow, .. } = &mut *callers;
