What an executor answers 4xx is forfeited at once and sets no executor aside

Checked with all that is spoken logged: each was the id of another client's open request at another node, which this node can't know; executors answered 400; the node took it for an error, tried three executors within a millisecond and had each set aside for 3 to 5 s. Four such clients set all nine aside. Ruled out: descriptors (252 of 384), CPU (0.06 s in the worst second), waiting for a connection (0.15 ms to the first attempt). At fault: wire/executors.rs, answered(), any other answer is Ending::Error; decide.rs, health().

Change: Ending::Unusable: forfeited at once, whatever its tariff, since nothing is promised; not sent elsewhere; says nothing of the executor.

--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -720,13 +720,8 @@
         let e = &mut self.executors[executor.0];
         work.held = false;
         self.out += 1;
-        work.allocations.push(Allocation {
-            executor,
-            sent: now,
-            open: true,
-            may_have_run: true,
-            recalled: false,
-        });
+        let sent = Allocation { executor, sent: now, open: true, may_have_run: true, recalled: false };
+        work.allocations.push(sent);
         let (size, time_out) = (work.size, (work.patience_ends - ANSWER_MARGIN).since(now));
         // Where starts are not told, nothing is known to wait.
         let started = if self.tells_start { None } else { Some(now) };
@@ -818,6 +813,11 @@
     fn renew(&mut self, now: Moment, unit: UnitId, ending: Ending) {
         // A stream that has started is the answer, whatever became of another copy and of patience.
         let Some(work) = self.work.get(&unit).filter(|w| !w.streaming) else { return };
+        // No other will make anything of it. Guards against one bad client having all executors set aside.
+        if ending == Ending::Unusable {
+            self.finish(unit);
+            return self.host.forfeit(unit);
+        }
         let out_of_time = work.patience_ends <= now + ANSWER_MARGIN;
         if !out_of_time && work.allocations.iter().any(|a| a.open) {
             return; // another copy is still out
--- a/crates/dispatch/src/tariffs.rs
+++ b/crates/dispatch/src/tariffs.rs
@@ -82,6 +82,8 @@
     Reset,
     Recalled,
     NeverSent,
+    /// The executor could make nothing of the work unit: that says nothing of the executor.
+    Unusable,
 }
 
 impl Ending {
--- a/crates/dispatch/tests/stories.rs
+++ b/crates/dispatch/tests/stories.rs
@@ -72,6 +72,27 @@
     assert!((0.75..0.85).contains(&share), "weights 0.2 and 0.8, yet the idle one got {share}");
 }
 
+#[test]
+fn what_an_executor_can_make_nothing_of_is_forfeited_and_speaks_not_against_it() {
+    // Failure: one bad client's units went to three executors each, and all of them were set aside.
+    let mut story = Story::of(2);
+    for unit in 0..6 {
+        story.arrive(unit, RETRIABLE, 300);
+        let executor = story.sent_to();
+        story.end(unit, 0, executor, Ending::Unusable);
+        assert_eq!(story.heard(), [Said::Forfeit(unit)]);
+    }
+    let mut used: Vec<usize> = (6..10)
+        .map(|unit| {
+            story.arrive(unit, RETRIABLE, 300);
+            story.sent_to()
+        })
+        .collect();
+    used.sort_unstable();
+    used.dedup();
+    assert_eq!(used, [0, 1], "both are still used");
+}
+
 #[test]
 fn own_recent_sends_correct_a_late_report() {
     // Failure: one idle-looking executor drew a pile of work between two reports.
--- a/crates/node/src/exchange.rs
+++ b/crates/node/src/exchange.rs
@@ -248,6 +248,7 @@
             Ending::Refused => self.counters.ended_refused.up(),
             Ending::Reset => self.counters.ended_reset.up(),
             Ending::Recalled => self.counters.ended_recalled.up(),
+            Ending::Unusable => self.counters.ended_unusable.up(),
         }
         if ending != Ending::Fulfilled {
             debug!("unit {} at {}: {ending:?}", id.unit.0, self.hands.desk.borrow().executors.name(executor));
--- a/crates/node/src/memory/counters.rs
+++ b/crates/node/src/memory/counters.rs
@@ -45,6 +45,7 @@
     ended_reset: "allocations whose connection or process broke",
     ended_timed_out: "allocations that the node stopped waiting for",
     ended_recalled: "allocations given up",
+    ended_unusable: "allocations of what an executor could make nothing of",
     late_results: "results of ended allocations, handed on all the same",
     call_backs: "call-backs of executors",
     call_backs_unknown: "call-backs for what is not out, or is over",
--- a/crates/node/src/wire/executors.rs
+++ b/crates/node/src/wire/executors.rs
@@ -374,6 +374,8 @@
         match (used, response.status) {
             (Use::Allocation(id), 202) => exchange.accepted(id),
             (Use::Allocation(id), 503 | 504) if unstarted => exchange.ended(id, Ending::Full, report),
+            // The client's fault, not the executor's: an id that is another's, say.
+            (Use::Allocation(id), 400..500) => exchange.ended(id, Ending::Unusable, report),
             (Use::Allocation(id), _) => exchange.ended(id, Ending::Error, report),
             (Use::GivingUp(id), ..500) => exchange.ended(id, Ending::Recalled, None),
             (Use::GivingUp(id), _) => exchange.not_given_up(id),
--- a/crates/node/tests/stories.rs
+++ b/crates/node/tests/stories.rs
@@ -97,6 +97,18 @@
     }
 }
 
+#[test]
+fn what_an_executor_can_make_nothing_of_goes_to_no_other() {
+    let listens = listener();
+    let world = World::with(&[&listens, &listens], charter(), 1024, 1024);
+    let mut client = world.bring("another's", "search", 4000);
+    let mut executor = accept(&listens);
+    executor.hear();
+    executor.answer(400, "");
+    assert_eq!(client.hear().status(), 500);
+    assert_eq!((world.counter("allocations"), world.counter("ended_unusable")), (1, 1));
+}
+
 #[test]
 fn silence_ends_with_patience_and_the_job_is_given_up() {
     let listens = listener();
