A crowd of silent connections takes no place that clients and call-backs need

Ruled out: CPU 0.04 s in the worst second, memory 1 MB, the sending side 0.18 ms at the median. At fault, wire/clients.rs: longest_idle() let usual clients go before those who never said a word; WHOLE_WITHIN counted from a first byte, so silence had no limit; std's listener queues 128.

Change: Caller::sheds orders who goes for want of room; a first request must be whole 2 s after the connection was taken in, so that a bad client has its error or close within 3 s; the queue holds 1,024. With it, as they stand at the same door: what is refused is read and dropped without being kept; large requests may hold a quarter of the memory together; signs, repeated headers, a class beside the path's, targets and ids that can't stand in a request line are refused.

--- a/crates/node/src/exchange.rs
+++ b/crates/node/src/exchange.rs
@@ -159,6 +159,11 @@
         self.hands.desk.borrow().units.find(call_id).is_some()
     }
 
+    /// Whether an executor of this name was ever listed.
+    pub fn knows(&self, executor: &str) -> bool {
+        self.hands.desk.borrow().executors.find(executor).is_some()
+    }
+
     pub fn next_due(&self) -> Option<Moment> {
         let desk = self.hands.desk.borrow();
         [desk.alarms.next_at(), desk.time_outs.next_at(), desk.give_ups.next_at()].into_iter().flatten().min()
--- a/crates/node/src/life/node.rs
+++ b/crates/node/src/life/node.rs
@@ -78,7 +78,13 @@
         let common = (&poller, clock, &counters);
         signals.watched(&poller, SIGNALS).map_err(|e| format!("no signals: {e}"))?;
         let (charter, (from_outside, to_executors)) = (&posting.charter, posting.connections());
-        let clients = Clients::listen(posting.listen, charter, from_outside, (LISTENER, outside_key), common);
+        let clients = Clients::listen(
+            posting.listen,
+            charter,
+            (from_outside, posting.room()),
+            (LISTENER, outside_key),
+            common,
+        );
         let clients = Rc::new(clients.map_err(|e| format!("{}: {e}", posting.listen))?);
         let caps = &charter["caps"];
         let retire_after = retire_after(span(&caps["conn_idle_ns"]));
--- a/crates/node/src/life/posting.rs
+++ b/crates/node/src/life/posting.rs
@@ -27,6 +27,7 @@
 #[derive(Default, Deserialize)]
 struct Limits {
     sockets: Option<usize>,
+    memory_mb: Option<f64>,
 }
 
 impl Posting {
@@ -39,6 +40,13 @@
         u64::from_str_radix(&self.seed, 16).unwrap_or_default()
     }
 
+    /// Bytes that requests may take together: a quarter of the memory, as what is written to executors holds
+    /// them once more, and the rest is for the node's own.
+    pub fn room(&self) -> usize {
+        const ASSUMED_MB: f64 = 32.0; // the least that nodes are promised
+        (self.limits.memory_mb.unwrap_or(ASSUMED_MB) * 1024.0 * 1024.0 / 4.0) as usize
+    }
+
     /// How many connections may be held from outside, and to executors: what is left when the node's own
     /// descriptors are taken off, three fifths and two. Clients hold one for each unit in hand, while one to
     /// an executor is free again as soon as it has taken the job. Guards against one side using up the other's.
--- a/crates/node/src/memory/buffer.rs
+++ b/crates/node/src/memory/buffer.rs
@@ -25,6 +25,22 @@
     Ended,
 }
 
+/// Reads and drops what there is, up to so much that others have their turn. Guards against tens of megabytes that
+/// cost the time and memory of being kept for a moment.
+pub fn drop_from(source: &mut impl Read) -> io::Result<Reading> {
+    let mut scratch = [0; 32 * 1024];
+    for _ in 0..8 {
+        match source.read(&mut scratch) {
+            Ok(0) => return Ok(Reading::Ended),
+            Ok(_) => {}
+            Err(e) if e.kind() == ErrorKind::WouldBlock => break,
+            Err(e) if e.kind() == ErrorKind::Interrupted => {}
+            Err(e) => return Err(e),
+        }
+    }
+    Ok(Reading::Open)
+}
+
 impl Buffer {
     /// Reads what there is until `most` bytes wait to be understood.
     pub fn read_from(&mut self, source: &mut impl Read, most: usize) -> io::Result<Reading> {
--- a/crates/node/src/memory/connection.rs
+++ b/crates/node/src/memory/connection.rs
@@ -1,6 +1,6 @@
 //! A connection: its socket, its one buffer, and what the loop is asked to watch it for.
 
-use crate::memory::buffer::{Buffer, Reading};
+use crate::memory::buffer::{self, Buffer, Reading};
 use polling::{Event, Poller};
 use socket2::{Domain, Protocol, Socket, Type};
 use std::io;
@@ -8,7 +8,7 @@
 use std::rc::Rc;
 
 /// The most that may be read and not yet understood: the largest head and body, and some framing.
-const MOST_UNREAD: usize = 84 * 1024;
+pub const MOST_UNREAD: usize = 84 * 1024;
 
 pub struct Connection {
     stream: TcpStream,
@@ -43,10 +43,9 @@
         }
     }
 
-    /// Bears more that is not understood yet.
-    pub fn bearing(mut self, most_unread: usize) -> Connection {
+    /// How much it bears from now on that is not understood yet.
+    pub fn bear(&mut self, most_unread: usize) {
         self.most_unread = most_unread;
-        self
     }
 
     /// Whether a dialled connection has come up; an error if it never will.
@@ -61,6 +60,11 @@
         self.buffer.read_from(&mut self.stream, self.most_unread)
     }
 
+    /// Reads what nobody wants to know.
+    pub fn read_and_drop(&mut self) -> io::Result<Reading> {
+        buffer::drop_from(&mut self.stream)
+    }
+
     pub fn write(&mut self) -> io::Result<()> {
         self.buffer.write_to(&mut self.stream)
     }
--- a/crates/node/src/wire/clients.rs
+++ b/crates/node/src/wire/clients.rs
@@ -5,7 +5,7 @@
 use crate::memory::alarms::Alarms;
 use crate::memory::buffer::Reading;
 use crate::memory::clock::Clock;
-use crate::memory::connection::Connection;
+use crate::memory::connection::{Connection, MOST_UNREAD};
 use crate::memory::counters::Counters;
 use crate::memory::units::Errand;
 use crate::wire::call_backs::{self, CallBack};
@@ -18,17 +18,30 @@
 use polling::{Event, Poller};
 use serde_json::Value;
 use slab::Slab;
+use socket2::{Domain, Protocol, Socket, Type};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::io::{self, ErrorKind};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
 
-/// A request must be whole this long after its first byte, and an answer taken: no honest client is near it,
-/// and a slow one must not hold a socket for ever.
-const WHOLE_WITHIN: Span = Span::millis(10_000);
+/// A connection's first request must be whole this long after it was taken in, a later one after its first byte,
+/// and an answer taken within as long: honest clients need milliseconds, and the others are owed an error or a
+/// close within 3 s. Guards against sockets held by those who say nothing or never end.
+const WHOLE_WITHIN: Span = Span::millis(2000);
+/// How long the rest of what was refused is read and dropped: the 60 MB of a bad client within 6 s of connecting.
+const LINGER: Span = Span::millis(4000);
+/// So many are taken in before others have their turn: more wait outside for microseconds only.
+const AT_ONCE: usize = 64;
+/// A usual request is far smaller than this: only larger ones are asked whether there is memory for them.
+const LARGE: usize = 16 * 1024;
+/// Beside a request in hand only the end of the connection is of interest.
+const BESIDE: usize = 4 * 1024;
+/// What an executor's request line holds at most, by what common servers bear, and an id in it.
+const LONGEST_TARGET: usize = 4096;
+const LONGEST_ID: usize = 128;
 /// How long no connection is taken in after the system had no room for one: some are closed meanwhile.
-const BREATHER: Span = Span::millis(100);
+const BREATHER: Span = Span::millis(50);
 /// The longest patience that a client may name: a day, far beyond any work; it keeps sums of times in range.
 const LONGEST_PATIENCE_MS: u64 = 86_400_000;
 
@@ -38,9 +51,13 @@
     serial: u64,
     /// The work unit whose answer it waits for.
     in_hand: Option<UnitId>,
-    /// When the first byte of a request came that is not whole yet.
-    partial_since: Option<Moment>,
+    /// The length of the body that it brought with that.
+    body: usize,
+    /// Since when a request is waited for that is not whole yet: the first one, or one that has begun.
+    waited_since: Option<Moment>,
     last_used: Moment,
+    /// Has brought work or call-backs, as those do whom the node is for.
+    is_usual: bool,
     calls_back: bool,
     /// To be closed once all is written.
     closes: bool,
@@ -51,8 +68,32 @@
 
 impl Caller {
     fn is_idle(&self) -> bool {
-        let quiet = self.partial_since.is_none() && !self.connection.buffer.waits_to_write();
-        self.lingers || (self.in_hand.is_none() && quiet)
+        let buffer = &self.connection.buffer;
+        self.lingers || (self.in_hand.is_none() && buffer.unread().is_empty() && !buffer.waits_to_write())
+    }
+
+    /// How soon it may be closed to make room, if at all: first who was refused, then who says nothing or only asks
+    /// how the node is, then who has yet to bring a whole request, then idle clients; those whose answer is due,
+    /// and call-backs, never.
+    fn sheds(&self, now: Moment) -> Option<(u8, Moment)> {
+        // A request may be under way to a fresh or idle connection, and would be lost: a round trip and a busy
+        // moment for those who have yet to say a word, more for a client that answers go back and forth with.
+        const FRESH: Span = Span::millis(50);
+        const USUAL: Span = Span::millis(250);
+        let (order, after) = match self {
+            Caller { lingers: true, .. } => (0, Span::millis(0)),
+            Caller { in_hand: Some(_), .. } | Caller { calls_back: true, .. } => return None,
+            Caller { is_usual: false, .. } if self.is_idle() => (1, FRESH),
+            Caller { is_usual: false, .. } => (2, FRESH),
+            _ if self.is_idle() => (3, USUAL),
+            _ => return None,
+        };
+        (now.since(self.last_used) >= after).then_some((order, self.last_used))
+    }
+
+    /// What it takes of the memory: bytes not understood yet, and the body in hand.
+    fn holds(&self) -> usize {
+        self.connection.buffer.unread().len() + self.body
     }
 
     fn drop_unread(&mut self) {
@@ -64,7 +105,7 @@
     fn carry_on(&mut self) -> bool {
         let buffer = &mut self.connection.buffer;
         // What was read while an answer was due is looked at as soon as that is written.
-        let more = self.in_hand.is_none() && self.partial_since.is_none() && !buffer.unread().is_empty();
+        let more = self.in_hand.is_none() && self.waited_since.is_none() && !buffer.unread().is_empty();
         let written = self.connection.write().and_then(|()| self.connection.watch(more));
         if written.is_err() || !self.closes || self.connection.buffer.waits_to_write() {
             return written.is_ok();
@@ -90,6 +131,8 @@
     listener_key: usize,
     key: fn(usize) -> usize,
     most: usize,
+    /// Bytes that requests may take together.
+    room: usize,
     tariffs: Vec<String>,
     customers: Vec<String>,
     callers: RefCell<Callers>,
@@ -104,12 +147,11 @@
     pub fn listen(
         at: SocketAddr,
         charter: &Value,
-        most: usize,
+        (most, room): (usize, usize),
         (listener_key, key): (usize, fn(usize) -> usize),
         (poller, clock, counters): (&Rc<Poller>, Clock, &Rc<Counters>),
     ) -> io::Result<Clients> {
-        let listener = TcpListener::bind(at)?;
-        listener.set_nonblocking(true)?;
+        let listener = listen(at)?;
         poller.add(&listener, Event::readable(listener_key))?;
         Ok(Clients {
             listener,
@@ -119,6 +161,7 @@
             listener_key,
             key,
             most,
+            room,
             tariffs: names(charter, "tariffs"),
             customers: names(charter, "tenants"),
             callers: RefCell::new(Callers {
@@ -167,18 +210,17 @@
         if self.paused_until.get().is_some() {
             return;
         }
-        loop {
+        for _ in 0..AT_ONCE {
             let full = self.callers.borrow().kept.len() >= self.most;
-            if full && self.longest_idle().is_none() {
+            let sheds = if full { self.first_to_shed() } else { None };
+            if full && sheds.is_none() {
                 // All are at work. Whoever is taken in is owed an answer, so newcomers wait outside.
                 self.paused_until.set(Some(self.clock.now() + BREATHER));
                 return;
             }
             match self.listener.accept() {
                 Ok((stream, _)) => {
-                    if full {
-                        self.shed_one();
-                    }
+                    sheds.inspect(|&place| self.shed(place));
                     self.take_in(stream);
                 }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => break,
@@ -188,7 +230,7 @@
                     // can't serve: make room, and look again after a breather.
                     self.counters.accepts_failed.up();
                     warn!("connections can't be taken in: {e}");
-                    self.shed_one();
+                    self.first_to_shed().inspect(|&place| self.shed(place));
                     self.paused_until.set(Some(self.clock.now() + BREATHER));
                     return;
                 }
@@ -204,19 +246,24 @@
     }
 
     fn take_in(&self, stream: TcpStream) {
+        let now = self.clock.now();
         let mut callers = self.callers.borrow_mut();
-        let serial = callers.next_serial;
-        callers.next_serial += 1;
-        let place = callers.kept.vacant_entry();
+        let Callers { kept, slow, next_serial, .. } = &mut *callers;
+        let serial = *next_serial;
+        *next_serial += 1;
+        let place = kept.vacant_entry();
         match Connection::watched(stream, &self.poller, (self.key)(place.key())) {
             Ok(connection) => {
                 self.counters.callers_accepted.up();
+                slow.set(now + WHOLE_WITHIN, (place.key(), serial));
                 place.insert(Caller {
                     connection,
                     serial,
                     in_hand: None,
-                    partial_since: None,
-                    last_used: self.clock.now(),
+                    body: 0,
+                    waited_since: Some(now),
+                    last_used: now,
+                    is_usual: false,
                     calls_back: false,
                     closes: false,
                     lingers: false,
@@ -229,20 +276,16 @@
         }
     }
 
-    /// The connection that has stood idle longest. One that was taken in or used a moment ago may have a request
-    /// under way that would be lost, and is left.
-    fn longest_idle(&self) -> Option<usize> {
-        const MOMENT: Span = Span::millis(250);
+    /// The connection that is closed first for want of room.
+    fn first_to_shed(&self) -> Option<usize> {
         let (now, callers) = (self.clock.now(), self.callers.borrow());
-        let idle = callers.kept.iter().filter(|(_, c)| c.is_idle() && now.since(c.last_used) >= MOMENT);
-        idle.min_by_key(|(_, caller)| caller.last_used).map(|(place, _)| place)
+        let sheds = callers.kept.iter().filter_map(|(place, caller)| Some((caller.sheds(now)?, place)));
+        sheds.min().map(|(_, place)| place)
     }
 
-    fn shed_one(&self) {
-        if let Some(place) = self.longest_idle() {
-            self.counters.callers_shed.up();
-            self.callers.borrow_mut().kept.remove(place);
-        }
+    fn shed(&self, place: usize) {
+        self.counters.callers_shed.up();
+        self.callers.borrow_mut().kept.remove(place);
     }
 
     pub fn next_due(&self) -> Option<Moment> {
@@ -258,9 +301,14 @@
                 continue;
             };
             let unwritten = caller.connection.buffer.waits_to_write();
-            if caller.lingers || (unwritten && now.since(caller.last_used) >= WHOLE_WITHIN) {
+            let silent = caller.connection.buffer.unread().is_empty();
+            let waited = caller.waited_since.is_some_and(|at| now.since(at) >= WHOLE_WITHIN);
+            if caller.lingers
+                || (unwritten && now.since(caller.last_used) >= WHOLE_WITHIN)
+                || (waited && silent)
+            {
                 callers.kept.remove(place);
-            } else if caller.partial_since.is_some_and(|at| now.since(at) >= WHOLE_WITHIN) {
+            } else if waited {
                 drop(callers);
                 self.reject(place, Malformed(408));
             }
@@ -276,11 +324,7 @@
         let reading = {
             let mut callers = self.callers.borrow_mut();
             let Some(caller) = callers.kept.get_mut(place) else { return };
-            let reading = caller.connection.read();
-            if caller.lingers {
-                caller.drop_unread();
-            }
-            reading
+            if caller.lingers { caller.connection.read_and_drop() } else { caller.connection.read() }
         };
         while let Some(request) = self.next_request(place) {
             self.serve(place, request, exchange);
@@ -327,15 +371,19 @@
         match http::request(caller.connection.buffer.unread()) {
             Ok(Some((request, length))) => {
                 caller.connection.buffer.done_with(length);
-                (caller.partial_since, caller.last_used) = (None, now);
+                (caller.waited_since, caller.last_used) = (None, now);
                 caller.closes = request.headers.closes;
                 Some(request)
             }
             Ok(None) => {
-                if caller.partial_since.is_none() {
-                    caller.partial_since = Some(now);
+                if caller.waited_since.is_none() {
+                    caller.waited_since = Some(now);
                     slow.set(now + WHOLE_WITHIN, (place, caller.serial));
                 }
+                if caller.holds() > LARGE && !self.has_room(kept) {
+                    drop(callers);
+                    self.reject(place, Malformed(413));
+                }
                 None
             }
             Err(malformed) => {
@@ -355,8 +403,8 @@
             let Callers { kept, slow, .. } = &mut *callers;
             if let Some(caller) = kept.get_mut(place) {
                 caller.drop_unread();
-                (caller.partial_since, caller.closes, caller.lingers) = (None, true, true);
-                slow.set(self.clock.now() + WHOLE_WITHIN, (place, caller.serial));
+                (caller.waited_since, caller.closes, caller.lingers) = (None, true, true);
+                slow.set(self.clock.now() + LINGER, (place, caller.serial));
             }
         }
         self.write(place, status, None, b"");
@@ -382,12 +430,14 @@
 
     fn call_back(&self, place: usize, request: &Request, exchange: &mut Exchange) {
         self.counters.call_backs.up();
-        if let Some(caller) = self.callers.borrow_mut().kept.get_mut(place) {
-            caller.calls_back = true;
-        }
         trace!("call-back {}", String::from_utf8_lossy(&request.body));
         match serde_json::from_slice::<CallBack>(&request.body) {
             Ok(call) => {
+                if exchange.knows(&call.from)
+                    && let Some(caller) = self.callers.borrow_mut().kept.get_mut(place)
+                {
+                    (caller.is_usual, caller.calls_back) = (true, true);
+                }
                 // Answered whatever it names: an executor asks again until it is.
                 self.write(place, 204, None, b"");
                 exchange.called_back(call);
@@ -406,13 +456,25 @@
         let header = |name| headers.get(name);
         let bad = Malformed(400);
         trace!("{target} {headers:?}");
-        // It becomes part of a request line when the job is given up.
-        let speakable = |id: &&str| !id.is_empty() && id.bytes().all(|b| b.is_ascii_graphic());
-        let call_id = header("X-Call-Id").filter(speakable).ok_or(bad)?;
-        let named = header("X-Call-Class").or(target.split(['/', '?']).nth(1)).ok_or(bad)?;
+        // Said twice, an executor might go by the other one.
+        let once = |name| headers.once(name).map_err(|()| bad);
+        // Both become part of a request line, the id when the job is given up.
+        let speakable = |text: &str, longest| {
+            (1..=longest).contains(&text.len()) && text.bytes().all(|b| b.is_ascii_graphic())
+        };
+        if !target.starts_with('/') || !speakable(&target, LONGEST_TARGET) {
+            return Err(bad);
+        }
+        let call_id = once("X-Call-Id")?.filter(|id| speakable(id, LONGEST_ID)).ok_or(bad)?;
+        let first = target.split(['/', '?']).nth(1).unwrap_or_default();
+        let named = once("X-Call-Class")?.unwrap_or(first);
         let tariff = self.tariffs.iter().position(|name| name == named).ok_or(Malformed(404))?;
-        let patience_ms: u64 = header("X-Budget-Ms").and_then(|ms| ms.parse().ok()).ok_or(bad)?;
-        let patience = Span::millis(patience_ms.min(LONGEST_PATIENCE_MS));
+        if named != first {
+            return Err(bad);
+        }
+        let digits = |ms: &&str| ms.bytes().all(|b| b.is_ascii_digit());
+        let patience_ms = once("X-Budget-Ms")?.filter(digits).and_then(|ms| ms.parse::<u64>().ok());
+        let patience = Span::millis(patience_ms.ok_or(bad)?.min(LONGEST_PATIENCE_MS));
         let customer = header("X-Caller").and_then(|name| self.customers.iter().position(|n| n == name));
         let key = header("X-Route-Hash").filter(|key| !key.is_empty());
         let hint_us = header("X-Call-Cost").and_then(|us| us.parse::<f64>().ok());
@@ -440,9 +502,15 @@
             // nothing, here and at the executors.
             return self.reject(place, Malformed(409));
         }
-        if self.callers.borrow().by_unit.len() * 3 >= self.most * 2 {
-            // A third of the connections is kept for call-backs: each executor holds some, and without them no
-            // unit in hand would ever be answered. Nothing has run of this one.
+        // A third of the connections is kept for call-backs: each executor holds some, and without them no unit in
+        // hand would ever be answered.
+        let crowded = {
+            let callers = self.callers.borrow();
+            callers.by_unit.len() * 3 >= self.most * 2
+                || (errand.body.len() > LARGE && !self.has_room(&callers.kept))
+        };
+        if crowded {
+            // Nothing has run of this one.
             self.counters.units.up();
             self.counters.turned_back.up();
             return self.write(place, 503, None, b"");
@@ -453,7 +521,8 @@
             let mut callers = self.callers.borrow_mut();
             callers.by_unit.insert(unit, place);
             if let Some(caller) = callers.kept.get_mut(place) {
-                caller.in_hand = Some(unit);
+                (caller.in_hand, caller.body, caller.is_usual) = (Some(unit), errand.body.len(), true);
+                caller.connection.bear(BESIDE);
             }
         }
         self.counters.units.up();
@@ -466,7 +535,8 @@
             let mut callers = self.callers.borrow_mut();
             let Some(place) = callers.by_unit.remove(&unit) else { return };
             let Some(caller) = callers.kept.get_mut(place) else { return };
-            (caller.in_hand, caller.last_used) = (None, self.clock.now());
+            (caller.in_hand, caller.body, caller.last_used) = (None, 0, self.clock.now());
+            caller.connection.bear(MOST_UNREAD);
             caller.closes |= self.winding_down.get();
             place
         };
@@ -478,6 +548,12 @@
         self.write(place, status, come_back.map(Span::as_secs), body);
     }
 
+    /// Whether requests leave memory for more. Guards against large or endless ones, hundreds at once, that end the
+    /// node for want of it.
+    fn has_room(&self, kept: &Slab<Caller>) -> bool {
+        kept.iter().map(|(_, caller)| caller.holds()).sum::<usize>() < self.room
+    }
+
     fn write(&self, place: usize, status: u16, come_back: Option<f64>, body: &[u8]) {
         let mut callers = self.callers.borrow_mut();
         let Callers { kept, slow, .. } = &mut *callers;
@@ -499,3 +575,15 @@
         );
     }
 }
+
+fn listen(at: SocketAddr) -> io::Result<TcpListener> {
+    // Hundreds may connect in one moment. Beyond the usual 128 the system drops them, and they try again a second
+    // later: guards against call-backs and usual clients that wait for that.
+    const QUEUE: i32 = 1024;
+    let socket = Socket::new(Domain::for_address(at), Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_reuse_address(true)?;
+    socket.bind(&at.into())?;
+    socket.listen(QUEUE)?;
+    socket.set_nonblocking(true)?;
+    Ok(socket.into())
+}
--- a/crates/node/src/wire/discovery.rs
+++ b/crates/node/src/wire/discovery.rs
@@ -156,7 +156,8 @@
         );
         let opened = Connection::dial(address, &self.poller, self.key).map(|mut connection| {
             connection.buffer.put(text.as_bytes());
-            connection.bearing(MOST_LINE)
+            connection.bear(MOST_LINE);
+            connection
         });
         let now = self.clock.now();
         match opened {
--- a/crates/node/tests/fake/mod.rs
+++ b/crates/node/tests/fake/mod.rs
@@ -3,7 +3,7 @@
 
 use serde_json::{Value, json};
 use socket2::{Domain, SockRef, Socket, Type};
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
@@ -43,6 +43,10 @@
 
     /// `sockets` are promised to the node, `descriptors` are what it gets.
     pub fn with(executors: &[&TcpListener], charter: Value, sockets: usize, descriptors: usize) -> World {
+        World::limited(executors, charter, json!({"sockets": sockets}), descriptors)
+    }
+
+    pub fn limited(executors: &[&TcpListener], charter: Value, limits: Value, descriptors: usize) -> World {
         static STARTED: AtomicUsize = AtomicUsize::new(0);
         let number = STARTED.fetch_add(1, Ordering::Relaxed);
         let folder = std::env::temp_dir().join(format!("grebeusher-{}-{number}", std::process::id()));
@@ -50,7 +54,7 @@
         let discovery = listener();
         let known: Vec<Value> = executors.iter().enumerate().map(|(i, l)| entry(i, l, "active")).collect();
         let posting = json!({"name": "n0", "listen": "127.0.0.1:0", "discovery": address(&discovery),
-            "seed": "8c1f30d27a5be964", "limits": {"sockets": sockets}, "settings": charter,
+            "seed": "8c1f30d27a5be964", "limits": limits, "settings": charter,
             "known": {"generation": 41, "reset": true, "instances": known}});
         let path = folder.join(POSTING);
         std::fs::write(&path, posting.to_string()).expect("the posting is written");
@@ -235,7 +239,10 @@
     }
 
     pub fn is_closed(&mut self) -> bool {
-        // A reset is as closed as an end.
-        !matches!(self.stream.read(&mut [0]), Ok(1..))
+        // A reset is as closed as an end; silence is not.
+        match self.stream.read(&mut [0]) {
+            Ok(read) => read == 0,
+            Err(e) => e.kind() == ErrorKind::ConnectionReset,
+        }
     }
 }
--- a/crates/node/tests/stories.rs
+++ b/crates/node/tests/stories.rs
@@ -200,11 +200,23 @@
         (header("Content-Length: 4\r\nContent-Length: 5"), 400),
         (header("Content-Length: 4\r\nTransfer-Encoding: chunked"), 400),
         (header("Content-Length: -1"), 400),
+        (header("Content-Length: +4"), 400),
+        (header("Transfer-Encoding: chunked\r\nTransfer-Encoding: identity"), 400),
+        (header("X-Call-Id: v"), 400),
+        (header("X-Budget-Ms: 90"), 400),
+        (header("X-Call-Class: reserve"), 400),
+        (header("").replace("/search", "search"), 400),
+        (header("").replace("/search", "/search?q=\u{e9}"), 400),
+        (header("").replace("/search", &format!("/search?{}", "q".repeat(5000))), 400),
+        (header("").replace(" u\r", &format!(" {}\r", "u".repeat(200))), 400),
+        (header("").replace("900", "-5"), 400),
+        (header("").replace("900", "+5"), 400),
+        (header("").replace("900", ""), 400),
         (header("Content-Length: 70000"), 413),
         (header("Content-Length: 99999999999999999999999"), 413),
         (header(&format!("X-Long: {}", "x".repeat(20_000))), 431),
         (header("Transfer-Encoding: chunked") + "zz\r\n", 400),
-        (header("X-Budget-Ms: soon").replace("900", "soon"), 400),
+        (header("").replace("900", "soon"), 400),
         ("POST /search HTTP/1.1\r\nX-Call-Id: u HTTP/1.1\r\nX-Budget-Ms: 900\r\n\r\n".to_owned(), 400),
         ("POST /no-such-tariff HTTP/1.1\r\nX-Call-Id: u\r\nX-Budget-Ms: 900\r\n\r\n".to_owned(), 404),
         ("POST /v1/job-events HTTP/1.1\r\nContent-Length: 9\r\n\r\n{\"id\":\"u\"".to_owned(), 400),
@@ -234,6 +246,78 @@
     assert_eq!(slow.hear().status(), 408);
 }
 
+#[test]
+fn who_says_nothing_is_closed_and_who_once_did_may_stay() {
+    let listens = listener();
+    let world = World::around(&listens);
+    let mut idle = world.bring("u1", "search", 9000);
+    let mut executor = accept(&listens);
+    executor.hear();
+    executor.answer(202, "");
+    let mut calls_back = world.call();
+    calls_back.post(
+        "/v1/job-events",
+        &json!({"id": "u1", "from": "s-0", "state": "done", "result": ""}).to_string(),
+    );
+    assert_eq!((calls_back.hear().status(), idle.hear().status()), (204, 200));
+    let mut silent: Vec<Talk> = (0..100).map(|_| world.call()).collect();
+    assert!(silent.iter_mut().all(Talk::is_closed));
+    idle.say(&unit("u2", "search", 9000));
+    assert_eq!(executor.hear().header("X-Call-Id"), Some("u2"));
+    calls_back.post("/v1/job-events", &json!({"id": "u2", "from": "s-0", "state": "failed"}).to_string());
+    assert_eq!(calls_back.hear().status(), 204);
+}
+
+#[test]
+fn a_huge_body_is_refused_at_its_head_and_what_still_comes_is_dropped() {
+    let listens = listener();
+    let world = World::around(&listens);
+    let mut client = world.call();
+    client
+        .say("POST /search HTTP/1.1\r\nX-Call-Id: u\r\nX-Budget-Ms: 900\r\nContent-Length: 60000000\r\n\r\n");
+    let piece = "x".repeat(1_000_000);
+    for _ in 0..60 {
+        client.say(&piece);
+    }
+    assert_eq!(client.hear().status(), 413);
+    assert!(client.is_closed());
+    assert_eq!(world.counter("bad_requests"), 1);
+}
+
+#[test]
+fn large_bodies_that_never_end_do_not_take_the_memory() {
+    // Failure: hundreds of half-sent requests held more than the node has. A quarter of one megabyte here.
+    let listens = listener();
+    let world = World::limited(&[&listens], charter(), json!({"sockets": 1024, "memory_mb": 1}), 1024);
+    let half = "POST /search HTTP/1.1\r\nX-Call-Id: u\r\nX-Budget-Ms: 900\r\nContent-Length: 60000\r\n\r\n";
+    let mut clients: Vec<Talk> = (0..10).map(|_| world.call()).collect();
+    for client in &mut clients {
+        client.say(&(half.to_owned() + &"x".repeat(50_000)));
+    }
+    while world.counter("bad_requests") < 5 {}
+    let _usual = world.bring("u1", "search", 9000);
+    assert_eq!(accept(&listens).hear().header("X-Call-Id"), Some("u1"), "a usual one is served");
+}
+
+#[test]
+fn for_want_of_room_the_silent_go_before_idle_clients_and_call_backs() {
+    // Failure: the longest idle went first, and a flood of silent connections took the place of usual clients.
+    let refuses = refusing();
+    let world = World::with(&[&refuses], charter(), 36, 1024);
+    let mut usual = world.bring("u1", "reserve", 500);
+    assert_eq!(usual.hear().status(), 503);
+    let mut executor = world.call();
+    let call_back = json!({"id": "u1", "from": "s-0", "state": "started"}).to_string();
+    executor.post("/v1/job-events", &call_back);
+    assert_eq!(executor.hear().status(), 204);
+    let mut asked: Vec<Talk> = (0..40).map(|_| world.call()).collect();
+    assert!(asked[0].is_closed(), "the first of those who say nothing");
+    usual.say(&unit("u2", "reserve", 500));
+    assert_eq!(usual.hear().status(), 503);
+    executor.post("/v1/job-events", &call_back);
+    assert_eq!(executor.hear().status(), 204);
+}
+
 #[test]
 fn absurd_figures_of_a_request_are_borne() {
     let listens = listener();
