A silent connection costs a moment, not the patience; binding work goes on no idle one

Checked with all that is spoken logged: no 202 and no start for exactly the units that waited for their whole patience, and units turned back beside them because their executors' oldest wait was seconds; 54 resets under requests written to connections 0.12 to 0.75 s after their last use. Ruled out: CPU (0.01 s in the worst second), the call-backs (all came), discovery. At fault: wire/executors.rs, wait_for_answer(), which set no limit for an allocation, and idle_line(), which trusts any idle connection.

Change: no 202 and no start within 0.5 s, 2 s for binding work, ends an allocation as timed out once its connection is closed, and closes its executor's idle ones; binding work takes only a connection in use 50 ms ago, or a new one in its place.

--- a/crates/charter/src/lib.rs
+++ b/crates/charter/src/lib.rs
@@ -55,6 +55,12 @@
         .collect()
 }
 
+/// Which tariffs are binding, by their places.
+pub fn binding(charter: &Value) -> Vec<bool> {
+    let list = charter["tariffs"].as_array().map(Vec::as_slice).unwrap_or_default();
+    list.iter().map(|tariff| tariff["effect"] == "non_idempotent").collect()
+}
+
 /// Whether executors may be asked to give up a job that they took.
 pub fn recalls(charter: &Value) -> bool {
     flag(&charter["caps"]["cancelling"])
--- a/crates/node/src/exchange.rs
+++ b/crates/node/src/exchange.rs
@@ -263,6 +263,15 @@
         self.hands.desk.borrow_mut().units.tidy(id.unit);
     }
 
+    /// The executor did not say in time that it took the job, and the connection is closed. Where it has told of a
+    /// start that word alone got lost.
+    pub fn not_taken(&mut self, id: AllocationId) {
+        let taken = self.hands.desk.borrow().units.still_out(id).is_some_and(|(_, accepted, _)| accepted);
+        if !taken {
+            self.ended(id, Ending::TimedOut, None);
+        }
+    }
+
     /// The node stops waiting, and says so to the executor where that is allowed.
     fn timed_out(&mut self, id: AllocationId) {
         self.hands.give_up(id);
--- a/crates/node/src/memory/units.rs
+++ b/crates/node/src/memory/units.rs
@@ -11,6 +11,7 @@
     pub tariff: String,
     pub target: String,
     pub body: Vec<u8>,
+    pub binding: bool,
 }
 
 struct Out {
--- a/crates/node/src/wire/clients.rs
+++ b/crates/node/src/wire/clients.rs
@@ -10,7 +10,7 @@
 use crate::memory::units::Errand;
 use crate::wire::call_backs::{self, CallBack};
 use crate::wire::http::{self, Malformed, Request};
-use grebeusher_charter::names;
+use grebeusher_charter::{binding, names};
 use grebeusher_dispatch::ids::{UnitId, fixed_hash};
 use grebeusher_dispatch::tariffs::Arrival;
 use grebeusher_dispatch::time::{Moment, Span};
@@ -134,6 +134,8 @@
     /// Bytes that requests may take together.
     room: usize,
     tariffs: Vec<String>,
+    /// Which of them are binding.
+    binding: Vec<bool>,
     customers: Vec<String>,
     callers: RefCell<Callers>,
     next_unit: Cell<u64>,
@@ -163,6 +165,7 @@
             most,
             room,
             tariffs: names(charter, "tariffs"),
+            binding: binding(charter),
             customers: names(charter, "tenants"),
             callers: RefCell::new(Callers {
                 kept: Slab::new(),
@@ -492,8 +495,9 @@
             hint,
             slots: slots.unwrap_or(1.0),
         };
+        let binding = self.binding[tariff];
         let (call_id, tariff) = (call_id.into(), named.to_owned());
-        Ok((Errand { call_id, tariff, target, body }, arrival))
+        Ok((Errand { call_id, tariff, target, body, binding }, arrival))
     }
 
     fn arrived(&self, place: usize, errand: Errand, arrival: &Arrival, exchange: &mut Exchange) {
--- a/crates/node/src/wire/executors.rs
+++ b/crates/node/src/wire/executors.rs
@@ -22,11 +22,21 @@
 
 /// Giving up and probing are answered beside the work, within round trips: a second is silence.
 const ANSWERED_WITHIN: Span = Span::millis(1000);
+/// A job is taken within round trips as well, long before it starts. An executor that stands still for a moment is
+/// borne for half a second; for longer where the job can go to no other, as there is nothing to be won by it.
+const TAKEN_WITHIN: Span = Span::millis(500);
+const BINDING_TAKEN_WITHIN: Span = Span::millis(2000);
+/// A binding job goes only on a connection that was in use a moment ago: executors may close what stands idle long
+/// before the settings' time, and a reset then says that it may have run.
+const BINDING_IDLE: Span = Span::millis(50);
+
+/// Whether a job may never run twice.
+type Binding = bool;
 
 /// What a connection is used for now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Use {
-    Allocation(AllocationId),
+    Allocation(AllocationId, Binding),
     GivingUp(AllocationId),
     Probe,
     Idle,
@@ -96,7 +106,7 @@
         errand: &Errand,
         time_out: Span,
     ) {
-        let Errand { call_id, tariff, target, body } = errand;
+        let Errand { call_id, tariff, target, body, binding } = errand;
         let (budget, length) = (time_out.0 / 1_000_000, body.len());
         let head = format!(
             "POST {target} HTTP/1.1\r\nHost: {}\r\nX-Call-Id: {call_id}\r\nX-Call-Class: {tariff}\r\n\
@@ -106,7 +116,7 @@
         let mut message = head.into_bytes();
         message.extend_from_slice(body);
         self.counters.allocations.up();
-        self.speak(executor, address, Use::Allocation(id), &message);
+        self.speak(executor, address, Use::Allocation(id, *binding), &message);
     }
 
     /// Gives up an allocation: before it was taken by closing its connection, later by asking for it.
@@ -120,8 +130,9 @@
     ) {
         if !accepted {
             let mut lines = self.lines.borrow_mut();
-            lines.kept.retain(|_, line| line.used != Use::Allocation(id));
-            lines.untold.push((executor, Use::Allocation(id), Ending::Recalled));
+            let used = Use::Allocation(id, errand.binding);
+            lines.kept.retain(|_, line| line.used != used);
+            lines.untold.push((executor, used, Ending::Recalled));
             return;
         }
         let message = format!(
@@ -142,9 +153,14 @@
     fn speak(&self, executor: ExecutorId, address: Option<SocketAddr>, used: Use, message: &[u8]) {
         let mut lines = self.lines.borrow_mut();
         let place = address.ok_or_else(|| io::Error::other("no address")).and_then(|address| {
+            let good_for = if let Use::Allocation(_, true) = used { BINDING_IDLE } else { self.retire_after };
             match self.idle_line(&mut lines, executor, address) {
-                Some(place) => Ok(place),
-                None => self.dial(&mut lines, executor, address),
+                Some(place) if self.clock.now().since(lines.kept[place].idle_since) < good_for => Ok(place),
+                idle => {
+                    // The new one takes its place, or they would pile up.
+                    idle.inspect(|&place| drop(lines.kept.remove(place)));
+                    self.dial(&mut lines, executor, address)
+                }
             }
         });
         let place = match place {
@@ -249,7 +265,16 @@
                     if line.dialling {
                         self.counters.dials_failed.up();
                     }
-                    lines.untold.push((line.executor, used, broken(&line)));
+                    let ending = match broken(&line) {
+                        // Nothing came back, and nothing broke. Its sisters may be as silent: the next dial shows
+                        // whether anybody is there.
+                        Ending::Reset => {
+                            lines.kept.retain(|_, l| l.executor != line.executor || l.used != Use::Idle);
+                            Ending::TimedOut
+                        }
+                        other => other,
+                    };
+                    lines.untold.push((line.executor, used, ending));
                 }
             }
         }
@@ -265,7 +290,8 @@
                 return;
             };
             match used {
-                Use::Allocation(id) => exchange.ended(id, ending, None),
+                Use::Allocation(id, _) if ending == Ending::TimedOut => exchange.not_taken(id),
+                Use::Allocation(id, _) => exchange.ended(id, ending, None),
                 Use::GivingUp(id) => exchange.not_given_up(id),
                 Use::Probe => exchange.probed(executor, None),
                 Use::Idle => {}
@@ -358,12 +384,15 @@
         wait(place, line, dues, line.idle_since + self.retire_after);
     }
 
-    /// An allocation waits for its answer as long as the decisions say, what is asked beside it not for long.
+    /// Guards against a unit that waits for the whole of its patience on a connection that fell silent, and against
+    /// taking its executor for full meanwhile.
     fn wait_for_answer(&self, place: usize, line: &mut Line, dues: &mut Alarms<(usize, u64)>) {
-        line.due.take().inspect(|&due| dues.unset(due));
-        if !matches!(line.used, Use::Allocation(_)) {
-            wait(place, line, dues, self.clock.now() + ANSWERED_WITHIN);
-        }
+        let within = match line.used {
+            Use::Allocation(_, true) => BINDING_TAKEN_WITHIN,
+            Use::Allocation(_, false) => TAKEN_WITHIN,
+            _ => ANSWERED_WITHIN,
+        };
+        wait(place, line, dues, self.clock.now() + within);
     }
 
     /// What the answer to a request means, by the protocol's table.
@@ -372,11 +401,11 @@
         let report = response.headers.get(load::HEADER).and_then(|text| exchange.reports().text(text));
         let unstarted = response.headers.get("X-Rejected") == Some("1");
         match (used, response.status) {
-            (Use::Allocation(id), 202) => exchange.accepted(id),
-            (Use::Allocation(id), 503 | 504) if unstarted => exchange.ended(id, Ending::Full, report),
+            (Use::Allocation(id, _), 202) => exchange.accepted(id),
+            (Use::Allocation(id, _), 503 | 504) if unstarted => exchange.ended(id, Ending::Full, report),
             // The client's fault, not the executor's: an id that is another's, say.
-            (Use::Allocation(id), 400..500) => exchange.ended(id, Ending::Unusable, report),
-            (Use::Allocation(id), _) => exchange.ended(id, Ending::Error, report),
+            (Use::Allocation(id, _), 400..500) => exchange.ended(id, Ending::Unusable, report),
+            (Use::Allocation(id, _), _) => exchange.ended(id, Ending::Error, report),
             (Use::GivingUp(id), ..500) => exchange.ended(id, Ending::Recalled, None),
             (Use::GivingUp(id), _) => exchange.not_given_up(id),
             (Use::Probe, _) => {
