--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -219,8 +219,7 @@
         const BURST_S: f64 = 2.0;
         const TOO_FEW: f64 = 4.0;
         let leaked = now.since(self.at).as_secs() * self.per_s;
-        self.level = (self.level - leaked).max(0.0);
-        self.at = now;
+        (self.level, self.at) = ((self.level - leaked).max(0.0), now);
         let beyond = self.level + 1.0 > (self.per_s * BURST_S).max(TOO_FEW);
         self.level += f64::from(u8::from(!beyond));
         beyond
@@ -506,8 +505,8 @@
         for (rank, &i) in self.roster.iter().enumerate() {
             self.executors[i].lane = usize::from(rank >= first);
         }
-        // Those of the node's own zone come six times as far to the front: crossing costs, yet a zone must
-        // not be left to itself, since neither workers nor clients are spread evenly.
+        // The own zone comes six times as far to the front: crossing costs, yet a zone must not be left to
+        // itself, since neither workers nor clients are spread evenly.
         const NEARER: u64 = 6;
         // Before all come the cold ones that this node may warm, or they would idle. A budget that grows to
         // the full capacity of a few slots is seldom split among more nodes.
@@ -532,8 +531,7 @@
         sizes.sort_by(f64::total_cmp);
         let total: f64 = sizes.iter().sum();
         if let Some(&middle) = sizes.get(sizes.len() / 2) {
-            self.median = middle;
-            self.mean = total / sizes.len() as f64;
+            (self.median, self.mean) = (middle, total / sizes.len() as f64);
         }
         self.cut_offs.clear();
         let all = self.ready().count();
@@ -624,9 +622,11 @@
     fn pick(&mut self, now: Moment, unit: UnitId) -> Option<Picked> {
         const FLOOR: f64 = 0.1; // design page
         let work = self.work.get(&unit)?;
-        let keyed = work.key.is_some();
-        let mut able = self.candidates(now, work, true);
-        if !keyed && !able.iter().any(|c| c.room) {
+        let (keyed, mut able) = (work.key.is_some(), self.candidates(now, work, true));
+        // Own evidence does not show what others fill: at the floor of the weights it passes for full. Guards
+        // against queues in one lane while the other idles.
+        let open = |c: &Candidate| c.room && (keyed || c.load.is_none_or(|load| load < 1.0 - FLOOR));
+        if !keyed && !able.iter().any(open) {
             able = self.candidates(now, work, false);
         }
         let any_room = able.iter().any(|c| c.room);
@@ -634,10 +634,10 @@
         // all.
         let asked = able.iter().filter(|c| c.room || !any_room || !keyed);
         let least_wait = asked.filter_map(|c| c.wait).fold(f64::INFINITY, f64::min);
-        // Those with room before the others, of these those of the lane, and of these cold ones that may take
+        // First those with room, of these the not full, then those of the lane, then cold ones that may take
         // some: the few nodes that warm one see little, and left to chance it would idle.
         let cold = |c: &Candidate| self.executors[c.at].cold_budget(&self.cold, now).is_some();
-        let rank = |c: &Candidate| (c.room, c.in_lane, c.room && cold(c));
+        let rank = |c: &Candidate| (c.room, open(c), c.in_lane, c.room && cold(c));
         let best = able.iter().map(rank).max();
         able.retain(|c| Some(rank(c)) == best);
         let weight = |load: f64| if load < 1.0 { (1.0 - load).max(FLOOR) } else { FLOOR / load };
--- a/crates/dispatch/tests/stories.rs
+++ b/crates/dispatch/tests/stories.rs
@@ -37,6 +37,37 @@
     assert!((0..8).all(|i| short[i] == 0 || long[i] == 0), "no worker takes both: {short:?} {long:?}");
 }
 
+#[test]
+fn work_leaves_a_lane_of_which_all_that_have_room_report_full() {
+    // Failure: other nodes filled one lane, where own evidence still saw room, and the other lane idled.
+    let mut story = Story::of(8);
+    let first: Vec<usize> = (1000..1008)
+        .map(|unit| {
+            story.arrive(unit, BINDING, 300);
+            story.sent_to()
+        })
+        .collect();
+    let mut long = [false; 8];
+    let report = |full| Some(Report { utilisation: Some(if full { 1.0 } else { 0.1 }), free_slots: None });
+    for unit in 0..400 {
+        let is_long = unit % 10 == 0;
+        story.arrive(unit, BINDING, if is_long { 700 } else { 300 });
+        let executor = story.sent_to();
+        long[executor] |= is_long && unit > 60;
+        story.end(unit, 0, executor, Ending::Fulfilled);
+        if unit == 60 {
+            story.pass(300);
+            story.node.rang(story.now, 0);
+            story.heard();
+        }
+    }
+    for (unit, &executor) in (1000..).zip(&first) {
+        story.end_with(unit, 0, executor, Ending::Fulfilled, report(!long[executor]));
+    }
+    story.arrive(500, BINDING, 300);
+    assert!(long[story.sent_to()], "short work goes to the long lane");
+}
+
 #[test]
 fn two_or_three_executors_are_two_lanes_as_well() {
     // Failure: three quarters of two or three were all of them, and one lane was left.
