A connection that breaks while it is written speaks not against its executor

Ruled out: the wire (0.3 ms at the median), discovery. At fault: wire/executors.rs, broken(); the same Refused was told when this node had no connection left.

--- a/crates/dispatch/src/tariffs.rs
+++ b/crates/dispatch/src/tariffs.rs
@@ -82,13 +82,16 @@
     Reset,
     Recalled,
     NeverSent,
+    /// The connection broke before all was sent, or there was none to be had here: that says nothing of the
+    /// executor either.
+    CutOff,
     /// The executor could make nothing of the work unit: that says nothing of the executor.
     Unusable,
 }
 
 impl Ending {
     pub fn proves_not_run(self) -> bool {
-        matches!(self, Ending::Full | Ending::Refused | Ending::NeverSent)
+        matches!(self, Ending::Full | Ending::Refused | Ending::NeverSent | Ending::CutOff)
     }
 }
 
--- a/crates/dispatch/tests/stories.rs
+++ b/crates/dispatch/tests/stories.rs
@@ -124,6 +124,25 @@
     assert_eq!(used, [0, 1], "both are still used");
 }
 
+#[test]
+fn a_connection_that_breaks_before_all_is_sent_speaks_not_against_its_executor() {
+    // Failure: where connections were reset, warm executors were set aside, and taken for restarted and cold.
+    let mut story = Story::of(2);
+    let mut first = Vec::new();
+    for unit in 0..8 {
+        story.arrive(unit, BINDING, 300);
+        first.push(story.sent_to());
+        story.end(unit, 0, first[unit as usize], Ending::CutOff);
+        let second = story.sent_to();
+        assert_ne!(second, first[unit as usize], "it never ran, and another is asked");
+        story.end(unit, 1, second, Ending::Fulfilled);
+        story.heard();
+    }
+    first.sort_unstable();
+    first.dedup();
+    assert_eq!(first, [0, 1], "both are still used");
+}
+
 #[test]
 fn own_recent_sends_correct_a_late_report() {
     // Failure: one idle-looking executor drew a pile of work between two reports.
--- a/crates/node/src/exchange.rs
+++ b/crates/node/src/exchange.rs
@@ -253,6 +253,7 @@
             Ending::Refused => self.counters.ended_refused.up(),
             Ending::Reset => self.counters.ended_reset.up(),
             Ending::Recalled => self.counters.ended_recalled.up(),
+            Ending::CutOff => self.counters.ended_cut_off.up(),
             Ending::Unusable => self.counters.ended_unusable.up(),
         }
         if ending != Ending::Fulfilled {
--- a/crates/node/src/memory/counters.rs
+++ b/crates/node/src/memory/counters.rs
@@ -45,6 +45,7 @@
     ended_reset: "allocations whose connection or process broke",
     ended_timed_out: "allocations that the node stopped waiting for",
     ended_recalled: "allocations given up",
+    ended_cut_off: "allocations whose connection broke before all was sent, or for which none was left",
     ended_unusable: "allocations of what an executor could make nothing of",
     late_results: "results of ended allocations, handed on all the same",
     call_backs: "call-backs of executors",
--- a/crates/node/src/wire/executors.rs
+++ b/crates/node/src/wire/executors.rs
@@ -16,7 +16,7 @@
 use polling::Poller;
 use slab::Slab;
 use std::cell::RefCell;
-use std::io;
+use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -168,7 +168,12 @@
             Err(e) => {
                 debug!("no connection to executor {}: {e}", executor.0);
                 self.counters.dials_failed.up();
-                return lines.untold.push((executor, used, Ending::Refused));
+                let ending = if e.kind() == ErrorKind::QuotaExceeded || lacks_descriptors(&e) {
+                    Ending::CutOff
+                } else {
+                    Ending::Refused
+                };
+                return lines.untold.push((executor, used, ending));
             }
         };
         let Lines { kept, dues, .. } = &mut *lines;
@@ -210,7 +215,8 @@
 
     fn dial(&self, lines: &mut Lines, executor: ExecutorId, address: SocketAddr) -> io::Result<usize> {
         if lines.kept.len() >= self.most {
-            drop_oldest_idle(lines).ok_or_else(|| io::Error::other("all connections are in use"))?;
+            let in_use = || io::Error::new(ErrorKind::QuotaExceeded, "all connections are in use");
+            drop_oldest_idle(lines).ok_or_else(in_use)?;
         }
         let serial = lines.next_serial;
         lines.next_serial += 1;
@@ -266,6 +272,7 @@
                         self.counters.dials_failed.up();
                     }
                     let ending = match broken(&line) {
+                        _ if line.dialling => Ending::Refused,
                         // Nothing came back, and nothing broke. Its sisters may be as silent: the next dial shows
                         // whether anybody is there.
                         Ending::Reset => {
@@ -324,7 +331,9 @@
                     if line.dialling {
                         self.counters.dials_failed.up();
                     }
-                    Err((line.executor, line.used, broken(&line)))
+                    let refused = line.dialling && e.kind() == ErrorKind::ConnectionRefused;
+                    let ending = if refused { Ending::Refused } else { broken(&line) };
+                    Err((line.executor, line.used, ending))
                 }
             }
         };
@@ -371,7 +380,7 @@
         if reading == Reading::Ended
             || (line.used == Use::Idle && !line.connection.buffer.unread().is_empty())
         {
-            return Err(io::ErrorKind::ConnectionReset.into());
+            return Err(ErrorKind::ConnectionReset.into());
         }
         line.connection.watch(false)?;
         Ok(None)
@@ -418,10 +427,11 @@
 }
 
 /// How what a connection was used for ended when it broke: nothing has run of a request whose last byte was
-/// not written.
+/// not written. Guards against taking an executor for restarted, and so for cold, that reset a connection: only
+/// one that refuses is gone.
 fn broken(line: &Line) -> Ending {
     let unsent = line.dialling || line.connection.buffer.waits_to_write();
-    if unsent { Ending::Refused } else { Ending::Reset }
+    if unsent { Ending::CutOff } else { Ending::Reset }
 }
 
 fn lacks_descriptors(e: &io::Error) -> bool {
