A stopping node serves on for 0.75 s, and answers late comers before its end

Ruled out: the node's own end (it answers all it has), the wire. At fault: life/node.rs, NOTICED_WITHIN of 0.5 s, and answers that asked for the end of their connections at once.

Change: 0.75 s, and the end is asked for from then on only. What comes later than 0.5 s after word to stop has its patience cut to 0.2 s before the end may come, since such a unit without an answer would break a rule.

--- a/crates/charter/src/lib.rs
+++ b/crates/charter/src/lib.rs
@@ -55,6 +55,12 @@
         .collect()
 }
 
+/// The longest that any client waits.
+pub fn longest_patience(charter: &Value) -> Span {
+    let list = charter["tariffs"].as_array().map(Vec::as_slice).unwrap_or_default();
+    list.iter().map(|tariff| span(&tariff["patience_ns"])).max().unwrap_or_default()
+}
+
 /// Which tariffs are binding, by their places.
 pub fn binding(charter: &Value) -> Vec<bool> {
     let list = charter["tariffs"].as_array().map(Vec::as_slice).unwrap_or_default();
--- a/crates/dispatch/src/time.rs
+++ b/crates/dispatch/src/time.rs
@@ -45,6 +45,13 @@
     }
 }
 
+impl Sub for Span {
+    type Output = Span;
+    fn sub(self, other: Span) -> Span {
+        Span(self.0.saturating_sub(other.0))
+    }
+}
+
 impl Add for Span {
     type Output = Span;
     fn add(self, other: Span) -> Span {
--- a/crates/node/src/life/node.rs
+++ b/crates/node/src/life/node.rs
@@ -8,7 +8,7 @@
 use crate::wire::clients::Clients;
 use crate::wire::discovery::Discovery;
 use crate::wire::executors::Executors;
-use grebeusher_charter::span;
+use grebeusher_charter::{longest_patience, span};
 use grebeusher_dispatch::time::{Moment, Span};
 use log::{error, info};
 use polling::Poller;
@@ -32,9 +32,17 @@
     FIRST + 1 + 2 * place
 }
 
-/// After word to stop, connections go on coming until the fronts have noticed: this long all are served as
-/// before; then idle ones are closed, so that clients go elsewhere.
-const NOTICED_WITHIN: Span = Span::millis(500);
+/// After word to stop, connections go on coming until the fronts have noticed, and clients go on using those that
+/// they have for a little longer: this long all are served as before, as other nodes may be away too. Then idle
+/// ones are closed.
+const NOTICED_WITHIN: Span = Span::millis(750);
+/// What comes later than this after word to stop must have its answer before the end: the rules excuse what came
+/// before, with some time to spare.
+const EXCUSED_FOR: Span = Span::millis(500);
+/// From word to stop to the end: the longest patience, up to the first, and the second; less a margin.
+const LONGEST_STOP: Span = Span::millis(3000);
+const MORE_STOP: Span = Span::millis(700);
+const STOP_MARGIN: Span = Span::millis(200);
 /// A connection that came late may still bring its request: idle ones are given this long.
 const IDLE_FOR: Span = Span::millis(200);
 /// How often the last connections are looked at while the node closes.
@@ -67,6 +75,8 @@
     executors: Rc<Executors>,
     discovery: Rc<Discovery>,
     exchange: Exchange,
+    /// From word to stop to the last answers.
+    answers_within: Span,
 }
 
 impl Node {
@@ -99,7 +109,20 @@
         let listens = clients.address().map_err(|e| e.to_string())?;
         info!("{} listens at {listens}; {from_outside} + {to_executors} connections at most", posting.name);
         let phase = Phase::Starting;
-        Ok(Node { phase, clock, counters, poller, signals, posted, clients, executors, discovery, exchange })
+        let answers_within = longest_patience(charter).min(LONGEST_STOP) + MORE_STOP - STOP_MARGIN;
+        Ok(Node {
+            phase,
+            clock,
+            counters,
+            poller,
+            signals,
+            posted,
+            clients,
+            executors,
+            discovery,
+            exchange,
+            answers_within,
+        })
     }
 
     /// Runs until all is done after word to stop.
@@ -163,7 +186,9 @@
             self.reload();
         }
         if self.signals.told_to_stop() && matches!(self.phase, Phase::Starting | Phase::Serving) {
-            self.enter(Phase::Leaving { since: self.clock.now() });
+            let since = self.clock.now();
+            self.clients.end_by(since + EXCUSED_FOR, since + self.answers_within);
+            self.enter(Phase::Leaving { since });
         }
         Ok(())
     }
@@ -203,11 +228,9 @@
         self.phase = phase;
         match phase {
             Phase::Serving => self.clients.say_ready(true),
-            Phase::Leaving { .. } => {
-                self.clients.say_ready(false);
-                self.clients.wind_down();
-            }
-            Phase::Starting | Phase::Closing | Phase::Gone => {}
+            Phase::Leaving { .. } => self.clients.say_ready(false),
+            Phase::Closing => self.clients.wind_down(),
+            Phase::Starting | Phase::Gone => {}
         }
     }
 }
--- a/crates/node/src/wire/clients.rs
+++ b/crates/node/src/wire/clients.rs
@@ -142,6 +142,8 @@
     ready: Cell<bool>,
     /// Answers ask for the end of their connections.
     winding_down: Cell<bool>,
+    /// After word to stop: what comes from the first on must be answered by the second.
+    ends: Cell<Option<(Moment, Moment)>>,
     paused_until: Cell<Option<Moment>>,
 }
 
@@ -176,6 +178,7 @@
             next_unit: Cell::new(0),
             ready: Cell::new(false),
             winding_down: Cell::new(false),
+            ends: Cell::new(None),
             paused_until: Cell::new(None),
         })
     }
@@ -188,6 +191,12 @@
         self.ready.set(ready);
     }
 
+    /// What comes from then on has its answer by the other time. Guards against units that the end of the process
+    /// would find without one.
+    pub fn end_by(&self, from: Moment, last: Moment) {
+        self.ends.set(Some((from, last)));
+    }
+
     /// From now on each answer to a client asks for the end of its connection.
     pub fn wind_down(&self) {
         self.winding_down.set(true);
@@ -478,6 +487,10 @@
         let digits = |ms: &&str| ms.bytes().all(|b| b.is_ascii_digit());
         let patience_ms = once("X-Budget-Ms")?.filter(digits).and_then(|ms| ms.parse::<u64>().ok());
         let patience = Span::millis(patience_ms.ok_or(bad)?.min(LONGEST_PATIENCE_MS));
+        let now = self.clock.now();
+        let asks_until = now + patience;
+        let cut = self.ends.get().filter(|(from, _)| now >= *from).map_or(asks_until, |(_, last)| last);
+        let patience_ends = asks_until.min(cut);
         let customer = header("X-Caller").and_then(|name| self.customers.iter().position(|n| n == name));
         let key = header("X-Route-Hash").filter(|key| !key.is_empty());
         let hint_us = header("X-Call-Cost").and_then(|us| us.parse::<f64>().ok());
@@ -489,8 +502,9 @@
         let arrival = Arrival {
             tariff,
             customer: customer.unwrap_or(0),
-            patience_ends: self.clock.now() + patience,
-            repeat: header("X-Again") == Some("1"),
+            patience_ends,
+            // Where the patience is cut the first try can't be told from it.
+            repeat: header("X-Again") == Some("1") && patience_ends == asks_until,
             key: key.map(|key| u64::from_str_radix(key, 16).unwrap_or_else(|_| fixed_hash(key))),
             hint,
             slots: slots.unwrap_or(1.0),
--- a/crates/node/tests/stories.rs
+++ b/crates/node/tests/stories.rs
@@ -221,8 +221,8 @@
     executor.hear();
     executor.answer(202, "");
     world.tell("TERM");
+    let mut front = world.call();
     loop {
-        let mut front = world.call();
         front.say("GET /ready HTTP/1.1\r\n\r\n");
         if front.hear().status() == 503 {
             break;
@@ -231,6 +231,7 @@
     let mut late = world.bring("u2", "search", 9000);
     executor.hear();
     executor.answer(202, "");
+    assert!(front.is_closed(), "idle connections are closed once all have noticed");
     for (id, client) in [("u1", &mut client), ("u2", &mut late)] {
         assert_eq!(world.call_back(id, json!({"state": "done", "result": id})), 204);
         let answer = client.hear();
@@ -239,6 +240,26 @@
     assert!(world.end().success());
 }
 
+#[test]
+fn what_comes_late_in_a_stop_is_answered_before_the_end() {
+    // Failure: what the end of the process would have found without an answer was lost.
+    let listens = listener();
+    let world = World::around(&listens);
+    let mut first = world.bring("u1", "search", 9000);
+    let mut executor = accept(&listens);
+    executor.hear();
+    executor.answer(202, "");
+    world.tell("TERM");
+    std::thread::sleep(std::time::Duration::from_millis(1000)); // at least as long, which is what counts
+    let mut late = world.bring("u2", "search", 9000);
+    executor.hear();
+    executor.answer(202, "");
+    assert_eq!(late.hear().status(), 503, "long before its patience ends");
+    world.call_back("u1", json!({"state": "done", "result": "u1"}));
+    assert_eq!(first.hear().status(), 200);
+    assert!(world.end().success());
+}
+
 #[test]
 fn what_is_no_request_gets_4xx_and_the_node_lives_on() {
     let listens = listener();
