Overflow by reports goes only to workers less than half used

Taken for the cause: where all are slow the few below 0.9 drew short work into the long lane. Change: out of the lane a worker must be reported less than half used.

--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -625,7 +625,9 @@
         let (keyed, mut able) = (work.key.is_some(), self.candidates(now, work, true));
         // Own evidence does not show what others fill: at the floor of the weights it passes for full. Guards
         // against queues in one lane while the other idles.
-        let open = |c: &Candidate| c.room && (keyed || c.load.is_none_or(|load| load < 1.0 - FLOOR));
+        // Out of the lane only to one less than half used: late reports must not draw a crowd.
+        let below = |c: &Candidate| if c.in_lane { 1.0 - FLOOR } else { 0.5 };
+        let open = |c: &Candidate| c.room && (keyed || c.load.is_none_or(|load| load < below(c)));
         if !keyed && !able.iter().any(open) {
             able = self.candidates(now, work, false);
         }
@@ -716,7 +718,6 @@
         // probes of every node to every executor, which cost more than they tell.
         const PROBE_EVERY: Span = Span::millis(3000);
         let Some(work) = self.work.get_mut(&unit) else { return };
-        let go = work.allocations.len();
         let e = &mut self.executors[executor.0];
         work.held = false;
         self.out += 1;
@@ -725,7 +726,7 @@
         let (size, time_out) = (work.size, (work.patience_ends - ANSWER_MARGIN).since(now));
         // Where starts are not told, nothing is known to wait.
         let started = if self.tells_start { None } else { Some(now) };
-        let id = AllocationId { unit, number: go };
+        let id = AllocationId { unit, number: work.allocations.len() - 1 };
         e.flights.push(Flight { id, size, sent: now, started, heard: now });
         if e.cold_budget(&self.cold, now).is_some() {
             e.cold_sent.retain(|(at, _)| now.since(*at) <= self.cold.fall_window);
@@ -917,9 +918,8 @@
         // long one.
         const FIXED_S: f64 = 3.0;
         const RANDOM_S: f64 = 2.0;
-        let all = self.ready().count();
         let out = self.ready().filter(|e| e.aside_until > now).count();
-        if (out + 1) * 2 <= all {
+        if (out + 1) * 2 <= self.roster.len() {
             let span = Span::secs(FIXED_S + RANDOM_S * self.chance.random::<f64>());
             self.executors[executor.0].aside_until = now + span;
         }
