--- a/crates/charter/src/lib.rs
+++ b/crates/charter/src/lib.rs
@@ -12,26 +12,38 @@
     Span(value.as_f64().unwrap_or(0.0) as u64)
 }
 
+fn list<'a>(charter: &'a Value, key: &str) -> &'a [Value] {
+    charter[key].as_array().map(Vec::as_slice).unwrap_or_default()
+}
+
 /// The names under one key of the charter (`zones`, `kinds`) or of the objects there (`tariffs`, `tenants`).
 /// What stands for an index elsewhere is its place among them.
 pub fn names(charter: &Value, key: &str) -> Vec<String> {
-    let list = charter[key].as_array().map(Vec::as_slice).unwrap_or_default();
-    list.iter().map(|v| v.as_str().or(v["name"].as_str()).unwrap_or_default().to_owned()).collect()
+    list(charter, key)
+        .iter()
+        .map(|v| v.as_str().or(v["name"].as_str()).unwrap_or_default().to_owned())
+        .collect()
 }
 
+/// The charter's word for binding work.
+const BINDING: &str = "non_idempotent";
+
 fn flag(value: &Value) -> bool {
     value.as_bool().unwrap_or(false)
 }
 
 fn tariffs(charter: &Value) -> Result<Vec<Tariff>, String> {
     let family = &charter["family_info"];
-    let list = charter["tariffs"].as_array().filter(|list| !list.is_empty()).ok_or("no tariffs")?;
-    list.iter()
+    if list(charter, "tariffs").is_empty() {
+        return Err("no tariffs".to_owned());
+    }
+    list(charter, "tariffs")
+        .iter()
         .enumerate()
         .map(|(at, tariff)| {
             let effect = match tariff["effect"].as_str() {
                 Some("read_like") => Effect::Retriable,
-                Some("non_idempotent") => Effect::Binding,
+                Some(BINDING) => Effect::Binding,
                 Some("idempotency_key") => {
                     let group = match tariff["group"].as_str() {
                         Some("all") => Group::All,
@@ -57,14 +69,12 @@
 
 /// The longest that any client waits.
 pub fn longest_patience(charter: &Value) -> Span {
-    let list = charter["tariffs"].as_array().map(Vec::as_slice).unwrap_or_default();
-    list.iter().map(|tariff| span(&tariff["patience_ns"])).max().unwrap_or_default()
+    list(charter, "tariffs").iter().map(|tariff| span(&tariff["patience_ns"])).max().unwrap_or_default()
 }
 
 /// Which tariffs are binding, by their places.
 pub fn binding(charter: &Value) -> Vec<bool> {
-    let list = charter["tariffs"].as_array().map(Vec::as_slice).unwrap_or_default();
-    list.iter().map(|tariff| tariff["effect"] == "non_idempotent").collect()
+    list(charter, "tariffs").iter().map(|tariff| tariff["effect"] == BINDING).collect()
 }
 
 /// Whether executors may be asked to give up a job that they took.
