Reread: one check each for repeated headers and lacking connections; a watch closes itself

Behaviour as before: Headers::once answers 400 itself, where its callers each turned its error into that; the node's own number and the system's descriptors are asked for in one place, none_left; closing a watch, written twice, is Watch::close; a connection that calls back need not also be marked as usual, since call-backs are asked for first; the dialling check in due() is made once.

--- a/crates/node/src/wire/clients.rs
+++ b/crates/node/src/wire/clients.rs
@@ -56,7 +56,7 @@
     /// Since when a request is waited for that is not whole yet: the first one, or one that has begun.
     waited_since: Option<Moment>,
     last_used: Moment,
-    /// Has brought work or call-backs, as those do whom the node is for.
+    /// Has brought work, as those do whom the node is for.
     is_usual: bool,
     calls_back: bool,
     /// To be closed once all is written.
@@ -448,7 +448,7 @@
                 if exchange.knows(&call.from)
                     && let Some(caller) = self.callers.borrow_mut().kept.get_mut(place)
                 {
-                    (caller.is_usual, caller.calls_back) = (true, true);
+                    caller.calls_back = true;
                 }
                 // Answered whatever it names: an executor asks again until it is.
                 self.write(place, 204, None, b"");
@@ -468,8 +468,6 @@
         let header = |name| headers.get(name);
         let bad = Malformed(400);
         trace!("{target} {headers:?}");
-        // Said twice, an executor might go by the other one.
-        let once = |name| headers.once(name).map_err(|()| bad);
         // Both become part of a request line, the id when the job is given up.
         let speakable = |text: &str, longest| {
             (1..=longest).contains(&text.len()) && text.bytes().all(|b| b.is_ascii_graphic())
@@ -477,15 +475,15 @@
         if !target.starts_with('/') || !speakable(&target, LONGEST_TARGET) {
             return Err(bad);
         }
-        let call_id = once("X-Call-Id")?.filter(|id| speakable(id, LONGEST_ID)).ok_or(bad)?;
+        let call_id = headers.once("X-Call-Id")?.filter(|id| speakable(id, LONGEST_ID)).ok_or(bad)?;
         let first = target.split(['/', '?']).nth(1).unwrap_or_default();
-        let named = once("X-Call-Class")?.unwrap_or(first);
+        let named = headers.once("X-Call-Class")?.unwrap_or(first);
         let tariff = self.tariffs.iter().position(|name| name == named).ok_or(Malformed(404))?;
         if named != first {
             return Err(bad);
         }
         let digits = |ms: &&str| ms.bytes().all(|b| b.is_ascii_digit());
-        let patience_ms = once("X-Budget-Ms")?.filter(digits).and_then(|ms| ms.parse::<u64>().ok());
+        let patience_ms = headers.once("X-Budget-Ms")?.filter(digits).and_then(|ms| ms.parse::<u64>().ok());
         let patience = Span::millis(patience_ms.ok_or(bad)?.min(LONGEST_PATIENCE_MS));
         let now = self.clock.now();
         let asks_until = now + patience;
--- a/crates/node/src/wire/discovery.rs
+++ b/crates/node/src/wire/discovery.rs
@@ -135,10 +135,7 @@
             return;
         }
         self.stirred(exchange);
-        {
-            let mut watch = self.watch.borrow_mut();
-            *watch = Watch::closed(watch.version);
-        }
+        self.watch.borrow_mut().close();
         self.follow();
     }
 
@@ -185,10 +182,7 @@
     fn broken(&self, what: &str, exchange: &mut Exchange) {
         self.counters.watches_broken.up();
         info!("watch of the executor list ended: {what}");
-        {
-            let mut watch = self.watch.borrow_mut();
-            *watch = Watch::closed(watch.version);
-        }
+        self.watch.borrow_mut().close();
         exchange.list_broken();
     }
 
@@ -233,6 +227,10 @@
         Watch { version, ..Watch::default() }
     }
 
+    fn close(&mut self) {
+        *self = Watch::closed(self.version);
+    }
+
     /// The next line that has come; nothing stands in it if it only says that all is well.
     fn next_line(&mut self) -> Option<Option<serde_json::Result<Version>>> {
         let buffer = &mut self.connection.as_mut()?.buffer;
--- a/crates/node/src/wire/executors.rs
+++ b/crates/node/src/wire/executors.rs
@@ -168,11 +168,7 @@
             Err(e) => {
                 debug!("no connection to executor {}: {e}", executor.0);
                 self.counters.dials_failed.up();
-                let ending = if e.kind() == ErrorKind::QuotaExceeded || lacks_descriptors(&e) {
-                    Ending::CutOff
-                } else {
-                    Ending::Refused
-                };
+                let ending = if none_left(&e) { Ending::CutOff } else { Ending::Refused };
                 return lines.untold.push((executor, used, ending));
             }
         };
@@ -223,7 +219,7 @@
         let key = (self.key)(lines.kept.vacant_key());
         let dialled = match Connection::dial(address, &self.poller, key) {
             // No descriptor left: one idle connection makes room.
-            Err(e) if lacks_descriptors(&e) && drop_oldest_idle(lines).is_some() => {
+            Err(e) if none_left(&e) && drop_oldest_idle(lines).is_some() => {
                 Connection::dial(address, &self.poller, (self.key)(lines.kept.vacant_key()))?
             }
             dialled => dialled?,
@@ -268,11 +264,11 @@
             match line.used {
                 Use::Idle => self.counters.idle_retired.up(),
                 used => {
-                    if line.dialling {
-                        self.counters.dials_failed.up();
-                    }
                     let ending = match broken(&line) {
-                        _ if line.dialling => Ending::Refused,
+                        _ if line.dialling => {
+                            self.counters.dials_failed.up();
+                            Ending::Refused
+                        }
                         // Nothing came back, and nothing broke. Its sisters may be as silent: the next dial shows
                         // whether anybody is there.
                         Ending::Reset => {
@@ -434,8 +430,9 @@
     if unsent { Ending::CutOff } else { Ending::Reset }
 }
 
-fn lacks_descriptors(e: &io::Error) -> bool {
-    matches!(e.raw_os_error(), Some(libc::EMFILE | libc::ENFILE))
+/// Whether a connection is lacking on this side: the node's own number is used up, or the system's descriptors.
+fn none_left(e: &io::Error) -> bool {
+    e.kind() == ErrorKind::QuotaExceeded || matches!(e.raw_os_error(), Some(libc::EMFILE | libc::ENFILE))
 }
 
 fn wait(place: usize, line: &mut Line, dues: &mut Alarms<(usize, u64)>, until: Moment) {
--- a/crates/node/src/wire/http.rs
+++ b/crates/node/src/wire/http.rs
@@ -26,11 +26,11 @@
         self.list.iter().find(|(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, v)| v.as_str())
     }
 
-    /// The value of a header that may stand there once; an error if it is there more often.
-    pub fn once(&self, name: &str) -> Result<Option<&str>, ()> {
+    /// The value of a header that may stand there once: of two, others might go by the other one.
+    pub fn once(&self, name: &str) -> Result<Option<&str>, Malformed> {
         let mut values = self.all(name);
         let value = values.next();
-        if values.next().is_some() { Err(()) } else { Ok(value) }
+        if values.next().is_some() { Err(Malformed(400)) } else { Ok(value) }
     }
 
     fn all<'a, 'b>(&'a self, name: &'b str) -> impl Iterator<Item = &'a str> + use<'a, 'b> {
@@ -54,7 +54,7 @@
     /// How the body is framed; what could be read in two ways is refused.
     fn framing(&self) -> Result<Framing, Malformed> {
         let mut lengths = self.all("content-length").flat_map(|v| v.split(',')).map(str::trim);
-        let coded = self.once("transfer-encoding").map_err(|()| Malformed(400))?;
+        let coded = self.once("transfer-encoding")?;
         match (lengths.next(), coded) {
             (None, None) => Ok(Framing::Length(0)),
             (None, Some(coding)) if coding.eq_ignore_ascii_case("chunked") => Ok(Framing::Chunked),
