Untold starts proved by progress; waiting units keep their place beside copies

Now a flight has no start until word of it. Now marked work gets copies too, inside its pod, and the copies queue together: the first that starts has the unit, the others are recalled. Only where starts are told and second copies are allowed.

--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -40,7 +40,11 @@
 struct Flight {
     id: AllocationId,
     size: f64,
+    /// How many slots it fills.
+    slots: f64,
     sent: Moment,
+    /// By when word of its start should have come.
+    word_due: Moment,
     started: Option<Moment>,
     heard: Moment,
 }
@@ -72,9 +76,11 @@
     answers: usize,
     reset: Option<Moment>,
     died: Option<Moment>,
-    /// Size of the own work that was answered, and the seconds that it ran.
+    /// Size of the own work that was answered, and the seconds that it held slots.
     done: f64,
     ran: f64,
+    /// Work a second on one slot, by its kind; one until its kind has been seen.
+    pace: f64,
     /// Work a second when warm; one standard core until its kind has been seen.
     capacity: f64,
     aside_until: Moment,
@@ -114,8 +120,8 @@
     }
 
     fn oldest_wait(&self, now: Moment) -> Option<f64> {
-        let waiting = self.flights.iter().filter(|f| f.started.is_none());
-        waiting.map(|f| now.since(f.sent).as_secs()).reduce(f64::max)
+        let waiting = self.flights.iter().filter(|f| f.started.is_none() && f.word_due <= now);
+        waiting.map(|f| now.since(f.word_due).as_secs()).reduce(f64::max)
     }
 
     /// Whether own evidence leaves room here for one more; what names a key may wait and has some to `spare`.
@@ -168,6 +174,7 @@
     quoted: Span,
     patience_ends: Moment,
     size: f64,
+    slots: f64,
     key: Option<u64>,
     allocations: Vec<Allocation>,
     streaming: bool,
@@ -339,7 +346,7 @@
         for entry in entries {
             let index = entry.executor.0;
             while self.executors.len() <= index {
-                self.executors.push(Executor { slots: 1.0, capacity: 1.0, ..Executor::default() });
+                self.executors.push(Executor { slots: 1.0, capacity: 1.0, pace: 1.0, ..Executor::default() });
             }
             let e = &mut self.executors[index];
             e.hash = fixed_hash(entry.name);
@@ -409,6 +416,7 @@
             quoted,
             patience_ends: arrival.patience_ends,
             size,
+            slots,
             key: arrival.key,
             allocations: Vec::new(),
             streaming: false,
@@ -432,13 +440,26 @@
         let Some(e) = self.executors.get_mut(executor.0) else { return };
         if let Some(flight) = e.flights.iter_mut().find(|f| f.id == id) {
             if flight.started.is_none() {
-                flight.started = Some(now);
-                (e.last_wait, e.last_start) = (now.since(flight.sent).as_secs(), now);
+                // Where starts are not told the first word of progress proves one, a pace ago at most.
+                let untold = self.progress.filter(|_| !self.tells_start).unwrap_or_default();
+                let started = flight.sent.max(now - untold);
+                flight.started = Some(started);
+                (e.last_wait, e.last_start) = (started.since(flight.sent).as_secs(), started);
             }
             flight.heard = now;
         }
         let running = e.flights.iter().filter(|f| f.started.is_some()).count();
         e.slots = e.slots.max(running as f64);
+        // The others of a unit that has started wait for nothing.
+        let Some(work) = self.work.get(&id.unit) else { return };
+        if work.allocations.get(id.number).is_none_or(|a| a.recalled) {
+            return;
+        }
+        let others = (0..work.allocations.len())
+            .filter(|&n| n != id.number && work.allocations[n].open && !work.allocations[n].recalled);
+        for number in others.collect::<Vec<_>>() {
+            self.give_up(AllocationId { unit: id.unit, number });
+        }
     }
 
     /// An allocation ended. `finished`: its work unit has had its final answer.
@@ -499,7 +520,10 @@
         let ready = |i: &usize| self.executors[*i].standing == Standing::Ready;
         self.roster = (0..self.executors.len()).filter(ready).collect();
         // Weights are above nothing, where their bits are in the order of their values.
-        self.roster.sort_by_cached_key(|&i| (self.executors[i].weight.to_bits(), self.executors[i].hash));
+        self.roster.sort_by_cached_key(|&i| {
+            let e = &self.executors[i];
+            (e.pace.to_bits(), e.weight.to_bits(), e.hash)
+        });
         // Two or three are two lanes as well.
         let first = (self.roster.len() * 3).div_ceil(4).min(self.roster.len().max(2) - 1);
         for (rank, &i) in self.roster.iter().enumerate() {
@@ -554,7 +578,8 @@
         }
         for e in &mut self.executors {
             if let Some((done, ran, slots)) = kinds.get(&e.kind) {
-                e.capacity = done / ran * slots;
+                e.pace = done / ran;
+                e.capacity = e.pace * slots;
             }
         }
     }
@@ -723,11 +748,17 @@
         self.out += 1;
         let sent = Allocation { executor, sent: now, open: true, may_have_run: true, recalled: false };
         work.allocations.push(sent);
-        let (size, time_out) = (work.size, (work.patience_ends - ANSWER_MARGIN).since(now));
-        // Where starts are not told, nothing is known to wait.
-        let started = if self.tells_start { None } else { Some(now) };
+        let (size, slots) = (work.size, work.slots);
+        let time_out = (work.patience_ends - ANSWER_MARGIN).since(now);
+        // Where starts are not told, what runs is heard of a pace later; without progress it never is. Guards
+        // against taking all that is out for running, and what waits for an executor fallen silent.
+        let word_due = match self.progress {
+            _ if self.tells_start => now,
+            Some(pace) => now + pace,
+            None => Moment(u64::MAX),
+        };
         let id = AllocationId { unit, number: work.allocations.len() - 1 };
-        e.flights.push(Flight { id, size, sent: now, started, heard: now });
+        e.flights.push(Flight { id, size, slots, sent: now, word_due, started: None, heard: now });
         if e.cold_budget(&self.cold, now).is_some() {
             e.cold_sent.retain(|(at, _)| now.since(*at) <= self.cold.fall_window);
             e.cold_sent.push((now, charge(size, self.mean)));
@@ -738,7 +769,7 @@
             self.host.probe(executor);
         }
         self.host.allocate(unit, executor, time_out);
-        if self.tariffs[work.tariff].effect == Effect::Retriable {
+        if self.tariffs[work.tariff].effect != Effect::Binding {
             self.host.wake(REVIEW_AFTER, FIRST_UNIT + unit.0);
         }
     }
@@ -751,24 +782,31 @@
         if work.held && work.hold_ends <= now {
             return self.answer(unit);
         }
-        let retriable = self.tariffs[work.tariff].effect == Effect::Retriable;
-        if work.streaming || work.held || !retriable {
+        if work.streaming || work.held || self.tariffs[work.tariff].effect == Effect::Binding {
             return;
         }
-        let go = work.allocations.len().saturating_sub(1);
-        let Some(last) = work.allocations.last().filter(|a| a.open && !a.recalled) else { return };
-        let executor = last.executor;
-        let id = AllocationId { unit, number: go };
-        let Some(flight) = self.executors[executor.0].flights.iter().find(|f| f.id == id) else { return };
+        let out = work.allocations.iter().enumerate().filter(|(_, a)| a.open && !a.recalled);
+        let flights = out.filter_map(|(number, a)| {
+            let id = AllocationId { unit, number };
+            self.executors[a.executor.0].flights.iter().find(|f| f.id == id).map(|f| (a.executor, f))
+        });
+        // What has started counts, else what was sent last.
+        let Some((executor, flight)) = flights.max_by_key(|(_, f)| (f.started.is_some(), f.sent)) else {
+            return;
+        };
+        let id = flight.id;
         // Progress is told at a steady pace: two and a half paces without a word are no chance.
         let silent = self
             .progress
             .is_some_and(|pace| flight.started.is_some() && now.since(flight.heard).0 > pace.0 * 5 / 2);
-        // A recalled one may run on: where no second copy is allowed, a move would be just that.
-        let waits = flight.started.is_none()
+        // Where no second copy is allowed a recalled one may run on, and where starts are not told any may
+        // have started long before.
+        let waits = self.tells_start
+            && flight.started.is_none()
             && now.since(flight.sent).as_secs() > work.key.map_or(0.0, |_| work.spare(now))
             && self.allowance.second_copies;
-        let lost = waits && work.slack(now) < 0.0;
+        let harmless = self.tariffs[work.tariff].effect.harmless();
+        let lost = waits && work.slack(now) < 0.0 && harmless;
         if silent {
             self.set_aside(now, executor);
         }
@@ -776,7 +814,14 @@
             && self.may_allocate(unit, self.allowance.recalls)
             && let Some(Picked { executor: better, any_room: true, .. }) = self.pick(now, unit)
         {
-            return self.move_on(now, id, better);
+            // One that waits keeps its place there: whichever starts first has it.
+            if !waits {
+                self.give_up(id);
+            }
+            if waits || self.allowance.second_copies {
+                self.send(now, unit, better);
+            }
+            return;
         }
         // No room anywhere and too late already: waiting on, it only makes the next one late as well.
         if lost {
@@ -785,17 +830,13 @@
         self.host.wake(AGAIN, FIRST_UNIT + unit.0);
     }
 
-    /// Recalls an allocation and sends its work unit elsewhere: at once where two may be out, else when the
-    /// recalled one has ended.
-    fn move_on(&mut self, now: Moment, from: AllocationId, to: ExecutorId) {
-        if self.allowance.second_copies {
-            self.send(now, from.unit, to);
-        }
-        if let Some(work) = self.work.get_mut(&from.unit) {
-            work.allocations[from.number].recalled = true;
+    /// Recalls an allocation: where no second copy is allowed its unit goes elsewhere when that has ended.
+    fn give_up(&mut self, id: AllocationId) {
+        if let Some(work) = self.work.get_mut(&id.unit) {
+            work.allocations[id.number].recalled = true;
         }
         if self.allowance.recalls {
-            self.host.recall(from);
+            self.host.recall(id);
         }
     }
 
@@ -889,8 +930,8 @@
         match ending {
             Ending::Fulfilled => {
                 e.answers += 1;
-                if let Some((size, started)) = flight.and_then(|f| Some((f.size, f.started?))) {
-                    (e.done, e.ran) = (e.done + size, e.ran + now.since(started).as_secs());
+                if let Some((f, started)) = flight.and_then(|f| f.started.map(|at| (f, at))) {
+                    (e.done, e.ran) = (e.done + f.size, e.ran + now.since(started).as_secs() * f.slots);
                 }
             }
             // A full waiting room empties in about a run: nothing until then, or it would answer fastest
@@ -932,6 +973,7 @@
         if now.since(self.recut) >= RECUT_EVERY {
             self.recut = now;
             self.recompute_cut_offs();
+            self.form_lanes(now);
         }
         self.serve_held(now);
     }
--- a/crates/dispatch/tests/fake/mod.rs
+++ b/crates/dispatch/tests/fake/mod.rs
@@ -74,7 +74,13 @@
     effects.into_iter().map(tariff).collect()
 }
 
-pub fn dispatcher(host: Fake, node: u64, allowance: Allowance, probes: bool) -> Dispatcher<Fake> {
+pub fn dispatcher(
+    host: Fake,
+    node: u64,
+    allowance: Allowance,
+    probes: bool,
+    starts: bool,
+) -> Dispatcher<Fake> {
     let cold = ColdStart {
         share: 0.2,
         warm_within: Span::millis(20_000),
@@ -84,7 +90,7 @@
     Dispatcher::new(host, 7, node, 2, tariffs()).allowing(allowance).cold_starts(cold).noticing(
         true,
         probes,
-        true,
+        starts,
         Some(Span::millis(1000)),
     )
 }
@@ -103,9 +109,18 @@
 
     /// At one of the two nodes, with probes or without: with them it asks before it sends.
     pub fn at(node: u64, executors: usize, allowance: Allowance, probes: bool) -> Story {
+        Story::new(node, executors, allowance, probes, true)
+    }
+
+    /// Where starts are told, or not.
+    pub fn told(executors: usize, allowance: Allowance, starts: bool) -> Story {
+        Story::new(0, executors, allowance, false, starts)
+    }
+
+    fn new(node: u64, executors: usize, allowance: Allowance, probes: bool, starts: bool) -> Story {
         let said = Fake::default();
         let now = Moment(1_000_000_000_000);
-        let mut story = Story { node: dispatcher(said.clone(), node, allowance, probes), said, now };
+        let mut story = Story { node: dispatcher(said.clone(), node, allowance, probes, starts), said, now };
         story.node.start(now);
         story.list(executors);
         story
--- a/crates/dispatch/tests/stories.rs
+++ b/crates/dispatch/tests/stories.rs
@@ -424,23 +424,53 @@
 }
 
 #[test]
-fn retriable_work_that_waits_is_moved_where_two_may_be_out() {
-    for (second_copies, tariff, moved) in
-        [(true, RETRIABLE, true), (false, RETRIABLE, false), (true, BINDING, false)]
-    {
-        let mut story = Story::with(3, Allowance { second_copies, ..ALLOWANCE });
+fn work_that_waits_gets_a_second_place_and_keeps_the_first_until_one_starts() {
+    // Failure: a move gave up a place in a queue, and marked work waited where it was, however long.
+    for (second_copies, tariff, more) in [
+        (true, RETRIABLE, true),
+        (true, IN_ZONE, true),
+        (false, RETRIABLE, false),
+        (false, IN_ZONE, false),
+        (true, BINDING, false),
+    ] {
+        let mut story = Story::with(4, Allowance { second_copies, ..ALLOWANCE });
         story.arrive(1, tariff, 100);
         let first = story.sent_to();
         story.pass(150);
         story.node.rang(story.now, UNIT_ALARMS + 1);
-        match (moved, &story.heard()[..]) {
-            (true, [Said::Allocate(1, other, _), Said::Recall(1, 0)]) => assert_ne!(*other, first),
-            (false, []) => {}
+        let other = match (more, &story.heard()[..]) {
+            (true, [Said::Allocate(1, other, _)]) => *other,
+            (false, []) => continue,
             (_, other) => panic!("copies {second_copies}, tariff {tariff}: {other:?}"),
-        }
+        };
+        assert_ne!(other, first);
+        assert!(tariff != IN_ZONE || other % 2 == first % 2, "marked work stays in its group");
+        story.start_of(1, 1, other);
+        assert_eq!(story.heard(), [Said::Recall(1, 0)]);
+        story.end(1, 0, first, Ending::Recalled);
+        assert_eq!(story.heard(), [], "the other one runs");
     }
 }
 
+#[test]
+fn where_starts_are_not_told_waiting_work_is_not_taken_for_running() {
+    // Failure: what waited for longer than two and a half paces passed for silent, its executor was set aside
+    // and a second copy sent, until all workers were full of copies.
+    let mut story = Story::told(4, ALLOWANCE, false);
+    story.arrive(1, RETRIABLE, 3000);
+    let first = story.sent_to();
+    story.pass(2600);
+    story.node.rang(story.now, UNIT_ALARMS + 1);
+    assert_eq!(story.heard(), [], "it may wait, or have just started");
+    story.start_of(1, 0, first);
+    story.pass(2000);
+    story.node.rang(story.now, UNIT_ALARMS + 1);
+    assert_eq!(story.heard(), [], "one word of progress proves a start");
+    story.pass(600);
+    story.node.rang(story.now, UNIT_ALARMS + 1);
+    assert!(matches!(story.heard()[..], [Said::Recall(1, 0), Said::Allocate(1, other, _)] if other != first));
+}
+
 #[test]
 fn without_recalls_a_second_copy_goes_out_and_none_is_recalled() {
     let mut story = Story::with(3, Allowance { recalls: false, ..ALLOWANCE });
@@ -560,7 +590,7 @@
 fn what_a_customer_sends_beyond_its_share_is_turned_back_first() {
     let mut story = Story::of(1);
     // Two nodes: four units a second here, twice the even part, and two seconds' worth at once before overuse.
-    story.node = dispatcher(story.said.clone(), 0, ALLOWANCE, false).customers(&[4.0, f64::INFINITY]);
+    story.node = dispatcher(story.said.clone(), 0, ALLOWANCE, false, true).customers(&[4.0, f64::INFINITY]);
     story.node.start(story.now);
     story.list(1);
     for (unit, customer) in (0..9).map(|unit| (unit, 0)).chain([(9, 1)]) {
@@ -576,7 +606,7 @@
 fn a_share_of_less_than_a_unit_at_a_node_still_admits_some() {
     // Failure: with hundreds of nodes a node's part was under half a unit a second, and all was beyond the share.
     let mut story = Story::of(1);
-    story.node = dispatcher(story.said.clone(), 0, ALLOWANCE, false).customers(&[0.1]);
+    story.node = dispatcher(story.said.clone(), 0, ALLOWANCE, false, true).customers(&[0.1]);
     story.node.start(story.now);
     story.list(1);
     story.arrive(0, BINDING, 2000);
