--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -22,7 +22,6 @@
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg32;
-use std::cmp::Reverse;
 use std::collections::{BTreeMap, VecDeque};
 
 const BEAT: u64 = 0;
@@ -124,13 +123,12 @@
         waiting.map(|f| now.since(f.word_due).as_secs()).reduce(f64::max)
     }
 
-    /// Whether own evidence leaves room here for one more; what names a key may wait and has some to `spare`.
-    /// Late reports do not count: they would send all nodes onto the few that look free.
-    fn has_room(&self, now: Moment, spare: Option<f64>) -> bool {
+    /// Whether own evidence leaves room here for one more. Late reports do not count: they would send all
+    /// nodes onto the few that look free.
+    fn has_room(&self, now: Moment) -> bool {
         const TOLD_WITHIN: f64 = 0.06; // seconds: a start is told within a round trip and a hand-shake
-        let wait = if spare.is_some() { self.wait(now) } else { self.oldest_wait(now) };
         (self.flights.len() as f64) < self.slots
-            && wait.is_none_or(|wait| wait <= spare.unwrap_or(0.0).max(TOLD_WITHIN))
+            && self.oldest_wait(now).is_none_or(|wait| wait <= TOLD_WITHIN)
     }
 
     /// The work that all nodes together may send here within a window, while it is cold: its capacity is at
@@ -175,7 +173,6 @@
     patience_ends: Moment,
     size: f64,
     slots: f64,
-    key: Option<u64>,
     allocations: Vec<Allocation>,
     streaming: bool,
     held: bool,
@@ -254,10 +251,8 @@
     work: BTreeMap<UnitId, Work>,
     held: VecDeque<UnitId>,
     follow_tries: u32,
-    /// Recent sized work: size, and key where it names one.
-    sample: VecDeque<(f64, Option<u64>)>,
-    /// How often the sample names each key.
-    named: BTreeMap<u64, usize>,
+    /// Sizes of recent sized work.
+    sample: VecDeque<f64>,
     median: f64,
     mean: f64,
     cut_offs: Vec<f64>,
@@ -287,7 +282,6 @@
             held: VecDeque::new(),
             follow_tries: 0,
             sample: VecDeque::new(),
-            named: BTreeMap::new(),
             median: 1.0,
             mean: 1.0,
             cut_offs: Vec::new(),
@@ -389,15 +383,9 @@
         let sized = |hint: Span| (hint.as_secs() * slots).clamp(SENSIBLE.0, SENSIBLE.1);
         let size = hinted.map_or(self.median, sized);
         if hinted.is_some() {
-            self.sample.push_back((size, arrival.key));
-            if let Some(key) = arrival.key {
-                *self.named.entry(key).or_default() += 1;
-            }
-            if self.sample.len() > SAMPLE
-                && let Some((_, Some(key))) = self.sample.pop_front()
-            {
-                self.named.entry(key).and_modify(|n| *n -= 1);
-                self.named.retain(|_, n| *n > 0);
+            self.sample.push_back(size);
+            if self.sample.len() > SAMPLE {
+                self.sample.pop_front();
             }
             if self.sample.len() == FEWEST {
                 self.recompute_cut_offs();
@@ -417,7 +405,6 @@
             patience_ends: arrival.patience_ends,
             size,
             slots,
-            key: arrival.key,
             allocations: Vec::new(),
             streaming: false,
             held: false,
@@ -551,7 +538,7 @@
 
     /// Cut-offs such that each lane's part of the summed size matches its part of the workers.
     fn recompute_cut_offs(&mut self) {
-        let mut sizes: Vec<f64> = self.sample.iter().map(|(size, _)| *size).collect();
+        let mut sizes: Vec<f64> = self.sample.iter().copied().collect();
         sizes.sort_by(f64::total_cmp);
         let total: f64 = sizes.iter().sum();
         if let Some(&middle) = sizes.get(sizes.len() / 2) {
@@ -608,17 +595,17 @@
             able.then(|| Candidate {
                 at,
                 in_lane: in_lane(at),
-                room: e.has_room(now, work.key.map(|_| spare)),
+                room: e.has_room(now),
                 load: e.load(now),
                 wait: e.wait(now),
             })
         };
-        let most = if work.key.is_none() { FEW + self.out / 2 } else { usize::MAX };
+        let most = FEW + self.out / 2;
         let lane = self.roster.iter().filter(|&&at| few && in_lane(at));
         let mut found: Vec<Candidate> = lane.filter_map(candidate).take(most).collect();
         if found.is_empty() {
             // No worker of the lane can take it, or none of the few has room: those of both that can.
-            found.extend(self.roster.iter().filter_map(candidate).take(most.saturating_mul(MORE)));
+            found.extend(self.roster.iter().filter_map(candidate).take(most * MORE));
         }
         // One that nothing was sent to lately is taken for as full as those of its lane that something was
         // sent to. Guards against a node that sees little taking every executor for free. A longer wait may
@@ -632,9 +619,6 @@
                 (c.wait, c.room) = (Some(mean), c.room && mean <= spare.max(0.1));
             }
         }
-        if let Some(key) = work.key {
-            self.keep_home(now, key, &mut found);
-        }
         // One that failed this unit is not asked again while another is there: a crash looks idle at once.
         let tried = |c: &Candidate| work.allocations.iter().any(|a| a.executor.0 == c.at);
         if !found.iter().all(tried) {
@@ -647,20 +631,17 @@
     fn pick(&mut self, now: Moment, unit: UnitId) -> Option<Picked> {
         const FLOOR: f64 = 0.1; // design page
         let work = self.work.get(&unit)?;
-        let (keyed, mut able) = (work.key.is_some(), self.candidates(now, work, true));
+        let mut able = self.candidates(now, work, true);
         // Own evidence does not show what others fill: at the floor of the weights it passes for full. Guards
         // against queues in one lane while the other idles.
         // Out of the lane only to one less than half used: late reports must not draw a crowd.
         let below = |c: &Candidate| if c.in_lane { 1.0 - FLOOR } else { 0.5 };
-        let open = |c: &Candidate| c.room && (keyed || c.load.is_none_or(|load| load < below(c)));
-        if !keyed && !able.iter().any(open) {
+        let open = |c: &Candidate| c.room && c.load.is_none_or(|load| load < below(c));
+        if !able.iter().any(open) {
             able = self.candidates(now, work, false);
         }
         let any_room = able.iter().any(|c| c.room);
-        // Keyed work waits where it is sent; other work may yet overflow or move to the shortest wait of
-        // all.
-        let asked = able.iter().filter(|c| c.room || !any_room || !keyed);
-        let least_wait = asked.filter_map(|c| c.wait).fold(f64::INFINITY, f64::min);
+        let least_wait = able.iter().filter_map(|c| c.wait).fold(f64::INFINITY, f64::min);
         // First those with room, of these the not full, then those of the lane, then cold ones that may take
         // some: the few nodes that warm one see little, and left to chance it would idle.
         let cold = |c: &Candidate| self.executors[c.at].cold_budget(&self.cold, now).is_some();
@@ -689,23 +670,6 @@
         wait > (work.slack(now) * part).max(0.1)
     }
 
-    /// Lane forming for work that needs a program or data set: inside the lane, the fixed hash of key and
-    /// id ranks the workers, the same at every node, and the first are the key's homes. Guards against
-    /// every worker fetching everything from the one shared store, until all slots are held by fetches.
-    fn keep_home(&self, now: Moment, key: u64, able: &mut Vec<Candidate>) {
-        // Leaves the weighted pick its choice, and one worker lost does not lose the key.
-        const HOMES: usize = 3;
-        // The more often a key is named the more homes it has: twice its part of the work, in workers, so
-        // that it fills half of each. Guards against full homes of a common key while the others idle.
-        const SPREAD: f64 = 2.0;
-        let again = self.named.get(&key).map_or(0, |n| n - 1) as f64; // once named, it may be rare
-        let part = again / self.sample.len().max(1) as f64 * able.len() as f64;
-        // Cold ones that this node may warm are homes of every key: too few of its units name their own.
-        let cold = |c: &Candidate| self.executors[c.at].cold_budget(&self.cold, now).is_some();
-        able.sort_by_key(|c| (!cold(c), Reverse(mixed(self.executors[c.at].hash ^ key))));
-        able.truncate(HOMES.max((part * SPREAD) as usize) + able.iter().filter(|c| cold(c)).count());
-    }
-
     /// Sends the work unit where the design says, holds it while nothing can take it, or turns it back.
     fn place(&mut self, now: Moment, unit: UnitId) {
         // Long enough for one set aside to return or a slot to come free; longer waits seldom end in an
@@ -801,10 +765,8 @@
             .is_some_and(|pace| flight.started.is_some() && now.since(flight.heard).0 > pace.0 * 5 / 2);
         // Where no second copy is allowed a recalled one may run on, and where starts are not told any may
         // have started long before.
-        let waits = self.tells_start
-            && flight.started.is_none()
-            && now.since(flight.sent).as_secs() > work.key.map_or(0.0, |_| work.spare(now))
-            && self.allowance.second_copies;
+        let waits =
+            self.tells_start && flight.started.is_none() && now > flight.sent && self.allowance.second_copies;
         let harmless = self.tariffs[work.tariff].effect.harmless();
         let lost = waits && work.slack(now) < 0.0 && harmless;
         if silent {
--- a/crates/dispatch/src/ids.rs
+++ b/crates/dispatch/src/ids.rs
@@ -20,7 +20,7 @@
     name.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3))
 }
 
-/// Spreads the bits of a key and an id taken together, so that each key ranks the executors in its own
+/// Spreads the bits of a node's number and an id taken together, so that each node ranks the executors in its own
 /// order.
 pub fn mixed(bits: u64) -> u64 {
     let bits = (bits ^ (bits >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
--- a/crates/dispatch/src/tariffs.rs
+++ b/crates/dispatch/src/tariffs.rs
@@ -65,8 +65,6 @@
     pub patience_ends: Moment,
     /// The client marks it as one that it has sent before.
     pub repeat: bool,
-    /// What the work needs beside the executor: a program or a data set, if it names one.
-    pub key: Option<u64>,
     pub hint: Option<Span>,
     pub slots: f64,
 }
--- a/crates/node/src/wire/clients.rs
+++ b/crates/node/src/wire/clients.rs
@@ -11,7 +11,7 @@
 use crate::wire::call_backs::{self, CallBack};
 use crate::wire::http::{self, Malformed, Request};
 use grebeusher_charter::{binding, names};
-use grebeusher_dispatch::ids::{UnitId, fixed_hash};
+use grebeusher_dispatch::ids::UnitId;
 use grebeusher_dispatch::tariffs::Arrival;
 use grebeusher_dispatch::time::{Moment, Span};
 use log::{debug, info, trace, warn};
@@ -490,7 +490,6 @@
         let cut = self.ends.get().filter(|(from, _)| now >= *from).map_or(asks_until, |(_, last)| last);
         let patience_ends = asks_until.min(cut);
         let customer = header("X-Caller").and_then(|name| self.customers.iter().position(|n| n == name));
-        let key = header("X-Route-Hash").filter(|key| !key.is_empty());
         let hint_us = header("X-Call-Cost").and_then(|us| us.parse::<f64>().ok());
         let hint = hint_us.filter(|us| us.is_finite() && *us > 0.0).map(|us| Span((us * 1000.0) as u64));
         let info = header("X-Call-Info").unwrap_or_default();
@@ -503,7 +502,6 @@
             patience_ends,
             // Where the patience is cut the first try can't be told from it.
             repeat: header("X-Again") == Some("1") && patience_ends == asks_until,
-            key: key.map(|key| u64::from_str_radix(key, 16).unwrap_or_else(|_| fixed_hash(key))),
             hint,
             slots: slots.unwrap_or(1.0),
         };
