--- a/crates/benchlink/src/door.rs
+++ b/crates/benchlink/src/door.rs
@@ -3,12 +3,27 @@
 use grebeusher_dispatch::host::Host;
 use grebeusher_dispatch::ids::{AllocationId, ExecutorId, UnitId};
 use grebeusher_dispatch::time::Span;
-use serde_json::{Value, json};
+use serde::Serialize;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::io::{self, Write};
 use std::rc::Rc;
 
+/// The lines that an instance says. Written as they are: built up as values first they cost a fifth of the CPU of a full-size day.
+#[derive(Serialize)]
+#[serde(tag = "type", rename_all = "snake_case")]
+enum Line<'a> {
+    Issue { who: u64, msg_id: &'a str, executor: &'a str, give_up_after_ns: u64 },
+    Recall { who: u64, msg_id: &'a str, go: usize },
+    Decline { who: u64, msg_id: &'a str, wait_ns: Option<u64> },
+    DropRequest { who: u64, msg_id: &'a str },
+    SetAlarm { who: u64, span_ns: u64, name: u64 },
+    Ping { who: u64, executor: &'a str },
+    Signal { who: u64, recipient: Option<u64>, payload: &'a str },
+    Watch { who: u64, enable: bool },
+    Panic { who: u64, message: &'a str },
+}
+
 /// A work unit's id on the wire, kept until it has its final answer and nothing is out for it.
 struct Named {
     msg_id: Rc<str>,
@@ -100,22 +115,21 @@
     }
 
     pub fn fault(&mut self, message: &str) {
-        self.write(json!({"type": "panic", "who": self.who, "message": message}));
-    }
-
-    fn write(&mut self, line: Value) {
-        self.lines.extend_from_slice(line.to_string().as_bytes());
-        self.lines.push(b'\n');
+        write(&mut self.lines, &Line::Panic { who: self.who, message });
     }
 
-    fn final_answer(&mut self, unit: UnitId, kind: &str, wait: Option<Span>) {
+    /// Ends a work unit, and tells its id to whoever words the answer.
+    fn final_answer(&mut self, unit: UnitId, line: impl for<'a> FnOnce(u64, &'a str) -> Line<'a>) {
         self.finished(unit);
         let Some(named) = self.named.get(&unit) else { return };
-        let mut line = json!({"type": kind, "who": self.who, "msg_id": &*named.msg_id});
-        if let Some(wait) = wait {
-            line["wait_ns"] = wait.0.into();
-        }
-        self.write(line);
+        write(&mut self.lines, &line(self.who, &named.msg_id));
+    }
+}
+
+fn write(lines: &mut Vec<u8>, line: &Line) {
+    // Writing to memory does not fail, and every line is plain text and numbers.
+    if serde_json::to_writer(&mut *lines, line).is_ok() {
+        lines.push(b'\n');
     }
 }
 
@@ -127,48 +141,47 @@
         let door = &mut *self.0.borrow_mut();
         let Some(named) = door.named.get_mut(&unit) else { return };
         named.out += 1;
-        let line = json!({"type": "issue", "who": door.who, "msg_id": &*named.msg_id,
-            "executor": &*door.executor_names[executor.0], "give_up_after_ns": time_out.0});
-        door.write(line);
+        let executor = &*door.executor_names[executor.0];
+        let (who, msg_id) = (door.who, &*named.msg_id);
+        write(&mut door.lines, &Line::Issue { who, msg_id, executor, give_up_after_ns: time_out.0 });
     }
 
     fn recall(&mut self, allocation: AllocationId) {
         let door = &mut *self.0.borrow_mut();
         let Some(named) = door.named.get(&allocation.unit) else { return };
-        let line = json!({"type": "recall", "who": door.who, "msg_id": &*named.msg_id,
-            "go": allocation.number});
-        door.write(line);
+        let (who, msg_id) = (door.who, &*named.msg_id);
+        write(&mut door.lines, &Line::Recall { who, msg_id, go: allocation.number });
     }
 
     fn turn_back(&mut self, unit: UnitId, come_back: Option<Span>) {
-        self.0.borrow_mut().final_answer(unit, "decline", come_back);
+        let wait_ns = come_back.map(|wait| wait.0);
+        self.0.borrow_mut().final_answer(unit, |who, msg_id| Line::Decline { who, msg_id, wait_ns });
     }
 
     fn forfeit(&mut self, unit: UnitId) {
-        self.0.borrow_mut().final_answer(unit, "drop_request", None);
+        self.0.borrow_mut().final_answer(unit, |who, msg_id| Line::DropRequest { who, msg_id });
     }
 
     fn wake(&mut self, after: Span, alarm: u64) {
         let door = &mut *self.0.borrow_mut();
-        let line = json!({"type": "set_alarm", "who": door.who, "span_ns": after.0, "name": alarm});
-        door.write(line);
+        write(&mut door.lines, &Line::SetAlarm { who: door.who, span_ns: after.0, name: alarm });
     }
 
     fn probe(&mut self, executor: ExecutorId) {
         let door = &mut *self.0.borrow_mut();
-        let line = json!({"type": "ping", "who": door.who,
-            "executor": &*door.executor_names[executor.0]});
-        door.write(line);
+        let executor = &*door.executor_names[executor.0];
+        write(&mut door.lines, &Line::Ping { who: door.who, executor });
     }
 
     fn tell(&mut self, node: Option<u64>, word: &[u8]) {
         let door = &mut *self.0.borrow_mut();
-        let payload: String = word.iter().map(|byte| format!("{byte:02x}")).collect();
-        door.write(json!({"type": "signal", "who": door.who, "recipient": node, "payload": payload}));
+        let digits = word.iter().flat_map(|byte| [byte >> 4, byte & 15]);
+        let payload: String = digits.filter_map(|digit| char::from_digit(digit.into(), 16)).collect();
+        write(&mut door.lines, &Line::Signal { who: door.who, recipient: node, payload: &payload });
     }
 
     fn follow_list(&mut self) {
         let door = &mut *self.0.borrow_mut();
-        door.write(json!({"type": "watch", "who": door.who, "enable": true}));
+        write(&mut door.lines, &Line::Watch { who: door.who, enable: true });
     }
 }
--- a/crates/benchlink/src/main.rs
+++ b/crates/benchlink/src/main.rs
@@ -15,7 +15,7 @@
 use serde_json::Value;
 use std::borrow::Cow;
 use std::cell::RefCell;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io::{self, BufRead, Write};
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::process::ExitCode;
@@ -99,6 +99,8 @@
 struct Hosted {
     now: Moment,
     instances: BTreeMap<u64, Instance>,
+    /// Those that the batch speaks of: no other can have said anything.
+    called: BTreeSet<u64>,
 }
 
 impl Hosted {
@@ -217,6 +219,7 @@
     /// Calls one node; a failure inside its decisions goes out as the wire's `panic`.
     fn call(&mut self, line: &Line, call: impl FnOnce(&mut Instance, Moment)) -> Result<(), String> {
         let now = self.now;
+        self.called.extend(line.who);
         let node = self.instance(line)?;
         if let Err(failure) = catch_unwind(AssertUnwindSafe(|| call(node, now))) {
             let text = failure.downcast_ref::<String>().map(String::as_str);
@@ -283,7 +286,8 @@
             continue;
         }
         if hosted.take(text).map_err(at)? {
-            for node in hosted.instances.values() {
+            let called = std::mem::take(&mut hosted.called);
+            for node in called.iter().filter_map(|who| hosted.instances.get(who)) {
                 node.door.borrow_mut().drain(&mut output).map_err(|e| e.to_string())?;
             }
             writeln!(output, r#"{{"type":"ack"}}"#).map_err(|e| e.to_string())?;
--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -19,11 +19,10 @@
 use crate::ids::{AllocationId, ExecutorId, UnitId, fixed_hash, mixed};
 use crate::tariffs::{Allowance, Arrival, ColdStart, Effect, Ending, Listing, Report, Standing, Tariff};
 use crate::time::{Moment, Span};
-use crate::word::{self, Kind, Tally};
+use crate::word::{MOST, Word, mark};
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg32;
-use std::cmp::Reverse;
 use std::collections::{BTreeMap, VecDeque};
 
 const BEAT: u64 = 0;
@@ -54,6 +53,7 @@
 #[derive(Default)]
 struct Executor {
     hash: u64,
+    mark: u16,
     standing: Standing,
     started: Option<Moment>,
     kind: usize,
@@ -76,7 +76,7 @@
     flights: Vec<Flight>,
     /// Slots that other nodes fill here, by their word, and when it came; and what this one told them last.
     others: Option<(Moment, f64)>,
-    told: u16,
+    told: u8,
     answers: usize,
     reset: Option<Moment>,
     died: Option<Moment>,
@@ -256,6 +256,19 @@
     }
 }
 
+/// What nodes that may talk tell each other.
+#[derive(Default)]
+struct Talk {
+    allowed: bool,
+    /// The node that adds up, and when it was last heard.
+    teller: u64,
+    heard: Moment,
+    /// What this one was told by others, and the ready executors in the order in which all are told of them.
+    told: BTreeMap<u64, (Moment, Vec<(u16, u8)>)>,
+    order: Vec<usize>,
+    list: u16,
+}
+
 pub struct Dispatcher<H: Host> {
     host: H,
     chance: Pcg32,
@@ -269,13 +282,7 @@
     may_probe: bool,
     tells_start: bool,
     progress: Option<Span>,
-    /// Whether nodes may talk, the one that adds up, when it was last heard, and what it was told by whom.
-    talks: bool,
-    teller: u64,
-    teller_heard: Moment,
-    tells_all: bool,
-    told: BTreeMap<u64, (Moment, Tally)>,
-    marks: BTreeMap<u16, usize>,
+    talk: Talk,
     allotments: Vec<Allotment>,
     executors: Vec<Executor>,
     /// The ready executors in the order in which this node uses them.
@@ -308,12 +315,7 @@
             may_probe: false,
             tells_start: false,
             progress: None,
-            talks: false,
-            teller: 0,
-            teller_heard: Moment(0),
-            tells_all: false,
-            told: BTreeMap::new(),
-            marks: BTreeMap::new(),
+            talk: Talk::default(),
             allotments: Vec::new(),
             executors: Vec::new(),
             roster: Vec::new(),
@@ -358,7 +360,7 @@
 
     /// Whether nodes may send each other words.
     pub fn talking(mut self, peers: bool) -> Self {
-        self.talks = peers && self.nodes > 1;
+        self.talk.allowed = peers && self.nodes > 1;
         self
     }
 
@@ -369,7 +371,7 @@
     }
 
     pub fn start(&mut self, now: Moment) {
-        (self.recut, self.teller_heard) = (now, now);
+        (self.recut, self.talk.heard) = (now, now);
         // Nodes that start together must not beat together.
         self.host.wake(Span::secs(BEAT_EVERY.as_secs() * self.chance.random::<f64>()), BEAT);
         if self.asks_list {
@@ -391,7 +393,7 @@
             }
             let e = &mut self.executors[index];
             e.hash = fixed_hash(entry.name);
-            self.marks.insert(word::mark(e.hash), index);
+            e.mark = mark(e.hash);
             e.rank = mixed(e.hash ^ mixed(self.node.wrapping_add(1)));
             e.distance = (self.node % self.nodes + self.nodes - e.hash % self.nodes) % self.nodes;
             e.standing = entry.standing;
@@ -540,17 +542,21 @@
 
     /// Another node sent a word.
     pub fn told(&mut self, now: Moment, node: u64, word: &[u8]) {
-        let Some((kind, tally)) = Tally::read(word).filter(|_| self.talks) else { return };
-        match kind {
-            Kind::Own => {
-                self.told.insert(node, (now, tally));
+        let talk = &mut self.talk;
+        match Word::read(word).filter(|_| talk.allowed) {
+            Some(Word::Own { filled }) => {
+                talk.told.insert(node, (now, filled));
             }
-            // One that came back later than the others found another is told by nobody: it joins them.
-            Kind::All if node <= self.teller || self.teller == self.node && self.told.is_empty() => {
-                (self.teller, self.teller_heard) = (node, now);
-                self.learn(now, &tally);
+            // One that comes back later than the others found another is told by nobody: it joins them.
+            Some(Word::All { list, first, filled })
+                if node <= talk.teller || talk.teller == self.node && talk.told.is_empty() =>
+            {
+                (talk.teller, talk.heard) = (node, now);
+                if list == talk.list {
+                    self.learn(now, first, &filled);
+                }
             }
-            Kind::All => {}
+            _ => {}
         }
     }
 
@@ -580,6 +586,9 @@
         for (rank, &i) in self.roster.iter().enumerate() {
             self.executors[i].lane = usize::from(rank >= first);
         }
+        self.talk.order.clone_from(&self.roster);
+        self.talk.order.sort_by_key(|&i| self.executors[i].mark);
+        self.talk.list = mark(self.ready().fold(0, |sum, e| sum ^ mixed(e.hash)));
         // The own zone comes six times as far to the front: crossing costs, yet a zone must not be left to
         // itself, since neither workers nor clients are spread evenly.
         const NEARER: u64 = 6;
@@ -707,15 +716,20 @@
         const FLOOR: f64 = 0.1; // design page
         let work = self.work.get(&unit)?;
         let mut able = self.candidates(now, work, true);
+        // What all have out is known as of a while ago, and all nodes know the same: the pick is among a quarter
+        // at least, those with the shortest queues. Guards against a crowd at the few that had room then.
+        const PART: usize = 4;
+        let known = able.iter().any(|c| self.executors[c.at].filled(now).is_some());
         // Own evidence does not show what others fill: at the floor of the weights it passes for full. Guards
         // against queues in one lane while the other idles. Only where most were just heard of, and out of
         // the lane only to one less than half used: late reports must not draw a crowd.
         const FRESH: Span = Span::millis(1000); // what a report is an average over
-        let heard = self.ready().filter(|e| e.reported.is_some_and(|at| now.since(at) < FRESH)).count();
-        let hears = heard * 2 > self.roster.len();
+        let fresh = |e: &&Executor| e.reported.is_some_and(|at| now.since(at) < FRESH);
+        let hears = !known && self.ready().filter(fresh).count() * 2 > self.roster.len();
         let below = |c: &Candidate| if c.in_lane { 1.0 - FLOOR } else { 0.5 };
         let open = |c: &Candidate| c.room && (!hears || c.load.is_none_or(|load| load < below(c)));
-        if !able.iter().any(open) {
+        let enough = if known { able.len().div_ceil(PART) } else { 1 };
+        if able.iter().filter(|c| open(c)).count() < enough {
             able = self.candidates(now, work, false);
         }
         let any_room = able.iter().any(|c| c.room);
@@ -723,20 +737,21 @@
         // First those with room, of these the not full, then those of the lane, then cold ones that may take
         // some: the few nodes that warm one see little, and left to chance it would idle.
         let cold = |c: &Candidate| self.executors[c.at].cold_budget(&self.cold, now).is_some();
-        // Without room the shortest known queue is met first, in steps of a quarter of a second.
-        let queue = |c: &Candidate| {
-            let known = self.executors[c.at].filled(now).and(c.wait).filter(|_| !c.room);
-            Reverse(known.map_or(0, |wait| (wait * 4.0) as u64))
-        };
-        let rank = |c: &Candidate| (c.room, open(c), queue(c), c.in_lane, c.room && cold(c));
-        let best = able.iter().map(rank).max();
-        able.retain(|c| Some(rank(c)) == best);
+        let rank = |c: &Candidate| (c.room, open(c), c.in_lane, c.room && cold(c));
+        if known {
+            able.sort_by(|a, b| a.wait.unwrap_or(0.0).total_cmp(&b.wait.unwrap_or(0.0)));
+            let most = able.iter().filter(|c| open(c)).count().max(able.len().div_ceil(PART));
+            able.truncate(most);
+        } else {
+            let best = able.iter().map(rank).max();
+            able.retain(|c| Some(rank(c)) == best);
+        }
         let weight = |load: f64| if load < 1.0 { (1.0 - load).max(FLOOR) } else { FLOOR / load };
-        let known: Vec<f64> = able.iter().filter_map(|c| c.load.map(weight)).collect();
-        let mean = if known.is_empty() { 1.0 } else { known.iter().sum::<f64>() / known.len() as f64 };
+        let loads: Vec<f64> = able.iter().filter_map(|c| c.load.map(weight)).collect();
+        let mean = if loads.is_empty() { 1.0 } else { loads.iter().sum::<f64>() / loads.len() as f64 };
         let chosen = able.choose_weighted(&mut self.chance, |c| c.load.map_or(mean, weight)).ok()?;
         // With no room anywhere it waits where it goes: the least wait of all would promise too much.
-        let wait = if any_room { least_wait } else { chosen.wait.unwrap_or(0.0) };
+        let wait = if any_room && !known { least_wait } else { chosen.wait.unwrap_or(0.0) };
         Some(Picked { executor: ExecutorId(chosen.at), any_room, wait })
     }
 
@@ -817,7 +832,8 @@
         }
         self.host.allocate(unit, executor, time_out);
         if self.tariffs[work.tariff].effect != Effect::Binding {
-            self.host.wake(REVIEW_AFTER, FIRST_UNIT + unit.0);
+            let silent_at = self.progress.filter(|_| !self.tells_start).map(|pace| silent_at(now, pace));
+            self.host.wake(silent_at.map_or(REVIEW_AFTER, |at| at.since(now)), FIRST_UNIT + unit.0);
         }
     }
 
@@ -842,14 +858,12 @@
             return;
         };
         let id = flight.id;
-        // Progress is told at a steady pace: two and a half paces without a word are no chance.
-        let silent = self
-            .progress
-            .is_some_and(|pace| flight.started.is_some() && now.since(flight.heard).0 > pace.0 * 5 / 2);
+        let silent_at = self.progress.map(|pace| silent_at(flight.heard, pace));
+        let silent = flight.started.is_some() && silent_at.is_some_and(|at| at < now);
         // Where no second copy is allowed a recalled one may run on, and where starts are not told any may
         // have started long before.
-        let waits =
-            self.tells_start && flight.started.is_none() && now > flight.sent && self.allowance.second_copies;
+        let unstarted = self.tells_start && flight.started.is_none();
+        let waits = unstarted && now > flight.sent && self.allowance.second_copies;
         let harmless = self.tariffs[work.tariff].effect.harmless();
         let lost = waits && work.slack(now) < 0.0 && harmless;
         if silent {
@@ -872,7 +886,13 @@
         if lost {
             return self.answer(unit);
         }
-        self.host.wake(AGAIN, FIRST_UNIT + unit.0);
+        // What runs, or may, is looked at when it would be silent. Guards against a second of looks at each.
+        let next = match silent_at {
+            _ if unstarted => AGAIN,
+            Some(at) => at.since(now).max(AGAIN),
+            None => return,
+        };
+        self.host.wake(next, FIRST_UNIT + unit.0);
     }
 
     /// Recalls an allocation: where no second copy is allowed its unit goes elsewhere when that has ended.
@@ -1026,7 +1046,7 @@
             self.recompute_cut_offs();
             self.form_lanes(now);
         }
-        if self.talks {
+        if self.talk.allowed {
             self.tell(now);
         }
         self.serve_held(now);
@@ -1036,47 +1056,53 @@
     /// does so while it is heard, else the next: without any the own evidence is left.
     fn tell(&mut self, now: Moment) {
         const LOST: Span = Span::millis(2000); // several words in a row
-        if self.teller != self.node && now.since(self.teller_heard) > LOST {
-            (self.teller, self.teller_heard) = ((self.teller + 1) % self.nodes, now);
+        let talk = &mut self.talk;
+        if talk.teller != self.node && now.since(talk.heard) > LOST {
+            (talk.teller, talk.heard) = ((talk.teller + 1) % self.nodes, now);
         }
-        let mut own = Tally::default();
+        let mut filled = Vec::new();
         for e in &mut self.executors {
-            e.told = e.own_slots() as u16;
+            e.told = e.own_slots() as u8;
             if e.told > 0 {
-                own.executors.insert(word::mark(e.hash), e.told);
+                filled.push((e.mark, e.told));
             }
         }
-        self.told.retain(|_, (at, _)| now.since(*at) <= LOST);
-        if self.teller != self.node {
-            own.words(Kind::Own).iter().for_each(|word| self.host.tell(Some(self.teller), word));
+        talk.told.retain(|_, (at, _)| now.since(*at) <= LOST);
+        if talk.teller != self.node {
+            self.host.tell(Some(talk.teller), &Word::Own { filled: filled.clone() }.bytes());
         }
-        // All are told half as often: the same word goes to each, and each is paid for.
-        self.tells_all = !self.tells_all;
-        if self.told.is_empty() || !self.tells_all {
+        if talk.told.is_empty() {
             return;
         }
-        // All that are ready are named: those of which nothing is said are not known to be free.
-        let mut all = own;
-        for &at in &self.roster {
-            all.executors.entry(word::mark(self.executors[at].hash)).or_default();
+        let mut sums = vec![0_u8; talk.order.len()];
+        for (mark, count) in talk.told.values().flat_map(|(_, filled)| filled).chain(&filled) {
+            if let Ok(at) = talk.order.binary_search_by_key(mark, |&at| self.executors[at].mark) {
+                sums[at] = sums[at].saturating_add(*count);
+            }
         }
-        self.told.values().for_each(|(_, tally)| all.add(tally));
-        all.words(Kind::All).iter().for_each(|word| self.host.tell(None, word));
-        if self.teller == self.node {
-            self.learn(now, &all);
+        for (number, part) in sums.chunks(MOST).enumerate() {
+            let (list, first) = (self.talk.list, number * MOST);
+            let word = Word::All { list, first, filled: part.to_vec() };
+            self.host.tell(None, &word.bytes());
+            if self.talk.teller == self.node {
+                self.learn(now, first, part);
+            }
         }
     }
 
-    fn learn(&mut self, now: Moment, all: &Tally) {
-        for (mark, &slots) in &all.executors {
-            if let Some(&at) = self.marks.get(mark) {
-                let e = &mut self.executors[at];
-                e.others = Some((now, f64::from(slots.saturating_sub(e.told))));
-            }
+    fn learn(&mut self, now: Moment, first: usize, filled: &[u8]) {
+        for (&at, count) in self.talk.order.iter().skip(first).zip(filled) {
+            let e = &mut self.executors[at];
+            e.others = Some((now, f64::from(count.saturating_sub(e.told))));
         }
     }
 }
 
+/// Progress is told at a steady pace: two and a half paces without a word are no chance.
+fn silent_at(heard: Moment, pace: Span) -> Moment {
+    heard + Span(pace.0 * 5 / 2)
+}
+
 fn take_report(e: &mut Executor, now: Moment, report: Report) {
     if let Some(utilisation) = report.utilisation.filter(|u| u.is_finite()) {
         e.utilisation = utilisation.clamp(0.0, 1.0);
--- a/crates/dispatch/tests/stories.rs
+++ b/crates/dispatch/tests/stories.rs
@@ -3,10 +3,10 @@
 mod fake;
 
 use fake::*;
-use grebeusher_dispatch::ids::{ExecutorId, UnitId};
+use grebeusher_dispatch::ids::{ExecutorId, UnitId, fixed_hash};
 use grebeusher_dispatch::tariffs::*;
 use grebeusher_dispatch::time::{Moment, Span};
-use grebeusher_dispatch::word::{self, Kind, Tally};
+use grebeusher_dispatch::word::{LONGEST, MOST, Word, mark};
 
 const UNIT_ALARMS: u64 = 2;
 
@@ -786,8 +786,6 @@
         assert_eq!(to, Some(0), "the first node adds up");
         teller.node.told(teller.now, 1, &word);
     }
-    // It tells all at every second beat.
-    teller.node.rang(teller.now, 0);
     teller.node.rang(teller.now, 0);
     assert_eq!(teller.words().iter().filter(|(to, _)| to.is_none()).count(), 1);
     teller.heard();
@@ -804,7 +802,7 @@
     story.node.rang(story.now, 0);
     assert_eq!(story.words(), []);
     let mut story = Story::talking(1, 2);
-    for junk in [&[][..], &[9, 9], &[1, 200, 3], &[2, 0, 1, 2]] {
+    for junk in [&[][..], &[9, 9], &[1, 200, 3], &[2, 0, 1], &[2, 0, 0, 0, 200]] {
         story.node.told(story.now, 0, junk);
     }
     story.arrive(1, RETRIABLE, 100);
@@ -821,8 +819,7 @@
     story.node.rang(story.now, 0);
     assert_eq!(story.words().last().map(|(to, _)| *to), Some(Some(0)));
     story.pass(2100);
-    story.node.told(story.now, 0, &Tally::default().words(Kind::Own)[0]);
-    story.node.rang(story.now, 0);
+    story.node.told(story.now, 0, &Word::Own { filled: Vec::new() }.bytes());
     story.node.rang(story.now, 0);
     let words = story.words();
     let all = words.iter().find(|(to, _)| to.is_none()).expect("it adds up itself");
@@ -833,16 +830,14 @@
 
 #[test]
 fn words_hold_what_was_put_into_them_and_no_more_than_a_word_may() {
-    let tally =
-        Tally { customers: vec![3, 0, 255], executors: (0..200).map(|at| (at * 7, at % 9)).collect() };
-    let mut read = Tally::default();
-    for word in tally.words(Kind::All) {
-        assert!(word.len() <= word::LONGEST);
-        let (kind, part) = Tally::read(&word).expect("a word");
-        assert_eq!(kind, Kind::All);
-        read.add(&part);
+    let own = Word::Own { filled: (0..20).map(|at| (at * 777, at as u8)).collect() };
+    let all = Word::All { list: 7, first: 2 * MOST, filled: (0..MOST as u8).collect() };
+    for word in [own, all] {
+        assert_eq!(Word::read(&word.bytes()), Some(word));
     }
-    assert_eq!(read, tally);
+    let crowded = Word::Own { filled: vec![(1, 1); 500] };
+    assert!(crowded.bytes().len() <= LONGEST);
+    assert!(Word::read(&crowded.bytes()).is_some());
 }
 
 #[test]
@@ -859,3 +854,39 @@
     story.arrive_as(9, Arrival { slots: 4.0, hint, ..story.arrival(9000) });
     story.sent_to();
 }
+
+#[test]
+fn a_crowd_does_not_gather_at_the_one_that_all_know_to_be_free() {
+    // Failure: all nodes knew the same half a second old queues, and all sent to the shortest: 30 at once.
+    let mut teller = Story::talking(0, 8);
+    let mut other = Story::talking(1, 8);
+    let full = |at: usize| (mark(fixed_hash(&format!("executor-{at}"))), 4);
+    let word = Word::Own { filled: (1..8).map(full).collect() };
+    teller.node.told(teller.now, 1, &word.bytes());
+    teller.node.rang(teller.now, 0);
+    let free = Some(Report { utilisation: None, free_slots: Some(4.0) });
+    let mut used = [0; 8];
+    for unit in 0..40 {
+        other.arrive(unit, RETRIABLE, UNHINTED);
+        let executor = other.sent_to();
+        used[executor] += u32::from(unit > 0);
+        other.end_with(unit, 0, executor, Ending::Fulfilled, free);
+        if unit == 0 {
+            teller.words().iter().for_each(|(_, word)| other.node.told(other.now, 0, word));
+        }
+    }
+    assert!(used[0] > 20, "the free one gets most: {used:?}");
+    assert!(used[1..].iter().sum::<u32>() > 0, "but not all: {used:?}");
+}
+
+#[test]
+fn what_runs_is_not_looked_at_before_it_could_be_silent() {
+    // Failure: four looks a second at each unit that ran were 7% of the CPU.
+    let mut story = Story::of(2);
+    story.arrive(1, RETRIABLE, 3000);
+    let executor = story.sent_to();
+    story.start_of(1, 0, executor);
+    story.pass(150);
+    story.node.rang(story.now, UNIT_ALARMS + 1);
+    assert_eq!(story.said.0.take(), [Said::Wake(Span::millis(2350), UNIT_ALARMS + 1)]);
+}
