--- a/crates/charter/src/lib.rs
+++ b/crates/charter/src/lib.rs
@@ -114,7 +114,7 @@
         .cold_starts(cold)
         .noticing(
             asks_list,
-            flag(&caps["may_probe"]) && charter["report"]["via"] != "silent",
+            flag(&caps["may_probe"]) && charter["report"]["via"] == "pull",
             flag(&family["tells_start"]),
             Some(span(&family["progress_ns"])),
         )
--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -1,9 +1,9 @@
 //! The decisions of grebeusher: which executor gets a work unit, and what becomes of it.
 //!
 //! A caller builds one [`Dispatcher`] a node, hands it a [`Host`] to act through, tells it what is promised
-//! (`allowing`, `cold_starts`, `noticing`, `customers`, `standing_in`), calls `start`, and then one method
-//! for each thing that happens, with the time at which it happened. Nothing else drives it: no clock, no I/O.
-//! The interface is set down in `host.rs` (what it asks), and in `tariffs.rs`, `ids.rs` and `time.rs`.
+//! (`allowing`, `cold_starts`, `noticing`, `customers`, `talking`, `standing_in`), calls `start`, and then
+//! one method for each thing that happens, with its time. Nothing else drives it: no clock, no I/O. The
+//! interface is set down in `host.rs` (what it asks), `tariffs.rs`, `word.rs`, `ids.rs` and `time.rs`.
 //!
 //! The design (SITA-E, `docs/design.md`): the size of a work unit picks a lane by cut-offs that equalise the
 //! summed size per worker; inside the lane a random pick is weighted by one minus the utilisation.
@@ -13,7 +13,8 @@
 //!   3. cold budgets                 `Executor::cold_admits`
 //!   4. further allocations          `review`, `renew`
 //!   5. turn-backs with fairness     `hopeless`, `Allotment`
-//!   6. own evidence: corrected utilisation, room, overflow    `Executor::load`, `has_room`, `candidates`
+//!   6. evidence beside reports: own (corrected utilisation, room, overflow: `Executor::load`, `has_room`,
+//!      `candidates`) and, where nodes may talk, what all have out (`tell`, `told`, `Executor::filled`)
 
 use crate::host::Host;
 use crate::ids::{AllocationId, ExecutorId, UnitId, fixed_hash, mixed};
@@ -33,6 +34,8 @@
 /// The final answer is due this long before patience ends: a few batches of any caller.
 const ANSWER_MARGIN: Span = Span::millis(20);
 
+/// Progress is told at a steady pace: so many without a word are no chance.
+const SILENT_PACES: f64 = 2.5;
 /// Below this many sizes one lane holds every worker (design page).
 const FEWEST: usize = 50;
 
@@ -40,7 +43,6 @@
 struct Flight {
     id: AllocationId,
     size: f64,
-    /// How many slots it fills.
     slots: f64,
     sent: Moment,
     /// By when word of its start should have come.
@@ -67,7 +69,6 @@
     rank: u64,
     /// How many nodes come before this one among those that may warm it.
     distance: u64,
-    probing: bool,
     asked: Moment,
     /// Slots that own work has filled at once, and the most that were reported free: a report is noisy and
     /// of a while ago, so room goes by the first, and what all nodes together may send by both.
@@ -83,9 +84,8 @@
     /// Size of the own work that was answered, and the seconds that it held slots.
     done: f64,
     ran: f64,
-    /// Work a second on one slot, by its kind; one until its kind has been seen.
+    /// Work a second of its kind when warm, on one slot and on all: a standard core until it has been seen.
     pace: f64,
-    /// Work a second when warm; one standard core until its kind has been seen.
     capacity: f64,
     aside_until: Moment,
     last_wait: f64,
@@ -117,8 +117,7 @@
     fn load(&self, now: Moment) -> Option<f64> {
         // Reports are averages over about a second: what was sent in the last one is not in them yet.
         const LAG: Span = Span::millis(1000);
-        // After several usual report spans the figure says nothing any more.
-        const STALE: Span = Span::millis(6000);
+        const STALE: Span = Span::millis(6000); // after several usual report spans the figure says nothing
         let own = match self.filled(now) {
             Some(filled) => filled / self.width(),
             None => self.flights.len() as f64 / self.slots,
@@ -157,13 +156,10 @@
             && self.oldest_wait(now).is_none_or(|wait| wait <= TOLD_WITHIN)
     }
 
-    /// The work that all nodes together may send here within a window, while it is cold: its capacity is at
-    /// least the cold share and grows at least evenly.
+    /// The work that all nodes together may send here within a window, while it is cold.
     fn cold_budget(&self, cold: &ColdStart, now: Moment) -> Option<f64> {
         let started = self.started.max(self.died).filter(|&at| now < at + cold.warm_within)?;
-        let age = now.since(started).as_secs() / cold.warm_within.as_secs().max(0.001);
-        let share = cold.share + (1.0 - cold.share) * age;
-        Some(cold.fall_factor * share * self.capacity * cold.fall_window.as_secs().max(0.001))
+        Some(cold.least(now.since(started)) * self.capacity * cold.fall_factor)
     }
 
     /// Whether a cold executor can take one more that counts for `charge`, a mean one counting for `mean`.
@@ -226,12 +222,6 @@
     fn slack(&self, now: Moment) -> f64 {
         (self.asked + self.quoted).since(now).as_secs() - self.size / self.slots
     }
-
-    /// Seconds that it may wait where it is sent without being late.
-    fn spare(&self, now: Moment) -> f64 {
-        const PART: f64 = 0.25; // of the slack: the estimate is of the past, and the queue may grow
-        self.slack(now) * PART
-    }
 }
 
 /// What a customer may send within its share, as this node's part of it.
@@ -289,7 +279,6 @@
     roster: Vec<usize>,
     out: usize,
     work: BTreeMap<UnitId, Work>,
-    held: VecDeque<UnitId>,
     follow_tries: u32,
     /// Recent sized work: size, and how long it runs on standard cores.
     sample: VecDeque<(f64, f64)>,
@@ -321,7 +310,6 @@
             roster: Vec::new(),
             out: 0,
             work: BTreeMap::new(),
-            held: VecDeque::new(),
             follow_tries: 0,
             sample: VecDeque::new(),
             median: 1.0,
@@ -434,11 +422,10 @@
         let size = hinted.map_or(self.median, sized);
         if hinted.is_some() {
             self.sample.push_back((size, size / slots));
-            if self.sample.len() > SAMPLE {
-                self.sample.pop_front();
-            }
-            if self.sample.len() == FEWEST {
-                self.recompute_cut_offs();
+            match self.sample.len() {
+                FEWEST => self.recompute_cut_offs(),
+                more if more > SAMPLE => drop(self.sample.pop_front()),
+                _ => {}
             }
         }
         let tariff = arrival.tariff.min(self.tariffs.len() - 1);
@@ -488,14 +475,12 @@
         let running = e.flights.iter().filter(|f| f.started.is_some()).count();
         e.slots = e.slots.max(running as f64);
         // The others of a unit that has started wait for nothing.
+        let out = |a: &Allocation| a.open && !a.recalled;
         let Some(work) = self.work.get(&id.unit) else { return };
-        if work.allocations.get(id.number).is_none_or(|a| a.recalled) {
-            return;
-        }
-        let others = (0..work.allocations.len())
-            .filter(|&n| n != id.number && work.allocations[n].open && !work.allocations[n].recalled);
-        for number in others.collect::<Vec<_>>() {
-            self.give_up(AllocationId { unit: id.unit, number });
+        let others = work.allocations.iter().enumerate().filter(|(n, a)| *n != id.number && out(a));
+        let others: Vec<usize> = others.map(|(number, _)| number).collect();
+        if work.allocations.get(id.number).is_some_and(out) {
+            others.into_iter().for_each(|number| self.give_up(AllocationId { unit: id.unit, number }));
         }
     }
 
@@ -509,18 +494,15 @@
         finished: bool,
         report: Option<Report>,
     ) {
-        self.health(now, id, executor, ending, report);
+        self.probed(now, executor, report);
+        self.health(now, id, executor, ending);
         let unit = id.unit;
         if let Some(work) = self.work.get_mut(&unit) {
             if let Some(allocation) = work.allocations.get_mut(id.number) {
                 allocation.open = false;
                 allocation.may_have_run = !ending.proves_not_run();
             }
-            if finished {
-                self.finish(unit);
-            } else {
-                self.renew(now, unit, ending);
-            }
+            if finished { self.finish(unit) } else { self.renew(now, unit, ending) }
         }
         self.serve_held(now);
     }
@@ -533,10 +515,19 @@
     /// A probe ended. One without an answer may mean a full waiting room or a loss on the way: that says too
     /// little to act on.
     pub fn probed(&mut self, now: Moment, executor: ExecutorId, report: Option<Report>) {
-        let Some(e) = self.executors.get_mut(executor.0) else { return };
-        e.probing = false;
-        if let Some(report) = report {
-            take_report(e, now, report);
+        let Some((e, report)) = self.executors.get_mut(executor.0).zip(report) else { return };
+        if let Some(utilisation) = report.utilisation.filter(|u| u.is_finite()) {
+            e.utilisation = utilisation.clamp(0.0, 1.0);
+            e.reported = Some(now);
+        }
+        if let Some(free) = report.free_slots.filter(|f| f.is_finite()) {
+            let (kind, most_free) = (e.kind, e.most_free.max(free.round()));
+            // Cores may idle while every slot is held by work that waits for something: no slot, no room.
+            e.utilisation = e.utilisation.max(1.0 - free / e.slots.max(most_free)).clamp(0.0, 1.0);
+            // What one of a kind has all have.
+            self.executors.iter_mut().filter(|e| e.kind == kind && e.most_free < most_free).for_each(|e| {
+                e.most_free = most_free;
+            });
         }
     }
 
@@ -569,18 +560,15 @@
         }
     }
 
-    /// Sorts the ready executors by registered weight, then by the fixed hash of their ids, into two
-    /// lanes, the same at every node. Long work earns by its size and is late on a slow worker however
-    /// idle: it gets the heaviest quarter. Short work bears most fetches and hand-shakes, which no size
-    /// shows.
+    /// Sorts the ready executors by the learnt pace of their kind, by registered weight, then by the fixed
+    /// hash of their ids, into two lanes. Long work earns by its size and is late on a slow worker however
+    /// idle: it gets the fastest quarter. Short work bears most hand-shakes, which no size shows.
     fn form_lanes(&mut self, now: Moment) {
         let ready = |i: &usize| self.executors[*i].standing == Standing::Ready;
         self.roster = (0..self.executors.len()).filter(ready).collect();
-        // Weights are above nothing, where their bits are in the order of their values.
-        self.roster.sort_by_cached_key(|&i| {
-            let e = &self.executors[i];
-            (e.pace.to_bits(), e.weight.to_bits(), e.hash)
-        });
+        // Paces and weights are above nothing, where their bits are in the order of their values.
+        let strength = |e: &Executor| (e.pace.to_bits(), e.weight.to_bits(), e.hash);
+        self.roster.sort_by_cached_key(|&i| strength(&self.executors[i]));
         // Two or three are two lanes as well.
         let first = (self.roster.len() * 3).div_ceil(4).min(self.roster.len().max(2) - 1);
         for (rank, &i) in self.roster.iter().enumerate() {
@@ -590,10 +578,9 @@
         self.talk.order.sort_by_key(|&i| self.executors[i].mark);
         self.talk.list = mark(self.ready().fold(0, |sum, e| sum ^ mixed(e.hash)));
         // The own zone comes six times as far to the front: crossing costs, yet a zone must not be left to
-        // itself, since neither workers nor clients are spread evenly.
+        // itself, since neither workers nor clients are spread evenly. Before all come the cold ones that
+        // this node may warm, or they would idle: a budget is seldom split among more nodes.
         const NEARER: u64 = 6;
-        // Before all come the cold ones that this node may warm, or they would idle. A budget that grows to
-        // the full capacity of a few slots is seldom split among more nodes.
         const WARMERS: u64 = 8;
         self.roster.sort_by_cached_key(|&i| {
             let e = &self.executors[i];
@@ -631,8 +618,7 @@
             });
             self.cut_offs.extend(cut);
         }
-        // What an executor can do when warm: the pace of its kind over all that ran, since short work runs
-        // slower by what it fetches, and the most slots seen.
+        // What an executor can do when warm: the pace of its kind over all that ran, and the most slots seen.
         let mut kinds: BTreeMap<usize, (f64, f64, f64)> = BTreeMap::new();
         for e in self.ready().filter(|e| e.ran > 0.0) {
             let (done, ran, slots) = kinds.entry(e.kind).or_default();
@@ -654,7 +640,7 @@
         const MORE: usize = 4; // times as many: one of them has room unless nearly all are full
         let lane = self.cut_offs.iter().filter(|&&cut| work.size > cut).count();
         let Tariff { kind, effect, .. } = self.tariffs[work.tariff];
-        let (charge, spare) = (charge(work.size, self.mean), work.spare(now));
+        let charge = charge(work.size, self.mean);
         let ran = work.allocations.iter().find(|a| a.may_have_run);
         let ran = ran.map(|a| (a.sent, self.executors[a.executor.0].zone, self.executors[a.executor.0].cell));
         let in_lane = |at: usize| self.cut_offs.is_empty() || self.executors[at].lane == lane;
@@ -668,23 +654,18 @@
                 && !work.allocations.iter().any(|a| a.open && a.executor.0 == at)
                 && e.cold_admits(&self.cold, self.nodes, now, self.mean, charge);
             let filled = e.filled(now).map(|filled| filled + work.slots - e.width());
+            let queue = filled.map(|over| over.max(0.0) / e.width() * self.mean_run / e.pace);
             able.then(|| Candidate {
                 at,
                 in_lane: in_lane(at),
                 room: filled.map_or_else(|| e.has_room(now), |over| over <= 0.0),
                 load: e.load(now),
-                wait: filled.map_or_else(
-                    || e.wait(now),
-                    |over| Some(over.max(0.0) / e.width() * self.mean_run / e.pace),
-                ),
+                wait: queue.or_else(|| e.wait(now)),
             })
         };
         // Where the nodes talk all are heard of.
-        let most = if self.ready().any(|e| e.filled(now).is_some()) {
-            usize::MAX / MORE
-        } else {
-            FEW + self.out / 2
-        };
+        let known = self.ready().any(|e| e.filled(now).is_some());
+        let most = if known { self.roster.len() } else { FEW + self.out / 2 };
         let lane = self.roster.iter().filter(|&&at| few && in_lane(at));
         let mut found: Vec<Candidate> = lane.filter_map(candidate).take(most).collect();
         if found.is_empty() {
@@ -695,12 +676,14 @@
         // sent to. Guards against a node that sees little taking every executor for free. A longer wait may
         // be that of an executor lost, and one alone may be slow: they tell nothing of others.
         const SILENT_S: f64 = 6.0;
+        const PART: f64 = 0.25; // of the slack may be waited: the estimate is of the past, the queue may grow
+        let spare = (work.slack(now) * PART).max(0.1);
         for in_lane in [true, false] {
             let known = found.iter().filter(|c| c.in_lane == in_lane).filter_map(|c| c.wait);
             let waits: Vec<f64> = known.filter(|&wait| wait < SILENT_S).collect();
             let mean = if waits.len() > 1 { waits.iter().sum::<f64>() / waits.len() as f64 } else { 0.0 };
             for c in found.iter_mut().filter(|c| c.in_lane == in_lane && c.wait.is_none()) {
-                (c.wait, c.room) = (Some(mean), c.room && mean <= spare.max(0.1));
+                (c.wait, c.room) = (Some(mean), c.room && mean <= spare);
             }
         }
         // One that failed this unit is not asked again while another is there: a crash looks idle at once.
@@ -716,8 +699,8 @@
         const FLOOR: f64 = 0.1; // design page
         let work = self.work.get(&unit)?;
         let mut able = self.candidates(now, work, true);
-        // What all have out is known as of a while ago, and all nodes know the same: the pick is among a quarter
-        // at least, those with the shortest queues. Guards against a crowd at the few that had room then.
+        // What all have out is known as of a while ago, and all nodes know the same: the pick is among a
+        // quarter at least, the shortest queues. Guards against a crowd at the few that had room then.
         const PART: usize = 4;
         let known = able.iter().any(|c| self.executors[c.at].filled(now).is_some());
         // Own evidence does not show what others fill: at the floor of the weights it passes for full. Guards
@@ -740,8 +723,7 @@
         let rank = |c: &Candidate| (c.room, open(c), c.in_lane, c.room && cold(c));
         if known {
             able.sort_by(|a, b| a.wait.unwrap_or(0.0).total_cmp(&b.wait.unwrap_or(0.0)));
-            let most = able.iter().filter(|c| open(c)).count().max(able.len().div_ceil(PART));
-            able.truncate(most);
+            able.truncate(able.iter().filter(|c| open(c)).count().max(able.len().div_ceil(PART)));
         } else {
             let best = able.iter().map(rank).max();
             able.retain(|c| Some(rank(c)) == best);
@@ -749,14 +731,12 @@
         let weight = |load: f64| if load < 1.0 { (1.0 - load).max(FLOOR) } else { FLOOR / load };
         let loads: Vec<f64> = able.iter().filter_map(|c| c.load.map(weight)).collect();
         let mean = if loads.is_empty() { 1.0 } else { loads.iter().sum::<f64>() / loads.len() as f64 };
-        // What is idle counts by the learnt pace. Where all are heard of the own zone has no other preference:
-        // crossing costs, and a zone must not be left to itself.
+        // What is idle counts by the learnt pace. Where all are heard of the own zone has no other
+        // preference: crossing costs, and a zone must not be left to itself.
         const NEARER: f64 = 3.0;
-        let strength = |c: &Candidate| {
-            let e = &self.executors[c.at];
-            e.pace * if known && e.zone == self.zone { NEARER } else { 1.0 }
-        };
-        let weight = |c: &Candidate| c.load.map_or(mean, weight) * strength(c);
+        let near = |e: &Executor| if known && e.zone == self.zone { NEARER } else { 1.0 };
+        let strength = |e: &Executor| e.pace * near(e);
+        let weight = |c: &Candidate| c.load.map_or(mean, weight) * strength(&self.executors[c.at]);
         let chosen = able.choose_weighted(&mut self.chance, weight).ok()?;
         // With no room anywhere it waits where it goes: the least wait of all would promise too much.
         let wait = if any_room && !known { least_wait } else { chosen.wait.unwrap_or(0.0) };
@@ -778,8 +758,7 @@
 
     /// Sends the work unit where the design says, holds it while nothing can take it, or turns it back.
     fn place(&mut self, now: Moment, unit: UnitId) {
-        // Long enough for one set aside to return or a slot to come free; longer waits seldom end in an
-        // answer.
+        // Long enough for a slot to come free; longer waits seldom end in an answer.
         const HOLD_MOST: Span = Span::millis(1000);
         let picked = self.pick(now, unit);
         let Some(work) = self.work.get_mut(&unit) else { return };
@@ -789,10 +768,8 @@
         match picked {
             Some(Picked { executor, wait, .. }) => {
                 let fresh = work.allocations.iter().all(|a| !a.may_have_run);
-                if fresh && self.hopeless(now, &self.work[&unit], wait) {
-                    return self.answer(unit);
-                }
-                self.send(now, unit, executor);
+                let hopeless = fresh && self.hopeless(now, &self.work[&unit], wait);
+                if hopeless { self.answer(unit) } else { self.send(now, unit, executor) }
             }
             None if work.held => {}
             None => {
@@ -801,7 +778,6 @@
                 let until = (now + HOLD_MOST).min(work.asked + work.quoted);
                 work.hold_ends = until.min(work.patience_ends - ANSWER_MARGIN);
                 self.host.wake(work.hold_ends.since(now), FIRST_UNIT + unit.0);
-                self.held.push_back(unit);
             }
         }
     }
@@ -809,8 +785,7 @@
     fn send(&mut self, now: Moment, unit: UnitId, executor: ExecutorId) {
         // A unit that waits to start this long on one executor is looked at again.
         const REVIEW_AFTER: Span = Span::millis(150);
-        // Every few seconds each executor that is used (design page), however many there are. Guards against
-        // probes of every node to every executor, which cost more than they tell.
+        // Every few seconds each executor that is used (design page), and no other: probes cost.
         const PROBE_EVERY: Span = Span::millis(3000);
         let Some(work) = self.work.get_mut(&unit) else { return };
         let e = &mut self.executors[executor.0];
@@ -834,19 +809,19 @@
             e.cold_sent.push((now, charge(size, self.mean)));
         }
         let heard = e.reported.unwrap_or_default().max(e.asked);
-        if self.may_probe && !e.probing && now.since(heard) >= PROBE_EVERY {
-            (e.probing, e.asked) = (true, now);
+        if self.may_probe && now.since(heard) >= PROBE_EVERY {
+            e.asked = now;
             self.host.probe(executor);
         }
         self.host.allocate(unit, executor, time_out);
         if self.tariffs[work.tariff].effect != Effect::Binding {
-            let silent_at = self.progress.filter(|_| !self.tells_start).map(|pace| silent_at(now, pace));
-            self.host.wake(silent_at.map_or(REVIEW_AFTER, |at| at.since(now)), FIRST_UNIT + unit.0);
+            let untold = self.progress.filter(|_| !self.tells_start);
+            self.host.wake(untold.map_or(REVIEW_AFTER, |pace| pace * SILENT_PACES), FIRST_UNIT + unit.0);
         }
     }
 
-    /// Looks at a retriable work unit that is out: one that has not started where it waits, or whose
-    /// executor fell silent, is recalled and sent to an executor that is not full.
+    /// Looks at a work unit that is out and may be sent again: one that waits gets a further place at an
+    /// executor that is not full, one whose executor fell silent is recalled and sent to such a one.
     fn review(&mut self, now: Moment, unit: UnitId) {
         const AGAIN: Span = Span::millis(250); // a few looks within the shortest quoted times
         let Some(work) = self.work.get(&unit) else { return };
@@ -862,18 +837,16 @@
             self.executors[a.executor.0].flights.iter().find(|f| f.id == id).map(|f| (a.executor, f))
         });
         // What has started counts, else what was sent last.
-        let Some((executor, flight)) = flights.max_by_key(|(_, f)| (f.started.is_some(), f.sent)) else {
-            return;
-        };
+        let told = flights.max_by_key(|(_, f)| (f.started.is_some(), f.sent));
+        let Some((executor, flight)) = told else { return };
         let id = flight.id;
-        let silent_at = self.progress.map(|pace| silent_at(flight.heard, pace));
+        let silent_at = self.progress.map(|pace| flight.heard + pace * SILENT_PACES);
         let silent = flight.started.is_some() && silent_at.is_some_and(|at| at < now);
         // Where no second copy is allowed a recalled one may run on, and where starts are not told any may
         // have started long before.
         let unstarted = self.tells_start && flight.started.is_none();
         let waits = unstarted && now > flight.sent && self.allowance.second_copies;
-        let harmless = self.tariffs[work.tariff].effect.harmless();
-        let lost = waits && work.slack(now) < 0.0 && harmless;
+        let lost = waits && work.slack(now) < 0.0 && self.tariffs[work.tariff].effect.harmless();
         if silent {
             self.set_aside(now, executor);
         }
@@ -952,11 +925,7 @@
         let harmless = !ran || self.tariffs[work.tariff].effect.harmless();
         let come_back = self.allowance.longest_come_back.map(|longest| longest.min(COME_BACK));
         self.finish(unit);
-        if harmless {
-            self.host.turn_back(unit, come_back);
-        } else {
-            self.host.forfeit(unit);
-        }
+        if harmless { self.host.turn_back(unit, come_back) } else { self.host.forfeit(unit) }
     }
 
     /// Forgets a work unit and recalls what is still out for it, so that nobody works for nothing.
@@ -971,41 +940,17 @@
 
     /// Tries the held work units again, oldest first, and gives up those whose quoted time is past.
     fn serve_held(&mut self, now: Moment) {
-        for _ in 0..self.held.len() {
-            let Some(unit) = self.held.pop_front() else { return };
-            let Some(work) = self.work.get(&unit).filter(|w| w.held) else { continue };
-            if work.hold_ends <= now {
-                self.answer(unit);
-                continue;
-            }
-            self.place(now, unit);
-            if self.work.get(&unit).is_some_and(|w| w.held) {
-                self.held.push_back(unit);
-            }
+        let held = self.work.iter().filter(|(_, work)| work.held).map(|(&unit, work)| (unit, work.hold_ends));
+        for (unit, hold_ends) in held.collect::<Vec<_>>() {
+            if hold_ends <= now { self.answer(unit) } else { self.place(now, unit) }
         }
     }
 
     /// What an ending says of the executor.
-    fn health(
-        &mut self,
-        now: Moment,
-        id: AllocationId,
-        executor: ExecutorId,
-        ending: Ending,
-        report: Option<Report>,
-    ) {
+    fn health(&mut self, now: Moment, id: AllocationId, executor: ExecutorId, ending: Ending) {
         let Some(e) = self.executors.get_mut(executor.0) else { return };
         let flight = e.flights.iter().position(|f| f.id == id).map(|at| e.flights.swap_remove(at));
         self.out -= usize::from(flight.is_some());
-        if let Some(report) = report {
-            take_report(e, now, report);
-            // What one of a kind has all have.
-            let (kind, most_free) = (e.kind, e.most_free);
-            for other in self.executors.iter_mut().filter(|e| e.kind == kind) {
-                other.most_free = other.most_free.max(most_free);
-            }
-        }
-        let e = &mut self.executors[executor.0];
         match ending {
             Ending::Fulfilled => {
                 e.answers += 1;
@@ -1034,8 +979,7 @@
     /// Leaves an executor out for a fixed time plus a random part, so that the nodes do not come back
     /// together. Never more than half of the ready ones: trouble of all is not the fault of each.
     fn set_aside(&mut self, now: Moment, executor: ExecutorId) {
-        // Seconds: long enough to pass over most of a short trouble, short enough to find the end of a
-        // long one.
+        // Long enough to pass over most of a short trouble, short enough to find the end of a long one.
         const FIXED_S: f64 = 3.0;
         const RANDOM_S: f64 = 2.0;
         let out = self.ready().filter(|e| e.aside_until > now).count();
@@ -1060,8 +1004,8 @@
         self.serve_held(now);
     }
 
-    /// Tells the node that adds up what is out here; who is told by others adds up and tells all. The first node
-    /// does so while it is heard, else the next: without any the own evidence is left.
+    /// Tells the node that adds up what is out here; who is told by others adds up and tells all. The first
+    /// node does so while it is heard, else the next: without any the own evidence is left.
     fn tell(&mut self, now: Moment) {
         const LOST: Span = Span::millis(2000); // several words in a row
         let talk = &mut self.talk;
@@ -1106,23 +1050,6 @@
     }
 }
 
-/// Progress is told at a steady pace: two and a half paces without a word are no chance.
-fn silent_at(heard: Moment, pace: Span) -> Moment {
-    heard + Span(pace.0 * 5 / 2)
-}
-
-fn take_report(e: &mut Executor, now: Moment, report: Report) {
-    if let Some(utilisation) = report.utilisation.filter(|u| u.is_finite()) {
-        e.utilisation = utilisation.clamp(0.0, 1.0);
-        e.reported = Some(now);
-    }
-    if let Some(free) = report.free_slots.filter(|f| f.is_finite()) {
-        e.most_free = e.most_free.max(free.round());
-        // Cores may idle while every slot is held by work that waits for something: no slot, no room.
-        e.utilisation = e.utilisation.max(1.0 - free / e.slots.max(e.most_free)).clamp(0.0, 1.0);
-    }
-}
-
 /// What a work unit counts for on a cold executor, which falls by their number more than by their size: a
 /// mean one at least, and two at most.
 fn charge(size: f64, mean: f64) -> f64 {
--- a/crates/dispatch/src/tariffs.rs
+++ b/crates/dispatch/src/tariffs.rs
@@ -139,3 +139,12 @@
     pub fall_factor: f64,
     pub fall_window: Span,
 }
+
+impl ColdStart {
+    /// The seconds of a warm one's work that it can do at least within a window at this age: the share grows
+    /// evenly at least.
+    pub fn least(&self, age: Span) -> f64 {
+        let grown = age.as_secs() / self.warm_within.as_secs().max(0.001);
+        (self.share + (1.0 - self.share) * grown) * self.fall_window.as_secs().max(0.001)
+    }
+}
--- a/crates/dispatch/src/time.rs
+++ b/crates/dispatch/src/time.rs
@@ -1,6 +1,6 @@
 //! Points in time and spans, kept apart by their types.
 
-use std::ops::{Add, Sub};
+use std::ops::{Add, Mul, Sub};
 
 /// A point in time, in nanoseconds of the caller's clock.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
@@ -58,3 +58,10 @@
         Span(self.0.saturating_add(other.0))
     }
 }
+
+impl Mul<f64> for Span {
+    type Output = Span;
+    fn mul(self, times: f64) -> Span {
+        Span((self.0 as f64 * times) as u64)
+    }
+}
