Every setting checked in the charter; grebeusher-migrate for postings of the old shape

Cause: the charter took a wrong type, a negative number, an unknown word or a short list for nothing or zero (a dial time-out of zero, a cold share of zero, no second copies), on both wires. Now `Charter::read` names the key, what was expected and what stands there; the node's file is read in the same place (`posting`), ends the node at its start and changes nothing at a reload (counters `postings_read`, `postings_bad`).

--- a/crates/benchlink/tests/batches.rs
+++ b/crates/benchlink/tests/batches.rs
@@ -7,7 +7,7 @@
  "caps":{"most_allocations":3,"second_copies":false,"cancelling":true,"may_probe":false,"retry_after":true,"max_retry_after_ns":2000000000},
  "contract":{"cold_share":0.15,"warm_within_ns":24000000000,"overload_factor":2.5,"fall_ns":1000000000},
  "family_info":{"tells_start":true,"progress_ns":1000000000},"report":{"via":"piggyback","fields":["tps","load_share"]},
- "tariffs":[{"effect":"non_idempotent","quoted_time_ns":400000000,"earnings":5}]}}"#;
+ "tariffs":[{"effect":"non_idempotent","quoted_time_ns":400000000,"patience_ns":9000000000,"earnings":5}]}}"#;
 const LIST: &str = r#"{"type":"membership","who":3,"mode":"stale_copy","epoch":1,"elements":[{"pod":0,"dc":0,"executor":"executor_a","model":0,"weight":1,"stage_state":"IN"}]}"#;
 const ARRIVAL: &str = r#"{"type":"work_item","who":3,"msg_id":"unit-1","class":0,"not_after_ns":9000000000,"effort_ns":12000000,"slots":1,"bits":1}"#;
 
--- a/crates/charter/src/lib.rs
+++ b/crates/charter/src/lib.rs
@@ -1,141 +1,235 @@
 //! The charter: the object that says at start what a deployment promises, the same on the users' bench and on
-//! sockets. Everything that reads it is here.
+//! sockets. Everything that reads and checks it is here, and so is the file that a node on sockets is told it in.
+
+pub mod posting;
+mod section;
 
 use grebeusher_dispatch::decide::Dispatcher;
 use grebeusher_dispatch::host::Host;
 use grebeusher_dispatch::tariffs::{Allowance, ColdStart, Effect, Group, Report, Tariff};
 use grebeusher_dispatch::time::Span;
+use section::Section;
 use serde_json::Value;
 
-/// A span of the charter, which counts in nanoseconds.
-pub fn span(value: &Value) -> Span {
-    Span(value.as_f64().unwrap_or(0.0) as u64)
+/// How the list of executors reaches a node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListComes {
+    Unasked,
+    ToWhoAsks,
 }
 
-fn list<'a>(charter: &'a Value, key: &str) -> &'a [Value] {
-    charter[key].as_array().map(Vec::as_slice).unwrap_or_default()
+/// In what load reports come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reports {
+    InAnswers,
+    InProbes,
+    Never,
 }
 
-/// The names under one key of the charter (`zones`, `kinds`) or of the objects there (`tariffs`, `tenants`).
-/// What stands for an index elsewhere is its place among them.
-pub fn names(charter: &Value, key: &str) -> Vec<String> {
-    list(charter, key)
-        .iter()
-        .map(|v| v.as_str().or(v["name"].as_str()).unwrap_or_default().to_owned())
-        .collect()
+/// What a deployment promises, checked. What stands for an index elsewhere is a place in one of its lists.
+#[derive(Clone, Debug)]
+pub struct Charter {
+    pub tariff_names: Vec<String>,
+    pub customer_names: Vec<String>,
+    pub zones: Vec<String>,
+    pub kinds: Vec<String>,
+    pub list_comes: ListComes,
+    /// Whether nodes may send each other words.
+    pub peers: bool,
+    pub probes: bool,
+    /// When executors close idle connections at the latest, and when one has come up or never will.
+    pub idle: Span,
+    pub dial_within: Span,
+    pub report_fields: Vec<String>,
+    pub places: ReportPlaces,
+    tariffs: Vec<Tariff>,
+    allowance: Allowance,
+    cold: ColdStart,
+    starts: bool,
+    progress: Option<Span>,
+    quotas: Vec<f64>,
+    node: u64,
+    nodes: u64,
+    zone: usize,
+}
+
+/// Used where a file does not say: the users' servers close idle connections after 15 s at the earliest, and a
+/// connection that takes longer than the other never comes up.
+const IDLE: Span = Span::millis(15_000);
+const DIAL_WITHIN: Span = Span::millis(250);
+
+impl Charter {
+    /// Reads and checks a charter; the error names the key and what was expected.
+    pub fn read(charter: &Value) -> Result<Charter, String> {
+        let whole = Section::whole(charter)?;
+        let (caps, family, report) = (whole.part("caps")?, whole.part("family_info")?, whole.part("report")?);
+        let (zones, kinds) = (whole.texts("zones")?, whole.texts("kinds")?);
+        let tariffs = whole.parts("tariffs")?;
+        let tenants = whole.parts("tenants")?;
+        let reports = report
+            .word(
+                "via",
+                &[("piggyback", Reports::InAnswers), ("pull", Reports::InProbes), ("silent", Reports::Never)],
+            )?
+            .unwrap_or(Reports::InAnswers);
+        let report_fields = report.texts("fields")?;
+        let tells_free_slots = family.text("report_x0")? == Some("free slots");
+        let list_comes = whole.word(
+            "registry_mode",
+            &[("automatic", ListComes::Unasked), ("subscribe", ListComes::ToWhoAsks)],
+        )?;
+        let retry_after = caps.flag("retry_after")?;
+        let longest_come_back = if retry_after { Some(caps.due_span("max_retry_after_ns")?) } else { None };
+        let nodes = whole.count("fleet_size", 1..=u64::MAX)?.unwrap_or(1);
+        let zone = whole.count("az", 0..=(zones.len().max(1) as u64 - 1))?.unwrap_or(0);
+        Ok(Charter {
+            tariff_names: names(&tariffs)?,
+            customer_names: names(&tenants)?,
+            list_comes: list_comes.unwrap_or(ListComes::ToWhoAsks),
+            peers: caps.flag("peers")?,
+            // The design probes where reports come in no other way.
+            probes: caps.flag("may_probe")? && reports == Reports::InProbes,
+            idle: caps.span("conn_idle_ns")?.unwrap_or(IDLE),
+            dial_within: caps.span("dial_timeout_ns")?.filter(|span| span.0 > 0).unwrap_or(DIAL_WITHIN),
+            places: ReportPlaces::of(&report_fields, tells_free_slots),
+            report_fields,
+            tariffs: read_tariffs(&whole, &family, &tariffs, kinds.len())?,
+            allowance: Allowance {
+                most_allocations: caps.count("most_allocations", 1..=1000)?.unwrap_or(1) as usize,
+                second_copies: caps.flag("second_copies")?,
+                recalls: caps.flag("cancelling")?,
+                longest_come_back,
+            },
+            cold: cold_start(&whole.part("contract")?)?,
+            starts: family.flag("tells_start")?,
+            progress: family.span("progress_ns")?.filter(|pace| pace.0 > 0),
+            quotas: tenants
+                .iter()
+                .map(|tenant| Ok(tenant.number("quota_per_s", 0.0..=f64::MAX)?.unwrap_or(f64::INFINITY)))
+                .collect::<Result<_, String>>()?,
+            node: whole.count("me", 0..=nodes - 1)?.unwrap_or(0),
+            nodes,
+            zone: zone as usize,
+            zones,
+            kinds,
+        })
+    }
+
+    /// The longest that any client waits.
+    pub fn longest_patience(&self) -> Span {
+        self.tariffs.iter().map(|tariff| tariff.patience).max().unwrap_or_default()
+    }
+
+    /// Whether a tariff is binding, by its place.
+    pub fn is_binding(&self, tariff: usize) -> bool {
+        self.tariffs[tariff].effect == Effect::Binding
+    }
+
+    /// Whether executors may be asked to give up a job that they took.
+    pub fn recalls(&self) -> bool {
+        self.allowance.recalls
+    }
+
+    /// A dispatcher that acts through `host` under this charter. `asks_list`: the list comes only to those who ask
+    /// on this wire; `talks`: words between nodes have a form on it.
+    pub fn dispatcher<H: Host>(&self, host: H, seed: u64, asks_list: bool, talks: bool) -> Dispatcher<H> {
+        Dispatcher::new(host, seed, self.node, self.nodes, self.tariffs.clone())
+            .allowing(self.allowance)
+            .cold_starts(self.cold)
+            .noticing(asks_list, self.probes, self.starts, self.progress)
+            .customers(&self.quotas)
+            .talking(self.peers && talks)
+            .standing_in(self.zone)
+    }
 }
 
-/// The charter's word for binding work.
-const BINDING: &str = "non_idempotent";
+fn names(parts: &[Section]) -> Result<Vec<String>, String> {
+    parts.iter().map(|part| Ok(part.text("name")?.unwrap_or_default().to_owned())).collect()
+}
 
-fn flag(value: &Value) -> bool {
-    value.as_bool().unwrap_or(false)
+/// The word for binding work is that of the users' settings.
+#[derive(Clone, Copy)]
+enum Word {
+    Retriable,
+    Fingerprinted,
+    Binding,
 }
 
-fn tariffs(charter: &Value) -> Result<Vec<Tariff>, String> {
-    let family = &charter["family_info"];
-    if list(charter, "tariffs").is_empty() {
-        return Err("no tariffs".to_owned());
+fn read_tariffs(
+    whole: &Section,
+    family: &Section,
+    tariffs: &[Section],
+    kinds: usize,
+) -> Result<Vec<Tariff>, String> {
+    if tariffs.is_empty() {
+        return Err(whole.wrong("tariffs", "a list of at least one tariff"));
     }
-    list(charter, "tariffs")
+    let stretches = family.one_each("class_stretch", tariffs.len(), 0.0..=1e6)?;
+    let most = if kinds == 0 { 1e6 } else { kinds as f64 - 1.0 };
+    let only_kinds = family.one_each("class_kind", tariffs.len(), -1.0..=most)?;
+    let at = |list: &Option<Vec<f64>>, at: usize| list.as_ref().map(|list| list[at]);
+    let words = [
+        ("read_like", Word::Retriable),
+        ("idempotency_key", Word::Fingerprinted),
+        ("non_idempotent", Word::Binding),
+    ];
+    let groups = [("all", Group::All), ("zone", Group::Zone), ("cell", Group::Cell)];
+    tariffs
         .iter()
         .enumerate()
-        .map(|(at, tariff)| {
-            let effect = match tariff["effect"].as_str() {
-                Some("read_like") => Effect::Retriable,
-                Some(BINDING) => Effect::Binding,
-                Some("idempotency_key") => {
-                    let group = match tariff["group"].as_str() {
-                        Some("all") => Group::All,
-                        Some("zone") => Group::Zone,
-                        _ => Group::Cell,
-                    };
-                    Effect::Fingerprinted { group, memory_span: span(&tariff["memory_span_ns"]) }
-                }
-                other => return Err(format!("tariff {at}: unknown effect {other:?}")),
+        .map(|(place, tariff)| {
+            let word = tariff.word("effect", &words)?;
+            let group = tariff.word("group", &groups)?;
+            let effect = match word
+                .ok_or_else(|| tariff.wrong("effect", "read_like, idempotency_key or non_idempotent"))?
+            {
+                Word::Retriable => Effect::Retriable,
+                Word::Binding => Effect::Binding,
+                Word::Fingerprinted => Effect::Fingerprinted {
+                    group: group.ok_or_else(|| tariff.wrong("group", "all, zone or cell"))?,
+                    memory_span: tariff.due_span("memory_span_ns")?,
+                },
             };
-            let stretch = tariff["aim_stretch"].as_f64().or(family["class_stretch"][at].as_f64());
+            let stretch = tariff.number("aim_stretch", 0.0..=1e6)?.or(at(&stretches, place));
             Ok(Tariff {
                 effect,
-                quoted_time: span(&tariff["quoted_time_ns"]),
+                quoted_time: tariff.due_span("quoted_time_ns")?,
                 stretch: stretch.unwrap_or(0.0),
-                patience: span(&tariff["patience_ns"]),
-                earnings: tariff["earnings"].as_f64().unwrap_or(1.0),
-                kind: family["class_kind"][at].as_u64().map(|kind| kind as usize),
+                patience: tariff.due_span("patience_ns")?,
+                earnings: tariff.number("earnings", 0.0..=f64::MAX)?.unwrap_or(1.0),
+                kind: at(&only_kinds, place).filter(|&kind| kind >= 0.0).map(|kind| kind as usize),
             })
         })
         .collect()
 }
 
-/// The longest that any client waits.
-pub fn longest_patience(charter: &Value) -> Span {
-    list(charter, "tariffs").iter().map(|tariff| span(&tariff["patience_ns"])).max().unwrap_or_default()
-}
-
-/// Which tariffs are binding, by their places.
-pub fn binding(charter: &Value) -> Vec<bool> {
-    list(charter, "tariffs").iter().map(|tariff| tariff["effect"] == BINDING).collect()
-}
-
-/// Whether executors may be asked to give up a job that they took.
-pub fn recalls(charter: &Value) -> bool {
-    flag(&charter["caps"]["cancelling"])
-}
-
-/// A dispatcher that acts through `host` under this charter. `asks_list`: the list comes only to those who ask.
-pub fn dispatcher<H: Host>(
-    host: H,
-    seed: u64,
-    charter: &Value,
-    asks_list: bool,
-) -> Result<Dispatcher<H>, String> {
-    let caps = &charter["caps"];
-    let contract = &charter["contract"];
-    let family = &charter["family_info"];
-    let allowance = Allowance {
-        most_allocations: caps["most_allocations"].as_u64().unwrap_or(1) as usize,
-        second_copies: flag(&caps["second_copies"]),
-        recalls: recalls(charter),
-        longest_come_back: Some(span(&caps["max_retry_after_ns"])).filter(|_| flag(&caps["retry_after"])),
-    };
-    let cold = ColdStart {
-        share: contract["cold_share"].as_f64().unwrap_or(0.0),
-        warm_within: span(&contract["warm_within_ns"]),
-        fall_factor: contract["overload_factor"].as_f64().unwrap_or(1.0),
-        fall_window: span(&contract["fall_ns"]),
+/// What is promised of cold executors must be told: nobody can keep to what is not known.
+fn cold_start(contract: &Section) -> Result<ColdStart, String> {
+    let needed = |key: &str, most: f64| {
+        let number = contract.number(key, 0.0..=most)?;
+        number.ok_or_else(|| contract.wrong(key, &format!("a number from 0 to {most}")))
     };
-    let quotas: Vec<f64> = charter["tenants"]
-        .as_array()
-        .map(|list| list.iter().map(|t| t["quota_per_s"].as_f64().unwrap_or(f64::INFINITY)).collect())
-        .unwrap_or_default();
-    let (node, nodes) = (charter["me"].as_u64().unwrap_or(0), charter["fleet_size"].as_u64().unwrap_or(1));
-    Ok(Dispatcher::new(host, seed, node, nodes, tariffs(charter)?)
-        .allowing(allowance)
-        .cold_starts(cold)
-        .noticing(
-            asks_list,
-            flag(&caps["may_probe"]) && charter["report"]["via"] == "pull",
-            flag(&family["tells_start"]),
-            Some(span(&family["progress_ns"])),
-        )
-        .customers(&quotas)
-        .talking(flag(&caps["peers"]))
-        .standing_in(charter["az"].as_u64().unwrap_or(0) as usize))
+    Ok(ColdStart {
+        share: needed("cold_share", 1.0)?,
+        warm_within: Span(needed("warm_within_ns", 1e18)? as u64),
+        fall_factor: needed("overload_factor", 1e6)?,
+        fall_window: contract.due_span("fall_ns")?,
+    })
 }
 
 /// Which places of a load report hold the values that the decisions use.
+#[derive(Clone, Copy, Debug)]
 pub struct ReportPlaces {
     utilisation: Option<usize>,
     free_slots: Option<usize>,
 }
 
 impl ReportPlaces {
-    pub fn of(charter: &Value) -> ReportPlaces {
-        let place = |name: &str| charter["report"]["fields"].as_array()?.iter().position(|f| f == name);
-        let tells_free_slots = charter["family_info"]["report_x0"] == "free slots";
+    fn of(fields: &[String], tells_free_slots: bool) -> ReportPlaces {
+        let place = |name: &str| fields.iter().position(|field| field == name);
         ReportPlaces {
             utilisation: place("load_share"),
-            free_slots: tells_free_slots.then(|| place("x0")).flatten(),
+            free_slots: place("x0").filter(|_| tells_free_slots),
         }
     }
 
--- /dev/null
+++ b/crates/charter/tests/stories.rs
@@ -0,0 +1,131 @@
+//! What the charter takes, and in which words it refuses the rest.
+
+use grebeusher_charter::posting::Posting;
+use grebeusher_charter::{Charter, ListComes};
+use serde_json::{Value, json};
+
+/// The least that a charter must hold, for two tariffs.
+fn least() -> Value {
+    json!({"contract": {"cold_share": 0.15, "warm_within_ns": 24e9, "overload_factor": 2.5, "fall_ns": 1e9},
+        "tariffs": [
+            {"name": "a", "effect": "read_like", "quoted_time_ns": 4e8, "patience_ns": 1e10},
+            {"name": "b", "effect": "idempotency_key", "group": "cell", "memory_span_ns": 4e10,
+                "quoted_time_ns": 4e8, "patience_ns": 1e10}]})
+}
+
+fn with(pointer: &str, value: Value) -> Value {
+    let mut charter = least();
+    let mut at = &mut charter;
+    for key in pointer.split('/') {
+        at = match key.parse::<usize>() {
+            Ok(place) => &mut at[place],
+            Err(_) => &mut at[key],
+        };
+    }
+    *at = value;
+    charter
+}
+
+#[test]
+fn what_is_absent_or_null_or_unheard_of_does_no_harm() {
+    for charter in [least(), with("caps", Value::Null), with("a_new_key", json!([1, "x"]))] {
+        let charter = Charter::read(&charter).expect("it is whole");
+        assert_eq!(charter.list_comes, ListComes::ToWhoAsks);
+        assert!(!charter.peers && !charter.probes && !charter.recalls());
+        assert!(charter.idle.0 > 0 && charter.dial_within.0 > 0, "nothing falls silently to zero");
+    }
+}
+
+#[test]
+fn each_wrong_setting_is_refused_by_its_key_and_what_was_expected() {
+    let wrong = [
+        ("caps/second_copies", json!("yes"), "caps.second_copies: expected true or false, found \"yes\""),
+        ("caps/peers", json!(1), "caps.peers: expected true or false, found 1"),
+        ("caps/may_probe", json!("no"), "caps.may_probe: expected true or false"),
+        (
+            "caps/most_allocations",
+            json!(0),
+            "caps.most_allocations: expected a whole number from 1 to 1000, found 0",
+        ),
+        ("caps/conn_idle_ns", json!(-1), "caps.conn_idle_ns: expected nanoseconds"),
+        (
+            "caps/retry_after",
+            json!(true),
+            "caps.max_retry_after_ns: expected nanoseconds, a number above 0, found nothing",
+        ),
+        ("contract/cold_share", json!(1.5), "contract.cold_share: expected a number from 0 to 1, found 1.5"),
+        (
+            "contract/fall_ns",
+            Value::Null,
+            "contract.fall_ns: expected nanoseconds, a number above 0, found nothing",
+        ),
+        ("contract", json!([]), "contract: expected an object, found []"),
+        ("tariffs", json!([]), "tariffs: expected a list of at least one tariff, found []"),
+        (
+            "tariffs/0/effect",
+            json!("safe"),
+            "tariffs[0].effect: expected one of read_like, idempotency_key, non_idempotent",
+        ),
+        ("tariffs/0/effect", Value::Null, "tariffs[0].effect: expected"),
+        ("tariffs/1/group", json!("pod"), "tariffs[1].group: expected one of all, zone, cell, found \"pod\""),
+        (
+            "tariffs/1/memory_span_ns",
+            json!(0),
+            "tariffs[1].memory_span_ns: expected nanoseconds, a number above 0",
+        ),
+        ("tariffs/1/patience_ns", json!("10s"), "tariffs[1].patience_ns: expected nanoseconds"),
+        ("tariffs/0/earnings", json!(-5), "tariffs[0].earnings: expected a number from 0 on, found -5"),
+        (
+            "family_info/class_stretch",
+            json!([1.0]),
+            "family_info.class_stretch: expected a list of 2 numbers",
+        ),
+        ("family_info/class_kind", json!([0, -2]), "family_info.class_kind: expected a list of 2 numbers"),
+        ("family_info/tells_start", json!("soon"), "family_info.tells_start: expected true or false"),
+        ("family_info/progress_ns", json!([1]), "family_info.progress_ns: expected nanoseconds"),
+        (
+            "registry_mode",
+            json!("push"),
+            "registry_mode: expected one of automatic, subscribe, found \"push\"",
+        ),
+        ("report/via", json!("answers"), "report.via: expected one of piggyback, pull, silent"),
+        ("report/fields", json!(["x0", 3]), "report.fields: expected a list of texts"),
+        ("zones", json!("one"), "zones: expected a list of texts"),
+        ("az", json!(3), "az: expected a whole number from 0 to 0, found 3"),
+        ("me", json!(1), "me: expected a whole number from 0 to 0, found 1"),
+        ("fleet_size", json!(0), "fleet_size: expected a whole number from 1 on, found 0"),
+        (
+            "tenants",
+            json!([{"name": "x", "quota_per_s": "many"}]),
+            "tenants[0].quota_per_s: expected a number from 0 on",
+        ),
+        ("tenants", json!(["x"]), "tenants[0]: expected an object, found \"x\""),
+    ];
+    for (key, value, expected) in wrong {
+        let what = Charter::read(&with(key, value)).expect_err(key);
+        assert!(what.starts_with(expected), "{key}: {what}");
+    }
+}
+
+#[test]
+fn a_posting_is_refused_in_the_same_words() {
+    let posting = |key: &str, value: Value| {
+        let mut posting = json!({"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "settings": least()});
+        posting[key] = value;
+        Posting::read(&posting)
+    };
+    assert_eq!(posting("seed", json!("8c1f30d27a5be964")).expect("it is whole").seed, 0x8c1f_30d2_7a5b_e964);
+    for (key, value, expected) in [
+        ("listen", json!("here"), "listen: expected an address and a port, found \"here\""),
+        ("seed", json!("today"), "seed: expected up to 16 hex digits, found \"today\""),
+        ("limits", json!({"sockets": -1}), "limits.sockets: expected a whole number from 32 on, found -1"),
+        ("limits", json!({"memory_mb": "2G"}), "limits.memory_mb: expected a number from 1"),
+        ("known", json!({"instances": 5}), "known.instances: expected a list, found 5"),
+        ("settings", Value::Null, "settings: expected an object, found nothing"),
+        ("settings", with("caps/peers", json!("x")), "settings.caps.peers: expected true or false"),
+        ("settings", with("tariffs/0/name", Value::Null), "settings.tariffs: expected a name for each"),
+    ] {
+        let what = posting(key, value).expect_err(key);
+        assert!(what.starts_with(expected), "{key}: {what}");
+    }
+}
--- a/crates/node/src/exchange.rs
+++ b/crates/node/src/exchange.rs
@@ -12,14 +12,13 @@
 use crate::wire::discovery::{Discovery, Version};
 use crate::wire::executors::Executors;
 use crate::wire::load::Reports;
-use grebeusher_charter::{dispatcher, names, recalls};
+use grebeusher_charter::Charter;
 use grebeusher_dispatch::decide::Dispatcher;
 use grebeusher_dispatch::host::Host;
 use grebeusher_dispatch::ids::{AllocationId, ExecutorId, UnitId};
 use grebeusher_dispatch::tariffs::{Arrival, Ending, Listing, Report, Standing};
 use grebeusher_dispatch::time::{Moment, Span};
 use log::{debug, info, warn};
-use serde_json::Value;
 use std::cell::RefCell;
 use std::rc::Rc;
 
@@ -121,28 +120,28 @@
 impl Exchange {
     pub fn open(
         seed: u64,
-        charter: &Value,
+        charter: &Charter,
         (clients, executors, discovery): (&Rc<Clients>, &Rc<Executors>, &Rc<Discovery>),
         (clock, counters): (Clock, &Rc<Counters>),
-    ) -> Result<Exchange, String> {
+    ) -> Exchange {
         let hands = Hands {
             clock,
             desk: Rc::default(),
             clients: clients.clone(),
             executors: executors.clone(),
             discovery: discovery.clone(),
-            recalls: recalls(charter),
+            recalls: charter.recalls(),
         };
-        Ok(Exchange {
+        Exchange {
             counters: counters.clone(),
-            // Whatever the charter says of the registry: on sockets the list is told to those who ask.
-            dispatcher: dispatcher(hands.clone(), seed, charter, true)?,
+            // Whatever the charter says: on sockets the list is told to those who ask, and nodes have no words.
+            dispatcher: charter.dispatcher(hands.clone(), seed, true, false),
             hands,
             reports: Reports::of(charter),
-            zones: names(charter, "zones"),
-            kinds: names(charter, "kinds"),
+            zones: charter.zones.clone(),
+            kinds: charter.kinds.clone(),
             listed: false,
-        })
+        }
     }
 
     pub fn start(&mut self) {
--- a/crates/node/src/life/node.rs
+++ b/crates/node/src/life/node.rs
@@ -1,17 +1,19 @@
 //! The node: one loop, and the phases from start to exit.
 
 use crate::exchange::Exchange;
-use crate::life::posting::Posting;
+use crate::life::posting;
 use crate::life::signals::Signals;
 use crate::memory::clock::Clock;
 use crate::memory::counters::Counters;
 use crate::wire::clients::Clients;
-use crate::wire::discovery::Discovery;
+use crate::wire::discovery::{Discovery, Version};
 use crate::wire::executors::Executors;
-use grebeusher_charter::{longest_patience, span};
+use grebeusher_charter::posting::Posting;
+use grebeusher_charter::{Charter, ListComes};
 use grebeusher_dispatch::time::{Moment, Span};
-use log::{error, info};
+use log::{error, info, warn};
 use polling::Poller;
+use serde::Deserialize;
 use std::io;
 use std::path::PathBuf;
 use std::rc::Rc;
@@ -81,35 +83,32 @@
 
 impl Node {
     pub fn start(posted: PathBuf, signals: Signals) -> Result<Node, String> {
-        let posting = Posting::read(&posted)?;
+        let posting = Posting::of_file(&posted)?;
+        let known =
+            Version::deserialize(&posting.known).map_err(|e| format!("{}: known: {e}", posted.display()))?;
         let clock = Clock::start();
         let counters = Rc::new(Counters::default());
         let poller = Rc::new(Poller::new().map_err(|e| format!("no poller: {e}"))?);
         let common = (&poller, clock, &counters);
         signals.watched(&poller, SIGNALS).map_err(|e| format!("no signals: {e}"))?;
-        let (charter, (from_outside, to_executors)) = (&posting.charter, posting.connections());
-        let clients = Clients::listen(
-            posting.listen,
-            charter,
-            (from_outside, posting.room()),
-            (LISTENER, outside_key),
-            common,
-        );
+        let (charter, room) = (&posting.charter, posting::room(posting.memory_mb));
+        let (from_outside, to_executors) = posting::connections(posting.sockets);
+        let clients =
+            Clients::listen(posting.listen, charter, (from_outside, room), (LISTENER, outside_key), common);
         let clients = Rc::new(clients.map_err(|e| format!("{}: {e}", posting.listen))?);
-        let caps = &charter["caps"];
-        let retire_after = retire_after(span(&caps["conn_idle_ns"]));
-        let executors =
-            Executors::new(to_executors, span(&caps["dial_timeout_ns"]), retire_after, executor_key, common);
+        let retire_after = retire_after(charter.idle);
+        let executors = Executors::new(to_executors, charter.dial_within, retire_after, executor_key, common);
         let executors = Rc::new(executors);
-        let discovery = Rc::new(Discovery::new(posting.discovery, &posting.known, DISCOVERY, common));
+        let discovery = Rc::new(Discovery::new(posting.discovery, &known, DISCOVERY, common));
         let sides = (&clients, &executors, &discovery);
-        let mut exchange = Exchange::open(posting.seed(), charter, sides, (clock, &counters))?;
+        let mut exchange = Exchange::open(posting.seed, charter, sides, (clock, &counters));
         exchange.start();
-        exchange.listed(&posting.known);
+        exchange.listed(&known);
+        say_what_sockets_lack(charter);
         let listens = clients.address().map_err(|e| e.to_string())?;
         info!("{} listens at {listens}; {from_outside} + {to_executors} connections at most", posting.name);
         let phase = Phase::Starting;
-        let answers_within = longest_patience(charter).min(LONGEST_STOP) + MORE_STOP - STOP_MARGIN;
+        let answers_within = charter.longest_patience().min(LONGEST_STOP) + MORE_STOP - STOP_MARGIN;
         Ok(Node {
             phase,
             clock,
@@ -196,12 +195,16 @@
     /// Reads the posting anew and moves to the discovery that it names. All else that is in hand stays, and what
     /// else has changed in the file waits for the next start; so does all of a file that can't be read.
     fn reload(&mut self) {
-        match Posting::read(&self.posted) {
+        match Posting::of_file(&self.posted) {
             Ok(posting) => {
+                self.counters.postings_read.up();
                 info!("the posting was read anew: discovery is at {}", posting.discovery);
                 self.discovery.moved(posting.discovery, &mut self.exchange);
             }
-            Err(what) => error!("the posting that is in force stays: {what}"),
+            Err(what) => {
+                self.counters.postings_bad.up();
+                error!("the posting that is in force stays: {what}");
+            }
         }
     }
 
@@ -235,6 +238,18 @@
     }
 }
 
+/// Tells the operator which promises of the charter have no form on sockets.
+fn say_what_sockets_lack(charter: &Charter) {
+    if charter.list_comes == ListComes::Unasked {
+        info!("the list comes unasked, says the posting: on sockets a watch is kept for it all the same");
+    }
+    if charter.peers {
+        warn!(
+            "nodes may send each other words, says the posting: sockets have no form for them, none is sent"
+        );
+    }
+}
+
 /// When an idle connection is retired. Executors close it after `idle` at the latest, and a request on its way
 /// then is lost: half a second covers the way and a busy moment, a quarter of it where that is less. Earlier
 /// would cost hand-shakes that nobody needs.
--- a/crates/node/src/memory/counters.rs
+++ b/crates/node/src/memory/counters.rs
@@ -61,4 +61,6 @@
     watches_broken: "watches that ended or fell silent",
     list_lines: "lines of the list that were read",
     list_bad: "lines or entries of the list that could not be read",
+    postings_read: "times that the posting was read anew",
+    postings_bad: "times that it could not be, or held a wrong setting",
 }
--- a/crates/node/src/wire/clients.rs
+++ b/crates/node/src/wire/clients.rs
@@ -10,13 +10,12 @@
 use crate::memory::units::Errand;
 use crate::wire::call_backs::{self, CallBack};
 use crate::wire::http::{self, Malformed, Request};
-use grebeusher_charter::{binding, names};
+use grebeusher_charter::Charter;
 use grebeusher_dispatch::ids::UnitId;
 use grebeusher_dispatch::tariffs::Arrival;
 use grebeusher_dispatch::time::{Moment, Span};
 use log::{debug, info, trace, warn};
 use polling::{Event, Poller};
-use serde_json::Value;
 use slab::Slab;
 use socket2::{Domain, Protocol, Socket, Type};
 use std::cell::{Cell, RefCell};
@@ -133,10 +132,7 @@
     most: usize,
     /// Bytes that requests may take together.
     room: usize,
-    tariffs: Vec<String>,
-    /// Which of them are binding.
-    binding: Vec<bool>,
-    customers: Vec<String>,
+    charter: Charter,
     callers: RefCell<Callers>,
     next_unit: Cell<u64>,
     ready: Cell<bool>,
@@ -150,7 +146,7 @@
 impl Clients {
     pub fn listen(
         at: SocketAddr,
-        charter: &Value,
+        charter: &Charter,
         (most, room): (usize, usize),
         (listener_key, key): (usize, fn(usize) -> usize),
         (poller, clock, counters): (&Rc<Poller>, Clock, &Rc<Counters>),
@@ -166,9 +162,7 @@
             key,
             most,
             room,
-            tariffs: names(charter, "tariffs"),
-            binding: binding(charter),
-            customers: names(charter, "tenants"),
+            charter: charter.clone(),
             callers: RefCell::new(Callers {
                 kept: Slab::new(),
                 by_unit: HashMap::new(),
@@ -478,7 +472,7 @@
         let call_id = headers.once("X-Call-Id")?.filter(|id| speakable(id, LONGEST_ID)).ok_or(bad)?;
         let first = target.split(['/', '?']).nth(1).unwrap_or_default();
         let named = headers.once("X-Call-Class")?.unwrap_or(first);
-        let tariff = self.tariffs.iter().position(|name| name == named).ok_or(Malformed(404))?;
+        let tariff = self.charter.tariff_names.iter().position(|name| name == named).ok_or(Malformed(404))?;
         if named != first {
             return Err(bad);
         }
@@ -489,7 +483,8 @@
         let asks_until = now + patience;
         let cut = self.ends.get().filter(|(from, _)| now >= *from).map_or(asks_until, |(_, last)| last);
         let patience_ends = asks_until.min(cut);
-        let customer = header("X-Caller").and_then(|name| self.customers.iter().position(|n| n == name));
+        let customer =
+            header("X-Caller").and_then(|name| self.charter.customer_names.iter().position(|n| n == name));
         let hint_us = header("X-Call-Cost").and_then(|us| us.parse::<f64>().ok());
         let hint = hint_us.filter(|us| us.is_finite() && *us > 0.0).map(|us| Span((us * 1000.0) as u64));
         let info = header("X-Call-Info").unwrap_or_default();
@@ -505,7 +500,7 @@
             hint,
             slots: slots.unwrap_or(1.0),
         };
-        let binding = self.binding[tariff];
+        let binding = self.charter.is_binding(tariff);
         let (call_id, tariff) = (call_id.into(), named.to_owned());
         Ok((Errand { call_id, tariff, target, body, binding }, arrival))
     }
--- a/crates/node/src/wire/load.rs
+++ b/crates/node/src/wire/load.rs
@@ -1,6 +1,6 @@
 //! Load reports: an object in a call-back or a probe's answer, or `TEXT name=value, ...` in a header.
 
-use grebeusher_charter::{ReportPlaces, names};
+use grebeusher_charter::{Charter, ReportPlaces};
 use grebeusher_dispatch::tariffs::Report;
 use serde_json::Value;
 
@@ -13,8 +13,8 @@
 }
 
 impl Reports {
-    pub fn of(charter: &Value) -> Reports {
-        Reports { names: names(&charter["report"], "fields"), places: ReportPlaces::of(charter) }
+    pub fn of(charter: &Charter) -> Reports {
+        Reports { names: charter.report_fields.clone(), places: charter.places }
     }
 
     pub fn object(&self, load: &Value) -> Option<Report> {
--- a/crates/node/tests/fake/mod.rs
+++ b/crates/node/tests/fake/mod.rs
@@ -8,7 +8,7 @@
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 const POSTING: &str = "posting.json";
 
@@ -47,6 +47,17 @@
     }
 
     pub fn limited(executors: &[&TcpListener], charter: Value, limits: Value, descriptors: usize) -> World {
+        World::posted(executors, charter, limits, descriptors, |posting| posting)
+    }
+
+    /// With a posting that was changed before the node starts.
+    pub fn posted(
+        executors: &[&TcpListener],
+        charter: Value,
+        limits: Value,
+        descriptors: usize,
+        change: impl FnOnce(Value) -> Value,
+    ) -> World {
         static STARTED: AtomicUsize = AtomicUsize::new(0);
         let number = STARTED.fetch_add(1, Ordering::Relaxed);
         let folder = std::env::temp_dir().join(format!("grebeusher-{}-{number}", std::process::id()));
@@ -56,6 +67,7 @@
         let posting = json!({"name": "n0", "listen": "127.0.0.1:0", "discovery": address(&discovery),
             "seed": "8c1f30d27a5be964", "limits": limits, "settings": charter,
             "known": {"generation": 41, "reset": true, "instances": known}});
+        let posting = change(posting);
         let path = folder.join(POSTING);
         std::fs::write(&path, posting.to_string()).expect("the posting is written");
         let limited = format!("ulimit -n {descriptors}; exec \"$0\"");
@@ -123,11 +135,34 @@
         self.replace_posting(&posting.to_string());
     }
 
+    /// Replaces the file by one that differs in one key, which stands at this place.
+    pub fn change_posting(&self, place: &str, value: Value) {
+        let mut posting = self.posting.clone();
+        *posting.pointer_mut(place).expect("a key of the posting") = value;
+        self.replace_posting(&posting.to_string());
+    }
+
+    /// Waits until a counter stands there.
+    pub fn counts(&self, name: &str, wanted: u64) {
+        let started = Instant::now();
+        while self.counter(name) != wanted {
+            assert!(started.elapsed() < FAR_TOO_LONG, "{name} is {}", self.counter(name));
+            std::thread::sleep(Duration::from_millis(10));
+        }
+    }
+
     pub fn replace_posting(&self, text: &str) {
         std::fs::write(self.folder.join(POSTING), text).expect("the posting is written");
         self.tell("HUP");
     }
 
+    /// What becomes of another node that is started with the file as it stands, which must end by itself.
+    pub fn start_another(&self) -> (ExitStatus, String) {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_grebeusher"));
+        let output = command.env("GW_CONFIG", self.folder.join(POSTING)).output().expect("it starts");
+        (output.status, String::from_utf8_lossy(&output.stderr).into_owned())
+    }
+
     pub fn end(mut self) -> ExitStatus {
         self.child.wait().expect("the node ends")
     }
--- a/crates/node/tests/stories.rs
+++ b/crates/node/tests/stories.rs
@@ -3,6 +3,7 @@
 mod fake;
 
 use fake::*;
+use grebeusher_migrate::{Shape, counterpart};
 use serde_json::json;
 use std::net::{TcpListener, TcpStream};
 
@@ -551,3 +552,70 @@
     assert_eq!(world.bring("u1", "reserve", 8000).hear().status(), 503);
     assert_eq!(world.counter("ended_refused"), world.counter("allocations"));
 }
+
+#[test]
+fn a_node_starts_and_serves_with_the_counterpart_of_its_old_posting() {
+    // The new shape: a list that comes unasked, no probes, one zone, words between nodes, no word of starts, other
+    // report fields.
+    let listens = listener();
+    let mut charter = charter();
+    charter["zones"] = json!(["a", "b", "c"]);
+    charter["caps"]["may_probe"] = json!(true);
+    charter["report"]["via"] = json!("pull");
+    let shape = Shape {
+        list_unasked: true,
+        peers: true,
+        zones: vec!["a".to_owned()],
+        report_fields: vec!["depth".to_owned(), "load_share".to_owned()],
+        starts: Some(false),
+        ..Shape::default()
+    };
+    let world = World::posted(&[&listens], charter, json!({"sockets": 1024}), 1024, |posting| {
+        let (posting, remarks) = counterpart(&posting, &shape).expect("it can be moved");
+        assert!(remarks.iter().any(|remark| remark.key == "settings.caps.may_probe"));
+        posting
+    });
+    let (mut watch, version) = watched(&world);
+    assert_eq!(version, "41", "sockets know no list that comes unasked");
+    let mut client = world.bring("u1", "search", 9000);
+    let mut executor = accept(&listens);
+    assert_eq!(executor.hear().header("X-Call-Id"), Some("u1"));
+    executor.answer(202, "");
+    assert_eq!(world.call_back("u1", json!({"state": "running", "share": 0.5})), 204);
+    let done = json!({"state": "done", "result": "yes", "load": {"depth": 2, "load_share": 0.5}});
+    assert_eq!(world.call_back("u1", done), 204);
+    assert_eq!(client.hear().body, "yes");
+    let line = json!({"generation": 42, "reset": false, "instances": [entry(0, &listens, "left")]});
+    watch.say(&chunk(&format!("{line}\n")));
+    world.counts("list_lines", 1);
+    assert_eq!(world.bring("u2", "search", 1500).hear().status(), 503, "nothing new goes to it");
+    assert_eq!((world.counter("probes"), world.counter("allocations")), (0, 1));
+}
+
+#[test]
+fn a_wrong_setting_ends_the_node_at_its_start_and_changes_nothing_later() {
+    let listens = listener();
+    let world = World::around(&listens);
+    let (mut watch, _) = watched(&world);
+    let nowhere = listener();
+    for (bad, (place, value)) in [
+        ("/settings/caps/may_probe", json!("no")),
+        ("/settings/tariffs/0/patience_ns", json!(-1)),
+        ("/limits/sockets", json!("many")),
+        ("/listen", json!(address(&nowhere) + "x")),
+    ]
+    .into_iter()
+    .enumerate()
+    {
+        world.change_posting(place, value);
+        world.counts("postings_bad", bad as u64 + 1);
+        let (ended, said) = world.start_another();
+        assert!(!ended.success());
+        let key = place.trim_start_matches('/').replace("/0", "[0]").replace('/', ".");
+        assert!(said.contains(&format!("{key}: expected")), "{key}: {said}");
+    }
+    let line = json!({"generation": 42, "reset": false, "instances": []});
+    watch.say(&chunk(&format!("{line}\n")));
+    world.counts("list_lines", 1);
+    assert_eq!((world.counter("watches"), world.counter("postings_read")), (1, 0));
+}
