--- a/crates/node/tests/fake/mod.rs
+++ b/crates/node/tests/fake/mod.rs
@@ -199,6 +199,21 @@
     Talk::over(listener.accept().expect("somebody connects").0)
 }
 
+/// The first connection to any of these, and to which.
+pub fn accept_any(listeners: &[&TcpListener]) -> (usize, Talk) {
+    let started = Instant::now();
+    listeners.iter().for_each(|l| l.set_nonblocking(true).expect("a mode"));
+    loop {
+        for (place, listener) in listeners.iter().enumerate() {
+            if let Ok((stream, _)) = listener.accept() {
+                return (place, Talk::over(stream));
+            }
+        }
+        assert!(started.elapsed() < FAR_TOO_LONG, "nobody connects");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
 pub fn entry(number: usize, listens: &TcpListener, lifecycle: &str) -> Value {
     json!({"instanceId": format!("s-{number}"), "hostPort": address(listens), "zone": "a", "machineType": "m",
         "cell": 0, "lifecycle": lifecycle, "weight": 1.0, "startedAtMs": 0})
--- a/crates/node/tests/stories.rs
+++ b/crates/node/tests/stories.rs
@@ -619,3 +619,28 @@
     world.counts("list_lines", 1);
     assert_eq!((world.counter("watches"), world.counter("postings_read")), (1, 0));
 }
+
+#[test]
+fn a_unit_that_waits_gets_a_second_place_and_the_first_start_has_it() {
+    // Failure: on a deployment that allows second copies, work waited behind long work while others idled.
+    let (a, b) = (listener(), listener());
+    let mut charter = charter();
+    charter["caps"]["second_copies"] = json!(true);
+    let world = World::with(&[&a, &b], charter, 1024, 1024);
+    let mut client = world.bring("u1", "search", 9000);
+    let (first, mut waits) = accept_any(&[&a, &b]);
+    assert_eq!(waits.hear().header("X-Call-Id"), Some("u1"));
+    waits.answer(202, "");
+    let (second, mut runs) = accept_any(&[&a, &b]);
+    assert_ne!(first, second);
+    assert_eq!(runs.hear().header("X-Call-Id"), Some("u1"));
+    runs.answer(202, "");
+    let from = format!("s-{second}");
+    assert_eq!(world.call_back("u1", json!({"from": &from, "state": "started"})), 204);
+    assert_eq!(waits.hear().start, "DELETE /jobs/u1 HTTP/1.1", "only now the first place is given up");
+    waits.answer(200, "");
+    assert_eq!(world.call_back("u1", json!({"from": &from, "state": "done", "result": "yes"})), 204);
+    assert_eq!(client.hear().body, "yes");
+    world.counts("ended_recalled", 1);
+    assert_eq!(world.counter("allocations"), 2);
+}
