--- a/crates/charter/src/lib.rs
+++ b/crates/charter/src/lib.rs
@@ -147,7 +147,7 @@
     parts.iter().map(|part| Ok(part.text("name")?.unwrap_or_default().to_owned())).collect()
 }
 
-/// The word for binding work is that of the users' settings.
+/// What the settings say of an effect, before its group and memory span are read.
 #[derive(Clone, Copy)]
 enum Word {
     Retriable,
--- a/crates/node/src/life/node.rs
+++ b/crates/node/src/life/node.rs
@@ -1,7 +1,7 @@
 //! The node: one loop, and the phases from start to exit.
 
 use crate::exchange::Exchange;
-use crate::life::posting;
+use crate::life::limits;
 use crate::life::signals::Signals;
 use crate::memory::clock::Clock;
 use crate::memory::counters::Counters;
@@ -91,8 +91,8 @@
         let poller = Rc::new(Poller::new().map_err(|e| format!("no poller: {e}"))?);
         let common = (&poller, clock, &counters);
         signals.watched(&poller, SIGNALS).map_err(|e| format!("no signals: {e}"))?;
-        let (charter, room) = (&posting.charter, posting::room(posting.memory_mb));
-        let (from_outside, to_executors) = posting::connections(posting.sockets);
+        let (charter, room) = (&posting.charter, limits::room(posting.memory_mb));
+        let (from_outside, to_executors) = limits::connections(posting.sockets);
         let clients =
             Clients::listen(posting.listen, charter, (from_outside, room), (LISTENER, outside_key), common);
         let clients = Rc::new(clients.map_err(|e| format!("{}: {e}", posting.listen))?);
