Reread: one bound text, one list of fields read, one word for what is out; no decision changes

Written again or left to be derived, in the change itself: an allocation's `open && !recalled` in three places (`is_out`), the width of an executor beside `width`, an executor's mark beside its hash, what all have out looked up three times a candidate (now once, and only for those able), the order of the talk kept where nodes may not talk; in the charter the texts of ranges and words (`within`, `one_of`, `due_number`, `due_word`) and in the command the fields that the charter reads (`FIELDS_READ`), the list's mode read past it, and a second text for a target that is there; hex by hand in the adapter (crate hex).

A tariff without an effect or group is now refused in the words of a wrong one.

--- a/crates/benchlink/src/door.rs
+++ b/crates/benchlink/src/door.rs
@@ -9,7 +9,8 @@
 use std::io::{self, Write};
 use std::rc::Rc;
 
-/// The lines that an instance says. Written as they are: built up as values first they cost a fifth of the CPU of a full-size day.
+/// The lines that an instance says. Written as they are: built up as values first they cost a fifth of the CPU of a
+/// full-size day.
 #[derive(Serialize)]
 #[serde(tag = "type", rename_all = "snake_case")]
 enum Line<'a> {
@@ -175,9 +176,8 @@
 
     fn tell(&mut self, node: Option<u64>, word: &[u8]) {
         let door = &mut *self.0.borrow_mut();
-        let digits = word.iter().flat_map(|byte| [byte >> 4, byte & 15]);
-        let payload: String = digits.filter_map(|digit| char::from_digit(digit.into(), 16)).collect();
-        write(&mut door.lines, &Line::Signal { who: door.who, recipient: node, payload: &payload });
+        let (who, payload) = (door.who, hex::encode(word));
+        write(&mut door.lines, &Line::Signal { who, recipient: node, payload: &payload });
     }
 
     fn follow_list(&mut self) {
--- a/crates/benchlink/src/main.rs
+++ b/crates/benchlink/src/main.rs
@@ -203,7 +203,7 @@
             }
             "from_peer" => {
                 let payload = line.payload.as_deref().ok_or("no payload")?;
-                let word = bytes(payload).ok_or_else(|| format!("payload {payload:?} is not hex"))?;
+                let word = hex::decode(payload).map_err(|e| format!("payload {payload:?}: {e}"))?;
                 let from = line.from.ok_or("no sender")?;
                 self.call(line, |node, now| node.dispatcher.told(now, from, &word))
             }
@@ -246,13 +246,6 @@
     }
 }
 
-/// The bytes that hex digits stand for.
-fn bytes(hex: &str) -> Option<Vec<u8>> {
-    let digit = |byte: u8| char::from(byte).to_digit(16);
-    let (pairs, []) = hex.as_bytes().as_chunks::<2>() else { return None };
-    pairs.iter().map(|&[high, low]| Some((digit(high)? * 16 + digit(low)?) as u8)).collect()
-}
-
 fn standing(state: &str) -> Result<Standing, String> {
     match state {
         "IN" => Ok(Standing::Ready),
--- a/crates/charter/src/lib.rs
+++ b/crates/charter/src/lib.rs
@@ -178,15 +178,13 @@
         .iter()
         .enumerate()
         .map(|(place, tariff)| {
-            let word = tariff.word("effect", &words)?;
-            let group = tariff.word("group", &groups)?;
-            let effect = match word
-                .ok_or_else(|| tariff.wrong("effect", "read_like, idempotency_key or non_idempotent"))?
-            {
+            // A wrong group is refused also where none is needed.
+            tariff.word("group", &groups)?;
+            let effect = match tariff.due_word("effect", &words)? {
                 Word::Retriable => Effect::Retriable,
                 Word::Binding => Effect::Binding,
                 Word::Fingerprinted => Effect::Fingerprinted {
-                    group: group.ok_or_else(|| tariff.wrong("group", "all, zone or cell"))?,
+                    group: tariff.due_word("group", &groups)?,
                     memory_span: tariff.due_span("memory_span_ns")?,
                 },
             };
@@ -205,18 +203,19 @@
 
 /// What is promised of cold executors must be told: nobody can keep to what is not known.
 fn cold_start(contract: &Section) -> Result<ColdStart, String> {
-    let needed = |key: &str, most: f64| {
-        let number = contract.number(key, 0.0..=most)?;
-        number.ok_or_else(|| contract.wrong(key, &format!("a number from 0 to {most}")))
-    };
     Ok(ColdStart {
-        share: needed("cold_share", 1.0)?,
-        warm_within: Span(needed("warm_within_ns", 1e18)? as u64),
-        fall_factor: needed("overload_factor", 1e6)?,
+        share: contract.due_number("cold_share", 0.0..=1.0)?,
+        warm_within: Span(contract.due_number("warm_within_ns", 0.0..=1e18)? as u64),
+        fall_factor: contract.due_number("overload_factor", 0.0..=1e6)?,
         fall_window: contract.due_span("fall_ns")?,
     })
 }
 
+const UTILISATION: &str = "load_share";
+const FREE_SLOTS: &str = "x0";
+/// The fields of a load report that the decisions use.
+pub const FIELDS_READ: [&str; 2] = [UTILISATION, FREE_SLOTS];
+
 /// Which places of a load report hold the values that the decisions use.
 #[derive(Clone, Copy, Debug)]
 pub struct ReportPlaces {
@@ -228,8 +227,8 @@
     fn of(fields: &[String], tells_free_slots: bool) -> ReportPlaces {
         let place = |name: &str| fields.iter().position(|field| field == name);
         ReportPlaces {
-            utilisation: place("load_share"),
-            free_slots: place("x0").filter(|_| tells_free_slots),
+            utilisation: place(UTILISATION),
+            free_slots: place(FREE_SLOTS).filter(|_| tells_free_slots),
         }
     }
 
--- a/crates/charter/src/section.rs
+++ b/crates/charter/src/section.rs
@@ -3,6 +3,7 @@
 
 use grebeusher_dispatch::time::Span;
 use serde_json::Value;
+use std::fmt::Display;
 use std::ops::RangeInclusive;
 
 /// An object of the settings, and the keys that lead to it.
@@ -63,19 +64,19 @@
     }
 
     pub fn number(&self, key: &str, range: RangeInclusive<f64>) -> Result<Option<f64>, String> {
-        let expected = match (*range.start(), *range.end()) {
-            (least, f64::MAX) => format!("a number from {least} on"),
-            (least, most) => format!("a number from {least} to {most}"),
-        };
-        self.read(key, &expected, |value| value.as_f64().filter(|n| range.contains(n)))
+        let number = |value: &Value| value.as_f64().filter(|n| range.contains(n));
+        self.read(key, &within("a number", &range, f64::MAX), number)
+    }
+
+    /// A number that must be there.
+    pub fn due_number(&self, key: &str, range: RangeInclusive<f64>) -> Result<f64, String> {
+        let number = self.number(key, range.clone())?;
+        number.ok_or_else(|| self.wrong(key, &within("a number", &range, f64::MAX)))
     }
 
     pub fn count(&self, key: &str, range: RangeInclusive<u64>) -> Result<Option<u64>, String> {
-        let expected = match (*range.start(), *range.end()) {
-            (least, u64::MAX) => format!("a whole number from {least} on"),
-            (least, most) => format!("a whole number from {least} to {most}"),
-        };
-        self.read(key, &expected, |value| value.as_u64().filter(|n| range.contains(n)))
+        let count = |value: &Value| value.as_u64().filter(|n| range.contains(n));
+        self.read(key, &within("a whole number", &range, u64::MAX), count)
     }
 
     /// A span, which is counted in nanoseconds.
@@ -96,9 +97,13 @@
 
     /// One of the words that are known here.
     pub fn word<T: Copy>(&self, key: &str, known: &[(&str, T)]) -> Result<Option<T>, String> {
-        let words: Vec<&str> = known.iter().map(|(word, _)| *word).collect();
         let meant = |value: &Value| known.iter().find(|(word, _)| value == *word).map(|(_, meant)| *meant);
-        self.read(key, &format!("one of {}", words.join(", ")), meant)
+        self.read(key, &one_of(known), meant)
+    }
+
+    /// One of the words that are known here, which must be there.
+    pub fn due_word<T: Copy>(&self, key: &str, known: &[(&str, T)]) -> Result<T, String> {
+        self.word(key, known)?.ok_or_else(|| self.wrong(key, &one_of(known)))
     }
 
     pub fn list(&self, key: &str) -> Result<Option<&'a [Value]>, String> {
@@ -142,6 +147,21 @@
     }
 }
 
+/// `endless`: the end of a range that has none.
+fn within<T: Display + PartialEq>(what: &str, range: &RangeInclusive<T>, endless: T) -> String {
+    let (least, most) = (range.start(), range.end());
+    if *most == endless {
+        format!("{what} from {least} on")
+    } else {
+        format!("{what} from {least} to {most}")
+    }
+}
+
+fn one_of<T>(known: &[(&str, T)]) -> String {
+    let words: Vec<&str> = known.iter().map(|(word, _)| *word).collect();
+    format!("one of {}", words.join(", "))
+}
+
 /// A value as it stands there, cut where it is long.
 fn shown(value: &Value) -> String {
     const MOST: usize = 60;
--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -55,7 +55,6 @@
 #[derive(Default)]
 struct Executor {
     hash: u64,
-    mark: u16,
     standing: Standing,
     started: Option<Moment>,
     kind: usize,
@@ -118,12 +117,11 @@
         // Reports are averages over about a second: what was sent in the last one is not in them yet.
         const LAG: Span = Span::millis(1000);
         const STALE: Span = Span::millis(6000); // after several usual report spans the figure says nothing
-        let own = match self.filled(now) {
-            Some(filled) => filled / self.width(),
-            None => self.flights.len() as f64 / self.slots,
-        };
+        if let Some(filled) = self.filled(now) {
+            return Some(filled / self.width());
+        }
+        let own = self.flights.len() as f64 / self.slots;
         match self.reported {
-            _ if self.filled(now).is_some() => Some(own),
             Some(at) if now.since(at) < STALE => {
                 let recent = self.flights.iter().filter(|f| f.sent > at - LAG).count();
                 Some((self.utilisation + recent as f64 / self.slots).max(own))
@@ -187,6 +185,12 @@
     recalled: bool,
 }
 
+impl Allocation {
+    fn is_out(&self) -> bool {
+        self.open && !self.recalled
+    }
+}
+
 /// A work unit that still owes its final answer.
 struct Work {
     tariff: usize,
@@ -209,6 +213,8 @@
     room: bool,
     load: Option<f64>,
     wait: Option<f64>,
+    /// Whether that is by what all nodes have out.
+    known: bool,
 }
 
 struct Picked {
@@ -381,7 +387,6 @@
             }
             let e = &mut self.executors[index];
             e.hash = fixed_hash(entry.name);
-            e.mark = mark(e.hash);
             e.rank = mixed(e.hash ^ mixed(self.node.wrapping_add(1)));
             e.distance = (self.node % self.nodes + self.nodes - e.hash % self.nodes) % self.nodes;
             e.standing = entry.standing;
@@ -475,11 +480,10 @@
         let running = e.flights.iter().filter(|f| f.started.is_some()).count();
         e.slots = e.slots.max(running as f64);
         // The others of a unit that has started wait for nothing.
-        let out = |a: &Allocation| a.open && !a.recalled;
         let Some(work) = self.work.get(&id.unit) else { return };
-        let others = work.allocations.iter().enumerate().filter(|(n, a)| *n != id.number && out(a));
+        let others = work.allocations.iter().enumerate().filter(|(n, a)| *n != id.number && a.is_out());
         let others: Vec<usize> = others.map(|(number, _)| number).collect();
-        if work.allocations.get(id.number).is_some_and(out) {
+        if work.allocations.get(id.number).is_some_and(Allocation::is_out) {
             others.into_iter().for_each(|number| self.give_up(AllocationId { unit: id.unit, number }));
         }
     }
@@ -512,8 +516,8 @@
         self.finish(unit);
     }
 
-    /// A probe ended. One without an answer may mean a full waiting room or a loss on the way: that says too
-    /// little to act on.
+    /// A probe ended, or something else that may bring a report. A probe without an answer may mean a full
+    /// waiting room or a loss on the way: that says too little to act on.
     pub fn probed(&mut self, now: Moment, executor: ExecutorId, report: Option<Report>) {
         let Some((e, report)) = self.executors.get_mut(executor.0).zip(report) else { return };
         if let Some(utilisation) = report.utilisation.filter(|u| u.is_finite()) {
@@ -521,9 +525,10 @@
             e.reported = Some(now);
         }
         if let Some(free) = report.free_slots.filter(|f| f.is_finite()) {
-            let (kind, most_free) = (e.kind, e.most_free.max(free.round()));
+            e.most_free = e.most_free.max(free.round());
             // Cores may idle while every slot is held by work that waits for something: no slot, no room.
-            e.utilisation = e.utilisation.max(1.0 - free / e.slots.max(most_free)).clamp(0.0, 1.0);
+            e.utilisation = e.utilisation.max(1.0 - free / e.width()).clamp(0.0, 1.0);
+            let (kind, most_free) = (e.kind, e.most_free);
             // What one of a kind has all have.
             self.executors.iter_mut().filter(|e| e.kind == kind && e.most_free < most_free).for_each(|e| {
                 e.most_free = most_free;
@@ -535,9 +540,7 @@
     pub fn told(&mut self, now: Moment, node: u64, word: &[u8]) {
         let talk = &mut self.talk;
         match Word::read(word).filter(|_| talk.allowed) {
-            Some(Word::Own { filled }) => {
-                talk.told.insert(node, (now, filled));
-            }
+            Some(Word::Own { filled }) => drop(talk.told.insert(node, (now, filled))),
             // One that comes back later than the others found another is told by nobody: it joins them.
             Some(Word::All { list, first, filled })
                 if node <= talk.teller || talk.teller == self.node && talk.told.is_empty() =>
@@ -574,9 +577,11 @@
         for (rank, &i) in self.roster.iter().enumerate() {
             self.executors[i].lane = usize::from(rank >= first);
         }
-        self.talk.order.clone_from(&self.roster);
-        self.talk.order.sort_by_key(|&i| self.executors[i].mark);
-        self.talk.list = mark(self.ready().fold(0, |sum, e| sum ^ mixed(e.hash)));
+        if self.talk.allowed {
+            self.talk.order.clone_from(&self.roster);
+            self.talk.order.sort_by_key(|&i| mark(self.executors[i].hash));
+            self.talk.list = mark(self.ready().fold(0, |sum, e| sum ^ mixed(e.hash)));
+        }
         // The own zone comes six times as far to the front: crossing costs, yet a zone must not be left to
         // itself, since neither workers nor clients are spread evenly. Before all come the cold ones that
         // this node may warm, or they would idle: a budget is seldom split among more nodes.
@@ -622,7 +627,7 @@
         let mut kinds: BTreeMap<usize, (f64, f64, f64)> = BTreeMap::new();
         for e in self.ready().filter(|e| e.ran > 0.0) {
             let (done, ran, slots) = kinds.entry(e.kind).or_default();
-            (*done, *ran, *slots) = (*done + e.done, *ran + e.ran, slots.max(e.slots).max(e.most_free));
+            (*done, *ran, *slots) = (*done + e.done, *ran + e.ran, slots.max(e.width()));
         }
         for e in &mut self.executors {
             if let Some((done, ran, slots)) = kinds.get(&e.kind) {
@@ -653,18 +658,20 @@
                 })
                 && !work.allocations.iter().any(|a| a.open && a.executor.0 == at)
                 && e.cold_admits(&self.cold, self.nodes, now, self.mean, charge);
-            let filled = e.filled(now).map(|filled| filled + work.slots - e.width());
-            let queue = filled.map(|over| over.max(0.0) / e.width() * self.mean_run / e.pace);
-            able.then(|| Candidate {
-                at,
-                in_lane: in_lane(at),
-                room: filled.map_or_else(|| e.has_room(now), |over| over <= 0.0),
-                load: e.load(now),
-                wait: queue.or_else(|| e.wait(now)),
+            able.then(|| {
+                let over = e.filled(now).map(|filled| filled + work.slots - e.width());
+                let queue = over.map(|over| over.max(0.0) / e.width() * self.mean_run / e.pace);
+                Candidate {
+                    at,
+                    in_lane: in_lane(at),
+                    room: over.map_or_else(|| e.has_room(now), |over| over <= 0.0),
+                    load: e.load(now),
+                    wait: queue.or_else(|| e.wait(now)),
+                    known: over.is_some(),
+                }
             })
         };
-        // Where the nodes talk all are heard of.
-        let known = self.ready().any(|e| e.filled(now).is_some());
+        let known = self.ready().any(|e| e.filled(now).is_some()); // where nodes talk all are heard of
         let most = if known { self.roster.len() } else { FEW + self.out / 2 };
         let lane = self.roster.iter().filter(|&&at| few && in_lane(at));
         let mut found: Vec<Candidate> = lane.filter_map(candidate).take(most).collect();
@@ -702,7 +709,7 @@
         // What all have out is known as of a while ago, and all nodes know the same: the pick is among a
         // quarter at least, the shortest queues. Guards against a crowd at the few that had room then.
         const PART: usize = 4;
-        let known = able.iter().any(|c| self.executors[c.at].filled(now).is_some());
+        let known = able.iter().any(|c| c.known);
         // Own evidence does not show what others fill: at the floor of the weights it passes for full. Guards
         // against queues in one lane while the other idles. Only where most were just heard of, and out of
         // the lane only to one less than half used: late reports must not draw a crowd.
@@ -717,14 +724,14 @@
         }
         let any_room = able.iter().any(|c| c.room);
         let least_wait = able.iter().filter_map(|c| c.wait).fold(f64::INFINITY, f64::min);
-        // First those with room, of these the not full, then those of the lane, then cold ones that may take
-        // some: the few nodes that warm one see little, and left to chance it would idle.
-        let cold = |c: &Candidate| self.executors[c.at].cold_budget(&self.cold, now).is_some();
-        let rank = |c: &Candidate| (c.room, open(c), c.in_lane, c.room && cold(c));
         if known {
             able.sort_by(|a, b| a.wait.unwrap_or(0.0).total_cmp(&b.wait.unwrap_or(0.0)));
             able.truncate(able.iter().filter(|c| open(c)).count().max(able.len().div_ceil(PART)));
         } else {
+            // First those with room, of these the not full, then those of the lane, then cold ones that may
+            // take some: the few nodes that warm one see little, and left to chance it would idle.
+            let cold = |c: &Candidate| self.executors[c.at].cold_budget(&self.cold, now).is_some();
+            let rank = |c: &Candidate| (c.room, open(c), c.in_lane, c.room && cold(c));
             let best = able.iter().map(rank).max();
             able.retain(|c| Some(rank(c)) == best);
         }
@@ -734,8 +741,7 @@
         // What is idle counts by the learnt pace. Where all are heard of the own zone has no other
         // preference: crossing costs, and a zone must not be left to itself.
         const NEARER: f64 = 3.0;
-        let near = |e: &Executor| if known && e.zone == self.zone { NEARER } else { 1.0 };
-        let strength = |e: &Executor| e.pace * near(e);
+        let strength = |e: &Executor| e.pace * if known && e.zone == self.zone { NEARER } else { 1.0 };
         let weight = |c: &Candidate| c.load.map_or(mean, weight) * strength(&self.executors[c.at]);
         let chosen = able.choose_weighted(&mut self.chance, weight).ok()?;
         // With no room anywhere it waits where it goes: the least wait of all would promise too much.
@@ -831,7 +837,7 @@
         if work.streaming || work.held || self.tariffs[work.tariff].effect == Effect::Binding {
             return;
         }
-        let out = work.allocations.iter().enumerate().filter(|(_, a)| a.open && !a.recalled);
+        let out = work.allocations.iter().enumerate().filter(|(_, a)| a.is_out());
         let flights = out.filter_map(|(number, a)| {
             let id = AllocationId { unit, number };
             self.executors[a.executor.0].flights.iter().find(|f| f.id == id).map(|f| (a.executor, f))
@@ -932,7 +938,7 @@
     fn finish(&mut self, unit: UnitId) {
         let Some(work) = self.work.remove(&unit) else { return };
         for (number, allocation) in work.allocations.iter().enumerate() {
-            if allocation.open && !allocation.recalled && self.allowance.recalls {
+            if allocation.is_out() && self.allowance.recalls {
                 self.host.recall(AllocationId { unit, number });
             }
         }
@@ -1016,7 +1022,7 @@
         for e in &mut self.executors {
             e.told = e.own_slots() as u8;
             if e.told > 0 {
-                filled.push((e.mark, e.told));
+                filled.push((mark(e.hash), e.told));
             }
         }
         talk.told.retain(|_, (at, _)| now.since(*at) <= LOST);
@@ -1027,15 +1033,14 @@
             return;
         }
         let mut sums = vec![0_u8; talk.order.len()];
-        for (mark, count) in talk.told.values().flat_map(|(_, filled)| filled).chain(&filled) {
-            if let Ok(at) = talk.order.binary_search_by_key(mark, |&at| self.executors[at].mark) {
-                sums[at] = sums[at].saturating_add(*count);
+        for &(named, count) in talk.told.values().flat_map(|(_, filled)| filled).chain(&filled) {
+            if let Ok(at) = talk.order.binary_search_by_key(&named, |&at| mark(self.executors[at].hash)) {
+                sums[at] = sums[at].saturating_add(count);
             }
         }
         for (number, part) in sums.chunks(MOST).enumerate() {
             let (list, first) = (self.talk.list, number * MOST);
-            let word = Word::All { list, first, filled: part.to_vec() };
-            self.host.tell(None, &word.bytes());
+            self.host.tell(None, &Word::All { list, first, filled: part.to_vec() }.bytes());
             if self.talk.teller == self.node {
                 self.learn(now, first, part);
             }
--- a/crates/migrate/src/lib.rs
+++ b/crates/migrate/src/lib.rs
@@ -2,6 +2,7 @@
 //! need not change passes through untouched, also what nobody here has heard of.
 
 use grebeusher_charter::posting::Posting;
+use grebeusher_charter::{FIELDS_READ, ListComes};
 use serde_json::{Map, Value, json};
 use std::fmt;
 
@@ -129,14 +130,14 @@
         if !shape.report_fields.is_empty() {
             let fields = json!(shape.report_fields);
             self.set("report", "fields", fields, json!([]), "what the new executors report");
-            for read in ["load_share", "x0"] {
+            for read in FIELDS_READ {
                 let is = |fields: &[String]| fields.iter().any(|field| field == read);
                 if is(&old.charter.report_fields) && !is(&shape.report_fields) {
                     let why = format!("{read}: the node reads it and the new executors do not report it");
                     self.remark("settings.report.fields", Fate::NotCarried, why);
                 }
             }
-            for unread in shape.report_fields.iter().filter(|f| !["load_share", "x0"].contains(&f.as_str())) {
+            for unread in shape.report_fields.iter().filter(|f| !FIELDS_READ.contains(&f.as_str())) {
                 if !old.charter.report_fields.contains(unread) {
                     let why = format!("{unread}: reported, and read by no decision");
                     self.remark("settings.report.fields", Fate::NotCarried, why);
@@ -150,7 +151,7 @@
 /// the node checks its posting.
 pub fn counterpart(old: &Value, shape: &Shape) -> Result<(Value, Vec<Remark>), String> {
     let posting = Posting::read(old)?;
-    if old["settings"]["registry_mode"] == "automatic" {
+    if posting.charter.list_comes == ListComes::Unasked {
         return Err("settings.registry_mode: automatic: this posting is of the new shape already".to_owned());
     }
     let mut new = old.clone();
--- a/crates/migrate/src/main.rs
+++ b/crates/migrate/src/main.rs
@@ -71,11 +71,7 @@
         .map_err(failed)?;
     beside.as_file().sync_all().map_err(failed)?;
     let kept = if replace { beside.persist(new) } else { beside.persist_noclobber(new) };
-    kept.map_err(|e| match e.error.kind() {
-        io::ErrorKind::AlreadyExists => format!("{} is there already: --replace replaces it", new.display()),
-        _ => failed(e.error),
-    })?;
-    Ok(())
+    kept.map(drop).map_err(|e| failed(e.error))
 }
 
 fn migrate(line: CommandLine) -> Result<(), String> {
