--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -89,8 +89,8 @@
     aside_until: Moment,
     last_wait: f64,
     last_start: Moment,
-    /// What was sent here while it was cold, and what it counts for.
-    cold_sent: Vec<(Moment, f64)>,
+    /// When something was sent here while it was cold.
+    cold_sent: Vec<Moment>,
 }
 
 impl Executor {
@@ -160,19 +160,19 @@
         Some(cold.least(now.since(started)) * self.capacity * cold.fall_factor)
     }
 
-    /// Whether a cold executor can take one more that counts for `charge`, a mean one counting for `mean`.
-    /// Its budget is split among as many nodes as get a heavy unit each of it, one at least: those nearest
-    /// after its fixed hash; the others leave it alone until it is warm. Guards against all nodes together
-    /// pushing it over.
-    fn cold_admits(&self, cold: &ColdStart, nodes: u64, now: Moment, mean: f64, charge: f64) -> bool {
+    /// Whether a cold executor can take one more work unit, of `mean` size: it falls by their number more
+    /// than by their size. Its budget is split among as many nodes as get a unit each of it, one at least:
+    /// those nearest after its fixed hash; the others leave it alone until it is warm. Guards against all
+    /// nodes together pushing it over, and against one that idles since the few that may use it see little.
+    fn cold_admits(&self, cold: &ColdStart, nodes: u64, now: Moment, mean: f64) -> bool {
         const USED: f64 = 0.8; // of the budget: the rest covers one slower than its kind
         const FIRST: usize = 3; // in flight before any answer: a long one must not keep all others out
-        let Some(budget) = self.cold_budget(cold, now).map(|budget| budget * USED) else { return true };
-        let owners = ((budget / (HEAVY * mean)) as u64).clamp(1, nodes);
-        let sent = self.cold_sent.iter().filter(|(at, _)| now.since(*at) <= cold.fall_window);
+        let Some(units) = self.cold_budget(cold, now).map(|budget| budget * USED / mean) else { return true };
+        let owners = (units as u64).clamp(1, nodes);
+        let sent = self.cold_sent.iter().filter(|&&at| now.since(at) <= cold.fall_window).count();
         self.distance < owners
             && self.flights.len() < FIRST + self.answers
-            && sent.map(|(_, charge)| charge).sum::<f64>() + charge <= budget / owners as f64
+            && (sent + 1) as f64 <= units / owners as f64
     }
 }
 
@@ -645,7 +645,6 @@
         const MORE: usize = 4; // times as many: one of them has room unless nearly all are full
         let lane = self.cut_offs.iter().filter(|&&cut| work.size > cut).count();
         let Tariff { kind, effect, .. } = self.tariffs[work.tariff];
-        let charge = charge(work.size, self.mean);
         let ran = work.allocations.iter().find(|a| a.may_have_run);
         let ran = ran.map(|a| (a.sent, self.executors[a.executor.0].zone, self.executors[a.executor.0].cell));
         let in_lane = |at: usize| self.cut_offs.is_empty() || self.executors[at].lane == lane;
@@ -657,7 +656,7 @@
                     effect.repeats(now, sent, zone == e.zone, cell == e.cell)
                 })
                 && !work.allocations.iter().any(|a| a.open && a.executor.0 == at)
-                && e.cold_admits(&self.cold, self.nodes, now, self.mean, charge);
+                && e.cold_admits(&self.cold, self.nodes, now, self.mean);
             able.then(|| {
                 let over = e.filled(now).map(|filled| filled + work.slots - e.width());
                 let queue = over.map(|over| over.max(0.0) / e.width() * self.mean_run / e.pace);
@@ -811,8 +810,8 @@
         let id = AllocationId { unit, number: work.allocations.len() - 1 };
         e.flights.push(Flight { id, size, slots, sent: now, word_due, started: None, heard: now });
         if e.cold_budget(&self.cold, now).is_some() {
-            e.cold_sent.retain(|(at, _)| now.since(*at) <= self.cold.fall_window);
-            e.cold_sent.push((now, charge(size, self.mean)));
+            e.cold_sent.retain(|&at| now.since(at) <= self.cold.fall_window);
+            e.cold_sent.push(now);
         }
         let heard = e.reported.unwrap_or_default().max(e.asked);
         if self.may_probe && now.since(heard) >= PROBE_EVERY {
@@ -1054,10 +1053,3 @@
         }
     }
 }
-
-/// What a work unit counts for on a cold executor, which falls by their number more than by their size: a
-/// mean one at least, and two at most.
-fn charge(size: f64, mean: f64) -> f64 {
-    size.clamp(mean, HEAVY * mean)
-}
-const HEAVY: f64 = 2.0; // each node that may warm one gets room for as much, or heavy work is kept out
--- a/crates/dispatch/tests/fake/mod.rs
+++ b/crates/dispatch/tests/fake/mod.rs
@@ -82,7 +82,7 @@
 
 pub fn dispatcher(
     host: Fake,
-    node: u64,
+    (node, nodes): (u64, u64),
     allowance: Allowance,
     probes: bool,
     starts: bool,
@@ -93,7 +93,7 @@
         fall_factor: 4.0,
         fall_window: Span::millis(1000),
     };
-    Dispatcher::new(host, 7, node, 2, tariffs()).allowing(allowance).cold_starts(cold).noticing(
+    Dispatcher::new(host, 7, node, nodes, tariffs()).allowing(allowance).cold_starts(cold).noticing(
         true,
         probes,
         starts,
@@ -115,13 +115,13 @@
 
     /// At one of the two nodes, with probes or without: with them it asks before it sends.
     pub fn at(node: u64, executors: usize, allowance: Allowance, probes: bool) -> Story {
-        Story::new(node, executors, allowance, probes, true)
+        Story::new((node, 2), executors, allowance, probes, true)
     }
 
     /// One of two nodes that may send each other words.
     pub fn talking(node: u64, executors: usize) -> Story {
         let mut story = Story::at(node, executors, ALLOWANCE, false);
-        story.node = dispatcher(story.said.clone(), node, ALLOWANCE, false, true).talking(true);
+        story.node = dispatcher(story.said.clone(), (node, 2), ALLOWANCE, false, true).talking(true);
         story.node.start(story.now);
         story.list(executors);
         story
@@ -134,10 +134,15 @@
 
     /// Where starts are told, or not.
     pub fn told(executors: usize, allowance: Allowance, starts: bool) -> Story {
-        Story::new(0, executors, allowance, false, starts)
+        Story::new((0, 2), executors, allowance, false, starts)
     }
 
-    fn new(node: u64, executors: usize, allowance: Allowance, probes: bool, starts: bool) -> Story {
+    /// All nodes of a fleet, each with what it says; none hears of the others.
+    pub fn fleet(nodes: u64, executors: usize) -> Vec<Story> {
+        (0..nodes).map(|node| Story::new((node, nodes), executors, ALLOWANCE, false, true)).collect()
+    }
+
+    fn new(node: (u64, u64), executors: usize, allowance: Allowance, probes: bool, starts: bool) -> Story {
         let said = Fake::default();
         let now = Moment(1_000_000_000_000);
         let mut story = Story { node: dispatcher(said.clone(), node, allowance, probes, starts), said, now };
--- a/crates/dispatch/tests/stories.rs
+++ b/crates/dispatch/tests/stories.rs
@@ -357,6 +357,53 @@
     }
 }
 
+#[test]
+fn a_fleet_of_nodes_that_see_little_fills_what_a_cold_executor_can_do() {
+    // Failure: with a hundred nodes one or two of them were all that could warm it, and saw next to nothing.
+    let mut fleet = Story::fleet(20, 4);
+    fleet.iter_mut().for_each(know_sizes);
+    let started = fleet[0].now;
+    let (mut sent, mut nodes) = (Vec::new(), [false; 20]);
+    let cold = Listing { started: Some(started), ..listing(4, "cold") };
+    fleet.iter_mut().for_each(|story| story.node.listed(started, false, &[cold]));
+    for step in 0..200 {
+        // Each node sees a unit in two seconds, the fleet ten a second.
+        let now = started + Span::millis(step * 100);
+        let node = step as usize % 20;
+        let story = &mut fleet[node];
+        story.now = now;
+        story.arrive(100 + step, BINDING, 250);
+        let executor = story.sent_to();
+        story.end(100 + step, 0, executor, Ending::Fulfilled);
+        if executor == 4 {
+            sent.push(now);
+            nodes[node] = true;
+        }
+    }
+    // Warm it does four a second, so about 2.4 over these twenty seconds.
+    assert!(sent.len() >= 45, "{} units", sent.len());
+    assert!(nodes.iter().filter(|&&used| used).count() >= 10, "{nodes:?}");
+    for (i, &from) in sent.iter().enumerate() {
+        let window = sent[i..].iter().take_while(|at| at.since(from) < Span::millis(1000)).count();
+        let share = 0.2 + 0.8 * (from.since(started).as_secs() + 1.0) / 20.0;
+        assert!(window as f64 <= 4.0 * share / 0.25, "{window} in one window at share {share}");
+    }
+}
+
+/// A node learns that work units take a quarter of a second on executors of one slot.
+fn know_sizes(story: &mut Story) {
+    for unit in 0..8 {
+        story.arrive(unit, BINDING, 250);
+        let executor = story.sent_to();
+        story.start_of(unit, 0, executor);
+        story.pass(250);
+        story.end(unit, 0, executor, Ending::Fulfilled);
+    }
+    story.pass(3500);
+    story.node.rang(story.now, 0);
+    story.heard();
+}
+
 #[test]
 fn an_executor_whose_connections_broke_and_are_refused_comes_back_cold() {
     // Failure: what had crashed came back cold before the list said so, and was pushed over at once.
@@ -599,7 +646,8 @@
 fn what_a_customer_sends_beyond_its_share_is_turned_back_first() {
     let mut story = Story::of(1);
     // Two nodes: four units a second here, twice the even part, and two seconds' worth at once before overuse.
-    story.node = dispatcher(story.said.clone(), 0, ALLOWANCE, false, true).customers(&[4.0, f64::INFINITY]);
+    story.node =
+        dispatcher(story.said.clone(), (0, 2), ALLOWANCE, false, true).customers(&[4.0, f64::INFINITY]);
     story.node.start(story.now);
     story.list(1);
     for (unit, customer) in (0..9).map(|unit| (unit, 0)).chain([(9, 1)]) {
@@ -615,7 +663,7 @@
 fn a_share_of_less_than_a_unit_at_a_node_still_admits_some() {
     // Failure: with hundreds of nodes a node's part was under half a unit a second, and all was beyond the share.
     let mut story = Story::of(1);
-    story.node = dispatcher(story.said.clone(), 0, ALLOWANCE, false, true).customers(&[0.1]);
+    story.node = dispatcher(story.said.clone(), (0, 2), ALLOWANCE, false, true).customers(&[0.1]);
     story.node.start(story.now);
     story.list(1);
     story.arrive(0, BINDING, 2000);
