--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -215,6 +215,7 @@
     wait: Option<f64>,
     /// Whether that is by what all nodes have out.
     known: bool,
+    cold: bool,
 }
 
 struct Picked {
@@ -667,6 +668,7 @@
                     load: e.load(now),
                     wait: queue.or_else(|| e.wait(now)),
                     known: over.is_some(),
+                    cold: e.cold_budget(&self.cold, now).is_some(),
                 }
             })
         };
@@ -680,7 +682,8 @@
         }
         // One that nothing was sent to lately is taken for as full as those of its lane that something was
         // sent to. Guards against a node that sees little taking every executor for free. A longer wait may
-        // be that of an executor lost, and one alone may be slow: they tell nothing of others.
+        // be that of an executor lost, and one alone may be slow: they tell nothing of others. Nor do the warm
+        // tell of a cold one, which few may use: its budget keeps it from being full.
         const SILENT_S: f64 = 6.0;
         const PART: f64 = 0.25; // of the slack may be waited: the estimate is of the past, the queue may grow
         let spare = (work.slack(now) * PART).max(0.1);
@@ -689,6 +692,7 @@
             let waits: Vec<f64> = known.filter(|&wait| wait < SILENT_S).collect();
             let mean = if waits.len() > 1 { waits.iter().sum::<f64>() / waits.len() as f64 } else { 0.0 };
             for c in found.iter_mut().filter(|c| c.in_lane == in_lane && c.wait.is_none()) {
+                let mean = if c.cold { 0.0 } else { mean };
                 (c.wait, c.room) = (Some(mean), c.room && mean <= spare);
             }
         }
@@ -729,8 +733,7 @@
         } else {
             // First those with room, of these the not full, then those of the lane, then cold ones that may
             // take some: the few nodes that warm one see little, and left to chance it would idle.
-            let cold = |c: &Candidate| self.executors[c.at].cold_budget(&self.cold, now).is_some();
-            let rank = |c: &Candidate| (c.room, open(c), c.in_lane, c.room && cold(c));
+            let rank = |c: &Candidate| (c.room, open(c), c.in_lane, c.room && c.cold);
             let best = able.iter().map(rank).max();
             able.retain(|c| Some(rank(c)) == best);
         }
--- a/crates/dispatch/tests/stories.rs
+++ b/crates/dispatch/tests/stories.rs
@@ -404,6 +404,29 @@
     story.heard();
 }
 
+#[test]
+fn a_cold_executor_is_not_taken_for_as_full_as_the_warm_ones() {
+    // Failure: those that may warm it turned work back, as the warm ones were full and nothing was known of it.
+    for nodes in [1, 20] {
+        let mut fleet = Story::fleet(nodes, 3);
+        let mut used = 0;
+        for story in &mut fleet {
+            know_sizes(story);
+            for unit in 20..23 {
+                story.arrive(unit, BINDING, 250);
+                story.sent_to();
+            }
+            story.pass(3000); // all three wait
+            let cold = Listing { started: Some(story.now), ..listing(3, "cold") };
+            story.node.listed(story.now, false, &[cold]);
+            story.arrive(30, RETRIABLE, 250);
+            used += usize::from(story.heard().iter().any(|s| matches!(s, Said::Allocate(30, 3, _))));
+        }
+        assert!(used > 0, "none of {nodes} nodes used it");
+        assert!(used <= 2, "{used} of {nodes} nodes used it at once");
+    }
+}
+
 #[test]
 fn an_executor_whose_connections_broke_and_are_refused_comes_back_cold() {
     // Failure: what had crashed came back cold before the list said so, and was pushed over at once.
