--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -21,8 +21,7 @@
 use crate::tariffs::{Allowance, Arrival, ColdStart, Effect, Ending, Listing, Report, Standing, Tariff};
 use crate::time::{Moment, Span};
 use crate::word::{MOST, Word, mark};
-use rand::seq::IndexedRandom;
-use rand::{Rng, SeedableRng};
+use rand::{Rng, SeedableRng, seq::IndexedRandom};
 use rand_pcg::Pcg32;
 use std::collections::{BTreeMap, VecDeque};
 
@@ -218,11 +217,8 @@
     cold: bool,
 }
 
-struct Picked {
-    executor: ExecutorId,
-    any_room: bool,
-    wait: f64,
-}
+/// The executor, whether any had room, and the wait.
+type Picked = (ExecutorId, bool, f64);
 
 impl Work {
     /// Seconds left for waiting if the quoted time is to be kept.
@@ -386,10 +382,8 @@
             // What is known of its kind holds for a new one: while it is cold its budget goes by that.
             let kin = self.executors.iter().find(|e| e.kind == entry.kind);
             let (capacity, pace, most_free) = kin.map_or((1., 1., 0.), |e| (e.capacity, e.pace, e.most_free));
-            while self.executors.len() <= index {
-                let new = Executor { capacity, pace, most_free, slots: 1.0, ..Executor::default() };
-                self.executors.push(new);
-            }
+            let new = || Executor { capacity, pace, most_free, slots: 1.0, ..Executor::default() };
+            self.executors.resize_with(self.executors.len().max(index + 1), new);
             let e = &mut self.executors[index];
             e.hash = fixed_hash(entry.name);
             e.rank = mixed(e.hash ^ mixed(self.node.wrapping_add(1)));
@@ -428,8 +422,7 @@
         const SAMPLE: usize = 1000; // design page
         let slots = if arrival.slots > 0.0 && arrival.slots.is_finite() { arrival.slots } else { 1.0 };
         let hinted = arrival.hint.filter(|h| h.0 > 0);
-        let sized = |hint: Span| (hint.as_secs() * slots).clamp(SENSIBLE.0, SENSIBLE.1);
-        let size = hinted.map_or(self.median, sized);
+        let size = hinted.map_or(self.median, |h| (h.as_secs() * slots).clamp(SENSIBLE.0, SENSIBLE.1));
         if hinted.is_some() {
             self.sample.push_back((size, size / slots));
             match self.sample.len() {
@@ -535,9 +528,8 @@
             e.utilisation = e.utilisation.max(1.0 - free / e.width()).clamp(0.0, 1.0);
             let (kind, most_free) = (e.kind, e.most_free);
             // What one of a kind has all have.
-            self.executors.iter_mut().filter(|e| e.kind == kind && e.most_free < most_free).for_each(|e| {
-                e.most_free = most_free;
-            });
+            let kin = self.executors.iter_mut().filter(|e| e.kind == kind);
+            kin.for_each(|e| e.most_free = e.most_free.max(most_free));
         }
     }
 
@@ -577,8 +569,7 @@
         // Paces and weights are above nothing, where their bits are in the order of their values.
         let strength = |e: &Executor| (e.pace.to_bits(), e.weight.to_bits(), e.hash);
         self.roster.sort_by_cached_key(|&i| strength(&self.executors[i]));
-        // Two or three are two lanes as well.
-        let first = (self.roster.len() * 3).div_ceil(4).min(self.roster.len().max(2) - 1);
+        let first = (self.roster.len() * 3).div_ceil(4).min(self.roster.len().max(2) - 1); // two are two
         for (rank, &i) in self.roster.iter().enumerate() {
             self.executors[i].lane = usize::from(rank >= first);
         }
@@ -686,8 +677,8 @@
         }
         // One that nothing was sent to lately is taken for as full as those of its lane that something was
         // sent to. Guards against a node that sees little taking every executor for free. A longer wait may
-        // be that of an executor lost, and one alone may be slow: they tell nothing of others. Nor do the warm
-        // tell of a cold one, which few may use: its budget keeps it from being full.
+        // be that of an executor lost, and one alone may be slow: they tell nothing of others. Nor do
+        // the warm tell of a cold one, which few may use: its budget keeps it from being full.
         const SILENT_S: f64 = 6.0;
         const PART: f64 = 0.25; // of the slack may be waited: the estimate is of the past, the queue may grow
         let spare = (work.slack(now) * PART).max(0.1);
@@ -724,7 +715,13 @@
         let fresh = |e: &&Executor| e.reported.is_some_and(|at| now.since(at) < FRESH);
         let hears = !known && self.ready().filter(fresh).count() * 2 > self.roster.len();
         let below = |c: &Candidate| if c.in_lane { 1.0 - FLOOR } else { 0.5 };
-        let open = |c: &Candidate| c.room && (!hears || c.load.is_none_or(|load| load < below(c)));
+        // Nor does it show that own work waited long there: then others are looked at, unless a further place
+        // may be had. Guards against queues before the few that a node uses while their neighbours idle.
+        const BORNE: f64 = 0.1; // of the slack: the next one waits longer where a queue builds
+        let borne = if self.allowance.second_copies { f64::MAX } else { (work.slack(now) * BORNE).max(0.1) };
+        let brief = |c: &Candidate| known || c.wait.is_none_or(|wait| wait <= borne);
+        let free = |c: &Candidate| !hears || c.load.is_none_or(|load| load < below(c));
+        let open = |c: &Candidate| c.room && brief(c) && free(c);
         let enough = if known { able.len().div_ceil(PART) } else { 1 };
         if able.iter().filter(|c| open(c)).count() < enough {
             able = self.candidates(now, work, false);
@@ -752,7 +749,7 @@
         let chosen = able.choose_weighted(&mut self.chance, weight).ok()?;
         // With no room anywhere it waits where it goes: the least wait of all would promise too much.
         let wait = if any_room && !known { least_wait } else { chosen.wait.unwrap_or(0.0) };
-        Some(Picked { executor: ExecutorId(chosen.at), any_room, wait })
+        Some((ExecutorId(chosen.at), any_room, wait))
     }
 
     /// Whether a wait is too long to start with: the work unit would be late, and make others late. Waits
@@ -778,7 +775,7 @@
             return self.answer(unit);
         }
         match picked {
-            Some(Picked { executor, wait, .. }) => {
+            Some((executor, _, wait)) => {
                 let fresh = work.allocations.iter().all(|a| !a.may_have_run);
                 let hopeless = fresh && self.hopeless(now, &self.work[&unit], wait);
                 if hopeless { self.answer(unit) } else { self.send(now, unit, executor) }
@@ -864,7 +861,7 @@
         }
         if (waits || silent)
             && self.may_allocate(unit, self.allowance.recalls)
-            && let Some(Picked { executor: better, any_room: true, .. }) = self.pick(now, unit)
+            && let Some((better, true, _)) = self.pick(now, unit)
         {
             // One that waits keeps its place there: whichever starts first has it.
             if !waits {
--- a/crates/dispatch/tests/stories.rs
+++ b/crates/dispatch/tests/stories.rs
@@ -427,6 +427,26 @@
     }
 }
 
+#[test]
+fn executors_at_which_own_work_waited_long_are_passed_over() {
+    // Failure: a node kept to the few executors that it uses, where its work queued, while others stood idle.
+    for (waited, passed_over) in [(300, true), (20, false)] {
+        let mut story = Story::with(12, Allowance { second_copies: false, ..ALLOWANCE });
+        let mut used = Vec::new();
+        for unit in 0..30 {
+            story.arrive(unit, RETRIABLE, UNHINTED);
+            let executor = story.sent_to();
+            used.push(executor);
+            story.pass(waited);
+            story.start_of(unit, 0, executor);
+            story.end(unit, 0, executor, Ending::Fulfilled);
+        }
+        used.sort_unstable();
+        used.dedup();
+        assert_eq!(used.len() > 3, passed_over, "{used:?} where {waited} ms were waited");
+    }
+}
+
 #[test]
 fn a_new_executor_is_known_by_its_kind_at_once() {
     // Failure: until the next look at the cut-offs all new ones passed for one slow slot, too little for a unit.
