--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -1002,7 +1002,10 @@
     fn beat(&mut self, now: Moment) {
         const RECUT_EVERY: Span = Span::millis(5000); // design page
         self.host.wake(BEAT_EVERY, BEAT);
-        if now.since(self.recut) >= RECUT_EVERY {
+        // While one is cold a node that knows few sizes learns paces, slots and the mean at each beat. Guards
+        // against nodes restarted together that leave cold executors idle, as they take a unit for too much.
+        let learns = |e: &Executor| self.sample.len() < FEWEST && e.cold_budget(&self.cold, now).is_some();
+        if now.since(self.recut) >= RECUT_EVERY || self.ready().any(learns) {
             self.recut = now;
             self.recompute_cut_offs();
             self.form_lanes(now);
--- a/crates/dispatch/tests/stories.rs
+++ b/crates/dispatch/tests/stories.rs
@@ -427,6 +427,25 @@
     }
 }
 
+#[test]
+fn a_node_that_has_just_started_learns_within_a_beat_what_a_cold_executor_can_take() {
+    // Failure: most nodes were restarted in a release, and for 5 s none of them sent anything to what was cold.
+    let mut story = Story::fleet(1, 4).remove(0);
+    for unit in 0..4 {
+        story.arrive(unit, BINDING, 1000);
+        let executor = story.sent_to();
+        story.start_of(unit, 0, executor);
+        story.pass(60);
+        story.end(unit, 0, executor, Ending::Fulfilled);
+    }
+    story.node.listed(story.now, false, &[Listing { started: Some(story.now), ..listing(4, "cold") }]);
+    story.pass(10);
+    story.node.rang(story.now, 0);
+    story.heard();
+    story.arrive(10, BINDING, 1000);
+    assert_eq!(story.sent_to(), 4);
+}
+
 #[test]
 fn executors_at_which_own_work_waited_long_are_passed_over() {
     // Failure: a node kept to the few executors that it uses, where its work queued, while others stood idle.
