--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -741,10 +741,11 @@
         let weight = |load: f64| if load < 1.0 { (1.0 - load).max(FLOOR) } else { FLOOR / load };
         let loads: Vec<f64> = able.iter().filter_map(|c| c.load.map(weight)).collect();
         let mean = if loads.is_empty() { 1.0 } else { loads.iter().sum::<f64>() / loads.len() as f64 };
-        // What is idle counts by the learnt pace. Where all are heard of the own zone has no other
-        // preference: crossing costs, and a zone must not be left to itself.
+        // Utilisation is a share: what is idle counts by listed size and learnt pace. Where all are heard of
+        // the own zone has no other preference: crossing costs, and a zone must not be left to itself.
         const NEARER: f64 = 3.0;
-        let strength = |e: &Executor| e.pace * if known && e.zone == self.zone { NEARER } else { 1.0 };
+        let strength =
+            |e: &Executor| e.pace * e.weight * if known && e.zone == self.zone { NEARER } else { 1.0 };
         let weight = |c: &Candidate| c.load.map_or(mean, weight) * strength(&self.executors[c.at]);
         let chosen = able.choose_weighted(&mut self.chance, weight).ok()?;
         // With no room anywhere it waits where it goes: the least wait of all would promise too much.
--- a/crates/dispatch/tests/stories.rs
+++ b/crates/dispatch/tests/stories.rs
@@ -112,6 +112,23 @@
     assert!((0.75..0.85).contains(&share), "weights 0.2 and 0.8, yet the idle one got {share}");
 }
 
+#[test]
+fn the_same_idle_share_is_worth_more_at_a_larger_executor() {
+    // Failure: nodes that see little, or have just started, know no pace and gave small and large ones the same.
+    let mut story = Story::fleet(1, 0).remove(0);
+    let large = Listing { weight: 4.0, ..listing(1, "large") };
+    story.node.listed(story.now, true, &[listing(0, "small"), large]);
+    let mut sent = [0; 2];
+    for unit in 0..2000 {
+        story.arrive(unit, BINDING, UNHINTED);
+        let executor = story.sent_to();
+        sent[executor] += 1;
+        story.end(unit, 0, executor, Ending::Fulfilled);
+    }
+    let share = sent[1] as f64 / 2000.0;
+    assert!((0.75..0.85).contains(&share), "sizes 1 and 4, yet the large one got {share}");
+}
+
 #[test]
 fn what_an_executor_can_make_nothing_of_is_forfeited_and_speaks_not_against_it() {
     // Failure: one bad client's units went to three executors each, and all of them were set aside.
