--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -744,8 +744,8 @@
         // Utilisation is a share: what is idle counts by listed size and learnt pace. Where all are heard of
         // the own zone has no other preference: crossing costs, and a zone must not be left to itself.
         const NEARER: f64 = 3.0;
-        let strength =
-            |e: &Executor| e.pace * e.weight * if known && e.zone == self.zone { NEARER } else { 1.0 };
+        let near = |e: &Executor| if known && e.zone == self.zone { NEARER } else { 1.0 };
+        let strength = |e: &Executor| e.pace * e.weight * near(e);
         let weight = |c: &Candidate| c.load.map_or(mean, weight) * strength(&self.executors[c.at]);
         let chosen = able.choose_weighted(&mut self.chance, weight).ok()?;
         // With no room anywhere it waits where it goes: the least wait of all would promise too much.
@@ -799,8 +799,7 @@
         const PROBE_EVERY: Span = Span::millis(3000);
         let Some(work) = self.work.get_mut(&unit) else { return };
         let e = &mut self.executors[executor.0];
-        work.held = false;
-        self.out += 1;
+        (work.held, self.out) = (false, self.out + 1);
         let sent = Allocation { executor, sent: now, open: true, may_have_run: true, recalled: false };
         work.allocations.push(sent);
         let (size, slots) = (work.size, work.slots);
