--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -569,7 +569,7 @@
         // Paces and weights are above nothing, where their bits are in the order of their values.
         let strength = |e: &Executor| (e.pace.to_bits(), e.weight.to_bits(), e.hash);
         self.roster.sort_by_cached_key(|&i| strength(&self.executors[i]));
-        let first = (self.roster.len() * 3).div_ceil(4).min(self.roster.len().max(2) - 1); // two are two
+        let first = (self.roster.len() * 3).div_ceil(4).min(self.roster.len().max(2) - 1); // never all
         for (rank, &i) in self.roster.iter().enumerate() {
             self.executors[i].lane = usize::from(rank >= first);
         }
