--- a/crates/dispatch/tests/fake/mod.rs
+++ b/crates/dispatch/tests/fake/mod.rs
@@ -159,6 +159,23 @@
         self.said.0.borrow_mut().clear();
     }
 
+    /// One that has just started joins the list.
+    pub fn list_cold(&mut self, index: usize) {
+        let cold = Listing { started: Some(self.now), ..listing(index, "cold") };
+        self.node.listed(self.now, false, &[cold]);
+    }
+
+    /// So many units of one size run one after the other, for so many milliseconds each.
+    pub fn run_units(&mut self, units: u64, size_ms: u64, run_ms: u64) {
+        for unit in 0..units {
+            self.arrive(unit, BINDING, size_ms);
+            let executor = self.sent_to();
+            self.start_of(unit, 0, executor);
+            self.pass(run_ms);
+            self.end(unit, 0, executor, Ending::Fulfilled);
+        }
+    }
+
     pub fn of(executors: usize) -> Story {
         Story::with(executors, ALLOWANCE)
     }
--- a/crates/dispatch/tests/stories.rs
+++ b/crates/dispatch/tests/stories.rs
@@ -348,9 +348,7 @@
     let started = stories[0].now;
     let mut sent: Vec<Moment> = Vec::new();
     let mut early = [false; 2];
-    for story in &mut stories {
-        story.node.listed(started, false, &[Listing { started: Some(started), ..listing(0, "cold") }]);
-    }
+    stories.iter_mut().for_each(|story| story.list_cold(0));
     for step in 0..1500 {
         for (node, story) in stories.iter_mut().enumerate() {
             story.arrive(step, BINDING, UNHINTED);
@@ -381,8 +379,7 @@
     fleet.iter_mut().for_each(know_sizes);
     let started = fleet[0].now;
     let (mut sent, mut nodes) = (Vec::new(), [false; 20]);
-    let cold = Listing { started: Some(started), ..listing(4, "cold") };
-    fleet.iter_mut().for_each(|story| story.node.listed(started, false, &[cold]));
+    fleet.iter_mut().for_each(|story| story.list_cold(4));
     for step in 0..200 {
         // Each node sees a unit in two seconds, the fleet ten a second.
         let now = started + Span::millis(step * 100);
@@ -409,13 +406,7 @@
 
 /// A node learns that work units take a quarter of a second on executors of one slot.
 fn know_sizes(story: &mut Story) {
-    for unit in 0..8 {
-        story.arrive(unit, BINDING, 250);
-        let executor = story.sent_to();
-        story.start_of(unit, 0, executor);
-        story.pass(250);
-        story.end(unit, 0, executor, Ending::Fulfilled);
-    }
+    story.run_units(8, 250, 250);
     story.pass(3500);
     story.node.rang(story.now, 0);
     story.heard();
@@ -434,8 +425,7 @@
                 story.sent_to();
             }
             story.pass(3000); // all three wait
-            let cold = Listing { started: Some(story.now), ..listing(3, "cold") };
-            story.node.listed(story.now, false, &[cold]);
+            story.list_cold(3);
             story.arrive(30, RETRIABLE, 250);
             used += usize::from(story.heard().iter().any(|s| matches!(s, Said::Allocate(30, 3, _))));
         }
@@ -448,14 +438,8 @@
 fn a_node_that_has_just_started_learns_within_a_beat_what_a_cold_executor_can_take() {
     // Failure: most nodes were restarted in a release, and for 5 s none of them sent anything to what was cold.
     let mut story = Story::fleet(1, 4).remove(0);
-    for unit in 0..4 {
-        story.arrive(unit, BINDING, 1000);
-        let executor = story.sent_to();
-        story.start_of(unit, 0, executor);
-        story.pass(60);
-        story.end(unit, 0, executor, Ending::Fulfilled);
-    }
-    story.node.listed(story.now, false, &[Listing { started: Some(story.now), ..listing(4, "cold") }]);
+    story.run_units(4, 1000, 60);
+    story.list_cold(4);
     story.pass(10);
     story.node.rang(story.now, 0);
     story.heard();
@@ -487,17 +471,10 @@
 fn a_new_executor_is_known_by_its_kind_at_once() {
     // Failure: until the next look at the cut-offs all new ones passed for one slow slot, too little for a unit.
     let mut story = Story::fleet(1, 4).remove(0);
-    for unit in 0..40 {
-        story.arrive(unit, BINDING, 1000);
-        let executor = story.sent_to();
-        story.start_of(unit, 0, executor);
-        story.pass(250); // four times as fast as a standard core
-        story.end(unit, 0, executor, Ending::Fulfilled);
-    }
+    story.run_units(40, 1000, 250); // four times as fast as a standard core
     story.node.rang(story.now, 0);
     story.heard();
-    let cold = Listing { started: Some(story.now), ..listing(4, "cold") };
-    story.node.listed(story.now, false, &[cold]);
+    story.list_cold(4);
     story.arrive(100, BINDING, 1000);
     assert_eq!(story.sent_to(), 4);
 }
@@ -847,7 +824,7 @@
     let mut sent = 0;
     for node in 0..2 {
         let mut story = Story::at(node, 0, ALLOWANCE, false);
-        story.node.listed(story.now, false, &[Listing { started: Some(story.now), ..listing(0, "cold") }]);
+        story.list_cold(0);
         story.pass(15_000);
         for unit in 0..4 {
             story.arrive(unit, BINDING, 2000);
