A console answers how the node is, and a drain sends its clients away

Need: no second address, and no drain: 4 s after the call the node still said yes and held connections. Seen and ruled out: the log of drain+scrape shows no call at all arriving at the node, so it was not a late answer; the front's asks were answered 200 throughout. Change: wire/console.rs, a listener of its own in the loop with descriptors set aside (limits) and its turn before all else; Drained, a phase that Serving comes back to; drain and stop wind connections down by one piece of code (Node::wind_down).

--- a/crates/charter/src/posting.rs
+++ b/crates/charter/src/posting.rs
@@ -10,6 +10,8 @@
 pub struct Posting {
     pub name: String,
     pub listen: SocketAddr,
+    /// Where the staff call, if the node has such an address.
+    pub console: Option<SocketAddr>,
     pub discovery: SocketAddr,
     /// New with each start.
     pub seed: u64,
@@ -32,10 +34,12 @@
     pub fn read(posting: &Value) -> Result<Posting, String> {
         let whole = Section::whole(posting)?;
         let limits = whole.part("limits")?;
-        let address = |key: &str| {
-            let address = whole.text(key)?.and_then(|text| text.parse().ok());
-            address.ok_or_else(|| whole.wrong(key, "an address and a port"))
+        let wrong_address = |key: &str| whole.wrong(key, "an address and a port");
+        let listed = |key: &str| {
+            let parsed = whole.text(key)?.map(|text| text.parse().map_err(|_| wrong_address(key)));
+            parsed.transpose()
         };
+        let address = |key: &str| listed(key)?.ok_or_else(|| wrong_address(key));
         let digits = whole.text("seed")?.unwrap_or("0");
         let seed = u64::from_str_radix(digits, 16).map_err(|_| whole.wrong("seed", "up to 16 hex digits"))?;
         let known = whole.part("known")?;
@@ -51,6 +55,7 @@
         Ok(Posting {
             name: whole.text("name")?.unwrap_or_default().to_owned(),
             listen: address("listen")?,
+            console: listed("console")?,
             discovery: address("discovery")?,
             seed,
             sockets: limits.count("sockets", 32..=u64::MAX)?.map(|sockets| sockets as usize),
--- a/crates/charter/tests/stories.rs
+++ b/crates/charter/tests/stories.rs
@@ -117,6 +117,8 @@
     assert_eq!(posting("seed", json!("8c1f30d27a5be964")).expect("it is whole").seed, 0x8c1f_30d2_7a5b_e964);
     for (key, value, expected) in [
         ("listen", json!("here"), "listen: expected an address and a port, found \"here\""),
+        ("console", json!(8100), "console: expected a text, found 8100"),
+        ("console", json!("8100"), "console: expected an address and a port, found \"8100\""),
         ("seed", json!("today"), "seed: expected up to 16 hex digits, found \"today\""),
         ("limits", json!({"sockets": -1}), "limits.sockets: expected a whole number from 32 on, found -1"),
         ("limits", json!({"memory_mb": "2G"}), "limits.memory_mb: expected a number from 1"),
--- a/crates/node/src/life/node.rs
+++ b/crates/node/src/life/node.rs
@@ -6,6 +6,7 @@
 use crate::memory::clock::Clock;
 use crate::memory::counters::Counters;
 use crate::wire::clients::Clients;
+use crate::wire::console::{self, Console, Office};
 use crate::wire::discovery::{Discovery, Version};
 use crate::wire::executors::Executors;
 use grebeusher_charter::posting::Posting;
@@ -19,24 +20,37 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// Keys of the poller. Connections from outside have the even ones from `FIRST` on, those to executors the
-/// odd ones.
+/// Keys of the poller. From `FIRST` on connections of three kinds take turns.
 const LISTENER: usize = 0;
 const SIGNALS: usize = 1;
 const DISCOVERY: usize = 2;
+const CONSOLE: usize = 3;
 const FIRST: usize = 4;
+const KINDS: usize = 3;
+const OUTSIDE: usize = 0;
+const EXECUTOR: usize = 1;
+const STAFF: usize = 2;
 
 fn outside_key(place: usize) -> usize {
-    FIRST + 2 * place
+    FIRST + KINDS * place + OUTSIDE
 }
 
 fn executor_key(place: usize) -> usize {
-    FIRST + 1 + 2 * place
+    FIRST + KINDS * place + EXECUTOR
 }
 
-/// After word to stop, connections go on coming until the fronts have noticed, and clients go on using those that
-/// they have for a little longer: this long all are served as before, as other nodes may be away too. Then idle
-/// ones are closed.
+fn staff_key(place: usize) -> usize {
+    FIRST + KINDS * place + STAFF
+}
+
+/// The kind and the place of a connection's key; `None` for one of the others.
+fn connection(key: usize) -> Option<(usize, usize)> {
+    key.checked_sub(FIRST).map(|key| (key % KINDS, key / KINDS))
+}
+
+/// After word to stop or to drain, connections go on coming until the fronts have noticed, and clients go on using
+/// those that they have for a little longer: this long all are served as before, as other nodes may be away too.
+/// Then idle ones are closed.
 const NOTICED_WITHIN: Span = Span::millis(750);
 /// What comes later than this after word to stop must have its answer before the end: the rules excuse what came
 /// before, with some time to spare.
@@ -47,7 +61,7 @@
 const STOP_MARGIN: Span = Span::millis(200);
 /// A connection that came late may still bring its request: idle ones are given this long.
 const IDLE_FOR: Span = Span::millis(200);
-/// How often the last connections are looked at while the node closes.
+/// How often the connections are looked at that are wound down.
 const LOOK_EVERY: Span = Span::millis(50);
 
 /// The phases of a node's life.
@@ -56,6 +70,10 @@
     /// No executor is known: not ready.
     Starting,
     Serving,
+    /// Its clients are sent away until further word: not ready, and what still comes is served.
+    Drained {
+        since: Moment,
+    },
     /// Told to stop: not ready, and all is served that still comes.
     Leaving {
         since: Moment,
@@ -74,6 +92,7 @@
     /// The file that the posting was read from.
     posted: PathBuf,
     clients: Rc<Clients>,
+    console: Option<Rc<Console>>,
     executors: Rc<Executors>,
     discovery: Rc<Discovery>,
     exchange: Exchange,
@@ -92,10 +111,16 @@
         let common = (&poller, clock, &counters);
         signals.watched(&poller, SIGNALS).map_err(|e| format!("no signals: {e}"))?;
         let (charter, room) = (&posting.charter, limits::room(posting.memory_mb));
-        let (from_outside, to_executors) = limits::connections(posting.sockets);
+        let staff = posting.console.map_or(0, |_| console::DESCRIPTORS);
+        let (from_outside, to_executors) = limits::connections(posting.sockets, staff);
         let clients =
             Clients::listen(posting.listen, charter, (from_outside, room), (LISTENER, outside_key), common);
         let clients = Rc::new(clients.map_err(|e| format!("{}: {e}", posting.listen))?);
+        let console = posting.console.map(|at| {
+            let console = Console::listen(at, (CONSOLE, staff_key), (&poller, clock));
+            console.map(Rc::new).map_err(|e| format!("console: {at}: {e}"))
+        });
+        let console = console.transpose()?;
         let retire_after = retire_after(charter.idle);
         let executors = Executors::new(to_executors, charter.dial_within, retire_after, executor_key, common);
         let executors = Rc::new(executors);
@@ -105,6 +130,9 @@
         exchange.start();
         exchange.listed(&known);
         say_what_sockets_lack(charter);
+        if let Some(console) = &console {
+            info!("console at {}", console.address().map_err(|e| e.to_string())?);
+        }
         let listens = clients.address().map_err(|e| e.to_string())?;
         info!("{} listens at {listens}; {from_outside} + {to_executors} connections at most", posting.name);
         let phase = Phase::Starting;
@@ -117,6 +145,7 @@
             signals,
             posted,
             clients,
+            console,
             executors,
             discovery,
             exchange,
@@ -134,8 +163,11 @@
                 Err(e) if e.kind() != io::ErrorKind::Interrupted => return Err(e),
                 _ => {}
             }
-            for event in &events {
-                self.stirred(event.key)?;
+            // The staff first. Guards against calls that wait until a crowd of clients has had its turn.
+            let (staff, others): (Vec<usize>, Vec<usize>) =
+                events.iter().map(|event| event.key).partition(|&key| is_staff(key));
+            for key in staff.into_iter().chain(others) {
+                self.stirred(key)?;
             }
             self.exchange.due();
             self.executors.due(&mut self.exchange);
@@ -150,9 +182,11 @@
     }
 
     fn next_due(&self) -> Option<Moment> {
+        let look = self.clock.now() + LOOK_EVERY;
         let leaving = match self.phase {
             Phase::Leaving { since } => Some(since + NOTICED_WITHIN),
-            Phase::Closing => Some(self.clock.now() + LOOK_EVERY),
+            Phase::Drained { since } => Some(look.max(since + NOTICED_WITHIN)),
+            Phase::Closing => Some(look),
             _ => None,
         };
         let dues = [
@@ -166,15 +200,17 @@
     }
 
     fn stirred(&mut self, key: usize) -> io::Result<()> {
-        match key {
-            LISTENER => self.clients.accept(),
-            SIGNALS => self.told()?,
-            DISCOVERY => self.discovery.stirred(&mut self.exchange),
-            FIRST.. if (key - FIRST).is_multiple_of(2) => {
-                self.clients.stirred((key - FIRST) / 2, &mut self.exchange);
+        match (key, connection(key)) {
+            (LISTENER, _) => self.clients.accept(),
+            (SIGNALS, _) => self.told()?,
+            (DISCOVERY, _) => self.discovery.stirred(&mut self.exchange),
+            (_, Some((OUTSIDE, place))) => self.clients.stirred(place, &mut self.exchange),
+            (_, Some((EXECUTOR, place))) => self.executors.stirred(place, &mut self.exchange),
+            (_, kind) => {
+                if let Some(console) = self.console.clone() {
+                    kind.map_or_else(|| console.accept(), |(_, place)| console.stirred(place, self));
+                }
             }
-            FIRST.. => self.executors.stirred((key - FIRST) / 2, &mut self.exchange),
-            _ => {}
         }
         Ok(())
     }
@@ -184,9 +220,15 @@
         if self.signals.told_to_reload() {
             self.reload();
         }
-        if self.signals.told_to_stop() && matches!(self.phase, Phase::Starting | Phase::Serving) {
-            let since = self.clock.now();
-            self.clients.end_by(since + EXCUSED_FOR, since + self.answers_within);
+        if self.signals.told_to_stop() {
+            let now = self.clock.now();
+            // The fronts have noticed a drain, or are about to: it needs no second time.
+            let since = match self.phase {
+                Phase::Starting | Phase::Serving => now,
+                Phase::Drained { since } => since,
+                Phase::Leaving { .. } | Phase::Closing | Phase::Gone => return Ok(()),
+            };
+            self.clients.end_by(now + EXCUSED_FOR, now + self.answers_within);
             self.enter(Phase::Leaving { since });
         }
         Ok(())
@@ -214,9 +256,9 @@
             Phase::Leaving { since } if self.clock.now() >= since + NOTICED_WITHIN => {
                 self.enter(Phase::Closing)
             }
+            Phase::Drained { since } if self.clock.now() >= since + NOTICED_WITHIN => self.wind_down(),
             Phase::Closing => {
-                self.clients.accept();
-                self.clients.close_idle(IDLE_FOR);
+                self.wind_down();
                 if self.clients.owes_nothing() {
                     self.enter(Phase::Gone);
                 }
@@ -225,19 +267,53 @@
         }
     }
 
+    /// Brings clients' connections to their end: each by its answer, idle ones at once.
+    fn wind_down(&self) {
+        self.clients.wind_down(true);
+        self.clients.accept();
+        self.clients.close_idle(IDLE_FOR);
+    }
+
     fn enter(&mut self, phase: Phase) {
         info!("{phase:?} after {:?}", self.phase);
         self.clients.log_standing();
         self.phase = phase;
         match phase {
-            Phase::Serving => self.clients.say_ready(true),
-            Phase::Leaving { .. } => self.clients.say_ready(false),
-            Phase::Closing => self.clients.wind_down(),
-            Phase::Starting | Phase::Gone => {}
+            Phase::Serving => {
+                self.clients.wind_down(false);
+                self.clients.say_ready(true);
+            }
+            Phase::Drained { .. } | Phase::Leaving { .. } => self.clients.say_ready(false),
+            Phase::Starting => self.clients.wind_down(false),
+            Phase::Closing | Phase::Gone => {}
         }
     }
 }
 
+impl Office for Node {
+    fn is_ready(&self) -> bool {
+        self.phase == Phase::Serving
+    }
+
+    fn send_away(&mut self) {
+        if matches!(self.phase, Phase::Starting | Phase::Serving) {
+            self.enter(Phase::Drained { since: self.clock.now() });
+        }
+    }
+
+    fn take_back(&mut self) -> bool {
+        if let Phase::Drained { .. } = self.phase {
+            self.enter(Phase::Starting);
+            self.move_on();
+        }
+        matches!(self.phase, Phase::Starting | Phase::Serving)
+    }
+}
+
+fn is_staff(key: usize) -> bool {
+    key == CONSOLE || connection(key).is_some_and(|(kind, _)| kind == STAFF)
+}
+
 /// Tells the operator which promises of the charter have no form on sockets.
 fn say_what_sockets_lack(charter: &Charter) {
     if charter.list_comes == ListComes::Unasked {
--- a/crates/node/src/wire/clients.rs
+++ b/crates/node/src/wire/clients.rs
@@ -17,7 +17,6 @@
 use log::{debug, info, trace, warn};
 use polling::{Event, Poller};
 use slab::Slab;
-use socket2::{Domain, Protocol, Socket, Type};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::io::{self, ErrorKind};
@@ -151,7 +150,7 @@
         (listener_key, key): (usize, fn(usize) -> usize),
         (poller, clock, counters): (&Rc<Poller>, Clock, &Rc<Counters>),
     ) -> io::Result<Clients> {
-        let listener = listen(at)?;
+        let listener = super::listen(at)?;
         poller.add(&listener, Event::readable(listener_key))?;
         Ok(Clients {
             listener,
@@ -191,9 +190,9 @@
         self.ends.set(Some((from, last)));
     }
 
-    /// From now on each answer to a client asks for the end of its connection.
-    pub fn wind_down(&self) {
-        self.winding_down.set(true);
+    /// Whether from now on each answer to a client asks for the end of its connection.
+    pub fn wind_down(&self, winding_down: bool) {
+        self.winding_down.set(winding_down);
     }
 
     /// Closes connections on which nothing was in hand for a while, but for those that call-backs come on.
@@ -522,6 +521,9 @@
             // Nothing has run of this one.
             self.counters.units.up();
             self.counters.turned_back.up();
+            if let Some(caller) = self.callers.borrow_mut().kept.get_mut(place) {
+                caller.closes |= self.winding_down.get();
+            }
             return self.write(place, 503, None, b"");
         }
         let unit = UnitId(self.next_unit.get());
@@ -567,7 +569,9 @@
         let mut callers = self.callers.borrow_mut();
         let Callers { kept, slow, .. } = &mut *callers;
         let Some(caller) = kept.get_mut(place) else { return };
-        caller.connection.buffer.put(&http::answer(status, caller.closes, come_back, body));
+        let come_back = come_back.map(|wait| format!("{wait:.3}"));
+        let further = come_back.as_deref().map(|wait| ("Retry-After", wait));
+        caller.connection.buffer.put(&http::answer(status, caller.closes, further, body));
         if !caller.carry_on() {
             kept.remove(place);
         } else if caller.connection.buffer.waits_to_write() {
@@ -584,15 +588,3 @@
         );
     }
 }
-
-fn listen(at: SocketAddr) -> io::Result<TcpListener> {
-    // Hundreds may connect in one moment. Beyond the usual 128 the system drops them, and they try again a second
-    // later: guards against call-backs and usual clients that wait for that.
-    const QUEUE: i32 = 1024;
-    let socket = Socket::new(Domain::for_address(at), Type::STREAM, Some(Protocol::TCP))?;
-    socket.set_reuse_address(true)?;
-    socket.bind(&at.into())?;
-    socket.listen(QUEUE)?;
-    socket.set_nonblocking(true)?;
-    Ok(socket.into())
-}
--- a/crates/node/src/wire/http.rs
+++ b/crates/node/src/wire/http.rs
@@ -191,12 +191,13 @@
     }
 }
 
-/// Writes an answer to a client, or to an executor's call-back.
-pub fn answer(status: u16, closes: bool, come_back: Option<f64>, body: &[u8]) -> Vec<u8> {
+/// Writes an answer, with a further header if there is one: to a client, to an executor's call-back, to the staff.
+pub fn answer(status: u16, closes: bool, further: Option<(&str, &str)>, body: &[u8]) -> Vec<u8> {
     let reason = match status {
         200 => "OK",
         204 => "No Content",
         404 => "Not Found",
+        405 => "Method Not Allowed",
         408 => "Request Timeout",
         409 => "Conflict",
         413 => "Content Too Large",
@@ -210,8 +211,8 @@
     if status != 204 {
         text += &format!("Content-Length: {}\r\n", body.len());
     }
-    if let Some(wait) = come_back {
-        text += &format!("Retry-After: {wait:.3}\r\n");
+    if let Some((name, value)) = further {
+        text += &format!("{name}: {value}\r\n");
     }
     if closes {
         text += "Connection: close\r\n";
--- a/crates/node/src/wire/mod.rs
+++ b/crates/node/src/wire/mod.rs
@@ -2,7 +2,25 @@
 
 pub mod call_backs;
 pub mod clients;
+pub mod console;
 pub mod discovery;
 pub mod executors;
 pub mod http;
 pub mod load;
+
+use socket2::{Domain, Protocol, Socket, Type};
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+
+/// Listens at an address, without waiting for those who come.
+fn listen(at: SocketAddr) -> io::Result<TcpListener> {
+    // Hundreds may connect in one moment. Beyond the usual 128 the system drops them, and they try again a second
+    // later: guards against call-backs and usual clients that wait for that.
+    const QUEUE: i32 = 1024;
+    let socket = Socket::new(Domain::for_address(at), Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_reuse_address(true)?;
+    socket.bind(&at.into())?;
+    socket.listen(QUEUE)?;
+    socket.set_nonblocking(true)?;
+    Ok(socket.into())
+}
--- a/crates/node/tests/fake/mod.rs
+++ b/crates/node/tests/fake/mod.rs
@@ -30,6 +30,8 @@
 
 pub struct World {
     pub node: SocketAddr,
+    /// Where its staff call, if the posting names a console.
+    pub console: Option<SocketAddr>,
     pub discovery: TcpListener,
     posting: Value,
     child: Child,
@@ -79,23 +81,52 @@
             .expect("the node starts");
         let mut log = BufReader::new(child.stderr.take().expect("its log is a pipe"));
         let mut line = String::new();
+        let mut console = None;
         let node = loop {
             line.clear();
             assert_ne!(log.read_line(&mut line).expect("the log is text"), 0, "the node ended at once");
-            if let Some((_, rest)) = line.split_once("listens at 127.0.0.1:") {
-                let port: String = rest.chars().take_while(char::is_ascii_digit).collect();
-                break SocketAddr::from(([127, 0, 0, 1], port.parse().expect("a port")));
+            console = console.or_else(|| said_address(&line, "console at "));
+            if let Some(node) = said_address(&line, "listens at ") {
+                break node;
             }
         };
         // What it says later is read and dropped, or it would wait for a reader.
         std::thread::spawn(move || std::io::copy(&mut log, &mut std::io::sink()));
-        World { node, discovery, posting, child, folder }
+        World { node, console, discovery, posting, child, folder }
+    }
+
+    /// With a console.
+    pub fn staffed(executors: &[&TcpListener]) -> World {
+        World::posted(executors, charter(), json!({"sockets": 1024}), 1024, |mut posting| {
+            posting["console"] = json!("127.0.0.1:0");
+            posting
+        })
     }
 
     pub fn call(&self) -> Talk {
         Talk::over(TcpStream::connect(self.node).expect("the node listens"))
     }
 
+    pub fn call_console(&self) -> Talk {
+        Talk::over(TcpStream::connect(self.console.expect("it has a console")).expect("it listens"))
+    }
+
+    /// The answer to one call of the staff, after which the connection is closed.
+    pub fn ask(&self, call: &str) -> Message {
+        let mut staff = self.call_console();
+        staff.say(&format!("{call} HTTP/1.1\r\n\r\n"));
+        let answer = staff.hear();
+        assert!(staff.is_closed());
+        answer
+    }
+
+    /// What `GET /ready` says to the front.
+    pub fn is_ready(&self) -> bool {
+        let mut front = self.call();
+        front.say("GET /ready HTTP/1.1\r\n\r\n");
+        front.hear().status() == 200
+    }
+
     /// A client hands in one unit and waits.
     pub fn bring(&self, id: &str, tariff: &str, patience_ms: u64) -> Talk {
         let mut client = self.call();
@@ -177,6 +208,11 @@
     }
 }
 
+fn said_address(line: &str, before: &str) -> Option<SocketAddr> {
+    let (_, rest) = line.split_once(before)?;
+    rest.split([' ', ';', '\n']).next()?.parse().ok()
+}
+
 pub fn listener() -> TcpListener {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
     // Guards against a story that waits for ever for a node that has ended.
--- a/crates/node/tests/stories.rs
+++ b/crates/node/tests/stories.rs
@@ -644,3 +644,87 @@
     world.counts("ended_recalled", 1);
     assert_eq!(world.counter("allocations"), 2);
 }
+
+#[test]
+fn the_staff_ask_at_the_console_while_silent_callers_hold_all_its_places() {
+    let listens = listener();
+    let world = World::staffed(&[&listens]);
+    let silent: Vec<Talk> = (0..40).map(|_| world.call_console()).collect();
+    let half: Vec<Talk> = (0..40)
+        .map(|_| {
+            let mut half = world.call_console();
+            half.say("GET /healthch");
+            half
+        })
+        .collect();
+    assert_eq!(world.ask("GET /healthcheck").status(), 200);
+    assert_eq!(world.ask("GET /healthcheck?from=us").status(), 200);
+    let wrong = world.ask("POST /healthcheck");
+    assert_eq!((wrong.status(), wrong.header("Allow")), (405, Some("GET")));
+    let wrong = world.ask("GET /healthcheck/fail");
+    assert_eq!((wrong.status(), wrong.header("Allow")), (405, Some("POST")));
+    assert_eq!(world.ask("GET /elsewhere").status(), 404);
+    assert_eq!(world.ask("POST /healthcheck/ok").status(), 200, "as it was");
+    for (call, status) in [("no call at all\r\n\r\n", 400), (&"x".repeat(9000), 413)] {
+        let mut staff = world.call_console();
+        staff.say(call);
+        assert_eq!(staff.hear().status(), status);
+    }
+    assert!(world.is_ready(), "none of it has changed anything");
+    drop((silent, half));
+}
+
+#[test]
+fn a_drained_node_sends_its_clients_away_and_comes_back() {
+    let listens = listener();
+    let world = World::staffed(&[&listens]);
+    let mut at_work = world.bring("u1", "search", 9000);
+    let mut executor = accept(&listens);
+    executor.hear();
+    executor.answer(202, "");
+    let mut front = world.call();
+    front.say("GET /ready HTTP/1.1\r\n\r\n");
+    assert_eq!(front.hear().status(), 200);
+    for _ in 0..2 {
+        assert_eq!(world.ask("POST /healthcheck/fail").status(), 200);
+        assert!(!world.is_ready());
+        assert_eq!(world.ask("GET /healthcheck").status(), 503);
+    }
+    let mut late = world.bring("u2", "search", 9000);
+    executor.hear();
+    executor.answer(202, "");
+    assert!(front.is_closed(), "idle connections are closed once all have noticed");
+    world.tell("HUP");
+    world.counts("postings_read", 1);
+    for (id, client) in [("u1", &mut at_work), ("u2", &mut late)] {
+        assert_eq!(world.call_back(id, json!({"state": "done", "result": id})), 204);
+        let answer = client.hear();
+        assert_eq!((answer.status(), answer.header("Connection")), (200, Some("close")));
+    }
+    assert!(!world.is_ready(), "a posting read anew ends no drain");
+    assert_eq!(world.ask("POST /healthcheck/ok").status(), 200);
+    assert!(world.is_ready());
+    let mut back = world.bring("u3", "search", 9000);
+    executor.hear();
+    executor.answer(202, "");
+    assert_eq!(world.call_back("u3", json!({"state": "done", "result": "u3"})), 204);
+    assert_eq!(back.hear().header("Connection"), None, "it is kept");
+}
+
+#[test]
+fn a_drain_before_any_executor_is_known_lasts_and_a_stop_ends_it() {
+    let world = World::staffed(&[]);
+    assert_eq!(world.ask("POST /healthcheck/fail").status(), 200);
+    assert_eq!(world.ask("POST /healthcheck/ok").status(), 200);
+    assert_eq!(world.ask("GET /healthcheck").status(), 503, "nothing is known yet");
+    assert_eq!(world.ask("POST /healthcheck/fail").status(), 200);
+    let listens = listener();
+    let (mut discovery, _) = watched(&world);
+    discovery.say(&chunk(
+        &(json!({"generation": 42, "instances": [entry(0, &listens, "active")]}).to_string() + "\n"),
+    ));
+    world.counts("list_lines", 1);
+    assert_eq!(world.ask("GET /healthcheck").status(), 503, "drained it stays");
+    world.tell("TERM");
+    assert!(world.end().success());
+}
