A new version takes the inherited socket and is one node with the old one beside it

Cause: the second process ended at its start, 'Address already in use' (untouched program); that the list or the config was at fault is ruled out by the log, whose last line before the exit is the bind's. Change: life/upgrade.rs takes the listening socket that GW_INHERITED_FD names, the one unsafe block; wire/sibling.rs links the processes of a node by socket files in TMPDIR, passes call-backs to the owner of their unit; the younger one is ready once discovery has spoken and takes in nobody before; the older one, told to stop, takes in nobody more. Each goes by half the limits meanwhile, and cold executors have one sender (Dispatcher::cold_elsewhere). In the module 'streaming' and 'withdrawn' made room.

--- a/crates/benchlink/src/main.rs
+++ b/crates/benchlink/src/main.rs
@@ -189,7 +189,7 @@
             }
             "withdrawn" => self.call_known(line, |node, _, id| {
                 node.door.borrow_mut().finished(id.unit);
-                node.dispatcher.withdrawn(id.unit);
+                node.dispatcher.finish(id.unit);
             }),
             "bell" => self.call(line, |node, now| node.dispatcher.rang(now, line.name)),
             "pong" => {
--- a/crates/charter/src/lib.rs
+++ b/crates/charter/src/lib.rs
@@ -7,7 +7,7 @@
 use grebeusher_dispatch::decide::Dispatcher;
 use grebeusher_dispatch::host::Host;
 use grebeusher_dispatch::tariffs::{Allowance, ColdStart, Effect, Group, Report, Tariff};
-use grebeusher_dispatch::time::Span;
+use grebeusher_dispatch::time::{Moment, Span};
 use section::Section;
 use serde_json::Value;
 
@@ -208,6 +208,7 @@
         warm_within: Span(contract.due_number("warm_within_ns", 0.0..=1e18)? as u64),
         fall_factor: contract.due_number("overload_factor", 0.0..=1e6)?,
         fall_window: contract.due_span("fall_ns")?,
+        from: Moment(0),
     })
 }
 
--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -169,7 +169,8 @@
         let Some(units) = self.cold_budget(cold, now).map(|budget| budget * USED / mean) else { return true };
         let owners = (units as u64).clamp(1, nodes);
         let sent = self.cold_sent.iter().filter(|&&at| now.since(at) <= cold.fall_window).count();
-        self.distance < owners
+        now >= cold.from
+            && self.distance < owners
             && self.flights.len() < FIRST + self.answers
             && (sent + 1) as f64 <= units / owners as f64
     }
@@ -457,9 +458,7 @@
 
     /// An answer began to stream: it belongs to the client now, and patience no longer ends.
     pub fn streaming(&mut self, unit: UnitId) {
-        if let Some(work) = self.work.get_mut(&unit) {
-            work.streaming = true;
-        }
+        self.work.entry(unit).and_modify(|work| work.streaming = true);
     }
 
     /// An executor told that an allocation started, or how far it is.
@@ -486,6 +485,11 @@
         }
     }
 
+    /// Whether another process of this node has the cold executors: both together have one budget.
+    pub fn cold_elsewhere(&mut self, now: Moment, elsewhere: bool) {
+        self.cold.from = if elsewhere { Moment(u64::MAX) } else { now + self.cold.fall_window };
+    }
+
     /// An allocation ended. `finished`: its work unit has had its final answer.
     pub fn ended(
         &mut self,
@@ -509,11 +513,6 @@
         self.serve_held(now);
     }
 
-    /// The client left, or the work unit ended elsewhere: no answer is owed.
-    pub fn withdrawn(&mut self, unit: UnitId) {
-        self.finish(unit);
-    }
-
     /// A probe ended, or something else that may bring a report. A probe without an answer may mean a full
     /// waiting room or a loss on the way: that says too little to act on.
     pub fn probed(&mut self, now: Moment, executor: ExecutorId, report: Option<Report>) {
@@ -937,8 +936,9 @@
         if harmless { self.host.turn_back(unit, come_back) } else { self.host.forfeit(unit) }
     }
 
-    /// Forgets a work unit and recalls what is still out for it, so that nobody works for nothing.
-    fn finish(&mut self, unit: UnitId) {
+    /// No answer is owed any more, as one was given, or the client left: what is still out for the work unit is
+    /// recalled, so that nobody works for nothing.
+    pub fn finish(&mut self, unit: UnitId) {
         let Some(work) = self.work.remove(&unit) else { return };
         for (number, allocation) in work.allocations.iter().enumerate() {
             if allocation.is_out() && self.allowance.recalls {
--- a/crates/dispatch/src/tariffs.rs
+++ b/crates/dispatch/src/tariffs.rs
@@ -138,6 +138,8 @@
     pub warm_within: Span,
     pub fall_factor: f64,
     pub fall_window: Span,
+    /// Cold executors get nothing before this.
+    pub from: Moment,
 }
 
 impl ColdStart {
--- a/crates/dispatch/tests/fake/mod.rs
+++ b/crates/dispatch/tests/fake/mod.rs
@@ -92,6 +92,7 @@
         warm_within: Span::millis(20_000),
         fall_factor: 4.0,
         fall_window: Span::millis(1000),
+        from: Moment(0),
     };
     Dispatcher::new(host, 7, node, nodes, tariffs()).allowing(allowance).cold_starts(cold).noticing(
         true,
--- a/crates/dispatch/tests/stories.rs
+++ b/crates/dispatch/tests/stories.rs
@@ -841,12 +841,12 @@
     let mut story = Story::of(2);
     story.arrive(1, RETRIABLE, 100);
     let executor = story.sent_to();
-    story.node.withdrawn(UnitId(1));
+    story.node.finish(UnitId(1));
     assert_eq!(story.heard(), [Said::Recall(1, 0)], "nobody works for nothing");
     story.end(1, 0, executor, Ending::Recalled);
     story.end(77, 3, 99, Ending::Error);
     story.start_of(77, 0, 99);
-    story.node.withdrawn(UnitId(77));
+    story.node.finish(UnitId(77));
     story.node.streaming(UnitId(77));
     story.node.probed(story.now, ExecutorId(99), None);
     story.node.rang(story.now, 12_345);
--- a/crates/node/src/exchange.rs
+++ b/crates/node/src/exchange.rs
@@ -8,10 +8,11 @@
 use crate::memory::executors::Executors as Directory;
 use crate::memory::units::{Errand, Units};
 use crate::wire::call_backs::{CallBack, State};
-use crate::wire::clients::Clients;
+use crate::wire::clients::{CallerId, Clients};
 use crate::wire::discovery::{Discovery, Version};
 use crate::wire::executors::Executors;
 use crate::wire::load::Reports;
+use crate::wire::sibling::Siblings;
 use grebeusher_charter::Charter;
 use grebeusher_dispatch::decide::Dispatcher;
 use grebeusher_dispatch::host::Host;
@@ -115,6 +116,8 @@
     zones: Vec<String>,
     kinds: Vec<String>,
     listed: bool,
+    /// Other processes of this node, where there may be some.
+    siblings: Option<Rc<Siblings>>,
 }
 
 impl Exchange {
@@ -122,6 +125,7 @@
         seed: u64,
         charter: &Charter,
         (clients, executors, discovery): (&Rc<Clients>, &Rc<Executors>, &Rc<Discovery>),
+        siblings: &Option<Rc<Siblings>>,
         (clock, counters): (Clock, &Rc<Counters>),
     ) -> Exchange {
         let hands = Hands {
@@ -141,6 +145,7 @@
             zones: charter.zones.clone(),
             kinds: charter.kinds.clone(),
             listed: false,
+            siblings: siblings.clone(),
         }
     }
 
@@ -194,7 +199,7 @@
     /// The client left: no answer is owed.
     pub fn withdrawn(&mut self, unit: UnitId) {
         self.hands.desk.borrow_mut().units.answered(unit);
-        self.dispatcher.withdrawn(unit);
+        self.dispatcher.finish(unit);
         self.hands.desk.borrow_mut().units.tidy(unit);
     }
 
@@ -239,6 +244,33 @@
         }
     }
 
+    /// A call-back for a unit that this process does not have goes to the others, if there are any.
+    pub fn pass_on(&self, caller: CallerId, body: &[u8]) -> bool {
+        self.siblings.as_ref().is_some_and(|siblings| siblings.pass_on(caller, body))
+    }
+
+    /// What the others made of it: it is answered as its owner answers it. If they said nothing the executor has to
+    /// come again: the unit may still be theirs.
+    pub fn passed_on(&mut self, caller: CallerId, taken: Option<bool>) {
+        match taken {
+            Some(true) => self.counters.call_backs_passed_on.up(),
+            Some(false) => self.counters.call_backs_unknown.up(),
+            None => self.counters.call_backs_put_off.up(),
+        }
+        self.hands.clients.passed_on(caller, if taken.is_some() { 204 } else { 503 });
+    }
+
+    /// A call-back that came to another process of this node; whether the unit is this one's.
+    pub fn take_passed(&mut self, body: &[u8]) -> bool {
+        let call = serde_json::from_slice::<CallBack>(body).ok().filter(|call| self.has_in_hand(&call.id));
+        call.map(|call| self.called_back(call)).is_some()
+    }
+
+    /// Whether another process of this node sends to cold executors.
+    pub fn cold_elsewhere(&mut self, elsewhere: bool) {
+        self.dispatcher.cold_elsewhere(self.hands.clock.now(), elsewhere);
+    }
+
     /// An allocation ended; what had ended before has nothing more to say.
     pub fn ended(&mut self, id: AllocationId, ending: Ending, report: Option<Report>) {
         let executor = {
--- a/crates/node/src/life/node.rs
+++ b/crates/node/src/life/node.rs
@@ -5,17 +5,21 @@
 use crate::life::signals::Signals;
 use crate::memory::clock::Clock;
 use crate::memory::counters::Counters;
+use crate::wire;
 use crate::wire::clients::Clients;
 use crate::wire::console::{self, Console, Office};
 use crate::wire::discovery::{Discovery, Version};
 use crate::wire::executors::Executors;
+use crate::wire::sibling::{self, Siblings};
 use grebeusher_charter::posting::Posting;
 use grebeusher_charter::{Charter, ListComes};
 use grebeusher_dispatch::time::{Moment, Span};
 use log::{error, info, warn};
 use polling::Poller;
 use serde::Deserialize;
+use std::env;
 use std::io;
+use std::net::TcpListener;
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
@@ -25,11 +29,13 @@
 const SIGNALS: usize = 1;
 const DISCOVERY: usize = 2;
 const CONSOLE: usize = 3;
-const FIRST: usize = 4;
-const KINDS: usize = 3;
+const SIBLINGS: usize = 4;
+const FIRST: usize = 5;
+const KINDS: usize = 4;
 const OUTSIDE: usize = 0;
 const EXECUTOR: usize = 1;
 const STAFF: usize = 2;
+const SIBLING: usize = 3;
 
 fn outside_key(place: usize) -> usize {
     FIRST + KINDS * place + OUTSIDE
@@ -43,6 +49,10 @@
     FIRST + KINDS * place + STAFF
 }
 
+fn sibling_key(place: usize) -> usize {
+    FIRST + KINDS * place + SIBLING
+}
+
 /// The kind and the place of a connection's key; `None` for one of the others.
 fn connection(key: usize) -> Option<(usize, usize)> {
     key.checked_sub(FIRST).map(|key| (key % KINDS, key / KINDS))
@@ -61,6 +71,9 @@
 const STOP_MARGIN: Span = Span::millis(200);
 /// A connection that came late may still bring its request: idle ones are given this long.
 const IDLE_FOR: Span = Span::millis(200);
+/// A node that starts beside an older process of its own is ready once discovery has said a word: what it was told to
+/// know may be old. Without any it goes by that after this long, well within the time that operators wait for a yes.
+const NEWS_WITHIN: Span = Span::millis(4000);
 /// How often the connections are looked at that are wound down.
 const LOOK_EVERY: Span = Span::millis(50);
 
@@ -86,6 +99,7 @@
 pub struct Node {
     phase: Phase,
     clock: Clock,
+    started: Moment,
     counters: Rc<Counters>,
     poller: Rc<Poller>,
     signals: Signals,
@@ -93,6 +107,13 @@
     posted: PathBuf,
     clients: Rc<Clients>,
     console: Option<Rc<Console>>,
+    siblings: Option<Rc<Siblings>>,
+    /// Connections from outside and to executors, and bytes of requests, that this process may hold.
+    limits: (usize, usize, usize),
+    /// Whether another process of this node is there, and whether it sends to cold executors.
+    shares: (bool, bool),
+    /// Whether an older one was there at the start.
+    relieves: bool,
     executors: Rc<Executors>,
     discovery: Rc<Discovery>,
     exchange: Exchange,
@@ -101,7 +122,8 @@
 }
 
 impl Node {
-    pub fn start(posted: PathBuf, signals: Signals) -> Result<Node, String> {
+    /// `inherited`: the clients' listening socket, where the platform holds it.
+    pub fn start(posted: PathBuf, signals: Signals, inherited: Option<TcpListener>) -> Result<Node, String> {
         let posting = Posting::of_file(&posted)?;
         let known =
             Version::deserialize(&posting.known).map_err(|e| format!("{}: known: {e}", posted.display()))?;
@@ -111,11 +133,25 @@
         let common = (&poller, clock, &counters);
         signals.watched(&poller, SIGNALS).map_err(|e| format!("no signals: {e}"))?;
         let (charter, room) = (&posting.charter, limits::room(posting.memory_mb));
-        let staff = posting.console.map_or(0, |_| console::DESCRIPTORS);
-        let (from_outside, to_executors) = limits::connections(posting.sockets, staff);
-        let clients =
-            Clients::listen(posting.listen, charter, (from_outside, room), (LISTENER, outside_key), common);
+        // Only where the platform holds the socket can a second process be beside this one.
+        let siblings = inherited.as_ref().map(|_| {
+            Rc::new(Siblings::meet(
+                &posting.name,
+                &env::temp_dir(),
+                (SIBLINGS, sibling_key),
+                (&poller, clock),
+            ))
+        });
+        let further = posting.console.map_or(0, |_| console::DESCRIPTORS)
+            + siblings.as_ref().map_or(0, |_| sibling::DESCRIPTORS);
+        let (from_outside, to_executors) = limits::connections(posting.sockets, further);
+        let listener = inherited.map_or_else(|| wire::listen(posting.listen), Ok);
+        let clients = listener.and_then(|listener| {
+            Clients::listen(listener, charter, (from_outside, room), (LISTENER, outside_key), common)
+        });
         let clients = Rc::new(clients.map_err(|e| format!("{}: {e}", posting.listen))?);
+        let relieves = siblings.as_ref().is_some_and(|siblings| siblings.has_elder());
+        clients.take_in_new(!relieves);
         let console = posting.console.map(|at| {
             let console = Console::listen(at, (CONSOLE, staff_key), (&poller, clock));
             console.map(Rc::new).map_err(|e| format!("console: {at}: {e}"))
@@ -126,7 +162,7 @@
         let executors = Rc::new(executors);
         let discovery = Rc::new(Discovery::new(posting.discovery, &known, DISCOVERY, common));
         let sides = (&clients, &executors, &discovery);
-        let mut exchange = Exchange::open(posting.seed, charter, sides, (clock, &counters));
+        let mut exchange = Exchange::open(posting.seed, charter, sides, &siblings, (clock, &counters));
         exchange.start();
         exchange.listed(&known);
         say_what_sockets_lack(charter);
@@ -140,12 +176,17 @@
         Ok(Node {
             phase,
             clock,
+            started: clock.now(),
             counters,
             poller,
             signals,
             posted,
             clients,
             console,
+            siblings,
+            limits: (from_outside, to_executors, room),
+            shares: (false, false),
+            relieves,
             executors,
             discovery,
             exchange,
@@ -172,6 +213,9 @@
             self.exchange.due();
             self.executors.due(&mut self.exchange);
             self.discovery.due(&mut self.exchange);
+            if let Some(siblings) = &self.siblings {
+                siblings.due(&mut self.exchange);
+            }
             self.clients.due();
             self.move_on();
         }
@@ -187,6 +231,7 @@
             Phase::Leaving { since } => Some(since + NOTICED_WITHIN),
             Phase::Drained { since } => Some(look.max(since + NOTICED_WITHIN)),
             Phase::Closing => Some(look),
+            Phase::Starting if self.relieves => Some((self.started + NEWS_WITHIN).max(look)),
             _ => None,
         };
         let dues = [
@@ -194,6 +239,7 @@
             self.executors.next_due(),
             self.discovery.next_due(),
             self.clients.next_due(),
+            self.siblings.as_ref().and_then(|siblings| siblings.next_due()),
             leaving,
         ];
         dues.into_iter().flatten().min()
@@ -206,6 +252,16 @@
             (DISCOVERY, _) => self.discovery.stirred(&mut self.exchange),
             (_, Some((OUTSIDE, place))) => self.clients.stirred(place, &mut self.exchange),
             (_, Some((EXECUTOR, place))) => self.executors.stirred(place, &mut self.exchange),
+            (SIBLINGS, _) => {
+                if let Some(siblings) = &self.siblings {
+                    siblings.accept();
+                }
+            }
+            (_, Some((SIBLING, place))) => {
+                if let Some(siblings) = &self.siblings {
+                    siblings.stirred(place, &mut self.exchange);
+                }
+            }
             (_, kind) => {
                 if let Some(console) = self.console.clone() {
                     kind.map_or_else(|| console.accept(), |(_, place)| console.stirred(place, self));
@@ -229,6 +285,12 @@
                 Phase::Leaving { .. } | Phase::Closing | Phase::Gone => return Ok(()),
             };
             self.clients.end_by(now + EXCUSED_FOR, now + self.answers_within);
+            if let Some(siblings) = self.siblings.as_ref().filter(|siblings| siblings.has_younger()) {
+                // The younger one takes in all who come to the shared socket: there is nothing to be noticed.
+                siblings.say_leaves();
+                self.clients.take_in_new(false);
+                return Ok(self.enter(Phase::Closing));
+            }
             self.enter(Phase::Leaving { since });
         }
         Ok(())
@@ -250,9 +312,35 @@
         }
     }
 
+    /// While another process of this node is there each goes by half the limits, and one of them has the cold
+    /// executors.
+    fn share(&mut self) {
+        let Some(siblings) = &self.siblings else { return };
+        let relieved = self.phase == Phase::Closing && siblings.has_younger();
+        let shares = (siblings.any(), relieved || siblings.has_elder());
+        let before = std::mem::replace(&mut self.shares, shares);
+        if before.0 != shares.0 {
+            let part = if shares.0 { 2 } else { 1 };
+            let (from_outside, to_executors, room) = self.limits;
+            self.clients.hold((from_outside / part, room / part));
+            self.executors.hold(to_executors / part);
+        }
+        if before.1 != shares.1 {
+            self.exchange.cold_elsewhere(shares.1);
+        }
+    }
+
+    /// Whether what is known of the list may be gone by.
+    fn knows_enough(&self) -> bool {
+        let told =
+            !self.relieves || self.discovery.was_heard() || self.clock.now() >= self.started + NEWS_WITHIN;
+        told && self.exchange.knows_executors()
+    }
+
     fn move_on(&mut self) {
+        self.share();
         match self.phase {
-            Phase::Starting if self.exchange.knows_executors() => self.enter(Phase::Serving),
+            Phase::Starting if self.knows_enough() => self.enter(Phase::Serving),
             Phase::Leaving { since } if self.clock.now() >= since + NOTICED_WITHIN => {
                 self.enter(Phase::Closing)
             }
@@ -281,10 +369,13 @@
         match phase {
             Phase::Serving => {
                 self.clients.wind_down(false);
+                self.clients.take_in_new(true);
                 self.clients.say_ready(true);
             }
             Phase::Drained { .. } | Phase::Leaving { .. } => self.clients.say_ready(false),
             Phase::Starting => self.clients.wind_down(false),
+            // Newcomers to a socket that the platform holds wait there for the next process.
+            Phase::Closing if self.siblings.is_some() => self.clients.take_in_new(false),
             Phase::Closing | Phase::Gone => {}
         }
     }
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -9,6 +9,7 @@
 use life::logger;
 use life::node::Node;
 use life::signals::Signals;
+use life::upgrade;
 use log::error;
 use std::env;
 use std::path::PathBuf;
@@ -18,9 +19,10 @@
 const POSTING: &str = "GW_CONFIG";
 
 fn serve() -> Result<(), String> {
+    let inherited = upgrade::inherited()?;
     let signals = Signals::catch().map_err(|e| format!("no signals: {e}"))?;
     let path = env::var_os(POSTING).ok_or_else(|| format!("{POSTING} is not set"))?;
-    Node::start(PathBuf::from(path), signals)?.run().map_err(|e| format!("the loop ended: {e}"))
+    Node::start(PathBuf::from(path), signals, inherited)?.run().map_err(|e| format!("the loop ended: {e}"))
 }
 
 fn main() -> ExitCode {
--- a/crates/node/src/memory/buffer.rs
+++ b/crates/node/src/memory/buffer.rs
@@ -88,6 +88,11 @@
         self.out > 0
     }
 
+    /// How much waits to be written.
+    pub fn waiting(&self) -> usize {
+        self.out
+    }
+
     /// Writes as much as the other side takes now.
     pub fn write_to(&mut self, sink: &mut impl Write) -> io::Result<()> {
         while self.out > 0 {
--- a/crates/node/src/memory/connection.rs
+++ b/crates/node/src/memory/connection.rs
@@ -4,6 +4,7 @@
 use polling::{Event, Poller};
 use socket2::{Domain, Protocol, Socket, Type};
 use std::io;
+use std::mem::MaybeUninit;
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::rc::Rc;
 
@@ -11,7 +12,7 @@
 pub const MOST_UNREAD: usize = 84 * 1024;
 
 pub struct Connection {
-    stream: TcpStream,
+    stream: Socket,
     pub buffer: Buffer,
     poller: Rc<Poller>,
     key: usize,
@@ -21,8 +22,13 @@
 impl Connection {
     /// Takes over a socket and has it watched under `key`.
     pub fn watched(stream: TcpStream, poller: &Rc<Poller>, key: usize) -> io::Result<Connection> {
-        stream.set_nonblocking(true)?;
         stream.set_nodelay(true)?;
+        Connection::over(stream.into(), poller, key)
+    }
+
+    /// The same for a socket of any kind.
+    pub fn over(stream: Socket, poller: &Rc<Poller>, key: usize) -> io::Result<Connection> {
+        stream.set_nonblocking(true)?;
         poller.add(&stream, Event::all(key))?;
         let poller = poller.clone();
         Ok(Connection { stream, buffer: Buffer::default(), poller, key, most_unread: MOST_UNREAD })
@@ -56,6 +62,11 @@
         }
     }
 
+    /// Whether something has come that was not read yet, be it the end.
+    pub fn is_stirred(&self) -> bool {
+        self.stream.peek(&mut [MaybeUninit::uninit()]).is_ok()
+    }
+
     pub fn read(&mut self) -> io::Result<Reading> {
         self.buffer.read_from(&mut self.stream, self.most_unread)
     }
--- a/crates/node/src/memory/counters.rs
+++ b/crates/node/src/memory/counters.rs
@@ -50,6 +50,8 @@
     late_results: "results of ended allocations, handed on all the same",
     call_backs: "call-backs of executors",
     call_backs_unknown: "call-backs for what is not out, or is over",
+    call_backs_passed_on: "call-backs that another process of this node took",
+    call_backs_put_off: "call-backs that another process may own and said nothing of: they come again",
     call_backs_bad: "call-backs that could not be read",
     dials: "connections opened to executors",
     dials_failed: "connections to executors that did not come up",
--- a/crates/node/src/wire/clients.rs
+++ b/crates/node/src/wire/clients.rs
@@ -43,12 +43,17 @@
 /// The longest patience that a client may name: a day, far beyond any work; it keeps sums of times in range.
 const LONGEST_PATIENCE_MS: u64 = 86_400_000;
 
+/// A connection by its place, and the number that tells it from others there.
+pub type CallerId = (usize, u64);
+
 /// One connection that was taken in.
 struct Caller {
     connection: Connection,
     serial: u64,
     /// The work unit whose answer it waits for.
     in_hand: Option<UnitId>,
+    /// Its call-back was passed to another process of the node, and waits for the answer.
+    passed_on: bool,
     /// The length of the body that it brought with that.
     body: usize,
     /// Since when a request is waited for that is not whole yet: the first one, or one that has begun.
@@ -65,9 +70,14 @@
 }
 
 impl Caller {
+    /// Whether it waits for an answer that others have to give.
+    fn is_busy(&self) -> bool {
+        self.in_hand.is_some() || self.passed_on
+    }
+
     fn is_idle(&self) -> bool {
         let buffer = &self.connection.buffer;
-        self.lingers || (self.in_hand.is_none() && buffer.unread().is_empty() && !buffer.waits_to_write())
+        self.lingers || (!self.is_busy() && buffer.unread().is_empty() && !buffer.waits_to_write())
     }
 
     /// How soon it may be closed to make room, if at all: first who was refused, then who says nothing or only asks
@@ -80,7 +90,8 @@
         const USUAL: Span = Span::millis(250);
         let (order, after) = match self {
             Caller { lingers: true, .. } => (0, Span::millis(0)),
-            Caller { in_hand: Some(_), .. } | Caller { calls_back: true, .. } => return None,
+            Caller { calls_back: true, .. } => return None,
+            _ if self.is_busy() => return None,
             Caller { is_usual: false, .. } if self.is_idle() => (1, FRESH),
             Caller { is_usual: false, .. } => (2, FRESH),
             _ if self.is_idle() => (3, USUAL),
@@ -101,9 +112,9 @@
 
     /// Writes what can be written, and watches for what comes next; `false` when the connection is over.
     fn carry_on(&mut self) -> bool {
-        let buffer = &mut self.connection.buffer;
+        let buffer = &self.connection.buffer;
         // What was read while an answer was due is looked at as soon as that is written.
-        let more = self.in_hand.is_none() && self.waited_since.is_none() && !buffer.unread().is_empty();
+        let more = !self.is_busy() && self.waited_since.is_none() && !buffer.unread().is_empty();
         let written = self.connection.write().and_then(|()| self.connection.watch(more));
         if written.is_err() || !self.closes || self.connection.buffer.waits_to_write() {
             return written.is_ok();
@@ -128,9 +139,11 @@
     /// Keys under which the loop knows the listener and the connections, from their places.
     listener_key: usize,
     key: fn(usize) -> usize,
-    most: usize,
+    most: Cell<usize>,
     /// Bytes that requests may take together.
-    room: usize,
+    room: Cell<usize>,
+    /// Whether those who wait to connect are taken in.
+    takes_in: Cell<bool>,
     charter: Charter,
     callers: RefCell<Callers>,
     next_unit: Cell<u64>,
@@ -144,13 +157,12 @@
 
 impl Clients {
     pub fn listen(
-        at: SocketAddr,
+        listener: TcpListener,
         charter: &Charter,
         (most, room): (usize, usize),
         (listener_key, key): (usize, fn(usize) -> usize),
         (poller, clock, counters): (&Rc<Poller>, Clock, &Rc<Counters>),
     ) -> io::Result<Clients> {
-        let listener = super::listen(at)?;
         poller.add(&listener, Event::readable(listener_key))?;
         Ok(Clients {
             listener,
@@ -159,8 +171,9 @@
             counters: counters.clone(),
             listener_key,
             key,
-            most,
-            room,
+            most: Cell::new(most),
+            room: Cell::new(room),
+            takes_in: Cell::new(true),
             charter: charter.clone(),
             callers: RefCell::new(Callers {
                 kept: Slab::new(),
@@ -180,6 +193,19 @@
         self.listener.local_addr()
     }
 
+    /// How many connections may be held from now on, and how many bytes their requests may take.
+    pub fn hold(&self, (most, room): (usize, usize)) {
+        self.most.set(most);
+        self.room.set(room);
+    }
+
+    /// Whether those who wait to connect are taken in from now on, or left to another process.
+    pub fn take_in_new(&self, takes_in: bool) {
+        if self.takes_in.replace(takes_in) != takes_in {
+            self.listen_on();
+        }
+    }
+
     pub fn say_ready(&self, ready: bool) {
         self.ready.set(ready);
     }
@@ -199,7 +225,11 @@
     pub fn close_idle(&self, idle_for: Span) {
         let now = self.clock.now();
         self.callers.borrow_mut().kept.retain(|_, caller| {
-            caller.calls_back || !caller.is_idle() || now.since(caller.last_used) < idle_for
+            // What has come and was not read is a request that the end of the connection would lose.
+            caller.calls_back
+                || !caller.is_idle()
+                || now.since(caller.last_used) < idle_for
+                || (!caller.lingers && caller.connection.is_stirred())
         });
     }
 
@@ -212,11 +242,11 @@
 
     /// Takes in those who wait to connect.
     pub fn accept(&self) {
-        if self.paused_until.get().is_some() {
+        if self.paused_until.get().is_some() || !self.takes_in.get() {
             return;
         }
         for _ in 0..AT_ONCE {
-            let full = self.callers.borrow().kept.len() >= self.most;
+            let full = self.callers.borrow().kept.len() >= self.most.get();
             let sheds = if full { self.first_to_shed() } else { None };
             if full && sheds.is_none() {
                 // All are at work. Whoever is taken in is owed an answer, so newcomers wait outside.
@@ -245,7 +275,8 @@
     }
 
     fn listen_on(&self) {
-        if let Err(e) = self.poller.modify(&self.listener, Event::readable(self.listener_key)) {
+        let event = Event { readable: self.takes_in.get(), ..Event::none(self.listener_key) };
+        if let Err(e) = self.poller.modify(&self.listener, event) {
             warn!("the listener can't be watched: {e}");
         }
     }
@@ -265,6 +296,7 @@
                     connection,
                     serial,
                     in_hand: None,
+                    passed_on: false,
                     body: 0,
                     waited_since: Some(now),
                     last_used: now,
@@ -368,7 +400,7 @@
         let now = self.clock.now();
         let mut callers = self.callers.borrow_mut();
         let Callers { kept, slow, .. } = &mut *callers;
-        let caller = kept.get_mut(place).filter(|caller| caller.in_hand.is_none() && !caller.closes)?;
+        let caller = kept.get_mut(place).filter(|caller| !caller.is_busy() && !caller.closes)?;
         // Guards against answers piling up for somebody who asks and does not read.
         if caller.connection.buffer.waits_to_write() || caller.connection.buffer.unread().is_empty() {
             return None;
@@ -438,10 +470,15 @@
         trace!("call-back {}", String::from_utf8_lossy(&request.body));
         match serde_json::from_slice::<CallBack>(&request.body) {
             Ok(call) => {
-                if exchange.knows(&call.from)
-                    && let Some(caller) = self.callers.borrow_mut().kept.get_mut(place)
                 {
-                    caller.calls_back = true;
+                    let mut callers = self.callers.borrow_mut();
+                    let Some(caller) = callers.kept.get_mut(place) else { return };
+                    caller.calls_back |= exchange.knows(&call.from);
+                    let id = (place, caller.serial);
+                    if !exchange.has_in_hand(&call.id) && exchange.pass_on(id, &request.body) {
+                        caller.passed_on = true;
+                        return;
+                    }
                 }
                 // Answered whatever it names: an executor asks again until it is.
                 self.write(place, 204, None, b"");
@@ -455,6 +492,15 @@
         }
     }
 
+    /// A call-back that was passed on has its answer.
+    pub fn passed_on(&self, (place, serial): CallerId, status: u16) {
+        match self.callers.borrow_mut().kept.get_mut(place) {
+            Some(caller) if caller.serial == serial => caller.passed_on = false,
+            _ => return,
+        }
+        self.write(place, status, None, b"");
+    }
+
     /// What a request for work says, in the words of the decisions; the units of the wire end here.
     fn brought(&self, request: Request) -> Result<(Errand, Arrival), Malformed> {
         let Request { target, headers, body, .. } = request;
@@ -514,7 +560,7 @@
         // hand would ever be answered.
         let crowded = {
             let callers = self.callers.borrow();
-            callers.by_unit.len() * 3 >= self.most * 2
+            callers.by_unit.len() * 3 >= self.most.get() * 2
                 || (errand.body.len() > LARGE && !self.has_room(&callers.kept))
         };
         if crowded {
@@ -562,7 +608,7 @@
     /// Whether requests leave memory for more. Guards against large or endless ones, hundreds at once, that end the
     /// node for want of it.
     fn has_room(&self, kept: &Slab<Caller>) -> bool {
-        kept.iter().map(|(_, caller)| caller.holds()).sum::<usize>() < self.room
+        kept.iter().map(|(_, caller)| caller.holds()).sum::<usize>() < self.room.get()
     }
 
     fn write(&self, place: usize, status: u16, come_back: Option<f64>, body: &[u8]) {
--- a/crates/node/src/wire/discovery.rs
+++ b/crates/node/src/wire/discovery.rs
@@ -107,6 +107,7 @@
     counters: Rc<Counters>,
     key: usize,
     watch: RefCell<Watch>,
+    heard: Cell<bool>,
 }
 
 impl Discovery {
@@ -125,6 +126,7 @@
             counters: counters.clone(),
             key,
             watch: RefCell::new(watch),
+            heard: Cell::new(false),
         }
     }
 
@@ -169,6 +171,11 @@
         }
     }
 
+    /// Whether it has said anything since the start of this process, be it that nothing has changed.
+    pub fn was_heard(&self) -> bool {
+        self.heard.get()
+    }
+
     pub fn next_due(&self) -> Option<Moment> {
         self.watch.borrow().silent_at
     }
@@ -198,6 +205,7 @@
         // What came before the end still counts.
         // The borrow must end before the exchange is told, which may open the watch anew.
         while let Some(line) = { self.watch.borrow_mut().next_line() } {
+            self.heard.set(true);
             let Some(version) = line else { continue };
             self.counters.list_lines.up();
             match version {
--- a/crates/node/src/wire/executors.rs
+++ b/crates/node/src/wire/executors.rs
@@ -15,7 +15,7 @@
 use log::{debug, trace};
 use polling::Poller;
 use slab::Slab;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -67,7 +67,7 @@
     clock: Clock,
     counters: Rc<Counters>,
     key: fn(usize) -> usize,
-    most: usize,
+    most: Cell<usize>,
     dial_time_out: Span,
     retire_after: Span,
     lines: RefCell<Lines>,
@@ -86,7 +86,7 @@
             clock,
             counters: counters.clone(),
             key,
-            most,
+            most: Cell::new(most),
             dial_time_out,
             retire_after,
             lines: RefCell::new(Lines {
@@ -98,6 +98,11 @@
         }
     }
 
+    /// How many connections may be held from now on.
+    pub fn hold(&self, most: usize) {
+        self.most.set(most);
+    }
+
     pub fn allocate(
         &self,
         id: AllocationId,
@@ -210,7 +215,7 @@
     }
 
     fn dial(&self, lines: &mut Lines, executor: ExecutorId, address: SocketAddr) -> io::Result<usize> {
-        if lines.kept.len() >= self.most {
+        if lines.kept.len() >= self.most.get() {
             let in_use = || io::Error::new(ErrorKind::QuotaExceeded, "all connections are in use");
             drop_oldest_idle(lines).ok_or_else(in_use)?;
         }
--- a/crates/node/src/wire/mod.rs
+++ b/crates/node/src/wire/mod.rs
@@ -7,13 +7,14 @@
 pub mod executors;
 pub mod http;
 pub mod load;
+pub mod sibling;
 
 use socket2::{Domain, Protocol, Socket, Type};
 use std::io;
 use std::net::{SocketAddr, TcpListener};
 
 /// Listens at an address, without waiting for those who come.
-fn listen(at: SocketAddr) -> io::Result<TcpListener> {
+pub fn listen(at: SocketAddr) -> io::Result<TcpListener> {
     // Hundreds may connect in one moment. Beyond the usual 128 the system drops them, and they try again a second
     // later: guards against call-backs and usual clients that wait for that.
     const QUEUE: i32 = 1024;
