--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -936,8 +936,8 @@
         if harmless { self.host.turn_back(unit, come_back) } else { self.host.forfeit(unit) }
     }
 
-    /// No answer is owed any more, as one was given, or the client left: what is still out for the work unit is
-    /// recalled, so that nobody works for nothing.
+    /// No answer is owed any more, as one was given, or the client left: what is still out for the work unit
+    /// is recalled, so that nobody works for nothing.
     pub fn finish(&mut self, unit: UnitId) {
         let Some(work) = self.work.remove(&unit) else { return };
         for (number, allocation) in work.allocations.iter().enumerate() {
--- a/crates/dispatch/tests/stories.rs
+++ b/crates/dispatch/tests/stories.rs
@@ -1065,3 +1065,26 @@
     // Of the sizes, 100 to 700 are half of the work.
     assert_eq!(fast, 10, "800 is for the fast one");
 }
+
+#[test]
+fn cold_executors_have_one_sender_while_two_processes_are_one_node() {
+    // Failure guarded against: in an upgrade both processes spend the budget of a cold executor.
+    let mut sent = 0;
+    for node in 0..2 {
+        let mut story = Story::at(node, 0, ALLOWANCE, false);
+        story.list_cold(0);
+        story.pass(15_000);
+        let sends = |story: &mut Story, unit: u64| {
+            story.arrive(unit, BINDING, 100);
+            story.heard().iter().filter(|said| matches!(said, Said::Allocate(..))).count()
+        };
+        story.node.cold_elsewhere(story.now, true);
+        assert_eq!(sends(&mut story, 1), 0, "the other process has it");
+        story.node.cold_elsewhere(story.now, false);
+        story.pass(990);
+        assert_eq!(sends(&mut story, 2), 0, "what the other has sent within the window still counts");
+        story.pass(10);
+        sent += sends(&mut story, 3);
+    }
+    assert!(sent > 0);
+}
--- a/crates/node/src/life/node.rs
+++ b/crates/node/src/life/node.rs
@@ -289,7 +289,8 @@
                 // The younger one takes in all who come to the shared socket: there is nothing to be noticed.
                 siblings.say_leaves();
                 self.clients.take_in_new(false);
-                return Ok(self.enter(Phase::Closing));
+                self.enter(Phase::Closing);
+                return Ok(());
             }
             self.enter(Phase::Leaving { since });
         }
--- a/crates/node/src/life/upgrade.rs
+++ b/crates/node/src/life/upgrade.rs
@@ -22,7 +22,6 @@
     // SAFETY: the variable is the platform's word that this descriptor was opened for this process. This is the start
     // of the process: nothing here has opened a descriptor or owns one yet, so no other owner of that number exists.
     // A number that stands for nothing, or for something else, is found out by the call below.
-    #[allow(unsafe_code)]
     let socket = Socket::from(unsafe { OwnedFd::from_raw_fd(number) });
     match socket.is_listener() {
         Ok(true) => {
@@ -34,7 +33,8 @@
         found => {
             // Whatever it is, it is not this node's to close.
             std::mem::forget(socket);
-            Err(wrong(&found.map_or_else(|e| e.to_string(), |_| "expected a listening socket".to_owned())))
+            let found = found.map_or_else(|e| format!(" ({e})"), |_| String::new());
+            Err(wrong(&format!("expected a listening socket{found}")))
         }
     }
 }
--- a/crates/node/tests/fake/mod.rs
+++ b/crates/node/tests/fake/mod.rs
@@ -5,8 +5,10 @@
 use socket2::{Domain, SockRef, Socket, Type};
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::fd::OwnedFd;
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
+use std::rc::Rc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
@@ -35,7 +37,28 @@
     pub discovery: TcpListener,
     posting: Value,
     child: Child,
-    folder: PathBuf,
+    folder: Rc<Folder>,
+    /// The clients' socket, where the platform holds it.
+    held: Option<TcpListener>,
+}
+
+/// A folder of the story's own, which goes when the last node that uses it is over.
+pub struct Folder(pub PathBuf);
+
+impl Folder {
+    pub fn new() -> Folder {
+        static MADE: AtomicUsize = AtomicUsize::new(0);
+        let number = MADE.fetch_add(1, Ordering::Relaxed);
+        let path = std::env::temp_dir().join(format!("grebeusher-{}-{number}", std::process::id()));
+        std::fs::create_dir(&path).expect("a folder of the story's own");
+        Folder(path)
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
 }
 
 impl World {
@@ -60,22 +83,36 @@
         descriptors: usize,
         change: impl FnOnce(Value) -> Value,
     ) -> World {
-        static STARTED: AtomicUsize = AtomicUsize::new(0);
-        let number = STARTED.fetch_add(1, Ordering::Relaxed);
-        let folder = std::env::temp_dir().join(format!("grebeusher-{}-{number}", std::process::id()));
-        std::fs::create_dir(&folder).expect("a folder of the story's own");
         let discovery = listener();
         let known: Vec<Value> = executors.iter().enumerate().map(|(i, l)| entry(i, l, "active")).collect();
         let posting = json!({"name": "n0", "listen": "127.0.0.1:0", "discovery": address(&discovery),
             "seed": "8c1f30d27a5be964", "limits": limits, "settings": charter,
             "known": {"generation": 41, "reset": true, "instances": known}});
         let posting = change(posting);
-        let path = folder.join(POSTING);
+        World::started(discovery, posting, Rc::new(Folder::new()), descriptors, None)
+    }
+
+    fn started(
+        discovery: TcpListener,
+        posting: Value,
+        folder: Rc<Folder>,
+        descriptors: usize,
+        held: Option<TcpListener>,
+    ) -> World {
+        let path = folder.0.join(POSTING);
         std::fs::write(&path, posting.to_string()).expect("the posting is written");
-        let limited = format!("ulimit -n {descriptors}; exec \"$0\"");
-        let mut child = Command::new("sh")
+        let mut command = Command::new("sh");
+        let limited = if let Some(held) = &held {
+            let own = held.try_clone().expect("one more of it");
+            command.stdin(Stdio::from(OwnedFd::from(own))).env("GW_INHERITED_FD", "4");
+            format!("ulimit -n {descriptors}; exec 4<&0 0</dev/null; exec \"$0\"")
+        } else {
+            format!("ulimit -n {descriptors}; exec \"$0\"")
+        };
+        let mut child = command
             .args(["-c", &limited, env!("CARGO_BIN_EXE_grebeusher")])
             .env("GW_CONFIG", &path)
+            .env("TMPDIR", &folder.0)
             .stderr(Stdio::piped())
             .spawn()
             .expect("the node starts");
@@ -92,7 +129,7 @@
         };
         // What it says later is read and dropped, or it would wait for a reader.
         std::thread::spawn(move || std::io::copy(&mut log, &mut std::io::sink()));
-        World { node, console, discovery, posting, child, folder }
+        World { node, console, discovery, posting, child, folder, held }
     }
 
     /// With a console.
@@ -103,6 +140,38 @@
         })
     }
 
+    /// With a console, and a socket for clients that the platform holds.
+    pub fn held(executors: &[&TcpListener], folder: Folder) -> World {
+        let (held, discovery) = (listener(), listener());
+        let known: Vec<Value> = executors.iter().enumerate().map(|(i, l)| entry(i, l, "active")).collect();
+        let posting = json!({"name": "n0", "listen": address(&held), "console": "127.0.0.1:0",
+            "discovery": address(&discovery), "seed": "8c1f30d27a5be964", "limits": {"sockets": 1024},
+            "settings": charter(), "known": {"generation": 41, "reset": true, "instances": known}});
+        World::started(discovery, posting, Rc::new(folder), 1024, Some(held))
+    }
+
+    /// One more process of the same node, beside this one.
+    pub fn beside(&self) -> World {
+        let discovery = self.discovery.try_clone().expect("one more of it");
+        let held = self.held.as_ref().map(|held| held.try_clone().expect("one more of it"));
+        World::started(discovery, self.posting.clone(), self.folder.clone(), 1024, held)
+    }
+
+    /// Waits until the console says that the process is ready.
+    pub fn becomes_ready(&self) {
+        let started = Instant::now();
+        while self.ask("GET /healthcheck").status() != 200 {
+            assert!(started.elapsed() < FAR_TOO_LONG, "it is never ready");
+            std::thread::sleep(Duration::from_millis(10));
+        }
+    }
+
+    /// Kills the process, as a machine that has no memory left does.
+    pub fn kill(mut self) {
+        self.child.kill().expect("it runs");
+        self.child.wait().expect("it ends");
+    }
+
     pub fn call(&self) -> Talk {
         Talk::over(TcpStream::connect(self.node).expect("the node listens"))
     }
@@ -136,11 +205,7 @@
 
     /// Calls back as the executor `s-0` does, and tells the status of the answer.
     pub fn call_back(&self, id: &str, what: Value) -> u16 {
-        let mut body = json!({"id": id, "from": "s-0"});
-        body.as_object_mut().expect("an object").extend(what.as_object().expect("an object").clone());
-        let mut executor = self.call();
-        executor.post("/v1/job-events", &body.to_string());
-        executor.hear().status()
+        self.call().call_back(id, what)
     }
 
     /// The value of one counter.
@@ -183,14 +248,14 @@
     }
 
     pub fn replace_posting(&self, text: &str) {
-        std::fs::write(self.folder.join(POSTING), text).expect("the posting is written");
+        std::fs::write(self.folder.0.join(POSTING), text).expect("the posting is written");
         self.tell("HUP");
     }
 
     /// What becomes of another node that is started with the file as it stands, which must end by itself.
     pub fn start_another(&self) -> (ExitStatus, String) {
         let mut command = Command::new(env!("CARGO_BIN_EXE_grebeusher"));
-        let output = command.env("GW_CONFIG", self.folder.join(POSTING)).output().expect("it starts");
+        let output = command.env("GW_CONFIG", self.folder.0.join(POSTING)).output().expect("it starts");
         (output.status, String::from_utf8_lossy(&output.stderr).into_owned())
     }
 
@@ -204,7 +269,6 @@
         // Already gone where the story ended it.
         let _ = self.child.kill();
         let _ = self.child.wait();
-        let _ = std::fs::remove_dir_all(&self.folder);
     }
 }
 
@@ -297,6 +361,14 @@
         self.say(&format!("POST {path} HTTP/1.1\r\nContent-Length: {}\r\n\r\n{body}", body.len()));
     }
 
+    /// Calls back on this connection.
+    pub fn call_back(&mut self, id: &str, what: Value) -> u16 {
+        let mut body = json!({"id": id, "from": "s-0"});
+        body.as_object_mut().expect("an object").extend(what.as_object().expect("an object").clone());
+        self.post("/v1/job-events", &body.to_string());
+        self.hear().status()
+    }
+
     pub fn answer(&mut self, status: u16, headers: &str) {
         self.say(&format!("HTTP/1.1 {status} x\r\nContent-Length: 0\r\n{headers}\r\n"));
     }
--- a/crates/node/tests/stories.rs
+++ b/crates/node/tests/stories.rs
@@ -5,7 +5,10 @@
 use fake::*;
 use grebeusher_migrate::{Shape, counterpart};
 use serde_json::json;
+use std::io::Write;
 use std::net::{TcpListener, TcpStream};
+use std::os::unix::net::UnixListener;
+use std::process::Command;
 
 #[test]
 fn a_unit_goes_to_an_executor_and_its_result_to_the_client() {
@@ -728,3 +731,163 @@
     world.tell("TERM");
     assert!(world.end().success());
 }
+
+/// One unit that an executor has taken.
+fn taken(world: &World, listens: &TcpListener, id: &str) -> (Talk, Talk) {
+    let client = world.bring(id, "search", 9000);
+    let mut executor = accept(listens);
+    assert_eq!(executor.hear().header("X-Call-Id"), Some(id));
+    executor.answer(202, "");
+    (client, executor)
+}
+
+/// A process of the node that discovery has spoken to.
+fn told(world: &World) -> Talk {
+    let (mut discovery, _) = watched(world);
+    discovery.say(&chunk("\n"));
+    discovery
+}
+
+fn done(result: &str) -> serde_json::Value {
+    json!({"state": "done", "result": result})
+}
+
+#[test]
+fn a_new_version_takes_over_and_call_backs_reach_the_owner_either_way() {
+    let listens = listener();
+    let old = World::held(&[&listens], Folder::new());
+    let _watch = told(&old);
+    let (mut first, _executor) = taken(&old, &listens, "u1");
+    let mut kept = old.call();
+    assert_eq!(kept.call_back("u1", json!({"state": "started"})), 204);
+    let new = old.beside();
+    assert_eq!(new.ask("GET /healthcheck").status(), 503, "what it was told to know may be old");
+    assert_eq!(old.ask("GET /healthcheck").status(), 200);
+    let _watch = told(&new);
+    new.becomes_ready();
+    old.tell("TERM");
+    while old.ask("GET /healthcheck").status() == 200 {}
+    let (mut second, _executor) = taken(&new, &listens, "u2");
+    assert_eq!(kept.call_back("u2", done("by the new one")), 204, "it came to the old one");
+    assert_eq!(second.hear().body, "by the new one");
+    assert_eq!(new.call_back("u1", done("by the old one")), 204, "it came to the new one");
+    let answer = first.hear();
+    assert_eq!((answer.body.as_str(), answer.header("Connection")), ("by the old one", Some("close")));
+    assert!(old.end().success(), "it owes nothing");
+    assert_eq!((new.counter("call_backs_passed_on"), new.counter("call_backs_unknown")), (1, 0));
+    assert_eq!(new.call_back("u1", done("again")), 204, "nobody is left to ask");
+}
+
+#[test]
+fn an_old_version_killed_beside_the_new_one_leaves_it_at_work_and_its_socket_file_to_the_next() {
+    let listens = listener();
+    let old = World::held(&[&listens], Folder::new());
+    let new = old.beside();
+    let _watches = (told(&old), told(&new));
+    new.becomes_ready();
+    old.kill();
+    let (mut client, _executor) = taken(&new, &listens, "u1");
+    let next = new.beside();
+    let _watch = told(&next);
+    next.becomes_ready();
+    new.tell("TERM");
+    while new.ask("GET /healthcheck").status() == 200 {}
+    assert_eq!(next.call_back("u1", done("so be it")), 204);
+    assert_eq!(client.hear().body, "so be it");
+    assert!(new.end().success());
+}
+
+#[test]
+fn a_new_version_that_dies_before_its_yes_changes_nothing() {
+    let listens = listener();
+    let old = World::held(&[&listens], Folder::new());
+    let new = old.beside();
+    new.kill();
+    let (mut client, _executor) = taken(&old, &listens, "u1");
+    assert_eq!(old.call_back("of another life", done("")), 204);
+    assert_eq!(old.call_back("u1", done("so be it")), 204);
+    assert_eq!(client.hear().header("Connection"), None);
+}
+
+#[test]
+fn a_second_upgrade_while_the_first_still_winds_down() {
+    let listens = listener();
+    let first = World::held(&[&listens], Folder::new());
+    let (mut client, _executor) = taken(&first, &listens, "u1");
+    let second = first.beside();
+    let _watches = (told(&first), told(&second));
+    second.becomes_ready();
+    first.tell("TERM");
+    while first.ask("GET /healthcheck").status() == 200 {}
+    let third = second.beside();
+    let _watch = told(&third);
+    third.becomes_ready();
+    second.tell("TERM");
+    assert!(second.end().success(), "it had taken nothing");
+    assert_eq!(third.call_back("u1", done("by the first")), 204);
+    assert_eq!(client.hear().body, "by the first");
+    assert!(first.end().success());
+}
+
+#[test]
+fn the_new_version_of_a_drained_node_is_at_work() {
+    let listens = listener();
+    let old = World::held(&[&listens], Folder::new());
+    old.becomes_ready();
+    assert_eq!(old.ask("POST /healthcheck/fail").status(), 200);
+    let new = old.beside();
+    let _watches = (told(&old), told(&new));
+    new.becomes_ready();
+    old.tell("TERM");
+    assert!(old.end().success());
+    assert!(new.is_ready());
+}
+
+#[test]
+fn a_sibling_that_says_nonsense_half_a_word_or_nothing_costs_a_bounded_wait() {
+    for says in ["nonsense\n", "{\"node\":\"another\"}\n", "{\"node\":\"n0", ""] {
+        let (listens, folder) = (listener(), Folder::new());
+        let odd = UnixListener::bind(folder.0.join("grebeusher-n0-0.sock")).expect("a socket file");
+        let node = World::held(&[&listens], folder);
+        let (mut sibling, _) = odd.accept().expect("the node calls");
+        sibling.write_all(says.as_bytes()).expect("it is heard");
+        let _watch = told(&node);
+        node.becomes_ready();
+        let (mut client, _executor) = taken(&node, &listens, "u1");
+        // Until the sibling is found out a call-back may be its own, and has to come again: ten times at most.
+        let statuses = (0..10).map(|_| node.call_back("of another life", done("")));
+        assert!(statuses.into_iter().any(|status| status == 204), "{says}");
+        assert_eq!(node.call_back("u1", done("so be it")), 204);
+        assert_eq!(client.hear().body, "so be it");
+    }
+}
+
+#[test]
+fn without_a_socket_file_a_node_serves_alone() {
+    let (listens, folder) = (listener(), Folder::new());
+    let far = folder.0.join("a-long-name".repeat(12));
+    std::fs::create_dir(&far).expect("a folder whose path is too long for a socket's");
+    let node = World::held(&[&listens], Folder(far));
+    let (mut client, _executor) = taken(&node, &listens, "u1");
+    assert_eq!(node.call_back("u1", done("so be it")), 204);
+    assert_eq!(client.hear().body, "so be it");
+}
+
+#[test]
+fn an_inherited_descriptor_that_is_no_listening_socket_is_refused_by_name() {
+    for (number, says) in [
+        ("4", "Bad file descriptor"),
+        ("5", "expected a listening"),
+        ("x", "expected a descriptor"),
+        ("1", "from 3 on"),
+    ] {
+        let script = format!("exec 5</dev/null; GW_INHERITED_FD={number} exec \"$0\"");
+        let output = Command::new("sh")
+            .args(["-c", &script, env!("CARGO_BIN_EXE_grebeusher")])
+            .output()
+            .expect("it starts");
+        let log = String::from_utf8_lossy(&output.stderr).into_owned();
+        assert!(!output.status.success());
+        assert!(log.contains("GW_INHERITED_FD: ") && log.contains(says), "{number}: {log}");
+    }
+}
