--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -113,8 +113,7 @@
     /// Utilisation as of now: the report is late, so own allocations sent since it was taken are added.
     /// Guards against piling work on one idle-looking executor. `None` where nothing is known.
     fn load(&self, now: Moment) -> Option<f64> {
-        // Reports are averages over about a second: what was sent in the last one is not in them yet.
-        const LAG: Span = Span::millis(1000);
+        const LAG: Span = Span::millis(1000); // reports are averages over it: the newest sends are missing
         const STALE: Span = Span::millis(6000); // after several usual report spans the figure says nothing
         if let Some(filled) = self.filled(now) {
             return Some(filled / self.width());
@@ -192,6 +191,7 @@
 }
 
 /// A work unit that still owes its final answer.
+#[derive(Default)]
 struct Work {
     tariff: usize,
     asked: Moment,
@@ -446,11 +446,8 @@
             patience_ends: arrival.patience_ends,
             size,
             slots,
-            allocations: Vec::new(),
-            streaming: false,
-            held: false,
-            hold_ends: now,
             over_share,
+            ..Work::default()
         };
         self.work.insert(unit, work);
         self.place(now, unit);
@@ -474,8 +471,7 @@
             }
             flight.heard = now;
         }
-        let running = e.flights.iter().filter(|f| f.started.is_some()).count();
-        e.slots = e.slots.max(running as f64);
+        e.slots = e.slots.max(e.flights.iter().filter(|f| f.started.is_some()).count() as f64);
         // The others of a unit that has started wait for nothing.
         let Some(work) = self.work.get(&id.unit) else { return };
         let others = work.allocations.iter().enumerate().filter(|(n, a)| *n != id.number && a.is_out());
@@ -550,6 +546,13 @@
         }
     }
 
+    /// How many executors are listed, and how many of these get nothing now: they drain or are set aside.
+    pub fn listing(&self, now: Moment) -> (usize, usize) {
+        let listed = self.executors.iter().filter(|e| e.standing != Standing::Gone);
+        let out = |e: &&Executor| e.standing == Standing::Draining || now < e.aside_until;
+        (listed.clone().count(), listed.filter(out).count())
+    }
+
     /// An alarm set earlier fell due.
     pub fn rang(&mut self, now: Moment, alarm: u64) {
         match alarm {
@@ -767,8 +770,7 @@
 
     /// Sends the work unit where the design says, holds it while nothing can take it, or turns it back.
     fn place(&mut self, now: Moment, unit: UnitId) {
-        // Long enough for a slot to come free; longer waits seldom end in an answer.
-        const HOLD_MOST: Span = Span::millis(1000);
+        const HOLD_MOST: Span = Span::millis(1000); // a slot comes free in it; longer seldom helps
         let picked = self.pick(now, unit);
         let Some(work) = self.work.get_mut(&unit) else { return };
         if work.patience_ends <= now + ANSWER_MARGIN {
@@ -792,8 +794,7 @@
     }
 
     fn send(&mut self, now: Moment, unit: UnitId, executor: ExecutorId) {
-        // A unit that waits to start this long on one executor is looked at again.
-        const REVIEW_AFTER: Span = Span::millis(150);
+        const REVIEW_AFTER: Span = Span::millis(150); // who waits to start this long is looked at again
         // Every few seconds each executor that is used (design page), and no other: probes cost.
         const PROBE_EVERY: Span = Span::millis(3000);
         let Some(work) = self.work.get_mut(&unit) else { return };
@@ -926,8 +927,7 @@
 
     /// The final answer to a work unit that is given up: a turn-back where trying again is harmless.
     fn answer(&mut self, unit: UnitId) {
-        // Long enough for a slot to come free, short against any patience.
-        const COME_BACK: Span = Span::millis(500);
+        const COME_BACK: Span = Span::millis(500); // a slot comes free in it; short against any patience
         let Some(work) = self.work.get(&unit) else { return };
         let ran = work.allocations.iter().any(|a| a.may_have_run);
         let harmless = !ran || self.tariffs[work.tariff].effect.harmless();
--- a/crates/node/src/exchange.rs
+++ b/crates/node/src/exchange.rs
@@ -162,6 +162,11 @@
         self.listed
     }
 
+    /// How many executors are listed, and how many of these the decisions pass over now.
+    pub fn listing(&self) -> (usize, usize) {
+        self.dispatcher.listing(self.hands.clock.now())
+    }
+
     pub fn has_in_hand(&self, call_id: &str) -> bool {
         self.hands.desk.borrow().units.find(call_id).is_some()
     }
--- a/crates/node/src/life/node.rs
+++ b/crates/node/src/life/node.rs
@@ -5,6 +5,7 @@
 use crate::life::signals::Signals;
 use crate::memory::clock::Clock;
 use crate::memory::counters::Counters;
+use crate::memory::figures::{Figures, Gauges};
 use crate::wire;
 use crate::wire::clients::Clients;
 use crate::wire::console::{self, Console, Office};
@@ -387,6 +388,13 @@
         self.phase == Phase::Serving
     }
 
+    fn figures(&self) -> String {
+        let (listed, passed_over) = self.exchange.listing();
+        let gauges = Gauges { open: self.clients.open_units(), listed, passed_over };
+        let (counters, tariffs) = (&*self.counters, self.clients.tariffs());
+        Figures { counters, tariffs, gauges }.to_string()
+    }
+
     fn send_away(&mut self) {
         if matches!(self.phase, Phase::Starting | Phase::Serving) {
             self.enter(Phase::Drained { since: self.clock.now() });
--- /dev/null
+++ b/crates/node/src/memory/figures.rs
@@ -0,0 +1,39 @@
+//! The figures that the staff ask for, as statsd lines.
+
+use crate::memory::counters::{Counters, Tally};
+use std::fmt::{self, Display, Formatter};
+
+/// What the state itself says at this moment.
+pub struct Gauges {
+    /// Work units taken in that have no answer yet.
+    pub open: usize,
+    /// Executors in the list, and how many of them the decisions pass over now.
+    pub listed: usize,
+    pub passed_over: usize,
+}
+
+pub struct Figures<'a> {
+    pub counters: &'a Counters,
+    pub tariffs: &'a [String],
+    pub gauges: Gauges,
+}
+
+impl Display for Figures<'_> {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        let Figures { counters, tariffs, gauges } = self;
+        let tallies: [(&str, &Tally); 3] = [
+            ("fulfilled", &counters.fulfilled),
+            ("throttled", &counters.turned_back),
+            ("faulted", &counters.forfeited),
+        ];
+        for (name, tally) in tallies {
+            for (place, tariff) in tariffs.iter().enumerate() {
+                writeln!(f, "node.{name}.{tariff}:{}|c", tally.of(place))?;
+            }
+        }
+        writeln!(f, "node.relayed:{}|c", counters.relayed.all())?;
+        writeln!(f, "node.open_requests:{}|g", gauges.open)?;
+        writeln!(f, "node.registry_entries:{}|g", gauges.listed)?;
+        writeln!(f, "node.out_of_rotation:{}|g", gauges.passed_over)
+    }
+}
--- a/crates/node/src/memory/mod.rs
+++ b/crates/node/src/memory/mod.rs
@@ -6,4 +6,5 @@
 pub mod connection;
 pub mod counters;
 pub mod executors;
+pub mod figures;
 pub mod units;
--- a/crates/node/src/wire/clients.rs
+++ b/crates/node/src/wire/clients.rs
@@ -54,7 +54,8 @@
     in_hand: Option<UnitId>,
     /// Its call-back was passed to another process of the node, and waits for the answer.
     passed_on: bool,
-    /// The length of the body that it brought with that.
+    /// Its tariff, and the length of the body that it brought.
+    tariff: usize,
     body: usize,
     /// Since when a request is waited for that is not whole yet: the first one, or one that has begun.
     waited_since: Option<Moment>,
@@ -206,6 +207,16 @@
         }
     }
 
+    /// Work units taken in that have no answer yet.
+    pub fn open_units(&self) -> usize {
+        self.callers.borrow().by_unit.len()
+    }
+
+    /// The names of the tariffs, by their places.
+    pub fn tariffs(&self) -> &[String] {
+        &self.charter.tariff_names
+    }
+
     pub fn say_ready(&self, ready: bool) {
         self.ready.set(ready);
     }
@@ -297,6 +308,7 @@
                     serial,
                     in_hand: None,
                     passed_on: false,
+                    tariff: 0,
                     body: 0,
                     waited_since: Some(now),
                     last_used: now,
@@ -566,7 +578,7 @@
         if crowded {
             // Nothing has run of this one.
             self.counters.units.up();
-            self.counters.turned_back.up();
+            self.counters.turned_back.up(arrival.tariff);
             if let Some(caller) = self.callers.borrow_mut().kept.get_mut(place) {
                 caller.closes |= self.winding_down.get();
             }
@@ -578,7 +590,8 @@
             let mut callers = self.callers.borrow_mut();
             callers.by_unit.insert(unit, place);
             if let Some(caller) = callers.kept.get_mut(place) {
-                (caller.in_hand, caller.body, caller.is_usual) = (Some(unit), errand.body.len(), true);
+                (caller.in_hand, caller.tariff) = (Some(unit), arrival.tariff);
+                (caller.body, caller.is_usual) = (errand.body.len(), true);
                 caller.connection.bear(BESIDE);
             }
         }
@@ -588,19 +601,19 @@
 
     /// The final answer to a work unit; the one place where one is given.
     pub fn answer(&self, unit: UnitId, status: u16, come_back: Option<Span>, body: &[u8]) {
-        let place = {
+        let (place, tariff) = {
             let mut callers = self.callers.borrow_mut();
             let Some(place) = callers.by_unit.remove(&unit) else { return };
             let Some(caller) = callers.kept.get_mut(place) else { return };
             (caller.in_hand, caller.body, caller.last_used) = (None, 0, self.clock.now());
             caller.connection.bear(MOST_UNREAD);
             caller.closes |= self.winding_down.get();
-            place
+            (place, caller.tariff)
         };
         match status {
-            200 => self.counters.fulfilled.up(),
-            503 => self.counters.turned_back.up(),
-            _ => self.counters.forfeited.up(),
+            200 => self.counters.fulfilled.up(tariff),
+            503 => self.counters.turned_back.up(tariff),
+            _ => self.counters.forfeited.up(tariff),
         }
         self.write(place, status, come_back.map(Span::as_secs), body);
     }
--- a/crates/node/src/wire/console.rs
+++ b/crates/node/src/wire/console.rs
@@ -24,6 +24,8 @@
 /// What the console asks of the node.
 pub trait Office {
     fn is_ready(&self) -> bool;
+    /// What `/stats` shows.
+    fn figures(&self) -> String;
     /// Clients go elsewhere until further word.
     fn send_away(&mut self);
     /// Back to work; `false` once the node has been told to stop.
@@ -167,7 +169,8 @@
             info!("console: back to work: {back}");
             say(back, 409, if back { "back to work\n" } else { "the node was told to stop\n" })
         }
-        ("/healthcheck", _) => http::answer(405, true, Some(("Allow", "GET")), b""),
+        ("/stats", "GET") => say(true, 503, &office.figures()),
+        ("/healthcheck" | "/stats", _) => http::answer(405, true, Some(("Allow", "GET")), b""),
         ("/healthcheck/fail" | "/healthcheck/ok", _) => http::answer(405, true, Some(("Allow", "POST")), b""),
         _ => http::answer(404, true, None, b""),
     }
--- a/crates/node/src/wire/executors.rs
+++ b/crates/node/src/wire/executors.rs
@@ -48,6 +48,8 @@
     address: SocketAddr,
     serial: u64,
     dialling: bool,
+    /// Not all of what it is used for has been written yet.
+    unsent: bool,
     used: Use,
     /// When to stop waiting for what it is used for, or to retire it.
     due: Option<Alarm>,
@@ -179,7 +181,7 @@
         };
         let Lines { kept, dues, .. } = &mut *lines;
         let line = &mut kept[place];
-        line.used = used;
+        (line.used, line.unsent) = (used, true);
         line.connection.buffer.put(message);
         if line.dialling {
             wait(place, line, dues, self.clock.now() + self.dial_time_out);
@@ -187,7 +189,7 @@
             self.wait_for_answer(place, line, dues);
         }
         // A failure shows when the loop looks at the connection: it is watched for that.
-        let written = if line.dialling { Ok(()) } else { line.connection.write() };
+        let written = if line.dialling { Ok(()) } else { self.write(line) };
         if written.and_then(|()| line.connection.watch(line.dialling)).is_err() {
             let ending = broken(&kept.remove(place));
             lines.untold.push((executor, used, ending));
@@ -236,6 +238,7 @@
             address,
             serial,
             dialling: true,
+            unsent: false,
             used: Use::Idle,
             due: None,
             idle_since: self.clock.now(),
@@ -362,7 +365,7 @@
             line.dialling = false;
             self.wait_for_answer(place, line, dues);
         }
-        line.connection.write()?;
+        self.write(line)?;
         let reading = line.connection.read()?;
         let read = http::response(line.connection.buffer.unread());
         let read = read.map_err(|m| io::Error::other(format!("malformed answer ({})", m.0)))?;
@@ -387,6 +390,18 @@
         Ok(None)
     }
 
+    /// Writes what can be written. An attempt counts once its last byte is gone.
+    fn write(&self, line: &mut Line) -> io::Result<()> {
+        line.connection.write()?;
+        if line.unsent && !line.connection.buffer.waits_to_write() {
+            line.unsent = false;
+            if let Use::Allocation(..) = line.used {
+                self.counters.relayed.up();
+            }
+        }
+        Ok(())
+    }
+
     fn stand_idle(&self, lines: &mut Lines, place: usize) {
         let Lines { kept, dues, .. } = lines;
         let line = &mut kept[place];
--- a/crates/node/tests/stories.rs
+++ b/crates/node/tests/stories.rs
@@ -891,3 +891,63 @@
         assert!(log.contains("GW_INHERITED_FD: ") && log.contains(says), "{number}: {log}");
     }
 }
+
+#[test]
+fn the_figures_are_counted_by_tariff_where_each_thing_happens() {
+    let (listens, drains, refuses) = (listener(), listener(), refusing());
+    let known = [entry(0, &listens, "active"), entry(1, &drains, "leaving")];
+    let world = World::staffed(&[]);
+    let at_first = world.ask("GET /stats").body;
+    for line in ["node.fulfilled.search:0|c", "node.faulted.reserve:0|c", "node.registry_entries:0|g"] {
+        assert!(at_first.lines().any(|l| l == line), "{line} in {at_first}");
+    }
+    let (mut discovery, _) = watched(&world);
+    discovery.say(&chunk(&format!("{}\n", json!({"generation": 42, "instances": known}))));
+    world.counts("list_lines", 1);
+    let sent = |id: &str, tariff: &str| {
+        let client = world.bring(id, tariff, 4000);
+        let mut executor = accept(&listens);
+        assert_eq!(executor.hear().header("X-Call-Id"), Some(id));
+        executor.answer(202, "Connection: close\r\n");
+        client
+    };
+    let mut served = sent("u1", "search");
+    assert_eq!(world.call_back("u1", done("")), 204);
+    assert_eq!(served.hear().status(), 200);
+    let mut failed = sent("u2", "reserve");
+    assert_eq!(world.call_back("u2", json!({"state": "failed"})), 204);
+    assert_eq!(failed.hear().status(), 500);
+    let open = sent("u3", "search");
+    let figures = |expected: &[&str]| {
+        let text = world.ask("GET /stats").body;
+        for line in expected {
+            assert!(text.lines().any(|l| l == *line), "{line} in {text}");
+        }
+    };
+    figures(&[
+        "node.fulfilled.search:1|c",
+        "node.fulfilled.reserve:0|c",
+        "node.faulted.reserve:1|c",
+        "node.throttled.search:0|c",
+        "node.relayed:3|c",
+        "node.open_requests:1|g",
+        "node.registry_entries:2|g",
+        "node.out_of_rotation:1|g",
+    ]);
+    assert_eq!(
+        (world.counter("fulfilled"), world.counter("forfeited")),
+        (1, 1),
+        "the sums, not counted anew"
+    );
+    drop(open);
+    world.counts("withdrawn", 1);
+    figures(&["node.open_requests:0|g"]);
+    discovery.say(&chunk(&format!(
+        "{}\n",
+        json!({"generation": 43, "instances": [entry(0, &refuses, "active"), entry(1, &drains, "left")]})
+    )));
+    world.counts("list_lines", 2);
+    let mut turned_back = world.bring("u4", "search", 1000);
+    assert_eq!(turned_back.hear().status(), 503);
+    figures(&["node.throttled.search:1|c", "node.registry_entries:1|g"]);
+}
