The emulator: a model of the fleet around the real decisions

Change: crates/emulator with nodes, executors (slots, queues, cold starts), network, discovery with a bounded rate, clients that repeat and leave, eight kinds of faults that may overlap, and a book of the four rules kept outside of the decisions; grebeusher-emulate with check, run, compare and queues. The node is not touched.

--- /dev/null
+++ b/crates/emulator/src/machine.rs
@@ -0,0 +1,173 @@
+//! One executor: slots, a queue in order of coming, a cold start, and how it speaks of its load.
+
+use grebeusher_dispatch::tariffs::{Report, Standing};
+use grebeusher_dispatch::time::{Moment, Span};
+use std::collections::VecDeque;
+
+/// One allocation, by its unit and number, as its executor has it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Job {
+    pub unit: u64,
+    pub number: usize,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Taken {
+    Runs,
+    Waits,
+    Full,
+}
+
+/// What one of its kind is when it starts.
+#[derive(Clone, Debug)]
+pub struct Make {
+    pub kind: usize,
+    pub zone: usize,
+    pub slots: usize,
+    pub pace: f64,
+    pub queue: usize,
+    pub cold_share: f64,
+    pub warm: Span,
+    pub error_share: f64,
+}
+
+pub struct Machine {
+    pub make: Make,
+    pub up: bool,
+    /// What discovery says of it.
+    pub standing: Standing,
+    /// Counts its starts: what was said to an earlier life concerns this one no more.
+    pub life: u32,
+    /// `None` for long ago.
+    pub started: Option<Moment>,
+    pub slower: f64,
+    /// How many faults have it fail everything.
+    pub fails: u32,
+    running: Vec<Job>,
+    waiting: VecDeque<Job>,
+    /// Part of the slots in use, averaged over about a second, and as of when.
+    busy: (f64, Moment),
+    /// Seconds that slots were in use.
+    pub busy_s: f64,
+    /// When work came lately, and whether its node knew of the start.
+    came: VecDeque<(Moment, bool)>,
+}
+
+impl Machine {
+    pub fn new(make: Make, started: Option<Moment>) -> Machine {
+        Machine {
+            make,
+            up: true,
+            standing: Standing::Ready,
+            life: 0,
+            started,
+            slower: 1.0,
+            fails: 0,
+            running: Vec::new(),
+            waiting: VecDeque::new(),
+            busy: (0.0, Moment(0)),
+            busy_s: 0.0,
+            came: VecDeque::new(),
+        }
+    }
+
+    /// The part of its pace that it has by now; it grows evenly after a start.
+    pub fn share(&self, now: Moment) -> f64 {
+        let Make { cold_share, warm, .. } = self.make;
+        match self.started {
+            Some(at) if now < at + warm => {
+                cold_share + (1.0 - cold_share) * now.since(at).as_secs() / warm.as_secs()
+            }
+            _ => 1.0,
+        }
+    }
+
+    /// How long work of this size runs if it starts now.
+    pub fn runs_for(&self, now: Moment, size_s: f64) -> Span {
+        Span::secs(size_s / (self.make.pace * self.share(now)) * self.slower)
+    }
+
+    pub fn is_cold(&self, now: Moment) -> bool {
+        self.share(now) < 1.0
+    }
+
+    /// Counts what comes, and tells how much came within the window, and how much of that from nodes that did not know
+    /// of the start.
+    pub fn count(&mut self, now: Moment, window: Span, knew: bool) -> (usize, usize) {
+        self.came.push_back((now, knew));
+        while self.came.front().is_some_and(|&(at, _)| now.since(at) > window) {
+            self.came.pop_front();
+        }
+        (self.came.len(), self.came.iter().filter(|(_, knew)| !knew).count())
+    }
+
+    pub fn take(&mut self, now: Moment, job: Job) -> Taken {
+        if self.running.len() < self.make.slots {
+            self.account(now);
+            self.running.push(job);
+            Taken::Runs
+        } else if self.waiting.len() < self.make.queue {
+            self.waiting.push_back(job);
+            Taken::Waits
+        } else {
+            Taken::Full
+        }
+    }
+
+    /// A run is over; `false` if it was before.
+    pub fn done(&mut self, now: Moment, job: Job) -> bool {
+        self.account(now);
+        let at = self.running.iter().position(|running| *running == job);
+        at.map(|at| self.running.swap_remove(at)).is_some()
+    }
+
+    /// The next that gets a slot, if one is free.
+    pub fn start_next(&mut self, now: Moment) -> Option<Job> {
+        if self.running.len() >= self.make.slots {
+            return None;
+        }
+        let job = self.waiting.pop_front()?;
+        self.account(now);
+        self.running.push(job);
+        Some(job)
+    }
+
+    pub fn runs(&self, job: Job) -> bool {
+        self.running.contains(&job)
+    }
+
+    /// Takes a job out of the queue; one that runs runs on.
+    pub fn cancel(&mut self, job: Job) -> bool {
+        let at = self.waiting.iter().position(|waiting| *waiting == job);
+        at.and_then(|at| self.waiting.remove(at)).is_some()
+    }
+
+    /// Its process ends: what ran, and what waited.
+    pub fn die(&mut self, now: Moment) -> (Vec<Job>, Vec<Job>) {
+        self.account(now);
+        (self.up, self.life) = (false, self.life + 1);
+        self.came.clear();
+        (std::mem::take(&mut self.running), std::mem::take(&mut self.waiting).into())
+    }
+
+    /// Back under its old id, and cold.
+    pub fn rise(&mut self, now: Moment) {
+        (self.up, self.standing, self.started) = (true, Standing::Ready, Some(now));
+        self.busy = (0.0, now);
+    }
+
+    pub fn report(&mut self, now: Moment) -> Report {
+        self.account(now);
+        let free = self.make.slots - self.running.len();
+        Report { utilisation: Some(self.busy.0), free_slots: Some(free as f64) }
+    }
+
+    fn account(&mut self, now: Moment) {
+        let (busy, at) = self.busy;
+        let (passed, used) = (now.since(at).as_secs(), self.running.len() as f64);
+        self.busy_s += passed * used;
+        // What was a second ago counts for a third.
+        let kept = (-passed).exp();
+        self.busy = (busy * kept + used / self.make.slots as f64 * (1.0 - kept), now);
+    }
+}
--- /dev/null
+++ b/crates/emulator/src/plain.rs
@@ -0,0 +1,151 @@
+//! Plain ways to choose, for comparison with the decisions: at random, or the executor where this node has the least
+//! out. They keep the rules, set nothing aside and turn back only what they could not place.
+
+use crate::world::Decide;
+use grebeusher_dispatch::host::Host;
+use grebeusher_dispatch::ids::{AllocationId, ExecutorId, UnitId};
+use grebeusher_dispatch::tariffs::{Arrival, Ending, Listing, Report, Standing};
+use grebeusher_dispatch::time::{Moment, Span};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg32;
+use std::collections::BTreeMap;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Choice {
+    Random,
+    LeastOut,
+}
+
+struct Work {
+    binding: bool,
+    patience_ends: Moment,
+    sent: usize,
+    may_have_run: bool,
+}
+
+pub struct Plain<H: Host> {
+    host: H,
+    choice: Choice,
+    chance: Pcg32,
+    /// Whether each tariff is binding.
+    binding: Vec<bool>,
+    most_allocations: usize,
+    /// Whether an executor may be used, and how much is out there.
+    executors: Vec<(bool, usize)>,
+    work: BTreeMap<UnitId, Work>,
+}
+
+impl<H: Host> Plain<H> {
+    pub fn new(host: H, choice: Choice, seed: u64, binding: Vec<bool>, most_allocations: usize) -> Plain<H> {
+        let chance = Pcg32::seed_from_u64(seed);
+        Plain {
+            host,
+            choice,
+            chance,
+            binding,
+            most_allocations,
+            executors: Vec::new(),
+            work: BTreeMap::new(),
+        }
+    }
+
+    fn pick(&mut self) -> Option<usize> {
+        let usable = |(at, (usable, out)): (usize, &(bool, usize))| usable.then_some((at, *out));
+        let ready: Vec<(usize, usize)> = self.executors.iter().enumerate().filter_map(usable).collect();
+        let least = match self.choice {
+            Choice::Random => usize::MAX,
+            Choice::LeastOut => ready.iter().map(|(_, out)| *out).min()?,
+        };
+        let fit: Vec<usize> = ready.into_iter().filter(|(_, out)| *out <= least).map(|(at, _)| at).collect();
+        if fit.is_empty() { None } else { Some(fit[self.chance.random_range(0..fit.len())]) }
+    }
+
+    fn place(&mut self, now: Moment, unit: UnitId) {
+        /// The answer is due this long before patience ends.
+        const MARGIN: Span = Span::millis(20);
+        let picked = self.pick();
+        let Some(work) = self.work.get_mut(&unit) else { return };
+        let left = (work.patience_ends - MARGIN).since(now);
+        match picked.filter(|_| left.0 > 0) {
+            Some(executor) => {
+                work.sent += 1;
+                work.may_have_run = true;
+                self.executors[executor].1 += 1;
+                self.host.allocate(unit, ExecutorId(executor), left);
+            }
+            None => self.end(unit),
+        }
+    }
+
+    fn end(&mut self, unit: UnitId) {
+        let Some(work) = self.work.remove(&unit) else { return };
+        if work.binding && work.may_have_run {
+            self.host.forfeit(unit)
+        } else {
+            self.host.turn_back(unit, None)
+        }
+    }
+}
+
+impl<H: Host> Decide for Plain<H> {
+    fn start(&mut self, _now: Moment) {
+        self.host.follow_list();
+    }
+
+    fn listed(&mut self, _now: Moment, whole: bool, entries: &[Listing<'_>]) {
+        if whole {
+            self.executors.iter_mut().for_each(|(usable, _)| *usable = false);
+        }
+        for entry in entries {
+            let at = entry.executor.0;
+            let length = self.executors.len().max(at + 1);
+            self.executors.resize(length, (false, 0));
+            self.executors[at].0 = entry.standing == Standing::Ready;
+        }
+    }
+
+    fn list_broken(&mut self) {
+        // One call for all that may have been missed, like the rest of this at once.
+        self.host.wake(Span::millis(1000), 0);
+    }
+
+    fn arrived(&mut self, now: Moment, unit: UnitId, arrival: &Arrival) {
+        let (binding, patience_ends) = (self.binding[arrival.tariff], arrival.patience_ends);
+        self.work.insert(unit, Work { binding, patience_ends, sent: 0, may_have_run: false });
+        self.place(now, unit);
+    }
+
+    fn noticed(&mut self, _now: Moment, _id: AllocationId, _executor: ExecutorId) {}
+
+    fn ended(
+        &mut self,
+        now: Moment,
+        id: AllocationId,
+        executor: ExecutorId,
+        ending: Ending,
+        finished: bool,
+        _report: Option<Report>,
+    ) {
+        if let Some((_, out)) = self.executors.get_mut(executor.0) {
+            *out = out.saturating_sub(1);
+        }
+        let Some(work) = self.work.get_mut(&id.unit) else { return };
+        // One allocation at a time, so this was the only one that may have run.
+        work.may_have_run &= !ending.proves_not_run();
+        if finished {
+            self.work.remove(&id.unit);
+        } else if work.sent >= self.most_allocations || (work.binding && work.may_have_run) {
+            self.end(id.unit);
+        } else {
+            self.place(now, id.unit);
+        }
+    }
+
+    fn finish(&mut self, unit: UnitId) {
+        self.work.remove(&unit);
+    }
+
+    fn rang(&mut self, _now: Moment, _alarm: u64) {
+        self.host.follow_list();
+    }
+}
--- /dev/null
+++ b/crates/emulator/src/plots.rs
@@ -0,0 +1,82 @@
+//! Plots as SVG: a run second by second, and policies against each other over the load.
+
+use crate::figures::Second;
+use plotters::prelude::*;
+use std::path::Path;
+
+const SIZE: (u32, u32) = (900, 480);
+const COLOURS: [RGBColor; 5] =
+    [RGBColor(90, 90, 90), RGBColor(30, 140, 60), RGBColor(220, 140, 20), RGBColor(200, 40, 40), BLUE];
+
+/// One line of a plot.
+pub struct Line {
+    pub name: String,
+    pub points: Vec<(f64, f64)>,
+}
+
+/// What came in each second and what became of it.
+pub fn seconds(path: &Path, title: &str, seconds: &[Second]) -> Result<(), String> {
+    let line = |name: &str, value: fn(&Second) -> u64| Line {
+        name: name.to_owned(),
+        points: seconds.iter().enumerate().map(|(at, s)| (at as f64, value(s) as f64)).collect(),
+    };
+    let lines = [
+        line("came", |s| s.came),
+        line("in time", |s| s.in_time),
+        line("late", |s| s.late),
+        line("turned back", |s| s.turned_back),
+        line("forfeited, lost or left", |s| s.other),
+    ];
+    draw(path, title, ("seconds", "work units a second, by when they came"), &lines, false)
+}
+
+/// Any lines; `by_tens`: the height goes by powers of ten.
+pub fn draw(
+    path: &Path,
+    title: &str,
+    (across, up): (&str, &str),
+    lines: &[Line],
+    by_tens: bool,
+) -> Result<(), String> {
+    let points = || lines.iter().flat_map(|line| line.points.iter().copied());
+    let bounds = |value: fn((f64, f64)) -> f64| {
+        points().map(value).fold((f64::INFINITY, f64::NEG_INFINITY), |(l, m), v| (l.min(v), m.max(v)))
+    };
+    let ((left, right), (least, most)) = (bounds(|p| p.0), bounds(|p| p.1));
+    if !(left.is_finite() && most.is_finite()) {
+        return Err("there is nothing to plot".to_owned());
+    }
+    let wrong = |e: &dyn std::fmt::Display| format!("{}: {e}", path.display());
+    let area = SVGBackend::new(path, SIZE).into_drawing_area();
+    area.fill(&WHITE).map_err(|e| wrong(&e))?;
+    let mut builder = ChartBuilder::on(&area);
+    builder.caption(title, ("sans-serif", 18)).margin(12).x_label_area_size(36).y_label_area_size(64);
+    let widths = left..right.max(left + 1e-9);
+    // Both kinds of axis are drawn alike and are of different types.
+    macro_rules! chart {
+        ($heights:expr, $least:expr) => {{
+            let mut chart = builder.build_cartesian_2d(widths, $heights).map_err(|e| wrong(&e))?;
+            let mut mesh = chart.configure_mesh();
+            mesh.x_desc(across).y_desc(up).light_line_style(WHITE).draw().map_err(|e| wrong(&e))?;
+            for (line, colour) in lines.iter().zip(COLOURS.iter().cycle()) {
+                let points = line.points.iter().map(|&(x, y)| (x, y.max($least)));
+                let series = LineSeries::new(points, colour.stroke_width(2));
+                let drawn = chart.draw_series(series).map_err(|e| wrong(&e))?;
+                let mark = *colour;
+                let key = move |(x, y)| PathElement::new(vec![(x, y), (x + 18, y)], mark.stroke_width(2));
+                drawn.label(line.name.as_str()).legend(key);
+            }
+            let mut labels = chart.configure_series_labels();
+            labels.background_style(WHITE.mix(0.8)).border_style(BLACK.mix(0.3));
+            labels.position(SeriesLabelPosition::UpperLeft).draw().map_err(|e| wrong(&e))?;
+        }};
+    }
+    if by_tens {
+        // Nothing has no place on such an axis: a millionth of the most stands for it.
+        let least = least.max(most / 1e6).max(f64::MIN_POSITIVE);
+        chart!((least..most.max(least * 10.0)).log_scale(), least);
+    } else {
+        chart!(0.0..most.max(1e-9) * 1.05, 0.0);
+    }
+    area.present().map_err(|e| wrong(&e))
+}
--- /dev/null
+++ b/crates/emulator/src/rules.rs
@@ -0,0 +1,154 @@
+//! The four rules, checked from outside of the decisions: each unit and each executor has its page in a book, and what
+//! goes against a rule is written down with its time.
+
+use grebeusher_dispatch::time::{Moment, Span};
+use serde::Serialize;
+use std::collections::{BTreeMap, HashMap};
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Rule {
+    /// Exactly one final answer, in time, and nothing sent afterwards.
+    OneAnswer,
+    /// No effect twice, and no turn-back of what has run.
+    NoEffectTwice,
+    /// Nothing new past the grace to an executor that drains or is gone.
+    DrainGrace,
+    /// No cold executor pushed over.
+    ColdStart,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Answer {
+    Fulfilled,
+    TurnedBack,
+    Forfeited,
+}
+
+#[derive(Clone, Debug, Serialize)]
+pub struct Breach {
+    pub at_s: f64,
+    pub rule: Rule,
+    pub what: String,
+}
+
+struct Page {
+    binding: bool,
+    patience_ends: Moment,
+    answer: Option<Answer>,
+    /// Nobody waits any more: the client left, or its node died.
+    gone: bool,
+    runs: u32,
+}
+
+#[derive(Default)]
+pub struct Book {
+    /// When the run began: breaches are told by the time since.
+    began: Moment,
+    slack: Span,
+    grace: Span,
+    pages: HashMap<u64, Page>,
+    /// When a node was told that an executor leaves or is gone.
+    told: HashMap<(usize, usize), Moment>,
+    /// Which start of an executor a node was told last.
+    starts: HashMap<(usize, usize), Option<Moment>>,
+    /// The first few breaches, and how many there were of each rule.
+    pub breaches: Vec<Breach>,
+    pub counts: BTreeMap<Rule, u64>,
+}
+
+impl Book {
+    pub fn new(began: Moment, slack: Span, grace: Span) -> Book {
+        Book { began, slack, grace, ..Book::default() }
+    }
+
+    fn broken(&mut self, now: Moment, rule: Rule, what: String) {
+        const KEPT: usize = 20;
+        *self.counts.entry(rule).or_default() += 1;
+        if self.breaches.len() < KEPT {
+            self.breaches.push(Breach { at_s: now.since(self.began).as_secs(), rule, what });
+        }
+    }
+
+    pub fn taken(&mut self, unit: u64, binding: bool, patience_ends: Moment) {
+        let page = Page { binding, patience_ends, answer: None, gone: false, runs: 0 };
+        self.pages.insert(unit, page);
+    }
+
+    pub fn gone(&mut self, unit: u64) {
+        if let Some(page) = self.pages.get_mut(&unit) {
+            page.gone = true;
+        }
+    }
+
+    pub fn answered(&mut self, now: Moment, unit: u64, answer: Answer) {
+        let Some(page) = self.pages.get_mut(&unit).filter(|page| !page.gone) else { return };
+        let (before, late) = (page.answer.replace(answer), now > page.patience_ends + self.slack);
+        let ran = page.binding && page.runs > 0 && answer == Answer::TurnedBack;
+        if before.is_some() {
+            self.broken(now, Rule::OneAnswer, format!("unit {unit} was answered a second time"));
+        }
+        if late {
+            self.broken(now, Rule::OneAnswer, format!("unit {unit} was answered after its patience"));
+        }
+        if ran {
+            self.broken(now, Rule::NoEffectTwice, format!("binding unit {unit} was turned back and had run"));
+        }
+    }
+
+    /// The patience of a unit has ended.
+    pub fn due(&mut self, now: Moment, unit: u64) {
+        if self.pages.get(&unit).is_some_and(|page| page.answer.is_none() && !page.gone) {
+            self.broken(now, Rule::OneAnswer, format!("unit {unit} has no answer"));
+        }
+    }
+
+    pub fn sent(&mut self, now: Moment, unit: u64, node: usize, executor: usize) {
+        if self.pages.get(&unit).is_some_and(|page| page.answer.is_some() || page.gone) {
+            self.broken(now, Rule::OneAnswer, format!("unit {unit} was sent after its end"));
+        }
+        let told = self.told.get(&(node, executor));
+        if told.is_some_and(|&at| now > at + self.grace + self.slack) {
+            let what = format!("node {node} sent unit {unit} to executor {executor}, told to leave");
+            self.broken(now, Rule::DrainGrace, what);
+        }
+    }
+
+    /// A node was told what the list says of an executor.
+    pub fn told(&mut self, now: Moment, node: usize, executor: usize, usable: bool, started: Option<Moment>) {
+        self.starts.insert((node, executor), started);
+        if usable {
+            self.told.remove(&(node, executor));
+        } else {
+            self.told.entry((node, executor)).or_insert(now);
+        }
+    }
+
+    /// Whether the node was told of this start: of one that it was not told it can't know that it is cold.
+    pub fn knows(&self, node: usize, executor: usize, started: Option<Moment>) -> bool {
+        self.starts.get(&(node, executor)).is_some_and(|told| *told == started)
+    }
+
+    pub fn ran(&mut self, now: Moment, unit: u64) {
+        let Some(page) = self.pages.get_mut(&unit) else { return };
+        page.runs += 1;
+        if !page.binding {
+            return;
+        }
+        let (runs, turned_back) = (page.runs, page.answer == Some(Answer::TurnedBack) && !page.gone);
+        if runs > 1 {
+            self.broken(now, Rule::NoEffectTwice, format!("binding unit {unit} runs a second time"));
+        }
+        if turned_back {
+            self.broken(now, Rule::NoEffectTwice, format!("binding unit {unit} runs and was turned back"));
+        }
+    }
+
+    pub fn fell(&mut self, now: Moment, executor: usize, units: usize, untold: usize, borne: f64) {
+        let what = format!(
+            "executor {executor}: {units} units came within the window, {untold} of them from nodes that the list \
+             had not told of its start; {borne:.1} are borne"
+        );
+        self.broken(now, Rule::ColdStart, what);
+    }
+}
--- /dev/null
+++ b/crates/emulator/src/scenario.rs
@@ -0,0 +1,397 @@
+//! The scenario file: TOML, read and checked whole before anything runs. What is wrong is named by its place, what was
+//! expected and what stands there.
+
+use crate::laws::Sizes;
+use serde::Deserialize;
+use std::fmt::Display;
+use std::ops::RangeInclusive;
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Scenario {
+    pub name: String,
+    #[serde(default = "one")]
+    pub seed: u64,
+    pub length_s: f64,
+    /// What comes in the first seconds is not counted.
+    #[serde(default)]
+    pub settles_s: f64,
+    pub nodes: Nodes,
+    pub executors: Vec<Executors>,
+    pub tariffs: Vec<Tariff>,
+    #[serde(default)]
+    pub network: Network,
+    #[serde(default)]
+    pub discovery: Discovery,
+    #[serde(default)]
+    pub clients: Clients,
+    #[serde(default)]
+    pub rules: Rules,
+    #[serde(default)]
+    pub faults: Vec<Fault>,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Nodes {
+    pub count: usize,
+    /// Nodes and executors are dealt out among the zones in turn.
+    #[serde(default = "one_zone")]
+    pub zones: Vec<String>,
+    /// Whether executors tell of starts, and how often of progress; 0 for never.
+    #[serde(default = "yes")]
+    pub starts_told: bool,
+    #[serde(default = "second")]
+    pub progress_ms: f64,
+    #[serde(default = "three")]
+    pub most_allocations: usize,
+    #[serde(default)]
+    pub second_copies: bool,
+    #[serde(default = "yes")]
+    pub recalls: bool,
+}
+
+/// Executors of one kind.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Executors {
+    pub kind: String,
+    pub count: usize,
+    #[serde(default = "one")]
+    pub slots: u64,
+    /// Against a standard core, on each slot.
+    #[serde(default = "whole")]
+    pub pace: f64,
+    /// Work units that may wait for a slot.
+    #[serde(default = "endless")]
+    pub queue: usize,
+    /// What share of its pace it has just after a start, and after how long it has all of it.
+    #[serde(default = "whole")]
+    pub cold_share: f64,
+    #[serde(default)]
+    pub warm_s: f64,
+    #[serde(default)]
+    pub error_share: f64,
+    /// Started long before the run, and so warm.
+    #[serde(default = "yes")]
+    pub warm_at_start: bool,
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Effect {
+    #[default]
+    Retriable,
+    Binding,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Tariff {
+    pub name: String,
+    #[serde(default)]
+    pub effect: Effect,
+    /// At all nodes together.
+    pub per_s: f64,
+    pub size: Sizes,
+    /// By how much a client's hint is off; without it no hint is given.
+    pub hint_cv: Option<f64>,
+    pub quoted_ms: f64,
+    #[serde(default)]
+    pub stretch: f64,
+    pub patience_ms: f64,
+    #[serde(default = "whole")]
+    pub earnings: f64,
+    /// What an answer after the quoted time still earns.
+    #[serde(default)]
+    pub late_part: f64,
+}
+
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Network {
+    pub delay_ms: f64,
+    pub cross_delay_ms: f64,
+    /// How much longer than that a message takes in the mean.
+    pub spread: f64,
+    /// The part of requests whose connection is reset, half of them before the request is whole.
+    pub resets: f64,
+    pub handshake_trips: f64,
+    /// What a hand-shake costs the executor.
+    pub handshake_work_ms: f64,
+    pub idle_s: f64,
+    /// When a connection that does not come up is given up, and a job that nobody has taken.
+    pub dial_within_ms: f64,
+    pub taken_within_ms: f64,
+}
+
+impl Default for Network {
+    fn default() -> Network {
+        Network {
+            delay_ms: 0.25,
+            cross_delay_ms: 0.6,
+            spread: 0.2,
+            resets: 0.0,
+            handshake_trips: 2.0,
+            handshake_work_ms: 1.0,
+            idle_s: 60.0,
+            dial_within_ms: 250.0,
+            taken_within_ms: 500.0,
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Discovery {
+    /// How long after a change nodes hear of it, in the mean.
+    pub notice_ms: f64,
+    /// It works through calls in turn, and fails those that would wait too long.
+    pub calls_per_s: f64,
+    pub call_within_ms: f64,
+}
+
+impl Default for Discovery {
+    fn default() -> Discovery {
+        Discovery { notice_ms: 1000.0, calls_per_s: 1000.0, call_within_ms: 3000.0 }
+    }
+}
+
+#[derive(Clone, Copy, Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Clients {
+    /// How often what was turned back is tried again, and after how long the first time; twice that the next.
+    pub repeats: u32,
+    pub backoff_ms: f64,
+    /// The part of clients that leave before their patience ends, at a time of it that chance picks.
+    pub leave_share: f64,
+    /// How long the front sends clients to a node that has died.
+    pub front_notice_ms: f64,
+}
+
+/// What the contract says of drains and of executors that have just started.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Rules {
+    pub drain_grace_ms: f64,
+    pub cold_share: f64,
+    pub warm_within_s: f64,
+    pub fall_factor: f64,
+    pub fall_window_ms: f64,
+    /// How much later than due an answer or the last send to a drained executor may be.
+    pub slack_ms: f64,
+}
+
+impl Default for Rules {
+    fn default() -> Rules {
+        Rules {
+            drain_grace_ms: 2000.0,
+            cold_share: 0.2,
+            warm_within_s: 20.0,
+            fall_factor: 2.5,
+            fall_window_ms: 1000.0,
+            slack_ms: 50.0,
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum What {
+    /// They die with all that they run, and come back under their old ids, cold.
+    KillExecutors,
+    /// The list says that they leave; when the time is over they are gone, and back cold a second later.
+    DrainExecutors,
+    /// They take `factor` times as long.
+    SlowExecutors,
+    /// They fail everything at once.
+    FailExecutors,
+    /// Nothing passes between the zone and the others.
+    CutZone,
+    /// Nodes die with all that they have in hand, and start anew when the time is over.
+    RestartNodes,
+    DiscoveryDown,
+    /// Nobody comes, and the clock runs on.
+    Silence,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Fault {
+    pub what: What,
+    pub at_s: f64,
+    pub for_s: f64,
+    /// Whom it strikes: a part of all, drawn by chance, or those of one zone.
+    pub part: Option<f64>,
+    pub zone: Option<String>,
+    pub factor: Option<f64>,
+}
+
+fn one() -> u64 {
+    1
+}
+fn three() -> usize {
+    3
+}
+fn whole() -> f64 {
+    1.0
+}
+fn second() -> f64 {
+    1000.0
+}
+fn yes() -> bool {
+    true
+}
+fn endless() -> usize {
+    usize::MAX
+}
+fn one_zone() -> Vec<String> {
+    vec!["a".to_owned()]
+}
+
+impl Scenario {
+    /// Reads and checks what a file holds.
+    pub fn read(text: &str) -> Result<Scenario, String> {
+        let read = toml::Deserializer::parse(text).map_err(|e| e.to_string())?;
+        let scenario: Scenario = serde_path_to_error::deserialize(read)
+            .map_err(|e| format!("{}: {}", e.path(), e.inner().message()))?;
+        scenario.check()?;
+        Ok(scenario)
+    }
+
+    pub fn zone(&self, name: &str) -> Option<usize> {
+        self.nodes.zones.iter().position(|zone| zone == name)
+    }
+
+    /// The mean size of what comes, over all tariffs.
+    pub fn mean_size_s(&self) -> f64 {
+        let per_s: f64 = self.tariffs.iter().map(|t| t.per_s).sum();
+        self.tariffs.iter().map(|t| t.per_s * t.size.mean_s()).sum::<f64>() / per_s
+    }
+
+    /// What comes over what all executors can do when warm.
+    pub fn load(&self) -> f64 {
+        let comes: f64 = self.tariffs.iter().map(|t| t.per_s * t.size.mean_s()).sum();
+        comes / self.executors.iter().map(|e| e.count as f64 * e.slots as f64 * e.pace).sum::<f64>()
+    }
+
+    /// The same with so much coming that the load is this.
+    pub fn at_load(&self, load: f64) -> Scenario {
+        let factor = load / self.load();
+        let mut scenario = self.clone();
+        scenario.tariffs.iter_mut().for_each(|tariff| tariff.per_s *= factor);
+        scenario
+    }
+
+    fn check(&self) -> Result<(), String> {
+        const LONG_S: f64 = 1e6;
+        const LONG_MS: f64 = 1e9;
+        const SHARE: RangeInclusive<f64> = 0.0..=1.0;
+        within("length_s", self.length_s, 0.001..=LONG_S)?;
+        within("settles_s", self.settles_s, 0.0..=self.length_s)?;
+        let nodes = &self.nodes;
+        within("nodes.count", nodes.count, 1..=100_000)?;
+        within("nodes.progress_ms", nodes.progress_ms, 0.0..=LONG_MS)?;
+        within("nodes.most_allocations", nodes.most_allocations, 1..=1000)?;
+        if nodes.zones.is_empty() || nodes.zones.iter().any(|zone| zone.is_empty()) {
+            return Err(format!("nodes.zones: expected at least one name, found {:?}", nodes.zones));
+        }
+        filled("executors", &self.executors)?;
+        for (at, e) in self.executors.iter().enumerate() {
+            let key = |key: &str| format!("executors[{at}].{key}");
+            within(&key("count"), e.count, 1..=100_000)?;
+            within(&key("slots"), e.slots, 1..=100_000)?;
+            within(&key("pace"), e.pace, 0.001..=1000.0)?;
+            within(&key("cold_share"), e.cold_share, 0.001..=1.0)?;
+            within(&key("warm_s"), e.warm_s, 0.0..=LONG_S)?;
+            within(&key("error_share"), e.error_share, SHARE)?;
+        }
+        filled("tariffs", &self.tariffs)?;
+        for (at, t) in self.tariffs.iter().enumerate() {
+            let key = |key: &str| format!("tariffs[{at}].{key}");
+            within(&key("per_s"), t.per_s, 1e-6..=1e7)?;
+            within(&key("quoted_ms"), t.quoted_ms, 1.0..=LONG_MS)?;
+            within(&key("patience_ms"), t.patience_ms, 1.0..=LONG_MS)?;
+            within(&key("stretch"), t.stretch, 0.0..=1000.0)?;
+            within(&key("earnings"), t.earnings, 0.0..=1e9)?;
+            within(&key("late_part"), t.late_part, SHARE)?;
+            within(&key("hint_cv"), t.hint_cv.unwrap_or(0.0), 0.0..=100.0)?;
+            within(&key("size.mean_s"), t.size.mean_s(), 1e-6..=LONG_S)?;
+            match t.size {
+                Sizes::Lognormal { cv, .. } => within(&key("size.cv"), cv, 0.0..=100.0)?,
+                Sizes::Pareto { shape, ratio, .. } => {
+                    within(&key("size.shape"), shape, 0.1..=10.0)?;
+                    within(&key("size.ratio"), ratio, 1.001..=1e9)?;
+                }
+                Sizes::Fixed { .. } | Sizes::Exponential { .. } => {}
+            }
+        }
+        let n = &self.network;
+        for (key, value, most) in [
+            ("delay_ms", n.delay_ms, LONG_MS),
+            ("cross_delay_ms", n.cross_delay_ms, LONG_MS),
+            ("spread", n.spread, 100.0),
+            ("resets", n.resets, 1.0),
+            ("handshake_trips", n.handshake_trips, 100.0),
+            ("handshake_work_ms", n.handshake_work_ms, LONG_MS),
+            ("idle_s", n.idle_s, LONG_S),
+            ("dial_within_ms", n.dial_within_ms, LONG_MS),
+            ("taken_within_ms", n.taken_within_ms, LONG_MS),
+        ] {
+            within(&format!("network.{key}"), value, 0.0..=most)?;
+        }
+        let d = &self.discovery;
+        within("discovery.notice_ms", d.notice_ms, 0.0..=LONG_MS)?;
+        within("discovery.calls_per_s", d.calls_per_s, 0.001..=1e9)?;
+        within("discovery.call_within_ms", d.call_within_ms, 0.0..=LONG_MS)?;
+        let c = &self.clients;
+        within("clients.repeats", c.repeats, 0..=1000)?;
+        within("clients.backoff_ms", c.backoff_ms, 0.0..=LONG_MS)?;
+        within("clients.leave_share", c.leave_share, SHARE)?;
+        within("clients.front_notice_ms", c.front_notice_ms, 0.0..=LONG_MS)?;
+        let r = &self.rules;
+        within("rules.drain_grace_ms", r.drain_grace_ms, 0.0..=LONG_MS)?;
+        within("rules.cold_share", r.cold_share, SHARE)?;
+        within("rules.warm_within_s", r.warm_within_s, 0.0..=LONG_S)?;
+        within("rules.fall_factor", r.fall_factor, 0.001..=1e6)?;
+        within("rules.fall_window_ms", r.fall_window_ms, 1.0..=LONG_MS)?;
+        within("rules.slack_ms", r.slack_ms, 0.0..=LONG_MS)?;
+        self.faults.iter().enumerate().try_for_each(|(at, fault)| self.check_fault(at, fault))
+    }
+
+    fn check_fault(&self, at: usize, fault: &Fault) -> Result<(), String> {
+        let key = |key: &str| format!("faults[{at}].{key}");
+        within(&key("at_s"), fault.at_s, 0.0..=self.length_s)?;
+        within(&key("for_s"), fault.for_s, 0.0..=1e6)?;
+        within(&key("part"), fault.part.unwrap_or(0.0), 0.0..=1.0)?;
+        within(&key("factor"), fault.factor.unwrap_or(1.0), 0.001..=1e6)?;
+        if let Some(zone) = fault.zone.as_ref().filter(|zone| self.zone(zone).is_none()) {
+            let zones = self.nodes.zones.join(", ");
+            return Err(format!("{}: expected one of {zones}, found {zone:?}", key("zone")));
+        }
+        let whom = [fault.part.is_some(), fault.zone.is_some()];
+        match fault.what {
+            What::CutZone if whom != [false, true] => Err(format!("{}: expected a zone, alone", key("zone"))),
+            What::DiscoveryDown | What::Silence if whom != [false, false] => {
+                Err(format!("{}: expected neither part nor zone with this fault", key("what")))
+            }
+            What::CutZone | What::DiscoveryDown | What::Silence => Ok(()),
+            _ if whom == [true, true] || whom == [false, false] => {
+                Err(format!("{}: expected either a part or a zone", key("part")))
+            }
+            _ => Ok(()),
+        }
+    }
+}
+
+fn within<T: PartialOrd + Display>(key: &str, value: T, range: RangeInclusive<T>) -> Result<(), String> {
+    // What is no number at all is in no range.
+    if range.contains(&value) {
+        return Ok(());
+    }
+    Err(format!("{key}: expected from {} to {}, found {value}", range.start(), range.end()))
+}
+
+fn filled<T>(key: &str, list: &[T]) -> Result<(), String> {
+    if list.is_empty() { Err(format!("{key}: expected at least one, found none")) } else { Ok(()) }
+}
