--- a/crates/emulator/src/figures.rs
+++ b/crates/emulator/src/figures.rs
@@ -113,6 +113,24 @@
         } += 1;
     }
 
+    pub fn summary(&self, scenario: &Scenario) -> Summary {
+        let (mut earned, mut due) = (0.0, 0.0);
+        for (tally, tariff) in self.tallies.iter().zip(&scenario.tariffs) {
+            earned += tariff.earnings * (tally.in_time as f64 + tariff.late_part * tally.late as f64);
+            due += tariff.earnings * (tally.came - tally.left) as f64;
+        }
+        let mean = |sum: f64, count: u64| if count == 0 { 0.0 } else { sum / count as f64 };
+        let wait_sum: f64 = self.wait_list.iter().sum();
+        Summary {
+            scenario: scenario.name.clone(),
+            load: scenario.load(),
+            earned: if due > 0.0 { earned / due } else { 1.0 },
+            tariffs: self.tallies.clone(),
+            waits_ms: Times::of(&self.waits, mean(wait_sum, self.wait_list.len() as u64)),
+            answers_ms: Times::of(&self.answers, mean(self.answer_sum_s, self.answers.len())),
+        }
+    }
+
     pub fn lost(&mut self, errand: &Errand) {
         if errand.counted {
             self.tallies[errand.tariff].lost += 1;
@@ -155,8 +173,9 @@
     }
 }
 
+/// What became of all work.
 #[derive(Clone, Debug, Serialize)]
-pub struct Outcome {
+pub struct Summary {
     pub scenario: String,
     pub load: f64,
     /// What was earned of what could be, without the work of clients that left.
@@ -165,6 +184,20 @@
     /// From coming to the first start, and from coming to the answer.
     pub waits_ms: Times,
     pub answers_ms: Times,
+}
+
+impl Summary {
+    /// Whether each piece of work that came is accounted for exactly once.
+    pub fn is_even(&self) -> bool {
+        let ends = |t: &Tally| t.in_time + t.late + t.turned_back + t.forfeited + t.lost + t.left;
+        self.tariffs.iter().all(|t| t.came == ends(t))
+    }
+}
+
+#[derive(Clone, Debug, Serialize)]
+pub struct Outcome {
+    #[serde(flatten)]
+    pub summary: Summary,
     /// Part of the slots in use, by executor.
     pub busy_least: f64,
     pub busy_mean: f64,
@@ -183,24 +216,12 @@
 
 impl Outcome {
     pub fn of(stage: &Stage) -> Outcome {
-        let (f, scenario) = (&stage.figures, &stage.scenario);
-        let (mut earned, mut due) = (0.0, 0.0);
-        for (tally, tariff) in f.tallies.iter().zip(&scenario.tariffs) {
-            earned += tariff.earnings * (tally.in_time as f64 + tariff.late_part * tally.late as f64);
-            due += tariff.earnings * (tally.came - tally.left) as f64;
-        }
+        let f = &stage.figures;
         let length_s = stage.clock_s().max(f64::MIN_POSITIVE);
         let busy: Vec<f64> =
             stage.machines.iter().map(|m| m.busy_s / length_s / m.make.slots as f64).collect();
-        let mean = |sum: f64, count: u64| if count == 0 { 0.0 } else { sum / count as f64 };
-        let wait_sum: f64 = f.wait_list.iter().sum();
         Outcome {
-            scenario: scenario.name.clone(),
-            load: scenario.load(),
-            earned: if due > 0.0 { earned / due } else { 1.0 },
-            tariffs: f.tallies.clone(),
-            waits_ms: Times::of(&f.waits, mean(wait_sum, f.wait_list.len() as u64)),
-            answers_ms: Times::of(&f.answers, mean(f.answer_sum_s, f.answers.len())),
+            summary: f.summary(&stage.scenario),
             busy_least: busy.iter().copied().fold(f64::INFINITY, f64::min),
             busy_mean: busy.iter().sum::<f64>() / busy.len() as f64,
             busy_most: busy.iter().copied().fold(0.0, f64::max),
@@ -219,16 +240,9 @@
     pub fn keeps_rules(&self) -> bool {
         self.broken.is_empty()
     }
-
-    /// Whether each piece of work that came is accounted for exactly once.
-    pub fn is_even(&self) -> bool {
-        self.tariffs
-            .iter()
-            .all(|t| t.came == t.in_time + t.late + t.turned_back + t.forfeited + t.lost + t.left)
-    }
 }
 
-impl Display for Outcome {
+impl Display for Summary {
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
         writeln!(f, "{}: load {:.3}, earned {:.4}", self.scenario, self.load, self.earned)?;
         writeln!(
@@ -250,6 +264,13 @@
                 t.mean, t.p50, t.p90, t.p99, t.p999, t.most
             )?;
         }
+        Ok(())
+    }
+}
+
+impl Display for Outcome {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.summary)?;
         writeln!(
             f,
             "slots in use: least {:.3}, mean {:.3}, most {:.3}",
@@ -260,12 +281,17 @@
             "sends {}, hand-shakes {}, list calls {} ({} failed), events {}",
             self.sends, self.dials, self.list_calls, self.list_calls_failed, self.events
         )?;
-        if self.keeps_rules() {
-            return writeln!(f, "all rules kept");
-        }
-        for (rule, count) in &self.broken {
-            writeln!(f, "BROKEN {rule:?}: {count} times")?;
-        }
-        self.breaches.iter().try_for_each(|b| writeln!(f, "  {:.3} s {:?}: {}", b.at_s, b.rule, b.what))
+        say_rules(f, &self.broken, &self.breaches)
+    }
+}
+
+/// The rules that were broken, and the first few times.
+pub fn say_rules(f: &mut Formatter<'_>, broken: &BTreeMap<Rule, u64>, breaches: &[Breach]) -> fmt::Result {
+    if broken.is_empty() {
+        return writeln!(f, "all rules kept");
+    }
+    for (rule, count) in broken {
+        writeln!(f, "BROKEN {rule:?}: {count} times")?;
     }
+    breaches.iter().try_for_each(|b| writeln!(f, "  {:.3} s {:?}: {}", b.at_s, b.rule, b.what))
 }
--- a/crates/emulator/src/main.rs
+++ b/crates/emulator/src/main.rs
@@ -114,10 +114,10 @@
 impl Figure {
     fn of(self, outcome: &Outcome) -> f64 {
         match self {
-            Figure::MeanAnswer => outcome.answers_ms.mean,
-            Figure::P99Answer => outcome.answers_ms.p99,
-            Figure::MeanWait => outcome.waits_ms.mean,
-            Figure::Earned => outcome.earned,
+            Figure::MeanAnswer => outcome.summary.answers_ms.mean,
+            Figure::P99Answer => outcome.summary.answers_ms.p99,
+            Figure::MeanWait => outcome.summary.waits_ms.mean,
+            Figure::Earned => outcome.summary.earned,
         }
     }
 
@@ -227,7 +227,7 @@
             eprintln!("{:.0} events a second", outcome.events as f64 / took);
             json.map_or(Ok(()), |path| write_json(&path, &outcome))?;
             plot.map_or(Ok(()), |path| plots::seconds(&path, &scenario.name, &outcome.seconds))?;
-            Ok(outcome.keeps_rules() && outcome.is_even())
+            Ok(outcome.keeps_rules() && outcome.summary.is_even())
         }
         What::Compare { scenario, policies, loads, seeds, figure, json, plot } => {
             let scenario = read(&scenario)?;
--- a/crates/emulator/src/rules.rs
+++ b/crates/emulator/src/rules.rs
@@ -96,6 +96,17 @@
         }
     }
 
+    /// A unit's connection ended without an answer, though its node lives.
+    pub fn unanswered(&mut self, now: Moment, unit: u64, why: &str) {
+        self.broken(now, Rule::OneAnswer, format!("unit {unit} has no answer: {why}"));
+        self.gone(unit);
+    }
+
+    /// A unit was answered with what no executor made for it.
+    pub fn foreign(&mut self, now: Moment, unit: u64) {
+        self.broken(now, Rule::OneAnswer, format!("unit {unit} was answered with what is not its own"));
+    }
+
     /// The patience of a unit has ended.
     pub fn due(&mut self, now: Moment, unit: u64) {
         if self.pages.get(&unit).is_some_and(|page| page.answer.is_none() && !page.gone) {
--- a/crates/emulator/tests/stories.rs
+++ b/crates/emulator/tests/stories.rs
@@ -85,7 +85,7 @@
 #[test]
 fn whoever_decides_meets_the_same_work() {
     let scenario = small("");
-    let came = |policy| play(&scenario, policy).tariffs.iter().map(|t| t.came).collect::<Vec<_>>();
+    let came = |policy| play(&scenario, policy).summary.tariffs.iter().map(|t| t.came).collect::<Vec<_>>();
     assert_eq!(came(Policy::Sita), came(Policy::Random));
     assert_eq!(came(Policy::Sita), came(Policy::LeastOut));
 }
@@ -202,17 +202,17 @@
     let scenario = Scenario::read(&shipped("replaced.toml")).expect("it is whole");
     let outcome = play(&scenario, Policy::Sita);
     assert!(outcome.keeps_rules(), "{outcome}");
-    assert!(outcome.is_even(), "{outcome}");
-    assert!(outcome.earned > play(&scenario, Policy::Random).earned);
+    assert!(outcome.summary.is_even(), "{outcome}");
+    assert!(outcome.summary.earned > play(&scenario, Policy::Random).summary.earned);
 }
 
 #[test]
 fn through_three_overlapping_failures_only_starts_that_nobody_was_told_of_break_a_rule() {
     let scenario = Scenario::read(&shipped("release.toml")).expect("it is whole");
     let outcome = play(&scenario, Policy::Sita);
-    assert!(outcome.is_even(), "{outcome}");
+    assert!(outcome.summary.is_even(), "{outcome}");
     assert!(outcome.list_calls_failed > 0, "discovery was down");
-    assert!(outcome.tariffs.iter().any(|t| t.lost > 0), "nodes died");
+    assert!(outcome.summary.tariffs.iter().any(|t| t.lost > 0), "nodes died");
     for breach in &outcome.breaches {
         assert_eq!(breach.rule, Rule::ColdStart, "{outcome}");
         assert!(!breach.what.contains(" 0 of them"), "{outcome}");
@@ -229,8 +229,8 @@
     for seed in 1..6 {
         let scenario = small(&further);
         let outcome = run(&scenario, seed, &maker(&scenario, Policy::Sita));
-        assert!(outcome.keeps_rules() && outcome.is_even(), "{outcome}");
-        assert!(outcome.tariffs.iter().any(|t| t.left > 0));
+        assert!(outcome.keeps_rules() && outcome.summary.is_even(), "{outcome}");
+        assert!(outcome.summary.tariffs.iter().any(|t| t.left > 0));
     }
 }
 
@@ -238,7 +238,7 @@
 fn the_clock_jumps_over_idle_time() {
     let scenario = small(&fault("silence", 2, 16, ""));
     let outcome = play(&scenario, Policy::Sita);
-    assert!(outcome.keeps_rules() && outcome.is_even());
+    assert!(outcome.keeps_rules() && outcome.summary.is_even());
     assert!(outcome.seconds[4..17].iter().all(|second| second.came == 0));
     assert!(outcome.seconds[18..].iter().any(|second| second.in_time > 0), "it goes on afterwards");
 }
@@ -251,8 +251,8 @@
     scenario = scenario.at_load(0.5);
     scenario.length_s = 3.0;
     let outcome = play(&scenario, Policy::Sita);
-    assert!(outcome.keeps_rules() && outcome.is_even(), "{outcome}");
-    assert!(outcome.tariffs.iter().map(|t| t.came).sum::<u64>() > 4000);
+    assert!(outcome.keeps_rules() && outcome.summary.is_even(), "{outcome}");
+    assert!(outcome.summary.tariffs.iter().map(|t| t.came).sum::<u64>() > 4000);
 }
 
 #[test]
