--- a/crates/node/src/life/node.rs
+++ b/crates/node/src/life/node.rs
@@ -19,6 +19,7 @@
 use polling::Poller;
 use serde::Deserialize;
 use std::env;
+use std::fmt::{self, Display, Formatter};
 use std::io;
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
@@ -102,6 +103,20 @@
     Gone,
 }
 
+/// The name alone: the log has the time.
+impl Display for Phase {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Phase::Starting => "Starting",
+            Phase::Serving => "Serving",
+            Phase::Drained { .. } => "Drained",
+            Phase::Leaving { .. } => "Leaving",
+            Phase::Closing { .. } => "Closing",
+            Phase::Gone => "Gone",
+        })
+    }
+}
+
 pub struct Node {
     phase: Phase,
     clock: Clock,
@@ -371,7 +386,7 @@
     }
 
     fn enter(&mut self, phase: Phase) {
-        info!("{phase:?} after {:?}", self.phase);
+        info!("{phase} after {}", self.phase);
         self.clients.log_standing();
         self.phase = phase;
         match phase {
