--- /dev/null
+++ b/crates/charter/src/fronts.rs
@@ -0,0 +1,98 @@
+//! Further fronts of a node, in a file of the operators' own: TOML, read and checked whole. Without the file there are
+//! none.
+
+use grebeusher_dispatch::time::Span;
+use serde::Deserialize;
+use std::net::SocketAddr;
+use std::ops::RangeInclusive;
+use std::path::Path;
+
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Fronts {
+    pub faktory: Option<Faktory>,
+}
+
+/// Where clients push jobs and workers fetch them by the Faktory work protocol.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Faktory {
+    pub listen: SocketAddr,
+    /// What clients and workers must know, if anything.
+    pub password: Option<String>,
+    /// Descriptors that are set aside for it.
+    #[serde(default = "most_connections")]
+    most_connections: u64,
+    /// How long a job waits for its worker's next fetch before it goes elsewhere.
+    #[serde(default = "fetched_within_ms")]
+    fetched_within_ms: u64,
+    /// After how long without a heartbeat a worker counts as gone.
+    #[serde(default = "silent_after_s")]
+    silent_after_s: u64,
+    /// How long a worker may have a job that does not say so.
+    #[serde(default = "reserve_for_s")]
+    reserve_for_s: u64,
+}
+
+fn most_connections() -> u64 {
+    64
+}
+fn fetched_within_ms() -> u64 {
+    500
+}
+fn silent_after_s() -> u64 {
+    60 // workers beat every 15 s: three were missed
+}
+fn reserve_for_s() -> u64 {
+    1800 // the protocol's own
+}
+
+impl Faktory {
+    pub fn most_connections(&self) -> usize {
+        self.most_connections as usize
+    }
+
+    pub fn fetched_within(&self) -> Span {
+        Span::millis(self.fetched_within_ms)
+    }
+
+    pub fn silent_after(&self) -> Span {
+        Span::millis(self.silent_after_s * 1000)
+    }
+
+    pub fn reserve_for(&self) -> Span {
+        Span::millis(self.reserve_for_s * 1000)
+    }
+}
+
+impl Fronts {
+    /// Reads and checks what a file holds; the error names the key and what was expected.
+    pub fn read(text: &str) -> Result<Fronts, String> {
+        let read = toml::Deserializer::parse(text).map_err(|e| e.to_string())?;
+        let fronts: Fronts = serde_path_to_error::deserialize(read)
+            .map_err(|e| format!("{}: {}", e.path(), e.inner().message()))?;
+        if let Some(f) = &fronts.faktory {
+            within("faktory.most_connections", f.most_connections, 1..=100_000)?;
+            within("faktory.fetched_within_ms", f.fetched_within_ms, 1..=600_000)?;
+            within("faktory.silent_after_s", f.silent_after_s, 1..=86_400)?;
+            within("faktory.reserve_for_s", f.reserve_for_s, 1..=86_400)?;
+            if f.password.as_deref() == Some("") {
+                return Err("faktory.password: expected some text, found none".to_owned());
+            }
+        }
+        Ok(fronts)
+    }
+
+    pub fn of_file(path: &Path) -> Result<Fronts, String> {
+        let named = |what: String| format!("{}: {what}", path.display());
+        let text = std::fs::read_to_string(path).map_err(|e| named(e.to_string()))?;
+        Fronts::read(&text).map_err(named)
+    }
+}
+
+fn within(key: &str, value: u64, range: RangeInclusive<u64>) -> Result<(), String> {
+    if range.contains(&value) {
+        return Ok(());
+    }
+    Err(format!("{key}: expected a whole number from {} to {}, found {value}", range.start(), range.end()))
+}
--- a/crates/charter/src/lib.rs
+++ b/crates/charter/src/lib.rs
@@ -1,6 +1,7 @@
 //! The charter: the object that says at start what a deployment promises, the same on the users' bench and on
 //! sockets. Everything that reads and checks it is here, and so is the file that a node on sockets is told it in.
 
+pub mod fronts;
 pub mod posting;
 mod section;
 
@@ -120,6 +121,16 @@
         self.tariffs.iter().map(|tariff| tariff.patience).max().unwrap_or_default()
     }
 
+    /// How long the clients of a tariff wait.
+    pub fn patience(&self, tariff: usize) -> Span {
+        self.tariffs[tariff].patience
+    }
+
+    /// The zone in which the node stands, by its place.
+    pub fn zone(&self) -> usize {
+        self.zone
+    }
+
     /// Whether a tariff is binding, by its place.
     pub fn is_binding(&self, tariff: usize) -> bool {
         self.tariffs[tariff].effect == Effect::Binding
