The Faktory front: jobs pushed and fetched before the same decisions

Need: holdings imports come through a bridge that is blind to tariffs; the operators want Faktory clients and workers under the same rules as HTTP. Change: wire/faktory.rs on the node's own loop, workers as executors of the decisions (exchange.rs), on only where GREBEUSHER_FRONTS names a file that has it.

--- a/crates/faktory/src/command.rs
+++ b/crates/faktory/src/command.rs
@@ -32,6 +32,9 @@
     pub at: Option<String>,
     #[serde(default)]
     pub custom: Value,
+    /// As it was said: whoever fetches it gets all of it.
+    #[serde(skip)]
+    pub text: String,
 }
 
 fn usual_queue() -> String {
@@ -88,7 +91,10 @@
     let (verb, rest) = text.split_once(' ').unwrap_or((text, ""));
     match verb {
         "HELLO" => Ok(Command::Hello(body(verb, rest)?)),
-        "PUSH" => Ok(Command::Push(Box::new(checked(body(verb, rest)?)?))),
+        "PUSH" => {
+            let job = Job { text: rest.to_owned(), ..checked(body(verb, rest)?)? };
+            Ok(Command::Push(Box::new(job)))
+        }
         "FETCH" => {
             let queues: Vec<String> = rest.split_ascii_whitespace().map(str::to_owned).collect();
             let queues = if queues.is_empty() { vec![usual_queue()] } else { queues };
--- a/crates/faktory/tests/stories.rs
+++ b/crates/faktory/tests/stories.rs
@@ -68,7 +68,10 @@
     // By another program: sha256 of "passsalt", and of that.
     let once = "c8b2505b76926abdc733523caa9f439142f66aa7293a7baaac0aed41a191eef6";
     let twice = "f06d1f610df1d963cead6690d773236c607bb0f16194c589d35d6723ef17aee3";
-    assert_eq!((password_hash("pass", "salt", 1), password_hash("pass", "salt", 2)), (once.into(), twice.into()));
+    assert_eq!(
+        (password_hash("pass", "salt", 1), password_hash("pass", "salt", 2)),
+        (once.into(), twice.into())
+    );
     let greeting = Greeting::with("pass", "salt", 1545);
     assert_eq!(greeting.says(), Answer::Hi(r#"{"i":1545,"s":"salt","v":2}"#.to_owned()));
     let hello = |hash: &str, version: u64| {
--- a/crates/node/src/exchange.rs
+++ b/crates/node/src/exchange.rs
@@ -11,6 +11,7 @@
 use crate::wire::clients::{CallerId, Clients};
 use crate::wire::discovery::{Discovery, Version};
 use crate::wire::executors::Executors;
+use crate::wire::faktory::Faktory;
 use crate::wire::load::Reports;
 use crate::wire::sibling::Siblings;
 use grebeusher_charter::Charter;
@@ -19,6 +20,7 @@
 use grebeusher_dispatch::ids::{AllocationId, ExecutorId, UnitId};
 use grebeusher_dispatch::tariffs::{Arrival, Ending, Listing, Report, Standing};
 use grebeusher_dispatch::time::{Moment, Span};
+use grebeusher_faktory::reservations;
 use log::{debug, info, warn};
 use std::cell::RefCell;
 use std::rc::Rc;
@@ -43,10 +45,12 @@
 #[derive(Clone)]
 struct Hands {
     clock: Clock,
+    counters: Rc<Counters>,
     desk: Rc<RefCell<Desk>>,
     clients: Rc<Clients>,
     executors: Rc<Executors>,
     discovery: Rc<Discovery>,
+    faktory: Option<Rc<Faktory>>,
     /// Whether executors may be asked to give up a job.
     recalls: bool,
 }
@@ -55,6 +59,10 @@
     /// The final answer, once.
     fn answer(&self, unit: UnitId, status: u16, come_back: Option<Span>, body: &[u8]) {
         if self.desk.borrow_mut().units.answered(unit) {
+            let pushed = self.faktory.as_ref().is_some_and(|faktory| faktory.answer(unit, status));
+            if pushed {
+                return;
+            }
             self.clients.answer(unit, status, come_back, body);
         }
     }
@@ -62,6 +70,9 @@
     fn give_up(&self, id: AllocationId) {
         let desk = self.desk.borrow();
         let Some((executor, accepted, errand)) = desk.units.still_out(id) else { return };
+        if let Some(faktory) = self.faktory.as_ref().filter(|_| desk.executors.worker(executor).is_some()) {
+            return faktory.withdraw(id);
+        }
         // Before it was taken only a connection is closed, which asks nothing of the executor.
         if self.recalls || !accepted {
             self.executors.give_up(id, executor, desk.executors.address(executor), &errand, accepted);
@@ -76,7 +87,15 @@
         let Some((id, errand)) = desk.units.allocated(unit, executor) else { return };
         let alarm = desk.time_outs.set(self.clock.now() + time_out, id);
         desk.units.times_out(id, alarm);
-        self.executors.allocate(id, executor, address, &errand, time_out);
+        match (&self.faktory, desk.executors.worker(executor)) {
+            (Some(faktory), Some(worker)) => {
+                self.counters.allocations.up();
+                if !faktory.hand(worker, id, &errand, time_out) {
+                    faktory.not_handed(id);
+                }
+            }
+            _ => self.executors.allocate(id, executor, address, &errand, time_out),
+        }
     }
 
     fn recall(&mut self, allocation: AllocationId) {
@@ -116,6 +135,7 @@
     zones: Vec<String>,
     kinds: Vec<String>,
     listed: bool,
+    own_zone: usize,
     /// Other processes of this node, where there may be some.
     siblings: Option<Rc<Siblings>>,
 }
@@ -125,15 +145,17 @@
         seed: u64,
         charter: &Charter,
         (clients, executors, discovery): (&Rc<Clients>, &Rc<Executors>, &Rc<Discovery>),
-        siblings: &Option<Rc<Siblings>>,
+        (siblings, faktory): (&Option<Rc<Siblings>>, &Option<Rc<Faktory>>),
         (clock, counters): (Clock, &Rc<Counters>),
     ) -> Exchange {
         let hands = Hands {
             clock,
+            counters: counters.clone(),
             desk: Rc::default(),
             clients: clients.clone(),
             executors: executors.clone(),
             discovery: discovery.clone(),
+            faktory: faktory.clone(),
             recalls: charter.recalls(),
         };
         Exchange {
@@ -145,6 +167,7 @@
             zones: charter.zones.clone(),
             kinds: charter.kinds.clone(),
             listed: false,
+            own_zone: charter.zone(),
             siblings: siblings.clone(),
         }
     }
@@ -303,6 +326,46 @@
         self.hands.desk.borrow_mut().units.tidy(id.unit);
     }
 
+    /// A worker has fetched what was handed to it: it runs.
+    pub fn fetched(&mut self, id: AllocationId) {
+        self.counters.relayed.up();
+        let executor = {
+            let mut desk = self.hands.desk.borrow_mut();
+            desk.units.accepted(id);
+            desk.units.still_out(id).map(|(executor, ..)| executor)
+        };
+        if let Some(executor) = executor {
+            self.counters.accepted.up();
+            self.dispatcher.noticed(self.hands.clock.now(), id, executor);
+        }
+    }
+
+    /// An allocation is done, with this result.
+    pub fn fulfilled(&mut self, id: AllocationId, result: &[u8]) {
+        self.hands.answer(id.unit, 200, None, result);
+        self.ended(id, Ending::Fulfilled, None);
+    }
+
+    /// How a worker of the Faktory front stands: to the decisions it is an executor of this node's own zone.
+    pub fn worker_stands(&mut self, worker: usize, wid: &str, standing: reservations::Standing) {
+        let name = format!("{WORKER}{wid}");
+        let executor = {
+            let mut desk = self.hands.desk.borrow_mut();
+            let executor = desk.executors.index(&name);
+            desk.executors.is_worker(executor, worker);
+            executor
+        };
+        let standing = match standing {
+            reservations::Standing::Works => Standing::Ready,
+            reservations::Standing::Quiet => Standing::Draining,
+            reservations::Standing::Gone => Standing::Gone,
+        };
+        let kind = place(&mut self.kinds, WORKER);
+        let listing = worker_listing(executor, &name, standing, kind, self.own_zone);
+        self.listed = true;
+        self.dispatcher.listed(self.hands.clock.now(), false, &[listing]);
+    }
+
     /// The executor did not say in time that it took the job, and the connection is closed. Where it has told of a
     /// start that word alone got lost.
     pub fn not_taken(&mut self, id: AllocationId) {
@@ -371,14 +434,45 @@
             });
         }
         self.listed |= !listings.is_empty();
+        // Discovery does not know of workers: a whole list of its own is no word that they are gone.
+        let workers = if version.reset { self.workers() } else { Vec::new() };
+        let kind = if workers.is_empty() { 0 } else { place(&mut self.kinds, WORKER) };
+        for (executor, name, standing) in &workers {
+            listings.push(worker_listing(*executor, name, *standing, kind, self.own_zone));
+        }
         self.dispatcher.listed(now, version.reset, &listings);
     }
 
+    /// The workers that are there, as executors.
+    fn workers(&self) -> Vec<(ExecutorId, String, Standing)> {
+        let workers = self.hands.faktory.iter().flat_map(|faktory| faktory.workers());
+        let mut desk = self.hands.desk.borrow_mut();
+        let named = |(_, wid, works): (usize, String, bool)| {
+            let name = format!("{WORKER}{wid}");
+            let standing = if works { Standing::Ready } else { Standing::Draining };
+            (desk.executors.index(&name), name, standing)
+        };
+        workers.map(named).collect()
+    }
+
     pub fn list_broken(&mut self) {
         self.dispatcher.list_broken();
     }
 }
 
+/// What the names of workers begin with, and their kind is called: no executor of the list has such a name.
+const WORKER: &str = "faktory worker ";
+
+fn worker_listing(
+    executor: ExecutorId,
+    name: &str,
+    standing: Standing,
+    kind: usize,
+    zone: usize,
+) -> Listing<'_> {
+    Listing { executor, name, standing, started: None, kind, zone, cell: 0, weight: 1.0 }
+}
+
 /// The place of a name among those of the charter, a new one if it is not there.
 fn place(names: &mut Vec<String>, name: &str) -> usize {
     names.iter().position(|n| n == name).unwrap_or_else(|| {
--- a/crates/node/src/life/node.rs
+++ b/crates/node/src/life/node.rs
@@ -11,23 +11,28 @@
 use crate::wire::console::{self, Console, Office};
 use crate::wire::discovery::{Discovery, Version};
 use crate::wire::executors::Executors;
+use crate::wire::faktory::Faktory;
 use crate::wire::sibling::{self, Siblings};
+use grebeusher_charter::fronts::Fronts;
 use grebeusher_charter::posting::Posting;
 use grebeusher_charter::{Charter, ListComes};
 use grebeusher_dispatch::time::{Moment, Span};
 use log::{error, info, warn};
 use polling::Poller;
 use serde::Deserialize;
+use std::cell::Cell;
 use std::env;
 use std::fmt::{self, Display, Formatter};
 use std::io;
 use std::net::{SocketAddr, TcpListener};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::Duration;
 
 /// Names the console's address, where the file does not.
 const CONSOLE_AT: &str = "GW_CONSOLE";
+/// Names the operators' file of further fronts; without it there are none.
+const FRONTS: &str = "GREBEUSHER_FRONTS";
 
 /// Keys of the poller. From `FIRST` on connections of three kinds take turns.
 const LISTENER: usize = 0;
@@ -35,12 +40,14 @@
 const DISCOVERY: usize = 2;
 const CONSOLE: usize = 3;
 const SIBLINGS: usize = 4;
-const FIRST: usize = 5;
-const KINDS: usize = 4;
+const FAKTORY: usize = 5;
+const FIRST: usize = 6;
+const KINDS: usize = 5;
 const OUTSIDE: usize = 0;
 const EXECUTOR: usize = 1;
 const STAFF: usize = 2;
 const SIBLING: usize = 3;
+const PEER: usize = 4;
 
 fn outside_key(place: usize) -> usize {
     FIRST + KINDS * place + OUTSIDE
@@ -58,6 +65,10 @@
     FIRST + KINDS * place + SIBLING
 }
 
+fn peer_key(place: usize) -> usize {
+    FIRST + KINDS * place + PEER
+}
+
 /// The kind and the place of a connection's key; `None` for one of the others.
 fn connection(key: usize) -> Option<(usize, usize)> {
     key.checked_sub(FIRST).map(|key| (key % KINDS, key / KINDS))
@@ -129,6 +140,7 @@
     clients: Rc<Clients>,
     console: Option<Rc<Console>>,
     siblings: Option<Rc<Siblings>>,
+    faktory: Option<Rc<Faktory>>,
     /// Connections from outside and to executors, and bytes of requests, that this process may hold.
     limits: (usize, usize, usize),
     /// Whether another process of this node is there, and whether it sends to cold executors.
@@ -154,6 +166,8 @@
         let common = (&poller, clock, &counters);
         signals.watched(&poller, SIGNALS).map_err(|e| format!("no signals: {e}"))?;
         let (charter, room) = (&posting.charter, limits::room(posting.memory_mb));
+        let fronts = env::var_os(FRONTS).map(|path| Fronts::of_file(Path::new(&path))).transpose()?;
+        let fronts = fronts.unwrap_or_default();
         // Only where the platform holds the socket can a second process be beside this one.
         let siblings = inherited.as_ref().map(|_| {
             Rc::new(Siblings::meet(
@@ -165,11 +179,20 @@
         });
         let console_at = console_at(posting.console)?;
         let further = console_at.map_or(0, |_| console::DESCRIPTORS)
-            + siblings.as_ref().map_or(0, |_| sibling::DESCRIPTORS);
+            + siblings.as_ref().map_or(0, |_| sibling::DESCRIPTORS)
+            + fronts.faktory.as_ref().map_or(0, |posted| posted.most_connections() + 1);
         let (from_outside, to_executors) = limits::connections(posting.sockets, further);
+        let next_unit = Rc::new(Cell::new(0));
         let listener = inherited.map_or_else(|| wire::listen(posting.listen), Ok);
         let clients = listener.and_then(|listener| {
-            Clients::listen(listener, charter, (from_outside, room), (LISTENER, outside_key), common)
+            Clients::listen(
+                listener,
+                charter,
+                &next_unit,
+                (from_outside, room),
+                (LISTENER, outside_key),
+                common,
+            )
         });
         let clients = Rc::new(clients.map_err(|e| format!("{}: {e}", posting.listen))?);
         let relieves = siblings.as_ref().is_some_and(|siblings| siblings.has_elder());
@@ -184,13 +207,23 @@
         let executors = Rc::new(executors);
         let discovery = Rc::new(Discovery::new(posting.discovery, &known, DISCOVERY, common));
         let sides = (&clients, &executors, &discovery);
-        let mut exchange = Exchange::open(posting.seed, charter, sides, &siblings, (clock, &counters));
+        let faktory = fronts.faktory.as_ref().map(|posted| {
+            let keys = (FAKTORY, peer_key as fn(usize) -> usize);
+            let faktory = Faktory::listen(posted, charter, (posting.seed, &next_unit), keys, common);
+            faktory.map(Rc::new).map_err(|e| format!("faktory.listen: {}: {e}", posted.listen))
+        });
+        let faktory = faktory.transpose()?;
+        let further = (&siblings, &faktory);
+        let mut exchange = Exchange::open(posting.seed, charter, sides, further, (clock, &counters));
         exchange.start();
         exchange.listed(&known);
         say_what_sockets_lack(charter);
         if let Some(console) = &console {
             info!("console at {}", console.address().map_err(|e| e.to_string())?);
         }
+        if let Some(faktory) = &faktory {
+            info!("faktory at {}", faktory.address().map_err(|e| e.to_string())?);
+        }
         let listens = clients.address().map_err(|e| e.to_string())?;
         info!("{} listens at {listens}; {from_outside} + {to_executors} connections at most", posting.name);
         let phase = Phase::Starting;
@@ -206,6 +239,7 @@
             clients,
             console,
             siblings,
+            faktory,
             limits: (from_outside, to_executors, room),
             shares: (false, false),
             relieves,
@@ -238,6 +272,9 @@
             if let Some(siblings) = &self.siblings {
                 siblings.due(&mut self.exchange);
             }
+            if let Some(faktory) = &self.faktory {
+                faktory.due(&mut self.exchange);
+            }
             self.clients.due();
             self.move_on();
         }
@@ -262,6 +299,7 @@
             self.discovery.next_due(),
             self.clients.next_due(),
             self.siblings.as_ref().and_then(|siblings| siblings.next_due()),
+            self.faktory.as_ref().and_then(|faktory| faktory.next_due()),
             leaving,
         ];
         dues.into_iter().flatten().min()
@@ -284,6 +322,16 @@
                     siblings.stirred(place, &mut self.exchange);
                 }
             }
+            (FAKTORY, _) => {
+                if let Some(faktory) = &self.faktory {
+                    faktory.accept();
+                }
+            }
+            (_, Some((PEER, place))) => {
+                if let Some(faktory) = &self.faktory {
+                    faktory.stirred(place, &mut self.exchange);
+                }
+            }
             (_, kind) => {
                 if let Some(console) = self.console.clone() {
                     kind.map_or_else(|| console.accept(), |(_, place)| console.stirred(place, self));
@@ -370,7 +418,7 @@
             Phase::Drained { since } if self.clock.now() >= since + NOTICED_WITHIN => self.wind_down(),
             Phase::Closing { since } => {
                 self.wind_down();
-                if self.clients.owes_nothing(since) {
+                if self.clients.owes_nothing(since) && self.owes_no_push() {
                     self.enter(Phase::Gone);
                 }
             }
@@ -385,7 +433,14 @@
         self.clients.close_idle(IDLE_FOR);
     }
 
+    fn owes_no_push(&self) -> bool {
+        self.faktory.as_ref().is_none_or(|faktory| faktory.owes_nothing())
+    }
+
     fn enter(&mut self, phase: Phase) {
+        if let Some(faktory) = &self.faktory {
+            faktory.leave(!matches!(phase, Phase::Starting | Phase::Serving));
+        }
         info!("{phase} after {}", self.phase);
         self.clients.log_standing();
         self.phase = phase;
@@ -411,7 +466,8 @@
 
     fn figures(&self) -> String {
         let (listed, passed_over) = self.exchange.listing();
-        let gauges = Gauges { open: self.clients.open_units(), listed, passed_over };
+        let pushed = self.faktory.as_ref().map_or(0, |faktory| faktory.open_units());
+        let gauges = Gauges { open: self.clients.open_units() + pushed, listed, passed_over };
         let (counters, tariffs) = (&*self.counters, self.clients.tariffs());
         Figures { counters, tariffs, gauges }.to_string()
     }
--- a/crates/node/src/memory/counters.rs
+++ b/crates/node/src/memory/counters.rs
@@ -89,6 +89,7 @@
     watches_broken: Count = "watches that ended or fell silent",
     list_lines: Count = "lines of the list that were read",
     list_bad: Count = "lines or entries of the list that could not be read",
+    faktory_errors: Count = "commands of Faktory clients and workers that were answered with an error",
     postings_read: Count = "times that the posting was read anew",
     postings_bad: Count = "times that it could not be, or held a wrong setting",
 }
--- a/crates/node/src/memory/executors.rs
+++ b/crates/node/src/memory/executors.rs
@@ -9,6 +9,8 @@
 pub struct Executors {
     by_name: HashMap<Rc<str>, ExecutorId>,
     kept: Vec<(Rc<str>, Option<SocketAddr>)>,
+    /// Those that are workers of the Faktory front, by their places there.
+    workers: HashMap<ExecutorId, usize>,
 }
 
 impl Executors {
@@ -27,6 +29,14 @@
         self.by_name.get(name).copied()
     }
 
+    pub fn is_worker(&mut self, id: ExecutorId, worker: usize) {
+        self.workers.insert(id, worker);
+    }
+
+    pub fn worker(&self, id: ExecutorId) -> Option<usize> {
+        self.workers.get(&id).copied()
+    }
+
     pub fn listens_at(&mut self, id: ExecutorId, address: SocketAddr) {
         self.kept[id.0].1 = Some(address);
     }
--- a/crates/node/src/memory/units.rs
+++ b/crates/node/src/memory/units.rs
@@ -2,6 +2,7 @@
 
 use crate::memory::alarms::Alarm;
 use grebeusher_dispatch::ids::{AllocationId, ExecutorId, UnitId};
+use grebeusher_dispatch::time::Span;
 use std::collections::HashMap;
 use std::rc::Rc;
 
@@ -12,6 +13,15 @@
     pub target: String,
     pub body: Vec<u8>,
     pub binding: bool,
+    /// How it was pushed, if it came as a job.
+    pub pushed: Option<Pushed>,
+}
+
+/// A job as a client pushed it: a worker gets it as it was.
+pub struct Pushed {
+    pub line: String,
+    pub priority: u8,
+    pub reserve_for: Option<Span>,
 }
 
 struct Out {
--- a/crates/node/src/wire/clients.rs
+++ b/crates/node/src/wire/clients.rs
@@ -153,7 +153,7 @@
     takes_in: Cell<bool>,
     charter: Charter,
     callers: RefCell<Callers>,
-    next_unit: Cell<u64>,
+    next_unit: Rc<Cell<u64>>,
     ready: Cell<bool>,
     /// Answers ask for the end of their connections.
     winding_down: Cell<bool>,
@@ -166,6 +166,7 @@
     pub fn listen(
         listener: TcpListener,
         charter: &Charter,
+        next_unit: &Rc<Cell<u64>>,
         (most, room): (usize, usize),
         (listener_key, key): (usize, fn(usize) -> usize),
         (poller, clock, counters): (&Rc<Poller>, Clock, &Rc<Counters>),
@@ -188,7 +189,7 @@
                 slow: Alarms::default(),
                 next_serial: 0,
             }),
-            next_unit: Cell::new(0),
+            next_unit: next_unit.clone(),
             ready: Cell::new(false),
             winding_down: Cell::new(false),
             ends: Cell::new(None),
@@ -582,7 +583,7 @@
         };
         let binding = self.charter.is_binding(tariff);
         let (call_id, tariff) = (call_id.into(), named.to_owned());
-        Ok((Errand { call_id, tariff, target, body, binding }, arrival))
+        Ok((Errand { call_id, tariff, target, body, binding, pushed: None }, arrival))
     }
 
     fn arrived(&self, place: usize, errand: Errand, arrival: &Arrival, exchange: &mut Exchange) {
--- a/crates/node/src/wire/executors.rs
+++ b/crates/node/src/wire/executors.rs
@@ -113,7 +113,7 @@
         errand: &Errand,
         time_out: Span,
     ) {
-        let Errand { call_id, tariff, target, body, binding } = errand;
+        let Errand { call_id, tariff, target, body, binding, .. } = errand;
         let (budget, length) = (time_out.0 / 1_000_000, body.len());
         let head = format!(
             "POST {target} HTTP/1.1\r\nHost: {}\r\nX-Call-Id: {call_id}\r\nX-Call-Class: {tariff}\r\n\
--- a/crates/node/src/wire/mod.rs
+++ b/crates/node/src/wire/mod.rs
@@ -5,6 +5,7 @@
 pub mod console;
 pub mod discovery;
 pub mod executors;
+pub mod faktory;
 pub mod http;
 pub mod load;
 pub mod sibling;
--- a/crates/node/tests/fake/mod.rs
+++ b/crates/node/tests/fake/mod.rs
@@ -34,6 +34,8 @@
     pub node: SocketAddr,
     /// Where its staff call, if the posting names a console.
     pub console: Option<SocketAddr>,
+    /// Where Faktory clients and workers connect, if a file of fronts says so.
+    pub faktory: Option<SocketAddr>,
     pub discovery: TcpListener,
     posting: Value,
     child: Child,
@@ -89,7 +91,7 @@
             "seed": "8c1f30d27a5be964", "limits": limits, "settings": charter,
             "known": {"generation": 41, "reset": true, "instances": known}});
         let posting = change(posting);
-        World::started(discovery, posting, Rc::new(Folder::new()), descriptors, None)
+        World::started(discovery, posting, Rc::new(Folder::new()), descriptors, None, None)
     }
 
     fn started(
@@ -98,6 +100,7 @@
         folder: Rc<Folder>,
         descriptors: usize,
         held: Option<TcpListener>,
+        fronts: Option<&str>,
     ) -> World {
         let path = folder.0.join(POSTING);
         std::fs::write(&path, posting.to_string()).expect("the posting is written");
@@ -109,6 +112,11 @@
         } else {
             format!("ulimit -n {descriptors}; exec \"$0\"")
         };
+        if let Some(fronts) = fronts {
+            let path = folder.0.join("fronts.toml");
+            std::fs::write(&path, fronts).expect("the file is written");
+            command.env("GREBEUSHER_FRONTS", path);
+        }
         let mut child = command
             .args(["-c", &limited, env!("CARGO_BIN_EXE_grebeusher")])
             .env("GW_CONFIG", &path)
@@ -118,18 +126,19 @@
             .expect("the node starts");
         let mut log = BufReader::new(child.stderr.take().expect("its log is a pipe"));
         let mut line = String::new();
-        let mut console = None;
+        let (mut console, mut faktory) = (None, None);
         let node = loop {
             line.clear();
             assert_ne!(log.read_line(&mut line).expect("the log is text"), 0, "the node ended at once");
             console = console.or_else(|| said_address(&line, "console at "));
+            faktory = faktory.or_else(|| said_address(&line, "faktory at "));
             if let Some(node) = said_address(&line, "listens at ") {
                 break node;
             }
         };
         // What it says later is read and dropped, or it would wait for a reader.
         std::thread::spawn(move || std::io::copy(&mut log, &mut std::io::sink()));
-        World { node, console, discovery, posting, child, folder, held }
+        World { node, console, faktory, discovery, posting, child, folder, held }
     }
 
     /// With a console.
@@ -147,14 +156,45 @@
         let posting = json!({"name": "n0", "listen": address(&held), "console": "127.0.0.1:0",
             "discovery": address(&discovery), "seed": "8c1f30d27a5be964", "limits": {"sockets": 1024},
             "settings": charter(), "known": {"generation": 41, "reset": true, "instances": known}});
-        World::started(discovery, posting, Rc::new(folder), 1024, Some(held))
+        World::started(discovery, posting, Rc::new(folder), 1024, Some(held), None)
+    }
+
+    /// With a console and a Faktory front.
+    pub fn fronted(executors: &[&TcpListener], further: &str) -> World {
+        let discovery = listener();
+        let known: Vec<Value> = executors.iter().enumerate().map(|(i, l)| entry(i, l, "active")).collect();
+        let posting = json!({"name": "n0", "listen": "127.0.0.1:0", "console": "127.0.0.1:0",
+            "discovery": address(&discovery), "seed": "8c1f30d27a5be964", "limits": {"sockets": 1024},
+            "settings": charter(), "known": {"generation": 41, "reset": true, "instances": known}});
+        let fronts = format!("[faktory]\nlisten = \"127.0.0.1:0\"\n{further}");
+        World::started(discovery, posting, Rc::new(Folder::new()), 1024, None, Some(&fronts))
+    }
+
+    /// Connects to the Faktory front, and hears the greeting.
+    pub fn call_faktory(&self) -> Talk {
+        greeted_at(self.faktory.expect("it has a front"))
+    }
+
+    /// A worker that is known by this name.
+    pub fn worker(&self, wid: &str) -> Talk {
+        worker_at(self.faktory.expect("it has a front"), wid)
+    }
+
+    /// A client that pushes a job and waits.
+    pub fn push(&self, jid: &str, queue: &str, further: &str) -> Talk {
+        let mut client = self.call_faktory();
+        assert_eq!(client.ask_line("HELLO {\"v\":2}"), "+OK");
+        client.say(&format!(
+            "PUSH {{\"jid\":\"{jid}\",\"jobtype\":\"import\",\"queue\":\"{queue}\",\"args\":[1]{further}}}\r\n"
+        ));
+        client
     }
 
     /// One more process of the same node, beside this one.
     pub fn beside(&self) -> World {
         let discovery = self.discovery.try_clone().expect("one more of it");
         let held = self.held.as_ref().map(|held| held.try_clone().expect("one more of it"));
-        World::started(discovery, self.posting.clone(), self.folder.clone(), 1024, held)
+        World::started(discovery, self.posting.clone(), self.folder.clone(), 1024, held, None)
     }
 
     /// Waits until the console says that the process is ready.
@@ -252,10 +292,14 @@
         self.tell("HUP");
     }
 
+    pub fn posting_file(&self) -> PathBuf {
+        self.folder.0.join(POSTING)
+    }
+
     /// What becomes of another node that is started with the file as it stands, which must end by itself.
     pub fn start_another(&self) -> (ExitStatus, String) {
         let mut command = Command::new(env!("CARGO_BIN_EXE_grebeusher"));
-        let output = command.env("GW_CONFIG", self.folder.0.join(POSTING)).output().expect("it starts");
+        let output = command.env("GW_CONFIG", self.posting_file()).output().expect("it starts");
         (output.status, String::from_utf8_lossy(&output.stderr).into_owned())
     }
 
@@ -272,6 +316,18 @@
     }
 }
 
+fn greeted_at(front: SocketAddr) -> Talk {
+    let mut peer = Talk::over(TcpStream::connect(front).expect("it listens"));
+    assert!(peer.line().starts_with("+HI "));
+    peer
+}
+
+pub fn worker_at(front: SocketAddr, wid: &str) -> Talk {
+    let mut worker = greeted_at(front);
+    assert_eq!(worker.ask_line(&format!("HELLO {{\"wid\":\"{wid}\",\"v\":2}}")), "+OK");
+    worker
+}
+
 fn said_address(line: &str, before: &str) -> Option<SocketAddr> {
     let (_, rest) = line.split_once(before)?;
     rest.split([' ', ';', '\n']).next()?.parse().ok()
@@ -348,7 +404,7 @@
 }
 
 impl Talk {
-    fn over(stream: TcpStream) -> Talk {
+    pub fn over(stream: TcpStream) -> Talk {
         stream.set_read_timeout(Some(FAR_TOO_LONG)).expect("a time-out");
         Talk { stream: BufReader::new(stream) }
     }
@@ -390,7 +446,24 @@
         message
     }
 
-    fn line(&mut self) -> String {
+    /// One line said, and the one heard for it.
+    pub fn ask_line(&mut self, line: &str) -> String {
+        self.say(&format!("{line}\r\n"));
+        self.line()
+    }
+
+    /// What a fetch is answered: a job, or nothing.
+    pub fn hear_bulk(&mut self) -> Option<Value> {
+        let length: i64 = self.line().strip_prefix('$').and_then(|n| n.parse().ok()).expect("a length");
+        if length < 0 {
+            return None;
+        }
+        let body = self.line();
+        assert_eq!(body.len() as i64, length);
+        Some(serde_json::from_str(&body).expect("JSON"))
+    }
+
+    pub fn line(&mut self) -> String {
         let mut line = String::new();
         self.stream.read_line(&mut line).expect("a line in time");
         line.trim_end().to_owned()
--- a/crates/node/tests/stories.rs
+++ b/crates/node/tests/stories.rs
@@ -1,6 +1,7 @@
 //! Short stories of a node on sockets, one for each promise and each failure met.
 
 mod fake;
+mod faktory;
 
 use fake::*;
 use grebeusher_migrate::{Shape, counterpart};
