--- a/crates/node/src/wire/console.rs
+++ b/crates/node/src/wire/console.rs
@@ -69,17 +69,7 @@
     /// Takes in those who wait to call. Guards against callers that say nothing and hold all places: whoever came
     /// first of them makes room, those who have their answers before, and those who have not read it last.
     pub fn accept(&self) {
-        for _ in 0..MOST {
-            match self.listener.accept() {
-                Ok((stream, _)) => self.take_in(stream),
-                Err(e) if e.kind() == ErrorKind::WouldBlock => break,
-                Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {}
-                Err(e) => {
-                    warn!("the console can't take in a call: {e}");
-                    break;
-                }
-            }
-        }
+        super::take_in(&self.listener, MOST, "calls to the console", |stream| self.take_in(stream));
         if let Err(e) = self.poller.modify(&self.listener, Event::readable(self.listener_key)) {
             warn!("the console can't be watched: {e}");
         }
--- a/crates/node/src/wire/faktory.rs
+++ b/crates/node/src/wire/faktory.rs
@@ -23,7 +23,7 @@
 use slab::Slab;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
-use std::io::{self, ErrorKind};
+use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
 
@@ -161,17 +161,7 @@
     }
 
     pub fn accept(&self) {
-        for _ in 0..AT_ONCE {
-            match self.listener.accept() {
-                Ok((stream, _)) => self.take_in(stream),
-                Err(e) if e.kind() == ErrorKind::WouldBlock => break,
-                Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {}
-                Err(e) => {
-                    warn!("connections can't be taken in: {e}");
-                    break;
-                }
-            }
-        }
+        super::take_in(&self.listener, AT_ONCE, "Faktory clients", |stream| self.take_in(stream));
         if let Err(e) = self.poller.modify(&self.listener, Event::readable(self.listener_key)) {
             warn!("the front can't be watched: {e}");
         }
@@ -224,8 +214,11 @@
         Greeting::with(password, &format!("{salt:016x}"), ITERATIONS)
     }
 
-    /// The decisions send a unit to a worker; `false` if it can't have it.
+    /// The decisions send a unit to a worker; `false` if it can't have it, or nothing is handed out any more.
     pub fn hand(&self, worker: usize, id: AllocationId, errand: &Errand, time_out: Span) -> bool {
+        if self.leaves.get() {
+            return false;
+        }
         let now = self.clock.now();
         let pushed = errand.pushed.as_ref();
         let reserve_for = pushed.and_then(|p| p.reserve_for).unwrap_or(self.reserve_for).min(time_out);
--- a/crates/node/src/wire/mod.rs
+++ b/crates/node/src/wire/mod.rs
@@ -10,9 +10,22 @@
 pub mod load;
 pub mod sibling;
 
+use log::warn;
 use socket2::{Domain, Protocol, Socket, Type};
-use std::io;
-use std::net::{SocketAddr, TcpListener};
+use std::io::{self, ErrorKind};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+
+/// Takes in up to so many of those who wait to connect; `whom` they are, for the log.
+pub fn take_in(listener: &TcpListener, at_once: usize, whom: &str, mut take: impl FnMut(TcpStream)) {
+    for _ in 0..at_once {
+        match listener.accept() {
+            Ok((stream, _)) => take(stream),
+            Err(e) if e.kind() == ErrorKind::WouldBlock => return,
+            Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {}
+            Err(e) => return warn!("{whom} can't be taken in: {e}"),
+        }
+    }
+}
 
 /// Listens at an address, without waiting for those who come.
 pub fn listen(at: SocketAddr) -> io::Result<TcpListener> {
--- a/crates/node/tests/faktory/mod.rs
+++ b/crates/node/tests/faktory/mod.rs
@@ -305,7 +305,9 @@
 #[test]
 fn mixed_traffic_with_workers_that_drop_at_random_is_accounted_for_on_both_sides() {
     const JOBS: u64 = 300;
-    let mut chance = Pcg32::seed_from_u64(20);
+    // Another seed is for long measurements.
+    let seed = std::env::var("STORY_SEED").ok().and_then(|seed| seed.parse().ok()).unwrap_or(20);
+    let mut chance = Pcg32::seed_from_u64(seed);
     let world = World::fronted(&[], "");
     let front = world.faktory.expect("a front");
     let (runs, ends) = (Mutex::default(), AtomicBool::new(false));
@@ -313,7 +315,7 @@
     std::thread::scope(|scope| {
         for place in 1..=3 {
             let (runs, ends) = (&runs, &ends);
-            scope.spawn(move || drops_at_random(front, place, runs, ends));
+            scope.spawn(move || drops_at_random(front, seed * 10 + place, runs, ends));
         }
         for number in 0..JOBS {
             let jid = format!("job-{number:05}");
@@ -341,6 +343,7 @@
         }
         ends.store(true, Ordering::Relaxed);
     });
+    println!("fulfilled {fulfilled}, forfeited {forfeited}, turned back {turned_back}");
     let counted = ["fulfilled", "forfeited", "turned_back", "units"].map(|name| world.counter(name));
     assert_eq!(counted, [fulfilled, forfeited, turned_back, JOBS]);
     assert!(forfeited > 0 && fulfilled > forfeited, "{counted:?}");
