Jobs that outlive the process: taken on disk, settled or placed anew after a crash

Need: what a process had taken vanished with it. Change: POST /durable/TARIFF is answered once the job is on disk, GET /durable/ID tells its end; a binding job is written down before it is sent, and after a crash is settled by call-backs and never sent again; a retriable one goes on while its executor tells of it. On only where GREBEUSHER_FRONTS says so.

--- a/crates/charter/src/fronts.rs
+++ b/crates/charter/src/fronts.rs
@@ -5,12 +5,44 @@
 use serde::Deserialize;
 use std::net::SocketAddr;
 use std::ops::RangeInclusive;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 
 #[derive(Clone, Debug, Default, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Fronts {
     pub faktory: Option<Faktory>,
+    pub ledger: Option<Ledger>,
+}
+
+/// Jobs that outlive the process.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Ledger {
+    /// On a disk that lasts, and of this node alone.
+    pub folder: PathBuf,
+    /// How long the answer to a job can be asked for.
+    #[serde(default = "keep_answers_s")]
+    keep_answers_s: u64,
+    /// How many jobs there may be, those that are answered and kept among them.
+    #[serde(default = "most_jobs")]
+    most_jobs: u64,
+}
+
+fn keep_answers_s() -> u64 {
+    600
+}
+fn most_jobs() -> u64 {
+    10_000
+}
+
+impl Ledger {
+    pub fn keep_answers(&self) -> Span {
+        Span::millis(self.keep_answers_s * 1000)
+    }
+
+    pub fn most_jobs(&self) -> usize {
+        self.most_jobs as usize
+    }
 }
 
 /// Where clients push jobs and workers fetch them by the Faktory work protocol.
@@ -80,6 +112,10 @@
                 return Err("faktory.password: expected some text, found none".to_owned());
             }
         }
+        if let Some(l) = &fronts.ledger {
+            within("ledger.keep_answers_s", l.keep_answers_s, 1..=30 * 86_400)?;
+            within("ledger.most_jobs", l.most_jobs, 1..=10_000_000)?;
+        }
         Ok(fronts)
     }
 
--- a/crates/charter/src/lib.rs
+++ b/crates/charter/src/lib.rs
@@ -126,6 +126,11 @@
         self.tariffs[tariff].patience
     }
 
+    /// How often executors tell of what runs, if they do.
+    pub fn progress(&self) -> Option<Span> {
+        self.progress
+    }
+
     /// The zone in which the node stands, by its place.
     pub fn zone(&self) -> usize {
         self.zone
--- a/crates/ledger/tests/stories.rs
+++ b/crates/ledger/tests/stories.rs
@@ -48,8 +48,8 @@
     let due = |records: &[Record], now_ms: u64| book(records).due(now_ms).first().map(|(_, due)| *due);
     for binding in [false, true] {
         let taken = job("a", binding);
-        assert_eq!(due(&[taken.clone()], 2000), Some(Due::Anew));
-        assert_eq!(due(&[taken.clone()], 9000), Some(Due::TurnBack));
+        assert_eq!(due(std::slice::from_ref(&taken), 2000), Some(Due::Anew));
+        assert_eq!(due(std::slice::from_ref(&taken), 9000), Some(Due::TurnBack));
         assert_eq!(due(&[taken.clone(), sent("a", 0)], 2000), Some(Due::Settle));
         assert_eq!(due(&[taken.clone(), sent("a", 0), ended("a", 0, true)], 2000), Some(Due::Anew));
         assert_eq!(due(&[taken.clone(), answered("a", 200)], 2000), None);
--- a/crates/node/src/exchange.rs
+++ b/crates/node/src/exchange.rs
@@ -6,6 +6,7 @@
 use crate::memory::clock::Clock;
 use crate::memory::counters::Counters;
 use crate::memory::executors::Executors as Directory;
+use crate::memory::ledger::{Known, Ledger, moment};
 use crate::memory::units::{Errand, Units};
 use crate::wire::call_backs::{CallBack, State};
 use crate::wire::clients::{CallerId, Clients};
@@ -21,8 +22,9 @@
 use grebeusher_dispatch::tariffs::{Arrival, Ending, Listing, Report, Standing};
 use grebeusher_dispatch::time::{Moment, Span};
 use grebeusher_faktory::reservations;
+use grebeusher_ledger::book::{Due, Job};
 use log::{debug, info, warn};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
 /// How long after giving up a job that did not get through it is tried again, while the unit waits for it: a
@@ -37,6 +39,8 @@
     alarms: Alarms<u64>,
     /// When to stop waiting for an allocation.
     time_outs: Alarms<AllocationId>,
+    /// Allocations that could not be written down, and so were not sent.
+    unsent: Vec<AllocationId>,
     /// Jobs to be given up once more.
     give_ups: Alarms<AllocationId>,
 }
@@ -51,6 +55,8 @@
     executors: Rc<Executors>,
     discovery: Rc<Discovery>,
     faktory: Option<Rc<Faktory>>,
+    ledger: Option<Rc<Ledger>>,
+    tariffs: Rc<[String]>,
     /// Whether executors may be asked to give up a job.
     recalls: bool,
 }
@@ -58,7 +64,11 @@
 impl Hands {
     /// The final answer, once.
     fn answer(&self, unit: UnitId, status: u16, come_back: Option<Span>, body: &[u8]) {
+        let lasting = self.desk.borrow().units.errand(unit).filter(|errand| errand.lasts);
         if self.desk.borrow_mut().units.answered(unit) {
+            if let (Some(ledger), Some(errand)) = (&self.ledger, lasting) {
+                return self.answer_lasting(ledger, &errand.call_id, &errand.tariff, status, body);
+            }
             let pushed = self.faktory.as_ref().is_some_and(|faktory| faktory.answer(unit, status));
             if pushed {
                 return;
@@ -67,6 +77,18 @@
         }
     }
 
+    /// The final answer to a job that outlives the process: written down, to be asked for.
+    fn answer_lasting(&self, ledger: &Ledger, id: &str, tariff: &str, status: u16, result: &[u8]) {
+        ledger.answered(id, status, result);
+        if let Some(tariff) = self.tariffs.iter().position(|name| name == tariff) {
+            match status {
+                200 => self.counters.fulfilled.up(tariff),
+                503 => self.counters.turned_back.up(tariff),
+                _ => self.counters.forfeited.up(tariff),
+            }
+        }
+    }
+
     fn give_up(&self, id: AllocationId) {
         let desk = self.desk.borrow();
         let Some((executor, accepted, errand)) = desk.units.still_out(id) else { return };
@@ -87,6 +109,13 @@
         let Some((id, errand)) = desk.units.allocated(unit, executor) else { return };
         let alarm = desk.time_outs.set(self.clock.now() + time_out, id);
         desk.units.times_out(id, alarm);
+        if let Some(ledger) = self.ledger.as_ref().filter(|_| errand.lasts) {
+            let name = desk.executors.name(executor);
+            if ledger.sent(&errand.call_id, id.number, name, errand.binding).is_err() {
+                // What is not on disk must not be on its way: a crash would send it a second time.
+                return desk.unsent.push(id);
+            }
+        }
         match (&self.faktory, desk.executors.worker(executor)) {
             (Some(faktory), Some(worker)) => {
                 self.counters.allocations.up();
@@ -127,6 +156,13 @@
     }
 }
 
+/// What stands beside the two sides, where it is on.
+pub struct Beside {
+    pub siblings: Option<Rc<Siblings>>,
+    pub faktory: Option<Rc<Faktory>>,
+    pub ledger: Option<Rc<Ledger>>,
+}
+
 pub struct Exchange {
     hands: Hands,
     counters: Rc<Counters>,
@@ -136,6 +172,7 @@
     kinds: Vec<String>,
     listed: bool,
     own_zone: usize,
+    next_unit: Rc<Cell<u64>>,
     /// Other processes of this node, where there may be some.
     siblings: Option<Rc<Siblings>>,
 }
@@ -145,7 +182,7 @@
         seed: u64,
         charter: &Charter,
         (clients, executors, discovery): (&Rc<Clients>, &Rc<Executors>, &Rc<Discovery>),
-        (siblings, faktory): (&Option<Rc<Siblings>>, &Option<Rc<Faktory>>),
+        Beside { siblings, faktory, ledger }: &Beside,
         (clock, counters): (Clock, &Rc<Counters>),
     ) -> Exchange {
         let hands = Hands {
@@ -156,6 +193,8 @@
             executors: executors.clone(),
             discovery: discovery.clone(),
             faktory: faktory.clone(),
+            ledger: ledger.clone(),
+            tariffs: charter.tariff_names.clone().into(),
             recalls: charter.recalls(),
         };
         Exchange {
@@ -168,6 +207,7 @@
             kinds: charter.kinds.clone(),
             listed: false,
             own_zone: charter.zone(),
+            next_unit: Rc::default(),
             siblings: siblings.clone(),
         }
     }
@@ -191,7 +231,9 @@
     }
 
     pub fn has_in_hand(&self, call_id: &str) -> bool {
+        let settles = |ledger: &Rc<Ledger>| ledger.is_settling(call_id);
         self.hands.desk.borrow().units.find(call_id).is_some()
+            || self.hands.ledger.as_ref().is_some_and(settles)
     }
 
     /// Whether an executor of this name was ever listed.
@@ -201,11 +243,21 @@
 
     pub fn next_due(&self) -> Option<Moment> {
         let desk = self.hands.desk.borrow();
-        [desk.alarms.next_at(), desk.time_outs.next_at(), desk.give_ups.next_at()].into_iter().flatten().min()
+        if !desk.unsent.is_empty() {
+            return Some(Moment(0));
+        }
+        let settles = self.hands.ledger.as_ref().and_then(|ledger| ledger.next_due());
+        let dues = [desk.alarms.next_at(), desk.time_outs.next_at(), desk.give_ups.next_at(), settles];
+        dues.into_iter().flatten().min()
     }
 
     pub fn due(&mut self) {
         let now = self.hands.clock.now();
+        let unsent = std::mem::take(&mut self.hands.desk.borrow_mut().unsent);
+        unsent.into_iter().for_each(|id| self.ended(id, Ending::CutOff, None));
+        while let Some(job) = self.hands.ledger.as_ref().and_then(|ledger| ledger.due()) {
+            self.settled(&job.id, false);
+        }
         // The borrow must end before the decisions are asked, which set alarms themselves.
         while let Some(id) = { self.hands.desk.borrow_mut().time_outs.due(now) } {
             self.timed_out(id);
@@ -224,6 +276,117 @@
         self.hands.desk.borrow_mut().units.tidy(unit);
     }
 
+    pub fn has_ledger(&self) -> bool {
+        self.hands.ledger.is_some()
+    }
+
+    /// Takes work that outlives the process; the status that tells the client so. The same work handed in again, by a
+    /// client that did not hear the answer, is taken once.
+    pub fn take_to_last(&mut self, unit: UnitId, errand: Errand, arrival: &Arrival) -> u16 {
+        let Some(ledger) = self.hands.ledger.clone() else { return 404 };
+        match ledger.known(&errand.call_id) {
+            Known::Open | Known::Ended(_) => return 202,
+            Known::Nothing if self.has_in_hand(&errand.call_id) => return 409,
+            Known::Nothing => {}
+        }
+        let at_ms = |at: Moment| at.0 / 1_000_000;
+        let job = Job {
+            id: errand.call_id.to_string(),
+            tariff: errand.tariff.clone(),
+            binding: errand.binding,
+            target: errand.target.clone(),
+            body: errand.body.clone(),
+            hint_us: arrival.hint.map(|hint| hint.0 / 1000),
+            taken_ms: at_ms(self.hands.clock.now()),
+            ends_ms: at_ms(arrival.patience_ends),
+        };
+        self.counters.units.up();
+        if ledger.taken(job).is_err() {
+            self.counters.turned_back.up(arrival.tariff);
+            return 503;
+        }
+        self.arrived(unit, errand, arrival);
+        202
+    }
+
+    /// What became of work that outlives the process, by its id: the status, and the result if there is one.
+    pub fn lasting(&self, id: &str) -> (u16, Vec<u8>) {
+        match self.hands.ledger.as_ref().map(|ledger| ledger.known(id)) {
+            None | Some(Known::Nothing) => (404, Vec::new()),
+            Some(Known::Open) => (202, Vec::new()),
+            Some(Known::Ended(answer)) => (answer.status, answer.result),
+        }
+    }
+
+    pub fn lasting_open(&self) -> usize {
+        self.hands.ledger.as_ref().map_or(0, |ledger| ledger.open_jobs())
+    }
+
+    /// Does what is due after the last life.
+    pub fn recover(&mut self, next_unit: &Rc<Cell<u64>>) {
+        self.next_unit = next_unit.clone();
+        let Some(ledger) = self.hands.ledger.clone() else { return };
+        for (job, due) in ledger.recover() {
+            match due {
+                Due::Anew => self.place_anew(job),
+                Due::Forfeit => self.hands.answer_lasting(&ledger, &job.id, &job.tariff, 500, b""),
+                Due::TurnBack => self.hands.answer_lasting(&ledger, &job.id, &job.tariff, 503, b""),
+                Due::Settle => {}
+            }
+        }
+    }
+
+    /// A job of an earlier life that has not run, or may run again, is placed as if it had just come.
+    fn place_anew(&mut self, job: Job) {
+        let Some(tariff) = self.hands.tariffs.iter().position(|name| *name == job.tariff) else {
+            // A tariff that is no more: nothing can run it.
+            let Some(ledger) = self.hands.ledger.clone() else { return };
+            return self.hands.answer_lasting(&ledger, &job.id, &job.tariff, 503, b"");
+        };
+        let unit = UnitId(self.next_unit.get());
+        self.next_unit.set(unit.0 + 1);
+        let arrival = Arrival {
+            tariff,
+            customer: 0,
+            patience_ends: moment(job.ends_ms),
+            repeat: false,
+            hint: job.hint_us.map(|us| Span(us.saturating_mul(1000))),
+            slots: 1.0,
+        };
+        let Job { id, tariff, target, body, binding, .. } = job;
+        let errand = Errand { call_id: id.into(), tariff, target, body, binding, lasts: true, pushed: None };
+        self.arrived(unit, errand, &arrival);
+    }
+
+    /// Nothing more is heard of a job of an earlier life, or it has failed, or was handed back unstarted.
+    fn settled(&mut self, id: &str, never_ran: bool) {
+        let Some(ledger) = self.hands.ledger.clone() else { return };
+        let Some(job) = ledger.settled(id, never_ran) else { return };
+        let over = moment(job.ends_ms) <= self.hands.clock.now();
+        if job.binding && !never_ran {
+            self.hands.answer_lasting(&ledger, &job.id, &job.tariff, 500, b"");
+        } else if over {
+            self.hands.answer_lasting(&ledger, &job.id, &job.tariff, 503, b"");
+        } else {
+            self.place_anew(job);
+        }
+    }
+
+    /// An executor tells of a job of an earlier life.
+    fn called_back_of_before(&mut self, ledger: &Ledger, call: CallBack) {
+        match call.state {
+            State::Started | State::Running => ledger.runs(&call.id),
+            State::Done { result } => {
+                if let Some(job) = ledger.settled(&call.id, false) {
+                    self.hands.answer_lasting(ledger, &job.id, &job.tariff, 200, result.as_bytes());
+                }
+            }
+            State::Failed | State::Lost => self.settled(&call.id, false),
+            State::Returned => self.settled(&call.id, true),
+            State::Other => {}
+        }
+    }
+
     /// The client left: no answer is owed.
     pub fn withdrawn(&mut self, unit: UnitId) {
         self.hands.desk.borrow_mut().units.answered(unit);
@@ -240,6 +403,9 @@
     /// What an executor tells of a job. Told before the 202, told again, or of what is over or was another
     /// life's: acted on once or not at all.
     pub fn called_back(&mut self, call: CallBack) {
+        if let Some(ledger) = self.hands.ledger.clone().filter(|ledger| ledger.is_settling(&call.id)) {
+            return self.called_back_of_before(&ledger, call);
+        }
         let found = {
             let desk = self.hands.desk.borrow();
             let executor = desk.executors.find(&call.from);
@@ -322,6 +488,11 @@
             debug!("unit {} at {}: {ending:?}", id.unit.0, self.hands.desk.borrow().executors.name(executor));
         }
         let answered = self.hands.desk.borrow().units.is_answered(id.unit);
+        let lasting =
+            self.hands.desk.borrow().units.errand(id.unit).filter(|errand| errand.lasts && !answered);
+        if let (Some(ledger), Some(errand)) = (&self.hands.ledger, lasting) {
+            ledger.ended(&errand.call_id, id.number, ending.proves_not_run());
+        }
         self.dispatcher.ended(self.hands.clock.now(), id, executor, ending, answered, report);
         self.hands.desk.borrow_mut().units.tidy(id.unit);
     }
--- a/crates/node/src/life/node.rs
+++ b/crates/node/src/life/node.rs
@@ -1,11 +1,12 @@
 //! The node: one loop, and the phases from start to exit.
 
-use crate::exchange::Exchange;
+use crate::exchange::{Beside, Exchange};
 use crate::life::limits;
 use crate::life::signals::Signals;
 use crate::memory::clock::Clock;
 use crate::memory::counters::Counters;
 use crate::memory::figures::{Figures, Gauges};
+use crate::memory::ledger::Ledger;
 use crate::wire;
 use crate::wire::clients::Clients;
 use crate::wire::console::{self, Console, Office};
@@ -213,15 +214,21 @@
             faktory.map(Rc::new).map_err(|e| format!("faktory.listen: {}: {e}", posted.listen))
         });
         let faktory = faktory.transpose()?;
-        let further = (&siblings, &faktory);
-        let mut exchange = Exchange::open(posting.seed, charter, sides, further, (clock, &counters));
+        let ledger = fronts.ledger.as_ref().map(|posted| {
+            let ledger = Ledger::open(posted, charter.progress(), clock).map(Rc::new);
+            ledger.map_err(|e| format!("ledger.folder: {}: {e}", posted.folder.display()))
+        });
+        let ledger = ledger.transpose()?;
+        let beside = Beside { siblings, faktory, ledger };
+        let mut exchange = Exchange::open(posting.seed, charter, sides, &beside, (clock, &counters));
         exchange.start();
         exchange.listed(&known);
+        exchange.recover(&next_unit);
         say_what_sockets_lack(charter);
         if let Some(console) = &console {
             info!("console at {}", console.address().map_err(|e| e.to_string())?);
         }
-        if let Some(faktory) = &faktory {
+        if let Some(faktory) = &beside.faktory {
             info!("faktory at {}", faktory.address().map_err(|e| e.to_string())?);
         }
         let listens = clients.address().map_err(|e| e.to_string())?;
@@ -238,8 +245,8 @@
             posted,
             clients,
             console,
-            siblings,
-            faktory,
+            siblings: beside.siblings,
+            faktory: beside.faktory,
             limits: (from_outside, to_executors, room),
             shares: (false, false),
             relieves,
@@ -467,7 +474,11 @@
     fn figures(&self) -> String {
         let (listed, passed_over) = self.exchange.listing();
         let pushed = self.faktory.as_ref().map_or(0, |faktory| faktory.open_units());
-        let gauges = Gauges { open: self.clients.open_units() + pushed, listed, passed_over };
+        let gauges = Gauges {
+            open: self.clients.open_units() + pushed + self.exchange.lasting_open(),
+            listed,
+            passed_over,
+        };
         let (counters, tariffs) = (&*self.counters, self.clients.tariffs());
         Figures { counters, tariffs, gauges }.to_string()
     }
--- a/crates/node/src/memory/alarms.rs
+++ b/crates/node/src/memory/alarms.rs
@@ -31,6 +31,11 @@
         self.set.remove(&alarm.0);
     }
 
+    /// Whether one that is yet to come is so.
+    pub fn any(&self, is: impl Fn(&T) -> bool) -> bool {
+        self.set.values().any(is)
+    }
+
     pub fn next_at(&self) -> Option<Moment> {
         self.set.first_key_value().map(|((at, _), _)| *at)
     }
--- a/crates/node/src/memory/mod.rs
+++ b/crates/node/src/memory/mod.rs
@@ -7,4 +7,5 @@
 pub mod counters;
 pub mod executors;
 pub mod figures;
+pub mod ledger;
 pub mod units;
--- a/crates/node/src/memory/units.rs
+++ b/crates/node/src/memory/units.rs
@@ -13,6 +13,8 @@
     pub target: String,
     pub body: Vec<u8>,
     pub binding: bool,
+    /// Written down in the ledger, and answered there.
+    pub lasts: bool,
     /// How it was pushed, if it came as a job.
     pub pushed: Option<Pushed>,
 }
@@ -93,6 +95,11 @@
         Some((out.executor, out.accepted, unit.errand.clone()))
     }
 
+    /// What a unit brought that is not over.
+    pub fn errand(&self, unit: UnitId) -> Option<Rc<Errand>> {
+        self.kept.get(&unit).map(|unit| unit.errand.clone())
+    }
+
     /// The allocation has ended; `None` if it had before. Tells its executor, and the alarm that is off.
     pub fn ended(&mut self, id: AllocationId) -> Option<(ExecutorId, Option<Alarm>)> {
         let out = self.out(id).filter(|out| out.open)?;
--- a/crates/node/src/wire/clients.rs
+++ b/crates/node/src/wire/clients.rs
@@ -39,6 +39,8 @@
 /// What an executor's request line holds at most, by what common servers bear, and an id in it.
 const LONGEST_TARGET: usize = 4096;
 const LONGEST_ID: usize = 128;
+/// Before the path of work that outlives the process, where there is a ledger.
+const LASTING: &str = "/durable/";
 /// How long no connection is taken in after the system had no room for one: some are closed meanwhile.
 const BREATHER: Span = Span::millis(50);
 /// The longest patience that a client may name: a day, far beyond any work; it keeps sums of times in range.
@@ -492,8 +494,18 @@
                 let text = self.counters.to_string();
                 self.write(place, 200, None, text.as_bytes());
             }
+            ("GET", path) if path.starts_with(LASTING) && exchange.has_ledger() => {
+                let (status, result) = exchange.lasting(&path[LASTING.len()..]);
+                self.write(place, status, None, &result);
+            }
+            ("POST", path) if path.starts_with(LASTING) && exchange.has_ledger() => {
+                match self.brought(request, true) {
+                    Ok((errand, arrival)) => self.arrived_to_last(place, errand, &arrival, exchange),
+                    Err(malformed) => self.reject(place, malformed),
+                }
+            }
             ("POST", call_backs::PATH) => self.call_back(place, &request, exchange),
-            ("POST", _) => match self.brought(request) {
+            ("POST", _) => match self.brought(request, false) {
                 Ok((errand, arrival)) => self.arrived(place, errand, &arrival, exchange),
                 Err(malformed) => self.reject(place, malformed),
             },
@@ -538,8 +550,13 @@
     }
 
     /// What a request for work says, in the words of the decisions; the units of the wire end here.
-    fn brought(&self, request: Request) -> Result<(Errand, Arrival), Malformed> {
-        let Request { target, headers, body, .. } = request;
+    /// One that `lasts` outlives the process, and so does the patience for it.
+    fn brought(&self, request: Request, lasts: bool) -> Result<(Errand, Arrival), Malformed> {
+        let Request { mut target, headers, body, .. } = request;
+        if lasts {
+            // What is left is what executors get.
+            target.drain(..LASTING.len() - 1);
+        }
         let header = |name| headers.get(name);
         let bad = Malformed(400);
         trace!("{target} {headers:?}");
@@ -562,7 +579,8 @@
         let patience = Span::millis(patience_ms.ok_or(bad)?.min(LONGEST_PATIENCE_MS));
         let now = self.clock.now();
         let asks_until = now + patience;
-        let cut = self.ends.get().filter(|(from, _)| now >= *from).map_or(asks_until, |(_, last)| last);
+        let cut =
+            self.ends.get().filter(|(from, _)| now >= *from && !lasts).map_or(asks_until, |(_, last)| last);
         let patience_ends = asks_until.min(cut);
         let customer =
             header("X-Caller").and_then(|name| self.charter.customer_names.iter().position(|n| n == name));
@@ -583,7 +601,15 @@
         };
         let binding = self.charter.is_binding(tariff);
         let (call_id, tariff) = (call_id.into(), named.to_owned());
-        Ok((Errand { call_id, tariff, target, body, binding, pushed: None }, arrival))
+        Ok((Errand { call_id, tariff, target, body, binding, lasts, pushed: None }, arrival))
+    }
+
+    /// Takes work that outlives the process: the client hears that it is taken, and asks for its end later.
+    fn arrived_to_last(&self, place: usize, errand: Errand, arrival: &Arrival, exchange: &mut Exchange) {
+        let unit = UnitId(self.next_unit.get());
+        self.next_unit.set(unit.0 + 1);
+        let status = exchange.take_to_last(unit, errand, arrival);
+        self.write(place, status, None, b"");
     }
 
     fn arrived(&self, place: usize, errand: Errand, arrival: &Arrival, exchange: &mut Exchange) {
--- a/crates/node/src/wire/faktory.rs
+++ b/crates/node/src/wire/faktory.rs
@@ -555,6 +555,7 @@
             target: format!("/{}", job.queue),
             body: line.clone().into_bytes(),
             binding: self.charter.is_binding(tariff),
+            lasts: false,
             pushed: Some(Pushed {
                 line,
                 priority: job.priority,
--- a/crates/node/src/wire/http.rs
+++ b/crates/node/src/wire/http.rs
@@ -195,6 +195,7 @@
 pub fn answer(status: u16, closes: bool, further: Option<(&str, &str)>, body: &[u8]) -> Vec<u8> {
     let reason = match status {
         200 => "OK",
+        202 => "Accepted",
         204 => "No Content",
         404 => "Not Found",
         405 => "Method Not Allowed",
--- a/crates/node/tests/fake/mod.rs
+++ b/crates/node/tests/fake/mod.rs
@@ -190,6 +190,47 @@
         client
     }
 
+    /// With a ledger in this folder, at this address if one is given: a node that may be killed and started anew.
+    pub fn lasting(executors: &[&TcpListener], ledger: &Folder, at: Option<SocketAddr>) -> World {
+        let discovery = listener();
+        let known: Vec<Value> = executors.iter().enumerate().map(|(i, l)| entry(i, l, "active")).collect();
+        let listens = at.map_or("127.0.0.1:0".to_owned(), |at| at.to_string());
+        let mut charter = charter();
+        charter["family_info"]["progress_ns"] = json!(200e6);
+        let posting = json!({"name": "n0", "listen": listens, "discovery": address(&discovery),
+            "seed": "8c1f30d27a5be964", "limits": {"sockets": 1024}, "settings": charter,
+            "known": {"generation": 41, "reset": true, "instances": known}});
+        let fronts = format!("[ledger]\nfolder = \"{}\"\n", ledger.0.join("jobs").display());
+        World::started(discovery, posting, Rc::new(Folder::new()), 1024, None, Some(&fronts))
+    }
+
+    /// Hands in work that outlives the process, and tells the status.
+    pub fn bring_to_last(&self, id: &str, tariff: &str, patience_ms: u64) -> u16 {
+        let mut client = self.call();
+        client.say(&unit(id, tariff, patience_ms).replacen("POST /", "POST /durable/", 1));
+        client.hear().status()
+    }
+
+    /// What became of it.
+    pub fn lasting_end(&self, id: &str) -> Message {
+        let mut anyone = self.call();
+        anyone.say(&format!("GET /durable/{id} HTTP/1.1\r\n\r\n"));
+        anyone.hear()
+    }
+
+    /// Waits for its end.
+    pub fn lasting_ends(&self, id: &str) -> Message {
+        let started = Instant::now();
+        loop {
+            let message = self.lasting_end(id);
+            if message.status() != 202 {
+                return message;
+            }
+            assert!(started.elapsed() < FAR_TOO_LONG, "{id} has no end");
+            std::thread::sleep(Duration::from_millis(5));
+        }
+    }
+
     /// One more process of the same node, beside this one.
     pub fn beside(&self) -> World {
         let discovery = self.discovery.try_clone().expect("one more of it");
--- a/crates/node/tests/stories.rs
+++ b/crates/node/tests/stories.rs
@@ -2,6 +2,7 @@
 
 mod fake;
 mod faktory;
+mod ledger;
 
 use fake::*;
 use grebeusher_migrate::{Shape, counterpart};
