Answers to other balancers' checks, by weight

Need: fronts of member libraries ask by agent checks or health calls whether a node should get traffic. Change: crates/checks decides without I/O what is said; wire/checks.rs answers; console and checks share wire/calls.rs, which takes in so many a second and no more. On only where GREBEUSHER_FRONTS says so. Five stories of the decisions, one with generated input, and five with real nodes. Shown: no connection after a drain was answered; 1% and not down while all executors fail; a flood costs neither work nor console.

--- a/crates/charter/src/fronts.rs
+++ b/crates/charter/src/fronts.rs
@@ -12,6 +12,36 @@
 pub struct Fronts {
     pub faktory: Option<Faktory>,
     pub ledger: Option<Ledger>,
+    pub checks: Option<Checks>,
+}
+
+/// Where other balancers ask whether the node should get traffic.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Checks {
+    /// For agent checks: a line of text on connecting.
+    pub agent: Option<SocketAddr>,
+    /// For HTTP health calls.
+    pub health: Option<SocketAddr>,
+    /// So many a second at each address are answered; the others wait.
+    #[serde(default = "per_s")]
+    per_s: u64,
+}
+
+fn per_s() -> u64 {
+    200 // twenty balancers that ask ten times a second
+}
+
+impl Checks {
+    /// The least time between two that are answered.
+    pub fn apart(&self) -> Span {
+        Span::secs(1.0 / self.per_s as f64)
+    }
+
+    /// How many addresses there are.
+    pub fn count(&self) -> usize {
+        usize::from(self.agent.is_some()) + usize::from(self.health.is_some())
+    }
 }
 
 /// Jobs that outlive the process.
@@ -116,6 +146,12 @@
             within("ledger.keep_answers_s", l.keep_answers_s, 1..=30 * 86_400)?;
             within("ledger.most_jobs", l.most_jobs, 1..=10_000_000)?;
         }
+        if let Some(c) = &fronts.checks {
+            within("checks.per_s", c.per_s, 1..=100_000)?;
+            if c.count() == 0 {
+                return Err("checks: expected an agent or a health address, found neither".to_owned());
+            }
+        }
         Ok(fronts)
     }
 
--- a/crates/node/src/life/node.rs
+++ b/crates/node/src/life/node.rs
@@ -8,8 +8,10 @@
 use crate::memory::figures::{Figures, Gauges};
 use crate::memory::ledger::Ledger;
 use crate::wire;
+use crate::wire::calls;
+use crate::wire::checks::Checks;
 use crate::wire::clients::Clients;
-use crate::wire::console::{self, Console, Office};
+use crate::wire::console::{Console, Office};
 use crate::wire::discovery::{Discovery, Version};
 use crate::wire::executors::Executors;
 use crate::wire::faktory::Faktory;
@@ -17,6 +19,7 @@
 use grebeusher_charter::fronts::Fronts;
 use grebeusher_charter::posting::Posting;
 use grebeusher_charter::{Charter, ListComes};
+use grebeusher_checks::{Fitness, Seen, Stands, Verdict};
 use grebeusher_dispatch::time::{Moment, Span};
 use log::{error, info, warn};
 use polling::Poller;
@@ -42,13 +45,17 @@
 const CONSOLE: usize = 3;
 const SIBLINGS: usize = 4;
 const FAKTORY: usize = 5;
-const FIRST: usize = 6;
-const KINDS: usize = 5;
+const AGENT: usize = 6;
+const HEALTH: usize = 7;
+const FIRST: usize = 8;
+const KINDS: usize = 7;
 const OUTSIDE: usize = 0;
 const EXECUTOR: usize = 1;
 const STAFF: usize = 2;
 const SIBLING: usize = 3;
 const PEER: usize = 4;
+const AGENT_CHECK: usize = 5;
+const HEALTH_CALL: usize = 6;
 
 fn outside_key(place: usize) -> usize {
     FIRST + KINDS * place + OUTSIDE
@@ -70,6 +77,14 @@
     FIRST + KINDS * place + PEER
 }
 
+fn agent_key(place: usize) -> usize {
+    FIRST + KINDS * place + AGENT_CHECK
+}
+
+fn health_key(place: usize) -> usize {
+    FIRST + KINDS * place + HEALTH_CALL
+}
+
 /// The kind and the place of a connection's key; `None` for one of the others.
 fn connection(key: usize) -> Option<(usize, usize)> {
     key.checked_sub(FIRST).map(|key| (key % KINDS, key / KINDS))
@@ -142,6 +157,8 @@
     console: Option<Rc<Console>>,
     siblings: Option<Rc<Siblings>>,
     faktory: Option<Rc<Faktory>>,
+    checks: Option<Rc<Checks>>,
+    fitness: Fitness,
     /// Connections from outside and to executors, and bytes of requests, that this process may hold.
     limits: (usize, usize, usize),
     /// Whether another process of this node is there, and whether it sends to cold executors.
@@ -179,8 +196,9 @@
             ))
         });
         let console_at = console_at(posting.console)?;
-        let further = console_at.map_or(0, |_| console::DESCRIPTORS)
+        let further = console_at.map_or(0, |_| calls::DESCRIPTORS)
             + siblings.as_ref().map_or(0, |_| sibling::DESCRIPTORS)
+            + fronts.checks.as_ref().map_or(0, |posted| posted.count() * calls::DESCRIPTORS)
             + fronts.faktory.as_ref().map_or(0, |posted| posted.most_connections() + 1);
         let (from_outside, to_executors) = limits::connections(posting.sockets, further);
         let next_unit = Rc::new(Cell::new(0));
@@ -214,6 +232,11 @@
             faktory.map(Rc::new).map_err(|e| format!("faktory.listen: {}: {e}", posted.listen))
         });
         let faktory = faktory.transpose()?;
+        let checks = fronts.checks.as_ref().map(|posted| {
+            let keys = ((AGENT, agent_key as fn(usize) -> usize), (HEALTH, health_key as fn(usize) -> usize));
+            Checks::listen(posted, keys, (&poller, clock)).map(Rc::new)
+        });
+        let checks = checks.transpose()?;
         let ledger = fronts.ledger.as_ref().map(|posted| {
             let ledger = Ledger::open(posted, charter.progress(), clock).map(Rc::new);
             ledger.map_err(|e| format!("ledger.folder: {}: {e}", posted.folder.display()))
@@ -228,6 +251,9 @@
         if let Some(console) = &console {
             info!("console at {}", console.address().map_err(|e| e.to_string())?);
         }
+        if let Some(checks) = &checks {
+            info!("{}", checks.addresses().map_err(|e| e.to_string())?);
+        }
         if let Some(faktory) = &beside.faktory {
             info!("faktory at {}", faktory.address().map_err(|e| e.to_string())?);
         }
@@ -247,6 +273,8 @@
             console,
             siblings: beside.siblings,
             faktory: beside.faktory,
+            checks,
+            fitness: Fitness::default(),
             limits: (from_outside, to_executors, room),
             shares: (false, false),
             relieves,
@@ -282,6 +310,9 @@
             if let Some(faktory) = &self.faktory {
                 faktory.due(&mut self.exchange);
             }
+            if let Some(checks) = &self.checks {
+                checks.due();
+            }
             self.clients.due();
             self.move_on();
         }
@@ -307,6 +338,7 @@
             self.clients.next_due(),
             self.siblings.as_ref().and_then(|siblings| siblings.next_due()),
             self.faktory.as_ref().and_then(|faktory| faktory.next_due()),
+            self.checks.as_ref().and_then(|checks| checks.next_due()),
             leaving,
         ];
         dues.into_iter().flatten().min()
@@ -329,6 +361,11 @@
                     siblings.stirred(place, &mut self.exchange);
                 }
             }
+            (AGENT | HEALTH, _) | (_, Some((AGENT_CHECK | HEALTH_CALL, _))) => {
+                if let Some(checks) = self.checks.clone() {
+                    self.checked(&checks, key);
+                }
+            }
             (FAKTORY, _) => {
                 if let Some(faktory) = &self.faktory {
                     faktory.accept();
@@ -348,6 +385,41 @@
         Ok(())
     }
 
+    /// A balancer asks, or goes on with that.
+    fn checked(&mut self, checks: &Checks, key: usize) {
+        match (key, connection(key)) {
+            (AGENT, _) => checks.accept_agent(|| self.verdict()),
+            (HEALTH, _) => checks.accept_health(),
+            (_, Some((AGENT_CHECK, place))) => checks.stirred_agent(place),
+            (_, Some((_, place))) => checks.stirred_health(place, || self.verdict()),
+            _ => {}
+        }
+    }
+
+    /// What other balancers are told.
+    fn verdict(&mut self) -> Verdict {
+        let stands = match self.phase {
+            Phase::Starting => Stands::Starting,
+            Phase::Serving => Stands::Serving,
+            _ => Stands::Leaving,
+        };
+        let see = || {
+            let (listed, passed_over) = self.exchange.listing();
+            let c = &self.counters;
+            let failed = [&c.ended_error, &c.ended_reset, &c.ended_timed_out, &c.ended_refused];
+            Seen {
+                stands,
+                open: self.clients.open_units(),
+                most_open: self.clients.most_units(),
+                listed,
+                passed_over,
+                fulfilled: c.fulfilled.all(),
+                failed: failed.into_iter().map(|count| count.all()).sum(),
+            }
+        };
+        self.fitness.verdict(self.clock.now(), see, stands)
+    }
+
     fn told(&mut self) -> io::Result<()> {
         self.signals.stirred(&self.poller, SIGNALS)?;
         if self.signals.told_to_reload() {
--- /dev/null
+++ b/crates/node/src/wire/checks.rs
@@ -0,0 +1,91 @@
+//! Where other balancers ask whether the node should get traffic: a line of text on connecting, or an HTTP health call.
+
+use crate::memory::clock::Clock;
+use crate::wire::calls::Calls;
+use crate::wire::http::{self, Request};
+use grebeusher_charter::fronts::Checks as Posted;
+use grebeusher_checks::Verdict;
+use grebeusher_dispatch::time::Moment;
+use polling::Poller;
+use std::io;
+use std::rc::Rc;
+
+/// Keys under which the loop knows a listener and its connections.
+type Keys = (usize, fn(usize) -> usize);
+
+pub struct Checks {
+    agent: Option<Calls>,
+    health: Option<Calls>,
+}
+
+impl Checks {
+    pub fn listen(
+        posted: &Posted,
+        (agent, health): (Keys, Keys),
+        common: (&Rc<Poller>, Clock),
+    ) -> Result<Checks, String> {
+        let listen = |key: &str, at: Option<std::net::SocketAddr>, keys: Keys| {
+            let calls = at.map(|at| Calls::listen(at, posted.apart(), keys, common).map_err(|e| (at, e)));
+            calls.transpose().map_err(|(at, e)| format!("checks.{key}: {at}: {e}"))
+        };
+        let agent = listen("agent", posted.agent, agent)?;
+        Ok(Checks { agent, health: listen("health", posted.health, health)? })
+    }
+
+    /// Where it is asked, for the log.
+    pub fn addresses(&self) -> io::Result<String> {
+        let mut said = Vec::new();
+        for (what, calls) in [("agent checks", &self.agent), ("health calls", &self.health)] {
+            if let Some(calls) = calls {
+                said.push(format!("{what} at {}", calls.address()?));
+            }
+        }
+        Ok(said.join(", "))
+    }
+
+    /// A balancer connects for an agent check: it is told at once, whatever it may say.
+    pub fn accept_agent(&self, mut verdict: impl FnMut() -> Verdict) {
+        if let Some(agent) = &self.agent {
+            agent.accept(|| Some(verdict().line().into_bytes()));
+        }
+    }
+
+    pub fn accept_health(&self) {
+        if let Some(health) = &self.health {
+            health.accept(|| None);
+        }
+    }
+
+    pub fn stirred_agent(&self, place: usize) {
+        if let Some(agent) = &self.agent {
+            // All have their answer by now.
+            agent.stirred(place, |_| Vec::new());
+        }
+    }
+
+    pub fn stirred_health(&self, place: usize, verdict: impl FnOnce() -> Verdict) {
+        if let Some(health) = &self.health {
+            health.stirred(place, |request| answer(request, verdict));
+        }
+    }
+
+    pub fn next_due(&self) -> Option<Moment> {
+        self.agent.iter().chain(&self.health).filter_map(Calls::next_due).min()
+    }
+
+    pub fn due(&self) {
+        self.agent.iter().chain(&self.health).for_each(Calls::due);
+    }
+}
+
+/// Whatever path a balancer was told to ask at.
+fn answer(request: &Request, verdict: impl FnOnce() -> Verdict) -> Vec<u8> {
+    match request.method.as_str() {
+        "GET" | "OPTIONS" => {
+            let verdict = verdict();
+            http::answer(verdict.status(), true, None, verdict.line().as_bytes())
+        }
+        "HEAD" => http::answer(verdict().status(), true, None, b""),
+        _ => http::answer(405, true, Some(("Allow", "GET, HEAD, OPTIONS")), b""),
+    }
+}
--- a/crates/node/src/wire/clients.rs
+++ b/crates/node/src/wire/clients.rs
@@ -221,6 +221,11 @@
         self.callers.borrow().by_unit.len()
     }
 
+    /// How many work units may be in hand: a third of the connections is kept for call-backs.
+    pub fn most_units(&self) -> usize {
+        self.most.get() * 2 / 3
+    }
+
     /// The names of the tariffs, by their places.
     pub fn tariffs(&self) -> &[String] {
         &self.charter.tariff_names
--- a/crates/node/src/wire/mod.rs
+++ b/crates/node/src/wire/mod.rs
@@ -1,6 +1,8 @@
 //! What is spoken on the wire: HTTP, with clients and executors, and the list from discovery.
 
 pub mod call_backs;
+pub mod calls;
+pub mod checks;
 pub mod clients;
 pub mod console;
 pub mod discovery;
--- a/crates/node/tests/fake/mod.rs
+++ b/crates/node/tests/fake/mod.rs
@@ -36,6 +36,9 @@
     pub console: Option<SocketAddr>,
     /// Where Faktory clients and workers connect, if a file of fronts says so.
     pub faktory: Option<SocketAddr>,
+    /// Where other balancers ask, if a file of fronts says so.
+    pub agent: Option<SocketAddr>,
+    pub health: Option<SocketAddr>,
     pub discovery: TcpListener,
     posting: Value,
     child: Child,
@@ -126,19 +129,21 @@
             .expect("the node starts");
         let mut log = BufReader::new(child.stderr.take().expect("its log is a pipe"));
         let mut line = String::new();
-        let (mut console, mut faktory) = (None, None);
+        let (mut console, mut faktory, mut agent, mut health) = (None, None, None, None);
         let node = loop {
             line.clear();
             assert_ne!(log.read_line(&mut line).expect("the log is text"), 0, "the node ended at once");
             console = console.or_else(|| said_address(&line, "console at "));
             faktory = faktory.or_else(|| said_address(&line, "faktory at "));
+            agent = agent.or_else(|| said_address(&line, "agent checks at "));
+            health = health.or_else(|| said_address(&line, "health calls at "));
             if let Some(node) = said_address(&line, "listens at ") {
                 break node;
             }
         };
         // What it says later is read and dropped, or it would wait for a reader.
         std::thread::spawn(move || std::io::copy(&mut log, &mut std::io::sink()));
-        World { node, console, faktory, discovery, posting, child, folder, held }
+        World { node, console, faktory, agent, health, discovery, posting, child, folder, held }
     }
 
     /// With a console.
@@ -161,13 +166,35 @@
 
     /// With a console and a Faktory front.
     pub fn fronted(executors: &[&TcpListener], further: &str) -> World {
+        World::with_fronts(executors, &format!("[faktory]\nlisten = \"127.0.0.1:0\"\n{further}"))
+    }
+
+    /// With a console and what this file says.
+    pub fn with_fronts(executors: &[&TcpListener], fronts: &str) -> World {
         let discovery = listener();
         let known: Vec<Value> = executors.iter().enumerate().map(|(i, l)| entry(i, l, "active")).collect();
         let posting = json!({"name": "n0", "listen": "127.0.0.1:0", "console": "127.0.0.1:0",
             "discovery": address(&discovery), "seed": "8c1f30d27a5be964", "limits": {"sockets": 1024},
             "settings": charter(), "known": {"generation": 41, "reset": true, "instances": known}});
-        let fronts = format!("[faktory]\nlisten = \"127.0.0.1:0\"\n{further}");
-        World::started(discovery, posting, Rc::new(Folder::new()), 1024, None, Some(&fronts))
+        World::started(discovery, posting, Rc::new(Folder::new()), 1024, None, Some(fronts))
+    }
+
+    /// What an agent check is told.
+    pub fn agent_says(&self) -> String {
+        let stream = TcpStream::connect(self.agent.expect("it has an address for them")).expect("it listens");
+        let mut balancer = Talk::over(stream);
+        let said = balancer.line();
+        assert!(balancer.is_closed());
+        said
+    }
+
+    /// What a health call is answered.
+    pub fn health_says(&self, method: &str) -> Message {
+        let stream =
+            TcpStream::connect(self.health.expect("it has an address for them")).expect("it listens");
+        let mut balancer = Talk::over(stream);
+        balancer.say(&format!("{method} /any/path HTTP/1.1\r\nHost: n\r\n\r\n"));
+        balancer.hear()
     }
 
     /// Connects to the Faktory front, and hears the greeting.
@@ -371,7 +398,7 @@
 
 fn said_address(line: &str, before: &str) -> Option<SocketAddr> {
     let (_, rest) = line.split_once(before)?;
-    rest.split([' ', ';', '\n']).next()?.parse().ok()
+    rest.split([' ', ';', ',', '\n']).next()?.parse().ok()
 }
 
 pub fn listener() -> TcpListener {
--- a/crates/node/tests/stories.rs
+++ b/crates/node/tests/stories.rs
@@ -1,5 +1,6 @@
 //! Short stories of a node on sockets, one for each promise and each failure met.
 
+mod checks;
 mod fake;
 mod faktory;
 mod ledger;
