--- a/crates/node/tests/checks/mod.rs
+++ b/crates/node/tests/checks/mod.rs
@@ -58,7 +58,7 @@
     let listens = listener();
     let world = World::with_fronts(&[&listens], BOTH);
     // It asks, and sends a connection if it may; as fast as it can.
-    let mut sends = || {
+    let sends = || {
         let may = world.agent_says().starts_with("ready");
         may.then(|| TcpStream::connect(world.node).expect("the node listens")).is_some()
     };
