--- a/crates/node/src/life/node.rs
+++ b/crates/node/src/life/node.rs
@@ -38,7 +38,7 @@
 /// Names the operators' file of further fronts; without it there are none.
 const FRONTS: &str = "GREBEUSHER_FRONTS";
 
-/// Keys of the poller. From `FIRST` on connections of three kinds take turns.
+/// Keys of the poller. From `FIRST` on connections of so many kinds take turns.
 const LISTENER: usize = 0;
 const SIGNALS: usize = 1;
 const DISCOVERY: usize = 2;
