--- a/crates/node/tests/faktory/mod.rs
+++ b/crates/node/tests/faktory/mod.rs
@@ -182,8 +182,8 @@
     let mut first = world.call_faktory();
     assert!(first.ask_line("HELLO {\"wid\":\"w1\",\"v\":2,\"pwdhash\":\"00\"}").contains("invalid password"));
     assert!(first.is_closed());
-    // Of forty that connect eight find a place, and clients over HTTP are served as before.
-    let mut crowd: Vec<Talk> = (0..40)
+    // Of four hundred that connect eight find a place, and the staff are answered as before.
+    let mut crowd: Vec<Talk> = (0..400)
         .map(|_| {
             Talk::over(std::net::TcpStream::connect(world.faktory.expect("a front")).expect("it listens"))
         })
@@ -192,7 +192,7 @@
         .iter_mut()
         .filter_map(|peer| peer.line().starts_with("-ERR no connection").then_some(()))
         .count();
-    assert!(full >= 32, "{full}");
+    assert!(full >= 392, "{full}");
     assert_eq!(world.ask("GET /healthcheck").status(), 503, "no executor, and it answers");
 }
 
