Stories of checks and slow senders leave more room to a busy machine

A flood waits for minutes in place of seconds, sixty failures in place of twelve, half as many pieces.

--- a/crates/node/tests/checks/mod.rs
+++ b/crates/node/tests/checks/mod.rs
@@ -31,13 +31,13 @@
     let world = World::with_fronts(&[&listens, &listens], BOTH);
     std::thread::scope(|scope| {
         scope.spawn(|| {
-            for _ in 0..12 {
+            for _ in 0..60 {
                 let mut executor = accept(&listens);
                 executor.hear();
                 executor.answer(500, "Connection: close\r\n");
             }
         });
-        for number in 0..12 {
+        for number in 0..60 {
             assert_eq!(world.bring(&format!("u{number}"), "reserve", 4000).hear().status(), 500);
         }
     });
@@ -72,7 +72,7 @@
 #[test]
 fn a_flood_of_checks_waits_outside_and_costs_nobody_his_turn() {
     let listens = listener();
-    let world = World::with_fronts(&[&listens], &format!("{BOTH}per_s = 20\n"));
+    let world = World::with_fronts(&[&listens], &format!("{BOTH}per_s = 1\n"));
     let agent = world.agent.expect("an address");
     let mut flood: Vec<TcpStream> =
         (0..200).map(|_| TcpStream::connect(agent).expect("it listens")).collect();
@@ -83,7 +83,7 @@
     assert_eq!(world.call_back("u1", crate::done("in its turn")), 204);
     assert_eq!(client.hear().body, "in its turn");
     assert_eq!(world.ask("GET /healthcheck").status(), 200);
-    // Ten seconds' worth of them: those that wait were not answered by now.
+    // Minutes' worth of them: those that wait were not answered by now.
     let mut answered = 0;
     for stream in &mut flood {
         stream.set_nonblocking(true).expect("a mode");
--- a/crates/node/tests/stories.rs
+++ b/crates/node/tests/stories.rs
@@ -965,11 +965,11 @@
     let (first, rest) = whole.split_at(20);
     slow.say(first);
     let mut crowd = Vec::new();
-    for piece in rest.as_bytes().chunks(10) {
+    for piece in rest.as_bytes().chunks(20) {
         // Within a twentieth of a second nobody who has just come is closed, and the crowd waits outside.
         std::thread::sleep(std::time::Duration::from_millis(60));
         slow.say(std::str::from_utf8(piece).expect("text"));
-        for _ in 0..10 {
+        for _ in 0..20 {
             let mut stops = world.call();
             stops.say("POST /search HTTP/1.1\r\nX-Call");
             crowd.push(stops);
