--- a/crates/emulator/src/figures.rs
+++ b/crates/emulator/src/figures.rs
@@ -8,6 +8,9 @@
 use serde::Serialize;
 use std::collections::BTreeMap;
 use std::fmt::{self, Display, Formatter};
+use std::fs;
+use std::io::{self, Write};
+use std::path::Path;
 
 /// What became of the work of one tariff that came after the run had settled.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
@@ -285,6 +288,14 @@
     }
 }
 
+/// Writes figures as JSON into a file, or to standard output for `-`.
+pub fn write_json(path: &Path, what: &impl Serialize) -> Result<(), String> {
+    let mut text = serde_json::to_vec_pretty(what).map_err(|e| e.to_string())?;
+    text.push(b'\n');
+    let written = if path == Path::new("-") { io::stdout().write_all(&text) } else { fs::write(path, text) };
+    written.map_err(|e| format!("{}: {e}", path.display()))
+}
+
 /// The rules that were broken, and the first few times.
 pub fn say_rules(f: &mut Formatter<'_>, broken: &BTreeMap<Rule, u64>, breaches: &[Breach]) -> fmt::Result {
     if broken.is_empty() {
--- a/crates/emulator/src/machine.rs
+++ b/crates/emulator/src/machine.rs
@@ -1,5 +1,6 @@
 //! One executor: slots, a queue in order of coming, a cold start, and how it speaks of its load.
 
+use crate::scenario::Executors;
 use grebeusher_dispatch::tariffs::{Report, Standing};
 use grebeusher_dispatch::time::{Moment, Span};
 use std::collections::VecDeque;
@@ -24,11 +25,7 @@
     pub kind: usize,
     pub zone: usize,
     pub slots: usize,
-    pub pace: f64,
-    pub queue: usize,
-    pub cold_share: f64,
-    pub warm: Span,
-    pub error_share: f64,
+    pub of: Executors,
 }
 
 pub struct Machine {
@@ -71,20 +68,13 @@
         }
     }
 
-    /// The part of its pace that it has by now; it grows evenly after a start.
     pub fn share(&self, now: Moment) -> f64 {
-        let Make { cold_share, warm, .. } = self.make;
-        match self.started {
-            Some(at) if now < at + warm => {
-                cold_share + (1.0 - cold_share) * now.since(at).as_secs() / warm.as_secs()
-            }
-            _ => 1.0,
-        }
+        self.make.of.share(self.started, now)
     }
 
     /// How long work of this size runs if it starts now.
     pub fn runs_for(&self, now: Moment, size_s: f64) -> Span {
-        Span::secs(size_s / (self.make.pace * self.share(now)) * self.slower)
+        Span::secs(size_s / (self.make.of.pace * self.share(now)) * self.slower)
     }
 
     pub fn is_cold(&self, now: Moment) -> bool {
@@ -106,7 +96,7 @@
             self.account(now);
             self.running.push(job);
             Taken::Runs
-        } else if self.waiting.len() < self.make.queue {
+        } else if self.waiting.len() < self.make.of.queue {
             self.waiting.push_back(job);
             Taken::Waits
         } else {
--- a/crates/emulator/src/main.rs
+++ b/crates/emulator/src/main.rs
@@ -1,14 +1,12 @@
 //! Plays scenarios in the model of the fleet, compares ways to choose, and holds the model against queueing theory.
 
 use clap::{Parser, Subcommand, ValueEnum};
-use grebeusher_emulator::figures::Outcome;
+use grebeusher_emulator::figures::{Outcome, write_json};
 use grebeusher_emulator::plots::{self, Line};
 use grebeusher_emulator::queueing;
 use grebeusher_emulator::scenario::Scenario;
 use grebeusher_emulator::world::{self, maker};
 use serde::Serialize;
-use std::fs;
-use std::io::{self, Write};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::time::Instant;
@@ -153,18 +151,6 @@
 /// What is wrong with the command line or a file.
 type Wrong = String;
 
-fn read(path: &Path) -> Result<Scenario, Wrong> {
-    let text = fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
-    Scenario::read(&text).map_err(|e| format!("{}: {e}", path.display()))
-}
-
-fn write_json(path: &Path, what: &impl Serialize) -> Result<(), Wrong> {
-    let mut text = serde_json::to_vec_pretty(what).map_err(|e| e.to_string())?;
-    text.push(b'\n');
-    let written = if path == Path::new("-") { io::stdout().write_all(&text) } else { fs::write(path, text) };
-    written.map_err(|e| format!("{}: {e}", path.display()))
-}
-
 /// Whether readable figures go to standard output: JSON may have taken it.
 fn speaks(json: &Option<PathBuf>) -> bool {
     json.as_deref() != Some(Path::new("-"))
@@ -211,12 +197,12 @@
 fn act(what: What) -> Result<bool, Wrong> {
     match what {
         What::Check { scenario } => {
-            let read = read(&scenario)?;
+            let read = Scenario::of_file(&scenario)?;
             println!("{}: {:?}, load {:.3}", scenario.display(), read.name, read.load());
             Ok(true)
         }
         What::Run { scenario, seed, policy, json, plot } => {
-            let scenario = read(&scenario)?;
+            let scenario = Scenario::of_file(&scenario)?;
             let began = Instant::now();
             let outcome = play(&scenario, seed.unwrap_or(scenario.seed), policy);
             let took = began.elapsed().as_secs_f64();
@@ -230,7 +216,7 @@
             Ok(outcome.keeps_rules() && outcome.summary.is_even())
         }
         What::Compare { scenario, policies, loads, seeds, figure, json, plot } => {
-            let scenario = read(&scenario)?;
+            let scenario = Scenario::of_file(&scenario)?;
             let points = compare(&scenario, &policies, &loads, seeds, figure);
             if speaks(&json) {
                 println!("{}: {}, {seeds} seeds, 95%", scenario.name, figure.words());
--- a/crates/emulator/src/scenario.rs
+++ b/crates/emulator/src/scenario.rs
@@ -2,9 +2,13 @@
 //! expected and what stands there.
 
 use crate::laws::Sizes;
+use grebeusher_dispatch::time::{Moment, Span};
+use rand::Rng;
+use rand::seq::index::sample;
 use serde::Deserialize;
 use std::fmt::Display;
 use std::ops::RangeInclusive;
+use std::path::Path;
 
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -249,7 +253,52 @@
     vec!["a".to_owned()]
 }
 
+impl Tariff {
+    pub fn is_binding(&self) -> bool {
+        self.effect == Effect::Binding
+    }
+
+    /// Within which an answer is wanted: as the decisions do it grows by the size, here as that is.
+    pub fn quoted(&self, size_s: f64) -> Span {
+        Span::secs(self.quoted_ms / 1e3 + self.stretch * size_s)
+    }
+}
+
+impl Executors {
+    /// The part of its pace that one has by now; it grows evenly after a start.
+    pub fn share(&self, started: Option<Moment>, now: Moment) -> f64 {
+        let warm = Span::secs(self.warm_s);
+        match started {
+            Some(at) if now < at + warm => {
+                self.cold_share + (1.0 - self.cold_share) * now.since(at).as_secs() / warm.as_secs()
+            }
+            _ => 1.0,
+        }
+    }
+}
+
+impl Clients {
+    /// How long a client waits that was turned back after so many repeats.
+    pub fn backoff(&self, tries: u32) -> Span {
+        Span::secs(self.backoff_ms / 1e3) * 2_f64.powi(tries.min(16) as i32)
+    }
+}
+
+impl Fault {
+    /// How many times as long slow executors take.
+    pub fn slows_by(&self) -> f64 {
+        self.factor.unwrap_or(2.0)
+    }
+}
+
 impl Scenario {
+    /// Reads and checks a file; what is wrong is named with it.
+    pub fn of_file(path: &Path) -> Result<Scenario, String> {
+        let named = |what: String| format!("{}: {what}", path.display());
+        let text = std::fs::read_to_string(path).map_err(|e| named(e.to_string()))?;
+        Scenario::read(&text).map_err(named)
+    }
+
     /// Reads and checks what a file holds.
     pub fn read(text: &str) -> Result<Scenario, String> {
         let read = toml::Deserializer::parse(text).map_err(|e| e.to_string())?;
@@ -263,6 +312,22 @@
         self.nodes.zones.iter().position(|zone| zone == name)
     }
 
+    /// Whom a fault strikes, out of so many that are dealt out among the zones in turn: a part of them, or one zone.
+    pub fn whom(&self, fault: &Fault, count: usize, chance: &mut impl Rng) -> Vec<usize> {
+        match &fault.zone {
+            Some(name) => {
+                let zone = self.zone(name);
+                (0..count).filter(|at| Some(at % self.nodes.zones.len()) == zone).collect()
+            }
+            None => {
+                let part = (fault.part.unwrap_or(0.0) * count as f64).round() as usize;
+                let mut picked = sample(chance, count, part).into_vec();
+                picked.sort_unstable();
+                picked
+            }
+        }
+    }
+
     /// The mean size of what comes, over all tariffs.
     pub fn mean_size_s(&self) -> f64 {
         let per_s: f64 = self.tariffs.iter().map(|t| t.per_s).sum();
--- a/crates/emulator/src/stage.rs
+++ b/crates/emulator/src/stage.rs
@@ -5,7 +5,7 @@
 use crate::laws::{exponential, noise};
 use crate::machine::{Job, Machine, Taken};
 use crate::rules::{Answer, Book};
-use crate::scenario::{Effect, Scenario};
+use crate::scenario::Scenario;
 use grebeusher_dispatch::host::Host;
 use grebeusher_dispatch::ids::{AllocationId, ExecutorId, UnitId};
 use grebeusher_dispatch::tariffs::{Ending, Report, Standing};
@@ -260,7 +260,8 @@
             let window = ms(rules.fall_window_ms);
             let (units, untold) = machine.count(now, window, knew);
             // By number, each for a mean one: what an executor can do within the window, times the factor.
-            let does = machine.share(now) * machine.make.pace * machine.make.slots as f64 * window.as_secs();
+            let does =
+                machine.share(now) * machine.make.of.pace * machine.make.slots as f64 * window.as_secs();
             let borne = (does * rules.fall_factor / self.mean_size_s).max(1.0);
             if units as f64 > borne {
                 self.book.fell(now, executor, units, untold, borne);
@@ -317,8 +318,8 @@
         if machine.life != life || !machine.done(now, job) {
             return;
         }
-        let fails = machine.make.error_share > 0.0
-            && self.net_chance.random::<f64>() < self.machines[executor].make.error_share;
+        let fails = machine.make.of.error_share > 0.0
+            && self.net_chance.random::<f64>() < self.machines[executor].make.of.error_share;
         self.serve_queue(executor);
         let report = Some(self.machines[executor].report(now));
         let word = if fails { Word::Ended(Ending::Error, report) } else { Word::Done(report) };
@@ -424,8 +425,7 @@
         }
         let (now, errand) = (self.now, &self.errands[at]);
         let tariff = &self.scenario.tariffs[errand.tariff];
-        // As the decisions do: the quoted time grows by the size as it is known, here as it is.
-        let quoted = Span::secs(tariff.quoted_ms / 1e3 + tariff.stretch * errand.size_s);
+        let quoted = tariff.quoted(errand.size_s);
         if errand.counted {
             self.figures.ended(errand.tariff, answer, errand.came, now, quoted);
         }
@@ -435,7 +435,7 @@
     pub fn tries_again(&mut self, errand: usize) -> bool {
         let clients = self.scenario.clients;
         let e = &mut self.errands[errand];
-        let backoff = ms(clients.backoff_ms) * 2_f64.powi(e.tries.min(16) as i32);
+        let backoff = clients.backoff(e.tries);
         if e.tries >= clients.repeats || self.now + backoff >= e.deadline {
             return false;
         }
@@ -446,7 +446,7 @@
 
     /// Whether a tariff is binding.
     pub fn binding(&self, tariff: usize) -> bool {
-        self.scenario.tariffs[tariff].effect == Effect::Binding
+        self.scenario.tariffs[tariff].is_binding()
     }
 
     /// New work of a tariff, as its law draws it.
--- a/crates/emulator/src/world.rs
+++ b/crates/emulator/src/world.rs
@@ -14,7 +14,6 @@
     Allowance, Arrival, ColdStart, Effect as DispatchEffect, Ending, Listing, Report, Standing, Tariff,
 };
 use grebeusher_dispatch::time::{Moment, Span};
-use rand::seq::index::sample;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg32;
 use std::cell::RefCell;
@@ -91,7 +90,7 @@
 pub fn maker(scenario: &Scenario, policy: Policy) -> Maker {
     let (n, r) = (scenario.nodes.clone(), scenario.rules);
     let tariffs: Vec<Tariff> = scenario.tariffs.iter().map(tariff).collect();
-    let binding: Vec<bool> = scenario.tariffs.iter().map(|t| t.effect == Effect::Binding).collect();
+    let binding: Vec<bool> = scenario.tariffs.iter().map(crate::scenario::Tariff::is_binding).collect();
     let choice = match policy {
         Policy::Sita => {
             return Box::new(move |hands, node, seed| {
@@ -178,16 +177,8 @@
                 kinds.push(e.kind.clone());
             }
             for _ in 0..e.count {
-                let make = Make {
-                    kind,
-                    zone: machines.len() % zones,
-                    slots: e.slots as usize,
-                    pace: e.pace,
-                    queue: e.queue,
-                    cold_share: e.cold_share,
-                    warm: ms(e.warm_s * 1e3),
-                    error_share: e.error_share,
-                };
+                let make =
+                    Make { kind, zone: machines.len() % zones, slots: e.slots as usize, of: e.clone() };
                 names.push(format!("{}-{}", e.kind, machines.len()));
                 machines.push(Machine::new(make, (!e.warm_at_start).then_some(Moment(START))));
             }
@@ -463,24 +454,11 @@
         }
     }
 
-    /// Those that a fault strikes, out of so many, by part or by zone.
-    fn whom(&self, fault: usize, zones: &[usize]) -> Vec<usize> {
+    /// Those that a fault strikes, out of so many.
+    fn whom(&self, fault: usize, count: usize) -> Vec<usize> {
         let mut stage = self.stage.borrow_mut();
-        let stage = &mut *stage;
-        let fault = &stage.scenario.faults[fault];
-        match &fault.zone {
-            Some(name) => {
-                let zone = stage.scenario.zone(name);
-                (0..zones.len()).filter(|&at| Some(zones[at]) == zone).collect()
-            }
-            None => {
-                let part = fault.part.unwrap_or(0.0);
-                let count = (part * zones.len() as f64).round() as usize;
-                let mut picked = sample(&mut stage.fault_chance, zones.len(), count).into_vec();
-                picked.sort_unstable();
-                picked
-            }
-        }
+        let Stage { scenario, fault_chance, .. } = &mut *stage;
+        scenario.whom(&scenario.faults[fault], count, fault_chance)
     }
 
     fn strikes(&mut self, fault: usize) {
@@ -488,18 +466,15 @@
             let stage = self.stage.borrow();
             let f = &stage.scenario.faults[fault];
             let zone = f.zone.as_ref().and_then(|name| stage.scenario.zone(name));
-            (f.what, f.factor.unwrap_or(2.0), stage.now + ms(f.for_s * 1e3), zone)
+            (f.what, f.slows_by(), stage.now + ms(f.for_s * 1e3), zone)
         };
-        let zones = |of_nodes: bool| -> Vec<usize> {
+        let (executors, nodes) = {
             let stage = self.stage.borrow();
-            match of_nodes {
-                true => stage.nodes.iter().map(|n| n.zone).collect(),
-                false => stage.machines.iter().map(|m| m.make.zone).collect(),
-            }
+            (stage.machines.len(), stage.nodes.len())
         };
         self.struck[fault] = match what {
             What::KillExecutors | What::DrainExecutors | What::SlowExecutors | What::FailExecutors => {
-                let whom = self.whom(fault, &zones(false));
+                let whom = self.whom(fault, executors);
                 let mut stage = self.stage.borrow_mut();
                 for &at in &whom {
                     match what {
@@ -513,7 +488,7 @@
                 Struck::Executors(whom)
             }
             What::RestartNodes => {
-                let whom = self.whom(fault, &zones(true));
+                let whom = self.whom(fault, nodes);
                 whom.iter().for_each(|&node| self.node_dies(node));
                 Struck::Nodes(whom)
             }
@@ -543,7 +518,7 @@
         let (what, factor, now) = {
             let stage = self.stage.borrow();
             let f = &stage.scenario.faults[fault];
-            (f.what, f.factor.unwrap_or(2.0), stage.now)
+            (f.what, f.slows_by(), stage.now)
         };
         match std::mem::replace(&mut self.struck[fault], Struck::Other) {
             Struck::Executors(whom) => {
--- a/crates/load/src/clients.rs
+++ b/crates/load/src/clients.rs
@@ -7,7 +7,7 @@
 use grebeusher_dispatch::time::{Moment, Span};
 use grebeusher_emulator::laws::{exponential, noise};
 use grebeusher_emulator::rules::Answer;
-use grebeusher_emulator::scenario::{Effect, Scenario};
+use grebeusher_emulator::scenario::Scenario;
 use grebeusher_emulator::stage::{Errand, START, ms};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg32;
@@ -146,7 +146,7 @@
                 }
                 Try::NodeGone => {
                     floor.book().gone(unit);
-                    let binding = floor.scenario.tariffs[errand.tariff].effect == Effect::Binding;
+                    let binding = floor.scenario.tariffs[errand.tariff].is_binding();
                     if binding {
                         return floor.figures().lost(&errand);
                     }
@@ -165,7 +165,7 @@
             {
                 floor.book().foreign(now, unit);
             }
-            let backoff = ms(clients.backoff_ms) * 2_f64.powi(errand.tries.min(16) as i32);
+            let backoff = clients.backoff(errand.tries);
             if answer == Answer::TurnedBack
                 && errand.tries < clients.repeats
                 && now + backoff < errand.deadline
@@ -176,7 +176,7 @@
             }
             if errand.counted {
                 let tariff = &floor.scenario.tariffs[errand.tariff];
-                let quoted = Span::secs(tariff.quoted_ms / 1e3 + tariff.stretch * errand.size_s);
+                let quoted = tariff.quoted(errand.size_s);
                 floor.figures().ended(errand.tariff, answer, errand.came, now, quoted);
             }
             return;
--- a/crates/load/src/executor.rs
+++ b/crates/load/src/executor.rs
@@ -243,7 +243,7 @@
             if self.floor.scenario.nodes.starts_told {
                 self.calls(&mut talks, job.node, Some(life), &self.word(&job, "started"));
             }
-            let speed = self.make.pace * share(&self.make, started, self.floor.now());
+            let speed = self.make.pace * self.make.share(started, self.floor.now());
             let ends = self.floor.now() + Span::secs(job.size_s / speed * slower);
             let pace = Span::secs(self.floor.scenario.nodes.progress_ms / 1e3);
             while pace.0 > 0 && self.floor.now() + pace < ends {
@@ -323,13 +323,3 @@
     let body: Value = serde_json::from_slice(&request.body).ok()?;
     Some(Job { unit, call_id, size_s: body["size_s"].as_f64()?, node: body["node"].as_u64()? as usize })
 }
-
-/// The part of its pace that an executor has so long after its start.
-fn share(make: &Executors, started: Option<Moment>, now: Moment) -> f64 {
-    match started {
-        Some(at) if now.since(at).as_secs() < make.warm_s => {
-            make.cold_share + (1.0 - make.cold_share) * now.since(at).as_secs() / make.warm_s
-        }
-        _ => 1.0,
-    }
-}
--- a/crates/load/src/floor.rs
+++ b/crates/load/src/floor.rs
@@ -3,7 +3,7 @@
 use grebeusher_dispatch::time::{Moment, Span};
 use grebeusher_emulator::figures::Figures;
 use grebeusher_emulator::rules::Book;
-use grebeusher_emulator::scenario::{Effect, Scenario};
+use grebeusher_emulator::scenario::Scenario;
 use grebeusher_emulator::stage::{START, ms};
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -92,7 +92,7 @@
     /// A unit is handed in, and has its number.
     pub fn taken(&self, tariff: usize, came: Moment, counted: bool, patience_ends: Moment) -> u64 {
         let unit = self.next_unit.fetch_add(1, Ordering::Relaxed);
-        let binding = self.scenario.tariffs[tariff].effect == Effect::Binding;
+        let binding = self.scenario.tariffs[tariff].is_binding();
         hold(&self.open).insert(unit, Open { came, counted, started: false });
         self.book().taken(unit, binding, patience_ends);
         unit
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -1,12 +1,11 @@
 //! Plays a scenario of the emulator with real nodes on loopback addresses.
 
 use clap::Parser;
+use grebeusher_emulator::figures::write_json;
 use grebeusher_emulator::scenario::Scenario;
 use grebeusher_load::run;
 use std::env;
-use std::fs;
-use std::io::{self, Write};
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::process::ExitCode;
 
 /// Plays a scenario with real nodes on loopback addresses: open arrivals, stand-in executors and discovery, faults.
@@ -37,8 +36,7 @@
 fn act(line: CommandLine) -> Result<bool, String> {
     let path = &line.scenario;
     let named = |what: String| format!("{}: {what}", path.display());
-    let text = fs::read_to_string(path).map_err(|e| named(e.to_string()))?;
-    let mut scenario = Scenario::read(&text).map_err(named)?;
+    let mut scenario = Scenario::of_file(path)?;
     scenario.seed = line.seed.unwrap_or(scenario.seed);
     if let Some(length_s) = line.length {
         if !(length_s > 0.0 && length_s <= scenario.length_s) {
@@ -57,13 +55,7 @@
     let node = line.node.map_or_else(beside, Ok)?;
     let report = run::run(&scenario, &node)?;
     match &line.json {
-        Some(file) => {
-            let mut text = serde_json::to_vec_pretty(&report).map_err(|e| e.to_string())?;
-            text.push(b'\n');
-            let written =
-                if file == Path::new("-") { io::stdout().write_all(&text) } else { fs::write(file, text) };
-            written.map_err(|e| format!("{}: {e}", file.display()))?;
-        }
+        Some(file) => write_json(file, &report)?,
         None => print!("{report}"),
     }
     Ok(report.is_well())
--- a/crates/load/src/nodes.rs
+++ b/crates/load/src/nodes.rs
@@ -2,7 +2,7 @@
 
 use crate::floor::Floor;
 use grebeusher_dispatch::time::Moment;
-use grebeusher_emulator::scenario::{Effect, Scenario};
+use grebeusher_emulator::scenario::Scenario;
 use grebeusher_emulator::stage::START;
 use serde_json::{Value, json};
 use std::fs::{self, File};
@@ -124,7 +124,7 @@
         .tariffs
         .iter()
         .map(|t| {
-            let effect = if t.effect == Effect::Binding { "non_idempotent" } else { "read_like" };
+            let effect = if t.is_binding() { "non_idempotent" } else { "read_like" };
             json!({"name": t.name, "effect": effect, "quoted_time_ns": ns(t.quoted_ms), "aim_stretch": t.stretch,
                 "patience_ns": ns(t.patience_ms), "earnings": t.earnings})
         })
--- a/crates/load/src/run.rs
+++ b/crates/load/src/run.rs
@@ -11,7 +11,6 @@
 use grebeusher_emulator::rules::{Breach, Rule};
 use grebeusher_emulator::scenario::{Fault, Scenario, What};
 use grebeusher_emulator::stage::{START, ms};
-use rand::seq::index::sample;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg32;
 use serde::Serialize;
@@ -186,26 +185,16 @@
     }
 
     fn whom(&self, fault: &Fault, chance: &mut impl Rng) -> Vec<usize> {
-        let zones = self.floor.scenario.nodes.zones.len();
         let count = match fault.what {
             What::RestartNodes => self.nodes.len(),
             What::DiscoveryDown => 0,
             _ => self.executors.len(),
         };
-        match &fault.zone {
-            Some(name) => {
-                let zone = self.floor.scenario.zone(name);
-                (0..count).filter(|at| Some(at % zones) == zone).collect()
-            }
-            None => {
-                let part = (fault.part.unwrap_or(0.0) * count as f64).round() as usize;
-                sample(chance, count, part).into_vec()
-            }
-        }
+        self.floor.scenario.whom(fault, count, chance)
     }
 
     fn step(&self, fault: &Fault, at: usize, strikes: bool) -> Result<(), String> {
-        let factor = fault.factor.unwrap_or(2.0);
+        let factor = fault.slows_by();
         match (fault.what, strikes) {
             (What::KillExecutors, true) => self.executors[at].kill(),
             (What::KillExecutors, false) => {
--- a/crates/node/src/exchange.rs
+++ b/crates/node/src/exchange.rs
@@ -6,8 +6,8 @@
 use crate::memory::clock::Clock;
 use crate::memory::counters::Counters;
 use crate::memory::executors::Executors as Directory;
-use crate::memory::ledger::{Known, Ledger, moment};
-use crate::memory::units::{Errand, Units};
+use crate::memory::ledger::{Known, Ledger, moment, ms};
+use crate::memory::units::{Errand, UnitIds, Units};
 use crate::wire::call_backs::{CallBack, State};
 use crate::wire::clients::{CallerId, Clients};
 use crate::wire::discovery::{Discovery, Version};
@@ -24,7 +24,7 @@
 use grebeusher_faktory::reservations;
 use grebeusher_ledger::book::{Due, Job};
 use log::{debug, info, warn};
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::rc::Rc;
 
 /// How long after giving up a job that did not get through it is tried again, while the unit waits for it: a
@@ -64,9 +64,9 @@
 impl Hands {
     /// The final answer, once.
     fn answer(&self, unit: UnitId, status: u16, come_back: Option<Span>, body: &[u8]) {
-        let lasting = self.desk.borrow().units.errand(unit).filter(|errand| errand.lasts);
+        let lasting = self.lasting(unit);
         if self.desk.borrow_mut().units.answered(unit) {
-            if let (Some(ledger), Some(errand)) = (&self.ledger, lasting) {
+            if let Some((ledger, errand)) = lasting {
                 return self.answer_lasting(ledger, &errand.call_id, &errand.tariff, status, body);
             }
             let pushed = self.faktory.as_ref().is_some_and(|faktory| faktory.answer(unit, status));
@@ -77,15 +77,18 @@
         }
     }
 
+    /// The ledger and the errand of a unit that outlives the process. Where there is no ledger none does.
+    fn lasting(&self, unit: UnitId) -> Option<(&Ledger, Rc<Errand>)> {
+        let ledger = self.ledger.as_deref()?;
+        let errand = self.desk.borrow().units.errand(unit)?;
+        errand.lasts.then_some((ledger, errand))
+    }
+
     /// The final answer to a job that outlives the process: written down, to be asked for.
     fn answer_lasting(&self, ledger: &Ledger, id: &str, tariff: &str, status: u16, result: &[u8]) {
         ledger.answered(id, status, result);
         if let Some(tariff) = self.tariffs.iter().position(|name| name == tariff) {
-            match status {
-                200 => self.counters.fulfilled.up(tariff),
-                503 => self.counters.turned_back.up(tariff),
-                _ => self.counters.forfeited.up(tariff),
-            }
+            self.counters.answered(tariff, status);
         }
     }
 
@@ -172,7 +175,7 @@
     kinds: Vec<String>,
     listed: bool,
     own_zone: usize,
-    next_unit: Rc<Cell<u64>>,
+    unit_ids: UnitIds,
     /// Other processes of this node, where there may be some.
     siblings: Option<Rc<Siblings>>,
 }
@@ -181,6 +184,7 @@
     pub fn open(
         seed: u64,
         charter: &Charter,
+        unit_ids: &UnitIds,
         (clients, executors, discovery): (&Rc<Clients>, &Rc<Executors>, &Rc<Discovery>),
         Beside { siblings, faktory, ledger }: &Beside,
         (clock, counters): (Clock, &Rc<Counters>),
@@ -207,7 +211,7 @@
             kinds: charter.kinds.clone(),
             listed: false,
             own_zone: charter.zone(),
-            next_unit: Rc::default(),
+            unit_ids: unit_ids.clone(),
             siblings: siblings.clone(),
         }
     }
@@ -282,14 +286,13 @@
 
     /// Takes work that outlives the process; the status that tells the client so. The same work handed in again, by a
     /// client that did not hear the answer, is taken once.
-    pub fn take_to_last(&mut self, unit: UnitId, errand: Errand, arrival: &Arrival) -> u16 {
+    pub fn take_to_last(&mut self, errand: Errand, arrival: &Arrival) -> u16 {
         let Some(ledger) = self.hands.ledger.clone() else { return 404 };
         match ledger.known(&errand.call_id) {
             Known::Open | Known::Ended(_) => return 202,
             Known::Nothing if self.has_in_hand(&errand.call_id) => return 409,
             Known::Nothing => {}
         }
-        let at_ms = |at: Moment| at.0 / 1_000_000;
         let job = Job {
             id: errand.call_id.to_string(),
             tariff: errand.tariff.clone(),
@@ -297,15 +300,15 @@
             target: errand.target.clone(),
             body: errand.body.clone(),
             hint_us: arrival.hint.map(|hint| hint.0 / 1000),
-            taken_ms: at_ms(self.hands.clock.now()),
-            ends_ms: at_ms(arrival.patience_ends),
+            taken_ms: ms(self.hands.clock.now()),
+            ends_ms: ms(arrival.patience_ends),
         };
         self.counters.units.up();
         if ledger.taken(job).is_err() {
             self.counters.turned_back.up(arrival.tariff);
             return 503;
         }
-        self.arrived(unit, errand, arrival);
+        self.arrived(self.unit_ids.take(), errand, arrival);
         202
     }
 
@@ -323,8 +326,7 @@
     }
 
     /// Does what is due after the last life.
-    pub fn recover(&mut self, next_unit: &Rc<Cell<u64>>) {
-        self.next_unit = next_unit.clone();
+    pub fn recover(&mut self) {
         let Some(ledger) = self.hands.ledger.clone() else { return };
         for (job, due) in ledger.recover() {
             match due {
@@ -343,8 +345,6 @@
             let Some(ledger) = self.hands.ledger.clone() else { return };
             return self.hands.answer_lasting(&ledger, &job.id, &job.tariff, 503, b"");
         };
-        let unit = UnitId(self.next_unit.get());
-        self.next_unit.set(unit.0 + 1);
         let arrival = Arrival {
             tariff,
             customer: 0,
@@ -355,7 +355,7 @@
         };
         let Job { id, tariff, target, body, binding, .. } = job;
         let errand = Errand { call_id: id.into(), tariff, target, body, binding, lasts: true, pushed: None };
-        self.arrived(unit, errand, &arrival);
+        self.arrived(self.unit_ids.take(), errand, &arrival);
     }
 
     /// Nothing more is heard of a job of an earlier life, or it has failed, or was handed back unstarted.
@@ -488,9 +488,7 @@
             debug!("unit {} at {}: {ending:?}", id.unit.0, self.hands.desk.borrow().executors.name(executor));
         }
         let answered = self.hands.desk.borrow().units.is_answered(id.unit);
-        let lasting =
-            self.hands.desk.borrow().units.errand(id.unit).filter(|errand| errand.lasts && !answered);
-        if let (Some(ledger), Some(errand)) = (&self.hands.ledger, lasting) {
+        if let Some((ledger, errand)) = self.hands.lasting(id.unit).filter(|_| !answered) {
             ledger.ended(&errand.call_id, id.number, ending.proves_not_run());
         }
         self.dispatcher.ended(self.hands.clock.now(), id, executor, ending, answered, report);
@@ -526,11 +524,6 @@
             desk.executors.is_worker(executor, worker);
             executor
         };
-        let standing = match standing {
-            reservations::Standing::Works => Standing::Ready,
-            reservations::Standing::Quiet => Standing::Draining,
-            reservations::Standing::Gone => Standing::Gone,
-        };
         let kind = place(&mut self.kinds, WORKER);
         let listing = worker_listing(executor, &name, standing, kind, self.own_zone);
         self.listed = true;
@@ -615,12 +608,11 @@
     }
 
     /// The workers that are there, as executors.
-    fn workers(&self) -> Vec<(ExecutorId, String, Standing)> {
+    fn workers(&self) -> Vec<(ExecutorId, String, reservations::Standing)> {
         let workers = self.hands.faktory.iter().flat_map(|faktory| faktory.workers());
         let mut desk = self.hands.desk.borrow_mut();
-        let named = |(_, wid, works): (usize, String, bool)| {
+        let named = |(wid, standing)| {
             let name = format!("{WORKER}{wid}");
-            let standing = if works { Standing::Ready } else { Standing::Draining };
             (desk.executors.index(&name), name, standing)
         };
         workers.map(named).collect()
@@ -637,10 +629,15 @@
 fn worker_listing(
     executor: ExecutorId,
     name: &str,
-    standing: Standing,
+    standing: reservations::Standing,
     kind: usize,
     zone: usize,
 ) -> Listing<'_> {
+    let standing = match standing {
+        reservations::Standing::Works => Standing::Ready,
+        reservations::Standing::Quiet => Standing::Draining,
+        reservations::Standing::Gone => Standing::Gone,
+    };
     Listing { executor, name, standing, started: None, kind, zone, cell: 0, weight: 1.0 }
 }
 
--- a/crates/node/src/life/node.rs
+++ b/crates/node/src/life/node.rs
@@ -7,6 +7,7 @@
 use crate::memory::counters::Counters;
 use crate::memory::figures::{Figures, Gauges};
 use crate::memory::ledger::Ledger;
+use crate::memory::units::UnitIds;
 use crate::wire;
 use crate::wire::calls;
 use crate::wire::checks::Checks;
@@ -24,7 +25,6 @@
 use log::{error, info, warn};
 use polling::Poller;
 use serde::Deserialize;
-use std::cell::Cell;
 use std::env;
 use std::fmt::{self, Display, Formatter};
 use std::io;
@@ -57,32 +57,9 @@
 const AGENT_CHECK: usize = 5;
 const HEALTH_CALL: usize = 6;
 
-fn outside_key(place: usize) -> usize {
-    FIRST + KINDS * place + OUTSIDE
-}
-
-fn executor_key(place: usize) -> usize {
-    FIRST + KINDS * place + EXECUTOR
-}
-
-fn staff_key(place: usize) -> usize {
-    FIRST + KINDS * place + STAFF
-}
-
-fn sibling_key(place: usize) -> usize {
-    FIRST + KINDS * place + SIBLING
-}
-
-fn peer_key(place: usize) -> usize {
-    FIRST + KINDS * place + PEER
-}
-
-fn agent_key(place: usize) -> usize {
-    FIRST + KINDS * place + AGENT_CHECK
-}
-
-fn health_key(place: usize) -> usize {
-    FIRST + KINDS * place + HEALTH_CALL
+/// The key of a connection of a kind, by its place.
+fn key<const KIND: usize>(place: usize) -> usize {
+    FIRST + KINDS * place + KIND
 }
 
 /// The kind and the place of a connection's key; `None` for one of the others.
@@ -191,7 +168,7 @@
             Rc::new(Siblings::meet(
                 &posting.name,
                 &env::temp_dir(),
-                (SIBLINGS, sibling_key),
+                (SIBLINGS, key::<SIBLING>),
                 (&poller, clock),
             ))
         });
@@ -201,15 +178,15 @@
             + fronts.checks.as_ref().map_or(0, |posted| posted.count() * calls::DESCRIPTORS)
             + fronts.faktory.as_ref().map_or(0, |posted| posted.most_connections() + 1);
         let (from_outside, to_executors) = limits::connections(posting.sockets, further);
-        let next_unit = Rc::new(Cell::new(0));
+        let unit_ids = UnitIds::default();
         let listener = inherited.map_or_else(|| wire::listen(posting.listen), Ok);
         let clients = listener.and_then(|listener| {
             Clients::listen(
                 listener,
                 charter,
-                &next_unit,
+                &unit_ids,
                 (from_outside, room),
-                (LISTENER, outside_key),
+                (LISTENER, key::<OUTSIDE>),
                 common,
             )
         });
@@ -217,23 +194,24 @@
         let relieves = siblings.as_ref().is_some_and(|siblings| siblings.has_elder());
         clients.take_in_new(!relieves);
         let console = console_at.map(|at| {
-            let console = Console::listen(at, (CONSOLE, staff_key), (&poller, clock));
+            let console = Console::listen(at, (CONSOLE, key::<STAFF>), (&poller, clock));
             console.map(Rc::new).map_err(|e| format!("console: {at}: {e}"))
         });
         let console = console.transpose()?;
         let retire_after = retire_after(charter.idle);
-        let executors = Executors::new(to_executors, charter.dial_within, retire_after, executor_key, common);
+        let executors =
+            Executors::new(to_executors, charter.dial_within, retire_after, key::<EXECUTOR>, common);
         let executors = Rc::new(executors);
         let discovery = Rc::new(Discovery::new(posting.discovery, &known, DISCOVERY, common));
         let sides = (&clients, &executors, &discovery);
         let faktory = fronts.faktory.as_ref().map(|posted| {
-            let keys = (FAKTORY, peer_key as fn(usize) -> usize);
-            let faktory = Faktory::listen(posted, charter, (posting.seed, &next_unit), keys, common);
+            let keys = (FAKTORY, key::<PEER> as fn(usize) -> usize);
+            let faktory = Faktory::listen(posted, charter, (posting.seed, &unit_ids), keys, common);
             faktory.map(Rc::new).map_err(|e| format!("faktory.listen: {}: {e}", posted.listen))
         });
         let faktory = faktory.transpose()?;
         let checks = fronts.checks.as_ref().map(|posted| {
-            let keys = ((AGENT, agent_key as fn(usize) -> usize), (HEALTH, health_key as fn(usize) -> usize));
+            let keys = ((AGENT, key::<AGENT_CHECK> as fn(usize) -> usize), (HEALTH, key::<HEALTH_CALL> as _));
             Checks::listen(posted, keys, (&poller, clock)).map(Rc::new)
         });
         let checks = checks.transpose()?;
@@ -243,10 +221,11 @@
         });
         let ledger = ledger.transpose()?;
         let beside = Beside { siblings, faktory, ledger };
-        let mut exchange = Exchange::open(posting.seed, charter, sides, &beside, (clock, &counters));
+        let mut exchange =
+            Exchange::open(posting.seed, charter, &unit_ids, sides, &beside, (clock, &counters));
         exchange.start();
         exchange.listed(&known);
-        exchange.recover(&next_unit);
+        exchange.recover();
         say_what_sockets_lack(charter);
         if let Some(console) = &console {
             info!("console at {}", console.address().map_err(|e| e.to_string())?);
@@ -296,10 +275,10 @@
                 _ => {}
             }
             // The staff first. Guards against calls that wait until a crowd of clients has had its turn.
-            let (staff, others): (Vec<usize>, Vec<usize>) =
-                events.iter().map(|event| event.key).partition(|&key| is_staff(key));
-            for key in staff.into_iter().chain(others) {
-                self.stirred(key)?;
+            for staff in [true, false] {
+                for event in events.iter().filter(|event| is_staff(event.key) == staff) {
+                    self.stirred(event.key)?;
+                }
             }
             self.exchange.due();
             self.executors.due(&mut self.exchange);
--- a/crates/node/src/memory/counters.rs
+++ b/crates/node/src/memory/counters.rs
@@ -52,6 +52,17 @@
     }
 }
 
+impl Counters {
+    /// The final answer to a unit of a tariff, by its status.
+    pub fn answered(&self, tariff: usize, status: u16) {
+        match status {
+            200 => self.fulfilled.up(tariff),
+            503 => self.turned_back.up(tariff),
+            _ => self.forfeited.up(tariff),
+        }
+    }
+}
+
 counters! {
     callers_accepted: Count = "connections taken in from clients and executors",
     callers_shed: Count = "idle connections closed for want of room",
--- a/crates/node/src/memory/ledger.rs
+++ b/crates/node/src/memory/ledger.rs
@@ -48,7 +48,7 @@
 }
 
 /// The clock counts from the Unix time.
-fn ms(at: Moment) -> u64 {
+pub fn ms(at: Moment) -> u64 {
     at.0 / 1_000_000
 }
 
--- a/crates/node/src/memory/units.rs
+++ b/crates/node/src/memory/units.rs
@@ -3,9 +3,22 @@
 use crate::memory::alarms::Alarm;
 use grebeusher_dispatch::ids::{AllocationId, ExecutorId, UnitId};
 use grebeusher_dispatch::time::Span;
+use std::cell::Cell;
 use std::collections::HashMap;
 use std::rc::Rc;
 
+/// Gives out the ids of work units, one after the other, whatever front they come by.
+#[derive(Clone, Default)]
+pub struct UnitIds(Rc<Cell<u64>>);
+
+impl UnitIds {
+    pub fn take(&self) -> UnitId {
+        let id = self.0.get();
+        self.0.set(id + 1);
+        UnitId(id)
+    }
+}
+
 /// What is sent on unchanged with each allocation of a unit.
 pub struct Errand {
     pub call_id: Rc<str>,
--- a/crates/node/src/wire/calls.rs
+++ b/crates/node/src/wire/calls.rs
@@ -82,14 +82,11 @@
                 self.waits_until.set(Some(next_at));
                 return;
             }
-            let before = self.visitors.borrow().len();
-            super::take_in(&self.listener, 1, "callers", |stream| {
-                self.next_at.set(next_at + self.apart);
-                self.take_in(stream, unasked());
-            });
-            if self.visitors.borrow().len() == before && self.next_at.get() != next_at + self.apart {
+            let take = |stream| self.take_in(stream, unasked());
+            if super::take_in(&self.listener, 1, "callers", take) == 0 {
                 break;
             }
+            self.next_at.set(next_at + self.apart);
         }
         self.watch();
     }
--- a/crates/node/src/wire/clients.rs
+++ b/crates/node/src/wire/clients.rs
@@ -7,7 +7,7 @@
 use crate::memory::clock::Clock;
 use crate::memory::connection::{Connection, MOST_UNREAD};
 use crate::memory::counters::Counters;
-use crate::memory::units::Errand;
+use crate::memory::units::{Errand, UnitIds};
 use crate::wire::call_backs::{self, CallBack};
 use crate::wire::http::{self, Malformed, Request};
 use grebeusher_charter::Charter;
@@ -155,7 +155,7 @@
     takes_in: Cell<bool>,
     charter: Charter,
     callers: RefCell<Callers>,
-    next_unit: Rc<Cell<u64>>,
+    unit_ids: UnitIds,
     ready: Cell<bool>,
     /// Answers ask for the end of their connections.
     winding_down: Cell<bool>,
@@ -168,7 +168,7 @@
     pub fn listen(
         listener: TcpListener,
         charter: &Charter,
-        next_unit: &Rc<Cell<u64>>,
+        unit_ids: &UnitIds,
         (most, room): (usize, usize),
         (listener_key, key): (usize, fn(usize) -> usize),
         (poller, clock, counters): (&Rc<Poller>, Clock, &Rc<Counters>),
@@ -191,7 +191,7 @@
                 slow: Alarms::default(),
                 next_serial: 0,
             }),
-            next_unit: next_unit.clone(),
+            unit_ids: unit_ids.clone(),
             ready: Cell::new(false),
             winding_down: Cell::new(false),
             ends: Cell::new(None),
@@ -611,9 +611,7 @@
 
     /// Takes work that outlives the process: the client hears that it is taken, and asks for its end later.
     fn arrived_to_last(&self, place: usize, errand: Errand, arrival: &Arrival, exchange: &mut Exchange) {
-        let unit = UnitId(self.next_unit.get());
-        self.next_unit.set(unit.0 + 1);
-        let status = exchange.take_to_last(unit, errand, arrival);
+        let status = exchange.take_to_last(errand, arrival);
         self.write(place, status, None, b"");
     }
 
@@ -639,8 +637,7 @@
             }
             return self.write(place, 503, None, b"");
         }
-        let unit = UnitId(self.next_unit.get());
-        self.next_unit.set(unit.0 + 1);
+        let unit = self.unit_ids.take();
         {
             let mut callers = self.callers.borrow_mut();
             callers.by_unit.insert(unit, place);
@@ -665,11 +662,7 @@
             caller.closes |= self.winding_down.get();
             (place, caller.tariff)
         };
-        match status {
-            200 => self.counters.fulfilled.up(tariff),
-            503 => self.counters.turned_back.up(tariff),
-            _ => self.counters.forfeited.up(tariff),
-        }
+        self.counters.answered(tariff, status);
         self.write(place, status, come_back.map(Span::as_secs), body);
     }
 
--- a/crates/node/src/wire/faktory.rs
+++ b/crates/node/src/wire/faktory.rs
@@ -7,7 +7,7 @@
 use crate::memory::clock::Clock;
 use crate::memory::connection::Connection;
 use crate::memory::counters::Counters;
-use crate::memory::units::{Errand, Pushed};
+use crate::memory::units::{Errand, Pushed, UnitIds};
 use grebeusher_charter::Charter;
 use grebeusher_charter::fronts::Faktory as Posted;
 use grebeusher_dispatch::ids::{AllocationId, UnitId};
@@ -90,7 +90,7 @@
     password: Option<String>,
     reserve_for: Span,
     charter: Charter,
-    next_unit: Rc<Cell<u64>>,
+    unit_ids: UnitIds,
     /// The node sends its clients away: nothing new is taken or handed out.
     leaves: Cell<bool>,
     salt: Cell<u64>,
@@ -101,7 +101,7 @@
     pub fn listen(
         posted: &Posted,
         charter: &Charter,
-        (seed, next_unit): (u64, &Rc<Cell<u64>>),
+        (seed, unit_ids): (u64, &UnitIds),
         (listener_key, key): (usize, fn(usize) -> usize),
         (poller, clock, counters): (&Rc<Poller>, Clock, &Rc<Counters>),
     ) -> io::Result<Faktory> {
@@ -118,7 +118,7 @@
             password: posted.password.clone(),
             reserve_for: posted.reserve_for(),
             charter: charter.clone(),
-            next_unit: next_unit.clone(),
+            unit_ids: unit_ids.clone(),
             leaves: Cell::new(false),
             salt: Cell::new(seed),
             inside: RefCell::new(Inside {
@@ -152,11 +152,11 @@
         self.inside.borrow().by_unit.len()
     }
 
-    /// Workers that are there, by their places, with their names and whether they fetch.
-    pub fn workers(&self) -> Vec<(usize, String, bool)> {
+    /// The names of the workers that are there, and how they stand.
+    pub fn workers(&self) -> Vec<(String, Standing)> {
         let inside = self.inside.borrow();
         let table = &inside.table;
-        let shown = |at: usize| (at, table.wid(at).to_owned(), table.standing(at) == Standing::Works);
+        let shown = |at: usize| (table.wid(at).to_owned(), table.standing(at));
         table.present().map(shown).collect()
     }
 
@@ -265,11 +265,7 @@
     pub fn answer(&self, unit: UnitId, status: u16) -> bool {
         let mut inside = self.inside.borrow_mut();
         let Some((place, tariff)) = inside.by_unit.remove(&unit) else { return false };
-        match status {
-            200 => self.counters.fulfilled.up(tariff),
-            503 => self.counters.turned_back.up(tariff),
-            _ => self.counters.forfeited.up(tariff),
-        }
+        self.counters.answered(tariff, status);
         if inside.peers.contains(place) {
             let answer = match status {
                 200 => Answer::Ok,
@@ -562,8 +558,7 @@
                 reserve_for: job.reserve_for.map(|s| Span::millis(s.saturating_mul(1000).max(1000))),
             }),
         };
-        let unit = UnitId(self.next_unit.get());
-        self.next_unit.set(unit.0 + 1);
+        let unit = self.unit_ids.take();
         {
             let mut inside = self.inside.borrow_mut();
             inside.by_unit.insert(unit, (place, tariff));
--- a/crates/node/src/wire/mod.rs
+++ b/crates/node/src/wire/mod.rs
@@ -17,16 +17,24 @@
 use std::io::{self, ErrorKind};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 
-/// Takes in up to so many of those who wait to connect; `whom` they are, for the log.
-pub fn take_in(listener: &TcpListener, at_once: usize, whom: &str, mut take: impl FnMut(TcpStream)) {
+/// Takes in up to so many of those who wait to connect; `whom` they are, for the log. How many came.
+pub fn take_in(listener: &TcpListener, at_once: usize, whom: &str, mut take: impl FnMut(TcpStream)) -> usize {
+    let mut came = 0;
     for _ in 0..at_once {
         match listener.accept() {
-            Ok((stream, _)) => take(stream),
-            Err(e) if e.kind() == ErrorKind::WouldBlock => return,
+            Ok((stream, _)) => {
+                take(stream);
+                came += 1;
+            }
+            Err(e) if e.kind() == ErrorKind::WouldBlock => break,
             Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {}
-            Err(e) => return warn!("{whom} can't be taken in: {e}"),
+            Err(e) => {
+                warn!("{whom} can't be taken in: {e}");
+                break;
+            }
         }
     }
+    came
 }
 
 /// Listens at an address, without waiting for those who come.
--- a/crates/node/tests/checks/mod.rs
+++ b/crates/node/tests/checks/mod.rs
@@ -2,7 +2,6 @@
 
 use crate::fake::*;
 use std::net::TcpStream;
-use std::process::Command;
 use std::time::{Duration, Instant};
 
 const BOTH: &str = "[checks]\nagent = \"127.0.0.1:0\"\nhealth = \"127.0.0.1:0\"\n";
@@ -102,10 +101,7 @@
         ("[checks]\nhealth = \"127.0.0.1\"\n", "checks.health: invalid socket address"),
     ] {
         std::fs::write(&path, text).expect("it is written");
-        let mut command = Command::new(env!("CARGO_BIN_EXE_grebeusher"));
-        command.env("GW_CONFIG", world.posting_file()).env("GREBEUSHER_FRONTS", &path);
-        let output = command.output().expect("it starts");
-        let log = String::from_utf8_lossy(&output.stderr).into_owned();
-        assert!(!output.status.success() && log.contains(says), "{says}: {log}");
+        let (ended, log) = world.start_another_with(&path);
+        assert!(!ended.success() && log.contains(says), "{says}: {log}");
     }
 }
--- a/crates/node/tests/fake/mod.rs
+++ b/crates/node/tests/fake/mod.rs
@@ -6,7 +6,7 @@
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::fd::OwnedFd;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::rc::Rc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -66,6 +66,21 @@
     }
 }
 
+/// The file of a node before these executors.
+fn posting(executors: &[&TcpListener], discovery: &TcpListener, charter: Value, limits: Value) -> Value {
+    let known: Vec<Value> = executors.iter().enumerate().map(|(i, l)| entry(i, l, "active")).collect();
+    json!({"name": "n0", "listen": "127.0.0.1:0", "discovery": address(discovery),
+        "seed": "8c1f30d27a5be964", "limits": limits, "settings": charter,
+        "known": {"generation": 41, "reset": true, "instances": known}})
+}
+
+/// The same with a console.
+fn staffed_posting(executors: &[&TcpListener], discovery: &TcpListener) -> Value {
+    let mut posting = posting(executors, discovery, charter(), json!({"sockets": 1024}));
+    posting["console"] = json!("127.0.0.1:0");
+    posting
+}
+
 impl World {
     pub fn around(executor: &TcpListener) -> World {
         World::with(&[executor], charter(), 1024, 1024)
@@ -89,11 +104,7 @@
         change: impl FnOnce(Value) -> Value,
     ) -> World {
         let discovery = listener();
-        let known: Vec<Value> = executors.iter().enumerate().map(|(i, l)| entry(i, l, "active")).collect();
-        let posting = json!({"name": "n0", "listen": "127.0.0.1:0", "discovery": address(&discovery),
-            "seed": "8c1f30d27a5be964", "limits": limits, "settings": charter,
-            "known": {"generation": 41, "reset": true, "instances": known}});
-        let posting = change(posting);
+        let posting = change(posting(executors, &discovery, charter, limits));
         World::started(discovery, posting, Rc::new(Folder::new()), descriptors, None, None)
     }
 
@@ -157,10 +168,8 @@
     /// With a console, and a socket for clients that the platform holds.
     pub fn held(executors: &[&TcpListener], folder: Folder) -> World {
         let (held, discovery) = (listener(), listener());
-        let known: Vec<Value> = executors.iter().enumerate().map(|(i, l)| entry(i, l, "active")).collect();
-        let posting = json!({"name": "n0", "listen": address(&held), "console": "127.0.0.1:0",
-            "discovery": address(&discovery), "seed": "8c1f30d27a5be964", "limits": {"sockets": 1024},
-            "settings": charter(), "known": {"generation": 41, "reset": true, "instances": known}});
+        let mut posting = staffed_posting(executors, &discovery);
+        posting["listen"] = json!(address(&held));
         World::started(discovery, posting, Rc::new(folder), 1024, Some(held), None)
     }
 
@@ -172,10 +181,7 @@
     /// With a console and what this file says.
     pub fn with_fronts(executors: &[&TcpListener], fronts: &str) -> World {
         let discovery = listener();
-        let known: Vec<Value> = executors.iter().enumerate().map(|(i, l)| entry(i, l, "active")).collect();
-        let posting = json!({"name": "n0", "listen": "127.0.0.1:0", "console": "127.0.0.1:0",
-            "discovery": address(&discovery), "seed": "8c1f30d27a5be964", "limits": {"sockets": 1024},
-            "settings": charter(), "known": {"generation": 41, "reset": true, "instances": known}});
+        let posting = staffed_posting(executors, &discovery);
         World::started(discovery, posting, Rc::new(Folder::new()), 1024, None, Some(fronts))
     }
 
@@ -220,13 +226,12 @@
     /// With a ledger in this folder, at this address if one is given: a node that may be killed and started anew.
     pub fn lasting(executors: &[&TcpListener], ledger: &Folder, at: Option<SocketAddr>) -> World {
         let discovery = listener();
-        let known: Vec<Value> = executors.iter().enumerate().map(|(i, l)| entry(i, l, "active")).collect();
-        let listens = at.map_or("127.0.0.1:0".to_owned(), |at| at.to_string());
         let mut charter = charter();
         charter["family_info"]["progress_ns"] = json!(200e6);
-        let posting = json!({"name": "n0", "listen": listens, "discovery": address(&discovery),
-            "seed": "8c1f30d27a5be964", "limits": {"sockets": 1024}, "settings": charter,
-            "known": {"generation": 41, "reset": true, "instances": known}});
+        let mut posting = posting(executors, &discovery, charter, json!({"sockets": 1024}));
+        if let Some(at) = at {
+            posting["listen"] = json!(at.to_string());
+        }
         let fronts = format!("[ledger]\nfolder = \"{}\"\n", ledger.0.join("jobs").display());
         World::started(discovery, posting, Rc::new(Folder::new()), 1024, None, Some(&fronts))
     }
@@ -366,8 +371,20 @@
 
     /// What becomes of another node that is started with the file as it stands, which must end by itself.
     pub fn start_another(&self) -> (ExitStatus, String) {
+        self.start_another_by(|_| {})
+    }
+
+    /// The same with a file of fronts.
+    pub fn start_another_with(&self, fronts: &Path) -> (ExitStatus, String) {
+        self.start_another_by(|command| {
+            command.env("GREBEUSHER_FRONTS", fronts);
+        })
+    }
+
+    fn start_another_by(&self, change: impl FnOnce(&mut Command)) -> (ExitStatus, String) {
         let mut command = Command::new(env!("CARGO_BIN_EXE_grebeusher"));
-        let output = command.env("GW_CONFIG", self.posting_file()).output().expect("it starts");
+        change(command.env("GW_CONFIG", self.posting_file()));
+        let output = command.output().expect("it starts");
         (output.status, String::from_utf8_lossy(&output.stderr).into_owned())
     }
 
--- a/crates/node/tests/faktory/mod.rs
+++ b/crates/node/tests/faktory/mod.rs
@@ -6,7 +6,6 @@
 use rand_pcg::Pcg32;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::process::Command;
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicBool, Ordering};
 
@@ -245,13 +244,8 @@
     ] {
         std::fs::write(&path, text).expect("it is written");
         let world = World::staffed(&[]);
-        let output = Command::new(env!("CARGO_BIN_EXE_grebeusher"))
-            .env("GW_CONFIG", world.posting_file())
-            .env("GREBEUSHER_FRONTS", &path)
-            .output()
-            .expect("it starts");
-        let log = String::from_utf8_lossy(&output.stderr).into_owned();
-        assert!(!output.status.success() && log.contains(says), "{says}: {log}");
+        let (ended, log) = world.start_another_with(&path);
+        assert!(!ended.success() && log.contains(says), "{says}: {log}");
     }
 }
 
--- a/crates/node/tests/ledger/mod.rs
+++ b/crates/node/tests/ledger/mod.rs
@@ -125,16 +125,8 @@
 fn a_ledger_has_one_process_and_without_one_there_is_no_such_path() {
     let (listens, ledger) = (listener(), Folder::new());
     let world = World::lasting(&[&listens], &ledger, None);
-    let output = std::process::Command::new(env!("CARGO_BIN_EXE_grebeusher"))
-        .env("GW_CONFIG", world.posting_file())
-        .env("GREBEUSHER_FRONTS", world.posting_file().with_file_name("fronts.toml"))
-        .output()
-        .expect("it starts");
-    let log = String::from_utf8_lossy(&output.stderr).into_owned();
-    assert!(
-        !output.status.success() && log.contains("ledger.folder") && log.contains("another process"),
-        "{log}"
-    );
+    let (ended, log) = world.start_another_with(&world.posting_file().with_file_name("fronts.toml"));
+    assert!(!ended.success() && log.contains("ledger.folder") && log.contains("another process"), "{log}");
     assert_eq!(world.bring_to_last("u1", "search", 9000), 202);
     let plain = World::around(&listens);
     assert_eq!(plain.bring_to_last("u1", "search", 9000), 400, "no tariff has that name");
