Keepers that agree on the division of budgets, by raft and without a disk

Need: one node divided the fleet's budgets, and while it was gone all others had their floors only.

crates/settled, no I/O: three or five keepers agree by the `raft` crate. Each start is a member with a name of its own, as one that comes back empty must not vote on what it has forgotten; whoever leads puts it in the stead of the old one; a group has a voter for each place from the start, so that a majority is always one of all. The node's one divider is gone; its parts go through wire/settling.rs to whichever keeper leads, handed on by others. `[keepers]` in the operators' file takes the place of `budgets.owner`.

--- a/crates/charter/src/fleet.rs
+++ b/crates/charter/src/fleet.rs
@@ -4,6 +4,7 @@
 use crate::fronts::{of_file, parsed, within};
 use grebeusher_dispatch::time::Span;
 use serde::Deserialize;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::path::Path;
 
@@ -13,15 +14,22 @@
     #[serde(default)]
     pub executors: Executors,
     pub fellows: Option<Fellows>,
+    pub keepers: Option<Keepers>,
     pub budgets: Option<Budgets>,
 }
 
-/// What the whole fleet may spend, and who divides it.
+/// Who keeps what the nodes agree on.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Keepers {
+    /// The numbers of three or five nodes, the same at all nodes. One is enough where its loss may stop everything.
+    pub nodes: Vec<u32>,
+}
+
+/// What the whole fleet may spend.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Budgets {
-    /// The number of the node that divides.
-    pub owner: u32,
     /// How long a part may be used after it was asked for.
     #[serde(default = "lease_ms")]
     lease_ms: u64,
@@ -98,9 +106,21 @@
             within("fellows.secret, its length", f.secret.len() as u64, SHORTEST as u64..=1024)?;
             within("fellows.contacts, how many", f.contacts.len() as u64, 1..=64)?;
         }
-        if let Some(b) = &fleet.budgets {
+        if let Some(k) = &fleet.keepers {
             if fleet.fellows.is_none() {
-                return Err("budgets: expected [fellows] as well, found none".to_owned());
+                return Err("keepers: expected [fellows] as well, found none".to_owned());
+            }
+            let different = k.nodes.iter().collect::<BTreeSet<_>>().len();
+            if !matches!(k.nodes.len(), 1 | 3 | 5 | 7) || different < k.nodes.len() {
+                let found = &k.nodes;
+                return Err(format!(
+                    "keepers.nodes: expected 1, 3, 5 or 7 different numbers, found {found:?}"
+                ));
+            }
+        }
+        if let Some(b) = &fleet.budgets {
+            if fleet.keepers.is_none() {
+                return Err("budgets: expected [keepers] as well, found none".to_owned());
             }
             within("budgets.lease_ms", b.lease_ms, 200..=600_000)?;
             within("budgets.of, how many", b.of.len() as u64, 1..=1000)?;
--- a/crates/load/src/nodes.rs
+++ b/crates/load/src/nodes.rs
@@ -175,7 +175,8 @@
         );
     }
     if !s.budgets.is_empty() {
-        text += "[budgets]\nowner = 0\n";
+        let keepers: Vec<usize> = (0..s.nodes.keepers).collect();
+        text += &format!("[keepers]\nnodes = {keepers:?}\n[budgets]\n");
         for b in &s.budgets {
             text += &format!(
                 "[[budgets.of]]\ntariff = {:?}\nunits = {}\nwindow_ms = {}\nfloor = {}\nnodes = {}\n",
--- a/crates/node/src/life/node.rs
+++ b/crates/node/src/life/node.rs
@@ -238,7 +238,10 @@
             let by = (FELLOWS, &poller, clock, &counters);
             let budgets = fleet.as_ref().and_then(|fleet| fleet.budgets.as_ref());
             let budgets = budgets.map(|budgets| (budgets, &charter.tariff_names[..]));
-            Fellows::meet(posted, budgets, posting.listen, charter.place(), posting.seed, by).map(Rc::new)
+            let keepers = fleet.as_ref().and_then(|fleet| fleet.keepers.as_ref());
+            let fellows =
+                Fellows::meet(posted, keepers, budgets, posting.listen, charter.place(), posting.seed, by);
+            fellows.map(Rc::new)
         });
         let fellows = fellows.transpose()?;
         let beside = Beside {
@@ -567,6 +570,7 @@
             listed,
             passed_over,
             fellows: self.fellows.as_ref().map(|fellows| fellows.count()),
+            settled: self.fellows.as_ref().map_or((None, None), |fellows| fellows.settled()),
             parts: self.fellows.as_ref().map_or_else(Vec::new, |fellows| fellows.parts()),
         };
         let (counters, tariffs) = (&*self.counters, self.clients.tariffs());
--- a/crates/node/src/memory/counters.rs
+++ b/crates/node/src/memory/counters.rs
@@ -108,6 +108,7 @@
     datagrams_bad: Count = "datagrams of another fleet or version, forged, or not understood",
     fellows_came: Count = "times that another node was there",
     fellows_went: Count = "times that another node was gone",
+    leaders: Count = "times that another keeper led, at a keeper",
     words_heard: Count = "words of executors gone or back before the list had them",
     postings_read: Count = "times that the posting was read anew",
     postings_bad: Count = "times that it could not be, or held a wrong setting",
--- a/crates/node/src/memory/figures.rs
+++ b/crates/node/src/memory/figures.rs
@@ -12,6 +12,8 @@
     pub passed_over: usize,
     /// Other nodes that are there, where they talk.
     pub fellows: Option<usize>,
+    /// The node that leads the keepers, and how many entries are settled at this one.
+    pub settled: (Option<u32>, Option<u64>),
     /// Of each budget: what this node may spend now in a window, and what it has spent in the last.
     pub parts: Vec<(u32, usize)>,
 }
@@ -42,6 +44,12 @@
         for (at, (part, spent)) in gauges.parts.iter().enumerate() {
             writeln!(f, "node.budget.{at}.part:{part}|g\nnode.budget.{at}.spent:{spent}|g")?;
         }
+        if let Some(leader) = gauges.settled.0 {
+            writeln!(f, "node.keepers.leader:{leader}|g")?;
+        }
+        if let Some(entries) = gauges.settled.1 {
+            writeln!(f, "node.keepers.settled:{entries}|g")?;
+        }
         gauges.fellows.map_or(Ok(()), |count| writeln!(f, "node.fellows:{count}|g"))
     }
 }
--- a/crates/node/src/memory/mod.rs
+++ b/crates/node/src/memory/mod.rs
@@ -10,4 +10,5 @@
 pub mod ledger;
 pub mod list;
 pub mod parts;
+pub mod settlement;
 pub mod units;
--- a/crates/node/src/memory/parts.rs
+++ b/crates/node/src/memory/parts.rs
@@ -1,28 +1,29 @@
-//! This node's parts of the fleet's budgets and, at the node that divides, the division.
+//! This node's parts of the fleet's budgets.
 
-use grebeusher_budgets::{Ask, Division, Entry, Grant, Holder, Purse, Whole};
+use grebeusher_budgets::{Ask, Grant, Holder, Purse, Whole};
 use grebeusher_charter::fleet::Budgets;
-use grebeusher_dispatch::time::{Moment, Span};
+use grebeusher_dispatch::time::Moment;
 
 pub struct Parts {
     /// For each budget the place of its tariff.
     tariffs: Vec<usize>,
     purses: Vec<Purse>,
-    pub owner: u32,
-    /// The division, and how far its clock is.
-    divides: Option<(Division, Moment)>,
+}
+
+/// The budgets of the operators' file.
+pub fn wholes(posted: &Budgets) -> Vec<Whole> {
+    let whole = |budget: &grebeusher_charter::fleet::Budget| Whole {
+        units: budget.units,
+        window_ms: budget.window_ms,
+        floor: budget.floor,
+        nodes: budget.nodes,
+    };
+    posted.of.iter().map(whole).collect()
 }
 
 impl Parts {
-    /// `holder`: this node and its start. What an earlier life of the owner has granted may still be out.
+    /// `holder`: this node and its start.
     pub fn new(now: Moment, posted: &Budgets, tariffs: &[String], holder: Holder) -> Result<Parts, String> {
-        let whole = |budget: &grebeusher_charter::fleet::Budget| Whole {
-            units: budget.units,
-            window_ms: budget.window_ms,
-            floor: budget.floor,
-            nodes: budget.nodes,
-        };
-        let wholes: Vec<Whole> = posted.of.iter().map(whole).collect();
         let place = |(at, budget): (usize, &grebeusher_charter::fleet::Budget)| {
             let place = tariffs.iter().position(|name| *name == budget.tariff);
             place.ok_or_else(|| {
@@ -32,13 +33,8 @@
         };
         let tariffs = posted.of.iter().enumerate().map(place).collect::<Result<_, _>>()?;
         let purse = |(at, whole): (usize, &Whole)| Purse::new(now, holder, at as u16, whole, posted.lease());
-        let purses = wholes.iter().enumerate().map(purse).collect();
-        let divides = (holder.number == posted.owner).then(|| {
-            let mut division = Division::new(posted.lease(), true);
-            division.apply(&Entry { wholes: Some(wholes.clone()), ..Entry::default() });
-            (division, now)
-        });
-        Ok(Parts { tariffs, purses, owner: posted.owner, divides })
+        let purses = wholes(posted).iter().enumerate().map(purse).collect();
+        Ok(Parts { tariffs, purses })
     }
 
     /// Spends a unit of each budget that the tariff has; `false` if one of them has none.
@@ -57,26 +53,9 @@
         self.purses.iter().filter_map(|purse| purse.next_due(now)).min()
     }
 
-    /// What is to be asked of the owner now. The owner asks itself.
+    /// What is to be asked of the keepers now.
     pub fn asks(&mut self, now: Moment) -> Vec<Ask> {
-        let asks: Vec<Ask> = self.purses.iter_mut().filter_map(|purse| purse.ask(now)).collect();
-        if self.divides.is_none() {
-            return asks;
-        }
-        for ask in asks {
-            let grant = self.asked(now, ask);
-            grant.iter().for_each(|grant| self.granted(grant));
-        }
-        Vec::new()
-    }
-
-    /// Another node asks; `None` where this one does not divide.
-    pub fn asked(&mut self, now: Moment, ask: Ask) -> Option<Grant> {
-        let (division, clock) = self.divides.as_mut()?;
-        // Whole milliseconds, the rest with the next: never more than have passed.
-        let passed_ms = now.since(*clock).0 / 1_000_000;
-        *clock = *clock + Span::millis(passed_ms);
-        division.apply(&Entry { passed_ms, wholes: None, asks: vec![ask] }).pop()
+        self.purses.iter_mut().filter_map(|purse| purse.ask(now)).collect()
     }
 
     pub fn granted(&mut self, grant: &Grant) {
--- a/crates/node/src/wire/fellows.rs
+++ b/crates/node/src/wire/fellows.rs
@@ -4,9 +4,11 @@
 use crate::exchange::Exchange;
 use crate::memory::clock::Clock;
 use crate::memory::counters::Counters;
-use crate::memory::parts::Parts;
+use crate::memory::parts::{self, Parts};
+use crate::memory::settlement::{Outcome, Settlement, Step};
 use crate::sides::Talk;
-use grebeusher_budgets::{Ask, Holder};
+use crate::wire::settling::Settling;
+use grebeusher_budgets::Holder;
 use grebeusher_charter::fleet;
 use grebeusher_dispatch::time::{Moment, Span};
 use grebeusher_membership::{Fellow, Host, MOST_BYTES, Membership, Word};
@@ -29,8 +31,11 @@
 /// What a datagram holds, by its second byte.
 const MEMBERSHIP: u8 = 1;
 const WORD: u8 = 2;
-const ASK: u8 = 3;
-const GRANT: u8 = 4;
+/// Of one keeper to another.
+pub const KEEPER: u8 = 3;
+/// What is to be settled, and what came of it.
+pub const STEP: u8 = 4;
+pub const OUTCOME: u8 = 5;
 /// So many datagrams are read in one turn of the loop: a flood of them must not keep clients waiting.
 const AT_ONCE: usize = 256;
 /// A start that is longer ago than this is no news: executors are warm by then.
@@ -75,63 +80,83 @@
     hasher.finish128().as_bytes()
 }
 
-/// What the hands of membership leave for the loop.
-#[derive(Default)]
-struct Book {
-    addresses: BTreeMap<u32, SocketAddr>,
-    words: Vec<Word>,
+/// The socket, and who is where.
+pub struct Post {
+    socket: UdpSocket,
+    frame: Frame,
+    addresses: RefCell<BTreeMap<u32, SocketAddr>>,
+    /// Where keepers were last: who is taken for gone and is not must still be reached.
+    keepers: RefCell<BTreeMap<u32, Option<SocketAddr>>>,
+    pub counters: Rc<Counters>,
 }
 
+impl Post {
+    fn say(&self, to: SocketAddr, kind: u8, body: &[u8]) {
+        match self.socket.send_to(&self.frame.around(kind, body), to) {
+            Ok(_) => self.counters.datagrams_sent.up(),
+            // Lost on the way or here is the same.
+            Err(_) => self.counters.datagrams_failed.up(),
+        }
+    }
+
+    /// To one node, by its number; nobody hears it if it is not known to be there.
+    pub fn say_bytes(&self, node: u32, kind: u8, body: &[u8]) {
+        let known = self.addresses.borrow().get(&node).copied();
+        if let Some(to) = known.or_else(|| self.keepers.borrow().get(&node).copied().flatten()) {
+            self.say(to, kind, body);
+        }
+    }
+
+    pub fn say_to(&self, node: u32, kind: u8, what: &impl Serialize) {
+        if let Ok(body) = postcard::to_allocvec(what) {
+            self.say_bytes(node, kind, &body);
+        }
+    }
+}
+
+/// Acts for membership; what it leaves for the loop is taken from there.
 struct Hand {
-    socket: Rc<UdpSocket>,
-    frame: Rc<Frame>,
-    book: Rc<RefCell<Book>>,
-    counters: Rc<Counters>,
+    post: Rc<Post>,
+    words: Rc<RefCell<Vec<Word>>>,
 }
 
 impl Host for Hand {
     fn send(&mut self, to: SocketAddr, datagram: &[u8]) {
-        say(&self.socket, &self.counters, to, &self.frame.around(MEMBERSHIP, datagram));
+        self.post.say(to, MEMBERSHIP, datagram);
     }
 
     fn came(&mut self, fellow: Fellow) {
         info!("node {} is there, at {}, start {}", fellow.number, fellow.address, fellow.generation);
-        self.counters.fellows_came.up();
-        self.book.borrow_mut().addresses.insert(fellow.number, fellow.address);
+        self.post.counters.fellows_came.up();
+        self.post.addresses.borrow_mut().insert(fellow.number, fellow.address);
+        if let Some(keeper) = self.post.keepers.borrow_mut().get_mut(&fellow.number) {
+            *keeper = Some(fellow.address);
+        }
     }
 
     fn went(&mut self, fellow: Fellow) {
         info!("node {} is gone, start {}", fellow.number, fellow.generation);
-        self.counters.fellows_went.up();
-        let mut book = self.book.borrow_mut();
-        if book.addresses.get(&fellow.number) == Some(&fellow.address) {
-            book.addresses.remove(&fellow.number);
+        self.post.counters.fellows_went.up();
+        let mut addresses = self.post.addresses.borrow_mut();
+        if addresses.get(&fellow.number) == Some(&fellow.address) {
+            addresses.remove(&fellow.number);
         }
     }
 
     fn heard_of(&mut self, word: Word) {
-        self.book.borrow_mut().words.push(word);
-    }
-}
-
-fn say(socket: &UdpSocket, counters: &Counters, to: SocketAddr, datagram: &[u8]) {
-    match socket.send_to(datagram, to) {
-        Ok(_) => counters.datagrams_sent.up(),
-        // Lost on the way or here is the same.
-        Err(_) => counters.datagrams_failed.up(),
+        self.words.borrow_mut().push(word);
     }
 }
 
 pub struct Fellows {
-    socket: Rc<UdpSocket>,
+    post: Rc<Post>,
     poller: Rc<Poller>,
     key: usize,
     clock: Clock,
-    counters: Rc<Counters>,
-    frame: Rc<Frame>,
     own: u32,
-    book: Rc<RefCell<Book>>,
+    words: Rc<RefCell<Vec<Word>>>,
     membership: RefCell<Membership<Hand>>,
+    settling: Option<RefCell<Settling>>,
     parts: Option<RefCell<Parts>>,
 }
 
@@ -140,6 +165,7 @@
     /// there are by what it was told.
     pub fn meet(
         posted: &fleet::Fellows,
+        keepers: Option<&fleet::Keepers>,
         budgets: Option<(&fleet::Budgets, &[String])>,
         listen: SocketAddr,
         (own, count): (u64, u64),
@@ -148,17 +174,20 @@
     ) -> Result<Fellows, String> {
         let at = SocketAddr::new(listen.ip(), posted.port);
         let wrong = |e: io::Error| format!("fellows.port: {at}: {e}");
-        let socket = Rc::new(UdpSocket::bind(at).map_err(wrong)?);
+        let socket = UdpSocket::bind(at).map_err(wrong)?;
         socket.set_nonblocking(true).map_err(wrong)?;
-        poller.add(&*socket, Event::readable(key)).map_err(wrong)?;
-        let frame = Rc::new(Frame { fleet: posted.fleet.clone(), secret: posted.secret.clone() });
-        let book: Rc<RefCell<Book>> = Rc::default();
-        let hand = Hand {
-            socket: socket.clone(),
-            frame: frame.clone(),
-            book: book.clone(),
+        poller.add(&socket, Event::readable(key)).map_err(wrong)?;
+        let frame = Frame { fleet: posted.fleet.clone(), secret: posted.secret.clone() };
+        let known = keepers.iter().flat_map(|keepers| &keepers.nodes).map(|number| (*number, None));
+        let post = Rc::new(Post {
+            socket,
+            frame,
+            addresses: RefCell::default(),
+            keepers: RefCell::new(known.collect()),
             counters: counters.clone(),
-        };
+        });
+        let words: Rc<RefCell<Vec<Word>>> = Rc::default();
+        let hand = Hand { post: post.clone(), words: words.clone() };
         let now = clock.now();
         let fellow = Fellow {
             address: posted.known_as.unwrap_or(at),
@@ -169,23 +198,34 @@
         let parts =
             budgets.map(|(posted, tariffs)| Parts::new(now, posted, tariffs, holder).map(RefCell::new));
         let parts = parts.transpose()?;
+        let settling = keepers.map(|keepers| {
+            let (wholes, lease) = budgets
+                .map_or_else(|| (Vec::new(), Span(0)), |(posted, _)| (parts::wholes(posted), posted.lease()));
+            let empty = Settlement::empty(wholes, lease);
+            let settling = Settling::new(now, &keepers.nodes, fellow.number, seed ^ now.0, empty, &post);
+            RefCell::new(settling)
+        });
         let mut membership = Membership::new(fellow, count as u32, seed, hand);
         membership.join(now, &posted.contacts);
         info!("fellows: {} at {at}, known as {}", posted.fleet, fellow.address);
         Ok(Fellows {
-            socket,
+            post,
             poller: poller.clone(),
             key,
             clock,
-            counters: counters.clone(),
-            frame,
             own: own as u32,
-            book,
+            words,
             membership: RefCell::new(membership),
+            settling,
             parts,
         })
     }
 
+    /// Who leads the keepers as far as this node knows, and how much is settled at this one.
+    pub fn settled(&self) -> (Option<u32>, Option<u64>) {
+        self.settling.as_ref().map_or((None, None), |settling| settling.borrow().figures())
+    }
+
     /// How many others are there.
     pub fn count(&self) -> usize {
         self.membership.borrow().members().count()
@@ -199,45 +239,25 @@
 
     pub fn next_due(&self) -> Option<Moment> {
         let asks = self.parts.as_ref().and_then(|parts| parts.borrow().next_due(self.clock.now()));
-        self.membership.borrow().next_due().into_iter().chain(asks).min()
+        let settles = self.settling.as_ref().and_then(|settling| settling.borrow().next_due());
+        self.membership.borrow().next_due().into_iter().chain(asks).chain(settles).min()
     }
 
+    /// Asks the keepers for what is wanted now.
     fn asks(&self) {
-        let Some(parts) = &self.parts else { return };
-        let (asks, owner) = {
-            let mut parts = parts.borrow_mut();
-            (parts.asks(self.clock.now()), parts.owner)
-        };
-        for ask in asks {
-            self.say_to(owner, ASK, &ask);
-        }
-    }
-
-    /// To one node, by its number; nobody hears it if it is not known to be there.
-    fn say_to(&self, node: u32, kind: u8, what: &impl Serialize) {
-        let to = self.book.borrow().addresses.get(&node).copied();
-        if let Some((to, body)) = to.zip(postcard::to_allocvec(what).ok()) {
-            say(&self.socket, &self.counters, to, &self.frame.around(kind, &body));
-        }
-    }
-
-    /// A word about parts; whether anything could be made of it.
-    fn hears_of_parts(&self, kind: u8, body: &[u8]) -> bool {
-        let Some(parts) = &self.parts else { return false };
-        if kind == GRANT {
-            let grant = postcard::from_bytes(body).ok();
-            return grant.map(|grant| parts.borrow_mut().granted(&grant)).is_some();
-        }
-        let Ok(ask) = postcard::from_bytes::<Ask>(body) else { return false };
-        let grant = parts.borrow_mut().asked(self.clock.now(), ask);
-        if let Some(grant) = grant {
-            self.say_to(grant.holder.number, GRANT, &grant);
+        let Some((parts, settling)) = self.parts.as_ref().zip(self.settling.as_ref()) else { return };
+        let now = self.clock.now();
+        for ask in parts.borrow_mut().asks(now) {
+            settling.borrow_mut().ask(now, Step::Part(ask));
         }
-        grant.is_some()
     }
 
     pub fn due(&self, exchange: &mut Exchange) {
-        self.membership.borrow_mut().due(self.clock.now());
+        let now = self.clock.now();
+        self.membership.borrow_mut().due(now);
+        if let Some(settling) = &self.settling {
+            settling.borrow_mut().due(now);
+        }
         self.asks();
         self.hand_on(exchange);
     }
@@ -245,7 +265,7 @@
     pub fn stirred(&self, exchange: &mut Exchange) {
         let mut datagram = [0; MOST_BYTES + 2 + MARK + 1];
         for _ in 0..AT_ONCE {
-            match self.socket.recv_from(&mut datagram) {
+            match self.post.socket.recv_from(&mut datagram) {
                 Ok((length, _)) => self.hears(&datagram[..length], exchange),
                 Err(e) if e.kind() == ErrorKind::WouldBlock => break,
                 // What one sent earlier met nobody there.
@@ -253,14 +273,14 @@
             }
         }
         self.hand_on(exchange);
-        if let Err(e) = self.poller.modify(&*self.socket, Event::readable(self.key)) {
+        if let Err(e) = self.poller.modify(&self.post.socket, Event::readable(self.key)) {
             warn!("fellows are not heard any more: {e}");
         }
     }
 
     fn hears(&self, datagram: &[u8], exchange: &mut Exchange) {
-        self.counters.datagrams_came.up();
-        let understood = match self.frame.inside(datagram) {
+        self.post.counters.datagrams_came.up();
+        let understood = match self.post.frame.inside(datagram) {
             Some((MEMBERSHIP, body)) => self.membership.borrow_mut().heard(self.clock.now(), body),
             Some((WORD, body)) => match body.split_first_chunk() {
                 Some((from, word)) => {
@@ -269,17 +289,27 @@
                 }
                 None => false,
             },
-            Some((kind @ (ASK | GRANT), body)) => self.hears_of_parts(kind, body),
+            Some((kind @ (KEEPER | STEP | OUTCOME), body)) => {
+                let settling = self.settling.as_ref();
+                settling.is_some_and(|settling| settling.borrow_mut().heard(self.clock.now(), kind, body))
+            }
             _ => false,
         };
         if !understood {
-            self.counters.datagrams_bad.up();
+            self.post.counters.datagrams_bad.up();
         }
     }
 
-    /// What was heard of executors goes to the decisions.
+    /// What was heard of executors goes to the decisions, and what was settled to whom it is for.
     fn hand_on(&self, exchange: &mut Exchange) {
-        let words = std::mem::take(&mut self.book.borrow_mut().words);
+        let settled = self.settling.as_ref().map(|settling| settling.borrow_mut().outcomes());
+        for outcome in settled.into_iter().flatten() {
+            let Outcome::Part(grant) = outcome;
+            if let Some(parts) = &self.parts {
+                parts.borrow_mut().granted(&grant);
+            }
+        }
+        let words = std::mem::take(&mut *self.words.borrow_mut());
         for Word { executor, at_ms, gone } in words {
             exchange.heard_of(executor, Moment(at_ms.saturating_mul(1_000_000)), gone);
         }
@@ -296,17 +326,14 @@
     fn tell(&self, node: Option<u64>, word: &[u8]) {
         let mut body = self.own.to_be_bytes().to_vec();
         body.extend_from_slice(word);
-        let datagram = self.frame.around(WORD, &body);
-        let book = self.book.borrow();
+        let addresses = self.post.addresses.borrow();
         match node {
             Some(node) => {
-                if let Some(&to) = u32::try_from(node).ok().and_then(|node| book.addresses.get(&node)) {
-                    say(&self.socket, &self.counters, to, &datagram);
+                if let Some(&to) = u32::try_from(node).ok().and_then(|node| addresses.get(&node)) {
+                    self.post.say(to, WORD, &body);
                 }
             }
-            None => {
-                book.addresses.values().for_each(|&to| say(&self.socket, &self.counters, to, &datagram));
-            }
+            None => addresses.values().for_each(|&to| self.post.say(to, WORD, &body)),
         }
     }
 
--- a/crates/node/src/wire/mod.rs
+++ b/crates/node/src/wire/mod.rs
@@ -11,6 +11,7 @@
 pub mod fellows;
 pub mod http;
 pub mod load;
+pub mod settling;
 pub mod sibling;
 
 use log::warn;
--- /dev/null
+++ b/crates/node/src/wire/settling.rs
@@ -0,0 +1,151 @@
+//! Where steps go that the keepers are to settle, and what comes back: through this node's own keeper, if it is one, or to
+//! whichever leads.
+
+use crate::memory::settlement::{Outcome, Settlement, Step};
+use crate::wire::fellows::{KEEPER, OUTCOME, Post, STEP};
+use grebeusher_dispatch::time::Moment;
+use grebeusher_settled::{Host, Keeper};
+use log::{info, warn};
+use std::mem;
+use std::rc::Rc;
+
+/// So many steps without a word back, and another keeper is asked, who hands on to whoever leads: units that wait for a part
+/// do not wait long.
+const PATIENCE: u32 = 1;
+
+struct Hand {
+    post: Rc<Post>,
+    own: u32,
+    keepers: Rc<[u32]>,
+    place: usize,
+    /// For this node itself.
+    outcomes: Vec<Outcome>,
+}
+
+impl Host<Settlement> for Hand {
+    fn send(&mut self, place: usize, datagram: &[u8]) {
+        self.post.say_bytes(self.keepers[place], KEEPER, datagram);
+    }
+
+    fn settled(&mut self, outcome: Outcome) {
+        match outcome.node() {
+            node if node == self.own => self.outcomes.push(outcome),
+            node => self.post.say_to(node, OUTCOME, &(self.place as u8, outcome)),
+        }
+    }
+
+    fn belongs(&mut self, group: u64, founds: bool) {
+        match founds {
+            true => warn!("keepers: group {group:016x} is founded here, as most keepers had nothing"),
+            false => info!("keepers: this one belongs to group {group:016x}"),
+        }
+    }
+
+    fn leads(&mut self, place: usize, term: u64) {
+        info!("keepers: node {} leads, term {term}", self.keepers[place]);
+        self.post.counters.leaders.up();
+    }
+}
+
+pub struct Settling {
+    post: Rc<Post>,
+    keepers: Rc<[u32]>,
+    keeper: Option<Keeper<Settlement, Hand>>,
+    /// The keeper that is asked, by its place, and how often since it answered.
+    asked: usize,
+    unanswered: u32,
+    /// What came back from others.
+    outcomes: Vec<Outcome>,
+}
+
+impl Settling {
+    /// `seed` is another one at each start.
+    pub fn new(
+        now: Moment,
+        keepers: &[u32],
+        own: u32,
+        seed: u64,
+        empty: Settlement,
+        post: &Rc<Post>,
+    ) -> Settling {
+        let keepers: Rc<[u32]> = keepers.into();
+        let keeper = keepers.iter().position(|number| *number == own).map(|place| {
+            let hand =
+                Hand { post: post.clone(), own, keepers: keepers.clone(), place, outcomes: Vec::new() };
+            Keeper::new(now, place, keepers.len(), seed, empty, hand)
+        });
+        // Those who ask begin with one each.
+        let asked = own as usize % keepers.len();
+        Settling { post: post.clone(), keepers, keeper, asked, unanswered: 0, outcomes: Vec::new() }
+    }
+
+    /// The number of the node that leads, as far as it is known here, and how much is settled at this keeper.
+    pub fn figures(&self) -> (Option<u32>, Option<u64>) {
+        let own = self.keeper.as_ref();
+        let leader = own.map_or(Some(self.asked), |keeper| keeper.leader());
+        let settled = own.and_then(|keeper| keeper.settled()).map(|(_, entries)| entries);
+        (leader.map(|place| self.keepers[place]), settled)
+    }
+
+    pub fn next_due(&self) -> Option<Moment> {
+        self.keeper.as_ref().map(Keeper::next_due)
+    }
+
+    pub fn due(&mut self, now: Moment) {
+        if let Some(keeper) = &mut self.keeper {
+            keeper.due(now);
+        }
+    }
+
+    /// Wants a step settled; it may get lost.
+    pub fn ask(&mut self, now: Moment, step: Step) {
+        if self.keeper.is_some() {
+            return self.hands_on(now, step, true);
+        }
+        self.unanswered += 1;
+        if self.unanswered > PATIENCE {
+            (self.asked, self.unanswered) = ((self.asked + 1) % self.keepers.len(), 0);
+        }
+        self.post.say_to(self.keepers[self.asked], STEP, &(true, step));
+    }
+
+    /// To whoever leads. What another keeper has handed on goes no further: the two may be of different minds.
+    fn hands_on(&mut self, now: Moment, step: Step, further: bool) {
+        let Some(keeper) = &mut self.keeper else { return };
+        if keeper.leads() {
+            keeper.propose(now, step);
+        } else if let Some(leader) = keeper.leader().filter(|_| further) {
+            self.post.say_to(self.keepers[leader], STEP, &(false, step));
+        }
+    }
+
+    /// What others said; `false` if nothing can be made of it.
+    pub fn heard(&mut self, now: Moment, kind: u8, body: &[u8]) -> bool {
+        match kind {
+            KEEPER => self.keeper.as_mut().is_some_and(|keeper| keeper.heard(now, body)),
+            STEP => {
+                let Ok((further, step)) = postcard::from_bytes(body) else { return false };
+                self.hands_on(now, step, further);
+                self.keeper.is_some()
+            }
+            _ => {
+                let Ok((place, outcome)) = postcard::from_bytes::<(u8, Outcome)>(body) else { return false };
+                let place = usize::from(place);
+                if place < self.keepers.len() {
+                    (self.asked, self.unanswered) = (place, 0);
+                }
+                self.outcomes.push(outcome);
+                true
+            }
+        }
+    }
+
+    /// What was settled for this node.
+    pub fn outcomes(&mut self) -> Vec<Outcome> {
+        let mut outcomes = mem::take(&mut self.outcomes);
+        if let Some(keeper) = &mut self.keeper {
+            outcomes.append(&mut keeper.host().outcomes);
+        }
+        outcomes
+    }
+}
