A node without descriptors lets idle connections to executors make room for clients

Cause: when no descriptor is left the accept loop closes an idle connection of a client; a node that sees little has none, and its idle connections to executors were never given up, so work waited outside until its patience was over.

Changed: then the oldest idle connection to an executor goes. A story (16 nodes that see little, full for 7 s) fails without it.

--- a/crates/load/tests/stories.rs
+++ b/crates/load/tests/stories.rs
@@ -209,6 +209,24 @@
     assert!(budget["used"].as_f64() > Some(0.2), "it was spent at all: {budget:#}");
 }
 
+/// Guards against work that waits outside a node whose descriptors are all taken until its patience is over, while
+/// connections to executors stand idle.
+#[test]
+fn a_node_without_descriptors_makes_room_for_its_clients() {
+    let folder = folder();
+    let text = fs::read_to_string(shipped("sockets.toml")).expect("it is shipped");
+    let calm =
+        text.split("[[faults]]").next().expect("a front").replacen("length_s = 20", "length_s = 12", 1);
+    // Nodes that see little have few connections from clients, and idle ones to executors.
+    let calm =
+        calm.replacen("count = 2\nzones", "count = 16\nzones", 1).replacen("per_s = 40.0", "per_s = 10.0", 1);
+    let calm = calm.replacen("count = 4\nslots", "count = 16\nslots", 1);
+    let full = "\n[[faults]]\nwhat = \"fill-descriptors\"\npart = 1.0\nat_s = 2\nfor_s = 7\n";
+    let path = folder.path().join("full.toml");
+    fs::write(&path, format!("{calm}{full}")).expect("written");
+    well(&path, &[]);
+}
+
 #[test]
 fn arrivals_faults_and_storms_are_drawn_beforehand_and_alike_for_a_seed() {
     let scenario = Scenario::of_file(&shipped("fleet-storm.toml")).expect("it is whole");
--- a/crates/node/src/life/node.rs
+++ b/crates/node/src/life/node.rs
@@ -325,6 +325,9 @@
             if let Some(fellows) = &self.fellows {
                 fellows.due(&mut self.exchange);
             }
+            if self.clients.wants_room() {
+                self.executors.makes_room();
+            }
             self.clients.due();
             self.move_on();
         }
--- a/crates/node/src/wire/clients.rs
+++ b/crates/node/src/wire/clients.rs
@@ -160,6 +160,7 @@
     /// After word to stop: what comes from the first on must be answered by the second.
     ends: Cell<Option<(Moment, Moment)>>,
     paused_until: Cell<Option<Moment>>,
+    wants_room: Cell<bool>,
 }
 
 /// Whether work is posted there that only its client waits for.
@@ -200,6 +201,7 @@
             winding_down: Cell::new(false),
             ends: Cell::new(None),
             paused_until: Cell::new(None),
+            wants_room: Cell::new(false),
         })
     }
 
@@ -304,7 +306,10 @@
                     // can't serve: make room, and look again after a breather.
                     self.counters.accepts_failed.up();
                     warn!("connections can't be taken in: {e}");
-                    self.first_to_shed().inspect(|&place| self.shed(place));
+                    match self.first_to_shed() {
+                        Some(place) => self.shed(place),
+                        None => self.wants_room.set(true),
+                    }
                     self.paused_until.set(Some(self.clock.now() + BREATHER));
                     return;
                 }
@@ -367,6 +372,11 @@
         self.callers.borrow_mut().kept.remove(place);
     }
 
+    /// Whether newcomers wait for a descriptor, and no caller's can be had.
+    pub fn wants_room(&self) -> bool {
+        self.wants_room.take()
+    }
+
     pub fn next_due(&self) -> Option<Moment> {
         self.callers.borrow().slow.next_at().into_iter().chain(self.paused_until.get()).min()
     }
--- a/crates/node/src/wire/executors.rs
+++ b/crates/node/src/wire/executors.rs
@@ -195,6 +195,12 @@
         }))
     }
 
+    /// An idle connection gives up its descriptor to a client. Guards against work that waits outside until its patience is
+    /// over while connections to executors stand idle.
+    pub fn makes_room(&self) {
+        drop_oldest_idle(&mut self.lines.borrow_mut());
+    }
+
     pub fn next_due(&self) -> Option<Moment> {
         let lines = self.lines.borrow();
         if lines.untold.is_empty() { lines.dues.next_at() } else { Some(Moment(0)) }
