--- a/crates/charter/src/fleet.rs
+++ b/crates/charter/src/fleet.rs
@@ -16,6 +16,26 @@
     pub fellows: Option<Fellows>,
     pub keepers: Option<Keepers>,
     pub budgets: Option<Budgets>,
+    pub maintenance: Option<Maintenance>,
+}
+
+/// Machines are taken out for work by a plan that staff hand in.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Maintenance {
+    /// How long a node may send on without a word of the keepers.
+    #[serde(default = "ten_s_ms")]
+    permission_ms: u64,
+}
+
+fn ten_s_ms() -> u64 {
+    10_000
+}
+
+impl Maintenance {
+    pub fn permission(&self) -> Span {
+        Span::millis(self.permission_ms)
+    }
 }
 
 /// Who keeps what the nodes agree on.
@@ -118,6 +138,12 @@
                 ));
             }
         }
+        if let Some(m) = &fleet.maintenance {
+            if fleet.keepers.is_none() {
+                return Err("maintenance: expected [keepers] as well, found none".to_owned());
+            }
+            within("maintenance.permission_ms", m.permission_ms, 1000..=600_000)?;
+        }
         if let Some(b) = &fleet.budgets {
             if fleet.keepers.is_none() {
                 return Err("budgets: expected [keepers] as well, found none".to_owned());
--- a/crates/charter/src/lib.rs
+++ b/crates/charter/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod fleet;
 pub mod fronts;
+pub mod plan;
 pub mod posting;
 mod section;
 
--- a/crates/charter/tests/stories.rs
+++ b/crates/charter/tests/stories.rs
@@ -152,6 +152,7 @@
         ),
         ("[budgets]\nof = []", "budgets: expected [keepers] as well"),
         ("[keepers]\nnodes = [0, 1, 2]", "keepers: expected [fellows] as well"),
+        ("[maintenance]", "maintenance: expected [keepers] as well"),
         ("[fellows]\nfleet = \"a\"\nsecret = \"long enough\"\ncontacts = []", "fellows.contacts, how many"),
         ("[fellows]\nfleet = \"a\"\nsecret = \"long enough\"\ncontacts = [\"here\"]", "fellows.contacts[0]"),
     ] {
--- a/crates/emulator/src/queueing.rs
+++ b/crates/emulator/src/queueing.rs
@@ -103,6 +103,7 @@
         settles_s: length_s / 10.0,
         storm: None,
         budgets: Vec::new(),
+        maintenance: None,
         nodes: Nodes {
             told_count: None,
             busiest: 1.0,
--- a/crates/emulator/src/rules.rs
+++ b/crates/emulator/src/rules.rs
@@ -18,6 +18,8 @@
     ColdStart,
     /// No more than the whole of a budget in any window.
     Budget,
+    /// Nothing under way where a machine is out for work, and no more out than may be.
+    Out,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -68,8 +70,8 @@
     }
 
     /// Where things are heard on connections of their own: closer than this nobody knows their order.
-    pub fn in_order_beyond(self, apart: Span) -> Book {
-        Book { apart, ..self }
+    pub fn in_order_beyond(&mut self, apart: Span) {
+        self.apart = apart;
     }
 
     fn broken(&mut self, now: Moment, rule: Rule, what: String) {
@@ -191,6 +193,11 @@
         );
     }
 
+    /// Something is wrong with a machine that is out for work.
+    pub fn at_out(&mut self, now: Moment, executor: usize, what: String) {
+        self.broken(now, Rule::Out, format!("executor {executor} {what}"));
+    }
+
     pub fn fell(&mut self, now: Moment, executor: usize, units: usize, untold: usize, borne: f64) {
         let what = format!(
             "executor {executor}: {units} units came within the window, {untold} of them from nodes that the list \
--- a/crates/emulator/src/scenario.rs
+++ b/crates/emulator/src/scenario.rs
@@ -40,6 +40,56 @@
     /// What the whole fleet may spend, with real nodes that talk.
     #[serde(default)]
     pub budgets: Vec<Budget>,
+    /// A plan by which executors are taken out for work, with real nodes that talk.
+    pub maintenance: Option<Maintenance>,
+}
+
+/// Staff hand in a plan, and an agent at each machine works on it when it is out.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Maintenance {
+    pub at_s: f64,
+    /// Of all executors.
+    #[serde(default = "all_of_them")]
+    pub part: f64,
+    pub most_out: u32,
+    pub most_out_a_zone: Option<u32>,
+    pub most_cold: Option<u32>,
+    /// The part of all executors that must stay ready.
+    #[serde(default)]
+    pub least_ready: f64,
+    pub work_s: f64,
+    #[serde(default = "minute_s")]
+    pub drain_within_s: u64,
+    #[serde(default = "minute_s")]
+    pub work_within_s: u64,
+    #[serde(default)]
+    pub warm_s: u64,
+    /// The longest patience without it.
+    pub longest_unit_s: Option<u64>,
+    #[serde(default = "half")]
+    pub most_turned_back: f64,
+    #[serde(default = "ten_s_ms")]
+    pub permission_ms: u64,
+    /// Machines that are not brought back, by their places.
+    #[serde(default)]
+    pub never_back: Vec<usize>,
+}
+
+fn all_of_them() -> f64 {
+    1.0
+}
+
+fn half() -> f64 {
+    0.5
+}
+
+fn minute_s() -> u64 {
+    60
+}
+
+fn ten_s_ms() -> u64 {
+    10_000
 }
 
 /// Work units of a tariff in any window, at all nodes together; the first node divides it.
@@ -697,6 +747,17 @@
                 return Err("budgets: expected nodes that talk".to_owned());
             }
         }
+        if let Some(plan) = &self.maintenance {
+            within("maintenance.at_s", plan.at_s, 0.0..=self.length_s)?;
+            within("maintenance.part", plan.part, 0.001..=1.0)?;
+            within("maintenance.most_out", plan.most_out, 1..=100_000)?;
+            within("maintenance.least_ready", plan.least_ready, SHARE)?;
+            within("maintenance.work_s", plan.work_s, 0.0..=LONG_S)?;
+            within("maintenance.permission_ms", plan.permission_ms, 1000..=600_000)?;
+            if !nodes.talk {
+                return Err("maintenance: expected nodes that talk".to_owned());
+            }
+        }
         if let Some(storm) = &self.storm {
             filled("storm.what", &storm.what)?;
             within("storm.count", storm.count, 0..=1000)?;
--- a/crates/load/src/executors.rs
+++ b/crates/load/src/executors.rs
@@ -35,6 +35,11 @@
     pub fn new(name: String, machine: Machine, doors: Vec<(usize, SocketAddr, usize)>) -> Executor {
         Executor { name, machine, doors, started_unix_ms: 0, jobs: HashMap::new() }
     }
+
+    /// The units that run and wait here, and their nodes.
+    pub fn whose(&self) -> Vec<(u64, usize)> {
+        self.jobs.iter().map(|(unit, (_, node))| (*unit, *node)).collect()
+    }
 }
 
 struct Call {
@@ -93,6 +98,7 @@
         }
         let Some((unit, size_s, node)) = read(request) else { return head(404, "") };
         self.book.sent(stamp, unit, node, executor);
+        self.reaches_out(executor, unit, node);
         self.figures.sends += 1;
         self.spread.reached(now, executor);
         let rules = self.scenario.rules;
--- a/crates/load/src/fleet.rs
+++ b/crates/load/src/fleet.rs
@@ -37,6 +37,10 @@
     Client(usize, Option<u64>),
     /// Asks a node whether it is ready.
     Ready(usize),
+    /// Of the staff, to a node's console.
+    Console(usize),
+    /// Of the agent of an executor.
+    Agent(usize),
 }
 
 /// What is due at some time.
@@ -60,6 +64,8 @@
     Looks,
     Step(usize),
     Speaks,
+    StaffLook,
+    AgentActs(usize),
     /// A datagram reaches a node, from another.
     Datagram(usize, usize, Rc<[u8]>),
 }
@@ -101,6 +107,10 @@
     pub book: Book,
     pub figures: Figures,
     pub spread: Spread,
+    /// The longest that the loop was at work between two looks at the sockets, and since when it is.
+    pub longest_turn: Span,
+    works_since: Moment,
+    pub staff: crate::staff::Staff,
     pub steps: Vec<(Moment, Step)>,
     pub silent_until: Moment,
     /// Units whose clients left while their nodes stood still.
@@ -169,10 +179,12 @@
             idle: vec![Vec::new(); count],
             shares: made.scenario.shares(),
             chance: made.chance,
-            book: Book::new(Moment(START), ms(rules.slack_ms), ms(rules.drain_grace_ms))
-                .in_order_beyond(IN_ORDER),
+            book: Book::new(Moment(START), ms(rules.slack_ms), ms(rules.drain_grace_ms)),
+            longest_turn: Span(0),
+            works_since: Moment(START / 2),
             figures: Figures::new(&made.scenario),
             spread: made.spread,
+            staff: crate::staff::Staff::default(),
             steps: made.steps,
             silent_until: Moment(0),
             left_frozen: Vec::new(),
@@ -251,7 +263,8 @@
 
     /// Plays all to its end: until all that came has its answer, or nobody waits for one.
     pub fn play(&mut self) -> Result<(), String> {
-        (self.zero, self.zero_at) = (Instant::now(), Moment(START));
+        (self.zero, self.zero_at, self.works_since) = (Instant::now(), Moment(START), Moment(START));
+        self.longest_turn = Span(0);
         // What was due while nodes started is due in a moment.
         let earlier = std::mem::take(&mut self.agenda);
         earlier.into_values().for_each(|task| self.after(Span::millis(100), task));
@@ -262,6 +275,7 @@
         for at in 0..self.steps.len() {
             self.at(self.steps[at].0, Task::Step(at));
         }
+        self.staff_begin();
         self.after(Span::millis(5000), Task::Speaks);
         let ends = Moment(START) + ms(self.scenario.length_s * 1e3);
         let longest = self.scenario.tariffs.iter().map(|t| t.patience_ms).fold(0.0, f64::max);
@@ -280,8 +294,13 @@
         }
         let said = |e: io::Error| e.to_string();
         let now = self.now();
+        // What was written while a turn lasted, by many processes that it started say, is read in no order of its own.
+        let turn = now.since(self.works_since);
+        self.book.in_order_beyond(IN_ORDER.max(turn * 2.0));
+        self.longest_turn = self.longest_turn.max(turn);
         let due = self.agenda.first_key_value().map_or(now + LONGEST, |((when, _), _)| *when);
         let news = self.wire.turns(now, due.min(now + LONGEST)).map_err(said)?;
+        self.works_since = self.now();
         self.most_open = self.most_open.max(self.wire.open());
         for (key, what) in news {
             self.hears(key, what);
@@ -325,6 +344,8 @@
             Some(Owner::CallBack(at, node)) => return self.call_back_hears(at, node, key, ended),
             Some(Owner::Client(node, unit)) => return self.client_hears(node, unit, key, ended),
             Some(Owner::Ready(node)) => self.ready_hears(node, key),
+            Some(Owner::Console(_)) => self.console_hears(key),
+            Some(Owner::Agent(_)) => self.wire.closes(key),
             None => {}
         }
         if ended {
@@ -361,6 +382,8 @@
                 self.after(Span::millis(250), Task::Looks);
             }
             Task::Step(at) => self.step(at)?,
+            Task::StaffLook => self.staff_look(),
+            Task::AgentActs(at) => self.agent_acts(at)?,
             Task::Datagram(from, to, datagram) => {
                 self.wire.passes(self.relays[from].0, self.nodes[to].talks_at(), &datagram);
             }
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -12,4 +12,5 @@
 pub mod link;
 pub mod nodes;
 pub mod run;
+pub mod staff;
 pub mod wire;
--- a/crates/load/src/nodes.rs
+++ b/crates/load/src/nodes.rs
@@ -68,6 +68,9 @@
         let mut command = Command::new(&self.program);
         command.env("GW_CONFIG", &file).env_remove("GW_INHERITED_FD").env_remove("GW_CONSOLE");
         command.env_remove("GREBEUSHER_FRONTS").env_remove(FLEET);
+        if scenario.maintenance.is_some() {
+            command.env("GW_CONSOLE", self.console().to_string());
+        }
         if let Some(text) = fleet(scenario, &self.known_as) {
             let file = self.folder.join("fleet.toml");
             fs::write(&file, text)?;
@@ -86,6 +89,11 @@
         SocketAddr::new(self.address.ip(), TALKS)
     }
 
+    /// Where its staff call.
+    pub fn console(&self) -> SocketAddr {
+        SocketAddr::new(self.address.ip(), CONSOLE)
+    }
+
     pub fn is_up(&self) -> bool {
         self.process.is_some()
     }
@@ -162,6 +170,8 @@
 
 /// The port of datagrams, beside the clients'.
 const TALKS: u16 = 7946;
+/// The console's.
+const CONSOLE: u16 = 7990;
 
 /// The operators' file of how nodes behave together; without one each is alone.
 fn fleet(s: &Scenario, known_as: &Option<(SocketAddr, Vec<SocketAddr>)>) -> Option<String> {
@@ -174,9 +184,15 @@
             contacts.join(", ")
         );
     }
-    if !s.budgets.is_empty() {
+    if !s.budgets.is_empty() || s.maintenance.is_some() {
         let keepers: Vec<usize> = (0..s.nodes.keepers).collect();
-        text += &format!("[keepers]\nnodes = {keepers:?}\n[budgets]\n");
+        text += &format!("[keepers]\nnodes = {keepers:?}\n");
+    }
+    if let Some(plan) = &s.maintenance {
+        text += &format!("[maintenance]\npermission_ms = {}\n", plan.permission_ms);
+    }
+    if !s.budgets.is_empty() {
+        text += "[budgets]\n";
         for b in &s.budgets {
             text += &format!(
                 "[[budgets.of]]\ntariff = {:?}\nunits = {}\nwindow_ms = {}\nfloor = {}\nnodes = {}\n",
--- a/crates/load/src/run.rs
+++ b/crates/load/src/run.rs
@@ -42,6 +42,8 @@
     /// Sent more than 10 ms after their time, as this machine was busy: beyond a few the times say little.
     pub sent_late: u64,
     pub call_backs_lost: u64,
+    /// The longest that the rig was at work between two looks at its sockets: closer than twice that nobody knows an order.
+    pub longest_turn_ms: f64,
     pub sends: u64,
     pub list_calls: u64,
     pub list_calls_failed: u64,
@@ -52,6 +54,7 @@
     /// Least and most memory of a node in megabytes, as the run began and every five seconds.
     pub node_memory_mb: Vec<(f64, f64)>,
     pub budgets: Vec<Spending>,
+    pub plan: Option<crate::staff::PlanSeen>,
     /// Datagrams between nodes, and their bytes, for each node and second of the run.
     pub datagrams_per_s: f64,
     pub datagram_bytes_per_s: f64,
@@ -72,7 +75,11 @@
 impl Display for Report {
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
         write!(f, "{}", self.summary)?;
-        writeln!(f, "sent late {}, call-backs lost {}", self.sent_late, self.call_backs_lost)?;
+        writeln!(
+            f,
+            "sent late {}, call-backs lost {}, longest turn of the rig {:.0} ms",
+            self.sent_late, self.call_backs_lost, self.longest_turn_ms
+        )?;
         writeln!(
             f,
             "sends {}, hand-shakes {}, most connections {}, errors {}, list calls {} ({} failed)",
@@ -104,6 +111,9 @@
                 b.tariff, b.units, b.window_ms, b.most, b.used
             )?;
         }
+        if let Some(plan) = &self.plan {
+            write!(f, "{plan}")?;
+        }
         write!(f, "{}", self.spread)?;
         self.crashed.iter().try_for_each(|words| writeln!(f, "a node CRASHED: {words}"))?;
         say_rules(f, &self.broken, &self.breaches)
@@ -277,6 +287,7 @@
         seed: scenario.seed,
         sent_late: fleet.sent_late,
         call_backs_lost: fleet.call_backs_lost,
+        longest_turn_ms: fleet.longest_turn.as_secs() * 1e3,
         sends: fleet.figures.sends,
         list_calls: fleet.figures.list_calls,
         list_calls_failed: fleet.figures.list_calls_failed,
@@ -285,6 +296,7 @@
         errors: fleet.errors,
         node_memory_mb: fleet.memory.iter().map(listed).collect(),
         budgets,
+        plan: fleet.plan_seen(),
         datagrams_per_s: fleet.datagrams as f64 / per_node_s,
         datagram_bytes_per_s: fleet.datagram_bytes as f64 / per_node_s,
         crashed: std::mem::take(&mut fleet.crashed),
--- a/crates/load/src/wire.rs
+++ b/crates/load/src/wire.rs
@@ -22,7 +22,7 @@
 /// Keys of relays of datagrams begin here.
 const RELAYS: usize = 1 << 33;
 /// A datagram is no longer than this.
-const LONGEST: usize = 2048;
+const LONGEST: usize = 65_536;
 
 /// A link of which nothing is ever wrong.
 pub const CLEAR: usize = 0;
@@ -119,7 +119,7 @@
     }
 
     fn reads_relay(&mut self, at: usize) -> io::Result<()> {
-        let mut datagram = [0; LONGEST];
+        let mut datagram = vec![0; LONGEST];
         loop {
             match self.relays[at].recv_from(&mut datagram) {
                 Ok((length, from)) => self.datagrams.push((at, from, datagram[..length].to_vec())),
--- a/crates/load/tests/stories.rs
+++ b/crates/load/tests/stories.rs
@@ -209,6 +209,29 @@
     assert!(budget["used"].as_f64() > Some(0.2), "it was spent at all: {budget:#}");
 }
 
+/// Guards against a machine that is out with work in hand or a send under way, and against a plan that one node's loss ends:
+/// each keeper is killed in turn, a node stands still and another is cut off while machines go out one by one.
+#[test]
+fn machines_go_out_one_by_one_with_nothing_lost_though_each_keeper_is_killed() {
+    let folder = folder();
+    let text = fs::read_to_string(shipped("sockets.toml")).expect("it is shipped");
+    let calm =
+        text.split("[[faults]]").next().expect("a front").replacen("length_s = 20", "length_s = 24", 1);
+    let talking = calm.replacen("count = 2\nzones", "count = 5\ntalk = true\nzones", 1);
+    let more = "\n[maintenance]\nat_s = 2\npart = 0.5\nmost_out = 1\nleast_ready = 0.6\nwork_s = 0.5\n\
+                longest_unit_s = 5\npermission_ms = 2000\n\n\
+                [[faults]]\nwhat = \"restart-nodes\"\nthese = [0]\nat_s = 4\nfor_s = 0.1\n\n\
+                [[faults]]\nwhat = \"freeze-nodes\"\nthese = [4]\nat_s = 5\nfor_s = 3\n\n\
+                [[faults]]\nwhat = \"restart-nodes\"\nthese = [1]\nat_s = 7\nfor_s = 0.1\n\n\
+                [[faults]]\nwhat = \"cut-links\"\nside = \"fellows\"\nthese = [3]\nat_s = 9\nfor_s = 2\n\n\
+                [[faults]]\nwhat = \"restart-nodes\"\nthese = [2]\nat_s = 10\nfor_s = 0.1\n";
+    let path = folder.path().join("plan.toml");
+    fs::write(&path, format!("{talking}{more}")).expect("written");
+    let plan = &well(&path, &[])["plan"];
+    assert_eq!((plan["machines"].as_u64(), plan["most_out"].as_u64()), (Some(3), Some(1)), "{plan:#}");
+    assert!(plan["phases"]["done"].as_u64() >= Some(2), "{plan:#}");
+}
+
 /// Guards against work that waits outside a node whose descriptors are all taken until its patience is over, while
 /// connections to executors stand idle.
 #[test]
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -172,8 +172,13 @@
     words: Rc<RefCell<Words>>,
     contacts: Vec<SocketAddr>,
     knocks_at: Option<Moment>,
+    /// When news of executors is told on without waiting for the usual round.
+    hurries_at: Option<Moment>,
 }
 
+/// News that comes together is told on together: so many milliseconds at each node on its way, of which some six lead to all of
+/// three hundred.
+const NEWS_WAITS: Span = Span::millis(10);
 /// As long as nobody knows this node it knocks so often.
 const KNOCKS_EVERY: Span = Span::millis(1000);
 /// The most bytes of a datagram: what passes any path in one piece.
@@ -218,6 +223,7 @@
             words,
             contacts: Vec::new(),
             knocks_at: None,
+            hurries_at: None,
         }
     }
 
@@ -254,10 +260,18 @@
         let Membership { foca, host, kept, .. } = self;
         let well = what(foca, Acts { host, kept, now }).is_ok();
         let fresh = std::mem::take(&mut self.words.borrow_mut().fresh);
+        if !fresh.is_empty() {
+            self.hurries(now);
+        }
         fresh.into_iter().for_each(|word| self.host.heard_of(word));
         well
     }
 
+    /// An executor may be back within a second, and usual rounds take three to reach all of a few hundred nodes.
+    fn hurries(&mut self, now: Moment) {
+        self.hurries_at.get_or_insert(now + NEWS_WAITS);
+    }
+
     fn knocks(&mut self, now: Moment) {
         if self.kept.active {
             self.knocks_at = None;
@@ -277,8 +291,9 @@
     }
 
     /// This node has seen something of an executor; others are told, unless they have heard what is newer.
-    pub fn tells(&mut self, word: Word) {
+    pub fn tells(&mut self, now: Moment, word: Word) {
         if let Ok(data) = postcard::to_allocvec(&word) {
+            self.hurries(now);
             // What is known already is told no further.
             let _ = self.foca.add_broadcast(&data);
             self.words.borrow_mut().fresh.clear();
@@ -287,7 +302,7 @@
 
     pub fn next_due(&self) -> Option<Moment> {
         let timer = self.kept.timers.first_key_value().map(|((when, _), _)| *when);
-        timer.into_iter().chain(self.knocks_at).min()
+        timer.into_iter().chain(self.knocks_at).chain(self.hurries_at).min()
     }
 
     pub fn due(&mut self, now: Moment) {
@@ -298,6 +313,10 @@
         if self.knocks_at.is_some_and(|at| at <= now) {
             self.knocks(now);
         }
+        if self.hurries_at.is_some_and(|at| at <= now) {
+            self.hurries_at = None;
+            self.asks(now, |foca, acts| foca.gossip(acts));
+        }
     }
 
     /// Tells some that this node goes, so that nobody has to suspect it.
--- a/crates/membership/tests/stories.rs
+++ b/crates/membership/tests/stories.rs
@@ -173,15 +173,29 @@
     let mut fleet = Fleet::new(12);
     fleet.pass(8.0);
     let newer = Word { executor: 77, at_ms: 5000, gone: true };
-    fleet.nodes[2].as_mut().expect("it is there").tells(newer);
+    let now = fleet.net.borrow().now;
+    fleet.nodes[2].as_mut().expect("it is there").tells(now, newer);
     fleet.pass(4.0);
-    fleet.nodes[3].as_mut().expect("it is there").tells(Word { at_ms: 4000, ..newer });
+    fleet.nodes[3].as_mut().expect("it is there").tells(now, Word { at_ms: 4000, ..newer });
     fleet.pass(4.0);
     for at in (0..12).filter(|at| *at != 2) {
         assert_eq!(*fleet.words[at].borrow(), [newer], "node {at}");
     }
 }
 
+/// Guards against an executor that is back within a second and met by nodes that have not heard that it was gone.
+#[test]
+fn news_of_an_executor_reaches_nearly_all_within_a_moment() {
+    let mut fleet = Fleet::new(60);
+    fleet.pass(10.0);
+    let now = fleet.net.borrow().now;
+    let word = Word { executor: 78, at_ms: 6000, gone: true };
+    fleet.nodes[2].as_mut().expect("it is there").tells(now, word);
+    fleet.pass(0.3);
+    let heard = fleet.words.iter().filter(|words| words.borrow().contains(&word)).count();
+    assert!(heard >= 54, "{heard} of 59");
+}
+
 /// Guards against a datagram that is not one, or of another make, doing anything.
 #[test]
 fn nonsense_is_told_apart_and_changes_nothing() {
--- a/crates/node/src/exchange.rs
+++ b/crates/node/src/exchange.rs
@@ -20,6 +20,7 @@
 use grebeusher_dispatch::time::{Moment, Span};
 use grebeusher_faktory::reservations;
 use grebeusher_ledger::book::{Due, Job};
+use grebeusher_maintenance::{Plan, Seen, View, ZoneSeen};
 use log::{debug, info, warn};
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -175,7 +176,9 @@
     executor: ExecutorId,
     name: String,
     standing: Standing,
+    /// By the list, or by a newer word of a fellow.
     started: Option<Moment>,
+    listed_start: Option<Moment>,
     kind: usize,
     zone: usize,
     cell: usize,
@@ -184,11 +187,30 @@
 
 impl Listed {
     fn listing(&self) -> Listing<'_> {
-        let &Listed { executor, ref name, standing, started, kind, zone, cell, weight } = self;
+        let &Listed { executor, ref name, standing, started, kind, zone, cell, weight, .. } = self;
         Listing { executor, name, standing, started, kind, zone, cell, weight }
     }
 }
 
+/// Executors to which nothing may be sent whatever the list says: they drain, as the decisions hear it.
+#[derive(PartialEq)]
+pub enum Closed {
+    /// This node has no word yet of what is closed.
+    All,
+    /// By the hashes of names.
+    These(BTreeSet<u64>),
+}
+
+impl Closed {
+    fn stands(&self, executor: u64, listed: Standing) -> Standing {
+        let closed = match self {
+            Closed::All => true,
+            Closed::These(these) => these.contains(&executor),
+        };
+        if closed && listed == Standing::Ready { Standing::Draining } else { listed }
+    }
+}
+
 pub struct Exchange {
     hands: Hands,
     counters: Rc<Counters>,
@@ -204,6 +226,10 @@
     kept_cold: Moment,
     /// Units for which there is no part of a budget yet, and until when they wait for one.
     awaiting: VecDeque<(Moment, UnitId, Errand, Arrival)>,
+    /// What the fleet has closed.
+    closed: Closed,
+    /// Where this node stopped waiting for something that may still run, and when; only where machines are closed.
+    unsure: BTreeMap<(ExecutorId, Rc<str>), Moment>,
     own_zone: usize,
     unit_ids: UnitIds,
     /// Other processes of this node, where there may be some.
@@ -240,6 +266,8 @@
             gone: BTreeSet::new(),
             kept_cold: Moment(0),
             awaiting: VecDeque::new(),
+            closed: Closed::These(BTreeSet::new()),
+            unsure: BTreeMap::new(),
             hands,
             reports: Reports::of(charter),
             zones: charter.zones.clone(),
@@ -269,6 +297,101 @@
         self.dispatcher.listing(self.hands.clock.now())
     }
 
+    /// The fleet has closed these, or opened them again.
+    pub fn closes(&mut self, closed: Closed) {
+        if closed == self.closed {
+            return;
+        }
+        let before = std::mem::replace(&mut self.closed, closed);
+        let changed = self.known.iter().filter(|(hash, known)| {
+            before.stands(**hash, known.standing) != self.closed.stands(**hash, known.standing)
+        });
+        let listings: Vec<Listing> = changed
+            .map(|(hash, known)| Listing {
+                standing: self.closed.stands(*hash, known.standing),
+                ..known.listing()
+            })
+            .collect();
+        if !listings.is_empty() {
+            self.dispatcher.listed(self.hands.clock.now(), false, &listings);
+        }
+    }
+
+    /// What is out at each executor, by the hash of its name; what this node has stopped waiting for less than `longest` ago
+    /// may still run and counts.
+    pub fn in_hand(&mut self, longest: Span) -> BTreeMap<u64, u16> {
+        let now = self.hands.clock.now();
+        self.unsure.retain(|_, since| now.since(*since) < longest);
+        let mut count = self.hands.desk.borrow().units.out_at_all();
+        self.unsure.keys().for_each(|(executor, _)| *count.entry(*executor).or_default() += 1);
+        let known = self.known.iter();
+        known.filter_map(|(hash, known)| Some((*hash, *count.get(&known.executor)?))).collect()
+    }
+
+    /// What the list says, by zones, and of these executors.
+    pub fn view(&self, watched: impl Iterator<Item = u64>) -> View {
+        let mut zones: BTreeMap<usize, ZoneSeen> = BTreeMap::new();
+        for known in self.known.values() {
+            let zone = zones.entry(known.zone).or_insert_with(|| ZoneSeen {
+                zone: self.zones.get(known.zone).cloned().unwrap_or_default(),
+                ..ZoneSeen::default()
+            });
+            zone.listed += 1;
+            zone.ready += u32::from(known.standing == Standing::Ready);
+        }
+        let seen = |machine: u64| {
+            let known = self.known.get(&machine)?;
+            let started_ms = known.listed_start.map_or(0, |at| at.0 / 1_000_000);
+            Some(Seen { machine, ready: known.standing == Standing::Ready, started_ms })
+        };
+        View { zones: zones.into_values().collect(), machines: watched.filter_map(seen).collect() }
+    }
+
+    /// Puts the executors that a plan means by zone or kind into it, and the zone of each; the error names what is not listed.
+    pub fn completes(&self, plan: &mut Plan) -> Result<(), String> {
+        let placed = |names: &[String], at: usize| names.get(at).cloned().unwrap_or_default();
+        for (at, zone) in plan.of_zones.iter().enumerate() {
+            if !self.zones.contains(zone) {
+                return Err(format!(
+                    "of_zones[{at}]: expected one of {}, found {zone:?}",
+                    self.zones.join(", ")
+                ));
+            }
+        }
+        for (at, kind) in plan.of_kinds.iter().enumerate() {
+            if !self.kinds.contains(kind) {
+                return Err(format!(
+                    "of_kinds[{at}]: expected one of {}, found {kind:?}",
+                    self.kinds.join(", ")
+                ));
+            }
+        }
+        let mut meant: Vec<&Listed> = self
+            .known
+            .values()
+            .filter(|known| {
+                known.standing != Standing::Gone
+                    && (plan.of_zones.contains(&placed(&self.zones, known.zone))
+                        || plan.of_kinds.contains(&placed(&self.kinds, known.kind)))
+            })
+            .collect();
+        meant.sort_by_key(|known| known.executor);
+        for known in meant {
+            if !plan.machines.contains(&known.name) {
+                plan.machines.push(known.name.clone());
+            }
+        }
+        (plan.of_zones, plan.of_kinds) = (Vec::new(), Vec::new());
+        plan.zones.clear();
+        for (at, name) in plan.machines.iter().enumerate() {
+            let known = self.known.get(&fixed_hash(name));
+            let known =
+                known.ok_or_else(|| format!("machines[{at}]: expected a listed executor, found {name:?}"))?;
+            plan.zones.push(placed(&self.zones, known.zone));
+        }
+        plan.check()
+    }
+
     pub fn has_in_hand(&self, call_id: &str) -> bool {
         let settles = |ledger: &Rc<Ledger>| ledger.is_settling(call_id);
         self.hands.desk.borrow().units.find(call_id).is_some()
@@ -478,11 +601,16 @@
         if let Some(ledger) = self.hands.ledger.clone().filter(|ledger| ledger.is_settling(&call.id)) {
             return self.called_back_of_before(&ledger, call);
         }
-        let found = {
+        let (unit, executor) = {
             let desk = self.hands.desk.borrow();
-            let executor = desk.executors.find(&call.from);
-            desk.units.find(&call.id).zip(executor)
+            (desk.units.find(&call.id), desk.executors.find(&call.from))
         };
+        // Whoever has told of an end has nothing of it any more, though nobody waited.
+        let over = matches!(call.state, State::Done { .. } | State::Failed | State::Returned | State::Lost);
+        if let Some(executor) = executor.filter(|_| over && !self.unsure.is_empty()) {
+            self.unsure.remove(&(executor, call.id.as_str().into()));
+        }
+        let found = unit.zip(executor);
         let Some((unit, executor)) = found else { return self.counters.call_backs_unknown.up() };
         let out = self.hands.desk.borrow().units.out_at(unit, executor);
         let report = self.reports.object(&call.load);
@@ -556,6 +684,13 @@
             Ending::CutOff => self.counters.ended_cut_off.up(),
             Ending::Unusable => self.counters.ended_unusable.up(),
         }
+        let ran = matches!(ending, Ending::Fulfilled | Ending::Error);
+        if !ran && !ending.proves_not_run() && self.hands.fellows.is_some() {
+            let errand = self.hands.desk.borrow().units.errand(id.unit);
+            if let Some(errand) = errand {
+                self.unsure.insert((executor, errand.call_id.clone()), self.hands.clock.now());
+            }
+        }
         if ending != Ending::Fulfilled {
             debug!("unit {} at {}: {ending:?}", id.unit.0, self.hands.desk.borrow().executors.name(executor));
         }
@@ -680,6 +815,9 @@
             listings.push(worker_listing(*executor, name, *standing, kind, self.own_zone));
         }
         self.notes(version.reset, &listings);
+        for listing in &mut listings {
+            listing.standing = self.closed.stands(fixed_hash(listing.name), listing.standing);
+        }
         self.dispatcher.listed(now, version.reset, &listings);
     }
 
@@ -697,10 +835,11 @@
             if standing == Standing::Gone {
                 self.gone.remove(&executor);
             }
-            let name = name.to_owned();
+            let (name, listed_start) = (name.to_owned(), started);
             // What a fellow told is newer than a list that does not know of it yet.
             let started = started.max(known);
-            self.known.insert(hash, Listed { executor, name, standing, started, kind, zone, cell, weight });
+            let listed = Listed { executor, name, standing, started, listed_start, kind, zone, cell, weight };
+            self.known.insert(hash, listed);
         }
     }
 
@@ -748,8 +887,19 @@
             if gone { "gone" } else { "back" },
             now.since(at).as_secs()
         );
-        let listing = known.listing();
-        self.dispatcher.listed(now, false, &[listing]);
+        let standing = self.closed.stands(executor, known.standing);
+        self.dispatcher.listed(now, false, &[Listing { standing, ..known.listing() }]);
+    }
+
+    /// Starts that the list has not told, no longer ago than this, and what is gone.
+    pub fn seen_lately(&self, within: Span) -> impl Iterator<Item = (u64, Moment, bool)> {
+        let now = self.hands.clock.now();
+        let seen = self.known.iter().filter(|(_, known)| known.standing != Standing::Gone);
+        seen.filter_map(move |(hash, known)| {
+            let gone = self.gone.contains(&known.executor);
+            let at = known.started.filter(|at| Some(*at) > known.listed_start && now.since(*at) < within)?;
+            Some((*hash, at, gone))
+        })
     }
 
     /// As long as one is gone it has not begun to warm up.
@@ -761,11 +911,16 @@
         }
         self.kept_cold = now;
         let gone = &self.gone;
-        let still = self.known.values().filter(|known| gone.contains(&known.executor));
+        let still = self.known.iter().filter(|(_, known)| gone.contains(&known.executor));
         // Only the decisions take it for started now. Guards against a word or a list that it is back, which is a little older
         // than this, being taken for old news.
-        let listings: Vec<Listing> =
-            still.map(|known| Listing { started: Some(now), ..known.listing() }).collect();
+        let listings: Vec<Listing> = still
+            .map(|(hash, known)| Listing {
+                started: Some(now),
+                standing: self.closed.stands(*hash, known.standing),
+                ..known.listing()
+            })
+            .collect();
         self.dispatcher.listed(now, false, &listings);
     }
 
--- a/crates/node/src/life/node.rs
+++ b/crates/node/src/life/node.rs
@@ -1,6 +1,6 @@
 //! The node: one loop, and the phases from start to exit.
 
-use crate::exchange::{Beside, Exchange};
+use crate::exchange::{Beside, Closed, Exchange};
 use crate::life::limits;
 use crate::life::signals::Signals;
 use crate::memory::clock::Clock;
@@ -26,9 +26,11 @@
 use grebeusher_charter::{Charter, ListComes};
 use grebeusher_checks::{Fitness, Seen, Stands, Verdict};
 use grebeusher_dispatch::time::{Moment, Span};
+use grebeusher_maintenance::Command;
 use log::{error, info, warn};
 use polling::Poller;
 use serde::Deserialize;
+use serde_json::{Value, json};
 use std::env;
 use std::fmt::{self, Display, Formatter};
 use std::io;
@@ -234,13 +236,12 @@
             ledger.map_err(|e| format!("ledger.folder: {}: {e}", posted.folder.display()))
         });
         let ledger = ledger.transpose()?;
-        let fellows = fleet.as_ref().and_then(|fleet| fleet.fellows.as_ref()).map(|posted| {
+        let fellows = fleet.as_ref().and_then(|fleet| Some((fleet, fleet.fellows.as_ref()?)));
+        let fellows = fellows.map(|(fleet, posted)| {
             let by = (FELLOWS, &poller, clock, &counters);
-            let budgets = fleet.as_ref().and_then(|fleet| fleet.budgets.as_ref());
-            let budgets = budgets.map(|budgets| (budgets, &charter.tariff_names[..]));
-            let keepers = fleet.as_ref().and_then(|fleet| fleet.keepers.as_ref());
+            let tariffs = &charter.tariff_names[..];
             let fellows =
-                Fellows::meet(posted, keepers, budgets, posting.listen, charter.place(), posting.seed, by);
+                Fellows::meet(fleet, posted, tariffs, posting.listen, charter.place(), posting.seed, by);
             fellows.map(Rc::new)
         });
         let fellows = fellows.transpose()?;
@@ -253,6 +254,9 @@
         let mut exchange =
             Exchange::open(posting.seed, charter, &unit_ids, sides, beside, (clock, &counters));
         exchange.start();
+        if fellows.as_ref().is_some_and(|fellows| !fellows.has_word()) {
+            exchange.closes(Closed::All);
+        }
         exchange.listed(&known);
         exchange.recover();
         say_what_sockets_lack(charter, fellows.is_some());
@@ -304,6 +308,9 @@
                 Err(e) if e.kind() != io::ErrorKind::Interrupted => return Err(e),
                 _ => {}
             }
+            if let Some(fellows) = &self.fellows {
+                fellows.wakes(&mut self.exchange);
+            }
             // The staff first. Guards against calls that wait until a crowd of clients has had its turn.
             for staff in [true, false] {
                 for event in events.iter().filter(|event| is_staff(event.key) == staff) {
@@ -505,7 +512,8 @@
     fn knows_enough(&self) -> bool {
         let told =
             !self.relieves || self.discovery.was_heard() || self.clock.now() >= self.started + NEWS_WITHIN;
-        told && self.exchange.knows_executors()
+        let has_word = self.fellows.as_ref().is_none_or(|fellows| fellows.has_word());
+        told && has_word && self.exchange.knows_executors()
     }
 
     fn move_on(&mut self) {
@@ -580,6 +588,45 @@
         Figures { counters, tariffs, gauges }.to_string()
     }
 
+    fn fleet(&self) -> Option<String> {
+        let shown = self.fellows.as_ref()?.shows()?;
+        let (age_ms, shown) = shown.map_or((None, None), |(age_ms, shown)| (Some(age_ms), Some(shown)));
+        Some(json!({"age_ms": age_ms, "shown": shown}).to_string())
+    }
+
+    fn members(&self) -> Option<String> {
+        let fellows = self.fellows.as_ref()?;
+        let member = |(number, address, generation, for_ms): (u32, SocketAddr, u64, u64)| json!({"node": number, "address": address.to_string(), "start": generation, "for_ms": for_ms});
+        let members: Vec<Value> = fellows.members().into_iter().map(member).collect();
+        Some(json!({"leader": fellows.settled().0, "members": members}).to_string())
+    }
+
+    fn says(&mut self, name: u64, what: &str, body: &[u8]) -> Result<(), String> {
+        let fellows = self.fellows.as_ref().filter(|fellows| fellows.shows().is_some());
+        let fellows = fellows.ok_or("this node takes no machines out: its file has no [maintenance]")?;
+        let command = match what {
+            "submit" => {
+                let text = std::str::from_utf8(body).map_err(|_| "expected a plan in UTF-8".to_owned())?;
+                let mut plan = grebeusher_charter::plan::read(text)?;
+                self.exchange.completes(&mut plan)?;
+                Command::Submit(Box::new(plan))
+            }
+            "pause" => Command::Pause,
+            "resume" => Command::Resume,
+            "withdraw" => Command::Withdraw,
+            "idle" => {
+                let said = std::str::from_utf8(body).ok().and_then(|said| said.trim().rsplit_once(' '));
+                let said =
+                    said.and_then(|(machine, number)| Some((machine.to_owned(), number.parse().ok()?)));
+                let (machine, number) = said.ok_or("expected a machine and the number of a decision")?;
+                Command::Idle(machine, number)
+            }
+            _ => return Err(format!("expected submit, pause, resume, idle or withdraw, found {what:?}")),
+        };
+        fellows.says(name, command);
+        Ok(())
+    }
+
     fn send_away(&mut self) {
         if matches!(self.phase, Phase::Starting | Phase::Serving) {
             self.enter(Phase::Drained { since: self.clock.now() });
--- a/crates/node/src/memory/settlement.rs
+++ b/crates/node/src/memory/settlement.rs
@@ -1,13 +1,16 @@
 //! What the keepers of the fleet agree on.
 
 use grebeusher_budgets::{Ask, Division, Entry, Grant, Whole};
+use grebeusher_dispatch::ids::fixed_hash;
 use grebeusher_dispatch::time::Span;
+use grebeusher_maintenance::{self as maintenance, Moved, Permit, Works};
 use grebeusher_settled::Machine;
 use serde::{Deserialize, Serialize};
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Settlement {
     division: Division,
+    pub works: Works,
     /// Microseconds that have passed beyond whole milliseconds.
     rest_us: u64,
 }
@@ -16,29 +19,34 @@
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum Step {
     Part(Ask),
+    Works(maintenance::Step),
 }
 
-/// What came of it, for one node.
+/// What came of it.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum Outcome {
     Part(Grant),
+    Permit(Permit),
+    Moved(Moved),
 }
 
 impl Outcome {
-    /// The number of the node that it is for.
-    pub fn node(&self) -> u32 {
+    /// The number of the node that it is for; `None` for whoever leads.
+    pub fn node(&self) -> Option<u32> {
         match self {
-            Outcome::Part(grant) => grant.holder.number,
+            Outcome::Part(grant) => Some(grant.holder.number),
+            Outcome::Permit(permit) => Some(permit.holder.number),
+            Outcome::Moved(_) => None,
         }
     }
 }
 
 impl Settlement {
     /// As it begins: what one that was lost has let others do may still go on.
-    pub fn empty(wholes: Vec<Whole>, lease: Span) -> Settlement {
+    pub fn empty(wholes: Vec<Whole>, lease: Span, works: Works) -> Settlement {
         let mut division = Division::new(lease, true);
         division.apply(&Entry { wholes: Some(wholes), ..Entry::default() });
-        Settlement { division, rest_us: 0 }
+        Settlement { division, works, rest_us: 0 }
     }
 }
 
@@ -49,12 +57,23 @@
     fn settles(&mut self, passed: Span, steps: Vec<Step>) -> Vec<Outcome> {
         let us = self.rest_us + passed.0 / 1000;
         self.rest_us = us % 1000;
-        let asks = steps.into_iter().map(|Step::Part(ask)| ask).collect();
-        let grants = self.division.apply(&Entry { passed_ms: us / 1000, wholes: None, asks });
-        grants.into_iter().map(Outcome::Part).collect()
+        let passed_ms = us / 1000;
+        let (mut asks, mut works) = (Vec::new(), Vec::new());
+        for step in steps {
+            match step {
+                Step::Part(ask) => asks.push(ask),
+                Step::Works(step) => works.push(step),
+            }
+        }
+        let grants = self.division.apply(&Entry { passed_ms, wholes: None, asks });
+        let moves = self.works.apply(passed_ms, works, fixed_hash).into_iter().map(|outcome| match outcome {
+            maintenance::Outcome::Permit(permit) => Outcome::Permit(permit),
+            maintenance::Outcome::Moved(moved) => Outcome::Moved(moved),
+        });
+        grants.into_iter().map(Outcome::Part).chain(moves).collect()
     }
 
     fn waits(&self) -> bool {
-        false
+        self.works.waits()
     }
 }
--- a/crates/node/src/memory/units.rs
+++ b/crates/node/src/memory/units.rs
@@ -4,7 +4,7 @@
 use grebeusher_dispatch::ids::{AllocationId, ExecutorId, UnitId};
 use grebeusher_dispatch::time::Span;
 use std::cell::Cell;
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 
 /// Gives out the ids of work units, one after the other, whatever front they come by.
@@ -108,6 +108,16 @@
         Some((out.executor, out.accepted, unit.errand.clone()))
     }
 
+    /// How much is out at each executor.
+    pub fn out_at_all(&self) -> BTreeMap<ExecutorId, u16> {
+        let mut count = BTreeMap::new();
+        for out in self.kept.values().flat_map(|unit| &unit.out).filter(|out| out.open) {
+            let units: &mut u16 = count.entry(out.executor).or_default();
+            *units = units.saturating_add(1);
+        }
+        count
+    }
+
     /// What a unit brought that is not over.
     pub fn errand(&self, unit: UnitId) -> Option<Rc<Errand>> {
         self.kept.get(&unit).map(|unit| unit.errand.clone())
--- a/crates/node/src/wire/calls.rs
+++ b/crates/node/src/wire/calls.rs
@@ -18,8 +18,9 @@
 /// of callers come; some connect and say nothing, and the oldest of these make room.
 pub const DESCRIPTORS: usize = 1 + MOST;
 const MOST: usize = 16;
-/// A call is a line and a few headers. What is longer is answered 413 and not kept.
-const MOST_CALL: usize = 8 * 1024;
+/// A call is a line and a few headers; a plan of 500 machines with long names comes to half of this. What is longer is
+/// answered 413 and not kept.
+const MOST_CALL: usize = 64 * 1024;
 
 /// Somebody who called, or may yet.
 struct Visitor {
--- a/crates/node/src/wire/console.rs
+++ b/crates/node/src/wire/console.rs
@@ -3,18 +3,26 @@
 use crate::memory::clock::Clock;
 use crate::wire::calls::Calls;
 use crate::wire::http::{self, Request};
+use grebeusher_dispatch::ids::fixed_hash;
 use grebeusher_dispatch::time::Span;
 use log::info;
 use polling::Poller;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Instant;
 
 /// What the console asks of the node.
 pub trait Office {
     fn is_ready(&self) -> bool;
     /// What `/stats` shows.
     fn figures(&self) -> String;
+    /// The plan by which machines are taken out, and the other nodes, as JSON; `None` where there is nothing of the kind.
+    fn fleet(&self) -> Option<String>;
+    fn members(&self) -> Option<String>;
+    /// Hands a command to the keepers under a name, under which `fleet` shows its answer; the error says what is wrong with
+    /// it.
+    fn says(&mut self, name: u64, what: &str, body: &[u8]) -> Result<(), String>;
     /// Clients go elsewhere until further word.
     fn send_away(&mut self);
     /// Back to work; `false` once the node has been told to stop.
@@ -67,7 +75,30 @@
             say(back, 409, if back { "back to work\n" } else { "the node was told to stop\n" })
         }
         ("/stats", "GET") => say(true, 503, &office.figures()),
-        ("/healthcheck" | "/stats", _) => http::answer(405, true, Some(("Allow", "GET")), b""),
+        ("/fleet", "GET") => match office.fleet() {
+            Some(shown) => say(true, 404, &shown),
+            None => say(false, 404, "no machines are taken out here\n"),
+        },
+        ("/fleet/members", "GET") => match office.members() {
+            Some(members) => say(true, 404, &members),
+            None => say(false, 404, "this node knows no others\n"),
+        },
+        (path, "POST") if path.starts_with("/fleet/") => {
+            let what = &path["/fleet/".len()..];
+            let query = request.target.split_once("?name=").and_then(|(_, name)| name.parse().ok());
+            // Whoever asks again by the same name has it done once.
+            let name = query.unwrap_or_else(|| fixed_hash(&format!("{what} {:?}", Instant::now())));
+            match office.says(name, what, &request.body) {
+                Ok(()) => {
+                    info!("plan: {what} goes to the keepers as {name}");
+                    http::answer(202, true, None, format!("{name}\n").as_bytes())
+                }
+                Err(wrong) => http::answer(400, true, None, format!("{wrong}\n").as_bytes()),
+            }
+        }
+        ("/healthcheck" | "/stats" | "/fleet" | "/fleet/members", _) => {
+            http::answer(405, true, Some(("Allow", "GET")), b"")
+        }
         ("/healthcheck/fail" | "/healthcheck/ok", _) => http::answer(405, true, Some(("Allow", "POST")), b""),
         _ => http::answer(404, true, None, b""),
     }
--- a/crates/node/src/wire/fellows.rs
+++ b/crates/node/src/wire/fellows.rs
@@ -1,7 +1,7 @@
 //! The other nodes of the fleet: one UDP socket for who is there, for what each has seen of executors' starts, and for the
 //! words of the decisions. Each datagram is marked with the fleet's secret; what is not is dropped and counted.
 
-use crate::exchange::Exchange;
+use crate::exchange::{Closed, Exchange};
 use crate::memory::clock::Clock;
 use crate::memory::counters::Counters;
 use crate::memory::parts::{self, Parts};
@@ -10,13 +10,15 @@
 use crate::wire::settling::Settling;
 use grebeusher_budgets::Holder;
 use grebeusher_charter::fleet;
+use grebeusher_dispatch::ids::fixed_hash;
 use grebeusher_dispatch::time::{Moment, Span};
-use grebeusher_membership::{Fellow, Host, MOST_BYTES, Membership, Word};
+use grebeusher_maintenance::{self as maintenance, Command, Permission, Permit, Shown, Works};
+use grebeusher_membership::{Fellow, Host, Membership, Word};
 use log::{info, warn};
 use polling::{Event, Poller};
 use serde::Serialize;
 use siphasher::sip128::{Hasher128, SipHasher24};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::hash::Hasher;
 use std::io::{self, ErrorKind};
@@ -38,6 +40,21 @@
 pub const OUTCOME: u8 = 5;
 /// So many datagrams are read in one turn of the loop: a flood of them must not keep clients waiting.
 const AT_ONCE: usize = 256;
+/// Something was decided: whoever sends by a permission should ask for a new one now. Only a hint.
+const NUDGE: u8 = 6;
+/// What a newcomer has missed of executors' starts.
+const MISSED: u8 = 7;
+/// So many of those who hear of a newcomer tell it: one may be gone itself, and its datagram lost.
+const TELLERS: u64 = 3;
+/// Decisions come in clusters: one nudge for all of them.
+const NUDGES_APART: Span = Span::millis(100);
+/// The longest datagram that UDP has. What nodes say to each other all the time fits `MOST_BYTES`; a plan and what staff see of
+/// it does not, and is asked for again if a piece of it gets lost on the way.
+const LONGEST: usize = 65_536;
+/// Staff who look at a plan are shown it as long after they asked; then it is not sent any more.
+const LOOK: Span = Span::millis(3000);
+/// Whoever leads looks so often what the list says: a machine that is back makes way for the next.
+const VIEW_EVERY: Span = Span::millis(100);
 /// A start that is longer ago than this is no news: executors are warm by then.
 const RECENT: Span = Span::millis(60_000);
 
@@ -118,6 +135,7 @@
 struct Hand {
     post: Rc<Post>,
     words: Rc<RefCell<Vec<Word>>>,
+    newcomers: Rc<RefCell<Vec<u32>>>,
 }
 
 impl Host for Hand {
@@ -128,6 +146,7 @@
     fn came(&mut self, fellow: Fellow) {
         info!("node {} is there, at {}, start {}", fellow.number, fellow.address, fellow.generation);
         self.post.counters.fellows_came.up();
+        self.newcomers.borrow_mut().push(fellow.number);
         self.post.addresses.borrow_mut().insert(fellow.number, fellow.address);
         if let Some(keeper) = self.post.keepers.borrow_mut().get_mut(&fellow.number) {
             *keeper = Some(fellow.address);
@@ -154,19 +173,37 @@
     key: usize,
     clock: Clock,
     own: u32,
+    count: u64,
     words: Rc<RefCell<Vec<Word>>>,
+    /// Nodes of which it was heard that they are there, and that have not been told yet what they have missed.
+    newcomers: Rc<RefCell<Vec<u32>>>,
     membership: RefCell<Membership<Hand>>,
     settling: Option<RefCell<Settling>>,
     parts: Option<RefCell<Parts>>,
+    works: Option<Office>,
+    datagram: RefCell<Vec<u8>>,
+}
+
+/// This node's side of taking machines out.
+struct Office {
+    permission: RefCell<Permission>,
+    /// When what is closed may be more than before; nothing before the first word.
+    changes_at: Cell<Option<Moment>>,
+    viewed: Cell<Moment>,
+    /// When the others are told that something was decided here.
+    nudges_at: Cell<Option<Moment>>,
+    /// When staff looked last, and what came for them.
+    looked: Cell<Option<Moment>>,
+    shown: RefCell<Option<(Moment, Shown)>>,
 }
 
 impl Fellows {
     /// Listens beside the clients' address, and knocks at the fleet's contacts. `own`: this node's number, and how many
     /// there are by what it was told.
     pub fn meet(
+        fleet: &fleet::Fleet,
         posted: &fleet::Fellows,
-        keepers: Option<&fleet::Keepers>,
-        budgets: Option<(&fleet::Budgets, &[String])>,
+        tariffs: &[String],
         listen: SocketAddr,
         (own, count): (u64, u64),
         seed: u64,
@@ -178,6 +215,7 @@
         socket.set_nonblocking(true).map_err(wrong)?;
         poller.add(&socket, Event::readable(key)).map_err(wrong)?;
         let frame = Frame { fleet: posted.fleet.clone(), secret: posted.secret.clone() };
+        let keepers = fleet.keepers.as_ref();
         let known = keepers.iter().flat_map(|keepers| &keepers.nodes).map(|number| (*number, None));
         let post = Rc::new(Post {
             socket,
@@ -187,7 +225,8 @@
             counters: counters.clone(),
         });
         let words: Rc<RefCell<Vec<Word>>> = Rc::default();
-        let hand = Hand { post: post.clone(), words: words.clone() };
+        let newcomers: Rc<RefCell<Vec<u32>>> = Rc::default();
+        let hand = Hand { post: post.clone(), words: words.clone(), newcomers: newcomers.clone() };
         let now = clock.now();
         let fellow = Fellow {
             address: posted.known_as.unwrap_or(at),
@@ -195,13 +234,22 @@
             generation: now.0 / 1_000_000,
         };
         let holder = Holder { number: fellow.number, generation: fellow.generation };
-        let parts =
-            budgets.map(|(posted, tariffs)| Parts::new(now, posted, tariffs, holder).map(RefCell::new));
+        let budgets = fleet.budgets.as_ref();
+        let parts = budgets.map(|posted| Parts::new(now, posted, tariffs, holder).map(RefCell::new));
         let parts = parts.transpose()?;
+        let permission = fleet.maintenance.as_ref().map_or(Span(0), |works| works.permission());
+        let works = fleet.maintenance.as_ref().map(|_| Office {
+            permission: RefCell::new(Permission::new(holder, fixed_hash(&at.to_string()), permission)),
+            changes_at: Cell::new(None),
+            viewed: Cell::new(now),
+            nudges_at: Cell::new(None),
+            looked: Cell::new(None),
+            shown: RefCell::default(),
+        });
         let settling = keepers.map(|keepers| {
             let (wholes, lease) = budgets
-                .map_or_else(|| (Vec::new(), Span(0)), |(posted, _)| (parts::wholes(posted), posted.lease()));
-            let empty = Settlement::empty(wholes, lease);
+                .map_or_else(|| (Vec::new(), Span(0)), |posted| (parts::wholes(posted), posted.lease()));
+            let empty = Settlement::empty(wholes, lease, Works::empty(permission, count as u32));
             let settling = Settling::new(now, &keepers.nodes, fellow.number, seed ^ now.0, empty, &post);
             RefCell::new(settling)
         });
@@ -214,10 +262,14 @@
             key,
             clock,
             own: own as u32,
+            count,
             words,
+            newcomers,
             membership: RefCell::new(membership),
             settling,
             parts,
+            works,
+            datagram: RefCell::new(vec![0; LONGEST]),
         })
     }
 
@@ -240,7 +292,85 @@
     pub fn next_due(&self) -> Option<Moment> {
         let asks = self.parts.as_ref().and_then(|parts| parts.borrow().next_due(self.clock.now()));
         let settles = self.settling.as_ref().and_then(|settling| settling.borrow().next_due());
-        self.membership.borrow().next_due().into_iter().chain(asks).chain(settles).min()
+        let works = self.works.as_ref().and_then(|works| works.next_due(self.leads()));
+        self.membership.borrow().next_due().into_iter().chain(asks).chain(settles).chain(works).min()
+    }
+
+    /// Whether this node leads the keepers.
+    fn leads(&self) -> bool {
+        self.settling.as_ref().is_some_and(|settling| settling.borrow().where_it_leads(|_| ()).is_some())
+    }
+
+    /// Whether this node may send anywhere: where machines are taken out it needs a word of the keepers first.
+    pub fn has_word(&self) -> bool {
+        self.works.as_ref().is_none_or(|works| works.permission.borrow().has_word())
+    }
+
+    /// A turn of the loop begins. Guards against a node that stood still while its permission ran out, and sends to a machine
+    /// that is out by now as it goes on with what has come meanwhile.
+    pub fn wakes(&self, exchange: &mut Exchange) {
+        if let Some(works) = &self.works {
+            works.wakes(self.clock.now(), exchange);
+        }
+    }
+
+    /// What is asked of the keepers, and what whoever leads tells of the list.
+    fn works(&self, exchange: &mut Exchange) {
+        let Some((works, settling)) = self.works.as_ref().zip(self.settling.as_ref()) else { return };
+        let now = self.clock.now();
+        works.wakes(now, exchange);
+        if let Some(ask) = works.ask(now, exchange, &self.post.counters) {
+            settling.borrow_mut().ask(now, Step::Works(maintenance::Step::Asks(ask)));
+        }
+        if settling.borrow_mut().has_moved() && works.nudges_at.get().is_none() {
+            works.nudges_at.set(Some(now + NUDGES_APART));
+        }
+        if works.nudges_at.get().is_some_and(|at| at <= now) {
+            works.nudges_at.set(None);
+            works.permission.borrow_mut().nudged(now);
+            self.post.addresses.borrow().values().for_each(|&to| self.post.say(to, NUDGE, &[]));
+        }
+        if now < works.viewed.get() + VIEW_EVERY {
+            return;
+        }
+        let seen = settling.borrow().where_it_leads(|state| {
+            (state.works.view().clone(), state.works.watched().collect::<Vec<u64>>())
+        });
+        let Some((seen, watched)) = seen else { return };
+        works.viewed.set(now);
+        let view = exchange.view(watched.into_iter());
+        if view != seen {
+            settling.borrow_mut().ask(now, Step::Works(maintenance::Step::Sees(view)));
+        }
+    }
+
+    /// Hands a command of the staff to the keepers, under a name by which it is answered and done once.
+    pub fn says(&self, name: u64, command: Command) {
+        if let Some(settling) = &self.settling {
+            let step = Step::Works(maintenance::Step::Says(name, command));
+            settling.borrow_mut().ask(self.clock.now(), step);
+        }
+    }
+
+    /// What staff see: milliseconds since it came and the state, if machines are taken out here and any has come.
+    pub fn shows(&self) -> Option<Option<(u64, Shown)>> {
+        let works = self.works.as_ref()?;
+        let now = self.clock.now();
+        works.looked.set(Some(now));
+        let shown = works.shown.borrow();
+        Some(shown.as_ref().map(|(at, shown)| (now.since(*at).0 / 1_000_000, shown.clone())))
+    }
+
+    /// The others that are there: number, address, start, and milliseconds since when.
+    pub fn members(&self) -> Vec<(u32, SocketAddr, u64, u64)> {
+        let now = self.clock.now();
+        let membership = self.membership.borrow();
+        let member = |(fellow, since): (Fellow, Moment)| {
+            (fellow.number, fellow.address, fellow.generation, now.since(since).0 / 1_000_000)
+        };
+        let mut members: Vec<_> = membership.members().map(member).collect();
+        members.sort_unstable();
+        members
     }
 
     /// Asks the keepers for what is wanted now.
@@ -259,11 +389,12 @@
             settling.borrow_mut().due(now);
         }
         self.asks();
+        self.works(exchange);
         self.hand_on(exchange);
     }
 
     pub fn stirred(&self, exchange: &mut Exchange) {
-        let mut datagram = [0; MOST_BYTES + 2 + MARK + 1];
+        let mut datagram = self.datagram.borrow_mut();
         for _ in 0..AT_ONCE {
             match self.post.socket.recv_from(&mut datagram) {
                 Ok((length, _)) => self.hears(&datagram[..length], exchange),
@@ -289,6 +420,18 @@
                 }
                 None => false,
             },
+            Some((MISSED, body)) => match postcard::from_bytes::<Vec<Word>>(body) {
+                Ok(missed) => {
+                    self.words.borrow_mut().extend(missed);
+                    true
+                }
+                Err(_) => false,
+            },
+            Some((NUDGE, _)) => self
+                .works
+                .as_ref()
+                .map(|works| works.permission.borrow_mut().nudged(self.clock.now()))
+                .is_some(),
             Some((kind @ (KEEPER | STEP | OUTCOME), body)) => {
                 let settling = self.settling.as_ref();
                 settling.is_some_and(|settling| settling.borrow_mut().heard(self.clock.now(), kind, body))
@@ -304,24 +447,95 @@
     fn hand_on(&self, exchange: &mut Exchange) {
         let settled = self.settling.as_ref().map(|settling| settling.borrow_mut().outcomes());
         for outcome in settled.into_iter().flatten() {
-            let Outcome::Part(grant) = outcome;
-            if let Some(parts) = &self.parts {
-                parts.borrow_mut().granted(&grant);
+            match (outcome, &self.parts, &self.works) {
+                (Outcome::Part(grant), Some(parts), _) => parts.borrow_mut().granted(&grant),
+                (Outcome::Permit(permit), _, Some(works)) => {
+                    works.granted(self.clock.now(), permit, exchange)
+                }
+                _ => {}
             }
         }
         let words = std::mem::take(&mut *self.words.borrow_mut());
         for Word { executor, at_ms, gone } in words {
             exchange.heard_of(executor, Moment(at_ms.saturating_mul(1_000_000)), gone);
         }
+        self.tells_newcomers(exchange);
         exchange.parts_came();
     }
 
+    /// Who has just come has not heard what was told before: the next few by their numbers tell it.
+    fn tells_newcomers(&self, exchange: &Exchange) {
+        let newcomers = std::mem::take(&mut *self.newcomers.borrow_mut());
+        let (own, count) = (u64::from(self.own), self.count.max(1));
+        let mine = |node: &u32| (1..=TELLERS).contains(&((own + count - u64::from(*node) % count) % count));
+        let mine: Vec<u32> = newcomers.into_iter().filter(mine).collect();
+        if mine.is_empty() {
+            return;
+        }
+        let word =
+            |(executor, at, gone): (u64, Moment, bool)| Word { executor, at_ms: at.0 / 1_000_000, gone };
+        let missed: Vec<Word> = exchange.seen_lately(RECENT).map(word).collect();
+        if !missed.is_empty() {
+            mine.into_iter().for_each(|node| self.post.say_to(node, MISSED, &missed));
+        }
+    }
+
     /// Says that this node goes.
     pub fn leave(&self) {
         self.membership.borrow_mut().leave(self.clock.now());
     }
 }
 
+impl Office {
+    fn next_due(&self, leads: bool) -> Option<Moment> {
+        let views = leads.then(|| self.viewed.get() + VIEW_EVERY);
+        let asks = Some(self.permission.borrow().next_due());
+        [views, asks, self.changes_at.get(), self.nudges_at.get()].into_iter().flatten().min()
+    }
+
+    fn wakes(&self, now: Moment, exchange: &mut Exchange) {
+        if self.changes_at.get().is_some_and(|at| now >= at) {
+            warn!("no permission of the keepers since {:.1} s: machines of the plan are kept away from", {
+                self.permission.borrow().for_long(now).as_secs()
+            });
+            self.closes(now, exchange);
+        }
+    }
+
+    fn closes(&self, now: Moment, exchange: &mut Exchange) {
+        let permission = self.permission.borrow();
+        self.changes_at.set(permission.changes_at(now));
+        exchange.closes(match permission.has_word() {
+            true => Closed::These(permission.closed(now).collect()),
+            false => Closed::All,
+        });
+    }
+
+    fn ask(&self, now: Moment, exchange: &mut Exchange, counters: &Counters) -> Option<maintenance::Ask> {
+        let mut permission = self.permission.borrow_mut();
+        let shows = self.looked.get().is_some_and(|at| now.since(at) < LOOK);
+        if shows {
+            permission.hurry();
+        }
+        if permission.next_due() > now {
+            return None;
+        }
+        let in_hand = exchange.in_hand(permission.longest_unit());
+        let tide = (counters.units.all(), counters.turned_back.all());
+        permission.ask(now, |machine| in_hand.get(&machine).copied().unwrap_or(0), tide, shows)
+    }
+
+    fn granted(&self, now: Moment, mut permit: Permit, exchange: &mut Exchange) {
+        if let Some(shown) = permit.shown.take() {
+            *self.shown.borrow_mut() = Some((now, shown));
+        }
+        let changed = self.permission.borrow_mut().granted(&permit);
+        if changed {
+            self.closes(now, exchange);
+        }
+    }
+}
+
 impl Talk for Fellows {
     fn tell(&self, node: Option<u64>, word: &[u8]) {
         let mut body = self.own.to_be_bytes().to_vec();
@@ -348,7 +562,9 @@
 
     fn has_seen(&self, executor: u64, at: Moment, gone: bool) {
         if self.clock.now().since(at) < RECENT {
-            self.membership.borrow_mut().tells(Word { executor, at_ms: at.0 / 1_000_000, gone });
+            self.membership
+                .borrow_mut()
+                .tells(self.clock.now(), Word { executor, at_ms: at.0 / 1_000_000, gone });
         }
     }
 }
--- a/crates/node/src/wire/settling.rs
+++ b/crates/node/src/wire/settling.rs
@@ -5,7 +5,7 @@
 use crate::wire::fellows::{KEEPER, OUTCOME, Post, STEP};
 use grebeusher_dispatch::time::Moment;
 use grebeusher_settled::{Host, Keeper};
-use log::{info, warn};
+use log::{debug, info, warn};
 use std::mem;
 use std::rc::Rc;
 
@@ -20,6 +20,8 @@
     place: usize,
     /// For this node itself.
     outcomes: Vec<Outcome>,
+    /// Something moved on that all nodes should ask for.
+    moved: bool,
 }
 
 impl Host<Settlement> for Hand {
@@ -28,9 +30,15 @@
     }
 
     fn settled(&mut self, outcome: Outcome) {
-        match outcome.node() {
-            node if node == self.own => self.outcomes.push(outcome),
-            node => self.post.say_to(node, OUTCOME, &(self.place as u8, outcome)),
+        match (outcome.node(), &outcome) {
+            (_, Outcome::Moved(moved)) => {
+                info!("plan: decision {}: {}", moved.number, moved.what);
+                self.moved = true;
+            }
+            (Some(node), _) if node != self.own => {
+                self.post.say_to(node, OUTCOME, &(self.place as u8, outcome));
+            }
+            _ => self.outcomes.push(outcome),
         }
     }
 
@@ -70,8 +78,14 @@
     ) -> Settling {
         let keepers: Rc<[u32]> = keepers.into();
         let keeper = keepers.iter().position(|number| *number == own).map(|place| {
-            let hand =
-                Hand { post: post.clone(), own, keepers: keepers.clone(), place, outcomes: Vec::new() };
+            let hand = Hand {
+                post: post.clone(),
+                own,
+                keepers: keepers.clone(),
+                place,
+                outcomes: Vec::new(),
+                moved: false,
+            };
             Keeper::new(now, place, keepers.len(), seed, empty, hand)
         });
         // Those who ask begin with one each.
@@ -103,6 +117,7 @@
             return self.hands_on(now, step, true);
         }
         self.unanswered += 1;
+        debug!("keepers: {step:?} to node {}, {} unanswered", self.keepers[self.asked], self.unanswered);
         if self.unanswered > PATIENCE {
             (self.asked, self.unanswered) = ((self.asked + 1) % self.keepers.len(), 0);
         }
@@ -134,12 +149,23 @@
                 if place < self.keepers.len() {
                     (self.asked, self.unanswered) = (place, 0);
                 }
+                debug!("keepers: {outcome:?} of node {}", self.keepers[self.asked]);
                 self.outcomes.push(outcome);
                 true
             }
         }
     }
 
+    /// The state as it is settled here, if this node leads.
+    pub fn where_it_leads<R>(&self, reads: impl FnOnce(&Settlement) -> R) -> Option<R> {
+        self.keeper.as_ref().filter(|keeper| keeper.leads())?.with_state(reads)
+    }
+
+    /// Whether the plan has moved on here since this was asked last.
+    pub fn has_moved(&mut self) -> bool {
+        self.keeper.as_mut().is_some_and(|keeper| mem::take(&mut keeper.host().moved))
+    }
+
     /// What was settled for this node.
     pub fn outcomes(&mut self) -> Vec<Outcome> {
         let mut outcomes = mem::take(&mut self.outcomes);
--- a/crates/settled/src/keeper.rs
+++ b/crates/settled/src/keeper.rs
@@ -385,7 +385,7 @@
             let mut ready = group.node.ready();
             let mut messages = ready.take_messages();
             let store = group.node.mut_store();
-            if !ready.snapshot().metadata.as_ref().is_none_or(|meta| meta.index == 0) {
+            if ready.snapshot().metadata.as_ref().is_some_and(|meta| meta.index != 0) {
                 let _ = store.takes(ready.snapshot().clone());
                 group.settled = now;
             }
--- a/crates/settled/tests/stories.rs
+++ b/crates/settled/tests/stories.rs
@@ -239,6 +239,7 @@
 fn the_loss_of_whoever_leads_costs_seconds_and_nothing_that_was_settled() {
     let mut world = World::new(3, 2);
     world.pass(6000);
+
     for _ in 0..6 {
         let leader = world.leader().expect("one leads");
         // Killed and back at once, with nothing: it must not vote as the one that it was.
