Further allocations stay within their budget; a listed start that may be off counts as cold longer

Cause: `renew` and `review` knew only the most allocations of one unit.

Changed: the charter reads and checks `budget_span_ns`, `extra_free` and `further_ratio` (all or none), and `ready_margin_ns`. The module counts what came and what was sent further over the span, 50 ms to the careful side, and gives up at once what has no further allocation left. It can't come back: both ways to a further allocation ask it, in `place` and in `review`, and nothing is subtracted from what was counted. A start that may be off by the margin counts as cold from when it was heard of at the latest.

Where the settings say nothing everything is as before. Stories for both; without the count the first fails.

--- a/crates/charter/src/lib.rs
+++ b/crates/charter/src/lib.rs
@@ -9,7 +9,7 @@
 
 use grebeusher_dispatch::decide::Dispatcher;
 use grebeusher_dispatch::host::Host;
-use grebeusher_dispatch::tariffs::{Allowance, ColdStart, Effect, Group, Report, Tariff};
+use grebeusher_dispatch::tariffs::{Allowance, ColdStart, Effect, Further, Group, Report, Tariff};
 use grebeusher_dispatch::time::{Moment, Span};
 use section::Section;
 use serde_json::Value;
@@ -102,6 +102,7 @@
                 second_copies: caps.flag("second_copies")?,
                 recalls: caps.flag("cancelling")?,
                 recalls_stop: false,
+                further: further(&whole.part("contract")?)?,
                 longest_come_back,
             },
             cold: cold_start(&whole.part("contract")?)?,
@@ -230,6 +231,13 @@
         .collect()
 }
 
+/// The budget of further allocations, where there is one: all of it must be told.
+fn further(contract: &Section) -> Result<Option<Further>, String> {
+    let Some(span) = contract.span("budget_span_ns")? else { return Ok(None) };
+    let free = contract.due_number("extra_free", 0.0..=1e9)?;
+    Ok(Some(Further { span, free, share: contract.due_number("further_ratio", 0.0..=1e3)? }))
+}
+
 /// What is promised of cold executors must be told: nobody can keep to what is not known.
 fn cold_start(contract: &Section) -> Result<ColdStart, String> {
     Ok(ColdStart {
@@ -237,6 +245,7 @@
         warm_within: Span(contract.due_number("warm_within_ns", 0.0..=1e18)? as u64),
         fall_factor: contract.due_number("overload_factor", 0.0..=1e6)?,
         fall_window: contract.due_span("fall_ns")?,
+        starts_off: contract.span("ready_margin_ns")?.unwrap_or_default(),
         from: Moment(0),
     })
 }
--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -56,6 +56,8 @@
     hash: u64,
     standing: Standing,
     started: Option<Moment>,
+    /// The latest that this start can have been, as listed ones may be off: when it was heard of, at most.
+    cold_from: Option<Moment>,
     kind: usize,
     zone: usize,
     cell: usize,
@@ -154,7 +156,7 @@
 
     /// The work that all nodes together may send here within a window, while it is cold.
     fn cold_budget(&self, cold: &ColdStart, now: Moment) -> Option<f64> {
-        let started = self.started.max(self.died).filter(|&at| now < at + cold.warm_within)?;
+        let started = self.cold_from.max(self.died).filter(|&at| now < at + cold.warm_within)?;
         Some(cold.least(now.since(started)) * self.capacity * cold.fall_factor)
     }
 
@@ -283,6 +285,9 @@
     roster: Vec<usize>,
     out: usize,
     work: BTreeMap<UnitId, Work>,
+    /// When work units came and further allocations were sent, as far as their budget looks back.
+    came: VecDeque<Moment>,
+    further: VecDeque<Moment>,
     follow_tries: u32,
     /// Recent sized work: size, and how long it runs on standard cores.
     sample: VecDeque<(f64, f64)>,
@@ -314,6 +319,8 @@
             roster: Vec::new(),
             out: 0,
             work: BTreeMap::new(),
+            came: VecDeque::new(),
+            further: VecDeque::new(),
             follow_tries: 0,
             sample: VecDeque::new(),
             median: 1.0,
@@ -395,6 +402,7 @@
             if entry.started > e.started {
                 // A restarted process is cold and owes nothing to its past.
                 e.started = entry.started;
+                e.cold_from = entry.started.map(|at| at.max(now.min(at + self.cold.starts_off)));
                 (e.reported, e.utilisation, e.answers) = (None, 0.0, 0);
                 e.aside_until = Moment(0);
                 e.cold_sent.clear();
@@ -432,6 +440,9 @@
                 _ => {}
             }
         }
+        if self.allowance.further.is_some() {
+            self.came.push_back(now);
+        }
         let tariff = arrival.tariff.min(self.tariffs.len() - 1);
         let terms = &self.tariffs[tariff];
         // The quoted time runs from a client's first try. Guards against late repeats taking the place of
@@ -778,9 +789,11 @@
         }
         match picked {
             Some((executor, _, wait)) => {
-                let fresh = work.allocations.iter().all(|a| !a.may_have_run);
+                let (first, fresh) =
+                    (work.allocations.is_empty(), work.allocations.iter().all(|a| !a.may_have_run));
+                let spent = !first && !self.may_go_further(now);
                 let hopeless = fresh && self.hopeless(now, &self.work[&unit], wait);
-                if hopeless { self.answer(unit) } else { self.send(now, unit, executor) }
+                if spent || hopeless { self.answer(unit) } else { self.send(now, unit, executor) }
             }
             None if work.held => {}
             None => {
@@ -802,6 +815,9 @@
         (work.held, self.out) = (false, self.out + 1);
         let sent = Allocation { executor, sent: now, open: true, may_have_run: true, recalled: false };
         work.allocations.push(sent);
+        if work.allocations.len() > 1 && self.allowance.further.is_some() {
+            self.further.push_back(now);
+        }
         let (size, slots) = (work.size, work.slots);
         let time_out = (work.patience_ends - ANSWER_MARGIN).since(now);
         // Where starts are not told, what runs is heard of a pace later; without progress it never is. Guards
@@ -862,6 +878,7 @@
         }
         if (waits || silent)
             && self.may_allocate(unit, self.allowance.recalls)
+            && self.may_go_further(now)
             && let Some((better, true, _)) = self.pick(now, unit)
         {
             // One that waits keeps its place there, where two may be out: whichever starts first has it.
@@ -896,6 +913,20 @@
         }
     }
 
+    /// Whether the budget of further allocations, where there is one, has one more now. What came is counted a little shorter
+    /// and what was sent a little longer than the span: whoever checks may hear of either later.
+    fn may_go_further(&mut self, now: Moment) -> bool {
+        const HEARD_WITHIN: Span = Span::millis(50); // on its way to or from whoever counts
+        let Some(budget) = self.allowance.further else { return true };
+        while self.came.front().is_some_and(|&at| now.since(at) + HEARD_WITHIN >= budget.span) {
+            self.came.pop_front();
+        }
+        while self.further.front().is_some_and(|&at| now.since(at) > budget.span + HEARD_WITHIN) {
+            self.further.pop_front();
+        }
+        (self.further.len() + 1) as f64 <= budget.free + budget.share * self.came.len() as f64
+    }
+
     /// Whether one more allocation is allowed; `recalling`: the open ones are about to be recalled.
     fn may_allocate(&self, unit: UnitId, recalling: bool) -> bool {
         let work = &self.work[&unit];
--- a/crates/dispatch/src/tariffs.rs
+++ b/crates/dispatch/src/tariffs.rs
@@ -123,6 +123,15 @@
     pub free_slots: Option<f64>,
 }
 
+/// What a node may allocate beyond each work unit's first: within any span so many, and a share of the work units that it took
+/// in that time.
+#[derive(Clone, Copy, Debug)]
+pub struct Further {
+    pub span: Span,
+    pub free: f64,
+    pub share: f64,
+}
+
 /// How often and in what way a work unit may be allocated.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Allowance {
@@ -131,6 +140,8 @@
     pub recalls: bool,
     /// A recall takes work that waits out of its executor's queue: that is promised, nothing that a node hears tells it.
     pub recalls_stop: bool,
+    /// What all work units together may have beyond their first allocations, where that is limited.
+    pub further: Option<Further>,
     /// The longest wait that a client told to come back keeps to, where it can be told.
     pub longest_come_back: Option<Span>,
 }
@@ -142,6 +153,8 @@
     pub warm_within: Span,
     pub fall_factor: f64,
     pub fall_window: Span,
+    /// By how much a listed start may be off, either way.
+    pub starts_off: Span,
     /// Cold executors get nothing before this.
     pub from: Moment,
 }
--- a/crates/dispatch/tests/fake/mod.rs
+++ b/crates/dispatch/tests/fake/mod.rs
@@ -57,6 +57,7 @@
     second_copies: true,
     recalls: true,
     recalls_stop: false,
+    further: None,
     longest_come_back: None,
 };
 /// A size that stands for no hint at all: the unit joins no sample, and one lane stays.
@@ -97,6 +98,7 @@
         warm_within: Span::millis(20_000),
         fall_factor: 4.0,
         fall_window: Span::millis(1000),
+        starts_off: Span(0),
         from: Moment(0),
     };
     Dispatcher::new(host, 7, node, nodes, tariffs()).allowing(allowance).cold_starts(cold).noticing(
--- a/crates/dispatch/tests/stories.rs
+++ b/crates/dispatch/tests/stories.rs
@@ -233,6 +233,55 @@
     assert_eq!(story.heard(), [Said::TurnBack(1)]);
 }
 
+/// Guards against a budget of further allocations that a burst of endings overruns, at a node that has just started.
+#[test]
+fn further_allocations_stay_within_their_budget_in_any_window() {
+    let further = Some(Further { span: Span::millis(5000), free: 1.0, share: 0.5 });
+    let mut story = Story::with(6, Allowance { further, ..ALLOWANCE });
+    let mut sent = |story: &mut Story, unit| {
+        story.arrive(unit, BINDING, 100);
+        let first = story.sent_to();
+        story.end(unit, 0, first, Ending::CutOff);
+        let heard = story.heard();
+        assert_eq!(heard.len(), 1, "given up at once, or sent again: {heard:?}");
+        let Said::Allocate(_, second, _) = heard[0] else { return false };
+        story.end(unit, 1, second, Ending::Fulfilled);
+        true
+    };
+    // One is free, and one more for every two that came.
+    let further: Vec<bool> = (1..=6).map(|unit| sent(&mut story, unit)).collect();
+    assert_eq!(further, [true, true, false, true, false, true]);
+    // Those that came long ago count no more, nor does what was sent then.
+    story.pass(5100);
+    assert!(sent(&mut story, 7));
+    assert!(sent(&mut story, 8) && !sent(&mut story, 9));
+}
+
+/// Guards against a start that is listed earlier than it was: the executor is colder than it looks.
+#[test]
+fn where_listed_starts_may_be_off_an_executor_counts_as_cold_for_longer() {
+    let sent = |off_ms: u64| {
+        let mut story = Story::of(1);
+        let cold = ColdStart {
+            share: 0.2,
+            warm_within: Span::millis(20_000),
+            fall_factor: 4.0,
+            fall_window: Span::millis(1000),
+            starts_off: Span::millis(off_ms),
+            from: Moment(0),
+        };
+        story.node = dispatcher(story.said.clone(), (0, 2), ALLOWANCE, false, true).cold_starts(cold);
+        story.node.start(story.now);
+        let listed = story.now;
+        story.pass(15_000);
+        story.node.listed(story.now, true, &[Listing { started: Some(listed), ..listing(0, "late") }]);
+        story.pass(6000);
+        (0..30).for_each(|unit| story.arrive(unit, BINDING, 1000));
+        story.heard().iter().filter(|said| matches!(said, Said::Allocate(..))).count()
+    };
+    assert!(sent(0) > sent(12_000), "{} and {}", sent(0), sent(12_000));
+}
+
 #[test]
 fn fingerprinted_work_repeats_only_inside_its_group_and_memory_span() {
     let mut story = Story::of(6);
--- a/crates/emulator/src/world.rs
+++ b/crates/emulator/src/world.rs
@@ -109,6 +109,7 @@
                     second_copies: n.second_copies,
                     recalls: n.recalls,
                     recalls_stop: n.recalls_stop,
+                    further: None,
                     longest_come_back: None,
                 };
                 let cold = ColdStart {
@@ -116,6 +117,7 @@
                     warm_within: ms(r.warm_within_s * 1e3),
                     fall_factor: r.fall_factor,
                     fall_window: ms(r.fall_window_ms),
+                    starts_off: Span(0),
                     from: Moment(0),
                 };
                 let told_count = n.told_count.unwrap_or(n.count) as u64;
