Clocks that differ: a fresh unit has the patience of its tariff, within the error that is stated

Changed: `deadline_error_ns` is read and checked; the one place that says how long a unit may wait (`arrived`) takes the tariff's patience for a client that has just asked, within the error either way of what came with it. A repeat keeps what it came with: its first try has used some. Without the setting nothing differs.

--- a/crates/charter/src/lib.rs
+++ b/crates/charter/src/lib.rs
@@ -102,6 +102,7 @@
                 second_copies: caps.flag("second_copies")?,
                 recalls: caps.flag("cancelling")?,
                 recalls_stop: false,
+                patience_off: whole.part("contract")?.span("deadline_error_ns")?.unwrap_or_default(),
                 further: further(&whole.part("contract")?)?,
                 longest_come_back,
             },
--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -445,21 +445,17 @@
         }
         let tariff = arrival.tariff.min(self.tariffs.len() - 1);
         let terms = &self.tariffs[tariff];
+        // The one notion of time left. Clocks may differ by so much: a client that has just asked waits as long as
+        // its tariff says, within that.
+        let (told, off) = (arrival.patience_ends, self.allowance.patience_off);
+        let waits = if arrival.repeat { told } else { now + terms.patience };
+        let patience_ends = waits.clamp(told - off, told + off);
         // The quoted time runs from a client's first try. Guards against late repeats taking the place of
         // what can still be in time.
-        let asked = if arrival.repeat { now.min(arrival.patience_ends - terms.patience) } else { now };
+        let asked = if arrival.repeat { now.min(patience_ends - terms.patience) } else { now };
         let quoted = terms.quoted_time + Span::secs(terms.stretch * size / slots);
         let over_share = self.allotments.get_mut(arrival.customer).is_some_and(|a| a.beyond(now));
-        let work = Work {
-            tariff,
-            asked,
-            quoted,
-            patience_ends: arrival.patience_ends,
-            size,
-            slots,
-            over_share,
-            ..Work::default()
-        };
+        let work = Work { tariff, asked, quoted, patience_ends, size, slots, over_share, ..Work::default() };
         self.work.insert(unit, work);
         if arrival.beyond { self.answer(unit) } else { self.place(now, unit) }
     }
--- a/crates/dispatch/src/tariffs.rs
+++ b/crates/dispatch/src/tariffs.rs
@@ -140,6 +140,8 @@
     pub recalls: bool,
     /// A recall takes work that waits out of its executor's queue: that is promised, nothing that a node hears tells it.
     pub recalls_stop: bool,
+    /// By how much the time left that comes with a work unit may be off, either way.
+    pub patience_off: Span,
     /// What all work units together may have beyond their first allocations, where that is limited.
     pub further: Option<Further>,
     /// The longest wait that a client told to come back keeps to, where it can be told.
--- a/crates/dispatch/tests/fake/mod.rs
+++ b/crates/dispatch/tests/fake/mod.rs
@@ -57,6 +57,7 @@
     second_copies: true,
     recalls: true,
     recalls_stop: false,
+    patience_off: Span(0),
     further: None,
     longest_come_back: None,
 };
--- a/crates/dispatch/tests/stories.rs
+++ b/crates/dispatch/tests/stories.rs
@@ -257,6 +257,26 @@
     assert!(sent(&mut story, 8) && !sent(&mut story, 9));
 }
 
+/// Guards against work given up seconds early by a clock that is ahead, and against holding it past a client's patience.
+#[test]
+fn where_clocks_differ_a_fresh_unit_has_the_patience_of_its_tariff_within_the_error() {
+    let given = |off_ms: u64, told_ms: u64| {
+        let patience_off = Span::millis(off_ms);
+        let mut story = Story::with(2, Allowance { patience_off, ..ALLOWANCE });
+        let patience_ends = story.now + Span::millis(told_ms);
+        let arrival = Arrival { patience_ends, ..story.arrival(100) };
+        story.arrive_as(1, arrival);
+        let heard = story.heard();
+        let Said::Allocate(_, _, time_out) = heard[0] else { panic!("{heard:?}") };
+        time_out.as_secs()
+    };
+    let whole = tariffs()[0].patience.as_secs();
+    assert!((given(0, 1000) - 0.98).abs() < 1e-6, "{}", given(0, 1000));
+    assert!((given(2000, 1000) - 2.98).abs() < 1e-6, "{}", given(2000, 1000));
+    let told = (whole * 1e3) as u64 + 1000;
+    assert!((given(2000, told) - (whole - 0.02)).abs() < 1e-6, "{}", given(2000, told));
+}
+
 /// Guards against a start that is listed earlier than it was: the executor is colder than it looks.
 #[test]
 fn where_listed_starts_may_be_off_an_executor_counts_as_cold_for_longer() {
--- a/crates/emulator/src/world.rs
+++ b/crates/emulator/src/world.rs
@@ -109,6 +109,7 @@
                     second_copies: n.second_copies,
                     recalls: n.recalls,
                     recalls_stop: n.recalls_stop,
+                    patience_off: Span(0),
                     further: None,
                     longest_come_back: None,
                 };
