Where neither starts nor other nodes tell, an answer tells how long work waits

Work runs 50 to 200 ms there, starts are not told and progress comes each second, so no word of a start ever came: `wait` knew nothing, nothing was hopeless, and queues were filled until they were full.

It guards against any queue that shows in answers alone; it would do harm where sizes are hinted far too small.

--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -991,8 +991,18 @@
         match ending {
             Ending::Fulfilled => {
                 e.answers += 1;
-                if let Some((f, started)) = flight.and_then(|f| f.started.map(|at| (f, at))) {
-                    (e.done, e.ran) = (e.done + f.size, e.ran + now.since(started).as_secs() * f.slots);
+                match flight {
+                    Some(Flight { started: Some(at), size, slots, .. }) => {
+                        (e.done, e.ran) = (e.done + size, e.ran + now.since(at).as_secs() * slots);
+                    }
+                    // Where neither starts nor other nodes tell, the answer tells the wait: all that it took beyond its
+                    // own run. Guards against queues that nobody sees as work runs for less than a pace of progress.
+                    Some(f) if !self.tells_start && !self.talk.allowed => {
+                        let run = f.size / f.slots / e.pace;
+                        e.last_wait = (now.since(f.sent).as_secs() - run).max(0.0);
+                        e.last_start = now;
+                    }
+                    _ => {}
                 }
             }
             // A full waiting room empties in about a run: nothing until then, or it would answer fastest
--- a/crates/dispatch/tests/stories.rs
+++ b/crates/dispatch/tests/stories.rs
@@ -277,6 +277,21 @@
     assert!((given(2000, told) - (whole - 0.02)).abs() < 1e-6, "{}", given(2000, told));
 }
 
+/// Guards against a queue that nobody sees, as starts are not told and work ends before any word of progress.
+#[test]
+fn where_starts_are_not_told_an_answer_tells_how_long_work_waits() {
+    for (starts, sent) in [(false, false), (true, true)] {
+        let mut story = Story::told(1, ALLOWANCE, starts);
+        story.arrive(1, BINDING, 100);
+        story.sent_to();
+        story.pass(3000);
+        story.end(1, 0, 0, Ending::Fulfilled);
+        story.arrive(2, BINDING, 100);
+        let heard = story.heard();
+        assert_eq!(heard.iter().any(|said| matches!(said, Said::Allocate(2, ..))), sent, "{heard:?}");
+    }
+}
+
 /// Guards against a start that is listed earlier than it was: the executor is colder than it looks.
 #[test]
 fn where_listed_starts_may_be_off_an_executor_counts_as_cold_for_longer() {
