Paces of executors are learnt from answers where neither starts nor other nodes tell

Cause: `done` and `ran` grew only with a start that was told, so all kinds counted as equal for good, in the lanes, the pick and the cold budgets.

Changed: the answer of an executor that is at most half busy and has nothing else of this node's counts as its run. The wait of an answer is what it took beyond a run at a standard core's pace at least.

--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -995,11 +995,18 @@
                     Some(Flight { started: Some(at), size, slots, .. }) => {
                         (e.done, e.ran) = (e.done + size, e.ran + now.since(at).as_secs() * slots);
                     }
-                    // Where neither starts nor other nodes tell, the answer tells the wait: all that it took beyond its
-                    // own run. Guards against queues that nobody sees as work runs for less than a pace of progress.
+                    // Where neither starts nor other nodes tell, the answer tells the wait: all that it took
+                    // beyond its own run. Guards against queues that nobody sees, as work runs for less than a
+                    // pace of progress.
                     Some(f) if !self.tells_start && !self.talk.allowed => {
-                        let run = f.size / f.slots / e.pace;
-                        e.last_wait = (now.since(f.sent).as_secs() - run).max(0.0);
+                        let run = f.size / f.slots / e.pace.max(1.0);
+                        let took = now.since(f.sent).as_secs();
+                        // Paces only from one that is half idle, where next to nothing waits; and a run of a
+                        // standard core's at most: a pace that held some waiting must not hide the next.
+                        if e.flights.is_empty() && e.utilisation < 0.5 {
+                            (e.done, e.ran) = (e.done + f.size, e.ran + took * f.slots);
+                        }
+                        e.last_wait = (took - run).max(0.0);
                         e.last_start = now;
                     }
                     _ => {}
--- a/crates/dispatch/tests/stories.rs
+++ b/crates/dispatch/tests/stories.rs
@@ -238,7 +238,7 @@
 fn further_allocations_stay_within_their_budget_in_any_window() {
     let further = Some(Further { span: Span::millis(5000), free: 1.0, share: 0.5 });
     let mut story = Story::with(6, Allowance { further, ..ALLOWANCE });
-    let mut sent = |story: &mut Story, unit| {
+    let sent = |story: &mut Story, unit| {
         story.arrive(unit, BINDING, 100);
         let first = story.sent_to();
         story.end(unit, 0, first, Ending::CutOff);
