--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -445,8 +445,8 @@
         }
         let tariff = arrival.tariff.min(self.tariffs.len() - 1);
         let terms = &self.tariffs[tariff];
-        // The one notion of time left. Clocks may differ by so much: a client that has just asked waits as long as
-        // its tariff says, within that.
+        // The one notion of time left. Clocks may differ by so much: a client that has just asked waits
+        // as long as its tariff says, within that.
         let (told, off) = (arrival.patience_ends, self.allowance.patience_off);
         let waits = if arrival.repeat { told } else { now + terms.patience };
         let patience_ends = waits.clamp(told - off, told + off);
@@ -841,8 +841,9 @@
         }
     }
 
-    /// Looks at a work unit that is out and may be sent again: one that waits gets a further place at an executor with
-    /// room, or leaves its own where a recall stops it there; one whose executor fell silent goes to one with room.
+    /// Looks at a work unit that is out and may be sent again: one that waits gets a further place at an
+    /// executor with room, or leaves its own where a recall stops it there; one whose executor fell silent
+    /// goes to one with room.
     fn review(&mut self, now: Moment, unit: UnitId) {
         const AGAIN: Span = Span::millis(250); // a few looks within the shortest quoted times
         let Some(work) = self.work.get(&unit) else { return };
@@ -909,8 +910,9 @@
         }
     }
 
-    /// Whether the budget of further allocations, where there is one, has one more now. What came is counted a little shorter
-    /// and what was sent a little longer than the span: whoever checks may hear of either later.
+    /// Whether the budget of further allocations, where there is one, has one more now. What came is counted
+    /// a little shorter and what was sent a little longer than the span: whoever checks may hear of either
+    /// later.
     fn may_go_further(&mut self, now: Moment) -> bool {
         const HEARD_WITHIN: Span = Span::millis(50); // on its way to or from whoever counts
         let Some(budget) = self.allowance.further else { return true };
@@ -996,8 +998,8 @@
                         (e.done, e.ran) = (e.done + size, e.ran + now.since(at).as_secs() * slots);
                     }
                     // Where neither starts nor other nodes tell, the answer tells the wait: all that it took
-                    // beyond its own run. Guards against queues that nobody sees, as work runs for less than a
-                    // pace of progress.
+                    // beyond its own run. Guards against queues that nobody sees, as work runs for less than
+                    // a pace of progress.
                     Some(f) if !self.tells_start && !self.talk.allowed => {
                         let run = f.size / f.slots / e.pace.max(1.0);
                         let took = now.since(f.sent).as_secs();
