Console calls may hold a plan: the story of long ones goes by the new bounds; nothing is kept for plans where none are

What a node stopped waiting for was kept wherever nodes talk and looked at only where machines are taken out; it is kept from the first ask on, and ten minutes, so that what ended just before a plan counts.

--- a/crates/node/src/exchange.rs
+++ b/crates/node/src/exchange.rs
@@ -229,7 +229,7 @@
     /// What the fleet has closed.
     closed: Closed,
     /// Where this node stopped waiting for something that may still run, and when; only where machines are closed.
-    unsure: BTreeMap<(ExecutorId, Rc<str>), Moment>,
+    unsure: Option<BTreeMap<(ExecutorId, Rc<str>), Moment>>,
     own_zone: usize,
     unit_ids: UnitIds,
     /// Other processes of this node, where there may be some.
@@ -267,7 +267,7 @@
             kept_cold: Moment(0),
             awaiting: VecDeque::new(),
             closed: Closed::These(BTreeSet::new()),
-            unsure: BTreeMap::new(),
+            unsure: None,
             hands,
             reports: Reports::of(charter),
             zones: charter.zones.clone(),
@@ -320,10 +320,15 @@
     /// What is out at each executor, by the hash of its name; what this node has stopped waiting for less than `longest` ago
     /// may still run and counts.
     pub fn in_hand(&mut self, longest: Span) -> BTreeMap<u64, u16> {
+        const KEPT: Span = Span::millis(600_000); // few wait longer for what nobody waits for any more
         let now = self.hands.clock.now();
-        self.unsure.retain(|_, since| now.since(*since) < longest);
+        // Kept from the first time that anybody asks. Guards against a list that grows where nobody ever does.
+        let unsure = self.unsure.get_or_insert_default();
+        // A plan may begin with a longer unit in its terms than any before. Guards against what ended just before it.
+        unsure.retain(|_, since| now.since(*since) < longest.max(KEPT));
         let mut count = self.hands.desk.borrow().units.out_at_all();
-        self.unsure.keys().for_each(|(executor, _)| *count.entry(*executor).or_default() += 1);
+        let counts = unsure.iter().filter(|(_, since)| now.since(**since) < longest);
+        counts.for_each(|((executor, _), _)| *count.entry(*executor).or_default() += 1);
         let known = self.known.iter();
         known.filter_map(|(hash, known)| Some((*hash, *count.get(&known.executor)?))).collect()
     }
@@ -607,8 +612,8 @@
         };
         // Whoever has told of an end has nothing of it any more, though nobody waited.
         let over = matches!(call.state, State::Done { .. } | State::Failed | State::Returned | State::Lost);
-        if let Some(executor) = executor.filter(|_| over && !self.unsure.is_empty()) {
-            self.unsure.remove(&(executor, call.id.as_str().into()));
+        if let (Some(executor), Some(unsure)) = (executor.filter(|_| over), &mut self.unsure) {
+            unsure.remove(&(executor, call.id.as_str().into()));
         }
         let found = unit.zip(executor);
         let Some((unit, executor)) = found else { return self.counters.call_backs_unknown.up() };
@@ -685,10 +690,10 @@
             Ending::Unusable => self.counters.ended_unusable.up(),
         }
         let ran = matches!(ending, Ending::Fulfilled | Ending::Error);
-        if !ran && !ending.proves_not_run() && self.hands.fellows.is_some() {
+        if let Some(unsure) = self.unsure.as_mut().filter(|_| !ran && !ending.proves_not_run()) {
             let errand = self.hands.desk.borrow().units.errand(id.unit);
             if let Some(errand) = errand {
-                self.unsure.insert((executor, errand.call_id.clone()), self.hands.clock.now());
+                unsure.insert((executor, errand.call_id.clone()), self.hands.clock.now());
             }
         }
         if ending != Ending::Fulfilled {
