Reread: one merged standing in the exchange, the rig's own message writer, less work for each ask

What the decisions hear of an executor (the list, and what is closed) was put together in three places: `Closed::listing` serves all. Two loops over zones and kinds of a plan are one. The rig's staff wrote messages by hand that `http::said` writes. For each ask the keepers listed all stages of a plan, used only after a loss, and copied the sender's work in hand for three numbers. A second bound on cold machines could never be reached: less than `most_out` are out there.

Behaviour as before; no test was changed.

--- a/crates/load/src/staff.rs
+++ b/crates/load/src/staff.rs
@@ -2,7 +2,7 @@
 //! would. What is under way at a machine that is out is counted here, from the machine's side.
 
 use crate::fleet::{Fleet, Owner, Task};
-use crate::http::answer;
+use crate::http::{answer, said};
 use crate::wire::CLEAR;
 use grebeusher_dispatch::tariffs::Standing;
 use grebeusher_dispatch::time::{Moment, Span};
@@ -125,14 +125,11 @@
                 let file = plan_file(&self.scenario, plan, &names);
                 self.staff.began.get_or_insert(now);
                 let name = self.staff.name;
-                format!(
-                    "POST /fleet/submit?name={name} HTTP/1.1\r\nHost: x\r\nContent-Length: {}\r\n\r\n{file}",
-                    file.len()
-                )
+                said(&format!("POST /fleet/submit?name={name} HTTP/1.1\r\nHost: x\r\n"), file.as_bytes())
             }
-            None => "GET /fleet HTTP/1.1\r\nHost: x\r\n\r\n".to_owned(),
+            None => said("GET /fleet HTTP/1.1\r\nHost: x\r\n", b""),
         };
-        self.wire.says(key, call.into_bytes(), now);
+        self.wire.says(key, call, now);
     }
 
     pub fn console_hears(&mut self, key: usize) {
@@ -215,12 +212,9 @@
         let (now, node) = (self.now(), self.staff.asked);
         let body = format!("{} {number}", self.executors[at].name);
         let name: u32 = self.chance.random();
-        let call = format!(
-            "POST /fleet/idle?name={name} HTTP/1.1\r\nHost: x\r\nContent-Length: {}\r\n\r\n{body}",
-            body.len()
-        );
+        let call = said(&format!("POST /fleet/idle?name={name} HTTP/1.1\r\nHost: x\r\n"), body.as_bytes());
         if let Ok(key) = self.wire.dials(self.nodes[node].console(), Owner::Agent(at), CLEAR, now) {
-            self.wire.says(key, call.into_bytes(), now);
+            self.wire.says(key, call, now);
         }
     }
 
--- a/crates/maintenance/src/works.rs
+++ b/crates/maintenance/src/works.rs
@@ -302,11 +302,11 @@
     }
 
     fn hears(&mut self, ask: &Ask) {
-        let stages = self.stages();
         let until_ms = self.clock_ms + self.permission_ms;
         self.heard.insert(ask.holder.number);
         // What an asker keeps closed and nobody here knows of was closed by a state that is lost.
         if ask.knows > self.number {
+            let stages = self.stages();
             let lost = ask.closed.iter().filter(|machine| !stages.iter().any(|(own, _)| own == *machine));
             let lost: Vec<u64> = lost.copied().collect();
             if !lost.is_empty() {
@@ -315,10 +315,10 @@
             }
         }
         let Ask { knows, units, turned_back, .. } = *ask;
-        let before = self.senders.get(&ask.holder).cloned();
-        let before = before.as_ref();
+        let before =
+            self.senders.get(&ask.holder).map(|sender| (sender.units, sender.turned_back, sender.knows));
+        let (units_before, back_before, knew) = before.unwrap_or_default();
         let in_hand = ask.in_hand.iter().copied().collect();
-        let (units_before, back_before) = before.map_or((0, 0), |sender| (sender.units, sender.turned_back));
         self.told.0 += units.saturating_sub(units_before);
         self.told.1 += turned_back.saturating_sub(back_before);
         // Two lives never have one socket: who comes back in the stead of one that died must not wait for the dead one's time.
@@ -330,7 +330,7 @@
             (sender.dead, sender.until_ms) = (true, sender.until_ms.min(self.clock_ms))
         });
         // One ask may overtake another: what was known stays known.
-        let knows = knows.max(before.map_or(0, |sender| sender.knows));
+        let knows = knows.max(knew);
         self.senders.insert(
             ask.holder,
             Sender { until_ms, socket: ask.socket, dead: false, knows, in_hand, units, turned_back },
@@ -742,7 +742,7 @@
             ));
         }
         let cold = count(&[Phase::Back]);
-        if cold + out as usize >= plan.most_cold() + plan.most_out as usize || cold >= plan.most_cold() {
+        if cold >= plan.most_cold() {
             return Some(format!("{cold} are back and cold, {} may be", plan.most_cold()));
         }
         // Closed ones that the list still calls ready do nothing.
--- a/crates/node/src/exchange.rs
+++ b/crates/node/src/exchange.rs
@@ -209,6 +209,11 @@
         };
         if closed && listed == Standing::Ready { Standing::Draining } else { listed }
     }
+
+    /// What the decisions hear of an executor: one standing, merged of the list and of what is closed.
+    fn listing<'a>(&self, executor: u64, known: &'a Listed) -> Listing<'a> {
+        Listing { standing: self.stands(executor, known.standing), ..known.listing() }
+    }
 }
 
 pub struct Exchange {
@@ -306,12 +311,7 @@
         let changed = self.known.iter().filter(|(hash, known)| {
             before.stands(**hash, known.standing) != self.closed.stands(**hash, known.standing)
         });
-        let listings: Vec<Listing> = changed
-            .map(|(hash, known)| Listing {
-                standing: self.closed.stands(*hash, known.standing),
-                ..known.listing()
-            })
-            .collect();
+        let listings: Vec<Listing> = changed.map(|(hash, known)| self.closed.listing(*hash, known)).collect();
         if !listings.is_empty() {
             self.dispatcher.listed(self.hands.clock.now(), false, &listings);
         }
@@ -355,20 +355,12 @@
     /// Puts the executors that a plan means by zone or kind into it, and the zone of each; the error names what is not listed.
     pub fn completes(&self, plan: &mut Plan) -> Result<(), String> {
         let placed = |names: &[String], at: usize| names.get(at).cloned().unwrap_or_default();
-        for (at, zone) in plan.of_zones.iter().enumerate() {
-            if !self.zones.contains(zone) {
-                return Err(format!(
-                    "of_zones[{at}]: expected one of {}, found {zone:?}",
-                    self.zones.join(", ")
-                ));
-            }
-        }
-        for (at, kind) in plan.of_kinds.iter().enumerate() {
-            if !self.kinds.contains(kind) {
-                return Err(format!(
-                    "of_kinds[{at}]: expected one of {}, found {kind:?}",
-                    self.kinds.join(", ")
-                ));
+        for (key, named, all) in
+            [("of_zones", &plan.of_zones, &self.zones), ("of_kinds", &plan.of_kinds, &self.kinds)]
+        {
+            if let Some(at) = named.iter().position(|name| !all.contains(name)) {
+                let (found, known) = (&named[at], all.join(", "));
+                return Err(format!("{key}[{at}]: expected one of {known}, found {found:?}"));
             }
         }
         let mut meant: Vec<&Listed> = self
@@ -892,8 +884,8 @@
             if gone { "gone" } else { "back" },
             now.since(at).as_secs()
         );
-        let standing = self.closed.stands(executor, known.standing);
-        self.dispatcher.listed(now, false, &[Listing { standing, ..known.listing() }]);
+        let listing = self.closed.listing(executor, known);
+        self.dispatcher.listed(now, false, &[listing]);
     }
 
     /// Starts that the list has not told, no longer ago than this, and what is gone.
@@ -920,11 +912,7 @@
         // Only the decisions take it for started now. Guards against a word or a list that it is back, which is a little older
         // than this, being taken for old news.
         let listings: Vec<Listing> = still
-            .map(|(hash, known)| Listing {
-                started: Some(now),
-                standing: self.closed.stands(*hash, known.standing),
-                ..known.listing()
-            })
+            .map(|(hash, known)| Listing { started: Some(now), ..self.closed.listing(*hash, known) })
             .collect();
         self.dispatcher.listed(now, false, &listings);
     }
--- a/crates/settled/src/keeper.rs
+++ b/crates/settled/src/keeper.rs
@@ -39,7 +39,7 @@
 /// What keepers say to each other.
 #[derive(Serialize, Deserialize)]
 enum Word {
-    /// What a life has: its group, if any, and whether anything was settled there.
+    /// The group that a life belongs to, if any.
     Hello {
         life: u64,
         group: Option<u64>,
