The key of a fleet's datagrams is worked out once, not for each of them

Each datagram that went out or came in hashed the whole secret again to get the key of its mark. It is made with the frame. The marks are the same; the story of frames stands as it was. Format, lint and the node's tests passed.

--- a/crates/node/src/wire/fellows.rs
+++ b/crates/node/src/wire/fellows.rs
@@ -62,12 +62,16 @@
 /// the fleet's name and secret can make.
 struct Frame {
     fleet: String,
-    secret: String,
+    key: [u8; 16],
 }
 
 impl Frame {
+    fn new(fleet: &str, secret: &str) -> Frame {
+        Frame { fleet: fleet.to_owned(), key: key(secret) }
+    }
+
     fn mark(&self, version: u8, kind: u8, body: &[u8]) -> [u8; MARK] {
-        let mut hasher = SipHasher24::new_with_key(&key(&self.secret));
+        let mut hasher = SipHasher24::new_with_key(&self.key);
         hasher.write(&[version, kind, self.fleet.len() as u8]);
         hasher.write(self.fleet.as_bytes());
         hasher.write(body);
@@ -214,7 +218,7 @@
         let socket = UdpSocket::bind(at).map_err(wrong)?;
         socket.set_nonblocking(true).map_err(wrong)?;
         poller.add(&socket, Event::readable(key)).map_err(wrong)?;
-        let frame = Frame { fleet: posted.fleet.clone(), secret: posted.secret.clone() };
+        let frame = Frame::new(&posted.fleet, &posted.secret);
         let keepers = fleet.keepers.as_ref();
         let known = keepers.iter().flat_map(|keepers| &keepers.nodes).map(|number| (*number, None));
         let post = Rc::new(Post {
@@ -574,7 +578,7 @@
     use super::*;
 
     fn frame(fleet: &str, secret: &str) -> Frame {
-        Frame { fleet: fleet.to_owned(), secret: secret.to_owned() }
+        Frame::new(fleet, secret)
     }
 
     /// Guards against a datagram of another fleet, without the secret, cut short, changed or of another version.
