Nodes that know little ask others what they have seen of work; a cold window counts 50 ms longer

A probe in the module (budget, mean, sizes known at each cold send) showed at every breach senders that knew 2 to 37 sizes of heavy-tailed work: means of 0.02 to 0.5 s in place of 0.7, so each took an executor that bears 3 units for one that bears 5 to 20, and one more node believed to be among its warmers. What was left then were units that one node sent 1,001 ms apart and that arrived closer together.

Change: a node that has just started asks three fellows four times a second, later every two, until it knows 200 sizes; each tells its own newest 120 sizes and what it saw of kinds' paces and slots, never what it was told, which would count twice. The words of executors gone or back that it missed come the same way. The estimates moved out of decide.rs to learnt.rs. A cold window counts what is on its way. Off where nodes do not talk, but for the window.

--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -18,6 +18,7 @@
 
 use crate::host::Host;
 use crate::ids::{AllocationId, ExecutorId, UnitId, fixed_hash, mixed};
+use crate::learnt::{KindLearnt, Known, Learnt};
 use crate::tariffs::{Allowance, Arrival, ColdStart, Effect, Ending, Listing, Report, Standing, Tariff};
 use crate::time::{Moment, Span};
 use crate::word::{MOST, Word, mark};
@@ -37,6 +38,9 @@
 const SILENT_PACES: f64 = 2.5;
 /// Below this many sizes one lane holds every worker (design page).
 const FEWEST: usize = 50;
+/// What is sent is on its way to whoever counts it for so long at most, or they count it a little later than
+/// this node: two that are a window apart here may come closer together there.
+const HEARD_WITHIN: Span = Span::millis(50);
 
 /// An allocation that is still out, as its executor's record keeps it.
 struct Flight {
@@ -169,7 +173,8 @@
         const FIRST: usize = 3; // in flight before any answer: a long one must not keep all others out
         let Some(units) = self.cold_budget(cold, now).map(|budget| budget * USED / mean) else { return true };
         let owners = (units as u64).clamp(1, nodes);
-        let sent = self.cold_sent.iter().filter(|&&at| now.since(at) <= cold.fall_window).count();
+        let window = cold.fall_window + HEARD_WITHIN;
+        let sent = self.cold_sent.iter().filter(|&&at| now.since(at) <= window).count();
         now >= cold.from
             && self.distance < owners
             && self.flights.len() < FIRST + self.answers
@@ -289,11 +294,7 @@
     came: VecDeque<Moment>,
     further: VecDeque<Moment>,
     follow_tries: u32,
-    /// Recent sized work: size, and how long it runs on standard cores.
-    sample: VecDeque<(f64, f64)>,
-    median: f64,
-    mean: f64,
-    mean_run: f64,
+    known: Known,
     cut_offs: Vec<f64>,
     recut: Moment,
 }
@@ -322,10 +323,7 @@
             came: VecDeque::new(),
             further: VecDeque::new(),
             follow_tries: 0,
-            sample: VecDeque::new(),
-            median: 1.0,
-            mean: 1.0,
-            mean_run: 1.0,
+            known: Known::default(),
             cut_offs: Vec::new(),
             recut: Moment(0),
         }
@@ -428,16 +426,13 @@
     pub fn arrived(&mut self, now: Moment, unit: UnitId, arrival: &Arrival) {
         // Sizes beyond any sense would own the cut-offs alone: a millisecond to a day is what work takes.
         const SENSIBLE: (f64, f64) = (0.001, 86_400.0);
-        const SAMPLE: usize = 1000; // design page
         let slots = if arrival.slots > 0.0 && arrival.slots.is_finite() { arrival.slots } else { 1.0 };
         let hinted = arrival.hint.filter(|h| h.0 > 0);
-        let size = hinted.map_or(self.median, |h| (h.as_secs() * slots).clamp(SENSIBLE.0, SENSIBLE.1));
+        let size = hinted.map_or(self.known.median, |h| (h.as_secs() * slots).clamp(SENSIBLE.0, SENSIBLE.1));
         if hinted.is_some() {
-            self.sample.push_back((size, size / slots));
-            match self.sample.len() {
-                FEWEST => self.recompute_cut_offs(),
-                more if more > SAMPLE => drop(self.sample.pop_front()),
-                _ => {}
+            self.known.saw(size, size / slots);
+            if self.known.count() == FEWEST {
+                self.recompute_cut_offs();
             }
         }
         if self.allowance.further.is_some() {
@@ -608,19 +603,12 @@
 
     /// Cut-offs such that each lane's part of the summed size matches its part of the workers' paces.
     fn recompute_cut_offs(&mut self) {
-        let mut sizes: Vec<f64> = self.sample.iter().map(|(size, _)| *size).collect();
-        sizes.sort_by(f64::total_cmp);
-        let total: f64 = sizes.iter().sum();
-        if let Some(&middle) = sizes.get(sizes.len() / 2) {
-            let count = sizes.len() as f64;
-            (self.median, self.mean) = (middle, total / count);
-            self.mean_run = self.sample.iter().map(|(_, run)| run).sum::<f64>() / count;
-        }
+        let sizes = self.known.weighs();
         self.cut_offs.clear();
         if sizes.len() >= FEWEST && self.ready().any(|e| e.lane == 1) {
             // By the learnt paces, all one until known: by number alone a slow lane gets more than it can do.
             let pace = |lane: usize| self.ready().filter(|e| e.lane <= lane).map(|e| e.pace).sum::<f64>();
-            let due = total * pace(0) / pace(1);
+            let due = sizes.iter().sum::<f64>() * pace(0) / pace(1);
             let mut sum = 0.0;
             let cut = sizes.iter().find(|&&s| {
                 sum += s;
@@ -629,19 +617,41 @@
             self.cut_offs.extend(cut);
         }
         // What an executor can do when warm: the pace of its kind over all that ran, and the most slots seen.
-        let mut kinds: BTreeMap<usize, (f64, f64, f64)> = BTreeMap::new();
-        for e in self.ready().filter(|e| e.ran > 0.0) {
-            let (done, ran, slots) = kinds.entry(e.kind).or_default();
-            (*done, *ran, *slots) = (*done + e.done, *ran + e.ran, slots.max(e.width()));
-        }
+        let kinds = self.kinds();
         for e in &mut self.executors {
-            if let Some((done, ran, slots)) = kinds.get(&e.kind) {
-                e.pace = done / ran;
-                e.capacity = e.pace * slots;
+            let own = kinds.get(&e.kind).copied().unwrap_or_default();
+            let known = own.and(self.known.told_of(e.kind));
+            if known.ran > 0.0 {
+                e.pace = known.done / known.ran;
+                e.capacity = e.pace * known.slots;
             }
         }
     }
 
+    /// What was seen of each kind here.
+    fn kinds(&self) -> BTreeMap<usize, KindLearnt> {
+        let mut kinds: BTreeMap<usize, KindLearnt> = BTreeMap::new();
+        for e in self.ready().filter(|e| e.ran > 0.0) {
+            let known = kinds.entry(e.kind).or_default();
+            *known = known.and(KindLearnt { done: e.done, ran: e.ran, slots: e.width() });
+        }
+        kinds
+    }
+
+    /// What this node has seen of work and of executors' kinds, for one that knows less.
+    pub fn learnt(&self) -> Learnt {
+        Learnt { sizes: self.known.own(), kinds: self.kinds() }
+    }
+
+    /// Another node told what it has seen; how many sizes are known now. Guards against nodes that have just
+    /// started: by a few short sizes each takes a cold executor for one that bears many, and all push it over.
+    pub fn taught(&mut self, now: Moment, learnt: &Learnt) -> usize {
+        self.known.joins(learnt);
+        self.recompute_cut_offs();
+        self.form_lanes(now);
+        self.known.count()
+    }
+
     /// Those that a work unit may go to: of its lane, in the order in which this node uses them, a few and
     /// one more for every two allocations out; or many of both lanes. A node that sends little uses few
     /// and so hears of them. Guards against picks all through a large fleet, one unheard of after the other.
@@ -661,10 +671,10 @@
                     effect.repeats(now, sent, zone == e.zone, cell == e.cell)
                 })
                 && !work.allocations.iter().any(|a| a.open && a.executor.0 == at)
-                && e.cold_admits(&self.cold, self.nodes, now, self.mean);
+                && e.cold_admits(&self.cold, self.nodes, now, self.known.mean);
             able.then(|| {
                 let over = e.filled(now).map(|filled| filled + work.slots - e.width());
-                let queue = over.map(|over| over.max(0.0) / e.width() * self.mean_run / e.pace);
+                let queue = over.map(|over| over.max(0.0) / e.width() * self.known.mean_run / e.pace);
                 Candidate {
                     at,
                     in_lane: in_lane(at),
@@ -826,7 +836,7 @@
         let id = AllocationId { unit, number: work.allocations.len() - 1 };
         e.flights.push(Flight { id, size, slots, sent: now, word_due, started: None, heard: now });
         if e.cold_budget(&self.cold, now).is_some() {
-            e.cold_sent.retain(|&at| now.since(at) <= self.cold.fall_window);
+            e.cold_sent.retain(|&at| now.since(at) <= self.cold.fall_window + HEARD_WITHIN);
             e.cold_sent.push(now);
         }
         let heard = e.reported.unwrap_or_default().max(e.asked);
@@ -914,7 +924,6 @@
     /// a little shorter and what was sent a little longer than the span: whoever checks may hear of either
     /// later.
     fn may_go_further(&mut self, now: Moment) -> bool {
-        const HEARD_WITHIN: Span = Span::millis(50); // on its way to or from whoever counts
         let Some(budget) = self.allowance.further else { return true };
         while self.came.front().is_some_and(|&at| now.since(at) + HEARD_WITHIN >= budget.span) {
             self.came.pop_front();
@@ -1051,7 +1060,7 @@
         self.host.wake(BEAT_EVERY, BEAT);
         // While one is cold a node that knows few sizes learns paces, slots and the mean at each beat. Guards
         // against nodes restarted together that leave cold executors idle, as they take a unit for too much.
-        let learns = |e: &Executor| self.sample.len() < FEWEST && e.cold_budget(&self.cold, now).is_some();
+        let learns = |e: &Executor| self.known.count() < FEWEST && e.cold_budget(&self.cold, now).is_some();
         if now.since(self.recut) >= RECUT_EVERY || self.ready().any(learns) {
             self.recut = now;
             self.recompute_cut_offs();
--- /dev/null
+++ b/crates/dispatch/src/learnt.rs
@@ -0,0 +1,108 @@
+//! What a node knows of work and of the kinds of executors: what it has seen itself, and what others tell one that has
+//! seen little.
+
+use std::collections::{BTreeMap, VecDeque};
+
+/// The sizes that are kept (design page).
+const SAMPLE: usize = 1000;
+
+/// Of one kind of executor.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct KindLearnt {
+    /// Size of the work that was answered, in seconds of a standard core, and the seconds that it held slots.
+    pub done: f64,
+    pub ran: f64,
+    /// The most slots that one of it was seen to have.
+    pub slots: f64,
+}
+
+impl KindLearnt {
+    /// With as much more.
+    pub fn and(self, more: KindLearnt) -> KindLearnt {
+        let KindLearnt { done, ran, slots } = more;
+        KindLearnt { done: self.done + done, ran: self.ran + ran, slots: self.slots.max(slots) }
+    }
+}
+
+/// What one node has seen itself, as it tells another: what it was told it does not tell on, or it would count twice.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Learnt {
+    /// Sizes of recent work, and how long each runs on standard cores, in seconds; the newest first.
+    pub sizes: Vec<(f64, f64)>,
+    /// By the place of the kind, as the list is told to the decisions.
+    pub kinds: BTreeMap<usize, KindLearnt>,
+}
+
+pub(crate) struct Known {
+    /// Recent sized work: size, and how long it runs on standard cores. What was told comes before what was seen.
+    recent: VecDeque<(f64, f64)>,
+    told: usize,
+    told_kinds: BTreeMap<usize, KindLearnt>,
+    pub median: f64,
+    pub mean: f64,
+    pub mean_run: f64,
+}
+
+impl Default for Known {
+    fn default() -> Known {
+        let (recent, told_kinds) = (VecDeque::new(), BTreeMap::new());
+        Known { recent, told: 0, told_kinds, median: 1.0, mean: 1.0, mean_run: 1.0 }
+    }
+}
+
+impl Known {
+    /// How many sizes are known.
+    pub fn count(&self) -> usize {
+        self.recent.len()
+    }
+
+    pub fn saw(&mut self, size: f64, run: f64) {
+        self.recent.push_back((size, run));
+        if self.recent.len() > SAMPLE {
+            self.recent.pop_front();
+            self.told = self.told.saturating_sub(1);
+        }
+    }
+
+    /// Works out median and means anew; the sizes, smallest first.
+    pub fn weighs(&mut self) -> Vec<f64> {
+        let mut sizes: Vec<f64> = self.recent.iter().map(|(size, _)| *size).collect();
+        sizes.sort_by(f64::total_cmp);
+        if let Some(&middle) = sizes.get(sizes.len() / 2) {
+            let count = sizes.len() as f64;
+            (self.median, self.mean) = (middle, sizes.iter().sum::<f64>() / count);
+            self.mean_run = self.recent.iter().map(|(_, run)| run).sum::<f64>() / count;
+        }
+        sizes
+    }
+
+    /// What was told of a kind.
+    pub fn told_of(&self, kind: usize) -> KindLearnt {
+        self.told_kinds.get(&kind).copied().unwrap_or_default()
+    }
+
+    /// The newest of the sizes that were seen here.
+    pub fn own(&self) -> Vec<(f64, f64)> {
+        const TELLS: usize = 120; // with the rest they fit a datagram of 1,200 bytes
+        self.recent.iter().skip(self.told).rev().take(TELLS).copied().collect()
+    }
+
+    /// Another node told what it has seen; nonsense in it is passed over.
+    pub fn joins(&mut self, learnt: &Learnt) {
+        const TOLD_S: f64 = 30.0; // counts for no more than what a node sees run in its first minute or so
+        let sound = |value: f64| value > 0.0 && value.is_finite();
+        for &(size, run) in learnt.sizes.iter().filter(|(size, run)| sound(*size) && sound(*run)) {
+            if self.recent.len() < SAMPLE {
+                self.recent.push_front((size, run));
+                self.told += 1;
+            }
+        }
+        let sound_kind = |told: &KindLearnt| sound(told.done) && sound(told.ran) && sound(told.slots);
+        for (kind, told) in learnt.kinds.iter().filter(|(_, told)| sound_kind(told)) {
+            let part = (TOLD_S / told.ran).min(1.0);
+            let told = KindLearnt { done: told.done * part, ran: told.ran * part, ..*told };
+            let known = self.told_kinds.entry(*kind).or_default();
+            *known = known.and(told);
+        }
+    }
+}
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod decide;
 pub mod host;
 pub mod ids;
+pub mod learnt;
 pub mod tariffs;
 pub mod time;
 pub mod word;
--- a/crates/dispatch/tests/stories.rs
+++ b/crates/dispatch/tests/stories.rs
@@ -4,6 +4,7 @@
 
 use fake::*;
 use grebeusher_dispatch::ids::{ExecutorId, UnitId, fixed_hash};
+use grebeusher_dispatch::learnt::{KindLearnt, Learnt};
 use grebeusher_dispatch::tariffs::*;
 use grebeusher_dispatch::time::{Moment, Span};
 use grebeusher_dispatch::word::{LONGEST, MOST, Word, mark};
@@ -1205,3 +1206,69 @@
     story.arrive(7, BINDING, 100);
     story.sent_to();
 }
+
+/// Failure: nodes that were restarted together took the mean of two or ten short sizes for that of all work, each saw a cold
+/// executor bear many, and together they pushed it over.
+#[test]
+fn a_node_that_has_just_started_goes_by_what_others_have_learnt() {
+    let mut old = Story::told(8, ALLOWANCE, true);
+    old.run_units(200, 1000, 500);
+    let learnt = old.node.learnt();
+    let sent_to_cold = |taught: bool| {
+        let mut sent = 0;
+        for mut fresh in Story::fleet(8, 2) {
+            fresh.list_cold(0);
+            if taught {
+                fresh.node.taught(fresh.now, &learnt);
+            }
+            // Two short ones and a look around, as before the work of the day comes.
+            fresh.arrive(100, BINDING, 50);
+            fresh.arrive(101, BINDING, 50);
+            fresh.node.rang(fresh.now, 0);
+            fresh.heard();
+            fresh.pass(2000);
+            for unit in 0..4 {
+                fresh.arrive(unit, BINDING, 1000);
+            }
+            sent += fresh.heard().iter().filter(|said| matches!(said, Said::Allocate(_, 0, _))).count();
+        }
+        sent
+    };
+    let (alone, taught) = (sent_to_cold(false), sent_to_cold(true));
+    assert!(taught <= 2 && alone > 2 * taught.max(1), "{alone} alone, {taught} taught");
+}
+
+#[test]
+fn nonsense_that_another_node_tells_teaches_nothing() {
+    let mut story = Story::of(4);
+    story.run_units(60, 100, 100);
+    let mad = KindLearnt { done: f64::INFINITY, ran: -1.0, slots: f64::NAN };
+    let told =
+        Learnt { sizes: vec![(f64::NAN, 1.0), (-3.0, 1.0), (1.0, 0.0)], kinds: [(0, mad), (9, mad)].into() };
+    assert_eq!(story.node.taught(story.now, &told), 60);
+    // What is told is not told on: between two nodes it would come back as news for ever.
+    let other = Story::of(4).node.learnt();
+    let sound = Learnt { sizes: vec![(1.0, 1.0); 50], ..other };
+    let before = story.node.learnt();
+    assert_eq!(story.node.taught(story.now, &sound), 110);
+    assert_eq!(story.node.learnt(), before);
+}
+
+/// Failure: two units that a node sent a window apart came closer together, a third one between them, and a cold executor fell.
+#[test]
+fn units_for_a_cold_executor_are_a_little_more_than_a_window_apart() {
+    let mut story = Story::fleet(1, 0).remove(0);
+    story.list_cold(0);
+    story.pass(5000); // two fifths of what it can do when warm: one unit and a quarter
+    story.arrive(0, BINDING, UNHINTED);
+    assert_eq!(story.sent_to(), 0);
+    story.end(0, 0, 0, Ending::Fulfilled);
+    for (unit, ms, sent) in [(1, 1010, false), (2, 50, true)] {
+        story.pass(ms);
+        story.arrive(unit, BINDING, UNHINTED);
+        let said = story.heard();
+        let to_cold = said.iter().any(|said| matches!(said, Said::Allocate(..)));
+        assert_eq!(to_cold, sent, "after {ms} more: {said:?}");
+        story.node.finish(UnitId(unit));
+    }
+}
--- a/crates/load/tests/stories.rs
+++ b/crates/load/tests/stories.rs
@@ -175,6 +175,11 @@
     let log = |node: &str| fs::read_to_string(logs.join(node).join("log")).expect("it has one");
     assert!(log("n0").contains("datagrams_bad 5 "), "{}", log("n0"));
     for at in 0..5 {
+        // One that knows little is told by the others what they have seen of work.
+        let taught = log(&format!("n{at}"))
+            .lines()
+            .any(|line| line.contains(" lessons ") && !line.contains(" lessons 0 "));
+        assert!(taught, "n{at} was told nothing: {}", log(&format!("n{at}")));
         for other in (0..5).filter(|other| *other != at) {
             let met = format!("node {other} is there");
             assert!(log(&format!("n{at}")).contains(&met), "n{at}: {met}");
--- a/crates/node/src/exchange.rs
+++ b/crates/node/src/exchange.rs
@@ -16,12 +16,14 @@
 use grebeusher_dispatch::decide::Dispatcher;
 use grebeusher_dispatch::host::Host;
 use grebeusher_dispatch::ids::{AllocationId, ExecutorId, UnitId, fixed_hash};
+use grebeusher_dispatch::learnt::{KindLearnt, Learnt};
 use grebeusher_dispatch::tariffs::{Arrival, Ending, Listing, Report, Standing};
 use grebeusher_dispatch::time::{Moment, Span};
 use grebeusher_faktory::reservations;
 use grebeusher_ledger::book::{Due, Job};
 use grebeusher_maintenance::{Plan, Seen, View, ZoneSeen};
 use log::{debug, info, warn};
+use serde::{Deserialize, Serialize};
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::rc::Rc;
@@ -216,6 +218,13 @@
     }
 }
 
+/// What a node has seen of work, as it is told to another: kinds by their names, as each node numbers them for itself.
+#[derive(Serialize, Deserialize)]
+pub struct Lesson {
+    sizes: Vec<(f32, f32)>,
+    kinds: Vec<(String, (f32, f32, f32))>,
+}
+
 pub struct Exchange {
     hands: Hands,
     counters: Rc<Counters>,
@@ -899,6 +908,34 @@
         })
     }
 
+    /// What this node has seen, for one that knows less.
+    pub fn learnt(&self) -> Lesson {
+        let learnt = self.dispatcher.learnt();
+        let named = |(kind, known): (&usize, &KindLearnt)| {
+            let KindLearnt { done, ran, slots } = *known;
+            Some((self.kinds.get(*kind)?.clone(), (done as f32, ran as f32, slots as f32)))
+        };
+        Lesson {
+            sizes: learnt.sizes.iter().map(|(size, run)| (*size as f32, *run as f32)).collect(),
+            kinds: learnt.kinds.iter().filter_map(named).collect(),
+        }
+    }
+
+    /// Another node told what it has seen; how many sizes of work are known now.
+    pub fn taught(&mut self, lesson: &Lesson) -> usize {
+        let known = |(kind, told): &(String, (f32, f32, f32))| {
+            let (done, ran, slots) = (told.0.into(), told.1.into(), told.2.into());
+            let kind = self.kinds.iter().position(|name| name == kind)?;
+            Some((kind, KindLearnt { done, ran, slots }))
+        };
+        let learnt = Learnt {
+            sizes: lesson.sizes.iter().map(|(size, run)| ((*size).into(), (*run).into())).collect(),
+            kinds: lesson.kinds.iter().filter_map(known).collect(),
+        };
+        self.counters.lessons.up();
+        self.dispatcher.taught(self.hands.clock.now(), &learnt)
+    }
+
     /// As long as one is gone it has not begun to warm up.
     fn keeps_cold(&mut self) {
         const EVERY: Span = Span::millis(250); // as the decisions look around
--- a/crates/node/src/memory/counters.rs
+++ b/crates/node/src/memory/counters.rs
@@ -110,6 +110,7 @@
     fellows_went: Count = "times that another node was gone",
     leaders: Count = "times that another keeper led, at a keeper",
     words_heard: Count = "words of executors gone or back before the list had them",
+    lessons: Count = "times that another node told what it has learnt of work",
     postings_read: Count = "times that the posting was read anew",
     postings_bad: Count = "times that it could not be, or held a wrong setting",
 }
--- a/crates/node/src/wire/fellows.rs
+++ b/crates/node/src/wire/fellows.rs
@@ -1,7 +1,7 @@
 //! The other nodes of the fleet: one UDP socket for who is there, for what each has seen of executors' starts, and for the
 //! words of the decisions. Each datagram is marked with the fleet's secret; what is not is dropped and counted.
 
-use crate::exchange::{Closed, Exchange};
+use crate::exchange::{Closed, Exchange, Lesson};
 use crate::memory::clock::Clock;
 use crate::memory::counters::Counters;
 use crate::memory::parts::{self, Parts};
@@ -44,8 +44,18 @@
 const NUDGE: u8 = 6;
 /// What a newcomer has missed of executors' starts.
 const MISSED: u8 = 7;
+/// A node that has just started asks what it has missed, with where it is reached.
+const ASKS_MISSED: u8 = 8;
+/// What another has learnt of work and of executors' kinds.
+const LEARNT: u8 = 9;
 /// So many of those who hear of a newcomer tell it: one may be gone itself, and its datagram lost.
 const TELLERS: u64 = 3;
+/// A node that has just started asks so often at first: most of a fleet may have been restarted with it, and know as little.
+const ASKS_APART: Span = Span::millis(250);
+const FIRST_ASKS: u32 = 20;
+/// Later it asks so often, until it knows so many sizes of work: their mean is off by a sixth or so where a few are long.
+const LATER_ASKS_APART: Span = Span::millis(2000);
+const KNOWS_ENOUGH: usize = 200;
 /// Decisions come in clusters: one nudge for all of them.
 const NUDGES_APART: Span = Span::millis(100);
 /// The longest datagram that UDP has. What nodes say to each other all the time fits `MOST_BYTES`; a plan and what staff see of
@@ -128,6 +138,12 @@
         }
     }
 
+    fn say_what(&self, to: SocketAddr, kind: u8, what: &impl Serialize) {
+        if let Ok(body) = postcard::to_allocvec(what) {
+            self.say(to, kind, &body);
+        }
+    }
+
     pub fn say_to(&self, node: u32, kind: u8, what: &impl Serialize) {
         if let Ok(body) = postcard::to_allocvec(what) {
             self.say_bytes(node, kind, &body);
@@ -182,12 +198,21 @@
     /// Nodes of which it was heard that they are there, and that have not been told yet what they have missed.
     newcomers: Rc<RefCell<Vec<u32>>>,
     membership: RefCell<Membership<Hand>>,
+    school: Cell<School>,
     settling: Option<RefCell<Settling>>,
     parts: Option<RefCell<Parts>>,
     works: Option<Office>,
     datagram: RefCell<Vec<u8>>,
 }
 
+/// How far a node that has just started has got in learning what others know.
+#[derive(Clone, Copy)]
+struct School {
+    asks_at: Moment,
+    asked: u32,
+    is_over: bool,
+}
+
 /// This node's side of taking machines out.
 struct Office {
     permission: RefCell<Permission>,
@@ -270,6 +295,7 @@
             words,
             newcomers,
             membership: RefCell::new(membership),
+            school: Cell::new(School { asks_at: now, asked: 0, is_over: false }),
             settling,
             parts,
             works,
@@ -297,7 +323,10 @@
         let asks = self.parts.as_ref().and_then(|parts| parts.borrow().next_due(self.clock.now()));
         let settles = self.settling.as_ref().and_then(|settling| settling.borrow().next_due());
         let works = self.works.as_ref().and_then(|works| works.next_due(self.leads()));
-        self.membership.borrow().next_due().into_iter().chain(asks).chain(settles).chain(works).min()
+        let school = Some(self.school.get()).filter(|school| !school.is_over && self.count() > 0);
+        let school = school.map(|school| school.asks_at);
+        let dues = [self.membership.borrow().next_due(), asks, settles, works, school];
+        dues.into_iter().flatten().min()
     }
 
     /// Whether this node leads the keepers.
@@ -393,6 +422,7 @@
             settling.borrow_mut().due(now);
         }
         self.asks();
+        self.asks_missed(now);
         self.works(exchange);
         self.hand_on(exchange);
     }
@@ -431,6 +461,20 @@
                 }
                 Err(_) => false,
             },
+            Some((ASKS_MISSED, body)) => match postcard::from_bytes::<SocketAddr>(body) {
+                Ok(newcomer) => {
+                    self.teaches(newcomer, exchange);
+                    true
+                }
+                Err(_) => false,
+            },
+            Some((LEARNT, body)) => match postcard::from_bytes(body) {
+                Ok(lesson) => {
+                    self.learns(&lesson, exchange);
+                    true
+                }
+                Err(_) => false,
+            },
             Some((NUDGE, _)) => self
                 .works
                 .as_ref()
@@ -476,11 +520,54 @@
         if mine.is_empty() {
             return;
         }
+        let missed = Self::missed(exchange);
+        if !missed.is_empty() {
+            mine.into_iter().for_each(|node| self.post.say_to(node, MISSED, &missed));
+        }
+    }
+
+    fn missed(exchange: &Exchange) -> Vec<Word> {
         let word =
             |(executor, at, gone): (u64, Moment, bool)| Word { executor, at_ms: at.0 / 1_000_000, gone };
-        let missed: Vec<Word> = exchange.seen_lately(RECENT).map(word).collect();
+        exchange.seen_lately(RECENT).map(word).collect()
+    }
+
+    /// Asks a few others, each time the next ones, for what it has missed and what they know of work. Guards against a node that
+    /// takes the few units that it has seen itself for all: several such nodes push cold executors over.
+    fn asks_missed(&self, now: Moment) {
+        let School { asks_at, asked, is_over } = self.school.get();
+        if is_over || now < asks_at {
+            return;
+        }
+        let membership = self.membership.borrow();
+        let others: Vec<SocketAddr> = membership.members().map(|(fellow, _)| fellow.address).collect();
+        if others.is_empty() {
+            return;
+        }
+        // Nodes that start together ask different ones.
+        let first = (u64::from(self.own) + u64::from(asked) * TELLERS) as usize;
+        if let Ok(body) = postcard::to_allocvec(&membership.own().address) {
+            for step in 0..others.len().min(TELLERS as usize) {
+                self.post.say(others[(first + step) % others.len()], ASKS_MISSED, &body);
+            }
+        }
+        let apart = if asked < FIRST_ASKS { ASKS_APART } else { LATER_ASKS_APART };
+        self.school.set(School { asks_at: now + apart, asked: asked + 1, is_over });
+    }
+
+    fn teaches(&self, newcomer: SocketAddr, exchange: &Exchange) {
+        let missed = Self::missed(exchange);
         if !missed.is_empty() {
-            mine.into_iter().for_each(|node| self.post.say_to(node, MISSED, &missed));
+            self.post.say_what(newcomer, MISSED, &missed);
+        }
+        self.post.say_what(newcomer, LEARNT, &exchange.learnt());
+    }
+
+    fn learns(&self, lesson: &Lesson, exchange: &mut Exchange) {
+        let school = self.school.get();
+        if !school.is_over {
+            let is_over = exchange.taught(lesson) >= KNOWS_ENOUGH;
+            self.school.set(School { is_over, ..school });
         }
     }
 
