--- a/crates/budgets/src/division.rs
+++ b/crates/budgets/src/division.rs
@@ -1,16 +1,21 @@
 //! The division that the keepers agree on.
 
+use grebeusher_dispatch::ids::fixed_hash;
 use grebeusher_dispatch::time::Span;
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
 /// One life of a node: its number, and which start.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Holder {
     pub number: u32,
     pub generation: u64,
 }
 
+/// Names a budget with the terms by which nodes spend it: its window, its floor, its leases. Who goes by other terms asks for
+/// another budget, so that nobody spends by a window that is not that of the division.
+pub type Key = u64;
+
 /// What the fleet may spend of one budget.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Whole {
@@ -24,6 +29,12 @@
 }
 
 impl Whole {
+    /// The key of a budget of this name, with leases of so long. Only how many units it has may change under the same key.
+    pub fn key(&self, name: &str, lease: Span) -> Key {
+        let Whole { units: _, window_ms, floor, nodes } = self;
+        fixed_hash(&format!("{name} {window_ms} {floor} {nodes} {}", lease.0))
+    }
+
     /// What there is to be divided.
     pub fn pool(&self) -> u32 {
         self.units.saturating_sub(self.floor.saturating_mul(self.nodes))
@@ -40,16 +51,20 @@
 }
 
 /// A node wants so many units of a budget beyond its floor.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Ask {
     pub holder: Holder,
-    /// The budget's place.
-    pub budget: u16,
+    pub budget: Key,
     pub wants: u32,
     /// The newest grant that it goes by: it spends by no earlier one any more.
     pub adopted: u64,
-    /// Units that it holds and has not spent within the last window: as it goes by a newer grant, these need no rest.
-    pub unspent: u32,
+    /// Of that grant it spends no more than this from now on.
+    pub keeps: u32,
+    /// Units that it has spent within the last window, and how long it takes until all of them have left it.
+    pub spent: u32,
+    pub leaves_ms: u64,
+    /// How long somebody will still wait for a unit: afterwards one that comes back would lie idle there.
+    pub waits_ms: u16,
     /// Tells this ask from its others.
     pub ask: u32,
 }
@@ -58,11 +73,22 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Grant {
     pub holder: Holder,
-    pub budget: u16,
+    pub budget: Key,
+    /// The ask that it answers. One that could not be answered in full may be again, as units come back.
     pub ask: u32,
     /// Grows with each grant.
     pub number: u64,
     pub units: u32,
+    /// Of the budgets that the keepers go by.
+    pub edition: u64,
+}
+
+/// The budgets that there are from now on, by an operators' file.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Wholes {
+    /// Grows with each change of the file: an older one changes nothing.
+    pub edition: u64,
+    pub of: Vec<(Key, Whole)>,
 }
 
 /// What the keepers agree on at a time.
@@ -70,8 +96,7 @@
 pub struct Entry {
     /// How long it is since the entry before was settled where this one was proposed: at most as long as it really is.
     pub passed_ms: u64,
-    /// The budgets, where they are to be others from now on.
-    pub wholes: Option<Vec<Whole>>,
+    pub wholes: Option<Wholes>,
     pub asks: Vec<Ask>,
 }
 
@@ -91,11 +116,21 @@
     wants: BTreeMap<Holder, (u32, u64)>,
     /// Units that came back, and until when they rest.
     resting: Vec<(u32, u64)>,
+    /// Who asked and has not got all that it wants, in the order in which they came.
+    queue: VecDeque<Waiter>,
     /// Who has one unit more than an even part, and since when; who had, and until when.
     extra: BTreeMap<Holder, u64>,
     had_extra: BTreeMap<Holder, u64>,
 }
 
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+struct Waiter {
+    holder: Holder,
+    ask: u32,
+    until_ms: u64,
+    answered: bool,
+}
+
 /// Who holds what. The clock is that of the entries, and runs no faster than any keeper's.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Division {
@@ -104,7 +139,8 @@
     number: u64,
     /// Nothing is granted before: what a division that was lost has granted may be out until then.
     quiet_until_ms: u64,
-    books: Vec<Book>,
+    edition: u64,
+    books: BTreeMap<Key, Book>,
 }
 
 /// One unit more than the even part, where a budget has fewer units than there are nodes: so long before it goes on to another.
@@ -117,53 +153,68 @@
         let lease_ms = lease.0 / 1_000_000;
         // A window's rest is waited for as well when budgets are set.
         let quiet_until_ms = if after_loss { lease_ms } else { 0 };
-        Division { clock_ms: 0, lease_ms, number: 0, quiet_until_ms, books: Vec::new() }
+        Division { clock_ms: 0, lease_ms, number: 0, quiet_until_ms, edition: 0, books: BTreeMap::new() }
     }
 
     /// How many units of a budget count as held or rest.
-    pub fn bound(&self, budget: usize) -> u32 {
-        self.books.get(budget).map_or(0, |book| book.held() + book.resting())
+    pub fn bound(&self, budget: Key) -> u32 {
+        self.books.get(&budget).map_or(0, |book| book.held() + book.resting())
     }
 
     /// What each holds of a budget by the largest grant that may be in force.
-    pub fn holders(&self, budget: usize) -> impl Iterator<Item = (Holder, u32)> {
-        let leases = self.books.get(budget).into_iter().flat_map(|book| &book.leases);
+    pub fn holders(&self, budget: Key) -> impl Iterator<Item = (Holder, u32)> {
+        let leases = self.books.get(&budget).into_iter().flat_map(|book| &book.leases);
         leases.map(|(holder, leases)| (*holder, held(leases)))
     }
 
+    /// The edition of the budgets that it goes by.
+    pub fn edition(&self) -> u64 {
+        self.edition
+    }
+
+    /// Whether time alone brings somebody what it waits for.
+    pub fn waits(&self) -> bool {
+        self.books.values().any(|book| !book.queue.is_empty() && !book.resting.is_empty())
+    }
+
     /// An entry was agreed on; what is granted by it.
     pub fn apply(&mut self, entry: &Entry) -> Vec<Grant> {
         self.clock_ms += entry.passed_ms;
-        if let Some(wholes) = &entry.wholes {
-            self.books.resize_with(wholes.len().max(self.books.len()), Book::default);
-            for (at, book) in self.books.iter_mut().enumerate() {
-                // One that is taken out of the file has nothing more to grant.
-                book.pool = wholes.get(at).map_or(0, Whole::pool);
-                book.window_ms =
-                    wholes.get(at).map_or(book.window_ms, |whole| whole.window_ms.max(book.window_ms));
-            }
-            if self.quiet_until_ms > 0 {
-                let longest = wholes.iter().map(|whole| whole.window_ms).max().unwrap_or(0);
-                self.quiet_until_ms = self.quiet_until_ms.max(self.lease_ms + longest);
-            }
+        if let Some(wholes) = entry.wholes.as_ref().filter(|wholes| wholes.edition > self.edition) {
+            self.goes_by(wholes);
         }
         let clock_ms = self.clock_ms;
-        self.books.iter_mut().for_each(|book| book.passes(clock_ms));
-        let mut grants = Vec::new();
+        self.books.values_mut().for_each(|book| book.passes(clock_ms));
         for ask in &entry.asks {
-            let (quiet, lease_ms) = (clock_ms < self.quiet_until_ms, self.lease_ms);
-            let Some(book) = self.books.get_mut(usize::from(ask.budget)) else { continue };
-            book.adopts(clock_ms, ask);
-            book.wants.insert(ask.holder, (ask.wants, clock_ms + lease_ms));
-            let units = if quiet { 0 } else { book.grants(clock_ms, ask.holder) };
-            self.number += 1;
-            let number = self.number;
-            let leases = book.leases.entry(ask.holder).or_default();
-            leases.push(Lease { number, units, ends_ms: clock_ms + lease_ms });
-            grants.push(Grant { holder: ask.holder, budget: ask.budget, ask: ask.ask, number, units });
+            if let Some(book) = self.books.get_mut(&ask.budget) {
+                book.hears(clock_ms, self.lease_ms, ask);
+            }
+        }
+        let (is_quiet, ends_ms) = (clock_ms < self.quiet_until_ms, clock_ms + self.lease_ms);
+        let mut grants = Vec::new();
+        for (&budget, book) in &mut self.books {
+            for (Waiter { holder, ask, .. }, units) in book.serves(clock_ms, is_quiet) {
+                self.number += 1;
+                let (number, edition) = (self.number, self.edition);
+                book.leases.entry(holder).or_default().push(Lease { number, units, ends_ms });
+                grants.push(Grant { holder, budget, ask, number, units, edition });
+            }
         }
         grants
     }
+
+    /// One that is taken out of the file stays as it was for those nodes that have not read the file anew.
+    fn goes_by(&mut self, wholes: &Wholes) {
+        self.edition = wholes.edition;
+        for (key, whole) in &wholes.of {
+            let book = self.books.entry(*key).or_default();
+            (book.pool, book.window_ms) = (whole.pool(), whole.window_ms);
+        }
+        if self.quiet_until_ms > 0 {
+            let longest = wholes.of.iter().map(|(_, whole)| whole.window_ms).max().unwrap_or(0);
+            self.quiet_until_ms = self.quiet_until_ms.max(self.lease_ms + longest);
+        }
+    }
 }
 
 fn held(leases: &[Lease]) -> u32 {
@@ -180,17 +231,19 @@
         self.resting.iter().map(|(units, _)| units).sum()
     }
 
-    /// Changes the leases of a holder; what that frees beyond what was not spent rests for a window from then on.
-    fn frees(&mut self, from_ms: u64, holder: Holder, unspent: u32, stays: impl Fn(&Lease) -> bool) {
+    /// Changes the leases of a holder; `spent` of what that frees rests until then.
+    fn frees(&mut self, holder: Holder, spent: u32, until_ms: u64, change: impl FnOnce(&mut Vec<Lease>)) {
         let Some(leases) = self.leases.get_mut(&holder) else { return };
         let before = held(leases);
-        leases.retain(stays);
-        let rests = (before - held(leases)).saturating_sub(unspent);
+        change(leases);
+        let after = held(leases);
+        // What it still holds covers as much of what was spent: it spends that only when some has left the window.
+        let rests = spent.saturating_sub(after).min(before - after);
         if leases.is_empty() {
             self.leases.remove(&holder);
         }
         if rests > 0 {
-            self.resting.push((rests, from_ms + self.window_ms));
+            self.resting.push((rests, until_ms));
         }
     }
 
@@ -201,24 +254,62 @@
             Some((*holder, ends.max()?))
         });
         for (holder, ended_ms) in ends.collect::<Vec<_>>() {
-            self.frees(ended_ms, holder, 0, |lease| !over(lease));
+            // All of it may have been spent just before.
+            let until_ms = ended_ms + self.window_ms;
+            self.frees(holder, u32::MAX, until_ms, |leases| leases.retain(|lease| !over(lease)));
         }
         self.resting.retain(|(_, until)| *until > clock_ms);
+        self.queue.retain(|waiter| waiter.until_ms > clock_ms);
         self.wants.retain(|_, (_, until)| *until > clock_ms);
         let wants = &self.wants;
         self.extra.retain(|holder, _| wants.contains_key(holder));
         self.had_extra.retain(|holder, _| wants.contains_key(holder));
     }
 
-    fn adopts(&mut self, clock_ms: u64, ask: &Ask) {
-        self.frees(clock_ms, ask.holder, ask.unspent, |lease| lease.number >= ask.adopted);
+    /// What an ask gives back and wants. It is answered now, and again as units come back while whoever asked still waits.
+    fn hears(&mut self, clock_ms: u64, lease_ms: u64, ask: &Ask) {
+        let Ask { holder, wants, adopted, keeps, spent, leaves_ms, waits_ms, ask, .. } = *ask;
+        let until_ms = clock_ms + leaves_ms.min(self.window_ms);
+        self.frees(holder, spent, until_ms, |leases| {
+            leases.retain(|lease| lease.number >= adopted);
+            let kept = leases.iter_mut().filter(|lease| lease.number == adopted);
+            kept.for_each(|lease| lease.units = lease.units.min(keeps));
+        });
+        self.wants.insert(holder, (wants, clock_ms + lease_ms));
+        let waiter = Waiter { holder, ask, until_ms: clock_ms + u64::from(waits_ms), answered: false };
+        match self.queue.iter_mut().find(|waiting| waiting.holder == holder) {
+            // Who asks again keeps its place.
+            Some(waiting) => *waiting = waiter,
+            None => self.queue.push_back(waiter),
+        }
+    }
+
+    /// Whom to grant how much now: what is free goes to those who wait, in the order in which they came.
+    fn serves(&mut self, clock_ms: u64, is_quiet: bool) -> Vec<(Waiter, u32)> {
+        let mut served: Vec<(Waiter, u32)> = Vec::new();
+        let mut given = 0;
+        for mut waiter in std::mem::take(&mut self.queue) {
+            let own = self.leases.get(&waiter.holder).map_or(0, |leases| held(leases));
+            let units = if is_quiet { 0 } else { self.grants(clock_ms, waiter.holder, given) };
+            if !waiter.answered || units > own {
+                given += units.saturating_sub(own);
+                served.push((waiter, units));
+            }
+            waiter.answered = true;
+            let wants = self.wants.get(&waiter.holder).map_or(0, |(wants, _)| *wants);
+            if units.max(own) < wants && waiter.until_ms > clock_ms {
+                self.queue.push_back(waiter);
+            }
+        }
+        served
     }
 
     /// What a holder gets now: its part, as far as it is not out at others or rests.
-    fn grants(&mut self, clock_ms: u64, holder: Holder) -> u32 {
+    /// `given`: what others get by the same entry.
+    fn grants(&mut self, clock_ms: u64, holder: Holder, given: u32) -> u32 {
         let own = self.leases.get(&holder).map_or(0, |leases| held(leases));
         // What others do not have; with budgets made smaller that may be less than is held here.
-        let free = self.pool.saturating_sub(self.held() + self.resting());
+        let free = self.pool.saturating_sub(self.held() + self.resting() + given);
         let part = self.part(clock_ms, holder);
         // Where there is less than one for each, whoever comes first to a free one has it: others' wants are of a while ago.
         let wants = self.wants.get(&holder).map_or(0, |(wants, _)| *wants);
--- a/crates/budgets/src/lib.rs
+++ b/crates/budgets/src/lib.rs
@@ -7,12 +7,12 @@
 //!
 //! Why the sum holds. A unit that is granted may be spent once in a window by its holder while the lease lasts. The holder
 //! counts the lease from when it asked, and ends it early by [`DRIFT`]; the keepers count it from when the grant was settled,
-//! which is later. A unit that comes back, by the holder's word that it goes by a newer grant or as the lease is over, rests
-//! for a window before it is granted again, as far as it may have been spent just before. Until then it counts as held. What
+//! which is later. A unit comes back by the holder's word that it spends it no more, by which it goes from when it says so, or as
+//! the lease is over. As far as it may have been spent just before it rests until that has left the window, and counts as held. What
 //! nodes may spend without asking, their floor, is taken off beforehand for as many nodes as there may ever be.
 
 mod division;
 mod purse;
 
-pub use division::{Ask, Division, Entry, Grant, Holder, Whole};
+pub use division::{Ask, Division, Entry, Grant, Holder, Key, Whole, Wholes};
 pub use purse::{DRIFT, Purse, WAITS};
--- a/crates/budgets/src/purse.rs
+++ b/crates/budgets/src/purse.rs
@@ -1,6 +1,6 @@
 //! One node's side of one budget.
 
-use crate::division::{Ask, Grant, Holder, Whole};
+use crate::division::{Ask, Grant, Holder, Key, Whole};
 use grebeusher_dispatch::time::{Moment, Span};
 use std::collections::{BTreeMap, VecDeque};
 
@@ -11,8 +11,12 @@
 const ASKS_A_LEASE: f64 = 5.0;
 /// Who is short asks at once, but not more often than this.
 const AT_LEAST_APART: Span = Span::millis(20);
-/// How long whoever was refused waits for a grant: a few round trips to the node that divides.
+/// How long whoever was refused waits for a grant: a few round trips to the node that divides, who keeps the ask so long.
 pub const WAITS: Span = Span::millis(60);
+/// While somebody waits the ask is made once more: it may have got lost.
+const AGAIN: Span = Span::millis(30);
+/// What was given back is said again so often until there is an answer.
+const SAID_AGAIN: Span = Span::millis(100);
 /// In a window: below it what chance adds would be more than a third of the whole, held for nothing.
 const FEW: f64 = 8.0;
 /// Asks whose answer may still come.
@@ -21,7 +25,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Purse {
     holder: Holder,
-    budget: u16,
+    budget: Key,
     window: Span,
     lease: Span,
     floor: u32,
@@ -29,8 +33,8 @@
     floor_from: Moment,
     number: u64,
     units: u32,
-    /// The most that was held since the last ask.
-    held_before: u32,
+    /// The newest grant that it has told the division it goes by.
+    told: u64,
     ends: Moment,
     spent: VecDeque<Moment>,
     /// What was tried and did not go through, in the last window.
@@ -42,11 +46,13 @@
     asked_at: Option<Moment>,
     /// Somebody waits, or what comes back should be told at once.
     hurries: bool,
+    /// The ask by which units were given back, until it or a later one is answered.
+    gave_back: Option<u32>,
 }
 
 impl Purse {
     /// From a node's start on.
-    pub fn new(now: Moment, holder: Holder, budget: u16, whole: &Whole, lease: Span) -> Purse {
+    pub fn new(now: Moment, holder: Holder, budget: Key, whole: &Whole, lease: Span) -> Purse {
         let window = Span::millis(whole.window_ms);
         Purse {
             holder,
@@ -57,7 +63,7 @@
             floor_from: now + window,
             number: 0,
             units: 0,
-            held_before: 0,
+            told: 0,
             ends: Moment(0),
             spent: VecDeque::new(),
             refused: VecDeque::new(),
@@ -66,6 +72,7 @@
             next_ask: 0,
             asked_at: None,
             hurries: false,
+            gave_back: None,
         }
     }
 
@@ -81,15 +88,23 @@
 
     /// What may be spent in any window as of now.
     pub fn part(&self, now: Moment) -> u32 {
-        let floor = if now >= self.floor_from { self.floor } else { 0 };
-        floor + if now < self.ends { self.units } else { 0 }
+        self.floor(now) + if now < self.ends { self.units } else { 0 }
+    }
+
+    fn floor(&self, now: Moment) -> u32 {
+        if now >= self.floor_from { self.floor } else { 0 }
+    }
+
+    /// Whether there is a unit to spend now.
+    pub fn has_one(&mut self, now: Moment) -> bool {
+        self.passes(now);
+        (self.spent.len() as u32) < self.part(now)
     }
 
     /// Spends one unit, or says that there is none.
     pub fn take(&mut self, now: Moment) -> bool {
-        self.passes(now);
+        let may = self.has_one(now);
         self.tried.push_back(now);
-        let may = (self.spent.len() as u32) < self.part(now);
         if may { &mut self.spent } else { &mut self.refused }.push_back(now);
         self.hurries |= !may;
         may
@@ -97,8 +112,7 @@
 
     /// The same for one that was refused and has waited for a grant.
     pub fn take_after_all(&mut self, now: Moment) -> bool {
-        self.passes(now);
-        let may = (self.spent.len() as u32) < self.part(now);
+        let may = self.has_one(now);
         if may {
             self.refused.pop_front();
             self.spent.push_back(now);
@@ -135,18 +149,34 @@
         (wanted as u32).saturating_sub(self.floor)
     }
 
+    /// For how long somebody will still wait for a unit.
+    fn waits(&self, now: Moment) -> Span {
+        self.refused.back().map_or(Span(0), |at| (*at + WAITS).since(now))
+    }
+
     /// When this purse wants to ask next.
     pub fn next_due(&self, now: Moment) -> Option<Moment> {
         let (wants, holds) = (self.wants(now), self.units > 0 && now < self.ends);
         let Some(asked) = self.asked_at else { return (wants > 0).then_some(now) };
         // Also that it goes by less has to be told: until then what is less counts as held.
-        if wants == 0 && !holds && !self.hurries {
+        let owes = self.told < self.number;
+        if wants == 0 && !holds && !self.hurries && !owes && self.gave_back.is_none() {
             return None;
         }
-        // What is not wanted any more others can have at once; who waits asks on, as others give back meanwhile.
-        let waits = self.refused.back().is_some_and(|at| now.since(*at) < WAITS);
-        let hurries = self.hurries || waits || (holds && wants < self.units);
-        let due = asked + if hurries { AT_LEAST_APART } else { self.lease * (1.0 / ASKS_A_LEASE) };
+        // What is not wanted any more others can have at once.
+        let waits = self.waits(now) > Span(0);
+        let spent = self.spent.iter().filter(|at| now.since(**at) < self.window).count() as u32;
+        let can_tell = owes && spent <= self.units + self.floor(now);
+        let due = asked
+            + if self.hurries || can_tell || (holds && wants < self.units) {
+                AT_LEAST_APART
+            } else if waits {
+                AGAIN
+            } else if self.gave_back.is_some() {
+                SAID_AGAIN
+            } else {
+                self.lease * (1.0 / ASKS_A_LEASE)
+            };
         let falls = self.spent.front().map(|at| *at + self.window).filter(|at| *at > now);
         Some(falls.map_or(due, |at| due.min(at.max(asked + AT_LEAST_APART))))
     }
@@ -162,28 +192,44 @@
         }
         (self.asked_at, self.hurries) = (Some(now), false);
         let (holder, budget) = (self.holder, self.budget);
-        // What was spent in the window until now, at most as many may be spent in any window from here on.
-        let unspent =
-            std::mem::replace(&mut self.held_before, self.units).saturating_sub(self.spent.len() as u32);
-        Some(Ask {
-            holder,
-            budget,
-            wants: self.wants(now),
-            adopted: self.number,
-            unspent,
-            ask: self.next_ask,
-        })
+        let (wants, waits_ms) = (self.wants(now), (self.waits(now).0 / 1_000_000) as u16);
+        let spent = (self.spent.len() as u32).saturating_sub(self.floor(now));
+        if spent > self.units && self.told < self.number && now < self.ends {
+            // It was granted less than it has just spent: that it goes by that is told when what was spent has left the window.
+            // Guards against units that go to and fro: by then it may have been granted them again.
+            let (adopted, ask) = (self.told, self.next_ask);
+            return Some(Ask {
+                holder,
+                budget,
+                wants,
+                adopted,
+                keeps: u32::MAX,
+                spent: 0,
+                leaves_ms: 0,
+                waits_ms,
+                ask,
+            });
+        }
+        self.told = self.number;
+        let leaves = self.spent.back().map_or(Span(0), |at| (*at + self.window).since(now));
+        if wants < self.units {
+            // From here on, whether the word arrives or not: others may have it as soon as it does.
+            (self.units, self.gave_back) = (wants, Some(self.next_ask));
+        }
+        let (adopted, keeps, ask) = (self.number, self.units, self.next_ask);
+        let leaves_ms = leaves.0.div_ceil(1_000_000);
+        Some(Ask { holder, budget, wants, adopted, keeps, spent, leaves_ms, waits_ms, ask })
     }
 
     /// A grant came. It counts from when it was asked for; one that is older than what is gone by says nothing.
     pub fn granted(&mut self, grant: &Grant) {
         let own = grant.holder == self.holder && grant.budget == self.budget;
-        let Some(asked) = self.asked.remove(&grant.ask).filter(|_| own && grant.number > self.number) else {
-            return;
-        };
+        let asked = self.asked.get(&grant.ask).filter(|_| own && grant.number > self.number);
+        let Some(&asked) = asked else { return };
+        // Asks are numbered one after the other: a later one is less than half of all numbers ahead.
+        self.gave_back = self.gave_back.filter(|ask| grant.ask.wrapping_sub(*ask) > u32::MAX / 2);
         // What is less from now on others can have as soon as they are told.
         self.hurries = grant.units < self.units;
-        self.held_before = self.held_before.max(grant.units);
         (self.number, self.units) = (grant.number, grant.units);
         self.ends = asked + self.lease * (1.0 - DRIFT);
     }
--- a/crates/charter/src/fleet.rs
+++ b/crates/charter/src/fleet.rs
@@ -53,18 +53,32 @@
     /// How long a part may be used after it was asked for.
     #[serde(default = "lease_ms")]
     lease_ms: u64,
+    /// Grows with each change of what follows: the keepers go by the newest that any node has read.
+    #[serde(default = "first")]
+    pub edition: u64,
     pub of: Vec<Budget>,
 }
 
+fn first() -> u64 {
+    1
+}
+
 fn lease_ms() -> u64 {
     2000
 }
 
-/// Work units of a tariff.
-#[derive(Clone, Debug, Deserialize)]
+/// Work units, or what they are sent beyond their first allocations.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Budget {
-    pub tariff: String,
+    /// What it is called; without it after its tariff, its customer, or `further`.
+    name: Option<String>,
+    /// Only those of this tariff, and of this customer.
+    pub tariff: Option<String>,
+    pub customer: Option<String>,
+    /// Further allocations of these units, in place of the units.
+    #[serde(default)]
+    pub further: bool,
     /// In any window, at all nodes together.
     pub units: u32,
     #[serde(default = "second_ms")]
@@ -80,6 +94,16 @@
     1000
 }
 
+impl Budget {
+    pub fn name(&self) -> String {
+        let named = self.name.clone();
+        named.unwrap_or_else(|| {
+            let parts = [self.tariff.as_deref(), self.customer.as_deref(), self.further.then_some("further")];
+            parts.into_iter().flatten().collect::<Vec<_>>().join(" ")
+        })
+    }
+}
+
 impl Budgets {
     pub fn lease(&self) -> Span {
         Span::millis(self.lease_ms)
@@ -149,8 +173,20 @@
                 return Err("budgets: expected [keepers] as well, found none".to_owned());
             }
             within("budgets.lease_ms", b.lease_ms, 200..=600_000)?;
-            within("budgets.of, how many", b.of.len() as u64, 1..=1000)?;
+            within("budgets.of, how many", b.of.len() as u64, 0..=1000)?;
+            let mut names = BTreeSet::new();
             for (at, budget) in b.of.iter().enumerate() {
+                if !budget.further && budget.tariff.is_none() && budget.customer.is_none() {
+                    return Err(format!(
+                        "budgets.of[{at}]: expected tariff, customer or further, found none"
+                    ));
+                }
+                let name = budget.name();
+                if !names.insert(name.clone()) {
+                    return Err(format!(
+                        "budgets.of[{at}].name: expected another than before, found {name:?}"
+                    ));
+                }
                 within(&format!("budgets.of[{at}].units"), budget.units.into(), 1..=100_000_000)?;
                 within(&format!("budgets.of[{at}].window_ms"), budget.window_ms, 10..=3_600_000)?;
                 let floors = u64::from(budget.floor) * u64::from(budget.nodes);
--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -788,6 +788,7 @@
     /// Sends the work unit where the design says, holds it while nothing can take it, or turns it back.
     fn place(&mut self, now: Moment, unit: UnitId) {
         const HOLD_MOST: Span = Span::millis(1000); // a slot comes free in it; longer seldom helps
+        const PART_WITHIN: Span = Span::millis(60); // a few round trips to whoever divides the fleet's budget
         let picked = self.pick(now, unit);
         let Some(work) = self.work.get_mut(&unit) else { return };
         if work.patience_ends <= now + ANSWER_MARGIN {
@@ -799,19 +800,29 @@
                     (work.allocations.is_empty(), work.allocations.iter().all(|a| !a.may_have_run));
                 let spent = !first && !self.may_go_further(now);
                 let hopeless = fresh && self.hopeless(now, &self.work[&unit], wait);
-                if spent || hopeless { self.answer(unit) } else { self.send(now, unit, executor) }
+                if spent || hopeless {
+                    self.answer(unit)
+                } else if first || self.host.may_go_further(unit) {
+                    self.send(now, unit, executor)
+                } else {
+                    self.hold(now, unit, now + PART_WITHIN)
+                }
             }
-            None if work.held => {}
             None => {
-                // Its own alarm: patience may end between two beats.
-                work.held = true;
                 let until = (now + HOLD_MOST).min(work.asked + work.quoted);
-                work.hold_ends = until.min(work.patience_ends - ANSWER_MARGIN);
-                self.host.wake(work.hold_ends.since(now), FIRST_UNIT + unit.0);
+                self.hold(now, unit, until)
             }
         }
     }
 
+    /// Holds a work unit, with its own alarm: patience may end between two beats.
+    fn hold(&mut self, now: Moment, unit: UnitId, until: Moment) {
+        let Some(work) = self.work.get_mut(&unit).filter(|work| !work.held) else { return };
+        work.held = true;
+        work.hold_ends = until.min(work.patience_ends - ANSWER_MARGIN);
+        self.host.wake(work.hold_ends.since(now), FIRST_UNIT + unit.0);
+    }
+
     fn send(&mut self, now: Moment, unit: UnitId, executor: ExecutorId) {
         const REVIEW_AFTER: Span = Span::millis(150); // who waits to start this long is looked at again
         // Every few seconds each executor that is used (design page), and no other: probes cost.
@@ -887,6 +898,7 @@
             && self.may_allocate(unit, self.allowance.recalls)
             && self.may_go_further(now)
             && let Some((better, true, _)) = self.pick(now, unit)
+            && self.host.may_go_further(unit)
         {
             // One that waits keeps its place there, where two may be out: whichever starts first has it.
             if !(waits && twice) {
@@ -987,7 +999,7 @@
     }
 
     /// Tries the held work units again, oldest first, and gives up those whose quoted time is past.
-    fn serve_held(&mut self, now: Moment) {
+    pub fn serve_held(&mut self, now: Moment) {
         let held = self.work.iter().filter(|(_, work)| work.held).map(|(&unit, work)| (unit, work.hold_ends));
         for (unit, hold_ends) in held.collect::<Vec<_>>() {
             if hold_ends <= now { self.answer(unit) } else { self.place(now, unit) }
--- a/crates/dispatch/src/host.rs
+++ b/crates/dispatch/src/host.rs
@@ -6,6 +6,11 @@
 pub trait Host {
     /// Sends the work unit to the executor. Allocations of a unit are numbered from 0 in this order.
     fn allocate(&mut self, unit: UnitId, executor: ExecutorId, time_out: Span);
+    /// Whether the whole fleet's budget, where there is one, has one more allocation for a unit that has had its first. It is
+    /// asked only when one would be sent, and again while none is had.
+    fn may_go_further(&mut self, _unit: UnitId) -> bool {
+        true
+    }
     /// Stops waiting for one allocation.
     fn recall(&mut self, allocation: AllocationId);
     /// Final answer: trying again is harmless, if given after this span.
--- a/crates/dispatch/tests/stories.rs
+++ b/crates/dispatch/tests/stories.rs
@@ -1272,3 +1272,28 @@
         story.node.finish(UnitId(unit));
     }
 }
+
+/// Guards against a unit that is turned back though a part of the fleet's budget was on its way, and against one that waits for a part
+/// until its patience is almost over.
+#[test]
+fn a_further_allocation_waits_a_moment_for_a_part_of_the_fleets_budget() {
+    for comes in [true, false] {
+        let mut story = Story::of(4);
+        story.said.2.set(true);
+        story.arrive(1, RETRIABLE, 100);
+        let first = story.sent_to();
+        story.end(1, 0, first, Ending::Error);
+        assert_eq!(story.heard(), [], "it waits");
+        story.pass(30);
+        story.said.2.set(!comes);
+        story.node.serve_held(story.now);
+        if comes {
+            assert_ne!(story.sent_to(), first);
+            continue;
+        }
+        assert_eq!(story.heard(), []);
+        story.pass(30);
+        story.node.rang(story.now, UNIT_ALARMS + 1);
+        assert_eq!(story.heard(), [Said::TurnBack(1)], "and no longer");
+    }
+}
--- a/crates/load/src/clients.rs
+++ b/crates/load/src/clients.rs
@@ -32,6 +32,8 @@
     started: bool,
     /// Its node stood still meanwhile.
     pub froze: bool,
+    /// When what reached an executor last was sent.
+    sent: Option<Moment>,
 }
 
 /// All that comes in a run, in the order of its time.
@@ -104,8 +106,16 @@
         let binding = self.scenario.tariffs[self.errands[errand].tariff].is_binding();
         self.book.taken(unit, binding, self.errands[errand].deadline);
         let froze = self.nodes[node].frozen;
-        let open =
-            Open { errand, node, handed_in: now, conn: None, used_before: false, started: false, froze };
+        let open = Open {
+            errand,
+            node,
+            handed_in: now,
+            conn: None,
+            used_before: false,
+            started: false,
+            froze,
+            sent: None,
+        };
         self.units.insert(unit, open);
         let e = &self.errands[errand];
         let until = e.leaves.unwrap_or(e.deadline + ms(self.scenario.rules.slack_ms));
@@ -188,10 +198,6 @@
             _ => Answer::Forfeited,
         };
         self.book.answered(now, unit, answer);
-        // Taken when it was handed in, but for one that waited before a node that stood still.
-        if answer != Answer::TurnedBack && !open.froze {
-            self.spent.push((self.errands[open.errand].tariff, open.handed_in));
-        }
         if answer == Answer::Fulfilled && body != format!("done {unit}").as_bytes() {
             self.book.foreign(now, unit);
         }
@@ -210,6 +216,16 @@
         }
     }
 
+    /// A unit has reached an executor, sent at this time: with that its node has spent it.
+    pub fn unit_sent(&mut self, unit: u64, stamp: Moment) {
+        let Some(open) = self.units.get_mut(&unit) else { return };
+        let tariff = self.errands[open.errand].tariff;
+        match open.sent.replace(stamp) {
+            Some(before) => self.further.push((tariff, before, stamp)),
+            None => self.spent.push((tariff, open.handed_in, stamp)),
+        }
+    }
+
     /// A client leaves, or its patience is over and nothing has come.
     pub fn due(&mut self, unit: u64) {
         let now = self.now();
--- a/crates/load/src/executors.rs
+++ b/crates/load/src/executors.rs
@@ -98,6 +98,7 @@
         }
         let Some((unit, size_s, node)) = read(request) else { return head(404, "") };
         self.book.sent(stamp, unit, node, executor);
+        self.unit_sent(unit, stamp);
         self.reaches_out(executor, unit, node);
         self.figures.sends += 1;
         self.spread.reached(now, executor);
--- a/crates/load/src/faults.rs
+++ b/crates/load/src/faults.rs
@@ -112,9 +112,18 @@
                     self.at(when, crate::fleet::Task::Step(last));
                 }
                 What::FillDescriptors => self.nodes[at].fill_descriptors(true),
+                What::PostBudgets => {
+                    let units = fault.units.unwrap_or(0);
+                    let edition = 2 + number as u64;
+                    self.nodes[at].posts_budgets(&self.scenario, edition, units)?;
+                }
                 _ => {}
             }
         }
+        if let Some(units) = fault.units {
+            let now = self.now();
+            self.posted_units.push((now, units));
+        }
         match fault.what {
             What::DiscoveryDown => self.discovery_goes(true),
             What::Silence => {
--- a/crates/load/src/fleet.rs
+++ b/crates/load/src/fleet.rs
@@ -115,8 +115,12 @@
     pub silent_until: Moment,
     /// Units whose clients left while their nodes stood still.
     pub left_frozen: Vec<(usize, u64)>,
-    /// Units that were not turned back, by tariff and when they were handed in.
-    pub spent: Vec<(usize, Moment)>,
+    /// Units that reached an executor, by tariff: their nodes spent them some time between when they were handed in and when they
+    /// were sent. And what reached one beyond that: between the send before and this.
+    pub spent: Vec<(usize, Moment, Moment)>,
+    pub further: Vec<(usize, Moment, Moment)>,
+    /// How many units the first budget has had since when, where that changed.
+    pub posted_units: Vec<(Moment, u32)>,
     /// Sent more than 10 ms after their time.
     pub sent_late: u64,
     pub call_backs_lost: u64,
@@ -189,6 +193,8 @@
             silent_until: Moment(0),
             left_frozen: Vec::new(),
             spent: Vec::new(),
+            further: Vec::new(),
+            posted_units: Vec::new(),
             sent_late: 0,
             call_backs_lost: 0,
             errors: 0,
@@ -299,7 +305,9 @@
         self.book.in_order_beyond(IN_ORDER.max(turn * 2.0));
         self.longest_turn = self.longest_turn.max(turn);
         let due = self.agenda.first_key_value().map_or(now + LONGEST, |((when, _), _)| *when);
-        let news = self.wire.turns(now, due.min(now + LONGEST)).map_err(said)?;
+        let (zero, zero_at) = (self.zero, self.zero_at);
+        let clock = move || zero_at + Span(zero.elapsed().as_nanos() as u64);
+        let news = self.wire.turns(clock, due.min(now + LONGEST)).map_err(said)?;
         self.works_since = self.now();
         self.most_open = self.most_open.max(self.wire.open());
         for (key, what) in news {
--- a/crates/load/src/nodes.rs
+++ b/crates/load/src/nodes.rs
@@ -26,6 +26,8 @@
     pub frozen: bool,
     /// The list that it was told at its first start.
     first_list: Option<Value>,
+    /// What its operators' file says of budgets: the edition, and the units of the first one where they are others.
+    budgets: (u64, Option<u32>),
 }
 
 impl Node {
@@ -49,6 +51,7 @@
             stopping: false,
             frozen: false,
             first_list: None,
+            budgets: (1, None),
         })
     }
 
@@ -71,9 +74,7 @@
         if scenario.maintenance.is_some() {
             command.env("GW_CONSOLE", self.console().to_string());
         }
-        if let Some(text) = fleet(scenario, &self.known_as) {
-            let file = self.folder.join("fleet.toml");
-            fs::write(&file, text)?;
+        if let Some(file) = self.writes_fleet(scenario)? {
             command.env(FLEET, &file);
         }
         command.env("TMPDIR", &self.folder).stdin(Stdio::null()).stdout(Stdio::null()).stderr(log);
@@ -84,6 +85,22 @@
         Ok(())
     }
 
+    /// Writes the operators' file, where there is one.
+    fn writes_fleet(&self, scenario: &Scenario) -> io::Result<Option<PathBuf>> {
+        let Some(text) = fleet(scenario, &self.known_as, self.budgets) else { return Ok(None) };
+        let file = self.folder.join("fleet.toml");
+        fs::write(&file, text)?;
+        Ok(Some(file))
+    }
+
+    /// The first budget has so many units from now on, by a file of this edition.
+    pub fn posts_budgets(&mut self, scenario: &Scenario, edition: u64, units: u32) -> io::Result<()> {
+        self.budgets = (edition, Some(units));
+        self.writes_fleet(scenario)?;
+        self.signal(Signal::HUP);
+        Ok(())
+    }
+
     /// Where it listens for datagrams.
     pub fn talks_at(&self) -> SocketAddr {
         SocketAddr::new(self.address.ip(), TALKS)
@@ -174,7 +191,11 @@
 const CONSOLE: u16 = 7990;
 
 /// The operators' file of how nodes behave together; without one each is alone.
-fn fleet(s: &Scenario, known_as: &Option<(SocketAddr, Vec<SocketAddr>)>) -> Option<String> {
+fn fleet(
+    s: &Scenario,
+    known_as: &Option<(SocketAddr, Vec<SocketAddr>)>,
+    (edition, first_units): (u64, Option<u32>),
+) -> Option<String> {
     let mut text = format!("[executors]\nrecalls_stop_waiting = {}\n", s.nodes.recalls_stop);
     if let Some((known_as, contacts)) = known_as {
         let contacts: Vec<String> = contacts.iter().map(|contact| format!("\"{contact}\"")).collect();
@@ -192,11 +213,12 @@
         text += &format!("[maintenance]\npermission_ms = {}\n", plan.permission_ms);
     }
     if !s.budgets.is_empty() {
-        text += "[budgets]\n";
-        for b in &s.budgets {
+        text += &format!("[budgets]\nedition = {edition}\n");
+        for (at, b) in s.budgets.iter().enumerate() {
+            let units = first_units.filter(|_| at == 0).unwrap_or(b.units);
             text += &format!(
-                "[[budgets.of]]\ntariff = {:?}\nunits = {}\nwindow_ms = {}\nfloor = {}\nnodes = {}\n",
-                b.tariff, b.units, b.window_ms as u64, b.floor, s.nodes.count
+                "[[budgets.of]]\ntariff = {:?}\nfurther = {}\nunits = {units}\nwindow_ms = {}\nfloor = {}\nnodes = {}\n",
+                b.tariff, b.further, b.window_ms as u64, b.floor, s.nodes.count
             );
         }
     }
--- a/crates/load/src/run.rs
+++ b/crates/load/src/run.rs
@@ -7,7 +7,7 @@
 use crate::fleet::{Fleet, Made, Owner};
 use crate::nodes::Node;
 use crate::wire::Wire;
-use grebeusher_dispatch::time::{Moment, Span};
+use grebeusher_dispatch::time::Moment;
 use grebeusher_emulator::figures::{Second, Summary, say_rules};
 use grebeusher_emulator::machine::{Machine, Make};
 use grebeusher_emulator::rules::{Breach, Rule};
@@ -107,8 +107,13 @@
         for b in &self.budgets {
             writeln!(
                 f,
-                "budget of {}: {} units in {} ms, most {} in a window, {:.3} of it used",
-                b.tariff, b.units, b.window_ms, b.most, b.used
+                "budget of {}{}: {} units in {} ms, most {} in a window, {:.3} of it used",
+                b.tariff,
+                if b.further { ", further allocations" } else { "" },
+                b.units,
+                b.window_ms,
+                b.most,
+                b.used
             )?;
         }
         if let Some(plan) = &self.plan {
@@ -124,6 +129,8 @@
 #[derive(Clone, Debug, Serialize)]
 pub struct Spending {
     pub tariff: String,
+    /// Counts further allocations, not units.
+    pub further: bool,
     pub units: u32,
     pub window_ms: f64,
     /// The most in any window, and the part of the whole that was spent once the run had settled.
@@ -133,31 +140,51 @@
     pub seconds: Vec<u64>,
 }
 
-/// Adds up from outside what was spent, over every window; more than the whole is a broken rule.
+/// Adds up from outside what was spent, over every window; more than the whole is a broken rule. When a node spent a unit is known
+/// between two times: what counts for a window lies in it with both, so that no way and no standstill makes a breach.
 fn audit(fleet: &mut Fleet) -> Vec<Spending> {
-    // A unit is on its way to its node for a moment: two that are a window apart there may be closer here.
-    const ON_THE_WAY: Span = Span::millis(50);
     let scenario = fleet.scenario.clone();
     let mut told = Vec::new();
-    for budget in &scenario.budgets {
+    // A smaller whole holds once what was granted by the larger one is over and has left the window: leases of two seconds, and
+    // half a second until the keepers have settled it.
+    const LESS_WITHIN_MS: f64 = 2500.0;
+    let mut changes = fleet.posted_units.clone();
+    changes.sort_unstable();
+    for (place, budget) in scenario.budgets.iter().enumerate() {
         let tariff = scenario.tariffs.iter().position(|t| t.name == budget.tariff);
-        let own = fleet.spent.iter().filter(|(of, _)| Some(*of) == tariff);
-        let mut times: Vec<Moment> = own.map(|(_, at)| *at).collect();
+        let counted = if budget.further { &fleet.further } else { &fleet.spent };
+        let own = counted.iter().filter(|(of, ..)| Some(*of) == tariff);
+        let mut times: Vec<(Moment, Moment)> = own.map(|(_, from, until)| (*from, *until)).collect();
         times.sort_unstable();
-        let window = ms(budget.window_ms) - ON_THE_WAY;
-        let (mut first, mut most) = (0, 0);
-        for (last, &at) in times.iter().enumerate() {
-            while at.since(times[first]) >= window {
-                first += 1;
+        let whole = |at: Moment| {
+            let changes: &[(Moment, u32)] = if place == 0 { &changes } else { &[] };
+            let (mut units, mut before) = (budget.units, 0);
+            for &(since, new) in changes {
+                if at >= since {
+                    before = if at < since + ms(LESS_WITHIN_MS + budget.window_ms) {
+                        units.max(before)
+                    } else {
+                        0
+                    };
+                    units = new;
+                }
             }
-            let count = last + 1 - first;
-            if count > budget.units as usize && count > most {
-                fleet.book.over_budget(at, &budget.tariff, count, budget.units);
+            units.max(before)
+        };
+        let window = ms(budget.window_ms);
+        let mut most = 0;
+        for (first, &(at, _)) in times.iter().enumerate() {
+            let ends = at + window;
+            let within = times[first..].iter().take_while(|(from, _)| *from < ends);
+            let count = within.filter(|(_, until)| *until < ends).count();
+            let whole = whole(at);
+            if count > whole as usize {
+                fleet.book.over_budget(at, &budget.tariff, count, whole);
             }
             most = most.max(count);
         }
         let mut seconds = vec![0; scenario.length_s.ceil() as usize];
-        for at in &times {
+        for (_, at) in &times {
             let second = at.since(Moment(START)).as_secs() as usize;
             if let Some(count) = seconds.get_mut(second) {
                 *count += 1;
@@ -167,7 +194,7 @@
         let windows = (scenario.length_s - scenario.settles_s) * 1e3 / budget.window_ms;
         let used = settled as f64 / (windows * f64::from(budget.units)).max(f64::MIN_POSITIVE);
         let (tariff, units, window_ms) = (budget.tariff.clone(), budget.units, budget.window_ms);
-        told.push(Spending { tariff, units, window_ms, most, used, seconds });
+        told.push(Spending { tariff, further: budget.further, units, window_ms, most, used, seconds });
     }
     told
 }
--- a/crates/load/src/wire.rs
+++ b/crates/load/src/wire.rs
@@ -287,14 +287,16 @@
     }
 
     /// Waits for something to happen, up to `until`, and tells what did.
-    pub fn turns(&mut self, now: Moment, until: Moment) -> io::Result<Vec<(usize, News)>> {
+    pub fn turns(&mut self, clock: impl Fn() -> Moment, until: Moment) -> io::Result<Vec<(usize, News)>> {
         let next = self.looks.first().map_or(until, |(when, _)| until.min(*when));
         let mut events = Vec::new();
-        let wait = Duration::from_nanos(next.since(now).0);
+        let wait = Duration::from_nanos(next.since(clock()).0);
         match self.poller.wait(&mut events, Some(wait)) {
             Err(e) if e.kind() != ErrorKind::Interrupted => return Err(e),
             _ => {}
         }
+        // What has come bears the time after the wait. Guards against sends that seem earlier by as long as nothing came.
+        let now = clock();
         let mut keys = BTreeSet::new();
         for event in events {
             if event.key >= RELAYS {
--- a/crates/node/src/exchange.rs
+++ b/crates/node/src/exchange.rs
@@ -8,6 +8,7 @@
 use crate::memory::executors::Executors as Directory;
 use crate::memory::ledger::{Known, Ledger, moment, ms};
 use crate::memory::list::Version;
+use crate::memory::parts::Spends;
 use crate::memory::units::{Errand, UnitIds, Units};
 use crate::sides::{CallerId, Front, List, Pushes, Relatives, Talk, Workers};
 use crate::wire::call_backs::{CallBack, State};
@@ -44,6 +45,8 @@
     unsent: Vec<AllocationId>,
     /// Jobs to be given up once more.
     give_ups: Alarms<AllocationId>,
+    /// Units that want a further allocation for which there was no part of a budget.
+    seek_further: BTreeSet<UnitId>,
 }
 
 /// The hands of the decisions: what they say is done at once.
@@ -67,6 +70,7 @@
     /// The final answer, once.
     fn answer(&self, unit: UnitId, status: u16, come_back: Option<Span>, body: &[u8]) {
         let lasting = self.lasting(unit);
+        self.desk.borrow_mut().seek_further.remove(&unit);
         if self.desk.borrow_mut().units.answered(unit) {
             if let Some((ledger, errand)) = lasting {
                 return self.answer_lasting(ledger, &errand.call_id, &errand.tariff, status, body);
@@ -132,6 +136,23 @@
         }
     }
 
+    fn may_go_further(&mut self, unit: UnitId) -> bool {
+        let Some(fellows) = &self.fellows else { return true };
+        let mut desk = self.desk.borrow_mut();
+        let Some(errand) = desk.units.errand(unit) else { return true };
+        // One that asks again is the same that was refused.
+        let may = match desk.seek_further.contains(&unit) {
+            true => fellows.may_spend_after_all(Spends::FurtherAllocation, errand.of),
+            false => fellows.may_spend(Spends::FurtherAllocation, errand.of),
+        };
+        if may {
+            desk.seek_further.remove(&unit)
+        } else {
+            desk.seek_further.insert(unit)
+        };
+        may
+    }
+
     fn recall(&mut self, allocation: AllocationId) {
         self.give_up(allocation);
     }
@@ -445,7 +466,8 @@
     }
 
     pub fn arrived(&mut self, unit: UnitId, errand: Errand, arrival: &Arrival) {
-        if self.hands.fellows.as_ref().is_some_and(|fellows| !fellows.may_spend(arrival.tariff)) {
+        let spends = |fellows: &Rc<dyn Talk>| fellows.may_spend(Spends::Unit, errand.of);
+        if self.hands.fellows.as_ref().is_some_and(|fellows| !spends(fellows)) {
             // A part may be had from the node that divides; who gets none in time is turned back.
             let until = self.hands.clock.now() + grebeusher_budgets::WAITS;
             return self.awaiting.push_back((until, unit, errand, *arrival));
@@ -458,12 +480,15 @@
         let Some(fellows) = self.hands.fellows.clone() else { return };
         for _ in 0..self.awaiting.len() {
             let Some((until, unit, errand, arrival)) = self.awaiting.pop_front() else { return };
-            if fellows.may_spend_after_all(arrival.tariff) {
+            if fellows.may_spend_after_all(Spends::Unit, errand.of) {
                 self.takes(unit, errand, &arrival);
             } else {
                 self.awaiting.push_back((until, unit, errand, arrival));
             }
         }
+        if !self.hands.desk.borrow().seek_further.is_empty() {
+            self.dispatcher.serve_held(self.hands.clock.now());
+        }
     }
 
     fn takes(&mut self, unit: UnitId, errand: Errand, arrival: &Arrival) {
@@ -547,7 +572,8 @@
             beyond: false,
         };
         let Job { id, tariff, target, body, binding, .. } = job;
-        let errand = Errand { call_id: id.into(), tariff, target, body, binding, lasts: true, pushed: None };
+        let (call_id, of) = (id.into(), (arrival.tariff, arrival.customer));
+        let errand = Errand { call_id, tariff, target, body, binding, of, lasts: true, pushed: None };
         self.arrived(self.unit_ids.take(), errand, &arrival);
     }
 
@@ -583,6 +609,7 @@
     /// The client left: no answer is owed.
     pub fn withdrawn(&mut self, unit: UnitId) {
         self.awaiting.retain(|(_, waits, ..)| *waits != unit);
+        self.hands.desk.borrow_mut().seek_further.remove(&unit);
         self.hands.desk.borrow_mut().units.answered(unit);
         self.dispatcher.finish(unit);
         self.hands.desk.borrow_mut().units.tidy(unit);
--- a/crates/node/src/life/node.rs
+++ b/crates/node/src/life/node.rs
@@ -239,9 +239,9 @@
         let fellows = fleet.as_ref().and_then(|fleet| Some((fleet, fleet.fellows.as_ref()?)));
         let fellows = fellows.map(|(fleet, posted)| {
             let by = (FELLOWS, &poller, clock, &counters);
-            let tariffs = &charter.tariff_names[..];
+            let names = (&charter.tariff_names[..], &charter.customer_names[..]);
             let fellows =
-                Fellows::meet(fleet, posted, tariffs, posting.listen, charter.place(), posting.seed, by);
+                Fellows::meet(fleet, posted, names, posting.listen, charter.place(), posting.seed, by);
             fellows.map(Rc::new)
         });
         let fellows = fellows.transpose()?;
@@ -474,9 +474,19 @@
         Ok(())
     }
 
+    /// Reads the operators' file of the fleet anew, where there is one: budgets may have changed in it.
+    fn reload_fleet(&mut self) {
+        let Some((fellows, path)) = self.fellows.as_ref().zip(env::var_os(FLEET)) else { return };
+        if let Err(what) = Fleet::of_file(Path::new(&path)).and_then(|fleet| fellows.reads(&fleet)) {
+            self.counters.postings_bad.up();
+            error!("what the nodes are told to do together stays as it is: {what}");
+        }
+    }
+
     /// Reads the posting anew and moves to the discovery that it names. All else that is in hand stays, and what
     /// else has changed in the file waits for the next start; so does all of a file that can't be read.
     fn reload(&mut self) {
+        self.reload_fleet();
         match Posting::of_file(&self.posted) {
             Ok(posting) => {
                 self.counters.postings_read.up();
@@ -583,6 +593,7 @@
             fellows: self.fellows.as_ref().map(|fellows| fellows.count()),
             settled: self.fellows.as_ref().map_or((None, None), |fellows| fellows.settled()),
             parts: self.fellows.as_ref().map_or_else(Vec::new, |fellows| fellows.parts()),
+            editions: self.fellows.as_ref().and_then(|fellows| fellows.editions()),
         };
         let (counters, tariffs) = (&*self.counters, self.clients.tariffs());
         Figures { counters, tariffs, gauges }.to_string()
--- a/crates/node/src/memory/figures.rs
+++ b/crates/node/src/memory/figures.rs
@@ -15,7 +15,9 @@
     /// The node that leads the keepers, and how many entries are settled at this one.
     pub settled: (Option<u32>, Option<u64>),
     /// Of each budget: what this node may spend now in a window, and what it has spent in the last.
-    pub parts: Vec<(u32, usize)>,
+    pub parts: Vec<(String, u32, usize)>,
+    /// The edition of the budgets in this node's file, and of those that the keepers go by.
+    pub editions: Option<(u64, u64)>,
 }
 
 pub struct Figures<'a> {
@@ -41,8 +43,12 @@
         writeln!(f, "node.open_requests:{}|g", gauges.open)?;
         writeln!(f, "node.registry_entries:{}|g", gauges.listed)?;
         writeln!(f, "node.out_of_rotation:{}|g", gauges.passed_over)?;
-        for (at, (part, spent)) in gauges.parts.iter().enumerate() {
-            writeln!(f, "node.budget.{at}.part:{part}|g\nnode.budget.{at}.spent:{spent}|g")?;
+        for (name, part, spent) in &gauges.parts {
+            let name = name.replace([' ', '.', ':', '|'], "_");
+            writeln!(f, "node.budget.{name}.part:{part}|g\nnode.budget.{name}.spent:{spent}|g")?;
+        }
+        if let Some((read, settled)) = gauges.editions {
+            writeln!(f, "node.budgets.read:{read}|g\nnode.budgets.settled:{settled}|g")?;
         }
         if let Some(leader) = gauges.settled.0 {
             writeln!(f, "node.keepers.leader:{leader}|g")?;
--- a/crates/node/src/memory/settlement.rs
+++ b/crates/node/src/memory/settlement.rs
@@ -1,6 +1,6 @@
 //! What the keepers of the fleet agree on.
 
-use grebeusher_budgets::{Ask, Division, Entry, Grant, Whole};
+use grebeusher_budgets::{Ask, Division, Entry, Grant, Wholes};
 use grebeusher_dispatch::ids::fixed_hash;
 use grebeusher_dispatch::time::Span;
 use grebeusher_maintenance::{self as maintenance, Moved, Permit, Works};
@@ -19,6 +19,8 @@
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum Step {
     Part(Ask),
+    /// The budgets by a newer file.
+    Budgets(Wholes),
     Works(maintenance::Step),
 }
 
@@ -43,7 +45,7 @@
 
 impl Settlement {
     /// As it begins: what one that was lost has let others do may still go on.
-    pub fn empty(wholes: Vec<Whole>, lease: Span, works: Works) -> Settlement {
+    pub fn empty(wholes: Wholes, lease: Span, works: Works) -> Settlement {
         let mut division = Division::new(lease, true);
         division.apply(&Entry { wholes: Some(wholes), ..Entry::default() });
         Settlement { division, works, rest_us: 0 }
@@ -58,14 +60,17 @@
         let us = self.rest_us + passed.0 / 1000;
         self.rest_us = us % 1000;
         let passed_ms = us / 1000;
-        let (mut asks, mut works) = (Vec::new(), Vec::new());
+        let (mut asks, mut works, mut wholes) = (Vec::new(), Vec::new(), None);
         for step in steps {
             match step {
                 Step::Part(ask) => asks.push(ask),
+                Step::Budgets(newer) => {
+                    wholes = wholes.into_iter().chain([newer]).max_by_key(|wholes: &Wholes| wholes.edition);
+                }
                 Step::Works(step) => works.push(step),
             }
         }
-        let grants = self.division.apply(&Entry { passed_ms, wholes: None, asks });
+        let grants = self.division.apply(&Entry { passed_ms, wholes, asks });
         let moves = self.works.apply(passed_ms, works, fixed_hash).into_iter().map(|outcome| match outcome {
             maintenance::Outcome::Permit(permit) => Outcome::Permit(permit),
             maintenance::Outcome::Moved(moved) => Outcome::Moved(moved),
@@ -74,6 +79,6 @@
     }
 
     fn waits(&self) -> bool {
-        self.works.waits()
+        self.works.waits() || self.division.waits()
     }
 }
--- a/crates/node/src/memory/units.rs
+++ b/crates/node/src/memory/units.rs
@@ -1,6 +1,7 @@
 //! The work units in hand: what they brought, and what is out for them.
 
 use crate::memory::alarms::Alarm;
+use crate::memory::parts::Of;
 use grebeusher_dispatch::ids::{AllocationId, ExecutorId, UnitId};
 use grebeusher_dispatch::time::Span;
 use std::cell::Cell;
@@ -26,6 +27,8 @@
     pub target: String,
     pub body: Vec<u8>,
     pub binding: bool,
+    /// The places of its tariff and customer.
+    pub of: Of,
     /// Written down in the ledger, and answered there.
     pub lasts: bool,
     /// How it was pushed, if it came as a job.
--- a/crates/node/src/sides.rs
+++ b/crates/node/src/sides.rs
@@ -1,5 +1,6 @@
 //! What the exchange asks of its sides. They know the exchange and it knows them by these alone.
 
+use crate::memory::parts::{Of, Spends};
 use crate::memory::units::Errand;
 use grebeusher_dispatch::ids::{AllocationId, ExecutorId, UnitId};
 use grebeusher_dispatch::time::{Moment, Span};
@@ -65,10 +66,10 @@
     fn tell(&self, node: Option<u64>, word: &[u8]);
     /// An executor, by the hash of its name, was gone then, or had started by then.
     fn has_seen(&self, executor: u64, at: Moment, gone: bool);
-    /// Spends a unit of the fleet's budget for a tariff, or says that this node has none now.
-    fn may_spend(&self, tariff: usize) -> bool;
-    /// The same for a unit that has waited for a part.
-    fn may_spend_after_all(&self, tariff: usize) -> bool;
+    /// Spends of the fleet's budgets, or says that this node has none now.
+    fn may_spend(&self, spends: Spends, of: Of) -> bool;
+    /// The same for what has waited for a part.
+    fn may_spend_after_all(&self, spends: Spends, of: Of) -> bool;
 }
 
 /// Other processes of this node.
--- a/crates/node/src/wire/clients.rs
+++ b/crates/node/src/wire/clients.rs
@@ -618,8 +618,9 @@
             beyond: false,
         };
         let binding = self.charter.is_binding(tariff);
-        let (call_id, tariff) = (call_id.into(), named.to_owned());
-        Ok((Errand { call_id, tariff, target, body, binding, lasts, pushed: None }, arrival))
+        let (call_id, of) = (call_id.into(), (tariff, arrival.customer));
+        let tariff = named.to_owned();
+        Ok((Errand { call_id, tariff, target, body, binding, of, lasts, pushed: None }, arrival))
     }
 
     /// Takes work that outlives the process: the client hears that it is taken, and asks for its end later.
--- a/crates/node/src/wire/faktory.rs
+++ b/crates/node/src/wire/faktory.rs
@@ -481,6 +481,7 @@
             target: format!("/{}", job.queue),
             body: line.clone().into_bytes(),
             binding: self.charter.is_binding(tariff),
+            of: (tariff, arrival.customer),
             lasts: false,
             pushed: Some(Pushed {
                 line,
--- a/crates/node/src/wire/fellows.rs
+++ b/crates/node/src/wire/fellows.rs
@@ -4,11 +4,11 @@
 use crate::exchange::{Closed, Exchange, Lesson};
 use crate::memory::clock::Clock;
 use crate::memory::counters::Counters;
-use crate::memory::parts::{self, Parts};
+use crate::memory::parts::{self, Of, Parts, Spends};
 use crate::memory::settlement::{Outcome, Settlement, Step};
 use crate::sides::Talk;
 use crate::wire::settling::Settling;
-use grebeusher_budgets::Holder;
+use grebeusher_budgets::{Holder, Wholes};
 use grebeusher_charter::fleet;
 use grebeusher_dispatch::ids::fixed_hash;
 use grebeusher_dispatch::time::{Moment, Span};
@@ -56,6 +56,9 @@
 /// Later it asks so often, until it knows so many sizes of work: their mean is off by a sixth or so where a few are long.
 const LATER_ASKS_APART: Span = Span::millis(2000);
 const KNOWS_ENOUGH: usize = 200;
+/// Budgets that were read anew are told to the keepers so often, and again whenever they answer by older ones.
+const BUDGETS_TOLD: u32 = 3;
+const BUDGETS_TOLD_APART: Span = Span::millis(500);
 /// Decisions come in clusters: one nudge for all of them.
 const NUDGES_APART: Span = Span::millis(100);
 /// The longest datagram that UDP has. What nodes say to each other all the time fits `MOST_BYTES`; a plan and what staff see of
@@ -201,6 +204,8 @@
     school: Cell<School>,
     settling: Option<RefCell<Settling>>,
     parts: Option<RefCell<Parts>>,
+    /// When the keepers are told next of budgets that they do not go by yet, and how often they are without a word back.
+    tells_budgets: Cell<(Moment, u32)>,
     works: Option<Office>,
     datagram: RefCell<Vec<u8>>,
 }
@@ -232,7 +237,7 @@
     pub fn meet(
         fleet: &fleet::Fleet,
         posted: &fleet::Fellows,
-        tariffs: &[String],
+        names: (&[String], &[String]),
         listen: SocketAddr,
         (own, count): (u64, u64),
         seed: u64,
@@ -264,7 +269,7 @@
         };
         let holder = Holder { number: fellow.number, generation: fellow.generation };
         let budgets = fleet.budgets.as_ref();
-        let parts = budgets.map(|posted| Parts::new(now, posted, tariffs, holder).map(RefCell::new));
+        let parts = budgets.map(|posted| Parts::new(now, posted, names, holder).map(RefCell::new));
         let parts = parts.transpose()?;
         let permission = fleet.maintenance.as_ref().map_or(Span(0), |works| works.permission());
         let works = fleet.maintenance.as_ref().map(|_| Office {
@@ -276,8 +281,10 @@
             shown: RefCell::default(),
         });
         let settling = keepers.map(|keepers| {
-            let (wholes, lease) = budgets
-                .map_or_else(|| (Vec::new(), Span(0)), |posted| (parts::wholes(posted), posted.lease()));
+            let (wholes, lease) = budgets.map_or_else(
+                || (Wholes::default(), Span(0)),
+                |posted| (parts::wholes(posted), posted.lease()),
+            );
             let empty = Settlement::empty(wholes, lease, Works::empty(permission, count as u32));
             let settling = Settling::new(now, &keepers.nodes, fellow.number, seed ^ now.0, empty, &post);
             RefCell::new(settling)
@@ -298,6 +305,7 @@
             school: Cell::new(School { asks_at: now, asked: 0, is_over: false }),
             settling,
             parts,
+            tells_budgets: Cell::new((now, 0)),
             works,
             datagram: RefCell::new(vec![0; LONGEST]),
         })
@@ -314,18 +322,57 @@
     }
 
     /// Of each budget what this node may spend, and what it has.
-    pub fn parts(&self) -> Vec<(u32, usize)> {
+    pub fn parts(&self) -> Vec<(String, u32, usize)> {
         let now = self.clock.now();
         self.parts.as_ref().map_or_else(Vec::new, |parts| parts.borrow_mut().figures(now))
     }
 
+    /// The edition of the budgets in this node's file, and of those by which the keepers have answered it last.
+    pub fn editions(&self) -> Option<(u64, u64)> {
+        self.parts.as_ref().map(|parts| parts.borrow().editions())
+    }
+
+    /// The operators' file was read anew. Only budgets change while a node runs; an error names what is wrong, or waits for the
+    /// next start, and changes nothing.
+    pub fn reads(&self, fleet: &fleet::Fleet) -> Result<(), String> {
+        let (Some(parts), Some(posted)) = (&self.parts, &fleet.budgets) else {
+            return match (&self.parts, &fleet.budgets) {
+                (None, None) => Ok(()),
+                _ => Err("budgets: to come or go as a whole it takes a start of the node".to_owned()),
+            };
+        };
+        let now = self.clock.now();
+        let before = parts.borrow().editions().0;
+        parts.borrow_mut().reads(now, posted)?;
+        if parts.borrow().editions().0 > before {
+            info!("budgets: edition {} was read, before it {before}", posted.edition);
+            self.tells_budgets.set((now, BUDGETS_TOLD));
+        }
+        Ok(())
+    }
+
+    /// Tells the keepers of budgets that are newer than those they go by.
+    fn tells_budgets(&self, now: Moment) {
+        let Some((parts, settling)) = self.parts.as_ref().zip(self.settling.as_ref()) else { return };
+        let ((at, times), (read, settled)) = (self.tells_budgets.get(), parts.borrow().editions());
+        // Who has had no answer yet does not know by which they go.
+        let behind = settled > 0 && settled < read;
+        if now < at || (times == 0 && !behind) || settled >= read {
+            return;
+        }
+        self.tells_budgets.set((now + BUDGETS_TOLD_APART, times.saturating_sub(1)));
+        settling.borrow_mut().ask(now, Step::Budgets(parts.borrow().wholes()));
+    }
+
     pub fn next_due(&self) -> Option<Moment> {
         let asks = self.parts.as_ref().and_then(|parts| parts.borrow().next_due(self.clock.now()));
         let settles = self.settling.as_ref().and_then(|settling| settling.borrow().next_due());
         let works = self.works.as_ref().and_then(|works| works.next_due(self.leads()));
         let school = Some(self.school.get()).filter(|school| !school.is_over && self.count() > 0);
         let school = school.map(|school| school.asks_at);
-        let dues = [self.membership.borrow().next_due(), asks, settles, works, school];
+        let (tells_at, times) = self.tells_budgets.get();
+        let tells = (times > 0).then_some(tells_at);
+        let dues = [self.membership.borrow().next_due(), asks, settles, works, school, tells];
         dues.into_iter().flatten().min()
     }
 
@@ -422,6 +469,7 @@
             settling.borrow_mut().due(now);
         }
         self.asks();
+        self.tells_budgets(now);
         self.asks_missed(now);
         self.works(exchange);
         self.hand_on(exchange);
@@ -642,13 +690,14 @@
         }
     }
 
-    fn may_spend(&self, tariff: usize) -> bool {
-        self.parts.as_ref().is_none_or(|parts| parts.borrow_mut().may_spend(self.clock.now(), tariff))
+    fn may_spend(&self, spends: Spends, of: Of) -> bool {
+        let now = self.clock.now();
+        self.parts.as_ref().is_none_or(|parts| parts.borrow_mut().may_spend(now, spends, of))
     }
 
-    fn may_spend_after_all(&self, tariff: usize) -> bool {
+    fn may_spend_after_all(&self, spends: Spends, of: Of) -> bool {
         let now = self.clock.now();
-        self.parts.as_ref().is_none_or(|parts| parts.borrow_mut().may_spend_after_all(now, tariff))
+        self.parts.as_ref().is_none_or(|parts| parts.borrow_mut().may_spend_after_all(now, spends, of))
     }
 
     fn has_seen(&self, executor: u64, at: Moment, gone: bool) {
