--- a/crates/load/src/staff.rs
+++ b/crates/load/src/staff.rs
@@ -55,8 +55,8 @@
     agents: Vec<Option<Agent>>,
     /// The decision by which each machine was worked on last.
     by: Vec<u64>,
-    /// The same at the nodes' own machines.
-    node_agents: Vec<Option<Agent>>,
+    /// The same at the nodes' own machines, with the life that was seen out: a fault may start another meanwhile, which is back.
+    node_agents: Vec<Option<(Agent, u32)>>,
     node_by: Vec<u64>,
     draining: BTreeMap<usize, Moment>,
     drained_s: Vec<f64>,
@@ -267,7 +267,8 @@
             return;
         }
         let now = self.now();
-        (self.staff.node_agents[node], self.staff.node_by[node]) = (Some(Agent::Watches), number);
+        let life = self.nodes[node].life;
+        (self.staff.node_agents[node], self.staff.node_by[node]) = (Some((Agent::Watches, life)), number);
         let waits = self.units.values().filter(|open| open.node == node && open.was_sent()).count();
         let runs = self.executors.iter().flat_map(|e| e.whose()).filter(|(_, of)| *of == node).count();
         if waits + runs > 0 {
@@ -288,17 +289,17 @@
     pub fn node_agent_acts(&mut self, node: usize) -> std::io::Result<()> {
         let Some(plan) = self.scenario.maintenance.clone() else { return Ok(()) };
         match self.staff.node_agents[node] {
-            Some(Agent::Watches) => {
-                self.staff.node_agents[node] = Some(Agent::Works);
+            Some((_, life)) if self.nodes[node].life != life => self.staff.node_agents[node] = None,
+            Some((Agent::Watches, life)) => {
+                self.staff.node_agents[node] = Some((Agent::Works, life));
                 if self.nodes[node].is_up() {
                     self.nodes[node].kill();
                     self.node_is_gone(node);
                 }
                 self.after(ms(plan.work_s * 1e3), Task::NodeAgentActs(node));
             }
-            Some(Agent::Works) => {
+            Some((Agent::Works, _)) => {
                 self.staff.node_agents[node] = None;
-                // A fault may have started it meanwhile.
                 if !self.nodes[node].is_up() {
                     self.start_node(node, false)?;
                 }
@@ -332,7 +333,8 @@
 
     /// Something was sent to a machine while its agent watches it, out as it is.
     pub fn reaches_out(&mut self, at: usize, unit: u64, node: usize) {
-        if self.staff.node_agents.get(node) == Some(&Some(Agent::Watches)) {
+        let seen = (Agent::Watches, self.nodes[node].life);
+        if self.staff.node_agents.get(node) == Some(&Some(seen)) {
             let now = self.now();
             self.book.node_at_out(now, node, format!("is out, and sent unit {unit} to executor {at}"));
         }
