A node that knows executors is ready before its first turn of the loop is over

Ruled out: load (it failed with nothing else running) and the list (it is read before anything listens). At fault: run() looked whether enough is known only at the end of a turn, after the events of that turn were served, so that whoever had called before the first turn was told of a node that still starts. It looks once before the first turn.

--- a/crates/node/src/life/node.rs
+++ b/crates/node/src/life/node.rs
@@ -307,6 +307,9 @@
     pub fn run(mut self) -> io::Result<()> {
         let start = self.started.0 / 1_000_000;
         let _own = tracing::info_span!("of", node = %self.name, start).entered();
+        // What was posted may be enough to serve by. Guards against a balancer that asks before the loop's first turn is over and
+        // hears that no executor is known.
+        self.move_on();
         let mut events = Vec::new();
         while self.phase != Phase::Gone {
             events.clear();
