--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -3,7 +3,8 @@
 //! A caller builds one [`Dispatcher`] a node, hands it a [`Host`] to act through, tells it what is promised
 //! (`allowing`, `cold_starts`, `noticing`, `customers`, `talking`, `standing_in`), calls `start`, and then
 //! one method for each thing that happens, with its time. Nothing else drives it: no clock, no I/O. The
-//! interface is set down in `host.rs` (what it asks), `tariffs.rs`, `word.rs`, `ids.rs` and `time.rs`.
+//! interface is set down in `host.rs` (what it asks), `tariffs.rs`, `word.rs`, `learnt.rs`, `ids.rs` and
+//! `time.rs`.
 //!
 //! The design (SITA-E, `docs/design.md`): the size of a work unit picks a lane by cut-offs that equalise the
 //! summed size per worker; inside the lane a random pick is weighted by one minus the utilisation.
@@ -644,7 +645,7 @@
     }
 
     /// Another node told what it has seen; how many sizes are known now. Guards against nodes that have just
-    /// started: by a few short sizes each takes a cold executor for one that bears many, and all push it over.
+    /// started: by a few short sizes each takes a cold executor for one that bears many; all push it over.
     pub fn taught(&mut self, now: Moment, learnt: &Learnt) -> usize {
         self.known.joins(learnt);
         self.recompute_cut_offs();
