Reread: one question of the rig about readiness, one clock, one reader of a node's log

The front's question whether a node is ready was the rig's own at the start, written again, with its answer; both use asks_ready and says_ready now. The clock that a turn hands to the wire was Fleet::now written again; now() calls it. A node's log was read in two places, one of them through a function of the account; Node::log serves both. The division's edition() was asked by nobody.

--- a/crates/budgets/src/division.rs
+++ b/crates/budgets/src/division.rs
@@ -174,11 +174,6 @@
         leases.map(|(holder, leases)| (*holder, held(leases)))
     }
 
-    /// The edition of the budgets that it goes by.
-    pub fn edition(&self) -> u64 {
-        self.edition
-    }
-
     /// Whether time alone brings somebody what it waits for.
     pub fn waits(&self) -> bool {
         self.books.values().any(|book| !book.queue.is_empty() && !book.resting.is_empty())
--- a/crates/load/src/account.rs
+++ b/crates/load/src/account.rs
@@ -3,7 +3,7 @@
 
 use serde::Serialize;
 use serde_json::{Map, Value};
-use std::fs::{self, File};
+use std::fs::File;
 use std::io::{self, BufWriter, Write};
 use std::path::Path;
 
@@ -76,8 +76,3 @@
     }
     out.flush()
 }
-
-/// What a node has logged.
-pub fn log_of(folder: &Path) -> String {
-    fs::read_to_string(folder.join("log")).unwrap_or_default()
-}
--- a/crates/load/src/fleet.rs
+++ b/crates/load/src/fleet.rs
@@ -222,7 +222,13 @@
     }
 
     pub fn now(&self) -> Moment {
-        self.zero_at + Span(self.zero.elapsed().as_nanos() as u64)
+        (self.clock())()
+    }
+
+    /// The clock by itself, for a side that waits and looks at it afterwards.
+    fn clock(&self) -> impl Fn() -> Moment + use<> {
+        let (zero, zero_at) = (self.zero, self.zero_at);
+        move || zero_at + Span(zero.elapsed().as_nanos() as u64)
     }
 
     pub fn unix_ms(&self) -> u64 {
@@ -319,8 +325,7 @@
         self.book.in_order_beyond(IN_ORDER.max(turn * 2.0));
         self.longest_turn = self.longest_turn.max(turn);
         let due = self.agenda.first_key_value().map_or(now + LONGEST, |((when, _), _)| *when);
-        let (zero, zero_at) = (self.zero, self.zero_at);
-        let clock = move || zero_at + Span(zero.elapsed().as_nanos() as u64);
+        let clock = self.clock();
         let news = self.wire.turns(clock, due.min(now + LONGEST)).map_err(said)?;
         self.works_since = self.now();
         self.most_open = self.most_open.max(self.wire.open());
@@ -365,8 +370,10 @@
             Some(Owner::Discovery(node)) => self.discovery_hears(node, key),
             Some(Owner::CallBack(at, node)) => return self.call_back_hears(at, node, key, ended),
             Some(Owner::Client(node, unit)) => return self.client_hears(node, unit, key, ended),
-            Some(Owner::Ready(node)) => self.ready_hears(node, key),
-            Some(Owner::Front(node)) => self.front_hears(node, key),
+            Some(Owner::Ready(node)) => self.ready[node] = self.says_ready(key).unwrap_or(self.ready[node]),
+            Some(Owner::Front(node)) => {
+                self.sent_away[node] = self.says_ready(key).map_or(self.sent_away[node], |ready| !ready);
+            }
             Some(Owner::Console(_)) => self.console_hears(key),
             Some(Owner::Agent(_)) => self.wire.closes(key),
             None => {}
@@ -451,44 +458,34 @@
         if self.ready[node] || !self.nodes[node].is_up() {
             return;
         }
+        self.asks_ready(node, Owner::Ready(node));
+        self.after(AGAIN, Task::Knocks(node));
+    }
+
+    /// Asks a node whether it is ready; an earlier question that has no answer by now has none.
+    fn asks_ready(&mut self, node: usize, owner: Owner) {
         let now = self.now();
         let address = self.nodes[node].address;
-        self.wire.find(|owner| owner == Owner::Ready(node)).into_iter().for_each(|key| self.wire.closes(key));
-        if let Ok(key) = self.wire.dials(address, Owner::Ready(node), crate::wire::CLEAR, now) {
+        self.wire.find(|of| of == owner).into_iter().for_each(|key| self.wire.closes(key));
+        if let Ok(key) = self.wire.dials(address, owner, crate::wire::CLEAR, now) {
             self.wire.says(key, b"GET /ready HTTP/1.1\r\n\r\n".to_vec(), now);
         }
-        self.after(AGAIN, Task::Knocks(node));
     }
 
-    fn ready_hears(&mut self, node: usize, key: usize) {
-        let Some((bytes, _)) = self.wire.came(key) else { return };
-        if let Ok(Some(message)) = crate::http::answer(bytes) {
-            self.ready[node] = message.status == 200;
-            self.wire.closes(key);
-        }
+    /// What a node answered, once all of it is there.
+    fn says_ready(&mut self, key: usize) -> Option<bool> {
+        let (bytes, _) = self.wire.came(key)?;
+        let message = crate::http::answer(bytes).ok()??;
+        self.wire.closes(key);
+        Some(message.status == 200)
     }
 
     /// Where nodes are to be sent away the front asks them all the time.
     fn front_asks(&mut self, node: usize) {
         const EVERY: Span = Span::millis(250);
-        let now = self.now();
         self.after(EVERY, Task::FrontAsks(node));
-        // An answer that has not come by now is none.
-        self.wire.find(|owner| owner == Owner::Front(node)).into_iter().for_each(|key| self.wire.closes(key));
-        if !self.nodes[node].is_up() || self.nodes[node].frozen {
-            return;
-        }
-        let address = self.nodes[node].address;
-        if let Ok(key) = self.wire.dials(address, Owner::Front(node), crate::wire::CLEAR, now) {
-            self.wire.says(key, b"GET /ready HTTP/1.1\r\n\r\n".to_vec(), now);
-        }
-    }
-
-    fn front_hears(&mut self, node: usize, key: usize) {
-        let Some((bytes, _)) = self.wire.came(key) else { return };
-        if let Ok(Some(message)) = crate::http::answer(bytes) {
-            self.sent_away[node] = message.status != 200;
-            self.wire.closes(key);
+        if self.nodes[node].is_up() && !self.nodes[node].frozen {
+            self.asks_ready(node, Owner::Front(node));
         }
     }
 
--- a/crates/load/src/nodes.rs
+++ b/crates/load/src/nodes.rs
@@ -132,11 +132,11 @@
 
     /// All that its processes have logged.
     pub fn log(&self) -> String {
-        crate::account::log_of(&self.folder)
+        fs::read_to_string(self.folder.join("log")).unwrap_or_default()
     }
 
     pub fn last_words(&self) -> String {
-        let log = fs::read_to_string(self.folder.join("log")).unwrap_or_default();
+        let log = self.log();
         log.lines().last().unwrap_or("nothing in its log").to_owned()
     }
 
