Call-backs that stand idle and two spare descriptors make room where a table is full

Cause, in two parts, found by playing that story with the rig's processes as the tests start them:

- a node whose table fills before anybody has come has no connection to spare and took in nobody from then on (clients.rs, accept).
Here it passed only since the shell had left each process a descriptor of a high number, and the rig counted descriptors where the system's limit is one of numbers (nodes.rs, fill_descriptors).
- connections that executors call back on were never closed for room (clients.rs, sheds).

Change: idle call-backs are closed last of all that may be (executors say again what was not answered); a dial without a descriptor, also discovery's, asks the other sides for one; two descriptors are held for nothing and given when nobody has one to spare. The rig fills a table by numbers, before anybody came.

--- a/crates/load/src/nodes.rs
+++ b/crates/load/src/nodes.rs
@@ -174,8 +174,13 @@
     pub fn fill_descriptors(&self, full: bool) {
         let Some(pid) = self.pid() else { return };
         let most = rustix::process::getrlimit(Resource::Nofile).maximum;
-        let open = fs::read_dir(format!("/proc/{}/fd", pid.as_raw_nonzero())).map_or(0, Iterator::count);
-        let current = if full { Some(open as u64) } else { most };
+        // The limit is one of numbers, and the first free one is given next. Guards against a table that is not full since
+        // the process has inherited one of a high number.
+        let first_free = || {
+            let open = |number: &u64| fs::exists(format!("/proc/{}/fd/{number}", pid.as_raw_nonzero()));
+            (0..).find(|number| !open(number).unwrap_or(false))
+        };
+        let current = if full { first_free() } else { most };
         // As with signals.
         let _ = prlimit(Some(pid), Resource::Nofile, Rlimit { current, maximum: most });
     }
--- a/crates/load/tests/stories.rs
+++ b/crates/load/tests/stories.rs
@@ -275,8 +275,8 @@
     assert!(plan["phases"]["done"].as_u64() >= Some(4), "{plan:#}");
 }
 
-/// Guards against work that waits outside a node whose descriptors are all taken until its patience is over, while
-/// connections to executors stand idle.
+/// Guards against work that waits outside a node whose descriptors are all taken until its patience is over, though that
+/// has connections to spare, or, as its table was full before anybody came, none.
 #[test]
 fn a_node_without_descriptors_makes_room_for_its_clients() {
     let folder = folder();
@@ -287,7 +287,7 @@
     let calm =
         calm.replacen("count = 2\nzones", "count = 16\nzones", 1).replacen("per_s = 40.0", "per_s = 10.0", 1);
     let calm = calm.replacen("count = 4\nslots", "count = 16\nslots", 1);
-    let full = "\n[[faults]]\nwhat = \"fill-descriptors\"\npart = 1.0\nat_s = 2\nfor_s = 7\n";
+    let full = "\n[[faults]]\nwhat = \"fill-descriptors\"\npart = 1.0\nat_s = 0.3\nfor_s = 8.7\n";
     let path = folder.path().join("full.toml");
     fs::write(&path, format!("{calm}{full}")).expect("written");
     well(&path, &[]);
--- a/crates/node/src/life/node.rs
+++ b/crates/node/src/life/node.rs
@@ -8,8 +8,9 @@
 use crate::memory::figures::{Figures, Gauges};
 use crate::memory::ledger::Ledger;
 use crate::memory::list::Version;
+use crate::memory::spares::Spares;
 use crate::memory::units::UnitIds;
-use crate::sides::{Pushes, Relatives, Talk};
+use crate::sides::{Pushes, Relatives, Room, Talk};
 use crate::wire;
 use crate::wire::calls;
 use crate::wire::checks::Checks;
@@ -156,6 +157,7 @@
     relieves: bool,
     executors: Rc<Executors>,
     discovery: Rc<Discovery>,
+    spares: Rc<Spares>,
     exchange: Exchange,
     /// From word to stop to the last answers.
     answers_within: Span,
@@ -218,10 +220,12 @@
         });
         let console = console.transpose()?;
         let retire_after = retire_after(charter.idle);
-        let executors =
-            Executors::new(to_executors, charter.dial_within, retire_after, key::<EXECUTOR>, common);
-        let executors = Rc::new(executors);
-        let discovery = Rc::new(Discovery::new(posting.discovery, &known, DISCOVERY, common));
+        let times = (charter.dial_within, retire_after);
+        let spares = Rc::new(Spares::held(clock));
+        let others = vec![clients.clone() as Rc<dyn Room>, spares.clone()];
+        let executors = Rc::new(Executors::new(others, to_executors, times, key::<EXECUTOR>, common));
+        let others = vec![executors.clone() as Rc<dyn Room>, clients.clone(), spares.clone()];
+        let discovery = Rc::new(Discovery::new(others, posting.discovery, &known, DISCOVERY, common));
         let sides = (clients.clone() as _, executors.clone() as _, discovery.clone() as _);
         let faktory = fronts.faktory.as_ref().map(|posted| {
             let keys = (FAKTORY, key::<PEER> as fn(usize) -> usize);
@@ -297,6 +301,7 @@
             relieves,
             executors,
             discovery,
+            spares,
             exchange,
             answers_within,
             goes_by_plan: false,
@@ -342,9 +347,10 @@
             if let Some(fellows) = &self.fellows {
                 fellows.due(&mut self.exchange);
             }
-            if self.clients.wants_room() {
-                self.executors.makes_room();
+            if self.clients.wants_room() && !self.executors.makes_room() {
+                self.spares.makes_room();
             }
+            self.spares.take_back();
             self.clients.due();
             self.move_on();
         }
--- a/crates/node/src/memory/connection.rs
+++ b/crates/node/src/memory/connection.rs
@@ -1,6 +1,7 @@
 //! A connection: its socket, its one buffer, and what the loop is asked to watch it for.
 
 use crate::memory::buffer::{self, Buffer, Reading};
+use crate::sides::Room;
 use polling::{Event, Poller};
 use socket2::{Domain, Protocol, Socket, Type};
 use std::io;
@@ -11,6 +12,11 @@
 /// The most that may be read and not yet understood: the largest head and body, and some framing.
 pub const MOST_UNREAD: usize = 84 * 1024;
 
+/// Whether the system has no descriptor left for this process, or none at all.
+pub fn no_descriptor(e: &io::Error) -> bool {
+    matches!(e.raw_os_error(), Some(libc::EMFILE | libc::ENFILE))
+}
+
 pub struct Connection {
     stream: Socket,
     pub buffer: Buffer,
@@ -49,6 +55,21 @@
         }
     }
 
+    /// The same where one of these others may be asked to make room for it.
+    pub fn dial_among(
+        rooms: &[Rc<dyn Room>],
+        address: SocketAddr,
+        poller: &Rc<Poller>,
+        key: usize,
+    ) -> io::Result<Connection> {
+        match Connection::dial(address, poller, key) {
+            Err(e) if no_descriptor(&e) && rooms.iter().any(|room| room.makes_room()) => {
+                Connection::dial(address, poller, key)
+            }
+            dialled => dialled,
+        }
+    }
+
     /// How much it bears from now on that is not understood yet.
     pub fn bear(&mut self, most_unread: usize) {
         self.most_unread = most_unread;
--- a/crates/node/src/memory/mod.rs
+++ b/crates/node/src/memory/mod.rs
@@ -11,4 +11,5 @@
 pub mod list;
 pub mod parts;
 pub mod settlement;
+pub mod spares;
 pub mod units;
--- a/crates/node/src/sides.rs
+++ b/crates/node/src/sides.rs
@@ -18,6 +18,12 @@
     fn passed_on(&self, caller: CallerId, status: u16);
 }
 
+/// Who holds descriptors that others may need more.
+pub trait Room {
+    /// Closes one connection that can be spared; `false` if there is none.
+    fn makes_room(&self) -> bool;
+}
+
 /// Executors.
 pub trait Workers {
     fn allocate(
--- a/crates/node/src/wire/clients.rs
+++ b/crates/node/src/wire/clients.rs
@@ -8,7 +8,7 @@
 use crate::memory::connection::{Connection, MOST_UNREAD};
 use crate::memory::counters::Counters;
 use crate::memory::units::{Errand, UnitIds};
-use crate::sides::{CallerId, Front};
+use crate::sides::{CallerId, Front, Room};
 use crate::wire::call_backs::{self, CallBack};
 use crate::wire::http::{self, Malformed, Request};
 use grebeusher_charter::Charter;
@@ -87,7 +87,7 @@
 
     /// How soon it may be closed to make room, if at all: first who was refused, then who says nothing or only asks
     /// how the node is, then who began a request and stopped, then idle clients, then who goes on with one piece
-    /// after the other; those whose answer is due, and call-backs, never.
+    /// after the other, then idle call-backs, which executors say again elsewhere; those whose answer is due never.
     fn sheds(&self, now: Moment) -> Option<(u8, Moment)> {
         // A request may be under way to a fresh or idle connection, and would be lost: a round trip and a busy
         // moment for those who have yet to say a word, more for a client that answers go back and forth with.
@@ -95,8 +95,11 @@
         const USUAL: Span = Span::millis(250);
         let (order, after) = match self {
             Caller { lingers: true, .. } => (0, Span::millis(0)),
-            Caller { calls_back: true, .. } => return None,
             _ if self.is_busy() => return None,
+            // Guards against a node whose descriptors are all held by executors that have nothing to say, while its
+            // clients wait outside.
+            Caller { calls_back: true, .. } if self.is_idle() => (5, USUAL),
+            Caller { calls_back: true, .. } => return None,
             Caller { is_usual: false, .. } if self.is_idle() => (1, FRESH),
             // Guards against honest clients on slow lines that go with a crowd which stops half way.
             Caller { is_usual: false, begun: (_, 2..), .. } => (4, USUAL),
@@ -306,9 +309,8 @@
                     // can't serve: make room, and look again after a breather.
                     self.counters.accepts_failed.up();
                     warn!("connections can't be taken in: {e}");
-                    match self.first_to_shed() {
-                        Some(place) => self.shed(place),
-                        None => self.wants_room.set(true),
+                    if !self.makes_room() {
+                        self.wants_room.set(true);
                     }
                     self.paused_until.set(Some(self.clock.now() + BREATHER));
                     return;
@@ -695,6 +697,13 @@
     }
 }
 
+impl Room for Clients {
+    fn makes_room(&self) -> bool {
+        let spared = self.first_to_shed();
+        spared.inspect(|&place| self.shed(place)).is_some()
+    }
+}
+
 impl Front for Clients {
     /// The final answer to a work unit; the one place where one is given.
     fn answer(&self, unit: UnitId, status: u16, come_back: Option<Span>, body: &[u8]) {
--- a/crates/node/src/wire/discovery.rs
+++ b/crates/node/src/wire/discovery.rs
@@ -6,7 +6,7 @@
 use crate::memory::connection::Connection;
 use crate::memory::counters::Counters;
 use crate::memory::list::Version;
-use crate::sides::List;
+use crate::sides::{List, Room};
 use crate::wire::http;
 use grebeusher_dispatch::time::{Moment, Span};
 use polling::Poller;
@@ -47,11 +47,14 @@
     key: usize,
     watch: RefCell<Watch>,
     heard: Cell<bool>,
+    /// Whom a watch without a descriptor asks for one.
+    others: Vec<Rc<dyn Room>>,
 }
 
 impl Discovery {
     /// `version`: what is known of the list from before.
     pub fn new(
+        others: Vec<Rc<dyn Room>>,
         address: SocketAddr,
         version: &Version,
         key: usize,
@@ -66,6 +69,7 @@
             key,
             watch: RefCell::new(watch),
             heard: Cell::new(false),
+            others,
         }
     }
 
@@ -214,11 +218,13 @@
             "GET /v1/endpoints?stream=1&index={} HTTP/1.1\r\nHost: {}\r\n\r\n",
             watch.version, address
         );
-        let opened = Connection::dial(address, &self.poller, self.key).map(|mut connection| {
-            connection.buffer.put(text.as_bytes());
-            connection.bear(MOST_LINE);
-            connection
-        });
+        // Guards against a node that hears of no drain since its table is full.
+        let opened =
+            Connection::dial_among(&self.others, address, &self.poller, self.key).map(|mut connection| {
+                connection.buffer.put(text.as_bytes());
+                connection.bear(MOST_LINE);
+                connection
+            });
         let now = self.clock.now();
         match opened {
             Ok(connection) => {
--- a/crates/node/src/wire/executors.rs
+++ b/crates/node/src/wire/executors.rs
@@ -4,10 +4,10 @@
 use crate::memory::alarms::{Alarm, Alarms};
 use crate::memory::buffer::Reading;
 use crate::memory::clock::Clock;
-use crate::memory::connection::Connection;
+use crate::memory::connection::{Connection, no_descriptor};
 use crate::memory::counters::Counters;
 use crate::memory::units::Errand;
-use crate::sides::Workers;
+use crate::sides::{Room, Workers};
 use crate::wire::http::{self, Response};
 use crate::wire::load;
 use grebeusher_dispatch::ids::{AllocationId, ExecutorId};
@@ -74,13 +74,15 @@
     dial_time_out: Span,
     retire_after: Span,
     lines: RefCell<Lines>,
+    /// Whom a dial without a descriptor asks for one.
+    others: Vec<Rc<dyn Room>>,
 }
 
 impl Executors {
     pub fn new(
+        others: Vec<Rc<dyn Room>>,
         most: usize,
-        dial_time_out: Span,
-        retire_after: Span,
+        (dial_time_out, retire_after): (Span, Span),
         key: fn(usize) -> usize,
         (poller, clock, counters): (&Rc<Poller>, Clock, &Rc<Counters>),
     ) -> Executors {
@@ -98,6 +100,7 @@
                 next_serial: 0,
                 untold: Vec::new(),
             }),
+            others,
         }
     }
 
@@ -175,10 +178,12 @@
         lines.next_serial += 1;
         let key = (self.key)(lines.kept.vacant_key());
         let dialled = match Connection::dial(address, &self.poller, key) {
-            // No descriptor left: one idle connection makes room.
+            // No descriptor left: one idle connection makes room, or others who can spare one. Guards against units that
+            // are turned back while those who call from outside hold all descriptors.
             Err(e) if none_left(&e) && drop_oldest_idle(lines).is_some() => {
                 Connection::dial(address, &self.poller, (self.key)(lines.kept.vacant_key()))?
             }
+            Err(e) if none_left(&e) => Connection::dial_among(&self.others, address, &self.poller, key)?,
             dialled => dialled?,
         };
         self.counters.dials.up();
@@ -195,12 +200,6 @@
         }))
     }
 
-    /// An idle connection gives up its descriptor to a client. Guards against work that waits outside until its patience is
-    /// over while connections to executors stand idle.
-    pub fn makes_room(&self) {
-        drop_oldest_idle(&mut self.lines.borrow_mut());
-    }
-
     pub fn next_due(&self) -> Option<Moment> {
         let lines = self.lines.borrow();
         if lines.untold.is_empty() { lines.dues.next_at() } else { Some(Moment(0)) }
@@ -403,7 +402,7 @@
 
 /// Whether a connection is lacking on this side: the node's own number is used up, or the system's descriptors.
 fn none_left(e: &io::Error) -> bool {
-    e.kind() == ErrorKind::QuotaExceeded || matches!(e.raw_os_error(), Some(libc::EMFILE | libc::ENFILE))
+    e.kind() == ErrorKind::QuotaExceeded || no_descriptor(e)
 }
 
 fn wait(place: usize, line: &mut Line, dues: &mut Alarms<(usize, u64)>, until: Moment) {
@@ -422,6 +421,14 @@
     address.map(|address| address.to_string()).unwrap_or_default()
 }
 
+/// An idle connection gives up its descriptor to a client. Guards against work that waits outside until its patience is
+/// over while connections to executors stand idle.
+impl Room for Executors {
+    fn makes_room(&self) -> bool {
+        drop_oldest_idle(&mut self.lines.borrow_mut()).is_some()
+    }
+}
+
 impl Workers for Executors {
     fn allocate(
         &self,
--- a/crates/node/tests/stories.rs
+++ b/crates/node/tests/stories.rs
@@ -548,6 +548,25 @@
     }
 }
 
+#[test]
+fn call_backs_that_stand_idle_make_room_for_clients_and_for_executors() {
+    // Failure: executors keep the connections that they call back on, and a node whose descriptors are few had none left
+    // for its clients, or for the executors that their units were to go to. Once by its own number, once by the system's.
+    for (sockets, descriptors) in [(36, 1024), (1024, 24)] {
+        let listens = listener();
+        let world = World::with(&[&listens], charter(), sockets, descriptors);
+        let mut callers: Vec<Talk> = (0..20).map(|_| world.call()).collect();
+        let said = |caller: &mut Talk| caller.call_back("none", json!({"state": "running", "share": 0.5}));
+        callers.iter_mut().for_each(|caller| assert_eq!(said(caller), 204));
+        let mut client = world.bring("u1", "reserve", 9000);
+        let mut executor = accept(&listens);
+        assert_eq!(executor.hear().header("X-Call-Id"), Some("u1"));
+        executor.answer(202, "");
+        assert_eq!(world.call_back("u1", json!({"state": "done", "result": "yes"})), 204);
+        assert_eq!(client.hear().body, "yes");
+    }
+}
+
 #[test]
 fn an_executor_that_never_comes_up_has_run_nothing() {
     // A queue for one, which is full: whoever dials hears nothing, as from a machine that is cut off.
