Clocks that do not agree are played; a unit of a budget counts a hundredth longer than its window

Need: clocks ahead, behind, fast and slow were the one kind of fault not played between processes.

The rig also says what part of a core a node takes.

Cause: a node whose clock runs a hundredth fast counts its window in 990 ms (purse.rs, passes), and the keepers rested a unit as long. Ruled out: the leases, which have 3% to spare. Now a unit counts for a hundredth longer at both.

--- a/crates/budgets/src/division.rs
+++ b/crates/budgets/src/division.rs
@@ -35,6 +35,14 @@
         fixed_hash(&format!("{name} {window_ms} {floor} {nodes} {}", lease.0))
     }
 
+    /// How long a unit counts as spent: a window, and what a clock that goes wrong by one part in a hundred, as [`DRIFT`]
+    /// allows each, may take it for too long. Guards against a node whose clock is fast, by which a window is over early.
+    ///
+    /// [`DRIFT`]: crate::DRIFT
+    pub fn counts_ms(&self) -> u64 {
+        self.window_ms + self.window_ms.div_ceil(100)
+    }
+
     /// What there is to be divided.
     pub fn pool(&self) -> u32 {
         self.units.saturating_sub(self.floor.saturating_mul(self.nodes))
@@ -210,10 +218,10 @@
         self.edition = wholes.edition;
         for (key, whole) in &wholes.of {
             let book = self.books.entry(*key).or_default();
-            (book.pool, book.window_ms) = (whole.pool(), whole.window_ms);
+            (book.pool, book.window_ms) = (whole.pool(), whole.counts_ms());
         }
         if self.quiet_until_ms > 0 {
-            let longest = wholes.of.iter().map(|(_, whole)| whole.window_ms).max().unwrap_or(0);
+            let longest = wholes.of.iter().map(|(_, whole)| whole.counts_ms()).max().unwrap_or(0);
             self.quiet_until_ms = self.quiet_until_ms.max(self.lease_ms + longest);
         }
     }
--- a/crates/budgets/src/purse.rs
+++ b/crates/budgets/src/purse.rs
@@ -53,7 +53,7 @@
 impl Purse {
     /// From a node's start on.
     pub fn new(now: Moment, holder: Holder, budget: Key, whole: &Whole, lease: Span) -> Purse {
-        let window = Span::millis(whole.window_ms);
+        let window = Span::millis(whole.counts_ms());
         Purse {
             holder,
             budget,
--- a/crates/emulator/src/queueing.rs
+++ b/crates/emulator/src/queueing.rs
@@ -111,6 +111,7 @@
             talk: false,
             words: false,
             keepers: 3,
+            clocks: Vec::new(),
             zone_shares: Vec::new(),
             count: 1,
             zones: vec!["a".to_owned()],
--- a/crates/emulator/src/scenario.rs
+++ b/crates/emulator/src/scenario.rs
@@ -154,6 +154,31 @@
     /// How many of the nodes keep what all agree on: the first ones.
     #[serde(default = "three")]
     pub keepers: usize,
+    /// Of nodes whose clocks are off; only between processes.
+    #[serde(default)]
+    pub clocks: Vec<OffClock>,
+}
+
+impl Nodes {
+    /// How the clock of a node is off, if it is: of those that a part strikes each is as far from the next.
+    pub fn clock_of(&self, place: usize) -> Option<&OffClock> {
+        self.clocks.iter().find(|off| {
+            let struck = |nodes: usize| (nodes as f64 * off.part).floor();
+            struck(place + 1) > struck(place)
+        })
+    }
+}
+
+/// A clock that says another time than the machine's, and runs at so many times its pace.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct OffClock {
+    /// The part of the nodes that have it.
+    pub part: f64,
+    #[serde(default)]
+    pub ahead_ms: f64,
+    #[serde(default = "whole")]
+    pub pace: f64,
 }
 
 /// Executors of one kind.
@@ -614,12 +639,14 @@
         WeightedIndex::new(shares).ok()
     }
 
-    /// The place of the first fault that only real processes have.
+    /// The place of the first thing that only real processes have.
     pub fn real_only(&self) -> Option<String> {
         const SAYS: &str = "only real processes have this fault, the model can't play it";
         let drawn = self.storm.as_ref().and_then(|storm| storm.what.iter().position(|what| what.is_real()));
         let listed = self.faults.iter().position(|fault| fault.what.is_real());
         let listed = listed.map(|at| format!("faults[{at}].what: {SAYS}"));
+        let clocks = (!self.nodes.clocks.is_empty()).then(|| format!("nodes.clocks: {SAYS}"));
+        let listed = clocks.or(listed);
         listed.or_else(|| drawn.map(|at| format!("storm.what[{at}]: {SAYS}")))
     }
 
@@ -686,6 +713,12 @@
         if nodes.words && !nodes.talk {
             return Err("nodes.words: expected talk as well, found words alone".to_owned());
         }
+        for (at, off) in nodes.clocks.iter().enumerate() {
+            let key = |key: &str| format!("nodes.clocks[{at}].{key}");
+            within(&key("part"), off.part, 0.0..=1.0)?;
+            within(&key("ahead_ms"), off.ahead_ms, -8.64e7..=8.64e7)?;
+            within(&key("pace"), off.pace, 0.5..=2.0)?;
+        }
         within("nodes.busiest", nodes.busiest, 0.001..=1e6)?;
         if !(nodes.zone_shares.is_empty() || nodes.zone_shares.len() == nodes.zones.len()) {
             return Err(format!("nodes.zone_shares: expected one a zone, found {}", nodes.zone_shares.len()));
--- a/crates/load/src/fleet.rs
+++ b/crates/load/src/fleet.rs
@@ -140,6 +140,10 @@
     pub speaks: bool,
     /// Least and most memory of a node in bytes, as the run began and later.
     pub memory: Vec<(u64, u64)>,
+    /// The life of each node and how much its process had worked as the run began, and its part of a core since, of those that
+    /// are still in that life.
+    worked: Vec<(u32, Option<Span>)>,
+    pub cores: Vec<f64>,
     /// Held as long as the run lasts.
     pub addresses: Option<Addresses>,
 }
@@ -216,6 +220,8 @@
             told_to_end: made.told_to_end,
             speaks: made.speaks,
             memory: Vec::new(),
+            worked: Vec::new(),
+            cores: Vec::new(),
             addresses: None,
             scenario: made.scenario,
         }
@@ -295,6 +301,7 @@
         let earlier = std::mem::take(&mut self.agenda);
         earlier.into_values().for_each(|task| self.after(Span::millis(100), task));
         self.sees_memory();
+        self.worked = self.nodes.iter().map(|node| (node.life, node.worked())).collect();
         for at in 0..self.errands.len() {
             self.at(self.errands[at].came, Task::Comes(at));
         }
@@ -310,6 +317,12 @@
             self.turn()?;
         }
         self.sees_memory();
+        let since = self.now().since(Moment(START)).as_secs();
+        let cores = self.nodes.iter().zip(&self.worked).filter_map(|(node, &(life, before))| {
+            let worked = node.worked().filter(|_| node.life == life)?;
+            Some((worked - before?).as_secs() / since)
+        });
+        self.cores = cores.collect();
         Ok(())
     }
 
--- a/crates/load/src/nodes.rs
+++ b/crates/load/src/nodes.rs
@@ -1,5 +1,6 @@
 //! The nodes: real processes, started with a file of their own and ended with the run.
 
+use grebeusher_dispatch::time::Span;
 use grebeusher_emulator::scenario::Scenario;
 use rustix::process::{Pid, Resource, Rlimit, Signal, kill_process, prlimit};
 use serde_json::{Value, json};
@@ -74,6 +75,10 @@
         let mut command = Command::new(&self.program);
         command.env("GW_CONFIG", &file).env_remove("GW_INHERITED_FD").env_remove("GW_CONSOLE");
         command.env_remove("GREBEUSHER_FRONTS").env_remove(FLEET);
+        command.env_remove(CLOCK);
+        if let Some(off) = scenario.nodes.clock_of(self.place) {
+            command.env(CLOCK, format!("{:.0} {}", off.ahead_ms, off.pace));
+        }
         if self.as_json {
             command.env(FORM, "json");
         }
@@ -185,6 +190,16 @@
         let _ = prlimit(Some(pid), Resource::Nofile, Rlimit { current, maximum: most });
     }
 
+    /// Time of a core that its process has used since that started; `None` where the system does not tell.
+    pub fn worked(&self) -> Option<Span> {
+        let told = fs::read_to_string(format!("/proc/{}/stat", self.pid()?.as_raw_nonzero())).ok()?;
+        // After its name, which may hold anything, the user's and the system's time are fields 12 and 13.
+        let (_, fields) = told.rsplit_once(") ")?;
+        let ticks: u64 =
+            fields.split(' ').skip(11).take(2).filter_map(|field| field.parse::<u64>().ok()).sum();
+        Some(Span(ticks * 1_000_000_000 / rustix::param::clock_ticks_per_second()))
+    }
+
     /// Bytes of memory that it holds; `None` where the system does not tell.
     pub fn memory(&self) -> Option<u64> {
         let told = fs::read_to_string(format!("/proc/{}/statm", self.pid()?.as_raw_nonzero())).ok()?;
@@ -200,6 +215,7 @@
 }
 
 const FLEET: &str = "GREBEUSHER_FLEET";
+const CLOCK: &str = "GREBEUSHER_CLOCK";
 const FORM: &str = "GREBEUSHER_LOG_FORM";
 
 /// The port of datagrams, beside the clients'.
--- a/crates/load/src/run.rs
+++ b/crates/load/src/run.rs
@@ -54,6 +54,8 @@
     pub errors: u64,
     /// Least and most memory of a node in megabytes, as the run began and every five seconds.
     pub node_memory_mb: Vec<(f64, f64)>,
+    /// The part of a core that a node took, in the mean and at the most, of those that were never started anew.
+    pub node_cores: (f64, f64),
     pub budgets: Vec<Spending>,
     pub plan: Option<crate::staff::PlanSeen>,
     /// Datagrams between nodes, and their bytes, for each node and second of the run.
@@ -98,6 +100,8 @@
                 first.0, first.1, last.0, last.1
             )?;
         }
+        let (mean, most) = self.node_cores;
+        writeln!(f, "a node takes {:.2}% of a core, {:.2}% at the most", mean * 100.0, most * 100.0)?;
         if self.datagrams_per_s > 0.0 {
             writeln!(
                 f,
@@ -315,6 +319,9 @@
     }
     let per_node_s = scenario.nodes.count as f64 * scenario.length_s;
     let mb = |bytes: u64| bytes as f64 / f64::from(1 << 20);
+    let cores = &fleet.cores;
+    let mean_cores = cores.iter().sum::<f64>() / (cores.len() as f64).max(1.0);
+    let node_cores = (mean_cores, cores.iter().copied().fold(0.0, f64::max));
     let listed = |(least, most): &(u64, u64)| (mb(*least), mb(*most));
     Ok(Report {
         summary: fleet.figures.summary(scenario),
@@ -329,6 +336,7 @@
         most_connections: fleet.most_open,
         errors: fleet.errors,
         node_memory_mb: fleet.memory.iter().map(listed).collect(),
+        node_cores,
         budgets,
         plan: fleet.plan_seen(),
         datagrams_per_s: fleet.datagrams as f64 / per_node_s,
--- a/crates/load/tests/stories.rs
+++ b/crates/load/tests/stories.rs
@@ -275,6 +275,26 @@
     assert!(plan["phases"]["done"].as_u64() >= Some(4), "{plan:#}");
 }
 
+/// Guards against a part that is spent for longer than it was granted, or a rule that is broken, since a clock is ahead, behind
+/// or runs at another pace than that of the keepers.
+#[test]
+fn clocks_that_do_not_agree_overspend_no_budget_and_cost_no_rule() {
+    let folder = folder();
+    let text = fs::read_to_string(shipped("sockets.toml")).expect("it is shipped");
+    let calm = text.split("[[faults]]").next().expect("a front").replacen("length_s = 20", "length_s = 8", 1);
+    let talking = calm.replacen("count = 2\nzones", "count = 6\ntalk = true\nzones", 1);
+    let clocks = "clocks = [{ part = 0.17, ahead_ms = 60000 }, { part = 0.2, ahead_ms = -60000 }, \
+                  { part = 0.34, pace = 0.99 }, { part = 0.5, pace = 1.01 }]\ncount = 6";
+    let off = talking.replacen("count = 6", clocks, 1);
+    let more = "\n[[budgets]]\ntariff = \"search\"\nunits = 10\nwindow_ms = 500\n\n\
+                [[faults]]\nwhat = \"restart-nodes\"\npart = 0.34\nat_s = 3\nfor_s = 0.2\n";
+    let path = folder.path().join("clocks.toml");
+    fs::write(&path, format!("{off}{more}")).expect("written");
+    let report = well(&path, &[]);
+    let most = report["budgets"][0]["most"].as_u64().expect("a figure");
+    assert!((1..=10).contains(&most), "{report:#}");
+}
+
 /// Guards against work that waits outside a node whose descriptors are all taken until its patience is over, though that
 /// has connections to spare, or, as its table was full before anybody came, none.
 #[test]
--- a/crates/node/src/life/node.rs
+++ b/crates/node/src/life/node.rs
@@ -3,7 +3,7 @@
 use crate::exchange::{Beside, Closed, Exchange};
 use crate::life::limits;
 use crate::life::signals::Signals;
-use crate::memory::clock::Clock;
+use crate::memory::clock::{self, Clock};
 use crate::memory::counters::Counters;
 use crate::memory::figures::{Figures, Gauges};
 use crate::memory::ledger::Ledger;
@@ -175,7 +175,7 @@
         }
         let known =
             Version::deserialize(&posting.known).map_err(|e| format!("{}: known: {e}", posted.display()))?;
-        let clock = Clock::start();
+        let clock = Clock::start(env::var(clock::OFF).ok().as_deref())?;
         let counters = Rc::new(Counters::default());
         let poller = Rc::new(Poller::new().map_err(|e| format!("no poller: {e}"))?);
         let common = (&poller, clock, &counters);
--- a/crates/node/tests/fake/mod.rs
+++ b/crates/node/tests/fake/mod.rs
@@ -381,6 +381,13 @@
         })
     }
 
+    /// The same with a clock that is off.
+    pub fn start_another_off(&self, off: &str) -> (ExitStatus, String) {
+        self.start_another_by(|command| {
+            command.env("GREBEUSHER_CLOCK", off);
+        })
+    }
+
     fn start_another_by(&self, change: impl FnOnce(&mut Command)) -> (ExitStatus, String) {
         let mut command = Command::new(env!("CARGO_BIN_EXE_grebeusher"));
         change(command.env("GW_CONFIG", self.posting_file()));
--- a/crates/node/tests/stories.rs
+++ b/crates/node/tests/stories.rs
@@ -567,6 +567,16 @@
     }
 }
 
+#[test]
+fn a_clock_that_is_off_by_nonsense_is_refused_by_name() {
+    let refuses = refusing();
+    let world = World::around(&refuses);
+    for off in ["soon", "0 9", "1e3", "99999999999 1", "5 1 1"] {
+        let (status, log) = world.start_another_off(off);
+        assert!(!status.success() && log.contains("GREBEUSHER_CLOCK: expected milliseconds"), "{off}: {log}");
+    }
+}
+
 #[test]
 fn an_executor_that_never_comes_up_has_run_nothing() {
     // A queue for one, which is full: whoever dials hears nothing, as from a machine that is cut off.
