Newcomers ask around who is there; keepers answer whoever asks where it says it is

Cause, from the logs of all processes: the keeper that led had been restarted by the plan at 24 s; it first heard of node 52 at 74 s and of node 60 never, as an answer to a newcomer's knock holds some fifty members and the rest came by chance (membership/src/lib.rs, knocks). Its answers went to known addresses alone (fellows.rs, say_bytes), so those nodes asked and heard nothing. Ruled out: their own view (each knew all 299 and all keepers), an ask that another overtook, links that the rig had left cut.

Change: a newcomer asks three of those it knows, four times a second, until a second of it brings nobody; asks say where the asker is, and are answered there. Datagrams are of version 3.

--- a/crates/charter/src/lib.rs
+++ b/crates/charter/src/lib.rs
@@ -141,6 +141,11 @@
         self.zone
     }
 
+    /// Its name; none where no zones are named.
+    pub fn zone_name(&self) -> &str {
+        self.zones.get(self.zone).map_or("", String::as_str)
+    }
+
     /// The node's number, and how many there are.
     pub fn place(&self) -> (u64, u64) {
         (self.node, self.nodes)
--- a/crates/emulator/src/scenario.rs
+++ b/crates/emulator/src/scenario.rs
@@ -71,6 +71,9 @@
     pub most_turned_back: f64,
     #[serde(default = "ten_s_ms")]
     pub permission_ms: u64,
+    /// Nodes whose operators' file says nothing of plans, as that of an older version, until they are started anew.
+    #[serde(default)]
+    pub older: Vec<usize>,
     /// Machines that are not brought back, by their places.
     #[serde(default)]
     pub never_back: Vec<usize>,
@@ -79,6 +82,8 @@
     pub nodes: Vec<usize>,
     #[serde(default = "one_node")]
     pub most_nodes_out: u32,
+    /// In each zone.
+    pub most_nodes_out_a_zone: Option<u32>,
     #[serde(default = "one_node")]
     pub least_nodes: u32,
 }
@@ -809,6 +814,9 @@
             for (at, node) in plan.nodes.iter().enumerate() {
                 within(&format!("maintenance.nodes[{at}]"), *node, 0..=nodes.count - 1)?;
             }
+            for (at, node) in plan.older.iter().enumerate() {
+                within(&format!("maintenance.older[{at}]"), *node, 0..=nodes.count - 1)?;
+            }
             within("maintenance.least_ready", plan.least_ready, SHARE)?;
             within("maintenance.work_s", plan.work_s, 0.0..=LONG_S)?;
             within("maintenance.permission_ms", plan.permission_ms, 1000..=600_000)?;
--- a/crates/load/src/nodes.rs
+++ b/crates/load/src/nodes.rs
@@ -96,9 +96,16 @@
         Ok(())
     }
 
+    /// Whether it is of a version that knows nothing of plans: in its first life only.
+    fn is_older(&self, scenario: &Scenario) -> bool {
+        self.life == 0 && scenario.maintenance.as_ref().is_some_and(|plan| plan.older.contains(&self.place))
+    }
+
     /// Writes the operators' file, where there is one.
     fn writes_fleet(&self, scenario: &Scenario) -> io::Result<Option<PathBuf>> {
-        let Some(text) = fleet(scenario, &self.known_as, self.budgets) else { return Ok(None) };
+        let Some(text) = fleet(scenario, self.is_older(scenario), &self.known_as, self.budgets) else {
+            return Ok(None);
+        };
         let file = self.folder.join("fleet.toml");
         fs::write(&file, text)?;
         Ok(Some(file))
@@ -226,6 +233,7 @@
 /// The operators' file of how nodes behave together; without one each is alone.
 fn fleet(
     s: &Scenario,
+    is_older: bool,
     known_as: &Option<(SocketAddr, Vec<SocketAddr>)>,
     (edition, first_units): (u64, Option<u32>),
 ) -> Option<String> {
@@ -242,7 +250,7 @@
         let keepers: Vec<usize> = (0..s.nodes.keepers).collect();
         text += &format!("[keepers]\nnodes = {keepers:?}\n");
     }
-    if let Some(plan) = &s.maintenance {
+    if let Some(plan) = s.maintenance.as_ref().filter(|_| !is_older) {
         text += &format!("[maintenance]\npermission_ms = {}\n", plan.permission_ms);
     }
     if !s.budgets.is_empty() {
--- a/crates/load/src/staff.rs
+++ b/crates/load/src/staff.rs
@@ -92,6 +92,9 @@
         text +=
             &format!("nodes = {nodes:?}\nmost_nodes_out = {most_nodes_out}\nleast_nodes = {least_nodes}\n");
     }
+    if let Some(most) = plan.most_nodes_out_a_zone {
+        text += &format!("most_nodes_out_a_zone = {most}\n");
+    }
     if let Some(most) = plan.most_out_a_zone {
         text += &format!("most_out_a_zone = {most}\n");
     }
@@ -282,6 +285,17 @@
         if out > most {
             self.book.node_at_out(now, node, format!("is one of {out} that are out, {most} may be"));
         }
+        let zones = self.scenario.nodes.zones.len();
+        let agents = self.staff.node_agents.iter().enumerate();
+        let in_zone = agents.filter(|(at, agent)| agent.is_some() && at % zones == node % zones).count();
+        let most = self.scenario.maintenance.as_ref().and_then(|plan| plan.most_nodes_out_a_zone);
+        if most.is_some_and(|most| in_zone > most as usize) {
+            self.book.node_at_out(
+                now,
+                node,
+                format!("is one of {in_zone} of its zone that are out, {most:?} may be"),
+            );
+        }
         self.after(WATCHES, Task::NodeAgentActs(node));
     }
 
--- a/crates/load/tests/stories.rs
+++ b/crates/load/tests/stories.rs
@@ -254,6 +254,25 @@
     assert!(plan["phases"]["done"].as_u64() >= Some(2), "{plan:#}");
 }
 
+/// Guards against a machine that is called out while a node of an older version, which knows nothing of plans, sends to it: the
+/// plan waits and names that node, and goes on when it has been replaced.
+#[test]
+fn a_plan_waits_for_a_node_of_an_older_version_by_name() {
+    let folder = folder();
+    let text = fs::read_to_string(shipped("sockets.toml")).expect("it is shipped");
+    let calm = text.split("[[faults]]").next().expect("a front");
+    let talking = calm.replacen("count = 2\nzones", "count = 6\ntalk = true\nzones", 1);
+    let more = "\n[maintenance]\nat_s = 1\npart = 0.17\nmost_out = 1\nleast_ready = 0.6\nwork_s = 0.5\n\
+                longest_unit_s = 3\npermission_ms = 2000\nolder = [5]\n\n\
+                [[faults]]\nwhat = \"restart-nodes\"\nthese = [5]\nat_s = 8\nfor_s = 0.1\n";
+    let path = folder.path().join("older.toml");
+    fs::write(&path, format!("{talking}{more}")).expect("written");
+    let plan = &well(&path, &[])["plan"];
+    let waited = plan["why"]["runs: node 5, which may not have heard of the plan"].as_u64();
+    assert!(waited > Some(10), "{plan:#}");
+    assert_eq!(plan["phases"]["done"].as_u64(), Some(1), "{plan:#}");
+}
+
 /// Guards against a node that is called out while it has clients, work or a part of a budget, and against keepers that go together:
 /// all three of them and a fourth node go, while another is killed and datagrams get lost.
 #[test]
@@ -263,7 +282,7 @@
     let calm =
         text.split("[[faults]]").next().expect("a front").replacen("length_s = 20", "length_s = 26", 1);
     let talking = calm.replacen("count = 2\nzones", "count = 6\ntalk = true\nzones", 1);
-    let more = "\n[maintenance]\nat_s = 2\npart = 0.17\nnodes = [0, 1, 2, 3]\nmost_nodes_out = 1\nleast_nodes = 3\n\
+    let more = "\n[maintenance]\nat_s = 2\npart = 0.17\nnodes = [0, 1, 2, 3]\nmost_nodes_out = 1\nmost_nodes_out_a_zone = 1\nleast_nodes = 3\n\
                 most_out = 1\nleast_ready = 0.6\nwork_s = 0.5\nlongest_unit_s = 3\npermission_ms = 2000\n\n\
                 [[budgets]]\ntariff = \"search\"\nunits = 60\nwindow_ms = 1000\n\n\
                 [[faults]]\nwhat = \"restart-nodes\"\nthese = [5]\nat_s = 6\nfor_s = 0.1\n\n\
--- a/crates/maintenance/src/permission.rs
+++ b/crates/maintenance/src/permission.rs
@@ -16,6 +16,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Permission {
     holder: Holder,
+    zone: String,
     socket: u64,
     /// What its own machine is called, as a hash.
     own: u64,
@@ -37,6 +38,7 @@
     pub fn new(holder: Holder, (socket, own): (u64, u64), lease: Span) -> Permission {
         Permission {
             holder,
+            zone: String::new(),
             socket,
             own,
             lease,
@@ -52,6 +54,12 @@
         }
     }
 
+    /// The zone in which this node stands.
+    pub fn standing_in(mut self, zone: &str) -> Permission {
+        self.zone = zone.to_owned();
+        self
+    }
+
     /// Whether this node has ever had a word, without which it sends nowhere.
     pub fn has_word(&self) -> bool {
         self.by.is_some()
@@ -152,6 +160,7 @@
         let closed = self.machines.iter().filter(closed);
         Some(Ask {
             holder: self.holder,
+            zone: self.zone.clone(),
             socket: self.socket,
             ask: self.next_ask,
             knows: self.number,
--- a/crates/maintenance/src/plan.rs
+++ b/crates/maintenance/src/plan.rs
@@ -38,6 +38,9 @@
     pub most_nodes_out: u32,
     #[serde(default)]
     pub least_nodes: u32,
+    /// Of nodes in each zone, by the zones in which they say that they stand; as many as in all without it.
+    #[serde(default = "any")]
+    pub most_nodes_out_a_zone: u32,
     /// At once, counting those that are down beside the plan.
     pub most_out: u32,
     /// In each zone; as many as in all without it.
@@ -127,6 +130,9 @@
         if !self.nodes.is_empty() && (self.least_nodes == 0 || self.most_nodes_out == 0) {
             return wrong("least_nodes, most_nodes_out", "1 at least where there are nodes", &0);
         }
+        if self.most_nodes_out_a_zone == 0 {
+            return wrong("most_nodes_out_a_zone", "1 at least", &0);
+        }
         if let Some(at) = self.nodes.iter().position(|node| self.without.contains(node)) {
             return wrong(&format!("nodes[{at}]"), "one that is not down", &self.nodes[at]);
         }
--- a/crates/maintenance/src/works.rs
+++ b/crates/maintenance/src/works.rs
@@ -15,6 +15,8 @@
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Ask {
     pub holder: Holder,
+    /// The zone in which it stands.
+    pub zone: String,
     pub ask: u32,
     /// Where it listens for the others, as a hash: a socket that no other process has while this one lives.
     pub socket: u64,
@@ -221,6 +223,8 @@
     quiet_until_ms: u64,
     heard: BTreeSet<u32>,
     senders: BTreeMap<Holder, Sender>,
+    /// Where each node stands, also while it is away.
+    node_zones: BTreeMap<u32, String>,
     /// Machines that an earlier plan has left closed, and the start that they had.
     orphans: BTreeMap<u64, Option<u64>>,
     view: View,
@@ -254,6 +258,7 @@
             quiet_until_ms: permission_ms / 2,
             heard: BTreeSet::new(),
             senders: BTreeMap::new(),
+            node_zones: BTreeMap::new(),
             orphans: BTreeMap::new(),
             view: View::default(),
             tides: Vec::new(),
@@ -335,6 +340,9 @@
         }
         let until_ms = self.clock_ms + self.permission_ms;
         self.heard.insert(ask.holder.number);
+        if self.node_zones.get(&ask.holder.number) != Some(&ask.zone) {
+            self.node_zones.insert(ask.holder.number, ask.zone.clone());
+        }
         // What an asker keeps closed and nobody here knows of was closed by a state that is lost.
         if ask.knows > self.number {
             let stages = self.stages(None);
@@ -600,7 +608,7 @@
             let own = plans
                 .machines
                 .iter()
-                .filter(|machine| machine.zone == zone && !machine.ready && is_closed(machine.phase));
+                .filter(|m| m.node.is_none() && m.zone == zone && !m.ready && is_closed(m.phase));
             own.count() as u32
         };
         let away = |zone: &ZoneSeen| {
@@ -622,7 +630,8 @@
             }
         }
         let lost = |zone: &&ZoneSeen| {
-            let planned = plans.machines.iter().filter(|m| m.zone == zone.zone && is_closed(m.phase)).count();
+            let executors = plans.machines.iter().filter(|m| m.node.is_none() && is_closed(m.phase));
+            let planned = executors.filter(|m| m.zone == zone.zone).count();
             zone.listed > 1 && zone.ready == 0 && zone.listed > planned as u32
         };
         let zone = self.view.zones.iter().find(lost);
@@ -775,13 +784,18 @@
         let rank = |(at, machine): &(usize, &Machine)| {
             let insisted =
                 plans.plan.first.iter().position(|name| *name == machine.name).unwrap_or(usize::MAX);
+            let zone = self.zone_of(machine);
             let in_zone = |phases: &[Phase]| {
-                let own = plans.machines.iter().filter(|m| m.zone == machine.zone);
+                let own =
+                    plans.machines.iter().filter(|m| m.node.is_some() == of_nodes && self.zone_of(m) == zone);
                 own.filter(|m| phases.contains(&m.phase)).count()
             };
-            let away = away.get(&machine.zone).copied().unwrap_or(0);
+            let (most, away) = match machine.node {
+                Some(_) => (plans.plan.most_nodes_out_a_zone, self.nodes_away(plans, zone)),
+                None => (plans.plan.most_out_a_zone, away.get(zone).copied().unwrap_or(0)),
+            };
             let out = in_zone(&[Phase::Draining, Phase::Quiet, Phase::Out]) as u32 + away;
-            let full = out >= plans.plan.most_out_a_zone;
+            let full = out >= most;
             let taken =
                 in_zone(&[Phase::Next, Phase::Draining, Phase::Quiet, Phase::Out, Phase::Back, Phase::Lost]);
             let held: u32 = self
@@ -811,7 +825,7 @@
         if out >= plan.most_out {
             return Some(format!("{out} are out or down, {} may be", plan.most_out));
         }
-        let in_zone = plans.machines.iter().filter(|m| m.zone == machine.zone && is_closed(m.phase));
+        let in_zone = executors().filter(|m| m.zone == machine.zone && is_closed(m.phase));
         let zone_out = in_zone.count() as u32 + away.get(&machine.zone).copied().unwrap_or(0);
         if zone_out >= plan.most_out_a_zone {
             return Some(format!(
--- a/crates/maintenance/src/works/nodes.rs
+++ b/crates/maintenance/src/works/nodes.rs
@@ -10,6 +10,11 @@
     format!("node {number}")
 }
 
+/// Whether the plan has closed this node.
+fn goes(plans: &Plans, node: u32) -> bool {
+    plans.machines.iter().any(|m| m.node == Some(node) && is_closed(m.phase))
+}
+
 impl Works {
     /// Whether the fleet has the nodes of a plan.
     pub(super) fn has_nodes(&self, plan: &Plan) -> Result<(), String> {
@@ -28,6 +33,20 @@
         own.into_iter().any(|(_, sender)| !sender.dead && sender.until_ms > self.clock_ms)
     }
 
+    /// The zone of a machine: of an executor by the list, of a node by its own word.
+    pub(super) fn zone_of<'a>(&'a self, machine: &'a Machine) -> &'a str {
+        let of_node = |node: u32| self.node_zones.get(&node).map_or("", String::as_str);
+        machine.node.map_or(&machine.zone, of_node)
+    }
+
+    /// Nodes of a zone that are down beside the plan, and that staff did not know to be.
+    pub(super) fn nodes_away(&self, plans: &Plans, zone: &str) -> u32 {
+        let own = self.node_zones.iter().filter(|(_, own)| *own == zone).map(|(node, _)| *node);
+        let away =
+            |node: &u32| !self.is_there(*node) && !plans.plan.without.contains(node) && !goes(plans, *node);
+        own.filter(away).count() as u32
+    }
+
     /// The newest life of a node, as it counts them; 0 before any was heard.
     fn life(&self, node: u32) -> u64 {
         let own = self.senders.keys().filter(|holder| holder.number == node);
@@ -59,24 +78,29 @@
 
     /// What stands against sending this node away now.
     pub(super) fn bars_node(&self, plans: &Plans, machine: &Machine, node: u32) -> Option<String> {
-        let Plan { most_nodes_out, least_nodes, without, .. } = &plans.plan;
+        let Plan { most_nodes_out, most_nodes_out_a_zone, least_nodes, without, .. } = &plans.plan;
         if !machine.ready {
             return Some(format!("{}, which is not there", machine.name));
         }
-        let by_plan = |node: u32| {
-            let own = plans.machines.iter().find(|m| m.node == Some(node));
-            own.is_some_and(|m| is_closed(m.phase))
-        };
         // Those that staff know to be down count as well: whoever serves in their stead bears it.
         let (mut out, mut stay) = (0, 0);
         for other in 0..self.nodes {
-            let serves = self.is_there(other) && !by_plan(other);
+            let serves = self.is_there(other) && !goes(plans, other);
             out += u32::from(!serves && !without.contains(&other));
             stay += u32::from(serves && other != node);
         }
         if out >= *most_nodes_out {
             return Some(format!("{out} nodes are out or down, {most_nodes_out} may be"));
         }
+        // The fronts of a zone send to its own nodes first: those that stay bear what the others did.
+        let zone = self.zone_of(machine);
+        let closed = plans.machines.iter().filter(|m| m.node.is_some() && is_closed(m.phase));
+        let in_zone =
+            closed.filter(|m| self.zone_of(m) == zone).count() as u32 + self.nodes_away(plans, zone);
+        if in_zone >= *most_nodes_out_a_zone {
+            let most = most_nodes_out_a_zone;
+            return Some(format!("{in_zone} nodes of zone {zone} are out or down, {most} may be"));
+        }
         if stay < *least_nodes {
             return Some(format!("{stay} nodes would stay, {least_nodes} must"));
         }
--- a/crates/maintenance/tests/stories.rs
+++ b/crates/maintenance/tests/stories.rs
@@ -36,6 +36,7 @@
         zones: (0..machines).map(|at| ZONES[at % 3].to_owned()).collect(),
         nodes: Vec::new(),
         most_nodes_out: 1,
+        most_nodes_out_a_zone: u32::MAX,
         least_nodes: 0,
         most_out: 3,
         most_out_a_zone: 1,
@@ -507,6 +508,7 @@
     };
     let ask = |works: &mut Works, ask, knows, in_hand| {
         let ask = Ask {
+            zone: String::new(),
             holder,
             socket: 1,
             ask,
@@ -883,7 +885,8 @@
     fn begins(&mut self, at: usize) {
         let holder = Holder { number: at as u32, generation: self.now + 1 };
         let names = (at as u64 + (self.now << 8), hash(&node_name(at as u32)));
-        self.nodes[at] = Some((Permission::new(holder, names, PERMISSION), self.now + 1));
+        let permission = Permission::new(holder, names, PERMISSION).standing_in(["north", "south"][at % 2]);
+        self.nodes[at] = Some((permission, self.now + 1));
         (self.going[at], self.gone[at]) = (None, None);
     }
 
@@ -955,6 +958,32 @@
     assert!(away.order[..4].iter().all(|at| *at >= 3), "{:?}", away.order);
 }
 
+/// Guards against a zone whose fronts have too few nodes left, those that are down beside the plan among them.
+#[test]
+fn of_each_zone_no_more_nodes_go_than_the_plan_says() {
+    let mut away = Away::new(10);
+    let plan = Plan { most_nodes_out: 4, most_nodes_out_a_zone: 1, ..nodes(&[3, 4, 5, 6, 7, 8]) };
+    away.says(1, Command::Submit(Box::new(plan)));
+    for second in 0..600 {
+        away.pass(100);
+        let of = |zone: usize| (0..10).filter(|at| at % 2 == zone && away.gone[*at].is_some()).count();
+        assert!(of(0) <= 1 && of(1) <= 1, "{:?}", away.gone);
+        // One dies beside the plan, and stays away for a while.
+        match second {
+            2 => away.nodes[9] = None,
+            300 => {
+                let out = away.order.iter().filter(|at| **at % 2 == 1).count();
+                assert!(out <= 1, "south has lost one beside the plan: {:?}", away.order);
+                assert!(away.works.shown().why.contains("nodes of zone south are out or down, 1 may be"));
+                away.begins(9);
+            }
+            _ => {}
+        }
+    }
+    assert!(away.is_over(), "{:?}", away.works.shown());
+    assert_eq!(away.order.len(), 6);
+}
+
 #[test]
 fn a_node_that_is_never_through_is_left_and_one_of_a_withdrawn_plan_may_stay() {
     let mut away = Away::new(8);
@@ -979,7 +1008,20 @@
         let (in_hand, closed) = (Vec::new(), Vec::new());
         let holder = Holder { number, generation: 1 };
         let (socket, units, turned_back, shows) = (u64::from(number), 0, 0, false);
-        Step::Asks(Ask { holder, ask, socket, knows, in_hand, closed, through, units, turned_back, shows })
+        let zone = String::new();
+        Step::Asks(Ask {
+            holder,
+            zone,
+            ask,
+            socket,
+            knows,
+            in_hand,
+            closed,
+            through,
+            units,
+            turned_back,
+            shows,
+        })
     };
     let plan = Plan { least_nodes: 1, ..nodes(&[0]) };
     works.apply(2000, vec![asks(0, 1, 0, false), asks(1, 1, 0, false)], hash);
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -11,7 +11,7 @@
 use foca::{Runtime, Timer};
 use grebeusher_dispatch::time::{Moment, Span};
 use rand_pcg::Pcg32;
-use rand_pcg::rand_core::SeedableRng;
+use rand_pcg::rand_core::{Rng, SeedableRng};
 use serde::{Deserialize, Serialize};
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -172,6 +172,10 @@
     words: Rc<RefCell<Words>>,
     contacts: Vec<SocketAddr>,
     knocks_at: Option<Moment>,
+    /// As long as this node is a newcomer: when it asks next who is there, how many it knew then, and how often in a row that
+    /// brought nobody.
+    asks_round: Option<(Moment, usize, u32)>,
+    chance: Pcg32,
     /// When news of executors is told on without waiting for the usual round.
     hurries_at: Option<Moment>,
 }
@@ -181,6 +185,11 @@
 const NEWS_WAITS: Span = Span::millis(10);
 /// As long as nobody knows this node it knocks so often.
 const KNOCKS_EVERY: Span = Span::millis(1000);
+/// An answer holds some fifty of those who are there, drawn at random: a newcomer to three hundred knows nearly all after six
+/// rounds of three. Four in a row that bring nobody end it.
+const ROUNDS_EVERY: Span = Span::millis(250);
+const ASKED_A_ROUND: usize = 3;
+const IDLE_ROUNDS: u32 = 4;
 /// The most bytes of a datagram: what passes any path in one piece.
 pub const MOST_BYTES: usize = 1200;
 
@@ -223,6 +232,8 @@
             words,
             contacts: Vec::new(),
             knocks_at: None,
+            asks_round: None,
+            chance: Pcg32::seed_from_u64(seed ^ 1),
             hurries_at: None,
         }
     }
@@ -275,6 +286,7 @@
     fn knocks(&mut self, now: Moment) {
         if self.kept.active {
             self.knocks_at = None;
+            self.asks_round = Some((now, 0, 0));
             return;
         }
         for contact in self.contacts.clone() {
@@ -285,6 +297,18 @@
         self.knocks_at = (!self.contacts.is_empty()).then(|| now + KNOCKS_EVERY);
     }
 
+    /// A newcomer asks some of those that it knows for others. Guards against a node that knows a few dozen of hundreds for most of
+    /// a minute, as whom news of a start reaches is not told of those who were there before.
+    fn asks_around(&mut self, now: Moment, before: usize, idle: u32) {
+        let known: Vec<Fellow> = self.members().map(|(fellow, _)| fellow).collect();
+        let idle = if known.len() > before { 0 } else { idle + 1 };
+        self.asks_round = (idle < IDLE_ROUNDS).then_some((now + ROUNDS_EVERY, known.len(), idle));
+        for _ in 0..ASKED_A_ROUND.min(known.len()) {
+            let one = known[self.chance.next_u32() as usize % known.len()];
+            self.asks(now, |foca, acts| foca.announce(one, acts));
+        }
+    }
+
     /// A datagram came; `false` if nothing could be made of it.
     pub fn heard(&mut self, now: Moment, datagram: &[u8]) -> bool {
         self.asks(now, |foca, acts| foca.handle_data(datagram, acts))
@@ -302,7 +326,8 @@
 
     pub fn next_due(&self) -> Option<Moment> {
         let timer = self.kept.timers.first_key_value().map(|((when, _), _)| *when);
-        timer.into_iter().chain(self.knocks_at).chain(self.hurries_at).min()
+        let round = self.asks_round.map(|(at, ..)| at);
+        timer.into_iter().chain(self.knocks_at).chain(round).chain(self.hurries_at).min()
     }
 
     pub fn due(&mut self, now: Moment) {
@@ -313,6 +338,9 @@
         if self.knocks_at.is_some_and(|at| at <= now) {
             self.knocks(now);
         }
+        if let Some((_, before, idle)) = self.asks_round.filter(|(at, ..)| *at <= now) {
+            self.asks_around(now, before, idle);
+        }
         if self.hurries_at.is_some_and(|at| at <= now) {
             self.hurries_at = None;
             self.asks(now, |foca, acts| foca.gossip(acts));
@@ -322,6 +350,6 @@
     /// Tells some that this node goes, so that nobody has to suspect it.
     pub fn leave(&mut self, now: Moment) {
         self.asks(now, |foca, acts| foca.leave_cluster(acts));
-        (self.contacts, self.knocks_at) = (Vec::new(), None);
+        (self.contacts, self.knocks_at, self.asks_round) = (Vec::new(), None, None);
     }
 }
--- a/crates/membership/tests/stories.rs
+++ b/crates/membership/tests/stories.rs
@@ -153,6 +153,16 @@
     }
 }
 
+/// Guards against a node that is started anew in a large fleet and knows a few dozen of the others for most of a minute.
+#[test]
+fn a_newcomer_to_a_large_fleet_knows_nearly_all_within_seconds() {
+    let mut fleet = Fleet::new(200);
+    fleet.pass(20.0);
+    fleet.begin(7, 2);
+    fleet.pass(3.0);
+    assert!(fleet.seen_by(7).len() >= 195, "{} of 199", fleet.seen_by(7).len());
+}
+
 #[test]
 fn a_split_is_seen_by_both_parts_and_heals() {
     let mut fleet = Fleet::new(12);
--- a/crates/node/src/life/node.rs
+++ b/crates/node/src/life/node.rs
@@ -247,8 +247,9 @@
         let fellows = fellows.map(|(fleet, posted)| {
             let by = (FELLOWS, &poller, clock, &counters);
             let names = (&charter.tariff_names[..], &charter.customer_names[..]);
-            let fellows =
-                Fellows::meet(fleet, posted, names, posting.listen, charter.place(), posting.seed, by);
+            let (own, count) = charter.place();
+            let place = (own, count, charter.zone_name());
+            let fellows = Fellows::meet(fleet, posted, names, posting.listen, place, posting.seed, by);
             fellows.map(Rc::new)
         });
         let fellows = fellows.transpose()?;
--- a/crates/node/src/wire/fellows.rs
+++ b/crates/node/src/wire/fellows.rs
@@ -28,7 +28,7 @@
 /// Descriptors that are set aside for it.
 pub const DESCRIPTORS: usize = 1;
 /// What this version writes first; one that begins otherwise is another's.
-const VERSION: u8 = 2;
+const VERSION: u8 = 3;
 const MARK: usize = 16;
 /// What a datagram holds, by its second byte.
 const MEMBERSHIP: u8 = 1;
@@ -121,6 +121,11 @@
     addresses: RefCell<BTreeMap<u32, SocketAddr>>,
     /// Where keepers were last: who is taken for gone and is not must still be reached.
     keepers: RefCell<BTreeMap<u32, Option<SocketAddr>>>,
+    /// Where those who ask for something say that they are. Guards against a keeper that has just started, leads and does
+    /// not know yet whom it answers.
+    askers: RefCell<BTreeMap<u32, SocketAddr>>,
+    /// This node's number, and where others reach it.
+    pub own: (u32, SocketAddr),
     pub counters: Rc<Counters>,
 }
 
@@ -136,11 +141,17 @@
     /// To one node, by its number; nobody hears it if it is not known to be there.
     pub fn say_bytes(&self, node: u32, kind: u8, body: &[u8]) {
         let known = self.addresses.borrow().get(&node).copied();
-        if let Some(to) = known.or_else(|| self.keepers.borrow().get(&node).copied().flatten()) {
+        let known = known.or_else(|| self.keepers.borrow().get(&node).copied().flatten());
+        if let Some(to) = known.or_else(|| self.askers.borrow().get(&node).copied()) {
             self.say(to, kind, body);
         }
     }
 
+    /// Somebody asks, and says where it is.
+    pub fn asked_by(&self, (node, address): (u32, SocketAddr)) {
+        self.askers.borrow_mut().insert(node, address);
+    }
+
     fn say_what(&self, to: SocketAddr, kind: u8, what: &impl Serialize) {
         if let Ok(body) = postcard::to_allocvec(what) {
             self.say(to, kind, &body);
@@ -247,7 +258,7 @@
         posted: &fleet::Fellows,
         names: (&[String], &[String]),
         listen: SocketAddr,
-        (own, count): (u64, u64),
+        (own, count, zone): (u64, u64, &str),
         seed: u64,
         (key, poller, clock, counters): (usize, &Rc<Poller>, Clock, &Rc<Counters>),
     ) -> Result<Fellows, String> {
@@ -264,17 +275,15 @@
             frame,
             addresses: RefCell::default(),
             keepers: RefCell::new(known.collect()),
+            askers: RefCell::default(),
+            own: (own as u32, posted.known_as.unwrap_or(at)),
             counters: counters.clone(),
         });
         let words: Rc<RefCell<Vec<Word>>> = Rc::default();
         let newcomers: Rc<RefCell<Vec<u32>>> = Rc::default();
         let hand = Hand { post: post.clone(), words: words.clone(), newcomers: newcomers.clone() };
         let now = clock.now();
-        let fellow = Fellow {
-            address: posted.known_as.unwrap_or(at),
-            number: own as u32,
-            generation: now.0 / 1_000_000,
-        };
+        let fellow = Fellow { address: post.own.1, number: post.own.0, generation: now.0 / 1_000_000 };
         let holder = Holder { number: fellow.number, generation: fellow.generation };
         let budgets = fleet.budgets.as_ref();
         let parts = budgets.map(|posted| Parts::new(now, posted, names, holder).map(RefCell::new));
@@ -283,7 +292,7 @@
         let names = (fixed_hash(&at.to_string()), fixed_hash(&node_name(fellow.number)));
         let works = fleet.maintenance.as_ref().map(|_| Office {
             is_through: Cell::new(false),
-            permission: RefCell::new(Permission::new(holder, names, permission)),
+            permission: RefCell::new(Permission::new(holder, names, permission).standing_in(zone)),
             changes_at: Cell::new(None),
             viewed: Cell::new(now),
             nudges_at: Cell::new(None),
@@ -769,4 +778,29 @@
             assert!(own.inside(&changed).is_none(), "byte {at}");
         }
     }
+
+    /// Failure: a keeper that had just started and led knew some dozen of three hundred, and answered nobody else for most of a
+    /// minute; plans and budgets stood still for so long.
+    #[test]
+    fn who_asks_is_answered_where_it_says_that_it_is_though_nobody_has_told_of_it() {
+        let bound = || UdpSocket::bind("127.0.0.1:0").expect("a free port");
+        let (socket, asker) = (bound(), bound());
+        asker.set_read_timeout(Some(std::time::Duration::from_secs(20))).expect("a time-out");
+        let at = asker.local_addr().expect("an address");
+        let post = Post {
+            socket,
+            frame: Frame::new("lipa", "hush"),
+            addresses: RefCell::default(),
+            keepers: RefCell::default(),
+            askers: RefCell::default(),
+            own: (1, at),
+            counters: Rc::default(),
+        };
+        post.say_bytes(60, OUTCOME, b"lost");
+        post.asked_by((60, at));
+        post.say_bytes(60, OUTCOME, b"granted");
+        let mut datagram = [0; 100];
+        let length = asker.recv(&mut datagram).expect("it is answered");
+        assert_eq!(post.frame.inside(&datagram[..length]), Some((OUTCOME, &b"granted"[..])));
+    }
 }
--- a/crates/node/src/wire/settling.rs
+++ b/crates/node/src/wire/settling.rs
@@ -7,6 +7,7 @@
 use grebeusher_dispatch::time::Moment;
 use grebeusher_settled::{Host, Keeper};
 use std::mem;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use tracing::{debug, info, warn};
 
@@ -116,7 +117,7 @@
     /// Wants a step settled; it may get lost.
     pub fn ask(&mut self, now: Moment, step: Step) {
         if self.keeper.is_some() {
-            return self.hands_on(now, step, true);
+            return self.hands_on(now, self.post.own, step, true);
         }
         self.unanswered += 1;
         if let Step::Part(Ask { budget, wants, keeps, ask, .. }) = &step {
@@ -126,16 +127,16 @@
         if self.unanswered > PATIENCE {
             (self.asked, self.unanswered) = ((self.asked + 1) % self.keepers.len(), 0);
         }
-        self.post.say_to(self.keepers[self.asked], STEP, &(true, step));
+        self.post.say_to(self.keepers[self.asked], STEP, &(true, self.post.own, step));
     }
 
     /// To whoever leads. What another keeper has handed on goes no further: the two may be of different minds.
-    fn hands_on(&mut self, now: Moment, step: Step, further: bool) {
+    fn hands_on(&mut self, now: Moment, from: (u32, SocketAddr), step: Step, further: bool) {
         let Some(keeper) = &mut self.keeper else { return };
         if keeper.leads() {
             keeper.propose(now, step);
         } else if let Some(leader) = keeper.leader().filter(|_| further) {
-            self.post.say_to(self.keepers[leader], STEP, &(false, step));
+            self.post.say_to(self.keepers[leader], STEP, &(false, from, step));
         }
     }
 
@@ -144,8 +145,9 @@
         match kind {
             KEEPER => self.keeper.as_mut().is_some_and(|keeper| keeper.heard(now, body)),
             STEP => {
-                let Ok((further, step)) = postcard::from_bytes(body) else { return false };
-                self.hands_on(now, step, further);
+                let Ok((further, from, step)) = postcard::from_bytes(body) else { return false };
+                self.post.asked_by(from);
+                self.hands_on(now, from, step, further);
                 self.keeper.is_some()
             }
             _ => {
