--- a/crates/emulator/src/plots.rs
+++ b/crates/emulator/src/plots.rs
@@ -3,11 +3,20 @@
 use crate::figures::Second;
 use crate::spread::{self, Window};
 use plotters::prelude::*;
+use std::collections::{BTreeMap, BTreeSet};
 use std::path::Path;
 
 const SIZE: (u32, u32) = (900, 480);
-const COLOURS: [RGBColor; 5] =
-    [RGBColor(90, 90, 90), RGBColor(30, 140, 60), RGBColor(220, 140, 20), RGBColor(200, 40, 40), BLUE];
+const COLOURS: [RGBColor; 8] = [
+    RGBColor(90, 90, 90),
+    RGBColor(30, 140, 60),
+    RGBColor(220, 140, 20),
+    RGBColor(200, 40, 40),
+    BLUE,
+    RGBColor(130, 60, 160),
+    RGBColor(20, 150, 160),
+    RGBColor(150, 110, 70),
+];
 
 /// One line of a plot.
 pub struct Line {
@@ -47,6 +56,31 @@
     draw(path, title, ("seconds", "part of the slots in use, by executor"), &lines, false)
 }
 
+/// How many there are of each state over time: `course` has a count of each whenever one is another.
+pub fn states(path: &Path, title: &str, course: &[(f64, BTreeMap<String, usize>)]) -> Result<(), String> {
+    let names: BTreeSet<&String> = course.iter().flat_map(|(_, counts)| counts.keys()).collect();
+    let line = |name: &String| {
+        let count = |counts: &BTreeMap<String, usize>| counts.get(name).copied().unwrap_or(0) as f64;
+        // A count holds until the next one.
+        let holds =
+            course.windows(2).flat_map(|two| [(two[0].0, count(&two[0].1)), (two[1].0, count(&two[0].1))]);
+        let last = course.last().map(|(at, counts)| (*at, count(counts)));
+        Line { name: name.clone(), points: holds.chain(last).collect() }
+    };
+    let lines: Vec<Line> = names.into_iter().map(line).collect();
+    draw(path, title, ("seconds", "machines, by how far they are"), &lines, false)
+}
+
+/// What was spent in each second of wholes that may be spent in one, each by its name.
+pub fn spent(path: &Path, title: &str, budgets: &[(String, Vec<u64>, f64)]) -> Result<(), String> {
+    let lines = budgets.iter().flat_map(|(name, seconds, whole)| {
+        let points = seconds.iter().enumerate().map(|(at, units)| (at as f64, *units as f64)).collect();
+        let all = vec![(0.0, *whole), (seconds.len().saturating_sub(1) as f64, *whole)];
+        [Line { name: name.clone(), points }, Line { name: format!("{name}, the whole"), points: all }]
+    });
+    draw(path, title, ("seconds", "units a second"), &lines.collect::<Vec<_>>(), false)
+}
+
 /// Any lines; `by_tens`: the height goes by powers of ten.
 pub fn draw(
     path: &Path,
--- a/crates/emulator/tests/stories.rs
+++ b/crates/emulator/tests/stories.rs
@@ -7,6 +7,7 @@
 use grebeusher_dispatch::time::{Moment, Span};
 use grebeusher_emulator::figures::Outcome;
 use grebeusher_emulator::laws::Sizes;
+use grebeusher_emulator::plots;
 use grebeusher_emulator::queueing;
 use grebeusher_emulator::rules::{Answer, Book, Rule};
 use grebeusher_emulator::scenario::Scenario;
@@ -15,6 +16,7 @@
 use grebeusher_emulator::world::{Decide, Maker, Policy, maker, run};
 use rand::SeedableRng;
 use rand_pcg::Pcg32;
+use std::collections::BTreeMap;
 use std::path::Path;
 use std::process::Command;
 
@@ -398,3 +400,18 @@
     book.sent(second(6), 1, 0, 0);
     assert_eq!(book.counts.get(&Rule::OneAnswer), Some(&1));
 }
+
+/// Guards against a plot that leaves a state or a whole out, or one of nothing that looks like one.
+#[test]
+fn plots_of_plans_and_budgets_show_each_state_and_each_whole() {
+    let file = std::env::temp_dir().join(format!("grebeusher-plot-{}.svg", std::process::id()));
+    let at = |done: usize| BTreeMap::from([("waiting".to_owned(), 3 - done), ("done".to_owned(), done)]);
+    plots::states(&file, "a day's work", &[(1.0, at(0)), (4.0, at(3))]).expect("it is drawn");
+    let drawn = std::fs::read_to_string(&file).expect("it was written");
+    assert!(drawn.contains("waiting") && drawn.contains("done") && drawn.contains("polyline"));
+    plots::spent(&file, "a storm", &[("search".to_owned(), vec![0, 90, 100], 100.0)]).expect("it is drawn");
+    let drawn = std::fs::read_to_string(&file).expect("it was written");
+    std::fs::remove_file(&file).expect("it is there");
+    assert!(drawn.contains("search, the whole") && drawn.matches("polyline").count() >= 2);
+    assert_eq!(plots::states(&file, "none", &[]), Err("there is nothing to plot".to_owned()));
+}
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -45,6 +45,12 @@
     /// The part of slots in use over time, as SVG; of the last seed
     #[arg(long, value_name = "FILE")]
     plot_spread: Option<PathBuf>,
+    /// What was spent of each budget second by second, and its whole, as SVG; of the last seed
+    #[arg(long, value_name = "FILE")]
+    plot_budgets: Option<PathBuf>,
+    /// The machines of the plan by how far they are, over time, as SVG; of the last seed
+    #[arg(long, value_name = "FILE")]
+    plot_plan: Option<PathBuf>,
     /// Where the nodes' files and logs stay
     #[arg(long, value_name = "FOLDER")]
     logs: Option<PathBuf>,
@@ -103,6 +109,10 @@
     if let Some(last) = reports.last() {
         line.plot.map_or(Ok(()), |file| plots::seconds(&file, &scenario.name, &last.seconds))?;
         line.plot_spread.map_or(Ok(()), |file| plots::spread(&file, &scenario.name, &last.spread))?;
+        let spent: Vec<_> = last.budgets.iter().map(run::Spending::by_second).collect();
+        line.plot_budgets.map_or(Ok(()), |file| plots::spent(&file, &scenario.name, &spent))?;
+        let course = last.plan.as_ref().map_or(&[][..], |plan| &plan.course);
+        line.plot_plan.map_or(Ok(()), |file| plots::states(&file, &scenario.name, course))?;
     }
     match (&line.json, &reports[..]) {
         (Some(file), [report]) => write_json(file, report)?,
--- a/crates/load/src/run.rs
+++ b/crates/load/src/run.rs
@@ -112,9 +112,8 @@
         for b in &self.budgets {
             writeln!(
                 f,
-                "budget of {}{}: {} units in {} ms, most {} in a window, {:.3} of it used",
-                b.tariff,
-                if b.further { ", further allocations" } else { "" },
+                "budget of {}: {} units in {} ms, most {} in a window, {:.3} of it used",
+                b.name(),
                 b.units,
                 b.window_ms,
                 b.most,
@@ -145,6 +144,17 @@
     pub seconds: Vec<u64>,
 }
 
+impl Spending {
+    fn name(&self) -> String {
+        format!("{}{}", self.tariff, if self.further { ", further allocations" } else { "" })
+    }
+
+    /// Its name, what was spent in each second, and what may be in one.
+    pub fn by_second(&self) -> (String, Vec<u64>, f64) {
+        (self.name(), self.seconds.clone(), f64::from(self.units) * 1e3 / self.window_ms)
+    }
+}
+
 /// Adds up from outside what was spent, over every window; more than the whole is a broken rule. When a node spent a unit is known
 /// between two times: what counts for a window lies in it with both, so that no way and no standstill makes a breach.
 fn audit(fleet: &mut Fleet) -> Vec<Spending> {
--- a/crates/load/src/staff.rs
+++ b/crates/load/src/staff.rs
@@ -36,6 +36,8 @@
     pub machines: usize,
     /// Machines by what became of them, as the nodes said last.
     pub phases: BTreeMap<String, usize>,
+    /// The same whenever it was seen to be another, with the seconds since the run began.
+    pub course: Vec<(f64, BTreeMap<String, usize>)>,
     /// From when it was handed in until it was over; none if it never was.
     pub took_s: Option<f64>,
     /// The least that its limits allow: machines over most at once, times draining, as it took in the mean, and work.
@@ -194,6 +196,13 @@
         for machine in machines {
             let phase = machine["phase"].as_str().unwrap_or_default();
             *self.staff.seen.phases.entry(phase.to_owned()).or_default() += 1;
+        }
+        let PlanSeen { phases, course, .. } = &mut self.staff.seen;
+        if course.last().is_none_or(|(_, last)| last != phases) {
+            course.push((now.since(Moment(START)).as_secs(), phases.clone()));
+        }
+        for machine in machines {
+            let phase = machine["phase"].as_str().unwrap_or_default();
             let name = machine["name"].as_str().unwrap_or_default();
             if let Some(node) = name.strip_prefix("node ").and_then(|number| number.parse().ok()) {
                 let number = machine["number"].as_u64().unwrap_or(0);
