Clients' headers go on to the executor, the idempotency key among them

Lines at fault: Executors::allocate wrote four headers of its own, and Errand kept none of the client's.

Change: all end-to-end headers go on (RFC 9110, 7.6.1); those of the connection, those that Connection names, and the four that the node writes itself do not. Jobs of the ledger keep them in a record of their own, logs of before are read as they were.

--- a/crates/ledger/src/book.rs
+++ b/crates/ledger/src/book.rs
@@ -10,6 +10,9 @@
     pub tariff: String,
     pub binding: bool,
     pub target: String,
+    /// The lines of the client's headers that go on. Logs of before they did have none, so a record of its own holds them.
+    #[serde(skip)]
+    pub headers: String,
     pub body: Vec<u8>,
     pub hint_us: Option<u64>,
     /// Unix time in milliseconds at which it was taken, and at which nobody waits any more.
@@ -50,6 +53,15 @@
     Forgotten {
         id: String,
     },
+    /// Taken, with the lines of its headers.
+    TakenWith(Job, String),
+}
+
+impl Record {
+    pub fn taken(job: Job) -> Record {
+        let headers = job.headers.clone();
+        if headers.is_empty() { Record::Taken(job) } else { Record::TakenWith(job, headers) }
+    }
 }
 
 /// One time that a job was sent.
@@ -108,10 +120,8 @@
     /// the one that somebody may have heard.
     pub fn apply(&mut self, record: &Record) {
         match record {
-            Record::Taken(job) => {
-                let fresh = || Page { job: job.clone(), sendings: Vec::new(), answer: None };
-                self.pages.entry(job.id.clone()).or_insert_with(fresh);
-            }
+            Record::Taken(job) => self.take(job.clone()),
+            Record::TakenWith(job, headers) => self.take(Job { headers: headers.clone(), ..job.clone() }),
             Record::Sent { id, number, executor } => {
                 if let Some(page) = self.open_page(id) {
                     let (number, executor) = (*number, executor.clone());
@@ -136,6 +146,11 @@
         }
     }
 
+    fn take(&mut self, job: Job) {
+        let id = job.id.clone();
+        self.pages.entry(id).or_insert_with(|| Page { job, sendings: Vec::new(), answer: None });
+    }
+
     fn open_page(&mut self, id: &str) -> Option<&mut Page> {
         self.pages.get_mut(id).filter(|page| page.answer.is_none())
     }
@@ -159,10 +174,10 @@
             let id = || page.job.id.clone();
             let job = match page.answer {
                 // Nobody sends it again.
-                Some(_) => Job { body: Vec::new(), ..page.job.clone() },
+                Some(_) => Job { body: Vec::new(), headers: String::new(), ..page.job.clone() },
                 None => page.job.clone(),
             };
-            records.push(Record::Taken(job));
+            records.push(Record::taken(job));
             for sending in page.sendings.iter().filter(|_| page.answer.is_none()) {
                 let (number, executor) = (sending.number, sending.executor.clone());
                 records.push(Record::Sent { id: id(), number, executor });
--- a/crates/ledger/tests/stories.rs
+++ b/crates/ledger/tests/stories.rs
@@ -10,11 +10,12 @@
 fn job(id: &str, binding: bool) -> Record {
     let (tariff, target) = ("search".to_owned(), "/search".to_owned());
     let (taken_ms, ends_ms, hint_us) = (1000, 9000, Some(5));
-    Record::Taken(Job {
+    Record::taken(Job {
         id: id.to_owned(),
         tariff,
         binding,
         target,
+        headers: "Idempotency-Key: 7\r\n".to_owned(),
         body: b"work".to_vec(),
         hint_us,
         taken_ms,
@@ -176,3 +177,19 @@
         prop_assert!(log.torn <= bytes.len() as u64);
     }
 }
+
+#[test]
+fn the_headers_of_a_job_outlive_the_process_and_a_log_of_before_they_were_kept_is_read() {
+    let Record::TakenWith(kept, _) = job("a", true) else { panic!("a job with headers") };
+    let before = Record::Taken(Job { id: "b".to_owned(), ..kept.clone() });
+    let folder = tempfile::tempdir().expect("a folder");
+    {
+        let mut log = Log::open(folder.path()).expect("a log");
+        log.add(&job("a", true), true).expect("written");
+        log.add(&before, true).expect("written");
+    }
+    let log = Log::open(folder.path()).expect("the same log");
+    let headers = |id: &str| log.book().page(id).map(|page| page.job.headers.clone());
+    assert_eq!(headers("a").as_deref(), Some("Idempotency-Key: 7\r\n"));
+    assert_eq!(headers("b").as_deref(), Some(""));
+}
--- a/crates/node/src/exchange.rs
+++ b/crates/node/src/exchange.rs
@@ -529,6 +529,7 @@
             tariff: errand.tariff.clone(),
             binding: errand.binding,
             target: errand.target.clone(),
+            headers: errand.headers.clone(),
             body: errand.body.clone(),
             hint_us: arrival.hint.map(|hint| hint.0 / 1000),
             taken_ms: ms(self.hands.clock.now()),
@@ -585,9 +586,10 @@
             slots: 1.0,
             beyond: false,
         };
-        let Job { id, tariff, target, body, binding, .. } = job;
+        let Job { id, tariff, target, headers, body, binding, .. } = job;
         let (call_id, of) = (id.into(), (arrival.tariff, arrival.customer));
-        let errand = Errand { call_id, tariff, target, body, binding, of, lasts: true, pushed: None };
+        let errand =
+            Errand { call_id, tariff, target, headers, body, binding, of, lasts: true, pushed: None };
         self.arrived(self.unit_ids.take(), errand, &arrival);
     }
 
--- a/crates/node/src/memory/ledger.rs
+++ b/crates/node/src/memory/ledger.rs
@@ -101,7 +101,7 @@
         if self.inside.borrow().log.book().len() >= self.most {
             return Err(io::Error::other("there are as many jobs as it may hold"));
         }
-        self.add(&Record::Taken(job), true)
+        self.add(&Record::taken(job), true)
     }
 
     /// It is about to be sent. Of a binding one that is on disk when this returns: a crash in the next moment must find
--- a/crates/node/src/memory/units.rs
+++ b/crates/node/src/memory/units.rs
@@ -25,6 +25,8 @@
     pub call_id: Rc<str>,
     pub tariff: String,
     pub target: String,
+    /// The lines of the client's headers that go on.
+    pub headers: String,
     pub body: Vec<u8>,
     pub binding: bool,
     /// The places of its tariff and customer.
--- a/crates/node/src/wire/clients.rs
+++ b/crates/node/src/wire/clients.rs
@@ -42,6 +42,8 @@
 const LONGEST_ID: usize = 128;
 /// Before the path of work that outlives the process, where there is a ledger.
 const LASTING: &str = "/durable/";
+/// What the node writes itself at the head of each attempt.
+const OWN_HEADERS: [&str; 4] = ["Host", "X-Call-Id", "X-Call-Class", "X-Budget-Ms"];
 /// How long no connection is taken in after the system had no room for one: some are closed meanwhile.
 const BREATHER: Span = Span::millis(50);
 /// The longest patience that a client may name: a day, far beyond any work; it keeps sums of times in range.
@@ -622,7 +624,8 @@
         let binding = self.charter.is_binding(tariff);
         let (call_id, of) = (call_id.into(), (tariff, arrival.customer));
         let tariff = named.to_owned();
-        Ok((Errand { call_id, tariff, target, body, binding, of, lasts, pushed: None }, arrival))
+        let headers = headers.passed_on(&OWN_HEADERS);
+        Ok((Errand { call_id, tariff, target, headers, body, binding, of, lasts, pushed: None }, arrival))
     }
 
     /// Takes work that outlives the process: the client hears that it is taken, and asks for its end later.
--- a/crates/node/src/wire/executors.rs
+++ b/crates/node/src/wire/executors.rs
@@ -438,11 +438,11 @@
         errand: &Errand,
         time_out: Span,
     ) {
-        let Errand { call_id, tariff, target, body, binding, .. } = errand;
+        let Errand { call_id, tariff, target, headers, body, binding, .. } = errand;
         let (budget, length) = (time_out.0 / 1_000_000, body.len());
         let head = format!(
             "POST {target} HTTP/1.1\r\nHost: {}\r\nX-Call-Id: {call_id}\r\nX-Call-Class: {tariff}\r\n\
-             X-Budget-Ms: {budget}\r\nContent-Length: {length}\r\n\r\n",
+             X-Budget-Ms: {budget}\r\n{headers}Content-Length: {length}\r\n\r\n",
             host(address)
         );
         let mut message = head.into_bytes();
--- a/crates/node/src/wire/faktory.rs
+++ b/crates/node/src/wire/faktory.rs
@@ -479,6 +479,7 @@
             call_id: job.jid.as_str().into(),
             tariff: job.queue.clone(),
             target: format!("/{}", job.queue),
+            headers: String::new(),
             body: line.clone().into_bytes(),
             binding: self.charter.is_binding(tariff),
             of: (tariff, arrival.customer),
--- a/crates/node/src/wire/http.rs
+++ b/crates/node/src/wire/http.rs
@@ -37,6 +37,28 @@
         self.list.iter().filter(move |(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, v)| v.as_str())
     }
 
+    /// The lines of those that go on to whoever serves the request: all but `own`, which the node writes itself, and
+    /// those that are about one connection (RFC 9110, 7.6.1). Guards against an executor that misses what its client
+    /// said, its idempotency key above all.
+    pub fn passed_on(&self, own: &[&str]) -> String {
+        const OF_THE_CONNECTION: [&str; 9] = [
+            "connection",
+            "keep-alive",
+            "proxy-connection",
+            "te",
+            "trailer",
+            "transfer-encoding",
+            "upgrade",
+            "content-length",
+            "expect",
+        ];
+        let named: Vec<&str> = self.all("connection").flat_map(|v| v.split(',')).map(str::trim).collect();
+        let among = |names: &[&str], name: &str| names.iter().any(|n| n.eq_ignore_ascii_case(name));
+        let stays = |name: &str| among(&OF_THE_CONNECTION, name) || among(&named, name) || among(own, name);
+        let lines = self.list.iter().filter(|(name, _)| !stays(name));
+        lines.map(|(name, value)| format!("{name}: {value}\r\n")).collect()
+    }
+
     fn read(parsed: &[httparse::Header<'_>], version: Option<u8>) -> Headers {
         let list = parsed
             .iter()
--- a/crates/node/tests/stories.rs
+++ b/crates/node/tests/stories.rs
@@ -33,6 +33,26 @@
     assert_eq!(executor.hear().header("X-Call-Id"), Some("u2"));
 }
 
+#[test]
+fn what_a_client_says_beside_its_work_reaches_the_executor_and_what_is_of_its_connection_does_not() {
+    // Failure: an executor that missed the key by which it tells a repeat.
+    let listens = listener();
+    let world = World::around(&listens);
+    let mut client = world.call();
+    let said = "Idempotency-Key: k-7\r\nX-Caller: birch\r\nX-Route-Hash: 7f3a\r\nConnection: keep-alive, X-Hop\r\n\
+                X-Hop: 1\r\nTE: trailers\r\nHost: origin.svc\r\n";
+    client.say(&unit("u1", "search", 9000).replacen("X-Call-Id", &format!("{said}X-Call-Id"), 1));
+    let sent = accept(&listens).hear();
+    let all = |name: &str| sent.headers.iter().filter(|h| h.split(':').next() == Some(name)).count();
+    for (name, value) in [("Idempotency-Key", "k-7"), ("X-Caller", "birch"), ("X-Route-Hash", "7f3a")] {
+        assert_eq!(sent.header(name), Some(value));
+    }
+    let once = ["Host", "X-Call-Id", "X-Call-Class", "X-Budget-Ms", "Content-Length", "X-Call-Cost"];
+    assert_eq!(once.map(all), [1; 6]);
+    assert_eq!(["Connection", "X-Hop", "TE"].map(all), [0; 3]);
+    assert_eq!(sent.header("Host"), Some(address(&listens).as_str()));
+}
+
 #[test]
 fn call_backs_early_repeated_or_of_another_life_are_answered_and_act_once() {
     let listens = listener();
