One bound from the last proof of the list to news; attempts look at list and client last

Logs of the node: its first watch was reset at 0.02 s, the next call was never answered and counted as silent 5 s later, the list came at 8.15 s, while word counted from 7.0 s. Ruled out: the list's content (read whole), the pick (draining got nothing after the list), lateness of the loop. At fault: wire/discovery.rs, 1 + 5 + 3 s one after the other and waits of 0.5 to 4 s between, chunks that made no line pushing the silence on, and nothing that held the node to the age of its list.

The module is told what is proved of the list; 6 s and the grace after that nothing goes to whom the list alone speaks for. A line proves it, so does a refused dial, the end of a watch that was not silent, and 30 s without any word. A call unanswered for 2 s gets another beside it; one is silent after 3.2 s, a watch after 2.5 s; waits are 0.1 to 2.4 s. Changes to an older list than the one known have the whole list asked for. Each attempt has its client's connection read in the last step before its first byte, one that was dialled also the list, its standing and the memory span of its group. More found in reading: a client that said Connection: close had its work withdrawn at once; connections were closed over unread bytes, the answer lost with them; an end behind more than 4 KiB of a next request was not heard; units that were turned back before anything was sent for them were kept for ever.

--- a/crates/benchlink/src/main.rs
+++ b/crates/benchlink/src/main.rs
@@ -145,6 +145,7 @@
                                 zone: e.dc,
                                 cell: e.pod,
                                 weight: e.weight,
+                                speaks: false,
                             });
                         }
                         node.dispatcher.listed(now, line.mode != "patch", &entries);
--- a/crates/charter/src/lib.rs
+++ b/crates/charter/src/lib.rs
@@ -104,6 +104,7 @@
                 recalls_stop: false,
                 patience_off: whole.part("contract")?.span("deadline_error_ns")?.unwrap_or_default(),
                 further: further(&whole.part("contract")?)?,
+                grace: whole.part("contract")?.span("stop_sending_within_ns")?.unwrap_or_default(),
                 longest_come_back,
             },
             cold: cold_start(&whole.part("contract")?)?,
--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -9,7 +9,7 @@
 //! The design (SITA-E, `docs/design.md`): the size of a work unit picks a lane by cut-offs that equalise the
 //! summed size per worker; inside the lane a random pick is weighted by one minus the utilisation.
 //! Beside it stand six mechanisms:
-//!   1. following the list           `listed`, `list_broken`
+//!   1. following the list           `listed`, `list_proved`, `list_broken`, `may_begin`
 //!   2. setting aside                `set_aside`
 //!   3. cold budgets                 `Executor::cold_admits`
 //!   4. further allocations          `review`, `renew`
@@ -60,6 +60,7 @@
 struct Executor {
     hash: u64,
     standing: Standing,
+    speaks: bool,
     started: Option<Moment>,
     /// The latest that this start can have been, as listed ones may be off: when it was heard of, at most.
     cold_from: Option<Moment>,
@@ -226,9 +227,6 @@
     cold: bool,
 }
 
-/// The executor, whether any had room, and the wait.
-type Picked = (ExecutorId, bool, f64);
-
 impl Work {
     /// Seconds left for waiting if the quoted time is to be kept.
     fn slack(&self, now: Moment) -> f64 {
@@ -295,6 +293,7 @@
     came: VecDeque<Moment>,
     further: VecDeque<Moment>,
     follow_tries: u32,
+    list_until: Option<Moment>,
     known: Known,
     cut_offs: Vec<f64>,
     recut: Moment,
@@ -324,6 +323,7 @@
             came: VecDeque::new(),
             further: VecDeque::new(),
             follow_tries: 0,
+            list_until: None,
             known: Known::default(),
             cut_offs: Vec::new(),
             recut: Moment(0),
@@ -349,8 +349,7 @@
 
     /// Each customer's work units a second within its share, at all nodes together.
     pub fn customers(mut self, quotas: &[f64]) -> Self {
-        // Traffic is uneven over the nodes: twice the even part, or much that lies within the share is
-        // turned back.
+        // Traffic is uneven: twice the even part, or much that lies within the share is turned back.
         let part = |q: &f64| Allotment { per_s: q / self.nodes as f64 * 2.0, level: 0.0, at: Moment(0) };
         self.allotments = quotas.iter().map(part).collect();
         self
@@ -395,7 +394,7 @@
             e.hash = fixed_hash(entry.name);
             e.rank = mixed(e.hash ^ mixed(self.node.wrapping_add(1)));
             e.distance = (self.node % self.nodes + self.nodes - e.hash % self.nodes) % self.nodes;
-            e.standing = entry.standing;
+            (e.standing, e.speaks) = (entry.standing, entry.speaks);
             (e.kind, e.zone, e.cell) = (entry.kind, entry.zone, entry.cell);
             e.weight = if entry.weight > 0.0 && entry.weight.is_finite() { entry.weight } else { 1.0 };
             if entry.started > e.started {
@@ -411,16 +410,23 @@
         self.serve_held(now);
     }
 
+    /// All that the list's keeper had then is known, as it says itself if it was `heard`. Once what it had later
+    /// counts as told, and the grace is over, nothing goes to those for whom the list alone speaks.
+    pub fn list_proved(&mut self, as_of: Moment, heard: bool) {
+        self.follow_tries *= u32::from(!heard);
+        const TOLD_WITHIN: Span = Span::millis(6000); // whatever became of the node's calls
+        self.list_until = Some(as_of + TOLD_WITHIN + self.allowance.grace - HEARD_WITHIN);
+    }
+
     /// The list could not be had, or its changes stopped coming.
     pub fn list_broken(&mut self) {
         if !self.asks_list {
             return;
         }
-        // All nodes lose the list together and a failed call costs it too: wait 0.5 to 1.5 s, doubled up
-        // to 4 s, which stays under the spans after which an unasked list counts as told.
-        let wait = (0.5 + self.chance.random::<f64>()) * f64::from(1 << self.follow_tries.min(2));
+        // All nodes lose it together: 0.1 to 0.6 s, doubled up to 2.4 s, so that a few calls fit into 6 s.
+        let wait = (0.1 + 0.5 * self.chance.random::<f64>()) * f64::from(1 << self.follow_tries.min(2));
         self.follow_tries += 1;
-        self.host.wake(Span::secs(wait.min(4.0)), FOLLOW);
+        self.host.wake(Span::secs(wait), FOLLOW);
     }
 
     /// A work unit came in; it owes exactly one final answer from here on.
@@ -661,16 +667,13 @@
         const MORE: usize = 4; // times as many: one of them has room unless nearly all are full
         let lane = self.cut_offs.iter().filter(|&&cut| work.size > cut).count();
         let Tariff { kind, effect, .. } = self.tariffs[work.tariff];
-        let ran = work.allocations.iter().find(|a| a.may_have_run);
-        let ran = ran.map(|a| (a.sent, self.executors[a.executor.0].zone, self.executors[a.executor.0].cell));
         let in_lane = |at: usize| self.cut_offs.is_empty() || self.executors[at].lane == lane;
         let candidate = |&at: &usize| {
             let e = &self.executors[at];
             let able = now >= e.aside_until
+                && self.is_told(now, e)
                 && kind.is_none_or(|kind| kind == e.kind)
-                && ran.is_none_or(|(sent, zone, cell)| {
-                    effect.repeats(now, sent, zone == e.zone, cell == e.cell)
-                })
+                && self.repeats(now, effect, &work.allocations, e)
                 && !work.allocations.iter().any(|a| a.open && a.executor.0 == at)
                 && e.cold_admits(&self.cold, self.nodes, now, self.known.mean);
             able.then(|| {
@@ -719,8 +722,8 @@
         found
     }
 
-    /// The design's choice: the lane by size, the executor by a weighted random pick inside it.
-    fn pick(&mut self, now: Moment, unit: UnitId) -> Option<Picked> {
+    /// The design's choice, a weighted random pick in the lane of its size; whether any had room; the wait.
+    fn pick(&mut self, now: Moment, unit: UnitId) -> Option<(ExecutorId, bool, f64)> {
         const FLOOR: f64 = 0.1; // design page
         let work = self.work.get(&unit)?;
         let mut able = self.candidates(now, work, true);
@@ -863,9 +866,28 @@
         }
     }
 
-    /// Looks at a work unit that is out and may be sent again: one that waits gets a further place at an
-    /// executor with room, or leaves its own where a recall stops it there; one whose executor fell silent
-    /// goes to one with room.
+    /// Whether an allocation that waited for a connection may still go to its executor. Guards against one that begins
+    /// after word of a drain, or of an age of the list that may hide one, or after the memory span of its group.
+    pub fn may_begin(&self, now: Moment, id: AllocationId, executor: ExecutorId) -> bool {
+        let (e, Some(work)) = (&self.executors[executor.0], self.work.get(&id.unit)) else { return false };
+        let effect = self.tariffs[work.tariff].effect;
+        let earlier = &work.allocations[..id.number];
+        e.standing == Standing::Ready && self.is_told(now, e) && self.repeats(now, effect, earlier, e)
+    }
+
+    /// Whether what is known of its standing may be gone by.
+    fn is_told(&self, now: Moment, e: &Executor) -> bool {
+        e.speaks || self.list_until.is_none_or(|until| now < until)
+    }
+
+    /// Whether what may have run of a work unit leaves it this executor.
+    fn repeats(&self, now: Moment, effect: Effect, earlier: &[Allocation], e: &Executor) -> bool {
+        let ran = earlier.iter().find(|a| a.may_have_run).map(|a| (a.sent, &self.executors[a.executor.0]));
+        ran.is_none_or(|(sent, at)| effect.repeats(now, sent, at.zone == e.zone, at.cell == e.cell))
+    }
+
+    /// Looks at a work unit that is out and may be sent again: one that waits gets a further place where there
+    /// is room, or leaves its own where a recall stops it; one whose executor fell silent goes to one with room.
     fn review(&mut self, now: Moment, unit: UnitId) {
         const AGAIN: Span = Span::millis(250); // a few looks within the shortest quoted times
         let Some(work) = self.work.get(&unit) else { return };
@@ -934,8 +956,7 @@
     }
 
     /// Whether the budget of further allocations, where there is one, has one more now. What came is counted
-    /// a little shorter and what was sent a little longer than the span: whoever checks may hear of either
-    /// later.
+    /// a little shorter and what was sent a little longer than the span: whoever checks may hear later.
     fn may_go_further(&mut self, now: Moment) -> bool {
         let Some(budget) = self.allowance.further else { return true };
         while self.came.front().is_some_and(|&at| now.since(at) + HEARD_WITHIN >= budget.span) {
@@ -1020,8 +1041,7 @@
                         (e.done, e.ran) = (e.done + size, e.ran + now.since(at).as_secs() * slots);
                     }
                     // Where neither starts nor other nodes tell, the answer tells the wait: all that it took
-                    // beyond its own run. Guards against queues that nobody sees, as work runs for less than
-                    // a pace of progress.
+                    // beyond its own run. Guards against queues unseen as work runs for less than a pace.
                     Some(f) if !self.tells_start && !self.talk.allowed => {
                         let run = f.size / f.slots / e.pace.max(1.0);
                         let took = now.since(f.sent).as_secs();
--- a/crates/dispatch/src/tariffs.rs
+++ b/crates/dispatch/src/tariffs.rs
@@ -114,6 +114,8 @@
     pub zone: usize,
     pub cell: usize,
     pub weight: f64,
+    /// It tells this node itself how it stands: the age of the list says nothing of it.
+    pub speaks: bool,
 }
 
 /// The values of a load report that the decisions use; any may be absent.
@@ -144,6 +146,8 @@
     pub patience_off: Span,
     /// What all work units together may have beyond their first allocations, where that is limited.
     pub further: Option<Further>,
+    /// How long an executor may be sent to after word that it drains.
+    pub grace: Span,
     /// The longest wait that a client told to come back keeps to, where it can be told.
     pub longest_come_back: Option<Span>,
 }
--- a/crates/dispatch/tests/fake/mod.rs
+++ b/crates/dispatch/tests/fake/mod.rs
@@ -63,6 +63,7 @@
     recalls_stop: false,
     patience_off: Span(0),
     further: None,
+    grace: Span(0),
     longest_come_back: None,
 };
 /// A size that stands for no hint at all: the unit joins no sample, and one lane stays.
@@ -264,5 +265,6 @@
         zone: index % 2,
         cell: 0,
         weight: 1.0,
+        speaks: false,
     }
 }
--- a/crates/emulator/src/world.rs
+++ b/crates/emulator/src/world.rs
@@ -111,6 +111,7 @@
                     recalls_stop: n.recalls_stop,
                     patience_off: Span(0),
                     further: None,
+                    grace: Span(0),
                     longest_come_back: None,
                 };
                 let cold = ColdStart {
@@ -255,7 +256,7 @@
             let listing = |&(at, standing, started): &(usize, Standing, Option<Moment>)| {
                 let make = &stage.machines[at].make;
                 let (executor, name, kind, zone) = (ExecutorId(at), &self.names[at], make.kind, make.zone);
-                Listing { executor, name, standing, started, kind, zone, cell: 0, weight: 1.0 }
+                Listing { executor, name, standing, started, kind, zone, cell: 0, weight: 1.0, speaks: false }
             };
             entries.iter().map(listing).collect()
         };
--- a/crates/node/src/exchange.rs
+++ b/crates/node/src/exchange.rs
@@ -41,8 +41,10 @@
     alarms: Alarms<u64>,
     /// When to stop waiting for an allocation.
     time_outs: Alarms<AllocationId>,
-    /// Allocations that could not be written down, and so were not sent.
+    /// Allocations that were not sent, as they could not be written down or nobody waits for them.
     unsent: Vec<AllocationId>,
+    /// Units whose clients were found to have left.
+    left: Vec<UnitId>,
     /// Jobs to be given up once more.
     give_ups: Alarms<AllocationId>,
     /// Units that want a further allocation for which there was no part of a budget.
@@ -71,7 +73,10 @@
     fn answer(&self, unit: UnitId, status: u16, come_back: Option<Span>, body: &[u8]) {
         let lasting = self.lasting(unit);
         self.desk.borrow_mut().seek_further.remove(&unit);
-        if self.desk.borrow_mut().units.answered(unit) {
+        let first = self.desk.borrow_mut().units.answered(unit);
+        // Guards against units kept for ever that were answered before anything was sent for them.
+        self.desk.borrow_mut().units.tidy(unit);
+        if first {
             if let Some((ledger, errand)) = lasting {
                 return self.answer_lasting(ledger, &errand.call_id, &errand.tariff, status, body);
             }
@@ -116,6 +121,12 @@
         let mut desk = self.desk.borrow_mut();
         let address = desk.executors.address(executor);
         let Some((id, errand)) = desk.units.allocated(unit, executor) else { return };
+        // The last step before the first byte. Guards against work of a client that has left while a timer, an answer or
+        // another's end was worked on.
+        if !self.clients.waits(unit) {
+            desk.left.push(unit);
+            return desk.unsent.push(id);
+        }
         let name = desk.executors.name(executor);
         debug!(
             unit = unit.0,
@@ -220,7 +231,7 @@
 impl Listed {
     fn listing(&self) -> Listing<'_> {
         let &Listed { executor, ref name, standing, started, kind, zone, cell, weight, .. } = self;
-        Listing { executor, name, standing, started, kind, zone, cell, weight }
+        Listing { executor, name, standing, started, kind, zone, cell, weight, speaks: false }
     }
 }
 
@@ -446,7 +457,7 @@
 
     pub fn next_due(&self) -> Option<Moment> {
         let desk = self.hands.desk.borrow();
-        if !desk.unsent.is_empty() {
+        if !desk.unsent.is_empty() || !desk.left.is_empty() {
             return Some(Moment(0));
         }
         let settles = self.hands.ledger.as_ref().and_then(|ledger| ledger.next_due());
@@ -462,6 +473,8 @@
             let Some((_, unit, errand, arrival)) = self.awaiting.pop_front() else { break };
             self.takes(unit, errand, &Arrival { beyond: true, ..arrival });
         }
+        let left = std::mem::take(&mut self.hands.desk.borrow_mut().left);
+        left.into_iter().for_each(|unit| self.withdrawn(unit));
         let unsent = std::mem::take(&mut self.hands.desk.borrow_mut().unsent);
         unsent.into_iter().for_each(|id| self.ended(id, Ending::CutOff, None));
         while let Some(job) = self.hands.ledger.as_ref().and_then(|ledger| ledger.due()) {
@@ -714,6 +727,15 @@
         self.dispatcher.cold_elsewhere(self.hands.clock.now(), elsewhere);
     }
 
+    /// Whether an allocation that waited for its connection may still be written to it.
+    pub fn may_begin(&mut self, id: AllocationId, executor: ExecutorId) -> bool {
+        let waits = self.hands.clients.waits(id.unit);
+        if !waits {
+            self.hands.desk.borrow_mut().left.push(id.unit);
+        }
+        waits && self.dispatcher.may_begin(self.hands.clock.now(), id, executor)
+    }
+
     /// An allocation ended; what had ended before has nothing more to say.
     pub fn ended(&mut self, id: AllocationId, ending: Ending, report: Option<Report>) {
         let executor = {
@@ -859,6 +881,7 @@
                 zone: place(&mut self.zones, &entry.zone),
                 cell: entry.cell.unwrap_or(0.0) as usize,
                 weight: entry.weight.unwrap_or(1.0),
+                speaks: false,
             });
         }
         self.listed |= !listings.is_empty();
@@ -879,7 +902,7 @@
     fn notes(&mut self, whole: bool, listings: &[Listing<'_>]) {
         let Some(fellows) = self.hands.fellows.clone() else { return };
         let before = if whole { std::mem::take(&mut self.known) } else { BTreeMap::new() };
-        for &Listing { executor, name, standing, started, kind, zone, cell, weight } in listings {
+        for &Listing { executor, name, standing, started, kind, zone, cell, weight, .. } in listings {
             let hash = fixed_hash(name);
             let known = self.known.get(&hash).or_else(|| before.get(&hash)).and_then(|known| known.started);
             if let Some(at) = started.filter(|at| known.is_none_or(|known| known < *at)) {
@@ -1015,6 +1038,11 @@
         workers.map(named).collect()
     }
 
+    /// All that discovery had then is known here.
+    pub fn list_proved(&mut self, as_of: Moment, heard: bool) {
+        self.dispatcher.list_proved(as_of, heard);
+    }
+
     pub fn list_broken(&mut self) {
         self.dispatcher.list_broken();
     }
@@ -1035,7 +1063,7 @@
         reservations::Standing::Quiet => Standing::Draining,
         reservations::Standing::Gone => Standing::Gone,
     };
-    Listing { executor, name, standing, started: None, kind, zone, cell: 0, weight: 1.0 }
+    Listing { executor, name, standing, started: None, kind, zone, cell: 0, weight: 1.0, speaks: true }
 }
 
 /// The place of a name among those of the charter, a new one if it is not there.
--- a/crates/node/src/life/node.rs
+++ b/crates/node/src/life/node.rs
@@ -58,7 +58,8 @@
 const AGENT: usize = 6;
 const HEALTH: usize = 7;
 const FELLOWS: usize = 8;
-const FIRST: usize = 9;
+const DISCOVERY_AGAIN: usize = 9;
+const FIRST: usize = 10;
 const KINDS: usize = 7;
 const OUTSIDE: usize = 0;
 const EXECUTOR: usize = 1;
@@ -225,7 +226,8 @@
         let others = vec![clients.clone() as Rc<dyn Room>, spares.clone()];
         let executors = Rc::new(Executors::new(others, to_executors, times, key::<EXECUTOR>, common));
         let others = vec![executors.clone() as Rc<dyn Room>, clients.clone(), spares.clone()];
-        let discovery = Rc::new(Discovery::new(others, posting.discovery, &known, DISCOVERY, common));
+        let discovery =
+            Rc::new(Discovery::new(others, posting.discovery, &known, [DISCOVERY, DISCOVERY_AGAIN], common));
         let sides = (clients.clone() as _, executors.clone() as _, discovery.clone() as _);
         let faktory = fronts.faktory.as_ref().map(|posted| {
             let keys = (FAKTORY, key::<PEER> as fn(usize) -> usize);
@@ -319,6 +321,7 @@
         let mut events = Vec::new();
         while self.phase != Phase::Gone {
             events.clear();
+            let slept = self.clock.now();
             let wait = self.next_due().map(|at| Duration::from_nanos(at.since(self.clock.now()).0));
             match self.poller.wait(&mut events, wait) {
                 Err(e) if e.kind() != io::ErrorKind::Interrupted => return Err(e),
@@ -330,7 +333,7 @@
             // The staff first. Guards against calls that wait until a crowd of clients has had its turn.
             for staff in [true, false] {
                 for event in events.iter().filter(|event| is_staff(event.key) == staff) {
-                    self.stirred(event.key)?;
+                    self.stirred(event.key, slept)?;
                 }
             }
             self.exchange.due();
@@ -384,11 +387,13 @@
         dues.into_iter().flatten().min()
     }
 
-    fn stirred(&mut self, key: usize) -> io::Result<()> {
+    /// `slept`: since when nothing of what is there now was.
+    fn stirred(&mut self, key: usize, slept: Moment) -> io::Result<()> {
         match (key, connection(key)) {
             (LISTENER, _) => self.clients.accept(),
             (SIGNALS, _) => self.told()?,
-            (DISCOVERY, _) => self.discovery.stirred(&mut self.exchange),
+            (DISCOVERY, _) => self.discovery.stirred(0, slept, &mut self.exchange),
+            (DISCOVERY_AGAIN, _) => self.discovery.stirred(1, slept, &mut self.exchange),
             (_, Some((OUTSIDE, place))) => self.clients.stirred(place, &mut self.exchange),
             (_, Some((EXECUTOR, place))) => self.executors.stirred(place, &mut self.exchange),
             (SIBLINGS, _) => {
--- a/crates/node/src/sides.rs
+++ b/crates/node/src/sides.rs
@@ -14,6 +14,8 @@
 pub trait Front {
     /// The final answer to the client of a unit.
     fn answer(&self, unit: UnitId, status: u16, come_back: Option<Span>, body: &[u8]);
+    /// Whether the client of a unit is still there, as of this moment.
+    fn waits(&self, unit: UnitId) -> bool;
     /// The answer to a call-back that went to another process of this node.
     fn passed_on(&self, caller: CallerId, status: u16);
 }
--- a/crates/node/src/wire/clients.rs
+++ b/crates/node/src/wire/clients.rs
@@ -31,6 +31,8 @@
 const WHOLE_WITHIN: Span = Span::millis(2600);
 /// How long the rest of what was refused is read and dropped: the 60 MB of a bad client within 6 s of connecting.
 const LINGER: Span = Span::millis(4000);
+/// And of what comes behind the last answer on a connection: some round trips, until the client has seen its end.
+const LINGER_BRIEFLY: Span = Span::millis(500);
 /// So many are taken in before others have their turn: more wait outside for microseconds only.
 const AT_ONCE: usize = 64;
 /// A usual request is far smaller than this: only larger ones are asked whether there is memory for them.
@@ -71,9 +73,11 @@
     calls_back: bool,
     /// To be closed once all is written.
     closes: bool,
-    /// Sent what could not be read. The rest of it is read and dropped before the socket is closed, or the
-    /// answer would be lost with it.
-    lingers: bool,
+    /// Has had its last answer: until then the rest of what it sends is read and dropped before the socket is closed, or
+    /// the answer would be lost with it.
+    lingers_until: Option<Moment>,
+    /// What comes is read and dropped.
+    drops: bool,
 }
 
 impl Caller {
@@ -84,7 +88,8 @@
 
     fn is_idle(&self) -> bool {
         let buffer = &self.connection.buffer;
-        self.lingers || (!self.is_busy() && buffer.unread().is_empty() && !buffer.waits_to_write())
+        self.lingers_until.is_some()
+            || (!self.is_busy() && buffer.unread().is_empty() && !buffer.waits_to_write())
     }
 
     /// How soon it may be closed to make room, if at all: first who was refused, then who says nothing or only asks
@@ -96,7 +101,7 @@
         const FRESH: Span = Span::millis(50);
         const USUAL: Span = Span::millis(250);
         let (order, after) = match self {
-            Caller { lingers: true, .. } => (0, Span::millis(0)),
+            Caller { lingers_until: Some(_), .. } => (0, Span::millis(0)),
             _ if self.is_busy() => return None,
             // Guards against a node whose descriptors are all held by executors that have nothing to say, while its
             // clients wait outside.
@@ -117,21 +122,47 @@
         self.connection.buffer.unread().len() + self.body
     }
 
+    /// Reads what has come.
+    fn take_in(&mut self) -> io::Result<Reading> {
+        let reading = if self.drops { Reading::Open } else { self.connection.read()? };
+        self.bear_no_flood();
+        if self.drops && reading == Reading::Open { self.connection.read_and_drop() } else { Ok(reading) }
+    }
+
+    /// What somebody sends beyond the beginning of a next request, while one is in hand, is dropped, and the connection
+    /// closed behind the answer. Guards against an end that nobody hears of behind what is not read.
+    fn bear_no_flood(&mut self) {
+        if self.in_hand.is_some() && self.connection.buffer.unread().len() >= BESIDE {
+            (self.closes, self.drops) = (true, true);
+        }
+        if self.drops {
+            self.drop_unread();
+        }
+    }
+
     fn drop_unread(&mut self) {
         let unread = self.connection.buffer.unread().len();
         self.connection.buffer.done_with(unread);
     }
 
     /// Writes what can be written, and watches for what comes next; `false` when the connection is over.
-    fn carry_on(&mut self) -> bool {
+    fn carry_on(&mut self, now: Moment, slow: &mut Alarms<(usize, u64)>, place: usize) -> bool {
+        self.bear_no_flood();
         let buffer = &self.connection.buffer;
         // What was read while an answer was due is looked at as soon as that is written.
         let more = !self.is_busy() && self.waited_since.is_none() && !buffer.unread().is_empty();
         let written = self.connection.write().and_then(|()| self.connection.watch(more));
-        if written.is_err() || !self.closes || self.connection.buffer.waits_to_write() {
+        if written.is_err() || !self.closes || self.is_busy() || self.connection.buffer.waits_to_write() {
             return written.is_ok();
         }
-        self.lingers && self.connection.end_writing().is_ok()
+        // The rest is read and dropped. Guards against a next request in that moment, over which the end of the connection
+        // would take the answer with it.
+        self.drops = true;
+        if self.lingers_until.is_none() {
+            self.lingers_until = Some(now + LINGER_BRIEFLY);
+            slow.set(now + LINGER_BRIEFLY, (place, self.serial));
+        }
+        self.connection.end_writing().is_ok()
     }
 }
 
@@ -271,7 +302,7 @@
             caller.calls_back
                 || goes_on(caller)
                 || now.since(caller.last_used) < idle_for
-                || (!caller.lingers && caller.connection.is_stirred())
+                || (caller.lingers_until.is_none() && caller.connection.is_stirred())
         });
     }
 
@@ -354,7 +385,8 @@
                     is_usual: false,
                     calls_back: false,
                     closes: false,
-                    lingers: false,
+                    lingers_until: None,
+                    drops: false,
                 });
             }
             Err(e) => {
@@ -396,7 +428,7 @@
             let unwritten = caller.connection.buffer.waits_to_write();
             let silent = caller.connection.buffer.unread().is_empty();
             let waited = caller.waited_since.is_some_and(|at| now.since(at) >= WHOLE_WITHIN);
-            if caller.lingers
+            if caller.lingers_until.is_some_and(|until| until <= now)
                 || (unwritten && now.since(caller.last_used) >= WHOLE_WITHIN)
                 || (waited && silent)
             {
@@ -417,7 +449,7 @@
         let reading = {
             let mut callers = self.callers.borrow_mut();
             let Some(caller) = callers.kept.get_mut(place) else { return };
-            if caller.lingers { caller.connection.read_and_drop() } else { caller.connection.read() }
+            caller.take_in()
         };
         while let Some(request) = self.next_request(place) {
             // Whoever has closed is gone. Guards against a node that stood still and sends, as it wakes, the work of
@@ -437,7 +469,10 @@
     }
 
     fn carry_on(&self, place: usize, exchange: &mut Exchange) {
-        let goes_on = self.callers.borrow_mut().kept.get_mut(place).is_none_or(Caller::carry_on);
+        let goes_on = {
+            let Callers { kept, slow, .. } = &mut *self.callers.borrow_mut();
+            kept.get_mut(place).is_none_or(|caller| caller.carry_on(self.clock.now(), slow, place))
+        };
         if !goes_on {
             self.lost(place, exchange);
         }
@@ -508,8 +543,10 @@
             let Callers { kept, slow, .. } = &mut *callers;
             if let Some(caller) = kept.get_mut(place) {
                 caller.drop_unread();
-                (caller.waited_since, caller.closes, caller.lingers) = (None, true, true);
-                slow.set(self.clock.now() + LINGER, (place, caller.serial));
+                (caller.waited_since, caller.closes) = (None, true);
+                let until = self.clock.now() + LINGER;
+                (caller.lingers_until, caller.drops) = (Some(until), true);
+                slow.set(until, (place, caller.serial));
             }
         }
         self.write(place, status, None, b"");
@@ -683,7 +720,7 @@
         let come_back = come_back.map(|wait| format!("{wait:.3}"));
         let further = come_back.as_deref().map(|wait| ("Retry-After", wait));
         caller.connection.buffer.put(&http::answer(status, caller.closes, further, body));
-        if !caller.carry_on() {
+        if !caller.carry_on(self.clock.now(), slow, place) {
             kept.remove(place);
         } else if caller.connection.buffer.waits_to_write() {
             slow.set(self.clock.now() + WHOLE_WITHIN, (place, caller.serial));
@@ -723,6 +760,14 @@
         self.write(place, status, come_back.map(Span::as_secs), body);
     }
 
+    /// Looks at the connection itself, whose end the loop may not have come to. What did not come by a client's connection
+    /// is waited for.
+    fn waits(&self, unit: UnitId) -> bool {
+        let callers = &mut *self.callers.borrow_mut();
+        let caller = callers.by_unit.get(&unit).and_then(|&place| callers.kept.get_mut(place));
+        caller.is_none_or(|caller| matches!(caller.take_in(), Ok(Reading::Open)))
+    }
+
     /// A call-back that was passed on has its answer.
     fn passed_on(&self, (place, serial): CallerId, status: u16) {
         match self.callers.borrow_mut().kept.get_mut(place) {
--- a/crates/node/src/wire/discovery.rs
+++ b/crates/node/src/wire/discovery.rs
@@ -11,22 +11,36 @@
 use grebeusher_dispatch::time::{Moment, Span};
 use polling::Poller;
 use std::cell::{Cell, RefCell};
-use std::io;
+use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tracing::{info, warn};
 
 /// A connection comes up within round trips, or the path is cut off.
 const UP_WITHIN: Span = Span::millis(1000);
-/// Calls are worked through in turn, so the first line may wait; discovery itself fails a call that waits
-/// longer than a few seconds.
-const FIRST_LINE_WITHIN: Span = Span::millis(5000);
-/// An empty line comes every 2 s while nothing changes: a second more is a path that is cut off.
-const SILENT_AFTER: Span = Span::millis(3000);
+/// Calls are worked through in turn, so the first line may wait; discovery itself fails a call that waits for 3 s. What
+/// says nothing for longer has fallen silent.
+const FIRST_LINE_WITHIN: Span = Span::millis(3200);
+/// One that has said nothing for so long is not waited for alone: another goes beside it, and the first line of either
+/// counts. What is usual before it in turn is over by then, and there is time for another before the list is out of date.
+/// Sooner they crowd a discovery that is slow, or has just come back. Guards against the whole of that time spent on a
+/// call that nobody will answer.
+const ASK_AGAIN_AFTER: Span = Span::millis(2000);
+/// An empty line comes every 2 s while nothing changes: a quarter more is a path that is cut off, and leaves time for a
+/// call that waits as long as any may.
+const SILENT_AFTER: Span = Span::millis(2500);
+/// After word to move, what has changed counts as told 2 s sooner than otherwise.
+const MOVED: Span = Span::millis(2000);
+/// So long without a word, over some ten calls: discovery is out of reach, and the last list is as good as any. Its users
+/// are told of no change meanwhile. Guards against nodes that serve nobody for as long as discovery is being mended.
+const OUT_OF_REACH_AFTER: Span = Span::millis(30_000);
 /// A line holds the whole list at most: thousands of executors. One that is longer never ends, and the watch
 /// falls silent.
 const MOST_LINE: usize = 1024 * 1024;
 
+/// The calls that may be open at once; one of them is the watch as soon as a line has come on it.
+pub const CALLS: usize = 2;
+
 #[derive(Default)]
 struct Watch {
     connection: Option<Connection>,
@@ -36,7 +50,12 @@
     plain: usize,
     /// When its silence counts as its end; also when it could not be opened at all.
     silent_at: Option<Moment>,
-    version: u64,
+    /// When another goes beside it.
+    ask_again_at: Option<Moment>,
+    /// When it was called for.
+    called: Moment,
+    /// A line has come.
+    lives: bool,
 }
 
 pub struct Discovery {
@@ -44,9 +63,16 @@
     poller: Rc<Poller>,
     clock: Clock,
     counters: Rc<Counters>,
-    key: usize,
-    watch: RefCell<Watch>,
+    /// The loop knows each by one.
+    keys: [usize; CALLS],
+    calls: RefCell<[Watch; CALLS]>,
+    /// What the next one goes on from.
+    version: Cell<u64>,
     heard: Cell<bool>,
+    /// As of when all that discovery had was known here: a line came, be it an empty one, or nobody was there to tell.
+    proved: Cell<Moment>,
+    /// The first failure since the last line.
+    failing_since: Cell<Option<Moment>>,
     /// Whom a watch without a descriptor asks for one.
     others: Vec<Rc<dyn Room>>,
 }
@@ -57,18 +83,20 @@
         others: Vec<Rc<dyn Room>>,
         address: SocketAddr,
         version: &Version,
-        key: usize,
+        keys: [usize; CALLS],
         (poller, clock, counters): (&Rc<Poller>, Clock, &Rc<Counters>),
     ) -> Discovery {
-        let watch = Watch::closed(version.generation);
         Discovery {
             address: Cell::new(address),
             poller: poller.clone(),
             clock,
             counters: counters.clone(),
-            key,
-            watch: RefCell::new(watch),
+            keys,
+            calls: RefCell::default(),
+            version: Cell::new(version.generation),
             heard: Cell::new(false),
+            proved: Cell::new(clock.now()),
+            failing_since: Cell::new(None),
             others,
         }
     }
@@ -79,8 +107,11 @@
         if self.address.replace(address) == address {
             return;
         }
-        self.stirred(exchange);
-        self.watch.borrow_mut().close();
+        for place in 0..CALLS {
+            self.stirred(place, self.proved.get(), exchange);
+        }
+        *self.calls.borrow_mut() = Default::default();
+        self.proves(self.proved.get().min(self.clock.now() - MOVED), false, exchange);
         self.follow();
     }
 
@@ -90,68 +121,119 @@
     }
 
     pub fn next_due(&self) -> Option<Moment> {
-        self.watch.borrow().silent_at
+        let calls = self.calls.borrow();
+        calls.iter().flat_map(|call| [call.silent_at, call.ask_again_at]).flatten().min()
     }
 
     pub fn due(&self, exchange: &mut Exchange) {
-        if self.next_due().is_some_and(|at| at <= self.clock.now()) {
-            self.broken("it is silent", exchange);
+        let now = self.clock.now();
+        for place in 0..CALLS {
+            let (silent, slow) = {
+                let call = &mut self.calls.borrow_mut()[place];
+                let slow = call.ask_again_at.take_if(|at| *at <= now).is_some();
+                (call.silent_at.is_some_and(|at| at <= now), slow)
+            };
+            if silent {
+                self.broken(place, "it is silent", exchange);
+            } else if slow {
+                exchange.list_broken();
+            }
         }
     }
 
-    fn broken(&self, what: &str, exchange: &mut Exchange) {
+    fn broken(&self, place: usize, what: &str, exchange: &mut Exchange) {
+        let now = self.clock.now();
+        let call = std::mem::take(&mut self.calls.borrow_mut()[place]);
         self.counters.watches_broken.up();
-        info!("watch of the executor list ended: {what}");
-        self.watch.borrow_mut().close();
+        info!("watch of the executor list ended after {:.1} s: {what}", now.since(call.called).as_secs());
+        let since = self.failing_since.get().unwrap_or(now);
+        self.failing_since.set(Some(since));
+        if now.since(since) >= OUT_OF_REACH_AFTER && call.called > self.proved.get() {
+            self.proves(call.called, false, exchange);
+        }
         exchange.list_broken();
     }
 
-    /// Something can be read, or the connection has come up.
-    pub fn stirred(&self, exchange: &mut Exchange) {
-        let mut ended = {
-            let mut watch = self.watch.borrow_mut();
+    /// All that discovery had then is known here, as it said or as nobody could have been told more.
+    fn proves(&self, as_of: Moment, heard: bool, exchange: &mut Exchange) {
+        self.proved.set(as_of);
+        exchange.list_proved(as_of, heard);
+    }
+
+    /// Something can be read, or the connection has come up; what can be read now came after `as_of`.
+    pub fn stirred(&self, place: usize, as_of: Moment, exchange: &mut Exchange) {
+        let (mut ended, refused) = {
+            let watch = &mut self.calls.borrow_mut()[place];
             match watch.advance(self.clock.now()) {
-                Ok(ended) => ended.then(|| "discovery closed it".to_owned()),
-                Err(e) => Some(e.to_string()),
+                Ok(ended) => (ended.then(|| "discovery closed it".to_owned()), None),
+                Err(e) if e.kind() == ErrorKind::ConnectionRefused => {
+                    (Some(e.to_string()), Some(watch.called))
+                }
+                Err(e) => (Some(e.to_string()), None),
             }
         };
+        // Where nobody listens nobody has been told of anything.
+        if let Some(called) = refused.filter(|called| *called > self.proved.get()) {
+            self.proves(called, false, exchange);
+        }
+        let mut missed_some = false;
         // What came before the end still counts.
         // The borrow must end before the exchange is told, which may open the watch anew.
-        while let Some(line) = { self.watch.borrow_mut().next_line() } {
-            self.heard.set(true);
-            let Some(version) = line else { continue };
-            self.counters.list_lines.up();
-            match version {
-                Ok(version) => {
-                    self.watch.borrow_mut().version = version.generation;
-                    exchange.listed(&version);
+        while let Some(line) = { self.calls.borrow_mut()[place].next_line() } {
+            let known = self.version.get();
+            if line.is_some() {
+                self.counters.list_lines.up();
+            }
+            let missed = match line {
+                None => None,
+                // Changes to an older list than this one: what lies between is not known.
+                Some(Ok(version)) if !version.reset && version.generation < known => {
+                    Some(format!("changes of version {} came after {known}", version.generation))
                 }
-                Err(e) => {
-                    // What it said is missing from now on: the whole list is asked for.
-                    self.counters.list_bad.up();
-                    warn!("a line of the list can't be read: {e}");
-                    self.watch.borrow_mut().version = 0;
-                    ended = Some("a line could not be read".to_owned());
-                    break;
+                Some(Ok(version)) => {
+                    self.version.set(version.generation);
+                    exchange.listed(&version);
+                    None
                 }
+                Some(Err(e)) => Some(format!("a line can't be read: {e}")),
+            };
+            if let Some(what) = missed {
+                // What it said is missing from now on: the whole list is asked for.
+                self.counters.list_bad.up();
+                warn!("the list: {what}");
+                self.version.set(0);
+                (ended, missed_some) = (Some("a line could not be used".to_owned()), true);
+                break;
             }
+            // Lines alone prove that it is alive. Guards against chunks that never make one.
+            self.lives(place);
+            self.heard.set(true);
+            self.failing_since.set(None);
+            self.proves(as_of.max(self.proved.get()), true, exchange);
         }
         if let Some(what) = ended {
-            self.broken(&what, exchange);
+            // Up to the end of a watch that was not silent all was told.
+            if self.calls.borrow()[place].lives && as_of > self.proved.get() && !missed_some {
+                self.proves(as_of, false, exchange);
+            }
+            self.broken(place, &what, exchange);
         }
     }
-}
 
-impl Watch {
-    /// None is open; the next one goes on from `version`.
-    fn closed(version: u64) -> Watch {
-        Watch { version, ..Watch::default() }
-    }
-
-    fn close(&mut self) {
-        *self = Watch::closed(self.version);
+    /// A line has come on it: it is the watch, and no other is needed.
+    fn lives(&self, place: usize) {
+        let mut calls = self.calls.borrow_mut();
+        let watch = &mut calls[place];
+        watch.silent_at = Some(self.clock.now() + SILENT_AFTER);
+        watch.ask_again_at = None;
+        if !std::mem::replace(&mut watch.lives, true) {
+            let others = calls.iter_mut().enumerate().filter(|(other, _)| *other != place);
+            others.for_each(|(_, call)| *call = Watch::default());
+        }
     }
+}
 
+impl Watch {
     /// The next line that has come; nothing stands in it if it only says that all is well.
     fn next_line(&mut self) -> Option<Option<serde_json::Result<Version>>> {
         let buffer = &mut self.connection.as_mut()?.buffer;
@@ -198,7 +280,6 @@
             connection.buffer.cut(self.plain + data.end..self.plain + length);
             connection.buffer.cut(self.plain..self.plain + data.start);
             self.plain += data.len();
-            self.silent_at = Some(now + SILENT_AFTER);
         }
         connection.watch(false)?;
         Ok(ended)
@@ -206,30 +287,37 @@
 }
 
 impl List for Discovery {
-    /// Opens the watch, unless it is open: a move may have opened it before it was due to be tried again.
+    /// Calls for the watch, unless it lives or as many calls wait for it as may.
     fn follow(&self) {
-        let mut watch = self.watch.borrow_mut();
-        if watch.connection.is_some() {
+        let mut calls = self.calls.borrow_mut();
+        if calls.iter().any(|call| call.lives) {
             return;
         }
+        let vacant = calls.iter().position(|call| call.connection.is_none() && call.silent_at.is_none());
+        let Some(place) = vacant else { return };
+        let watch = &mut calls[place];
         let address = self.address.get();
         self.counters.watches.up();
         let text = format!(
             "GET /v1/endpoints?stream=1&index={} HTTP/1.1\r\nHost: {}\r\n\r\n",
-            watch.version, address
+            self.version.get(),
+            address
         );
         // Guards against a node that hears of no drain since its table is full.
-        let opened =
-            Connection::dial_among(&self.others, address, &self.poller, self.key).map(|mut connection| {
+        let opened = Connection::dial_among(&self.others, address, &self.poller, self.keys[place]).map(
+            |mut connection| {
                 connection.buffer.put(text.as_bytes());
                 connection.bear(MOST_LINE);
                 connection
-            });
+            },
+        );
         let now = self.clock.now();
+        watch.called = now;
         match opened {
             Ok(connection) => {
                 (watch.connection, watch.dialling) = (Some(connection), true);
                 watch.silent_at = Some(now + UP_WITHIN);
+                watch.ask_again_at = Some(now + ASK_AGAIN_AFTER);
             }
             Err(e) => {
                 warn!("discovery can't be reached: {e}");
--- a/crates/node/src/wire/executors.rs
+++ b/crates/node/src/wire/executors.rs
@@ -263,7 +263,7 @@
             let mut lines = self.lines.borrow_mut();
             let Lines { kept, dues, .. } = &mut *lines;
             let Some(line) = kept.get_mut(place) else { return };
-            match self.advance(place, line, dues) {
+            match self.advance(place, line, dues, exchange) {
                 Ok(None) => return,
                 Ok(Some(response)) => {
                     let (executor, used) = (line.executor, line.used);
@@ -306,12 +306,18 @@
         place: usize,
         line: &mut Line,
         dues: &mut Alarms<(usize, u64)>,
+        exchange: &mut Exchange,
     ) -> io::Result<Option<Response>> {
         if line.dialling {
             if !line.connection.is_up()? {
                 line.connection.watch(true)?;
                 return Ok(None);
             }
+            if let Use::Allocation(id, _) = line.used
+                && !exchange.may_begin(id, line.executor)
+            {
+                return Err(io::Error::other("it came up too late"));
+            }
             line.dialling = false;
             self.wait_for_answer(place, line, dues);
         }
--- a/crates/node/tests/fake/mod.rs
+++ b/crates/node/tests/fake/mod.rs
@@ -439,6 +439,26 @@
     socket.into()
 }
 
+/// One whose queue of connections is full: who dials it is not let in before those that fill it are taken out, which
+/// dropping them does.
+pub fn full() -> (TcpListener, Vec<TcpStream>) {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("a free port");
+    socket.listen(0).expect("it listens");
+    let listener: TcpListener = socket.into();
+    SockRef::from(&listener).set_read_timeout(Some(FAR_TOO_LONG)).expect("a time-out");
+    let at = listener.local_addr().expect("an address");
+    // One fits into the queue; of the next the system drops the first word, and it is said again a second later.
+    let fill = vec![TcpStream::connect(at).expect("room for one")];
+    (listener, fill)
+}
+
+/// The first that dials who is not one of those that filled the queue.
+pub fn accept_told(listener: &TcpListener) -> Talk {
+    drop(listener.accept().expect("who filled it"));
+    accept(listener)
+}
+
 pub fn address(listener: &TcpListener) -> String {
     listener.local_addr().expect("an address").to_string()
 }
@@ -505,6 +525,11 @@
         self.stream.get_mut().write_all(text.as_bytes()).expect("the other side listens");
     }
 
+    /// The same where the other side may have gone.
+    pub fn try_say(&mut self, text: &str) -> std::io::Result<()> {
+        self.stream.get_mut().write_all(text.as_bytes())
+    }
+
     pub fn post(&mut self, path: &str, body: &str) {
         self.say(&format!("POST {path} HTTP/1.1\r\nContent-Length: {}\r\n\r\n{body}", body.len()));
     }
@@ -561,6 +586,11 @@
         line.trim_end().to_owned()
     }
 
+    /// Closed in order, with no reset.
+    pub fn is_ended(&mut self) -> bool {
+        matches!(self.stream.read(&mut [0]), Ok(0))
+    }
+
     pub fn is_closed(&mut self) -> bool {
         // A reset is as closed as an end; silence is not.
         match self.stream.read(&mut [0]) {
--- a/crates/node/tests/stories.rs
+++ b/crates/node/tests/stories.rs
@@ -12,6 +12,7 @@
 use std::net::{TcpListener, TcpStream};
 use std::os::unix::net::UnixListener;
 use std::process::Command;
+use std::time::{Duration, Instant};
 
 #[test]
 fn a_unit_goes_to_an_executor_and_its_result_to_the_client() {
@@ -504,6 +505,184 @@
     assert!(world.end().success());
 }
 
+#[test]
+fn a_call_for_the_list_that_nobody_answers_gets_another_beside_it() {
+    // Failure: a watch was reset and the next call never answered; all the time in which a drain counts as told went by.
+    let listens = listener();
+    let world = World::around(&listens);
+    let reset = Instant::now();
+    drop(accept(&world.discovery));
+    let mut unanswered = accept(&world.discovery);
+    assert!(unanswered.hear().start.contains("index=41"));
+    let (mut watch, version) = watched(&world);
+    assert_eq!(version, "41");
+    let line = json!({"generation": 42, "reset": false, "instances": [entry(0, &listens, "leaving")]});
+    watch.say(&chunk(&format!("{line}\n")));
+    assert!(unanswered.is_closed(), "one watch is enough");
+    assert!(
+        reset.elapsed() < Duration::from_secs(4),
+        "there is time for yet another before a drain counts as told"
+    );
+    assert_eq!(world.bring("u1", "search", 1500).hear().status(), 503);
+    assert_eq!((world.counter("allocations"), world.counter("watches")), (0, 3));
+}
+
+#[test]
+fn a_list_without_news_is_gone_by_for_six_seconds_and_again_from_the_next_word() {
+    // Failure: chunks that never made a line passed for news of the list.
+    let refuses = refusing();
+    let world = World::around(&refuses);
+    let (mut watch, _) = watched(&world);
+    watch.say(&chunk("\n"));
+    while world.counter("list_lines") + world.counter("watches") == 0 {}
+    let heard = Instant::now();
+    let sent = |number: usize| {
+        let before = world.counter("allocations");
+        assert_eq!(world.bring(&format!("u{number}"), "reserve", 1000).hear().status(), 503);
+        world.counter("allocations") > before
+    };
+    assert!(sent(0));
+    world.discovery.set_nonblocking(true).expect("a mode");
+    let mut number = 1;
+    while sent(number) {
+        // Half a line, over and over; other calls are never answered.
+        let _ = watch.try_say(&chunk("{"));
+        number += 1;
+        assert!(heard.elapsed() < Duration::from_secs(8), "it goes by the list for ever");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    assert!(heard.elapsed() > Duration::from_secs(5), "it goes by the list for too short a time");
+    let answered = Instant::now();
+    while !sent(number) {
+        // Whatever call there is now is told that nothing has changed.
+        if let Ok((stream, _)) = world.discovery.accept() {
+            let mut watch = Talk::over(stream);
+            let _ = watch.try_say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n");
+            std::mem::forget(watch);
+        }
+        number += 1;
+        assert!(answered.elapsed() < Duration::from_secs(8), "it never goes by the list again");
+    }
+}
+
+#[test]
+fn a_discovery_that_refuses_has_told_nobody_of_anything() {
+    let (listens, discovery) = (refusing(), refusing());
+    let world = World::around(&listens);
+    world.move_discovery(&discovery);
+    let refused = Instant::now();
+    while refused.elapsed() < Duration::from_millis(7500) {
+        std::thread::sleep(Duration::from_millis(250));
+    }
+    let before = world.counter("allocations");
+    assert_eq!(world.bring("u1", "reserve", 1000).hear().status(), 503);
+    assert!(world.counter("allocations") > before, "it goes by the last list");
+}
+
+#[test]
+fn changes_to_an_older_list_are_no_news() {
+    let listens = listener();
+    let world = World::around(&listens);
+    let (mut watch, _) = watched(&world);
+    let line = |generation: u64, lifecycle: &str| {
+        let entries = [entry(0, &listens, lifecycle)];
+        chunk(&format!("{}\n", json!({"generation": generation, "reset": false, "instances": entries})))
+    };
+    watch.say(&line(43, "leaving"));
+    watch.say(&line(42, "active"));
+    assert_eq!(watched(&world).1, "0", "the whole list is asked for");
+    assert_eq!(world.bring("u1", "search", 1500).hear().status(), 503);
+    assert_eq!((world.counter("allocations"), world.counter("list_bad")), (0, 1));
+}
+
+#[test]
+fn an_attempt_whose_connection_comes_up_after_word_of_a_drain_does_not_begin() {
+    // The executor's queue of connections is full: what is dialled comes up when the test lets it.
+    let (listens, fill) = full();
+    let mut charter = charter();
+    charter["caps"]["dial_timeout_ns"] = json!(10e9);
+    let world = World::with(&[&listens], charter, 1024, 1024);
+    let (mut watch, _) = watched(&world);
+    let mut client = world.bring("u1", "search", 9000);
+    world.counts("allocations", 1);
+    let line = json!({"generation": 42, "reset": false, "instances": [entry(0, &listens, "leaving")]});
+    watch.say(&chunk(&format!("{line}\n")));
+    world.counts("list_lines", 1);
+    drop(fill);
+    let mut late = accept_told(&listens);
+    assert!(late.is_closed(), "nothing is written to it");
+    assert_eq!(client.hear().status(), 503, "nothing has run");
+    assert_eq!(world.counter("relayed"), 0);
+}
+
+#[test]
+fn an_attempt_whose_client_has_left_while_it_was_dialled_does_not_begin() {
+    let (listens, fill) = full();
+    let mut charter = charter();
+    charter["caps"]["dial_timeout_ns"] = json!(10e9);
+    let world = World::with(&[&listens], charter, 1024, 1024);
+    let client = world.bring("u1", "search", 9000);
+    world.counts("allocations", 1);
+    // The node stands still: the end of the client and the connection come to it in one turn.
+    world.tell("STOP");
+    let mut late = accept_told(&listens);
+    drop((client, fill));
+    world.tell("CONT");
+    assert!(late.is_closed(), "nothing is written to it");
+    world.counts("withdrawn", 1);
+    assert_eq!(world.counter("relayed"), 0);
+}
+
+#[test]
+fn who_asks_for_the_end_of_its_connection_has_its_answer_first() {
+    let listens = listener();
+    let world = World::around(&listens);
+    let mut client = world.call();
+    client.say(&unit("u1", "search", 9000).replacen("X-Call-Id", "Connection: close\r\nX-Call-Id", 1));
+    let mut executor = accept(&listens);
+    executor.hear();
+    executor.answer(202, "");
+    assert_eq!(world.call_back("u1", json!({"state": "done", "result": "yes"})), 204);
+    assert_eq!(client.hear().body, "yes");
+    assert!(client.is_closed());
+}
+
+#[test]
+fn an_answer_that_ends_a_connection_outlives_what_its_client_sends_meanwhile() {
+    // Failure: a close over unread bytes resets the connection, and the answer goes with it.
+    let listens = listener();
+    let world = World::around(&listens);
+    let mut client = world.bring("u1", "search", 9000);
+    let mut executor = accept(&listens);
+    executor.hear();
+    executor.answer(202, "");
+    // Far more than is kept of a next request, and then the answer.
+    client.say(&format!(
+        "POST /search HTTP/1.1\r\nX-Call-Id: u2\r\nContent-Length: 60000\r\n\r\n{}",
+        "x".repeat(50_000)
+    ));
+    assert_eq!(world.call_back("u1", json!({"state": "done", "result": "yes"})), 204);
+    let answer = client.hear();
+    assert_eq!((answer.status(), answer.body.as_str()), (200, "yes"));
+    assert_eq!(answer.header("Connection"), Some("close"), "the next one has to come again");
+    client.say(&"x".repeat(10_000));
+    assert!(client.is_ended(), "an end and no reset");
+}
+
+#[test]
+fn the_end_of_a_client_is_heard_behind_what_it_sent_beside_its_request() {
+    let listens = listener();
+    let world = World::around(&listens);
+    let mut client = world.bring("u1", "search", 9000);
+    let mut executor = accept(&listens);
+    executor.hear();
+    executor.answer(202, "");
+    client.say(&"x".repeat(50_000));
+    drop(client);
+    assert!(executor.hear().start.starts_with("DELETE /jobs/u1"), "its job is given up");
+    world.counts("withdrawn", 1);
+}
+
 #[test]
 fn nothing_new_goes_to_an_executor_that_leaves() {
     let listens = listener();
@@ -512,7 +691,10 @@
     let line = json!({"generation": 42, "reset": false, "instances": [entry(0, &listens, "leaving")]});
     watch.say(&chunk(&format!("{line}\n")));
     while world.counter("list_lines") == 0 {}
-    assert_eq!(world.bring("u1", "search", 1500).hear().status(), 503);
+    // Twice by one id: what was turned back before anything was sent for it is forgotten.
+    for _ in 0..2 {
+        assert_eq!(world.bring("u1", "search", 1500).hear().status(), 503);
+    }
     assert_eq!(world.counter("allocations"), 0);
 }
 
