A new process leaves cold executors alone for one window of their budget

In reading: budgets of cold executors go by what this process sent within a window; one that is killed and comes back within it began with a whole part again. With seven in ten restarted at once the sum may be 1.6 of the budget, beyond N + 2 root N + 2 from N = 20 on. Now cold.from starts a window ahead, as it does between two processes of a node. The story of learning within a beat begins after that window; the rest of it is unchanged. Story: processes_that_are_killed... fails without the change.

--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -368,7 +368,7 @@
     }
 
     pub fn start(&mut self, now: Moment) {
-        (self.recut, self.talk.heard) = (now, now);
+        (self.recut, self.talk.heard, self.cold.from) = (now, now, now + self.cold.fall_window);
         // Nodes that start together must not beat together.
         self.host.wake(Span::secs(BEAT_EVERY.as_secs() * self.chance.random::<f64>()), BEAT);
         if self.asks_list {
--- a/crates/dispatch/src/tariffs.rs
+++ b/crates/dispatch/src/tariffs.rs
@@ -161,7 +161,8 @@
     pub fall_window: Span,
     /// By how much a listed start may be off, either way.
     pub starts_off: Span,
-    /// Cold executors get nothing before this.
+    /// Cold executors get nothing before this: a window after the start, as the process before may just have spent its
+    /// part, which nobody tells the new one.
     pub from: Moment,
 }
 
--- a/crates/dispatch/tests/stories.rs
+++ b/crates/dispatch/tests/stories.rs
@@ -575,6 +575,7 @@
 fn a_node_that_has_just_started_learns_within_a_beat_what_a_cold_executor_can_take() {
     // Failure: most nodes were restarted in a release, and for 5 s none of them sent anything to what was cold.
     let mut story = Story::fleet(1, 4).remove(0);
+    story.pass(1000); // the process before it may have spent its part within this window
     story.run_units(4, 1000, 60);
     story.list_cold(4);
     story.pass(10);
@@ -584,6 +585,27 @@
     assert_eq!(story.sent_to(), 4);
 }
 
+#[test]
+fn processes_that_are_killed_and_come_back_within_a_window_do_not_spend_its_budget_twice() {
+    // Failure: most nodes were killed at once, and each new process began with a whole part of the budget.
+    for nodes in [1, 20, 30] {
+        let (mut sent, mut later) = (0, 0);
+        for mut story in Story::fleet(nodes, 1) {
+            story.node.listed(story.now, true, &[]);
+            story.list_cold(4);
+            let mut sends = |units: std::ops::Range<u64>, after| {
+                story.pass(after);
+                units.for_each(|unit| story.arrive(unit, RETRIABLE, 250));
+                story.heard().iter().filter(|said| matches!(said, Said::Allocate(_, 4, _))).count()
+            };
+            sent += sends(0..20, 900); // the window is 1 s
+            later += sends(20..40, 5000);
+        }
+        assert_eq!(sent, 0, "from {nodes} nodes");
+        assert!(later > 0, "none of {nodes} nodes used it ever");
+    }
+}
+
 #[test]
 fn executors_at_which_own_work_waited_long_are_passed_over() {
     // Failure: a node kept to the few executors that it uses, where its work queued, while others stood idle.
