A last look at a connection before its attempt is given up for silence

Ruled out: recalls (the job had been asked back and answered), resets (ended), the memory span. The guess, then measured by a story: the 202 had come, unread, as the time-out was worked on, and the connection was closed over it. wire/executors.rs, due and give_up.

Change: what falls due is read once more first; a connection closed before a 202 is read too, and whatever had come on it has the job asked back by DELETE.

--- a/crates/node/src/memory/alarms.rs
+++ b/crates/node/src/memory/alarms.rs
@@ -9,7 +9,7 @@
 }
 
 /// One that was set.
-#[derive(Clone, Copy)]
+#[derive(Clone, Copy, PartialEq, Eq)]
 pub struct Alarm((Moment, u64));
 
 impl<T> Default for Alarms<T> {
--- a/crates/node/src/wire/executors.rs
+++ b/crates/node/src/wire/executors.rs
@@ -209,12 +209,22 @@
     pub fn due(&self, exchange: &mut Exchange) {
         let now = self.clock.now();
         loop {
-            let mut lines = self.lines.borrow_mut();
-            let Some((place, serial)) = lines.dues.due(now) else { break };
-            let Some(line) = lines.kept.get(place) else { continue };
-            if line.serial != serial {
+            let Some((place, serial)) = ({ self.lines.borrow_mut().dues.due(now) }) else { break };
+            let waits_for = || {
+                let lines = self.lines.borrow();
+                lines.kept.get(place).filter(|line| line.serial == serial).map(|line| (line.used, line.due))
+            };
+            let before = waits_for();
+            if before.is_none() {
                 continue;
             }
+            // A last look. Guards against an answer that has come while others had their turn: an executor that has said
+            // that it took a job is not told otherwise by the end of a connection, and another would be a second copy.
+            self.stirred(place, exchange);
+            if waits_for() != before {
+                continue;
+            }
+            let mut lines = self.lines.borrow_mut();
             let line = lines.kept.remove(place);
             match line.used {
                 Use::Idle => self.counters.idle_retired.up(),
@@ -376,6 +386,19 @@
         wait(place, line, dues, self.clock.now() + within);
     }
 
+    /// Closes what is used for this; whether some answer had come on it, after which its end tells the executor nothing.
+    fn closes(&self, used: Use) -> bool {
+        let mut lines = self.lines.borrow_mut();
+        let Some(place) = lines.kept.iter().find(|(_, line)| line.used == used).map(|(place, _)| place)
+        else {
+            return false;
+        };
+        let mut line = lines.kept.remove(place);
+        // One that is broken has no more to say.
+        let _ = line.connection.read();
+        !line.connection.buffer.unread().is_empty()
+    }
+
     /// What the answer to a request means, by the protocol's table.
     fn answered(&self, executor: ExecutorId, used: Use, response: &Response, exchange: &mut Exchange) {
         trace!("{used:?} at executor {}: {response:?}", executor.0);
@@ -466,12 +489,9 @@
         errand: &Errand,
         accepted: bool,
     ) {
-        if !accepted {
-            let mut lines = self.lines.borrow_mut();
-            let used = Use::Allocation(id, errand.binding);
-            lines.kept.retain(|_, line| line.used != used);
-            lines.untold.push((executor, used, Ending::Recalled));
-            return;
+        let used = Use::Allocation(id, errand.binding);
+        if !accepted && !self.closes(used) {
+            return self.lines.borrow_mut().untold.push((executor, used, Ending::Recalled));
         }
         let message = format!(
             "DELETE /jobs/{} HTTP/1.1\r\nHost: {}\r\nContent-Length: 0\r\n\r\n",
--- a/crates/node/tests/stories.rs
+++ b/crates/node/tests/stories.rs
@@ -202,6 +202,34 @@
     assert_eq!((world.counter("allocations"), world.counter("ended_timed_out")), (3, 1));
 }
 
+#[test]
+fn a_job_whose_taking_is_told_in_the_moment_of_the_time_out_goes_to_no_other() {
+    // Failure: the 202 came while others had their turn, the connection was closed over it, and a second copy ran.
+    const CROWD: usize = 1100; // more than the loop is told of at once
+    let (first, second) = (listener(), listener());
+    let world = World::with(&[&first, &second], charter(), 4096, 4096);
+    let mut crowd: Vec<Talk> = (0..CROWD).map(|_| world.call()).collect();
+    // All are taken in when the last is answered.
+    crowd.iter_mut().for_each(|one| one.say("GET /ready HTTP/1.1\r\n\r\n"));
+    crowd.iter_mut().for_each(|one| assert_eq!(one.hear().status(), 200));
+    let mut client = world.bring("u1", "search", 9000);
+    let (place, mut executor) = accept_any(&[&first, &second]);
+    executor.hear();
+    let sent = Instant::now();
+    world.tell("STOP");
+    crowd.iter_mut().for_each(|one| one.say("GET /ready HTTP/1.1\r\n\r\n"));
+    executor.answer(202, "");
+    while sent.elapsed() < Duration::from_millis(700) {
+        std::thread::yield_now();
+    }
+    world.tell("CONT");
+    crowd.iter_mut().for_each(|one| assert_eq!(one.hear().status(), 200));
+    let done = json!({"from": format!("s-{place}"), "state": "done", "result": "once"});
+    assert_eq!(world.call_back("u1", done), 204);
+    assert_eq!(client.hear().body, "once");
+    assert_eq!((world.counter("allocations"), world.counter("accepted")), (1, 1));
+}
+
 #[test]
 fn binding_work_never_goes_on_a_connection_that_stood_idle() {
     // Failure: executors closed idle connections early; the reset under a binding unit might mean that it ran.
