--- a/crates/charter/src/lib.rs
+++ b/crates/charter/src/lib.rs
@@ -110,10 +110,7 @@
             cold: cold_start(&whole.part("contract")?)?,
             starts: family.flag("tells_start")?,
             progress: family.span("progress_ns")?.filter(|pace| pace.0 > 0),
-            quotas: tenants
-                .iter()
-                .map(|tenant| Ok(tenant.number("quota_per_s", 0.0..=f64::MAX)?.unwrap_or(f64::INFINITY)))
-                .collect::<Result<_, String>>()?,
+            quotas: quotas(&tenants)?,
             node: whole.count("me", 0..=nodes - 1)?.unwrap_or(0),
             nodes,
             zone: zone as usize,
@@ -132,6 +129,13 @@
         self.tariffs[tariff].patience
     }
 
+    /// The place of a customer by its name; one behind all for who names none, or one that is not known. Guards against
+    /// strangers who use up the share of the first.
+    pub fn customer(&self, name: Option<&str>) -> usize {
+        let known = name.and_then(|name| self.customer_names.iter().position(|known| known == name));
+        known.unwrap_or(self.customer_names.len())
+    }
+
     /// How often executors tell of what runs, if they do.
     pub fn progress(&self) -> Option<Span> {
         self.progress
@@ -180,6 +184,16 @@
     }
 }
 
+/// The share of each customer, and none for who is not among them, where there are some.
+fn quotas(tenants: &[Section]) -> Result<Vec<f64>, String> {
+    let quota = |tenant: &Section| Ok(tenant.number("quota_per_s", 0.0..=f64::MAX)?.unwrap_or(f64::INFINITY));
+    let mut quotas = tenants.iter().map(quota).collect::<Result<Vec<f64>, String>>()?;
+    if !quotas.is_empty() {
+        quotas.push(0.0);
+    }
+    Ok(quotas)
+}
+
 fn names(parts: &[Section]) -> Result<Vec<String>, String> {
     parts.iter().map(|part| Ok(part.text("name")?.unwrap_or_default().to_owned())).collect()
 }
--- a/crates/charter/tests/stories.rs
+++ b/crates/charter/tests/stories.rs
@@ -159,3 +159,13 @@
         assert!(Fleet::read(text).is_err_and(|wrong| wrong.contains(says)));
     }
 }
+
+#[test]
+fn who_is_no_customer_takes_the_place_of_none() {
+    // Failure: a request that named an unknown customer, or none, was counted against the share of the first.
+    let charter = with("tenants", json!([{"name": "a", "quota_per_s": 5}, {"name": "b"}]));
+    let charter = Charter::read(&charter).expect("it is whole");
+    assert_eq!([Some("a"), Some("b"), Some("c"), None].map(|name| charter.customer(name)), [0, 1, 2, 2]);
+    let without = Charter::read(&least()).expect("it is whole");
+    assert_eq!(without.customer(Some("a")), 0, "where there are no shares nobody is beyond one");
+}
--- a/crates/node/src/exchange.rs
+++ b/crates/node/src/exchange.rs
@@ -286,6 +286,8 @@
     /// Where this node stopped waiting for something that may still run, and when; only where machines are closed.
     unsure: Option<BTreeMap<(ExecutorId, Rc<str>), Moment>>,
     own_zone: usize,
+    /// The place of who is no customer.
+    stranger: usize,
     unit_ids: UnitIds,
     /// Other processes of this node, where there may be some.
     siblings: Option<Rc<dyn Relatives>>,
@@ -329,6 +331,7 @@
             kinds: charter.kinds.clone(),
             listed: false,
             own_zone: charter.zone(),
+            stranger: charter.customer(None),
             unit_ids: unit_ids.clone(),
             siblings,
         }
@@ -592,7 +595,7 @@
         };
         let arrival = Arrival {
             tariff,
-            customer: 0,
+            customer: self.stranger,
             patience_ends: moment(job.ends_ms),
             repeat: false,
             hint: job.hint_us.map(|us| Span(us.saturating_mul(1000))),
--- a/crates/node/src/wire/clients.rs
+++ b/crates/node/src/wire/clients.rs
@@ -640,8 +640,7 @@
         let cut =
             self.ends.get().filter(|(from, _)| now >= *from && !lasts).map_or(asks_until, |(_, last)| last);
         let patience_ends = asks_until.min(cut);
-        let customer =
-            header("X-Caller").and_then(|name| self.charter.customer_names.iter().position(|n| n == name));
+        let customer = self.charter.customer(header("X-Caller"));
         let hint_us = header("X-Call-Cost").and_then(|us| us.parse::<f64>().ok());
         let hint = hint_us.filter(|us| us.is_finite() && *us > 0.0).map(|us| Span((us * 1000.0) as u64));
         let info = header("X-Call-Info").unwrap_or_default();
@@ -650,7 +649,7 @@
             figures.filter(|(name, _)| name.trim() == "slots").find_map(|(_, n)| n.trim().parse().ok());
         let arrival = Arrival {
             tariff,
-            customer: customer.unwrap_or(0),
+            customer,
             patience_ends,
             // Where the patience is cut the first try can't be told from it.
             repeat: header("X-Again") == Some("1") && patience_ends == asks_until,
--- a/crates/node/src/wire/faktory.rs
+++ b/crates/node/src/wire/faktory.rs
@@ -468,7 +468,7 @@
             .map_or(self.charter.patience(tariff), |ms| Span::millis(ms.min(LONGEST_PATIENCE_MS)));
         let arrival = Arrival {
             tariff,
-            customer: 0,
+            customer: self.charter.customer(None),
             patience_ends: now + patience,
             repeat: job.custom["again"].as_bool().unwrap_or(false),
             hint: figure("cost_us").map(|us| Span(us.saturating_mul(1000))),
--- a/crates/node/tests/stories.rs
+++ b/crates/node/tests/stories.rs
@@ -230,6 +230,27 @@
     assert_eq!((world.counter("allocations"), world.counter("accepted")), (1, 1));
 }
 
+#[test]
+fn idle_clients_that_hold_all_descriptors_keep_the_node_from_neither_list_nor_executors() {
+    let listens = listener();
+    let world = World::with(&[&listens], charter(), 1024, 64);
+    let (watch, _) = watched(&world);
+    let mut crowd: Vec<Talk> = (0..80).map(|_| world.call()).collect();
+    crowd.iter_mut().for_each(|one| one.say("GET /ready HTTP/1.1\r\n\r\n"));
+    while world.counter("accepts_failed") + world.counter("callers_shed") == 0 {}
+    let ended = Instant::now();
+    drop(watch);
+    let (mut watch, _) = watched(&world);
+    assert!(ended.elapsed() < Duration::from_secs(4), "the list is followed within its bound");
+    watch.say(&chunk("\n"));
+    let mut client = world.bring("u1", "search", 9000);
+    let mut executor = accept(&listens);
+    executor.hear();
+    executor.answer(202, "");
+    assert_eq!(world.call_back("u1", json!({"state": "done", "result": "yes"})), 204);
+    assert_eq!(client.hear().status(), 200);
+}
+
 #[test]
 fn binding_work_never_goes_on_a_connection_that_stood_idle() {
     // Failure: executors closed idle connections early; the reset under a binding unit might mean that it ran.
