What broke or was not heard of is asked back before another executor gets it

At fault: Executors::tell and Exchange::not_taken, which took the end of our side of a connection for the end of a job.

Change: where a second copy is not allowed and jobs may be given up, an attempt that timed out before its 202, or was reset, is asked back by DELETE on another connection; its unit goes on when that is answered, or after 0.25 s (a standing executor costs 0.75 s in place of 0.5 s). Binding work was never sent again and is not asked back.

The story of the silent connection now hears the DELETE between the two attempts and is otherwise as it was.

--- a/crates/charter/src/lib.rs
+++ b/crates/charter/src/lib.rs
@@ -166,6 +166,11 @@
         self.allowance.recalls
     }
 
+    /// Whether two allocations of one unit may be out at once.
+    pub fn second_copies(&self) -> bool {
+        self.allowance.second_copies
+    }
+
     /// What the operators promise of their executors: that a recall takes work that waits out of the queue.
     pub fn recalls_stop(&mut self, stop: bool) {
         self.allowance.recalls_stop = stop && self.allowance.recalls;
--- a/crates/node/src/exchange.rs
+++ b/crates/node/src/exchange.rs
@@ -64,8 +64,9 @@
     ledger: Option<Rc<Ledger>>,
     fellows: Option<Rc<dyn Talk>>,
     tariffs: Rc<[String]>,
-    /// Whether executors may be asked to give up a job.
+    /// Whether executors may be asked to give up a job, and must be before another has it.
     recalls: bool,
+    asks_back: bool,
 }
 
 impl Hands {
@@ -314,6 +315,7 @@
             fellows: fellows.clone(),
             tariffs: charter.tariff_names.clone().into(),
             recalls: charter.recalls(),
+            asks_back: charter.recalls() && !charter.second_copies(),
         };
         Exchange {
             counters: counters.clone(),
@@ -816,13 +818,20 @@
         self.dispatcher.listed(self.hands.clock.now(), false, &[listing]);
     }
 
-    /// The executor did not say in time that it took the job, and the connection is closed. Where it has told of a
-    /// start that word alone got lost.
-    pub fn not_taken(&mut self, id: AllocationId) {
-        let taken = self.hands.desk.borrow().units.still_out(id).is_some_and(|(_, accepted, _)| accepted);
-        if !taken {
-            self.ended(id, Ending::TimedOut, None);
+    /// The executor did not say in time that it took the job, and the connection is closed, or broke. Where it has told of
+    /// a start, that word alone got lost.
+    pub fn not_taken(&mut self, id: AllocationId, ending: Ending) {
+        let Some((executor, taken, errand)) = self.hands.desk.borrow().units.still_out(id) else { return };
+        if taken && ending == Ending::TimedOut {
+            return;
+        }
+        // It may have the job all the same: its word got lost, or is on the way in this moment, or it comes to what it was
+        // sent only now. Guards against a second copy where none is allowed: what it has is asked back first.
+        if self.hands.asks_back && !errand.binding {
+            let address = self.hands.desk.borrow().executors.address(executor);
+            return self.hands.executors.ask_back(id, executor, address, &errand, ending);
         }
+        self.ended(id, ending, None);
     }
 
     /// The node stops waiting, and says so to the executor where that is allowed.
--- a/crates/node/src/sides.rs
+++ b/crates/node/src/sides.rs
@@ -3,6 +3,7 @@
 use crate::memory::parts::{Of, Spends};
 use crate::memory::units::Errand;
 use grebeusher_dispatch::ids::{AllocationId, ExecutorId, UnitId};
+use grebeusher_dispatch::tariffs::Ending;
 use grebeusher_dispatch::time::{Moment, Span};
 use grebeusher_faktory::reservations::Standing;
 use std::net::SocketAddr;
@@ -45,6 +46,15 @@
         errand: &Errand,
         accepted: bool,
     );
+    /// Asks for a job back that may have been taken though nothing was heard of it; its allocation ends after that.
+    fn ask_back(
+        &self,
+        id: AllocationId,
+        executor: ExecutorId,
+        address: Option<SocketAddr>,
+        errand: &Errand,
+        ending: Ending,
+    );
     fn probe(&self, executor: ExecutorId, address: Option<SocketAddr>);
     /// Closes idle connections to an executor but those to this address.
     fn forget(&self, executor: ExecutorId, but: Option<SocketAddr>);
--- a/crates/node/src/wire/executors.rs
+++ b/crates/node/src/wire/executors.rs
@@ -31,6 +31,9 @@
 /// before the settings' time, and a reset then says that it may have run.
 const BINDING_IDLE: Span = Span::millis(50);
 
+/// Asking a job back is answered within round trips by an executor that is there: its unit waits for no other.
+const ASKED_BACK_WITHIN: Span = Span::millis(250);
+
 /// Whether a job may never run twice.
 type Binding = bool;
 
@@ -39,6 +42,7 @@
 enum Use {
     Allocation(AllocationId, Binding),
     GivingUp(AllocationId),
+    AskingBack(AllocationId, Ending),
     Probe,
     Idle,
 }
@@ -258,9 +262,13 @@
                 return;
             };
             match used {
-                Use::Allocation(id, _) if ending == Ending::TimedOut => exchange.not_taken(id),
+                Use::Allocation(id, _) if matches!(ending, Ending::TimedOut | Ending::Reset) => {
+                    exchange.not_taken(id, ending)
+                }
                 Use::Allocation(id, _) => exchange.ended(id, ending, None),
                 Use::GivingUp(id) => exchange.not_given_up(id),
+                // Nobody is there, or stands still.
+                Use::AskingBack(id, before) => exchange.ended(id, before, None),
                 Use::Probe => exchange.probed(executor, None),
                 Use::Idle => {}
             }
@@ -381,6 +389,7 @@
         let within = match line.used {
             Use::Allocation(_, true) => BINDING_TAKEN_WITHIN,
             Use::Allocation(_, false) => TAKEN_WITHIN,
+            Use::AskingBack(..) => ASKED_BACK_WITHIN,
             _ => ANSWERED_WITHIN,
         };
         wait(place, line, dues, self.clock.now() + within);
@@ -412,6 +421,7 @@
             (Use::Allocation(id, _), _) => exchange.ended(id, Ending::Error, report),
             (Use::GivingUp(id), ..500) => exchange.ended(id, Ending::Recalled, None),
             (Use::GivingUp(id), _) => exchange.not_given_up(id),
+            (Use::AskingBack(id, before), _) => exchange.ended(id, before, None),
             (Use::Probe, _) => {
                 let report = report.or_else(|| exchange.reports().body(&response.body));
                 exchange.probed(executor, report);
@@ -446,6 +456,11 @@
     Some(())
 }
 
+fn deletion(errand: &Errand, address: Option<SocketAddr>) -> Vec<u8> {
+    let (id, host) = (&errand.call_id, host(address));
+    format!("DELETE /jobs/{id} HTTP/1.1\r\nHost: {host}\r\nContent-Length: 0\r\n\r\n").into_bytes()
+}
+
 fn host(address: Option<SocketAddr>) -> String {
     address.map(|address| address.to_string()).unwrap_or_default()
 }
@@ -493,12 +508,18 @@
         if !accepted && !self.closes(used) {
             return self.lines.borrow_mut().untold.push((executor, used, Ending::Recalled));
         }
-        let message = format!(
-            "DELETE /jobs/{} HTTP/1.1\r\nHost: {}\r\nContent-Length: 0\r\n\r\n",
-            errand.call_id,
-            host(address)
-        );
-        self.speak(executor, address, Use::GivingUp(id), message.as_bytes());
+        self.speak(executor, address, Use::GivingUp(id), &deletion(errand, address));
+    }
+
+    fn ask_back(
+        &self,
+        id: AllocationId,
+        executor: ExecutorId,
+        address: Option<SocketAddr>,
+        errand: &Errand,
+        ending: Ending,
+    ) {
+        self.speak(executor, address, Use::AskingBack(id, ending), &deletion(errand, address));
     }
 
     fn probe(&self, executor: ExecutorId, address: Option<SocketAddr>) {
--- a/crates/node/tests/stories.rs
+++ b/crates/node/tests/stories.rs
@@ -178,6 +178,8 @@
     let mut client = world.bring("u1", "search", 9000);
     let mut silent = accept(&listens);
     silent.hear();
+    // It is asked back, which is not answered either.
+    assert_eq!(accept(&listens).hear().start, "DELETE /jobs/u1 HTTP/1.1");
     let mut executor = accept(&listens);
     assert_eq!(executor.hear().header("X-Call-Id"), Some("u1"));
     for state in ["started", "done"] {
@@ -202,6 +204,30 @@
     assert_eq!((world.counter("allocations"), world.counter("ended_timed_out")), (3, 1));
 }
 
+#[test]
+fn what_an_executor_may_have_taken_is_asked_back_before_another_gets_it() {
+    // Failure: the word that it was taken got lost, or a reset came before the executor read the job; it ran twice at once.
+    for breaks in [true, false] {
+        let listeners = [listener(), listener()];
+        let world = World::with(&[&listeners[0], &listeners[1]], charter(), 1024, 1024);
+        let mut client = world.bring("u1", "search", 9000);
+        let (first, mut executor) = accept_any(&[&listeners[0], &listeners[1]]);
+        executor.hear();
+        let silent = (!breaks).then_some(executor);
+        let (asked, mut asks) = accept_any(&[&listeners[0], &listeners[1]]);
+        assert_eq!((asked, asks.hear().start.as_str()), (first, "DELETE /jobs/u1 HTTP/1.1"));
+        assert_eq!(world.counter("allocations"), 1, "no other has it yet");
+        asks.answer(204, "");
+        let (second, mut executor) = accept_any(&[&listeners[1 - first]]);
+        assert_eq!((second, executor.hear().header("X-Call-Id")), (0, Some("u1")));
+        executor.answer(202, "");
+        let done = json!({"from": format!("s-{}", 1 - first), "state": "done", "result": "once"});
+        assert_eq!(world.call_back("u1", done), 204);
+        assert_eq!(client.hear().body, "once");
+        drop(silent);
+    }
+}
+
 #[test]
 fn a_job_whose_taking_is_told_in_the_moment_of_the_time_out_goes_to_no_other() {
     // Failure: the 202 came while others had their turn, the connection was closed over it, and a second copy ran.
