What a node was told to know at its start is gone by no longer than any list

Seen in rereading: the list had an age only once a line had come. A node whose calls for the list are never answered went by the file that it was started with for good; the module was told of no proof before the first line. Node::start tells it now.

The new story fails without it (it goes by the file for ever).

--- a/crates/node/src/life/node.rs
+++ b/crates/node/src/life/node.rs
@@ -268,6 +268,9 @@
             exchange.closes(Closed::All);
         }
         exchange.listed(&known);
+        // What it was told to know is gone by from now on no longer than any list. Guards against a node that hears nothing
+        // of discovery ever, and goes by that for good.
+        exchange.list_proved(clock.now(), false);
         exchange.recover();
         say_what_sockets_lack(charter, fellows.is_some());
         if let Some(console) = &console {
--- a/crates/node/tests/stories.rs
+++ b/crates/node/tests/stories.rs
@@ -655,6 +655,26 @@
     }
 }
 
+#[test]
+fn what_a_node_was_told_to_know_is_gone_by_no_longer_than_any_list() {
+    // Failure: no call for the list was ever answered, and the node went by the file that it was started with for good.
+    let refuses = refusing();
+    let world = World::around(&refuses);
+    let started = Instant::now();
+    let mut number = 0;
+    loop {
+        let before = world.counter("allocations");
+        assert_eq!(world.bring(&format!("u{number}"), "reserve", 1000).hear().status(), 503);
+        if world.counter("allocations") == before {
+            break;
+        }
+        number += 1;
+        assert!(started.elapsed() < Duration::from_secs(8), "it goes by the file for ever");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    assert!(started.elapsed() > Duration::from_secs(5), "it goes by the file for too short a time");
+}
+
 #[test]
 fn a_discovery_that_refuses_has_told_nobody_of_anything() {
     let (listens, discovery) = (refusing(), refusing());
