The story of killed processes and cold budgets fails without its change

Played against mutated code it passed: with the mean of a node that knows nothing, a cold executor bears less than one call within the window, so none was sent either way. Now the work is small enough for several. No code of the program.

--- a/crates/dispatch/tests/stories.rs
+++ b/crates/dispatch/tests/stories.rs
@@ -591,6 +591,9 @@
     for nodes in [1, 20, 30] {
         let (mut sent, mut later) = (0, 0);
         for mut story in Story::fleet(nodes, 1) {
+            // Of work this small a cold executor bears several calls at once.
+            let sizes = vec![(0.05, 0.05); 60];
+            story.node.taught(story.now, &Learnt { sizes, ..Learnt::default() });
             story.node.listed(story.now, true, &[]);
             story.list_cold(4);
             let mut sends = |units: std::ops::Range<u64>, after| {
