--- a/crates/node/src/exchange.rs
+++ b/crates/node/src/exchange.rs
@@ -73,10 +73,14 @@
     /// The final answer, once.
     fn answer(&self, unit: UnitId, status: u16, come_back: Option<Span>, body: &[u8]) {
         let lasting = self.lasting(unit);
-        self.desk.borrow_mut().seek_further.remove(&unit);
-        let first = self.desk.borrow_mut().units.answered(unit);
-        // Guards against units kept for ever that were answered before anything was sent for them.
-        self.desk.borrow_mut().units.tidy(unit);
+        let first = {
+            let mut desk = self.desk.borrow_mut();
+            desk.seek_further.remove(&unit);
+            let first = desk.units.answered(unit);
+            // Guards against units kept for ever that were answered before anything was sent for them.
+            desk.units.tidy(unit);
+            first
+        };
         if first {
             if let Some((ledger, errand)) = lasting {
                 return self.answer_lasting(ledger, &errand.call_id, &errand.tariff, status, body);
@@ -526,7 +530,6 @@
     fn takes(&mut self, unit: UnitId, errand: Errand, arrival: &Arrival) {
         self.hands.desk.borrow_mut().units.arrived(unit, errand);
         self.dispatcher.arrived(self.hands.clock.now(), unit, arrival);
-        self.hands.desk.borrow_mut().units.tidy(unit);
     }
 
     pub fn has_ledger(&self) -> bool {
--- a/crates/node/tests/stories.rs
+++ b/crates/node/tests/stories.rs
@@ -269,10 +269,7 @@
     let (mut watch, _) = watched(&world);
     assert!(ended.elapsed() < Duration::from_secs(4), "the list is followed within its bound");
     watch.say(&chunk("\n"));
-    let mut client = world.bring("u1", "search", 9000);
-    let mut executor = accept(&listens);
-    executor.hear();
-    executor.answer(202, "");
+    let (mut client, _executor) = taken(&world, &listens, "u1");
     assert_eq!(world.call_back("u1", json!({"state": "done", "result": "yes"})), 204);
     assert_eq!(client.hear().status(), 200);
 }
@@ -762,10 +759,7 @@
     // Failure: a close over unread bytes resets the connection, and the answer goes with it.
     let listens = listener();
     let world = World::around(&listens);
-    let mut client = world.bring("u1", "search", 9000);
-    let mut executor = accept(&listens);
-    executor.hear();
-    executor.answer(202, "");
+    let (mut client, _executor) = taken(&world, &listens, "u1");
     // Far more than is kept of a next request, and then the answer.
     client.say(&format!(
         "POST /search HTTP/1.1\r\nX-Call-Id: u2\r\nContent-Length: 60000\r\n\r\n{}",
@@ -783,10 +777,7 @@
 fn the_end_of_a_client_is_heard_behind_what_it_sent_beside_its_request() {
     let listens = listener();
     let world = World::around(&listens);
-    let mut client = world.bring("u1", "search", 9000);
-    let mut executor = accept(&listens);
-    executor.hear();
-    executor.answer(202, "");
+    let (mut client, mut executor) = taken(&world, &listens, "u1");
     client.say(&"x".repeat(50_000));
     drop(client);
     assert!(executor.hear().start.starts_with("DELETE /jobs/u1"), "its job is given up");
