--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -7,5 +7,5 @@
 pub mod ids;
 pub mod learnt;
 pub mod tariffs;
-pub mod time;
+pub use grebeusher_time as time;
 pub mod word;
--- /dev/null
+++ b/crates/tier/src/lib.rs
@@ -0,0 +1,1 @@
+//! The programs of the serving tier, put together from the libraries of its planes.
