sizing: SITA-E as a library: sample, cut-offs, lanes by hash, weighted pick

The old program has this inside its decisions; the serving tier needs it too and nothing is to be written twice. Beside the size, which picks the lane, an entry carries its work, which the cut-offs equalise: with prompts that are mostly kept already the two differ.

--- a/crates/sizing/src/lib.rs
+++ b/crates/sizing/src/lib.rs
@@ -1,1 +1,35 @@
-//! SITA-E: cut-offs that equalise summed size per executor, and the weighted pick inside a lane.
+//! SITA-E, size interval task assignment with equal load, without I/O, clock or executors.
+//!
+//! From "Size-Based Routing Policies": cut-offs give each lane of executors one interval of sizes such that the
+//! load of the interval matches the lane's share of the capacity; inside a lane a random pick is weighted by what
+//! is left of each executor. This crate holds just that, for every program that routes by it:
+//!
+//! * [`Sample`]: the sizes of the last requests;
+//! * [`CutOffs`]: the interval bounds that equalise summed work per share of capacity, and the lane of a size;
+//! * [`lanes_by_hash`]: which executor is in which lane, the same on every node;
+//! * [`weight`], [`pick`]: the weighted pick inside a lane;
+//! * [`fixed_hash`], [`mixed`], [`rendezvous`]: hashes that agree between processes.
+//!
+//! ```
+//! use grebeusher_sizing::{CutOffs, Sample};
+//!
+//! let mut sample = Sample::new(1000);
+//! for size in 1..=100 {
+//!     sample.saw(f64::from(size), f64::from(size));
+//! }
+//! let cut_offs = CutOffs::equalising(&sample, &[0.5, 0.5], 50);
+//! assert_eq!(cut_offs.lane_of(10.0), 0); // sizes 1 to 71 sum up to half of all
+//! assert_eq!(cut_offs.lane_of(95.0), 1);
+//! ```
+
+mod cut_offs;
+mod hash;
+mod lanes;
+mod pick;
+mod sample;
+
+pub use cut_offs::CutOffs;
+pub use hash::{fixed_hash, mixed, rendezvous};
+pub use lanes::{lanes_by_hash, share_of_lanes};
+pub use pick::{Candidate, FLOOR, pick, weight};
+pub use sample::{Entry, Sample};
--- /dev/null
+++ b/crates/sizing/tests/sizing.rs
@@ -0,0 +1,179 @@
+//! SITA-E: the sample, the cut-offs, the lanes and the pick.
+
+use grebeusher_sizing::{
+    Candidate, CutOffs, FLOOR, Sample, fixed_hash, lanes_by_hash, pick, rendezvous, share_of_lanes, weight,
+};
+use proptest::prelude::*;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg32;
+use rstest::rstest;
+
+fn sample_of(sizes: impl IntoIterator<Item = f64>) -> Sample {
+    let mut sample = Sample::new(1000);
+    for size in sizes {
+        sample.saw(size, size);
+    }
+    sample
+}
+
+fn work_by_lane(sample: &Sample, cut_offs: &CutOffs, lanes: usize) -> Vec<f64> {
+    share_of_lanes(lanes, sample.entries().map(|entry| (cut_offs.lane_of(entry.size), entry.work)))
+}
+
+#[rstest]
+#[case::equal(&[1.0, 1.0])]
+#[case::few_and_many(&[3.0, 1.0])]
+#[case::three_lanes(&[2.0, 1.0, 1.0])]
+fn cut_offs_equalise_summed_work_per_share(#[case] shares: &[f64]) {
+    // given sizes over four orders of magnitude
+    let mut chance = Pcg32::seed_from_u64(7);
+    let sample = sample_of((0..1000).map(|_| 10.0_f64.powf(4.0 * chance.random::<f64>())));
+    // when the cut-offs are computed
+    let cut_offs = CutOffs::equalising(&sample, shares, 50);
+    // then each lane's part of the work is its share, up to one of the largest
+    let lanes = work_by_lane(&sample, &cut_offs, shares.len());
+    let (total, whole) = (lanes.iter().sum::<f64>(), shares.iter().sum::<f64>());
+    for (lane, share) in lanes.iter().zip(shares) {
+        assert!((lane / total - share / whole).abs() < 0.02, "{lanes:?} against {shares:?}");
+    }
+}
+
+#[test]
+fn what_orders_the_lanes_may_differ_from_what_weighs() {
+    // given large requests that cost little, since most of them is kept already
+    let mut sample = Sample::new(1000);
+    for _ in 0..300 {
+        sample.saw(100.0, 100.0);
+        sample.saw(5000.0, 50.0);
+        sample.saw(9000.0, 50.0);
+    }
+    // when the cut-offs are computed for equal lanes
+    let cut_offs = CutOffs::equalising(&sample, &[1.0, 1.0], 50);
+    // then the small ones are one lane, though by size they would be a hundredth of all
+    assert_eq!([100.0, 5000.0, 9000.0].map(|size| cut_offs.lane_of(size)), [0, 1, 1]);
+}
+
+#[rstest]
+#[case::too_few(49, &[1.0, 1.0])]
+#[case::one_lane(100, &[1.0])]
+#[case::no_lane(100, &[])]
+#[case::empty_lane(100, &[1.0, 0.0])]
+#[case::no_number(100, &[1.0, f64::NAN])]
+fn one_lane_holds_all_where_nothing_can_be_cut(#[case] count: usize, #[case] shares: &[f64]) {
+    let sample = sample_of((0..count).map(|n| n as f64 + 1.0));
+    assert_eq!(CutOffs::equalising(&sample, shares, 50), CutOffs::one_lane());
+}
+
+#[test]
+fn the_sample_keeps_the_last_and_leaves_nonsense_out() {
+    let mut sample = Sample::new(3);
+    for size in [1.0, f64::NAN, 2.0, 0.0, -1.0, 3.0, f64::INFINITY, 4.0] {
+        sample.saw(size, size);
+    }
+    let sizes: Vec<f64> = sample.entries().map(|entry| entry.size).collect();
+    assert_eq!(sizes, [2.0, 3.0, 4.0]);
+    assert_eq!((sample.median(), sample.mean_work()), (Some(3.0), Some(3.0)));
+    assert_eq!((Sample::new(0).median(), Sample::new(0).mean_work()), (None, None));
+}
+
+#[rstest]
+#[case(18, 2, &[9, 9])]
+#[case(9, 2, &[4, 5])]
+#[case(10, 3, &[3, 3, 4])]
+#[case(1, 2, &[1])]
+#[case(5, 0, &[5])]
+fn lanes_are_of_nearly_equal_number(#[case] count: u64, #[case] lanes: usize, #[case] due: &[usize]) {
+    let hashes: Vec<u64> = (0..count).map(|n| fixed_hash(&format!("i-{n}"))).collect();
+    let assigned = lanes_by_hash(&hashes, lanes);
+    let counts: Vec<usize> =
+        (0..due.len()).map(|lane| assigned.iter().filter(|at| **at == lane).count()).collect();
+    assert_eq!(counts, due);
+}
+
+#[test]
+fn every_node_makes_the_same_lanes_and_one_that_goes_moves_at_most_one_other() {
+    let hashes: Vec<u64> = (0..18).map(|n| fixed_hash(&format!("i-{n}"))).collect();
+    let lanes = lanes_by_hash(&hashes, 2);
+    let reversed: Vec<u64> = hashes.iter().rev().copied().collect();
+    let mut seen = lanes_by_hash(&reversed, 2);
+    seen.reverse();
+    assert_eq!(seen, lanes);
+    for gone in 0..18 {
+        let mut left: Vec<(u64, usize)> = hashes.iter().copied().zip(lanes.iter().copied()).collect();
+        left.remove(gone);
+        let after = lanes_by_hash(&left.iter().map(|(hash, _)| *hash).collect::<Vec<_>>(), 2);
+        let moved = left.iter().zip(&after).filter(|((_, before), after)| before != *after).count();
+        assert!(moved <= 1, "{moved} moved");
+    }
+}
+
+#[test]
+fn a_rendezvous_order_keeps_all_others_in_place_when_one_goes() {
+    let order = |key: u64, members: &[u64]| {
+        let mut members = members.to_vec();
+        members.sort_by_key(|member| std::cmp::Reverse(rendezvous(key, *member)));
+        members
+    };
+    let members: Vec<u64> = (0..9).map(|n| fixed_hash(&format!("i-{n}"))).collect();
+    let mut homes = std::collections::BTreeMap::new();
+    for key in 0..900 {
+        let all = order(key, &members);
+        *homes.entry(all[0]).or_insert(0) += 1;
+        let without: Vec<u64> = members.iter().copied().filter(|member| *member != all[0]).collect();
+        assert_eq!(order(key, &without), all[1..]);
+    }
+    assert!(homes.len() == 9 && homes.values().all(|count| (60..140).contains(count)), "{homes:?}");
+}
+
+#[rstest]
+#[case(0.0, 1.0)]
+#[case(0.25, 0.75)]
+#[case(0.95, FLOOR)]
+#[case(1.0, FLOOR)]
+#[case(2.0, FLOOR / 2.0)]
+#[case(-1.0, 1.0)]
+#[case(f64::NAN, FLOOR)]
+fn the_weight_is_what_is_left_with_a_floor(#[case] utilisation: f64, #[case] due: f64) {
+    assert!((weight(utilisation) - due).abs() < 1e-12);
+}
+
+#[test]
+fn picks_follow_the_weights_and_one_without_a_figure_gets_the_mean() {
+    let of = |utilisation| Candidate { utilisation, strength: 1.0 };
+    let candidates = [of(Some(0.0)), of(Some(0.5)), of(Some(1.0)), of(None)];
+    let mut chance = Pcg32::seed_from_u64(3);
+    let mut counts = [0.0; 4];
+    for _ in 0..20_000 {
+        counts[pick(&mut chance, &candidates).unwrap()] += 1.0;
+    }
+    let mean = (1.0 + 0.5 + FLOOR) / 3.0;
+    let total = 1.0 + 0.5 + FLOOR + mean;
+    for (count, weight) in counts.iter().zip([1.0, 0.5, FLOOR, mean]) {
+        assert!((count / 20_000.0 - weight / total).abs() < 0.01, "{counts:?}");
+    }
+}
+
+#[test]
+fn what_has_no_strength_is_never_picked() {
+    let of = |strength| Candidate { utilisation: None, strength };
+    let mut chance = Pcg32::seed_from_u64(3);
+    for _ in 0..100 {
+        assert_eq!(pick(&mut chance, &[of(0.0), of(1.0), of(f64::NAN), of(-1.0)]), Some(1));
+    }
+    assert_eq!(pick(&mut chance, &[of(0.0)]), None);
+    assert_eq!(pick(&mut chance, &[]), None);
+}
+
+proptest! {
+    #[test]
+    fn no_input_panics_and_bounds_rise(
+        sizes in proptest::collection::vec(any::<f64>(), 0..200),
+        shares in proptest::collection::vec(any::<f64>(), 0..5),
+        fewest in 0_usize..100,
+        probe in any::<f64>(),
+    ) {
+        let cut_offs = CutOffs::equalising(&sample_of(sizes), &shares, fewest);
+        prop_assert!(cut_offs.bounds().is_sorted());
+        prop_assert!(cut_offs.lane_of(probe) < cut_offs.lanes());
+    }
+}
