catalog: settings, configuration, routes and the register as a library

Settings and configurations are read from tinyjson values by hand; the outer frame of a configuration is cut first and each route parsed by itself, so that no tree of the whole body is held. The register judges a change before it is proposed and again when it is applied, so two changes on one base are never both taken.

--- /dev/null
+++ b/crates/catalog/src/configuration/read.rs
@@ -0,0 +1,286 @@
+//! From bytes to typed routes and services.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use tinyjson::JsonValue;
+
+use super::{
+    ClientLimits, Configuration, EngineType, Invalid, MAX_BODY_BYTES, MAX_ROUTES, MAX_SERVICES, MAX_SPLITS,
+    Model, Protocol, Route, RouteType, Service, TrafficSplit, WeightedService,
+};
+use crate::json::{FieldError, Fields, Unreadable, elements, members, parse};
+use crate::names::{HostName, RouteName, ServiceName};
+use crate::routes::bare_host;
+
+const DEFAULT_HEALTH_PATH: &str = "/health";
+
+/// Reads the whole body; its parts are not yet compared with one another.
+pub(super) fn whole(body: &[u8]) -> Result<Configuration, Invalid> {
+    if body.len() > MAX_BODY_BYTES {
+        return Err(Invalid::BodyTooLarge { bytes: body.len() });
+    }
+    let text = std::str::from_utf8(body).map_err(|_| unreadable("body", Unreadable::NotUtf8))?;
+    let mut parts = Parts::default();
+    for member in members(text).map_err(|source| unreadable("body", source))? {
+        parts.take(&member.key, member.value)?;
+    }
+    parts.into_configuration()
+}
+
+/// The members of the root as far as they have been read.
+#[derive(Default)]
+struct Parts {
+    version: Option<u64>,
+    routes: Option<Vec<Route>>,
+    services: Option<Vec<Service>>,
+    limits: ClientLimits,
+}
+
+impl Parts {
+    fn take(&mut self, key: &str, text: &str) -> Result<(), Invalid> {
+        match key {
+            "config_version" => self.version = Some(version(&parsed(key, text)?)?),
+            "route_table" => self.routes = Some(routes(text)?),
+            "service_list" => self.services = Some(services(text)?),
+            "limits" => {
+                let value = parsed(key, text)?;
+                self.limits = limits(&value).map_err(|error| field(error.within(key)))?;
+            }
+            // A field that is not known has to be whole all the same.
+            _ => drop(parsed(key, text)?),
+        }
+        Ok(())
+    }
+
+    fn into_configuration(self) -> Result<Configuration, Invalid> {
+        let missing = |name, expected| field(FieldError::new(name, expected));
+        Ok(Configuration {
+            version: self.version.ok_or_else(|| missing("config_version", VERSION))?,
+            routes: self.routes.ok_or_else(|| missing("route_table", "a list"))?,
+            services: self.services.ok_or_else(|| missing("service_list", "a list"))?,
+            limits: self.limits,
+        })
+    }
+}
+
+fn unreadable(path: impl Into<String>, source: Unreadable) -> Invalid {
+    Invalid::Text { path: path.into(), source }
+}
+
+fn field(source: FieldError) -> Invalid {
+    Invalid::Field { source }
+}
+
+fn parsed(path: &str, text: &str) -> Result<JsonValue, Invalid> {
+    parse(text).map_err(|source| unreadable(path, source))
+}
+
+const VERSION: &str = "a whole number above 0, at most 2^53";
+
+fn version(value: &JsonValue) -> Result<u64, Invalid> {
+    const MAX: f64 = 9_007_199_254_740_992.0;
+    match value {
+        JsonValue::Number(0.0) => Err(Invalid::VersionZero),
+        JsonValue::Number(number) if number.fract() == 0.0 && (1.0..=MAX).contains(number) => {
+            Ok(*number as u64)
+        }
+        _ => Err(field(FieldError::new("config_version", VERSION))),
+    }
+}
+
+/// The texts of a list's elements. Null stands for a list that is missing.
+fn element_texts<'a>(name: &str, text: &'a str) -> Result<Vec<&'a str>, Invalid> {
+    if !text.starts_with('[') {
+        parsed(name, text)?;
+        return Err(field(FieldError::new(name, "a list")));
+    }
+    elements(text).map_err(|source| unreadable(name, source))
+}
+
+fn routes(text: &str) -> Result<Vec<Route>, Invalid> {
+    let texts = element_texts("route_table", text)?;
+    if texts.len() > MAX_ROUTES {
+        return Err(Invalid::TooManyRoutes { count: texts.len() });
+    }
+    let mut names = SharedNames::default();
+    let mut read = |(index, text)| {
+        let path = || format!("route_table[{index}]");
+        let value = parse(text).map_err(|source| unreadable(path(), source))?;
+        route(&value, &mut names).map_err(|refusal| refusal.within(&path()))
+    };
+    texts.into_iter().enumerate().map(&mut read).collect()
+}
+
+fn services(text: &str) -> Result<Vec<Service>, Invalid> {
+    let texts = element_texts("service_list", text)?;
+    if texts.len() > MAX_SERVICES {
+        return Err(Invalid::TooManyServices { count: texts.len() });
+    }
+    let read = |(index, text)| {
+        let path = || format!("service_list[{index}]");
+        let value = parse(text).map_err(|source| unreadable(path(), source))?;
+        service(&value).map_err(|error| field(error.within(&path())))
+    };
+    texts.into_iter().enumerate().map(read).collect()
+}
+
+/// Thousands of routes name few hosts and services: each name is kept once.
+#[derive(Default)]
+struct SharedNames {
+    hosts: HashMap<String, HostName>,
+    services: HashMap<String, ServiceName>,
+}
+
+impl SharedNames {
+    fn host(&mut self, text: &str) -> HostName {
+        let host = bare_host(text);
+        shared(&mut self.hosts, &host)
+    }
+
+    fn service(&mut self, text: &str) -> ServiceName {
+        shared(&mut self.services, text)
+    }
+}
+
+fn shared<N: Clone + for<'a> From<&'a str>>(names: &mut HashMap<String, N>, text: &str) -> N {
+    if let Some(name) = names.get(text) {
+        return name.clone();
+    }
+    let name = N::from(text);
+    names.insert(text.to_owned(), name.clone());
+    name
+}
+
+/// Why a route is refused: a field of it, or one of the reasons that name it.
+enum Refusal {
+    Field(FieldError),
+    Invalid(Invalid),
+}
+
+impl Refusal {
+    fn within(self, path: &str) -> Invalid {
+        match self {
+            Refusal::Field(error) => field(error.within(path)),
+            Refusal::Invalid(invalid) => invalid,
+        }
+    }
+}
+
+impl From<FieldError> for Refusal {
+    fn from(error: FieldError) -> Refusal {
+        Refusal::Field(error)
+    }
+}
+
+fn route(value: &JsonValue, names: &mut SharedNames) -> Result<Route, Refusal> {
+    let fields = Fields::of(value)?;
+    let name: RouteName = fields.needed_text("name")?.into();
+    let timeout_ms = fields.count("timeout_ms")?.unwrap_or_default();
+    if timeout_ms == 0 {
+        return Err(Refusal::Invalid(Invalid::NoTimeout { route: name }));
+    }
+    let traffic = traffic(&fields, &name, names)?;
+    Ok(Route {
+        name,
+        hostname: names.host(fields.needed_text("hostname")?),
+        path_prefix: Arc::from(fields.needed_text("path_prefix")?),
+        route_type: route_type(&fields)?,
+        timeout_ms,
+        target_latency_ms: fields.count("target_latency_ms")?.unwrap_or(timeout_ms),
+        priority_level: fields.small_count("priority_level")?.unwrap_or_default(),
+        traffic,
+        max_attempts: fields.small_count("max_attempts")?.unwrap_or(1).max(1),
+        session_affinity: fields.flag("session_affinity")?.unwrap_or_default(),
+        resumable: fields.flag("resumable")?.unwrap_or_default(),
+        gap_aim_ms: fields.count("gap_aim_ms")?,
+        completion_target_ms: fields.count("completion_target_ms")?,
+        retention_s: fields.amount("retention_s")?,
+        queue_token_limit: fields.count("queue_token_limit")?.unwrap_or_default(),
+    })
+}
+
+fn route_type(fields: &Fields<'_>) -> Result<RouteType, FieldError> {
+    match fields.text("route_type")? {
+        Some("streaming") => Ok(RouteType::Streaming),
+        Some("idempotent") => Ok(RouteType::Idempotent),
+        Some("non_idempotent") => Ok(RouteType::NonIdempotent),
+        Some("bulk") => Ok(RouteType::Bulk),
+        _ => Err(FieldError::new("route_type", "streaming, idempotent, non_idempotent or bulk")),
+    }
+}
+
+/// A split goes before a single service, where a route has both.
+fn traffic(fields: &Fields<'_>, route: &RouteName, names: &mut SharedNames) -> Result<TrafficSplit, Refusal> {
+    let Some(splits) = fields.list("traffic_split")? else {
+        let service = fields.text("service")?;
+        let service =
+            service.ok_or_else(|| FieldError::new("service", "the name of a service, or a traffic_split"))?;
+        return Ok(TrafficSplit::single(names.service(service)));
+    };
+    if splits.len() > MAX_SPLITS {
+        return Err(Refusal::Invalid(Invalid::TooManySplits { route: route.clone() }));
+    }
+    let read = |(index, value)| {
+        split(value, names).map_err(|error: FieldError| error.at(index).within("traffic_split"))
+    };
+    let shares = splits.iter().enumerate().map(read).collect::<Result<_, FieldError>>()?;
+    TrafficSplit::weighted(shares).ok_or_else(|| Refusal::Invalid(Invalid::NoWeight { route: route.clone() }))
+}
+
+fn split(value: &JsonValue, names: &mut SharedNames) -> Result<WeightedService, FieldError> {
+    let fields = Fields::of(value)?;
+    let service = names.service(fields.needed_text("service")?);
+    Ok(WeightedService { service, weight: fields.amount("split_weight")?.unwrap_or_default() })
+}
+
+fn service(value: &JsonValue) -> Result<Service, FieldError> {
+    let fields = Fields::of(value)?;
+    Ok(Service {
+        name: fields.needed_text("name")?.into(),
+        health_path: fields.text("health_path")?.unwrap_or(DEFAULT_HEALTH_PATH).to_owned(),
+        max_connections: fields.small_count("max_connections")?,
+        protocol: match fields.text("protocol")? {
+            None | Some("h1") => Protocol::Http1,
+            Some(other) => Protocol::Other(other.to_owned()),
+        },
+        tls_mode: fields.flag("tls_mode")?.unwrap_or_default(),
+        engine_type: match fields.child("engine_type")? {
+            Some(engine) => Some(engine_type(&engine).map_err(|error| error.within("engine_type"))?),
+            None => None,
+        },
+    })
+}
+
+fn engine_type(fields: &Fields<'_>) -> Result<EngineType, FieldError> {
+    let models = fields.list("models")?.unwrap_or_default().iter().enumerate();
+    Ok(EngineType {
+        slot_count: fields.small_count("slot_count")?.unwrap_or_default(),
+        kv_capacity_tokens: fields.count("kv_capacity_tokens")?.unwrap_or_default(),
+        token_kv_bytes: fields.count("token_kv_bytes")?.unwrap_or_default(),
+        link_mbps: fields.amount("link_mbps")?.unwrap_or_default(),
+        stride: fields.count("stride")?.unwrap_or_default(),
+        models: models
+            .map(|(index, value)| model(value).map_err(|error| error.at(index).within("models")))
+            .collect::<Result<_, FieldError>>()?,
+    })
+}
+
+fn model(value: &JsonValue) -> Result<Model, FieldError> {
+    let fields = Fields::of(value)?;
+    Ok(Model { name: fields.needed_text("name")?.into(), config_version: fields.count("config_version")? })
+}
+
+fn limits(value: &JsonValue) -> Result<ClientLimits, FieldError> {
+    let default = ClientLimits::default();
+    if matches!(value, JsonValue::Null) {
+        return Ok(default);
+    }
+    let fields = Fields::of(value)?;
+    Ok(ClientLimits {
+        max_header_bytes: fields.count("max_header_bytes")?.unwrap_or(default.max_header_bytes),
+        max_body_bytes: fields.count("max_body_bytes")?.unwrap_or(default.max_body_bytes),
+        header_timeout_ms: fields.count("header_timeout_ms")?.unwrap_or(default.header_timeout_ms),
+        idle_timeout_ms: fields.count("idle_timeout_ms")?.unwrap_or(default.idle_timeout_ms),
+    })
+}
--- /dev/null
+++ b/crates/catalog/src/json/fields.rs
@@ -0,0 +1,150 @@
+//! Typed fields of a JSON object. A field that is absent or null takes its default; one of the wrong kind or out
+//! of range is refused by its path and what was expected there.
+
+use std::collections::HashMap;
+use std::net::SocketAddrV4;
+
+use snafu::Snafu;
+use tinyjson::JsonValue;
+
+/// The largest whole number that a JSON number tells exactly (2^53).
+const MAX_EXACT: f64 = 9_007_199_254_740_992.0;
+
+/// No text of the operators is longer, in bytes.
+const MAX_TEXT_BYTES: usize = 4096;
+
+/// A field that is missing or wrong: where, and what was expected.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+#[snafu(display("{path}: expected {expected}"))]
+pub struct FieldError {
+    /// The path of the field from the root, like `bindings.frontend` or `route_table[3].timeout_ms`.
+    pub path: String,
+    /// What the field has to hold.
+    pub expected: &'static str,
+}
+
+impl FieldError {
+    pub(crate) fn new(path: &str, expected: &'static str) -> FieldError {
+        FieldError { path: path.to_owned(), expected }
+    }
+
+    /// The same error, seen from the object that holds the inner one.
+    pub(crate) fn within(mut self, outer: &str) -> FieldError {
+        let dot = if self.path.is_empty() || self.path.starts_with('[') { "" } else { "." };
+        self.path = format!("{outer}{dot}{}", self.path);
+        self
+    }
+
+    /// The same error, seen from the array that holds the element.
+    pub(crate) fn at(self, index: usize) -> FieldError {
+        self.within(&format!("[{index}]"))
+    }
+}
+
+/// The fields of one object.
+#[derive(Clone, Copy)]
+pub(crate) struct Fields<'a> {
+    object: &'a HashMap<String, JsonValue>,
+}
+
+impl<'a> Fields<'a> {
+    pub fn of(value: &'a JsonValue) -> Result<Fields<'a>, FieldError> {
+        match value {
+            JsonValue::Object(object) => Ok(Fields { object }),
+            _ => Err(FieldError::new("", "an object")),
+        }
+    }
+
+    pub fn get(&self, name: &str) -> Option<&'a JsonValue> {
+        self.object.get(name).filter(|value| !matches!(value, JsonValue::Null))
+    }
+
+    pub fn entries(&self) -> impl Iterator<Item = (&'a String, &'a JsonValue)> {
+        self.object.iter()
+    }
+
+    pub fn child(&self, name: &str) -> Result<Option<Fields<'a>>, FieldError> {
+        self.get(name).map(|value| Fields::of(value).map_err(|error| error.within(name))).transpose()
+    }
+
+    pub fn list(&self, name: &str) -> Result<Option<&'a [JsonValue]>, FieldError> {
+        match self.get(name) {
+            None => Ok(None),
+            Some(JsonValue::Array(elements)) => Ok(Some(elements)),
+            Some(_) => Err(FieldError::new(name, "a list")),
+        }
+    }
+
+    /// A text that is not empty.
+    pub fn text(&self, name: &str) -> Result<Option<&'a str>, FieldError> {
+        self.get(name).map(|value| text(value).map_err(|error| error.within(name))).transpose()
+    }
+
+    pub fn needed_text(&self, name: &str) -> Result<&'a str, FieldError> {
+        self.text(name)?.ok_or_else(|| FieldError::new(name, "a text that is not empty"))
+    }
+
+    pub fn flag(&self, name: &str) -> Result<Option<bool>, FieldError> {
+        match self.get(name) {
+            None => Ok(None),
+            Some(JsonValue::Boolean(flag)) => Ok(Some(*flag)),
+            Some(_) => Err(FieldError::new(name, "true or false")),
+        }
+    }
+
+    /// A number of 0 or more.
+    pub fn amount(&self, name: &str) -> Result<Option<f64>, FieldError> {
+        match self.get(name) {
+            None => Ok(None),
+            Some(JsonValue::Number(number)) if number.is_finite() && *number >= 0.0 => Ok(Some(*number)),
+            Some(_) => Err(FieldError::new(name, "a number of 0 or more")),
+        }
+    }
+
+    /// A count of 0 or more; a fraction counts as the next whole number.
+    pub fn count(&self, name: &str) -> Result<Option<u64>, FieldError> {
+        match self.amount(name)? {
+            Some(amount) if amount > MAX_EXACT => Err(FieldError::new(name, "a number of at most 2^53")),
+            amount => Ok(amount.map(|amount| amount.ceil() as u64)),
+        }
+    }
+
+    /// A count that fits 32 bits.
+    pub fn small_count(&self, name: &str) -> Result<Option<u32>, FieldError> {
+        let small = |count| u32::try_from(count).map_err(|_| FieldError::new(name, "a number below 2^32"));
+        self.count(name)?.map(small).transpose()
+    }
+
+    pub fn address(&self, name: &str) -> Result<Option<SocketAddrV4>, FieldError> {
+        self.get(name).map(|value| address(value).map_err(|error| error.within(name))).transpose()
+    }
+
+    pub fn addresses(&self, name: &str) -> Result<Vec<SocketAddrV4>, FieldError> {
+        let elements = self.list(name)?.unwrap_or_default().iter().enumerate();
+        let read = |(index, element)| address(element).map_err(|e: FieldError| e.at(index).within(name));
+        elements.map(read).collect()
+    }
+}
+
+/// The texts of a list; nothing where the list is absent.
+pub(crate) fn texts<'a>(fields: &Fields<'a>, name: &str) -> Result<Vec<&'a str>, FieldError> {
+    let elements = fields.list(name)?.unwrap_or_default().iter().enumerate();
+    elements.map(|(index, element)| text(element).map_err(|error| error.at(index).within(name))).collect()
+}
+
+fn text(value: &JsonValue) -> Result<&str, FieldError> {
+    match value {
+        JsonValue::String(text) if text.is_empty() => Err(FieldError::new("", "a text that is not empty")),
+        JsonValue::String(text) if text.len() > MAX_TEXT_BYTES => {
+            Err(FieldError::new("", "a text of at most 4096 bytes"))
+        }
+        JsonValue::String(text) => Ok(text),
+        _ => Err(FieldError::new("", "a text that is not empty")),
+    }
+}
+
+fn address(value: &JsonValue) -> Result<SocketAddrV4, FieldError> {
+    let parsed = text(value).ok().and_then(|text| text.parse::<SocketAddrV4>().ok());
+    let parsed = parsed.filter(|address| address.port() != 0);
+    parsed.ok_or_else(|| FieldError::new("", "an IPv4 address with a port, like 10.1.0.35:8146"))
+}
--- /dev/null
+++ b/crates/catalog/src/register/pending.rs
@@ -0,0 +1,43 @@
+//! Changes that are in the log of the part's owner and not yet committed.
+
+use super::Change;
+
+/// The changes that the owner has proposed, or found in its log when it became the owner, and that are not yet
+/// applied. While there is one, no other change can be judged but by what is committed.
+///
+/// The owner of the part keeps it; replicas have none. As a change is proposed only while nothing is pending, it
+/// is no longer than the uncommitted end of the log.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Pending {
+    changes: Vec<Change>,
+}
+
+impl Pending {
+    /// Nothing is under way.
+    pub fn new() -> Pending {
+        Pending::default()
+    }
+
+    /// A change was put into the log, or found there uncommitted.
+    pub fn propose(&mut self, change: Change) {
+        if !self.changes.contains(&change) {
+            self.changes.push(change);
+        }
+    }
+
+    /// A change was applied, whatever became of it.
+    pub fn applied(&mut self, change: &Change) {
+        self.changes.retain(|pending| pending != change);
+    }
+
+    /// The log's end is no longer this process's to decide: it lost the ownership, or is about to read the end
+    /// anew.
+    pub fn clear(&mut self) {
+        self.changes.clear();
+    }
+
+    /// Whether nothing is under way.
+    pub fn is_empty(&self) -> bool {
+        self.changes.is_empty()
+    }
+}
