Batch jobs of a part: submissions, replicated state, quota, running of items, event reader

Lengths in the binary form are checked against the bytes at hand, which nanoserde's own forms don't.

--- /dev/null
+++ b/crates/archive/src/compact.rs
@@ -0,0 +1,109 @@
+//! The compact binary form of what is logged and sent between the processes of the tier: numbers in seven
+//! bits a byte, lengths checked against the bytes at hand before anything is set aside for them.
+//!
+//! nanoserde's own forms of strings and lists trust the length that they read; these don't.
+
+use nanoserde::{DeBin, DeBinErr, SerBin};
+
+/// Elements that a list sets aside room for before it has read them.
+const TRUSTED_ELEMENTS: usize = 256;
+/// Bytes of the longest number: ten times seven bits hold 64.
+const MAX_NUMBER_BYTES: usize = 10;
+
+pub(crate) fn malformed(offset: usize, wanted: usize, bytes: &[u8]) -> DeBinErr {
+    DeBinErr::new(offset, wanted, bytes.len())
+}
+
+pub(crate) fn put_number(out: &mut Vec<u8>, mut number: u64) {
+    while number >= 0x80 {
+        out.push(number as u8 | 0x80);
+        number >>= 7;
+    }
+    out.push(number as u8);
+}
+
+pub(crate) fn take_number(offset: &mut usize, bytes: &[u8]) -> Result<u64, DeBinErr> {
+    let mut number = 0u64;
+    for place in 0..MAX_NUMBER_BYTES {
+        let byte = take_byte(offset, bytes)?;
+        let bits = u64::from(byte & 0x7f);
+        if place == MAX_NUMBER_BYTES - 1 && bits > 1 {
+            break;
+        }
+        number |= bits << (7 * place);
+        if byte & 0x80 == 0 {
+            return Ok(number);
+        }
+    }
+    Err(malformed(*offset, 1, bytes))
+}
+
+pub(crate) fn take_byte(offset: &mut usize, bytes: &[u8]) -> Result<u8, DeBinErr> {
+    let byte = *bytes.get(*offset).ok_or_else(|| malformed(*offset, 1, bytes))?;
+    *offset += 1;
+    Ok(byte)
+}
+
+/// A number that must fit a smaller type.
+pub(crate) fn take_small<T: TryFrom<u64>>(offset: &mut usize, bytes: &[u8]) -> Result<T, DeBinErr> {
+    let number = take_number(offset, bytes)?;
+    T::try_from(number).map_err(|_| malformed(*offset, 0, bytes))
+}
+
+pub(crate) fn put_bytes(out: &mut Vec<u8>, piece: &[u8]) {
+    put_number(out, piece.len() as u64);
+    out.extend_from_slice(piece);
+}
+
+pub(crate) fn take_bytes<'a>(offset: &mut usize, bytes: &'a [u8]) -> Result<&'a [u8], DeBinErr> {
+    let length: usize = take_small(offset, bytes)?;
+    let end = offset.checked_add(length).filter(|&end| end <= bytes.len());
+    let end = end.ok_or_else(|| malformed(*offset, length, bytes))?;
+    let piece = &bytes[*offset..end];
+    *offset = end;
+    Ok(piece)
+}
+
+pub(crate) fn take_text<'a>(offset: &mut usize, bytes: &'a [u8]) -> Result<&'a str, DeBinErr> {
+    let start = *offset;
+    std::str::from_utf8(take_bytes(offset, bytes)?).map_err(|_| malformed(start, 0, bytes))
+}
+
+pub(crate) fn put_list<T: SerBin>(out: &mut Vec<u8>, list: &[T]) {
+    put_number(out, list.len() as u64);
+    for element in list {
+        element.ser_bin(out);
+    }
+}
+
+/// A list of `at_most` elements, each of which takes a byte or more.
+pub(crate) fn take_list<T: DeBin>(
+    offset: &mut usize,
+    bytes: &[u8],
+    at_most: usize,
+) -> Result<Vec<T>, DeBinErr> {
+    let count: usize = take_small(offset, bytes)?;
+    if count > at_most || count > bytes.len() - *offset {
+        return Err(malformed(*offset, count, bytes));
+    }
+    let mut list = Vec::with_capacity(count.min(TRUSTED_ELEMENTS));
+    for _ in 0..count {
+        list.push(T::de_bin(offset, bytes)?);
+    }
+    Ok(list)
+}
+
+pub(crate) fn put_optional_number(out: &mut Vec<u8>, number: Option<u64>) {
+    out.push(u8::from(number.is_some()));
+    if let Some(number) = number {
+        put_number(out, number);
+    }
+}
+
+pub(crate) fn take_optional_number(offset: &mut usize, bytes: &[u8]) -> Result<Option<u64>, DeBinErr> {
+    match take_byte(offset, bytes)? {
+        0 => Ok(None),
+        1 => take_number(offset, bytes).map(Some),
+        _ => Err(malformed(*offset, 0, bytes)),
+    }
+}
--- /dev/null
+++ b/crates/archive/src/events.rs
@@ -0,0 +1,155 @@
+//! Reading a stream of events (`text/event-stream`) that comes in pieces cut anywhere.
+
+use snafu::{OptionExt, Snafu, ensure};
+
+/// The largest event, all its lines together, and so about the most that a reader holds.
+pub const MAX_EVENT_BYTES: usize = 256 << 10;
+
+/// A whole event: its id and its data, several lines of which are joined by line feeds.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Event {
+    pub id: u64,
+    pub data: String,
+}
+
+/// Why a stream can't be read on. The run is to be taken for broken.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+pub enum EventError {
+    #[snafu(display("an event is larger than {MAX_EVENT_BYTES} bytes"))]
+    TooLarge,
+    #[snafu(display("an event has no id that is a number"))]
+    NoId,
+    #[snafu(display("an event is no UTF-8"))]
+    NotText,
+    #[snafu(display("the stream ends inside an event"))]
+    Unfinished,
+    #[snafu(display("the stream was unreadable before"))]
+    Failed,
+}
+
+/// Cuts a stream into events. Lines end with LF or CRLF, events with an empty line. Lines other than `id` and
+/// `data` (comments, `event`, what an engine says of its weights) are passed over.
+#[derive(Debug, Default)]
+pub struct EventReader {
+    /// The line that has begun.
+    line: Vec<u8>,
+    /// Bytes of the event that has begun, lines passed over included.
+    taken: usize,
+    started: bool,
+    id: IdField,
+    data: Option<Vec<u8>>,
+    failed: bool,
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum IdField {
+    #[default]
+    Missing,
+    Number(u64),
+    Unreadable,
+}
+
+impl EventReader {
+    pub fn new() -> EventReader {
+        EventReader::default()
+    }
+
+    /// Takes the next bytes of the stream and hands each event that they complete to `take`, in order.
+    ///
+    /// # Errors
+    /// When the stream can't be read on; events before the fault have been handed over. Later calls fail too.
+    pub fn push(&mut self, mut bytes: &[u8], mut take: impl FnMut(Event)) -> Result<(), EventError> {
+        ensure!(!self.failed, FailedSnafu);
+        while !bytes.is_empty() {
+            let result = self.step(&mut bytes);
+            self.failed = result.is_err();
+            if let Some(event) = result? {
+                take(event);
+            }
+        }
+        Ok(())
+    }
+
+    /// Whether the stream may end here: nothing of an event has come that isn't whole.
+    ///
+    /// # Errors
+    /// When an event has begun, or the stream was unreadable before.
+    pub fn finish(&self) -> Result<(), EventError> {
+        ensure!(!self.failed, FailedSnafu);
+        let has_begun = !self.line.is_empty() || self.data.is_some() || self.id != IdField::Missing;
+        ensure!(!has_begun, UnfinishedSnafu);
+        Ok(())
+    }
+
+    /// Takes what is left of the line, or all of the bytes.
+    fn step(&mut self, bytes: &mut &[u8]) -> Result<Option<Event>, EventError> {
+        let end = bytes.iter().position(|&byte| byte == b'\n');
+        let (piece, rest) = match end {
+            Some(end) => (&bytes[..end], &bytes[end + 1..]),
+            None => (*bytes, &bytes[bytes.len()..]),
+        };
+        *bytes = rest;
+        self.taken += piece.len();
+        ensure!(self.taken <= MAX_EVENT_BYTES, TooLargeSnafu);
+        if end.is_none() {
+            self.line.extend_from_slice(piece);
+            return Ok(None);
+        }
+        if self.line.is_empty() {
+            return self.take_line(piece);
+        }
+        let mut line = std::mem::take(&mut self.line);
+        line.extend_from_slice(piece);
+        let event = self.take_line(&line);
+        line.clear();
+        self.line = line;
+        event
+    }
+
+    fn take_line(&mut self, line: &[u8]) -> Result<Option<Event>, EventError> {
+        let mut line = line.strip_suffix(b"\r").unwrap_or(line);
+        if !std::mem::replace(&mut self.started, true) {
+            line = line.strip_prefix("\u{feff}".as_bytes()).unwrap_or(line);
+        }
+        if line.is_empty() {
+            return self.end_event();
+        }
+        if let Some(value) = field(line, b"data") {
+            match &mut self.data {
+                Some(data) => {
+                    data.push(b'\n');
+                    data.extend_from_slice(value);
+                }
+                None => self.data = Some(value.to_vec()),
+            }
+        } else if let Some(value) = field(line, b"id") {
+            let number = std::str::from_utf8(value).ok().and_then(|text| text.trim().parse().ok());
+            self.id = number.map_or(IdField::Unreadable, IdField::Number);
+        }
+        Ok(None)
+    }
+
+    /// An empty line. An event with an id but no data counts as one of empty data; lines of neither are none.
+    fn end_event(&mut self) -> Result<Option<Event>, EventError> {
+        self.taken = 0;
+        let (id, data) = (std::mem::take(&mut self.id), self.data.take());
+        let id = match (id, &data) {
+            (IdField::Missing, None) => return Ok(None),
+            (IdField::Number(id), _) => Some(id),
+            (IdField::Missing | IdField::Unreadable, _) => None,
+        };
+        let id = id.context(NoIdSnafu)?;
+        let data = String::from_utf8(data.unwrap_or_default()).ok().context(NotTextSnafu)?;
+        Ok(Some(Event { id, data }))
+    }
+}
+
+/// The value of a line, if it is one of this field: what follows the colon, less one blank.
+fn field<'a>(line: &'a [u8], name: &[u8]) -> Option<&'a [u8]> {
+    let rest = line.strip_prefix(name)?;
+    if rest.is_empty() {
+        return Some(rest);
+    }
+    let value = rest.strip_prefix(b":")?;
+    Some(value.strip_prefix(b" ").unwrap_or(value))
+}
--- /dev/null
+++ b/crates/archive/src/jobs.rs
@@ -0,0 +1,228 @@
+//! The batch jobs of one part: a state machine that every replica moves by the same committed entries, and so
+//! comes to the same state. It reads no clock.
+
+mod entry;
+mod job;
+mod page;
+mod snapshot;
+
+use std::collections::BTreeMap;
+
+pub(crate) use entry::MAX_JOBS_IN_ENTRY;
+pub use entry::{Entry, EventsPiece, ItemProgress, ItemResult, JobResults, JobTerms, ResultState};
+pub(crate) use job::Job;
+pub use job::{OpenItem, Progress};
+pub use page::{Listing, MAX_PAGE_BYTES, Page};
+pub use snapshot::SnapshotError;
+
+use crate::names::{ItemIndex, JobId};
+use crate::submission::Submission;
+
+/// What an entry changed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Applied {
+    /// The job is kept: `already` if it was before. Answered 202 either way.
+    Submitted { job: JobId, already: bool },
+    /// These items got positions. Results of items that had one, or of jobs that have ended, are not among them.
+    Listed(Vec<(JobId, ItemIndex)>),
+    /// The job has ended.
+    Ended { job: JobId, state: EndState },
+    /// So many items got further.
+    Progressed(usize),
+    /// These jobs are no longer known.
+    Forgotten(Vec<JobId>),
+}
+
+/// What an end met.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EndState {
+    /// The job was open to the end; answered 200.
+    Now,
+    /// The job had been ended before; answered 200.
+    Before,
+    /// There is no such job.
+    NoSuchJob,
+}
+
+/// The batch jobs of one part.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Jobs {
+    jobs: BTreeMap<JobId, Job>,
+    /// The tokens that wait on each route; routes on which none wait are left out.
+    waiting: BTreeMap<String, u64>,
+    cost: usize,
+}
+
+impl Jobs {
+    pub fn new() -> Jobs {
+        Jobs::default()
+    }
+
+    /// Takes the next committed entry.
+    pub fn apply(&mut self, entry: Entry) -> Applied {
+        match entry {
+            Entry::Submit { submission, terms } => self.submit(submission, terms),
+            Entry::Results(batches) => self.list(batches),
+            Entry::Progress(items) => Applied::Progressed(self.advance(items)),
+            Entry::Ended { job } => self.end(job),
+            Entry::Forget { jobs } => self.forget(jobs),
+        }
+    }
+
+    fn submit(&mut self, submission: Submission, terms: JobTerms) -> Applied {
+        let id = submission.job.clone();
+        if self.jobs.contains_key(&id) {
+            return Applied::Submitted { job: id, already: true };
+        }
+        let job = Job::new(submission, terms);
+        self.count_in(&job);
+        self.jobs.insert(id.clone(), job);
+        Applied::Submitted { job: id, already: false }
+    }
+
+    fn list(&mut self, batches: Vec<JobResults>) -> Applied {
+        let mut listed = Vec::new();
+        for JobResults { job: id, results } in batches {
+            self.change(&id, |job| {
+                for result in results {
+                    let item = result.item;
+                    if job.list(result) {
+                        listed.push((id.clone(), item));
+                    }
+                }
+            });
+        }
+        Applied::Listed(listed)
+    }
+
+    fn advance(&mut self, items: Vec<ItemProgress>) -> usize {
+        let mut advanced = 0;
+        for progress in items {
+            let id = progress.job.clone();
+            advanced += usize::from(self.change(&id, |job| job.advance(progress)).unwrap_or(false));
+        }
+        advanced
+    }
+
+    fn end(&mut self, id: JobId) -> Applied {
+        let state = match self.change(&id, Job::end) {
+            Some(true) => EndState::Now,
+            Some(false) => EndState::Before,
+            None => EndState::NoSuchJob,
+        };
+        Applied::Ended { job: id, state }
+    }
+
+    /// Jobs that are open stay, whatever the entry says: their results may still be asked for.
+    fn forget(&mut self, ids: Vec<JobId>) -> Applied {
+        let mut forgotten = Vec::new();
+        for id in ids {
+            if self.jobs.get(&id).is_none_or(Job::is_open) {
+                continue;
+            }
+            if let Some(job) = self.jobs.remove(&id) {
+                self.count_out(&job);
+                forgotten.push(id);
+            }
+        }
+        Applied::Forgotten(forgotten)
+    }
+
+    /// Changes a job and keeps the sums right.
+    fn change<T>(&mut self, id: &JobId, change: impl FnOnce(&mut Job) -> T) -> Option<T> {
+        let job = self.jobs.get_mut(id)?;
+        let (tokens, cost) = (job.waiting_tokens(), job.cost());
+        let result = change(job);
+        let freed = tokens.saturating_sub(job.waiting_tokens());
+        self.cost = self.cost.saturating_sub(cost).saturating_add(job.cost());
+        let route = job.route().to_owned();
+        self.subtract_waiting(&route, freed);
+        Some(result)
+    }
+
+    fn count_in(&mut self, job: &Job) {
+        self.cost = self.cost.saturating_add(job.cost());
+        if job.waiting_tokens() > 0 {
+            let waiting = self.waiting.entry(job.route().to_owned()).or_default();
+            *waiting = waiting.saturating_add(job.waiting_tokens());
+        }
+    }
+
+    fn count_out(&mut self, job: &Job) {
+        self.cost = self.cost.saturating_sub(job.cost());
+        self.subtract_waiting(job.route(), job.waiting_tokens());
+    }
+
+    fn subtract_waiting(&mut self, route: &str, tokens: u64) {
+        if tokens == 0 {
+            return;
+        }
+        if let Some(waiting) = self.waiting.get_mut(route) {
+            *waiting = waiting.saturating_sub(tokens);
+            if *waiting == 0 {
+                self.waiting.remove(route);
+            }
+        }
+    }
+
+    /// The results of a job from position `resume_after` on, as many as fit an answer of `max_bytes` (and one at
+    /// least, if there is one). Nothing if there is no such job.
+    pub fn read(&self, job: &JobId, resume_after: usize, max_bytes: usize) -> Option<Page<'_>> {
+        self.jobs.get(job).map(|job| job.page(resume_after, max_bytes))
+    }
+
+    /// The decoded body of an item that is not listed, of a job that has not ended.
+    pub fn item_body(&self, job: &JobId, item_id: &str) -> Option<&[u8]> {
+        self.jobs.get(job)?.item_body(item_id)
+    }
+
+    pub fn contains(&self, job: &JobId) -> bool {
+        self.jobs.contains_key(job)
+    }
+
+    /// Whether results may still be listed: the job has not ended and items are not listed.
+    pub fn is_open(&self, job: &JobId) -> bool {
+        self.jobs.get(job).is_some_and(Job::is_open)
+    }
+
+    /// Whether the job was ended by its client.
+    pub fn has_ended(&self, job: &JobId) -> bool {
+        self.jobs.get(job).is_some_and(Job::has_ended)
+    }
+
+    /// The tokens of a route's items that are neither listed nor of a job that has ended.
+    pub fn waiting_tokens(&self, route: &str) -> u64 {
+        self.waiting.get(route).copied().unwrap_or(0)
+    }
+
+    /// About the bytes that all jobs take in memory.
+    pub fn cost(&self) -> usize {
+        self.cost
+    }
+
+    /// About the bytes that a job takes in memory.
+    pub fn job_cost(&self, job: &JobId) -> Option<usize> {
+        self.jobs.get(job).map(Job::cost)
+    }
+
+    pub fn len(&self) -> usize {
+        self.jobs.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.jobs.is_empty()
+    }
+
+    /// The names of all jobs, in their order.
+    pub fn names(&self) -> impl Iterator<Item = &JobId> {
+        self.jobs.keys()
+    }
+
+    pub(crate) fn job(&self, job: &JobId) -> Option<&Job> {
+        self.jobs.get(job)
+    }
+
+    pub(crate) fn all(&self) -> impl Iterator<Item = (&JobId, &Job)> {
+        self.jobs.iter()
+    }
+}
--- /dev/null
+++ b/crates/archive/src/jobs/entry.rs
@@ -0,0 +1,268 @@
+//! The entries of a part's log.
+
+use nanoserde::{DeBin, DeBinErr, SerBin};
+
+use crate::compact::{
+    malformed, put_bytes, put_list, put_number, put_optional_number, take_byte, take_list, take_number,
+    take_optional_number, take_small, take_text,
+};
+use crate::names::{ItemIndex, JobId};
+use crate::submission::{MAX_ITEMS, Submission};
+
+/// The most jobs that one entry speaks of.
+pub(crate) const MAX_JOBS_IN_ENTRY: usize = 4096;
+
+/// What the route's configuration asked when the job was taken.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct JobTerms {
+    /// By the wall clock of the owner that took the job, in ms since 1970. A hint to its successors for the order
+    /// of jobs; nothing is given up by it, as wall clocks jump.
+    pub accepted_at_wall_ms: u64,
+    /// How long the job had been in the tier when it was taken, in ms.
+    pub age_at_acceptance_ms: u64,
+    /// How long after the first send every result is due, in ms.
+    pub completion_target_ms: u64,
+    /// How long after the first send an item may be given up, in ms.
+    pub retention_ms: u64,
+    /// The answers of 500 after which an item may be given up; 0 counts as 1.
+    pub max_attempts: u32,
+    /// The most tokens that may wait on the route; 0: no limit.
+    pub queue_token_limit: u64,
+    /// How soon the 202 was due, in ms.
+    pub target_latency_ms: u64,
+}
+
+/// How an item came out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ResultState {
+    /// The text is the item's whole output.
+    Complete,
+    /// The item was given up.
+    DeadLetter,
+}
+
+impl ResultState {
+    /// The state as readers get it.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            ResultState::Complete => "complete",
+            ResultState::DeadLetter => "dead_letter",
+        }
+    }
+}
+
+/// The end of one item.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ItemResult {
+    pub item: ItemIndex,
+    pub state: ResultState,
+    /// The data of all events in order, joined by line feeds.
+    pub text: String,
+}
+
+/// Ends of items of one job, in the order of their positions.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct JobResults {
+    pub job: JobId,
+    pub results: Vec<ItemResult>,
+}
+
+/// Events that continue an item's text.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EventsPiece {
+    /// The event that the piece follows; none: the piece begins the text.
+    pub after: Option<u64>,
+    /// The last event in the piece.
+    pub last: u64,
+    /// The data of the events after `after` up to `last`, joined by line feeds.
+    pub text: String,
+}
+
+/// How far an item that is not listed has come.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ItemProgress {
+    pub job: JobId,
+    pub item: ItemIndex,
+    /// All answers of 500 so far.
+    pub failed_attempts: u32,
+    pub events: Option<EventsPiece>,
+}
+
+/// A step of the part's state, applied once it is committed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Entry {
+    /// A job is kept from here on.
+    Submit { submission: Submission, terms: JobTerms },
+    /// Items have come out. One entry holds all that did in one turn of the owner's loop.
+    Results(Vec<JobResults>),
+    /// Items have come further, so that a later owner need not begin anew.
+    Progress(Vec<ItemProgress>),
+    /// The client ended its job.
+    Ended { job: JobId },
+    /// Jobs that nobody may ask for any longer.
+    Forget { jobs: Vec<JobId> },
+}
+
+const SUBMIT: u8 = 1;
+const RESULTS: u8 = 2;
+const PROGRESS: u8 = 3;
+const ENDED: u8 = 4;
+const FORGET: u8 = 5;
+
+impl SerBin for Entry {
+    fn ser_bin(&self, out: &mut Vec<u8>) {
+        match self {
+            Entry::Submit { submission, terms } => {
+                out.push(SUBMIT);
+                submission.ser_bin(out);
+                terms.ser_bin(out);
+            }
+            Entry::Results(batches) => {
+                out.push(RESULTS);
+                put_list(out, batches);
+            }
+            Entry::Progress(items) => {
+                out.push(PROGRESS);
+                put_list(out, items);
+            }
+            Entry::Ended { job } => {
+                out.push(ENDED);
+                job.ser_bin(out);
+            }
+            Entry::Forget { jobs } => {
+                out.push(FORGET);
+                put_list(out, jobs);
+            }
+        }
+    }
+}
+
+impl DeBin for Entry {
+    fn de_bin(offset: &mut usize, bytes: &[u8]) -> Result<Entry, DeBinErr> {
+        match take_byte(offset, bytes)? {
+            SUBMIT => Ok(Entry::Submit {
+                submission: Submission::de_bin(offset, bytes)?,
+                terms: JobTerms::de_bin(offset, bytes)?,
+            }),
+            RESULTS => take_list(offset, bytes, MAX_JOBS_IN_ENTRY).map(Entry::Results),
+            PROGRESS => take_list(offset, bytes, MAX_JOBS_IN_ENTRY).map(Entry::Progress),
+            ENDED => JobId::de_bin(offset, bytes).map(|job| Entry::Ended { job }),
+            FORGET => take_list(offset, bytes, MAX_JOBS_IN_ENTRY).map(|jobs| Entry::Forget { jobs }),
+            _ => Err(malformed(*offset, 0, bytes)),
+        }
+    }
+}
+
+impl SerBin for JobTerms {
+    fn ser_bin(&self, out: &mut Vec<u8>) {
+        put_number(out, self.accepted_at_wall_ms);
+        put_number(out, self.age_at_acceptance_ms);
+        put_number(out, self.completion_target_ms);
+        put_number(out, self.retention_ms);
+        put_number(out, u64::from(self.max_attempts));
+        put_number(out, self.queue_token_limit);
+        put_number(out, self.target_latency_ms);
+    }
+}
+
+impl DeBin for JobTerms {
+    fn de_bin(offset: &mut usize, bytes: &[u8]) -> Result<JobTerms, DeBinErr> {
+        Ok(JobTerms {
+            accepted_at_wall_ms: take_number(offset, bytes)?,
+            age_at_acceptance_ms: take_number(offset, bytes)?,
+            completion_target_ms: take_number(offset, bytes)?,
+            retention_ms: take_number(offset, bytes)?,
+            max_attempts: take_small(offset, bytes)?,
+            queue_token_limit: take_number(offset, bytes)?,
+            target_latency_ms: take_number(offset, bytes)?,
+        })
+    }
+}
+
+impl SerBin for ResultState {
+    fn ser_bin(&self, out: &mut Vec<u8>) {
+        out.push(match self {
+            ResultState::Complete => 0,
+            ResultState::DeadLetter => 1,
+        });
+    }
+}
+
+impl DeBin for ResultState {
+    fn de_bin(offset: &mut usize, bytes: &[u8]) -> Result<ResultState, DeBinErr> {
+        match take_byte(offset, bytes)? {
+            0 => Ok(ResultState::Complete),
+            1 => Ok(ResultState::DeadLetter),
+            _ => Err(malformed(*offset, 0, bytes)),
+        }
+    }
+}
+
+impl SerBin for ItemResult {
+    fn ser_bin(&self, out: &mut Vec<u8>) {
+        self.item.ser_bin(out);
+        self.state.ser_bin(out);
+        put_bytes(out, self.text.as_bytes());
+    }
+}
+
+impl DeBin for ItemResult {
+    fn de_bin(offset: &mut usize, bytes: &[u8]) -> Result<ItemResult, DeBinErr> {
+        Ok(ItemResult {
+            item: ItemIndex::de_bin(offset, bytes)?,
+            state: ResultState::de_bin(offset, bytes)?,
+            text: take_text(offset, bytes)?.to_owned(),
+        })
+    }
+}
+
+impl SerBin for JobResults {
+    fn ser_bin(&self, out: &mut Vec<u8>) {
+        self.job.ser_bin(out);
+        put_list(out, &self.results);
+    }
+}
+
+impl DeBin for JobResults {
+    fn de_bin(offset: &mut usize, bytes: &[u8]) -> Result<JobResults, DeBinErr> {
+        Ok(JobResults { job: JobId::de_bin(offset, bytes)?, results: take_list(offset, bytes, MAX_ITEMS)? })
+    }
+}
+
+impl SerBin for EventsPiece {
+    fn ser_bin(&self, out: &mut Vec<u8>) {
+        put_optional_number(out, self.after);
+        put_number(out, self.last);
+        put_bytes(out, self.text.as_bytes());
+    }
+}
+
+impl DeBin for EventsPiece {
+    fn de_bin(offset: &mut usize, bytes: &[u8]) -> Result<EventsPiece, DeBinErr> {
+        Ok(EventsPiece {
+            after: take_optional_number(offset, bytes)?,
+            last: take_number(offset, bytes)?,
+            text: take_text(offset, bytes)?.to_owned(),
+        })
+    }
+}
+
+impl SerBin for ItemProgress {
+    fn ser_bin(&self, out: &mut Vec<u8>) {
+        self.job.ser_bin(out);
+        self.item.ser_bin(out);
+        put_number(out, u64::from(self.failed_attempts));
+        self.events.ser_bin(out);
+    }
+}
+
+impl DeBin for ItemProgress {
+    fn de_bin(offset: &mut usize, bytes: &[u8]) -> Result<ItemProgress, DeBinErr> {
+        Ok(ItemProgress {
+            job: JobId::de_bin(offset, bytes)?,
+            item: ItemIndex::de_bin(offset, bytes)?,
+            failed_attempts: take_small(offset, bytes)?,
+            events: DeBin::de_bin(offset, bytes)?,
+        })
+    }
+}
--- /dev/null
+++ b/crates/archive/src/submission/reading.rs
@@ -0,0 +1,213 @@
+//! Reading the body of a submission. Everything that could change a request on its way to an executor (a line
+//! end in a header, a blank in a path) is refused here, so that no later stage has to look again.
+
+use std::collections::{HashMap, HashSet};
+
+use base64::Engine;
+use base64::alphabet::STANDARD;
+use base64::engine::{DecodePaddingMode, GeneralPurpose, GeneralPurposeConfig};
+use snafu::{OptionExt, ResultExt, Snafu, ensure};
+use tinyjson::JsonValue;
+
+use super::{Header, ItemSpec, MAX_HEADERS, MAX_ITEMS, Submission};
+use crate::names::{JobId, is_name};
+
+/// The largest body of a submission.
+pub const MAX_SUBMISSION_BYTES: usize = 4 << 20;
+/// Values within values; a submission needs four. The reader of values calls itself for each.
+const MAX_DEPTH: usize = 16;
+/// The longest path of an item.
+const MAX_PATH_BYTES: usize = 8 << 10;
+/// The most bytes of an item's headers, names and values together.
+const MAX_HEADERS_BYTES: usize = 16 << 10;
+/// Whole numbers up to here are exact in JSON's numbers.
+const MAX_EXACT_NUMBER: f64 = 9_007_199_254_740_992.0;
+
+/// Headers that concern one connection or the length of a body, or that the sender of an item sets itself.
+const DROPPED_HEADERS: [&str; 14] = [
+    "connection",
+    "content-length",
+    "expect",
+    "host",
+    "keep-alive",
+    "last-event-id",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "x-grebeusher-attempt-id",
+    "x-grebeusher-deadline-ms",
+    "x-grebeusher-target-instance",
+];
+
+/// Padding may be left out: what the bytes are is clear without it.
+const BASE64: GeneralPurpose = GeneralPurpose::new(
+    &STANDARD,
+    GeneralPurposeConfig::new().with_decode_padding_mode(DecodePaddingMode::Indifferent),
+);
+
+/// Why a submission is refused; all of these are the client's fault (400).
+#[derive(Debug, Snafu)]
+pub enum SubmissionError {
+    #[snafu(display("the body of {bytes} bytes is too large"))]
+    TooLarge { bytes: usize },
+    #[snafu(display("the body is no UTF-8"))]
+    NotText { source: std::str::Utf8Error },
+    #[snafu(display("values stand in each other too deeply"))]
+    TooDeep,
+    #[snafu(display("the body is no JSON"))]
+    NotJson { source: tinyjson::JsonParseError },
+    #[snafu(display("the body is no object"))]
+    NotAnObject,
+    #[snafu(display("`{key}` is missing or of another kind"))]
+    Field { key: &'static str },
+    #[snafu(display("{count} items, more than {MAX_ITEMS}"))]
+    TooManyItems { count: usize },
+    #[snafu(display("item {item} is no object"))]
+    ItemNotAnObject { item: usize },
+    #[snafu(display("`{key}` of item {item} is missing or of another kind"))]
+    ItemField { item: usize, key: &'static str },
+    #[snafu(display("the name of item {item} can't be one"))]
+    ItemName { item: usize },
+    #[snafu(display("the name of item {item} is an earlier one's"))]
+    ItemTwice { item: usize },
+    #[snafu(display("the path of item {item} can't be one"))]
+    ItemPath { item: usize },
+    #[snafu(display("the headers of item {item} can't be sent"))]
+    ItemHeaders { item: usize },
+    #[snafu(display("the payload of item {item} is no base64"))]
+    ItemPayload { item: usize, source: base64::DecodeError },
+}
+
+/// What is known of a submission before its body is read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SubmissionHead {
+    /// From the header that carries the id of attempts.
+    pub job: JobId,
+    /// The name of the route.
+    pub route: String,
+    /// The service that the route leads to.
+    pub service: String,
+    /// The host of the route.
+    pub host: String,
+}
+
+/// Reads the body of a submission.
+///
+/// # Errors
+/// Whatever is wrong with it, see [`SubmissionError`]; the answer is 400.
+pub fn read_submission(head: SubmissionHead, body: &[u8]) -> Result<Submission, SubmissionError> {
+    ensure!(body.len() <= MAX_SUBMISSION_BYTES, TooLargeSnafu { bytes: body.len() });
+    let text = std::str::from_utf8(body).context(NotTextSnafu)?;
+    ensure!(is_shallow(body), TooDeepSnafu);
+    let JsonValue::Object(mut fields) = text.parse().context(NotJsonSnafu)? else {
+        return NotAnObjectSnafu.fail();
+    };
+    let Some(JsonValue::Array(values)) = fields.remove("batch_items") else {
+        return FieldSnafu { key: "batch_items" }.fail();
+    };
+    ensure!(values.len() <= MAX_ITEMS, TooManyItemsSnafu { count: values.len() });
+    let mut items = Vec::with_capacity(values.len());
+    for (item, value) in values.into_iter().enumerate() {
+        items.push(read_item(item, value)?);
+    }
+    check_names(&items)?;
+    let SubmissionHead { job, route, service, host } = head;
+    Ok(Submission { job, route, service, host, items })
+}
+
+/// Whether no value stands in too many others. Looks at bytes only: they are UTF-8, and what counts is ASCII.
+fn is_shallow(body: &[u8]) -> bool {
+    let (mut depth, mut in_string, mut escaped) = (0usize, false, false);
+    for byte in body {
+        match byte {
+            _ if escaped => escaped = false,
+            b'\\' if in_string => escaped = true,
+            b'"' => in_string = !in_string,
+            b'{' | b'[' if !in_string => depth += 1,
+            b'}' | b']' if !in_string => depth = depth.saturating_sub(1),
+            _ => {}
+        }
+        if depth > MAX_DEPTH {
+            return false;
+        }
+    }
+    true
+}
+
+type Fields = HashMap<String, JsonValue>;
+
+fn read_item(item: usize, value: JsonValue) -> Result<ItemSpec, SubmissionError> {
+    let JsonValue::Object(mut fields) = value else { return ItemNotAnObjectSnafu { item }.fail() };
+    let id = take_string(item, &mut fields, "instance_id")?;
+    ensure!(is_name(&id), ItemNameSnafu { item });
+    let path = take_string(item, &mut fields, "path")?;
+    ensure!(is_path(&path), ItemPathSnafu { item });
+    let headers = read_headers(item, fields.remove("header_map"))?;
+    let payload = take_string(item, &mut fields, "payload")?;
+    let body = BASE64.decode(payload).context(ItemPayloadSnafu { item })?;
+    let token_count = read_count(item, fields.get("token_count"))?;
+    Ok(ItemSpec { id, path, headers, body, token_count })
+}
+
+fn take_string(item: usize, fields: &mut Fields, key: &'static str) -> Result<String, SubmissionError> {
+    match fields.remove(key) {
+        Some(JsonValue::String(text)) => Ok(text),
+        _ => ItemFieldSnafu { item, key }.fail(),
+    }
+}
+
+fn read_count(item: usize, value: Option<&JsonValue>) -> Result<u64, SubmissionError> {
+    let count = value.and_then(|value| value.get::<f64>()).copied();
+    let exact = count.filter(|count| (0.0..=MAX_EXACT_NUMBER).contains(count) && count.fract() == 0.0);
+    exact.map(|count| count as u64).context(ItemFieldSnafu { item, key: "token_count" })
+}
+
+fn read_headers(item: usize, value: Option<JsonValue>) -> Result<Vec<Header>, SubmissionError> {
+    let Some(JsonValue::Object(map)) = value else {
+        return ItemFieldSnafu { item, key: "header_map" }.fail();
+    };
+    let mut headers = Vec::with_capacity(map.len().min(MAX_HEADERS));
+    let mut bytes = 0;
+    for (name, value) in map {
+        let JsonValue::String(value) = value else {
+            return ItemFieldSnafu { item, key: "header_map" }.fail();
+        };
+        bytes += name.len() + value.len();
+        ensure!(is_token(&name) && is_header_value(&value), ItemHeadersSnafu { item });
+        if !DROPPED_HEADERS.iter().any(|dropped| name.eq_ignore_ascii_case(dropped)) {
+            headers.push(Header { name, value });
+        }
+    }
+    ensure!(headers.len() <= MAX_HEADERS && bytes <= MAX_HEADERS_BYTES, ItemHeadersSnafu { item });
+    headers.sort_unstable_by(|one, other| one.name.cmp(&other.name));
+    Ok(headers)
+}
+
+/// What HTTP calls a token, which every name of a header is.
+fn is_token(name: &str) -> bool {
+    let is_token_byte = |byte: u8| byte.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(&byte);
+    !name.is_empty() && name.bytes().all(is_token_byte)
+}
+
+/// No control characters but the tab, and no blank at either end, which a receiver would take away.
+fn is_header_value(value: &str) -> bool {
+    value.trim_matches([' ', '\t']).len() == value.len()
+        && value.bytes().all(|byte| byte == b'\t' || (byte >= b' ' && byte != 0x7f))
+}
+
+/// A path from the root, of visible ASCII characters, without a fragment.
+fn is_path(path: &str) -> bool {
+    path.starts_with('/')
+        && path.len() <= MAX_PATH_BYTES
+        && path.bytes().all(|byte| byte.is_ascii_graphic() && byte != b'#')
+}
+
+fn check_names(items: &[ItemSpec]) -> Result<(), SubmissionError> {
+    let mut names = HashSet::with_capacity(items.len());
+    for (item, spec) in items.iter().enumerate() {
+        ensure!(names.insert(spec.id.as_str()), ItemTwiceSnafu { item });
+    }
+    Ok(())
+}
