Plumbing that the old program and the tier share moves into the transport crate

HTTP heads and bodies, buffers, signals, listeners and alarms have one home now, and the node takes them from there. Limits are a value, since the two programs bear different sizes; a body can be read piece by piece, since a proxy keeps none whole. Signals give out their descriptor, so that they work under any poller.

--- a/crates/node/src/exchange.rs
+++ b/crates/node/src/exchange.rs
@@ -2,7 +2,6 @@
 //! thing; the decisions are asked, and act at once on the other side through their host. Nothing is decided
 //! here.
 
-use crate::memory::alarms::Alarms;
 use crate::memory::clock::Clock;
 use crate::memory::counters::Counters;
 use crate::memory::executors::Executors as Directory;
@@ -23,6 +22,7 @@
 use grebeusher_faktory::reservations;
 use grebeusher_ledger::book::{Due, Job};
 use grebeusher_maintenance::{Plan, Seen, View, ZoneSeen};
+use grebeusher_transport::alarms::Alarms;
 use serde::{Deserialize, Serialize};
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
--- a/crates/node/src/life/mod.rs
+++ b/crates/node/src/life/mod.rs
@@ -3,5 +3,4 @@
 pub mod limits;
 pub mod logger;
 pub mod node;
-pub mod signals;
 pub mod upgrade;
--- a/crates/node/src/life/node.rs
+++ b/crates/node/src/life/node.rs
@@ -2,7 +2,6 @@
 
 use crate::exchange::{Beside, Closed, Exchange};
 use crate::life::limits;
-use crate::life::signals::Signals;
 use crate::memory::clock::{self, Clock};
 use crate::memory::counters::Counters;
 use crate::memory::figures::{Figures, Gauges};
@@ -11,7 +10,6 @@
 use crate::memory::spares::Spares;
 use crate::memory::units::UnitIds;
 use crate::sides::{Pushes, Relatives, Room, Talk};
-use crate::wire;
 use crate::wire::calls;
 use crate::wire::checks::Checks;
 use crate::wire::clients::Clients;
@@ -28,7 +26,9 @@
 use grebeusher_checks::{Fitness, Seen, Stands, Verdict};
 use grebeusher_dispatch::time::{Moment, Span};
 use grebeusher_maintenance::Command;
-use polling::Poller;
+use grebeusher_transport::listen;
+use grebeusher_transport::signals::Signals;
+use polling::{Event, Poller};
 use serde::Deserialize;
 use serde_json::{Value, json};
 use std::env;
@@ -180,7 +180,7 @@
         let counters = Rc::new(Counters::default());
         let poller = Rc::new(Poller::new().map_err(|e| format!("no poller: {e}"))?);
         let common = (&poller, clock, &counters);
-        signals.watched(&poller, SIGNALS).map_err(|e| format!("no signals: {e}"))?;
+        poller.add(&signals, Event::readable(SIGNALS)).map_err(|e| format!("no signals: {e}"))?;
         let (charter, room) = (&posting.charter, limits::room(posting.memory_mb));
         let fronts = env::var_os(FRONTS).map(|path| Fronts::of_file(Path::new(&path))).transpose()?;
         let fronts = fronts.unwrap_or_default();
@@ -201,7 +201,7 @@
             + fronts.faktory.as_ref().map_or(0, |posted| posted.most_connections() + 1);
         let (from_outside, to_executors) = limits::connections(posting.sockets, further);
         let unit_ids = UnitIds::default();
-        let listener = inherited.map_or_else(|| wire::listen(posting.listen), Ok);
+        let listener = inherited.map_or_else(|| listen::listen(posting.listen), Ok);
         let clients = listener.and_then(|listener| {
             Clients::listen(
                 listener,
@@ -474,7 +474,8 @@
     }
 
     fn told(&mut self) -> io::Result<()> {
-        self.signals.stirred(&self.poller, SIGNALS)?;
+        self.signals.drain();
+        self.poller.modify(&self.signals, Event::readable(SIGNALS))?;
         if self.signals.told_to_reload() {
             self.reload();
         }
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -7,9 +7,9 @@
 mod sides;
 mod wire;
 
+use grebeusher_transport::signals::Signals;
 use life::logger;
 use life::node::Node;
-use life::signals::Signals;
 use life::upgrade;
 use std::env;
 use std::path::PathBuf;
--- a/crates/node/src/memory/connection.rs
+++ b/crates/node/src/memory/connection.rs
@@ -1,7 +1,7 @@
 //! A connection: its socket, its one buffer, and what the loop is asked to watch it for.
 
-use crate::memory::buffer::{self, Buffer, Reading};
 use crate::sides::Room;
+use grebeusher_transport::buffer::{self, Buffer, Reading};
 use polling::{Event, Poller};
 use socket2::{Domain, Protocol, Socket, Type};
 use std::io;
--- a/crates/node/src/memory/ledger.rs
+++ b/crates/node/src/memory/ledger.rs
@@ -1,12 +1,12 @@
 //! Jobs that outlive the process, as this process has them: the log on disk, and those of an earlier life that executors may
 //! still be running.
 
-use crate::memory::alarms::Alarms;
 use crate::memory::clock::Clock;
 use grebeusher_charter::fronts::Ledger as Posted;
 use grebeusher_dispatch::time::{Moment, Span};
 use grebeusher_ledger::book::{Answer, Due, Job, Record};
 use grebeusher_ledger::log::Log;
+use grebeusher_transport::alarms::Alarms;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::io;
--- a/crates/node/src/memory/mod.rs
+++ b/crates/node/src/memory/mod.rs
@@ -1,7 +1,5 @@
 //! What the node keeps in memory: units in hand, executors' addresses, connections, times that fall due.
 
-pub mod alarms;
-pub mod buffer;
 pub mod clock;
 pub mod connection;
 pub mod counters;
--- a/crates/node/src/memory/units.rs
+++ b/crates/node/src/memory/units.rs
@@ -1,9 +1,9 @@
 //! The work units in hand: what they brought, and what is out for them.
 
-use crate::memory::alarms::Alarm;
 use crate::memory::parts::Of;
 use grebeusher_dispatch::ids::{AllocationId, ExecutorId, UnitId};
 use grebeusher_dispatch::time::Span;
+use grebeusher_transport::alarms::Alarm;
 use std::cell::Cell;
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
--- a/crates/node/src/wire/calls.rs
+++ b/crates/node/src/wire/calls.rs
@@ -1,11 +1,13 @@
 //! Short calls: one to a connection, answered in the turn of the loop in which it is whole, or on connecting where nothing
 //! is asked. Descriptors of their own, so that a crowd of clients shuts no caller out.
 
-use crate::memory::buffer::Reading;
 use crate::memory::clock::Clock;
 use crate::memory::connection::Connection;
-use crate::wire::http::{self, Malformed, Request};
+use crate::wire::LIMITS;
 use grebeusher_dispatch::time::{Moment, Span};
+use grebeusher_transport::buffer::Reading;
+use grebeusher_transport::http::{self, Malformed, Request};
+use grebeusher_transport::listen;
 use polling::{Event, Poller};
 use slab::Slab;
 use std::cell::{Cell, RefCell};
@@ -53,7 +55,7 @@
         (listener_key, key): (usize, fn(usize) -> usize),
         (poller, clock): (&Rc<Poller>, Clock),
     ) -> io::Result<Calls> {
-        let listener = super::listen(at)?;
+        let listener = listen::listen(at)?;
         poller.add(&listener, Event::readable(listener_key))?;
         Ok(Calls {
             listener,
@@ -84,7 +86,7 @@
                 return;
             }
             let take = |stream| self.take_in(stream, unasked());
-            if super::take_in(&self.listener, 1, "callers", take) == 0 {
+            if listen::take_in(&self.listener, 1, "callers", take) == 0 {
                 break;
             }
             self.next_at.set(next_at + self.apart);
@@ -155,7 +157,7 @@
             if self.answered { self.connection.read_and_drop()? } else { self.connection.read()? };
         if !self.answered {
             let unread = self.connection.buffer.unread();
-            let whole = match http::request(unread) {
+            let whole = match http::request(unread, &LIMITS) {
                 Ok(None) if unread.len() >= MOST_CALL => Err(Malformed(413)),
                 whole => whole,
             };
@@ -163,7 +165,7 @@
                 Ok(None) if reading == Reading::Ended => return Err(ErrorKind::UnexpectedEof.into()),
                 Ok(None) => None,
                 Ok(Some((request, _))) => Some(answer(&request)),
-                Err(Malformed(status)) => Some(http::answer(status, true, None, b"")),
+                Err(Malformed(status)) => Some(http::answer(status, true, &[], b"")),
             };
             if let Some(answer) = answer {
                 let unread = self.connection.buffer.unread().len();
--- a/crates/node/src/wire/checks.rs
+++ b/crates/node/src/wire/checks.rs
@@ -2,10 +2,10 @@
 
 use crate::memory::clock::Clock;
 use crate::wire::calls::Calls;
-use crate::wire::http::{self, Request};
 use grebeusher_charter::fronts::Checks as Posted;
 use grebeusher_checks::Verdict;
 use grebeusher_dispatch::time::Moment;
+use grebeusher_transport::http::{self, Request};
 use polling::Poller;
 use std::io;
 use std::rc::Rc;
@@ -83,9 +83,9 @@
     match request.method.as_str() {
         "GET" | "OPTIONS" => {
             let verdict = verdict();
-            http::answer(verdict.status(), true, None, verdict.line().as_bytes())
+            http::answer(verdict.status(), true, &[], verdict.line().as_bytes())
         }
-        "HEAD" => http::answer(verdict().status(), true, None, b""),
-        _ => http::answer(405, true, Some(("Allow", "GET, HEAD, OPTIONS")), b""),
+        "HEAD" => http::answer(verdict().status(), true, &[], b""),
+        _ => http::answer(405, true, &[("Allow", "GET, HEAD, OPTIONS")], b""),
     }
 }
--- a/crates/node/src/wire/clients.rs
+++ b/crates/node/src/wire/clients.rs
@@ -2,19 +2,20 @@
 //! executors call back on the same address.
 
 use crate::exchange::Exchange;
-use crate::memory::alarms::Alarms;
-use crate::memory::buffer::Reading;
 use crate::memory::clock::Clock;
 use crate::memory::connection::{Connection, MOST_UNREAD};
 use crate::memory::counters::Counters;
 use crate::memory::units::{Errand, UnitIds};
 use crate::sides::{CallerId, Front, Room};
+use crate::wire::LIMITS;
 use crate::wire::call_backs::{self, CallBack};
-use crate::wire::http::{self, Malformed, Request};
 use grebeusher_charter::Charter;
 use grebeusher_dispatch::ids::UnitId;
 use grebeusher_dispatch::tariffs::Arrival;
 use grebeusher_dispatch::time::{Moment, Span};
+use grebeusher_transport::alarms::Alarms;
+use grebeusher_transport::buffer::Reading;
+use grebeusher_transport::http::{self, Malformed, Request};
 use polling::{Event, Poller};
 use slab::Slab;
 use std::cell::{Cell, RefCell};
@@ -503,7 +504,7 @@
         if caller.connection.buffer.waits_to_write() || caller.connection.buffer.unread().is_empty() {
             return None;
         }
-        match http::request(caller.connection.buffer.unread()) {
+        match http::request(caller.connection.buffer.unread(), &LIMITS) {
             Ok(Some((request, length))) => {
                 caller.connection.buffer.done_with(length);
                 (caller.waited_since, caller.last_used, caller.begun) = (None, now, (0, 0));
@@ -718,7 +719,7 @@
         let Some(caller) = kept.get_mut(place) else { return };
         let come_back = come_back.map(|wait| format!("{wait:.3}"));
         let further = come_back.as_deref().map(|wait| ("Retry-After", wait));
-        caller.connection.buffer.put(&http::answer(status, caller.closes, further, body));
+        caller.connection.buffer.put(&http::answer(status, caller.closes, further.as_slice(), body));
         if !caller.carry_on(self.clock.now(), slow, place) {
             kept.remove(place);
         } else if caller.connection.buffer.waits_to_write() {
--- a/crates/node/src/wire/console.rs
+++ b/crates/node/src/wire/console.rs
@@ -2,9 +2,9 @@
 
 use crate::memory::clock::Clock;
 use crate::wire::calls::Calls;
-use crate::wire::http::{self, Request};
 use grebeusher_dispatch::ids::fixed_hash;
 use grebeusher_dispatch::time::Span;
+use grebeusher_transport::http::{self, Request};
 use polling::Poller;
 use std::io;
 use std::net::SocketAddr;
@@ -58,9 +58,8 @@
 /// What a call is answered.
 fn answer(request: &Request, office: &mut impl Office) -> Vec<u8> {
     let path = request.target.split('?').next().unwrap_or_default();
-    let say = |yes: bool, no: u16, what: &str| {
-        http::answer(if yes { 200 } else { no }, true, None, what.as_bytes())
-    };
+    let say =
+        |yes: bool, no: u16, what: &str| http::answer(if yes { 200 } else { no }, true, &[], what.as_bytes());
     match (path, request.method.as_str()) {
         ("/healthcheck", "GET") if office.is_ready() => say(true, 503, "ready\n"),
         ("/healthcheck", "GET") => say(false, 503, "not ready\n"),
@@ -91,15 +90,15 @@
             match office.says(name, what, &request.body) {
                 Ok(()) => {
                     info!("plan: {what} goes to the keepers as {name}");
-                    http::answer(202, true, None, format!("{name}\n").as_bytes())
+                    http::answer(202, true, &[], format!("{name}\n").as_bytes())
                 }
-                Err(wrong) => http::answer(400, true, None, format!("{wrong}\n").as_bytes()),
+                Err(wrong) => http::answer(400, true, &[], format!("{wrong}\n").as_bytes()),
             }
         }
         ("/healthcheck" | "/stats" | "/fleet" | "/fleet/members", _) => {
-            http::answer(405, true, Some(("Allow", "GET")), b"")
+            http::answer(405, true, &[("Allow", "GET")], b"")
         }
-        ("/healthcheck/fail" | "/healthcheck/ok", _) => http::answer(405, true, Some(("Allow", "POST")), b""),
-        _ => http::answer(404, true, None, b""),
+        ("/healthcheck/fail" | "/healthcheck/ok", _) => http::answer(405, true, &[("Allow", "POST")], b""),
+        _ => http::answer(404, true, &[], b""),
     }
 }
--- a/crates/node/src/wire/discovery.rs
+++ b/crates/node/src/wire/discovery.rs
@@ -1,14 +1,15 @@
 //! The list of executors: a watch at discovery that holds one JSON object a line.
 
 use crate::exchange::Exchange;
-use crate::memory::buffer::Reading;
 use crate::memory::clock::Clock;
 use crate::memory::connection::Connection;
 use crate::memory::counters::Counters;
 use crate::memory::list::Version;
 use crate::sides::{List, Room};
-use crate::wire::http;
+use crate::wire::LIMITS;
 use grebeusher_dispatch::time::{Moment, Span};
+use grebeusher_transport::buffer::Reading;
+use grebeusher_transport::http;
 use polling::Poller;
 use std::cell::{Cell, RefCell};
 use std::io::{self, ErrorKind};
@@ -266,20 +267,20 @@
         let ended = connection.read()? == Reading::Ended;
         let malformed = |m: http::Malformed| io::Error::other(format!("malformed answer ({})", m.0));
         if !self.listening {
-            let head = http::response_head(connection.buffer.unread()).map_err(malformed)?;
-            let Some((status, _, length)) = head else {
+            let head = http::response_head(connection.buffer.unread(), &LIMITS).map_err(malformed)?;
+            let Some((head, length)) = head else {
                 connection.watch(false)?;
                 return Ok(ended);
             };
-            if status != 200 {
+            if head.status != 200 {
                 self.turned_away = true;
-                return Err(io::Error::other(format!("discovery answered {status}")));
+                return Err(io::Error::other(format!("discovery answered {}", head.status)));
             }
             connection.buffer.done_with(length);
             self.listening = true;
         }
         while let Some((data, length)) =
-            http::chunk(&connection.buffer.unread()[self.plain..]).map_err(malformed)?
+            http::chunk(&connection.buffer.unread()[self.plain..], &LIMITS).map_err(malformed)?
         {
             if data.is_empty() {
                 return Ok(true);
--- a/crates/node/src/wire/executors.rs
+++ b/crates/node/src/wire/executors.rs
@@ -1,18 +1,19 @@
 //! The client side: connections to executors, on which allocations are sent and given up, and probes made.
 
 use crate::exchange::Exchange;
-use crate::memory::alarms::{Alarm, Alarms};
-use crate::memory::buffer::Reading;
 use crate::memory::clock::Clock;
 use crate::memory::connection::{Connection, no_descriptor};
 use crate::memory::counters::Counters;
 use crate::memory::units::Errand;
 use crate::sides::{Room, Workers};
-use crate::wire::http::{self, Response};
+use crate::wire::LIMITS;
 use crate::wire::load;
 use grebeusher_dispatch::ids::{AllocationId, ExecutorId};
 use grebeusher_dispatch::tariffs::Ending;
 use grebeusher_dispatch::time::{Moment, Span};
+use grebeusher_transport::alarms::{Alarm, Alarms};
+use grebeusher_transport::buffer::Reading;
+use grebeusher_transport::http::{self, Response};
 use polling::Poller;
 use slab::Slab;
 use std::cell::{Cell, RefCell};
@@ -341,7 +342,7 @@
         }
         self.write(line)?;
         let reading = line.connection.read()?;
-        let read = http::response(line.connection.buffer.unread());
+        let read = http::response(line.connection.buffer.unread(), &LIMITS);
         let read = read.map_err(|m| io::Error::other(format!("malformed answer ({})", m.0)))?;
         if let Some((mut response, length)) = read
             && line.used != Use::Idle
--- a/crates/node/src/wire/faktory.rs
+++ b/crates/node/src/wire/faktory.rs
@@ -2,8 +2,6 @@
 //! decisions; a job that they send to it waits here for its next fetch.
 
 use crate::exchange::Exchange;
-use crate::memory::alarms::Alarms;
-use crate::memory::buffer::Reading;
 use crate::memory::clock::Clock;
 use crate::memory::connection::Connection;
 use crate::memory::counters::Counters;
@@ -18,6 +16,9 @@
 use grebeusher_faktory::handshake::Greeting;
 use grebeusher_faktory::reservations::{End, Handed, Reservations, Standing};
 use grebeusher_faktory::words::{Answer, MOST_LINE, line};
+use grebeusher_transport::alarms::Alarms;
+use grebeusher_transport::buffer::Reading;
+use grebeusher_transport::listen;
 use polling::{Event, Poller};
 use serde_json::json;
 use slab::Slab;
@@ -106,7 +107,7 @@
         (listener_key, key): (usize, fn(usize) -> usize),
         (poller, clock, counters): (&Rc<Poller>, Clock, &Rc<Counters>),
     ) -> io::Result<Faktory> {
-        let listener = super::listen(posted.listen)?;
+        let listener = listen::listen(posted.listen)?;
         poller.add(&listener, Event::readable(listener_key))?;
         Ok(Faktory {
             listener,
@@ -154,7 +155,7 @@
     }
 
     pub fn accept(&self) {
-        super::take_in(&self.listener, AT_ONCE, "Faktory clients", |stream| self.take_in(stream));
+        listen::take_in(&self.listener, AT_ONCE, "Faktory clients", |stream| self.take_in(stream));
         if let Err(e) = self.poller.modify(&self.listener, Event::readable(self.listener_key)) {
             warn!("the front can't be watched: {e}");
         }
--- a/crates/node/src/wire/sibling.rs
+++ b/crates/node/src/wire/sibling.rs
@@ -3,12 +3,12 @@
 //! that it finds there, and they tell each other what the other needs, one JSON object a line.
 
 use crate::exchange::Exchange;
-use crate::memory::alarms::Alarms;
-use crate::memory::buffer::Reading;
 use crate::memory::clock::Clock;
 use crate::memory::connection::Connection;
 use crate::sides::{CallerId, Relatives};
 use grebeusher_dispatch::time::{Moment, Span};
+use grebeusher_transport::alarms::Alarms;
+use grebeusher_transport::buffer::Reading;
 use polling::{Event, Poller};
 use serde::{Deserialize, Serialize};
 use slab::Slab;
--- a/crates/node/src/memory/alarms.rs
+++ b/crates/transport/src/alarms.rs
@@ -1,8 +1,9 @@
 //! What falls due, in order of time and, at one time, in the order in which it was set.
 
-use grebeusher_dispatch::time::Moment;
+use grebeusher_time::Moment;
 use std::collections::BTreeMap;
 
+/// A queue of what falls due.
 pub struct Alarms<T> {
     set: BTreeMap<(Moment, u64), T>,
     next: u64,
@@ -19,6 +20,7 @@
 }
 
 impl<T> Alarms<T> {
+    /// Has `what` fall due at a moment.
     pub fn set(&mut self, at: Moment, what: T) -> Alarm {
         let key = (at, self.next);
         self.set.insert(key, what);
@@ -26,7 +28,7 @@
         Alarm(key)
     }
 
-    /// Guards against alarms of what is long over piling up until their time comes.
+    /// Takes one back that was set; one that fell due already makes no difference. Guards against alarms of what is long over piling up until their time comes.
     pub fn unset(&mut self, alarm: Alarm) {
         self.set.remove(&alarm.0);
     }
@@ -36,6 +38,7 @@
         self.set.values().any(is)
     }
 
+    /// When the next falls due.
     pub fn next_at(&self) -> Option<Moment> {
         self.set.first_key_value().map(|((at, _), _)| *at)
     }
--- a/crates/node/src/memory/buffer.rs
+++ b/crates/transport/src/buffer.rs
@@ -9,6 +9,7 @@
 /// An empty buffer keeps no more than this, so that one large message is not paid for ever after.
 const KEPT: usize = 8192;
 
+/// The bytes of one connection, out and in.
 #[derive(Default)]
 pub struct Buffer {
     bytes: Vec<u8>,
@@ -62,6 +63,7 @@
         Ok(Reading::Open)
     }
 
+    /// What was read and is not done with.
     pub fn unread(&self) -> &[u8] {
         &self.bytes[self.out..]
     }
@@ -79,11 +81,13 @@
         }
     }
 
+    /// Appends a message to what waits to be written.
     pub fn put(&mut self, message: &[u8]) {
         self.bytes.splice(self.out..self.out, message.iter().copied());
         self.out += message.len();
     }
 
+    /// Whether anything waits to be written.
     pub fn waits_to_write(&self) -> bool {
         self.out > 0
     }
--- /dev/null
+++ b/crates/transport/src/http.rs
@@ -0,0 +1,232 @@
+//! HTTP/1.1 heads and whole messages, as far as nodes, clients, executors and discovery speak it. Bodies that are passed
+//! on piece by piece are read in [`crate::body`].
+
+use std::ops::Range;
+
+pub use crate::body::{BodyReader, Framing, Progress, request_framing, response_framing};
+pub use crate::headers::Headers;
+
+/// The most header lines that any limits may allow: so many are parsed on the stack.
+pub const MOST_HEADERS_EVER: usize = 256;
+/// A chunk's size line is a few hex digits and perhaps an extension. In bytes.
+pub(crate) const MOST_CHUNK_LINE: usize = 256;
+
+/// How large a message may be.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// Bytes of the start line and all headers.
+    pub most_head: usize,
+    /// Header lines; beyond [`MOST_HEADERS_EVER`] that many.
+    pub most_headers: usize,
+    /// Bytes of the body, without its framing.
+    pub most_body: usize,
+}
+
+/// Bytes that are no message; with the status that tells a client so.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Malformed(pub u16);
+
+/// The first line and the headers of a request.
+#[derive(Clone, Debug)]
+pub struct RequestHead {
+    pub method: String,
+    pub target: String,
+    pub headers: Headers,
+}
+
+/// The status and the headers of a response.
+#[derive(Clone, Debug)]
+pub struct ResponseHead {
+    pub status: u16,
+    pub headers: Headers,
+}
+
+impl ResponseHead {
+    /// Whether it only announces another.
+    pub fn is_interim(&self) -> bool {
+        (100..200).contains(&self.status)
+    }
+}
+
+/// A request with its whole body.
+#[derive(Debug)]
+pub struct Request {
+    pub method: String,
+    pub target: String,
+    pub headers: Headers,
+    pub body: Vec<u8>,
+}
+
+/// A response with its whole body.
+#[derive(Debug)]
+pub struct Response {
+    pub status: u16,
+    pub headers: Headers,
+    pub body: Vec<u8>,
+}
+
+/// The head of the first request of the bytes and how many bytes it has; `None` while it is not whole.
+pub fn request_head(bytes: &[u8], limits: &Limits) -> Result<Option<(RequestHead, usize)>, Malformed> {
+    let mut lines = [httparse::EMPTY_HEADER; MOST_HEADERS_EVER];
+    let mut parsed = httparse::Request::new(&mut lines[..limits.most_headers.min(MOST_HEADERS_EVER)]);
+    let Some(length) = head_length(parsed.parse(bytes), bytes, limits)? else { return Ok(None) };
+    let headers = Headers::read(parsed.headers, parsed.version);
+    let (method, target) = (parsed.method.unwrap_or_default(), parsed.path.unwrap_or_default());
+    Ok(Some((RequestHead { method: method.to_owned(), target: target.to_owned(), headers }, length)))
+}
+
+/// The head of the first response of the bytes, be it an interim one, and how many bytes it has.
+pub fn response_head(bytes: &[u8], limits: &Limits) -> Result<Option<(ResponseHead, usize)>, Malformed> {
+    let mut lines = [httparse::EMPTY_HEADER; MOST_HEADERS_EVER];
+    let mut parsed = httparse::Response::new(&mut lines[..limits.most_headers.min(MOST_HEADERS_EVER)]);
+    let Some(length) = head_length(parsed.parse(bytes), bytes, limits)? else { return Ok(None) };
+    let headers = Headers::read(parsed.headers, parsed.version);
+    Ok(Some((ResponseHead { status: parsed.code.unwrap_or(0), headers }, length)))
+}
+
+fn head_length(
+    parsed: httparse::Result<usize>,
+    bytes: &[u8],
+    limits: &Limits,
+) -> Result<Option<usize>, Malformed> {
+    match parsed {
+        Ok(httparse::Status::Complete(length)) if length <= limits.most_head => Ok(Some(length)),
+        Ok(httparse::Status::Partial) if bytes.len() <= limits.most_head => Ok(None),
+        Ok(_) | Err(httparse::Error::TooManyHeaders) => Err(Malformed(431)),
+        Err(_) => Err(Malformed(400)),
+    }
+}
+
+/// The first request of the bytes and how many they are; `None` while it is not whole.
+pub fn request(bytes: &[u8], limits: &Limits) -> Result<Option<(Request, usize)>, Malformed> {
+    let Some((head, length)) = request_head(bytes, limits)? else { return Ok(None) };
+    let Some((body, body_length)) = whole_body(&head.headers, &bytes[length..], limits)? else {
+        return Ok(None);
+    };
+    let RequestHead { method, target, headers } = head;
+    Ok(Some((Request { method, target, headers, body }, length + body_length)))
+}
+
+/// The first response of the bytes, without those that only announce another. One that says no length has no body:
+/// whoever speaks to this caller always says it.
+pub fn response(bytes: &[u8], limits: &Limits) -> Result<Option<(Response, usize)>, Malformed> {
+    let mut skipped = 0;
+    loop {
+        let Some((head, length)) = response_head(&bytes[skipped..], limits)? else { return Ok(None) };
+        skipped += length;
+        if head.is_interim() {
+            continue;
+        }
+        let ResponseHead { status, headers } = head;
+        let bodiless = status == 204 || status == 304;
+        let read =
+            if bodiless { Some((Vec::new(), 0)) } else { whole_body(&headers, &bytes[skipped..], limits)? };
+        let Some((body, body_length)) = read else { return Ok(None) };
+        return Ok(Some((Response { status, headers, body }, skipped + body_length)));
+    }
+}
+
+/// A body and the length of its framed form; `None` while it is not whole.
+type WholeBody = Option<(Vec<u8>, usize)>;
+
+fn whole_body(headers: &Headers, bytes: &[u8], limits: &Limits) -> Result<WholeBody, Malformed> {
+    match crate::body::said_framing(headers)? {
+        Framing::None | Framing::UntilClose => Ok(Some((Vec::new(), 0))),
+        Framing::Length(length) => match usize::try_from(length) {
+            Ok(length) if length <= limits.most_body => {
+                Ok(bytes.get(..length).map(|body| (body.to_vec(), length)))
+            }
+            _ => Err(Malformed(413)),
+        },
+        Framing::Chunked => chunked_body(bytes, limits),
+    }
+}
+
+fn chunked_body(bytes: &[u8], limits: &Limits) -> Result<WholeBody, Malformed> {
+    let (mut body, mut at) = (Vec::new(), 0);
+    while let Some((data, length)) = chunk(&bytes[at..], limits)? {
+        body.extend_from_slice(&bytes[at..][data.clone()]);
+        at += length;
+        if body.len() > limits.most_body {
+            return Err(Malformed(413));
+        }
+        if data.is_empty() {
+            return Ok(Some((body, at)));
+        }
+    }
+    Ok(None)
+}
+
+/// The first chunk of the bytes: where its data lies, and the length of all of it. The last one is empty and
+/// ends with the trailers.
+pub fn chunk(bytes: &[u8], limits: &Limits) -> Result<Option<(Range<usize>, usize)>, Malformed> {
+    let (start, size) = match httparse::parse_chunk_size(bytes) {
+        Ok(httparse::Status::Complete((start, size))) => (start, size),
+        Ok(httparse::Status::Partial) if bytes.len() <= MOST_CHUNK_LINE => return Ok(None),
+        _ => return Err(Malformed(400)),
+    };
+    let size = usize::try_from(size).ok().filter(|&size| size <= limits.most_body).ok_or(Malformed(413))?;
+    let rest = &bytes[start + size.min(bytes.len() - start)..];
+    if size == 0 {
+        return trailers(rest, limits).map(|length| length.map(|length| (start..start, start + length)));
+    }
+    match rest {
+        [b'\r', b'\n', ..] => Ok(Some((start..start + size, start + size + 2))),
+        [] | [b'\r'] => Ok(None),
+        _ => Err(Malformed(400)),
+    }
+}
+
+/// The length of the lines behind the last chunk, with the empty one that ends them.
+fn trailers(bytes: &[u8], limits: &Limits) -> Result<Option<usize>, Malformed> {
+    let mut lines = [httparse::EMPTY_HEADER; MOST_HEADERS_EVER];
+    match httparse::parse_headers(bytes, &mut lines[..limits.most_headers.min(MOST_HEADERS_EVER)]) {
+        Ok(httparse::Status::Complete((length, _))) => Ok(Some(length)),
+        Ok(httparse::Status::Partial) if bytes.len() <= limits.most_head => Ok(None),
+        _ => Err(Malformed(400)),
+    }
+}
+
+/// The words that go with a status.
+pub fn reason(status: u16) -> &'static str {
+    match status {
+        200 => "OK",
+        202 => "Accepted",
+        204 => "No Content",
+        307 => "Temporary Redirect",
+        404 => "Not Found",
+        405 => "Method Not Allowed",
+        408 => "Request Timeout",
+        409 => "Conflict",
+        412 => "Precondition Failed",
+        413 => "Content Too Large",
+        421 => "Misdirected Request",
+        422 => "Unprocessable Content",
+        429 => "Too Many Requests",
+        431 => "Request Header Fields Too Large",
+        500 => "Internal Server Error",
+        501 => "Not Implemented",
+        502 => "Bad Gateway",
+        503 => "Service Unavailable",
+        504 => "Gateway Timeout",
+        _ => "Bad Request",
+    }
+}
+
+/// Writes an answer, with further headers as name and value: to a client, to an executor's call-back, to the staff.
+pub fn answer(status: u16, closes: bool, further: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
+    let mut text = format!("HTTP/1.1 {status} {}\r\n", reason(status));
+    if status != 204 {
+        text += &format!("Content-Length: {}\r\n", body.len());
+    }
+    for (name, value) in further {
+        text += &format!("{name}: {value}\r\n");
+    }
+    if closes {
+        text += "Connection: close\r\n";
+    }
+    text += "\r\n";
+    let mut bytes = text.into_bytes();
+    bytes.extend_from_slice(body);
+    bytes
+}
--- a/crates/node/src/life/signals.rs
+++ b/crates/transport/src/signals.rs
@@ -1,14 +1,14 @@
 //! Words from the system: to stop, and to read the posting anew.
 
-use polling::{Event, Poller};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::{flag, low_level::pipe};
 use std::io::{self, Read};
+use std::os::fd::{AsFd, AsRawFd, BorrowedFd, RawFd};
 use std::os::unix::net::UnixStream;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
-/// Each word raises its flag and then stirs the loop by a byte.
+/// Each word raises its flag and then stirs the loop by a byte: what polls watches the descriptor for reading.
 pub struct Signals {
     stirs: UnixStream,
     stop: Arc<AtomicBool>,
@@ -29,15 +29,10 @@
         Ok(signals)
     }
 
-    pub fn watched(&self, poller: &Poller, key: usize) -> io::Result<()> {
-        poller.add(&self.stirs, Event::readable(key))
-    }
-
-    /// The loop was stirred: the flags tell why.
-    pub fn stirred(&mut self, poller: &Poller, key: usize) -> io::Result<()> {
+    /// The loop was stirred: takes the bytes that did it. The flags tell why.
+    pub fn drain(&mut self) {
         let mut bytes = [0; 16];
         while matches!(self.stirs.read(&mut bytes), Ok(1..)) {}
-        poller.modify(&self.stirs, Event::readable(key))
     }
 
     /// Whether word to stop came since this was last asked.
@@ -50,3 +45,15 @@
         self.reload.swap(false, Ordering::Relaxed)
     }
 }
+
+impl AsFd for Signals {
+    fn as_fd(&self) -> BorrowedFd<'_> {
+        self.stirs.as_fd()
+    }
+}
+
+impl AsRawFd for Signals {
+    fn as_raw_fd(&self) -> RawFd {
+        self.stirs.as_raw_fd()
+    }
+}
