gateway: the data plane's decisions of one node, without I/O: choice, admission, retries

SITA-E picks the lane by hinted size and the executor by utilisation; the one exception prefers, inside the lane and within a bound, executors that hold a long shared prompt. Room, queues and refusals go by own open requests, reports on answers and what neighbours have out. The retry policy tells proven-not-run from may-have-run.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -1,1 +1,78 @@
 //! The data plane's decisions: which executor gets a request, whether it is admitted, whether it is tried again.
+//!
+//! One [`Gateway`] serves one node. It does no I/O and reads no clock: what the node sees is handed in with its
+//! time, and it answers with a [`Choice`]. The design is SITA-E (`grebeusher-sizing`): a request enters a lane of
+//! executors by its hinted size, against cut-offs that equalise the lanes' summed work per capacity; inside the
+//! lane a random pick is weighted by one minus the utilisation, floored.
+//!
+//! **Size.** Tokens of the prompt plus [`TOKENS_PER_TOKEN_OUT`] for each token that may come out, from
+//! `X-Grebeusher-Token-Count`; the sample's median without a hint. Its *work* is the same without the tokens that
+//! the executor is believed to hold already. Size picks the lane, so that a subject's requests stay in one lane
+//! whoever holds its parts; work is what the cut-offs equalise and what admission counts.
+//!
+//! **The exception for prompts.** Inside the lane, and only where at least [`Policy::least_stake`] shared tokens
+//! are at stake, the executors that hold the longest prefix by this node's own sends come first, then the
+//! first few in the rendezvous order of the last shared part, which all nodes agree on without a word. Bound:
+//! only executors with room whose utilisation is below [`Policy::home_bound`] and that have little left to read
+//! are taken so; all else goes by the weighted pick, and nothing is refused or held for a home's sake. So a
+//! subject in demand spreads, and none waits for one executor.
+//!
+//! **Admission.** Refused is only what no executor can take, neither now nor within a part of the latency objective;
+//! the part is smaller for lower priorities. It is decided at once, and `retry_after` is when room is expected.
+//!
+//! ```
+//! use grebeusher_gateway::{
+//!     Choice, Descriptor, Gateway, Kind, ModelKey, Outcome, Policy, PromptParts, Request, ServerLoad,
+//!     ServiceSettings, Standing, TokenCount, ZoneKey,
+//! };
+//! use grebeusher_time::{Moment, Span};
+//!
+//! let mut gateway = Gateway::new(Policy::default(), ZoneKey::of("vic"), 42);
+//! let service = gateway.set_service("katalogizator", ServiceSettings { max_connections: 220, kv_capacity_tokens: 400_843 });
+//! gateway.upsert(&Descriptor {
+//!     instance: "i-7f3a91c2",
+//!     service: "katalogizator",
+//!     address: "10.128.0.9:8080".parse().unwrap(),
+//!     zone: ZoneKey::of("vic"),
+//!     slots: 24,
+//!     standing: Standing::Up,
+//!     models: &[ModelKey::of("m")],
+//! });
+//! let request = Request {
+//!     kind: Kind::ResumableStream,
+//!     model: Some(ModelKey::of("m")),
+//!     tokens: TokenCount::parse("715,288").ok(),
+//!     parts: PromptParts::parse("5c1e07a2:103,91bd3f06:69,e4402b7d:543").unwrap(),
+//!     objective: Span::millis(200),
+//!     deadline_left: Span::millis(6000),
+//!     ..Request::to(service)
+//! };
+//! let now = Moment(1_000_000);
+//! let Choice::Send { executor, .. } = gateway.choose(now, &request) else { panic!("there is room") };
+//! let attempt = gateway.started(now, executor, &request).unwrap();
+//! // ... the node sends the request; then the head of the answer and the first event come:
+//! gateway.head(now + Span::millis(15), attempt, ServerLoad::parse("3,0,24").ok());
+//! gateway.progress(now + Span::millis(15), attempt);
+//! gateway.finished(now + Span::millis(600), attempt, Outcome::Served);
+//! ```
+
+mod attempts;
+mod choose;
+mod executor;
+mod gateway;
+mod headers;
+mod health;
+mod ids;
+mod policy;
+mod prefix;
+mod service;
+
+pub use attempts::{Attempts, FinalAnswer, Kind, Next, Outcome};
+pub use choose::{BatchItem, Choice, Request};
+pub use executor::{Descriptor, Standing};
+pub use gateway::{Decisions, ExecutorView, Gateway, ServiceView};
+pub use headers::{HeaderError, MOST_PARTS, PromptPart, PromptParts, ServerLoad, TokenCount};
+pub use health::Failure;
+pub use ids::{AttemptToken, ExecutorId, ModelKey, ServiceId, ZoneKey};
+pub use policy::{Policy, TOKENS_PER_TOKEN_OUT};
+pub use service::ServiceSettings;
--- /dev/null
+++ b/crates/gateway/src/policy.rs
@@ -0,0 +1,59 @@
+//! What may be tuned. The defaults are what the simulation in `tests/` was tuned to.
+
+use grebeusher_time::Span;
+
+/// A token that comes out costs an executor as much as ten of the prompt: at a full batch of some twenty a step
+/// of two milliseconds makes one token for each, and a millisecond reads over a hundred tokens of a prompt.
+pub const TOKENS_PER_TOKEN_OUT: u32 = 10;
+
+/// Free choices of the design and bounds of its exceptions.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Policy {
+    /// Lanes of each service.
+    pub lanes: usize,
+    /// Sizes that the cut-offs are made of.
+    pub sample: usize,
+    /// Below so many sizes one lane holds every executor.
+    pub fewest: usize,
+    /// How often the cut-offs are computed.
+    pub recompute: Span,
+    /// Shared tokens of a prompt from which on its parts count; reading fewer is not worth any unevenness.
+    pub least_stake: u32,
+    /// Utilisation from which on an executor is no home to anything.
+    pub home_bound: f64,
+    /// Tokens that this node sent an executor and that it has not read yet, from which on it is no home.
+    pub home_unread: u64,
+    /// How many executors of the rendezvous order are looked at as homes.
+    pub homes: usize,
+    /// Unread tokens of this node's that make an executor as good as full in the weighted pick.
+    pub unread_full: u64,
+    /// How much more an executor of the node's own zone counts in the pick: bytes between zones are priced.
+    pub near: f64,
+    /// The part of the time left to the objective for which a request may wait in an executor's queue.
+    pub queue_part: f64,
+    /// Part of an executor's slots that batch items leave free at least, and at most.
+    pub batch_reserve: (f64, f64),
+    /// Unread tokens of batch items at one executor, from which on it gets no further item: prompts read between
+    /// the tokens of live requests slow these down.
+    pub batch_unread: u64,
+}
+
+impl Default for Policy {
+    fn default() -> Policy {
+        Policy {
+            lanes: 2,
+            sample: 1000,
+            fewest: 50,
+            recompute: Span::millis(5000),
+            least_stake: 1024,
+            home_bound: 0.75,
+            home_unread: 24_000,
+            homes: 3,
+            unread_full: 48_000,
+            near: 2.0,
+            queue_part: 0.4,
+            batch_reserve: (0.125, 0.5),
+            batch_unread: 2_000,
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/service.rs
@@ -0,0 +1,100 @@
+//! One service: its lanes, its cut-offs, and what its requests were like.
+
+use crate::policy::Policy;
+use grebeusher_sizing::{CutOffs, Sample};
+use grebeusher_time::{Moment, Span};
+use std::sync::Arc;
+
+/// What the configuration says of a service.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ServiceSettings {
+    /// Connections that each executor accepts from all callers together; 0: no bound is known.
+    pub max_connections: u32,
+    /// Tokens for which each executor has memory; 0: it keeps none, as it does not run a model.
+    pub kv_capacity_tokens: u64,
+}
+
+pub(crate) struct Service {
+    pub name: Arc<str>,
+    pub settings: ServiceSettings,
+    /// Places of its executors in the table.
+    pub members: Vec<u32>,
+    pub lanes_stale: bool,
+    pub shares: Vec<f64>,
+    pub sample: Sample,
+    pub cut_offs: CutOffs,
+    pub recut: Moment,
+    /// The size that stands for a request without a hint.
+    pub median: f64,
+    /// How long an attempt lasts, in seconds.
+    pub holds: f64,
+    /// Tokens in memory per request when it is through.
+    pub request_tokens: f64,
+    /// Requests of other nodes per slot, over all executors, and how far single reports are off that.
+    pub others: f64,
+    pub others_off: f64,
+    /// The most urgent priority that was seen.
+    pub best_priority: u8,
+}
+
+/// The weight of the newest in running means: some twenty values.
+const NEWEST: f64 = 0.05;
+/// Until anything has ended; short, so that nothing is refused on a guess.
+const HOLDS_AT_FIRST_S: f64 = 0.1;
+
+impl Service {
+    pub fn new(name: &str, policy: &Policy) -> Service {
+        Service {
+            name: Arc::from(name),
+            settings: ServiceSettings::default(),
+            members: Vec::new(),
+            lanes_stale: true,
+            shares: Vec::new(),
+            sample: Sample::new(policy.sample),
+            cut_offs: CutOffs::one_lane(),
+            recut: Moment(0),
+            median: 1.0,
+            holds: HOLDS_AT_FIRST_S,
+            request_tokens: 0.0,
+            others: 0.0,
+            others_off: 0.0,
+            best_priority: u8::MAX,
+        }
+    }
+
+    /// Counts a request's size, its work and its tokens.
+    pub fn saw(&mut self, now: Moment, size: f64, work: f64, tokens: f64, policy: &Policy) {
+        if self.sample.saw(size, work) {
+            let newest = if self.request_tokens == 0.0 { 1.0 } else { NEWEST };
+            self.request_tokens += (tokens - self.request_tokens) * newest;
+            if self.sample.len() == policy.fewest {
+                self.recompute(now, policy);
+            }
+        }
+    }
+
+    /// Computes the cut-offs when they are due.
+    pub fn refresh(&mut self, now: Moment, policy: &Policy) {
+        if now.since(self.recut) >= policy.recompute {
+            self.recompute(now, policy);
+        }
+    }
+
+    pub fn recompute(&mut self, now: Moment, policy: &Policy) {
+        self.recut = now;
+        self.cut_offs = CutOffs::equalising(&self.sample, &self.shares, policy.fewest);
+        self.median = self.sample.median().unwrap_or(1.0);
+    }
+
+    /// An attempt was served within `took`.
+    pub fn served(&mut self, took: Span) {
+        self.holds += (took.as_secs() - self.holds) * NEWEST;
+    }
+
+    /// An executor reported requests of others, per slot.
+    pub fn reported(&mut self, others: f64) {
+        let off = others - self.others;
+        self.others += off * NEWEST;
+        self.others_off += (off.abs() - self.others_off) * NEWEST;
+    }
+}
