--- /dev/null
+++ b/crates/quorum/src/disk/error.rs
@@ -0,0 +1,22 @@
+//! Why the disk could not be read or written.
+
+use std::io;
+use std::path::PathBuf;
+
+use snafu::Snafu;
+
+/// A failure of the store.
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub(super)))]
+pub enum StoreError {
+    /// The system refused to do something with a file or folder.
+    #[snafu(display("can't {action} {}: {source}", path.display()))]
+    Io { action: &'static str, path: PathBuf, source: io::Error },
+    /// What was synced can't be read any more. The disk has lost promises, so the replica must not go on under its
+    /// identity: wipe the folder.
+    #[snafu(display("{} is damaged: {what}", path.display()))]
+    Damaged { what: &'static str, path: PathBuf },
+    /// An earlier write or sync failed so that the state of the file is unknown: open the store anew.
+    #[snafu(display("the store failed before and must be opened anew"))]
+    Poisoned,
+}
--- /dev/null
+++ b/crates/quorum/src/disk/files.rs
@@ -0,0 +1,57 @@
+//! Plain steps with files, with errors that say what failed where.
+
+use std::fs::{File, OpenOptions};
+use std::io::{ErrorKind, Read, Write};
+use std::path::Path;
+
+use snafu::ResultExt;
+
+use super::error::{IoSnafu, StoreError};
+
+/// Creates a folder and those above it, and syncs the names.
+pub(super) fn create_folder(path: &Path) -> Result<(), StoreError> {
+    std::fs::create_dir_all(path).context(IoSnafu { action: "create", path })?;
+    if let Some(parent) = path.parent().filter(|parent| !parent.as_os_str().is_empty()) {
+        sync_folder(parent)?;
+    }
+    Ok(())
+}
+
+/// Makes new names in a folder last.
+pub(super) fn sync_folder(path: &Path) -> Result<(), StoreError> {
+    let folder = File::open(path).context(IoSnafu { action: "open", path })?;
+    folder.sync_all().context(IoSnafu { action: "sync", path })
+}
+
+/// The whole content of a file; nothing if there is none.
+pub(super) fn read(path: &Path) -> Result<Vec<u8>, StoreError> {
+    let mut content = Vec::new();
+    match File::open(path) {
+        Ok(mut file) => {
+            file.read_to_end(&mut content).context(IoSnafu { action: "read", path })?;
+        }
+        Err(error) if error.kind() == ErrorKind::NotFound => {}
+        Err(error) => return Err(error).context(IoSnafu { action: "open", path }),
+    }
+    Ok(content)
+}
+
+/// Replaces a file's content in place and syncs it.
+pub(super) fn replace(path: &Path, content: &[u8]) -> Result<File, StoreError> {
+    let mut options = OpenOptions::new();
+    let mut file = options
+        .write(true)
+        .create(true)
+        .truncate(true)
+        .open(path)
+        .context(IoSnafu { action: "open", path })?;
+    file.write_all(content).context(IoSnafu { action: "write", path })?;
+    file.sync_all().context(IoSnafu { action: "sync", path })?;
+    Ok(file)
+}
+
+/// Syncs a file as it is.
+pub(super) fn sync_file(path: &Path) -> Result<(), StoreError> {
+    let file = File::open(path).context(IoSnafu { action: "open", path })?;
+    file.sync_all().context(IoSnafu { action: "sync", path })
+}
--- /dev/null
+++ b/crates/quorum/src/disk/records.rs
@@ -0,0 +1,113 @@
+//! The log's file: a chain of records, each with its length and a checksum over all before it.
+
+use nanoserde::{DeBin, DeBinErr, SerBin};
+
+use crate::blob::{read_list, write_list};
+use crate::entry::{Entry, HardState};
+
+/// One record of the log's file.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) enum Record {
+    /// The first record: the log holds all that the generation began with.
+    Base {
+        generation: u64,
+        hard: HardState,
+        entries: Vec<Entry>,
+    },
+    Hard(HardState),
+    /// Entries that replace everything from the first one's index on.
+    Entries(Vec<Entry>),
+}
+
+const BASE: u8 = 1;
+const HARD: u8 = 2;
+const ENTRIES: u8 = 3;
+
+/// Length and checksum.
+const HEAD_BYTES: usize = 8;
+
+/// Index, term and the payload's kind.
+const SMALLEST_ENTRY: usize = 17;
+
+impl SerBin for Record {
+    fn ser_bin(&self, output: &mut Vec<u8>) {
+        match self {
+            Record::Base { generation, hard, entries } => {
+                BASE.ser_bin(output);
+                generation.ser_bin(output);
+                hard.ser_bin(output);
+                write_list(entries, output);
+            }
+            Record::Hard(hard) => {
+                HARD.ser_bin(output);
+                hard.ser_bin(output);
+            }
+            Record::Entries(entries) => {
+                ENTRIES.ser_bin(output);
+                write_list(entries, output);
+            }
+        }
+    }
+}
+
+impl DeBin for Record {
+    fn de_bin(offset: &mut usize, bytes: &[u8]) -> Result<Record, DeBinErr> {
+        match u8::de_bin(offset, bytes)? {
+            BASE => Ok(Record::Base {
+                generation: u64::de_bin(offset, bytes)?,
+                hard: HardState::de_bin(offset, bytes)?,
+                entries: read_list(SMALLEST_ENTRY, offset, bytes)?,
+            }),
+            HARD => Ok(Record::Hard(HardState::de_bin(offset, bytes)?)),
+            ENTRIES => Ok(Record::Entries(read_list(SMALLEST_ENTRY, offset, bytes)?)),
+            _ => Err(DeBinErr::new(*offset, 1, bytes.len())),
+        }
+    }
+}
+
+/// The running checksum of a generation's records.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Chain(u32);
+
+impl Chain {
+    /// The start of a generation's chain.
+    pub(super) fn of(generation: u64) -> Chain {
+        let mut hasher = crc32fast::Hasher::new();
+        hasher.update(&generation.to_le_bytes());
+        Chain(hasher.finalize())
+    }
+
+    fn follow(self, content: &[u8]) -> Chain {
+        let mut hasher = crc32fast::Hasher::new_with_initial(self.0);
+        hasher.update(&(content.len() as u64).to_le_bytes());
+        hasher.update(content);
+        Chain(hasher.finalize())
+    }
+
+    /// Adds a record in its form on disk; the chain after it.
+    pub(super) fn write(self, record: &Record, output: &mut Vec<u8>) -> Chain {
+        let content = record.serialize_bin();
+        let next = self.follow(&content);
+        (content.len() as u32).ser_bin(output);
+        next.0.ser_bin(output);
+        output.extend_from_slice(&content);
+        next
+    }
+
+    /// Reads the record at the start of `bytes`: the record, the chain after it and its size. None if it is torn, or
+    /// left over from something else.
+    pub(super) fn read(self, bytes: &[u8]) -> Option<(Record, Chain, usize)> {
+        let mut offset = 0;
+        let length = u32::de_bin(&mut offset, bytes).ok()? as usize;
+        let checksum = u32::de_bin(&mut offset, bytes).ok()?;
+        let end = HEAD_BYTES.checked_add(length)?;
+        let content = bytes.get(HEAD_BYTES..end)?;
+        let next = self.follow(content);
+        if next.0 != checksum {
+            return None;
+        }
+        let mut offset = 0;
+        let record = Record::de_bin(&mut offset, content).ok()?;
+        (offset == content.len()).then_some((record, next, end))
+    }
+}
--- /dev/null
+++ b/crates/quorum/src/disk/store.rs
@@ -0,0 +1,285 @@
+//! The store of one part: opening, appending, and going on to a new generation.
+
+use std::fs::{File, OpenOptions};
+use std::os::unix::fs::FileExt;
+use std::path::{Path, PathBuf};
+
+use nanoserde::DeBin;
+use snafu::{ResultExt, ensure};
+
+use super::error::{DamagedSnafu, IoSnafu, PoisonedSnafu, StoreError};
+use super::files;
+use super::records::{Chain, Record};
+use super::slot::Slot;
+use crate::entry::{Entry, HardState, Restored, Snapshot, Write};
+
+/// The first generation; its slot has no snapshot.
+const FIRST_GENERATION: u64 = 1;
+
+/// The files of one part.
+#[derive(Debug)]
+pub struct Store {
+    folder: PathBuf,
+    generation: u64,
+    log: LogFile,
+    poisoned: bool,
+}
+
+/// The log's file of the generation in force.
+#[derive(Debug)]
+struct LogFile {
+    path: PathBuf,
+    file: File,
+    /// The whole records, in bytes.
+    length: u64,
+    chain: Chain,
+    /// Something was written since the last sync.
+    dirty: bool,
+}
+
+/// What a log's file holds.
+#[derive(Debug)]
+struct LogContent {
+    generation: u64,
+    hard: HardState,
+    entries: Vec<Entry>,
+    length: u64,
+    chain: Chain,
+    /// There is more than the first record, so the generation has been in force.
+    was_in_force: bool,
+}
+
+impl Store {
+    /// Opens the files in `folder`, which belongs to this store alone, and creates them if there are none. What is
+    /// returned is synced: a torn end of the log has been cut off, and a generation that was not finished is left out.
+    ///
+    /// # Errors
+    ///
+    /// When the disk refuses, or what was synced once can't be read.
+    pub fn open(folder: &Path) -> Result<(Store, Restored), StoreError> {
+        files::create_folder(folder)?;
+        let slots = [read_slot(folder, 0)?, read_slot(folder, 1)?];
+        let logs = [read_log(folder, 0)?, read_log(folder, 1)?];
+        let newest = (0..2)
+            .filter(|&parity| is_whole(&slots[parity], &logs[parity]))
+            .max_by_key(|&parity| slots[parity].as_ref().map(|slot| slot.generation));
+        let generation = newest.and_then(|parity| slots[parity].as_ref()).map(|slot| slot.generation);
+        ensure_nothing_lost(folder, generation, &slots, &logs)?;
+        let [slot, log] = match newest {
+            None => return Store::create(folder),
+            Some(parity) => [parity, parity],
+        };
+        let (Some(slot), Some(log)) =
+            (slots.into_iter().nth(slot).flatten(), logs.into_iter().nth(log).flatten())
+        else {
+            return Store::create(folder);
+        };
+        Store::go_on(folder, slot, log)
+    }
+
+    fn create(folder: &Path) -> Result<(Store, Restored), StoreError> {
+        let log = begin_log(folder, FIRST_GENERATION, HardState::default(), Vec::new())?;
+        write_slot(folder, Slot { generation: FIRST_GENERATION, snapshot: None })?;
+        let store = Store { folder: folder.to_owned(), generation: FIRST_GENERATION, log, poisoned: false };
+        Ok((store, Restored::default()))
+    }
+
+    /// Goes on with a generation that was found whole. A process that ended between write and sync leaves files that
+    /// are readable but not yet safe, so they are synced first.
+    fn go_on(folder: &Path, slot: Slot, content: LogContent) -> Result<(Store, Restored), StoreError> {
+        let generation = slot.generation;
+        let path = log_path(folder, generation);
+        let file =
+            OpenOptions::new().write(true).open(&path).context(IoSnafu { action: "open", path: &path })?;
+        file.set_len(content.length).context(IoSnafu { action: "cut", path: &path })?;
+        file.sync_all().context(IoSnafu { action: "sync", path: &path })?;
+        files::sync_file(&slot_path(folder, generation))?;
+        files::sync_folder(folder)?;
+        let log = LogFile { path, file, length: content.length, chain: content.chain, dirty: false };
+        let restored = Restored { hard: content.hard, snapshot: slot.snapshot, entries: content.entries };
+        Ok((Store { folder: folder.to_owned(), generation, log, poisoned: false }, restored))
+    }
+
+    /// Writes a batch, the records of which go out in one piece; they last once [`Store::sync`] has returned. A
+    /// snapshot is synced right here.
+    ///
+    /// # Errors
+    ///
+    /// When the disk is full or fails. What was there before is unharmed, and the same batch may be tried again, unless
+    /// the error is [`StoreError::Poisoned`] then.
+    pub fn write(&mut self, writes: &[Write]) -> Result<(), StoreError> {
+        ensure!(!self.poisoned, PoisonedSnafu);
+        let newest = writes.iter().rposition(|write| matches!(write, Write::Snapshot { .. }));
+        if let Some(Write::Snapshot { snapshot, hard, entries }) = newest.and_then(|at| writes.get(at)) {
+            self.begin_generation(snapshot.clone(), *hard, entries.clone())?;
+        }
+        let appended = &writes[newest.map_or(0, |at| at + 1)..];
+        let mut bytes = Vec::new();
+        let mut chain = self.log.chain;
+        for record in appended.iter().filter_map(to_record) {
+            chain = chain.write(&record, &mut bytes);
+        }
+        if bytes.is_empty() {
+            return Ok(());
+        }
+        self.append(&bytes, chain)
+    }
+
+    /// Makes everything that was written last.
+    ///
+    /// # Errors
+    ///
+    /// When the disk fails. What the file holds is unknown then, and the store takes nothing more.
+    pub fn sync(&mut self) -> Result<(), StoreError> {
+        ensure!(!self.poisoned, PoisonedSnafu);
+        if !self.log.dirty {
+            return Ok(());
+        }
+        let synced = self.log.file.sync_data();
+        self.poisoned = synced.is_err();
+        self.log.dirty = false;
+        synced.context(IoSnafu { action: "sync", path: &self.log.path })
+    }
+
+    /// The size of the log's file, in bytes.
+    pub fn log_bytes(&self) -> u64 {
+        self.log.length
+    }
+
+    fn append(&mut self, bytes: &[u8], chain: Chain) -> Result<(), StoreError> {
+        let log = &mut self.log;
+        log.dirty = true;
+        if let Err(error) = log.file.write_all_at(bytes, log.length) {
+            // Nothing half may stay behind. If that fails too, nothing may follow it.
+            self.poisoned = log.file.set_len(log.length).is_err();
+            return Err(error).context(IoSnafu { action: "write", path: &log.path });
+        }
+        log.length += bytes.len() as u64;
+        log.chain = chain;
+        Ok(())
+    }
+
+    /// Writes the whole state anew beside the generation in force. Its log comes first: the slot puts it in force.
+    fn begin_generation(
+        &mut self,
+        snapshot: Snapshot,
+        hard: HardState,
+        entries: Vec<Entry>,
+    ) -> Result<(), StoreError> {
+        let generation = self.generation + 1;
+        let log = begin_log(&self.folder, generation, hard, entries)?;
+        // When this fails, the slot may be in force or not; only opening anew can tell.
+        self.poisoned = true;
+        write_slot(&self.folder, Slot { generation, snapshot: Some(snapshot) })?;
+        self.poisoned = false;
+        self.generation = generation;
+        self.log = log;
+        Ok(())
+    }
+}
+
+fn to_record(write: &Write) -> Option<Record> {
+    match write {
+        Write::Hard(hard) => Some(Record::Hard(*hard)),
+        Write::Entries(entries) => Some(Record::Entries(entries.clone())),
+        Write::Snapshot { .. } => None,
+    }
+}
+
+fn slot_path(folder: &Path, generation: u64) -> PathBuf {
+    folder.join(format!("slot-{}", generation % 2))
+}
+
+fn log_path(folder: &Path, generation: u64) -> PathBuf {
+    folder.join(format!("log-{}", generation % 2))
+}
+
+fn write_slot(folder: &Path, slot: Slot) -> Result<(), StoreError> {
+    files::replace(&slot_path(folder, slot.generation), &slot.to_bytes())?;
+    files::sync_folder(folder)
+}
+
+fn begin_log(
+    folder: &Path,
+    generation: u64,
+    hard: HardState,
+    entries: Vec<Entry>,
+) -> Result<LogFile, StoreError> {
+    let path = log_path(folder, generation);
+    let mut bytes = Vec::new();
+    let chain = Chain::of(generation).write(&Record::Base { generation, hard, entries }, &mut bytes);
+    let file = files::replace(&path, &bytes)?;
+    files::sync_folder(folder)?;
+    Ok(LogFile { path, file, length: bytes.len() as u64, chain, dirty: false })
+}
+
+fn read_slot(folder: &Path, parity: u64) -> Result<Option<Slot>, StoreError> {
+    let content = files::read(&slot_path(folder, parity))?;
+    Ok(Slot::from_bytes(&content).filter(|slot| slot.generation % 2 == parity))
+}
+
+fn read_log(folder: &Path, parity: u64) -> Result<Option<LogContent>, StoreError> {
+    let path = log_path(folder, parity);
+    let content = files::read(&path)?;
+    let Some(mut log) = read_base(&content).filter(|log| log.generation % 2 == parity) else {
+        return Ok(None);
+    };
+    while let Some((record, chain, size)) = log.chain.read(&content[log.length as usize..]) {
+        match record {
+            Record::Base { .. } => break,
+            Record::Hard(hard) => log.hard = hard,
+            Record::Entries(entries) => {
+                let follows = replace_tail(&mut log.entries, entries);
+                ensure!(follows, DamagedSnafu { what: "the entries have a gap", path });
+            }
+        }
+        log.chain = chain;
+        log.length += size as u64;
+        log.was_in_force = true;
+    }
+    Ok(Some(log))
+}
+
+/// The first record, which tells the generation that its own checksum starts with.
+fn read_base(content: &[u8]) -> Option<LogContent> {
+    // Length, checksum and the record's kind come before the generation.
+    let mut offset = 4 + 4 + 1;
+    let claimed = u64::de_bin(&mut offset, content).ok()?;
+    let (record, chain, size) = Chain::of(claimed).read(content)?;
+    match record {
+        Record::Base { generation, hard, entries } if generation == claimed => {
+            Some(LogContent { generation, hard, entries, length: size as u64, chain, was_in_force: false })
+        }
+        _ => None,
+    }
+}
+
+/// Puts entries in the stead of everything from the first one's index on. Tells whether they follow on the rest.
+fn replace_tail(entries: &mut Vec<Entry>, newer: Vec<Entry>) -> bool {
+    let Some(first) = newer.first().map(|entry| entry.index) else { return true };
+    entries.truncate(entries.partition_point(|entry| entry.index < first));
+    let follows = entries.last().is_none_or(|last| last.index.next() == first);
+    entries.extend(newer);
+    follows
+}
+
+fn is_whole(slot: &Option<Slot>, log: &Option<LogContent>) -> bool {
+    matches!((slot, log), (Some(slot), Some(log)) if slot.generation == log.generation)
+}
+
+/// Refuses a disk that has lost what it had synced: a slot is written when its log is whole, and a log goes on when its
+/// slot is, and the first generation alone has none before it.
+fn ensure_nothing_lost(
+    folder: &Path,
+    in_force: Option<u64>,
+    slots: &[Option<Slot>; 2],
+    logs: &[Option<LogContent>; 2],
+) -> Result<(), StoreError> {
+    let newest = in_force.unwrap_or(0);
+    let slot_without_log = slots.iter().flatten().any(|slot| slot.generation > newest);
+    ensure!(!slot_without_log, DamagedSnafu { what: "the log of a slot is not whole", path: folder });
+    let ahead = |log: &LogContent| log.was_in_force || log.generation > newest + 1;
+    let log_without_slot = logs.iter().flatten().any(|log| log.generation > newest && ahead(log));
+    ensure!(!log_without_slot, DamagedSnafu { what: "the slot of a log is not whole", path: folder });
+    Ok(())
+}
--- /dev/null
+++ b/crates/quorum/src/group.rs
@@ -0,0 +1,107 @@
+//! The group of replicas that decide, and what counts as their quorum.
+
+use nanoserde::{DeBin, DeBinErr, SerBin};
+
+use crate::blob::{read_list, write_list};
+use crate::ids::{Founding, ReplicaId};
+
+/// The most voters of one group.
+pub const MAX_VOTERS: usize = 31;
+
+/// Who decides. While `outgoing` is not empty the group is joint: decisions need a majority of both lists.
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Group {
+    /// The voters, in ascending order.
+    pub voters: Vec<ReplicaId>,
+    /// The voters of the group before, in ascending order, while the group changes.
+    pub outgoing: Vec<ReplicaId>,
+}
+
+impl Group {
+    /// A settled group of these voters, ordered and each once.
+    pub fn of(voters: impl IntoIterator<Item = ReplicaId>) -> Group {
+        let mut voters: Vec<ReplicaId> = voters.into_iter().collect();
+        voters.sort_unstable();
+        voters.dedup();
+        Group { voters, outgoing: Vec::new() }
+    }
+
+    /// The joint group on the way from this one to `voters`.
+    pub(crate) fn towards(&self, voters: Vec<ReplicaId>) -> Group {
+        Group { voters, outgoing: self.voters.clone() }
+    }
+
+    /// The group after a joint one.
+    pub(crate) fn settled(&self) -> Group {
+        Group { voters: self.voters.clone(), outgoing: Vec::new() }
+    }
+
+    /// Whether a change is under way.
+    pub fn is_joint(&self) -> bool {
+        !self.outgoing.is_empty()
+    }
+
+    /// Whether the replica decides, in either list.
+    pub fn names(&self, replica: ReplicaId) -> bool {
+        self.voters.contains(&replica) || self.outgoing.contains(&replica)
+    }
+
+    /// All who decide, each once.
+    pub fn members(&self) -> impl Iterator<Item = ReplicaId> + '_ {
+        let others = self.outgoing.iter().filter(|replica| !self.voters.contains(replica));
+        self.voters.iter().chain(others).copied()
+    }
+
+    /// Whether those for whom `says_yes` holds are a quorum.
+    pub fn decides(&self, says_yes: impl Fn(ReplicaId) -> bool) -> bool {
+        self.agreed(says_yes)
+    }
+
+    /// The largest value that a quorum has reached.
+    pub fn agreed<T: Ord + Default>(&self, value: impl Fn(ReplicaId) -> T) -> T {
+        let incoming = reached_by_majority(&self.voters, &value);
+        if !self.is_joint() {
+            return incoming;
+        }
+        incoming.min(reached_by_majority(&self.outgoing, &value))
+    }
+
+    /// The fingerprint of a founding with this group.
+    pub fn founding(&self) -> Founding {
+        // FNV-1a over the identities, which are random themselves.
+        const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+        const PRIME: u64 = 0x0000_0100_0000_01b3;
+        let bytes = self.voters.iter().flat_map(|voter| voter.0.to_le_bytes());
+        Founding(bytes.fold(OFFSET, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(PRIME)))
+    }
+
+    /// Whether the lists are ordered, without repeats and of a size that is allowed.
+    pub(crate) fn is_well_formed(&self) -> bool {
+        let ascending = |list: &[ReplicaId]| list.is_sorted_by(|a, b| a < b) && list.len() <= MAX_VOTERS;
+        !self.voters.is_empty() && ascending(&self.voters) && ascending(&self.outgoing)
+    }
+}
+
+/// The largest value that more than half of the voters have reached; the least one if there are no voters.
+fn reached_by_majority<T: Ord + Default>(voters: &[ReplicaId], value: impl Fn(ReplicaId) -> T) -> T {
+    let mut values: Vec<T> = voters.iter().map(|voter| value(*voter)).collect();
+    values.sort_unstable();
+    let minority = values.len().saturating_sub(1) / 2;
+    values.into_iter().nth(minority).unwrap_or_default()
+}
+
+impl SerBin for Group {
+    fn ser_bin(&self, output: &mut Vec<u8>) {
+        write_list(&self.voters, output);
+        write_list(&self.outgoing, output);
+    }
+}
+
+impl DeBin for Group {
+    fn de_bin(offset: &mut usize, bytes: &[u8]) -> Result<Group, DeBinErr> {
+        const IDENTITY_BYTES: usize = 8;
+        let voters = read_list(IDENTITY_BYTES, offset, bytes)?;
+        let outgoing = read_list(IDENTITY_BYTES, offset, bytes)?;
+        Ok(Group { voters, outgoing })
+    }
+}
--- /dev/null
+++ b/crates/quorum/src/message.rs
@@ -0,0 +1,217 @@
+//! The messages between replicas, and their binary form.
+
+use grebeusher_time::Moment;
+use nanoserde::{DeBin, DeBinErr, SerBin};
+use snafu::{Snafu, ensure};
+
+use crate::blob::{Blob, read_list, write_list};
+use crate::entry::Entry;
+use crate::group::Group;
+use crate::ids::{Founding, Index, Position, ReplicaId, Term};
+
+/// The largest message in its binary form, in bytes: the largest command and its surroundings.
+pub const MAX_MESSAGE: usize = crate::MAX_COMMAND + 64 * 1024;
+
+/// A message from one replica to another. It is dropped by every other one than `to`.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, SerBin, DeBin)]
+pub struct Message {
+    pub from: ReplicaId,
+    pub to: ReplicaId,
+    /// The founding that the sender belongs to.
+    pub founding: Founding,
+    /// The sender's term; for a pre-vote, and a pre-vote that was granted, the one that it is about.
+    pub term: Term,
+    pub body: Body,
+}
+
+/// What a message says.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, SerBin, DeBin)]
+pub enum Body {
+    /// Would you vote for me in this term? Promises nothing.
+    PreVote(Candidacy),
+    PreVoteReply(VoteReply),
+    /// Vote for me in this term.
+    Vote(Candidacy),
+    VoteReply(VoteReply),
+    /// Entries of the owner; without any it is a heartbeat.
+    Append(Append),
+    AppendReply(AppendReply),
+    /// A piece of the owner's snapshot.
+    Chunk(Chunk),
+    ChunkReply(ChunkReply),
+    /// The owner gave up its lease: start an election at once.
+    TakeOver,
+}
+
+/// What a candidate says of itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, SerBin, DeBin)]
+pub struct Candidacy {
+    /// The end of its log.
+    pub last: Position,
+    /// The owner of the term before gave up its lease for this election, so that nobody has to wait for its end.
+    pub handed_over: bool,
+}
+
+/// The answer to a candidate.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, SerBin, DeBin)]
+pub struct VoteReply {
+    pub granted: bool,
+}
+
+/// A point of the owner's clock, echoed by the reply: the lease counts from it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, SerBin, DeBin)]
+pub struct Stamp(pub u64);
+
+impl Stamp {
+    pub(crate) fn at(moment: Moment) -> Stamp {
+        Stamp(moment.0)
+    }
+
+    pub(crate) fn moment(self) -> Moment {
+        Moment(self.0)
+    }
+}
+
+/// Entries after a position that the receiver must have.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Append {
+    pub previous: Position,
+    /// What the owner knows to be committed.
+    pub commit: Index,
+    pub sent: Stamp,
+    pub entries: Vec<Entry>,
+}
+
+/// The answer to an append.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, SerBin, DeBin)]
+pub struct AppendReply {
+    pub outcome: Outcome,
+    pub sent: Stamp,
+}
+
+/// What became of an append.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, SerBin, DeBin)]
+pub enum Outcome {
+    /// The log is the owner's up to here, synced.
+    Matched(Index),
+    /// The entry before `refused` differs or is missing; the logs may agree at `hint` at best.
+    Conflict { refused: Index, hint: Index },
+    /// The sender's term is over.
+    Outdated,
+}
+
+/// A piece of a snapshot.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, SerBin, DeBin)]
+pub struct Chunk {
+    pub last: Position,
+    pub group: Group,
+    /// The size of the whole snapshot, in bytes.
+    pub total: u64,
+    pub offset: u64,
+    pub bytes: Blob,
+    pub sent: Stamp,
+}
+
+/// How much of a snapshot has arrived without gaps.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, SerBin, DeBin)]
+pub struct ChunkReply {
+    pub last: Position,
+    pub received: u64,
+    pub sent: Stamp,
+}
+
+impl SerBin for Append {
+    fn ser_bin(&self, output: &mut Vec<u8>) {
+        self.previous.ser_bin(output);
+        self.commit.ser_bin(output);
+        self.sent.ser_bin(output);
+        write_list(&self.entries, output);
+    }
+}
+
+impl DeBin for Append {
+    fn de_bin(offset: &mut usize, bytes: &[u8]) -> Result<Append, DeBinErr> {
+        // Index, term and the payload's kind.
+        const SMALLEST_ENTRY: usize = 8 + 8 + 1;
+        Ok(Append {
+            previous: Position::de_bin(offset, bytes)?,
+            commit: Index::de_bin(offset, bytes)?,
+            sent: Stamp::de_bin(offset, bytes)?,
+            entries: read_list(SMALLEST_ENTRY, offset, bytes)?,
+        })
+    }
+}
+
+/// Why bytes are not a message.
+#[derive(Debug, Snafu)]
+pub enum DecodeError {
+    #[snafu(display("a message of {size} bytes; the most is {MAX_MESSAGE}"))]
+    TooLarge { size: usize },
+    #[snafu(display("not a message: {source}"))]
+    Malformed { source: DeBinErr },
+    #[snafu(display("{extra} bytes after the message"))]
+    Trailing { extra: usize },
+    #[snafu(display("numbers or lists that no replica sends"))]
+    Implausible,
+}
+
+/// The binary form of a message, at most [`MAX_MESSAGE`] bytes for what a replica sends.
+pub fn encode(message: &Message) -> Vec<u8> {
+    message.serialize_bin()
+}
+
+/// Reads a message. What it allocates is at most a few times the input.
+pub fn decode(bytes: &[u8]) -> Result<Message, DecodeError> {
+    ensure!(bytes.len() <= MAX_MESSAGE, TooLargeSnafu { size: bytes.len() });
+    let mut offset = 0;
+    let message = Message::de_bin(&mut offset, bytes).map_err(|source| DecodeError::Malformed { source })?;
+    ensure!(offset == bytes.len(), TrailingSnafu { extra: bytes.len() - offset });
+    ensure!(message.is_plausible(), ImplausibleSnafu);
+    Ok(message)
+}
+
+impl Message {
+    /// Whether numbers and lists are such as a replica sends; others are dropped.
+    pub(crate) fn is_plausible(&self) -> bool {
+        self.term.is_plausible()
+            && match &self.body {
+                Body::Append(append) => append.is_plausible(self.term),
+                Body::Chunk(chunk) => chunk.is_plausible(self.term),
+                _ => true,
+            }
+    }
+}
+
+impl Append {
+    fn is_plausible(&self, term: Term) -> bool {
+        let mut before = self.previous;
+        self.previous.index.is_plausible()
+            && self.previous.term <= term
+            && self.entries.iter().all(|entry| {
+                let follows =
+                    entry.index == before.index.next() && entry.term >= before.term && entry.term <= term;
+                before = entry.position();
+                follows && entry.payload_is_well_formed()
+            })
+    }
+}
+
+impl Entry {
+    fn payload_is_well_formed(&self) -> bool {
+        match &self.payload {
+            crate::entry::Payload::Group(group) => group.is_well_formed(),
+            _ => true,
+        }
+    }
+}
+
+impl Chunk {
+    fn is_plausible(&self, term: Term) -> bool {
+        self.last.index.is_plausible()
+            && self.last.index > Index(0)
+            && self.last.term <= term
+            && self.group.is_well_formed()
+            && self.total <= crate::MAX_SNAPSHOT as u64
+            && self.offset.saturating_add(self.bytes.len() as u64) <= self.total
+    }
+}
--- /dev/null
+++ b/crates/quorum/src/progress.rs
@@ -0,0 +1,207 @@
+//! What an owner knows of one follower or learner, and how much it may send it.
+
+use std::collections::VecDeque;
+
+use grebeusher_time::Moment;
+
+use crate::entry::Snapshot;
+use crate::ids::Index;
+
+/// Entries under way to one follower, in bytes, at most (one message beyond it may start).
+const WINDOW_BYTES: usize = 1024 * 1024;
+
+/// Messages with entries under way to one follower, at most.
+const WINDOW_MESSAGES: usize = 64;
+
+/// A snapshot's bytes under way to one follower, at most.
+const SNAPSHOT_WINDOW: u64 = 4 * crate::MAX_CHUNK as u64;
+
+/// How entries go to a follower.
+#[derive(Clone, Debug)]
+pub(crate) enum Flow {
+    /// Where its log ends is not known: one message at a time.
+    Probe { waiting: bool },
+    /// Its log is known to agree: several messages at a time.
+    Pipeline { flights: VecDeque<Flight>, bytes: usize },
+    /// It needs entries that only the snapshot still has.
+    Snapshot(Transfer),
+}
+
+/// A message with entries that has not been answered.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Flight {
+    last: Index,
+    bytes: usize,
+}
+
+/// A snapshot under way.
+#[derive(Clone, Debug)]
+pub(crate) struct Transfer {
+    pub(crate) snapshot: Snapshot,
+    pub(crate) sent: u64,
+    received: u64,
+    received_at_beat: u64,
+    finished: bool,
+}
+
+impl Transfer {
+    fn total(&self) -> u64 {
+        self.snapshot.bytes.len() as u64
+    }
+}
+
+/// One follower or learner.
+#[derive(Clone, Debug)]
+pub(crate) struct Progress {
+    /// Its log agrees with the owner's up to here, synced.
+    pub(crate) matched: Index,
+    /// The next entry to send.
+    pub(crate) next: Index,
+    pub(crate) flow: Flow,
+    /// When the newest message that it answered in this term was sent.
+    pub(crate) answered: Option<Moment>,
+    /// A heartbeat is due, if nothing else is sent.
+    pub(crate) beat_due: bool,
+}
+
+impl Progress {
+    /// A follower of which nothing is known, probed from the end of the log.
+    pub(crate) fn unknown(last: Index) -> Progress {
+        Progress {
+            matched: Index(0),
+            next: last.next(),
+            flow: Flow::Probe { waiting: false },
+            answered: None,
+            beat_due: true,
+        }
+    }
+
+    /// Notes that a message sent at `sent` was answered.
+    pub(crate) fn note_answer(&mut self, sent: Moment) {
+        self.answered = self.answered.max(Some(sent));
+    }
+
+    /// A heartbeat is due; what was not answered since the last one is sent anew.
+    pub(crate) fn beat(&mut self) {
+        self.beat_due = true;
+        match &mut self.flow {
+            Flow::Probe { waiting } => *waiting = false,
+            Flow::Pipeline { .. } => {}
+            Flow::Snapshot(transfer) => {
+                if transfer.received == transfer.received_at_beat {
+                    transfer.sent = transfer.received;
+                    transfer.finished = false;
+                }
+                transfer.received_at_beat = transfer.received;
+            }
+        }
+    }
+
+    /// Whether entries, or a probe, may be sent now.
+    pub(crate) fn has_room(&self) -> bool {
+        match &self.flow {
+            Flow::Probe { waiting } => !waiting,
+            Flow::Pipeline { flights, bytes } => *bytes < WINDOW_BYTES && flights.len() < WINDOW_MESSAGES,
+            Flow::Snapshot(transfer) => {
+                !transfer.finished && transfer.sent - transfer.received < SNAPSHOT_WINDOW
+            }
+        }
+    }
+
+    /// Notes that entries up to `last` were sent, or an empty probe.
+    pub(crate) fn note_sent(&mut self, last: Index, bytes: usize) {
+        match &mut self.flow {
+            Flow::Probe { waiting } => *waiting = true,
+            Flow::Pipeline { flights, bytes: under_way } => {
+                flights.push_back(Flight { last, bytes });
+                *under_way += bytes;
+                self.next = last.next();
+            }
+            Flow::Snapshot(_) => {}
+        }
+    }
+
+    /// Its log agrees up to `index`. Tells whether that is news.
+    pub(crate) fn note_matched(&mut self, index: Index) -> bool {
+        let news = index > self.matched;
+        self.matched = self.matched.max(index);
+        self.next = self.next.max(self.matched.next());
+        let matched = self.matched;
+        match &mut self.flow {
+            Flow::Probe { .. } => self.start_pipeline(),
+            Flow::Pipeline { flights, bytes } => {
+                while flights.front().is_some_and(|flight| flight.last <= matched) {
+                    let Some(flight) = flights.pop_front() else { break };
+                    *bytes -= flight.bytes;
+                }
+            }
+            Flow::Snapshot(transfer) if matched >= transfer.snapshot.last.index => self.start_pipeline(),
+            Flow::Snapshot(_) => {}
+        }
+        news
+    }
+
+    fn start_pipeline(&mut self) {
+        self.next = self.matched.next();
+        self.flow = Flow::Pipeline { flights: VecDeque::new(), bytes: 0 };
+    }
+
+    /// An append after `refused` did not fit; the logs may agree at `hint` at best. Replies to older messages than the
+    /// newest probe change nothing.
+    pub(crate) fn note_conflict(&mut self, refused: Index, hint: Index) {
+        let concerns_probe = match &self.flow {
+            Flow::Probe { .. } => refused == self.next.previous(),
+            Flow::Pipeline { .. } => refused > self.matched && refused < self.next,
+            Flow::Snapshot(_) => false,
+        };
+        if concerns_probe {
+            self.next = hint.min(refused.previous()).next().max(self.matched.next());
+            self.flow = Flow::Probe { waiting: false };
+        }
+    }
+
+    /// Starts sending a snapshot.
+    pub(crate) fn start_snapshot(&mut self, snapshot: Snapshot) {
+        self.flow =
+            Flow::Snapshot(Transfer { snapshot, sent: 0, received: 0, received_at_beat: 0, finished: false });
+    }
+
+    /// The follower has this much of the snapshot that ends at `last`.
+    pub(crate) fn note_received(&mut self, last: Index, received: u64) {
+        let Flow::Snapshot(transfer) = &mut self.flow else { return };
+        if transfer.snapshot.last.index != last || received > transfer.total() {
+            return;
+        }
+        if received < transfer.received {
+            // It started anew and has lost what it had.
+            transfer.sent = received;
+            transfer.finished = false;
+        }
+        transfer.received = received;
+        transfer.sent = transfer.sent.max(received);
+    }
+
+    /// The log up to which a snapshot is under way, if one is.
+    pub(crate) fn snapshot_under_way(&self) -> Option<Index> {
+        match &self.flow {
+            Flow::Snapshot(transfer) => Some(transfer.snapshot.last.index),
+            _ => None,
+        }
+    }
+
+    /// Whether entries go to it as they come.
+    pub(crate) fn is_pipelined(&self) -> bool {
+        matches!(self.flow, Flow::Pipeline { .. })
+    }
+}
+
+impl Transfer {
+    /// The bounds of the next piece; notes it as sent.
+    pub(crate) fn next_piece(&mut self) -> std::ops::Range<usize> {
+        let start = self.sent;
+        let end = (start + crate::MAX_CHUNK as u64).min(self.total());
+        self.sent = end;
+        self.finished = end == self.total();
+        start as usize..end as usize
+    }
+}
--- /dev/null
+++ b/crates/quorum/src/replica/change.rs
@@ -0,0 +1,223 @@
+//! Change of the group and handing over of the ownership.
+
+use super::Replica;
+use crate::entry::Payload;
+use crate::error::{ChangeError, HandOverError};
+use crate::group::{Group, MAX_VOTERS};
+use crate::ids::{Index, ReplicaId};
+use crate::message::Body;
+use crate::progress::Progress;
+use crate::role::{HandOver, PendingChange, Role};
+
+/// How many entries a learner may be behind when it becomes a voter.
+const SMALL_LAG: u64 = 32;
+
+/// A learner that has not answered for so many times `election_max` is given up.
+const SILENCE: f64 = 3.0;
+
+/// A change whose learners have not caught up within so many times `election_max` is given up.
+const PATIENCE: f64 = 20.0;
+
+impl Replica {
+    /// Changes the group to these voters. New ones are caught up as learners first; then a joint group is in force until
+    /// a quorum of both has it, and the change finishes by itself. The same group again is fine.
+    ///
+    /// # Errors
+    ///
+    /// When this replica is not the owner, or something else is under way.
+    pub fn change_group(
+        &mut self,
+        now: grebeusher_time::Moment,
+        voters: Vec<ReplicaId>,
+    ) -> Result<(), ChangeError> {
+        self.advance(now);
+        let hint = self.owner_hint();
+        let Some(ownership) = self.ownership() else { return Err(ChangeError::NotOwner { hint }) };
+        let wanted = Group::of(voters);
+        if wanted.voters.is_empty() || wanted.voters.len() > MAX_VOTERS {
+            return Err(ChangeError::Invalid);
+        }
+        if ownership.change.is_some() || ownership.hand_over.is_some() || self.group().is_joint() {
+            return Err(ChangeError::UnderWay);
+        }
+        if self.commit < ownership.opening || self.commit < self.log.group_index() {
+            return Err(ChangeError::Unsettled);
+        }
+        if wanted == *self.group() {
+            return Ok(());
+        }
+        self.enlist(&wanted.voters);
+        let since = self.now;
+        if let Some(ownership) = self.ownership_mut() {
+            ownership.change = Some(PendingChange { voters: wanted.voters, since });
+        }
+        self.check_change();
+        Ok(())
+    }
+
+    /// The voters of a change whose learners are still catching up.
+    pub fn pending_change(&self) -> Option<&[ReplicaId]> {
+        let change = self.ownership()?.change.as_ref()?;
+        Some(&change.voters)
+    }
+
+    /// Puts the joint group in force once all learners are nearly where the owner is.
+    pub(super) fn check_change(&mut self) {
+        let Some(ownership) = self.ownership() else { return };
+        let Some(change) = &ownership.change else { return };
+        let last = self.log.last().index;
+        let caught_up =
+            |follower: &Progress| follower.is_pipelined() && follower.matched.plus(SMALL_LAG) >= last;
+        let ready = change.voters.iter().all(|voter| {
+            self.group().names(*voter)
+                || *voter == self.identity
+                || ownership.followers.get(voter).is_some_and(caught_up)
+        });
+        if !ready {
+            return;
+        }
+        let joint = self.group().towards(change.voters.clone());
+        if let Some(ownership) = self.ownership_mut() {
+            ownership.change = None;
+        }
+        self.append(self.hard.term, Payload::Group(joint));
+        self.advance_commit();
+    }
+
+    /// Gives a change up whose learners are silent or too slow.
+    pub(super) fn tick_change(&mut self) {
+        let now = self.now;
+        let silence = self.timing.election_max * SILENCE;
+        let patience = self.timing.election_max * PATIENCE;
+        let group = self.group().clone();
+        let Some(ownership) = self.ownership_mut() else { return };
+        let Some(change) = &ownership.change else { return };
+        let is_silent = |voter: &ReplicaId| {
+            let answered = ownership.followers.get(voter).and_then(|follower| follower.answered);
+            !group.names(*voter) && now > answered.unwrap_or(change.since).max(change.since) + silence
+        };
+        if change.voters.iter().any(is_silent) || now > change.since + patience {
+            ownership.change = None;
+            ownership.followers.retain(|replica, _| group.names(*replica));
+        }
+    }
+
+    /// Goes on with a change when its last entry is committed: from the joint group to the new one, and from there to
+    /// the end of what the new one does not name.
+    pub(super) fn finish_change(&mut self) {
+        if self.commit < self.log.group_index() {
+            return;
+        }
+        if self.group().is_joint() {
+            let settled = self.group().settled();
+            self.append(self.hard.term, Payload::Group(settled));
+            self.advance_commit();
+            return;
+        }
+        self.dismiss_outgoing();
+        if !self.group().names(self.identity) {
+            self.leave();
+        }
+    }
+
+    /// Stops sending to those who left, after a last word by which they learn that they did.
+    fn dismiss_outgoing(&mut self) {
+        let group = self.group().clone();
+        let Some(ownership) = self.ownership_mut() else { return };
+        let learners = ownership.change.as_ref().map_or(&[][..], |change| &change.voters);
+        let stays = |replica: &ReplicaId| group.names(*replica) || learners.contains(replica);
+        let leaving: Vec<ReplicaId> =
+            ownership.followers.keys().filter(|replica| !stays(replica)).copied().collect();
+        for replica in leaving {
+            let last_word = self.last_word(replica);
+            if let Some(body) = last_word {
+                self.send(replica, self.hard.term, body);
+            }
+            if let Some(ownership) = self.ownership_mut() {
+                ownership.followers.remove(&replica);
+            }
+        }
+    }
+
+    /// An owner that the new group does not name ends its ownership in favour of a voter that has everything.
+    fn leave(&mut self) {
+        if let Some(heir) = self.best_heir() {
+            self.send(heir, self.hard.term, Body::TakeOver);
+        }
+        self.follow(self.hard.term, None);
+    }
+
+    /// Hands the ownership to a voter, or to the one that is furthest: proposals are refused from now on, and reads end
+    /// once it has everything and is told to take over. Fails silently, by a new election, when it does not.
+    ///
+    /// # Errors
+    ///
+    /// When this replica is not the owner, is handing over already, or nobody can take over.
+    pub fn hand_over(
+        &mut self,
+        now: grebeusher_time::Moment,
+        to: Option<ReplicaId>,
+    ) -> Result<ReplicaId, HandOverError> {
+        self.advance(now);
+        let hint = self.owner_hint();
+        let Some(ownership) = self.ownership() else { return Err(HandOverError::NotOwner { hint }) };
+        if let Some(hand_over) = ownership.hand_over {
+            let same = to.is_none_or(|to| to == hand_over.target);
+            return if same { Ok(hand_over.target) } else { Err(HandOverError::UnderWay) };
+        }
+        let may_own =
+            |replica: &ReplicaId| *replica != self.identity && self.group().voters.contains(replica);
+        let target = to.or_else(|| self.best_heir()).filter(may_own).ok_or(HandOverError::NoTarget)?;
+        let deadline = self.now + self.timing.election_max;
+        if let Some(ownership) = self.ownership_mut() {
+            ownership.hand_over = Some(HandOver { target, deadline, told: false });
+        }
+        self.check_hand_over();
+        Ok(target)
+    }
+
+    /// The voter that is furthest, of equals the one that answered last.
+    fn best_heir(&self) -> Option<ReplicaId> {
+        let followers = &self.ownership()?.followers;
+        let rank = |voter: &ReplicaId| {
+            followers.get(voter).map_or((Index(0), None), |follower| (follower.matched, follower.answered))
+        };
+        let others = self.group().voters.iter().filter(|voter| **voter != self.identity);
+        others.copied().max_by_key(rank)
+    }
+
+    /// Tells the target to take over once it has everything. From then on the lease is over for the rest of the term.
+    pub(super) fn check_hand_over(&mut self) {
+        let last = self.log.last().index;
+        let deadline = self.now + self.timing.election_max;
+        let Some(ownership) = self.ownership_mut() else { return };
+        let Some(hand_over) = &mut ownership.hand_over else { return };
+        let target = hand_over.target;
+        let has_all = ownership.followers.get(&target).is_some_and(|follower| follower.matched == last);
+        if hand_over.told || !has_all {
+            return;
+        }
+        hand_over.told = true;
+        hand_over.deadline = deadline;
+        ownership.lease_given_up = true;
+        self.send(target, self.hard.term, Body::TakeOver);
+    }
+
+    /// A target that is silent: before it was told, all is as it was; after that only a new term can have a lease.
+    pub(super) fn tick_hand_over(&mut self) {
+        let now = self.now;
+        let Some(ownership) = self.ownership_mut() else { return };
+        let Some(hand_over) = ownership.hand_over.filter(|hand_over| now > hand_over.deadline) else {
+            return;
+        };
+        ownership.hand_over = None;
+        if !hand_over.told {
+            return;
+        }
+        if self.may_stand() {
+            self.start_vote(true);
+        } else {
+            self.role = Role::Follower { owner: None };
+        }
+    }
+}
--- /dev/null
+++ b/crates/quorum/src/replica/election.rs
@@ -0,0 +1,150 @@
+//! Elections: pre-votes, votes, and what a replica may grant.
+
+use std::collections::BTreeSet;
+
+use grebeusher_time::Moment;
+
+use super::Replica;
+use crate::ids::{Index, Position, ReplicaId, Term};
+use crate::message::{Body, Candidacy, VoteReply};
+use crate::role::Role;
+
+impl Replica {
+    /// Asks whether an election has a chance, which promises nothing and disturbs nobody.
+    pub(super) fn start_pre_vote(&mut self) {
+        let granted = BTreeSet::from([self.identity]);
+        let decided = self.group().decides(|voter| granted.contains(&voter));
+        self.role = Role::PreCandidate { granted };
+        self.put_off_election();
+        if decided {
+            self.start_vote(false);
+            return;
+        }
+        let candidacy = Candidacy { last: self.log.last(), handed_over: false };
+        self.ask_others(self.hard.term.next(), Body::PreVote(candidacy));
+    }
+
+    /// Stands in the next term.
+    pub(super) fn start_vote(&mut self, handed_over: bool) {
+        self.adopt(self.hard.term.next());
+        self.hard.voted = Some(self.identity);
+        let granted = BTreeSet::from([self.identity]);
+        let decided = self.group().decides(|voter| granted.contains(&voter));
+        self.role = Role::Candidate { granted };
+        self.put_off_election();
+        if decided {
+            self.become_owner();
+            return;
+        }
+        let candidacy = Candidacy { last: self.log.last(), handed_over };
+        self.ask_others(self.hard.term, Body::Vote(candidacy));
+    }
+
+    fn ask_others(&mut self, term: Term, body: Body) {
+        let others: Vec<ReplicaId> =
+            self.group().members().filter(|member| *member != self.identity).collect();
+        for other in others {
+            self.send(other, term, body.clone());
+        }
+    }
+
+    pub(super) fn receive_pre_vote(&mut self, from: ReplicaId, term: Term, candidacy: Candidacy) {
+        let granted = term > self.hard.term && !self.hears_owner() && self.would_vote(candidacy.last);
+        let answered = if granted { term } else { self.hard.term };
+        self.send(from, answered, Body::PreVoteReply(VoteReply { granted }));
+    }
+
+    pub(super) fn receive_pre_vote_reply(&mut self, from: ReplicaId, term: Term, reply: VoteReply) {
+        if !reply.granted {
+            self.follow_if_newer(term);
+            return;
+        }
+        if term != self.hard.term.next() {
+            return;
+        }
+        let Role::PreCandidate { granted } = &mut self.role else { return };
+        granted.insert(from);
+        let granted = granted.clone();
+        if self.group().decides(|voter| granted.contains(&voter)) {
+            self.start_vote(false);
+        }
+    }
+
+    pub(super) fn receive_vote(&mut self, from: ReplicaId, term: Term, candidacy: Candidacy) {
+        if term < self.hard.term {
+            self.send(from, self.hard.term, Body::VoteReply(VoteReply { granted: false }));
+            return;
+        }
+        if !candidacy.handed_over && self.hears_owner() {
+            return;
+        }
+        self.follow_if_newer(term);
+        let free = self.hard.voted.is_none_or(|voted| voted == from);
+        let follows_nobody = matches!(self.role, Role::Follower { owner: None });
+        let granted = free && follows_nobody && self.would_vote(candidacy.last);
+        if granted && self.hard.voted.is_none() {
+            self.hard.voted = Some(from);
+            self.output.hard = true;
+            self.put_off_election();
+        }
+        self.send(from, self.hard.term, Body::VoteReply(VoteReply { granted }));
+    }
+
+    pub(super) fn receive_vote_reply(&mut self, from: ReplicaId, term: Term, reply: VoteReply) {
+        if term != self.hard.term || !reply.granted {
+            self.follow_if_newer(term);
+            return;
+        }
+        let Role::Candidate { granted } = &mut self.role else { return };
+        granted.insert(from);
+        let granted = granted.clone();
+        if self.group().decides(|voter| granted.contains(&voter)) {
+            self.become_owner();
+        }
+    }
+
+    pub(super) fn receive_take_over(&mut self, from: ReplicaId, term: Term) {
+        let told_by_owner = matches!(self.role, Role::Follower { owner } if owner == Some(from));
+        if term == self.hard.term && told_by_owner && self.may_stand() {
+            self.start_vote(true);
+        }
+    }
+
+    pub(super) fn follow_if_newer(&mut self, term: Term) {
+        if term > self.hard.term {
+            self.follow(term, None);
+        }
+    }
+
+    /// Whether it must not help anybody against an owner that may hold a lease, or may have one itself.
+    fn hears_owner(&self) -> bool {
+        let heard = match self.ownership() {
+            Some(_) => self.quorum_contact(),
+            None => Some(self.heard),
+        };
+        heard.is_some_and(|heard| self.now < heard + self.timing.election_min)
+    }
+
+    /// Whether the candidate's log may hold everything that is committed. A replica without any entry has nothing to
+    /// compare, so it only learns.
+    fn would_vote(&self, last: Position) -> bool {
+        self.log.last().index > Index(0) && last >= self.log.last()
+    }
+
+    /// Notes a sign of a living owner.
+    pub(super) fn note_owner(&mut self, term: Term, owner: ReplicaId) {
+        self.heard = self.now;
+        self.follow(term, Some(owner));
+    }
+
+    /// When a quorum was last asked something that it has answered since.
+    pub(super) fn quorum_contact(&self) -> Option<Moment> {
+        let ownership = self.ownership()?;
+        self.group().agreed(|voter| {
+            if voter == self.identity {
+                return Some(self.now);
+            }
+            ownership.followers.get(&voter).and_then(|follower| follower.answered)
+        })
+    }
+}
--- /dev/null
+++ b/crates/quorum/src/replica/sending.rs
@@ -0,0 +1,116 @@
+//! What an owner sends to each follower: entries, heartbeats, pieces of the snapshot.
+
+use super::Replica;
+use crate::blob::Blob;
+use crate::ids::{Index, Position, ReplicaId};
+use crate::message::{Append, Body, Chunk, Message, Stamp};
+use crate::progress::{Flow, Progress};
+
+impl Replica {
+    /// Whether some follower is to be sent something now.
+    pub(super) fn has_entries_to_send(&self) -> bool {
+        let last = self.log.last().index;
+        let waits = |follower: &Progress| {
+            let in_transfer = matches!(follower.flow, Flow::Snapshot(_));
+            follower.beat_due || (follower.has_room() && (in_transfer || follower.next <= last))
+        };
+        self.ownership().is_some_and(|ownership| ownership.followers.values().any(waits))
+    }
+
+    /// Everything that may be sent to the followers now. It promises nothing of the own disk: what the owner itself has
+    /// counts for a quorum only once it is synced.
+    pub(super) fn entries_to_send(&mut self) -> Vec<(ReplicaId, Message)> {
+        let Some(ownership) = self.ownership_mut() else { return Vec::new() };
+        let mut followers = std::mem::take(&mut ownership.followers);
+        let mut messages = Vec::new();
+        for (replica, follower) in &mut followers {
+            while let Some(body) = self.next_body(follower) {
+                messages.push((*replica, self.message(*replica, self.hard.term, body)));
+                follower.beat_due = false;
+            }
+        }
+        if let Some(ownership) = self.ownership_mut() {
+            ownership.followers = followers;
+        }
+        messages
+    }
+
+    /// The next thing for one follower, if anything is due.
+    fn next_body(&self, follower: &mut Progress) -> Option<Body> {
+        let last = self.log.last().index;
+        let has_news = follower.next <= last;
+        let may_send = follower.has_room();
+        if let Flow::Snapshot(transfer) = &mut follower.flow {
+            let empty = Position::default();
+            let beat = follower.beat_due;
+            return match may_send {
+                true => Some(self.chunk(transfer)),
+                false => beat.then(|| self.heartbeat(empty)),
+            };
+        }
+        let Some(previous) = self.position_before(follower.next) else {
+            return self.start_transfer(follower);
+        };
+        if has_news && may_send {
+            let (entries, bytes) = self.log.batch(follower.next, crate::MAX_APPEND);
+            follower.note_sent(entries.last()?.index, bytes);
+            return Some(self.append_body(previous, entries));
+        }
+        if follower.beat_due {
+            if !follower.is_pipelined() {
+                follower.note_sent(previous.index, 0);
+            }
+            return Some(self.heartbeat(previous));
+        }
+        None
+    }
+
+    /// The follower needs what the log no longer has.
+    fn start_transfer(&self, follower: &mut Progress) -> Option<Body> {
+        follower.start_snapshot(self.log.snapshot()?.clone());
+        let Flow::Snapshot(transfer) = &mut follower.flow else { return None };
+        Some(self.chunk(transfer))
+    }
+
+    fn position_before(&self, next: Index) -> Option<Position> {
+        let index = next.previous();
+        let term = self.log.term_at(index)?;
+        Some(Position { term, index })
+    }
+
+    /// A heartbeat also tells a follower that it missed something: it has no entry at `previous` then.
+    fn heartbeat(&self, previous: Position) -> Body {
+        self.append_body(previous, Vec::new())
+    }
+
+    fn append_body(&self, previous: Position, entries: Vec<crate::entry::Entry>) -> Body {
+        Body::Append(Append { previous, commit: self.commit, sent: Stamp::at(self.now), entries })
+    }
+
+    fn chunk(&self, transfer: &mut crate::progress::Transfer) -> Body {
+        let piece = transfer.next_piece();
+        let snapshot = &transfer.snapshot;
+        Body::Chunk(Chunk {
+            last: snapshot.last,
+            group: snapshot.group.clone(),
+            total: snapshot.bytes.len() as u64,
+            offset: piece.start as u64,
+            bytes: Blob::from(&snapshot.bytes.as_slice()[piece]),
+            sent: Stamp::at(self.now),
+        })
+    }
+
+    /// The last message to a replica that leaves the group: the entries that it still needs, if they fit one.
+    pub(super) fn last_word(&self, replica: ReplicaId) -> Option<Body> {
+        let follower = self.ownership()?.followers.get(&replica)?;
+        let first = follower.matched.next();
+        let previous = self.position_before(first)?;
+        let (entries, _) = self.log.batch(first, crate::MAX_APPEND);
+        Some(self.append_body(previous, entries))
+    }
+
+    /// The oldest snapshot that is still being sent.
+    pub(super) fn oldest_transfer(&self) -> Option<Index> {
+        self.ownership()?.followers.values().filter_map(Progress::snapshot_under_way).min()
+    }
+}
--- /dev/null
+++ b/crates/quorum/src/role.rs
@@ -0,0 +1,52 @@
+//! What a replica is at a time, with what belongs to that only.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use grebeusher_time::Moment;
+
+use crate::ids::{Index, ReplicaId};
+use crate::progress::Progress;
+
+/// What a replica is.
+#[derive(Clone, Debug)]
+pub(crate) enum Role {
+    /// It takes the entries of an owner, or waits for one.
+    Follower { owner: Option<ReplicaId> },
+    /// It asks whether an election has a chance.
+    PreCandidate { granted: BTreeSet<ReplicaId> },
+    /// It asks for votes in its term.
+    Candidate { granted: BTreeSet<ReplicaId> },
+    /// It won its term.
+    Owner(Box<Ownership>),
+}
+
+/// What an owner keeps.
+#[derive(Clone, Debug)]
+pub(crate) struct Ownership {
+    pub(crate) since: Moment,
+    /// The first entry of its own term.
+    pub(crate) opening: Index,
+    pub(crate) followers: BTreeMap<ReplicaId, Progress>,
+    pub(crate) next_beat: Moment,
+    pub(crate) change: Option<PendingChange>,
+    pub(crate) hand_over: Option<HandOver>,
+    /// Once somebody was told to take over, reads are over for the rest of the term: the votes that it may win wait
+    /// for no lease.
+    pub(crate) lease_given_up: bool,
+}
+
+/// A change of the group whose new voters are still learning.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(crate) struct PendingChange {
+    pub(crate) voters: Vec<ReplicaId>,
+    pub(crate) since: Moment,
+}
+
+/// The ownership on its way to another voter.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub(crate) struct HandOver {
+    pub(crate) target: ReplicaId,
+    pub(crate) deadline: Moment,
+    /// Whether the target was told.
+    pub(crate) told: bool,
+}
--- /dev/null
+++ b/crates/quorum/src/timing.rs
@@ -0,0 +1,34 @@
+//! The spans that an ownership rests on.
+
+use grebeusher_time::Span;
+
+/// The spans of heartbeats, elections and the lease.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Timing {
+    /// Between two heartbeats of an owner.
+    pub heartbeat: Span,
+    /// How long a voter that has heard from an owner votes for nobody else, and the least wait for an election.
+    pub election_min: Span,
+    /// The longest wait for an election. An owner that has no quorum's answers for so long steps down.
+    pub election_max: Span,
+    /// How long a quorum's answers allow reads, from the sending of what was answered.
+    pub lease: Span,
+}
+
+/// The part of `election_min` that a lease may take: clocks whose rates are 1% apart, twice, and a margin.
+const LEASE_SHARE: f64 = 0.9;
+
+impl Timing {
+    /// The spans with those that are unsafe or contradict each other brought into bounds: a lease is at most 0.9 of
+    /// `election_min`, and `election_max` is at least 1.2 times that.
+    pub fn bounded(self) -> Timing {
+        let heartbeat = self.heartbeat.max(Span(1));
+        let election_min = self.election_min.max(heartbeat);
+        Timing {
+            heartbeat,
+            election_min,
+            election_max: self.election_max.max(election_min * 1.2),
+            lease: self.lease.min(election_min * LEASE_SHARE),
+        }
+    }
+}
