--- /dev/null
+++ b/crates/registry/src/executor.rs
@@ -0,0 +1,175 @@
+//! One executor, as the nodes know it.
+
+use crate::codec::{Reader, Wire, Writer};
+use crate::error::{DecodeError, UnknownVariantSnafu};
+use crate::hash;
+use std::net::SocketAddrV4;
+
+/// The most models that a register carries; what an executor names beyond is left out.
+pub(crate) const MOST_MODELS: usize = 16;
+
+/// What an executor has said of its life. It only ever moves on, never back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum ExecutorState {
+    /// Takes requests.
+    Up,
+    /// About to end: no new requests.
+    Draining,
+    /// Has deregistered.
+    Gone,
+}
+
+/// A model that an executor holds.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Model {
+    /// Its name.
+    pub name: String,
+    /// The version of its weights.
+    pub config_version: u64,
+}
+
+/// The register of one incarnation of an executor, written by the node that it called last.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Executor {
+    /// The `instance_id`, the key.
+    pub id: String,
+    /// The service that it runs.
+    pub service: String,
+    /// Where it takes requests.
+    pub address: SocketAddrV4,
+    /// Its zone.
+    pub zone: String,
+    /// How many requests it works on at once.
+    pub slot_count: u32,
+    /// The version of its software.
+    pub config_version: String,
+    /// `prefill`, `decode` or `both`; empty if it named none.
+    pub pipeline_stage: String,
+    /// What it has said of its life.
+    pub state: ExecutorState,
+    /// How much longer it stays slow, in ms, when it made the call `call_seq`.
+    pub cold_left_ms: u64,
+    /// The call that this register comes from; plain heartbeats after it are not told.
+    pub call_seq: u64,
+    /// What it holds.
+    pub models: Vec<Model>,
+    /// The name of the node that it called, which sees to its liveness.
+    pub heard_by: String,
+    /// Whether it misses its heartbeats. A hint: it may run all the same.
+    pub silent: bool,
+}
+
+impl Executor {
+    /// Whether it has not ended as far as is known.
+    pub fn exists(&self) -> bool {
+        self.state != ExecutorState::Gone
+    }
+
+    /// Of two registers of one executor the greater is the newer; the last part decides between equals.
+    fn order(&self) -> (u64, bool, u64) {
+        let mut out = Writer::default();
+        self.write(&mut out);
+        (self.call_seq, self.silent, hash::of_bytes(&out.bytes))
+    }
+
+    /// Takes over what is newer in `other`. Whether anything changed.
+    pub(crate) fn merge(&mut self, other: Executor) -> bool {
+        let state = self.state.max(other.state);
+        let newer = if (self.call_seq, self.silent) == (other.call_seq, other.silent) {
+            // Only the state may differ, unless a call was taken twice.
+            let (mut left, mut right) = (self.clone(), other.clone());
+            (left.state, right.state) = (state, state);
+            right.order() > left.order()
+        } else {
+            (other.call_seq, other.silent) > (self.call_seq, self.silent)
+        };
+        let changed = newer || state != self.state;
+        if newer {
+            *self = other;
+        }
+        self.state = state;
+        changed
+    }
+
+    /// Whether others need to know the difference between the two. What a plain heartbeat changes is none.
+    pub(crate) fn differs_from(&self, other: &Executor) -> bool {
+        self.service != other.service
+            || self.address != other.address
+            || self.zone != other.zone
+            || self.slot_count != other.slot_count
+            || self.config_version != other.config_version
+            || self.pipeline_stage != other.pipeline_stage
+            || self.state != other.state
+            || self.models != other.models
+            || self.heard_by != other.heard_by
+            || self.silent != other.silent
+    }
+}
+
+impl Wire for Model {
+    fn write(&self, out: &mut Writer) {
+        out.text(&self.name);
+        out.u64(self.config_version);
+    }
+
+    fn read(input: &mut Reader<'_>) -> Result<Model, DecodeError> {
+        Ok(Model { name: input.text()?, config_version: input.u64()? })
+    }
+}
+
+impl Wire for Executor {
+    fn write(&self, out: &mut Writer) {
+        out.text(&self.id);
+        out.text(&self.service);
+        self.address.write(out);
+        out.text(&self.zone);
+        out.u32(self.slot_count);
+        out.text(&self.config_version);
+        out.text(&self.pipeline_stage);
+        let state = match self.state {
+            ExecutorState::Up => 0,
+            ExecutorState::Draining => 1,
+            ExecutorState::Gone => 2,
+        };
+        out.u8(state | u8::from(self.silent) << 2);
+        out.u64(self.cold_left_ms);
+        out.u64(self.call_seq);
+        out.list(&self.models);
+        out.text(&self.heard_by);
+    }
+
+    fn read(input: &mut Reader<'_>) -> Result<Executor, DecodeError> {
+        let id = input.text()?;
+        let service = input.text()?;
+        let address = SocketAddrV4::read(input)?;
+        let zone = input.text()?;
+        let slot_count = input.u32()?;
+        let config_version = input.text()?;
+        let pipeline_stage = input.text()?;
+        let flags = input.u8()?;
+        let state = match flags & 0b11 {
+            0 => ExecutorState::Up,
+            1 => ExecutorState::Draining,
+            2 => ExecutorState::Gone,
+            _ => return UnknownVariantSnafu { what: "the state of an executor", tag: flags }.fail(),
+        };
+        if flags > 0b111 {
+            return UnknownVariantSnafu { what: "the flags of an executor", tag: flags }.fail();
+        }
+        Ok(Executor {
+            id,
+            service,
+            address,
+            zone,
+            slot_count,
+            config_version,
+            pipeline_stage,
+            state,
+            cold_left_ms: input.u64()?,
+            call_seq: input.u64()?,
+            models: input.list("the models of an executor", MOST_MODELS)?,
+            heard_by: input.text()?,
+            silent: flags & 0b100 != 0,
+        })
+    }
+}
--- /dev/null
+++ b/crates/registry/src/executors.rs
@@ -0,0 +1,373 @@
+//! The set of executors: their calls, and how registers of executors merge.
+
+use crate::executor::{Executor, ExecutorState};
+use crate::placement;
+use crate::register::{Key, Register};
+use crate::registry::{Answer, Event, HeartbeatEffect, Registry};
+use crate::report::HeartbeatReport;
+use grebeusher_time::{Moment, Span};
+use std::collections::{BTreeMap, VecDeque};
+
+/// Between two looks at all executors.
+const SCAN: Span = Span::millis(500);
+
+/// How many executors are taken in at most: seven times the largest design.
+const MOST_EXECUTORS: usize = 16_384;
+
+/// How many executors that ended are remembered at most.
+const MOST_TOMBSTONES: usize = 4_096;
+
+/// The longest id that a register holds, in bytes.
+const LONGEST_ID: usize = crate::codec::LONGEST_TEXT;
+
+/// One executor with what this node has noticed of it.
+struct Entry {
+    /// The register, but also silent if only this node finds it so.
+    shown: Executor,
+    /// Whether the register says so.
+    told_silent: bool,
+    /// The latest call to this node, whose news may not have been worth telling.
+    latest_call: u64,
+    /// When this node last had a call, or came to see to the executor.
+    last_beat: Moment,
+    /// Since when the node that saw to it is gone.
+    orphan_since: Option<Moment>,
+    /// Since when it is silent or gone.
+    quiet_since: Option<Moment>,
+    /// The state that this node has told everyone, with confirmation.
+    told_state: ExecutorState,
+}
+
+impl Entry {
+    fn new(executor: Executor, now: Moment) -> Entry {
+        Entry {
+            told_silent: executor.silent,
+            latest_call: executor.call_seq,
+            last_beat: now,
+            orphan_since: None,
+            quiet_since: None,
+            told_state: ExecutorState::Up,
+            shown: executor,
+        }
+    }
+
+    fn told(&self) -> Executor {
+        Executor { silent: self.told_silent, ..self.shown.clone() }
+    }
+
+    fn show(&mut self, executor: Executor, now: Moment) {
+        if executor.heard_by != self.shown.heard_by {
+            self.last_beat = now;
+        }
+        self.latest_call = self.latest_call.max(executor.call_seq);
+        self.told_silent = executor.silent;
+        self.orphan_since = None;
+        self.shown = executor;
+    }
+
+    fn is_quiet(&self) -> bool {
+        self.shown.silent || !self.shown.exists()
+    }
+}
+
+/// The state of the set.
+pub(crate) struct Executors {
+    entries: BTreeMap<String, Entry>,
+    tombstones: BTreeMap<String, Executor>,
+    /// The tombstones from the oldest on.
+    buried: VecDeque<(Moment, String)>,
+    next_scan: Moment,
+}
+
+impl Executors {
+    pub(crate) fn new(now: Moment) -> Executors {
+        Executors {
+            entries: BTreeMap::new(),
+            tombstones: BTreeMap::new(),
+            buried: VecDeque::new(),
+            next_scan: now + SCAN,
+        }
+    }
+
+    pub(crate) fn next_wake(&self) -> Moment {
+        self.next_scan
+    }
+
+    pub(crate) fn iter(&self) -> impl Iterator<Item = &Executor> {
+        self.entries.values().map(|entry| &entry.shown)
+    }
+
+    pub(crate) fn get(&self, id: &str) -> Option<&Executor> {
+        Some(&self.entries.get(id)?.shown)
+    }
+
+    /// The register as it is told to others, also of one that is only remembered.
+    pub(crate) fn told(&self, id: &str) -> Option<Executor> {
+        self.entries.get(id).map(Entry::told).or_else(|| self.tombstones.get(id).cloned())
+    }
+
+    /// Notes that everyone has confirmed this state.
+    pub(crate) fn set_told(&mut self, id: &str, state: ExecutorState) {
+        if let Some(entry) = self.entries.get_mut(id) {
+            entry.told_state = entry.told_state.max(state);
+        }
+    }
+
+    /// Leaves a span out of all waits.
+    pub(crate) fn shift(&mut self, by: Span) {
+        for entry in self.entries.values_mut() {
+            entry.last_beat = entry.last_beat + by;
+            entry.orphan_since = entry.orphan_since.map(|since| since + by);
+        }
+    }
+}
+
+impl Registry {
+    /// Takes a heartbeat of an executor.
+    pub fn heartbeat(&mut self, now: Moment, report: HeartbeatReport) -> HeartbeatEffect {
+        let members = self.members.values().map(|entry| &entry.member);
+        let isolated = self.is_isolated(now);
+        let target = placement::heartbeat_target(&report.id, &report.zone, members).filter(|_| !isolated);
+        let (id, drains) = (report.id.clone(), report.state == ExecutorState::Draining);
+        self.take_report(now, report);
+        let untold = self.executors.entries.get(&id).is_some_and(|entry| {
+            entry.shown.state == ExecutorState::Draining && entry.told_state < ExecutorState::Draining
+        });
+        let answer = if drains && untold {
+            Answer::WhenTold(self.tell_all(now, &id, ExecutorState::Draining))
+        } else {
+            Answer::Now
+        };
+        HeartbeatEffect { answer, heartbeat_target: target }
+    }
+
+    /// Takes the last call of an executor.
+    pub fn deregister(&mut self, now: Moment, id: &str) -> Answer {
+        if id.is_empty() || id.len() > LONGEST_ID {
+            return Answer::Now;
+        }
+        if self.executors.tombstones.get(id).is_some_and(|executor| !executor.exists()) {
+            return Answer::Now;
+        }
+        let known = self.executors.told(id).unwrap_or_else(|| unknown_executor(id, &self.own_name));
+        let gone = Executor { state: ExecutorState::Gone, ..known };
+        if !self.put_executor(now, gone) {
+            return Answer::Now;
+        }
+        let told =
+            self.executors.entries.get(id).is_some_and(|entry| entry.told_state == ExecutorState::Gone);
+        if told { Answer::Now } else { Answer::WhenTold(self.tell_all(now, id, ExecutorState::Gone)) }
+    }
+
+    fn take_report(&mut self, now: Moment, report: HeartbeatReport) {
+        let drains = report.state == ExecutorState::Draining;
+        let Some(told) = self.executors.told(&report.id) else {
+            let fresh = register_of(report, &self.own_name);
+            return self.take_new(now, fresh);
+        };
+        let latest = self.executors.entries.get(&report.id).map_or(told.call_seq, |entry| entry.latest_call);
+        if report.call_seq <= latest {
+            // Late. Only that it drains still counts, as it never goes back.
+            if drains && told.state == ExecutorState::Up {
+                self.put_executor(now, Executor { state: ExecutorState::Draining, ..told });
+            }
+            return;
+        }
+        let mut fresh = register_of(report, &self.own_name);
+        fresh.state = fresh.state.max(told.state);
+        let id = fresh.id.clone();
+        if fresh.differs_from(&told) {
+            let news_by_telling = drains && told.state == ExecutorState::Up;
+            if self.put_executor(now, fresh.clone()) && !news_by_telling {
+                self.announce(now, Key::Executor(id.clone()));
+            }
+        }
+        if let Some(entry) = self.executors.entries.get_mut(&id) {
+            entry.latest_call = entry.latest_call.max(fresh.call_seq);
+            entry.last_beat = now;
+        }
+    }
+
+    fn take_new(&mut self, now: Moment, fresh: Executor) {
+        let (id, address, drains) = (fresh.id.clone(), fresh.address, fresh.state != ExecutorState::Up);
+        if !self.put_executor(now, fresh) {
+            return;
+        }
+        if !drains {
+            self.announce(now, Key::Executor(id.clone()));
+        }
+        // Whoever had the address before has ended, even if it did not say so.
+        let former = self.executors.iter().filter(|other| other.address == address && other.id != id);
+        let former: Vec<String> =
+            former.filter(|other| other.exists() && !other.silent).map(|other| other.id.clone()).collect();
+        former.iter().for_each(|former| self.tell_silent(now, former));
+    }
+
+    /// Merges the register of an executor that another node told.
+    pub(crate) fn merge_executor(&mut self, now: Moment, incoming: Executor) {
+        let Some(mut told) = self.executors.told(&incoming.id) else {
+            self.put_executor(now, incoming);
+            return;
+        };
+        if !told.merge(incoming) {
+            return;
+        }
+        let id = told.id.clone();
+        let own = self.executors.entries.get(&id).filter(|entry| {
+            entry.shown.heard_by == self.own_name && entry.latest_call > told.call_seq && told.exists()
+        });
+        let Some(entry) = own else {
+            self.put_executor(now, told);
+            return;
+        };
+        // This node has heard from it later than what it is told now.
+        let mine = Executor { state: told.state, call_seq: entry.latest_call, silent: false, ..entry.told() };
+        self.put_executor(now, mine);
+        self.announce(now, Key::Executor(id));
+    }
+
+    /// Puts a register in the place of the one before. Whether there was room.
+    fn put_executor(&mut self, now: Moment, executor: Executor) -> bool {
+        let id = executor.id.clone();
+        let remembered = self.executors.tombstones.contains_key(&id);
+        if remembered && (executor.silent || !executor.exists()) {
+            self.count_executor(&executor);
+            self.executors.tombstones.insert(id, executor);
+            return true;
+        }
+        let known = self.executors.entries.contains_key(&id);
+        if !known && self.executors.entries.len() >= MOST_EXECUTORS {
+            return false;
+        }
+        self.executors.tombstones.remove(&id);
+        self.count_executor(&executor);
+        match self.executors.entries.get_mut(&id) {
+            Some(entry) => entry.show(executor, now),
+            None => {
+                self.executors.entries.insert(id.clone(), Entry::new(executor, now));
+            }
+        }
+        self.note_executor_change(id);
+        true
+    }
+
+    fn note_executor_change(&mut self, id: String) {
+        self.generation.executors += 1;
+        self.output.events.push(Event::ExecutorChanged { id });
+    }
+
+    /// Executors that are silent or gone are not in the digest, as nodes forget them at different times.
+    fn count_executor(&mut self, told: &Executor) {
+        let live = told.exists() && !told.silent;
+        self.digest.set(Key::Executor(told.id.clone()), Register::Executor(told.clone()).hash(), live);
+    }
+
+    fn tell_silent(&mut self, now: Moment, id: &str) {
+        if let Some(told) = self.executors.told(id) {
+            self.put_executor(now, Executor { silent: true, ..told });
+            self.announce(now, Key::Executor(id.to_owned()));
+        }
+    }
+
+    pub(crate) fn tick_executors(&mut self, now: Moment) {
+        if self.executors.next_scan > now {
+            return;
+        }
+        self.executors.next_scan = now + SCAN;
+        let bound = self.timings.executor_silence();
+        let retention = self.timings.executor_retention;
+        let (mut silent, mut shown_anew, mut over) = (Vec::new(), Vec::new(), Vec::new());
+        for (id, entry) in &mut self.executors.entries {
+            let owner = self.members.get(&entry.shown.heard_by);
+            let owner_lives = owner.is_some_and(|owner| owner.member.serves());
+            let own = entry.shown.heard_by == self.own_name;
+            let was_silent = entry.shown.silent;
+            if own && !was_silent && entry.shown.exists() && now.since(entry.last_beat) > bound {
+                silent.push(id.clone());
+            }
+            if owner_lives {
+                entry.orphan_since = None;
+                entry.shown.silent = entry.told_silent;
+            } else if now.since(*entry.orphan_since.get_or_insert(now)) > bound {
+                entry.shown.silent = true;
+            }
+            if entry.shown.silent != was_silent {
+                shown_anew.push(id.clone());
+            }
+            if !entry.is_quiet() {
+                entry.quiet_since = None;
+            } else if now.since(*entry.quiet_since.get_or_insert(now)) > retention {
+                over.push(id.clone());
+            }
+        }
+        silent.iter().for_each(|id| self.tell_silent(now, id));
+        shown_anew.into_iter().for_each(|id| self.note_executor_change(id));
+        over.iter().for_each(|id| self.bury(now, id));
+        self.forget_buried(now);
+    }
+
+    /// No longer shows an executor, but remembers it so that late news of it are known for what they are.
+    fn bury(&mut self, now: Moment, id: &str) {
+        let Some(entry) = self.executors.entries.remove(id) else {
+            return;
+        };
+        let mut told = entry.told();
+        told.silent = true;
+        self.count_executor(&told);
+        self.executors.tombstones.insert(id.to_owned(), told);
+        self.executors.buried.push_back((now, id.to_owned()));
+        self.note_executor_change(id.to_owned());
+    }
+
+    fn forget_buried(&mut self, now: Moment) {
+        while let Some((since, id)) = self.executors.buried.front().cloned() {
+            let many = self.executors.buried.len() > MOST_TOMBSTONES;
+            if !many && now.since(since) <= self.timings.tombstone_retention {
+                return;
+            }
+            self.executors.buried.pop_front();
+            // One that came back and was buried again stands here a second time, later.
+            let again = self.executors.buried.iter().any(|(_, other)| *other == id);
+            if !again && self.executors.tombstones.remove(&id).is_some() {
+                self.digest.remove(&Key::Executor(id));
+            }
+        }
+    }
+}
+
+fn register_of(report: HeartbeatReport, heard_by: &str) -> Executor {
+    Executor {
+        id: report.id,
+        service: report.service,
+        address: report.address,
+        zone: report.zone,
+        slot_count: report.slot_count,
+        config_version: report.config_version,
+        pipeline_stage: report.pipeline_stage,
+        state: report.state,
+        cold_left_ms: report.cold_left_ms,
+        call_seq: report.call_seq,
+        models: report.models,
+        heard_by: heard_by.to_owned(),
+        silent: false,
+    }
+}
+
+/// An executor that says that it ends and that this node has never heard of; others may have.
+fn unknown_executor(id: &str, heard_by: &str) -> Executor {
+    Executor {
+        id: id.to_owned(),
+        service: String::new(),
+        address: std::net::SocketAddrV4::new(std::net::Ipv4Addr::UNSPECIFIED, 0),
+        zone: String::new(),
+        slot_count: 0,
+        config_version: String::new(),
+        pipeline_stage: String::new(),
+        state: ExecutorState::Gone,
+        cold_left_ms: 0,
+        call_seq: 0,
+        models: Vec::new(),
+        heard_by: heard_by.to_owned(),
+        silent: false,
+    }
+}
--- /dev/null
+++ b/crates/registry/src/facts.rs
@@ -0,0 +1,58 @@
+//! Small things that a node tells all others of itself.
+
+use crate::codec::{Reader, Wire, Writer};
+use crate::error::{DecodeError, TooLongSnafu};
+use snafu::Snafu;
+
+/// The largest payload, in bytes.
+pub const LARGEST_FACTS: usize = 512;
+
+/// A payload exceeds [`LARGEST_FACTS`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
+#[snafu(display("facts of {length} bytes"))]
+pub struct FactsTooLarge {
+    /// The length of the payload.
+    pub length: usize,
+}
+
+/// The register of what one node says of itself; the newest takes the place of all before.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Facts {
+    /// The name of the node, the key.
+    pub node: String,
+    /// The node's incarnation when it said so.
+    pub incarnation: u64,
+    /// Rises with each change within an incarnation.
+    pub counter: u64,
+    /// Bytes that only the caller understands.
+    pub payload: Vec<u8>,
+}
+
+impl Facts {
+    /// Of two registers of one node the greater is the newer.
+    pub(crate) fn order(&self) -> (u64, u64) {
+        (self.incarnation, self.counter)
+    }
+}
+
+impl Wire for Facts {
+    fn write(&self, out: &mut Writer) {
+        out.text(&self.node);
+        out.u64(self.incarnation);
+        out.u64(self.counter);
+        let length = self.payload.len().min(LARGEST_FACTS);
+        out.u16(length as u16);
+        out.bytes.extend_from_slice(&self.payload[..length]);
+    }
+
+    fn read(input: &mut Reader<'_>) -> Result<Facts, DecodeError> {
+        let node = input.text()?;
+        let incarnation = input.u64()?;
+        let counter = input.u64()?;
+        let length = usize::from(input.u16()?);
+        if length > LARGEST_FACTS {
+            return TooLongSnafu { what: "facts", length, largest: LARGEST_FACTS }.fail();
+        }
+        Ok(Facts { node, incarnation, counter, payload: input.take(length)?.to_vec() })
+    }
+}
--- /dev/null
+++ b/crates/registry/src/liveness.rs
@@ -0,0 +1,311 @@
+//! Heartbeats, watchers, deaths, and the calls to the dead by which cuts heal.
+
+use crate::member::{MemberState, NodeId};
+use crate::message::{Heartbeat, Message};
+use crate::register::Key;
+use crate::registry::{Event, Registry};
+use grebeusher_time::{Moment, Span};
+use rand::Rng;
+use rand::seq::IteratorRandom;
+use std::collections::BTreeMap;
+use std::net::SocketAddrV4;
+
+/// Between two questions after a node that is silent.
+const ASK_AGAIN: Span = Span::millis(300);
+
+/// How many other nodes are asked to ping a silent one: its link to this node may be all that fails.
+const HELPERS: usize = 3;
+
+/// How much later the next watcher calls a node dead than the one before, so that mostly one tells.
+const STAGGER: Span = Span::millis(100);
+
+/// How many calls a second a dead node gets from all others together, and a node makes at most.
+const PROBES_PER_SECOND: f64 = 4.0;
+
+/// How much less often those are called that have been dead for [`LONG_DEAD`].
+const LONG_DEAD_SHARE: f64 = 0.25;
+
+/// After this a dead node is hardly expected back.
+const LONG_DEAD: Span = Span::millis(30_000);
+
+/// Between two looks at tombstones.
+const SWEEP: Span = Span::millis(5_000);
+
+/// Between two events that say that the configuration is behind the same version.
+const CONFIGURATION_AGAIN: Span = Span::millis(200);
+
+/// What a watcher knows of one that it watches.
+struct Watch {
+    name: String,
+    /// Silence counts from here at the earliest.
+    since: Moment,
+    asked: Option<Moment>,
+    rounds: u32,
+    /// Nearest first: how far the watched node stands before this one.
+    rank: u64,
+}
+
+/// The state of heartbeats and watches.
+pub(crate) struct Liveness {
+    next_beat: Moment,
+    next_probe: Option<Moment>,
+    next_sweep: Moment,
+    next_watch: Option<Moment>,
+    /// When anything last came from anyone.
+    pub(crate) last_heard: Option<Moment>,
+    watches: BTreeMap<NodeId, Watch>,
+    probe_cursor: usize,
+    behind: Option<(Moment, u64)>,
+}
+
+impl Liveness {
+    pub(crate) fn new(now: Moment, first_beat: Moment, probe_cursor: usize) -> Liveness {
+        Liveness {
+            next_beat: first_beat,
+            next_probe: None,
+            next_sweep: now + SWEEP,
+            next_watch: None,
+            last_heard: None,
+            watches: BTreeMap::new(),
+            probe_cursor,
+            behind: None,
+        }
+    }
+
+    pub(crate) fn next_wake(&self) -> Option<Moment> {
+        [Some(self.next_beat), self.next_probe, Some(self.next_sweep), self.next_watch]
+            .into_iter()
+            .flatten()
+            .min()
+    }
+
+    /// Counts every silence from now on.
+    pub(crate) fn restart(&mut self, now: Moment) {
+        self.last_heard = None;
+        self.next_beat = now;
+        self.next_watch = Some(now);
+        for watch in self.watches.values_mut() {
+            watch.since = now;
+            watch.asked = None;
+            watch.rounds = 0;
+        }
+    }
+}
+
+impl Registry {
+    /// Whether this node has heard nobody for a while, though it knows of others. What it misses then is its own
+    /// fault, so it calls nobody dead.
+    pub fn is_isolated(&self, now: Moment) -> bool {
+        let bound = self.timings.heartbeat * 2.5;
+        self.ring.len() > 1 && self.liveness.last_heard.is_none_or(|heard| now.since(heard) > bound)
+    }
+
+    /// Follows a change of the ring: takes up whom this node has to watch now.
+    pub(crate) fn rewatch(&mut self, now: Moment) {
+        let mut before = std::mem::take(&mut self.liveness.watches);
+        let mut watches = BTreeMap::new();
+        for (rank, place) in self.ring.predecessors(self.timings.watchers).enumerate() {
+            let known = self.members.get(&place.name).map(|entry| entry.changed);
+            // A node that has long been there came to be watched as another died; perhaps it did too.
+            let settled = known.is_some_and(|changed| now.since(changed) > self.timings.dead_after);
+            let since = if settled { now - self.timings.suspect_after } else { now };
+            let mut watch = before.remove(&place.id).unwrap_or_else(|| Watch {
+                name: place.name.clone(),
+                since,
+                asked: None,
+                rounds: 0,
+                rank: 0,
+            });
+            watch.rank = rank as u64;
+            watches.insert(place.id, watch);
+        }
+        self.liveness.watches = watches;
+        self.liveness.next_watch = Some(now);
+    }
+
+    pub(crate) fn tick_liveness(&mut self, now: Moment) {
+        if self.liveness.next_beat <= now {
+            self.beat(now);
+        }
+        if self.liveness.next_watch.is_some_and(|next| next <= now) {
+            self.check_watches(now);
+        }
+        if self.liveness.next_sweep <= now {
+            self.liveness.next_sweep = now + SWEEP;
+            self.forget_dead(now);
+        }
+        self.tick_probes(now);
+    }
+
+    fn beat(&mut self, now: Moment) {
+        self.liveness.next_beat = now + self.timings.heartbeat;
+        let watchers: Vec<SocketAddrV4> =
+            self.ring.successors(self.timings.watchers).map(|place| place.address).collect();
+        let random = self.random_other().map(|(_, address)| address);
+        let random = random.filter(|address| !watchers.contains(address));
+        for address in watchers.into_iter().chain(random) {
+            let heartbeat = self.own_heartbeat();
+            self.send(address, heartbeat);
+        }
+    }
+
+    fn check_watches(&mut self, now: Moment) {
+        let isolated = self.is_isolated(now);
+        let mut next = now + self.timings.suspect_after;
+        let (mut ask, mut dead) = (Vec::new(), Vec::new());
+        for (id, watch) in &mut self.liveness.watches {
+            let Some(entry) = self.members.get(&watch.name) else {
+                continue;
+            };
+            let heard = entry.last_heard.unwrap_or(Moment(0)).max(watch.since);
+            let silence = now.since(heard);
+            let suspect_after = self.timings.suspect_after;
+            if silence < suspect_after {
+                (watch.asked, watch.rounds) = (None, 0);
+                next = next.min(heard + suspect_after);
+                continue;
+            }
+            let bound = self.timings.dead_after * entry.patience(now) + Span(STAGGER.0 * watch.rank);
+            if silence >= bound && watch.rounds > 0 && !isolated {
+                dead.push(watch.name.clone());
+                continue;
+            }
+            if watch.asked.is_none_or(|asked| now.since(asked) >= ASK_AGAIN) {
+                watch.asked = Some(now);
+                watch.rounds += 1;
+                ask.push((*id, watch.name.clone(), entry.member.address, watch.rounds));
+            }
+            let again = watch.asked.unwrap_or(now) + ASK_AGAIN;
+            next = next.min(if heard + bound > now { again.min(heard + bound) } else { again });
+        }
+        self.liveness.next_watch = (!self.liveness.watches.is_empty()).then_some(next);
+        for (id, name, address, rounds) in ask {
+            self.ask_after(id, &name, address, rounds);
+        }
+        for name in dead {
+            self.declare_dead(now, &name);
+        }
+    }
+
+    fn ask_after(&mut self, id: NodeId, name: &str, address: SocketAddrV4, rounds: u32) {
+        if rounds > 1 {
+            self.set_suspect(name, true);
+        }
+        self.send(address, Message::Ping { asker: None });
+        let others = self.ring.others().filter(|place| place.id != id).map(|place| place.address);
+        let helpers = others.choose_multiple(&mut self.random, HELPERS);
+        for helper in helpers {
+            self.send(helper, Message::PingFor(id));
+        }
+    }
+
+    fn declare_dead(&mut self, now: Moment, name: &str) {
+        let Some(entry) = self.members.get(name) else {
+            return;
+        };
+        let mut member = entry.member.clone();
+        member.state = MemberState::Dead;
+        self.put_member(now, member);
+        self.announce(now, Key::Member(name.to_owned()));
+    }
+
+    pub(crate) fn receive_ping_for(&mut self, from: SocketAddrV4, subject: NodeId) {
+        let asker = self.by_address.get(&from).map(|name| NodeId::of(name));
+        // The asker learns at least that this node hears it.
+        self.send(from, Message::Pong { subject: self.own, asker: None });
+        let Some(address) = self.member_of(subject).map(|entry| entry.member.address) else {
+            return;
+        };
+        if asker.is_some() && address != self.own_address {
+            self.send(address, Message::Ping { asker });
+        }
+    }
+
+    pub(crate) fn receive_pong(&mut self, now: Moment, subject: NodeId, asker: Option<NodeId>) {
+        if let Some(asker) = asker.filter(|asker| *asker != self.own) {
+            let address = self.member_of(asker).map(|entry| entry.member.address);
+            if let Some(address) = address {
+                self.send(address, Message::Pong { subject, asker: Some(asker) });
+            }
+            return;
+        }
+        let Some(name) = self.member_of(subject).map(|entry| entry.member.name.clone()) else {
+            return;
+        };
+        if let Some(entry) = self.members.get_mut(&name) {
+            entry.last_heard = Some(now);
+        }
+        self.set_suspect(&name, false);
+    }
+
+    pub(crate) fn receive_heartbeat(&mut self, now: Moment, from: SocketAddrV4, heartbeat: Heartbeat) {
+        self.note_configuration(now, from, heartbeat.configuration_version);
+        let theirs = (heartbeat.incarnation, heartbeat.status_version);
+        let known = self.member_of(heartbeat.node).map(|entry| {
+            let member = &entry.member;
+            ((member.incarnation, member.status_version), member.serves(), member.name.clone())
+        });
+        match known {
+            None => self.send(from, Message::Want(vec![heartbeat.node.0])),
+            Some((ours, ..)) if theirs > ours => self.send(from, Message::Want(vec![heartbeat.node.0])),
+            Some((ours, serves, name)) if theirs < ours || !serves => {
+                self.send_registers(from, &[Key::Member(name)]);
+            }
+            Some(_) => {}
+        }
+        if heartbeat.digest != self.digest.total() {
+            self.start_repair(now, from);
+        }
+    }
+
+    fn note_configuration(&mut self, now: Moment, peer: SocketAddrV4, version: u64) {
+        if version <= self.configuration_version {
+            return;
+        }
+        let told = self.liveness.behind;
+        if told.is_some_and(|(at, of)| of >= version && now.since(at) < CONFIGURATION_AGAIN) {
+            return;
+        }
+        self.liveness.behind = Some((now, version));
+        self.output.events.push(Event::ConfigurationBehind { peer, version });
+    }
+
+    /// Calls one of the dead now and then: all live nodes together call each at a bounded pace.
+    fn tick_probes(&mut self, now: Moment) {
+        if self.liveness.next_probe.is_some_and(|next| next > now) {
+            return;
+        }
+        let lone_seeds = if self.joining.next_wake().is_some() { Vec::new() } else { self.unnamed_seeds() };
+        let dead = self.members.values().filter(|entry| entry.is_dead());
+        let pool: Vec<SocketAddrV4> = dead.clone().map(|entry| entry.member.address).collect();
+        let long_dead = dead.filter(|entry| now.since(entry.changed) > LONG_DEAD).count();
+        let weight =
+            (pool.len() - long_dead) as f64 + (long_dead + lone_seeds.len()) as f64 * LONG_DEAD_SHARE;
+        if weight == 0.0 {
+            self.liveness.next_probe = None;
+            return;
+        }
+        let rate = PROBES_PER_SECOND * (weight / self.ring.len().max(1) as f64).min(1.0);
+        let first = self.liveness.next_probe.is_none();
+        let wait = Span::secs(self.random.random_range(0.5..1.5) / rate);
+        self.liveness.next_probe = Some(now + wait);
+        if first {
+            return;
+        }
+        self.probe(&pool, &lone_seeds);
+    }
+
+    fn probe(&mut self, dead: &[SocketAddrV4], seeds: &[SocketAddrV4]) {
+        let index = self.liveness.probe_cursor % (dead.len() + seeds.len());
+        self.liveness.probe_cursor = self.liveness.probe_cursor.wrapping_add(1);
+        match dead.get(index) {
+            Some(address) => self.send(*address, self.own_heartbeat()),
+            None => self.send(seeds[index - dead.len()], Message::Join(self.own_member().clone())),
+        }
+    }
+
+    /// Seeds at whose addresses nobody is known, dead or alive.
+    fn unnamed_seeds(&self) -> Vec<SocketAddrV4> {
+        self.unknown_seeds().filter(|seed| !self.by_address.contains_key(seed)).collect()
+    }
+}
--- /dev/null
+++ b/crates/registry/src/members.rs
@@ -0,0 +1,273 @@
+//! The set of nodes: how registers of nodes merge, and how a node answers to what is said of it.
+
+use crate::member::{Member, MemberState, NodeId};
+use crate::register::{Key, Register};
+use crate::registry::{Event, Registry};
+use crate::ring::Ring;
+use grebeusher_time::{Moment, Span};
+use rand::Rng;
+use std::net::SocketAddrV4;
+
+/// How many dead nodes are remembered at most.
+const MOST_TOMBSTONES: usize = 1_024;
+
+/// How many live nodes are taken in at most: over twice the largest design.
+const MOST_MEMBERS: usize = 2_048;
+
+/// A node that was falsely called dead again within this span is given more time from then on.
+const DOUBT: Span = Span::millis(20_000);
+
+/// How often the time that a node is given doubles at most.
+const MOST_DOUBTS: u32 = 3;
+
+/// One node with what this one has noticed of it.
+pub(crate) struct MemberEntry {
+    pub(crate) member: Member,
+    /// When the register last changed.
+    pub(crate) changed: Moment,
+    /// When anything last came from it.
+    pub(crate) last_heard: Option<Moment>,
+    /// How often it came back from the dead within one life, lately.
+    doubts: u32,
+    last_doubt: Moment,
+}
+
+impl MemberEntry {
+    /// How much more time the node is given before it is called dead.
+    pub(crate) fn patience(&self, now: Moment) -> f64 {
+        if now.since(self.last_doubt) > DOUBT {
+            return 1.0;
+        }
+        f64::from(1_u32 << self.doubts.saturating_sub(1).min(MOST_DOUBTS))
+    }
+
+    pub(crate) fn is_dead(&self) -> bool {
+        self.member.state == MemberState::Dead
+    }
+}
+
+/// How a register came here.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Source {
+    /// Down a tree of relays, so to all.
+    Relay,
+    /// From the node at this address, to this node only.
+    Peer(SocketAddrV4),
+    /// In the welcome of the seed at this address.
+    Welcome(SocketAddrV4),
+}
+
+impl Registry {
+    /// Puts the register of a node in the place of the one before.
+    pub(crate) fn put_member(&mut self, now: Moment, member: Member) {
+        let name = member.name.clone();
+        let before = self.members.remove(&name);
+        if let Some(before) = &before {
+            self.forget_address(&before.member);
+        }
+        let (last_heard, mut doubts, mut last_doubt) = before
+            .as_ref()
+            .map_or((None, 0, Moment(0)), |entry| (entry.last_heard, entry.doubts, entry.last_doubt));
+        let came_back = before.as_ref().is_some_and(|entry| {
+            entry.is_dead() && member.serves() && entry.member.incarnation == member.incarnation
+        });
+        if came_back {
+            doubts = if now.since(last_doubt) > DOUBT { 1 } else { doubts.saturating_add(1) };
+            last_doubt = now;
+        }
+        self.note_address(&member);
+        let changed_place = before.as_ref().is_none_or(|entry| {
+            entry.member.serves() != member.serves() || entry.member.address != member.address
+        });
+        let state = member.state;
+        let hash = Register::Member(member.clone()).hash();
+        self.digest.set(Key::Member(name.clone()), hash, member.serves());
+        let entry = MemberEntry { member, changed: now, last_heard, doubts, last_doubt };
+        self.members.insert(name.clone(), entry);
+        self.count_facts(&name);
+        if changed_place {
+            self.rebuild_ring(now);
+        }
+        self.generation.members += 1;
+        self.output.events.push(Event::MemberChanged { name, state });
+    }
+
+    fn forget_address(&mut self, member: &Member) {
+        if self.by_address.get(&member.address) == Some(&member.name) {
+            self.by_address.remove(&member.address);
+        }
+    }
+
+    /// An address belongs to the live node with the latest start.
+    fn note_address(&mut self, member: &Member) {
+        let holder = self.by_address.get(&member.address).and_then(|name| self.members.get(name));
+        let rank = |member: &Member| (member.serves(), member.incarnation);
+        if holder.is_none_or(|holder| rank(&holder.member) <= rank(member)) {
+            self.by_address.insert(member.address, member.name.clone());
+        }
+    }
+
+    pub(crate) fn rebuild_ring(&mut self, now: Moment) {
+        self.ring = Ring::new(self.members.values().map(|entry| &entry.member), self.own);
+        self.rewatch(now);
+    }
+
+    /// Suspicion is this node's own view, so nobody is told.
+    pub(crate) fn set_suspect(&mut self, name: &str, suspect: bool) {
+        let (from, to) = match suspect {
+            true => (MemberState::Alive, MemberState::Suspect),
+            false => (MemberState::Suspect, MemberState::Alive),
+        };
+        if let Some(entry) = self.members.get_mut(name)
+            && entry.member.state == from
+        {
+            entry.member.state = to;
+            self.generation.members += 1;
+            self.output.events.push(Event::MemberChanged { name: name.to_owned(), state: to });
+        }
+    }
+
+    pub(crate) fn note_heard(&mut self, now: Moment, from: SocketAddrV4) {
+        self.liveness.last_heard = Some(now);
+        let Some(name) = self.by_address.get(&from) else {
+            return;
+        };
+        let Some(entry) = self.members.get_mut(name) else {
+            return;
+        };
+        entry.last_heard = Some(now);
+        if entry.member.state == MemberState::Suspect {
+            let name = name.clone();
+            self.set_suspect(&name, false);
+        }
+    }
+
+    pub(crate) fn change_own_state(&mut self, now: Moment, state: MemberState) {
+        let mut own = self.own_member().clone();
+        if own.state == state || own.state == MemberState::Left {
+            return;
+        }
+        own.state = state;
+        own.status_version = own.status_version.saturating_add(1);
+        self.put_member(now, own);
+        self.announce(now, Key::Member(self.own_name.clone()));
+    }
+
+    /// Merges the register of a node.
+    pub(crate) fn merge_member(&mut self, now: Moment, member: Member, source: Source) {
+        if member.id() == self.own {
+            return self.answer_to(now, &member, source);
+        }
+        let known = self.members.get(&member.name);
+        if known.is_none() && self.members.len() >= MOST_MEMBERS {
+            return;
+        }
+        let itself = |address: SocketAddrV4| address == member.address && member.serves();
+        let order = known.map(|entry| entry.member.order());
+        if order.is_some_and(|order| order >= member.order()) {
+            // A node that does not know what was said of it has to hear it.
+            if let Source::Peer(from) = source
+                && itself(from)
+                && order.is_some_and(|order| order > member.order())
+            {
+                self.send_registers(from, &[Key::Member(member.name)]);
+            }
+            return;
+        }
+        match source {
+            Source::Relay => self.put_member(now, member),
+            Source::Welcome(_) => self.put_member(now, member),
+            Source::Peer(from) if itself(from) => {
+                let key = Key::Member(member.name.clone());
+                self.put_member(now, member);
+                self.announce(now, key);
+            }
+            Source::Peer(_)
+                if member.state == MemberState::Dead && known.is_some_and(|known| known.member.serves()) =>
+            {
+                self.hold_death(now, member);
+            }
+            Source::Peer(_) => self.put_member(now, member),
+        }
+    }
+
+    /// Answers to what another node holds of this one: a death is refuted, and an older register is set right.
+    fn answer_to(&mut self, now: Moment, said: &Member, source: Source) {
+        let own = self.own_member();
+        if said.order() > own.order() && own.state != MemberState::Left {
+            self.outbid(now, said);
+        }
+        if let Source::Peer(from) = source
+            && said.order() != self.own_member().order()
+        {
+            self.send_registers(from, &[Key::Member(self.own_name.clone())]);
+        }
+    }
+
+    fn outbid(&mut self, now: Moment, said: &Member) {
+        let mut own = self.own_member().clone();
+        if said.incarnation > own.incarnation {
+            // Of an older life, under a clock that was ahead.
+            own.incarnation = said.incarnation.saturating_add(1);
+            own.status_version = 0;
+        } else {
+            own.status_version = said.status_version.saturating_add(1);
+        }
+        let raised = own.incarnation;
+        self.put_member(now, own);
+        self.announce(now, Key::Member(self.own_name.clone()));
+        if let Some(mut facts) = self.facts.get(&self.own_name).cloned()
+            && facts.incarnation < raised
+        {
+            facts.incarnation = raised;
+            self.put_facts(facts);
+            self.announce(now, Key::Facts(self.own_name.clone()));
+        }
+    }
+
+    /// Forgets who has been dead for long, and the oldest dead beyond the bound.
+    pub(crate) fn forget_dead(&mut self, now: Moment) {
+        let mut dead: Vec<(Moment, String)> = self
+            .members
+            .values()
+            .filter(|entry| !entry.member.serves() && entry.member.id() != self.own)
+            .map(|entry| (entry.changed, entry.member.name.clone()))
+            .collect();
+        dead.sort();
+        let surplus = dead.len().saturating_sub(MOST_TOMBSTONES);
+        for (index, (changed, name)) in dead.into_iter().enumerate() {
+            if index < surplus || now.since(changed) > self.timings.tombstone_retention {
+                self.remove_member(&name);
+            }
+        }
+    }
+
+    fn remove_member(&mut self, name: &str) {
+        if let Some(entry) = self.members.remove(name) {
+            self.forget_address(&entry.member);
+            self.digest.remove(&Key::Member(name.to_owned()));
+            self.generation.members += 1;
+        }
+        if self.facts.remove(name).is_some() {
+            self.digest.remove(&Key::Facts(name.to_owned()));
+            self.generation.facts += 1;
+        }
+    }
+
+    /// Some other live node, by chance.
+    pub(crate) fn random_other(&mut self) -> Option<(NodeId, SocketAddrV4)> {
+        let others = self.ring.len().saturating_sub(1);
+        if others == 0 {
+            return None;
+        }
+        let place = self.ring.other(self.random.random_range(0..others))?;
+        Some((place.id, place.address))
+    }
+
+    pub(crate) fn member_of(&self, id: NodeId) -> Option<&MemberEntry> {
+        match self.digest.key(id.0)? {
+            Key::Member(name) => self.members.get(name),
+            _ => None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/registry/src/register.rs
@@ -0,0 +1,98 @@
+//! What is told: a register of one of the sets, and its key.
+
+use crate::codec::{Reader, Wire, Writer};
+use crate::error::{DecodeError, UnknownVariantSnafu};
+use crate::hash;
+use crate::{Executor, Facts, Member, NodeId};
+
+/// One register.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Register {
+    /// A node.
+    Member(Member),
+    /// An executor.
+    Executor(Executor),
+    /// What a node says of itself.
+    Facts(Facts),
+}
+
+/// What a register is found by.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Key {
+    Member(String),
+    Executor(String),
+    Facts(String),
+}
+
+impl Key {
+    pub(crate) fn hash(&self) -> u64 {
+        let (kind, text) = match self {
+            Key::Member(name) => return NodeId::of(name).0,
+            Key::Executor(id) => (b'e', id),
+            Key::Facts(name) => (b'f', name),
+        };
+        let mut bytes = Vec::with_capacity(text.len() + 1);
+        bytes.push(kind);
+        bytes.extend_from_slice(text.as_bytes());
+        hash::of_bytes(&bytes)
+    }
+}
+
+impl Register {
+    pub(crate) fn key(&self) -> Key {
+        match self {
+            Register::Member(member) => Key::Member(member.name.clone()),
+            Register::Executor(executor) => Key::Executor(executor.id.clone()),
+            Register::Facts(facts) => Key::Facts(facts.node.clone()),
+        }
+    }
+
+    pub(crate) fn as_executor(&self) -> Option<&Executor> {
+        match self {
+            Register::Executor(executor) => Some(executor),
+            _ => None,
+        }
+    }
+
+    /// The hash of all that is told of it.
+    pub(crate) fn hash(&self) -> u64 {
+        let mut out = Writer::default();
+        self.write(&mut out);
+        hash::of_bytes(&out.bytes)
+    }
+
+    /// The length of its binary form, in bytes.
+    pub(crate) fn length(&self) -> usize {
+        let mut out = Writer::default();
+        self.write(&mut out);
+        out.bytes.len()
+    }
+}
+
+impl Wire for Register {
+    fn write(&self, out: &mut Writer) {
+        match self {
+            Register::Member(member) => {
+                out.u8(0);
+                member.write(out);
+            }
+            Register::Executor(executor) => {
+                out.u8(1);
+                executor.write(out);
+            }
+            Register::Facts(facts) => {
+                out.u8(2);
+                facts.write(out);
+            }
+        }
+    }
+
+    fn read(input: &mut Reader<'_>) -> Result<Register, DecodeError> {
+        match input.u8()? {
+            0 => Ok(Register::Member(Member::read(input)?)),
+            1 => Ok(Register::Executor(Executor::read(input)?)),
+            2 => Ok(Register::Facts(Facts::read(input)?)),
+            tag => UnknownVariantSnafu { what: "a register", tag }.fail(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/registry/src/registry.rs
@@ -0,0 +1,361 @@
+//! The state machine: what it holds, and how calls and messages reach its parts.
+
+use crate::confirmation::Confirmations;
+use crate::digest::Digest;
+use crate::executors::Executors;
+use crate::join::Joining;
+use crate::liveness::Liveness;
+use crate::member::{Member, MemberState, NodeId};
+use crate::members::MemberEntry;
+use crate::message::{Heartbeat, Message};
+use crate::register::{Key, Register};
+use crate::relay::Relays;
+use crate::repair::Repairs;
+use crate::ring::Ring;
+use crate::{Executor, Facts, FactsTooLarge, LARGEST_FACTS, Settings, Timings};
+use grebeusher_time::{Moment, Span};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddrV4;
+
+/// A process that was not called for so long beyond what it asked for has been frozen: its own silence must not
+/// count as that of others.
+const FREEZE: Span = Span::millis(600);
+
+/// Who is there, as one node knows it.
+pub struct Registry {
+    pub(crate) timings: Timings,
+    pub(crate) random: Pcg64Mcg,
+    pub(crate) own: NodeId,
+    pub(crate) own_name: String,
+    pub(crate) own_address: SocketAddrV4,
+    pub(crate) configuration_version: u64,
+    pub(crate) members: BTreeMap<String, MemberEntry>,
+    pub(crate) by_address: HashMap<SocketAddrV4, String>,
+    pub(crate) facts: BTreeMap<String, Facts>,
+    pub(crate) executors: Executors,
+    pub(crate) digest: Digest,
+    pub(crate) ring: Ring,
+    pub(crate) liveness: Liveness,
+    pub(crate) joining: Joining,
+    pub(crate) relays: Relays,
+    pub(crate) repairs: Repairs,
+    pub(crate) confirmations: Confirmations,
+    pub(crate) generation: Generation,
+    pub(crate) output: Output,
+    expected: Moment,
+}
+
+/// Counters that rise whenever something changes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Generation {
+    /// Of the nodes.
+    pub members: u64,
+    /// Of the executors.
+    pub executors: u64,
+    /// Of the facts.
+    pub facts: u64,
+}
+
+/// What a caller has to know at once.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Event {
+    /// A node is new, or its register changed.
+    MemberChanged {
+        /// Its name.
+        name: String,
+        /// Its state now.
+        state: MemberState,
+    },
+    /// An executor is new, or its register changed.
+    ExecutorChanged {
+        /// Its id.
+        id: String,
+    },
+    /// A node said something new of itself.
+    FactsChanged {
+        /// The name of the node.
+        node: String,
+    },
+    /// Another node has a newer configuration.
+    ConfigurationBehind {
+        /// The internal address of the other node.
+        peer: SocketAddrV4,
+        /// The version that it has.
+        version: u64,
+    },
+}
+
+/// What is to be done for the registry.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Output {
+    /// To be sent, each to the node at an internal address.
+    pub messages: Vec<(SocketAddrV4, Message)>,
+    /// For the caller.
+    pub events: Vec<Event>,
+}
+
+/// A call of an executor that waits for its answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct CallToken(pub u64);
+
+/// When a call of an executor may be answered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// At once.
+    Now,
+    /// When [`Registry::told`] names the token.
+    WhenTold(CallToken),
+}
+
+/// What follows from a call of an executor.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct HeartbeatEffect {
+    /// When it may be answered.
+    pub answer: Answer,
+    /// The `control_plane` address that it should call from now on.
+    pub heartbeat_target: Option<SocketAddrV4>,
+}
+
+impl Registry {
+    /// A node that has just started and knows only itself and its seeds. Equal seeds of chance give equal runs.
+    pub fn new(settings: Settings, seed: u64, now: Moment) -> Registry {
+        let Settings { mut member, seeds, timings } = settings;
+        member.state = MemberState::Alive;
+        let own = member.id();
+        let own_address = member.address;
+        let mut random = Pcg64Mcg::seed_from_u64(seed);
+        let phase = Span(random.random_range(0..=timings.heartbeat.0));
+        let mut registry = Registry {
+            own,
+            own_name: member.name.clone(),
+            own_address,
+            configuration_version: 0,
+            members: BTreeMap::new(),
+            by_address: HashMap::new(),
+            facts: BTreeMap::new(),
+            executors: Executors::new(now),
+            digest: Digest::new(),
+            ring: Ring::default(),
+            liveness: Liveness::new(now, now + phase, random.random_range(0..1_024)),
+            joining: Joining::new(seeds, own_address, now),
+            relays: Relays::default(),
+            repairs: Repairs::new(now),
+            confirmations: Confirmations::default(),
+            generation: Generation::default(),
+            output: Output::default(),
+            expected: now,
+            timings,
+            random,
+        };
+        registry.put_member(now, member);
+        registry.output.events.clear();
+        registry
+    }
+
+    /// Takes a message in from the node at the internal address `from`.
+    pub fn receive(&mut self, now: Moment, from: SocketAddrV4, message: Message) {
+        self.notice_freeze(now);
+        if from == self.own_address {
+            return;
+        }
+        self.note_heard(now, from);
+        match message {
+            Message::Join(member) => self.receive_join(now, from, member),
+            Message::Welcome(members) => self.receive_welcome(now, from, members),
+            Message::Heartbeat(heartbeat) => self.receive_heartbeat(now, from, heartbeat),
+            Message::Ping { asker } => self.send(from, Message::Pong { subject: self.own, asker }),
+            Message::PingFor(subject) => self.receive_ping_for(from, subject),
+            Message::Pong { subject, asker } => self.receive_pong(now, subject, asker),
+            Message::Relay(relay) => self.receive_relay(now, from, relay),
+            Message::Confirm { incarnation, sequence } => self.receive_confirm(from, incarnation, sequence),
+            Message::Buckets(sums) => self.receive_buckets(now, from, &sums),
+            Message::Summaries { complete, entries } => self.receive_summaries(now, from, complete, &entries),
+            Message::Want(keys) => self.receive_want(now, from, &keys),
+            Message::Registers(registers) => self.receive_registers(now, from, registers),
+        }
+    }
+
+    /// Does what is due. To be called at [`Registry::next_wake`], and any time before.
+    pub fn tick(&mut self, now: Moment) {
+        self.notice_freeze(now);
+        self.tick_joining(now);
+        self.tick_liveness(now);
+        self.tick_executors(now);
+        self.tick_repairs(now);
+        self.tick_relays(now);
+        self.tick_confirmations(now);
+        self.expected = self.next_wake();
+    }
+
+    /// When something is due next.
+    pub fn next_wake(&self) -> Moment {
+        let wakes = [
+            self.joining.next_wake(),
+            self.liveness.next_wake(),
+            Some(self.executors.next_wake()),
+            self.repairs.next_wake(),
+            self.relays.next_wake(),
+            self.confirmations.next_wake(&self.timings),
+        ];
+        wakes.into_iter().flatten().min().unwrap_or(self.expected)
+    }
+
+    /// What has come up since the last call: to be taken after each call that changes something.
+    pub fn take_output(&mut self) -> Output {
+        std::mem::take(&mut self.output)
+    }
+
+    /// All nodes in the order of their names, this one and those that are dead for a while too.
+    pub fn members(&self) -> impl Iterator<Item = &Member> {
+        self.members.values().map(|entry| &entry.member)
+    }
+
+    /// The nodes that run as far as is known, this one among them.
+    pub fn live_members(&self) -> impl Iterator<Item = &Member> {
+        self.members().filter(|member| member.serves())
+    }
+
+    /// The node of this name.
+    pub fn member(&self, name: &str) -> Option<&Member> {
+        Some(&self.members.get(name)?.member)
+    }
+
+    /// The node with this disk; of two the one that runs, then the later one.
+    pub fn member_by_replica(&self, replica: u64) -> Option<&Member> {
+        self.members()
+            .filter(|member| member.replica == Some(replica))
+            .max_by_key(|member| (member.serves(), member.incarnation))
+    }
+
+    /// This node.
+    pub fn own_member(&self) -> &Member {
+        // The own register is put in at the start and never taken out.
+        &self.members[&self.own_name].member
+    }
+
+    /// All executors in the order of their ids, also those that are silent or gone for a while.
+    pub fn executors(&self) -> impl Iterator<Item = &Executor> {
+        self.executors.iter()
+    }
+
+    /// The executors of one service.
+    pub fn executors_of(&self, service: &str) -> impl Iterator<Item = &Executor> {
+        self.executors().filter(move |executor| executor.service == service)
+    }
+
+    /// The executor with this id.
+    pub fn executor(&self, id: &str) -> Option<&Executor> {
+        self.executors.get(id)
+    }
+
+    /// What the nodes say of themselves, also those that are dead for a while.
+    pub fn facts(&self) -> impl Iterator<Item = &Facts> {
+        self.facts.values()
+    }
+
+    /// What the node of this name says of itself.
+    pub fn facts_of(&self, name: &str) -> Option<&Facts> {
+        self.facts.get(name)
+    }
+
+    /// Counters that rise whenever something changes.
+    pub fn generation(&self) -> Generation {
+        self.generation
+    }
+
+    /// The version of the configuration that this node has; 0 for none.
+    pub fn configuration_version(&self) -> u64 {
+        self.configuration_version
+    }
+
+    /// Says which configuration this node has. Its heartbeats carry the version on.
+    pub fn set_configuration_version(&mut self, version: u64) {
+        self.configuration_version = version;
+    }
+
+    /// Tells all nodes something of this one, in the place of what it said before.
+    ///
+    /// # Errors
+    /// Refuses more than [`LARGEST_FACTS`] bytes.
+    pub fn set_facts(&mut self, now: Moment, payload: Vec<u8>) -> Result<(), FactsTooLarge> {
+        if payload.len() > LARGEST_FACTS {
+            return Err(FactsTooLarge { length: payload.len() });
+        }
+        let counter = self.facts.get(&self.own_name).map_or(0, |facts| facts.counter) + 1;
+        let incarnation = self.own_member().incarnation;
+        self.put_facts(Facts { node: self.own_name.clone(), incarnation, counter, payload });
+        self.announce(now, Key::Facts(self.own_name.clone()));
+        Ok(())
+    }
+
+    /// Says that this node was asked to stop. It still serves, but executors are sent elsewhere.
+    pub fn leave(&mut self, now: Moment) {
+        self.change_own_state(now, MemberState::Leaving);
+    }
+
+    /// Says that this node stops now: to be called once, last.
+    pub fn left(&mut self, now: Moment) {
+        self.change_own_state(now, MemberState::Left);
+        self.flush_news(now);
+    }
+
+    /// The internal addresses to which this node passes on what the node `origin` tells all: its place in the tree
+    /// of relays that is rooted there.
+    pub fn relay_children(&self, origin: &str) -> Vec<SocketAddrV4> {
+        self.children(NodeId::of(origin))
+    }
+
+    pub(crate) fn send(&mut self, to: SocketAddrV4, message: Message) {
+        self.output.messages.push((to, message));
+    }
+
+    pub(crate) fn own_heartbeat(&self) -> Message {
+        let own = self.own_member();
+        Message::Heartbeat(Heartbeat {
+            node: self.own,
+            incarnation: own.incarnation,
+            status_version: own.status_version,
+            digest: self.digest.total(),
+            configuration_version: self.configuration_version,
+        })
+    }
+
+    /// The register of a key as it is to be told.
+    pub(crate) fn register(&self, key: &Key) -> Option<Register> {
+        match key {
+            Key::Member(name) => Some(Register::Member(self.member(name)?.clone())),
+            Key::Executor(id) => Some(Register::Executor(self.executors.told(id)?)),
+            Key::Facts(name) => Some(Register::Facts(self.facts.get(name)?.clone())),
+        }
+    }
+
+    pub(crate) fn put_facts(&mut self, facts: Facts) {
+        let node = facts.node.clone();
+        self.facts.insert(node.clone(), facts);
+        self.count_facts(&node);
+        self.generation.facts += 1;
+        self.output.events.push(Event::FactsChanged { node });
+    }
+
+    /// Facts count in the digest while their node lives.
+    pub(crate) fn count_facts(&mut self, node: &str) {
+        let Some(facts) = self.facts.get(node) else {
+            return;
+        };
+        let live = self.members.get(node).is_some_and(|entry| entry.member.serves());
+        self.digest.set(Key::Facts(node.to_owned()), Register::Facts(facts.clone()).hash(), live);
+    }
+
+    /// After a freeze all waits begin anew.
+    fn notice_freeze(&mut self, now: Moment) {
+        let late = now.since(self.expected);
+        if late > FREEZE {
+            self.liveness.restart(now);
+            self.executors.shift(late);
+            self.confirmations.shift(late);
+        }
+        self.expected = self.expected.max(now);
+    }
+}
--- /dev/null
+++ b/crates/registry/src/relay.rs
@@ -0,0 +1,170 @@
+//! How news reach all: down a tree of relays that is rooted at the node which tells them.
+
+use crate::member::NodeId;
+use crate::members::Source;
+use crate::message::{Message, REGISTERS_PER_MESSAGE, Relay};
+use crate::register::{Key, Register};
+use crate::registry::Registry;
+use grebeusher_time::Moment;
+use std::collections::{BTreeSet, HashMap};
+use std::net::SocketAddrV4;
+
+/// From how many origins passed-on messages are remembered.
+const MOST_ORIGINS: usize = 2_048;
+
+/// The messages of one origin that were passed on: the highest number and, in bits, those just below it.
+struct Window {
+    incarnation: u64,
+    highest: u64,
+    passed: u128,
+}
+
+impl Window {
+    /// Whether the message was not passed on before. What lies below the window counts as passed on.
+    fn admit(&mut self, incarnation: u64, sequence: u64) -> bool {
+        if incarnation < self.incarnation {
+            return false;
+        }
+        if incarnation > self.incarnation {
+            *self = Window { incarnation, highest: sequence, passed: 1 };
+            return true;
+        }
+        if sequence > self.highest {
+            let shift = u32::try_from(sequence - self.highest).unwrap_or(u32::MAX);
+            self.passed = self.passed.checked_shl(shift).unwrap_or(0) | 1;
+            self.highest = sequence;
+            return true;
+        }
+        let Some(bit) = u32::try_from(self.highest - sequence).ok().and_then(|back| 1_u128.checked_shl(back))
+        else {
+            return false;
+        };
+        let fresh = self.passed & bit == 0;
+        self.passed |= bit;
+        fresh
+    }
+}
+
+/// The state of relaying.
+#[derive(Default)]
+pub(crate) struct Relays {
+    windows: HashMap<NodeId, Window>,
+    sequence: u64,
+    news: BTreeSet<Key>,
+    flush: Option<Moment>,
+}
+
+impl Relays {
+    pub(crate) fn next_wake(&self) -> Option<Moment> {
+        self.flush
+    }
+
+    fn admit(&mut self, relay: &Relay) -> bool {
+        if let Some(window) = self.windows.get_mut(&relay.origin) {
+            return window.admit(relay.incarnation, relay.sequence);
+        }
+        let window = Window { incarnation: relay.incarnation, highest: relay.sequence, passed: 1 };
+        self.windows.insert(relay.origin, window);
+        true
+    }
+}
+
+impl Registry {
+    /// Has all nodes told of a register, together with what else comes up shortly.
+    pub(crate) fn announce(&mut self, now: Moment, key: Key) {
+        self.relays.news.insert(key);
+        self.relays.flush.get_or_insert(now + self.timings.batch);
+    }
+
+    pub(crate) fn tick_relays(&mut self, now: Moment) {
+        if self.relays.flush.is_some_and(|flush| flush <= now) {
+            self.flush_news(now);
+        }
+        if self.relays.windows.len() > MOST_ORIGINS {
+            let known = &self.digest;
+            self.relays.windows.retain(|origin, _| known.key(origin.0).is_some());
+        }
+    }
+
+    pub(crate) fn flush_news(&mut self, _now: Moment) {
+        self.relays.flush = None;
+        let keys: Vec<Key> = std::mem::take(&mut self.relays.news).into_iter().collect();
+        for registers in self.registers_in_messages(&keys) {
+            let relay = self.new_relay(false, registers);
+            self.pass_on(&relay);
+        }
+    }
+
+    /// A message of this node with the next number.
+    pub(crate) fn new_relay(&mut self, confirm: bool, registers: Vec<Register>) -> Relay {
+        self.relays.sequence += 1;
+        let incarnation = self.own_member().incarnation;
+        Relay { origin: self.own, incarnation, sequence: self.relays.sequence, confirm, registers }
+    }
+
+    /// The registers of some keys, in parts that fit in a message each.
+    pub(crate) fn registers_in_messages(&self, keys: &[Key]) -> Vec<Vec<Register>> {
+        let mut parts = Vec::new();
+        let (mut part, mut length) = (Vec::new(), 0);
+        for register in keys.iter().filter_map(|key| self.register(key)) {
+            let more = register.length();
+            if length + more > REGISTERS_PER_MESSAGE && !part.is_empty() {
+                parts.push(std::mem::take(&mut part));
+                length = 0;
+            }
+            length += more;
+            part.push(register);
+        }
+        if !part.is_empty() {
+            parts.push(part);
+        }
+        parts
+    }
+
+    pub(crate) fn children(&self, origin: NodeId) -> Vec<SocketAddrV4> {
+        self.ring.children(origin, self.timings.fan_out).map(|place| place.address).collect()
+    }
+
+    pub(crate) fn pass_on(&mut self, relay: &Relay) {
+        for child in self.children(relay.origin) {
+            self.send(child, Message::Relay(relay.clone()));
+        }
+    }
+
+    pub(crate) fn receive_relay(&mut self, now: Moment, from: SocketAddrV4, relay: Relay) {
+        if relay.origin == self.own {
+            return;
+        }
+        for register in relay.registers.iter().cloned() {
+            self.merge(now, register, Source::Relay);
+        }
+        if relay.confirm {
+            let origin = self.member_of(relay.origin).map_or(from, |entry| entry.member.address);
+            let Relay { incarnation, sequence, .. } = relay;
+            self.send(origin, Message::Confirm { incarnation, sequence });
+        }
+        if self.relays.admit(&relay) {
+            self.pass_on(&relay);
+        }
+    }
+
+    /// Merges a register of any kind.
+    pub(crate) fn merge(&mut self, now: Moment, register: Register, source: Source) {
+        match register {
+            Register::Member(member) => self.merge_member(now, member, source),
+            Register::Executor(executor) => {
+                self.merge_executor(now, executor);
+            }
+            Register::Facts(facts) => self.merge_facts(facts),
+        }
+    }
+
+    fn merge_facts(&mut self, facts: crate::Facts) {
+        // Facts without their node would never be forgotten; they come again by repair.
+        let known = self.members.contains_key(&facts.node) && facts.node != self.own_name;
+        let newer = self.facts.get(&facts.node).is_none_or(|held| held.order() < facts.order());
+        if known && newer {
+            self.put_facts(facts);
+        }
+    }
+}
--- /dev/null
+++ b/crates/registry/src/report.rs
@@ -0,0 +1,184 @@
+//! The body of an executor's heartbeat.
+
+use crate::codec::LONGEST_TEXT;
+use crate::error::{FieldSnafu, NotJsonSnafu, ReportError, TooLargeSnafu};
+use crate::executor::{ExecutorState, MOST_MODELS, Model};
+use std::collections::HashMap;
+use std::net::SocketAddrV4;
+use tinyjson::JsonValue;
+
+/// The largest body that is read, in bytes.
+pub const LARGEST_REPORT: usize = 64 * 1024;
+
+/// How deep a body may nest; the parser goes a call deeper for each level.
+const DEEPEST: usize = 16;
+
+/// The largest whole number that JSON carries exactly.
+const LARGEST_NUMBER: f64 = 9_007_199_254_740_992.0;
+
+/// One heartbeat of an executor.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HeartbeatReport {
+    /// The `instance_id`, from the path of the call.
+    pub id: String,
+    /// The service that it runs.
+    pub service: String,
+    /// Where it takes requests.
+    pub address: SocketAddrV4,
+    /// Its zone.
+    pub zone: String,
+    /// How many requests it works on at once.
+    pub slot_count: u32,
+    /// The version of its software.
+    pub config_version: String,
+    /// `prefill`, `decode` or `both`; empty if it names none.
+    pub pipeline_stage: String,
+    /// `up` or `draining`, never gone.
+    pub state: ExecutorState,
+    /// How much longer it stays slow, in ms.
+    pub cold_left_ms: u64,
+    /// Rises with every call.
+    pub call_seq: u64,
+    /// What it holds, at most 16.
+    pub models: Vec<Model>,
+}
+
+type Fields = HashMap<String, JsonValue>;
+
+impl HeartbeatReport {
+    /// Reads the body of a call whose path names `id`. Unknown fields are ignored.
+    ///
+    /// # Errors
+    /// Says what is wrong with a body that is no heartbeat.
+    pub fn parse(id: &str, body: &[u8]) -> Result<HeartbeatReport, ReportError> {
+        if body.len() > LARGEST_REPORT {
+            return TooLargeSnafu { length: body.len() }.fail();
+        }
+        if id.is_empty() || id.len() > LONGEST_TEXT {
+            return FieldSnafu { field: "instance_id" }.fail();
+        }
+        let fields = read_object(body)?;
+        Ok(HeartbeatReport {
+            id: id.to_owned(),
+            service: required_text(&fields, "service")?,
+            address: read_address(&fields)?,
+            zone: required_text(&fields, "zone")?,
+            slot_count: u32::try_from(number(&fields, "slot_count")?)
+                .or_else(|_| FieldSnafu { field: "slot_count" }.fail())?,
+            config_version: optional_text(&fields, "config_version")?,
+            pipeline_stage: optional_text(&fields, "pipeline_stage")?,
+            state: read_state(&fields)?,
+            cold_left_ms: optional_number(&fields, "cold_left_ms")?,
+            call_seq: number(&fields, "call_seq")?,
+            models: read_models(&fields)?,
+        })
+    }
+}
+
+fn read_object(body: &[u8]) -> Result<Fields, ReportError> {
+    let text = std::str::from_utf8(body).or_else(|_| NotJsonSnafu.fail())?;
+    if !is_shallow(text) {
+        return NotJsonSnafu.fail();
+    }
+    match text.parse::<JsonValue>() {
+        Ok(JsonValue::Object(fields)) => Ok(fields),
+        _ => NotJsonSnafu.fail(),
+    }
+}
+
+/// Whether brackets outside of texts nest no deeper than [`DEEPEST`].
+fn is_shallow(text: &str) -> bool {
+    let (mut depth, mut quoted, mut escaped) = (0_usize, false, false);
+    for byte in text.bytes() {
+        match byte {
+            _ if escaped => escaped = false,
+            b'\\' if quoted => escaped = true,
+            b'"' => quoted = !quoted,
+            b'{' | b'[' if !quoted => depth += 1,
+            b'}' | b']' if !quoted => depth = depth.saturating_sub(1),
+            _ => {}
+        }
+        if depth > DEEPEST {
+            return false;
+        }
+    }
+    true
+}
+
+fn text_of(value: &JsonValue, field: &'static str) -> Result<String, ReportError> {
+    match value {
+        JsonValue::String(text) if text.len() <= LONGEST_TEXT => Ok(text.clone()),
+        JsonValue::Number(number) => Ok(number.to_string()),
+        _ => FieldSnafu { field }.fail(),
+    }
+}
+
+fn optional_text(fields: &Fields, field: &'static str) -> Result<String, ReportError> {
+    match fields.get(field) {
+        None | Some(JsonValue::Null) => Ok(String::new()),
+        Some(value) => text_of(value, field),
+    }
+}
+
+fn required_text(fields: &Fields, field: &'static str) -> Result<String, ReportError> {
+    match fields.get(field) {
+        Some(JsonValue::String(text)) if !text.is_empty() && text.len() <= LONGEST_TEXT => Ok(text.clone()),
+        _ => FieldSnafu { field }.fail(),
+    }
+}
+
+fn whole_number(value: &JsonValue) -> Option<u64> {
+    match value {
+        JsonValue::Number(number) if (0.0..=LARGEST_NUMBER).contains(number) => Some(*number as u64),
+        _ => None,
+    }
+}
+
+fn number(fields: &Fields, field: &'static str) -> Result<u64, ReportError> {
+    match fields.get(field).and_then(whole_number) {
+        Some(number) => Ok(number),
+        None => FieldSnafu { field }.fail(),
+    }
+}
+
+fn optional_number(fields: &Fields, field: &'static str) -> Result<u64, ReportError> {
+    match fields.get(field) {
+        None | Some(JsonValue::Null) => Ok(0),
+        Some(_) => number(fields, field),
+    }
+}
+
+fn read_address(fields: &Fields) -> Result<SocketAddrV4, ReportError> {
+    let text = required_text(fields, "address")?;
+    match text.parse::<SocketAddrV4>() {
+        Ok(address) if address.port() != 0 => Ok(address),
+        _ => FieldSnafu { field: "address" }.fail(),
+    }
+}
+
+fn read_state(fields: &Fields) -> Result<ExecutorState, ReportError> {
+    match required_text(fields, "state")?.as_str() {
+        "up" => Ok(ExecutorState::Up),
+        "draining" => Ok(ExecutorState::Draining),
+        _ => FieldSnafu { field: "state" }.fail(),
+    }
+}
+
+fn read_models(fields: &Fields) -> Result<Vec<Model>, ReportError> {
+    let models = match fields.get("models") {
+        None | Some(JsonValue::Null) => return Ok(Vec::new()),
+        Some(JsonValue::Array(models)) => models,
+        Some(_) => return FieldSnafu { field: "models" }.fail(),
+    };
+    models.iter().take(MOST_MODELS).map(read_model).collect()
+}
+
+fn read_model(value: &JsonValue) -> Result<Model, ReportError> {
+    let JsonValue::Object(fields) = value else {
+        return FieldSnafu { field: "models" }.fail();
+    };
+    Ok(Model {
+        name: required_text(fields, "name")?,
+        config_version: optional_number(fields, "config_version")?,
+    })
+}
--- /dev/null
+++ b/crates/registry/src/ring.rs
@@ -0,0 +1,75 @@
+//! The live members in the order of their hashes: who watches whom, and the trees of relays.
+
+use crate::{Member, NodeId};
+use std::net::SocketAddrV4;
+
+/// A live member's place.
+#[derive(Clone, Debug)]
+pub(crate) struct Place {
+    pub(crate) id: NodeId,
+    pub(crate) name: String,
+    pub(crate) address: SocketAddrV4,
+}
+
+/// All live members, this node among them.
+#[derive(Default)]
+pub(crate) struct Ring {
+    places: Vec<Place>,
+    own: usize,
+}
+
+impl Ring {
+    pub(crate) fn new<'a>(members: impl Iterator<Item = &'a Member>, own: NodeId) -> Ring {
+        let mut places: Vec<Place> = members
+            .filter(|member| member.serves() || member.id() == own)
+            .map(|member| Place { id: member.id(), name: member.name.clone(), address: member.address })
+            .collect();
+        places.sort_by_key(|place| place.id);
+        let own = places.iter().position(|place| place.id == own).unwrap_or(0);
+        Ring { places, own }
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.places.len()
+    }
+
+    /// All live members but this node.
+    pub(crate) fn others(&self) -> impl Iterator<Item = &Place> {
+        self.places.iter().enumerate().filter(|(index, _)| *index != self.own).map(|(_, place)| place)
+    }
+
+    /// The live member at this index among [`Ring::others`].
+    pub(crate) fn other(&self, index: usize) -> Option<&Place> {
+        self.places.get(if index < self.own { index } else { index + 1 })
+    }
+
+    /// The next `count` members after this node: those who watch it.
+    pub(crate) fn successors(&self, count: usize) -> impl Iterator<Item = &Place> {
+        let length = self.places.len();
+        (1..length.min(count + 1)).map(move |step| &self.places[(self.own + step) % length])
+    }
+
+    /// The `count` members before this node, nearest first: those whom it watches.
+    pub(crate) fn predecessors(&self, count: usize) -> impl Iterator<Item = &Place> {
+        let length = self.places.len();
+        (1..length.min(count + 1)).map(move |step| &self.places[(self.own + length - step) % length])
+    }
+
+    /// To whom this node passes on what `origin` tells: with the places counted from the origin, those from
+    /// `fan_out * i + 1` on are the children of `i`. An origin that is not in the ring stands where it would.
+    pub(crate) fn children(&self, origin: NodeId, fan_out: usize) -> impl Iterator<Item = &Place> {
+        let length = self.places.len();
+        let (base, total) = match self.places.binary_search_by_key(&origin, |place| place.id) {
+            Ok(index) => (index, length),
+            Err(index) => (index + length - 1, length + 1),
+        };
+        let own = match (self.own + 2 * length - base) % length.max(1) {
+            0 if total > length => length,
+            own => own,
+        };
+        let first = fan_out.saturating_mul(own) + 1;
+        (first..total.min(first.saturating_add(fan_out)))
+            .map(move |step| &self.places[(base + step) % length])
+            .filter(|place| place.id != self.places[self.own].id)
+    }
+}
