--- a/crates/node/src/wire/calls.rs
+++ b/crates/node/src/wire/calls.rs
@@ -165,7 +165,7 @@
                 Ok(None) if reading == Reading::Ended => return Err(ErrorKind::UnexpectedEof.into()),
                 Ok(None) => None,
                 Ok(Some((request, _))) => Some(answer(&request)),
-                Err(Malformed(status)) => Some(http::answer(status, true, &[], b"")),
+                Err(Malformed(status)) => Some(http::answer(status, &[http::CLOSE], b"")),
             };
             if let Some(answer) = answer {
                 let unread = self.connection.buffer.unread().len();
--- a/crates/node/src/wire/checks.rs
+++ b/crates/node/src/wire/checks.rs
@@ -83,9 +83,9 @@
     match request.method.as_str() {
         "GET" | "OPTIONS" => {
             let verdict = verdict();
-            http::answer(verdict.status(), true, &[], verdict.line().as_bytes())
+            http::answer(verdict.status(), &[http::CLOSE], verdict.line().as_bytes())
         }
-        "HEAD" => http::answer(verdict().status(), true, &[], b""),
-        _ => http::answer(405, true, &[("Allow", "GET, HEAD, OPTIONS")], b""),
+        "HEAD" => http::answer(verdict().status(), &[http::CLOSE], b""),
+        _ => http::answer(405, &[("Allow", "GET, HEAD, OPTIONS"), http::CLOSE], b""),
     }
 }
--- a/crates/node/src/wire/clients.rs
+++ b/crates/node/src/wire/clients.rs
@@ -718,8 +718,9 @@
         let Callers { kept, slow, .. } = &mut *callers;
         let Some(caller) = kept.get_mut(place) else { return };
         let come_back = come_back.map(|wait| format!("{wait:.3}"));
-        let further = come_back.as_deref().map(|wait| ("Retry-After", wait));
-        caller.connection.buffer.put(&http::answer(status, caller.closes, further.as_slice(), body));
+        let come_back = come_back.as_deref().map(|wait| ("Retry-After", wait));
+        let further: Vec<_> = come_back.into_iter().chain(caller.closes.then_some(http::CLOSE)).collect();
+        caller.connection.buffer.put(&http::answer(status, &further, body));
         if !caller.carry_on(self.clock.now(), slow, place) {
             kept.remove(place);
         } else if caller.connection.buffer.waits_to_write() {
--- a/crates/node/src/wire/console.rs
+++ b/crates/node/src/wire/console.rs
@@ -58,8 +58,9 @@
 /// What a call is answered.
 fn answer(request: &Request, office: &mut impl Office) -> Vec<u8> {
     let path = request.target.split('?').next().unwrap_or_default();
-    let say =
-        |yes: bool, no: u16, what: &str| http::answer(if yes { 200 } else { no }, true, &[], what.as_bytes());
+    let say = |yes: bool, no: u16, what: &str| {
+        http::answer(if yes { 200 } else { no }, &[http::CLOSE], what.as_bytes())
+    };
     match (path, request.method.as_str()) {
         ("/healthcheck", "GET") if office.is_ready() => say(true, 503, "ready\n"),
         ("/healthcheck", "GET") => say(false, 503, "not ready\n"),
@@ -90,15 +91,17 @@
             match office.says(name, what, &request.body) {
                 Ok(()) => {
                     info!("plan: {what} goes to the keepers as {name}");
-                    http::answer(202, true, &[], format!("{name}\n").as_bytes())
+                    http::answer(202, &[http::CLOSE], format!("{name}\n").as_bytes())
                 }
-                Err(wrong) => http::answer(400, true, &[], format!("{wrong}\n").as_bytes()),
+                Err(wrong) => http::answer(400, &[http::CLOSE], format!("{wrong}\n").as_bytes()),
             }
         }
         ("/healthcheck" | "/stats" | "/fleet" | "/fleet/members", _) => {
-            http::answer(405, true, &[("Allow", "GET")], b"")
+            http::answer(405, &[("Allow", "GET"), http::CLOSE], b"")
         }
-        ("/healthcheck/fail" | "/healthcheck/ok", _) => http::answer(405, true, &[("Allow", "POST")], b""),
-        _ => http::answer(404, true, &[], b""),
+        ("/healthcheck/fail" | "/healthcheck/ok", _) => {
+            http::answer(405, &[("Allow", "POST"), http::CLOSE], b"")
+        }
+        _ => http::answer(404, &[http::CLOSE], b""),
     }
 }
--- a/crates/transport/src/http.rs
+++ b/crates/transport/src/http.rs
@@ -1,6 +1,7 @@
 //! HTTP/1.1 heads and whole messages, as far as nodes, clients, executors and discovery speak it. Bodies that are passed
 //! on piece by piece are read in [`crate::body`].
 
+use std::mem::MaybeUninit;
 use std::ops::Range;
 
 pub use crate::body::{BodyReader, Framing, Progress, request_framing, response_framing};
@@ -22,6 +23,13 @@
     pub most_body: usize,
 }
 
+impl Limits {
+    /// The part of the room for header lines that may be used.
+    fn room<'a, T>(&self, lines: &'a mut [T; MOST_HEADERS_EVER]) -> &'a mut [T] {
+        &mut lines[..self.most_headers.min(MOST_HEADERS_EVER)]
+    }
+}
+
 /// Bytes that are no message; with the status that tells a client so.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Malformed(pub u16);
@@ -67,9 +75,10 @@
 
 /// The head of the first request of the bytes and how many bytes it has; `None` while it is not whole.
 pub fn request_head(bytes: &[u8], limits: &Limits) -> Result<Option<(RequestHead, usize)>, Malformed> {
-    let mut lines = [httparse::EMPTY_HEADER; MOST_HEADERS_EVER];
-    let mut parsed = httparse::Request::new(&mut lines[..limits.most_headers.min(MOST_HEADERS_EVER)]);
-    let Some(length) = head_length(parsed.parse(bytes), bytes, limits)? else { return Ok(None) };
+    let mut lines = [const { MaybeUninit::uninit() }; MOST_HEADERS_EVER];
+    let mut parsed = httparse::Request::new(&mut []);
+    let read = parsed.parse_with_uninit_headers(bytes, limits.room(&mut lines));
+    let Some(length) = head_length(read, bytes, limits)? else { return Ok(None) };
     let headers = Headers::read(parsed.headers, parsed.version);
     let (method, target) = (parsed.method.unwrap_or_default(), parsed.path.unwrap_or_default());
     Ok(Some((RequestHead { method: method.to_owned(), target: target.to_owned(), headers }, length)))
@@ -77,9 +86,11 @@
 
 /// The head of the first response of the bytes, be it an interim one, and how many bytes it has.
 pub fn response_head(bytes: &[u8], limits: &Limits) -> Result<Option<(ResponseHead, usize)>, Malformed> {
-    let mut lines = [httparse::EMPTY_HEADER; MOST_HEADERS_EVER];
-    let mut parsed = httparse::Response::new(&mut lines[..limits.most_headers.min(MOST_HEADERS_EVER)]);
-    let Some(length) = head_length(parsed.parse(bytes), bytes, limits)? else { return Ok(None) };
+    let mut lines = [const { MaybeUninit::uninit() }; MOST_HEADERS_EVER];
+    let mut parsed = httparse::Response::new(&mut []);
+    let config = httparse::ParserConfig::default();
+    let read = config.parse_response_with_uninit_headers(&mut parsed, bytes, limits.room(&mut lines));
+    let Some(length) = head_length(read, bytes, limits)? else { return Ok(None) };
     let headers = Headers::read(parsed.headers, parsed.version);
     Ok(Some((ResponseHead { status: parsed.code.unwrap_or(0), headers }, length)))
 }
@@ -180,7 +191,7 @@
 /// The length of the lines behind the last chunk, with the empty one that ends them.
 fn trailers(bytes: &[u8], limits: &Limits) -> Result<Option<usize>, Malformed> {
     let mut lines = [httparse::EMPTY_HEADER; MOST_HEADERS_EVER];
-    match httparse::parse_headers(bytes, &mut lines[..limits.most_headers.min(MOST_HEADERS_EVER)]) {
+    match httparse::parse_headers(bytes, limits.room(&mut lines)) {
         Ok(httparse::Status::Complete((length, _))) => Ok(Some(length)),
         Ok(httparse::Status::Partial) if bytes.len() <= limits.most_head => Ok(None),
         _ => Err(Malformed(400)),
@@ -209,12 +220,25 @@
         502 => "Bad Gateway",
         503 => "Service Unavailable",
         504 => "Gateway Timeout",
+        _ => reason_of_kind(status),
+    }
+}
+
+/// The words for a kind of status, for those that only pass through.
+fn reason_of_kind(status: u16) -> &'static str {
+    match status / 100 {
+        2 => "Success",
+        3 => "Redirection",
+        5 => "Server Error",
         _ => "Bad Request",
     }
 }
 
-/// Writes an answer, with further headers as name and value: to a client, to an executor's call-back, to the staff.
-pub fn answer(status: u16, closes: bool, further: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
+/// The header, as name and value, of the last message on a connection.
+pub const CLOSE: (&str, &str) = ("Connection", "close");
+
+/// Writes an answer with its length and further headers, as name and value.
+pub fn answer(status: u16, further: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
     let mut text = format!("HTTP/1.1 {status} {}\r\n", reason(status));
     if status != 204 {
         text += &format!("Content-Length: {}\r\n", body.len());
@@ -222,9 +246,6 @@
     for (name, value) in further {
         text += &format!("{name}: {value}\r\n");
     }
-    if closes {
-        text += "Connection: close\r\n";
-    }
     text += "\r\n";
     let mut bytes = text.into_bytes();
     bytes.extend_from_slice(body);
--- a/crates/transport/src/signals.rs
+++ b/crates/transport/src/signals.rs
@@ -30,9 +30,9 @@
     }
 
     /// The loop was stirred: takes the bytes that did it. The flags tell why.
-    pub fn drain(&mut self) {
+    pub fn drain(&self) {
         let mut bytes = [0; 16];
-        while matches!(self.stirs.read(&mut bytes), Ok(1..)) {}
+        while matches!((&self.stirs).read(&mut bytes), Ok(1..)) {}
     }
 
     /// Whether word to stop came since this was last asked.
