--- a/crates/catalog/tests/routes.rs
+++ b/crates/catalog/tests/routes.rs
@@ -9,6 +9,7 @@
 use grebeusher_catalog::configuration::{Configuration, TrafficSplit, WeightedService};
 use grebeusher_catalog::routes::{RouteTable, bare_host};
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 use rstest::rstest;
 
 fn table(places: &[(&str, &str)]) -> RouteTable {
@@ -93,7 +94,19 @@
     assert_eq!(bare_host(host), bare);
 }
 
+/// The same cases at every run.
+fn seeded() -> ProptestConfig {
+    ProptestConfig {
+        rng_seed: RngSeed::Fixed(20262),
+        failure_persistence: None,
+        cases: 256,
+        ..ProptestConfig::default()
+    }
+}
+
 proptest! {
+    #![proptest_config(seeded())]
+
     #[test]
     fn given_any_prefixes_when_looked_up_then_the_answer_is_that_of_a_plain_search(
         prefixes in proptest::collection::btree_set("/([ab/-]{0,6}/)?", 1..40),
