quorum: an in-memory world of machines, and storms from seeds under an oracle

Promises come before entries in a batch and count on nothing after them: a loss of power between the two left entries without a founding, or a commit over entries that were to be replaced.

--- a/crates/quorum/src/replica/mod.rs
+++ b/crates/quorum/src/replica/mod.rs
@@ -118,11 +118,13 @@
         }
         let founding = group.founding();
         match self.hard.founding {
-            Some(known) if known == founding => return Ok(()),
-            Some(_) => return Err(FoundError::Founded),
-            None => {}
+            Some(known) if known != founding => return Err(FoundError::Founded),
+            // The entry may be missing where power was lost between the two.
+            Some(_) if self.log.last().index > Index(0) => return Ok(()),
+            _ => {}
         }
-        self.hard = HardState { term: Term(1), voted: None, founding: Some(founding), commit: Index(0) };
+        self.adopt(Term(1));
+        self.hard.founding = Some(founding);
         self.output.hard = true;
         self.append(Term(1), Payload::Group(group));
         self.put_off_election();
@@ -284,6 +286,11 @@
         self.log.group()
     }
 
+    /// The entry that brought [`Replica::group`]; the group is decided once this is committed.
+    pub fn group_index(&self) -> Index {
+        self.log.group_index()
+    }
+
     /// The founding that it belongs to.
     pub fn founding(&self) -> Option<Founding> {
         self.hard.founding
@@ -402,7 +409,9 @@
         if from.is_none() && !rewrite && !hard {
             return Vec::new();
         }
-        self.hard.commit = self.commit;
+        // The promises come first and may be all of the batch that a loss of power leaves, so they count on nothing that
+        // follows them.
+        self.hard.commit = self.commit.min(output.synced);
         let mut writes = Vec::new();
         match self.log.snapshot() {
             Some(snapshot) if rewrite => {
@@ -410,10 +419,10 @@
                 writes.push(Write::Snapshot { snapshot: snapshot.clone(), hard: self.hard, entries });
             }
             _ => {
+                writes.push(Write::Hard(self.hard));
                 if let Some(from) = from {
                     writes.push(Write::Entries(self.log.range(from, last).cloned().collect()));
                 }
-                writes.push(Write::Hard(self.hard));
             }
         }
         writes
--- /dev/null
+++ b/crates/quorum/tests/world/network.rs
@@ -0,0 +1,66 @@
+//! Links that lose, double, delay and reorder.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use grebeusher_time::Span;
+use rand::Rng;
+use rand::rngs::SmallRng;
+
+use super::Site;
+
+#[derive(Clone, Debug)]
+pub struct Network {
+    pub loss: f64,
+    pub doubling: f64,
+    /// The delay of a message lies between nothing and this, so messages overtake each other.
+    pub delay: Span,
+    /// With this chance a message takes very long.
+    pub straggling: f64,
+    cuts: BTreeSet<(Site, Site)>,
+    pub counts: BTreeMap<&'static str, u64>,
+}
+
+impl Default for Network {
+    fn default() -> Network {
+        Network {
+            loss: 0.0,
+            doubling: 0.0,
+            delay: Span::millis(2),
+            straggling: 0.0,
+            cuts: BTreeSet::new(),
+            counts: BTreeMap::new(),
+        }
+    }
+}
+
+impl Network {
+    /// Cuts one direction of a link.
+    pub fn cut(&mut self, from: Site, to: Site) {
+        self.cuts.insert((from, to));
+    }
+
+    pub fn heal(&mut self) {
+        self.cuts.clear();
+    }
+
+    pub fn is_cut(&self, from: Site, to: Site) -> bool {
+        self.cuts.contains(&(from, to))
+    }
+
+    /// The delays of the copies of a message that arrive.
+    pub fn fates(&mut self, from: Site, to: Site, rng: &mut SmallRng) -> Vec<Span> {
+        *self.counts.entry("sent").or_default() += 1;
+        if self.is_cut(from, to) || rng.random_bool(self.loss) {
+            return Vec::new();
+        }
+        let copies = if rng.random_bool(self.doubling) { 2 } else { 1 };
+        let straggling = self.straggling;
+        let most = self.delay.0;
+        (0..copies)
+            .map(|_| {
+                let long = rng.random_bool(straggling);
+                Span(rng.random_range(0..=if long { Span::millis(700).0 } else { most }))
+            })
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/quorum/tests/world/oracle.rs
@@ -0,0 +1,103 @@
+//! What must hold whatever happens: one owner a term, a decided entry stays, states agree, reads are never stale.
+
+use std::collections::BTreeMap;
+
+use grebeusher_quorum::{Blob, Committed, Group, Index, Payload, Replica, ReplicaId, Term};
+use grebeusher_time::Moment;
+
+use super::{Site, State};
+
+#[derive(Clone, Debug, Default)]
+pub struct Oracle {
+    owners: BTreeMap<Term, ReplicaId>,
+    committed: BTreeMap<Index, (Term, Blob)>,
+    states: BTreeMap<Index, State>,
+    founding: Option<Group>,
+    decided: Option<(Index, Group)>,
+    /// What an owner has told clients, or a read has shown.
+    shown: Index,
+    pub acknowledged: u64,
+    pub reads: u64,
+    /// What went wrong, where a test wants to see that it does.
+    pub violations: Vec<String>,
+    /// Notes violations instead of failing at once.
+    pub lenient: bool,
+}
+
+impl Oracle {
+    fn complain(&mut self, what: String) {
+        assert!(self.lenient, "{what}");
+        self.violations.push(what);
+    }
+
+    pub fn see(&mut self, replica: &Replica) {
+        if self.founding.is_none() {
+            let first = replica.entries().next().map(|entry| entry.payload.clone());
+            if let Some(Payload::Group(group)) = first {
+                self.founding = Some(group);
+            }
+        }
+        let is_decided = replica.commit_index() >= replica.group_index();
+        let is_newer = self.decided.as_ref().is_none_or(|(index, _)| *index < replica.group_index());
+        if is_decided && is_newer && replica.group_index() > Index(0) {
+            self.decided = Some((replica.group_index(), replica.group().clone()));
+        }
+        if !replica.is_owner() {
+            return;
+        }
+        let owner = *self.owners.entry(replica.term()).or_insert(replica.identity());
+        if owner != replica.identity() {
+            self.complain(format!(
+                "two owners of {:?}: {owner:?} and {:?}",
+                replica.term(),
+                replica.identity()
+            ));
+        }
+    }
+
+    /// The newest group that is known to be decided.
+    pub fn decided_group(&self) -> Group {
+        self.decided.as_ref().map_or_else(|| self.founding_group(), |(_, group)| group.clone())
+    }
+
+    pub fn founding_group(&self) -> Group {
+        self.founding.clone().expect("the part was founded")
+    }
+
+    pub fn check_committed(&mut self, committed: &Committed, site: Site) {
+        let told = (committed.term, committed.payload.clone());
+        let known = self.committed.entry(committed.index).or_insert_with(|| told.clone());
+        if *known != told {
+            let what = format!("{site:?} decides {committed:?}, but {known:?} was decided before");
+            self.complain(what);
+        }
+    }
+
+    pub fn check_state(&mut self, index: Index, state: State, site: Site) {
+        let known = *self.states.entry(index).or_insert(state);
+        if known != state {
+            self.complain(format!("{site:?} has {state:?} at {index:?}, others {known:?}"));
+        }
+    }
+
+    pub fn acknowledge(&mut self, applied: Index, _now: Moment) {
+        self.shown = self.shown.max(applied);
+        self.acknowledged += 1;
+    }
+
+    pub fn check_read(&mut self, shown: Index, site: Site) {
+        self.reads += 1;
+        if shown < self.shown {
+            self.complain(format!("stale read at {site:?}: {shown:?} after {:?} was shown", self.shown));
+        }
+        self.shown = self.shown.max(shown);
+    }
+
+    pub fn last_committed(&self) -> Index {
+        self.committed.keys().next_back().copied().unwrap_or_default()
+    }
+
+    pub fn commands(&self) -> usize {
+        self.committed.len()
+    }
+}
