--- a/crates/archive/src/events.rs
+++ b/crates/archive/src/events.rs
@@ -5,6 +5,9 @@
 /// The largest event, all its lines together, and so about the most that a reader holds.
 pub const MAX_EVENT_BYTES: usize = 256 << 10;
 
+/// The room for a line that is kept for the next one; streams are many.
+const KEPT_LINE_BYTES: usize = 4 << 10;
+
 /// A whole event: its id and its data, several lines of which are joined by line feeds.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Event {
@@ -101,8 +104,10 @@
         let mut line = std::mem::take(&mut self.line);
         line.extend_from_slice(piece);
         let event = self.take_line(&line);
-        line.clear();
-        self.line = line;
+        if line.capacity() <= KEPT_LINE_BYTES {
+            line.clear();
+            self.line = line;
+        }
         event
     }
 
--- a/crates/archive/src/jobs.rs
+++ b/crates/archive/src/jobs.rs
@@ -44,6 +44,17 @@
     NoSuchJob,
 }
 
+/// How far a job is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct JobStatus {
+    /// Its items.
+    pub total: usize,
+    /// Those that have positions.
+    pub listed: usize,
+    /// Its client ended it.
+    pub has_ended: bool,
+}
+
 /// The batch jobs of one part.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Jobs {
@@ -176,6 +187,11 @@
         self.jobs.get(job)?.item_body(item_id)
     }
 
+    /// How far a job is. Nothing if there is no such job.
+    pub fn status(&self, job: &JobId) -> Option<JobStatus> {
+        self.jobs.get(job).map(Job::status)
+    }
+
     pub fn contains(&self, job: &JobId) -> bool {
         self.jobs.contains_key(job)
     }
--- a/crates/archive/src/jobs/job.rs
+++ b/crates/archive/src/jobs/job.rs
@@ -1,5 +1,6 @@
 //! One batch job: its items until they are listed, its results from then on.
 
+use super::JobStatus;
 use super::entry::{EventsPiece, ItemProgress, ItemResult, JobTerms};
 use super::page::{Listing, Page};
 use crate::names::ItemIndex;
@@ -148,6 +149,10 @@
         &self.terms
     }
 
+    pub(super) fn status(&self) -> JobStatus {
+        JobStatus { total: self.open.len(), listed: self.listed.len(), has_ended: self.ended }
+    }
+
     pub(super) fn has_ended(&self) -> bool {
         self.ended
     }
--- a/crates/archive/src/lib.rs
+++ b/crates/archive/src/lib.rs
@@ -64,8 +64,8 @@
 
 pub use events::{Event, EventError, EventReader, MAX_EVENT_BYTES};
 pub use jobs::{
-    Applied, EndState, Entry, EventsPiece, ItemProgress, ItemResult, JobResults, JobTerms, Jobs, Listing,
-    MAX_PAGE_BYTES, OpenItem, Page, Progress, ResultState, SnapshotError,
+    Applied, EndState, Entry, EventsPiece, ItemProgress, ItemResult, JobResults, JobStatus, JobTerms, Jobs,
+    Listing, MAX_PAGE_BYTES, OpenItem, Page, Progress, ResultState, SnapshotError,
 };
 pub use names::{ItemIndex, JobId, MAX_NAME_BYTES};
 pub use owner::{Admission, Owner};
--- a/crates/archive/src/runner.rs
+++ b/crates/archive/src/runner.rs
@@ -9,7 +9,9 @@
 
 use grebeusher_time::{Moment, Span};
 
-use crate::jobs::{Applied, EndState, Entry, ItemProgress, ItemResult, JobResults, Jobs, ResultState};
+use crate::jobs::{
+    Applied, EndState, Entry, ItemProgress, ItemResult, JobResults, Jobs, MAX_JOBS_IN_ENTRY, ResultState,
+};
 use crate::names::{ItemIndex, JobId};
 use crate::submission::{Header, Tokens};
 use item::{ItemRun, Phase};
@@ -94,7 +96,6 @@
 #[derive(Debug)]
 pub struct Runner {
     is_owner: bool,
-    wall_ms: WallClock,
     /// When each job was first seen here, on the steady clock: no earlier than its first send.
     seen: BTreeMap<JobId, Moment>,
     jobs: BTreeMap<JobId, JobRun>,
@@ -107,27 +108,11 @@
     pace: Pace,
 }
 
-/// The wall clock against the steady one, as it stood when ownership began.
-#[derive(Clone, Copy, Debug, Default)]
-struct WallClock {
-    wall_ms: u64,
-    at: Moment,
-}
-
-impl WallClock {
-    /// How old a job is by the wall clock, which may be wrong.
-    fn age_of(self, accepted_at_wall_ms: u64, now: Moment) -> Span {
-        let now_ms = self.wall_ms.saturating_add(now.since(self.at).0 / Span::millis(1).0);
-        Span(now_ms.saturating_sub(accepted_at_wall_ms).saturating_mul(Span::millis(1).0))
-    }
-}
-
 impl Runner {
     /// A runner that runs nothing yet. `seed` spreads the pauses of retries.
     pub fn new(seed: u64) -> Runner {
         Runner {
             is_owner: false,
-            wall_ms: WallClock::default(),
             seen: BTreeMap::new(),
             jobs: BTreeMap::new(),
             runs: HashMap::new(),
@@ -149,16 +134,15 @@
     }
 
     /// The part is owned from now on, all that earlier terms committed being applied. Items that are not listed
-    /// begin anew, from what is committed of them.
+    /// begin anew, from what is committed of them. `wall_ms`, the wall clock in ms since 1970, is only a hint to
+    /// which of the jobs are urgent.
     pub fn begin(&mut self, jobs: &Jobs, now: Moment, wall_ms: u64) {
         self.stop();
         self.adopt(jobs, now);
         self.is_owner = true;
-        self.wall_ms = WallClock { wall_ms, at: now };
-        let open: Vec<JobId> =
-            jobs.all().filter(|(_, job)| job.is_open()).map(|(id, _)| id.clone()).collect();
-        for id in open {
-            self.take_on(jobs, &id, now);
+        for (id, job) in jobs.all().filter(|(_, job)| job.is_open()) {
+            let age_ms = wall_ms.saturating_sub(job.terms().accepted_at_wall_ms);
+            self.take_on(jobs, id, now, schedule::millis(age_ms));
         }
     }
 
@@ -180,11 +164,10 @@
         self.is_owner
     }
 
-    fn take_on(&mut self, jobs: &Jobs, id: &JobId, now: Moment) {
+    fn take_on(&mut self, jobs: &Jobs, id: &JobId, now: Moment, age_by_wall: Span) {
         let Some(job) = jobs.job(id) else { return };
         let seen = self.seen.get(id).copied().unwrap_or(now);
-        let by_wall = self.wall_ms.age_of(job.terms().accepted_at_wall_ms, now);
-        self.jobs.insert(id.clone(), JobRun::new(job, seen, by_wall, now));
+        self.jobs.insert(id.clone(), JobRun::new(job, seen, age_by_wall, now, self.turns));
     }
 
     /// Takes note of an applied entry, on every replica.
@@ -193,7 +176,7 @@
             Applied::Submitted { job, already: false } => {
                 self.seen.insert(job.clone(), now);
                 if self.is_owner && jobs.is_open(job) {
-                    self.take_on(jobs, job, now);
+                    self.take_on(jobs, job, now, Span::default());
                 }
             }
             Applied::Listed(items) => {
@@ -240,14 +223,11 @@
         }
         let is_fair_turn = schedule::is_fair_turn(self.turns);
         let expected = self.pace.expected_run();
-        let mut order: Vec<(schedule::Rank, JobId)> = self
-            .jobs
-            .iter()
-            .filter(|(_, job)| job.has_ready() && !job.is_given_up(now))
-            .map(|(id, job)| (job.rank(now, expected, is_fair_turn), id.clone()))
-            .collect();
-        order.sort_unstable();
-        order.into_iter().find_map(|(_, id)| self.start_one(jobs, &id, now, room))
+        let mut rooms = RouteRooms { room, known: Vec::new() };
+        let fitting = self.jobs.iter().filter(|(_, job)| !job.is_given_up(now) && rooms.have_for(job));
+        let first = fitting.min_by_key(|(_, job)| job.rank(now, expected, is_fair_turn));
+        let id = first.map(|(id, _)| id.clone())?;
+        self.start_one(jobs, &id, now, room)
     }
 
     fn start_one(&mut self, jobs: &Jobs, id: &JobId, now: Moment, room: &impl Room) -> Option<RunOrder> {
@@ -354,10 +334,17 @@
         }
     }
 
-    /// The route is no longer in the configuration: its items are given up.
+    /// The route is no longer in the committed configuration: its items are given up. There is no way back.
     pub fn route_ended(&mut self, route: &str) {
+        self.retain_routes(|other| other != route);
+    }
+
+    /// Gives up the items of all routes that are no longer in the committed configuration. To be called when it
+    /// changes and after [`Runner::begin`]. There is no way back.
+    pub fn retain_routes(&mut self, is_there: impl Fn(&str) -> bool) {
+        let jobs = self.jobs.iter();
         let ended: Vec<JobId> =
-            self.jobs.iter().filter(|(_, job)| job.route() == route).map(|(id, _)| id.clone()).collect();
+            jobs.filter(|(_, job)| !is_there(job.route())).map(|(id, _)| id.clone()).collect();
         for id in ended {
             self.give_up_job(&id);
         }
@@ -386,7 +373,7 @@
         let decided = std::mem::take(&mut self.decided);
         let mut batch = Batch::default();
         for (job, result) in decided {
-            if batch.text_bytes > 0 && batch.text_bytes + result.text.len() > MAX_ENTRY_TEXT_BYTES {
+            if batch.is_full(result.text.len()) {
                 entries.push(Entry::Results(std::mem::take(&mut batch).jobs));
             }
             batch.add(job, result);
@@ -397,9 +384,7 @@
         let failures = std::mem::take(&mut self.failures);
         let progress: Vec<ItemProgress> =
             failures.into_iter().filter_map(|(job, item)| self.failures_of(job, item)).collect();
-        if !progress.is_empty() {
-            entries.push(Entry::Progress(progress));
-        }
+        entries.extend(progress.chunks(MAX_JOBS_IN_ENTRY).map(|part| Entry::Progress(part.to_vec())));
         entries
     }
 
@@ -418,7 +403,7 @@
             Entry::Results(batches) => {
                 for JobResults { job, results } in batches {
                     let Some(run) = self.jobs.get(&job) else { continue };
-                    let still = results.into_iter().filter(|result| run.item(result.item).is_some());
+                    let still = results.into_iter().filter(|result| run.is_decided(result.item));
                     self.decided.extend(still.map(|result| (job.clone(), result)));
                 }
             }
@@ -430,16 +415,18 @@
     }
 
     /// Unfinished texts as far as they are not committed, for a planned change of the owner: the next one goes on
-    /// from there. Nothing if there are none.
+    /// from there. To be called until there are none; what was handed out counts as committed.
     pub fn checkpoint(&mut self) -> Option<Entry> {
         let mut progress = Vec::new();
+        let mut text_bytes = 0;
         for (id, job) in &mut self.jobs {
-            progress.extend(job.checkpoint().map(|(item, failed_attempts, events)| ItemProgress {
-                job: id.clone(),
-                item,
-                failed_attempts,
-                events: Some(events),
-            }));
+            for (item, failed_attempts, events) in job.checkpoints() {
+                text_bytes += events.text.len();
+                progress.push(ItemProgress { job: id.clone(), item, failed_attempts, events: Some(events) });
+                if text_bytes >= MAX_ENTRY_TEXT_BYTES || progress.len() >= MAX_JOBS_IN_ENTRY {
+                    return Some(Entry::Progress(progress));
+                }
+            }
         }
         (!progress.is_empty()).then_some(Entry::Progress(progress))
     }
@@ -448,7 +435,7 @@
     pub fn forgettable(&self, jobs: &Jobs, now: Moment, status: Span) -> Vec<JobId> {
         let old = self.seen.iter().filter(|(_, seen)| now.since(**seen) >= status);
         let over = old.filter(|(job, _)| jobs.contains(job) && !jobs.is_open(job));
-        over.map(|(job, _)| job.clone()).take(crate::jobs::MAX_JOBS_IN_ENTRY).collect()
+        over.map(|(job, _)| job.clone()).take(MAX_JOBS_IN_ENTRY).collect()
     }
 
     /// When something changes by itself: a pause ends or a job is given up.
@@ -472,6 +459,32 @@
     ItemResult { item, state: ResultState::DeadLetter, text: String::new() }
 }
 
+/// The room for each route as it was asked for in one turn.
+struct RouteRooms<'a, R> {
+    room: &'a R,
+    /// Routes are few.
+    known: Vec<(String, Option<u64>)>,
+}
+
+impl<R: Room> RouteRooms<'_, R> {
+    /// Whether an item of the job may run now.
+    fn have_for(&mut self, job: &JobRun) -> bool {
+        if !job.has_ready() {
+            return false;
+        }
+        let known = self.known.iter().find(|(route, _)| route == job.route());
+        let tokens = match known {
+            Some((_, tokens)) => *tokens,
+            None => {
+                let tokens = self.room.tokens_for(job.route());
+                self.known.push((job.route().to_owned(), tokens));
+                tokens
+            }
+        };
+        tokens.is_some_and(|tokens| job.fits(tokens))
+    }
+}
+
 /// The results of one entry as they gather.
 #[derive(Default)]
 struct Batch {
@@ -480,7 +493,12 @@
 }
 
 impl Batch {
-    /// Results of a job that follow on each other share its name.
+    fn is_full(&self, more_text_bytes: usize) -> bool {
+        let is_long = self.text_bytes > 0 && self.text_bytes + more_text_bytes > MAX_ENTRY_TEXT_BYTES;
+        is_long || self.jobs.len() >= MAX_JOBS_IN_ENTRY
+    }
+
+    /// Results of one job share its name.
     fn add(&mut self, job: JobId, result: ItemResult) {
         self.text_bytes += result.text.len();
         match self.jobs.iter_mut().find(|batch| batch.job == job) {
--- a/crates/archive/src/runner/schedule.rs
+++ b/crates/archive/src/runner/schedule.rs
@@ -14,6 +14,8 @@
 
 /// One turn in so many is the fair one.
 const FAIR_TURN: u64 = 8;
+/// The retention of a route that names none: its items are not given up.
+const NEVER: Span = Span(u64::MAX);
 
 pub(super) fn is_fair_turn(turns: u64) -> bool {
     turns % FAIR_TURN == FAIR_TURN - 1
@@ -34,7 +36,7 @@
     due: Moment,
     /// From then on the items may be given up.
     given_up: Moment,
-    /// The turn in which an item of it last started.
+    /// The turn in which an item of it last started, or in which it came.
     last_turn: u64,
     items: BTreeMap<ItemIndex, ItemRun>,
     /// The largest first: they take longest and are worth most.
@@ -45,9 +47,9 @@
 impl JobRun {
     /// A job that was first seen here at `seen` and is `age_by_wall` old by the wall clock. The wall clock only
     /// moves the time when the job is due; giving up goes by what was seen, which is never too old.
-    pub fn new(job: &Job, seen: Moment, age_by_wall: Span, now: Moment) -> JobRun {
+    pub fn new(job: &Job, seen: Moment, age_by_wall: Span, now: Moment, turn: u64) -> JobRun {
         let terms = job.terms();
-        let retention = millis(terms.retention_ms);
+        let retention = if terms.retention_ms == 0 { NEVER } else { millis(terms.retention_ms) };
         let by_wall = if age_by_wall > retention { Span::default() } else { age_by_wall };
         let age = now.since(seen).max(by_wall) + millis(terms.age_at_acceptance_ms);
         let mut run = JobRun {
@@ -55,7 +57,7 @@
             max_attempts: terms.max_attempts.max(1),
             due: (now + millis(terms.completion_target_ms)) - age,
             given_up: seen + retention,
-            last_turn: 0,
+            last_turn: turn,
             items: BTreeMap::new(),
             ready: BTreeSet::new(),
             pausing: BTreeSet::new(),
@@ -113,9 +115,18 @@
         }
     }
 
+    /// Whether an item may run that has no more than these tokens.
+    pub fn fits(&self, room: u64) -> bool {
+        self.largest_within(room).is_some()
+    }
+
+    fn largest_within(&self, room: u64) -> Option<(Reverse<u64>, ItemIndex)> {
+        self.ready.range((Reverse(room), ItemIndex(0))..).next().copied()
+    }
+
     /// Starts the largest item that fits.
     pub fn start(&mut self, room: u64, run: RunId, now: Moment, turn: u64) -> Option<ItemIndex> {
-        let key = self.ready.range((Reverse(room), ItemIndex(0))..).next().copied()?;
+        let key = self.largest_within(room)?;
         self.ready.remove(&key);
         let item = self.items.get_mut(&key.1)?;
         item.phase = Phase::Running(run);
@@ -182,7 +193,12 @@
         })
     }
 
-    pub fn checkpoint(&mut self) -> impl Iterator<Item = (ItemIndex, u32, EventsPiece)> {
+    pub fn is_decided(&self, index: ItemIndex) -> bool {
+        self.items.get(&index).is_some_and(|item| item.phase == Phase::Decided)
+    }
+
+    /// What has come of each item since its last checkpoint.
+    pub fn checkpoints(&mut self) -> impl Iterator<Item = (ItemIndex, u32, EventsPiece)> {
         self.items.iter_mut().filter_map(|(index, item)| {
             let (failed_attempts, events) = item.checkpoint()?;
             Some((*index, failed_attempts, events))
@@ -202,6 +218,6 @@
     }
 }
 
-fn millis(ms: u64) -> Span {
+pub(super) fn millis(ms: u64) -> Span {
     Span(ms.saturating_mul(Span::millis(1).0))
 }
--- a/crates/archive/src/submission.rs
+++ b/crates/archive/src/submission.rs
@@ -2,11 +2,15 @@
 
 mod reading;
 
+use std::collections::HashSet;
+
 use nanoserde::{DeBin, DeBinErr, SerBin};
 
 pub use reading::{SubmissionError, SubmissionHead, read_submission};
 
-use crate::compact::{put_bytes, put_list, put_number, take_bytes, take_list, take_number, take_text};
+use crate::compact::{
+    malformed, put_bytes, put_list, put_number, take_bytes, take_list, take_number, take_text,
+};
 use crate::names::{JobId, is_name};
 
 /// The most items in a job.
@@ -65,6 +69,12 @@
     }
 }
 
+/// The place of the first item that has the name of an earlier one.
+fn first_repeated(items: &[ItemSpec]) -> Option<usize> {
+    let mut names = HashSet::with_capacity(items.len());
+    items.iter().position(|item| !names.insert(item.id.as_str()))
+}
+
 /// A batch job as it was submitted, with the route that it came in on.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Submission {
@@ -113,7 +123,7 @@
     fn de_bin(offset: &mut usize, bytes: &[u8]) -> Result<ItemSpec, DeBinErr> {
         let id = take_text(offset, bytes)?;
         if !is_name(id) {
-            return Err(crate::compact::malformed(*offset, 0, bytes));
+            return Err(malformed(*offset, 0, bytes));
         }
         Ok(ItemSpec {
             id: id.to_owned(),
@@ -137,12 +147,16 @@
 
 impl DeBin for Submission {
     fn de_bin(offset: &mut usize, bytes: &[u8]) -> Result<Submission, DeBinErr> {
-        Ok(Submission {
+        let submission = Submission {
             job: JobId::de_bin(offset, bytes)?,
             route: take_text(offset, bytes)?.to_owned(),
             service: take_text(offset, bytes)?.to_owned(),
             host: take_text(offset, bytes)?.to_owned(),
             items: take_list(offset, bytes, MAX_ITEMS)?,
-        })
+        };
+        match first_repeated(&submission.items) {
+            Some(_) => Err(malformed(*offset, 0, bytes)),
+            None => Ok(submission),
+        }
     }
 }
--- a/crates/archive/src/submission/reading.rs
+++ b/crates/archive/src/submission/reading.rs
@@ -1,7 +1,7 @@
 //! Reading the body of a submission. Everything that could change a request on its way to an executor (a line
 //! end in a header, a blank in a path) is refused here, so that no later stage has to look again.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 
 use base64::Engine;
 use base64::alphabet::STANDARD;
@@ -9,7 +9,7 @@
 use snafu::{OptionExt, ResultExt, Snafu, ensure};
 use tinyjson::JsonValue;
 
-use super::{Header, ItemSpec, MAX_HEADERS, MAX_ITEMS, Submission};
+use super::{Header, ItemSpec, MAX_HEADERS, MAX_ITEMS, Submission, first_repeated};
 use crate::names::{JobId, is_name};
 
 /// The largest body of a submission.
@@ -112,7 +112,9 @@
     for (item, value) in values.into_iter().enumerate() {
         items.push(read_item(item, value)?);
     }
-    check_names(&items)?;
+    if let Some(item) = first_repeated(&items) {
+        return ItemTwiceSnafu { item }.fail();
+    }
     let SubmissionHead { job, route, service, host } = head;
     Ok(Submission { job, route, service, host, items })
 }
@@ -203,11 +205,3 @@
         && path.len() <= MAX_PATH_BYTES
         && path.bytes().all(|byte| byte.is_ascii_graphic() && byte != b'#')
 }
-
-fn check_names(items: &[ItemSpec]) -> Result<(), SubmissionError> {
-    let mut names = HashSet::with_capacity(items.len());
-    for (item, spec) in items.iter().enumerate() {
-        ensure!(names.insert(spec.id.as_str()), ItemTwiceSnafu { item });
-    }
-    Ok(())
-}
--- /dev/null
+++ b/crates/archive/tests/batches/main.rs
@@ -0,0 +1,12 @@
+//! What must hold of batch jobs, told as stories over in-memory parts.
+
+mod events;
+mod owner_change;
+mod pages;
+mod part;
+mod quota;
+mod replay;
+mod running;
+mod sample;
+mod storm;
+mod submission;
--- /dev/null
+++ b/crates/archive/tests/batches/owner_change.rs
@@ -0,0 +1,213 @@
+//! The owner changes in the middle of everything.
+
+use grebeusher_archive::*;
+use grebeusher_time::Span;
+
+use crate::part::Part;
+use crate::sample::*;
+
+/// The same log on another replica, which takes over.
+fn successor(of: &Part, log: &[Entry], wall_ms: u64) -> Part {
+    let mut part = Part { jobs: Jobs::new(), runner: Runner::new(8), now: of.now };
+    for entry in log {
+        part.commit(entry.clone());
+    }
+    assert_eq!(part.try_next(), None, "a replica that isn't the owner runs nothing");
+    assert_eq!(part.jobs, of.jobs);
+    part.runner.begin(&part.jobs, part.now, wall_ms);
+    part
+}
+
+#[test]
+fn items_that_are_not_listed_begin_anew() {
+    let mut old = Part::with_job("j", 2);
+    let order = old.next();
+    old.event(&order, 0, "a");
+    let mut new = successor(&old, &[submit("j", 2)], 1_000_000);
+    let runs = [new.next(), new.next()];
+    assert!(runs.iter().all(|order| order.last_event_id.is_none()));
+    for run in &runs {
+        assert_eq!(new.event(run, 0, "a"), EventTaken::Taken);
+        new.end_run(run, Outcome::Complete);
+    }
+    new.settle();
+    assert_eq!(texts(&new.jobs, "j").len(), 2);
+}
+
+#[test]
+fn results_that_were_decided_but_not_committed_are_left_to_the_successor() {
+    let mut old = Part::with_job("j", 1);
+    let order = old.next();
+    old.event(&order, 0, "a");
+    old.end_run(&order, Outcome::Complete);
+    let running = Part::with_job("k", 1).next();
+    old.runner.cease();
+    assert_eq!(old.runner.take_proposals(), []);
+    assert_eq!((old.try_next(), old.runner.take_cut_off(), old.runner.is_owner()), (None, vec![], false));
+    old.end_run(&running, Outcome::Complete);
+    let mut new = successor(&old, &[submit("j", 1)], 1_000_000);
+    assert_eq!(new.next().attempt_id, "j-0");
+}
+
+#[test]
+fn an_owner_that_ceases_cuts_its_runs_off() {
+    let mut part = Part::with_job("j", 2);
+    let (first, second) = (part.next(), part.next());
+    part.runner.cease();
+    let mut cut_off = part.runner.take_cut_off();
+    cut_off.sort_unstable();
+    assert_eq!(cut_off, [first.run, second.run]);
+    assert_eq!(part.event(&first, 0, "a"), EventTaken::NoSuchRun);
+    part.runner.begin(&part.jobs, part.now, 1_000_000);
+    let again = [part.next(), part.next()];
+    assert!(again.iter().all(|order| ![first.run, second.run].contains(&order.run)), "runs are told apart");
+    assert_eq!(part.event(&first, 0, "a"), EventTaken::NoSuchRun);
+}
+
+/// TWICE: both owners' results reach the log.
+#[test]
+fn a_result_that_the_predecessor_got_committed_stands() {
+    let old = Part::with_job("j", 1);
+    let mut new = successor(&old, &[submit("j", 1)], 1_000_000);
+    let order = new.next();
+    new.event(&order, 0, "a");
+    new.commit(complete("j", 0, "the predecessor's"));
+    assert_eq!(new.runner.take_cut_off(), [order.run]);
+    new.end_run(&order, Outcome::Complete);
+    assert_eq!((new.settle(), new.try_next()), (0, None));
+    assert_eq!(texts(&new.jobs, "j")[0].2, "the predecessor's");
+}
+
+/// MIXED: answers of 500 that were committed count on, those that weren't are asked for again.
+#[test]
+fn committed_failures_count_on() {
+    let mut old = Part::with_job("j", 1);
+    let mut log = vec![submit("j", 1)];
+    let order = old.next();
+    old.end_run(&order, Outcome::Failed500);
+    for entry in old.runner.take_proposals() {
+        log.push(entry.clone());
+        old.commit(entry);
+    }
+    old.pass(5_000);
+    let order = old.next();
+    old.end_run(&order, Outcome::Failed500);
+    let mut new = successor(&old, &log, 1_000_000);
+    for attempt in 2..=3 {
+        new.pass(5_000);
+        let order = new.next();
+        new.end_run(&order, Outcome::Failed500);
+        new.settle();
+        assert_eq!(texts(&new.jobs, "j").len(), usize::from(attempt == 3), "attempt {attempt}");
+    }
+}
+
+/// ORDER: the successor goes on from what is committed, with `Last-Event-Id`.
+#[test]
+fn a_checkpoint_spares_the_successor_the_beginning() {
+    let mut old = Part::with_job("j", 2);
+    let order = old.next();
+    old.event(&order, 0, "a");
+    old.event(&order, 1, "b");
+    let mut log = vec![submit("j", 2)];
+    let first = old.runner.checkpoint().expect("text is unfinished");
+    log.push(first.clone());
+    old.commit(first);
+    assert_eq!(old.runner.checkpoint(), None, "nothing new");
+    old.event(&order, 2, "c");
+    let second = old.runner.checkpoint().expect("an event more");
+    log.push(second.clone());
+    old.commit(second);
+    old.event(&order, 3, "not committed");
+    let mut new = successor(&old, &log, 1_000_000);
+    let orders = [new.next(), new.next()];
+    let resumed = orders.iter().find(|new| new.item == order.item).expect("both run");
+    assert_eq!(resumed.last_event_id, Some(2));
+    assert_eq!(new.event(resumed, 3, "d"), EventTaken::Taken);
+    let third = new.runner.checkpoint().expect("an event more");
+    new.commit(third);
+    new.end_run(resumed, Outcome::Complete);
+    new.settle();
+    assert_eq!(texts(&new.jobs, "j")[0].2, "a\nb\nc\nd");
+}
+
+/// Checkpoints of many long texts come in several entries, all of which can be read.
+#[test]
+fn checkpoints_are_bounded() {
+    let mut part = Part::with_job("j", 10);
+    while let Some(order) = part.try_next() {
+        part.event(&order, 0, &"x".repeat(200_000));
+    }
+    let entries: Vec<Entry> = std::iter::from_fn(|| part.runner.checkpoint()).collect();
+    assert_eq!(entries.len(), 4);
+    for entry in entries {
+        part.commit(entry);
+    }
+    part.runner.begin(&part.jobs, part.now, 1_000_000);
+    let resumed: Vec<_> = std::iter::from_fn(|| part.try_next()).map(|order| order.last_event_id).collect();
+    assert_eq!(resumed, vec![Some(0); 10]);
+}
+
+/// MIXED: a clock that jumps by a day gives nothing up and forgets nothing.
+#[test]
+fn a_wall_clock_that_jumps_gives_nothing_up() {
+    let mut old = Part::with_job("j", 1);
+    old.pass(1_000);
+    let mut new = successor(&old, &[submit("j", 1)], 1_000_000 + 86_400_000);
+    new.runner.tick(new.now);
+    assert_eq!((new.settle(), new.runner.take_cut_off()), (0, vec![]));
+    new.pass(59_999);
+    new.runner.tick(new.now);
+    assert_eq!(new.settle(), 0, "the successor saw the job for less than its retention");
+    new.pass(1);
+    new.runner.tick(new.now);
+    assert_eq!(new.settle(), 1);
+}
+
+/// The wall clock only tells the successor which job is due first.
+#[test]
+fn a_successor_knows_the_older_job_by_the_wall_clock() {
+    let old = Part::owned();
+    let mut newer = terms();
+    newer.accepted_at_wall_ms += 3_000;
+    let mut jobs = Jobs::new();
+    jobs.apply(Entry::Submit { submission: submission("a-newer", 1), terms: newer });
+    jobs.apply(submit("b-older", 1));
+    let jobs = Jobs::from_snapshot(&jobs.to_snapshot()).expect("whole");
+    let mut new = Part { jobs, runner: Runner::new(1), now: old.now };
+    new.runner.begin(&new.jobs, new.now, 1_004_000);
+    assert_eq!([new.next().job, new.next().job], ["b-older", "a-newer"].map(job));
+}
+
+/// A job that is taken now is new, whatever the wall clock says of it.
+#[test]
+fn a_new_job_is_not_old_by_a_wrong_clock() {
+    let mut part = Part::owned();
+    part.pass(30_000);
+    let jumped = JobTerms { accepted_at_wall_ms: 0, ..terms() };
+    part.commit(Entry::Submit { submission: submission("b-jumped", 1), terms: jumped });
+    let loose = JobTerms { completion_target_ms: 20_000, ..terms() };
+    part.commit(Entry::Submit { submission: submission("a-loose", 1), terms: loose });
+    assert_eq!(part.next().job, job("b-jumped"), "it isn't late");
+}
+
+/// LOST: forgotten only so long after this replica first saw the job, and not while it is open.
+#[test]
+fn jobs_are_forgotten_by_the_steady_clock() {
+    let status = Span::millis(120_000);
+    let mut part = Part::with_job("open", 1);
+    part.commit(submit("done", 1));
+    part.commit(complete("done", 0, "text"));
+    part.pass(119_999);
+    assert_eq!(part.runner.forgettable(&part.jobs, part.now, status), []);
+    let mut late = Part { jobs: part.jobs.clone(), runner: Runner::new(1), now: part.now };
+    late.runner.adopt(&late.jobs, late.now);
+    part.pass(1);
+    late.pass(1);
+    let forgettable = part.runner.forgettable(&part.jobs, part.now, status);
+    assert_eq!(forgettable, [job("done")]);
+    assert_eq!(late.runner.forgettable(&late.jobs, late.now, status), [], "it saw the job a moment ago");
+    part.commit(Entry::Forget { jobs: forgettable });
+    assert_eq!(part.runner.forgettable(&part.jobs, part.now, status), []);
+    assert!(!part.jobs.contains(&job("done")) && part.jobs.contains(&job("open")));
+}
--- /dev/null
+++ b/crates/archive/tests/batches/pages.rs
@@ -0,0 +1,199 @@
+//! What readers see, and what stays as it was.
+
+use grebeusher_archive::*;
+use proptest::prelude::*;
+use rstest::rstest;
+use tinyjson::JsonValue;
+
+use crate::sample::*;
+
+fn read_json(jobs: &Jobs, name: &str, from: usize, max_bytes: usize) -> String {
+    jobs.read(&job(name), from, max_bytes).expect("the job is known").to_json()
+}
+
+#[test]
+fn a_job_without_results_has_a_total() {
+    let mut jobs = Jobs::new();
+    jobs.apply(submit("j", 3));
+    assert_eq!(read_json(&jobs, "j", 0, MAX_PAGE_BYTES), r#"{"total":3,"next_token":0,"result_list":[]}"#);
+}
+
+/// MIXED: a result names the item and the text that belong together, and `total` is right.
+#[test]
+fn results_stand_in_the_order_of_their_entries() {
+    let mut jobs = Jobs::new();
+    jobs.apply(submit("j", 3));
+    jobs.apply(complete("j", 2, "two"));
+    let results = vec![result(0, ResultState::DeadLetter, ""), result(1, ResultState::Complete, "a\n\"b\"")];
+    jobs.apply(Entry::Results(vec![JobResults { job: job("j"), results }]));
+    assert_eq!(
+        read_json(&jobs, "j", 1, MAX_PAGE_BYTES),
+        concat!(
+            r#"{"total":3,"next_token":3,"result_list":[{"instance_id":"j-0","state":"dead_letter","text":""},"#,
+            r#"{"instance_id":"j-1","state":"complete","text":"a\n\"b\""}]}"#
+        )
+    );
+    assert_eq!(read_json(&jobs, "j", 3, MAX_PAGE_BYTES), r#"{"total":3,"next_token":3,"result_list":[]}"#);
+    assert_eq!(read_json(&jobs, "j", 9, MAX_PAGE_BYTES), r#"{"total":3,"next_token":9,"result_list":[]}"#);
+}
+
+/// TWICE: an item stands at one position, and a position holds one result.
+#[test]
+fn an_item_is_listed_once_and_its_position_never_changes() {
+    let mut jobs = Jobs::new();
+    jobs.apply(submit("j", 2));
+    jobs.apply(complete("j", 1, "first"));
+    let seen = texts(&jobs, "j");
+    assert_eq!(jobs.apply(complete("j", 1, "second")), Applied::Listed(vec![]));
+    jobs.apply(complete("j", 0, "other"));
+    jobs.apply(Entry::Ended { job: job("j") });
+    assert_eq!(texts(&jobs, "j")[..1], seen[..]);
+    assert_eq!(texts(&jobs, "j").len(), 2);
+}
+
+#[test]
+fn results_of_items_and_jobs_that_are_not_there_are_passed_over() {
+    let mut jobs = Jobs::new();
+    jobs.apply(submit("j", 1));
+    let before = jobs.clone();
+    assert_eq!(jobs.apply(complete("j", 1, "x")), Applied::Listed(vec![]));
+    assert_eq!(jobs.apply(complete("k", 0, "x")), Applied::Listed(vec![]));
+    assert_eq!(jobs, before);
+}
+
+/// LOST: the same job sent again is the same job, whatever its body says now.
+#[test]
+fn a_job_is_taken_once() {
+    let mut jobs = Jobs::new();
+    assert_eq!(jobs.apply(submit("j", 2)), Applied::Submitted { job: job("j"), already: false });
+    jobs.apply(complete("j", 0, "text"));
+    let before = jobs.clone();
+    assert_eq!(jobs.apply(submit("j", 5)), Applied::Submitted { job: job("j"), already: true });
+    assert_eq!(jobs, before);
+}
+
+#[test]
+fn an_end_is_an_end_however_often_it_comes() {
+    let mut jobs = Jobs::new();
+    jobs.apply(submit("j", 2));
+    jobs.apply(complete("j", 0, "text"));
+    let ended = |state| Applied::Ended { job: job("j"), state };
+    assert_eq!(jobs.apply(Entry::Ended { job: job("j") }), ended(EndState::Now));
+    assert_eq!(jobs.apply(Entry::Ended { job: job("j") }), ended(EndState::Before));
+    let unknown = Applied::Ended { job: job("k"), state: EndState::NoSuchJob };
+    assert_eq!(jobs.apply(Entry::Ended { job: job("k") }), unknown);
+    assert_eq!(texts(&jobs, "j").len(), 1, "what is listed stays");
+    assert_eq!(jobs.apply(complete("j", 1, "late")), Applied::Listed(vec![]));
+    assert_eq!(jobs.status(&job("j")), Some(JobStatus { total: 2, listed: 1, has_ended: true }));
+}
+
+/// LOST and MIXED: a body is there, with its bytes, until the item is listed or the job ended.
+#[test]
+fn a_body_is_there_while_its_item_waits() {
+    let mut jobs = Jobs::new();
+    jobs.apply(submit("j", 3));
+    jobs.apply(submit("k", 1));
+    jobs.apply(complete("j", 0, "text"));
+    assert_eq!(jobs.item_body(&job("j"), "j-0"), None, "listed");
+    assert_eq!(jobs.item_body(&job("j"), "j-1"), Some(&b"body of j-1"[..]));
+    assert_eq!(jobs.item_body(&job("j"), "k-0"), None, "of another job");
+    assert_eq!(jobs.item_body(&job("l"), "j-1"), None, "no such job");
+    jobs.apply(Entry::Ended { job: job("j") });
+    assert_eq!(jobs.item_body(&job("j"), "j-1"), None, "ended");
+    assert_eq!(jobs.item_body(&job("k"), "k-0"), Some(&b"body of k-0"[..]));
+}
+
+/// LOST: only jobs that are not open are forgotten, whatever the entry names.
+#[test]
+fn an_open_job_is_not_forgotten() {
+    let mut jobs = Jobs::new();
+    for name in ["open", "listed", "ended"] {
+        jobs.apply(submit(name, 1));
+    }
+    jobs.apply(complete("listed", 0, "text"));
+    jobs.apply(Entry::Ended { job: job("ended") });
+    let all = ["open", "listed", "ended", "unknown"].map(job).to_vec();
+    let forgotten = Applied::Forgotten(vec![job("listed"), job("ended")]);
+    assert_eq!(jobs.apply(Entry::Forget { jobs: all }), forgotten);
+    assert!(jobs.contains(&job("open")) && jobs.len() == 1);
+}
+
+#[test]
+fn what_is_done_costs_less_and_what_is_forgotten_nothing() {
+    let mut jobs = Jobs::new();
+    let mut submission = submission("j", 2);
+    submission.items[0].body = vec![0; 100_000];
+    jobs.apply(Entry::Submit { submission, terms: terms() });
+    assert!(jobs.cost() > 100_000);
+    jobs.apply(complete("j", 0, "text"));
+    assert!(jobs.cost() < 5_000, "the body is dropped: {}", jobs.cost());
+    assert_eq!(jobs.job_cost(&job("j")), Some(jobs.cost()));
+    jobs.apply(complete("j", 1, "text"));
+    jobs.apply(Entry::Forget { jobs: vec![job("j")] });
+    assert_eq!(jobs.cost(), 0);
+}
+
+#[test]
+fn an_answer_keeps_within_its_bytes_but_for_a_single_result() {
+    let mut jobs = Jobs::new();
+    jobs.apply(submit("j", 10));
+    for place in 0..10 {
+        jobs.apply(complete("j", place, &"\n".repeat(100_000)));
+    }
+    let mut from = 0;
+    while from < 10 {
+        let page = jobs.read(&job("j"), from, 500_000).expect("the job is known");
+        assert_eq!((page.results.len(), page.next_token), (2, from + 2), "escaped, each takes 200,000 bytes");
+        assert!(page.to_json().len() <= 500_000);
+        from = page.next_token;
+    }
+    assert_eq!(jobs.read(&job("j"), 3, 1_000).expect("the job is known").results.len(), 1);
+}
+
+#[rstest]
+#[case(MAX_TEXT_BYTES)]
+fn the_largest_text_fits_an_answer(#[case] bytes: usize) {
+    let mut jobs = Jobs::new();
+    jobs.apply(submit("j", 1));
+    jobs.apply(complete("j", 0, &"\n".repeat(bytes)));
+    assert!(read_json(&jobs, "j", 0, MAX_PAGE_BYTES).len() <= MAX_PAGE_BYTES);
+}
+
+proptest! {
+    /// What the writer writes, another's reader reads back.
+    #[test]
+    fn texts_survive_their_json(texts in prop::collection::vec(any::<String>(), 1..5), controls in "[\\x00-\\x7f\u{2028}]{0,40}") {
+        let mut jobs = Jobs::new();
+        jobs.apply(submit("j", texts.len() + 1));
+        let texts: Vec<String> = texts.into_iter().chain([controls]).collect();
+        for (place, text) in (0..).zip(&texts) {
+            jobs.apply(complete("j", place, text));
+        }
+        let json = read_json(&jobs, "j", 0, MAX_PAGE_BYTES);
+        let value: JsonValue = json.parse().expect("proper JSON");
+        for (place, text) in texts.iter().enumerate() {
+            prop_assert_eq!(value["result_list"][place]["text"].get::<String>(), Some(text));
+        }
+        prop_assert_eq!(value["next_token"].get::<f64>(), Some(&(texts.len() as f64)));
+    }
+
+    /// Reading on by `next_token` gives every position once, whatever fits.
+    #[test]
+    fn reading_on_gives_all(sizes in prop::collection::vec(0usize..3_000, 0..30), max_bytes in 0usize..5_000) {
+        let mut jobs = Jobs::new();
+        jobs.apply(submit("j", sizes.len()));
+        for (place, size) in (0..).zip(&sizes) {
+            jobs.apply(complete("j", place, &"é\"".repeat(*size / 3)));
+        }
+        let (mut from, mut read) = (0, Vec::new());
+        while from < sizes.len() {
+            let page = jobs.read(&job("j"), from, max_bytes).expect("the job is known");
+            prop_assert!(page.results.len() == 1 || page.to_json().len() <= max_bytes);
+            prop_assert_eq!(page.next_token, from + page.results.len());
+            read.extend(page.results.iter().map(|one| one.item_id().to_owned()));
+            from = page.next_token;
+        }
+        let all: Vec<String> = (0..sizes.len()).map(|place| format!("j-{place}")).collect();
+        prop_assert_eq!(read, all);
+    }
+}
--- /dev/null
+++ b/crates/archive/tests/batches/part.rs
@@ -0,0 +1,62 @@
+//! One part with one owner, whose proposals are committed at once.
+
+use grebeusher_archive::*;
+use grebeusher_time::Moment;
+
+use crate::sample::*;
+
+pub struct Part {
+    pub jobs: Jobs,
+    pub runner: Runner,
+    pub now: Moment,
+}
+
+impl Part {
+    pub fn owned() -> Part {
+        let mut part = Part { jobs: Jobs::new(), runner: Runner::new(7), now: at(1_000) };
+        part.runner.begin(&part.jobs, part.now, 1_000_000);
+        part
+    }
+
+    pub fn with_job(name: &str, items: usize) -> Part {
+        let mut part = Part::owned();
+        part.commit(submit(name, items));
+        part
+    }
+
+    pub fn commit(&mut self, entry: Entry) -> Applied {
+        let applied = self.jobs.apply(entry);
+        self.runner.applied(&self.jobs, &applied, self.now);
+        applied
+    }
+
+    /// Commits all that the runner proposes; how many entries those were.
+    pub fn settle(&mut self) -> usize {
+        let entries = self.runner.take_proposals();
+        let count = entries.len();
+        for entry in entries {
+            self.commit(entry);
+        }
+        count
+    }
+
+    pub fn pass(&mut self, ms: u64) {
+        self.now = self.now + grebeusher_time::Span::millis(ms);
+    }
+
+    pub fn try_next(&mut self) -> Option<RunOrder> {
+        self.runner.next_item(&self.jobs, self.now, &any_room)
+    }
+
+    pub fn next(&mut self) -> RunOrder {
+        self.try_next().expect("an item may run")
+    }
+
+    pub fn event(&mut self, order: &RunOrder, id: u64, data: &str) -> EventTaken {
+        self.runner.run_event(order.run, id, data, self.now)
+    }
+
+    pub fn end_run(&mut self, order: &RunOrder, outcome: Outcome) {
+        self.runner.run_ended(order.run, outcome, self.now);
+    }
+}
--- /dev/null
+++ b/crates/archive/tests/batches/replay.rs
@@ -0,0 +1,167 @@
+//! Replicas that apply the same entries come to the same state, by whatever way.
+
+use grebeusher_archive::*;
+use nanoserde::{DeBin, SerBin};
+use proptest::prelude::*;
+
+use crate::sample::*;
+
+fn name() -> impl Strategy<Value = String> {
+    (0u8..4).prop_map(|number| format!("j{number}"))
+}
+
+fn item_result() -> impl Strategy<Value = ItemResult> {
+    (0u16..5, any::<bool>(), ".{0,6}").prop_map(|(place, is_complete, text)| {
+        let state = if is_complete { ResultState::Complete } else { ResultState::DeadLetter };
+        result(place, state, &text)
+    })
+}
+
+fn job_results() -> impl Strategy<Value = JobResults> {
+    (name(), prop::collection::vec(item_result(), 0..4))
+        .prop_map(|(name, results)| JobResults { job: job(&name), results })
+}
+
+fn piece() -> impl Strategy<Value = EventsPiece> {
+    (prop::option::of(0u64..4), 0u64..5, "[a-z]{0,3}").prop_map(|(after, last, text)| EventsPiece {
+        after,
+        last,
+        text,
+    })
+}
+
+fn progress() -> impl Strategy<Value = ItemProgress> {
+    (name(), 0u16..5, 0u32..4, prop::option::of(piece())).prop_map(
+        |(name, place, failed_attempts, events)| ItemProgress {
+            job: job(&name),
+            item: ItemIndex(place),
+            failed_attempts,
+            events,
+        },
+    )
+}
+
+pub fn entry() -> impl Strategy<Value = Entry> {
+    prop_oneof![
+        3 => (name(), 0usize..5).prop_map(|(name, items)| submit(&name, items)),
+        6 => prop::collection::vec(job_results(), 0..3).prop_map(Entry::Results),
+        3 => prop::collection::vec(progress(), 0..3).prop_map(Entry::Progress),
+        1 => name().prop_map(|name| Entry::Ended { job: job(&name) }),
+        1 => prop::collection::vec(name(), 0..3)
+            .prop_map(|names| Entry::Forget { jobs: names.iter().map(|name| job(name)).collect() }),
+    ]
+}
+
+fn apply_all(jobs: &mut Jobs, entries: &[Entry]) -> Vec<Applied> {
+    entries.iter().map(|entry| jobs.apply(entry.clone())).collect()
+}
+
+/// What waits, counted anew from what readers can ask for.
+fn counted_waiting(jobs: &Jobs) -> u64 {
+    let names: Vec<String> = jobs.names().map(|job| job.as_str().to_owned()).collect();
+    let waits =
+        |name: &String, place: usize| jobs.item_body(&job(name), &format!("{name}-{place}")).is_some();
+    names.iter().map(|name| (0..5).filter(|place| waits(name, *place)).count() as u64 * 100).sum()
+}
+
+proptest! {
+    #[test]
+    fn a_snapshot_and_the_rest_give_the_same_as_all(
+        entries in prop::collection::vec(entry(), 0..60),
+        cut in 0usize..60,
+    ) {
+        let cut = cut.min(entries.len());
+        let (mut whole, mut behind) = (Jobs::new(), Jobs::new());
+        let results = apply_all(&mut whole, &entries);
+        apply_all(&mut behind, &entries[..cut]);
+        let mut restored = Jobs::from_snapshot(&behind.to_snapshot()).expect("whole");
+        prop_assert_eq!(&restored, &behind);
+        prop_assert_eq!(apply_all(&mut restored, &entries[cut..]), &results[cut..]);
+        prop_assert_eq!(&restored, &whole, "the costs and the sums too");
+        prop_assert_eq!(restored.to_snapshot(), whole.to_snapshot());
+    }
+
+    #[test]
+    fn entries_survive_their_binary_form(entry in entry()) {
+        let bytes = entry.serialize_bin();
+        prop_assert_eq!(&Entry::deserialize_bin(&bytes).expect("whole"), &entry);
+        for end in 0..bytes.len() {
+            prop_assert!(Entry::deserialize_bin(&bytes[..end]).is_err(), "cut at {}", end);
+        }
+    }
+
+    /// TWICE and LOST over any entries: what stood at a position stands there until the job is forgotten, each
+    /// item stands at one, and the sum of what waits is right.
+    #[test]
+    fn positions_hold_whatever_comes(entries in prop::collection::vec(entry(), 0..80)) {
+        let mut jobs = Jobs::new();
+        for entry in entries {
+            let before = jobs.clone();
+            let applied = jobs.apply(entry);
+            let forgotten = match applied { Applied::Forgotten(names) => names, _ => vec![] };
+            for id in before.names().filter(|id| !forgotten.contains(id)) {
+                let old = before.read(id, 0, usize::MAX).expect("it was there");
+                let new = jobs.read(id, 0, usize::MAX).expect("it is still there");
+                prop_assert_eq!(old.total, new.total);
+                prop_assert_eq!(old.results, &new.results[..old.results.len()]);
+                let mut names: Vec<&str> = new.results.iter().map(Listing::item_id).collect();
+                names.sort_unstable();
+                names.dedup();
+                prop_assert_eq!(names.len(), new.results.len());
+            }
+            prop_assert_eq!(jobs.waiting_tokens(ROUTE), counted_waiting(&jobs));
+        }
+    }
+
+    #[test]
+    fn a_snapshot_that_is_cut_or_longer_is_refused(entries in prop::collection::vec(entry(), 0..20)) {
+        let mut jobs = Jobs::new();
+        apply_all(&mut jobs, &entries);
+        let mut bytes = jobs.to_snapshot();
+        for end in 0..bytes.len() {
+            prop_assert!(Jobs::from_snapshot(&bytes[..end]).is_err(), "cut at {}", end);
+        }
+        bytes.push(0);
+        let is_surplus = matches!(Jobs::from_snapshot(&bytes), Err(SnapshotError::Surplus { bytes: 1 }));
+        prop_assert!(is_surplus);
+    }
+
+    #[test]
+    fn a_snapshot_with_a_broken_byte_is_refused_or_another(
+        entries in prop::collection::vec(entry(), 5..20),
+        place in any::<prop::sample::Index>(),
+        byte in any::<u8>(),
+    ) {
+        let mut jobs = Jobs::new();
+        apply_all(&mut jobs, &entries);
+        let mut bytes = jobs.to_snapshot();
+        let place = place.index(bytes.len());
+        bytes[place] = byte;
+        let _ = Jobs::from_snapshot(&bytes);
+    }
+}
+
+#[test]
+fn a_snapshot_of_another_form_is_refused() {
+    let mut bytes = Jobs::new().to_snapshot();
+    bytes[0] += 1;
+    assert!(matches!(Jobs::from_snapshot(&bytes), Err(SnapshotError::OtherVersion { .. })));
+    assert!(Jobs::from_snapshot(&[]).is_err());
+}
+
+#[test]
+fn progress_only_goes_on_where_it_stood() {
+    let mut jobs = Jobs::new();
+    jobs.apply(submit("j", 1));
+    let piece = |after, last, text: &str| {
+        let events = Some(EventsPiece { after, last, text: text.into() });
+        Entry::Progress(vec![ItemProgress { job: job("j"), item: ItemIndex(0), failed_attempts: 0, events }])
+    };
+    assert_eq!(jobs.apply(piece(Some(0), 2, "not yet")), Applied::Progressed(0));
+    assert_eq!(jobs.apply(piece(None, 1, "a\nb")), Applied::Progressed(1));
+    assert_eq!(jobs.apply(piece(None, 1, "a\nb")), Applied::Progressed(0), "doubled");
+    assert_eq!(jobs.apply(piece(Some(0), 2, "c")), Applied::Progressed(0), "overlapping");
+    assert_eq!(jobs.apply(piece(Some(2), 3, "d")), Applied::Progressed(0), "with a gap");
+    assert_eq!(jobs.apply(piece(Some(1), 1, "d")), Applied::Progressed(0), "going nowhere");
+    assert_eq!(jobs.apply(piece(Some(1), 2, "c")), Applied::Progressed(1));
+}
--- /dev/null
+++ b/crates/archive/tests/batches/sample.rs
@@ -0,0 +1,78 @@
+//! Jobs and entries to tell stories with.
+
+use grebeusher_archive::*;
+use grebeusher_time::{Moment, Span};
+
+pub const ROUTE: &str = "r-lots";
+
+pub fn job(name: &str) -> JobId {
+    JobId::new(name).expect("a proper name")
+}
+
+pub fn at(ms: u64) -> Moment {
+    Moment::default() + Span::millis(ms)
+}
+
+/// The item's body tells which it is, so that mixed up bodies are seen.
+pub fn item(job: &str, place: usize, token_count: u64) -> ItemSpec {
+    let id = format!("{job}-{place}");
+    ItemSpec {
+        path: format!("/lots/3/{id}"),
+        headers: vec![Header {
+            name: TOKEN_HEADER.into(),
+            value: format!("{},40", token_count.saturating_sub(40)),
+        }],
+        body: format!("body of {id}").into_bytes(),
+        token_count,
+        id,
+    }
+}
+
+pub fn submission_on(route: &str, name: &str, tokens: &[u64]) -> Submission {
+    Submission {
+        job: job(name),
+        route: route.into(),
+        service: "models".into(),
+        host: "lots.example".into(),
+        items: tokens.iter().enumerate().map(|(place, tokens)| item(name, place, *tokens)).collect(),
+    }
+}
+
+pub fn submission(name: &str, items: usize) -> Submission {
+    submission_on(ROUTE, name, &vec![100; items])
+}
+
+pub fn terms() -> JobTerms {
+    JobTerms {
+        accepted_at_wall_ms: 1_000_000,
+        age_at_acceptance_ms: 0,
+        completion_target_ms: 8_000,
+        retention_ms: 60_000,
+        max_attempts: 3,
+        queue_token_limit: 10_000,
+        target_latency_ms: 400,
+    }
+}
+
+pub fn submit(name: &str, items: usize) -> Entry {
+    Entry::Submit { submission: submission(name, items), terms: terms() }
+}
+
+pub fn result(place: u16, state: ResultState, text: &str) -> ItemResult {
+    ItemResult { item: ItemIndex(place), state, text: text.into() }
+}
+
+pub fn complete(name: &str, place: u16, text: &str) -> Entry {
+    let results = vec![result(place, ResultState::Complete, text)];
+    Entry::Results(vec![JobResults { job: job(name), results }])
+}
+
+pub fn texts(jobs: &Jobs, name: &str) -> Vec<(String, ResultState, String)> {
+    let page = jobs.read(&job(name), 0, MAX_PAGE_BYTES).expect("the job is known");
+    page.results.iter().map(|one| (one.item_id().into(), one.state(), one.text().into())).collect()
+}
+
+/// Room for anything.
+pub fn any_room(_: &str) -> Option<u64> {
+    Some(u64::MAX)
+}
--- /dev/null
+++ b/crates/archive/tests/batches/storm.rs
@@ -0,0 +1,356 @@
+//! Three replicas, executors and links that do all they may do wrong, by seeds; a reader and a client judge what
+//! comes of it by the rules.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use grebeusher_archive::*;
+use grebeusher_time::{Moment, Span};
+use rstest::rstest;
+
+use crate::sample::*;
+
+const REPLICAS: usize = 3;
+const LIMIT: u64 = 6_000;
+/// Clients are busy with so many jobs at a time, and take up a new one every so many turns.
+const JOBS_AT_A_TIME: u64 = 6;
+const TURNS_A_JOB: u64 = 60;
+/// Long enough that no client still sends a job that may be forgotten.
+const STATUS: Span = Span::millis(30_000);
+
+/// SplitMix64.
+struct Dice(u64);
+
+impl Dice {
+    fn roll(&mut self, sides: u64) -> u64 {
+        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let mut bits = self.0;
+        bits = (bits ^ (bits >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        bits = (bits ^ (bits >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        (bits ^ (bits >> 31)) % sides
+    }
+
+    fn one_in(&mut self, sides: u64) -> bool {
+        self.roll(sides) == 0
+    }
+}
+
+struct Replica {
+    jobs: Jobs,
+    runner: Runner,
+    applied: usize,
+}
+
+/// A run at an executor, which sends the event `next` next.
+struct Run {
+    order: RunOrder,
+    next: u64,
+    /// An event was left out: what follows is to be refused, and an executor never ends such a stream properly.
+    has_gap: bool,
+}
+
+struct Storm {
+    dice: Dice,
+    now: Moment,
+    log: Vec<Entry>,
+    replicas: Vec<Replica>,
+    owner: usize,
+    admission: Owner,
+    /// Proposed by the owner and not committed yet; lost when it changes, or some of it committed after all.
+    proposed: Vec<Entry>,
+    runs: Vec<Run>,
+    fails: BTreeMap<String, u32>,
+    listed: BTreeMap<(JobId, usize), Listing>,
+    turns: u64,
+    /// And when a reader first knew of them.
+    accepted: BTreeMap<JobId, Moment>,
+    ended: BTreeSet<JobId>,
+}
+
+/// The output of an item: which one it is, and how long, is told by its name.
+fn output(attempt_id: &str) -> Vec<String> {
+    let length = 1 + attempt_id.bytes().map(u64::from).sum::<u64>() % 9;
+    (0..length).map(|number| format!("{attempt_id} says {number}")).collect()
+}
+
+/// Some can never be done.
+fn is_poison(attempt_id: &str) -> bool {
+    attempt_id.ends_with("-7")
+}
+
+impl Storm {
+    fn new(seed: u64) -> Storm {
+        let replica =
+            |number| Replica { jobs: Jobs::new(), runner: Runner::new(seed * 10 + number), applied: 0 };
+        let mut storm = Storm {
+            dice: Dice(seed),
+            now: at(1_000),
+            log: Vec::new(),
+            replicas: (0..REPLICAS as u64).map(replica).collect(),
+            owner: 0,
+            admission: Owner::new(usize::MAX),
+            proposed: Vec::new(),
+            runs: Vec::new(),
+            fails: BTreeMap::new(),
+            listed: BTreeMap::new(),
+            turns: 0,
+            accepted: BTreeMap::new(),
+            ended: BTreeSet::new(),
+        };
+        storm.begin(0);
+        storm
+    }
+
+    fn begin(&mut self, owner: usize) {
+        self.owner = owner;
+        self.catch_up(owner);
+        self.admission = Owner::new(usize::MAX);
+        let wall_ms = 1_000_000 + self.dice.roll(200_000);
+        let replica = &mut self.replicas[owner];
+        replica.runner.begin(&replica.jobs, self.now, wall_ms);
+    }
+
+    fn catch_up(&mut self, number: usize) {
+        let replica = &mut self.replicas[number];
+        for entry in &self.log[replica.applied..] {
+            let applied = replica.jobs.apply(entry.clone());
+            replica.runner.applied(&replica.jobs, &applied, self.now);
+            if number == self.owner {
+                self.admission.applied(&applied);
+            }
+        }
+        replica.applied = self.log.len();
+    }
+
+    /// A replica comes back from its disk, or from another's snapshot.
+    fn restore(&mut self, number: usize) {
+        let replica = &mut self.replicas[number];
+        replica.jobs = Jobs::from_snapshot(&replica.jobs.to_snapshot()).expect("whole");
+        replica.runner = Runner::new(self.now.0);
+        replica.runner.adopt(&replica.jobs, self.now);
+    }
+
+    /// The owner is gone. Any beginning of what it proposed may be committed; its runs go on unheard.
+    fn change_owner(&mut self) {
+        let committed = self.dice.roll(self.proposed.len() as u64 + 1) as usize;
+        self.log.extend(self.proposed.drain(..).take(committed));
+        let old = self.owner;
+        self.replicas[old].runner.cease();
+        self.replicas[old].runner.take_cut_off();
+        self.runs.clear();
+        if self.dice.one_in(2) {
+            self.restore(old);
+        }
+        let new = self.dice.roll(REPLICAS as u64) as usize;
+        self.begin(new);
+    }
+
+    fn commit(&mut self) {
+        self.log.append(&mut self.proposed);
+        self.catch_up(self.owner);
+    }
+
+    fn propose(&mut self) {
+        let entries = self.replicas[self.owner].runner.take_proposals();
+        for entry in entries {
+            if self.dice.one_in(10) {
+                self.replicas[self.owner].runner.not_proposed(entry);
+            } else {
+                self.proposed.push(entry);
+            }
+        }
+        if self.dice.one_in(10) {
+            self.proposed.extend(self.replicas[self.owner].runner.checkpoint());
+        }
+    }
+
+    /// A client sends a job, again and again until it is kept.
+    fn submit(&mut self) {
+        let number = self.turns / TURNS_A_JOB + self.dice.roll(JOBS_AT_A_TIME);
+        let submission = submission(&format!("j{number}"), 1 + number as usize % 16);
+        let jobs = &self.replicas[self.owner].jobs;
+        if self.admission.admit(jobs, &submission, LIMIT) == Admission::Propose {
+            let terms = JobTerms { retention_ms: 0, ..terms() };
+            self.proposed.push(Entry::Submit { submission, terms });
+        }
+    }
+
+    fn end_one(&mut self) {
+        let number = self.turns / TURNS_A_JOB + self.dice.roll(JOBS_AT_A_TIME);
+        let id = job(&format!("j{number}"));
+        if self.accepted.contains_key(&id) && self.dice.one_in(3) {
+            self.ended.insert(id.clone());
+            self.proposed.push(Entry::Ended { job: id });
+        }
+    }
+
+    fn start_runs(&mut self) {
+        let room = 1 + self.dice.roll(4) as usize;
+        let replica = &mut self.replicas[self.owner];
+        while self.runs.len() < 8 + room {
+            let Some(order) = replica.runner.next_item(&replica.jobs, self.now, &any_room) else { break };
+            assert_eq!(order.body, format!("body of {}", order.attempt_id).into_bytes());
+            assert!(!replica.jobs.has_ended(&order.job), "UNASKED");
+            let next = order.last_event_id.map_or(0, |last| last + 1);
+            self.runs.push(Run { order, next, has_gap: false });
+        }
+    }
+
+    /// One executor does something, right or wrong.
+    fn step_run(&mut self) {
+        if self.runs.is_empty() {
+            return;
+        }
+        let place = self.dice.roll(self.runs.len() as u64) as usize;
+        let order = self.runs[place].order.clone();
+        let outcome = match self.dice.roll(40) {
+            0 => Some(Outcome::Broken),
+            1 => Some(Outcome::NotExecuted),
+            2 => Some(Outcome::Misdirected),
+            3 => Some(Outcome::Failed500),
+            _ if is_poison(&order.attempt_id) => Some(Outcome::Rejected422),
+            4 => self.jump(place, 1),
+            5 => self.jump(place, -1),
+            _ => self.send_event(place),
+        };
+        let Some(outcome) = outcome else { return };
+        if outcome == Outcome::Failed500 {
+            *self.fails.entry(order.attempt_id.clone()).or_default() += 1;
+        }
+        self.runs.swap_remove(place);
+        self.replicas[self.owner].runner.run_ended(order.run, outcome, self.now);
+    }
+
+    /// The executor leaves an event out or sends one again. The first event of a run from the start is the first
+    /// whatever its id; there is nothing to tell it by.
+    fn jump(&mut self, place: usize, by: i64) -> Option<Outcome> {
+        let run = &mut self.runs[place];
+        let can_be_told = run.next > 0 && !run.has_gap;
+        if can_be_told {
+            run.next = run.next.saturating_add_signed(by);
+            run.has_gap = true;
+        }
+        None
+    }
+
+    fn send_event(&mut self, place: usize) -> Option<Outcome> {
+        let run = &mut self.runs[place];
+        let events = output(&run.order.attempt_id);
+        let Some(data) = events.get(run.next as usize) else {
+            return Some(if run.has_gap { Outcome::Broken } else { Outcome::Complete });
+        };
+        let taken = self.replicas[self.owner].runner.run_event(run.order.run, run.next, data, self.now);
+        run.next += 1;
+        if run.has_gap {
+            assert_ne!(taken, EventTaken::Taken, "ORDER: an event that doesn't follow");
+        }
+        (taken != EventTaken::Taken).then_some(Outcome::Broken)
+    }
+
+    fn close_cut_off(&mut self) {
+        let cut_off = self.replicas[self.owner].runner.take_cut_off();
+        self.runs.retain(|run| !cut_off.contains(&run.order.run));
+    }
+
+    /// A reader looks at all of it, at the owner.
+    fn judge(&mut self) {
+        let jobs = &self.replicas[self.owner].jobs;
+        assert!(jobs.waiting_tokens(ROUTE) <= LIMIT, "QUOTA");
+        for id in jobs.names() {
+            self.accepted.entry(id.clone()).or_insert(self.now);
+        }
+        for (id, since) in &self.accepted {
+            if self.now.since(*since) >= STATUS && !jobs.is_open(id) {
+                continue;
+            }
+            let page = jobs.read(id, 0, MAX_PAGE_BYTES).expect("LOST: the job");
+            let mut names = BTreeSet::new();
+            for (position, listing) in page.results.iter().enumerate() {
+                assert!(names.insert(listing.item_id()), "TWICE: an item at two positions");
+                let known = self.listed.entry((id.clone(), position)).or_insert_with(|| listing.clone());
+                assert_eq!(known, listing, "TWICE: a position changed");
+                judge_result(id, listing, &self.fails);
+            }
+            let read = self.listed.range((id.clone(), 0)..).take_while(|((job, _), _)| job == id).count();
+            assert_eq!(read, page.results.len(), "LOST: a position");
+        }
+    }
+
+    fn forget(&mut self) {
+        let replica = &self.replicas[self.owner];
+        let jobs = replica.runner.forgettable(&replica.jobs, self.now, STATUS);
+        if !jobs.is_empty() {
+            self.proposed.push(Entry::Forget { jobs });
+        }
+    }
+
+    fn turn(&mut self, calm: bool) {
+        self.turns += 1;
+        self.now = self.now + Span::millis(self.dice.roll(60));
+        if !calm {
+            match self.dice.roll(60) {
+                0 => self.change_owner(),
+                1 => self.end_one(),
+                2..=8 => self.submit(),
+                9 => self.forget(),
+                _ => {}
+            }
+        }
+        self.start_runs();
+        for _ in 0..6 {
+            self.step_run();
+        }
+        self.replicas[self.owner].runner.tick(self.now);
+        self.propose();
+        if self.dice.one_in(3) {
+            self.commit();
+            self.close_cut_off();
+            self.judge();
+        }
+        if self.dice.one_in(20) {
+            let follower = self.dice.roll(REPLICAS as u64) as usize;
+            if follower != self.owner {
+                self.catch_up(follower);
+            }
+        }
+    }
+
+    fn is_done(&self) -> bool {
+        let jobs = &self.replicas[self.owner].jobs;
+        self.proposed.is_empty() && jobs.names().all(|id| !jobs.is_open(id))
+    }
+}
+
+fn judge_result(id: &JobId, listing: &Listing, fails: &BTreeMap<String, u32>) {
+    assert!(listing.item_id().starts_with(&format!("{id}-")), "MIXED: an item of another job");
+    match listing.state() {
+        ResultState::Complete => {
+            assert_eq!(listing.text(), output(listing.item_id()).join("\n"), "MIXED or ORDER");
+        }
+        ResultState::DeadLetter => {
+            let failed = fails.get(listing.item_id()).copied().unwrap_or(0);
+            assert!(is_poison(listing.item_id()) || failed >= 3, "MIXED: given up after {failed}");
+        }
+    }
+}
+
+#[rstest]
+fn everything_at_once_breaks_no_rule(#[values(1, 2, 3, 4, 5, 6, 7, 8)] block: u64) {
+    for seed in block * 1_000..block * 1_000 + 10 {
+        let mut storm = Storm::new(seed);
+        for _ in 0..1_500 {
+            storm.turn(false);
+        }
+        let calm = (0..5_000).find(|_| {
+            storm.turn(true);
+            storm.is_done()
+        });
+        assert!(calm.is_some(), "seed {seed}: jobs that were accepted never came to an end");
+        assert!(storm.accepted.len() > 20, "seed {seed}: hardly a job was tried");
+        assert!(storm.listed.len() > 100, "seed {seed}: hardly an item was listed");
+        let owner = storm.replicas[storm.owner].jobs.to_snapshot();
+        for number in 0..REPLICAS {
+            storm.catch_up(number);
+            assert_eq!(storm.replicas[number].jobs.to_snapshot(), owner, "seed {seed}: replicas differ");
+        }
+    }
+}
--- /dev/null
+++ b/crates/archive/tests/batches/submission.rs
@@ -0,0 +1,213 @@
+//! What a submission must be, and what of it is refused before it can do harm.
+
+use grebeusher_archive::*;
+use nanoserde::{DeBin, SerBin};
+use proptest::prelude::*;
+use rstest::rstest;
+
+use crate::sample::*;
+
+fn head() -> SubmissionHead {
+    SubmissionHead {
+        job: job("7c41e09b52d6a3f8"),
+        route: ROUTE.into(),
+        service: "models".into(),
+        host: "lots.example".into(),
+    }
+}
+
+fn read(body: &str) -> Result<Submission, SubmissionError> {
+    read_submission(head(), body.as_bytes())
+}
+
+/// A submission of one item, with one field given otherwise.
+fn one_item(key: &str, value: &str) -> String {
+    let fields = [
+        ("instance_id", r#""e5b2""#),
+        ("path", r#""/lots/3/91c4""#),
+        ("header_map", r#"{"X-A":"b"}"#),
+        ("payload", r#""q83vEjRWeJA=""#),
+        ("token_count", "940"),
+    ];
+    let fields =
+        fields.map(|(name, usual)| format!(r#""{name}":{}"#, if name == key { value } else { usual }));
+    format!(r#"{{"batch_items":[{{{}}}]}}"#, fields.join(","))
+}
+
+#[test]
+fn a_proper_submission_is_read_whole() {
+    let body = r#"{"batch_items":[{"instance_id":"e5b2","path":"/lots/3/91c4?x=1","header_map":
+        {"X-B":"2 3","Host":"other.example","X-A":"é","Content-Length":"0","Last-Event-Id":"4"},
+        "payload":"q83vEjRWeJA=","token_count":940}, {"instance_id":"0","path":"/","header_map":{},
+        "payload":"","token_count":0}]}"#;
+    let submission = read(body).expect("a proper submission");
+    assert_eq!((submission.route.as_str(), submission.host.as_str()), (ROUTE, "lots.example"));
+    let first = &submission.items[0];
+    assert_eq!(
+        (first.id.as_str(), first.path.as_str(), first.token_count),
+        ("e5b2", "/lots/3/91c4?x=1", 940)
+    );
+    assert_eq!(first.body, [0xab, 0xcd, 0xef, 0x12, 0x34, 0x56, 0x78, 0x90]);
+    let header = |name: &str, value: &str| Header { name: name.into(), value: value.into() };
+    assert_eq!(
+        first.headers,
+        [header("X-A", "é"), header("X-B", "2 3")],
+        "connection's headers are left out"
+    );
+    assert_eq!(submission.items[1].body, b"");
+    assert_eq!(submission.tokens(), 940);
+}
+
+#[rstest]
+#[case::divided("540,400", Tokens { prompt: 540, output: 400 })]
+#[case::blanks("540, 400", Tokens { prompt: 540, output: 400 })]
+#[case::not_divided("940", Tokens { prompt: 940, output: 0 })]
+#[case::unreadable("a,b", Tokens { prompt: 940, output: 0 })]
+fn tokens_are_divided_as_the_header_says(#[case] value: &str, #[case] tokens: Tokens) {
+    let body = one_item("header_map", &format!(r#"{{"x-grebeusher-token-count":"{value}"}}"#));
+    assert_eq!(read(&body).expect("a proper submission").items[0].tokens(), tokens);
+}
+
+#[rstest]
+#[case::blank_in_path("path", r#""/a b""#)]
+#[case::line_end_in_path("path", r#""/a\r\nX-B: c""#)]
+#[case::path_without_root("path", r#""a""#)]
+#[case::whole_url("path", r#""http://other.example/""#)]
+#[case::fragment("path", r##""/a#b""##)]
+#[case::line_end_in_value("header_map", r#"{"X-A":"b\r\nX-C: d"}"#)]
+#[case::null_in_value("header_map", r#"{"X-A":"b\u0000"}"#)]
+#[case::blank_at_end_of_value("header_map", r#"{"X-A":"b "}"#)]
+#[case::colon_in_name("header_map", r#"{"X-A: b\r\nX-C":"d"}"#)]
+#[case::empty_name("header_map", r#"{"":"d"}"#)]
+#[case::number_as_value("header_map", r#"{"X-A":1}"#)]
+#[case::list_of_headers("header_map", r#"[]"#)]
+#[case::line_end_in_id("instance_id", r#""a\nb""#)]
+#[case::empty_id("instance_id", r#""""#)]
+#[case::id_is_a_number("instance_id", "1")]
+#[case::no_base64("payload", r#""q83v*""#)]
+#[case::payload_is_null("payload", "null")]
+#[case::negative_tokens("token_count", "-1")]
+#[case::parts_of_tokens("token_count", "1.5")]
+#[case::endless_tokens("token_count", "1e300")]
+#[case::tokens_as_text("token_count", r#""940""#)]
+fn what_an_item_may_not_be_is_refused(#[case] key: &str, #[case] value: &str) {
+    assert!(read(&one_item("none", "")).is_ok(), "the rest is proper");
+    assert!(read(&one_item(key, value)).is_err());
+}
+
+#[rstest]
+#[case::nothing("")]
+#[case::no_object("[]")]
+#[case::no_items("{}")]
+#[case::items_are_an_object(r#"{"batch_items":{}}"#)]
+#[case::item_is_a_list(r#"{"batch_items":[[]]}"#)]
+#[case::cut_off(r#"{"batch_items":["#)]
+#[case::more_after_it(r#"{"batch_items":[]} {}"#)]
+fn what_a_submission_may_not_be_is_refused(#[case] body: &str) {
+    assert!(read(body).is_err());
+}
+
+#[test]
+fn values_in_values_without_end_are_refused_and_do_no_harm() {
+    let body = "[".repeat(1 << 20);
+    assert!(matches!(read(&body), Err(SubmissionError::TooDeep)));
+    let in_a_string = one_item("payload", &format!(r#""{}""#, "[".repeat(100)));
+    assert!(matches!(read(&in_a_string), Err(SubmissionError::ItemPayload { item: 0, .. })));
+}
+
+fn items(count: usize, id: impl Fn(usize) -> usize) -> String {
+    let item = |place| {
+        format!(
+            r#"{{"instance_id":"i{}","path":"/","header_map":{{}},"payload":"","token_count":1}}"#,
+            id(place)
+        )
+    };
+    let items: Vec<String> = (0..count).map(item).collect();
+    format!(r#"{{"batch_items":[{}]}}"#, items.join(","))
+}
+
+#[test]
+fn two_hundred_items_are_taken_and_no_more() {
+    assert_eq!(read(&items(200, |place| place)).expect("a proper submission").items.len(), 200);
+    assert!(matches!(read(&items(201, |place| place)), Err(SubmissionError::TooManyItems { count: 201 })));
+    assert!(read(&items(0, |place| place)).expect("nothing to do is proper").items.is_empty());
+}
+
+#[test]
+fn an_item_that_is_there_twice_is_refused() {
+    assert!(matches!(read(&items(3, |place| place % 2)), Err(SubmissionError::ItemTwice { item: 2 })));
+}
+
+#[test]
+fn bytes_that_are_no_text_or_too_many_are_refused() {
+    assert!(matches!(read_submission(head(), b"\xff"), Err(SubmissionError::NotText { .. })));
+    assert!(matches!(read_submission(head(), &vec![b' '; 5 << 20]), Err(SubmissionError::TooLarge { .. })));
+}
+
+#[rstest]
+#[case("")]
+#[case("a b")]
+#[case("a\n")]
+#[case("é")]
+#[case(&"a".repeat(129))]
+fn what_can_not_stand_in_a_path_or_header_is_no_name(#[case] name: &str) {
+    assert_eq!(JobId::new(name), None);
+}
+
+#[test]
+fn a_submission_with_an_item_twice_is_not_read_from_the_log() {
+    let mut submission = submission("j", 2);
+    submission.items[1] = submission.items[0].clone();
+    assert!(Submission::deserialize_bin(&submission.serialize_bin()).is_err());
+}
+
+#[test]
+fn the_binary_form_is_little_more_than_its_contents() {
+    let submission = submission("j", 40);
+    let contents: usize = submission
+        .items
+        .iter()
+        .map(|item| item.id.len() + item.path.len() + item.body.len() + item.headers[0].name.len() + 6)
+        .sum();
+    assert!(submission.serialize_bin().len() < contents + 40 * 10 + 40);
+}
+
+proptest! {
+    /// Whatever comes is refused or read, and what is read survives its binary form.
+    #[test]
+    fn anything_is_refused_or_read(body in r#"[\[\]{}":,a-z0-9\\ ]{0,60}"#) {
+        let _ = read(&body);
+    }
+
+    #[test]
+    fn what_is_read_survives_its_binary_form(
+        bodies in prop::collection::vec(prop::collection::vec(any::<u8>(), 0..40), 0..8),
+        tokens in any::<u64>(),
+    ) {
+        let mut submission = submission("j", bodies.len());
+        for (item, body) in submission.items.iter_mut().zip(bodies) {
+            item.body = body;
+            item.token_count = tokens;
+        }
+        let bytes = submission.serialize_bin();
+        prop_assert_eq!(&Submission::deserialize_bin(&bytes).expect("whole"), &submission);
+        for end in 0..bytes.len() {
+            prop_assert!(Submission::deserialize_bin(&bytes[..end]).is_err(), "cut at {}", end);
+        }
+    }
+
+    /// Lengths that lie set nothing aside and end in an error, not in a panic.
+    #[test]
+    fn broken_bytes_are_no_entry_or_another(place in 0usize..400, byte in any::<u8>()) {
+        let mut bytes = submit("j", 3).serialize_bin();
+        let place = place % bytes.len();
+        bytes[place] = byte;
+        let _ = Entry::deserialize_bin(&bytes);
+    }
+
+    #[test]
+    fn noise_is_no_entry_or_another(bytes in prop::collection::vec(any::<u8>(), 0..200)) {
+        let _ = Entry::deserialize_bin(&bytes);
+        let _ = Jobs::from_snapshot(&bytes);
+    }
+}
