--- a/crates/transport/src/body.rs
+++ b/crates/transport/src/body.rs
@@ -211,9 +211,7 @@
     /// Goes on by one byte of the framing.
     fn frame(&mut self, byte: u8) -> Result<(), Malformed> {
         self.state = match self.state {
-            State::Size { size, digits } => self.size(byte, size, digits)?,
-            State::SizeEnds(size) => self.size_ends(byte, size)?,
-            State::Extension(size) => self.extension(byte, size)?,
+            State::Size { .. } | State::SizeEnds(_) | State::Extension(_) => self.size_line(byte)?,
             State::SizeLineFeed(size) => self.size_line_feed(byte, size)?,
             State::DataReturn => expect(byte, b'\r', State::DataLineFeed)?,
             State::DataLineFeed => expect(byte, b'\n', SIZE)?,
@@ -231,31 +229,12 @@
         Ok(())
     }
 
-    fn size(&mut self, byte: u8, size: u64, digits: u8) -> Result<State, Malformed> {
+    fn size_line(&mut self, byte: u8) -> Result<State, Malformed> {
         self.count_line(MOST_CHUNK_LINE)?;
-        match char::from(byte).to_digit(16) {
-            Some(_) if digits == MOST_DIGITS => Err(Malformed(400)),
-            Some(digit) => Ok(State::Size { size: size * 16 + u64::from(digit), digits: digits + 1 }),
-            None if digits == 0 => Err(Malformed(400)),
-            None => self.size_ends(byte, size),
-        }
-    }
-
-    fn size_ends(&mut self, byte: u8, size: u64) -> Result<State, Malformed> {
-        self.count_line(MOST_CHUNK_LINE)?;
-        match byte {
-            b' ' | b'\t' => Ok(State::SizeEnds(size)),
-            b';' => Ok(State::Extension(size)),
-            b'\r' => Ok(State::SizeLineFeed(size)),
-            _ => Err(Malformed(400)),
-        }
-    }
-
-    fn extension(&mut self, byte: u8, size: u64) -> Result<State, Malformed> {
-        self.count_line(MOST_CHUNK_LINE)?;
-        match byte {
-            b'\r' => Ok(State::SizeLineFeed(size)),
-            byte if is_text(byte) => Ok(State::Extension(size)),
+        match self.state {
+            State::Size { size, digits } => after_digit(byte, size, digits),
+            State::SizeEnds(size) => after_size(byte, size),
+            State::Extension(size) => after_extension(byte, size),
             _ => Err(Malformed(400)),
         }
     }
@@ -283,6 +262,32 @@
     }
 }
 
+fn after_digit(byte: u8, size: u64, digits: u8) -> Result<State, Malformed> {
+    match char::from(byte).to_digit(16) {
+        Some(_) if digits == MOST_DIGITS => Err(Malformed(400)),
+        Some(digit) => Ok(State::Size { size: size * 16 + u64::from(digit), digits: digits + 1 }),
+        None if digits == 0 => Err(Malformed(400)),
+        None => after_size(byte, size),
+    }
+}
+
+fn after_size(byte: u8, size: u64) -> Result<State, Malformed> {
+    match byte {
+        b' ' | b'\t' => Ok(State::SizeEnds(size)),
+        b';' => Ok(State::Extension(size)),
+        b'\r' => Ok(State::SizeLineFeed(size)),
+        _ => Err(Malformed(400)),
+    }
+}
+
+fn after_extension(byte: u8, size: u64) -> Result<State, Malformed> {
+    match byte {
+        b'\r' => Ok(State::SizeLineFeed(size)),
+        byte if is_text(byte) => Ok(State::Extension(size)),
+        _ => Err(Malformed(400)),
+    }
+}
+
 fn expect(byte: u8, expected: u8, next: State) -> Result<State, Malformed> {
     if byte == expected { Ok(next) } else { Err(Malformed(400)) }
 }
