--- a/crates/catalog/src/configuration/mod.rs
+++ b/crates/catalog/src/configuration/mod.rs
@@ -32,19 +32,24 @@
 pub struct Configuration {
     /// Above 0, at most 2^53. Versions go up in uneven steps.
     pub version: u64,
+    /// In the order of the body; no two have the same host and prefix.
     pub routes: Vec<Route>,
+    /// In the order of the body; no two have the same name.
     pub services: Vec<Service>,
+    /// What clients are held to.
     pub limits: ClientLimits,
 }
 
 /// Where requests of one host under one prefix go, and on what terms.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Route {
+    /// The name, which the checks do not need to be unique.
     pub name: RouteName,
     /// In lower case, without a port.
     pub hostname: HostName,
     /// Begins and ends with a slash.
     pub path_prefix: Arc<str>,
+    /// What kind of requests it carries.
     pub route_type: RouteType,
     /// The longest that the operator wants a request held; above 0.
     pub timeout_ms: u64,
@@ -98,11 +103,13 @@
 /// A service that executors register under.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Service {
+    /// The name that routes and executors give.
     pub name: ServiceName,
     /// Where executors answer health checks. Default `/health`.
     pub health_path: String,
     /// What an executor accepts from all callers together. Default: not known.
     pub max_connections: Option<u32>,
+    /// What its executors speak. Default HTTP/1.1.
     pub protocol: Protocol,
     /// Default false.
     pub tls_mode: bool,
@@ -131,13 +138,16 @@
     pub token_kv_bytes: u64,
     /// The executor's link.
     pub link_mbps: f64,
+    /// The page names it without a meaning.
     pub stride: u64,
+    /// The models that its executors hold; empty where the configuration names none.
     pub models: Vec<Model>,
 }
 
 /// A model that executors of a service hold.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Model {
+    /// The name that requests give.
     pub name: ModelName,
     /// The version of its weights, where the configuration sets one.
     pub config_version: Option<u64>,
--- a/crates/catalog/src/configuration/traffic.rs
+++ b/crates/catalog/src/configuration/traffic.rs
@@ -5,6 +5,7 @@
 /// A service with its share of a route's requests.
 #[derive(Clone, Debug, PartialEq)]
 pub struct WeightedService {
+    /// The service, which is in the list of the same configuration.
     pub service: ServiceName,
     /// 0 or more, relative to the weights beside it.
     pub weight: f64,
--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -8,6 +8,7 @@
 //! - [`register`] is the replicated state machine that keeps the configuration in force.
 
 #![forbid(unsafe_code)]
+#![warn(missing_docs)]
 
 pub mod configuration;
 mod json;
--- a/crates/catalog/src/register/change.rs
+++ b/crates/catalog/src/register/change.rs
@@ -25,6 +25,7 @@
     pub base: u64,
     /// The version that it sets.
     pub version: u64,
+    /// The hash of its body.
     pub hash: BodyHash,
 }
 
--- a/crates/catalog/src/settings.rs
+++ b/crates/catalog/src/settings.rs
@@ -35,17 +35,23 @@
 /// The settings of one process.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
+    /// The name of the machine.
     pub node_name: NodeName,
     /// The name of the process's role in the deploy file.
     pub role: RoleName,
+    /// The class of the machine.
     pub machine_class: MachineClass,
     /// Who may call this process from outside.
     pub served_roles: Vec<ServedRole>,
+    /// The address of the machine.
     pub ip_address: Ipv4Addr,
+    /// The zone of the machine.
     pub zone: ZoneName,
+    /// The region of that zone.
     pub region: RegionName,
     /// All zones of the deployment with their regions.
     pub zones: Zones,
+    /// The addresses of what the process serves.
     pub bindings: Bindings,
     /// Ports that are free on every machine for traffic between nodes.
     pub internal_ports: PortRange,
@@ -55,6 +61,7 @@
     pub bootstrap: bool,
     /// Whether the loss of this machine counts in `fault_tolerance`.
     pub quorum_member: bool,
+    /// What the process may use.
     pub limits: ProcessLimits,
     /// The folder on the machine's disk; none where the machine has no disk.
     pub data_path: Option<PathBuf>,
@@ -62,7 +69,9 @@
     pub heartbeat_ms: u64,
     /// The parts of the rules that are in force.
     pub contracts: Vec<Contract>,
+    /// What may be lost at once.
     pub fault_tolerance: FaultTolerance,
+    /// The figures of the rules.
     pub bounds: Bounds,
 }
 
@@ -93,13 +102,21 @@
 /// A part of the rules.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Contract {
+    /// What holds always.
     Base,
+    /// Executors that leave.
     Drain,
+    /// Configurations in force.
     Config,
+    /// Prices.
     Cost,
+    /// Service after a final fault.
     Recover,
+    /// Batch jobs.
     Batch,
+    /// Streams of events.
     Stream,
+    /// Model executors.
     Engine,
     /// A part that this version doesn't know.
     Other(String),
@@ -140,14 +157,16 @@
 /// Ports from the first to the last, both included.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PortRange {
+    /// The lowest port; not 0.
     pub first: u16,
+    /// The highest port; not below the first.
     pub last: u16,
 }
 
 impl PortRange {
     /// How many ports there are.
     pub fn count(&self) -> usize {
-        usize::from(self.last - self.first) + 1
+        (usize::from(self.last) + 1).saturating_sub(usize::from(self.first))
     }
 
     /// The port at the index, counted from 0.
@@ -165,6 +184,7 @@
     pub cpu_share: f64,
     /// Going over it gets the process killed.
     pub memory_mb: u64,
+    /// Of these, 200 are kept for files outside the folder on the disk.
     pub file_descriptors: u64,
     /// The machine's own link.
     pub link_mbps: f64,
@@ -177,7 +197,9 @@
 pub struct FaultTolerance {
     /// Machines with `quorum_member`.
     pub machine_losses: u32,
+    /// Whole zones.
     pub zones: u32,
+    /// Whole regions.
     pub region_losses: u32,
 }
 
--- a/crates/catalog/tests/configuration.rs
+++ b/crates/catalog/tests/configuration.rs
@@ -424,3 +424,23 @@
         assert!(!line.is_empty() && !line.contains('\n'), "{line}");
     }
 }
+
+#[test]
+fn given_strings_with_quotes_and_brackets_when_read_then_the_frame_is_cut_around_them() {
+    let name = r#"\"]}\\,[{:\\\""#;
+    let services = [service("alpha"), service(name), service(r"\\")];
+    let text = body("7", &[route("r-1", "h", "/a/", name), route(r"\\", "h", "/b/", r"\\")], &services);
+
+    let read = Configuration::read(text.as_bytes()).expect("is valid");
+
+    assert_eq!(read.routes[0].pick_service(0.5).as_str(), r#""]}\,[{:\""#);
+    assert_eq!(read.routes[1].name.as_str(), r"\");
+    assert_eq!(read.services.len(), 3);
+}
+
+#[test]
+fn given_no_attempts_when_read_then_one_is_allowed() {
+    let text = plain().replace(r#""max_attempts":2"#, r#""max_attempts":0"#);
+
+    assert_eq!(Configuration::read(text.as_bytes()).expect("is valid").routes[0].max_attempts, 1);
+}
--- a/crates/catalog/tests/register.rs
+++ b/crates/catalog/tests/register.rs
@@ -244,6 +244,22 @@
     assert_eq!(ConfigurationRegister::decode(&version), Err(SnapshotError::History { version: 2 }));
 }
 
+#[test]
+fn given_a_snapshot_with_more_changes_than_are_remembered_when_decoded_then_it_is_refused() {
+    let entries: Vec<Entry> = (1..=MAX_HISTORY as u64).map(|base| entry(base, base + 1, "body")).collect();
+    let mut register = register(&[entry(0, 1, "body")]);
+    entries.iter().for_each(|entry| assert_eq!(register.apply(entry), Applied::Taken));
+    let full = register.encode();
+    assert_eq!(ConfigurationRegister::decode(&full), Ok(register));
+
+    // The change before the oldest, which fits it, set before it.
+    let oldest = entry(0, 1, "body").encode();
+    let one_more = [&full[..1], &(MAX_HISTORY as u32 + 1).to_le_bytes(), &oldest[1..33], &full[5..]].concat();
+
+    let reason = SnapshotError::Length { bytes: one_more.len() };
+    assert_eq!(ConfigurationRegister::decode(&one_more), Err(reason));
+}
+
 #[test]
 fn given_an_empty_snapshot_with_a_body_when_decoded_then_it_is_refused() {
     let mut bytes = ConfigurationRegister::new().encode();
--- a/crates/catalog/tests/routes.rs
+++ b/crates/catalog/tests/routes.rs
@@ -40,6 +40,7 @@
 #[case::not_ascii("/a/\u{e9}/", Some("/a/"))]
 #[case::with_a_query("/a/b/?x=/c/", Some("/a/b/"))]
 #[case::prefix_in_the_query("/a?/a/b/", None)]
+#[case::prefix_with_a_query("/a/q?x/y", Some("/a/"))]
 #[case::only_a_query("?/a/", None)]
 fn given_prefixes_within_prefixes_when_looked_up_then_the_longest_wins(
     #[case] path: &str,
