--- a/crates/catalog/tests/routes.rs
+++ b/crates/catalog/tests/routes.rs
@@ -53,6 +53,7 @@
         ("h", "/a/b/"),
         ("h", "/a/c/"),
         ("h", "/a/b-/"),
+        ("h", "/a/q?x/"),
     ]);
 
     assert_eq!(found(&table, "h", path).as_deref(), expected);
