--- /dev/null
+++ b/crates/tier/src/batch_front.rs
@@ -0,0 +1,154 @@
+//! Batch calls as clients make them: checked here, passed on to the owner of the job's part.
+
+use crate::calls::{BatchQuestion, Continuation};
+use crate::control::{path_of, query_value};
+use crate::exchange::{ClientRequest, names};
+use crate::messages::{Call, Reply, SubmitJob};
+use crate::node::Node;
+use grebeusher_archive::{JobId, SubmissionHead, read_submission};
+use grebeusher_catalog::configuration::{Route, RouteType};
+use grebeusher_time::Span;
+use grebeusher_transport::http;
+use nanoserde::SerBin;
+use std::rc::Rc;
+
+/// How many parts the batch jobs are cut into; the configuration is one more.
+pub const BATCH_PARTS: u8 = 3;
+/// The longest that a read is held, whatever it asks (milliseconds).
+const MOST_HOLD_MS: u64 = 1000;
+/// What a read or an end may take beside the time it is held.
+const CALL_WITHIN: Span = Span::millis(1200);
+/// A job that is not taken by then is refused or unclear: clients wait at least this long.
+const SUBMIT_WITHIN: Span = Span::millis(2500);
+/// How long items are kept at least where the route says nothing (milliseconds).
+const DEFAULT_RETENTION_MS: u64 = 24 * 3600 * 1000;
+/// A job that can't be taken now is best sent again after this long (seconds).
+const TRY_AGAIN_S: &str = "0.3";
+
+/// The part of a batch job: by a hash of its host, the only name that all calls about a job share.
+pub fn part_of_host(host: &str) -> u8 {
+    let name = host.split(':').next().unwrap_or(host).to_ascii_lowercase();
+    let hash = name
+        .bytes()
+        .fold(0xcbf2_9ce4_8422_2325_u64, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(0x100_0000_01b3));
+    // The low bits of this hash are its weakest.
+    let part = (hash >> 17) % u64::from(BATCH_PARTS);
+    1 + part as u8
+}
+
+impl Node {
+    /// A request of a client: a batch call, a batch job or a request for an executor.
+    pub fn client_request(&mut self, connection: usize, request: ClientRequest) {
+        let serial = self.serial(connection);
+        let Some(active) = self.configuration.clone() else {
+            let answer = http::answer(503, &[("Retry-After", "0.3")], b"");
+            return self.answer(connection, serial, answer);
+        };
+        let host = request.head.headers.get("Host").unwrap_or_default().to_owned();
+        let path = path_of(&request.head.target).to_owned();
+        let segments: Vec<&str> = path.trim_start_matches('/').split('/').collect();
+        match (request.head.method.as_str(), segments.as_slice()) {
+            ("GET", ["api", "lots", job]) => return self.read_job(connection, serial, &host, job, &request),
+            ("DELETE", ["api", "lots", job]) => return self.end_job(connection, serial, &host, job),
+            ("GET", ["api", "items", job]) => {
+                return self.read_item(connection, serial, &host, job, &request);
+            }
+            _ => {}
+        }
+        let Some(route) = active.routes.find(&host, &path) else {
+            return self.answer(connection, serial, http::answer(404, &[], b""));
+        };
+        if route.route_type == RouteType::Bulk {
+            return self.submit_job(connection, serial, &host, &route, request);
+        }
+        if request.head.headers.get(names::ATTEMPT_ID).is_none() {
+            return self.answer(connection, serial, http::answer(400, &[], b""));
+        }
+        self.begin_exchange(connection, request, route);
+    }
+
+    fn submit_job(
+        &mut self,
+        connection: usize,
+        serial: u64,
+        host: &str,
+        route: &Rc<Route>,
+        request: ClientRequest,
+    ) {
+        if request.head.method != "POST" {
+            return self.answer(connection, serial, http::answer(405, &[], b""));
+        }
+        let Some(job) = request.head.headers.get(names::ATTEMPT_ID).and_then(JobId::new) else {
+            return self.answer(connection, serial, http::answer(400, &[], b""));
+        };
+        let head = SubmissionHead {
+            job,
+            route: route.name.as_str().to_owned(),
+            service: route.pick_service(self.random_point()).as_str().to_owned(),
+            host: host.to_owned(),
+        };
+        let submission = match read_submission(head, &request.body) {
+            Ok(submission) => submission,
+            Err(error) => {
+                let reason = error.to_string();
+                return self.answer(connection, serial, http::answer(400, &[], reason.as_bytes()));
+            }
+        };
+        let part = part_of_host(host);
+        let call = Call::SubmitJob(SubmitJob {
+            part,
+            submission: SerBin::serialize_bin(&submission),
+            completion_target_ms: route.completion_target_ms.unwrap_or(route.timeout_ms),
+            retention_ms: route.retention_s.map_or(DEFAULT_RETENTION_MS, |seconds| (seconds * 1000.0) as u64),
+            max_attempts: route.max_attempts,
+            queue_token_limit: route.queue_token_limit,
+        });
+        let continuation = Continuation::Batch { connection, serial, question: BatchQuestion::Submit };
+        self.call_owner(part, call, self.now + SUBMIT_WITHIN, continuation);
+    }
+
+    fn read_job(&mut self, connection: usize, serial: u64, host: &str, job: &str, request: &ClientRequest) {
+        let resume_after =
+            query_value(&request.head.target, "resume_after").and_then(|text| text.parse().ok()).unwrap_or(0);
+        let hold = request.head.headers.get(names::HOLD_MS).and_then(|text| text.trim().parse().ok());
+        let hold_ms = hold.unwrap_or(0).min(MOST_HOLD_MS);
+        let part = part_of_host(host);
+        let call = Call::ReadJob { part, job: job.to_owned(), resume_after, hold_ms: hold_ms as u32 };
+        let until = self.now + CALL_WITHIN + Span::millis(hold_ms);
+        let continuation = Continuation::Batch { connection, serial, question: BatchQuestion::Read };
+        self.call_owner(part, call, until, continuation);
+    }
+
+    fn read_item(&mut self, connection: usize, serial: u64, host: &str, job: &str, request: &ClientRequest) {
+        let Some(item) = query_value(&request.head.target, "instance_id") else {
+            return self.answer(connection, serial, http::answer(400, &[], b""));
+        };
+        let part = part_of_host(host);
+        let call = Call::ReadItem { part, job: job.to_owned(), item: item.to_owned() };
+        let continuation = Continuation::Batch { connection, serial, question: BatchQuestion::Read };
+        self.call_owner(part, call, self.now + CALL_WITHIN, continuation);
+    }
+
+    fn end_job(&mut self, connection: usize, serial: u64, host: &str, job: &str) {
+        let part = part_of_host(host);
+        let call = Call::EndJob { part, job: job.to_owned() };
+        let continuation = Continuation::Batch { connection, serial, question: BatchQuestion::End };
+        self.call_owner(part, call, self.now + CALL_WITHIN, continuation);
+    }
+
+    /// The owner's reply to a batch call.
+    pub fn batch_reply(&mut self, connection: usize, serial: u64, question: BatchQuestion, reply: Reply) {
+        let answer = match (question, reply) {
+            (_, Reply::Answer { status: 429, body }) => {
+                http::answer(429, &[("Retry-After", TRY_AGAIN_S)], &body)
+            }
+            (_, Reply::Answer { status, body }) => {
+                http::answer(status, &[("Content-Type", "application/json")], &body)
+            }
+            // A job that may have been taken gets no promise that it will not run.
+            (BatchQuestion::Submit, Reply::Unclear) => http::answer(504, &[], b""),
+            _ => http::answer(503, &[("Retry-After", TRY_AGAIN_S)], b""),
+        };
+        self.answer(connection, serial, answer);
+    }
+}
--- /dev/null
+++ b/crates/tier/src/batch_part.rs
@@ -0,0 +1,403 @@
+//! Parts 1 and on: batch jobs. Every replica applies the log; the owner admits jobs, runs items and answers readers.
+
+use crate::messages::{Reply, SubmitJob};
+use crate::node::{Node, RunError};
+use crate::parts::{Application, Waiter, class_of_part};
+use crate::timers::Timer;
+use grebeusher_archive::{
+    Admission, Applied, Entry, JobId, JobTerms, Jobs, MAX_PAGE_BYTES, Owner, Runner, Submission,
+};
+use grebeusher_registry::MemberState;
+use grebeusher_time::{Moment, Span};
+use nanoserde::{DeBin, SerBin};
+use std::collections::BTreeSet;
+
+/// The tag of an entry of the jobs' state machine.
+const JOBS_ENTRY: u8 = 1;
+/// The tag of an entry that says that a node is to be emptied.
+const RETIRE_ENTRY: u8 = 2;
+
+/// A read that waits for a result.
+struct HeldRead {
+    read: u64,
+    waiter: Waiter,
+    job: JobId,
+    resume_after: usize,
+}
+
+/// What a replica of a batch part keeps.
+pub struct BatchPart {
+    jobs: Jobs,
+    /// Nodes that are to be emptied, by name.
+    retiring: BTreeSet<String>,
+    owner: Owner,
+    most_cost: usize,
+    pub(crate) runner: Runner,
+    held: Vec<HeldRead>,
+    /// Submissions by the jobs whose proposals settle them.
+    under_way: Vec<(JobId, Waiter)>,
+}
+
+#[derive(SerBin, DeBin)]
+struct Snapshot {
+    jobs: Vec<u8>,
+    retiring: Vec<String>,
+}
+
+impl BatchPart {
+    /// An empty part whose jobs may take about `most_cost` bytes of memory.
+    pub fn new(most_cost: usize, seed: u64) -> BatchPart {
+        BatchPart {
+            jobs: Jobs::new(),
+            retiring: BTreeSet::new(),
+            owner: Owner::new(most_cost),
+            most_cost,
+            runner: Runner::new(seed),
+            held: Vec::new(),
+            under_way: Vec::new(),
+        }
+    }
+
+    /// The whole state.
+    pub fn snapshot(&self) -> Vec<u8> {
+        let retiring = self.retiring.iter().cloned().collect();
+        SerBin::serialize_bin(&Snapshot { jobs: self.jobs.to_snapshot(), retiring })
+    }
+
+    /// The jobs.
+    pub fn jobs(&self) -> &Jobs {
+        &self.jobs
+    }
+
+    /// The jobs and what runs them.
+    pub fn jobs_and_runner(&mut self) -> (&Jobs, &mut Runner) {
+        (&self.jobs, &mut self.runner)
+    }
+}
+
+fn jobs_entry(entry: &Entry) -> Vec<u8> {
+    let mut bytes = vec![JOBS_ENTRY];
+    entry.ser_bin(&mut bytes);
+    bytes
+}
+
+impl Node {
+    /// The batch part at a place.
+    pub(crate) fn batch_mut(&mut self, place: usize) -> Option<&mut BatchPart> {
+        match &mut self.parts.get_mut(place)?.application {
+            Application::Batch(part) => Some(part),
+            Application::Configuration(_) => None,
+        }
+    }
+
+    pub(crate) fn restore_batch(&mut self, place: usize, bytes: &[u8]) -> Result<(), RunError> {
+        let (now, number) = (self.now, self.parts[place].part);
+        let unreadable = |reason: String| RunError::State { part: number, reason };
+        let snapshot = <Snapshot as DeBin>::deserialize_bin(bytes).map_err(|e| unreadable(e.to_string()))?;
+        let jobs = Jobs::from_snapshot(&snapshot.jobs).map_err(|e| unreadable(e.to_string()))?;
+        if let Some(part) = self.batch_mut(place) {
+            part.jobs = jobs;
+            part.retiring = snapshot.retiring.into_iter().collect();
+            part.runner.adopt(&part.jobs, now);
+        }
+        Ok(())
+    }
+
+    pub(crate) fn apply_batch(
+        &mut self,
+        place: usize,
+        bytes: &[u8],
+        waiters: Vec<Waiter>,
+    ) -> Result<(), RunError> {
+        let (now, number) = (self.now, self.parts[place].part);
+        let unreadable = |reason: String| RunError::State { part: number, reason };
+        let status = match bytes.split_first() {
+            Some((&JOBS_ENTRY, rest)) => {
+                let entry = <Entry as DeBin>::deserialize_bin(rest).map_err(|e| unreadable(e.to_string()))?;
+                let Some(part) = self.batch_mut(place) else { return Ok(()) };
+                let applied = part.jobs.apply(entry);
+                part.owner.applied(&applied);
+                part.runner.applied(&part.jobs, &applied, now);
+                self.after_applied(place, &applied)
+            }
+            Some((&RETIRE_ENTRY, name)) => {
+                let Some(part) = self.batch_mut(place) else { return Ok(()) };
+                part.retiring.insert(String::from_utf8_lossy(name).into_owned());
+                200
+            }
+            _ => return Err(unreadable("an entry of an unknown kind".to_owned())),
+        };
+        for waiter in waiters {
+            self.reply(waiter.peer, waiter.number, Reply::Answer { status, body: b"{}".to_vec() });
+        }
+        Ok(())
+    }
+
+    /// What others learn from an applied entry; the status of the call that proposed it.
+    fn after_applied(&mut self, place: usize, applied: &Applied) -> u16 {
+        match applied {
+            Applied::Submitted { job, .. } => {
+                let Some(part) = self.batch_mut(place) else { return 202 };
+                let waiting = std::mem::take(&mut part.under_way);
+                let (same, others) = waiting.into_iter().partition(|(other, _)| other == job);
+                part.under_way = others;
+                let same: Vec<(JobId, Waiter)> = same;
+                for (_, waiter) in same {
+                    self.reply(
+                        waiter.peer,
+                        waiter.number,
+                        Reply::Answer { status: 202, body: b"{}".to_vec() },
+                    );
+                }
+                self.wake_items();
+                202
+            }
+            Applied::Listed(items) => {
+                let jobs: BTreeSet<JobId> = items.iter().map(|(job, _)| job.clone()).collect();
+                self.answer_held_reads(place, |job| jobs.contains(job));
+                200
+            }
+            Applied::Ended { state, job } => {
+                let ended = job.clone();
+                self.answer_held_reads(place, |job| *job == ended);
+                self.cut_off_runs(place);
+                if *state == grebeusher_archive::EndState::NoSuchJob { 404 } else { 200 }
+            }
+            Applied::Progressed(_) | Applied::Forgotten(_) => 200,
+        }
+    }
+
+    pub(crate) fn batch_owner_changed(&mut self, place: usize, owns: bool) {
+        let (now, wall_ms) = (self.now, self.wall_ms());
+        let Some(part) = self.batch_mut(place) else { return };
+        part.owner = Owner::new(part.most_cost);
+        let held = std::mem::take(&mut part.held);
+        let under_way = std::mem::take(&mut part.under_way);
+        if owns {
+            part.runner.begin(&part.jobs, now, wall_ms);
+        } else {
+            part.runner.cease();
+        }
+        for read in held {
+            self.reply(read.waiter.peer, read.waiter.number, Reply::Unavailable);
+        }
+        for (_, waiter) in under_way {
+            self.reply(waiter.peer, waiter.number, Reply::Unclear);
+        }
+        self.cut_off_runs(place);
+        if owns {
+            self.wake_items();
+        }
+    }
+
+    /// Proposes unfinished texts, so that the next owner goes on from there.
+    pub(crate) fn checkpoint_batch(&mut self, place: usize) {
+        let now = self.now;
+        while let Some(entry) = self.batch_mut(place).and_then(|part| part.runner.checkpoint()) {
+            if self.parts[place].propose(now, jobs_entry(&entry), None).is_none() {
+                return;
+            }
+        }
+    }
+
+    /// Proposes what the items have come to.
+    pub(crate) fn propose_results(&mut self, place: usize) {
+        let now = self.now;
+        let Some(part) = self.batch_mut(place) else { return };
+        for entry in part.runner.take_proposals() {
+            if self.parts[place].propose(now, jobs_entry(&entry), None).is_none() {
+                if let Some(part) = self.batch_mut(place) {
+                    part.runner.not_proposed(entry);
+                }
+                return;
+            }
+        }
+    }
+
+    /// Forgets jobs that nobody may ask for any longer.
+    pub(crate) fn forget_old_jobs(&mut self, place: usize) {
+        let now = self.now;
+        // Readers come for a while longer than the bound, and a client's first send was before the job was taken.
+        let status = Span::secs(self.settings.bounds.status_s + 10.0);
+        let Some(part) = self.batch_mut(place) else { return };
+        let jobs = part.runner.forgettable(&part.jobs, now, status);
+        if !jobs.is_empty() {
+            self.parts[place].propose(now, jobs_entry(&Entry::Forget { jobs }), None);
+        }
+    }
+
+    pub(crate) fn submit_at_owner(&mut self, waiter: Waiter, call: SubmitJob) {
+        let (now, wall_ms) = (self.now, self.wall_ms());
+        let Some(place) = self.owned_place(call.part, waiter) else { return };
+        let answer = |status: u16| Reply::Answer { status, body: b"{}".to_vec() };
+        let Ok(submission) = <Submission as DeBin>::deserialize_bin(&call.submission) else {
+            return self.reply(waiter.peer, waiter.number, answer(400));
+        };
+        let job = submission.job.clone();
+        let Some(part) = self.batch_mut(place) else { return };
+        match part.owner.admit(&part.jobs, &submission, call.queue_token_limit) {
+            Admission::Kept => self.reply(waiter.peer, waiter.number, answer(202)),
+            Admission::UnderWay => part.under_way.push((job, waiter)),
+            Admission::QueueFull { .. } => self.reply(waiter.peer, waiter.number, answer(429)),
+            Admission::NoMemory => self.reply(waiter.peer, waiter.number, answer(503)),
+            Admission::Propose => {
+                let terms = JobTerms {
+                    accepted_at_wall_ms: wall_ms,
+                    completion_target_ms: call.completion_target_ms,
+                    retention_ms: call.retention_ms,
+                    max_attempts: call.max_attempts,
+                    queue_token_limit: call.queue_token_limit,
+                    ..JobTerms::default()
+                };
+                let entry = jobs_entry(&Entry::Submit { submission, terms });
+                if self.parts[place].propose(now, entry, Some(waiter)).is_none() {
+                    if let Some(part) = self.batch_mut(place) {
+                        part.owner.dropped(&job);
+                    }
+                    self.reply(waiter.peer, waiter.number, Reply::Unavailable);
+                }
+            }
+        }
+    }
+
+    pub(crate) fn read_at_owner(
+        &mut self,
+        waiter: Waiter,
+        number: u8,
+        job: &str,
+        resume_after: u64,
+        hold_ms: u32,
+    ) {
+        let Some(place) = self.owned_place(number, waiter) else { return };
+        let read = self.next_serial();
+        let now = self.now;
+        let Some(part) = self.batch_mut(place) else { return };
+        let Some(job) = JobId::new(job).filter(|job| part.jobs.contains(job)) else {
+            return self.reply(waiter.peer, waiter.number, Reply::Answer { status: 404, body: Vec::new() });
+        };
+        let resume_after = usize::try_from(resume_after).unwrap_or(usize::MAX);
+        let listed = part.jobs.status(&job).map_or(0, |status| status.listed);
+        if listed <= resume_after && hold_ms > 0 && part.jobs.is_open(&job) {
+            part.held.push(HeldRead { read, waiter, job, resume_after });
+            let until = now + Span::millis(u64::from(hold_ms));
+            self.alarms.set(until, Timer::HeldReadExpires { read });
+            return;
+        }
+        self.answer_read(place, waiter, &job, resume_after);
+    }
+
+    fn answer_read(&mut self, place: usize, waiter: Waiter, job: &JobId, resume_after: usize) {
+        // The lease may have ended while the read was held.
+        if !self.parts[place].replica.lease_holds(self.now) {
+            return self.reply(waiter.peer, waiter.number, Reply::Unavailable);
+        }
+        let Some(part) = self.batch_mut(place) else { return };
+        let reply = match part.jobs.read(job, resume_after, MAX_PAGE_BYTES) {
+            Some(page) => Reply::Answer { status: 200, body: page.to_json().into_bytes() },
+            None => Reply::Answer { status: 404, body: Vec::new() },
+        };
+        self.reply(waiter.peer, waiter.number, reply);
+    }
+
+    fn answer_held_reads(&mut self, place: usize, concerned: impl Fn(&JobId) -> bool) {
+        let Some(part) = self.batch_mut(place) else { return };
+        let held = std::mem::take(&mut part.held);
+        let (answered, others): (Vec<HeldRead>, Vec<HeldRead>) =
+            held.into_iter().partition(|read| concerned(&read.job));
+        part.held = others;
+        for read in answered {
+            self.answer_read(place, read.waiter, &read.job, read.resume_after);
+        }
+    }
+
+    /// A read was held for as long as it asked.
+    pub fn held_read_expired(&mut self, number: u64) {
+        for place in 0..self.parts.len() {
+            let Some(part) = self.batch_mut(place) else { continue };
+            let Some(at) = part.held.iter().position(|held| held.read == number) else { continue };
+            let held = part.held.swap_remove(at);
+            return self.answer_read(place, held.waiter, &held.job, held.resume_after);
+        }
+    }
+
+    pub(crate) fn read_item_at_owner(&mut self, waiter: Waiter, number: u8, job: &str, item: &str) {
+        let Some(place) = self.owned_place(number, waiter) else { return };
+        let Some(part) = self.batch_mut(place) else { return };
+        let body = JobId::new(job).and_then(|job| part.jobs.item_body(&job, item).map(<[u8]>::to_vec));
+        let reply = match body {
+            Some(body) => Reply::Answer { status: 200, body },
+            None => Reply::Answer { status: 404, body: Vec::new() },
+        };
+        self.reply(waiter.peer, waiter.number, reply);
+    }
+
+    pub(crate) fn end_at_owner(&mut self, waiter: Waiter, number: u8, job: &str) {
+        let now = self.now;
+        let Some(place) = self.owned_place(number, waiter) else { return };
+        let Some(part) = self.batch_mut(place) else { return };
+        let known = JobId::new(job).filter(|job| part.jobs.contains(job) || part.owner.is_under_way(job));
+        let Some(job) = known else {
+            return self.reply(waiter.peer, waiter.number, Reply::Answer { status: 404, body: Vec::new() });
+        };
+        if self.parts[place].propose(now, jobs_entry(&Entry::Ended { job }), Some(waiter)).is_none() {
+            self.reply(waiter.peer, waiter.number, Reply::Unavailable);
+        }
+    }
+
+    pub(crate) fn begin_retire_at_owner(&mut self, waiter: Waiter, number: u8, node: &str) {
+        let now = self.now;
+        let Some(place) = self.owned_place(number, waiter) else { return };
+        let class = class_of_part(number);
+        let wanted = self.group_size();
+        let Some(part) = self.batch_mut(place) else { return };
+        if part.retiring.contains(node) {
+            return self.reply(waiter.peer, waiter.number, Reply::Done);
+        }
+        let retiring = part.retiring.clone();
+        let remain = self.registry.members().filter(|member| {
+            member.class == class
+                && matches!(member.state, MemberState::Alive | MemberState::Suspect)
+                && member.replica.is_some()
+                && member.name != node
+                && !retiring.contains(&member.name)
+        });
+        if remain.count() < wanted {
+            return self.reply(waiter.peer, waiter.number, Reply::Answer { status: 409, body: Vec::new() });
+        }
+        let mut entry = vec![RETIRE_ENTRY];
+        entry.extend_from_slice(node.as_bytes());
+        if self.parts[place].propose(now, entry, Some(waiter)).is_none() {
+            self.reply(waiter.peer, waiter.number, Reply::Unavailable);
+        }
+    }
+
+    /// 200: the part's data has left the node; 202: not yet.
+    pub(crate) fn show_retire_at_owner(&mut self, waiter: Waiter, number: u8, node: &str) {
+        let Some(place) = self.owned_place(number, waiter) else { return };
+        let replica = self.registry.member(node).and_then(|member| member.replica);
+        let group = self.parts[place].replica.group().clone();
+        let Some(part) = self.batch_mut(place) else { return };
+        let asked = part.retiring.contains(node);
+        let there = replica.is_some_and(|replica| group.names(grebeusher_quorum::ReplicaId(replica)));
+        let settled = !group.is_joint() && self.parts[place].replica.pending_change().is_none();
+        let reply = if asked && !there && settled {
+            Reply::Done
+        } else {
+            Reply::Answer { status: 202, body: Vec::new() }
+        };
+        self.reply(waiter.peer, waiter.number, reply);
+    }
+
+    /// The nodes that a part's data is to leave.
+    pub(crate) fn retiring_nodes(&mut self, place: usize) -> Vec<String> {
+        self.batch_mut(place).map(|part| part.retiring.iter().cloned().collect()).unwrap_or_default()
+    }
+
+    /// When an owner's runner next has something to do by itself.
+    pub(crate) fn runner_wake(&self, place: usize) -> Option<Moment> {
+        match &self.parts.get(place)?.application {
+            Application::Batch(part) if self.parts[place].owns() => part.runner.next_wake(),
+            _ => None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/tier/src/configuration.rs
@@ -0,0 +1,113 @@
+//! The operator's configuration as this node serves by it, and how it gets here from its owner.
+
+use crate::calls::Continuation;
+use crate::control::CONFIGURATION_PART;
+use crate::messages::{Call, Reply};
+use crate::node::Node;
+use grebeusher_catalog::configuration::{Configuration, Route};
+use grebeusher_catalog::routes::RouteTable;
+use grebeusher_time::Span;
+use std::net::SocketAddrV4;
+use std::rc::Rc;
+use std::sync::Arc;
+use tracing::{info, warn};
+
+/// A peer that tells of a newer configuration hands it over within this.
+const FETCH_WITHIN: Span = Span::millis(400);
+/// A node that starts asks the owner for this long; then what peers say has to do.
+const PROOF_WITHIN: Span = Span::millis(2500);
+
+/// A configuration in force.
+pub struct ActiveConfiguration {
+    /// Its version.
+    pub version: u64,
+    /// Its bytes, exactly as the operator sent them.
+    pub body: Rc<Vec<u8>>,
+    /// Its routes.
+    pub routes: Routes,
+}
+
+/// The routes of a configuration, shared with the requests that are under way.
+pub struct Routes {
+    table: RouteTable,
+    shared: Vec<Rc<Route>>,
+}
+
+impl Routes {
+    fn new(configuration: Configuration) -> Routes {
+        let table = RouteTable::new(Arc::new(configuration));
+        let shared = table.configuration().routes.iter().cloned().map(Rc::new).collect();
+        Routes { table, shared }
+    }
+
+    /// The route of a request.
+    pub fn find(&self, host: &str, path: &str) -> Option<Rc<Route>> {
+        let found = self.table.find(host, path)?;
+        let index = self.table.configuration().routes.iter().position(|route| std::ptr::eq(route, found))?;
+        Some(self.shared[index].clone())
+    }
+
+    /// The whole configuration.
+    pub fn configuration(&self) -> &Configuration {
+        self.table.configuration()
+    }
+}
+
+impl Node {
+    /// Puts a committed configuration in force, if it is newer: within one life versions only rise.
+    pub fn activate_configuration(&mut self, version: u64, body: Rc<Vec<u8>>) {
+        if self.configuration.as_ref().is_some_and(|active| active.version >= version) {
+            return;
+        }
+        let configuration = match Configuration::read(&body) {
+            Ok(configuration) => configuration,
+            Err(error) => return warn!("configuration {version} can't be read: {error}"),
+        };
+        info!("configuration {version} in force");
+        self.client_limits = configuration.limits.clone();
+        self.http_limits.most_head = configuration.limits.max_header_bytes as usize;
+        self.http_limits.most_body = configuration.limits.max_body_bytes as usize;
+        let routes = Routes::new(configuration);
+        self.configuration = Some(Rc::new(ActiveConfiguration { version, body, routes }));
+        self.registry.set_configuration_version(version);
+        self.routing_changed = true;
+    }
+
+    /// A peer has a newer configuration.
+    pub fn configuration_behind(&mut self, peer: SocketAddrV4) {
+        let now = self.now;
+        if self.fetching.is_some_and(|until| now < until) {
+            return;
+        }
+        self.fetching = Some(now + FETCH_WITHIN);
+        let newer_than = self.configuration_version();
+        let call = Call::FetchConfiguration { newer_than };
+        self.call_node(peer, call, now + FETCH_WITHIN, Continuation::Configuration);
+    }
+
+    /// Asks the owner for the newest configuration: what a node serves by when it starts.
+    pub fn prove_configuration(&mut self) {
+        let until = self.now + PROOF_WITHIN;
+        self.call_owner(CONFIGURATION_PART, Call::ShowConfiguration, until, Continuation::FirstConfiguration);
+    }
+
+    /// A configuration has come from a peer or, `proven`, from the owner.
+    pub fn fetched_configuration(&mut self, reply: Reply, proven: bool) {
+        if proven {
+            // Without an owner for so long, what the peers have must do.
+            self.configuration_proven = true;
+        } else {
+            self.fetching = None;
+        }
+        if let Reply::Configuration { version, body } = reply
+            && version > 0
+        {
+            self.activate_configuration(version, Rc::new(body));
+        }
+    }
+
+    /// The version in force; 0 before there is one.
+    pub fn configuration_version(&self) -> u64 {
+        self.configuration.as_ref().map_or(0, |active| active.version)
+    }
+}
--- /dev/null
+++ b/crates/tier/src/configuration_part.rs
@@ -0,0 +1,133 @@
+//! Part 0: the operator's configuration, changed by compare-and-set.
+
+use crate::control::CONFIGURATION_PART;
+use crate::messages::Reply;
+use crate::node::{Node, RunError};
+use crate::parts::{Application, Waiter};
+use grebeusher_catalog::configuration::Configuration;
+use grebeusher_catalog::register::{BodyHash, Change, ConfigurationRegister, Entry, Pending, Verdict};
+use std::sync::Arc;
+
+/// What a replica of part 0 keeps.
+#[derive(Default)]
+pub struct ConfigurationPart {
+    register: ConfigurationRegister,
+    pending: Pending,
+}
+
+impl ConfigurationPart {
+    /// The whole state.
+    pub fn snapshot(&self) -> Vec<u8> {
+        self.register.encode()
+    }
+
+    /// What was under way belongs to another ownership.
+    pub fn owner_changed(&mut self) {
+        self.pending.clear();
+    }
+}
+
+impl Node {
+    pub(crate) fn restore_configuration(&mut self, place: usize, bytes: &[u8]) -> Result<(), RunError> {
+        let register = ConfigurationRegister::decode(bytes)
+            .map_err(|error| RunError::State { part: CONFIGURATION_PART, reason: error.to_string() })?;
+        if let Application::Configuration(part) = &mut self.parts[place].application {
+            part.register = register;
+            part.pending.clear();
+        }
+        self.serve_committed(place);
+        Ok(())
+    }
+
+    pub(crate) fn apply_configuration(
+        &mut self,
+        place: usize,
+        entry: &[u8],
+        waiters: Vec<Waiter>,
+    ) -> Result<(), RunError> {
+        let entry = Entry::decode(entry)
+            .map_err(|error| RunError::State { part: CONFIGURATION_PART, reason: error.to_string() })?;
+        let Application::Configuration(part) = &mut self.parts[place].application else { return Ok(()) };
+        part.pending.applied(entry.change());
+        let status = part.register.apply(&entry).answer().status();
+        for waiter in waiters {
+            self.reply(waiter.peer, waiter.number, Reply::Answer { status, body: b"{}".to_vec() });
+        }
+        self.serve_committed(place);
+        // Calls that this change decided are judged by their nodes anew.
+        for waiter in std::mem::take(&mut self.parts[place].deferred) {
+            self.reply(waiter.peer, waiter.number, Reply::Unavailable);
+        }
+        Ok(())
+    }
+
+    /// Puts the newest committed configuration in force here; the relays take it to the others.
+    fn serve_committed(&mut self, place: usize) {
+        let Application::Configuration(part) = &self.parts[place].application else { return };
+        let version = part.register.version();
+        if version == 0 {
+            return;
+        }
+        let body = Node::shared(part.register.body());
+        self.activate_configuration(version, body);
+    }
+
+    /// An operator's change, at the owner or at a node that is taken for it.
+    pub(crate) fn replace_at_owner(&mut self, waiter: Waiter, base: u64, body: Vec<u8>) {
+        let now = self.now;
+        let Some(place) = self.owned_place(CONFIGURATION_PART, waiter) else { return };
+        let Ok(configuration) = Configuration::read(&body) else {
+            return self.reply(waiter.peer, waiter.number, Reply::Answer { status: 400, body: Vec::new() });
+        };
+        let change = Change { base, version: configuration.version, hash: BodyHash::of(&body) };
+        let host = &mut self.parts[place];
+        let Application::Configuration(part) = &mut host.application else { return };
+        let verdict = part.register.judge(&change, &part.pending);
+        match verdict {
+            Verdict::Take => {
+                part.pending.propose(change);
+                let entry = Entry::new(base, configuration.version, Arc::from(body));
+                if host.propose(now, entry.encode(), Some(waiter)).is_none() {
+                    if let Application::Configuration(part) = &mut host.application {
+                        part.pending.applied(&change);
+                    }
+                    self.reply(waiter.peer, waiter.number, Reply::Unavailable);
+                }
+            }
+            Verdict::Undecided => host.deferred.push(waiter),
+            verdict => {
+                let status = verdict.answer().map_or(503, |answer| answer.status());
+                self.reply(waiter.peer, waiter.number, Reply::Answer { status, body: b"{}".to_vec() });
+            }
+        }
+    }
+
+    /// The newest configuration, at the owner.
+    pub(crate) fn show_at_owner(&mut self, waiter: Waiter) {
+        let Some(place) = self.owned_place(CONFIGURATION_PART, waiter) else { return };
+        let Application::Configuration(part) = &self.parts[place].application else { return };
+        let reply =
+            Reply::Configuration { version: part.register.version(), body: part.register.body().to_vec() };
+        self.reply(waiter.peer, waiter.number, reply);
+    }
+
+    /// The place of a part that this node owns under a lease; otherwise the caller is told who may.
+    pub(crate) fn owned_place(&mut self, part: u8, waiter: Waiter) -> Option<usize> {
+        let now = self.now;
+        let Some(place) = self.parts.iter().position(|host| host.part == part) else {
+            self.reply(waiter.peer, waiter.number, Reply::NotOwner { owner: None });
+            return None;
+        };
+        let host = &self.parts[place];
+        if host.replica.is_owner() {
+            if host.owns() && host.replica.lease_holds(now) {
+                return Some(place);
+            }
+            self.reply(waiter.peer, waiter.number, Reply::Unavailable);
+            return None;
+        }
+        let owner = self.owner_name(place);
+        self.reply(waiter.peer, waiter.number, Reply::NotOwner { owner });
+        None
+    }
+}
--- /dev/null
+++ b/crates/tier/src/control.rs
@@ -0,0 +1,205 @@
+//! The control plane's HTTP interface: heartbeats of executors, orders of the operator, the platform's checks.
+
+use crate::calls::{Continuation, OperatorQuestion};
+use crate::exchange::{ClientRequest, names};
+use crate::messages::{Call, Reply};
+use crate::node::Node;
+use grebeusher_catalog::configuration::Configuration;
+use grebeusher_registry::{Answer, HeartbeatReport};
+use grebeusher_time::Span;
+use grebeusher_transport::http;
+
+/// The part that holds the configuration.
+pub const CONFIGURATION_PART: u8 = 0;
+/// The operator goes on to another node after a second of silence; a configuration is settled by then, or the answer says
+/// that it is not known.
+const OPERATOR_WAITS: Span = Span::millis(950);
+/// A large configuration gets more, as its caller waits for longer.
+const OPERATOR_WAITS_LARGE: Span = Span::millis(1800);
+/// From this size on a configuration is large (bytes).
+const LARGE_CONFIGURATION: usize = 256 * 1024;
+
+const JSON: (&str, &str) = ("Content-Type", "application/json");
+
+/// A question that every batch part has to answer.
+pub struct RetireGathering {
+    connection: usize,
+    serial: u64,
+    begins: bool,
+    waiting: usize,
+    /// The worst status so far.
+    status: u16,
+    complete: bool,
+}
+
+impl Node {
+    /// The platform's check.
+    pub fn readiness_request(&mut self, connection: usize, request: &ClientRequest) {
+        let serial = self.serial(connection);
+        let path = path_of(&request.head.target);
+        let status = match (request.head.method.as_str(), path) {
+            ("GET", "/api/readiness") if self.is_ready() => 200,
+            ("GET", "/api/readiness") => 503,
+            _ => 404,
+        };
+        self.answer(connection, serial, http::answer(status, &[], b""));
+    }
+
+    /// A call of an executor or of the operator.
+    pub fn control_request(&mut self, connection: usize, request: ClientRequest) {
+        let serial = self.serial(connection);
+        let path = path_of(&request.head.target).to_owned();
+        let segments: Vec<&str> = path.trim_start_matches('/').split('/').collect();
+        match (request.head.method.as_str(), segments.as_slice()) {
+            ("POST", ["api", "Instances.Heartbeat", id]) => self.heartbeat(connection, serial, id, &request),
+            ("POST", ["api", "Instances.Deregister", id]) => self.deregister(connection, serial, id),
+            ("POST", ["api", "Configuration.Replace"]) => self.replace(connection, serial, request),
+            ("GET", ["api", "Configuration.Show"]) => self.show(connection, serial),
+            ("POST", ["api", "Retire.Begin", node]) => self.retire(connection, serial, node, true),
+            ("GET", ["api", "Retire.Show", node]) => self.retire(connection, serial, node, false),
+            ("GET", ["api", "readiness"]) => self.readiness_request(connection, &request),
+            ("GET", ["api", "status"]) => {
+                let body = self.status_text();
+                self.answer(connection, serial, http::answer(200, &[], body.as_bytes()));
+            }
+            _ => self.answer(connection, serial, http::answer(404, &[], b"")),
+        }
+    }
+
+    fn heartbeat(&mut self, connection: usize, serial: u64, id: &str, request: &ClientRequest) {
+        match HeartbeatReport::parse(id, &request.body) {
+            Ok(report) => {
+                let effect = self.registry.heartbeat(self.now, report);
+                match effect.answer {
+                    Answer::Now => self.answer_heartbeat(connection, serial, effect.heartbeat_target),
+                    Answer::WhenTold(token) => drop(self.told_waiters.insert(token, (connection, serial))),
+                }
+            }
+            Err(_) => self.answer(connection, serial, http::answer(400, &[], b"")),
+        }
+        self.routing_changed = true;
+    }
+
+    fn answer_heartbeat(&mut self, connection: usize, serial: u64, target: Option<std::net::SocketAddrV4>) {
+        let body = match target {
+            Some(target) => format!("{{\"heartbeat_target\":\"{target}\"}}"),
+            None => "{}".to_owned(),
+        };
+        self.answer(connection, serial, http::answer(200, &[JSON], body.as_bytes()));
+    }
+
+    fn deregister(&mut self, connection: usize, serial: u64, id: &str) {
+        match self.registry.deregister(self.now, id) {
+            Answer::Now => self.answer(connection, serial, http::answer(200, &[JSON], b"{}")),
+            Answer::WhenTold(token) => drop(self.told_waiters.insert(token, (connection, serial))),
+        }
+        self.routing_changed = true;
+    }
+
+    /// Calls whose news every node has by now, or that have waited for long enough, are answered.
+    pub fn answer_told(&mut self) {
+        for token in self.registry.told(self.now) {
+            if let Some((connection, serial)) = self.told_waiters.remove(&token) {
+                self.answer(connection, serial, http::answer(200, &[JSON], b"{}"));
+            }
+        }
+    }
+
+    fn replace(&mut self, connection: usize, serial: u64, request: ClientRequest) {
+        let base = request.head.headers.get(names::BASE_VERSION).map(|text| text.trim().parse::<u64>());
+        let base = match base {
+            Some(Ok(base)) => base,
+            None => 0,
+            Some(Err(_)) => return self.answer(connection, serial, http::answer(400, &[], b"")),
+        };
+        if let Err(invalid) = Configuration::read(&request.body) {
+            let reason = invalid.to_string();
+            return self.answer(connection, serial, http::answer(400, &[], reason.as_bytes()));
+        }
+        let large = request.body.len() > LARGE_CONFIGURATION;
+        let waits = if large { OPERATOR_WAITS_LARGE } else { OPERATOR_WAITS };
+        let call = Call::ReplaceConfiguration { base, body: request.body };
+        let question = OperatorQuestion::Replace;
+        let continuation = Continuation::Operator { connection, serial, question };
+        self.call_owner(CONFIGURATION_PART, call, self.now + waits, continuation);
+    }
+
+    fn show(&mut self, connection: usize, serial: u64) {
+        let question = OperatorQuestion::Show;
+        let continuation = Continuation::Operator { connection, serial, question };
+        self.call_owner(CONFIGURATION_PART, Call::ShowConfiguration, self.now + OPERATOR_WAITS, continuation);
+    }
+
+    /// The owner's reply to the operator's call.
+    pub fn operator_reply(
+        &mut self,
+        connection: usize,
+        serial: u64,
+        question: OperatorQuestion,
+        reply: Reply,
+    ) {
+        let answer = match (question, reply) {
+            (_, Reply::Answer { status, body }) => http::answer(status, &[JSON], &body),
+            (OperatorQuestion::Show, Reply::Configuration { version, .. }) if version == 0 => {
+                http::answer(404, &[], b"")
+            }
+            (OperatorQuestion::Show, Reply::Configuration { body, .. }) => http::answer(200, &[JSON], &body),
+            (_, Reply::Unclear) => http::answer(504, &[], b""),
+            _ => http::answer(503, &[("Retry-After", "0.1")], b""),
+        };
+        self.answer(connection, serial, answer);
+    }
+
+    fn retire(&mut self, connection: usize, serial: u64, node: &str, begins: bool) {
+        if !self.knows_storage_node(node) {
+            return self.answer(connection, serial, http::answer(404, &[], b""));
+        }
+        let parts = self.batch_parts();
+        let gathering =
+            RetireGathering { connection, serial, begins, waiting: parts.len(), status: 200, complete: true };
+        let number = self.next_serial();
+        self.gatherings.insert(number, gathering);
+        for part in parts {
+            let node = node.to_owned();
+            let call =
+                if begins { Call::BeginRetire { part, node } } else { Call::ShowRetire { part, node } };
+            let until = self.now + OPERATOR_WAITS;
+            self.call_owner(part, call, until, Continuation::Retire { gathering: number });
+        }
+    }
+
+    /// One part has said something about a storage node that is to be emptied.
+    pub fn retire_reply(&mut self, number: u64, reply: Reply) {
+        let Some(gathering) = self.gatherings.get_mut(&number) else { return };
+        gathering.waiting -= 1;
+        match reply {
+            Reply::Done => {}
+            Reply::Answer { status: 202, .. } => gathering.complete = false,
+            Reply::Answer { status, .. } => gathering.status = gathering.status.max(status),
+            _ => gathering.status = gathering.status.max(503),
+        }
+        if gathering.waiting > 0 {
+            return;
+        }
+        let Some(gathering) = self.gatherings.remove(&number) else { return };
+        let state = if gathering.complete { "complete" } else { "active" };
+        let body = if gathering.begins || gathering.status != 200 {
+            "{}".to_owned()
+        } else {
+            format!("{{\"state\":\"{state}\"}}")
+        };
+        let answer = http::answer(gathering.status, &[JSON], body.as_bytes());
+        self.answer(gathering.connection, gathering.serial, answer);
+    }
+}
+
+/// The path of a request's target, without its query.
+pub fn path_of(target: &str) -> &str {
+    target.split('?').next().unwrap_or(target)
+}
+
+/// The value of a parameter of a target's query.
+pub fn query_value<'a>(target: &'a str, name: &str) -> Option<&'a str> {
+    let query = target.split_once('?')?.1;
+    query.split('&').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='))
+}
--- /dev/null
+++ b/crates/tier/src/dispatch.rs
@@ -0,0 +1,115 @@
+//! What comes from other nodes, and what the registry wants done.
+
+use crate::messages::{Call, CallEnvelope, Channel, Reply, ReplyEnvelope};
+use crate::node::Node;
+use crate::parts::Waiter;
+use grebeusher_quorum::{Group, ReplicaId};
+use grebeusher_registry::{Event, Message};
+use nanoserde::DeBin;
+use std::net::SocketAddrV4;
+
+impl Node {
+    /// A frame of another node, or of this one to itself.
+    pub fn receive_frame(&mut self, from: SocketAddrV4, channel: Channel, payload: &[u8]) {
+        match channel {
+            Channel::Registry => {
+                if let Ok(message) = Message::decode(payload) {
+                    self.registry.receive(self.now, from, message);
+                }
+            }
+            Channel::Quorum => self.receive_quorum(payload),
+            Channel::Call => {
+                if let Ok(envelope) = <CallEnvelope as DeBin>::deserialize_bin(payload) {
+                    self.receive_call(from, envelope);
+                }
+            }
+            Channel::Reply => {
+                if let Ok(envelope) = <ReplyEnvelope as DeBin>::deserialize_bin(payload) {
+                    self.receive_reply(from, envelope);
+                }
+            }
+        }
+    }
+
+    fn receive_call(&mut self, from: SocketAddrV4, envelope: CallEnvelope) {
+        let waiter = Waiter { peer: from, number: envelope.number };
+        match envelope.call {
+            Call::Found { part, voters } => self.found_part(waiter, part, &voters),
+            Call::ReplaceConfiguration { base, body } => self.replace_at_owner(waiter, base, body),
+            Call::ShowConfiguration => self.show_at_owner(waiter),
+            Call::FetchConfiguration { newer_than } => self.fetch_here(waiter, newer_than),
+            Call::SubmitJob(call) => self.submit_at_owner(waiter, call),
+            Call::ReadJob { part, job, resume_after, hold_ms } => {
+                self.read_at_owner(waiter, part, &job, resume_after, hold_ms);
+            }
+            Call::ReadItem { part, job, item } => self.read_item_at_owner(waiter, part, &job, &item),
+            Call::EndJob { part, job } => self.end_at_owner(waiter, part, &job),
+            Call::BeginRetire { part, node } => self.begin_retire_at_owner(waiter, part, &node),
+            Call::ShowRetire { part, node } => self.show_retire_at_owner(waiter, part, &node),
+        }
+    }
+
+    /// Only a process of the first start is founded; the answer leaves when it is on disk.
+    fn found_part(&mut self, waiter: Waiter, part: u8, voters: &[u64]) {
+        let group = Group::of(voters.iter().copied().map(ReplicaId));
+        let bootstrap = self.settings.bootstrap;
+        let founded = match self.parts.iter_mut().find(|host| host.part == part) {
+            Some(host) if bootstrap => host.replica.found(group).is_ok(),
+            _ => false,
+        };
+        let reply = if founded { Reply::Done } else { Reply::Unavailable };
+        self.reply(waiter.peer, waiter.number, reply);
+    }
+
+    fn fetch_here(&mut self, waiter: Waiter, newer_than: u64) {
+        let reply = match &self.configuration {
+            Some(active) if active.version > newer_than => {
+                Reply::Configuration { version: active.version, body: active.body.as_ref().clone() }
+            }
+            _ => Reply::Configuration { version: 0, body: Vec::new() },
+        };
+        self.reply(waiter.peer, waiter.number, reply);
+    }
+
+    /// Does what the registry wants done.
+    pub fn pump_registry(&mut self) {
+        let now = self.now;
+        if now >= self.registry.next_wake() {
+            self.registry.tick(now);
+        }
+        self.answer_told();
+        let output = self.registry.take_output();
+        for (to, message) in output.messages {
+            self.send_frame(to, Channel::Registry, &message.encode());
+        }
+        for event in output.events {
+            self.registry_event(event);
+        }
+    }
+
+    fn registry_event(&mut self, event: Event) {
+        match event {
+            Event::ConfigurationBehind { peer, .. } => self.configuration_behind(peer),
+            Event::MemberChanged { name, .. } => {
+                if let Some(member) = self.registry.member(&name)
+                    && let Some(replica) = member.replica
+                {
+                    self.replica_names.insert(replica, name);
+                }
+                self.routing_changed = true;
+            }
+            Event::ExecutorChanged { .. } => self.routing_changed = true,
+            Event::FactsChanged { .. } => {}
+        }
+    }
+
+    /// The parts that hold batch jobs.
+    pub fn batch_parts(&self) -> Vec<u8> {
+        (1..=crate::batch_front::BATCH_PARTS).collect()
+    }
+
+    /// Whether a name is that of a machine that keeps data, dead ones of late included.
+    pub fn knows_storage_node(&self, name: &str) -> bool {
+        self.registry.member(name).is_some_and(|member| member.class == grebeusher_registry::Class::Storage)
+    }
+}
--- /dev/null
+++ b/crates/tier/src/founding.rs
@@ -0,0 +1,154 @@
+//! The first start of the whole system: one node names the voters of every part, once.
+//!
+//! All processes of the first start get the same seeds, and only they are started with `bootstrap`. The first seed's node
+//! founds; the others step in, one after the other, only if no part has shown an owner for long. A replica takes one founding
+//! in its life, so a second one changes nothing where the first was heard.
+
+use crate::batch_front::BATCH_PARTS;
+use crate::calls::Continuation;
+use crate::control::CONFIGURATION_PART;
+use crate::messages::{Call, Reply};
+use crate::node::Node;
+use crate::placement::{Candidate, spread_over_zones};
+use crate::timers::Timer;
+use grebeusher_catalog::settings::Settings;
+use grebeusher_registry::Class;
+use grebeusher_time::{Moment, Span};
+use std::collections::BTreeMap;
+
+/// How often the founder looks.
+pub const LOOK_EVERY: Span = Span::millis(100);
+/// No new replica has shown itself for this long: those that start together are all there.
+const SETTLED_FOR: Span = Span::millis(900);
+/// Fewer replicas than a group needs are waited for this long.
+const WAITS_FOR_MORE: Span = Span::millis(4000);
+/// Each further seed waits this much longer before it steps in.
+const NEXT_SEED_AFTER: Span = Span::millis(6000);
+/// A replica that does not confirm is asked again after this.
+const CONFIRM_WITHIN: Span = Span::millis(400);
+
+/// What the founding node keeps.
+pub struct Founder {
+    /// Its place among the seeds.
+    rank: u64,
+    seen: usize,
+    changed: Moment,
+    /// The groups that it has named, by part, and which voters still have to confirm.
+    named: BTreeMap<u8, Vec<Voter>>,
+}
+
+struct Voter {
+    replica: u64,
+    confirmed: bool,
+    asked: Option<Moment>,
+}
+
+impl Founder {
+    /// The founder's state, if this process may ever found.
+    pub fn for_settings(settings: &Settings) -> Option<Founder> {
+        if !settings.bootstrap {
+            return None;
+        }
+        let own = settings.bindings.control_plane?;
+        let rank = settings.seed_nodes.iter().position(|seed| *seed == own)?;
+        Some(Founder { rank: rank as u64, seen: 0, changed: Moment(0), named: BTreeMap::new() })
+    }
+}
+
+impl Node {
+    /// Founds the parts when the replicas of the first start are there.
+    pub fn look_to_found(&mut self) {
+        let now = self.now;
+        let Some(founder) = &self.founder else { return };
+        if now < Moment(0) + NEXT_SEED_AFTER * founder.rank as f64 {
+            self.alarms.set(now + LOOK_EVERY, Timer::Found);
+            return;
+        }
+        if founder.named.is_empty() {
+            self.name_groups();
+        }
+        let done = self.ask_voters();
+        if done {
+            self.founder = None;
+        } else {
+            self.alarms.set(now + LOOK_EVERY, Timer::Found);
+        }
+    }
+
+    fn name_groups(&mut self) {
+        let now = self.now;
+        let size = self.group_size();
+        let of_class = |class: Class| -> Vec<Candidate> {
+            let members = self.registry.members().filter(|member| member.class == class && member.bootstrap);
+            members.filter(|member| member.serves()).filter_map(Candidate::of).collect()
+        };
+        let (edges, stores) = (of_class(Class::Edge), of_class(Class::Storage));
+        let seen = edges.len() + stores.len();
+        let owned = (0..=BATCH_PARTS).any(|part| self.known_owner(part).is_some());
+        let Some(founder) = &mut self.founder else { return };
+        if owned {
+            // Another seed was first.
+            self.founder = None;
+            return;
+        }
+        if founder.seen != seen {
+            founder.seen = seen;
+            founder.changed = now;
+        }
+        let settled = now.since(founder.changed) >= SETTLED_FOR;
+        let enough = edges.len() >= size && stores.len() >= size;
+        let waited = now >= Moment(0) + WAITS_FOR_MORE;
+        if !settled || edges.is_empty() || stores.is_empty() || !(enough || waited) {
+            return;
+        }
+        let voters = |candidates: &[Candidate], part: u8| -> Vec<Voter> {
+            let chosen = spread_over_zones(candidates, size, usize::from(part));
+            let voter = |replica| Voter { replica, confirmed: false, asked: None };
+            chosen.into_iter().map(voter).collect()
+        };
+        founder.named.insert(CONFIGURATION_PART, voters(&edges, 0));
+        for part in 1..=BATCH_PARTS {
+            founder.named.insert(part, voters(&stores, part));
+        }
+    }
+
+    /// Asks each voter that has not confirmed; whether all have.
+    fn ask_voters(&mut self) -> bool {
+        let now = self.now;
+        let Some(founder) = &mut self.founder else { return true };
+        if founder.named.is_empty() {
+            return false;
+        }
+        let mut calls = Vec::new();
+        for (&part, voters) in &mut founder.named {
+            let group: Vec<u64> = voters.iter().map(|voter| voter.replica).collect();
+            let unconfirmed = voters.iter_mut().filter(|voter| !voter.confirmed);
+            for voter in unconfirmed.filter(|voter| voter.asked.is_none_or(|at| now >= at + CONFIRM_WITHIN)) {
+                voter.asked = Some(now);
+                calls.push((part, voter.replica, group.clone()));
+            }
+        }
+        let done = founder.named.values().flatten().all(|voter| voter.confirmed);
+        for (part, voter, voters) in calls {
+            let Some(to) = self.address_of_replica(voter) else { continue };
+            let continuation = Continuation::Founding { part, voter };
+            self.call_node(to, Call::Found { part, voters }, now + CONFIRM_WITHIN, continuation);
+        }
+        done
+    }
+
+    /// A voter's reply to its founding.
+    pub fn founding_reply(&mut self, part: u8, voter: u64, reply: &Reply) {
+        let Some(founder) = &mut self.founder else { return };
+        let confirmed = matches!(reply, Reply::Done);
+        let voters = founder.named.get_mut(&part).into_iter().flatten();
+        for voter in voters.filter(|other| other.replica == voter) {
+            voter.confirmed |= confirmed;
+        }
+    }
+
+    /// How many voters a part has: `f` may be lost, and a majority must be left.
+    pub fn group_size(&self) -> usize {
+        2 * self.settings.fault_tolerance.machine_losses.max(1) as usize + 1
+    }
+}
--- /dev/null
+++ b/crates/tier/src/items.rs
@@ -0,0 +1,290 @@
+//! The owner of a part runs its items at executors, in the room that live requests leave.
+
+use crate::exchange::names;
+use crate::node::Node;
+use crate::routing::Hints;
+use crate::timers::Timer;
+use crate::upstream::{CallOwner, Failure, UpstreamEvent};
+use grebeusher_archive::{EventReader, EventTaken, Outcome as RunOutcome, RunId, RunOrder};
+use grebeusher_gateway::{AttemptToken, Outcome, ServerLoad};
+use grebeusher_time::{Moment, Span};
+use grebeusher_transport::headers::Headers;
+use rustc_hash::FxHashMap;
+
+/// How often items that wait look for room.
+const LOOK_EVERY: Span = Span::millis(15);
+/// A run without a byte for this long is taken up elsewhere.
+const SILENT_FOR: Span = Span::millis(3000);
+/// What an executor is told of the time that an item has (milliseconds): items stand outside of time-outs.
+const ITEM_DEADLINE_MS: u64 = 30_000;
+/// Items that are begun in one turn of the loop, so that others have theirs.
+const BEGUN_AT_ONCE: usize = 16;
+
+/// A run of an item at an executor.
+struct ActiveRun {
+    place: usize,
+    run: RunId,
+    flight: AttemptToken,
+    connection: usize,
+    reader: EventReader,
+    status: u16,
+    not_executed: bool,
+    stamped: bool,
+    heard: Moment,
+}
+
+/// The runs of items on this node.
+#[derive(Default)]
+pub struct ItemRuns {
+    active: FxHashMap<u64, ActiveRun>,
+    waking: bool,
+}
+
+impl ItemRuns {
+    /// How many items run.
+    pub fn count(&self) -> usize {
+        self.active.len()
+    }
+}
+
+impl Node {
+    /// Has items looked at soon.
+    pub fn wake_items(&mut self) {
+        if !self.items.waking {
+            self.items.waking = true;
+            self.alarms.set(self.now, Timer::RunItems);
+        }
+    }
+
+    /// Begins items where there is room, and gives up those whose time is over.
+    pub fn run_items(&mut self) {
+        self.items.waking = false;
+        let now = self.now;
+        let mut waits = false;
+        for place in 0..self.parts.len() {
+            if !self.parts[place].owns() || self.stopping() {
+                continue;
+            }
+            if let Some(part) = self.batch_mut(place) {
+                part.runner.tick(now);
+            }
+            self.begin_items(place);
+            self.cut_off_runs(place);
+            self.propose_results(place);
+            waits |= self.runner_wake(place).is_some();
+            waits |= self.batch_mut(place).is_some_and(|part| !part.jobs().is_empty());
+        }
+        if waits && !self.items.waking {
+            self.items.waking = true;
+            self.alarms.set(now + LOOK_EVERY, Timer::RunItems);
+        }
+    }
+
+    fn begin_items(&mut self, place: usize) {
+        for _ in 0..BEGUN_AT_ONCE {
+            let Some(order) = self.next_order(place) else { return };
+            self.begin_item(place, order);
+        }
+    }
+
+    fn next_order(&mut self, place: usize) -> Option<RunOrder> {
+        let now = self.now;
+        let active = self.configuration.clone()?;
+        let mut rooms: Vec<(&str, bool)> = Vec::new();
+        for route in &active.routes.configuration().routes {
+            if route.route_type == grebeusher_catalog::configuration::RouteType::Bulk {
+                let has_room = route
+                    .traffic
+                    .services()
+                    .any(|service| self.routing.has_batch_room(now, service.as_str()));
+                rooms.push((route.name.as_str(), has_room));
+            }
+        }
+        let room =
+            |name: &str| rooms.iter().find(|(route, has_room)| *route == name && *has_room).map(|_| u64::MAX);
+        let (jobs, runner) = self.batch_mut(place)?.jobs_and_runner();
+        runner.next_item(jobs, now, &room)
+    }
+
+    fn begin_item(&mut self, place: usize, order: RunOrder) {
+        let now = self.now;
+        let point = self.random_point();
+        let Some(active) = self.configuration.clone() else { return };
+        let routes = &active.routes.configuration().routes;
+        let route = routes.iter().find(|route| route.name.as_str() == order.route);
+        let hints = Hints::of_item(&order);
+        let chosen = route
+            .and_then(|route| self.routing.choose_for_item(now, route.pick_service(point).as_str(), &hints));
+        let Some((candidate, request)) = chosen else {
+            return self.end_run(place, order.run, RunOutcome::NotExecuted);
+        };
+        let Some(flight) = self.routing.gateway.started(now, candidate.executor, &request) else {
+            return self.end_run(place, order.run, RunOutcome::NotExecuted);
+        };
+        let key = self.next_serial();
+        let bytes = item_request(&order, &candidate.target.instance);
+        match self.start_call(CallOwner::Item(key), &candidate.target, &order.attempt_id, &bytes) {
+            Ok(connection) => {
+                let run = ActiveRun {
+                    place,
+                    run: order.run,
+                    flight,
+                    connection,
+                    reader: EventReader::new(),
+                    status: 0,
+                    not_executed: false,
+                    stamped: false,
+                    heard: now,
+                };
+                self.items.active.insert(key, run);
+                self.alarms.set(now + SILENT_FOR, Timer::ItemSilence { run: key });
+            }
+            Err(_) => {
+                self.routing.gateway.finished(now, flight, Outcome::NeverSent);
+                self.end_run(place, order.run, RunOutcome::NotExecuted);
+            }
+        }
+    }
+
+    fn end_run(&mut self, place: usize, run: RunId, outcome: RunOutcome) {
+        let now = self.now;
+        if let Some(part) = self.batch_mut(place) {
+            part.runner.run_ended(run, outcome, now);
+        }
+        self.wake_items();
+    }
+
+    /// Something came back from the executor of an item.
+    pub fn item_event(&mut self, key: u64, event: UpstreamEvent<'_>) {
+        let now = self.now;
+        let Some(active) = self.items.active.get_mut(&key) else { return };
+        active.heard = now;
+        match event {
+            UpstreamEvent::Head { status, headers } => self.item_head(key, status, headers),
+            UpstreamEvent::Data(bytes) => self.item_data(key, bytes),
+            UpstreamEvent::End => self.item_end(key),
+            UpstreamEvent::Failed(failure) => {
+                let outcome = match failure {
+                    Failure::NeverSent => (Outcome::NeverSent, RunOutcome::NotExecuted),
+                    Failure::BeforeHead => (Outcome::BrokenBeforeHead, RunOutcome::Broken),
+                    Failure::MidBody => (Outcome::BrokenMidStream, RunOutcome::Broken),
+                };
+                self.item_over(key, outcome.0, outcome.1);
+            }
+        }
+    }
+
+    fn item_head(&mut self, key: u64, status: u16, headers: &Headers) {
+        let now = self.now;
+        let Some(active) = self.items.active.get_mut(&key) else { return };
+        active.status = status;
+        active.not_executed = headers.get(names::NOT_EXECUTED).is_some();
+        active.stamped = headers.get(names::SERVER_SEAL).is_some();
+        let load = headers.get(names::SERVER_LOAD).and_then(|text| ServerLoad::parse(text).ok());
+        self.routing.gateway.head(now, active.flight, load);
+    }
+
+    fn item_data(&mut self, key: u64, bytes: &[u8]) {
+        let now = self.now;
+        let Some(active) = self.items.active.get_mut(&key) else { return };
+        if !(200..300).contains(&active.status) || !active.stamped {
+            return;
+        }
+        self.routing.gateway.progress(now, active.flight);
+        let (place, run) = (active.place, active.run);
+        let mut events = Vec::new();
+        let understood = active.reader.push(bytes, |event| events.push(event)).is_ok();
+        let Some(part) = self.batch_mut(place) else { return };
+        let taken = events
+            .iter()
+            .all(|event| part.runner.run_event(run, event.id, &event.data, now) == EventTaken::Taken);
+        if !understood || !taken {
+            self.item_cut(key);
+        }
+    }
+
+    /// A stream that is no continuation: the run ends, and the item goes on from its last good event.
+    fn item_cut(&mut self, key: u64) {
+        let Some(active) = self.items.active.get(&key) else { return };
+        let connection = active.connection;
+        self.abort_call(connection);
+        self.item_over(key, Outcome::BrokenMidStream, RunOutcome::Broken);
+    }
+
+    fn item_end(&mut self, key: u64) {
+        let Some(active) = self.items.active.get(&key) else { return };
+        let whole = active.stamped && active.reader.finish().is_ok();
+        let (outcome, run) = match active.status {
+            421 => (Outcome::Misdirected, RunOutcome::Misdirected),
+            _ if active.not_executed => (Outcome::NotExecuted, RunOutcome::NotExecuted),
+            200..300 if whole => (Outcome::Served, RunOutcome::Complete),
+            200..300 => (Outcome::BrokenMidStream, RunOutcome::Broken),
+            422 => (Outcome::AnsweredOther, RunOutcome::Rejected422),
+            500 => (Outcome::AnsweredFailure, RunOutcome::Failed500),
+            _ => (Outcome::AnsweredFailure, RunOutcome::Broken),
+        };
+        self.item_over(key, outcome, run);
+    }
+
+    fn item_over(&mut self, key: u64, outcome: Outcome, run: RunOutcome) {
+        let now = self.now;
+        let Some(active) = self.items.active.remove(&key) else { return };
+        self.routing.gateway.finished(now, active.flight, outcome);
+        self.end_run(active.place, active.run, run);
+    }
+
+    /// A run may have been silent for too long.
+    pub fn item_silent(&mut self, key: u64) {
+        let now = self.now;
+        let Some(active) = self.items.active.get(&key) else { return };
+        let silent_at = active.heard + SILENT_FOR;
+        if now < silent_at {
+            self.alarms.set(silent_at, Timer::ItemSilence { run: key });
+            return;
+        }
+        self.item_cut(key);
+    }
+
+    /// Closes the connections of runs that nobody wants any more.
+    pub fn cut_off_runs(&mut self, place: usize) {
+        let now = self.now;
+        let Some(part) = self.batch_mut(place) else { return };
+        let cut: Vec<RunId> = part.runner.take_cut_off();
+        if cut.is_empty() {
+            return;
+        }
+        let wanted = |run: &ActiveRun| run.place == place && cut.contains(&run.run);
+        let keys: Vec<u64> =
+            self.items.active.iter().filter(|(_, run)| wanted(run)).map(|(key, _)| *key).collect();
+        for key in keys {
+            if let Some(active) = self.items.active.remove(&key) {
+                self.routing.gateway.finished(now, active.flight, Outcome::ClientGone);
+                self.abort_call(active.connection);
+            }
+        }
+    }
+}
+
+/// An item as an executor gets it.
+fn item_request(order: &RunOrder, instance: &str) -> Vec<u8> {
+    let mut text = format!("POST {} HTTP/1.1\r\nHost: {}\r\n", order.path, order.host);
+    let own = [names::ATTEMPT_ID, names::DEADLINE_MS, names::TARGET_INSTANCE, names::LAST_EVENT_ID];
+    let of_the_message = ["host", "content-length", "transfer-encoding", "connection"];
+    for header in &order.headers {
+        let name = header.name.as_str();
+        let written_here = own.iter().chain(&of_the_message).any(|other| other.eq_ignore_ascii_case(name));
+        if !written_here {
+            text += &format!("{name}: {}\r\n", header.value);
+        }
+    }
+    text += &format!("{}: {}\r\n", names::ATTEMPT_ID, order.attempt_id);
+    text += &format!("{}: {ITEM_DEADLINE_MS}\r\n", names::DEADLINE_MS);
+    text += &format!("{}: {instance}\r\n", names::TARGET_INSTANCE);
+    if let Some(id) = order.last_event_id {
+        text += &format!("{}: {id}\r\n", names::LAST_EVENT_ID);
+    }
+    text += &format!("Content-Length: {}\r\n\r\n", order.body.len());
+    let mut bytes = text.into_bytes();
+    bytes.extend_from_slice(&order.body);
+    bytes
+}
--- a/crates/tier/src/lib.rs
+++ b/crates/tier/src/lib.rs
@@ -1,1 +1,31 @@
 //! The programs of the serving tier, put together from the libraries of its planes.
+//!
+//! One process is a [`node::Node`]: an edge node takes clients, executors and operators and may hold a replica of the
+//! configuration; a storage node holds replicas of the batch parts and runs their items. Both are the same loop, and the
+//! settings say what is there.
+
+pub mod batch_front;
+pub mod batch_part;
+pub mod calls;
+pub mod configuration;
+pub mod configuration_part;
+pub mod control;
+pub mod dispatch;
+pub mod event_cutter;
+pub mod exchange;
+pub mod founding;
+pub mod items;
+pub mod log_ring;
+pub mod messages;
+pub mod node;
+pub mod parts;
+pub mod peers;
+pub mod placement;
+pub mod routing;
+pub mod server;
+pub mod socket;
+pub mod start;
+pub mod status;
+pub mod stop;
+pub mod timers;
+pub mod upstream;
--- a/crates/tier/src/main.rs
+++ b/crates/tier/src/main.rs
@@ -1,1 +1,83 @@
-fn main() {}
+//! `grebeusher-tier`: a process of the serving tier.
+
+use bpaf::{Parser, construct, positional, short};
+use grebeusher_tier::log_ring::LogRing;
+use grebeusher_tier::node::Node;
+use grebeusher_tier::start::{Start, read_settings};
+use std::path::PathBuf;
+use std::process::ExitCode;
+use tracing::{Level, error};
+
+/// Names the settings file of the process.
+const SETTINGS_FILE: &str = "GREBEUSHER_NODE_FILE";
+
+/// What is asked for on the command line.
+#[derive(Clone, Debug)]
+enum Command {
+    /// Runs a node; its settings say of which class.
+    Run { verbose: bool },
+    /// Checks a settings file.
+    Check { file: PathBuf },
+}
+
+fn command_line() -> bpaf::OptionParser<Command> {
+    let verbose = || short('v').long("verbose").help("Write each line of the log at once").switch();
+    let run = |name: &'static str, help: &'static str| {
+        let verbose = verbose();
+        construct!(Command::Run { verbose }).to_options().descr(help).command(name).help(help)
+    };
+    let edge = run("edge", "Run a node that takes clients, executors and operators");
+    let storage = run("storage", "Run a node that keeps batch jobs and runs their items");
+    let file = positional::<PathBuf>("FILE").help("The settings file");
+    let check = construct!(Command::Check { file })
+        .to_options()
+        .descr("Check a settings file")
+        .command("check")
+        .help("Check a settings file: one line names what is wrong");
+    construct!([edge, storage, check])
+        .to_options()
+        .version(env!("CARGO_PKG_VERSION"))
+        .descr("A process of the serving tier. The settings file is named by GREBEUSHER_NODE_FILE.")
+}
+
+fn main() -> ExitCode {
+    match command_line().run() {
+        Command::Run { verbose } => run(verbose),
+        Command::Check { file } => check(&file),
+    }
+}
+
+fn check(file: &PathBuf) -> ExitCode {
+    match read_settings(file) {
+        Ok(_) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(verbose: bool) -> ExitCode {
+    let written = if verbose { Level::DEBUG } else { Level::WARN };
+    // Only a second subscriber is an error, and there is none.
+    let _ = tracing::subscriber::set_global_default(LogRing::new(Level::DEBUG, written));
+    let Some(path) = std::env::var_os(SETTINGS_FILE).map(PathBuf::from) else {
+        eprintln!("{SETTINGS_FILE} names no settings file");
+        return ExitCode::FAILURE;
+    };
+    let started = read_settings(&path).and_then(|settings| Start::open(settings, path)).and_then(Node::new);
+    let mut node = match started {
+        Ok(node) => node,
+        Err(error) => {
+            eprintln!("{error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    match node.run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            error!("{error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/tier/src/messages.rs
@@ -0,0 +1,120 @@
+//! What the nodes of the tier say to each other beside the registry's and the replicas' own messages: calls and their replies.
+
+use nanoserde::{DeBin, SerBin};
+
+/// The channel that a frame on a link belongs to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[repr(u8)]
+pub enum Channel {
+    /// Members, executors and other soft state.
+    Registry = 1,
+    /// Messages between replicas of a part.
+    Quorum = 2,
+    /// A call that wants a reply.
+    Call = 3,
+    /// The reply to a call.
+    Reply = 4,
+}
+
+impl Channel {
+    /// The channel of a frame; `None` for one that this version does not know.
+    pub fn from_byte(byte: u8) -> Option<Channel> {
+        Some(match byte {
+            1 => Channel::Registry,
+            2 => Channel::Quorum,
+            3 => Channel::Call,
+            4 => Channel::Reply,
+            _ => return None,
+        })
+    }
+}
+
+/// A message between two replicas of a part.
+#[derive(Clone, Debug, SerBin, DeBin)]
+pub struct QuorumEnvelope {
+    /// The part of the control state.
+    pub part: u8,
+    /// The sender's disk identity.
+    pub from: u64,
+    /// The disk identity that it is meant for.
+    pub to: u64,
+    /// The message as `quorum` encodes it.
+    pub message: Vec<u8>,
+}
+
+/// A call with the number that its reply will carry.
+#[derive(Clone, Debug, SerBin, DeBin)]
+pub struct CallEnvelope {
+    /// Unique among the caller's calls.
+    pub number: u64,
+    /// What is asked.
+    pub call: Call,
+}
+
+/// The reply to the call of the same number.
+#[derive(Clone, Debug, SerBin, DeBin)]
+pub struct ReplyEnvelope {
+    /// The number of the call.
+    pub number: u64,
+    /// What is answered.
+    pub reply: Reply,
+}
+
+/// What one node asks of another.
+#[derive(Clone, Debug, SerBin, DeBin)]
+pub enum Call {
+    /// Founds a part with these disk identities as its voters; only in the first life of the whole system.
+    Found { part: u8, voters: Vec<u64> },
+    /// Takes a configuration on top of `base`; for the owner of the configuration.
+    ReplaceConfiguration { base: u64, body: Vec<u8> },
+    /// The newest configuration, proven by the owner's lease.
+    ShowConfiguration,
+    /// The newest configuration that the node knows, if it is newer than this version.
+    FetchConfiguration { newer_than: u64 },
+    /// Takes a batch job; for the owner of the part.
+    SubmitJob(SubmitJob),
+    /// Reads the results of a job; for the owner of the part.
+    ReadJob { part: u8, job: String, resume_after: u64, hold_ms: u32 },
+    /// The body of an item that is not listed yet; for the owner of the part.
+    ReadItem { part: u8, job: String, item: String },
+    /// Ends a job; for the owner of the part.
+    EndJob { part: u8, job: String },
+    /// Asks the owner of a part to move its data off a storage node.
+    BeginRetire { part: u8, node: String },
+    /// Asks the owner of a part whether its data has left a storage node.
+    ShowRetire { part: u8, node: String },
+}
+
+/// A batch job on its way to the owner of its part.
+#[derive(Clone, Debug, SerBin, DeBin)]
+pub struct SubmitJob {
+    /// The part that the job belongs to.
+    pub part: u8,
+    /// The submission as `archive` encodes it.
+    pub submission: Vec<u8>,
+    /// Due this long after the first send, in milliseconds.
+    pub completion_target_ms: u64,
+    /// Items may be given up this long after the first send, in milliseconds.
+    pub retention_ms: u64,
+    /// How many answers of 500 an item gets.
+    pub max_attempts: u32,
+    /// The most tokens that may wait on the route; 0: no limit.
+    pub queue_token_limit: u64,
+}
+
+/// What a node answers.
+#[derive(Clone, Debug, SerBin, DeBin)]
+pub enum Reply {
+    /// The node doesn't own the part; perhaps this one (by name) does.
+    NotOwner { owner: Option<String> },
+    /// The node owns the part and can't say now.
+    Unavailable,
+    /// What was asked may or may not come to be.
+    Unclear,
+    /// Done.
+    Done,
+    /// An HTTP status with its body.
+    Answer { status: u16, body: Vec<u8> },
+    /// A configuration, whole; version 0 and empty: none that is newer.
+    Configuration { version: u64, body: Vec<u8> },
+}
--- /dev/null
+++ b/crates/tier/src/node.rs
@@ -0,0 +1,455 @@
+//! One process of the tier: everything that it keeps, and its loop. What happens at each thing stands in the modules beside.
+
+use crate::calls::PendingCall;
+use crate::configuration::ActiveConfiguration;
+use crate::control::RetireGathering;
+use crate::exchange::Exchange;
+use crate::founding::Founder;
+use crate::items::ItemRuns;
+use crate::parts::PartHost;
+use crate::peers::{IncomingLink, OutgoingLink};
+use crate::routing::Routing;
+use crate::server::{Entrance, ServerConnection, first_limits};
+use crate::socket::Socket;
+use crate::start::{Start, StartError};
+use crate::timers::Timer;
+use crate::upstream::Upstream;
+use grebeusher_catalog::configuration::ClientLimits;
+use grebeusher_catalog::settings::Settings;
+use grebeusher_quorum::ReplicaId;
+use grebeusher_registry::{CallToken, Registry};
+use grebeusher_time::{Moment, Span};
+use grebeusher_transport::alarms::Alarms;
+use grebeusher_transport::http::Limits;
+use grebeusher_transport::poller::{Event, Interest, Poller, Registered};
+use grebeusher_transport::signals::Signals;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64;
+use rustc_hash::FxHashMap;
+use slab::Slab;
+use std::io;
+use std::net::{SocketAddrV4, TcpListener};
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// Keys of the poller. From `FIRST_CONNECTION` on they are connections.
+pub mod keys {
+    /// The address of clients.
+    pub const FRONTEND: usize = 0;
+    /// The address of the platform's checks.
+    pub const READINESS: usize = 1;
+    /// The address of executors and operators.
+    pub const CONTROL: usize = 2;
+    /// The address of the other nodes.
+    pub const INTERNAL: usize = 3;
+    /// Signals.
+    pub const SIGNALS: usize = 4;
+    /// The first connection.
+    pub const FIRST_CONNECTION: usize = 16;
+}
+
+/// How often slow housekeeping is done.
+pub const SWEEP_EVERY: Span = Span::millis(500);
+/// The loop waits at most this long.
+const LONGEST_WAIT: Span = Span::millis(1000);
+
+/// What a connection is for.
+pub enum Role {
+    /// Somebody calls this node over HTTP.
+    Server(ServerConnection),
+    /// This node calls an executor.
+    Upstream(Upstream),
+    /// A link that another node speaks on.
+    Incoming(IncomingLink),
+    /// A link that this node speaks on.
+    Outgoing(OutgoingLink),
+}
+
+/// One connection.
+pub struct Connection {
+    /// Its socket.
+    pub socket: Socket,
+    /// What it is for.
+    pub role: Role,
+    serial: u64,
+}
+
+/// Counters of a process's life, for its status and its log.
+#[derive(Debug, Default)]
+pub struct Counters {
+    /// Requests for executors.
+    pub requests: u64,
+    /// Of these, refused for want of room.
+    pub refused: u64,
+    /// Of these, ended without an answer of an executor.
+    pub failed: u64,
+    /// Messages that could not be understood.
+    pub malformed: u64,
+    /// Connections that were closed at once, for want of descriptors.
+    pub connections_refused: u64,
+}
+
+/// One process of the tier.
+pub struct Node {
+    pub(crate) settings: Settings,
+    pub(crate) settings_path: PathBuf,
+    poller: Rc<Poller>,
+    signals: Registered<Signals>,
+    frontend: Option<Registered<TcpListener>>,
+    readiness: Option<Registered<TcpListener>>,
+    control: Option<Registered<TcpListener>>,
+    pub(crate) internal_listener: Option<Registered<TcpListener>>,
+    pub(crate) internal_address: SocketAddrV4,
+    started: Instant,
+    pub(crate) now: Moment,
+    random: Pcg64,
+    serials: u64,
+    pub(crate) alarms: Alarms<Timer>,
+    pub(crate) connections: Slab<Connection>,
+    pub(crate) most_connections: usize,
+    pub(crate) idle_upstreams: FxHashMap<Arc<str>, Vec<usize>>,
+    pub(crate) input_waits: Vec<usize>,
+    pub(crate) links: FxHashMap<SocketAddrV4, usize>,
+    pub(crate) unflushed_links: Vec<usize>,
+    pub(crate) redial_after: FxHashMap<SocketAddrV4, Moment>,
+    pub(crate) http_limits: Limits,
+    pub(crate) client_limits: ClientLimits,
+    pub(crate) registry: Registry,
+    pub(crate) told_waiters: FxHashMap<CallToken, (usize, u64)>,
+    pub(crate) routing: Routing,
+    pub(crate) routing_changed: bool,
+    pub(crate) configuration: Option<Rc<ActiveConfiguration>>,
+    pub(crate) configuration_proven: bool,
+    pub(crate) fetching: Option<Moment>,
+    pub(crate) exchanges: Slab<Exchange>,
+    pub(crate) calls: FxHashMap<u64, PendingCall>,
+    pub(crate) gatherings: FxHashMap<u64, RetireGathering>,
+    pub(crate) identity: Option<ReplicaId>,
+    pub(crate) parts: Vec<PartHost>,
+    pub(crate) founder: Option<Founder>,
+    pub(crate) items: ItemRuns,
+    /// Names of nodes by their disk identities, also former ones.
+    pub(crate) replica_names: FxHashMap<u64, String>,
+    pub(crate) counters: Counters,
+    stopping_since: Option<Moment>,
+    exit: bool,
+}
+
+impl Node {
+    /// Puts a process together from what its start has read and opened.
+    pub fn new(start: Start) -> Result<Node, StartError> {
+        let Start { settings, settings_path, poller, signals, listeners, registry, identity, parts, seed } =
+            start;
+        let founder = Founder::for_settings(&settings);
+        let most_connections = listeners.most_connections;
+        let mut node = Node {
+            routing: Routing::new(settings.zone.as_str(), seed),
+            items: ItemRuns::default(),
+            replica_names: FxHashMap::default(),
+            internal_address: listeners.internal_address,
+            frontend: listeners.frontend,
+            readiness: listeners.readiness,
+            control: listeners.control,
+            internal_listener: Some(listeners.internal),
+            settings,
+            settings_path,
+            poller,
+            signals,
+            started: Instant::now(),
+            now: Moment(0),
+            random: Pcg64::seed_from_u64(seed),
+            serials: 0,
+            alarms: Alarms::default(),
+            connections: Slab::new(),
+            most_connections,
+            idle_upstreams: FxHashMap::default(),
+            input_waits: Vec::new(),
+            links: FxHashMap::default(),
+            unflushed_links: Vec::new(),
+            redial_after: FxHashMap::default(),
+            http_limits: first_limits(),
+            client_limits: ClientLimits::default(),
+            registry,
+            told_waiters: FxHashMap::default(),
+            routing_changed: true,
+            configuration: None,
+            configuration_proven: false,
+            fetching: None,
+            exchanges: Slab::new(),
+            calls: FxHashMap::default(),
+            gatherings: FxHashMap::default(),
+            identity,
+            parts,
+            founder,
+            counters: Counters::default(),
+            stopping_since: None,
+            exit: false,
+        };
+        node.set_first_timers();
+        Ok(node)
+    }
+
+    fn set_first_timers(&mut self) {
+        let now = self.now;
+        self.alarms.set(now + SWEEP_EVERY, Timer::Sweep);
+        self.alarms.set(now + crate::parts::UPKEEP_EVERY, Timer::GroupUpkeep);
+        self.prove_configuration();
+        if self.founder.is_some() {
+            self.alarms.set(now + crate::founding::LOOK_EVERY, Timer::Found);
+        }
+    }
+
+    /// Runs until the process is told to stop and has finished.
+    ///
+    /// # Errors
+    /// A disk or the poller fails: the process ends, and starts again from what is on disk.
+    pub fn run(&mut self) -> Result<(), RunError> {
+        let mut events = Vec::new();
+        self.turn(&mut events)?;
+        while !self.exit {
+            let wait = self.next_wake().since(self.now);
+            events.clear();
+            self.poller.wait(Some(Duration::from_nanos(wait.0)), &mut events)?;
+            self.turn(&mut events)?;
+        }
+        Ok(())
+    }
+
+    fn turn(&mut self, events: &mut Vec<Event>) -> Result<(), RunError> {
+        self.now = Moment(self.started.elapsed().as_nanos() as u64);
+        for event in events.drain(..) {
+            self.handle(event);
+        }
+        while let Some(timer) = self.alarms.due(self.now) {
+            self.timer(timer);
+        }
+        self.serve_waiting_input();
+        self.pump_registry();
+        self.pump_parts()?;
+        self.pump_registry();
+        if std::mem::take(&mut self.routing_changed) {
+            self.update_routing();
+        }
+        self.flush_links();
+        Ok(())
+    }
+
+    fn next_wake(&self) -> Moment {
+        let mut wake = self.now + LONGEST_WAIT;
+        if let Some(alarm) = self.alarms.next_at() {
+            wake = wake.min(alarm);
+        }
+        wake = wake.min(self.registry.next_wake());
+        for part in &self.parts {
+            wake = wake.min(part.next_wake());
+        }
+        wake
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event.key {
+            keys::FRONTEND => self.accept(Entrance::Frontend),
+            keys::READINESS => self.accept(Entrance::Readiness),
+            keys::CONTROL => self.accept(Entrance::Control),
+            keys::INTERNAL => self.accept_links(),
+            keys::SIGNALS => self.signalled(),
+            key => self.connection_ready(key - keys::FIRST_CONNECTION, event.readable, event.writable),
+        }
+    }
+
+    fn connection_ready(&mut self, index: usize, readable: bool, writable: bool) {
+        let Some(connection) = self.connections.get(index) else { return };
+        match connection.role {
+            Role::Server(_) => self.server_ready(index, readable, writable),
+            Role::Upstream(_) => self.upstream_ready(index, readable, writable),
+            Role::Incoming(_) => self.incoming_ready(index),
+            Role::Outgoing(_) => self.outgoing_ready(index, readable),
+        }
+    }
+
+    fn timer(&mut self, timer: Timer) {
+        match timer {
+            Timer::ConnectExpires { connection, serial } => {
+                if self.serial(connection) == serial {
+                    self.connect_expired(connection);
+                }
+            }
+            Timer::ExchangeDeadline { exchange, serial } => self.exchange_expired(exchange, serial),
+            Timer::ExchangeSilence { exchange, serial, attempt } => {
+                self.exchange_silent(exchange, serial, attempt);
+            }
+            Timer::ItemSilence { run } => self.item_silent(run),
+            Timer::CallExpires { number } => self.call_expired(number),
+            Timer::CallRetry { number } => self.call_retry(number),
+            Timer::HeldReadExpires { read } => self.held_read_expired(read),
+            Timer::Found => self.look_to_found(),
+            Timer::GroupUpkeep => self.group_upkeep(),
+            Timer::Sweep => self.sweep(),
+            Timer::RunItems => self.run_items(),
+            Timer::Exit => self.exit = true,
+        }
+    }
+
+    fn sweep(&mut self) {
+        self.alarms.set(self.now + SWEEP_EVERY, Timer::Sweep);
+        self.sweep_servers();
+        self.sweep_upstreams();
+        self.sweep_links();
+        self.look_to_exit();
+    }
+
+    fn signalled(&mut self) {
+        self.signals.get().drain();
+        if self.signals.get().told_to_reload() {
+            self.reload_settings();
+        }
+        if self.signals.get().told_to_stop() && self.stopping_since.is_none() {
+            self.stopping_since = Some(self.now);
+            self.begin_to_stop();
+        }
+    }
+
+    fn begin_to_stop(&mut self) {
+        let grace = Span::secs(self.settings.bounds.grace_period_s) - crate::stop::EXIT_MARGIN;
+        self.alarms.set(self.now + grace, Timer::Exit);
+        self.registry.leave(self.now);
+        self.hand_over_parts();
+    }
+
+    /// Whether the process was told to stop.
+    pub fn stopping(&self) -> bool {
+        self.stopping_since.is_some()
+    }
+
+    fn look_to_exit(&mut self) {
+        let Some(since) = self.stopping_since else { return };
+        if self.now.since(since) < crate::stop::SERVES_ON_FOR {
+            return;
+        }
+        self.close_idle_servers();
+        if self.busy_servers() == 0 && self.exchange_count() == 0 {
+            self.exit = true;
+        }
+    }
+
+    /// Adds a connection that `open` makes under the key that it is given. Its place.
+    pub(crate) fn add_connection(
+        &mut self,
+        open: impl FnOnce(&Rc<Poller>, usize) -> io::Result<Socket>,
+        role: Role,
+    ) -> io::Result<usize> {
+        let serial = self.next_serial();
+        let entry = self.connections.vacant_entry();
+        let index = entry.key();
+        let socket = open(&self.poller, keys::FIRST_CONNECTION + index)?;
+        entry.insert(Connection { socket, role, serial });
+        Ok(index)
+    }
+
+    /// Closes a connection.
+    pub(crate) fn close(&mut self, index: usize) {
+        let Some(connection) = self.connections.try_remove(index) else { return };
+        match connection.role {
+            Role::Upstream(upstream) if !upstream.is_busy() => self.forget_idle(&upstream, index),
+            Role::Outgoing(outgoing) => self.forget_link(&outgoing),
+            _ => {}
+        }
+    }
+
+    /// The serial number of the connection at a place; 0 if there is none.
+    pub(crate) fn serial(&self, index: usize) -> u64 {
+        self.connections.get(index).map_or(0, |connection| connection.serial)
+    }
+
+    pub(crate) fn next_serial(&mut self) -> u64 {
+        self.serials += 1;
+        self.serials
+    }
+
+    pub(crate) fn server_mut(&mut self, index: usize) -> Option<(&mut Socket, &mut ServerConnection)> {
+        match self.connections.get_mut(index)? {
+            Connection { socket, role: Role::Server(server), .. } => Some((socket, server)),
+            _ => None,
+        }
+    }
+
+    pub(crate) fn upstream_mut(&mut self, index: usize) -> Option<(&mut Socket, &mut Upstream)> {
+        match self.connections.get_mut(index)? {
+            Connection { socket, role: Role::Upstream(upstream), .. } => Some((socket, upstream)),
+            _ => None,
+        }
+    }
+
+    pub(crate) fn incoming_mut(&mut self, index: usize) -> Option<(&mut Socket, &mut IncomingLink)> {
+        match self.connections.get_mut(index)? {
+            Connection { socket, role: Role::Incoming(incoming), .. } => Some((socket, incoming)),
+            _ => None,
+        }
+    }
+
+    pub(crate) fn outgoing_mut(&mut self, index: usize) -> Option<(&mut Socket, &mut OutgoingLink)> {
+        match self.connections.get_mut(index)? {
+            Connection { socket, role: Role::Outgoing(outgoing), .. } => Some((socket, outgoing)),
+            _ => None,
+        }
+    }
+
+    /// Holds reading of a connection back, or takes it up again.
+    pub(crate) fn pause_connection(&mut self, index: usize, paused: bool) {
+        if let Some(connection) = self.connections.get_mut(index) {
+            // One that can't be watched any more fails at its next use.
+            let _ = connection.socket.pause(paused);
+        }
+    }
+
+    pub(crate) fn listener(&self, entrance: Entrance) -> Option<&TcpListener> {
+        let listener = match entrance {
+            Entrance::Frontend => &self.frontend,
+            Entrance::Readiness => &self.readiness,
+            Entrance::Control => &self.control,
+        };
+        listener.as_ref().map(Registered::get)
+    }
+
+    /// A number in 0..1.
+    pub(crate) fn random_point(&mut self) -> f64 {
+        self.random.random()
+    }
+
+    /// The time of day, in milliseconds since 1970.
+    pub(crate) fn wall_ms(&self) -> u64 {
+        SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
+    }
+}
+
+/// Why the loop ends without having been told to.
+#[derive(Debug, snafu::Snafu)]
+pub enum RunError {
+    /// The poller fails.
+    #[snafu(display("waiting for sockets: {source}"), context(false))]
+    Poll {
+        /// What the system says.
+        source: io::Error,
+    },
+    /// A part's disk fails.
+    #[snafu(display("the disk of part {part}: {source}"))]
+    Disk {
+        /// The part.
+        part: u8,
+        /// What the store says.
+        source: grebeusher_quorum::disk::StoreError,
+    },
+    /// What is on disk or was agreed can't be read.
+    #[snafu(display("the state of part {part} can't be read: {reason}"))]
+    State {
+        /// The part.
+        part: u8,
+        /// What is wrong.
+        reason: String,
+    },
+}
+
+/// Interest in a listener.
+pub const LISTENING: Interest = Interest::READABLE;
--- /dev/null
+++ b/crates/tier/src/parts.rs
@@ -0,0 +1,450 @@
+//! The replicas of parts that this node holds: their disk, their messages, their applications, and the care of their groups.
+
+use crate::batch_part::BatchPart;
+use crate::configuration_part::ConfigurationPart;
+use crate::messages::{Channel, QuorumEnvelope, Reply};
+use crate::node::{Node, RunError};
+use crate::placement::{Candidate, best_joiner};
+use crate::timers::Timer;
+use grebeusher_quorum::disk::Store;
+use grebeusher_quorum::{Index, Replica, ReplicaId, Restored, Term, Timing};
+use grebeusher_registry::{Class, MemberState};
+use grebeusher_time::{Moment, Span};
+use nanoserde::{DeBin, SerBin};
+use std::collections::BTreeMap;
+use std::net::SocketAddrV4;
+use std::path::Path;
+use std::rc::Rc;
+use tracing::{info, warn};
+
+/// How often owners look after their groups.
+pub const UPKEEP_EVERY: Span = Span::millis(200);
+/// A voter that is not there for this long makes room for another: longer than a restart, well within `sync_time_s`.
+const ABSENT_FOR: Span = Span::millis(1200);
+
+/// What a part keeps.
+pub enum Application {
+    /// Part 0.
+    Configuration(ConfigurationPart),
+    /// The others.
+    Batch(Box<BatchPart>),
+}
+
+/// Who waits for a proposal to be committed.
+#[derive(Clone, Copy, Debug)]
+pub struct Waiter {
+    /// The calling node.
+    pub peer: SocketAddrV4,
+    /// The number of its call.
+    pub number: u64,
+}
+
+/// A replica of a part on this node.
+pub struct PartHost {
+    /// Which part.
+    pub part: u8,
+    /// Its agreement.
+    pub replica: Replica,
+    store: Store,
+    /// Its state.
+    pub application: Application,
+    /// Calls by the proposal that settles them.
+    pub waiters: BTreeMap<Index, (Term, Vec<Waiter>)>,
+    /// Calls that are judged anew after the next commit.
+    pub deferred: Vec<Waiter>,
+    applied: Index,
+    compact_at: usize,
+    /// Whether the application acts as the owner's now.
+    owns: bool,
+    absent_since: BTreeMap<ReplicaId, Moment>,
+}
+
+impl PartHost {
+    /// Opens the replica of a part in its folder below `data`.
+    ///
+    /// # Errors
+    /// The disk refuses, or the state on it can't be read.
+    pub fn open(
+        data: &Path,
+        part: u8,
+        identity: ReplicaId,
+        application: Application,
+        compact_at: usize,
+        seed: u64,
+    ) -> Result<PartHost, RunError> {
+        let folder = data.join(format!("part-{part}"));
+        let (store, restored): (Store, Restored) =
+            Store::open(&folder).map_err(|source| RunError::Disk { part, source })?;
+        let replica = Replica::new(identity, restored, timing(part), seed, Moment(0));
+        Ok(PartHost {
+            part,
+            replica,
+            store,
+            application,
+            waiters: BTreeMap::new(),
+            deferred: Vec::new(),
+            applied: Index(0),
+            compact_at,
+            owns: false,
+            absent_since: BTreeMap::new(),
+        })
+    }
+
+    /// When the replica next has something to do by itself.
+    pub fn next_wake(&self) -> Moment {
+        self.replica.next_wake()
+    }
+
+    /// Whether this node acts as the part's owner.
+    pub fn owns(&self) -> bool {
+        self.owns
+    }
+
+    /// Proposes an entry whose commit answers a call.
+    pub fn propose(&mut self, now: Moment, entry: Vec<u8>, waiter: Option<Waiter>) -> Option<Index> {
+        let index = self.replica.propose(now, entry).ok()?;
+        let term = self.replica.term();
+        self.waiters.entry(index).or_insert((term, Vec::new())).1.extend(waiter);
+        Some(index)
+    }
+}
+
+/// The spans of a part's ownership. Reads need the lease, and the loss of an owner is noticed within `election_max`.
+fn timing(part: u8) -> Timing {
+    let configuration = part == crate::control::CONFIGURATION_PART;
+    // The configuration's replicas share their processor with the traffic, so they are given more time.
+    let (heartbeat, min, max) = if configuration { (120, 700, 1300) } else { (90, 600, 1100) };
+    Timing {
+        heartbeat: Span::millis(heartbeat),
+        election_min: Span::millis(min),
+        election_max: Span::millis(max),
+        lease: Span::millis(min * 85 / 100),
+    }
+}
+
+impl Node {
+    /// Does what the replicas want done: writes, one sync for all that came in this turn, messages, commits.
+    pub fn pump_parts(&mut self) -> Result<(), RunError> {
+        for place in 0..self.parts.len() {
+            self.pump_part(place)?;
+        }
+        Ok(())
+    }
+
+    fn pump_part(&mut self, place: usize) -> Result<(), RunError> {
+        let now = self.now;
+        if now >= self.parts[place].next_wake() {
+            self.parts[place].replica.tick(now);
+        }
+        while self.parts[place].replica.has_ready() {
+            let part = self.parts[place].part;
+            let ready = self.parts[place].replica.take_ready();
+            for (to, message) in ready.ahead {
+                self.send_quorum(part, to, &message);
+            }
+            let host = &mut self.parts[place];
+            let disk = |source| RunError::Disk { part, source };
+            host.store.write(&ready.writes).map_err(disk)?;
+            if ready.must_sync {
+                // What was already put on links for other parts need not wait for this disk.
+                host.store.sync().map_err(disk)?;
+            }
+            host.replica.synced();
+            for (to, message) in ready.messages {
+                self.send_quorum(part, to, &message);
+            }
+            if let Some(restore) = ready.restore {
+                self.restore_part(place, restore.bytes.as_slice())?;
+                self.parts[place].applied = restore.index;
+            }
+            for committed in ready.committed {
+                let host = &mut self.parts[place];
+                host.applied = committed.index;
+                let waiters = match host.waiters.remove(&committed.index) {
+                    Some((term, waiters)) if term == committed.term => waiters,
+                    Some((_, lost)) => {
+                        self.reply_unclear(lost);
+                        Vec::new()
+                    }
+                    None => Vec::new(),
+                };
+                self.apply_to_part(place, committed.payload.as_slice(), waiters)?;
+            }
+            self.parts[place].applied = self.parts[place].applied.max(ready.applied);
+            self.compact_part(place);
+        }
+        self.follow_ownership(place);
+        Ok(())
+    }
+
+    fn send_quorum(&mut self, part: u8, to: ReplicaId, message: &grebeusher_quorum::Message) {
+        let Some(address) = self.address_of_replica(to.0) else { return };
+        let Some(identity) = self.identity else { return };
+        let envelope =
+            QuorumEnvelope { part, from: identity.0, to: to.0, message: grebeusher_quorum::encode(message) };
+        self.send_frame(address, Channel::Quorum, &SerBin::serialize_bin(&envelope));
+    }
+
+    /// A message of another replica has come.
+    pub fn receive_quorum(&mut self, payload: &[u8]) {
+        let Ok(envelope) = <QuorumEnvelope as DeBin>::deserialize_bin(payload) else { return };
+        if self.identity != Some(ReplicaId(envelope.to)) {
+            return;
+        }
+        let Ok(message) = grebeusher_quorum::decode(&envelope.message) else { return };
+        let now = self.now;
+        if let Some(host) = self.parts.iter_mut().find(|host| host.part == envelope.part) {
+            host.replica.receive(now, ReplicaId(envelope.from), message);
+        }
+    }
+
+    fn reply_unclear(&mut self, waiters: Vec<Waiter>) {
+        for waiter in waiters {
+            self.reply(waiter.peer, waiter.number, Reply::Unclear);
+        }
+    }
+
+    fn restore_part(&mut self, place: usize, bytes: &[u8]) -> Result<(), RunError> {
+        match self.parts[place].application {
+            Application::Configuration(_) => self.restore_configuration(place, bytes),
+            Application::Batch(_) => self.restore_batch(place, bytes),
+        }
+    }
+
+    fn apply_to_part(&mut self, place: usize, entry: &[u8], waiters: Vec<Waiter>) -> Result<(), RunError> {
+        match self.parts[place].application {
+            Application::Configuration(_) => self.apply_configuration(place, entry, waiters),
+            Application::Batch(_) => self.apply_batch(place, entry, waiters),
+        }
+    }
+
+    fn compact_part(&mut self, place: usize) {
+        let host = &mut self.parts[place];
+        if host.replica.log_bytes() < host.compact_at {
+            return;
+        }
+        let snapshot = match &host.application {
+            Application::Configuration(part) => part.snapshot(),
+            Application::Batch(part) => part.snapshot(),
+        };
+        let size = snapshot.len();
+        if let Err(error) = host.replica.compact(host.applied, snapshot) {
+            warn!("part {}: no snapshot of {size} bytes: {error}", host.part);
+        }
+        // A state that has grown is not written anew for every little entry.
+        host.compact_at = host.compact_at.max(size);
+    }
+
+    /// Begins or ends to act as the owner of a part.
+    fn follow_ownership(&mut self, place: usize) {
+        let now = self.now;
+        let host = &mut self.parts[place];
+        let owns = host.replica.is_owner() && (host.owns || host.replica.lease_holds(now));
+        if owns == host.owns {
+            return;
+        }
+        host.owns = owns;
+        let part = host.part;
+        let term = host.replica.term();
+        info!("part {part}: {} at term {}", if owns { "owner" } else { "no longer owner" }, term.0);
+        if !owns {
+            let waiters: Vec<Waiter> =
+                std::mem::take(&mut host.waiters).into_values().flat_map(|(_, waiters)| waiters).collect();
+            let deferred = std::mem::take(&mut host.deferred);
+            host.absent_since.clear();
+            self.reply_unclear(waiters);
+            for waiter in deferred {
+                self.reply(waiter.peer, waiter.number, Reply::Unavailable);
+            }
+        }
+        self.owner_changed(place, owns);
+        self.tell_ownership();
+    }
+
+    fn owner_changed(&mut self, place: usize, owns: bool) {
+        match &mut self.parts[place].application {
+            Application::Configuration(part) => part.owner_changed(),
+            Application::Batch(_) => self.batch_owner_changed(place, owns),
+        }
+    }
+
+    /// Tells all nodes which parts this node owns, at which terms.
+    fn tell_ownership(&mut self) {
+        let owned = self.parts.iter().filter(|host| host.owns);
+        let facts = OwnedParts {
+            parts: owned.map(|host| OwnedPart { part: host.part, term: host.replica.term().0 }).collect(),
+        };
+        if self.registry.set_facts(self.now, SerBin::serialize_bin(&facts)).is_err() {
+            warn!("more parts are owned than can be told");
+        }
+    }
+
+    /// The node that owns a part, by the highest term that any has told.
+    pub fn known_owner(&self, part: u8) -> Option<SocketAddrV4> {
+        let mut best: Option<(u64, SocketAddrV4)> = None;
+        for facts in self.registry.facts() {
+            let Ok(owned) = <OwnedParts as DeBin>::deserialize_bin(&facts.payload) else { continue };
+            let Some(owned) = owned.parts.iter().find(|owned| owned.part == part) else { continue };
+            let Some(member) = self.registry.member(&facts.node).filter(|member| member.serves()) else {
+                continue;
+            };
+            if member.incarnation == facts.incarnation && best.is_none_or(|(term, _)| owned.term > term) {
+                best = Some((owned.term, member.address));
+            }
+        }
+        best.map(|(_, address)| address)
+    }
+
+    /// The next node to be asked for the owner of a part: the one that says it is, then any that holds a replica.
+    pub fn owner_candidate(&self, part: u8, tried: &[SocketAddrV4]) -> Option<SocketAddrV4> {
+        let untried = |address: &SocketAddrV4| !tried.contains(address);
+        if let Some(owner) = self.known_owner(part).filter(untried) {
+            return Some(owner);
+        }
+        let class = class_of_part(part);
+        let holders = self.registry.live_members().filter(|member| member.class == class);
+        let holders = holders.filter(|member| member.replica.is_some());
+        let addresses: Vec<SocketAddrV4> = holders.map(|member| member.address).filter(untried).collect();
+        addresses.get(self.now.0 as usize % addresses.len().max(1)).copied()
+    }
+
+    /// Looks after the groups of the parts that this node owns.
+    pub fn group_upkeep(&mut self) {
+        self.alarms.set(self.now + UPKEEP_EVERY, Timer::GroupUpkeep);
+        for place in 0..self.parts.len() {
+            if self.parts[place].owns {
+                self.upkeep_part(place);
+                self.forget_old_jobs(place);
+            }
+        }
+    }
+
+    fn upkeep_part(&mut self, place: usize) {
+        let now = self.now;
+        let wanted = self.group_size();
+        let class = class_of_part(self.parts[place].part);
+        let retiring = self.retiring_nodes(place);
+        let group = self.parts[place].replica.group().clone();
+        if group.is_joint() || self.parts[place].replica.pending_change().is_some() {
+            return;
+        }
+        let alive: Vec<Candidate> = self
+            .registry
+            .members()
+            .filter(|member| member.class == class && member.state == MemberState::Alive)
+            .filter(|member| !retiring.contains(&member.name))
+            .filter_map(Candidate::of)
+            .collect();
+        let is_alive = |voter: &ReplicaId| alive.iter().any(|candidate| candidate.replica == voter.0);
+        let host = &mut self.parts[place];
+        host.absent_since.retain(|voter, _| group.voters.contains(voter) && !is_alive(voter));
+        for voter in group.voters.iter().filter(|voter| !is_alive(voter)) {
+            host.absent_since.entry(*voter).or_insert(now);
+        }
+        let absent = host.absent_since.clone();
+        let retired = self.retiring_replicas(&retiring);
+        let lost = |voter: &ReplicaId| {
+            retired.contains(voter)
+                || self.superseded(*voter)
+                || absent.get(voter).is_some_and(|since| now.since(*since) >= ABSENT_FOR)
+        };
+        let kept: Vec<ReplicaId> = group.voters.iter().copied().filter(|voter| !lost(voter)).collect();
+        let mut voters = group.voters.clone();
+        let joiners: Vec<Candidate> = alive
+            .iter()
+            .filter(|candidate| !group.voters.contains(&ReplicaId(candidate.replica)))
+            .cloned()
+            .collect();
+        let zones: Vec<String> = alive
+            .iter()
+            .filter(|candidate| kept.contains(&ReplicaId(candidate.replica)))
+            .map(|candidate| candidate.zone.clone())
+            .collect();
+        let joiner = best_joiner(&joiners, &zones).map(|candidate| ReplicaId(candidate.replica));
+        let dead = group.voters.iter().copied().find(|voter| lost(voter));
+        match (dead, joiner) {
+            (Some(dead), Some(joiner)) => {
+                voters.retain(|voter| *voter != dead);
+                voters.push(joiner);
+            }
+            // Nobody can step in: one that is leaving for good makes room where enough are left.
+            (Some(dead), None) if kept.len() >= wanted => voters.retain(|voter| *voter != dead),
+            (None, Some(joiner)) if group.voters.len() < wanted => voters.push(joiner),
+            (None, _) if group.voters.len() > wanted => {
+                let own = self.identity;
+                if let Some(surplus) = group.voters.iter().copied().rfind(|voter| Some(*voter) != own) {
+                    voters.retain(|voter| *voter != surplus);
+                }
+            }
+            _ => return,
+        }
+        let part = self.parts[place].part;
+        info!("part {part}: the group changes from {:?} to {voters:?}", group.voters);
+        if let Err(error) = self.parts[place].replica.change_group(now, voters) {
+            warn!("part {part}: the group can't change now: {error}");
+        }
+    }
+
+    /// Whether the node of a disk identity runs under another one now: the disk was lost.
+    fn superseded(&self, voter: ReplicaId) -> bool {
+        let Some(name) = self.replica_names.get(&voter.0) else { return false };
+        let Some(member) = self.registry.member(name) else { return false };
+        member.serves() && member.replica.is_some_and(|replica| replica != voter.0)
+    }
+
+    fn retiring_replicas(&self, retiring: &[String]) -> Vec<ReplicaId> {
+        let members = retiring.iter().filter_map(|name| self.registry.member(name));
+        members.filter_map(|member| member.replica).map(ReplicaId).collect()
+    }
+
+    /// Gives the ownership of parts to others, as this process is about to end.
+    pub fn hand_over_parts(&mut self) {
+        let now = self.now;
+        for place in 0..self.parts.len() {
+            if self.parts[place].owns {
+                self.checkpoint_batch(place);
+                if let Err(error) = self.parts[place].replica.hand_over(now, None) {
+                    warn!("part {}: not handed over: {error}", self.parts[place].part);
+                }
+            }
+        }
+    }
+
+    /// The internal address of the node with a disk identity.
+    pub fn address_of_replica(&self, replica: u64) -> Option<SocketAddrV4> {
+        self.registry.member_by_replica(replica).map(|member| member.address)
+    }
+
+    /// The internal address of a node.
+    pub fn address_of(&self, name: &str) -> Option<SocketAddrV4> {
+        self.registry.member(name).map(|member| member.address)
+    }
+
+    /// The name of the owner of a part, as its replica here knows it.
+    pub fn owner_name(&self, place: usize) -> Option<String> {
+        let owner = self.parts[place].replica.owner_hint()?;
+        self.registry.member_by_replica(owner.0).map(|member| member.name.clone())
+    }
+
+    /// Shares a body between what keeps it.
+    pub(crate) fn shared(bytes: &[u8]) -> Rc<Vec<u8>> {
+        Rc::new(bytes.to_vec())
+    }
+}
+
+/// The machines that hold a part.
+pub fn class_of_part(part: u8) -> Class {
+    if part == crate::control::CONFIGURATION_PART { Class::Edge } else { Class::Storage }
+}
+
+/// The facts that a node tells of itself: the parts that it owns.
+#[derive(Clone, Debug, Default, SerBin, DeBin)]
+struct OwnedParts {
+    parts: Vec<OwnedPart>,
+}
+
+#[derive(Clone, Debug, SerBin, DeBin)]
+struct OwnedPart {
+    part: u8,
+    term: u64,
+}
--- /dev/null
+++ b/crates/tier/src/peers.rs
@@ -0,0 +1,220 @@
+//! Links to the other nodes: one outgoing connection to each node that is spoken to, incoming ones from any.
+
+use crate::messages::Channel;
+use crate::node::{Node, Role};
+use crate::socket::{Reading, Socket};
+use grebeusher_time::{Moment, Span};
+use grebeusher_transport::link::{self, Frame, FrameDecoder, Hello};
+use std::net::{SocketAddrV4, TcpStream};
+use tracing::debug;
+
+/// A link that has not come up by then is given up, with all that waits on it.
+const CONNECT_WITHIN: Span = Span::millis(600);
+/// Bytes that a peer has not taken for this long show that it can't be reached: the link is begun anew.
+const STUCK_FOR: Span = Span::millis(1500);
+/// A link that nothing was sent on for this long is closed.
+const IDLE_FOR: Span = Span::millis(20_000);
+/// The most that waits on a link (bytes): more is dropped, as all that is said is said again.
+const MOST_WAITING: usize = 12 * 1024 * 1024;
+/// After a link could not be made, the next is tried only after this.
+const REDIAL_AFTER: Span = Span::millis(150);
+
+/// An outgoing link.
+pub struct OutgoingLink {
+    address: SocketAddrV4,
+    /// When bytes last moved, or nothing waited.
+    moved: Moment,
+    waiting: usize,
+    used: Moment,
+}
+
+/// An incoming link.
+pub struct IncomingLink {
+    decoder: FrameDecoder,
+    peer: Option<SocketAddrV4>,
+}
+
+impl Node {
+    /// Sends a frame to a node. It may be lost, as any on a network.
+    pub fn send_frame(&mut self, to: SocketAddrV4, channel: Channel, payload: &[u8]) {
+        if to == self.internal_address {
+            self.receive_frame(to, channel, payload);
+            return;
+        }
+        let Some(index) = self.link_to(to) else { return };
+        let now = self.now;
+        let Some((socket, outgoing)) = self.outgoing_mut(index) else { return };
+        outgoing.used = now;
+        if socket.waiting() + payload.len() > MOST_WAITING {
+            return;
+        }
+        if socket.waiting() == 0 {
+            outgoing.moved = now;
+        }
+        socket.put(&link::encode_frame(channel as u8, payload));
+        if !self.unflushed_links.contains(&index) {
+            self.unflushed_links.push(index);
+        }
+    }
+
+    /// Writes what this turn of the loop put on links.
+    pub fn flush_links(&mut self) {
+        for index in std::mem::take(&mut self.unflushed_links) {
+            self.flush_link(index);
+        }
+    }
+
+    fn flush_link(&mut self, index: usize) {
+        let now = self.now;
+        let Some((socket, outgoing)) = self.outgoing_mut(index) else { return };
+        if socket.is_connecting() {
+            return;
+        }
+        if socket.flush().is_err() {
+            return self.drop_link(index);
+        }
+        if socket.waiting() < outgoing.waiting || socket.waiting() == 0 {
+            outgoing.moved = now;
+        }
+        outgoing.waiting = socket.waiting();
+    }
+
+    fn link_to(&mut self, to: SocketAddrV4) -> Option<usize> {
+        if let Some(&index) = self.links.get(&to) {
+            return Some(index);
+        }
+        let now = self.now;
+        if self.redial_after.get(&to).is_some_and(|&after| now < after) {
+            return None;
+        }
+        let outgoing = OutgoingLink { address: to, moved: now, waiting: 0, used: now };
+        let added =
+            self.add_connection(|poller, key| Socket::dial(poller, to, key), Role::Outgoing(outgoing));
+        match added {
+            Ok(index) => {
+                self.links.insert(to, index);
+                let hello = link::encode_hello(&Hello::new(self.internal_address));
+                if let Some((socket, _)) = self.outgoing_mut(index) {
+                    socket.put(&hello);
+                }
+                Some(index)
+            }
+            Err(_) => {
+                self.redial_after.insert(to, now + REDIAL_AFTER);
+                None
+            }
+        }
+    }
+
+    fn drop_link(&mut self, index: usize) {
+        let now = self.now;
+        if let Some((_, outgoing)) = self.outgoing_mut(index) {
+            let address = outgoing.address;
+            self.redial_after.insert(address, now + REDIAL_AFTER);
+        }
+        self.close(index);
+    }
+
+    /// Something can be done on an outgoing link.
+    pub fn outgoing_ready(&mut self, index: usize, readable: bool) {
+        let Some((socket, outgoing)) = self.outgoing_mut(index) else { return };
+        if socket.is_connecting() {
+            match socket.connected() {
+                Ok(true) => {}
+                Ok(false) => return,
+                Err(_) => return self.drop_link(index),
+            }
+        }
+        if readable {
+            // The peer says nothing on this side: its end is all that can come.
+            match socket.read() {
+                Ok(Reading::Open { .. }) => drop(socket.take_input()),
+                _ => {
+                    let address = outgoing.address;
+                    debug!("link to {address} ended");
+                    return self.drop_link(index);
+                }
+            }
+        }
+        self.flush_link(index);
+    }
+
+    /// Closes links that are stuck, and those that nothing is said on.
+    pub fn sweep_links(&mut self) {
+        let now = self.now;
+        let mut over = Vec::new();
+        for &index in self.links.values() {
+            let Some(connection) = self.connections.get(index) else { continue };
+            let Role::Outgoing(outgoing) = &connection.role else { continue };
+            let stuck_for = if connection.socket.is_connecting() { CONNECT_WITHIN } else { STUCK_FOR };
+            let stuck = connection.socket.waiting() > 0 && now.since(outgoing.moved) > stuck_for;
+            if stuck || now.since(outgoing.used) > IDLE_FOR {
+                over.push(index);
+            }
+        }
+        over.into_iter().for_each(|index| self.drop_link(index));
+        self.redial_after.retain(|_, after| now < *after);
+    }
+
+    /// Forgets an outgoing link that is being closed.
+    pub fn forget_link(&mut self, outgoing: &OutgoingLink) {
+        self.links.remove(&outgoing.address);
+    }
+
+    /// Takes in nodes that wait to connect.
+    pub fn accept_links(&mut self) {
+        for _ in 0..64 {
+            let Some(listener) = &self.internal_listener else { return };
+            match listener.get().accept() {
+                Ok((stream, _)) => self.admit_link(stream),
+                Err(_) => return,
+            }
+        }
+    }
+
+    fn admit_link(&mut self, stream: TcpStream) {
+        let incoming = IncomingLink { decoder: FrameDecoder::default(), peer: None };
+        let _ = self
+            .add_connection(|poller, key| Socket::accepted(poller, stream, key), Role::Incoming(incoming));
+    }
+
+    /// Frames have come.
+    pub fn incoming_ready(&mut self, index: usize) {
+        let serial = self.serial(index);
+        let Some((socket, incoming)) = self.incoming_mut(index) else { return };
+        let reading = socket.read();
+        let bytes = socket.take_input();
+        incoming.decoder.feed(&bytes);
+        while self.serial(index) == serial {
+            let Some((_, incoming)) = self.incoming_mut(index) else { return };
+            match incoming.decoder.next_frame() {
+                Ok(Some(frame)) => self.incoming_frame(index, frame),
+                Ok(None) => break,
+                Err(error) => {
+                    debug!("a link is closed: {error}");
+                    return self.close(index);
+                }
+            }
+        }
+        if self.serial(index) == serial && !matches!(reading, Ok(Reading::Open { .. })) {
+            self.close(index);
+        }
+    }
+
+    fn incoming_frame(&mut self, index: usize, frame: Frame) {
+        let Some((_, incoming)) = self.incoming_mut(index) else { return };
+        let Some(peer) = incoming.peer else {
+            match link::decode_hello(&frame) {
+                Ok(hello) => incoming.peer = Some(hello.address),
+                Err(error) => {
+                    debug!("a link is closed: {error}");
+                    self.close(index);
+                }
+            }
+            return;
+        };
+        if let Some(channel) = Channel::from_byte(frame.channel) {
+            self.receive_frame(peer, channel, &frame.payload);
+        }
+    }
+}
--- /dev/null
+++ b/crates/tier/src/routing.rs
@@ -0,0 +1,279 @@
+//! What the data plane's decisions are fed with: services of the configuration, executors of the registry, requests.
+
+use crate::exchange::names;
+use crate::node::Node;
+use crate::upstream::Target;
+use grebeusher_archive::RunOrder;
+use grebeusher_catalog::configuration::Route;
+use grebeusher_gateway::{
+    BatchItem, Choice, Descriptor, ExecutorId, Gateway, Kind, ModelKey, PromptParts, Request,
+    ServiceSettings, Standing, TokenCount, ZoneKey,
+};
+use grebeusher_registry::{Class, Executor, ExecutorState};
+use grebeusher_time::{Moment, Span};
+use grebeusher_transport::headers::Headers;
+use rustc_hash::FxHashMap;
+use std::net::{SocketAddr, SocketAddrV4};
+use std::sync::Arc;
+
+const MODEL_NAME: &str = "X-Grebeusher-Model-Name";
+/// A service whose configuration names no bound gets this many connections, of all callers together.
+const DEFAULT_CONNECTIONS: u32 = 64;
+
+/// Where an attempt goes.
+#[derive(Clone, Debug)]
+pub struct Candidate {
+    /// Its key among the gateway's executors.
+    pub executor: ExecutorId,
+    /// Its incarnation and address.
+    pub target: Target,
+}
+
+/// What becomes of a request now.
+pub enum RouteChoice {
+    /// It goes to this executor.
+    Send(Candidate),
+    /// It is refused, and may come back after this long.
+    Refuse {
+        /// When room is expected.
+        retry_after: Span,
+    },
+}
+
+/// The hints that a request's headers give.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Hints {
+    model: Option<ModelKey>,
+    tokens: Option<TokenCount>,
+    parts: PromptParts,
+}
+
+impl Hints {
+    /// Reads the hints; what can't be read is as if it were not there.
+    pub fn of(headers: &Headers) -> Hints {
+        Hints {
+            model: headers.get(MODEL_NAME).map(ModelKey::of),
+            tokens: headers.get(names::TOKEN_COUNT).and_then(|text| TokenCount::parse(text).ok()),
+            parts: headers
+                .get(names::PROMPT_PREFIX)
+                .and_then(|text| PromptParts::parse(text).ok())
+                .unwrap_or_default(),
+        }
+    }
+
+    /// The hints of an item of a batch job.
+    pub fn of_item(order: &RunOrder) -> Hints {
+        let value = |name: &str| {
+            let found = order.headers.iter().find(|header| header.name.eq_ignore_ascii_case(name));
+            found.map(|header| header.value.as_str())
+        };
+        Hints {
+            model: value(MODEL_NAME).map(ModelKey::of),
+            tokens: value(names::TOKEN_COUNT).and_then(|text| TokenCount::parse(text).ok()),
+            parts: value(names::PROMPT_PREFIX)
+                .and_then(|text| PromptParts::parse(text).ok())
+                .unwrap_or_default(),
+        }
+    }
+}
+
+/// A request that looks for an executor.
+pub struct Question<'a> {
+    /// Its route.
+    pub route: &'a Route,
+    /// The service that the route's weights picked.
+    pub service: &'a str,
+    /// How it may be repeated.
+    pub kind: Kind,
+    /// Its size and prompt.
+    pub hints: &'a Hints,
+    /// When it came.
+    pub accepted: Moment,
+    /// When its time is over.
+    pub deadline: Moment,
+    /// Executors that had it.
+    pub tried: &'a [ExecutorId],
+    /// Whether it may have run already, so that it can't be refused any more.
+    pub committed: bool,
+}
+
+/// The gateway with the names that it does not keep.
+pub struct Routing {
+    /// The decisions.
+    pub gateway: Gateway,
+    known: FxHashMap<String, ExecutorId>,
+    generation: u64,
+    configured: u64,
+}
+
+impl Routing {
+    /// No executors yet.
+    pub fn new(zone: &str, seed: u64) -> Routing {
+        Routing {
+            gateway: Gateway::new(grebeusher_gateway::Policy::default(), ZoneKey::of(zone), seed),
+            known: FxHashMap::default(),
+            generation: 0,
+            configured: 0,
+        }
+    }
+
+    /// Which executor a request goes to.
+    pub fn choose(&mut self, now: Moment, question: &Question<'_>) -> RouteChoice {
+        let request = self.request(now, question);
+        match self.gateway.choose(now, &request) {
+            Choice::Send { executor, address } => match self.candidate(now, executor, address) {
+                Some(candidate) => RouteChoice::Send(candidate),
+                None => RouteChoice::Refuse { retry_after: Span::millis(100) },
+            },
+            Choice::Refuse { retry_after } | Choice::Nobody { retry_after } => {
+                RouteChoice::Refuse { retry_after }
+            }
+        }
+    }
+
+    /// The request as the gateway takes it.
+    pub fn request<'a>(&mut self, now: Moment, question: &'a Question<'_>) -> Request<'a> {
+        let service = self.gateway.service(question.service);
+        Request {
+            priority: u8::try_from(question.route.priority_level).unwrap_or(u8::MAX),
+            kind: question.kind,
+            model: question.hints.model,
+            tokens: question.hints.tokens,
+            parts: question.hints.parts,
+            excluded: question.tried,
+            objective: Span::millis(question.route.target_latency_ms),
+            waited: now.since(question.accepted),
+            deadline_left: question.deadline.since(now),
+            committed: question.committed,
+            ..Request::to(service)
+        }
+    }
+
+    fn candidate(&self, now: Moment, executor: ExecutorId, address: SocketAddr) -> Option<Candidate> {
+        let SocketAddr::V4(address) = address else { return None };
+        let instance: Arc<str> = self.gateway.view(now, executor)?.instance;
+        Some(Candidate { executor, target: Target { instance, address } })
+    }
+
+    /// Whether a service has an executor with room for a batch item, whatever its size.
+    pub fn has_batch_room(&mut self, now: Moment, service: &str) -> bool {
+        let service = self.gateway.service(service);
+        let item = BatchItem {
+            service,
+            model: None,
+            tokens: None,
+            parts: PromptParts::default(),
+            excluded: &[],
+            urgency: 0.5,
+        };
+        self.gateway.batch_room(now, &item).is_some()
+    }
+
+    /// The executor that an item goes to, and the item as the gateway counts it.
+    pub fn choose_for_item(
+        &mut self,
+        now: Moment,
+        service: &str,
+        hints: &Hints,
+    ) -> Option<(Candidate, Request<'static>)> {
+        let service = self.gateway.service(service);
+        let item: BatchItem<'static> = BatchItem {
+            service,
+            model: hints.model,
+            tokens: hints.tokens,
+            parts: hints.parts,
+            excluded: &[],
+            urgency: 0.5,
+        };
+        let request = Request {
+            kind: Kind::ResumableStream,
+            model: hints.model,
+            tokens: hints.tokens,
+            parts: hints.parts,
+            priority: u8::MAX,
+            batch: true,
+            ..Request::to(service)
+        };
+        let executor = self.gateway.batch_room(now, &item)?;
+        let SocketAddr::V4(address) = self.gateway.view(now, executor)?.address else { return None };
+        let candidate = self.candidate(now, executor, SocketAddr::V4(address))?;
+        Some((candidate, request))
+    }
+}
+
+impl Node {
+    /// Takes over what has changed in the registry and in the configuration.
+    pub fn update_routing(&mut self) {
+        self.update_services();
+        let generation = self.registry.generation().executors;
+        if self.routing.generation != generation {
+            self.routing.generation = generation;
+            self.update_executors();
+        }
+        let edges = self.registry.live_members().filter(|member| member.class == Class::Edge).count();
+        self.routing.gateway.set_nodes(u32::try_from(edges).unwrap_or(u32::MAX).max(1));
+    }
+
+    fn update_services(&mut self) {
+        let Some(active) = self.configuration.clone() else { return };
+        if self.routing.configured == active.version {
+            return;
+        }
+        self.routing.configured = active.version;
+        for service in &active.routes.configuration().services {
+            let settings = ServiceSettings {
+                max_connections: service.max_connections.unwrap_or(DEFAULT_CONNECTIONS),
+                kv_capacity_tokens: service
+                    .engine_type
+                    .as_ref()
+                    .map_or(0, |engine| engine.kv_capacity_tokens),
+            };
+            self.routing.gateway.set_service(service.name.as_str(), settings);
+        }
+    }
+
+    fn update_executors(&mut self) {
+        let mut gone = Vec::new();
+        for (instance, &id) in &self.routing.known {
+            if !self.registry.executor(instance).is_some_and(Executor::exists) {
+                gone.push((instance.clone(), id));
+            }
+        }
+        for (instance, id) in gone {
+            self.routing.known.remove(&instance);
+            self.routing.gateway.remove(id);
+            self.close_idle_upstreams(&instance);
+        }
+        for executor in self.registry.executors().filter(|executor| executor.exists()) {
+            let standing = match executor.state {
+                ExecutorState::Draining | ExecutorState::Gone => Standing::Draining,
+                ExecutorState::Up if executor.silent => Standing::Silent,
+                ExecutorState::Up => Standing::Up,
+            };
+            let models: Vec<ModelKey> =
+                executor.models.iter().map(|model| ModelKey::of(&model.name)).collect();
+            let id = self.routing.gateway.upsert(&Descriptor {
+                instance: &executor.id,
+                service: &executor.service,
+                address: address_of(executor),
+                zone: ZoneKey::of(&executor.zone),
+                slots: executor.slot_count,
+                standing,
+                models: &models,
+            });
+            if !self.routing.known.contains_key(&executor.id) {
+                self.routing.known.insert(executor.id.clone(), id);
+            }
+        }
+    }
+
+    fn close_idle_upstreams(&mut self, instance: &str) {
+        let indices = self.idle_upstreams.remove(instance).unwrap_or_default();
+        indices.into_iter().for_each(|index| self.close(index));
+    }
+}
+
+fn address_of(executor: &Executor) -> SocketAddr {
+    let address: SocketAddrV4 = executor.address;
+    SocketAddr::V4(address)
+}
--- /dev/null
+++ b/crates/tier/src/socket.rs
@@ -0,0 +1,200 @@
+//! One TCP connection: its socket, what was read and is not yet understood, and what waits to be written.
+
+use grebeusher_transport::poller::{Interest, Poller, Registered};
+use grebeusher_transport::socket;
+use std::io::{self, ErrorKind, Read, Write};
+use std::net::{SocketAddrV4, TcpStream};
+use std::rc::Rc;
+
+/// How much one turn of the loop reads from one connection, so that others have theirs.
+const MOST_READ_AT_ONCE: usize = 256 * 1024;
+/// The step by which a read grows the buffer.
+const READ_STEP: usize = 16 * 1024;
+/// An empty buffer keeps no more than this.
+const KEPT_CAPACITY: usize = 16 * 1024;
+
+/// What a read found.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reading {
+    /// The connection stays open; `bytes` came.
+    Open { bytes: usize },
+    /// The peer has ended its side; `bytes` came before.
+    Ended { bytes: usize },
+}
+
+/// A non-blocking connection under the poller.
+pub struct Socket {
+    stream: Registered<TcpStream>,
+    input: Vec<u8>,
+    output: Vec<u8>,
+    written: usize,
+    /// Whether reading is held back, as whoever takes the bytes does not.
+    paused: bool,
+    connecting: bool,
+}
+
+impl Socket {
+    /// Takes over an accepted connection.
+    pub fn accepted(poller: &Rc<Poller>, stream: TcpStream, key: usize) -> io::Result<Socket> {
+        stream.set_nonblocking(true)?;
+        stream.set_nodelay(true)?;
+        let stream = poller.register(stream, key, Interest::READABLE)?;
+        Ok(Socket {
+            stream,
+            input: Vec::new(),
+            output: Vec::new(),
+            written: 0,
+            paused: false,
+            connecting: false,
+        })
+    }
+
+    /// Begins to connect.
+    pub fn dial(poller: &Rc<Poller>, address: SocketAddrV4, key: usize) -> io::Result<Socket> {
+        let stream = socket::dial(address)?;
+        let stream = poller.register(stream, key, Interest::WRITABLE)?;
+        Ok(Socket {
+            stream,
+            input: Vec::new(),
+            output: Vec::new(),
+            written: 0,
+            paused: false,
+            connecting: true,
+        })
+    }
+
+    /// Whether the connection is still coming up.
+    pub fn is_connecting(&self) -> bool {
+        self.connecting
+    }
+
+    /// Asks whether a dialled connection has come up.
+    ///
+    /// # Errors
+    /// The reason why it never will.
+    pub fn connected(&mut self) -> io::Result<bool> {
+        if !self.connecting {
+            return Ok(true);
+        }
+        if let Some(error) = self.stream.get().take_error()? {
+            return Err(error);
+        }
+        match self.stream.get().peer_addr() {
+            Ok(_) => {
+                self.connecting = false;
+                self.update_interest()?;
+                Ok(true)
+            }
+            Err(_) => Ok(false),
+        }
+    }
+
+    /// Reads what there is, up to a bound for one turn.
+    pub fn read(&mut self) -> io::Result<Reading> {
+        let mut bytes = 0;
+        while bytes < MOST_READ_AT_ONCE {
+            let filled = self.input.len();
+            self.input.resize(filled + READ_STEP, 0);
+            let read = self.stream.get().read(&mut self.input[filled..]);
+            self.input.truncate(filled + *read.as_ref().unwrap_or(&0));
+            match read {
+                Ok(0) => return Ok(Reading::Ended { bytes }),
+                Ok(count) => {
+                    bytes += count;
+                    if count < READ_STEP {
+                        break;
+                    }
+                }
+                Err(error) if error.kind() == ErrorKind::WouldBlock => break,
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                Err(error) => return Err(error),
+            }
+        }
+        Ok(Reading::Open { bytes })
+    }
+
+    /// What was read and is not yet understood.
+    pub fn input(&self) -> &[u8] {
+        &self.input
+    }
+
+    /// The first `count` bytes of the input are done with.
+    pub fn consume(&mut self, count: usize) {
+        self.input.drain(..count);
+        if self.input.is_empty() && self.input.capacity() > KEPT_CAPACITY {
+            self.input.shrink_to(KEPT_CAPACITY);
+        }
+    }
+
+    /// Takes all that was read.
+    pub fn take_input(&mut self) -> Vec<u8> {
+        std::mem::take(&mut self.input)
+    }
+
+    /// Gives back what `take_input` took, less what is done with.
+    pub fn restore_input(&mut self, mut bytes: Vec<u8>, consumed: usize) {
+        debug_assert!(self.input.is_empty());
+        bytes.drain(..consumed);
+        if bytes.is_empty() && bytes.capacity() > KEPT_CAPACITY {
+            bytes.shrink_to(KEPT_CAPACITY);
+        }
+        self.input = bytes;
+    }
+
+    /// Puts bytes behind what waits to be written; nothing is written yet.
+    pub fn put(&mut self, bytes: &[u8]) {
+        self.output.extend_from_slice(bytes);
+    }
+
+    /// How many bytes wait to be written.
+    pub fn waiting(&self) -> usize {
+        self.output.len() - self.written
+    }
+
+    /// Writes what the peer takes now.
+    pub fn flush(&mut self) -> io::Result<()> {
+        if self.connecting {
+            return Ok(());
+        }
+        while self.written < self.output.len() {
+            match self.stream.get().write(&self.output[self.written..]) {
+                Ok(0) => return Err(ErrorKind::WriteZero.into()),
+                Ok(count) => self.written += count,
+                Err(error) if error.kind() == ErrorKind::WouldBlock => break,
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                Err(error) => return Err(error),
+            }
+        }
+        if self.written == self.output.len() {
+            self.output.clear();
+            self.written = 0;
+            if self.output.capacity() > KEPT_CAPACITY {
+                self.output.shrink_to(KEPT_CAPACITY);
+            }
+        } else if self.written > MOST_READ_AT_ONCE {
+            self.output.drain(..self.written);
+            self.written = 0;
+        }
+        self.update_interest()
+    }
+
+    /// Holds reading back, or takes it up again.
+    pub fn pause(&mut self, paused: bool) -> io::Result<()> {
+        self.paused = paused;
+        self.update_interest()
+    }
+
+    fn update_interest(&mut self) -> io::Result<()> {
+        let interest = Interest {
+            readable: !self.paused && !self.connecting,
+            writable: self.connecting || self.waiting() > 0,
+        };
+        self.stream.set_interest(interest)
+    }
+
+    /// Says that nothing more will be written.
+    pub fn end_writing(&self) {
+        // The peer may have gone already; the connection is closed next in any case.
+        let _ = self.stream.get().shutdown(std::net::Shutdown::Write);
+    }
+}
--- /dev/null
+++ b/crates/tier/src/start.rs
@@ -0,0 +1,231 @@
+//! The start of a process: its settings, its disk, its addresses.
+
+use crate::batch_front::BATCH_PARTS;
+use crate::batch_part::BatchPart;
+use crate::configuration_part::ConfigurationPart;
+use crate::control::CONFIGURATION_PART;
+use crate::node::{LISTENING, RunError, keys};
+use crate::parts::{Application, PartHost};
+use grebeusher_catalog::settings::{MachineClass, Settings, SettingsError};
+use grebeusher_quorum::ReplicaId;
+use grebeusher_quorum::disk::{Identity, StoreError};
+use grebeusher_registry::{Class, Member, MemberState, Registry, Timings};
+use grebeusher_time::{Moment, Span};
+use grebeusher_transport::listen::listen;
+use grebeusher_transport::poller::{Poller, Registered};
+use grebeusher_transport::signals::Signals;
+use rand::Rng;
+use snafu::{ResultExt, Snafu};
+use std::io;
+use std::net::{SocketAddrV4, TcpListener};
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+/// Descriptors that are kept for links, executors and the disk.
+const KEPT_DESCRIPTORS: u64 = 600;
+/// The log of the configuration is written anew beyond this (bytes).
+const CONFIGURATION_LOG: usize = 2 * 1024 * 1024;
+/// The share of a disk that the log of one part may take before it is written anew.
+const BATCH_LOG_SHARE: usize = 12;
+/// The share of the memory that the jobs of one part may take.
+const JOBS_MEMORY_SHARE: usize = 4;
+
+/// What a process starts with.
+pub struct Start {
+    /// Its settings.
+    pub settings: Settings,
+    /// Where they came from.
+    pub settings_path: PathBuf,
+    /// The poller of its loop.
+    pub poller: Rc<Poller>,
+    /// Its signals.
+    pub signals: Registered<Signals>,
+    /// Its addresses.
+    pub listeners: Listeners,
+    /// Members and executors: only itself so far.
+    pub registry: Registry,
+    /// The identity of its disk.
+    pub identity: Option<ReplicaId>,
+    /// Its replicas.
+    pub parts: Vec<PartHost>,
+    /// For all that is left to chance.
+    pub seed: u64,
+}
+
+/// The addresses that a process listens at.
+pub struct Listeners {
+    /// Clients.
+    pub frontend: Option<Registered<TcpListener>>,
+    /// The platform's checks.
+    pub readiness: Option<Registered<TcpListener>>,
+    /// Executors and operators.
+    pub control: Option<Registered<TcpListener>>,
+    /// Other nodes.
+    pub internal: Registered<TcpListener>,
+    /// The address that other nodes know it by.
+    pub internal_address: SocketAddrV4,
+    /// How many connections clients may make the process hold.
+    pub most_connections: usize,
+}
+
+/// Why a process can't start.
+#[derive(Debug, Snafu)]
+pub enum StartError {
+    /// The settings file can't be read.
+    #[snafu(display("{}: {source}", path.display()))]
+    SettingsFile {
+        /// The file.
+        path: PathBuf,
+        /// What the system says.
+        source: io::Error,
+    },
+    /// The settings are wrong.
+    #[snafu(display("{}: {source}", path.display()))]
+    WrongSettings {
+        /// The file.
+        path: PathBuf,
+        /// The field and what was expected.
+        source: SettingsError,
+    },
+    /// There are no ports for the traffic between nodes.
+    #[snafu(display("internal_ports: at least one port is needed"))]
+    NoInternalPort,
+    /// An address can't be listened at.
+    #[snafu(display("listening at {address}: {source}"))]
+    Listen {
+        /// The address.
+        address: SocketAddrV4,
+        /// What the system says.
+        source: io::Error,
+    },
+    /// The poller or the signals can't be had.
+    #[snafu(display("the loop: {source}"), context(false))]
+    Loop {
+        /// What the system says.
+        source: io::Error,
+    },
+    /// The identity of the disk can't be read or made.
+    #[snafu(display("the identity of the disk: {source}"))]
+    DiskIdentity {
+        /// What the store says.
+        source: StoreError,
+    },
+    /// A part can't be opened.
+    #[snafu(display("{source}"), context(false))]
+    Part {
+        /// Why.
+        source: RunError,
+    },
+}
+
+/// Reads and checks the settings file.
+///
+/// # Errors
+/// The file can't be read or a field is wrong.
+pub fn read_settings(path: &Path) -> Result<Settings, StartError> {
+    let text = std::fs::read_to_string(path).context(SettingsFileSnafu { path })?;
+    Settings::read(&text).context(WrongSettingsSnafu { path })
+}
+
+impl Start {
+    /// Opens all that a process of these settings needs.
+    ///
+    /// # Errors
+    /// An address, the disk or the loop can't be had.
+    pub fn open(settings: Settings, settings_path: PathBuf) -> Result<Start, StartError> {
+        let seed: u64 = rand::rng().random();
+        let poller = Rc::new(Poller::new()?);
+        let signals = poller.register(Signals::catch()?, keys::SIGNALS, LISTENING)?;
+        let listeners = Listeners::open(&settings, &poller)?;
+        let (identity, parts) = open_parts(&settings, seed)?;
+        let registry = open_registry(&settings, &listeners, identity, seed);
+        Ok(Start { settings, settings_path, poller, signals, listeners, registry, identity, parts, seed })
+    }
+}
+
+impl Listeners {
+    fn open(settings: &Settings, poller: &Rc<Poller>) -> Result<Listeners, StartError> {
+        let port = settings.internal_ports.port(0).ok_or(StartError::NoInternalPort)?;
+        let internal_address = SocketAddrV4::new(settings.ip_address, port);
+        let open = |address: SocketAddrV4, key: usize| -> Result<Registered<TcpListener>, StartError> {
+            let listener = listen(address.into()).context(ListenSnafu { address })?;
+            Ok(poller.register(listener, key, LISTENING)?)
+        };
+        let optional = |address: Option<SocketAddrV4>, key| address.map(|at| open(at, key)).transpose();
+        let descriptors = settings.limits.file_descriptors;
+        Ok(Listeners {
+            internal: open(internal_address, keys::INTERNAL)?,
+            control: optional(settings.bindings.control_plane, keys::CONTROL)?,
+            readiness: optional(settings.bindings.readiness, keys::READINESS)?,
+            frontend: optional(settings.bindings.frontend, keys::FRONTEND)?,
+            internal_address,
+            most_connections: descriptors.saturating_sub(KEPT_DESCRIPTORS).max(64) as usize,
+        })
+    }
+}
+
+/// The parts whose replicas a process of this class holds.
+fn parts_of(class: &MachineClass) -> Vec<u8> {
+    match class {
+        MachineClass::Edge => vec![CONFIGURATION_PART],
+        MachineClass::Storage => (1..=BATCH_PARTS).collect(),
+        MachineClass::Other(_) => Vec::new(),
+    }
+}
+
+fn open_parts(settings: &Settings, seed: u64) -> Result<(Option<ReplicaId>, Vec<PartHost>), StartError> {
+    let data = match &settings.data_path {
+        Some(data) if settings.quorum_member => data,
+        _ => return Ok((None, Vec::new())),
+    };
+    let identity = Identity::load_or_create(data, rand::rng().random()).context(DiskIdentitySnafu)?;
+    let disk = settings.limits.disk_mb.unwrap_or(64) as usize * 1024 * 1024;
+    let memory = settings.limits.memory_mb as usize * 1024 * 1024;
+    let mut parts = Vec::new();
+    for part in parts_of(&settings.machine_class) {
+        let seed = seed.wrapping_add(u64::from(part) + 1);
+        let (application, compact_at) = if part == CONFIGURATION_PART {
+            (Application::Configuration(ConfigurationPart::default()), CONFIGURATION_LOG)
+        } else {
+            let jobs = BatchPart::new(memory / JOBS_MEMORY_SHARE, seed);
+            (Application::Batch(Box::new(jobs)), disk / BATCH_LOG_SHARE)
+        };
+        parts.push(PartHost::open(data, part, identity.id, application, compact_at, seed)?);
+    }
+    Ok((Some(identity.id), parts))
+}
+
+fn open_registry(
+    settings: &Settings,
+    listeners: &Listeners,
+    identity: Option<ReplicaId>,
+    seed: u64,
+) -> Registry {
+    let wall_ms = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64;
+    let class = match settings.machine_class {
+        MachineClass::Storage => Class::Storage,
+        MachineClass::Edge | MachineClass::Other(_) => Class::Edge,
+    };
+    let member = Member {
+        name: settings.node_name.as_str().to_owned(),
+        address: listeners.internal_address,
+        incarnation: wall_ms,
+        status_version: 0,
+        class,
+        zone: settings.zone.as_str().to_owned(),
+        control: settings.bindings.control_plane,
+        replica: identity.map(|identity| identity.0),
+        bootstrap: settings.bootstrap,
+        state: MemberState::Alive,
+    };
+    let timings = Timings { executor_heartbeat: Span::millis(settings.heartbeat_ms), ..Timings::default() };
+    let seeds = seed_addresses(settings);
+    Registry::new(grebeusher_registry::Settings { member, seeds, timings }, seed, Moment(0))
+}
+
+/// The internal addresses of the seeds: all machines use the same ports.
+pub fn seed_addresses(settings: &Settings) -> Vec<SocketAddrV4> {
+    let port = settings.internal_ports.first;
+    settings.seed_nodes.iter().map(|seed| SocketAddrV4::new(*seed.ip(), port)).collect()
+}
--- /dev/null
+++ b/crates/tier/src/status.rs
@@ -0,0 +1,69 @@
+//! What a node says of itself and of the tier, for operators.
+
+use crate::node::Node;
+use crate::parts::Application;
+use grebeusher_time::Span;
+use std::fmt::Write;
+
+/// A node without the owner's word serves by what its peers have after this.
+const PROOF_WAITS: Span = Span::millis(2500);
+
+impl Node {
+    /// Whether the platform should send clients: a configuration proven by its owner, executors known, not stopping.
+    pub fn is_ready(&self) -> bool {
+        let proven = self.configuration_proven || self.now.0 >= PROOF_WAITS.0;
+        let executors_known = self.registry.executors().next().is_some();
+        !self.stopping() && self.configuration.is_some() && proven && executors_known
+    }
+
+    /// Members, executors, parts, owners and counters, a line each.
+    pub fn status_text(&self) -> String {
+        let mut text = String::new();
+        // Writing to a string can't fail.
+        let _ = self.write_status(&mut text);
+        text
+    }
+
+    fn write_status(&self, text: &mut String) -> std::fmt::Result {
+        writeln!(text, "node {} {}", self.settings.node_name.as_str(), self.internal_address)?;
+        writeln!(text, "ready {} stopping {}", self.is_ready(), self.stopping())?;
+        writeln!(text, "configuration {}", self.configuration_version())?;
+        for member in self.registry.members() {
+            let (name, state, zone) = (&member.name, member.state, &member.zone);
+            writeln!(text, "member {name} {} {state:?} {:?} {zone}", member.address, member.class)?;
+        }
+        for part in 0..=crate::batch_front::BATCH_PARTS {
+            match self.known_owner(part) {
+                Some(owner) => writeln!(text, "part {part} owner {owner}")?,
+                None => writeln!(text, "part {part} without an owner")?,
+            }
+        }
+        for host in &self.parts {
+            let (part, term, commit) = (host.part, host.replica.term().0, host.replica.commit_index().0);
+            let voters = &host.replica.group().voters;
+            writeln!(text, "replica of part {part} term {term} commit {commit} voters {voters:?}")?;
+            if let Application::Batch(batch) = &host.application {
+                writeln!(text, "jobs of part {part}: {}", batch.jobs().len())?;
+            }
+        }
+        for executor in self.registry.executors() {
+            let (id, state, silent) = (&executor.id, executor.state, executor.silent);
+            writeln!(
+                text,
+                "executor {id} {} {} {state:?} silent {silent}",
+                executor.service, executor.address
+            )?;
+        }
+        let counters = &self.counters;
+        writeln!(
+            text,
+            "requests {} refused {} failed {} malformed {} under way {} items {}",
+            counters.requests,
+            counters.refused,
+            counters.failed,
+            counters.malformed,
+            self.exchange_count(),
+            self.items.count(),
+        )
+    }
+}
--- /dev/null
+++ b/crates/tier/src/timers.rs
@@ -0,0 +1,30 @@
+//! What falls due in a node.
+
+/// One timer of the loop. Serials guard against places that were given to another thing meanwhile.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Timer {
+    /// A connection to an executor should have come up.
+    ConnectExpires { connection: usize, serial: u64 },
+    /// An exchange's deadline.
+    ExchangeDeadline { exchange: usize, serial: u64 },
+    /// An exchange waits for a first event or an answer for suspiciously long.
+    ExchangeSilence { exchange: usize, serial: u64, attempt: u32 },
+    /// An item's run is silent for too long.
+    ItemSilence { run: u64 },
+    /// A call to another node should have been answered.
+    CallExpires { number: u64 },
+    /// A call is to be tried at another node.
+    CallRetry { number: u64 },
+    /// A read that was held for a result is answered.
+    HeldReadExpires { read: u64 },
+    /// The founder of the parts looks whether it can found.
+    Found,
+    /// Owners look after their groups.
+    GroupUpkeep,
+    /// Slow housekeeping.
+    Sweep,
+    /// Items are started where there is room.
+    RunItems,
+    /// The process ends at the latest.
+    Exit,
+}
