Registry: stories of starts, drains and cuts; deaths need an answer from others first

An in-memory fleet in virtual time loses, doubles, reorders and cuts. A node that can only receive called its watched nodes dead: now somebody must have answered its question. Silent executors count in the digest until they are forgotten, so that drains of silent ones are repaired too.

--- a/crates/registry/src/confirmation.rs
+++ b/crates/registry/src/confirmation.rs
@@ -2,7 +2,7 @@
 
 use crate::message::{Message, Relay};
 use crate::register::Key;
-use crate::registry::{CallToken, Registry};
+use crate::registry::{Answer, CallToken, Registry};
 use crate::{ExecutorState, Register, Timings};
 use grebeusher_time::{Moment, Span};
 use std::collections::{BTreeMap, BTreeSet};
@@ -52,25 +52,31 @@
         let bound = self.timings.confirm_bound;
         let mut told = Vec::new();
         for telling in &mut self.confirmations.tellings {
-            if telling.outstanding.is_empty() || now.since(telling.started) >= bound {
+            if telling.is_over(now, bound) {
                 told.append(&mut telling.calls);
             }
         }
         told
     }
 
-    /// Has everyone told of an executor that takes no more requests, and gives the call a token to wait by.
-    pub(crate) fn tell_all(&mut self, now: Moment, id: &str, state: ExecutorState) -> CallToken {
+    /// Has everyone told of an executor that takes no more requests; the call waits for that.
+    pub(crate) fn tell_all(&mut self, now: Moment, id: &str, state: ExecutorState) -> Answer {
+        let bound = self.timings.confirm_bound;
+        let tellings = &mut self.confirmations.tellings;
+        let under_way = tellings.iter_mut().find(|telling| telling.covers(id, state));
+        if under_way.as_ref().is_some_and(|telling| telling.is_over(now, bound)) {
+            return Answer::Now;
+        }
         self.confirmations.next_token += 1;
         let token = CallToken(self.confirmations.next_token);
-        let under_way = self.confirmations.tellings.iter_mut().find(|telling| telling.covers(id, state));
-        if let Some(telling) = under_way {
-            telling.calls.push(token);
-            return token;
+        match under_way {
+            Some(telling) => telling.calls.push(token),
+            None => {
+                self.confirmations.gathered.entry(id.to_owned()).or_default().push(token);
+                self.confirmations.flush.get_or_insert(now + self.timings.urgent_batch);
+            }
         }
-        self.confirmations.gathered.entry(id.to_owned()).or_default().push(token);
-        self.confirmations.flush.get_or_insert(now + self.timings.urgent_batch);
-        token
+        Answer::WhenTold(token)
     }
 
     pub(crate) fn receive_confirm(&mut self, from: SocketAddrV4, incarnation: u64, sequence: u64) {
@@ -142,6 +148,11 @@
 }
 
 impl Telling {
+    /// Whether its calls may be answered.
+    fn is_over(&self, now: Moment, bound: Span) -> bool {
+        self.outstanding.is_empty() || now.since(self.started) >= bound
+    }
+
     fn covers(&self, id: &str, state: ExecutorState) -> bool {
         let mut executors = self.relay.registers.iter().filter_map(Register::as_executor);
         executors.any(|told| told.id == id && told.state >= state)
--- a/crates/registry/src/digest.rs
+++ b/crates/registry/src/digest.rs
@@ -43,6 +43,8 @@
     pub(crate) wanted: Vec<u64>,
     /// Keys of registers that the other lacks.
     pub(crate) lacking: Vec<Key>,
+    /// Keys of registers that are the same, but that the other counts no more.
+    pub(crate) forgotten: Vec<Key>,
 }
 
 fn bucket_of(key: u64) -> usize {
@@ -113,6 +115,10 @@
                 Some(item) if item.version == summary.version => {}
                 // What is over by both accounts need not be settled.
                 Some(item) if item.version & LIVE == 0 && !summary.is_live() => {}
+                // The other has forgotten it already, or is about to hear that this node has.
+                Some(item) if (item.version ^ summary.version) == LIVE => {
+                    difference.forgotten.extend((!summary.is_live()).then(|| item.key.clone()));
+                }
                 Some(item) => {
                     difference.wanted.push(summary.key);
                     difference.lacking.push(item.key.clone());
--- a/crates/registry/src/executors.rs
+++ b/crates/registry/src/executors.rs
@@ -133,11 +133,8 @@
         let untold = self.executors.entries.get(&id).is_some_and(|entry| {
             entry.shown.state == ExecutorState::Draining && entry.told_state < ExecutorState::Draining
         });
-        let answer = if drains && untold {
-            Answer::WhenTold(self.tell_all(now, &id, ExecutorState::Draining))
-        } else {
-            Answer::Now
-        };
+        let answer =
+            if drains && untold { self.tell_all(now, &id, ExecutorState::Draining) } else { Answer::Now };
         HeartbeatEffect { answer, heartbeat_target: target }
     }
 
@@ -156,7 +153,7 @@
         }
         let told =
             self.executors.entries.get(id).is_some_and(|entry| entry.told_state == ExecutorState::Gone);
-        if told { Answer::Now } else { Answer::WhenTold(self.tell_all(now, id, ExecutorState::Gone)) }
+        if told { Answer::Now } else { self.tell_all(now, id, ExecutorState::Gone) }
     }
 
     fn take_report(&mut self, now: Moment, report: HeartbeatReport) {
@@ -231,7 +228,7 @@
         let id = executor.id.clone();
         let remembered = self.executors.tombstones.contains_key(&id);
         if remembered && (executor.silent || !executor.exists()) {
-            self.count_executor(&executor);
+            self.count_executor(&executor, false);
             self.executors.tombstones.insert(id, executor);
             return true;
         }
@@ -240,7 +237,7 @@
             return false;
         }
         self.executors.tombstones.remove(&id);
-        self.count_executor(&executor);
+        self.count_executor(&executor, true);
         match self.executors.entries.get_mut(&id) {
             Some(entry) => entry.show(executor, now),
             None => {
@@ -256,12 +253,23 @@
         self.output.events.push(Event::ExecutorChanged { id });
     }
 
-    /// Executors that are silent or gone are not in the digest, as nodes forget them at different times.
-    fn count_executor(&mut self, told: &Executor) {
-        let live = told.exists() && !told.silent;
+    /// Executors that are gone or forgotten are not in the digest, as nodes forget them at different times.
+    fn count_executor(&mut self, told: &Executor, shown: bool) {
+        let live = told.exists() && shown;
         self.digest.set(Key::Executor(told.id.clone()), Register::Executor(told.clone()).hash(), live);
     }
 
+    /// Follows another node that no longer shows these: it knew earlier that they are silent.
+    pub(crate) fn forget_executors(&mut self, now: Moment, keys: &[Key]) {
+        for key in keys {
+            if let Key::Executor(id) = key
+                && self.executors.entries.get(id).is_some_and(|entry| entry.told_silent)
+            {
+                self.bury(now, id);
+            }
+        }
+    }
+
     fn tell_silent(&mut self, now: Moment, id: &str) {
         if let Some(told) = self.executors.told(id) {
             self.put_executor(now, Executor { silent: true, ..told });
@@ -313,7 +321,7 @@
         };
         let mut told = entry.told();
         told.silent = true;
-        self.count_executor(&told);
+        self.count_executor(&told, false);
         self.executors.tombstones.insert(id.to_owned(), told);
         self.executors.buried.push_back((now, id.to_owned()));
         self.note_executor_change(id.to_owned());
--- a/crates/registry/src/liveness.rs
+++ b/crates/registry/src/liveness.rs
@@ -4,6 +4,7 @@
 use crate::message::{Heartbeat, Message};
 use crate::register::Key;
 use crate::registry::{Event, Registry};
+use crate::ring::Place;
 use grebeusher_time::{Moment, Span};
 use rand::Rng;
 use rand::seq::IteratorRandom;
@@ -39,12 +40,20 @@
     name: String,
     /// Silence counts from here at the earliest.
     since: Moment,
+    /// When others were first asked after it in this silence, and when last.
+    first_asked: Option<Moment>,
     asked: Option<Moment>,
     rounds: u32,
     /// Nearest first: how far the watched node stands before this one.
     rank: u64,
 }
 
+impl Watch {
+    fn be_content(&mut self) {
+        (self.first_asked, self.asked, self.rounds) = (None, None, 0);
+    }
+}
+
 /// The state of heartbeats and watches.
 pub(crate) struct Liveness {
     next_beat: Moment,
@@ -53,6 +62,8 @@
     next_watch: Option<Moment>,
     /// When anything last came from anyone.
     pub(crate) last_heard: Option<Moment>,
+    /// When another node last answered a question of this one, and so has heard it.
+    last_answer: Option<Moment>,
     watches: BTreeMap<NodeId, Watch>,
     probe_cursor: usize,
     behind: Option<(Moment, u64)>,
@@ -66,6 +77,7 @@
             next_sweep: now + SWEEP,
             next_watch: None,
             last_heard: None,
+            last_answer: None,
             watches: BTreeMap::new(),
             probe_cursor,
             behind: None,
@@ -86,15 +98,14 @@
         self.next_watch = Some(now);
         for watch in self.watches.values_mut() {
             watch.since = now;
-            watch.asked = None;
-            watch.rounds = 0;
+            watch.be_content();
         }
     }
 }
 
 impl Registry {
-    /// Whether this node has heard nobody for a while, though it knows of others. What it misses then is its own
-    /// fault, so it calls nobody dead.
+    /// Whether this node has heard nobody for a while, though it knows of others: then it is likely cut off. It calls
+    /// nobody dead as long as none of those it asks answers.
     pub fn is_isolated(&self, now: Moment) -> bool {
         let bound = self.timings.heartbeat * 2.5;
         self.ring.len() > 1 && self.liveness.last_heard.is_none_or(|heard| now.since(heard) > bound)
@@ -112,6 +123,7 @@
             let mut watch = before.remove(&place.id).unwrap_or_else(|| Watch {
                 name: place.name.clone(),
                 since,
+                first_asked: None,
                 asked: None,
                 rounds: 0,
                 rank: 0,
@@ -150,7 +162,7 @@
     }
 
     fn check_watches(&mut self, now: Moment) {
-        let isolated = self.is_isolated(now);
+        let answered = self.liveness.last_answer;
         let mut next = now + self.timings.suspect_after;
         let (mut ask, mut dead) = (Vec::new(), Vec::new());
         for (id, watch) in &mut self.liveness.watches {
@@ -161,16 +173,19 @@
             let silence = now.since(heard);
             let suspect_after = self.timings.suspect_after;
             if silence < suspect_after {
-                (watch.asked, watch.rounds) = (None, 0);
+                watch.be_content();
                 next = next.min(heard + suspect_after);
                 continue;
             }
             let bound = self.timings.dead_after * entry.patience(now) + Span(STAGGER.0 * watch.rank);
-            if silence >= bound && watch.rounds > 0 && !isolated {
+            let heard_by_others =
+                watch.first_asked.is_some_and(|asked| answered.is_some_and(|at| at >= asked));
+            if silence >= bound && heard_by_others {
                 dead.push(watch.name.clone());
                 continue;
             }
             if watch.asked.is_none_or(|asked| now.since(asked) >= ASK_AGAIN) {
+                watch.first_asked.get_or_insert(now);
                 watch.asked = Some(now);
                 watch.rounds += 1;
                 ask.push((*id, watch.name.clone(), entry.member.address, watch.rounds));
@@ -180,20 +195,28 @@
         }
         self.liveness.next_watch = (!self.liveness.watches.is_empty()).then_some(next);
         for (id, name, address, rounds) in ask {
-            self.ask_after(id, &name, address, rounds);
+            self.ask_after(now, id, &name, address, rounds);
         }
         for name in dead {
             self.declare_dead(now, &name);
         }
     }
 
-    fn ask_after(&mut self, id: NodeId, name: &str, address: SocketAddrV4, rounds: u32) {
+    fn ask_after(&mut self, now: Moment, id: NodeId, name: &str, address: SocketAddrV4, rounds: u32) {
         if rounds > 1 {
             self.set_suspect(name, true);
         }
         self.send(address, Message::Ping { asker: None });
-        let others = self.ring.others().filter(|place| place.id != id).map(|place| place.address);
-        let helpers = others.choose_multiple(&mut self.random, HELPERS);
+        // Those heard lately are likely on this side of a cut; if they are few, others have their turn as well.
+        let others = self.ring.others().filter(|place| place.id != id);
+        let (near, far): (Vec<&Place>, Vec<&Place>) = others.partition(|place| {
+            let heard = self.members.get(&place.name).and_then(|entry| entry.last_heard);
+            heard.is_some_and(|heard| now.since(heard) < self.timings.suspect_after)
+        });
+        let mut helpers: Vec<SocketAddrV4> =
+            near.iter().map(|place| place.address).choose_multiple(&mut self.random, HELPERS);
+        let more = HELPERS - helpers.len();
+        helpers.extend(far.iter().map(|place| place.address).choose_multiple(&mut self.random, more));
         for helper in helpers {
             self.send(helper, Message::PingFor(id));
         }
@@ -229,6 +252,7 @@
             }
             return;
         }
+        self.liveness.last_answer = Some(now);
         let Some(name) = self.member_of(subject).map(|entry| entry.member.name.clone()) else {
             return;
         };
--- a/crates/registry/src/repair.rs
+++ b/crates/registry/src/repair.rs
@@ -138,6 +138,7 @@
         for keys in difference.wanted.chunks(WANTS_PER_MESSAGE) {
             self.send(from, Message::Want(keys.to_vec()));
         }
+        self.forget_executors(now, &difference.forgotten);
         self.transfer(now, from, difference.lacking);
     }
 
--- /dev/null
+++ b/crates/registry/tests/cuts.rs
@@ -0,0 +1,233 @@
+//! Trouble: deaths, cuts both ways and one way, freezes, and how the nodes find together again.
+
+mod fleet;
+
+use fleet::{Fleet, draining, report};
+use grebeusher_registry::{Event, ExecutorState, MemberState};
+use grebeusher_time::Span;
+use rstest::rstest;
+
+fn executors_agree(fleet: &Fleet) -> bool {
+    fleet.all_show_same_executors()
+}
+
+#[rstest]
+fn a_death_is_known_to_all_within_its_bound(#[values(14, 78)] count: usize, #[values(1, 2, 3)] seed: u64) {
+    let mut fleet = Fleet::settled(count, seed);
+    fleet.kill(5);
+    let took = fleet.run_until(Span::millis(4_000), Fleet::all_know_all);
+    assert!(
+        took.is_some_and(|took| took >= Span::millis(1_100) && took <= Span::millis(2_000)),
+        "took {took:?}"
+    );
+}
+
+#[rstest]
+fn a_third_dies_at_once(#[values(14, 78)] count: usize) {
+    let mut fleet = Fleet::settled(count, 1);
+    (0..count / 3).for_each(|index| fleet.kill(index * 3));
+    let took = fleet.run_until(Span::millis(8_000), Fleet::all_know_all);
+    println!("a third of {count} was known to be dead after {took:?}");
+    assert!(took.is_some_and(|took| took <= Span::millis(4_000)), "took {took:?}");
+}
+
+#[rstest]
+#[case::one(14, &[5])]
+#[case::two(14, &[5, 6])]
+#[case::half(14, &[0, 1, 2, 3, 4, 5, 6])]
+#[case::one_of_many(78, &[5])]
+#[case::a_zone_of_many(78, &[0, 4, 8, 12, 16, 20, 24, 28, 32, 36, 40, 44, 48, 52, 56, 60, 64])]
+fn both_sides_of_a_cut_agree_soon_after_it_heals(
+    #[case] count: usize,
+    #[case] side: &[usize],
+    #[values(1_000, 3_000, 12_000)] length: u64,
+    #[values(1, 2, 3)] seed: u64,
+) {
+    let mut fleet = Fleet::settled(count, seed);
+    for number in 0..40 {
+        let mut first = report(&format!("i-{number}"), number);
+        first.address.set_port(9_000 + number as u16);
+        fleet.heartbeat(number % count, &first);
+    }
+    fleet.run(Span::millis(500));
+    fleet.cut_off(side);
+    // Both sides learn things that the other does not.
+    for number in 0..20 {
+        let mut first = report(&format!("i-{number}"), number);
+        first.address.set_port(9_000 + number as u16);
+        let index = if number % 2 == 0 { side[0] } else { count - 1 };
+        fleet.heartbeat(index, &draining(&first));
+        let mut fresh = report(&format!("n-{number}"), number);
+        fresh.address.set_port(10_000 + number as u16);
+        fleet.heartbeat(index, &fresh);
+    }
+    fleet.run(Span::millis(length));
+    fleet.heal();
+    let drained = |fleet: &Fleet| {
+        fleet.running().into_iter().all(|index| {
+            (0..20).all(|number| {
+                let drained = fleet.registry(index).executor(&format!("i-{number}"));
+                let fresh = fleet.registry(index).executor(&format!("n-{number}"));
+                drained.is_some_and(|executor| executor.state == ExecutorState::Draining) && fresh.is_some()
+            })
+        })
+    };
+    let told = fleet.run_until(Span::millis(3_000), drained);
+    let took = fleet.run_until(Span::millis(3_000), Fleet::all_know_all);
+    println!("{count} nodes, {} cut off for {length} ms: drains {told:?}, members {took:?} more", side.len());
+    assert!(told.is_some_and(|took| took <= Span::millis(1_000)), "drains known after {told:?}");
+    assert!(took.is_some_and(|took| took <= Span::millis(600)), "members known after {took:?}");
+    fleet.run(Span::millis(4_000));
+    fleet.assert_all_agree();
+    assert!(executors_agree(&fleet), "not all show the same executors");
+}
+
+#[rstest]
+fn a_node_cut_off_alone_calls_nobody_dead(#[values(1, 2, 3)] seed: u64) {
+    let mut fleet = Fleet::settled(14, seed);
+    fleet.forget_traffic();
+    fleet.cut_off(&[5]);
+    fleet.run(Span::millis(10_000));
+    assert!(fleet.registry(5).is_isolated(fleet.now));
+    assert_eq!(fleet.nodes[5].deaths_seen(), 0);
+    assert_eq!(fleet.heartbeat(5, &report("i-1", 5)).heartbeat_target, None);
+    fleet.heal();
+    let took = fleet.run_until(Span::millis(1_000), Fleet::all_know_all);
+    assert!(took.is_some(), "they do not know each other");
+}
+
+#[rstest]
+#[case::short(Span::millis(1_200))]
+#[case::long(Span::millis(9_000))]
+fn a_frozen_node_that_wakes_calls_nobody_dead_and_is_known_again(#[case] length: Span) {
+    let mut fleet = Fleet::settled(14, 8);
+    fleet.forget_traffic();
+    fleet.freeze(5);
+    fleet.run(length);
+    fleet.thaw(5);
+    let took = fleet.run_until(Span::millis(1_000), Fleet::all_know_all);
+    assert!(took.is_some(), "it is not known again");
+    fleet.run(Span::millis(3_000));
+    fleet.assert_all_agree();
+    let own = fleet.nodes[5].name.clone();
+    let others_died = |(_, event): &&(_, Event)| matches!(event, Event::MemberChanged { name, state: MemberState::Dead } if *name != own);
+    let false_deaths: usize =
+        fleet.nodes.iter().map(|node| node.events.iter().filter(others_died).count()).sum();
+    assert_eq!(false_deaths, 0);
+}
+
+#[test]
+fn all_frozen_together_call_nobody_dead() {
+    let mut fleet = Fleet::settled(14, 8);
+    fleet.forget_traffic();
+    (0..14).for_each(|index| fleet.freeze(index));
+    fleet.run(Span::millis(5_000));
+    (0..14).for_each(|index| fleet.thaw(index));
+    fleet.run(Span::millis(5_000));
+    fleet.assert_all_agree();
+    assert!(fleet.nodes.iter().all(|node| node.deaths_seen() == 0));
+}
+
+#[rstest]
+#[case::one_link(&[(5, 6)])]
+#[case::many_links(&[(5, 6), (5, 7), (8, 5), (9, 10), (1, 0), (3, 12)])]
+fn a_link_that_fails_one_way_kills_nobody(#[case] links: &[(usize, usize)], #[values(1, 2, 3)] seed: u64) {
+    let mut fleet = Fleet::settled(14, seed);
+    fleet.forget_traffic();
+    links.iter().for_each(|(from, to)| fleet.cut_one_way(*from, *to));
+    fleet.run(Span::millis(20_000));
+    fleet.assert_all_agree();
+    let deaths: usize = fleet.nodes.iter().map(fleet::Node::deaths_seen).sum();
+    assert_eq!(deaths, 0);
+}
+
+#[test]
+fn a_node_that_can_only_send_calls_nobody_dead() {
+    let mut fleet = Fleet::settled(14, 2);
+    fleet.forget_traffic();
+    (0..14).filter(|index| *index != 5).for_each(|index| fleet.cut_one_way(index, 5));
+    fleet.run(Span::millis(20_000));
+    let deaths: usize = fleet.nodes.iter().map(fleet::Node::deaths_seen).sum();
+    assert_eq!(deaths, 0);
+}
+
+#[test]
+fn a_node_that_can_only_receive_dies_once() {
+    let mut fleet = Fleet::settled(14, 2);
+    fleet.forget_traffic();
+    (0..14).filter(|index| *index != 5).for_each(|index| fleet.cut_one_way(5, index));
+    fleet.run(Span::millis(20_000));
+    let most = fleet.nodes.iter().map(fleet::Node::deaths_seen).max().unwrap_or(0);
+    assert!(most <= 1, "a node saw {most} deaths");
+    fleet.heal();
+    let took = fleet.run_until(Span::millis(1_000), Fleet::all_know_all);
+    assert!(took.is_some(), "it is not known again");
+}
+
+#[rstest]
+fn bad_links_do_not_make_nodes_flap(#[values(1, 2, 3)] seed: u64) {
+    let mut fleet = Fleet::settled(14, seed);
+    fleet.forget_traffic();
+    fleet.links.loss = 0.2;
+    fleet.links.longest = Span::millis(80);
+    fleet.run(Span::millis(60_000));
+    let deaths: usize = fleet.nodes.iter().map(fleet::Node::deaths_seen).sum();
+    assert!(deaths <= 14, "{deaths} deaths were seen in a minute");
+    fleet.links.loss = 0.0;
+    fleet.run(Span::millis(3_000));
+    fleet.assert_all_agree();
+}
+
+#[test]
+fn all_restart_together_and_know_each_other() {
+    let mut fleet = Fleet::settled(14, 2);
+    (0..14).for_each(|index| fleet.kill(index));
+    fleet.run(Span::millis(3_000));
+    fleet.start_all(Span::millis(300));
+    let took =
+        fleet.run_until(Span::millis(1_500), |fleet| fleet.running().len() == 14 && fleet.all_know_all());
+    assert!(took.is_some(), "they do not know each other");
+}
+
+#[test]
+fn a_node_whose_seeds_are_all_dead_is_found_by_the_others() {
+    let mut fleet = Fleet::settled(14, 2);
+    [0, 1, 2].into_iter().for_each(|seed| fleet.kill(seed));
+    fleet.kill(7);
+    fleet.run(Span::millis(4_000));
+    fleet.start(7);
+    let took = fleet.run_until(Span::millis(3_000), Fleet::all_know_all);
+    assert!(took.is_some(), "it is not found");
+}
+
+#[test]
+fn a_death_told_wrongly_is_refuted() {
+    let mut fleet = Fleet::settled(14, 2);
+    let mut said = fleet.registry(0).member(&fleet.nodes[5].name).cloned().expect("a member");
+    said.state = MemberState::Dead;
+    let (now, from) = (fleet.now, fleet.nodes[1].address);
+    let message = grebeusher_registry::Message::Registers(vec![grebeusher_registry::Register::Member(said)]);
+    fleet.with(0, |registry| registry.receive(now, from, message));
+    fleet.run(Span::millis(2_000));
+    fleet.assert_all_agree();
+    // It was asked before it was believed.
+    assert!(fleet.nodes[0].deaths_seen() == 0);
+}
+
+#[test]
+fn a_node_that_leaves_serves_on_and_is_then_gone_at_once() {
+    let mut fleet = Fleet::settled(14, 2);
+    let (now, name) = (fleet.now, fleet.nodes[5].name.clone());
+    fleet.with(5, |registry| registry.leave(now));
+    fleet.run(Span::millis(200));
+    let state = |fleet: &Fleet, index| fleet.registry(index).member(&name).map(|member| member.state);
+    assert!((0..14).all(|index| state(&fleet, index) == Some(MemberState::Leaving)));
+    let now = fleet.now;
+    fleet.with(5, |registry| registry.left(now));
+    fleet.kill(5);
+    fleet.run(Span::millis(200));
+    assert!(fleet.running().into_iter().all(|index| state(&fleet, index) == Some(MemberState::Left)));
+    fleet.start(5);
+    let took = fleet.run_until(Span::millis(1_000), Fleet::all_know_all);
+    assert!(took.is_some(), "its next life is not known");
+}
--- /dev/null
+++ b/crates/registry/tests/drains.rs
@@ -0,0 +1,232 @@
+//! Drains: a call is answered when all in touch have it, or after a bound; and what was answered is not forgotten.
+
+mod fleet;
+
+use fleet::{Fleet, draining, next, report};
+use grebeusher_registry::{Answer, ExecutorState, HeartbeatReport};
+use grebeusher_time::Span;
+use rstest::rstest;
+
+fn state_at(fleet: &Fleet, index: usize, id: &str) -> Option<ExecutorState> {
+    fleet.registry(index).executor(id).map(|executor| executor.state)
+}
+
+fn all_show(fleet: &Fleet, id: &str, state: ExecutorState) -> bool {
+    fleet.running().into_iter().all(|index| state_at(fleet, index, id) == Some(state))
+}
+
+/// A fleet with one executor that all know.
+fn with_executor(count: usize, seed: u64) -> (Fleet, HeartbeatReport) {
+    let mut fleet = Fleet::settled(count, seed);
+    let first = report("i-1", 0);
+    assert_eq!(fleet.heartbeat(4, &first).answer, Answer::Now);
+    let took = fleet.run_until(Span::millis(500), |fleet| all_show(fleet, "i-1", ExecutorState::Up));
+    assert!(took.is_some(), "not all know the executor");
+    (fleet, first)
+}
+
+#[rstest]
+fn a_drain_reaches_all_before_its_answer(#[values(14, 78, 360)] count: usize) {
+    let (mut fleet, first) = with_executor(count, 1);
+    let answer = fleet.heartbeat(5, &draining(&first)).answer;
+    assert!(!fleet.is_told(5, answer));
+    let took = fleet.run_until(Span::millis(600), |fleet| fleet.is_told(5, answer));
+    println!("{count} nodes: the drain was answered after {took:?}");
+    assert!(took.is_some_and(|took| took <= Span::millis(100)), "took {took:?}");
+    assert!(all_show(&fleet, "i-1", ExecutorState::Draining));
+}
+
+#[rstest]
+fn a_drain_reaches_all_before_its_answer_on_bad_links(#[values(1, 2, 3, 4, 5)] seed: u64) {
+    let (mut fleet, first) = with_executor(14, seed);
+    fleet.links.loss = 0.2;
+    fleet.links.doubled = 0.2;
+    fleet.links.longest = Span::millis(40);
+    let answer = fleet.heartbeat(5, &draining(&first)).answer;
+    let took = fleet.run_until(Span::millis(690), |fleet| fleet.is_told(5, answer));
+    assert!(took.is_some(), "not answered before the bound");
+    assert!(all_show(&fleet, "i-1", ExecutorState::Draining));
+}
+
+#[test]
+fn the_end_of_an_executor_reaches_all_before_its_answer() {
+    let (mut fleet, first) = with_executor(14, 2);
+    let drain = fleet.heartbeat(5, &draining(&first)).answer;
+    // The end comes while the drain is still being told, and must not be answered with it.
+    let end = fleet.deregister(5, "i-1");
+    assert!(matches!(end, Answer::WhenTold(_)));
+    let took = fleet.run_until(Span::millis(600), |fleet| fleet.is_told(5, end));
+    assert!(took.is_some(), "not answered");
+    assert!(fleet.is_told(5, drain));
+    assert!(all_show(&fleet, "i-1", ExecutorState::Gone));
+    assert_eq!(fleet.deregister(5, "i-1"), Answer::Now);
+}
+
+#[test]
+fn the_end_said_while_a_drain_is_on_its_way_is_told_by_itself() {
+    let (mut fleet, first) = with_executor(14, 2);
+    fleet.heartbeat(5, &draining(&first));
+    fleet.run(Span::millis(5));
+    let end = fleet.deregister(5, "i-1");
+    let took = fleet.run_until(Span::millis(600), |fleet| fleet.is_told(5, end));
+    assert!(took.is_some(), "not answered");
+    assert!(all_show(&fleet, "i-1", ExecutorState::Gone));
+}
+
+#[test]
+fn an_end_is_told_also_by_a_node_that_does_not_know_the_executor() {
+    let (mut fleet, _) = with_executor(14, 2);
+    fleet.kill(6);
+    fleet.run(Span::millis(100));
+    fleet.start(6);
+    let end = fleet.deregister(6, "i-1");
+    assert!(matches!(end, Answer::WhenTold(_)));
+    let took = fleet.run_until(Span::millis(2_000), |fleet| all_show(fleet, "i-1", ExecutorState::Gone));
+    assert!(took.is_some(), "not all know the end");
+}
+
+#[test]
+fn a_drain_is_answered_after_the_bound_when_one_is_silent_and_reaches_it_later() {
+    let (mut fleet, first) = with_executor(14, 3);
+    fleet.cut_off(&[9]);
+    let answer = fleet.heartbeat(5, &draining(&first)).answer;
+    let took = fleet.run_until(Span::millis(1_000), |fleet| fleet.is_told(5, answer));
+    assert!(took.is_some_and(|took| took >= Span::millis(700) && took <= Span::millis(710)), "took {took:?}");
+    assert_eq!(state_at(&fleet, 9, "i-1"), Some(ExecutorState::Up));
+    fleet.run(Span::millis(4_000));
+    fleet.heal();
+    let took = fleet.run_until(Span::millis(1_000), |fleet| all_show(fleet, "i-1", ExecutorState::Draining));
+    println!("the node that was cut off knew {took:?} after the heal");
+    assert!(took.is_some(), "the node that was cut off does not learn of the drain");
+}
+
+#[test]
+fn a_dead_node_is_not_waited_for() {
+    let (mut fleet, first) = with_executor(14, 3);
+    fleet.kill(9);
+    fleet.run(Span::millis(2_500));
+    let answer = fleet.heartbeat(5, &draining(&first)).answer;
+    let took = fleet.run_until(Span::millis(1_000), |fleet| fleet.is_told(5, answer));
+    assert!(took.is_some_and(|took| took <= Span::millis(60)), "took {took:?}");
+}
+
+#[rstest]
+fn the_owner_dies_just_after_its_answer(#[values(14, 78)] count: usize, #[values(1, 2, 3)] seed: u64) {
+    let (mut fleet, first) = with_executor(count, seed);
+    fleet.cut_off(&[9]);
+    let answer = fleet.heartbeat(5, &draining(&first)).answer;
+    fleet.run_until(Span::millis(1_000), |fleet| fleet.is_told(5, answer)).expect("an answer");
+    fleet.run(Span::millis(4));
+    fleet.kill(5);
+    fleet.heal();
+    let took = fleet.run_until(Span::millis(1_000), |fleet| all_show(fleet, "i-1", ExecutorState::Draining));
+    assert!(took.is_some(), "the node that was cut off does not learn of the drain");
+}
+
+#[test]
+fn a_lone_loss_of_the_first_message_is_made_good_by_retries() {
+    let (mut fleet, first) = with_executor(14, 3);
+    fleet.cut_off(&[9]);
+    let answer = fleet.heartbeat(5, &draining(&first)).answer;
+    fleet.run(Span::millis(20));
+    fleet.heal();
+    let took = fleet.run_until(Span::millis(600), |fleet| fleet.is_told(5, answer));
+    assert!(took.is_some_and(|took| took <= Span::millis(200)), "took {took:?}");
+    assert!(all_show(&fleet, "i-1", ExecutorState::Draining));
+}
+
+#[test]
+fn a_drain_told_by_a_node_that_died_is_told_again_by_the_next_one() {
+    let (mut fleet, first) = with_executor(14, 3);
+    let drain = draining(&first);
+    fleet.heartbeat(5, &drain);
+    fleet.run(Span::millis(5));
+    fleet.kill(5);
+    let answer = fleet.heartbeat(6, &next(&drain)).answer;
+    assert!(matches!(answer, Answer::WhenTold(_)), "answered though nobody knows who has it");
+    fleet.run_until(Span::millis(710), |fleet| fleet.is_told(6, answer)).expect("an answer");
+    assert!(all_show(&fleet, "i-1", ExecutorState::Draining));
+    // Later heartbeats need not wait again.
+    assert_eq!(fleet.heartbeat(6, &next(&next(&drain))).answer, Answer::Now);
+}
+
+#[test]
+fn a_repeated_call_waits_for_the_same_news() {
+    let (mut fleet, first) = with_executor(14, 3);
+    fleet.cut_off(&[9]);
+    let drain = draining(&first);
+    let one = fleet.heartbeat(5, &drain).answer;
+    fleet.run(Span::millis(300));
+    let two = fleet.heartbeat(5, &next(&drain)).answer;
+    fleet.run(Span::millis(390));
+    assert!(!fleet.is_told(5, one) && !fleet.is_told(5, two));
+    fleet.run(Span::millis(20));
+    assert!(fleet.is_told(5, one) && fleet.is_told(5, two));
+}
+
+#[test]
+fn a_drain_never_goes_back() {
+    let (mut fleet, first) = with_executor(14, 3);
+    let drain = draining(&first);
+    fleet.heartbeat(5, &drain);
+    fleet.run(Span::millis(200));
+    // A call that says up, whether late or not, at a node that knows and at one that just started.
+    fleet.kill(7);
+    fleet.start(7);
+    for index in [4, 7] {
+        fleet.heartbeat(index, &first);
+        fleet.heartbeat(index, &HeartbeatReport { call_seq: 50 + index as u64, ..first.clone() });
+        fleet.run(Span::millis(1_500));
+        assert!(all_show(&fleet, "i-1", ExecutorState::Draining));
+    }
+    fleet.deregister(3, "i-1");
+    fleet.run(Span::millis(200));
+    fleet.heartbeat(8, &HeartbeatReport { call_seq: 90, ..drain });
+    fleet.run(Span::millis(500));
+    assert!(all_show(&fleet, "i-1", ExecutorState::Gone));
+}
+
+#[test]
+fn a_late_call_that_drains_still_counts() {
+    let (mut fleet, first) = with_executor(14, 3);
+    fleet.heartbeat(4, &HeartbeatReport { call_seq: 9, ..first.clone() });
+    let late = HeartbeatReport { call_seq: 3, ..draining(&first) };
+    let answer = fleet.heartbeat(4, &late).answer;
+    fleet.run(Span::millis(100));
+    assert!(fleet.is_told(4, answer));
+    assert!(all_show(&fleet, "i-1", ExecutorState::Draining));
+}
+
+#[test]
+fn many_drains_at_once_share_their_messages() {
+    let mut fleet = Fleet::settled(78, 6);
+    let reports: Vec<HeartbeatReport> =
+        (0..300).map(|number| report(&format!("i-{number}"), number)).collect();
+    for (number, report) in reports.iter().enumerate() {
+        let mut report = report.clone();
+        report.address.set_port(9_000 + number as u16);
+        fleet.heartbeat(number % 60, &report);
+    }
+    fleet.run(Span::millis(1_000));
+    fleet.forget_traffic();
+    let answers: Vec<Answer> =
+        reports.iter().map(|report| fleet.heartbeat(7, &draining(report)).answer).collect();
+    let took =
+        fleet.run_until(Span::millis(600), |fleet| answers.iter().all(|answer| fleet.is_told(7, *answer)));
+    assert!(took.is_some_and(|took| took <= Span::millis(100)), "took {took:?}");
+    let reached = reports.iter().all(|report| all_show(&fleet, &report.id, ExecutorState::Draining));
+    assert!(reached);
+    let most = fleet.nodes.iter().map(|node| node.received.messages).max().unwrap_or(0);
+    assert!(most < 600, "{most} messages to one node");
+}
+
+#[test]
+fn a_node_alone_answers_at_once() {
+    let mut fleet = Fleet::new(1, 1);
+    fleet.start(0);
+    let first = report("i-1", 0);
+    fleet.heartbeat(0, &first);
+    let answer = fleet.heartbeat(0, &draining(&first)).answer;
+    fleet.run(Span::millis(10));
+    assert!(fleet.is_told(0, answer));
+}
--- /dev/null
+++ b/crates/registry/tests/fleet/mod.rs
@@ -0,0 +1,448 @@
+//! A fleet of registries in virtual time, with links that lose, double, reorder and cut, and nodes that freeze,
+//! die, restart and are replaced.
+#![allow(dead_code)]
+
+use grebeusher_registry::{
+    Answer, CallToken, Class, Event, Executor, ExecutorState, HeartbeatEffect, HeartbeatReport, Member,
+    MemberState, Message, Registry, Settings, Timings,
+};
+use grebeusher_time::{Moment, Span};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+pub const PORT: u16 = 7_660;
+
+/// What a link does to messages.
+#[derive(Clone, Copy, Debug)]
+pub struct Links {
+    pub shortest: Span,
+    pub longest: Span,
+    /// The share of messages that are lost.
+    pub loss: f64,
+    /// The share that comes twice.
+    pub doubled: f64,
+}
+
+impl Default for Links {
+    fn default() -> Links {
+        Links { shortest: Span::millis(1), longest: Span::millis(6), loss: 0.0, doubled: 0.0 }
+    }
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Traffic {
+    pub messages: u64,
+    pub bytes: u64,
+}
+
+pub struct Node {
+    pub name: String,
+    pub address: SocketAddrV4,
+    pub registry: Option<Registry>,
+    pub frozen: bool,
+    pub sent: Traffic,
+    pub received: Traffic,
+    pub to_nobody: u64,
+    pub told: BTreeMap<CallToken, Moment>,
+    pub events: Vec<(Moment, Event)>,
+    waiting: Vec<(SocketAddrV4, Message)>,
+    wake: Option<Moment>,
+    settings: Settings,
+    starts: u64,
+}
+
+enum Happening {
+    Arrive { from: SocketAddrV4, to: SocketAddrV4, message: Message },
+    Wake(usize),
+    Start(usize),
+}
+
+pub struct Fleet {
+    pub now: Moment,
+    pub nodes: Vec<Node>,
+    pub links: Links,
+    pub random: Pcg64Mcg,
+    cut: BTreeSet<(usize, usize)>,
+    queue: BinaryHeap<Reverse<(Moment, u64)>>,
+    happenings: BTreeMap<u64, Happening>,
+    next: u64,
+    seed: u64,
+}
+
+pub fn address(index: usize) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(10, 1, (index / 250) as u8, (index % 250 + 1) as u8), PORT)
+}
+
+pub fn control(index: usize) -> SocketAddrV4 {
+    SocketAddrV4::new(*address(index).ip(), 8_146)
+}
+
+pub fn zone(index: usize) -> String {
+    format!("zone-{}", index % 4)
+}
+
+pub fn settings(index: usize, seeds: &[usize], storage_from: usize) -> Settings {
+    let edge = index < storage_from;
+    let member = Member {
+        name: format!("{}-{}-{index}", if edge { "edge" } else { "storage" }, zone(index)),
+        address: address(index),
+        incarnation: 1_700_000_000_000 + index as u64,
+        status_version: 0,
+        class: if edge { Class::Edge } else { Class::Storage },
+        zone: zone(index),
+        control: edge.then(|| control(index)),
+        replica: (index < 12 || !edge).then_some(index as u64 + 1),
+        bootstrap: true,
+        state: MemberState::Alive,
+    };
+    Settings { member, seeds: seeds.iter().map(|seed| address(*seed)).collect(), timings: Timings::default() }
+}
+
+impl Fleet {
+    /// `count` nodes, the last eighth of class storage, none of them started.
+    pub fn new(count: usize, seed: u64) -> Fleet {
+        let seeds = [0, 1, 2];
+        let nodes = (0..count).map(|index| Node::new(settings(index, &seeds, count - count / 8))).collect();
+        Fleet {
+            now: Moment(1_000_000_000),
+            nodes,
+            links: Links::default(),
+            random: Pcg64Mcg::seed_from_u64(seed),
+            cut: BTreeSet::new(),
+            queue: BinaryHeap::new(),
+            happenings: BTreeMap::new(),
+            next: 0,
+            seed,
+        }
+    }
+
+    /// A fleet whose nodes all started within 0.3 s and have had time to settle.
+    pub fn settled(count: usize, seed: u64) -> Fleet {
+        let mut fleet = Fleet::new(count, seed);
+        fleet.start_all(Span::millis(300));
+        fleet.run(Span::millis(6_000));
+        fleet.assert_all_agree();
+        fleet
+    }
+
+    pub fn add(&mut self, settings: Settings) -> usize {
+        self.nodes.push(Node::new(settings));
+        self.nodes.len() - 1
+    }
+
+    pub fn start_all(&mut self, within: Span) {
+        for index in 0..self.nodes.len() {
+            let wait = Span(self.random.random_range(0..=within.0));
+            self.start_in(index, wait);
+        }
+    }
+
+    pub fn start_in(&mut self, index: usize, wait: Span) {
+        self.schedule(self.now + wait, Happening::Start(index));
+    }
+
+    pub fn start(&mut self, index: usize) {
+        let node = &mut self.nodes[index];
+        node.starts += 1;
+        let mut settings = node.settings.clone();
+        settings.member.incarnation += (node.starts - 1) * 1_000;
+        settings.member.bootstrap &= node.starts == 1;
+        let seed = self.seed ^ (index as u64) << 32 ^ node.starts;
+        node.registry = Some(Registry::new(settings, seed, self.now));
+        node.frozen = false;
+        node.wake = None;
+        node.told.clear();
+        self.follow(index);
+    }
+
+    /// Starts a node anew under a clock that went back.
+    pub fn start_with_clock_behind(&mut self, index: usize) {
+        self.nodes[index].settings.member.incarnation -= 60_000_000;
+        self.start(index);
+    }
+
+    pub fn kill(&mut self, index: usize) {
+        self.nodes[index].registry = None;
+        self.nodes[index].waiting.clear();
+    }
+
+    pub fn freeze(&mut self, index: usize) {
+        self.nodes[index].frozen = true;
+    }
+
+    pub fn thaw(&mut self, index: usize) {
+        self.nodes[index].frozen = false;
+        // The timers fire before the sockets are read.
+        let now = self.now;
+        self.with(index, |registry| registry.tick(now));
+        for (from, message) in std::mem::take(&mut self.nodes[index].waiting) {
+            self.with(index, |registry| registry.receive(now, from, message));
+        }
+    }
+
+    /// Loses all that `from` sends to `to`.
+    pub fn cut_one_way(&mut self, from: usize, to: usize) {
+        self.cut.insert((from, to));
+    }
+
+    /// Cuts the nodes in `side` off from all others.
+    pub fn cut_off(&mut self, side: &[usize]) {
+        for index in 0..self.nodes.len() {
+            for other in side {
+                if !side.contains(&index) {
+                    self.cut.insert((index, *other));
+                    self.cut.insert((*other, index));
+                }
+            }
+        }
+    }
+
+    pub fn heal(&mut self) {
+        self.cut.clear();
+    }
+
+    pub fn run(&mut self, span: Span) {
+        let until = self.now + span;
+        while let Some(Reverse((at, id))) = self.queue.peek().copied() {
+            if at > until {
+                break;
+            }
+            self.queue.pop();
+            self.now = self.now.max(at);
+            if let Some(happening) = self.happenings.remove(&id) {
+                self.happen(happening);
+            }
+        }
+        self.now = until;
+    }
+
+    /// Runs until `done` holds, looked at every 5 ms; how long that took, or `None` after `within`.
+    pub fn run_until(&mut self, within: Span, mut done: impl FnMut(&Fleet) -> bool) -> Option<Span> {
+        let start = self.now;
+        while !done(self) {
+            if self.now.since(start) >= within {
+                return None;
+            }
+            self.run(Span::millis(5));
+        }
+        Some(self.now.since(start))
+    }
+
+    pub fn registry(&self, index: usize) -> &Registry {
+        self.nodes[index].registry.as_ref().expect("the node runs")
+    }
+
+    /// Calls a registry and does what follows.
+    pub fn with<T>(&mut self, index: usize, call: impl FnOnce(&mut Registry) -> T) -> T {
+        let registry = self.nodes[index].registry.as_mut().expect("the node runs");
+        let result = call(registry);
+        self.follow(index);
+        result
+    }
+
+    pub fn heartbeat(&mut self, index: usize, report: &HeartbeatReport) -> HeartbeatEffect {
+        let now = self.now;
+        self.with(index, |registry| registry.heartbeat(now, report.clone()))
+    }
+
+    pub fn deregister(&mut self, index: usize, id: &str) -> Answer {
+        let now = self.now;
+        self.with(index, |registry| registry.deregister(now, id))
+    }
+
+    pub fn is_told(&self, index: usize, answer: Answer) -> bool {
+        match answer {
+            Answer::Now => true,
+            Answer::WhenTold(token) => self.nodes[index].told.contains_key(&token),
+        }
+    }
+
+    /// The nodes that run.
+    pub fn running(&self) -> Vec<usize> {
+        (0..self.nodes.len()).filter(|index| self.nodes[*index].registry.is_some()).collect()
+    }
+
+    /// The names that a node holds for live.
+    pub fn live(&self, index: usize) -> BTreeSet<String> {
+        self.registry(index).live_members().map(|member| member.name.clone()).collect()
+    }
+
+    pub fn all_know_all(&self) -> bool {
+        let running: BTreeSet<String> =
+            self.running().into_iter().map(|index| self.nodes[index].name.clone()).collect();
+        self.running().into_iter().all(|index| self.live(index) == running)
+    }
+
+    /// Whether all that run show the same executors.
+    pub fn all_show_same_executors(&self) -> bool {
+        let shown = |index| -> Vec<Executor> { self.registry(index).executors().cloned().collect() };
+        let running = self.running();
+        let first = shown(running[0]);
+        running.iter().all(|index| shown(*index) == first)
+    }
+
+    pub fn assert_all_agree(&self) {
+        for index in self.running() {
+            let live = self.live(index);
+            let missing: Vec<&str> = self
+                .running()
+                .into_iter()
+                .map(|other| self.nodes[other].name.as_str())
+                .filter(|name| !live.contains(*name))
+                .collect();
+            assert!(missing.is_empty(), "{} misses {missing:?}", self.nodes[index].name);
+            assert_eq!(
+                live.len(),
+                self.running().len(),
+                "{} holds too many for live",
+                self.nodes[index].name
+            );
+        }
+    }
+
+    pub fn forget_traffic(&mut self) {
+        for node in &mut self.nodes {
+            node.sent = Traffic::default();
+            node.received = Traffic::default();
+            node.to_nobody = 0;
+            node.events.clear();
+        }
+    }
+
+    fn schedule(&mut self, at: Moment, happening: Happening) {
+        self.next += 1;
+        self.happenings.insert(self.next, happening);
+        self.queue.push(Reverse((at, self.next)));
+    }
+
+    fn happen(&mut self, happening: Happening) {
+        let now = self.now;
+        match happening {
+            Happening::Start(index) => self.start(index),
+            Happening::Wake(index) => {
+                let node = &mut self.nodes[index];
+                if node.wake != Some(now) || node.frozen || node.registry.is_none() {
+                    return;
+                }
+                node.wake = None;
+                self.with(index, |registry| registry.tick(now));
+            }
+            Happening::Arrive { from, to, message } => {
+                let Some(index) = self.at(to) else {
+                    return;
+                };
+                if self.nodes[index].frozen {
+                    self.nodes[index].waiting.push((from, message));
+                    return;
+                }
+                self.nodes[index].received.messages += 1;
+                self.nodes[index].received.bytes += message.encode().len() as u64;
+                self.with(index, |registry| registry.receive(now, from, message));
+            }
+        }
+    }
+
+    /// The running node at an address.
+    fn at(&self, address: SocketAddrV4) -> Option<usize> {
+        self.nodes.iter().position(|node| node.address == address && node.registry.is_some())
+    }
+
+    fn follow(&mut self, index: usize) {
+        let now = self.now;
+        let node = &mut self.nodes[index];
+        let Some(registry) = &mut node.registry else {
+            return;
+        };
+        let told = registry.told(now);
+        node.told.extend(told.into_iter().map(|token| (token, now)));
+        let output = registry.take_output();
+        node.events.extend(output.events.into_iter().map(|event| (now, event)));
+        let wake = registry.next_wake().max(now + Span(1));
+        if node.wake.is_none_or(|planned| wake < planned || planned < now) {
+            node.wake = Some(wake);
+            self.schedule(wake, Happening::Wake(index));
+        }
+        for (to, message) in output.messages {
+            self.post(index, to, message);
+        }
+    }
+
+    fn post(&mut self, index: usize, to: SocketAddrV4, message: Message) {
+        let bytes = message.encode();
+        assert!(bytes.len() <= grebeusher_registry::LARGEST_MESSAGE, "a message of {} bytes", bytes.len());
+        let node = &mut self.nodes[index];
+        node.sent.messages += 1;
+        node.sent.bytes += bytes.len() as u64;
+        let from = node.address;
+        let receiver = self.at(to);
+        if receiver.is_none() {
+            self.nodes[index].to_nobody += 1;
+        }
+        let Some(receiver) = receiver else {
+            return;
+        };
+        if self.cut.contains(&(index, receiver)) || self.random.random_bool(self.links.loss) {
+            return;
+        }
+        let times = 1 + usize::from(self.random.random_bool(self.links.doubled));
+        for _ in 0..times {
+            let delay = Span(self.random.random_range(self.links.shortest.0..=self.links.longest.0));
+            self.schedule(self.now + delay, Happening::Arrive { from, to, message: message.clone() });
+        }
+    }
+}
+
+impl Node {
+    fn new(settings: Settings) -> Node {
+        Node {
+            name: settings.member.name.clone(),
+            address: settings.member.address,
+            registry: None,
+            frozen: false,
+            sent: Traffic::default(),
+            received: Traffic::default(),
+            to_nobody: 0,
+            told: BTreeMap::new(),
+            events: Vec::new(),
+            waiting: Vec::new(),
+            wake: None,
+            settings,
+            starts: 0,
+        }
+    }
+
+    /// How often this node saw another die.
+    pub fn deaths_seen(&self) -> usize {
+        let dead = |event: &Event| matches!(event, Event::MemberChanged { state: MemberState::Dead, .. });
+        self.events.iter().filter(|(_, event)| dead(event)).count()
+    }
+}
+
+/// The first call of an executor in the zone of the node `index`.
+pub fn report(id: &str, index: usize) -> HeartbeatReport {
+    HeartbeatReport {
+        id: id.to_owned(),
+        service: "huvo11a".to_owned(),
+        address: SocketAddrV4::new(Ipv4Addr::new(10, 128, 0, 9), 8_080),
+        zone: zone(index),
+        slot_count: 8,
+        config_version: "v1".to_owned(),
+        pipeline_stage: "both".to_owned(),
+        state: ExecutorState::Up,
+        cold_left_ms: 0,
+        call_seq: 1,
+        models: Vec::new(),
+    }
+}
+
+/// The next call of the same executor.
+pub fn next(report: &HeartbeatReport) -> HeartbeatReport {
+    HeartbeatReport { call_seq: report.call_seq + 1, ..report.clone() }
+}
+
+pub fn draining(report: &HeartbeatReport) -> HeartbeatReport {
+    HeartbeatReport { state: ExecutorState::Draining, ..next(report) }
+}
