tier: the outside world of a node behind traits

Clocks, sockets, signals, the settings file and the disk are reached through World, Listener, Stream and PartStore; System is the real one, unchanged in what it does. Node::turn and next_wake are open to whoever steps the loop, so that the same code can run in a simulated world.

--- a/crates/tier/src/main.rs
+++ b/crates/tier/src/main.rs
@@ -4,8 +4,10 @@
 use grebeusher_tier::log_ring::LogRing;
 use grebeusher_tier::node::Node;
 use grebeusher_tier::start::{Start, read_settings};
+use grebeusher_tier::system::System;
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::rc::Rc;
 use tracing::{Level, error};
 
 /// Names the settings file of the process.
@@ -65,7 +67,11 @@
         eprintln!("{SETTINGS_FILE} names no settings file");
         return ExitCode::FAILURE;
     };
-    let started = read_settings(&path).and_then(|settings| Start::open(settings, path)).and_then(Node::new);
+    let started = read_settings(&path).and_then(|settings| {
+        let world = Rc::new(System::open(path)?);
+        Start::open(settings, world)
+    });
+    let started = started.and_then(Node::new);
     let mut node = match started {
         Ok(node) => node,
         Err(error) => {
--- a/crates/tier/src/node.rs
+++ b/crates/tier/src/node.rs
@@ -5,6 +5,7 @@
 use crate::control::RetireGathering;
 use crate::exchange::Exchange;
 use crate::founding::Founder;
+use crate::io::{Listener, SharedWorld, World};
 use crate::items::ItemRuns;
 use crate::parts::PartHost;
 use crate::peers::{IncomingLink, OutgoingLink};
@@ -21,18 +22,15 @@
 use grebeusher_time::{Moment, Span};
 use grebeusher_transport::alarms::Alarms;
 use grebeusher_transport::http::Limits;
-use grebeusher_transport::poller::{Event, Interest, Poller, Registered};
-use grebeusher_transport::signals::Signals;
+use grebeusher_transport::poller::Event;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
 use rustc_hash::FxHashMap;
 use slab::Slab;
 use std::io;
-use std::net::{SocketAddrV4, TcpListener};
-use std::path::PathBuf;
+use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// Keys of the poller. From `FIRST_CONNECTION` on they are connections.
 pub mod keys {
@@ -94,15 +92,12 @@
 /// One process of the tier.
 pub struct Node {
     pub(crate) settings: Settings,
-    pub(crate) settings_path: PathBuf,
-    poller: Rc<Poller>,
-    signals: Registered<Signals>,
-    frontend: Option<Registered<TcpListener>>,
-    readiness: Option<Registered<TcpListener>>,
-    control: Option<Registered<TcpListener>>,
-    pub(crate) internal_listener: Option<Registered<TcpListener>>,
+    pub(crate) world: SharedWorld,
+    frontend: Option<Box<dyn Listener>>,
+    readiness: Option<Box<dyn Listener>>,
+    control: Option<Box<dyn Listener>>,
+    pub(crate) internal_listener: Option<Box<dyn Listener>>,
     pub(crate) internal_address: SocketAddrV4,
-    started: Instant,
     pub(crate) now: Moment,
     random: Pcg64,
     serials: u64,
@@ -140,8 +135,7 @@
 impl Node {
     /// Puts a process together from what its start has read and opened.
     pub fn new(start: Start) -> Result<Node, StartError> {
-        let Start { settings, settings_path, poller, signals, listeners, registry, identity, parts, seed } =
-            start;
+        let Start { settings, world, listeners, registry, identity, parts, seed } = start;
         let founder = Founder::for_settings(&settings);
         let most_connections = listeners.most_connections;
         let mut node = Node {
@@ -154,10 +148,7 @@
             control: listeners.control,
             internal_listener: Some(listeners.internal),
             settings,
-            settings_path,
-            poller,
-            signals,
-            started: Instant::now(),
+            world,
             now: Moment(0),
             random: Pcg64::seed_from_u64(seed),
             serials: 0,
@@ -207,20 +198,23 @@
     /// A disk or the poller fails: the process ends, and starts again from what is on disk.
     pub fn run(&mut self) -> Result<(), RunError> {
         let mut events = Vec::new();
-        self.turn(&mut events)?;
+        self.turn(&events)?;
         while !self.exit {
             let wait = self.next_wake().since(self.now);
-            events.clear();
-            self.poller.wait(Some(Duration::from_nanos(wait.0)), &mut events)?;
-            self.turn(&mut events)?;
+            self.world.wait(wait, &mut events)?;
+            self.turn(&events)?;
         }
         Ok(())
     }
 
-    fn turn(&mut self, events: &mut Vec<Event>) -> Result<(), RunError> {
-        self.now = Moment(self.started.elapsed().as_nanos() as u64);
-        for event in events.drain(..) {
-            self.handle(event);
+    /// One turn of the loop: what has happened, what fell due, and all that follows from it.
+    ///
+    /// # Errors
+    /// A disk fails: the process ends.
+    pub fn turn(&mut self, events: &[Event]) -> Result<(), RunError> {
+        self.now = self.world.now();
+        for event in events {
+            self.handle(*event);
         }
         while let Some(timer) = self.alarms.due(self.now) {
             self.timer(timer);
@@ -236,7 +230,8 @@
         Ok(())
     }
 
-    fn next_wake(&self) -> Moment {
+    /// When the loop turns next if nothing happens before.
+    pub fn next_wake(&self) -> Moment {
         let mut wake = self.now + LONGEST_WAIT;
         if let Some(alarm) = self.alarms.next_at() {
             wake = wake.min(alarm);
@@ -301,11 +296,11 @@
     }
 
     fn signalled(&mut self) {
-        self.signals.get().drain();
-        if self.signals.get().told_to_reload() {
+        let signalled = self.world.signals();
+        if signalled.reload {
             self.reload_settings();
         }
-        if self.signals.get().told_to_stop() && self.stopping_since.is_none() {
+        if signalled.stop && self.stopping_since.is_none() {
             self.stopping_since = Some(self.now);
             self.begin_to_stop();
         }
@@ -318,6 +313,11 @@
         self.hand_over_parts();
     }
 
+    /// Whether the process is to end now.
+    pub fn is_over(&self) -> bool {
+        self.exit
+    }
+
     /// Whether the process was told to stop.
     pub fn stopping(&self) -> bool {
         self.stopping_since.is_some()
@@ -337,13 +337,13 @@
     /// Adds a connection that `open` makes under the key that it is given. Its place.
     pub(crate) fn add_connection(
         &mut self,
-        open: impl FnOnce(&Rc<Poller>, usize) -> io::Result<Socket>,
+        open: impl FnOnce(&dyn World, usize) -> io::Result<Socket>,
         role: Role,
     ) -> io::Result<usize> {
         let serial = self.next_serial();
         let entry = self.connections.vacant_entry();
         let index = entry.key();
-        let socket = open(&self.poller, keys::FIRST_CONNECTION + index)?;
+        let socket = open(&*self.world, keys::FIRST_CONNECTION + index)?;
         entry.insert(Connection { socket, role, serial });
         Ok(index)
     }
@@ -404,13 +404,13 @@
         }
     }
 
-    pub(crate) fn listener(&self, entrance: Entrance) -> Option<&TcpListener> {
+    pub(crate) fn listener(&self, entrance: Entrance) -> Option<&dyn Listener> {
         let listener = match entrance {
             Entrance::Frontend => &self.frontend,
             Entrance::Readiness => &self.readiness,
             Entrance::Control => &self.control,
         };
-        listener.as_ref().map(Registered::get)
+        listener.as_deref()
     }
 
     /// A number in 0..1.
@@ -420,7 +420,7 @@
 
     /// The time of day, in milliseconds since 1970.
     pub(crate) fn wall_ms(&self) -> u64 {
-        SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
+        self.world.wall_ms()
     }
 }
 
@@ -450,6 +450,3 @@
         reason: String,
     },
 }
-
-/// Interest in a listener.
-pub const LISTENING: Interest = Interest::READABLE;
--- a/crates/tier/src/parts.rs
+++ b/crates/tier/src/parts.rs
@@ -2,12 +2,12 @@
 
 use crate::batch_part::BatchPart;
 use crate::configuration_part::ConfigurationPart;
+use crate::io::{PartStore, World};
 use crate::messages::{Channel, QuorumEnvelope, Reply};
 use crate::node::{Node, RunError};
 use crate::placement::{Candidate, best_joiner};
 use crate::timers::Timer;
-use grebeusher_quorum::disk::Store;
-use grebeusher_quorum::{Index, Replica, ReplicaId, Restored, Term, Timing};
+use grebeusher_quorum::{Index, Replica, ReplicaId, Term, Timing};
 use grebeusher_registry::{Class, MemberState};
 use grebeusher_time::{Moment, Span};
 use nanoserde::{DeBin, SerBin};
@@ -45,7 +45,7 @@
     pub part: u8,
     /// Its agreement.
     pub replica: Replica,
-    store: Store,
+    store: Box<dyn PartStore>,
     /// Its state.
     pub application: Application,
     /// Calls by the proposal that settles them.
@@ -65,6 +65,7 @@
     /// # Errors
     /// The disk refuses, or the state on it can't be read.
     pub fn open(
+        world: &dyn World,
         data: &Path,
         part: u8,
         identity: ReplicaId,
@@ -73,8 +74,8 @@
         seed: u64,
     ) -> Result<PartHost, RunError> {
         let folder = data.join(format!("part-{part}"));
-        let (store, restored): (Store, Restored) =
-            Store::open(&folder).map_err(|source| RunError::Disk { part, source })?;
+        let (store, restored) =
+            world.open_store(&folder).map_err(|source| RunError::Disk { part, source })?;
         let replica = Replica::new(identity, restored, timing(part), seed, Moment(0));
         Ok(PartHost {
             part,
--- a/crates/tier/src/peers.rs
+++ b/crates/tier/src/peers.rs
@@ -1,11 +1,12 @@
 //! Links to the other nodes: one outgoing connection to each node that is spoken to, incoming ones from any.
 
+use crate::io::Accepted;
 use crate::messages::Channel;
 use crate::node::{Node, Role};
 use crate::socket::{Reading, Socket};
 use grebeusher_time::{Moment, Span};
 use grebeusher_transport::link::{self, Frame, FrameDecoder, Hello};
-use std::net::{SocketAddrV4, TcpStream};
+use std::net::SocketAddrV4;
 use tracing::debug;
 
 /// A link that has not come up by then is given up, with all that waits on it.
@@ -88,8 +89,7 @@
             return None;
         }
         let outgoing = OutgoingLink { address: to, moved: now, waiting: 0, used: now };
-        let added =
-            self.add_connection(|poller, key| Socket::dial(poller, to, key), Role::Outgoing(outgoing));
+        let added = self.add_connection(|world, key| Socket::dial(world, to, key), Role::Outgoing(outgoing));
         match added {
             Ok(index) => {
                 self.links.insert(to, index);
@@ -165,17 +165,16 @@
     pub fn accept_links(&mut self) {
         for _ in 0..64 {
             let Some(listener) = &self.internal_listener else { return };
-            match listener.get().accept() {
-                Ok((stream, _)) => self.admit_link(stream),
+            match listener.accept() {
+                Ok(arrival) => self.admit_link(arrival),
                 Err(_) => return,
             }
         }
     }
 
-    fn admit_link(&mut self, stream: TcpStream) {
+    fn admit_link(&mut self, arrival: Box<dyn Accepted>) {
         let incoming = IncomingLink { decoder: FrameDecoder::default(), peer: None };
-        let _ = self
-            .add_connection(|poller, key| Socket::accepted(poller, stream, key), Role::Incoming(incoming));
+        let _ = self.add_connection(|_, key| Socket::accepted(arrival, key), Role::Incoming(incoming));
     }
 
     /// Frames have come.
--- a/crates/tier/src/server.rs
+++ b/crates/tier/src/server.rs
@@ -2,13 +2,13 @@
 //! passed to the dispatch of the address that they came to.
 
 use crate::exchange::ClientRequest;
+use crate::io::Accepted;
 use crate::node::{Node, Role};
 use crate::socket::{Reading, Socket};
 use crate::upstream::MOST_UNWRITTEN;
 use grebeusher_time::{Moment, Span};
 use grebeusher_transport::body::{self, BodyReader, Framing};
 use grebeusher_transport::http::{self, Limits, Malformed, RequestHead};
-use std::net::TcpStream;
 
 /// Most connections that one turn of the loop takes in.
 const ACCEPTED_AT_ONCE: usize = 64;
@@ -53,13 +53,13 @@
         for _ in 0..ACCEPTED_AT_ONCE {
             let Some(listener) = self.listener(entrance) else { return };
             match listener.accept() {
-                Ok((stream, _)) => self.admit(entrance, stream),
+                Ok(arrival) => self.admit(entrance, arrival),
                 Err(_) => return,
             }
         }
     }
 
-    fn admit(&mut self, entrance: Entrance, stream: TcpStream) {
+    fn admit(&mut self, entrance: Entrance, arrival: Box<dyn Accepted>) {
         if self.connections.len() >= self.most_connections && entrance == Entrance::Frontend {
             self.counters.connections_refused += 1;
             return;
@@ -71,8 +71,7 @@
             closes: false,
             holds_back: None,
         };
-        let added = self
-            .add_connection(|poller, key| Socket::accepted(poller, stream, key), Role::Server(connection));
+        let added = self.add_connection(|_, key| Socket::accepted(arrival, key), Role::Server(connection));
         if let Ok(index) = added {
             // What the client sent with its first packet is often there already.
             self.server_readable(index);
--- a/crates/tier/src/socket.rs
+++ b/crates/tier/src/socket.rs
@@ -1,10 +1,9 @@
 //! One TCP connection: its socket, what was read and is not yet understood, and what waits to be written.
 
-use grebeusher_transport::poller::{Interest, Poller, Registered};
-use grebeusher_transport::socket;
-use std::io::{self, ErrorKind, Read, Write};
-use std::net::{SocketAddrV4, TcpStream};
-use std::rc::Rc;
+use crate::io::{Accepted, Stream, World};
+use grebeusher_transport::poller::Interest;
+use std::io::{self, ErrorKind};
+use std::net::SocketAddrV4;
 
 /// How much one turn of the loop reads from one connection, so that others have theirs.
 const MOST_READ_AT_ONCE: usize = 256 * 1024;
@@ -22,9 +21,9 @@
     Ended { bytes: usize },
 }
 
-/// A non-blocking connection under the poller.
+/// A non-blocking connection.
 pub struct Socket {
-    stream: Registered<TcpStream>,
+    stream: Box<dyn Stream>,
     input: Vec<u8>,
     output: Vec<u8>,
     written: usize,
@@ -35,10 +34,8 @@
 
 impl Socket {
     /// Takes over an accepted connection.
-    pub fn accepted(poller: &Rc<Poller>, stream: TcpStream, key: usize) -> io::Result<Socket> {
-        stream.set_nonblocking(true)?;
-        stream.set_nodelay(true)?;
-        let stream = poller.register(stream, key, Interest::READABLE)?;
+    pub fn accepted(arrival: Box<dyn Accepted>, key: usize) -> io::Result<Socket> {
+        let stream = arrival.watch(key)?;
         Ok(Socket {
             stream,
             input: Vec::new(),
@@ -50,9 +47,8 @@
     }
 
     /// Begins to connect.
-    pub fn dial(poller: &Rc<Poller>, address: SocketAddrV4, key: usize) -> io::Result<Socket> {
-        let stream = socket::dial(address)?;
-        let stream = poller.register(stream, key, Interest::WRITABLE)?;
+    pub fn dial(world: &dyn World, address: SocketAddrV4, key: usize) -> io::Result<Socket> {
+        let stream = world.dial(address, key)?;
         Ok(Socket {
             stream,
             input: Vec::new(),
@@ -76,17 +72,12 @@
         if !self.connecting {
             return Ok(true);
         }
-        if let Some(error) = self.stream.get().take_error()? {
-            return Err(error);
-        }
-        match self.stream.get().peer_addr() {
-            Ok(_) => {
-                self.connecting = false;
-                self.update_interest()?;
-                Ok(true)
-            }
-            Err(_) => Ok(false),
+        if !self.stream.connected()? {
+            return Ok(false);
         }
+        self.connecting = false;
+        self.update_interest()?;
+        Ok(true)
     }
 
     /// Reads what there is, up to a bound for one turn.
@@ -95,7 +86,7 @@
         while bytes < MOST_READ_AT_ONCE {
             let filled = self.input.len();
             self.input.resize(filled + READ_STEP, 0);
-            let read = self.stream.get().read(&mut self.input[filled..]);
+            let read = self.stream.read(&mut self.input[filled..]);
             self.input.truncate(filled + *read.as_ref().unwrap_or(&0));
             match read {
                 Ok(0) => return Ok(Reading::Ended { bytes }),
@@ -157,7 +148,7 @@
             return Ok(());
         }
         while self.written < self.output.len() {
-            match self.stream.get().write(&self.output[self.written..]) {
+            match self.stream.write(&self.output[self.written..]) {
                 Ok(0) => return Err(ErrorKind::WriteZero.into()),
                 Ok(count) => self.written += count,
                 Err(error) if error.kind() == ErrorKind::WouldBlock => break,
@@ -193,8 +184,7 @@
     }
 
     /// Says that nothing more will be written.
-    pub fn end_writing(&self) {
-        // The peer may have gone already; the connection is closed next in any case.
-        let _ = self.stream.get().shutdown(std::net::Shutdown::Write);
+    pub fn end_writing(&mut self) {
+        self.stream.end_writing();
     }
 }
--- a/crates/tier/src/start.rs
+++ b/crates/tier/src/start.rs
@@ -4,23 +4,18 @@
 use crate::batch_part::BatchPart;
 use crate::configuration_part::ConfigurationPart;
 use crate::control::CONFIGURATION_PART;
-use crate::node::{LISTENING, RunError, keys};
+use crate::io::{Listener, SharedWorld, World};
+use crate::node::{RunError, keys};
 use crate::parts::{Application, PartHost};
 use grebeusher_catalog::settings::{MachineClass, Settings, SettingsError};
 use grebeusher_quorum::ReplicaId;
-use grebeusher_quorum::disk::{Identity, StoreError};
+use grebeusher_quorum::disk::StoreError;
 use grebeusher_registry::{Class, Member, MemberState, Registry, Timings};
 use grebeusher_time::{Moment, Span};
-use grebeusher_transport::listen::listen;
-use grebeusher_transport::poller::{Poller, Registered};
-use grebeusher_transport::signals::Signals;
-use rand::Rng;
 use snafu::{ResultExt, Snafu};
 use std::io;
-use std::net::{SocketAddrV4, TcpListener};
+use std::net::SocketAddrV4;
 use std::path::{Path, PathBuf};
-use std::rc::Rc;
-use std::time::{SystemTime, UNIX_EPOCH};
 
 /// Descriptors that are kept for links, executors and the disk.
 const KEPT_DESCRIPTORS: u64 = 600;
@@ -35,12 +30,8 @@
 pub struct Start {
     /// Its settings.
     pub settings: Settings,
-    /// Where they came from.
-    pub settings_path: PathBuf,
-    /// The poller of its loop.
-    pub poller: Rc<Poller>,
-    /// Its signals.
-    pub signals: Registered<Signals>,
+    /// All that is outside.
+    pub world: SharedWorld,
     /// Its addresses.
     pub listeners: Listeners,
     /// Members and executors: only itself so far.
@@ -56,13 +47,13 @@
 /// The addresses that a process listens at.
 pub struct Listeners {
     /// Clients.
-    pub frontend: Option<Registered<TcpListener>>,
+    pub frontend: Option<Box<dyn Listener>>,
     /// The platform's checks.
-    pub readiness: Option<Registered<TcpListener>>,
+    pub readiness: Option<Box<dyn Listener>>,
     /// Executors and operators.
-    pub control: Option<Registered<TcpListener>>,
+    pub control: Option<Box<dyn Listener>>,
     /// Other nodes.
-    pub internal: Registered<TcpListener>,
+    pub internal: Box<dyn Listener>,
     /// The address that other nodes know it by.
     pub internal_address: SocketAddrV4,
     /// How many connections clients may make the process hold.
@@ -99,7 +90,7 @@
         /// What the system says.
         source: io::Error,
     },
-    /// The poller or the signals can't be had.
+    /// The system's side of the loop can't be had.
     #[snafu(display("the loop: {source}"), context(false))]
     Loop {
         /// What the system says.
@@ -133,25 +124,21 @@
     ///
     /// # Errors
     /// An address, the disk or the loop can't be had.
-    pub fn open(settings: Settings, settings_path: PathBuf) -> Result<Start, StartError> {
-        let seed: u64 = rand::rng().random();
-        let poller = Rc::new(Poller::new()?);
-        let signals = poller.register(Signals::catch()?, keys::SIGNALS, LISTENING)?;
-        let listeners = Listeners::open(&settings, &poller)?;
-        let (identity, parts) = open_parts(&settings, seed)?;
-        let registry = open_registry(&settings, &listeners, identity, seed);
-        Ok(Start { settings, settings_path, poller, signals, listeners, registry, identity, parts, seed })
+    pub fn open(settings: Settings, world: SharedWorld) -> Result<Start, StartError> {
+        let seed = world.random();
+        let listeners = Listeners::open(&settings, &*world)?;
+        let (identity, parts) = open_parts(&settings, &*world, seed)?;
+        let registry = open_registry(&settings, &*world, &listeners, identity, seed);
+        Ok(Start { settings, world, listeners, registry, identity, parts, seed })
     }
 }
 
 impl Listeners {
-    fn open(settings: &Settings, poller: &Rc<Poller>) -> Result<Listeners, StartError> {
+    fn open(settings: &Settings, world: &dyn World) -> Result<Listeners, StartError> {
         let port = settings.internal_ports.port(0).ok_or(StartError::NoInternalPort)?;
         let internal_address = SocketAddrV4::new(settings.ip_address, port);
-        let open = |address: SocketAddrV4, key: usize| -> Result<Registered<TcpListener>, StartError> {
-            let listener = listen(address.into()).context(ListenSnafu { address })?;
-            Ok(poller.register(listener, key, LISTENING)?)
-        };
+        let open =
+            |address: SocketAddrV4, key: usize| world.listen(address, key).context(ListenSnafu { address });
         let optional = |address: Option<SocketAddrV4>, key| address.map(|at| open(at, key)).transpose();
         let descriptors = settings.limits.file_descriptors;
         Ok(Listeners {
@@ -174,12 +161,16 @@
     }
 }
 
-fn open_parts(settings: &Settings, seed: u64) -> Result<(Option<ReplicaId>, Vec<PartHost>), StartError> {
+fn open_parts(
+    settings: &Settings,
+    world: &dyn World,
+    seed: u64,
+) -> Result<(Option<ReplicaId>, Vec<PartHost>), StartError> {
     let data = match &settings.data_path {
         Some(data) if settings.quorum_member => data,
         _ => return Ok((None, Vec::new())),
     };
-    let identity = Identity::load_or_create(data, rand::rng().random()).context(DiskIdentitySnafu)?;
+    let identity = world.identity(data).context(DiskIdentitySnafu)?;
     let disk = settings.limits.disk_mb.unwrap_or(64) as usize * 1024 * 1024;
     let memory = settings.limits.memory_mb as usize * 1024 * 1024;
     let mut parts = Vec::new();
@@ -191,18 +182,18 @@
             let jobs = BatchPart::new(memory / JOBS_MEMORY_SHARE, seed);
             (Application::Batch(Box::new(jobs)), disk / BATCH_LOG_SHARE)
         };
-        parts.push(PartHost::open(data, part, identity.id, application, compact_at, seed)?);
+        parts.push(PartHost::open(world, data, part, identity.id, application, compact_at, seed)?);
     }
     Ok((Some(identity.id), parts))
 }
 
 fn open_registry(
     settings: &Settings,
+    world: &dyn World,
     listeners: &Listeners,
     identity: Option<ReplicaId>,
     seed: u64,
 ) -> Registry {
-    let wall_ms = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64;
     let class = match settings.machine_class {
         MachineClass::Storage => Class::Storage,
         MachineClass::Edge | MachineClass::Other(_) => Class::Edge,
@@ -210,7 +201,7 @@
     let member = Member {
         name: settings.node_name.as_str().to_owned(),
         address: listeners.internal_address,
-        incarnation: wall_ms,
+        incarnation: world.wall_ms(),
         status_version: 0,
         class,
         zone: settings.zone.as_str().to_owned(),
--- a/crates/tier/src/stop.rs
+++ b/crates/tier/src/stop.rs
@@ -13,7 +13,7 @@
 impl Node {
     /// Reads the settings file anew. One that can't be read changes nothing.
     pub fn reload_settings(&mut self) {
-        let read = std::fs::read_to_string(&self.settings_path).map_err(|error| error.to_string());
+        let read = self.world.settings().map_err(|error| error.to_string());
         match read.and_then(|text| Settings::read(&text).map_err(|error| error.to_string())) {
             Ok(settings) => {
                 // Addresses, name and disk are the process's for its life.
--- /dev/null
+++ b/crates/tier/src/system.rs
@@ -0,0 +1,148 @@
+//! The real world of a process: the poller's sockets, the system's clocks and files.
+
+use crate::io::{Accepted, Listener, PartStore, Signalled, Stream, World};
+use crate::node::keys;
+use grebeusher_quorum::disk::{Identity, Store, StoreError};
+use grebeusher_quorum::{Restored, Write};
+use grebeusher_time::{Moment, Span};
+use grebeusher_transport::listen::listen;
+use grebeusher_transport::poller::{Event, Interest, Poller, Registered};
+use grebeusher_transport::signals::Signals;
+use grebeusher_transport::socket;
+use rand::Rng;
+use std::io::{self, Read, Write as _};
+use std::net::{SocketAddrV4, TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// The world of a process of the operating system.
+pub struct System {
+    poller: Rc<Poller>,
+    signals: Registered<Signals>,
+    started: Instant,
+    settings_path: PathBuf,
+}
+
+impl System {
+    /// The world of this process, whose settings are in a file. From here on signals no longer end it.
+    ///
+    /// # Errors
+    /// The system has no descriptors left.
+    pub fn open(settings_path: PathBuf) -> io::Result<System> {
+        let poller = Rc::new(Poller::new()?);
+        let signals = poller.register(Signals::catch()?, keys::SIGNALS, Interest::READABLE)?;
+        Ok(System { poller, signals, started: Instant::now(), settings_path })
+    }
+}
+
+impl World for System {
+    fn now(&self) -> Moment {
+        Moment(self.started.elapsed().as_nanos() as u64)
+    }
+
+    fn wall_ms(&self) -> u64 {
+        SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
+    }
+
+    fn random(&self) -> u64 {
+        rand::rng().random()
+    }
+
+    fn wait(&self, span: Span, events: &mut Vec<Event>) -> io::Result<()> {
+        self.poller.wait(Some(Duration::from_nanos(span.0)), events)
+    }
+
+    fn listen(&self, address: SocketAddrV4, key: usize) -> io::Result<Box<dyn Listener>> {
+        let listener = self.poller.register(listen(address.into())?, key, Interest::READABLE)?;
+        Ok(Box::new(TcpEntrance { poller: self.poller.clone(), listener }))
+    }
+
+    fn dial(&self, address: SocketAddrV4, key: usize) -> io::Result<Box<dyn Stream>> {
+        let stream = self.poller.register(socket::dial(address)?, key, Interest::WRITABLE)?;
+        Ok(Box::new(TcpConnection(stream)))
+    }
+
+    fn signals(&self) -> Signalled {
+        let signals = self.signals.get();
+        signals.drain();
+        Signalled { stop: signals.told_to_stop(), reload: signals.told_to_reload() }
+    }
+
+    fn settings(&self) -> io::Result<String> {
+        std::fs::read_to_string(&self.settings_path)
+    }
+
+    fn identity(&self, folder: &Path) -> Result<Identity, StoreError> {
+        Identity::load_or_create(folder, self.random())
+    }
+
+    fn open_store(&self, folder: &Path) -> Result<(Box<dyn PartStore>, Restored), StoreError> {
+        let (store, restored) = Store::open(folder)?;
+        Ok((Box::new(store), restored))
+    }
+}
+
+impl PartStore for Store {
+    fn write(&mut self, writes: &[Write]) -> Result<(), StoreError> {
+        Store::write(self, writes)
+    }
+
+    fn sync(&mut self) -> Result<(), StoreError> {
+        Store::sync(self)
+    }
+}
+
+struct TcpEntrance {
+    poller: Rc<Poller>,
+    listener: Registered<TcpListener>,
+}
+
+impl Listener for TcpEntrance {
+    fn accept(&self) -> io::Result<Box<dyn Accepted>> {
+        let (stream, _) = self.listener.get().accept()?;
+        Ok(Box::new(TcpArrival { poller: self.poller.clone(), stream }))
+    }
+}
+
+struct TcpArrival {
+    poller: Rc<Poller>,
+    stream: TcpStream,
+}
+
+impl Accepted for TcpArrival {
+    fn watch(self: Box<Self>, key: usize) -> io::Result<Box<dyn Stream>> {
+        self.stream.set_nonblocking(true)?;
+        self.stream.set_nodelay(true)?;
+        let stream = self.poller.register(self.stream, key, Interest::READABLE)?;
+        Ok(Box::new(TcpConnection(stream)))
+    }
+}
+
+struct TcpConnection(Registered<TcpStream>);
+
+impl Stream for TcpConnection {
+    fn read(&mut self, bytes: &mut [u8]) -> io::Result<usize> {
+        self.0.get().read(bytes)
+    }
+
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0.get().write(bytes)
+    }
+
+    fn connected(&mut self) -> io::Result<bool> {
+        match self.0.get().take_error()? {
+            Some(error) => Err(error),
+            None => Ok(self.0.get().peer_addr().is_ok()),
+        }
+    }
+
+    fn set_interest(&mut self, interest: Interest) -> io::Result<()> {
+        self.0.set_interest(interest)
+    }
+
+    fn end_writing(&mut self) {
+        // The peer may have gone already; the connection is closed next in any case.
+        let _ = self.0.get().shutdown(std::net::Shutdown::Write);
+    }
+}
--- a/crates/tier/src/upstream.rs
+++ b/crates/tier/src/upstream.rs
@@ -370,7 +370,7 @@
 
     fn dial_upstream(&mut self, address: SocketAddrV4, upstream: Upstream) -> std::io::Result<usize> {
         self.add_connection(
-            |poller, key| Socket::dial(poller, address, key),
+            |world, key| Socket::dial(world, address, key),
             crate::node::Role::Upstream(upstream),
         )
     }
