--- /dev/null
+++ b/crates/quorum/tests/codec.rs
@@ -0,0 +1,228 @@
+//! The binary form of messages: whole, cut, bent and made up.
+
+use grebeusher_quorum::{
+    Append, AppendReply, Blob, Body, Candidacy, Chunk, ChunkReply, DecodeError, Entry, Founding, Group,
+    Index, MAX_MESSAGE, Message, Outcome, Payload, Position, Replica, ReplicaId, Restored, Stamp, Term,
+    VoteReply, decode, encode,
+};
+use grebeusher_time::{Moment, Span};
+use proptest::collection::vec;
+use proptest::prelude::*;
+
+fn group() -> impl Strategy<Value = Group> {
+    (vec(1..9u64, 1..5), vec(1..9u64, 0..4)).prop_map(|(voters, outgoing)| {
+        let list = |ids: Vec<u64>| Group::of(ids.into_iter().map(ReplicaId)).voters;
+        Group { voters: list(voters), outgoing: list(outgoing) }
+    })
+}
+
+fn payload() -> impl Strategy<Value = Payload> {
+    prop_oneof![
+        Just(Payload::Opening),
+        group().prop_map(Payload::Group),
+        vec(any::<u8>(), 0..40).prop_map(|bytes| Payload::Command(Blob::from(bytes))),
+    ]
+}
+
+fn position() -> impl Strategy<Value = Position> + Clone {
+    (0..6u64, 0..12u64).prop_map(|(term, index)| Position { term: Term(term), index: Index(index) })
+}
+
+fn append() -> impl Strategy<Value = Append> {
+    (position(), 0..20u64, 0..50u64, vec((payload(), 0..2u64), 0..5)).prop_map(
+        |(previous, commit, sent, payloads)| {
+            let mut last = previous;
+            let entries = payloads.into_iter().map(|(payload, later)| {
+                last = Position { term: Term(last.term.0 + later), index: last.index.next() };
+                Entry { index: last.index, term: last.term, payload }
+            });
+            Append { previous, entries: entries.collect(), commit: Index(commit), sent: Stamp(sent) }
+        },
+    )
+}
+
+fn chunk() -> impl Strategy<Value = Chunk> {
+    (position(), group(), vec(any::<u8>(), 0..40), 0..30u64, 0..30u64).prop_map(
+        |(last, group, bytes, offset, rest)| {
+            let total = offset + bytes.len() as u64 + rest;
+            let last = Position { index: last.index.next(), ..last };
+            Chunk { last, group, total, offset, bytes: Blob::from(bytes), sent: Stamp(3) }
+        },
+    )
+}
+
+fn outcome() -> impl Strategy<Value = Outcome> {
+    prop_oneof![
+        (0..20u64).prop_map(|index| Outcome::Matched(Index(index))),
+        (0..20u64, 0..20u64)
+            .prop_map(|(refused, hint)| { Outcome::Conflict { refused: Index(refused), hint: Index(hint) } }),
+        Just(Outcome::Outdated),
+    ]
+}
+
+fn body() -> impl Strategy<Value = Body> {
+    let candidacy =
+        (position(), any::<bool>()).prop_map(|(last, handed_over)| Candidacy { last, handed_over });
+    let reply = any::<bool>().prop_map(|granted| VoteReply { granted });
+    prop_oneof![
+        1 => candidacy.clone().prop_map(Body::PreVote),
+        1 => reply.clone().prop_map(Body::PreVoteReply),
+        1 => candidacy.prop_map(Body::Vote),
+        1 => reply.prop_map(Body::VoteReply),
+        4 => append().prop_map(Body::Append),
+        2 => outcome().prop_map(|outcome| Body::AppendReply(AppendReply { outcome, sent: Stamp(3) })),
+        2 => chunk().prop_map(Body::Chunk),
+        1 => (position(), 0..40u64).prop_map(|(last, received)| {
+            Body::ChunkReply(ChunkReply { last, received, sent: Stamp(3) })
+        }),
+        1 => Just(Body::TakeOver),
+    ]
+}
+
+const FOUNDING: Founding = Founding(77);
+
+fn message() -> impl Strategy<Value = Message> {
+    (2..5u64, 1..12u64, body()).prop_map(|(from, term, body)| Message {
+        from: ReplicaId(from),
+        to: ReplicaId(1),
+        founding: FOUNDING,
+        term: Term(term),
+        body,
+    })
+}
+
+/// What a test does with a replica.
+#[derive(Clone, Debug)]
+enum Step {
+    Receive(Message),
+    Wait(u64),
+    Work,
+    Propose,
+    Compact,
+    Change(Vec<u64>),
+    HandOver,
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        8 => message().prop_map(Step::Receive),
+        2 => (0..500u64).prop_map(Step::Wait),
+        2 => Just(Step::Work),
+        1 => Just(Step::Propose),
+        1 => Just(Step::Compact),
+        1 => vec(1..6u64, 0..4).prop_map(Step::Change),
+        1 => Just(Step::HandOver),
+    ]
+}
+
+fn timing() -> grebeusher_quorum::Timing {
+    grebeusher_quorum::Timing {
+        heartbeat: Span::millis(20),
+        election_min: Span::millis(200),
+        election_max: Span::millis(400),
+        lease: Span::millis(150),
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::with_cases(1_000) })]
+
+    #[test]
+    fn a_message_is_read_as_it_was_written(message in message()) {
+        let bytes = encode(&message);
+        // Made-up terms may lie below those of the entries; such a message is refused as a whole.
+        match decode(&bytes) {
+            Ok(read) => prop_assert_eq!(read, message),
+            Err(error) => prop_assert!(matches!(error, DecodeError::Implausible)),
+        }
+    }
+
+    #[test]
+    fn arbitrary_bytes_are_refused_or_read_without_a_panic(bytes in vec(any::<u8>(), 0..300)) {
+        let _ = decode(&bytes);
+    }
+
+    #[test]
+    fn a_bent_message_does_no_harm(message in message(), bends in vec((any::<prop::sample::Index>(), any::<u8>()), 1..4), cut in any::<prop::sample::Index>()) {
+        let mut bytes = encode(&message);
+        for (at, value) in bends {
+            let at = at.index(bytes.len());
+            bytes[at] = value;
+        }
+        let _ = decode(&bytes);
+        bytes.truncate(cut.index(bytes.len()));
+        let _ = decode(&bytes);
+    }
+
+    /// Whatever arrives, in whatever order: no panic, and what a replica takes for decided only grows.
+    #[test]
+    fn no_message_brings_a_replica_down(steps in vec(step(), 1..60), seed in any::<u64>()) {
+        let hard = grebeusher_quorum::HardState { term: Term(1), founding: Some(FOUNDING), ..Default::default() };
+        let voters = Group::of((1..4).map(ReplicaId));
+        let entry = Entry { index: Index(1), term: Term(1), payload: Payload::Group(voters) };
+        let restored = Restored { hard, snapshot: None, entries: vec![entry] };
+        let mut now = Moment(0);
+        let mut replica = Replica::new(ReplicaId(1), restored, timing(), seed, now);
+        let mut commit = Index(0);
+        for step in steps {
+            match step {
+                Step::Receive(message) => replica.receive(now, message.from, message),
+                Step::Wait(ms) => {
+                    now = now + Span::millis(ms);
+                    replica.tick(now);
+                }
+                Step::Work => {
+                    let _ = replica.take_ready();
+                    replica.synced();
+                }
+                Step::Propose => drop(replica.propose(now, vec![1, 2, 3]).is_ok()),
+                Step::Compact => drop(replica.compact(replica.commit_index(), vec![5; 30]).is_ok()),
+                Step::Change(voters) => {
+                    let _ = replica.change_group(now, voters.into_iter().map(ReplicaId).collect());
+                }
+                Step::HandOver => drop(replica.hand_over(now, None).is_ok()),
+            }
+            prop_assert!(replica.commit_index() >= commit);
+            commit = replica.commit_index();
+            prop_assert!(commit <= replica.last().index);
+            let _ = (replica.has_ready(), replica.next_wake(), replica.lease_holds(now));
+        }
+    }
+}
+
+#[test]
+fn a_list_that_claims_more_than_the_message_holds_is_refused_before_room_is_made() {
+    // Given an append whose count of entries is bent to the most that fits its field
+    let append =
+        Append { previous: Position::default(), commit: Index(0), sent: Stamp(0), entries: Vec::new() };
+    let message = Message {
+        from: ReplicaId(2),
+        to: ReplicaId(1),
+        founding: FOUNDING,
+        term: Term(1),
+        body: Body::Append(append),
+    };
+    let mut bytes = encode(&message);
+    let count = bytes.len() - 4;
+    bytes[count..].copy_from_slice(&u32::MAX.to_le_bytes());
+    // Then it is refused; room for the entries would be hundreds of gigabytes, and the test would not end
+    assert!(matches!(decode(&bytes), Err(DecodeError::Malformed { .. })));
+}
+
+#[test]
+fn too_long_and_trailing_bytes_are_refused() {
+    let message = Message {
+        from: ReplicaId(2),
+        to: ReplicaId(1),
+        founding: FOUNDING,
+        term: Term(1),
+        body: Body::TakeOver,
+    };
+    let mut bytes = encode(&message);
+    bytes.push(0);
+    assert!(matches!(decode(&bytes), Err(DecodeError::Trailing { extra: 1 })));
+    bytes.resize(MAX_MESSAGE + 1, 0);
+    assert!(matches!(decode(&bytes), Err(DecodeError::TooLarge { .. })));
+    let far = Message { term: Term(u64::MAX), ..message };
+    assert!(matches!(decode(&encode(&far)), Err(DecodeError::Implausible)));
+}
--- /dev/null
+++ b/crates/quorum/tests/disk.rs
@@ -0,0 +1,531 @@
+//! The files on disk: restarts, torn ends, unfinished generations, full disks and damage.
+
+use std::path::{Path, PathBuf};
+use std::process::Command;
+
+use grebeusher_quorum::disk::{Identity, Store, StoreError};
+use grebeusher_quorum::{
+    Blob, Entry, Founding, Group, HardState, Index, Payload, Position, Replica, ReplicaId, Restored,
+    Snapshot, Term, Timing, Write,
+};
+use grebeusher_time::{Moment, Span};
+use proptest::collection::vec;
+use proptest::prelude::*;
+use rstest::rstest;
+
+fn hard(term: u64) -> HardState {
+    HardState {
+        term: Term(term),
+        voted: Some(ReplicaId(term)),
+        founding: Some(Founding(9)),
+        commit: Index(0),
+    }
+}
+
+fn entry(index: u64, term: u64, bytes: usize) -> Entry {
+    let payload = Payload::Command(Blob::from(vec![index as u8; bytes]));
+    Entry { index: Index(index), term: Term(term), payload }
+}
+
+fn snapshot(index: u64, term: u64, bytes: usize) -> Snapshot {
+    Snapshot {
+        last: Position { term: Term(term), index: Index(index) },
+        group: Group::of([ReplicaId(1), ReplicaId(2)]),
+        bytes: Blob::from(vec![index as u8; bytes]),
+    }
+}
+
+/// What the writes should have come to.
+fn fold(state: &mut Restored, write: &Write) {
+    match write {
+        Write::Hard(hard) => state.hard = *hard,
+        Write::Entries(entries) => {
+            let Some(first) = entries.first() else { return };
+            state.entries.retain(|entry| entry.index < first.index);
+            state.entries.extend(entries.clone());
+        }
+        Write::Snapshot { snapshot, hard, entries } => {
+            *state = Restored { hard: *hard, snapshot: Some(snapshot.clone()), entries: entries.clone() };
+        }
+    }
+}
+
+fn folded(writes: &[Write]) -> Restored {
+    let mut state = Restored::default();
+    writes.iter().for_each(|write| fold(&mut state, write));
+    state
+}
+
+fn reopened(folder: &Path) -> Restored {
+    Store::open(folder).expect("it can be read").1
+}
+
+/// A copy of a folder in another one, to be bent.
+fn copy_of(folder: &Path) -> tempfile::TempDir {
+    let copy = tempfile::tempdir().expect("a folder");
+    for file in std::fs::read_dir(folder).expect("it can be listed") {
+        let file = file.expect("it can be listed");
+        std::fs::copy(file.path(), copy.path().join(file.file_name())).expect("it can be copied");
+    }
+    copy
+}
+
+fn read(folder: &Path, name: &str) -> Vec<u8> {
+    std::fs::read(folder.join(name)).unwrap_or_default()
+}
+
+fn put(folder: &Path, name: &str, bytes: &[u8]) {
+    std::fs::write(folder.join(name), bytes).expect("it can be written");
+}
+
+#[test]
+fn what_was_written_is_there_after_a_restart() {
+    // Given a store that was written to, also over entries that were there
+    let folder = tempfile::tempdir().expect("a folder");
+    let (mut store, restored) = Store::open(folder.path()).expect("it is empty");
+    assert_eq!(restored, Restored::default());
+    let writes = [
+        Write::Hard(hard(1)),
+        Write::Entries(vec![entry(1, 1, 10), entry(2, 1, 0), entry(3, 1, 300_000)]),
+        Write::Entries(vec![entry(2, 2, 7)]),
+        Write::Hard(hard(2)),
+    ];
+    store.write(&writes).expect("there is room");
+    store.sync().expect("the disk works");
+    // When it is opened anew, it is all there; and again after more
+    let (mut store, restored) = Store::open(folder.path()).expect("it is whole");
+    assert_eq!(restored, folded(&writes));
+    store.write(&[Write::Entries(vec![entry(3, 2, 1)])]).expect("there is room");
+    store.sync().expect("the disk works");
+    assert_eq!(reopened(folder.path()).entries, [entry(1, 1, 10), entry(2, 2, 7), entry(3, 2, 1)]);
+}
+
+#[test]
+fn generations_follow_each_other() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let (mut store, _) = Store::open(folder.path()).expect("it is empty");
+    for round in 1..8u64 {
+        // Given a batch whose snapshot makes what comes before it void
+        let writes = [
+            Write::Entries(vec![entry(round * 10, 1, 3)]),
+            Write::Snapshot {
+                snapshot: snapshot(round * 10, round, 5_000),
+                hard: hard(round),
+                entries: vec![entry(round * 10 + 1, round, 9)],
+            },
+            Write::Entries(vec![entry(round * 10 + 2, round, 9)]),
+        ];
+        store.write(&writes).expect("there is room");
+        store.sync().expect("the disk works");
+        // Then a restart finds the newest
+        let (again, restored) = Store::open(folder.path()).expect("it is whole");
+        assert_eq!(restored, folded(&writes));
+        store = again;
+    }
+    // And the files of two generations are all there is
+    assert_eq!(std::fs::read_dir(folder.path()).expect("it can be listed").count(), 4);
+}
+
+/// A store with something synced, and two batches after it that are not. The synced size of its log.
+fn with_unsynced_tail(folder: &Path) -> (Vec<Write>, Vec<Write>, usize) {
+    let (mut store, _) = Store::open(folder).expect("it is empty");
+    let synced = vec![Write::Hard(hard(1)), Write::Entries(vec![entry(1, 1, 20), entry(2, 1, 20)])];
+    store.write(&synced).expect("there is room");
+    store.sync().expect("the disk works");
+    let size = read(folder, "log-1").len();
+    let first = vec![Write::Hard(hard(2)), Write::Entries(vec![entry(2, 2, 30)])];
+    let second = vec![Write::Entries(vec![entry(3, 2, 30)]), Write::Hard(hard(3))];
+    store.write(&first).expect("there is room");
+    store.write(&second).expect("there is room");
+    (synced, [first, second].concat(), size)
+}
+
+/// Whatever a loss of power left, it is what was synced and some of the records after it, in order.
+fn assert_is_a_prefix(folder: &Path, synced: &[Write], unsynced: &[Write]) {
+    let restored = reopened(folder);
+    let possible = (0..=unsynced.len()).map(|kept| folded(&[synced, &unsynced[..kept]].concat()));
+    assert!(possible.into_iter().any(|state| state == restored), "{restored:?}");
+    // And it can be gone on with, and read again
+    let (mut store, _) = Store::open(folder).expect("it is whole");
+    let more = Write::Entries(vec![entry(restored.entries.len() as u64 + 1, 9, 9)]);
+    store.write(std::slice::from_ref(&more)).expect("there is room");
+    store.sync().expect("the disk works");
+    let mut expected = restored;
+    fold(&mut expected, &more);
+    assert_eq!(reopened(folder), expected);
+}
+
+#[test]
+fn a_log_that_ends_anywhere_is_cut_to_whole_records() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let (synced, unsynced, size) = with_unsynced_tail(folder.path());
+    let log = read(folder.path(), "log-1");
+    for end in size..=log.len() {
+        let copy = copy_of(folder.path());
+        put(copy.path(), "log-1", &log[..end]);
+        assert_is_a_prefix(copy.path(), &synced, &unsynced);
+    }
+}
+
+#[test]
+fn a_log_with_a_hole_ends_before_it() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let (synced, unsynced, size) = with_unsynced_tail(folder.path());
+    let log = read(folder.path(), "log-1");
+    for start in size..log.len() {
+        for length in [1, 8, 40, log.len()] {
+            // Given a later write that is there while an earlier one is missing
+            let mut bent = log.clone();
+            let end = (start + length).min(log.len());
+            bent[start..end].fill(0);
+            let copy = copy_of(folder.path());
+            put(copy.path(), "log-1", &bent);
+            assert_is_a_prefix(copy.path(), &synced, &unsynced);
+        }
+    }
+}
+
+#[test]
+fn what_an_earlier_log_left_behind_is_not_taken_for_records() {
+    // Given a log of generation 3 in the file of generation 1, whose cut was lost, so that old records follow it
+    let folder = tempfile::tempdir().expect("a folder");
+    let (synced, unsynced, _) = with_unsynced_tail(folder.path());
+    let old = read(folder.path(), "log-1");
+    let (mut store, _) = Store::open(folder.path()).expect("it is whole");
+    for round in 1..=2 {
+        let state = Write::Snapshot { snapshot: snapshot(9, 9, 9), hard: hard(round), entries: Vec::new() };
+        store.write(&[state]).expect("there is room");
+    }
+    let new = read(folder.path(), "log-1");
+    let restored = reopened(folder.path());
+    drop((synced, unsynced));
+    for left in 0..old.len() {
+        let copy = copy_of(folder.path());
+        put(copy.path(), "log-1", &[&new, &old[left..]].concat());
+        assert_eq!(reopened(copy.path()), restored);
+    }
+}
+
+/// The next generation's log or slot, as a loss of power may leave it.
+#[rstest]
+fn an_unfinished_generation_leaves_the_one_before(#[values(0, 1, 2)] rounds_before: u64) {
+    // Given a store some generations on, and the files before and after the next one
+    let folder = tempfile::tempdir().expect("a folder");
+    let (mut store, _) = Store::open(folder.path()).expect("it is empty");
+    let generation = |round: u64| Write::Snapshot {
+        snapshot: snapshot(round * 10, round, 100),
+        hard: hard(round),
+        entries: vec![entry(round * 10 + 1, round, 9)],
+    };
+    for round in 1..=rounds_before {
+        store.write(&[generation(round)]).expect("there is room");
+    }
+    let index = rounds_before * 10 + if rounds_before == 0 { 1 } else { 2 };
+    store.write(&[Write::Entries(vec![entry(index, 5, 5)])]).expect("there is room");
+    store.sync().expect("the disk works");
+    let before = copy_of(folder.path());
+    let state_before = reopened(copy_of(folder.path()).path());
+    store.write(&[generation(rounds_before + 1)]).expect("there is room");
+    let state_after = reopened(copy_of(folder.path()).path());
+    let parity = (rounds_before + 2) % 2;
+    let (log, slot) = (format!("log-{parity}"), format!("slot-{parity}"));
+    let (new_log, new_slot) = (read(folder.path(), &log), read(folder.path(), &slot));
+    let old_log = read(before.path(), &log);
+    // When power goes while the log is written: some of it, or the old one's rest behind it
+    for end in 0..=new_log.len() {
+        for rest in [&[][..], old_log.get(end..).unwrap_or_default()] {
+            let copy = copy_of(before.path());
+            put(copy.path(), &log, &[&new_log[..end], rest].concat());
+            assert_eq!(reopened(copy.path()), state_before);
+        }
+    }
+    // When power goes while the slot is written, the log being synced
+    for end in 0..new_slot.len() {
+        let copy = copy_of(before.path());
+        put(copy.path(), &log, &new_log);
+        put(copy.path(), &slot, &new_slot[..end]);
+        assert_eq!(reopened(copy.path()), state_before);
+    }
+    // Then only the whole slot puts the new generation in force
+    let copy = copy_of(before.path());
+    put(copy.path(), &log, &new_log);
+    put(copy.path(), &slot, &new_slot);
+    assert_eq!(reopened(copy.path()), state_after);
+}
+
+#[test]
+fn a_first_start_that_lost_power_is_a_first_start_again() {
+    let folder = tempfile::tempdir().expect("a folder");
+    drop(Store::open(folder.path()).expect("it is empty"));
+    let (log, slot) = (read(folder.path(), "log-1"), read(folder.path(), "slot-1"));
+    for end in 0..log.len() {
+        let copy = tempfile::tempdir().expect("a folder");
+        put(copy.path(), "log-1", &log[..end]);
+        assert_eq!(reopened(copy.path()), Restored::default());
+    }
+    for end in 0..slot.len() {
+        let copy = tempfile::tempdir().expect("a folder");
+        put(copy.path(), "log-1", &log);
+        put(copy.path(), "slot-1", &slot[..end]);
+        assert_eq!(reopened(copy.path()), Restored::default());
+    }
+}
+
+/// A store in its second generation, with records after its snapshot.
+fn second_generation() -> tempfile::TempDir {
+    let folder = tempfile::tempdir().expect("a folder");
+    let (mut store, _) = Store::open(folder.path()).expect("it is empty");
+    let state = Write::Snapshot { snapshot: snapshot(9, 9, 9), hard: hard(9), entries: Vec::new() };
+    store.write(&[Write::Hard(hard(1))]).expect("there is room");
+    store.write(&[state]).expect("there is room");
+    store.write(&[Write::Hard(hard(10))]).expect("there is room");
+    store.sync().expect("the disk works");
+    folder
+}
+
+#[rstest]
+#[case::slot("slot-0")]
+#[case::log("log-0")]
+fn lost_promises_are_an_error(#[case] name: &str) {
+    // Given a disk on which something is damaged that was in force
+    let folder = second_generation();
+    let mut bytes = read(folder.path(), name);
+    bytes[20] ^= 1;
+    put(folder.path(), name, &bytes);
+    // Then the store does not go back to the generation before, which knows less
+    assert!(matches!(Store::open(folder.path()), Err(StoreError::Damaged { .. })));
+}
+
+#[test]
+fn a_disk_that_refuses_is_an_error() {
+    let folder = tempfile::tempdir().expect("a folder");
+    put(folder.path(), "part", b"not a folder");
+    assert!(matches!(Store::open(&folder.path().join("part")), Err(StoreError::Io { .. })));
+    std::fs::create_dir_all(folder.path().join("other/slot-0")).expect("a folder");
+    assert!(matches!(Store::open(&folder.path().join("other")), Err(StoreError::Io { .. })));
+}
+
+/// Tells the process below where to fill its disk.
+const FULL_DISK: &str = "QUORUM_TEST_FULL_DISK";
+
+#[test]
+fn a_full_disk_is_an_error_and_leaves_no_half_record() {
+    if let Ok(folder) = std::env::var(FULL_DISK) {
+        fill_disk(Path::new(&folder));
+        return;
+    }
+    // Given a process whose files may not grow beyond some blocks
+    let folder = tempfile::tempdir().expect("a folder");
+    let program = std::env::current_exe().expect("this program");
+    let status = Command::new("sh")
+        .arg("-c")
+        .arg("trap '' XFSZ; ulimit -f 40; exec \"$0\" a_full_disk_is_an_error --exact --nocapture a_full_disk_is_an_error_and_leaves_no_half_record")
+        .arg(program)
+        .env(FULL_DISK, folder.path())
+        .status()
+        .expect("there is a shell");
+    // Then it has seen the error, and what it could write after it
+    assert!(status.success());
+    assert_eq!(reopened(folder.path()).entries, [entry(1, 1, 100), entry(2, 1, 100)]);
+}
+
+fn fill_disk(folder: &Path) {
+    let (mut store, _) = Store::open(folder).expect("it is empty");
+    store.write(&[Write::Entries(vec![entry(1, 1, 100)])]).expect("there is room");
+    // When a record does not fit, nor a generation, they are refused, again and again
+    let long = Write::Entries(vec![entry(2, 1, 100_000)]);
+    let state =
+        Write::Snapshot { snapshot: snapshot(1, 1, 1), hard: hard(9), entries: vec![entry(2, 1, 100_000)] };
+    for _ in 0..3 {
+        assert!(matches!(store.write(std::slice::from_ref(&long)), Err(StoreError::Io { .. })));
+        assert!(matches!(store.write(std::slice::from_ref(&state)), Err(StoreError::Io { .. })));
+    }
+    // And what is shorter is still taken
+    store.write(&[Write::Entries(vec![entry(2, 1, 100)])]).expect("there is room");
+    store.sync().expect("the disk works");
+    // But when a slot does not fit, nobody knows which generation is in force, until it is opened anew
+    let state = Write::Snapshot { snapshot: snapshot(2, 1, 100_000), hard: hard(9), entries: Vec::new() };
+    assert!(matches!(store.write(std::slice::from_ref(&state)), Err(StoreError::Io { .. })));
+    assert!(matches!(store.write(&[Write::Hard(hard(9))]), Err(StoreError::Poisoned)));
+    assert!(matches!(store.sync(), Err(StoreError::Poisoned)));
+}
+
+#[test]
+fn an_identity_is_made_once() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let first = Identity::load_or_create(folder.path(), 42).expect("it is empty");
+    assert_eq!(first, Identity { id: ReplicaId(42), existed: false });
+    let again = Identity::load_or_create(folder.path(), 43).expect("it is whole");
+    assert_eq!(again, Identity { id: ReplicaId(42), existed: true });
+}
+
+#[test]
+fn an_identity_outlives_the_damage_of_one_copy() {
+    for name in ["identity-0", "identity-1"] {
+        for end in 0..16 {
+            // Given a disk on which one copy is torn
+            let folder = tempfile::tempdir().expect("a folder");
+            Identity::load_or_create(folder.path(), 42).expect("it is empty");
+            let whole = read(folder.path(), name);
+            put(folder.path(), name, &whole[..end]);
+            // Then it is the same, and both copies are whole again
+            let identity = Identity::load_or_create(folder.path(), 43).expect("one copy is whole");
+            assert_eq!(identity, Identity { id: ReplicaId(42), existed: true });
+            assert_eq!(read(folder.path(), name), whole);
+        }
+    }
+}
+
+#[test]
+fn a_first_identity_that_was_not_finished_is_made_anew() {
+    let folder = tempfile::tempdir().expect("a folder");
+    Identity::load_or_create(folder.path(), 42).expect("it is empty");
+    let whole = read(folder.path(), "identity-0");
+    for end in 0..16 {
+        let copy = tempfile::tempdir().expect("a folder");
+        put(copy.path(), "identity-0", &whole[..end]);
+        let identity = Identity::load_or_create(copy.path(), 43).expect("nobody was told the first one");
+        assert_eq!(identity, Identity { id: ReplicaId(43), existed: false });
+    }
+}
+
+#[test]
+fn an_identity_that_is_lost_is_an_error() {
+    let folder = tempfile::tempdir().expect("a folder");
+    Identity::load_or_create(folder.path(), 42).expect("it is empty");
+    put(folder.path(), "identity-0", b"nonsense");
+    put(folder.path(), "identity-1", b"nonsense");
+    let lost = Identity::load_or_create(folder.path(), 43);
+    assert!(matches!(lost, Err(StoreError::Damaged { .. })));
+}
+
+#[test]
+fn a_replica_lives_on_its_files() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let part: PathBuf = folder.path().join("part-0");
+    let timing = Timing {
+        heartbeat: Span::millis(20),
+        election_min: Span::millis(200),
+        election_max: Span::millis(400),
+        lease: Span::millis(150),
+    };
+    let mut now = Moment(0);
+    let mut sum = 0;
+    for life in 0..6u64 {
+        // Given a replica that is alone, with what it left on disk in its life before
+        let identity = Identity::load_or_create(folder.path(), 7 + life).expect("the disk works");
+        let (mut store, restored) = Store::open(&part).expect("the disk works");
+        let mut replica = Replica::new(identity.id, restored, timing, life, now);
+        replica.found(Group::of([identity.id])).expect("it is the same each time");
+        let mut state = 0u64;
+        for round in 0..60 {
+            // When it owns the part, and takes commands
+            now = now + Span::millis(20);
+            replica.tick(now);
+            if round > 40 {
+                replica.propose(now, vec![1]).expect("it is the owner");
+                sum += 1;
+            }
+            while replica.has_ready() {
+                let ready = replica.take_ready();
+                store.write(&ready.writes).expect("there is room");
+                if ready.must_sync {
+                    store.sync().expect("the disk works");
+                }
+                replica.synced();
+                if let Some(restore) = ready.restore {
+                    state = u64::from_le_bytes(restore.bytes.as_slice().try_into().expect("eight bytes"));
+                }
+                state += ready.committed.len() as u64;
+                if replica.log_bytes() > 300 {
+                    replica.compact(ready.applied, state.to_le_bytes().to_vec()).expect("it is applied");
+                }
+            }
+        }
+        // Then all commands of all lives are there
+        assert!(replica.lease_holds(now));
+        assert_eq!(state, sum);
+    }
+}
+
+/// What a batch may hold, by the index of the log's end.
+fn batch() -> impl Strategy<Value = Vec<(u8, u8, u16)>> {
+    vec((0..10u8, 1..4u8, 0..300u16), 1..4)
+}
+
+fn to_write(state: &Restored, (kind, count, size): (u8, u8, u16)) -> Write {
+    let base = state.snapshot.as_ref().map_or(0, |snapshot| snapshot.last.index.0);
+    let last = state.entries.last().map_or(base, |entry| entry.index.0);
+    let term = state.hard.term.0 + 1;
+    match kind {
+        0..=2 => Write::Hard(hard(term)),
+        3 => {
+            let snapshot = snapshot(last, term, usize::from(size));
+            Write::Snapshot { snapshot, hard: hard(term), entries: vec![entry(last + 1, term, 3)] }
+        }
+        _ => {
+            let first = last.saturating_sub(u64::from(kind == 4)).max(base) + 1;
+            Write::Entries(
+                (0..u64::from(count)).map(|more| entry(first + more, term, usize::from(size))).collect(),
+            )
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::with_cases(150) })]
+
+    /// Batches, some of them synced, then a loss of power that leaves any part of the rest.
+    #[test]
+    fn a_loss_of_power_leaves_what_was_synced(
+        batches in vec((batch(), any::<bool>()), 1..12),
+        cut in any::<prop::sample::Index>(),
+        bend in any::<Option<(prop::sample::Index, u8)>>(),
+    ) {
+        let folder = tempfile::tempdir().expect("a folder");
+        let (mut store, _) = Store::open(folder.path()).expect("it is empty");
+        let mut state = Restored::default();
+        let mut safe_size = store.log_bytes();
+        let mut possible = vec![state.clone()];
+        let mut generation = 1;
+        for (batch, synced) in batches {
+            let mut writes = Vec::new();
+            for spec in batch {
+                let write = to_write(&state, spec);
+                fold(&mut state, &write);
+                if let Write::Snapshot { .. } = write {
+                    possible.clear();
+                    generation += 1;
+                    safe_size = 0;
+                }
+                possible.push(state.clone());
+                writes.push(write);
+            }
+            let generations = writes.iter().filter(|write| matches!(write, Write::Snapshot { .. })).count();
+            // Of several snapshots in a batch only the last is written.
+            generation -= generations.saturating_sub(1);
+            store.write(&writes).expect("there is room");
+            if synced {
+                store.sync().expect("the disk works");
+                safe_size = store.log_bytes();
+                possible = vec![state.clone()];
+            }
+        }
+        let name = format!("log-{}", generation % 2);
+        let log = read(folder.path(), &name);
+        prop_assert_eq!(log.len() as u64, store.log_bytes());
+        // The first record of a generation is synced with it.
+        let first = 8 + u32::from_le_bytes(log[..4].try_into().expect("four bytes")) as usize;
+        let safe = (safe_size as usize).max(first);
+        let mut left = log[..safe + cut.index(log.len() - safe + 1)].to_vec();
+        if let Some((at, value)) = bend
+            && left.len() > safe
+        {
+            let at = safe + at.index(left.len() - safe);
+            left[at] = value;
+        }
+        put(folder.path(), &name, &left);
+        let restored = reopened(folder.path());
+        prop_assert!(possible.contains(&restored), "{:?} is none of {:?}", restored, possible);
+    }
+}
--- /dev/null
+++ b/crates/quorum/tests/groups.rs
@@ -0,0 +1,196 @@
+//! Change of the group: replacements, growth, retirement, and troubles in the middle.
+
+mod world;
+
+use grebeusher_quorum::{ChangeError, Index, ReplicaId};
+use grebeusher_time::{Moment, Span};
+use rstest::rstest;
+use world::{Site, World};
+
+const BOUND: Span = Span::millis(3_000);
+
+fn start(seed: u64, voters: usize, spares: usize) -> (World, Site) {
+    let mut world = World::new(seed, voters, spares);
+    let owner = world.elect();
+    for _ in 0..20 {
+        world.propose(owner);
+    }
+    world.run(Span::millis(200));
+    (world, owner)
+}
+
+fn change(world: &mut World, owner: Site, sites: &[Site]) -> Result<(), ChangeError> {
+    let voters = world.group_of(sites.iter().copied()).voters;
+    world.call(owner, |replica, now| replica.change_group(now, voters))
+}
+
+#[test]
+fn a_lost_disk_is_replaced_by_a_spare_within_a_blink() {
+    let (mut world, owner) = start(1, 3, 1);
+    let lost = world.others(&[owner, Site(3)])[0];
+    // When a disk is lost for good and the spare takes its place
+    world.wipe(lost);
+    let keep: Vec<Site> = world.others(&[lost]);
+    world.change_to(&keep, Span::millis(500));
+    // Then the spare has everything and its vote counts: another loss is borne
+    world.lose_power(owner);
+    let heir = world.elect();
+    assert_eq!(world.machines[heir.0].application.state.commands, 20);
+}
+
+#[test]
+fn disks_are_lost_again_and_again() {
+    let (mut world, _) = start(2, 3, 0);
+    let founders: Vec<ReplicaId> = world.sites().into_iter().map(|site| world.identity(site)).collect();
+    // When one machine after the other loses its disk, comes back empty and is taken in anew, many times
+    for round in 0..12 {
+        let site = Site(round % 3);
+        world.wipe(site);
+        world.start(site);
+        let sites = world.sites();
+        world.change_to(&sites, BOUND);
+        let owner = world.elect();
+        world.propose(owner);
+        world.run(Span::millis(50));
+    }
+    // Then nothing was lost, though none of the first disks is left
+    let owner = world.elect();
+    assert_eq!(world.machines[owner.0].application.state.commands, 32);
+    assert!(founders.iter().all(|founder| world.site_of(*founder).is_none()));
+}
+
+#[rstest]
+fn the_owner_dies_in_the_middle_of_a_change(#[values(0, 1, 2, 3, 5, 8, 13)] after_ms: u64) {
+    for seed in 1..=10 {
+        // Given an owner that begins to replace two voters at once
+        let (mut world, owner) = start(seed, 3, 2);
+        let rest = world.others(&[owner]);
+        let wanted = [owner, rest[2], rest[3]];
+        change(&mut world, owner, &wanted).expect("nothing is under way");
+        // When it loses power some milliseconds later
+        world.run(Span::millis(after_ms));
+        world.lose_power(owner);
+        // Then the others have an owner, and finish what was begun or stay as they were
+        world.run_until(BOUND, "an owner of a settled group", |world| {
+            world.owner().is_some_and(|owner| {
+                let replica = world.replica(owner);
+                !replica.group().is_joint() && replica.commit_index() >= replica.group_index()
+            })
+        });
+        // And the one that died follows when it is back
+        world.start(owner);
+        let heir = world.elect();
+        world.propose(heir);
+        world.run(BOUND);
+        assert_eq!(world.oracle.commands(), 21);
+    }
+}
+
+#[test]
+fn a_group_grows_and_shrinks() {
+    let (mut world, _) = start(4, 1, 4);
+    for sites in [&[0, 1, 2][..], &[0, 1, 2, 3, 4], &[2, 3, 4], &[3], &[0, 3]] {
+        let sites: Vec<Site> = sites.iter().map(|site| Site(*site)).collect();
+        world.change_to(&sites, BOUND);
+        let owner = world.elect();
+        assert!(sites.contains(&owner));
+        world.propose(owner);
+        world.run(Span::millis(100));
+        world.settle(&sites, BOUND);
+    }
+}
+
+#[test]
+fn an_owner_that_retires_hands_on() {
+    let (mut world, owner) = start(5, 3, 1);
+    let others = world.others(&[owner]);
+    // When the owner takes itself out of the group
+    change(&mut world, owner, &others).expect("nothing is under way");
+    // Then another one owns the part, sooner than by an election
+    world.run_until(Span::millis(150), "a new owner", |world| world.owner().is_some_and(|new| new != owner));
+    // And the retired one is quiet
+    world.run(BOUND);
+    assert_eq!(world.replica(owner).next_wake(), Moment(u64::MAX));
+}
+
+#[test]
+fn a_removed_replica_that_missed_it_never_wins_nor_disturbs() {
+    let (mut world, owner) = start(6, 3, 1);
+    let removed = world.others(&[owner, Site(3)])[0];
+    // Given a voter that was removed while it was cut off
+    world.isolate(removed);
+    let keep = world.others(&[removed]);
+    world.change_to(&keep, BOUND);
+    let owner = world.elect();
+    let term = world.newest_term();
+    // When it is back
+    world.heal();
+    world.run(Span::millis(5_000));
+    // Then it asks in vain
+    assert_eq!(world.newest_term(), term);
+    assert_eq!(world.owner(), Some(owner));
+    // And also when the owner is lost, a member of the group wins
+    world.lose_power(owner);
+    let heir = world.elect();
+    assert!(heir != removed && heir != owner);
+}
+
+#[test]
+fn a_learner_that_is_silent_is_given_up() {
+    let (mut world, owner) = start(7, 3, 2);
+    world.lose_power(Site(3));
+    let mut wanted = world.others(&[Site(3), Site(4)]);
+    wanted[0] = if wanted[0] == owner { wanted[0] } else { Site(3) };
+    if !wanted.contains(&Site(3)) {
+        wanted[1] = Site(3);
+    }
+    // Given a change to a machine that is not there
+    change(&mut world, owner, &wanted).expect("nothing is under way");
+    assert!(world.replica(owner).pending_change().is_some());
+    let group = world.replica(owner).group().clone();
+    // Then nothing else can begin
+    assert_eq!(change(&mut world, owner, &[owner]), Err(ChangeError::UnderWay));
+    // When some time has passed
+    world.run(Span::millis(1_500));
+    // Then the group is as it was, still decides, and the next change is taken
+    assert_eq!(world.replica(owner).pending_change(), None);
+    assert_eq!(world.replica(owner).group(), &group);
+    let spare = wanted.iter().map(|site| if *site == Site(3) { Site(4) } else { *site });
+    let spare: Vec<Site> = spare.collect();
+    world.change_to(&spare, BOUND);
+}
+
+#[test]
+fn changes_that_make_no_sense_are_refused() {
+    let (mut world, owner) = start(8, 3, 0);
+    let others = world.others(&[owner]);
+    let hint = Some(world.identity(owner));
+    assert_eq!(change(&mut world, owner, &[]), Err(ChangeError::Invalid));
+    assert_eq!(change(&mut world, others[0], &[owner]), Err(ChangeError::NotOwner { hint }));
+    let all = world.sites();
+    assert_eq!(change(&mut world, owner, &all), Ok(()));
+    assert_eq!(world.replica(owner).group_index(), Index(1), "the same group again changes nothing");
+}
+
+#[test]
+fn a_learner_does_not_slow_the_group_down_nor_count() {
+    let (mut world, owner) = start(9, 3, 1);
+    // Given a change to a learner that answers nothing, and one voter of three that is lost
+    let others = world.others(&[owner, Site(3)]);
+    world.isolate(Site(3));
+    change(&mut world, owner, &[owner, others[0], Site(3)]).expect("nothing is under way");
+    world.lose_power(others[1]);
+    // When the owner is given a command
+    let before = world.oracle.commands();
+    world.propose(owner);
+    world.run(Span::millis(30));
+    // Then the old group decides it
+    assert_eq!(world.oracle.commands(), before + 1);
+    // And without the other voter nothing is decided, whatever the learner does
+    world.lose_power(others[0]);
+    world.heal();
+    let before = world.oracle.commands();
+    world.propose(owner);
+    world.run(Span::millis(100));
+    assert_eq!(world.oracle.commands(), before);
+}
--- /dev/null
+++ b/crates/quorum/tests/snapshots.rs
@@ -0,0 +1,159 @@
+//! Compaction, and the way back of those who are far behind.
+
+mod world;
+
+use grebeusher_quorum::{CompactError, Index};
+use grebeusher_time::Span;
+use world::{Site, World};
+
+const BOUND: Span = Span::millis(3_000);
+
+/// More than the entries that an owner keeps for those a little behind.
+fn move_far_ahead(world: &mut World) {
+    for _ in 0..40 {
+        let owner = world.elect();
+        let mut bytes = world.fresh_command();
+        bytes.resize(120_000, 3);
+        world.propose_bytes(owner, bytes);
+        world.run(Span::millis(10));
+    }
+}
+
+/// Three voters whose snapshots take several pieces, one of them off while the others have gone far ahead.
+fn one_far_behind(seed: u64) -> (World, Site) {
+    let mut world = World::new(seed, 3, 0);
+    world.compact_every = 10;
+    world.machines.iter_mut().for_each(|machine| machine.filler = 3_000_000);
+    let owner = world.elect();
+    let behind = world.others(&[owner])[0];
+    world.lose_power(behind);
+    move_far_ahead(&mut world);
+    (world, behind)
+}
+
+#[test]
+fn a_follower_far_behind_gets_the_snapshot_in_pieces() {
+    let (mut world, behind) = one_far_behind(1);
+    // When it is back
+    world.start(behind);
+    world.settle(&[behind], BOUND);
+    // Then it went by the snapshot, and no message was larger than a piece and its surroundings
+    assert!(world.replica(behind).snapshot_index() > Index(10));
+    assert_eq!(world.machines[behind.0].application.state.commands, 40);
+    assert!(world.sent_to(behind).largest < 300 * 1024, "{:?}", world.sent_to(behind));
+    // And after a restart it has all of it
+    world.restart(behind);
+    world.settle(&[behind], BOUND);
+}
+
+#[test]
+fn a_snapshot_gets_through_links_that_lose() {
+    let (mut world, behind) = one_far_behind(2);
+    // When it is back behind links that lose, double and reorder
+    world.network.loss = 0.3;
+    world.network.doubling = 0.2;
+    world.network.delay = Span::millis(10);
+    world.start(behind);
+    // Then it has everything in the end
+    world.settle(&[behind], Span::millis(30_000));
+}
+
+#[test]
+fn a_snapshot_goes_on_under_another_owner() {
+    let (mut world, behind) = one_far_behind(3);
+    // Given a snapshot that is on its way
+    let owner = world.elect();
+    world.network.slow.insert((owner, behind), Span::millis(40));
+    world.start(behind);
+    world.run(Span::millis(150));
+    assert_eq!(world.replica(behind).snapshot_index(), Index(0));
+    // When its owner is lost: its heir needs the one that is behind for a quorum
+    world.lose_power(owner);
+    // Then it gets all of it from the heir
+    world.run_until(Span::millis(6_000), "an owner", |world| world.owner().is_some());
+    world.settle(&[behind], BOUND);
+}
+
+#[test]
+fn the_receiver_restarts_in_the_middle_of_a_snapshot() {
+    let (mut world, behind) = one_far_behind(4);
+    let owner = world.elect();
+    world.network.slow.insert((owner, behind), Span::millis(40));
+    world.start(behind);
+    // When it restarts with some pieces, which are only in memory
+    world.run(Span::millis(150));
+    world.restart(behind);
+    // Then it starts anew and gets there
+    world.settle(&[behind], Span::millis(6_000));
+}
+
+#[test]
+fn a_follower_a_little_behind_gets_entries() {
+    let mut world = World::new(5, 3, 0);
+    world.compact_every = 5;
+    let owner = world.elect();
+    let behind = world.others(&[owner])[0];
+    world.isolate(behind);
+    // Given a follower that missed some small commands, which are in a snapshot already
+    for _ in 0..20 {
+        world.propose(owner);
+        world.run(Span::millis(5));
+    }
+    assert!(world.replica(owner).snapshot_index() > Index(10));
+    let own_snapshot = world.replica(behind).snapshot_index();
+    // When it is back
+    world.heal();
+    world.settle(&[behind], BOUND);
+    // Then it went by the entries: it had no state to load
+    assert_eq!(world.machines[behind.0].loads, 0);
+    assert!(own_snapshot < Index(10));
+}
+
+#[test]
+fn a_dead_follower_is_not_sent_much() {
+    let (mut world, behind) = one_far_behind(6);
+    world.run(Span::millis(1_000));
+    let before = world.sent_to(behind);
+    // When seconds pass without it, and commands go on
+    for _ in 0..100 {
+        let owner = world.elect();
+        world.propose(owner);
+        world.run(Span::millis(30));
+    }
+    // Then it was sent heartbeats, hardly more
+    let bytes = world.sent_to(behind).bytes - before.bytes;
+    assert!(bytes < 100_000, "{bytes} bytes to the dead");
+}
+
+#[test]
+fn commands_in_great_number_go_out_in_bounded_messages() {
+    let mut world = World::new(7, 3, 0);
+    let owner = world.elect();
+    // When an owner is given megabytes at once
+    for _ in 0..60 {
+        let mut bytes = world.fresh_command();
+        bytes.resize(100_000, 3);
+        world.propose_bytes(owner, bytes);
+    }
+    let sites = world.sites();
+    world.run(Span::millis(300));
+    world.settle(&sites, BOUND);
+    // Then no message was larger than the bound and its surroundings
+    for site in sites {
+        assert!(world.sent_to(site).largest < 300 * 1024, "{:?}", world.sent_to(site));
+    }
+}
+
+#[test]
+fn a_snapshot_of_what_is_not_applied_is_refused() {
+    let mut world = World::new(8, 3, 0);
+    let owner = world.elect();
+    world.propose(owner);
+    world.run(Span::millis(100));
+    let applied = world.machines[owner.0].application.applied;
+    let compact =
+        |world: &mut World, index| world.call(owner, |replica, _| replica.compact(index, vec![0; 16]));
+    assert_eq!(compact(&mut world, applied.next()), Err(CompactError::NotApplied { applied }));
+    assert_eq!(compact(&mut world, applied), Ok(()));
+    assert_eq!(compact(&mut world, applied), Err(CompactError::Outdated { snapshot: applied }));
+}
--- a/crates/quorum/tests/world/machine.rs
+++ b/crates/quorum/tests/world/machine.rs
@@ -73,6 +73,8 @@
     pub wake_scheduled: Moment,
     /// The size of snapshots beyond their content.
     pub filler: usize,
+    /// States loaded from an owner or the own disk in this life.
+    pub loads: u64,
     /// Syncs so far.
     pub syncs: u64,
     /// By how much its clock runs fast, in millionths.
@@ -94,6 +96,7 @@
             life: 0,
             wake_scheduled: Moment(0),
             filler: 0,
+            loads: 0,
             syncs: 0,
             rate,
         }
@@ -119,6 +122,7 @@
         self.replica = Some(Replica::new(self.identity, self.disk.restored(), timing, seed, local));
         self.application = Application::default();
         self.life += 1;
+        self.loads = 0;
         self.frozen = false;
         self.wake_scheduled = Moment(0);
     }
@@ -186,6 +190,7 @@
         replica.synced();
         if let Some(restore) = &ready.restore {
             self.application.load(restore);
+            self.loads += 1;
             oracle.check_state(restore.index, self.application.state, site);
         }
         for committed in &ready.committed {
