quorum: a model check of three voters, which finds each broken promise

All orders of messages, losses, elections, commands and losses of power to a depth. With an answer before its sync, terms unchecked, or a wiped disk that votes, it ends with a counterexample.

--- a/crates/quorum/src/progress.rs
+++ b/crates/quorum/src/progress.rs
@@ -20,7 +20,7 @@
 const STALLED_BEATS: u32 = 10;
 
 /// How entries go to a follower.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Hash)]
 pub(crate) enum Flow {
     /// Where its log ends is not known: one message at a time, and without entries while it is silent.
     Probe { waiting: bool, silent: bool },
@@ -31,14 +31,14 @@
 }
 
 /// A message with entries that has not been answered.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Hash)]
 pub(crate) struct Flight {
     last: Index,
     bytes: usize,
 }
 
 /// A snapshot under way.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Hash)]
 pub(crate) struct Transfer {
     pub(crate) snapshot: Snapshot,
     pub(crate) sent: u64,
--- a/crates/quorum/src/replica/following.rs
+++ b/crates/quorum/src/replica/following.rs
@@ -8,7 +8,7 @@
 use crate::ready::Restore;
 
 /// A snapshot that is still arriving.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Hash)]
 pub(super) struct Assembly {
     owner: ReplicaId,
     last: Position,
--- a/crates/quorum/src/replica/mod.rs
+++ b/crates/quorum/src/replica/mod.rs
@@ -1,6 +1,7 @@
 //! The replica: its state, its calls, and the batch of work that it hands out.
 
 mod change;
+mod digest;
 mod election;
 mod following;
 mod ownership;
--- /dev/null
+++ b/crates/quorum/tests/model.rs
@@ -0,0 +1,344 @@
+//! A model check of three voters: every order of messages, losses, elections, commands and losses of power, up to a
+//! depth, from a state in which one of them owns the part.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::hash::{Hash, Hasher};
+
+use grebeusher_quorum::{
+    Body, Entry, Group, HardState, Index, Message, Payload, Replica, ReplicaId, Restored, Term, Timing,
+    Write, decode, encode,
+};
+use grebeusher_time::{Moment, Span};
+use rstest::rstest;
+use stateright::{Checker, Model, Property};
+
+const VOTERS: [ReplicaId; 3] = [ReplicaId(1), ReplicaId(2), ReplicaId(3)];
+
+const TIMING: Timing = Timing {
+    heartbeat: Span::millis(20),
+    election_min: Span::millis(200),
+    election_max: Span::millis(400),
+    lease: Span::millis(150),
+};
+
+/// What is deliberately broken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Fault {
+    None,
+    AnswersBeforeSync,
+    TermsNotChecked,
+    WipedDiskVotes,
+}
+
+/// The model, and how much may happen in it.
+#[derive(Clone, Debug)]
+struct ThreeVoters {
+    fault: Fault,
+    elections: u8,
+    commands: u8,
+    losses: u8,
+}
+
+#[derive(Clone, Debug)]
+struct Voter {
+    replica: Replica,
+    disk: Restored,
+    now: Moment,
+}
+
+#[derive(Clone, Debug)]
+struct World {
+    voters: Vec<Voter>,
+    /// Under way; what is never delivered is lost.
+    network: BTreeSet<Message>,
+    decided: BTreeMap<Index, Term>,
+    owners: BTreeMap<Term, ReplicaId>,
+    elections: u8,
+    commands: u8,
+    losses: u8,
+    wiped: Option<usize>,
+    wrong: Option<&'static str>,
+}
+
+impl Hash for World {
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        for voter in &self.voters {
+            voter.replica.digest().hash(state);
+            (voter.disk.hard, &voter.disk.entries).hash(state);
+        }
+        (&self.network, &self.decided, &self.owners).hash(state);
+        (self.elections, self.commands, self.losses, self.wiped, self.wrong).hash(state);
+    }
+}
+
+impl PartialEq for World {
+    fn eq(&self, other: &World) -> bool {
+        let digest = |world: &World| {
+            let mut hasher = std::hash::DefaultHasher::new();
+            world.hash(&mut hasher);
+            hasher.finish()
+        };
+        digest(self) == digest(other)
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum Action {
+    Deliver(Message),
+    /// It arrives, and power goes before anything is synced.
+    DeliverAndLosePower(Message),
+    Elect(usize),
+    Propose(usize),
+    Restart(usize),
+    Wipe(usize),
+}
+
+fn at(id: ReplicaId) -> usize {
+    VOTERS.iter().position(|voter| *voter == id).expect("it is one of the three")
+}
+
+fn apply(disk: &mut Restored, write: Write) {
+    match write {
+        Write::Hard(hard) => disk.hard = hard,
+        Write::Entries(entries) => {
+            let Some(first) = entries.first().map(|entry| entry.index) else { return };
+            disk.entries.retain(|entry| entry.index < first);
+            disk.entries.extend(entries);
+        }
+        Write::Snapshot { .. } => unreachable!("the model takes no snapshots"),
+    }
+}
+
+impl World {
+    /// All three are founded, and the first one owns the part in term 2 and has decided its opening.
+    fn start() -> World {
+        let group = Group::of(VOTERS);
+        let entry = Entry { index: Index(1), term: Term(1), payload: Payload::Group(group.clone()) };
+        let hard = HardState { term: Term(1), founding: Some(group.founding()), ..HardState::default() };
+        let disk = Restored { hard, snapshot: None, entries: vec![entry] };
+        let voters = VOTERS.map(|id| {
+            let replica = Replica::new(id, disk.clone(), TIMING, id.0, Moment(0));
+            Voter { replica, disk: disk.clone(), now: Moment(0) }
+        });
+        let mut world = World {
+            voters: voters.to_vec(),
+            network: BTreeSet::new(),
+            decided: BTreeMap::new(),
+            owners: BTreeMap::new(),
+            elections: 0,
+            commands: 0,
+            losses: 0,
+            wiped: None,
+            wrong: None,
+        };
+        world.elect(0);
+        while let Some(message) = world.network.pop_first() {
+            world.deliver(message, Fault::None);
+        }
+        assert!(world.voters[0].replica.is_owner());
+        assert_eq!(world.decided.len(), 2);
+        world.elections = 0;
+        world
+    }
+
+    fn elect(&mut self, voter: usize) {
+        self.elections += 1;
+        let wake = self.voters[voter].replica.next_wake().max(self.voters[voter].now);
+        self.voters[voter].now = wake;
+        self.voters[voter].replica.tick(wake);
+        self.work(voter);
+    }
+
+    fn deliver(&mut self, message: Message, fault: Fault) {
+        let voter = at(message.to);
+        self.take_in(voter, message, fault);
+        self.work(voter);
+    }
+
+    /// Clocks may run as they like, so a candidate finds everybody ready to vote. The lease is checked elsewhere.
+    fn take_in(&mut self, voter: usize, mut message: Message, fault: Fault) {
+        let voter = &mut self.voters[voter];
+        if matches!(message.body, Body::PreVote(_) | Body::Vote(_)) {
+            voter.now = voter.now + TIMING.election_min;
+        }
+        if fault == Fault::TermsNotChecked {
+            message.term = message.term.max(voter.replica.term());
+        }
+        let message = decode(&encode(&message)).expect("what is sent can be read");
+        voter.replica.receive(voter.now, message.from, message);
+    }
+
+    /// Does all that a replica wants done, with every sync at once.
+    fn work(&mut self, voter: usize) {
+        while self.voters[voter].replica.has_ready() {
+            let node = &mut self.voters[voter];
+            let ready = node.replica.take_ready();
+            ready.writes.into_iter().for_each(|write| apply(&mut node.disk, write));
+            node.replica.synced();
+            let messages = ready.ahead.into_iter().chain(ready.messages);
+            self.network.extend(messages.map(|(_, message)| message));
+        }
+        self.watch(voter);
+    }
+
+    fn lose_power(&mut self, voter: usize, answers: bool) {
+        self.losses += 1;
+        let ready = self.voters[voter].replica.take_ready();
+        self.network.extend(ready.ahead.into_iter().map(|(_, message)| message));
+        if answers {
+            self.network.extend(ready.messages.into_iter().map(|(_, message)| message));
+        }
+        self.restart(voter);
+    }
+
+    fn restart(&mut self, voter: usize) {
+        let node = &mut self.voters[voter];
+        node.replica = Replica::new(VOTERS[voter], node.disk.clone(), TIMING, 1, node.now);
+    }
+
+    fn wipe(&mut self, voter: usize, fault: Fault) {
+        self.losses += 1;
+        self.wiped = Some(voter);
+        // With the guard, the disk comes back under an identity that is none of the three, so it is just gone.
+        let node = &mut self.voters[voter];
+        node.disk.entries.truncate(1);
+        node.disk.hard.term = Term(1);
+        node.disk.hard.voted = None;
+        node.disk.hard.commit = Index(0);
+        if fault != Fault::WipedDiskVotes {
+            node.disk = Restored::default();
+        }
+        self.restart(voter);
+        if fault != Fault::WipedDiskVotes {
+            let gone = VOTERS[voter];
+            self.network.retain(|message| message.to != gone);
+        }
+    }
+
+    fn watch(&mut self, voter: usize) {
+        let replica = &self.voters[voter].replica;
+        if replica.is_owner() && *self.owners.entry(replica.term()).or_insert(VOTERS[voter]) != VOTERS[voter]
+        {
+            self.wrong = Some("two owners of a term");
+        }
+        let mut index = Index(1);
+        while let Some(entry) = replica.entry(index).filter(|_| index <= replica.commit_index()) {
+            if *self.decided.entry(index).or_insert(entry.term) != entry.term {
+                self.wrong = Some("what was decided has changed");
+            }
+            index = index.next();
+        }
+        if !self.decided.iter().all(|(index, term)| self.is_kept(*index, *term)) {
+            self.wrong = Some("what was decided has no quorum any more");
+        }
+    }
+
+    /// Whether a quorum has an entry on disk; a disk that was wiped had it, for all we know.
+    fn is_kept(&self, index: Index, term: Term) -> bool {
+        let holds = |voter: &usize| {
+            let mut entries = self.voters[*voter].disk.entries.iter();
+            self.wiped == Some(*voter) || entries.any(|entry| entry.index == index && entry.term == term)
+        };
+        (0..VOTERS.len()).filter(holds).count() > VOTERS.len() / 2
+    }
+
+    fn is_gone(&self, voter: usize) -> bool {
+        self.voters[voter].disk == Restored::default()
+    }
+}
+
+impl Model for ThreeVoters {
+    type State = World;
+    type Action = Action;
+
+    fn init_states(&self) -> Vec<World> {
+        vec![World::start()]
+    }
+
+    fn actions(&self, world: &World, actions: &mut Vec<Action>) {
+        for message in world.network.iter().filter(|message| !world.is_gone(at(message.to))) {
+            actions.push(Action::Deliver(message.clone()));
+            let asks_for_a_promise = matches!(message.body, Body::Append(_) | Body::Vote(_));
+            if asks_for_a_promise && world.losses < self.losses {
+                actions.push(Action::DeliverAndLosePower(message.clone()));
+            }
+        }
+        for voter in (0..VOTERS.len()).filter(|voter| !world.is_gone(*voter)) {
+            let is_owner = world.voters[voter].replica.is_owner();
+            if !is_owner && world.elections < self.elections {
+                actions.push(Action::Elect(voter));
+            }
+            if is_owner && world.commands < self.commands {
+                actions.push(Action::Propose(voter));
+            }
+            if world.losses < self.losses {
+                actions.push(Action::Restart(voter));
+                actions.push(Action::Wipe(voter));
+            }
+        }
+    }
+
+    fn next_state(&self, last: &World, action: Action) -> Option<World> {
+        let mut world = last.clone();
+        match action {
+            Action::Deliver(message) => {
+                world.network.remove(&message);
+                world.deliver(message, self.fault);
+            }
+            Action::DeliverAndLosePower(message) => {
+                world.network.remove(&message);
+                let voter = at(message.to);
+                world.take_in(voter, message, self.fault);
+                world.lose_power(voter, self.fault == Fault::AnswersBeforeSync);
+            }
+            Action::Elect(voter) => world.elect(voter),
+            Action::Propose(voter) => {
+                world.commands += 1;
+                let now = world.voters[voter].now;
+                world.voters[voter].replica.propose(now, vec![world.commands]).ok()?;
+                world.work(voter);
+            }
+            Action::Restart(voter) => {
+                world.losses += 1;
+                world.restart(voter);
+            }
+            Action::Wipe(voter) => world.wipe(voter, self.fault),
+        }
+        Some(world)
+    }
+
+    fn properties(&self) -> Vec<Property<Self>> {
+        vec![
+            Property::always("decisions stay and owners are alone", |_, world: &World| world.wrong.is_none()),
+            Property::sometimes("a new owner decides", |_, world: &World| {
+                world.decided.values().any(|term| *term > Term(2))
+            }),
+        ]
+    }
+}
+
+/// The deepest path that is looked at; `QUORUM_DEPTH` asks for another.
+const DEPTH: usize = 10;
+
+fn depth() -> usize {
+    std::env::var("QUORUM_DEPTH").ok().and_then(|depth| depth.parse().ok()).unwrap_or(DEPTH)
+}
+
+#[test]
+fn three_voters_keep_their_promises() {
+    let model = ThreeVoters { fault: Fault::None, elections: 2, commands: 1, losses: 1 };
+    let checker = model.checker().threads(2).target_max_depth(depth()).spawn_bfs().join();
+    println!("{} states, depth {}", checker.unique_state_count(), checker.max_depth());
+    checker.assert_properties();
+}
+
+#[rstest]
+#[case(Fault::AnswersBeforeSync)]
+#[case(Fault::TermsNotChecked)]
+#[case(Fault::WipedDiskVotes)]
+fn a_broken_promise_is_found(#[case] fault: Fault) {
+    let model = ThreeVoters { fault, elections: 1, commands: 1, losses: 1 };
+    let checker = model.checker().threads(2).target_max_depth(DEPTH + 4).spawn_bfs().join();
+    println!("{fault:?}: {} states, depth {}", checker.unique_state_count(), checker.max_depth());
+    checker.assert_any_discovery("decisions stay and owners are alone");
+}
