--- a/crates/archive/tests/batches/owner_change.rs
+++ b/crates/archive/tests/batches/owner_change.rs
@@ -211,3 +211,20 @@
     assert_eq!(part.runner.forgettable(&part.jobs, part.now, status), []);
     assert!(!part.jobs.contains(&job("done")) && part.jobs.contains(&job("open")));
 }
+
+/// MIXED: a count that comes late takes nothing back.
+#[test]
+fn an_older_count_of_failures_changes_nothing() {
+    let mut part = Part::with_job("j", 1);
+    let count = |failed_attempts| {
+        let progress = ItemProgress { job: job("j"), item: ItemIndex(0), failed_attempts, events: None };
+        Entry::Progress(vec![progress])
+    };
+    assert_eq!(part.commit(count(2)), Applied::Progressed(1));
+    assert_eq!(part.commit(count(1)), Applied::Progressed(0));
+    part.runner.begin(&part.jobs, part.now, 1_000_000);
+    let order = part.next();
+    part.end_run(&order, Outcome::Failed500);
+    part.settle();
+    assert_eq!(texts(&part.jobs, "j").len(), 1, "it was the third");
+}
--- a/crates/archive/tests/batches/pages.rs
+++ b/crates/archive/tests/batches/pages.rs
@@ -170,6 +170,7 @@
             jobs.apply(complete("j", place, text));
         }
         let json = read_json(&jobs, "j", 0, MAX_PAGE_BYTES);
+        prop_assert!(json.bytes().all(|byte| byte >= 0x20), "control characters are escaped");
         let value: JsonValue = json.parse().expect("proper JSON");
         for (place, text) in texts.iter().enumerate() {
             prop_assert_eq!(value["result_list"][place]["text"].get::<String>(), Some(text));
--- a/crates/archive/tests/batches/replay.rs
+++ b/crates/archive/tests/batches/replay.rs
@@ -165,3 +165,20 @@
     assert_eq!(jobs.apply(piece(Some(1), 1, "d")), Applied::Progressed(0), "going nowhere");
     assert_eq!(jobs.apply(piece(Some(1), 2, "c")), Applied::Progressed(1));
 }
+
+/// TWICE: a snapshot in which an item stands twice, or is neither open nor listed, is not taken.
+#[test]
+fn a_snapshot_that_contradicts_itself_is_refused() {
+    let mut jobs = Jobs::new();
+    jobs.apply(submit("j", 2));
+    let mut open = jobs.to_snapshot();
+    jobs.apply(complete("j", 0, "text"));
+    jobs.apply(complete("j", 1, "text"));
+    let mut listed = jobs.to_snapshot();
+    let place = listed.windows(3).rposition(|bytes| bytes == b"j-1").expect("it is listed");
+    listed[place + 2] = b'0';
+    assert!(Jobs::from_snapshot(&listed).is_err(), "one item at two positions");
+    assert_eq!(open.pop(), Some(0), "no item is listed");
+    open.extend([1, 3, b'j', b'-', b'2', 0, 0]);
+    assert!(Jobs::from_snapshot(&open).is_err(), "two open and one listed are three");
+}
--- a/crates/archive/tests/batches/submission.rs
+++ b/crates/archive/tests/batches/submission.rs
@@ -161,6 +161,23 @@
     assert!(Submission::deserialize_bin(&submission.serialize_bin()).is_err());
 }
 
+#[test]
+fn more_items_than_a_job_may_have_are_not_read_from_the_log() {
+    assert!(Submission::deserialize_bin(&submission("j", 200).serialize_bin()).is_ok());
+    assert!(Submission::deserialize_bin(&submission("j", 201).serialize_bin()).is_err());
+}
+
+#[test]
+fn a_number_that_is_too_large_is_refused() {
+    let mut submission = submission("j", 1);
+    submission.items[0].token_count = u64::MAX;
+    let mut bytes = submission.serialize_bin();
+    assert_eq!(Submission::deserialize_bin(&bytes).expect("whole"), submission);
+    assert_eq!(bytes.pop(), Some(1), "the 64th bit");
+    assert!(Submission::deserialize_bin(&[&bytes[..], &[2]].concat()).is_err(), "a 65th");
+    assert!(Submission::deserialize_bin(&[&bytes[..], &[0x81, 0]].concat()).is_err(), "an eleventh byte");
+}
+
 #[test]
 fn the_binary_form_is_little_more_than_its_contents() {
     let submission = submission("j", 40);
