Batch jobs: sums over a job's items are kept, not counted at each call

The owner asks for the next moment and the idle tokens in every turn of its loop. Also bounds of headers have tests, and clippy is content with the storm again.

--- a/crates/archive/src/runner/schedule.rs
+++ b/crates/archive/src/runner/schedule.rs
@@ -42,6 +42,10 @@
     /// The largest first: they take longest and are worth most.
     ready: BTreeSet<(Reverse<u64>, ItemIndex)>,
     pausing: BTreeSet<(Moment, ItemIndex)>,
+    /// The tokens of the items that are ready or pausing.
+    idle_tokens: u64,
+    /// The items whose results are known.
+    decided: usize,
 }
 
 impl JobRun {
@@ -61,9 +65,12 @@
             items: BTreeMap::new(),
             ready: BTreeSet::new(),
             pausing: BTreeSet::new(),
+            idle_tokens: 0,
+            decided: 0,
         };
         for (index, open) in job.open_items() {
             run.ready.insert((Reverse(open.spec.token_count), index));
+            run.idle_tokens = run.idle_tokens.saturating_add(open.spec.token_count);
             run.items.insert(index, ItemRun::new(open));
         }
         run
@@ -130,6 +137,7 @@
         self.ready.remove(&key);
         let item = self.items.get_mut(&key.1)?;
         item.phase = Phase::Running(run);
+        self.idle_tokens = self.idle_tokens.saturating_sub(item.tokens);
         item.started = now;
         self.last_turn = turn + 1;
         Some(key.1)
@@ -139,6 +147,7 @@
     pub fn pause(&mut self, index: ItemIndex, until: Moment) {
         if let Some(item) = self.items.get_mut(&index) {
             item.phase = Phase::Pausing(until);
+            self.idle_tokens = self.idle_tokens.saturating_add(item.tokens);
             self.pausing.insert((until, index));
         }
     }
@@ -146,12 +155,14 @@
     /// The item's text, and when its last run started.
     pub fn complete(&mut self, index: ItemIndex) -> Option<(String, Moment)> {
         let item = self.items.get_mut(&index)?;
+        self.decided += 1;
         Some((item.take_text(), item.started))
     }
 
     pub fn decide(&mut self, index: ItemIndex) {
         if let Some(item) = self.items.get_mut(&index) {
             item.take_text();
+            self.decided += 1;
         }
     }
 
@@ -165,6 +176,8 @@
     pub fn decide_all(&mut self) -> Vec<(ItemIndex, Phase)> {
         self.ready.clear();
         self.pausing.clear();
+        self.idle_tokens = 0;
+        self.decided = self.items.len();
         let undecided = self.items.iter_mut().filter(|(_, item)| item.phase != Phase::Decided);
         undecided
             .map(|(index, item)| {
@@ -181,7 +194,11 @@
         match item.phase {
             Phase::Ready => drop(self.ready.remove(&(Reverse(item.tokens), index))),
             Phase::Pausing(until) => drop(self.pausing.remove(&(until, index))),
-            Phase::Running(_) | Phase::Decided => {}
+            Phase::Running(_) => {}
+            Phase::Decided => self.decided -= 1,
+        }
+        if matches!(item.phase, Phase::Ready | Phase::Pausing(_)) {
+            self.idle_tokens = self.idle_tokens.saturating_sub(item.tokens);
         }
         Some(item.phase)
     }
@@ -207,14 +224,13 @@
 
     /// When a pause ends or the job is given up; nothing if all is decided.
     pub fn next_wake(&self) -> Option<Moment> {
-        let has_undecided = self.items.values().any(|item| item.phase != Phase::Decided);
+        let has_undecided = self.decided < self.items.len();
         let pause = self.pausing.first().map(|(until, _)| *until);
         has_undecided.then(|| pause.map_or(self.given_up, |pause| pause.min(self.given_up)))
     }
 
     pub fn idle_tokens(&self) -> u64 {
-        let is_idle = |item: &&ItemRun| matches!(item.phase, Phase::Ready | Phase::Pausing(_));
-        self.items.values().filter(is_idle).fold(0, |sum, item| sum.saturating_add(item.tokens))
+        self.idle_tokens
     }
 }
 
--- a/crates/archive/tests/batches/running.rs
+++ b/crates/archive/tests/batches/running.rs
@@ -429,4 +429,28 @@
     assert_eq!(part.runner.idle_tokens(ROUTE), 200);
     part.end_run(&order, Outcome::NotExecuted);
     assert_eq!(part.runner.idle_tokens(ROUTE), 300);
+    part.commit(complete("j", order.item.0, "the predecessor's"));
+    assert_eq!(part.runner.idle_tokens(ROUTE), 200, "listed while it paused");
+    let order = part.next();
+    part.event(&order, 0, "text");
+    part.end_run(&order, Outcome::Complete);
+    assert_eq!(part.runner.idle_tokens(ROUTE), 100);
+    part.runner.route_ended(ROUTE);
+    assert_eq!((part.runner.idle_tokens(ROUTE), part.runner.next_wake()), (0, None));
+}
+
+/// While anything is undecided there is a moment to look again, and none once all is decided.
+#[test]
+fn there_is_a_moment_to_look_again_while_anything_is_undecided() {
+    let mut part = Part::with_job("j", 2);
+    let (first, second) = (part.next(), part.next());
+    let given_up = Some(at(61_000));
+    assert_eq!(part.runner.next_wake(), given_up);
+    part.event(&first, 0, "text");
+    part.end_run(&first, Outcome::Complete);
+    assert_eq!(part.runner.next_wake(), given_up);
+    part.settle();
+    assert_eq!(part.runner.next_wake(), given_up);
+    part.end_run(&second, Outcome::Rejected422);
+    assert_eq!(part.runner.next_wake(), None);
 }
--- a/crates/archive/tests/batches/storm.rs
+++ b/crates/archive/tests/batches/storm.rs
@@ -305,7 +305,7 @@
             self.commit();
             self.close_cut_off();
         }
-        if self.turns % 25 == 0 {
+        if self.turns.is_multiple_of(25) {
             self.commit();
             self.judge();
         }
--- a/crates/archive/tests/batches/submission.rs
+++ b/crates/archive/tests/batches/submission.rs
@@ -126,6 +126,18 @@
     format!(r#"{{"batch_items":[{}]}}"#, items.join(","))
 }
 
+#[rstest]
+#[case::as_many_as_may_be(64, 10, true)]
+#[case::too_many(65, 10, false)]
+#[case::as_large_as_may_be(4, 4_000, true)]
+#[case::too_large(4, 4_100, false)]
+fn headers_are_bounded(#[case] count: usize, #[case] value_bytes: usize, #[case] is_proper: bool) {
+    let value = "x".repeat(value_bytes);
+    let headers: Vec<String> = (0..count).map(|number| format!(r#""X-{number}":"{value}""#)).collect();
+    let body = one_item("header_map", &format!("{{{}}}", headers.join(",")));
+    assert_eq!(read(&body).is_ok(), is_proper);
+}
+
 #[test]
 fn two_hundred_items_are_taken_and_no_more() {
     assert_eq!(read(&items(200, |place| place)).expect("a proper submission").items.len(), 200);
