--- a/crates/transport/src/http.rs
+++ b/crates/transport/src/http.rs
@@ -37,15 +37,20 @@
 /// The first line and the headers of a request.
 #[derive(Clone, Debug)]
 pub struct RequestHead {
+    /// As it was sent.
     pub method: String,
+    /// Path and query as they were sent.
     pub target: String,
+    /// The headers in their order.
     pub headers: Headers,
 }
 
 /// The status and the headers of a response.
 #[derive(Clone, Debug)]
 pub struct ResponseHead {
+    /// Three digits.
     pub status: u16,
+    /// The headers in their order.
     pub headers: Headers,
 }
 
@@ -59,17 +64,24 @@
 /// A request with its whole body.
 #[derive(Debug)]
 pub struct Request {
+    /// As it was sent.
     pub method: String,
+    /// Path and query as they were sent.
     pub target: String,
+    /// The headers in their order.
     pub headers: Headers,
+    /// The body without its framing.
     pub body: Vec<u8>,
 }
 
 /// A response with its whole body.
 #[derive(Debug)]
 pub struct Response {
+    /// Three digits.
     pub status: u16,
+    /// The headers in their order.
     pub headers: Headers,
+    /// The body without its framing.
     pub body: Vec<u8>,
 }
 
--- a/crates/transport/tests/bodies.rs
+++ b/crates/transport/tests/bodies.rs
@@ -150,6 +150,8 @@
 #[case::trailer_without_name(b"0\r\n: x\r\n\r\n")]
 #[case::trailer_without_colon(b"0\r\nGET / HTTP\r\n\r\n")]
 #[case::folded_trailer(b"0\r\nA: b\r\n c\r\n\r\n")]
+#[case::folded_trailer_with_colon(b"0\r\nA: b\r\n c: d\r\n\r\n")]
+#[case::trailer_that_begins_with_a_colon(b"0\r\n:a: b\r\n\r\n")]
 #[case::trailer_with_bare_line_feed(b"0\r\nA: b\nC: d\r\n\r\n")]
 #[case::bare_line_feed_at_the_end(b"0\r\n\n")]
 #[case::return_at_the_end(b"0\r\n\rX")]
