--- a/crates/quorum/src/disk/store.rs
+++ b/crates/quorum/src/disk/store.rs
@@ -77,6 +77,18 @@
         Store::go_on(folder, slot, log)
     }
 
+    /// Opens the files after a write or sync has failed in this process, and writes all of them anew: the system may
+    /// take for synced what it could not write once, so that syncing the same files again proves nothing.
+    ///
+    /// # Errors
+    ///
+    /// As [`Store::open`], and when the disk still refuses.
+    pub fn open_after_failure(folder: &Path) -> Result<(Store, Restored), StoreError> {
+        let (mut store, restored) = Store::open(folder)?;
+        store.begin_generation(restored.snapshot.clone(), restored.hard, restored.entries.clone())?;
+        Ok((store, restored))
+    }
+
     fn create(folder: &Path) -> Result<(Store, Restored), StoreError> {
         let log = begin_log(folder, FIRST_GENERATION, HardState::default(), Vec::new())?;
         write_slot(folder, Slot { generation: FIRST_GENERATION, snapshot: None })?;
@@ -111,7 +123,7 @@
         ensure!(!self.poisoned, PoisonedSnafu);
         let newest = writes.iter().rposition(|write| matches!(write, Write::Snapshot { .. }));
         if let Some(Write::Snapshot { snapshot, hard, entries }) = newest.and_then(|at| writes.get(at)) {
-            self.begin_generation(snapshot.clone(), *hard, entries.clone())?;
+            self.begin_generation(Some(snapshot.clone()), *hard, entries.clone())?;
         }
         let appended = &writes[newest.map_or(0, |at| at + 1)..];
         let mut bytes = Vec::new();
@@ -162,7 +174,7 @@
     /// Writes the whole state anew beside the generation in force. Its log comes first: the slot puts it in force.
     fn begin_generation(
         &mut self,
-        snapshot: Snapshot,
+        snapshot: Option<Snapshot>,
         hard: HardState,
         entries: Vec<Entry>,
     ) -> Result<(), StoreError> {
@@ -170,7 +182,7 @@
         let log = begin_log(&self.folder, generation, hard, entries)?;
         // When this fails, the slot may be in force or not; only opening anew can tell.
         self.poisoned = true;
-        write_slot(&self.folder, Slot { generation, snapshot: Some(snapshot) })?;
+        write_slot(&self.folder, Slot { generation, snapshot })?;
         self.poisoned = false;
         self.generation = generation;
         self.log = log;
--- a/crates/quorum/src/lib.rs
+++ b/crates/quorum/src/lib.rs
@@ -59,7 +59,8 @@
 //! # }
 //! ```
 //!
-//! A failed write or sync is an error upward: the program drops replica and store and opens them anew, or ends.
+//! A failed write or sync is an error upward: the program drops replica and store, and ends or opens them anew by
+//! [`disk::Store::open_after_failure`]. A replica that was not told that something is synced must not go on.
 
 pub mod disk;
 
--- a/crates/quorum/src/ready.rs
+++ b/crates/quorum/src/ready.rs
@@ -15,7 +15,7 @@
 
 /// A batch of work. The order is: `ahead` may be sent at once; then `writes` are written and, if `must_sync`, synced;
 /// then [`Replica::synced`](crate::Replica::synced) is called, `messages` are sent, `restore` is loaded and `committed`
-/// is applied. No other call of the replica comes between taking the batch and having it synced.
+/// is applied. The next batch is taken only after that; messages and proposals may come in between.
 #[derive(Debug, Default)]
 pub struct Ready {
     /// Messages that promise nothing about this replica's disk: an owner's entries go out while it writes them itself.
--- a/crates/quorum/tests/groups.rs
+++ b/crates/quorum/tests/groups.rs
@@ -160,6 +160,30 @@
     world.change_to(&spare, BOUND);
 }
 
+#[test]
+fn those_who_leave_bring_the_change_to_its_end_when_nobody_else_can() {
+    // Given a change to a single new voter, cut off just before it gets the last entry, which all others have
+    let (mut world, owner) = start(10, 3, 1);
+    let heir = Site(3);
+    change(&mut world, owner, &[heir]).expect("nothing is under way");
+    world.run_until(BOUND, "the last entry of the change", |world| {
+        let replica = world.replica(owner);
+        replica.group().voters.len() == 1 && !replica.group().is_joint()
+    });
+    world.isolate(heir);
+    let last = world.replica(owner).last();
+    let others = world.others(&[owner, heir]);
+    world.run_until(BOUND, "all others have it", |world| {
+        others.iter().all(|other| world.replica(*other).last() == last)
+    });
+    assert!(world.replica(heir).group().is_joint());
+    // When the owner dies, and the new voter, whose log is too short to win, is back
+    world.lose_power(owner);
+    world.heal();
+    // Then it owns the part soon
+    world.run_until(BOUND, "an owner", |world| world.owner() == Some(heir));
+}
+
 #[test]
 fn changes_that_make_no_sense_are_refused() {
     let (mut world, owner) = start(8, 3, 0);
