--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -23,9 +23,11 @@
 pub enum Outcome {
     /// The whole answer of the executor was passed on.
     Served,
-    /// No byte of the request left on a connection that could have carried it: refused, not connected in time,
-    /// or closed by the executor before anything was written.
+    /// No connection came up: refused, or not in time. Nothing of the request was written.
     NeverSent,
+    /// A connection that had idled turned out to be closed before anything of the request was written. It says
+    /// nothing against the executor, which may be chosen again, over a new connection.
+    IdleClosed,
     /// Refused with `X-Grebeusher-Not-Executed`: 503, 429 or 400.
     NotExecuted,
     /// 421: another instance lives there, or its weights are of another version. It did not run.
@@ -51,7 +53,7 @@
 impl Outcome {
     /// Whether the attempt proves that its executor has not run the request and never will.
     pub fn proves_not_run(self) -> bool {
-        matches!(self, Outcome::NeverSent | Outcome::NotExecuted | Outcome::Misdirected)
+        matches!(self, Outcome::NeverSent | Outcome::IdleClosed | Outcome::NotExecuted | Outcome::Misdirected)
     }
 }
 
--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -6,6 +6,7 @@
 use crate::headers::{PromptParts, TokenCount};
 use crate::ids::{ExecutorId, ModelKey, ServiceId};
 use crate::policy::TOKENS_PER_TOKEN_OUT;
+use crate::prefix::READ_PER_S;
 use grebeusher_sizing::{Candidate as Weighed, pick, rendezvous};
 use grebeusher_time::{Moment, Span};
 use rand::Rng;
@@ -145,13 +146,19 @@
     /// Neither silent nor ejected.
     sound: bool,
     room: bool,
-    /// Connections are left.
+    /// Connections are left, and it did not say that it is full.
     reachable: bool,
+    /// Its memory has room for the request's tokens.
+    fits: bool,
     utilisation: f64,
+    /// The part of its places that is taken, 1 at most.
+    taken: f64,
     known: bool,
     /// Seconds in the queue.
     wait: f64,
     unread: u64,
+    /// How many times slower than usual its events come.
+    slowness: f64,
     strength: f64,
 }
 
@@ -189,6 +196,8 @@
 const NOBODY_RETRY: Span = Span::millis(300);
 /// The least and the most that a client is told to wait.
 const RETRY_BOUNDS_S: (f64, f64) = (0.05, 2.0);
+/// A slow executor is never taken for more than full by that alone.
+const MOST_SLOW: f64 = 0.9;
 /// Below this part of all places a refusal would be a mistake whatever single estimates say.
 const HALF: f64 = 0.5;
 
@@ -209,18 +218,25 @@
             return Choice::Nobody { retry_after: NOBODY_RETRY };
         }
         let allowance = self.allowance(request);
+        if let Some(home) = self.by_parts(request, allowance, candidates) {
+            return self.send(home);
+        }
+        let home_only = self.policy.queue_at_home && request.stake() >= self.policy.least_stake;
         for tier in Tier::ALL {
+            if home_only && matches!(tier, Tier::LaneQueue | Tier::Queue) {
+                continue;
+            }
             let holds = |c: &Candidate| tier.holds(c, allowance);
             let fitting: Vec<Candidate> = candidates.iter().copied().filter(holds).collect();
-            if let Some(chosen) = self.among(request, tier, &fitting) {
+            if let Some(chosen) = self.by_weight(tier, &fitting) {
                 return self.send(chosen);
             }
         }
         // Estimates may be off; a refusal while half of all is idle must not happen.
-        let idle = candidates.iter().map(|c| c.utilisation).sum::<f64>() < HALF * candidates.len() as f64;
+        let idle = candidates.iter().map(|c| c.taken).sum::<f64>() < HALF * candidates.len() as f64;
         let reachable: Vec<Candidate> = candidates.iter().copied().filter(|c| c.reachable).collect();
         if (idle || request.committed)
-            && let Some(chosen) = self.among(request, Tier::Queue, &reachable)
+            && let Some(chosen) = self.by_weight(Tier::Queue, &reachable)
         {
             return self.send(chosen);
         }
@@ -249,21 +265,9 @@
         left * self.policy.queue_part / (1.0 + less_urgent)
     }
 
-    /// Picks among those that fit: by prompt parts where these count, else by weight.
-    fn among(&mut self, request: &Request<'_>, tier: Tier, fitting: &[Candidate]) -> Option<u32> {
-        if fitting.is_empty() {
-            return None;
-        }
-        if matches!(tier, Tier::Lane | Tier::OutOfLane)
-            && let Some(home) = self.by_parts(request, fitting)
-        {
-            return Some(home);
-        }
-        let weighed: Vec<Weighed> = fitting
-            .iter()
-            .map(|c| Weighed { utilisation: c.known.then_some(c.utilisation), strength: c.strength })
-            .collect();
-        let chosen = fitting.get(pick(&mut self.chance, &weighed)?)?;
+    /// Picks among those that fit: by weight.
+    fn by_weight(&mut self, tier: Tier, fitting: &[Candidate]) -> Option<u32> {
+        let chosen = self.weighted(fitting)?;
         let count = match tier {
             Tier::Lane => &mut self.decisions.by_pick,
             Tier::OutOfLane => &mut self.decisions.out_of_lane,
@@ -271,44 +275,65 @@
             Tier::InDoubt => &mut self.decisions.in_doubt,
         };
         *count += 1;
-        Some(chosen.place)
+        Some(chosen)
     }
 
-    /// The exception: one that holds the prompt's shared parts, or the first of the last shared part's homes
-    /// that has room to spare.
-    fn by_parts(&mut self, request: &Request<'_>, fitting: &[Candidate]) -> Option<u32> {
-        if request.stake() < self.policy.least_stake {
+    /// The design's pick: at random by one minus the utilisation, floored.
+    fn weighted(&mut self, fitting: &[Candidate]) -> Option<u32> {
+        let weigh =
+            |c: &Candidate| Weighed { utilisation: c.known.then_some(c.utilisation), strength: c.strength };
+        let weighed: Vec<Weighed> = fitting.iter().map(weigh).collect();
+        fitting.get(pick(&mut self.chance, &weighed)?).map(|c| c.place)
+    }
+
+    /// The exception: one of the lane that holds the prompt's shared parts, or the first of the last shared part's
+    /// homes that has room to spare, or will have before the shared parts could be read anew elsewhere.
+    fn by_parts(&mut self, request: &Request<'_>, allowance: f64, candidates: &[Candidate]) -> Option<u32> {
+        let stake = request.stake();
+        if stake < self.policy.least_stake {
             return None;
         }
         let shared = request.parts.shared();
         let key = shared.last()?.chain ^ request.model_bits();
-        let spare =
-            |c: &&Candidate| c.utilisation < self.policy.home_bound && c.unread < self.policy.home_unread;
+        let longest = allowance.min(f64::from(stake) / READ_PER_S);
+        let fitting = candidates.iter().filter(|c| c.sound && c.reachable && c.fits && c.in_lane);
+        let spare = |c: &&Candidate| {
+            c.wait <= longest
+                && c.utilisation < self.policy.home_bound
+                && c.unread < self.policy.home_unread
+                && c.slowness < self.policy.home_slowness
+        };
         let kept = |c: &Candidate| {
             let executor = self.executors[c.place as usize].1.as_ref();
             executor.map_or(0, |executor| executor.memory.kept(request.model_bits(), shared))
         };
-        let held = fitting.iter().filter(spare).map(|c| (kept(c), rendezvous(key, c.hash), c.place)).max();
-        if let Some((_, _, place)) = held.filter(|(kept, _, _)| *kept >= self.policy.least_stake) {
+        let rank = |c: &Candidate| rendezvous(key, c.hash);
+        let longest_kept = fitting.clone().filter(spare).map(kept).max().unwrap_or(0);
+        if longest_kept >= self.policy.least_stake {
+            let holders: Vec<Candidate> =
+                fitting.filter(|c| spare(c) && kept(c) == longest_kept).copied().collect();
+            let place = self.weighted(&holders)?;
             self.decisions.by_kept += 1;
             return Some(place);
         }
-        let mut order: Vec<&Candidate> = fitting.iter().collect();
-        order.sort_unstable_by_key(|c| std::cmp::Reverse(rendezvous(key, c.hash)));
+        let mut order: Vec<&Candidate> = fitting.collect();
+        order.sort_unstable_by_key(|c| std::cmp::Reverse(rank(c)));
         let home = order.into_iter().take(self.policy.homes).find(spare)?.place;
         self.decisions.by_home += 1;
         Some(home)
     }
 
-    /// Tokens of a request's prompt that an executor is believed to hold.
-    pub(crate) fn kept(&self, id: ExecutorId, request: &Request<'_>) -> u32 {
-        let executor = self.executor(id);
-        executor.map_or(0, |executor| executor.memory.kept(request.model_bits(), request.parts.all()))
+    /// Tokens of a request's prompt that an executor is believed to hold, and of these the ones that it has read.
+    pub(crate) fn kept(&self, now: Moment, id: ExecutorId, request: &Request<'_>) -> (u32, u32) {
+        let Some(executor) = self.executor(id) else { return (0, 0) };
+        let (model, parts) = (request.model_bits(), request.parts.all());
+        (executor.memory.kept(model, parts), executor.memory.read(now, model, parts))
     }
 
     fn candidates(&self, now: Moment, request: &Request<'_>, found: &mut Vec<Candidate>) {
         found.clear();
         let Some(service) = self.services.get(request.service.0 as usize) else { return };
+        let (usual, _) = service.others(now);
         let lane = service.cut_offs.lane_of(request.size(service.median));
         let one_lane = service.cut_offs.lanes() == 1;
         let budget = match service.settings.max_connections {
@@ -326,7 +351,7 @@
                 continue;
             }
             let slots = f64::from(executor.slots);
-            let others = executor.others(now, service.others);
+            let others = executor.others(now, usual);
             let out = f64::from(executor.open) + others;
             let memory = executor.open_tokens as f64 + others * service.request_tokens;
             // One larger than all memory is for the executor to reject.
@@ -335,6 +360,7 @@
             let reachable = executor.open < budget && !full;
             let filled = if capacity > 0.0 { memory / capacity } else { 0.0 };
             let unread = executor.unread as f64 / self.policy.unread_full as f64;
+            let slow = (executor.slowness(now) * self.policy.slow_weight).min(MOST_SLOW);
             found.push(Candidate {
                 place: *place,
                 hash: executor.hash,
@@ -342,10 +368,13 @@
                 sound: executor.standing == Standing::Up && !executor.health.is_out(now),
                 room: reachable && fits && out + 1.0 <= slots,
                 reachable,
-                utilisation: (out / slots).max(filled) + unread,
+                fits,
+                utilisation: (out / slots).max(filled) + unread + slow,
+                taken: (out / slots).min(1.0),
                 known: executor.has_figure(now),
                 wait: (out + 1.0 - slots).max(0.0) * service.holds / slots,
                 unread: executor.unread,
+                slowness: executor.slowness(now),
                 strength: if executor.zone == self.zone { self.policy.near } else { 1.0 },
             });
         }
@@ -358,7 +387,7 @@
         let request = item.as_request();
         let mut candidates = std::mem::take(&mut self.scratch);
         self.candidates(now, &request, &mut candidates);
-        let reserve = self.reserve(item);
+        let reserve = self.reserve(now, item);
         let free = |c: &&Candidate| {
             let executor = self.executors[c.place as usize].1.as_ref();
             let unread = executor.map_or(0, |executor| executor.unread_batch);
@@ -372,15 +401,15 @@
         self.scratch = candidates;
         let in_lane: Vec<Candidate> = fitting.iter().copied().filter(|c| c.in_lane).collect();
         let tier = if in_lane.is_empty() { Tier::OutOfLane } else { Tier::Lane };
-        let place = self.among(&request, tier, if in_lane.is_empty() { &fitting } else { &in_lane })?;
+        let place = self.by_weight(tier, if in_lane.is_empty() { &fitting } else { &in_lane })?;
         self.executors[place as usize].1.as_ref().map(|executor| executor.id)
     }
 
     /// The part of an executor's slots that a batch item leaves free.
-    fn reserve(&self, item: &BatchItem<'_>) -> f64 {
+    fn reserve(&self, now: Moment, item: &BatchItem<'_>) -> f64 {
         const DEVIATIONS: f64 = 2.0; // of others' load from the mean: few bursts are beyond
         let (least, most) = self.policy.batch_reserve;
-        let off = self.services.get(item.service.0 as usize).map_or(0.0, |service| service.others_off);
+        let off = self.services.get(item.service.0 as usize).map_or(0.0, |service| service.others(now).1);
         let urgency = if item.urgency.is_finite() { item.urgency.clamp(0.0, 1.0) } else { 0.0 };
         (off * DEVIATIONS).clamp(least, most) * (1.0 - urgency / 2.0)
     }
--- a/crates/gateway/src/executor.rs
+++ b/crates/gateway/src/executor.rs
@@ -66,14 +66,18 @@
     /// Own prompt tokens that were sent and are not read yet, as nothing of the answer came.
     pub unread: u64,
     pub unread_batch: u64,
-    reported: Option<Others>,
-    told: Option<Others>,
+    /// Requests of others, by the newest that was heard from the executor itself or from neighbours.
+    heard: Option<Others>,
+    /// How many times longer the pauses between events were lately than over the whole service, and when.
+    slower: (f64, Moment),
 }
 
 /// After so long a report says nothing of the present: about the time that a request runs.
 const REPORT_FADES: Span = Span::millis(1200);
-/// What neighbours told holds so long: a few of their messages may get lost.
-const TOLD_HOLDS: Span = Span::millis(1500);
+/// The pace of events says something for about as long as a long prompt is read.
+const PACE_FADES: Span = Span::millis(400);
+/// The part of the newest pause in an executor's pace.
+const NEWEST_PAUSE: f64 = 0.5;
 
 impl Executor {
     pub fn new(id: ExecutorId, service: ServiceId, from: &Descriptor<'_>) -> Executor {
@@ -95,8 +99,8 @@
             open_tokens: 0,
             unread: 0,
             unread_batch: 0,
-            reported: None,
-            told: None,
+            heard: None,
+            slower: (1.0, Moment(0)),
         }
     }
 
@@ -115,33 +119,41 @@
     pub fn reported(&mut self, now: Moment, load: ServerLoad) -> f64 {
         let all = f64::from(load.running) + f64::from(load.waiting);
         let requests = (all - f64::from(self.open)).max(0.0);
-        self.reported = Some(Others { at: now, requests });
+        self.heard = Some(Others { at: now, requests });
         requests / f64::from(self.slots)
     }
 
     /// Neighbours told how many requests they have out there, all together.
     pub fn told(&mut self, now: Moment, requests: f64) {
         let requests = if requests.is_finite() { requests.max(0.0) } else { 0.0 };
-        self.told = Some(Others { at: now, requests });
+        self.heard = Some(Others { at: now, requests });
     }
 
-    /// Requests of other nodes there: as neighbours told, else as last reported, fading into `usual` (requests per
-    /// slot over the service) as the report ages.
+    /// Requests of other nodes there, as last heard, fading into `usual` (requests per slot over the service): all
+    /// nodes hear the same, and what looked idle to all a while ago is not idle now.
     pub fn others(&self, now: Moment, usual: f64) -> f64 {
-        if let Some(told) = self.told.filter(|told| now.since(told.at) < TOLD_HOLDS) {
-            return told.requests;
-        }
         let usual = usual * f64::from(self.slots);
-        let Some(report) = self.reported else { return usual };
-        let fresh = 1.0 - now.since(report.at).as_secs() / REPORT_FADES.as_secs();
-        let fresh = fresh.max(0.0);
-        report.requests * fresh + usual * (1.0 - fresh)
+        let Some(heard) = self.heard else { return usual };
+        let fresh = (1.0 - now.since(heard.at).as_secs() / REPORT_FADES.as_secs()).max(0.0);
+        heard.requests * fresh + usual * (1.0 - fresh)
     }
 
     /// Whether anything is known of its load.
     pub fn has_figure(&self, now: Moment) -> bool {
-        let known = |others: Option<Others>, holds| others.is_some_and(|others| now.since(others.at) < holds);
-        self.open > 0 || known(self.told, TOLD_HOLDS) || known(self.reported, REPORT_FADES)
+        self.open > 0 || self.heard.is_some_and(|heard| now.since(heard.at) < REPORT_FADES)
+    }
+
+    /// A pause between two events of an own stream was so many times the usual one.
+    pub fn paced(&mut self, now: Moment, times: f64) {
+        let before = 1.0 + self.slowness(now);
+        self.slower = (before + (times - before) * NEWEST_PAUSE, now);
+    }
+
+    /// By how many times its events come slower than usual; 0 where they do not, or nothing is known.
+    pub fn slowness(&self, now: Moment) -> f64 {
+        let (times, at) = self.slower;
+        let fresh = 1.0 - now.since(at).as_secs() / PACE_FADES.as_secs();
+        ((times - 1.0) * fresh).max(0.0)
     }
 
     /// Whether it has the model that a request names.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -8,7 +8,7 @@
 use crate::ids::{AttemptToken, ExecutorId, ServiceId, ZoneKey};
 use crate::policy::Policy;
 use crate::service::{Service, ServiceSettings};
-use grebeusher_sizing::{lanes_by_hash, share_of_lanes};
+use grebeusher_sizing::{lanes_by_share, share_of_lanes};
 use grebeusher_time::Moment;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg32;
@@ -89,6 +89,8 @@
     pub tokens: u64,
     pub unread: u64,
     pub batch: bool,
+    /// When its last event came.
+    pub event: Option<Moment>,
 }
 
 /// The decisions of one node. See the crate's page.
@@ -209,10 +211,16 @@
         self.by_instance.get(instance).copied()
     }
 
+    /// Whether a request that was chosen for an executor a moment ago may still begin there: to be asked once more
+    /// right before its first byte is written, as it may have waited for a connection while word of a drain came.
+    pub fn may_begin(&self, id: ExecutorId) -> bool {
+        self.executor(id).is_some_and(|executor| executor.standing != Standing::Draining)
+    }
+
     /// What is known of an executor now.
     pub fn view(&self, now: Moment, id: ExecutorId) -> Option<ExecutorView> {
         let executor = self.executor(id)?;
-        let usual = self.services[executor.service.0 as usize].others;
+        let (usual, _) = self.services[executor.service.0 as usize].others(now);
         Some(ExecutorView {
             instance: executor.instance.clone(),
             service: executor.service,
@@ -230,9 +238,10 @@
     pub fn view_service(&self, now: Moment, id: ServiceId) -> Option<ServiceView> {
         let service = self.services.get(id.0 as usize)?;
         let members = service.members.iter().filter_map(|place| self.executors[*place as usize].1.as_ref());
+        let (usual, _) = service.others(now);
         let (mut taken, mut slots) = (0.0, 0.0);
         for executor in members.filter(|executor| executor.standing != Standing::Draining) {
-            taken += f64::from(executor.open) + executor.others(now, service.others);
+            taken += f64::from(executor.open) + executor.others(now, usual);
             slots += f64::from(executor.slots);
         }
         Some(ServiceView {
@@ -255,7 +264,8 @@
         executors.filter(|executor| executor.open > 0).map(|executor| (executor.id, executor.open))
     }
 
-    /// Neighbours told how many requests they have out at an executor, all other nodes together.
+    /// Neighbours told how many requests they have out at an executor, all other nodes together. Counts as a report
+    /// does: the newest holds, and fades.
     pub fn told(&mut self, now: Moment, id: ExecutorId, requests: f64) {
         if let Some(executor) = self.executor_mut(id) {
             executor.told(now, requests);
@@ -265,12 +275,12 @@
     /// An attempt goes out. `None` when more are open than any node can have; it then goes unaccounted.
     pub fn started(&mut self, now: Moment, id: ExecutorId, request: &Request<'_>) -> Option<AttemptToken> {
         let policy = self.policy;
-        let kept = self.kept(id, request);
+        let (kept, read) = self.kept(now, id, request);
         let (_, executor) = self.executors.get_mut(id.place as usize)?;
         let executor = executor.as_mut().filter(|executor| executor.id == id)?;
         let service = &mut self.services[executor.service.0 as usize];
         let tokens = u64::from(request.tokens.map_or(0, |t| t.prompt.saturating_add(t.out)));
-        let unread = u64::from(request.tokens.map_or(0, |t| t.prompt.saturating_sub(kept)));
+        let unread = u64::from(request.tokens.map_or(0, |t| t.prompt.saturating_sub(read)));
         if request.tokens.is_some() && request.excluded.is_empty() {
             let home = if request.stake() >= policy.least_stake { request.parts.shared_tokens() } else { 0 };
             let (size, work) = (request.size(service.median), request.work(service.median, kept.max(home)));
@@ -283,7 +293,7 @@
         executor.unread += unread;
         executor.unread_batch += if request.batch { unread } else { 0 };
         if request.stake() >= policy.least_stake {
-            executor.memory.sent(request.model_bits(), request.parts.shared());
+            executor.memory.sent(now, request.model_bits(), request.parts.shared());
         }
         let place = match self.vacant_attempts.pop() {
             Some(place) => place,
@@ -298,7 +308,7 @@
         };
         let attempt = &mut self.attempts[place as usize];
         let batch = request.batch;
-        attempt.open = Some(OpenAttempt { executor: id, sent: now, tokens, unread, batch });
+        attempt.open = Some(OpenAttempt { executor: id, sent: now, tokens, unread, batch, event: None });
         Some(AttemptToken { place, generation: attempt.generation })
     }
 
@@ -312,19 +322,24 @@
     pub fn load(&mut self, now: Moment, id: ExecutorId, load: ServerLoad) {
         let Some(executor) = self.executor_mut(id) else { return };
         let (others, service) = (executor.reported(now, load), executor.service);
-        self.services[service.0 as usize].reported(others);
+        self.services[service.0 as usize].reported(now, others);
     }
 
-    /// An event, or the first byte of a body, came: the prompt is read.
-    pub fn progress(&mut self, _now: Moment, token: AttemptToken) {
+    /// An event, or the first byte of a body, came: the prompt is read, and the pause since the event before it tells
+    /// the executor's pace.
+    pub fn progress(&mut self, now: Moment, token: AttemptToken) {
         let Some(attempt) = self.open_mut(token) else { return };
         let (id, unread, batch) = (attempt.executor, std::mem::take(&mut attempt.unread), attempt.batch);
-        if unread == 0 {
-            return;
-        }
-        if let Some(executor) = self.executor_mut(id) {
-            executor.unread = executor.unread.saturating_sub(unread);
-            executor.unread_batch = executor.unread_batch.saturating_sub(if batch { unread } else { 0 });
+        let before = attempt.event.replace(now);
+        let Some(executor) = self.executor_mut(id) else { return };
+        executor.unread = executor.unread.saturating_sub(unread);
+        executor.unread_batch = executor.unread_batch.saturating_sub(if batch { unread } else { 0 });
+        let service = executor.service;
+        if let Some(before) = before {
+            let times = self.services[service.0 as usize].paused(now.since(before));
+            if let Some(executor) = self.executor_mut(id) {
+                executor.paced(now, times);
+            }
         }
     }
 
@@ -354,7 +369,7 @@
             | Outcome::BrokenBeforeRelay
             | Outcome::BrokenMidBody
             | Outcome::BrokenMidStream => self.failed(now, open.executor, Failure::Broken),
-            Outcome::AnsweredFailure | Outcome::TimedOut | Outcome::ClientGone => {}
+            Outcome::IdleClosed | Outcome::AnsweredFailure | Outcome::TimedOut | Outcome::ClientGone => {}
         }
     }
 
@@ -418,9 +433,10 @@
         };
         let ready: Vec<(u32, u64, u32)> = service.members.iter().filter_map(ready).collect();
         let hashes: Vec<u64> = ready.iter().map(|(_, hash, _)| *hash).collect();
-        let lanes = lanes_by_hash(&hashes, self.policy.lanes);
+        let parts = self.policy.lane_parts();
+        let lanes = lanes_by_share(&hashes, &parts);
         let slots = ready.iter().map(|(_, _, slots)| f64::from(*slots));
-        service.shares = share_of_lanes(self.policy.lanes, lanes.iter().copied().zip(slots));
+        service.shares = share_of_lanes(parts.len(), lanes.iter().copied().zip(slots));
         for ((place, _, _), lane) in ready.iter().zip(lanes) {
             if let Some(executor) = &mut executors[*place as usize].1 {
                 executor.lane = lane;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -74,5 +74,5 @@
 pub use headers::{HeaderError, MOST_PARTS, PromptPart, PromptParts, ServerLoad, TokenCount};
 pub use health::Failure;
 pub use ids::{AttemptToken, ExecutorId, ModelKey, ServiceId, ZoneKey};
-pub use policy::{Policy, TOKENS_PER_TOKEN_OUT};
+pub use policy::{MOST_LANES, Policy, TOKENS_PER_TOKEN_OUT};
 pub use service::ServiceSettings;
--- a/crates/gateway/src/policy.rs
+++ b/crates/gateway/src/policy.rs
@@ -6,11 +6,15 @@
 /// of two milliseconds makes one token for each, and a millisecond reads over a hundred tokens of a prompt.
 pub const TOKENS_PER_TOKEN_OUT: u32 = 10;
 
+/// The most lanes of a service.
+pub const MOST_LANES: usize = 4;
+
 /// Free choices of the design and bounds of its exceptions.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Policy {
-    /// Lanes of each service.
-    pub lanes: usize,
+    /// Part of a service's executors in each lane, the lane of the smallest sizes first; two lanes at least on the
+    /// ordinary path. Lanes that count for nothing (0) are left out.
+    pub lanes: [f64; MOST_LANES],
     /// Sizes that the cut-offs are made of.
     pub sample: usize,
     /// Below so many sizes one lane holds every executor.
@@ -23,12 +27,20 @@
     pub home_bound: f64,
     /// Tokens that this node sent an executor and that it has not read yet, from which on it is no home.
     pub home_unread: u64,
+    /// How many times slower than usual the events of own streams may come at a home: beyond, it reads too much.
+    pub home_slowness: f64,
     /// How many executors of the rendezvous order are looked at as homes.
     pub homes: usize,
     /// Unread tokens of this node's that make an executor as good as full in the weighted pick.
     pub unread_full: u64,
+    /// How much of an executor counts as taken for each time that the events of own streams there come slower than
+    /// those of the whole service: it reads long prompts between the tokens, of whichever node.
+    pub slow_weight: f64,
     /// How much more an executor of the node's own zone counts in the pick: bytes between zones are priced.
     pub near: f64,
+    /// Whether a request with a stake, while none of the lane has room, goes only into the queue of a home: read anew
+    /// elsewhere it would delay all that wait there.
+    pub queue_at_home: bool,
     /// The part of the time left to the objective for which a request may wait in an executor's queue.
     pub queue_part: f64,
     /// Part of an executor's slots that batch items leave free at least, and at most.
@@ -38,19 +50,31 @@
     pub batch_unread: u64,
 }
 
+impl Policy {
+    /// The parts of the lanes that count.
+    pub(crate) fn lane_parts(&self) -> Vec<f64> {
+        let sound = |part: &f64| part.is_finite() && *part > 0.0;
+        let parts: Vec<f64> = self.lanes.iter().copied().filter(sound).collect();
+        if parts.is_empty() { vec![1.0] } else { parts }
+    }
+}
+
 impl Default for Policy {
     fn default() -> Policy {
         Policy {
-            lanes: 2,
+            lanes: [1.0, 3.0, 0.0, 0.0],
             sample: 1000,
             fewest: 50,
             recompute: Span::millis(5000),
             least_stake: 1024,
-            home_bound: 0.75,
-            home_unread: 24_000,
-            homes: 3,
+            home_bound: 2.0,
+            home_unread: 48_000,
+            home_slowness: 3.0,
+            homes: 2,
             unread_full: 48_000,
+            slow_weight: 0.25,
             near: 2.0,
+            queue_at_home: true,
             queue_part: 0.4,
             batch_reserve: (0.125, 0.5),
             batch_unread: 2_000,
--- a/crates/gateway/src/prefix.rs
+++ b/crates/gateway/src/prefix.rs
@@ -1,6 +1,7 @@
 //! Which parts of prompts an executor is believed to hold, by what this node sent there.
 
 use crate::headers::PromptPart;
+use grebeusher_time::{Moment, Span};
 use rustc_hash::FxHashMap;
 use std::collections::VecDeque;
 
@@ -10,8 +11,13 @@
 struct Kept {
     tokens: u32,
     used: u64,
+    /// When the executor has read it, about.
+    read_at: Moment,
 }
 
+/// Tokens of a prompt that an executor reads in a second, about: a hundred a millisecond.
+pub(crate) const READ_PER_S: f64 = 100_000.0;
+
 /// The least recently used give way, as in the executor itself; bounded by tokens and by number.
 #[derive(Default)]
 pub(crate) struct PrefixMemory {
@@ -30,24 +36,35 @@
         self.shrink();
     }
 
-    /// Tokens of the longest run of parts, from the first on, that is believed to be kept.
+    /// Tokens of the longest run of parts, from the first on, that is believed to be kept, or being read.
     pub fn kept(&self, model: u64, parts: &[PromptPart]) -> u32 {
-        let kept = parts.iter().take_while(|part| self.kept.contains_key(&(part.chain ^ model)));
+        self.run(model, parts, |_| true)
+    }
+
+    /// As `kept`, without what is still being read: who comes meanwhile reads it as well.
+    pub fn read(&self, now: Moment, model: u64, parts: &[PromptPart]) -> u32 {
+        self.run(model, parts, |kept| kept.read_at <= now)
+    }
+
+    fn run(&self, model: u64, parts: &[PromptPart], counts: impl Fn(&Kept) -> bool) -> u32 {
+        let kept = parts.iter().take_while(|part| self.kept.get(&(part.chain ^ model)).is_some_and(&counts));
         kept.fold(0, |sum, part| sum.saturating_add(part.tokens))
     }
 
     /// The parts were sent there: they are read and kept, or kept on.
-    pub fn sent(&mut self, model: u64, parts: &[PromptPart]) {
+    pub fn sent(&mut self, now: Moment, model: u64, parts: &[PromptPart]) {
         if self.capacity == 0 {
             return;
         }
+        let all = parts.iter().fold(0.0, |sum, part| sum + f64::from(part.tokens));
+        let read_at = now + Span::secs(all / READ_PER_S);
         // The first part last: the later ones are of no use without it, so they give way before it.
         for part in parts.iter().rev() {
             let key = part.chain ^ model;
             self.clock += 1;
-            let fresh = Kept { tokens: part.tokens, used: self.clock };
-            let before = self.kept.insert(key, fresh).map_or(0, |before| u64::from(before.tokens));
-            self.tokens = self.tokens + u64::from(part.tokens) - before;
+            let kept = self.kept.entry(key).or_insert(Kept { tokens: 0, used: 0, read_at });
+            self.tokens = self.tokens + u64::from(part.tokens) - u64::from(kept.tokens);
+            (kept.tokens, kept.used) = (part.tokens, self.clock);
             self.uses.push_back((key, self.clock));
         }
         self.shrink();
--- a/crates/gateway/src/service.rs
+++ b/crates/gateway/src/service.rs
@@ -28,11 +28,13 @@
     pub median: f64,
     /// How long an attempt lasts, in seconds.
     pub holds: f64,
+    /// The pause between two events of a stream, in seconds.
+    pub pause: f64,
     /// Tokens in memory per request when it is through.
     pub request_tokens: f64,
-    /// Requests of other nodes per slot, over all executors, and how far single reports are off that.
-    pub others: f64,
-    pub others_off: f64,
+    others: f64,
+    others_off: f64,
+    reported: Moment,
     /// The most urgent priority that was seen.
     pub best_priority: u8,
 }
@@ -55,9 +57,11 @@
             recut: Moment(0),
             median: 1.0,
             holds: HOLDS_AT_FIRST_S,
+            pause: 0.0,
             request_tokens: 0.0,
             others: 0.0,
             others_off: 0.0,
+            reported: Moment(0),
             best_priority: u8::MAX,
         }
     }
@@ -91,10 +95,42 @@
         self.holds += (took.as_secs() - self.holds) * NEWEST;
     }
 
+    /// A pause between two events of a stream; returns how many times the usual one it is.
+    pub fn paused(&mut self, pause: Span) -> f64 {
+        const MOST_TIMES: f64 = 10.0; // one long stall must not set the scale
+        if self.pause == 0.0 {
+            self.pause = pause.as_secs();
+        }
+        let times = (pause.as_secs() / self.pause.max(1e-6)).min(MOST_TIMES);
+        self.pause *= 1.0 + (times - 1.0) * NEWEST;
+        times
+    }
+
     /// An executor reported requests of others, per slot.
-    pub fn reported(&mut self, others: f64) {
-        let off = others - self.others;
-        self.others += off * NEWEST;
-        self.others_off += (off.abs() - self.others_off) * NEWEST;
+    pub fn reported(&mut self, now: Moment, others: f64) {
+        let (mean, deviation) = self.others(now);
+        // What has faded gives way sooner, yet one executor does not stand for all.
+        const FIRST: f64 = 0.3;
+        let newest = NEWEST.max(FIRST * (1.0 - self.heard_part(now)));
+        let off = others - mean;
+        self.others = mean + off * newest;
+        self.others_off = deviation + (off.abs() - deviation) * NEWEST;
+        self.reported = now;
+    }
+
+    /// Requests of other nodes per slot, over all executors, and how far single reports are off that. Both fade
+    /// when nothing is heard any more. Guards against a node that sends nothing as all seemed full once, and hears
+    /// nothing as it sends nothing.
+    pub fn others(&self, now: Moment) -> (f64, f64) {
+        let left = self.heard_part(now);
+        (self.others * left, self.others_off * left)
+    }
+
+    /// How much of what was heard last still counts, from 1 to 0.
+    fn heard_part(&self, now: Moment) -> f64 {
+        const HOLDS: Span = Span::millis(500); // a node with any requests hears more often
+        const HALVES_IN_S: f64 = 0.5; // full is forgotten within a small part of any batch job's time
+        let silent = now.since(self.reported);
+        if silent <= HOLDS { 1.0 } else { 0.5_f64.powf((silent - HOLDS).as_secs() / HALVES_IN_S) }
     }
 }
--- /dev/null
+++ b/crates/gateway/tests/choice.rs
@@ -0,0 +1,595 @@
+//! The choice on one node: lanes, weights, homes, room, refusals, batch items.
+
+use grebeusher_gateway::{
+    BatchItem, Choice, Descriptor, ExecutorId, Failure, Gateway, Kind, ModelKey, Outcome, Policy,
+    PromptParts, Request, ServerLoad, ServiceId, ServiceSettings, Standing, TokenCount, ZoneKey,
+};
+use grebeusher_time::{Moment, Span};
+use proptest::prelude::*;
+use rstest::rstest;
+use std::collections::BTreeMap;
+
+const START: Moment = Moment(5_000_000_000);
+const MODEL: [ModelKey; 1] = [ModelKey(1)];
+
+fn at(ms: u64) -> Moment {
+    START + Span::millis(ms)
+}
+
+fn executor(number: usize, standing: Standing) -> Descriptor<'static> {
+    const NAMES: [&str; 8] = ["i-a1", "i-b2", "i-c3", "i-d4", "i-e5", "i-f6", "i-a7", "i-b8"];
+    Descriptor {
+        instance: NAMES[number],
+        service: "s",
+        address: ([10, 0, 0, number as u8], 80).into(),
+        zone: ZoneKey(number as u64),
+        slots: 4,
+        standing,
+        models: &MODEL,
+    }
+}
+
+/// A node with `count` executors of 4 slots, in zones of their own.
+fn node(count: usize, seed: u64) -> (Gateway, ServiceId, Vec<ExecutorId>) {
+    let mut gateway = Gateway::new(Policy::default(), ZoneKey(99), seed);
+    let settings = ServiceSettings { max_connections: 100, kv_capacity_tokens: 100_000 };
+    let service = gateway.set_service("s", settings);
+    let ids = (0..count).map(|n| gateway.upsert(&executor(n, Standing::Up))).collect();
+    (gateway, service, ids)
+}
+
+fn sized(service: ServiceId, prompt: u32, out: u32) -> Request<'static> {
+    Request {
+        model: Some(MODEL[0]),
+        tokens: Some(TokenCount { prompt, out }),
+        kind: Kind::NonIdempotent,
+        ..Request::to(service)
+    }
+}
+
+fn sent(choice: Choice) -> Option<ExecutorId> {
+    if let Choice::Send { executor, .. } = choice { Some(executor) } else { None }
+}
+
+fn fill(gateway: &mut Gateway, now: Moment, id: ExecutorId, running: u32, waiting: u32) {
+    gateway.load(now, id, ServerLoad { running, waiting, slots: 4 });
+}
+
+/// Makes the sample: sizes from 100 to 10,000, all alike in work.
+fn teach(gateway: &mut Gateway, service: ServiceId, to: ExecutorId) {
+    for n in 0..200 {
+        let request = sized(service, 100 * (n % 100 + 1), 0);
+        let token = gateway.started(START, to, &request).unwrap();
+        gateway.finished(at(1), token, Outcome::Served);
+    }
+}
+
+#[test]
+fn sizes_enter_lanes_by_cut_offs_that_equalise_work() {
+    // given four executors in two lanes of one and three, and a sample
+    let (mut gateway, service, ids) = node(4, 1);
+    teach(&mut gateway, service, ids[0]);
+    gateway.choose(at(6000), &sized(service, 1, 0));
+    // then the cut-off leaves a quarter of the summed work below it: the half of the sizes, as they rise evenly
+    let view = gateway.view_service(at(6000), service).unwrap();
+    assert_eq!(view.cut_offs.len(), 1);
+    assert!((4_900.0..=5_100.0).contains(&view.cut_offs[0]), "{:?}", view.cut_offs);
+    // and small and large requests go to lanes of their own
+    let lane = |gateway: &Gateway, id| gateway.view(at(6000), id).unwrap().lane;
+    for _ in 0..50 {
+        let small = sent(gateway.choose(at(6000), &sized(service, 300, 0))).unwrap();
+        let large = sent(gateway.choose(at(6000), &sized(service, 200, 900))).unwrap();
+        assert_eq!((lane(&gateway, small), lane(&gateway, large)), (0, 1));
+    }
+}
+
+#[test]
+fn below_fifty_sizes_one_lane_holds_all() {
+    let (mut gateway, service, ids) = node(4, 1);
+    for _ in 0..49 {
+        let token = gateway.started(START, ids[0], &sized(service, 500, 0)).unwrap();
+        gateway.finished(at(1), token, Outcome::Served);
+    }
+    let seen: std::collections::BTreeSet<_> =
+        (0..200).filter_map(|_| sent(gateway.choose(at(6000), &sized(service, 9, 0)))).collect();
+    assert_eq!(seen.len(), 4);
+}
+
+#[test]
+fn inside_a_lane_the_pick_follows_what_is_left_with_a_floor() {
+    // given executors that are idle, half full, and full but for a place
+    let (mut gateway, service, ids) = node(3, 7);
+    fill(&mut gateway, START, ids[0], 0, 0);
+    fill(&mut gateway, START, ids[1], 2, 0);
+    fill(&mut gateway, START, ids[2], 3, 0);
+    let mut counts: BTreeMap<ExecutorId, f64> = BTreeMap::new();
+    for _ in 0..6000 {
+        *counts.entry(sent(gateway.choose(START, &sized(service, 9, 0))).unwrap()).or_default() += 1.0;
+    }
+    // then picks go as 1 to 0.5 to 0.25
+    for (id, weight) in ids.iter().zip([1.0, 0.5, 0.25]) {
+        assert!((counts[id] / 6000.0 - weight / 1.75).abs() < 0.03, "{counts:?}");
+    }
+}
+
+#[test]
+fn one_in_the_own_zone_counts_twice() {
+    let (mut gateway, service, ids) = node(1, 7);
+    let own = gateway.upsert(&Descriptor { zone: ZoneKey(99), ..executor(1, Standing::Up) });
+    let near = (0..3000).filter(|_| sent(gateway.choose(START, &sized(service, 9, 0))) == Some(own)).count();
+    assert!((1900..2100).contains(&near), "{near}");
+    assert_ne!(own, ids[0]);
+}
+
+#[rstest]
+#[case::draining(Standing::Draining, 0..1)]
+#[case::silent(Standing::Silent, 0..1)]
+fn nothing_goes_to_one_that_drains_or_is_silent_while_another_is_there(
+    #[case] standing: Standing,
+    #[case] due: std::ops::Range<usize>,
+) {
+    let (mut gateway, service, ids) = node(3, 7);
+    gateway.upsert(&executor(1, standing));
+    let there =
+        (0..500).filter(|_| sent(gateway.choose(START, &sized(service, 9, 0))) == Some(ids[1])).count();
+    assert!(due.contains(&there), "{there}");
+}
+
+#[test]
+fn a_draining_one_gets_nothing_even_when_it_is_the_only_one_and_a_silent_one_does() {
+    let (mut gateway, service, ids) = node(1, 7);
+    gateway.upsert(&executor(0, Standing::Silent));
+    assert_eq!(sent(gateway.choose(START, &sized(service, 9, 0))), Some(ids[0]));
+    assert!(gateway.may_begin(ids[0]));
+    gateway.upsert(&executor(0, Standing::Draining));
+    assert!(matches!(gateway.choose(START, &sized(service, 9, 0)), Choice::Nobody { .. }));
+    assert!(!gateway.may_begin(ids[0]));
+    let item = BatchItem {
+        service,
+        model: None,
+        tokens: None,
+        parts: PromptParts::default(),
+        excluded: &[],
+        urgency: 1.0,
+    };
+    assert_eq!(gateway.batch_room(START, &item), None);
+}
+
+#[test]
+fn one_that_had_the_request_is_not_chosen_again() {
+    let (mut gateway, service, ids) = node(3, 7);
+    let request = Request { excluded: &ids[..2], ..sized(service, 9, 0) };
+    assert!((0..100).all(|_| sent(gateway.choose(START, &request)) == Some(ids[2])));
+    let request = Request { excluded: &ids, ..sized(service, 9, 0) };
+    assert!(matches!(gateway.choose(START, &request), Choice::Nobody { .. }));
+}
+
+#[test]
+fn only_those_with_the_model_are_candidates() {
+    let (mut gateway, service, ids) = node(3, 7);
+    gateway.upsert(&Descriptor { models: &[ModelKey(2)], ..executor(1, Standing::Up) });
+    let request = Request { model: Some(ModelKey(2)), ..sized(service, 9, 0) };
+    assert!((0..100).all(|_| sent(gateway.choose(START, &request)) == Some(ids[1])));
+}
+
+#[test]
+fn a_removed_executor_is_forgotten_and_its_key_finds_nothing() {
+    let (mut gateway, service, ids) = node(2, 7);
+    let token = gateway.started(START, ids[0], &sized(service, 9, 0)).unwrap();
+    gateway.remove(ids[0]);
+    gateway.remove(ids[0]);
+    // when another takes its place in the table
+    let new = gateway.upsert(&executor(5, Standing::Up));
+    // then what still comes from the old one concerns nobody
+    gateway.head(START, token, Some(ServerLoad { running: 4, waiting: 9, slots: 4 }));
+    gateway.progress(START, token);
+    gateway.finished(START, token, Outcome::BrokenBeforeHead);
+    gateway.finished(START, token, Outcome::BrokenBeforeHead);
+    gateway.load(START, ids[0], ServerLoad { running: 4, waiting: 9, slots: 4 });
+    assert!(gateway.view(START, ids[0]).is_none() && gateway.find("i-a1").is_none());
+    let view = gateway.view(START, new).unwrap();
+    assert_eq!((view.open, view.outstanding, view.ejected), (0, 0.0, false));
+    assert!(gateway.started(START, ids[0], &sized(service, 9, 0)).is_none());
+}
+
+#[test]
+fn an_attempt_counts_until_it_ends_and_ends_once() {
+    let (mut gateway, service, ids) = node(1, 7);
+    let first = gateway.started(START, ids[0], &sized(service, 900, 10)).unwrap();
+    let second = gateway.started(START, ids[0], &sized(service, 900, 10)).unwrap();
+    assert_eq!(gateway.outstanding().collect::<Vec<_>>(), [(ids[0], 2)]);
+    gateway.finished(at(5), first, Outcome::Served);
+    gateway.finished(at(5), first, Outcome::Served);
+    assert_eq!(gateway.view(at(5), ids[0]).unwrap().open, 1);
+    gateway.finished(at(6), second, Outcome::ClientGone);
+    assert_eq!(gateway.outstanding().count(), 0);
+}
+
+#[test]
+fn own_sends_since_a_report_count() {
+    // given two executors that both reported to be idle
+    let (mut gateway, service, ids) = node(2, 7);
+    fill(&mut gateway, START, ids[0], 0, 0);
+    fill(&mut gateway, START, ids[1], 0, 0);
+    // when four go out to one of them
+    for _ in 0..4 {
+        gateway.started(START, ids[0], &sized(service, 9, 0));
+    }
+    // then it is full, though its report says otherwise
+    assert!((0..100).all(|_| sent(gateway.choose(at(1), &sized(service, 9, 0))) == Some(ids[1])));
+}
+
+#[test]
+fn a_report_fades_into_what_is_usual() {
+    let (mut gateway, _, ids) = node(2, 7);
+    (0..200).for_each(|_| fill(&mut gateway, START, ids[0], 2, 0));
+    fill(&mut gateway, START, ids[1], 4, 2);
+    let out = |ms| gateway.view(at(ms), ids[1]).unwrap().outstanding;
+    assert_eq!(out(0), 6.0);
+    assert!(out(600) < out(300) && out(300) < out(0));
+    // and with no news at all, into nothing
+    (0..100).for_each(|_| fill(&mut gateway, at(2000), ids[0], 2, 0));
+    let out = |ms| gateway.view(at(ms), ids[1]).unwrap().outstanding;
+    assert!((1.9..2.1).contains(&out(2000)), "{}", out(2000));
+    assert!(out(9000) < 0.1);
+}
+
+#[test]
+fn what_neighbours_tell_holds_until_something_newer_is_heard() {
+    let (mut gateway, _, ids) = node(1, 7);
+    gateway.told(START, ids[0], 3.0);
+    assert_eq!(gateway.view(START, ids[0]).unwrap().outstanding, 3.0);
+    fill(&mut gateway, at(10), ids[0], 1, 0);
+    assert_eq!(gateway.view(at(10), ids[0]).unwrap().outstanding, 1.0);
+    gateway.told(at(20), ids[0], f64::NAN);
+    assert_eq!(gateway.view(at(20), ids[0]).unwrap().outstanding, 0.0);
+}
+
+#[test]
+fn a_full_lane_gives_to_the_other_before_anything_waits() {
+    let (mut gateway, service, ids) = node(4, 1);
+    teach(&mut gateway, service, ids[0]);
+    let small = sized(service, 300, 0);
+    let lane = |gateway: &Gateway, id| gateway.view(at(6000), id).unwrap().lane;
+    sent(gateway.choose(at(6000), &small)).unwrap();
+    let only = *ids.iter().find(|id| lane(&gateway, **id) == 0).unwrap();
+    fill(&mut gateway, at(6000), only, 4, 0);
+    let other = sent(gateway.choose(at(6000), &small)).unwrap();
+    assert_eq!(lane(&gateway, other), 1);
+    assert_eq!(gateway.decisions().out_of_lane, 1);
+}
+
+fn fill_all(gateway: &mut Gateway, now: Moment, ids: &[ExecutorId], running: u32, waiting: u32) {
+    ids.iter().for_each(|id| fill(gateway, now, *id, running, waiting));
+}
+
+#[test]
+fn nothing_is_refused_while_any_has_room_and_a_short_queue_is_used() {
+    let (mut gateway, service, ids) = node(3, 7);
+    fill_all(&mut gateway, START, &ids, 4, 0);
+    fill(&mut gateway, START, ids[1], 3, 0);
+    assert_eq!(sent(gateway.choose(START, &sized(service, 9, 0))), Some(ids[1]));
+    // when all are just full, one waits: a place comes free within a part of its objective
+    fill(&mut gateway, START, ids[1], 4, 0);
+    assert!(sent(gateway.choose(START, &sized(service, 9, 0))).is_some());
+    assert_eq!(gateway.decisions().queued, 1);
+}
+
+#[test]
+fn long_queues_refuse_at_once_with_a_true_time_and_the_less_urgent_first() {
+    // given a service whose requests take 100 ms, and queues that take 100 ms to empty
+    let (mut gateway, service, ids) = node(3, 7);
+    let urgent = sized(service, 9, 0);
+    let late = Request { priority: 2, ..urgent };
+    for n in 0..200 {
+        let token = gateway.started(at(n), ids[0], &urgent).unwrap();
+        gateway.finished(at(n + 100), token, Outcome::Served);
+    }
+    fill_all(&mut gateway, at(400), &ids, 4, 3);
+    // then an urgent one may wait for its part of 300 ms, and a less urgent one is refused
+    assert!(sent(gateway.choose(at(400), &urgent)).is_some());
+    let Choice::Refuse { retry_after } = gateway.choose(at(400), &late) else { panic!("no refusal") };
+    assert!((0.05..=0.2).contains(&retry_after.as_secs()), "{retry_after:?}");
+    // and with longer queues the urgent one is refused as well, for longer
+    fill_all(&mut gateway, at(400), &ids, 4, 20);
+    let Choice::Refuse { retry_after } = gateway.choose(at(400), &urgent) else { panic!("no refusal") };
+    assert!((0.3..=1.2).contains(&retry_after.as_secs()), "{retry_after:?}");
+    // while one that may have run already waits rather than fail
+    assert!(sent(gateway.choose(at(400), &Request { committed: true, ..urgent })).is_some());
+}
+
+#[test]
+fn nothing_is_refused_while_half_of_all_places_are_free() {
+    // given a connection budget that is used up at one, and others that seem to have a full memory
+    let (mut gateway, service, ids) = node(4, 7);
+    for id in &ids {
+        gateway.started(START, *id, &sized(service, 99_000, 0));
+    }
+    // when one comes that fits nowhere by tokens
+    assert!(sent(gateway.choose(START, &sized(service, 5_000, 0))).is_some());
+}
+
+#[test]
+fn room_is_counted_in_tokens_too() {
+    let (mut gateway, service, ids) = node(2, 7);
+    gateway.started(START, ids[0], &sized(service, 95_000, 1_000));
+    assert!((0..50).all(|_| sent(gateway.choose(START, &sized(service, 9_000, 0))) == Some(ids[1])));
+}
+
+#[test]
+fn connections_of_the_service_are_divided_among_the_nodes() {
+    let (mut gateway, service, ids) = node(2, 7);
+    let settings = ServiceSettings { max_connections: 100, kv_capacity_tokens: 0 };
+    gateway.set_service("s", settings);
+    gateway.upsert(&Descriptor { slots: 50, ..executor(0, Standing::Up) });
+    gateway.set_nodes(25);
+    for _ in 0..4 {
+        gateway.started(START, ids[0], &sized(service, 9, 0));
+    }
+    assert!((0..50).all(|_| sent(gateway.choose(START, &sized(service, 9, 0))) == Some(ids[1])));
+}
+
+#[test]
+fn failures_eject_for_a_while_and_longer_each_time() {
+    let (mut gateway, service, ids) = node(3, 7);
+    let goes_there = |gateway: &mut Gateway, now| {
+        (0..100).any(|_| sent(gateway.choose(now, &sized(service, 9, 0))) == Some(ids[1]))
+    };
+    let token = gateway.started(START, ids[1], &sized(service, 9, 0)).unwrap();
+    gateway.finished(START, token, Outcome::NeverSent);
+    assert!(!goes_there(&mut gateway, at(300)));
+    assert!(goes_there(&mut gateway, at(700)));
+    // when it fails again, it stays out longer
+    gateway.failed(at(700), ids[1], Failure::NotConnected);
+    assert!(!goes_there(&mut gateway, at(1400)));
+    // and once it has served, all is forgotten
+    let token = gateway.started(at(3000), ids[1], &sized(service, 9, 0)).unwrap();
+    gateway.finished(at(3001), token, Outcome::Served);
+    gateway.failed(at(3002), ids[1], Failure::NotConnected);
+    assert!(!goes_there(&mut gateway, at(3300)));
+    assert!(goes_there(&mut gateway, at(3700)));
+}
+
+#[test]
+fn failures_of_all_leave_none_out() {
+    let (mut gateway, service, ids) = node(3, 7);
+    for id in &ids {
+        (0..50).for_each(|_| gateway.failed(START, *id, Failure::NotConnected));
+    }
+    assert!(sent(gateway.choose(at(1), &sized(service, 9, 0))).is_some());
+    // and however many failures there were, they fade
+    assert!(ids.iter().all(|id| !gateway.view(at(4000), *id).unwrap().ejected));
+}
+
+#[test]
+fn one_broken_connection_is_no_crash_and_an_idle_close_is_nothing() {
+    let (mut gateway, service, ids) = node(3, 7);
+    for outcome in [Outcome::BrokenBeforeHead, Outcome::IdleClosed, Outcome::AnsweredFailure] {
+        let token = gateway.started(START, ids[1], &sized(service, 9, 0)).unwrap();
+        gateway.finished(START, token, outcome);
+    }
+    assert!(!gateway.view(START, ids[1]).unwrap().ejected);
+    gateway.failed(START, ids[1], Failure::Broken);
+    assert!(gateway.view(START, ids[1]).unwrap().ejected);
+}
+
+#[test]
+fn one_that_says_it_is_full_gets_nothing_for_a_moment() {
+    let (mut gateway, service, ids) = node(2, 7);
+    let token = gateway.started(START, ids[0], &sized(service, 9, 0)).unwrap();
+    gateway.finished(START, token, Outcome::NotExecuted);
+    assert!((0..50).all(|_| sent(gateway.choose(at(50), &sized(service, 9, 0))) == Some(ids[1])));
+    assert!(!gateway.view(at(50), ids[0]).unwrap().ejected);
+    assert!((0..50).any(|_| sent(gateway.choose(at(130), &sized(service, 9, 0))) == Some(ids[0])));
+}
+
+fn with_prefix(service: ServiceId, subject: usize, tokens: u32) -> Request<'static> {
+    let parts = PromptParts::parse(&format!("{subject:x}:{tokens},ffff:100")).unwrap();
+    Request { parts, ..sized(service, tokens + 100, 0) }
+}
+
+#[test]
+fn all_nodes_send_a_subject_to_the_same_home_without_a_word() {
+    for subject in 0..20 {
+        let homes: std::collections::BTreeSet<_> = (0..10)
+            .map(|seed| {
+                let (mut gateway, service, _) = node(8, seed);
+                sent(gateway.choose(START, &with_prefix(service, subject, 13_000))).unwrap()
+            })
+            .collect();
+        assert_eq!(homes.len(), 1);
+    }
+}
+
+#[test]
+fn small_prefixes_have_no_home() {
+    let (mut gateway, service, _) = node(8, 3);
+    let chosen: std::collections::BTreeSet<_> =
+        (0..100).filter_map(|_| sent(gateway.choose(START, &with_prefix(service, 1, 170)))).collect();
+    assert_eq!(chosen.len(), 8);
+    let decisions = gateway.decisions();
+    assert_eq!((decisions.by_pick, decisions.by_home, decisions.by_kept), (100, 0, 0));
+}
+
+#[test]
+fn a_subject_goes_where_its_parts_are_kept_also_when_its_home_is_another() {
+    // given a subject that was sent to one that is not its home
+    let (mut gateway, service, ids) = node(8, 3);
+    let request = with_prefix(service, 1, 13_000);
+    let home = sent(gateway.choose(START, &request)).unwrap();
+    let other = *ids.iter().find(|id| **id != home).unwrap();
+    let token = gateway.started(START, other, &request).unwrap();
+    gateway.finished(at(50), token, Outcome::Served);
+    assert_eq!(sent(gateway.choose(at(50), &request)), Some(other));
+    // when that is gone, the home takes it
+    gateway.remove(other);
+    assert_eq!(sent(gateway.choose(at(60), &request)), Some(home));
+}
+
+#[test]
+fn parts_that_gave_way_are_not_believed_kept() {
+    // given an executor with memory for 100,000 tokens that got a subject, and then ten others
+    let (mut gateway, service, ids) = node(8, 3);
+    let request = with_prefix(service, 1, 13_000);
+    let home = sent(gateway.choose(START, &request)).unwrap();
+    let other = *ids.iter().find(|id| **id != home).unwrap();
+    for subject in 1..=11 {
+        let token = gateway.started(START, other, &with_prefix(service, subject, 13_000)).unwrap();
+        gateway.finished(at(1), token, Outcome::Served);
+    }
+    assert_eq!(sent(gateway.choose(at(2), &request)), Some(home));
+}
+
+#[test]
+fn a_subject_in_demand_spreads_and_none_of_it_is_refused() {
+    // given one subject only, asked for faster than one executor can take
+    let (mut gateway, service, ids) = node(8, 3);
+    let request = Request { objective: Span::millis(300), ..with_prefix(service, 1, 13_000) };
+    let mut counts: BTreeMap<ExecutorId, u32> = BTreeMap::new();
+    for n in 0..20 {
+        let chosen = sent(gateway.choose(at(n), &request)).expect("there is room elsewhere");
+        gateway.started(at(n), chosen, &request);
+        *counts.entry(chosen).or_default() += 1;
+    }
+    // then its home takes what fits there: by unread tokens four of 13,100 at once
+    assert!(counts.values().all(|count| *count <= 4), "{counts:?}");
+    assert!(counts.len() >= 5);
+    assert_eq!(ids.len(), 8);
+}
+
+fn item(service: ServiceId, urgency: f64) -> BatchItem<'static> {
+    BatchItem {
+        service,
+        model: Some(MODEL[0]),
+        tokens: Some(TokenCount { prompt: 700, out: 300 }),
+        parts: PromptParts::default(),
+        excluded: &[],
+        urgency,
+    }
+}
+
+#[test]
+fn batch_items_leave_places_for_live_requests() {
+    // given executors of four places with three taken: one is left, for live requests
+    let (mut gateway, service, ids) = node(3, 7);
+    fill_all(&mut gateway, START, &ids, 3, 0);
+    assert_eq!(gateway.batch_room(START, &item(service, 0.0)), None);
+    assert!(sent(gateway.choose(START, &sized(service, 9, 0))).is_some());
+    // when one has two places free, it takes an item
+    fill(&mut gateway, START, ids[1], 2, 0);
+    assert_eq!(gateway.batch_room(START, &item(service, 0.0)), Some(ids[1]));
+}
+
+#[test]
+fn the_reserve_grows_with_bursts_and_shrinks_when_due() {
+    // given loads that swing between nothing and full
+    let (mut gateway, service, ids) = node(3, 7);
+    for n in 0..200 {
+        fill(&mut gateway, at(n), ids[0], 4 * (n as u32 % 2), 0);
+    }
+    fill_all(&mut gateway, at(200), &ids, 1, 0);
+    fill(&mut gateway, at(200), ids[1], 2, 0);
+    fill(&mut gateway, at(200), ids[0], 2, 0);
+    fill(&mut gateway, at(200), ids[2], 2, 0);
+    // then two free places of four are kept for live requests, unless the item is due
+    assert_eq!(gateway.batch_room(at(200), &item(service, 0.0)), None);
+    assert!(gateway.batch_room(at(200), &item(service, 1.0)).is_some());
+    assert!(gateway.batch_room(at(200), &item(service, f64::NAN)).is_none());
+}
+
+#[test]
+fn a_node_that_hears_nothing_any_more_does_not_take_all_for_full_for_ever() {
+    // given executors that all were full when they were last heard of
+    let (mut gateway, service, ids) = node(3, 7);
+    (0..100).for_each(|n| fill_all(&mut gateway, at(n), &ids, 4, 2));
+    assert_eq!(gateway.batch_room(at(200), &item(service, 0.0)), None);
+    // when nothing is sent there, so that nothing is heard
+    let found = (200..4000).find(|ms| gateway.batch_room(at(*ms), &item(service, 0.0)).is_some());
+    // then an item is tried again within seconds
+    assert!(found.is_some_and(|ms| ms < 3000), "{found:?}");
+}
+
+#[test]
+fn batch_prompts_are_read_a_few_at_a_time() {
+    let (mut gateway, service, _) = node(2, 7);
+    let request = item(service, 0.0);
+    let mut tokens = Vec::new();
+    while let Some(id) = gateway.batch_room(START, &request) {
+        tokens.push(gateway.started(START, id, &request.as_request()).unwrap());
+    }
+    // each holds items of 700 unread tokens up to 2,000
+    assert_eq!(tokens.len(), 6);
+    // when their first events come, the next may start
+    tokens.iter().for_each(|token| gateway.progress(at(20), *token));
+    assert!(gateway.batch_room(at(20), &request).is_none(), "three of four places are taken");
+}
+
+#[test]
+fn an_executor_whose_events_come_slowly_gets_less() {
+    // given two executors with one stream each, one of which is four times as slow
+    let (mut gateway, service, ids) = node(2, 7);
+    let tokens: Vec<_> =
+        ids.iter().map(|id| gateway.started(START, *id, &sized(service, 9, 0)).unwrap()).collect();
+    for n in 1..=40 {
+        gateway.progress(at(n * 20), tokens[0]);
+        if n % 4 == 0 {
+            gateway.progress(at(n * 20), tokens[1]);
+        }
+    }
+    let slow =
+        (0..1000).filter(|_| sent(gateway.choose(at(800), &sized(service, 9, 0))) == Some(ids[1])).count();
+    assert!(slow < 400, "{slow}");
+}
+
+proptest! {
+    /// Whatever order things come in: no panic, nothing is ever sent to one that drains, accounts return to 0.
+    #[test]
+    fn any_order_of_events_keeps_the_accounts(
+        events in prop::collection::vec((0_u8..12, 0_usize..8, any::<u32>(), 0_u64..3000), 1..200),
+        seed in any::<u64>(),
+    ) {
+        let (mut gateway, service, _) = node(4, seed);
+        let (mut now, mut open) = (START, Vec::new());
+        let mut draining = [false; 8];
+        for (event, which, value, ms) in events {
+            now = now + Span::millis(ms);
+            let id = gateway.find(executor(which, Standing::Up).instance);
+            match event {
+                0 => { gateway.upsert(&executor(which, Standing::Up)); draining[which] = false; }
+                1 => { gateway.upsert(&executor(which, Standing::Draining)); draining[which] = true; }
+                2 => { gateway.upsert(&executor(which, Standing::Silent)); draining[which] = false; }
+                3 => if let Some(id) = id { gateway.remove(id); draining[which] = false; },
+                4 => if let Some(id) = id {
+                    gateway.load(now, id, ServerLoad { running: value, waiting: value, slots: value });
+                },
+                5 => if let Some(id) = id { gateway.failed(now, id, Failure::Broken) },
+                6 => if let Some(id) = id { gateway.told(now, id, f64::from(value) * 1e30) },
+                7 => if !open.is_empty() {
+                    let token = open.swap_remove(value as usize % open.len());
+                    let outcome = [Outcome::Served, Outcome::NeverSent, Outcome::NotExecuted][which % 3];
+                    gateway.finished(now, token, outcome);
+                },
+                8 => open.iter().for_each(|token| gateway.progress(now, *token)),
+                9 => {
+                    let item = BatchItem { tokens: None, ..item(service, 0.5) };
+                    if let Some(id) = gateway.batch_room(now, &item) {
+                        prop_assert!(gateway.view(now, id).unwrap().standing == Standing::Up);
+                        open.extend(gateway.started(now, id, &item.as_request()));
+                    }
+                }
+                _ => {
+                    let request = with_prefix(service, which, value % 40_000);
+                    if let Some(id) = sent(gateway.choose(now, &request)) {
+                        prop_assert!(gateway.may_begin(id));
+                        let view = gateway.view(now, id).unwrap();
+                        let at = (0..8).find(|n| executor(*n, Standing::Up).instance == &*view.instance);
+                        prop_assert!(!draining[at.unwrap()]);
+                        open.extend(gateway.started(now, id, &request));
+                    }
+                }
+            }
+        }
+        open.into_iter().for_each(|token| gateway.finished(now, token, Outcome::Served));
+        prop_assert_eq!(gateway.outstanding().count(), 0);
+    }
+}
--- /dev/null
+++ b/crates/gateway/tests/headers.rs
@@ -0,0 +1,77 @@
+//! The headers of clients and executors, as they come from outside.
+
+use grebeusher_gateway::{HeaderError, MOST_PARTS, PromptParts, ServerLoad, TokenCount};
+use proptest::prelude::*;
+use rstest::rstest;
+
+#[rstest]
+#[case("1460,80", Ok(TokenCount { prompt: 1460, out: 80 }))]
+#[case(" 1 , 2 ", Ok(TokenCount { prompt: 1, out: 2 }))]
+#[case("1460", Err(HeaderError::Fields))]
+#[case("1,2,3", Err(HeaderError::Number))]
+#[case("+1,2", Err(HeaderError::Number))]
+#[case("-1,2", Err(HeaderError::Number))]
+#[case("1.5,2", Err(HeaderError::Number))]
+#[case("99999999999,1", Err(HeaderError::Number))]
+#[case("16000001,1", Err(HeaderError::Number))]
+#[case(",", Err(HeaderError::Number))]
+fn token_counts(#[case] value: &str, #[case] due: Result<TokenCount, HeaderError>) {
+    assert_eq!(TokenCount::parse(value), due);
+}
+
+#[rstest]
+#[case("3,0,24", Ok(ServerLoad { running: 3, waiting: 0, slots: 24 }))]
+#[case("3,0", Err(HeaderError::Fields))]
+#[case("3,0,24,1", Err(HeaderError::Fields))]
+#[case("a,0,24", Err(HeaderError::Number))]
+fn loads(#[case] value: &str, #[case] due: Result<ServerLoad, HeaderError>) {
+    assert_eq!(ServerLoad::parse(value), due);
+}
+
+#[test]
+fn the_last_part_belongs_to_the_request_itself() {
+    let parts = PromptParts::parse("5c1e07a2:800,91bd3f06:410,e4402b7d:250").unwrap();
+    assert_eq!(parts.all().iter().map(|part| part.tokens).collect::<Vec<_>>(), [800, 410, 250]);
+    assert_eq!((parts.shared().len(), parts.shared_tokens()), (2, 1210));
+    assert!(PromptParts::default().shared().is_empty());
+    assert!(PromptParts::parse("5c1e07a2:800").unwrap().shared().is_empty());
+}
+
+#[test]
+fn a_part_is_another_behind_other_parts() {
+    let chain = |value| PromptParts::parse(value).unwrap().all().last().unwrap().chain;
+    assert_eq!(chain("aa:1,bb:2"), chain("AA:1, bb:2"));
+    assert_ne!(chain("aa:1,bb:2"), chain("cc:1,bb:2"));
+    assert_ne!(chain("aa:1,bb:2"), chain("aab:1,b:2"));
+    assert_ne!(chain("bb:2"), chain("aa:1,bb:2"));
+}
+
+#[rstest]
+#[case("")]
+#[case("aa")]
+#[case("aa:")]
+#[case(":5")]
+#[case("xy:5")]
+#[case("aa:5,")]
+#[case("aa:-5")]
+fn malformed_parts_are_none(#[case] value: &str) {
+    assert!(PromptParts::parse(value).is_err());
+}
+
+#[test]
+fn parts_without_end_are_cut_off() {
+    let value = (0..1000).map(|n| format!("{n:x}:16000000")).collect::<Vec<_>>().join(",");
+    let parts = PromptParts::parse(&value).unwrap();
+    assert_eq!(parts.all().len(), MOST_PARTS);
+    // What is kept of it is all shared, since the last part is beyond.
+    assert_eq!(parts.shared_tokens(), 16 * 16_000_000);
+}
+
+proptest! {
+    #[test]
+    fn nothing_from_outside_panics(value in ".{0,200}") {
+        let _ = TokenCount::parse(&value);
+        let _ = ServerLoad::parse(&value);
+        let _ = PromptParts::parse(&value);
+    }
+}
--- /dev/null
+++ b/crates/gateway/tests/model/mod.rs
@@ -0,0 +1,676 @@
+//! A small model of a deployment: executors that run batches and keep prompts, nodes with a gateway each, clients
+//! with one retry. Discrete events, no clock; everything drawn from a seed. Times in milliseconds.
+#![allow(dead_code)]
+
+mod engine;
+mod workload;
+
+pub use engine::{Engine, Job, Made};
+pub use workload::{Arrival, Class, Workload};
+
+use grebeusher_gateway::{
+    AttemptToken, Attempts, BatchItem, Choice, Descriptor, ExecutorId, FinalAnswer, Gateway, Kind, ModelKey,
+    Next, Outcome, Policy, Request, ServerLoad, ServiceId, ServiceSettings, Standing, ZoneKey,
+};
+use grebeusher_sizing::rendezvous;
+use grebeusher_time::{Moment, Span};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg32;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, VecDeque};
+
+/// How executors are chosen.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Router {
+    /// The crate's own choice.
+    Gateway(Policy),
+    UniformRandom,
+    /// Fewest own requests out.
+    LeastOutstanding,
+    /// Of two at random the one with fewer own requests out.
+    TwoChoices,
+    /// The home of the last shared part while its load is below 1.25 of the mean, by own requests.
+    BoundedPrefixHash,
+    /// The shortest queue by true figures: the bound.
+    AllSeeing,
+}
+
+#[derive(Clone, Debug)]
+pub struct Deployment {
+    pub executors: usize,
+    pub slots: usize,
+    pub kv_tokens: u64,
+    pub step_ms: f64,
+    pub read_per_ms: f64,
+    pub nodes: usize,
+    pub seconds: f64,
+    pub classes: Vec<Class>,
+    /// Executors that are down from the first to the second second, by number.
+    pub dark: Vec<(usize, f64, f64)>,
+    /// Batch items that wait all the while are run by so many further nodes.
+    pub batch_nodes: usize,
+    pub batch_items_per_s: f64,
+    pub neighbours_tell: bool,
+}
+
+impl Deployment {
+    pub fn lipa() -> Deployment {
+        Deployment {
+            executors: 18,
+            slots: 24,
+            kv_tokens: 400_843,
+            step_ms: 1.85,
+            read_per_ms: 128.0,
+            nodes: 10,
+            seconds: 20.0,
+            classes: vec![Class::heading(141.0), Class::authority(19.6, 110)],
+            dark: Vec::new(),
+            batch_nodes: 0,
+            batch_items_per_s: 0.0,
+            neighbours_tell: false,
+        }
+    }
+
+    pub fn narmada() -> Deployment {
+        Deployment {
+            executors: 9,
+            slots: 48,
+            kv_tokens: 232_000,
+            step_ms: 1.37,
+            read_per_ms: 155.0,
+            nodes: 11,
+            classes: vec![Class::heading(151.0), Class::authority(11.3, 42)],
+            ..Deployment::lipa()
+        }
+    }
+
+    pub fn times(mut self, factor: f64) -> Deployment {
+        self.classes.iter_mut().for_each(|class| class.per_s *= factor);
+        self
+    }
+}
+
+/// What became of one class of requests.
+#[derive(Clone, Debug, Default)]
+pub struct Tally {
+    pub asked: u32,
+    pub in_time: u32,
+    pub late: u32,
+    pub refused: u32,
+    pub failed: u32,
+    pub first_ms: Vec<f64>,
+    pub paused: u32,
+    /// Size and worth of each: 1 in time, 0.3 late.
+    pub earned: Vec<(u32, f64)>,
+}
+
+impl Tally {
+    pub fn share_in_time(&self) -> f64 {
+        f64::from(self.in_time) / f64::from(self.asked.max(1))
+    }
+
+    pub fn share_served(&self) -> f64 {
+        f64::from(self.in_time + self.late) / f64::from(self.asked.max(1))
+    }
+
+    /// The part of all worth that was earned, by all and by the largest tenth.
+    pub fn worth(&self) -> (f64, f64) {
+        let mut earned = self.earned.clone();
+        earned.sort_by_key(|(size, _)| Reverse(*size));
+        let mean =
+            |part: &[(u32, f64)]| part.iter().map(|(_, worth)| worth).sum::<f64>() / part.len().max(1) as f64;
+        (mean(&earned), mean(&earned[..earned.len() / 10]))
+    }
+
+    pub fn percentile(&self, part: f64) -> f64 {
+        let mut sorted = self.first_ms.clone();
+        sorted.sort_by(f64::total_cmp);
+        sorted.get(((sorted.len() as f64 - 1.0) * part) as usize).copied().unwrap_or(0.0)
+    }
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Report {
+    pub classes: Vec<Tally>,
+    /// Shared tokens that were read, and of these the ones that some executor had read before.
+    pub shared_read: u64,
+    pub shared_reread: u64,
+    /// What each executor did, in tokens, and its lane at the first node.
+    pub work: Vec<f64>,
+    pub lanes: Vec<usize>,
+    pub sent: Vec<u32>,
+    /// Subjects of the second class that were asked for four times or more, and those of them never served.
+    pub subjects: (usize, usize),
+    pub batch_done: u32,
+    /// Refusals while fewer than half of all places were taken and nothing waited.
+    pub false_refusals: u32,
+    pub decisions: grebeusher_gateway::Decisions,
+    pub sent_to_dark: u32,
+    pub most_of_one_home: f64,
+}
+
+impl Report {
+    /// Work of each lane per executor.
+    pub fn lane_load(&self) -> Vec<f64> {
+        let lanes = self.lanes.iter().max().map_or(0, |lane| lane + 1);
+        (0..lanes)
+            .map(|lane| {
+                let of = || self.work.iter().zip(&self.lanes).filter(|(_, at)| **at == lane);
+                of().map(|(work, _)| work).sum::<f64>() / of().count().max(1) as f64
+            })
+            .collect()
+    }
+}
+
+enum Event {
+    Arrive(usize),
+    AtExecutor { executor: usize, request: usize },
+    StepEnds { executor: usize },
+    Back { request: usize, made: Made, load: ServerLoad },
+    Full { request: usize },
+    Refused { request: usize },
+    Dead { request: usize },
+    BatchTurn { node: usize },
+    Tell,
+}
+
+struct Live {
+    arrival: Arrival,
+    node: usize,
+    tries_left: u32,
+    attempts: Attempts,
+    excluded: Vec<ExecutorId>,
+    executor: usize,
+    token: Option<AttemptToken>,
+    first: Option<f64>,
+    last: f64,
+    paused: bool,
+    over: bool,
+    batch: bool,
+}
+
+pub struct Simulation {
+    now: f64,
+    deployment: Deployment,
+    router: Router,
+    chance: Pcg32,
+    engines: Vec<Engine>,
+    stepping: Vec<bool>,
+    gateways: Vec<Gateway>,
+    service: ServiceId,
+    ids: Vec<ExecutorId>,
+    by_id: BTreeMap<ExecutorId, usize>,
+    own_out: Vec<Vec<u32>>,
+    events: BinaryHeap<Reverse<(u64, u64)>>,
+    payload: BTreeMap<u64, Event>,
+    number: u64,
+    live: Vec<Live>,
+    batch_waiting: VecDeque<Arrival>,
+    report: Report,
+    subject_asked: BTreeMap<u64, (u32, u32, u32)>,
+    home_sent: BTreeMap<usize, u32>,
+}
+
+const NET_MS: f64 = 0.5;
+
+pub fn run(deployment: &Deployment, router: Router, seed: u64) -> Report {
+    Simulation::new(deployment, router, seed).run(seed)
+}
+
+impl Simulation {
+    fn new(deployment: &Deployment, router: Router, seed: u64) -> Simulation {
+        let policy = if let Router::Gateway(policy) = router { policy } else { Policy::default() };
+        let nodes = deployment.nodes + deployment.batch_nodes;
+        let mut ids = Vec::new();
+        let mut service = None;
+        let gateways = (0..nodes)
+            .map(|node| {
+                let zone = ZoneKey(node as u64 % 4);
+                let mut gateway = Gateway::new(policy, zone, seed ^ (node as u64) << 20);
+                let settings =
+                    ServiceSettings { max_connections: 220, kv_capacity_tokens: deployment.kv_tokens };
+                service = Some(gateway.set_service("katalogizator", settings));
+                gateway.set_nodes(nodes as u32);
+                ids = (0..deployment.executors)
+                    .map(|n| gateway.upsert(&descriptor(seed, n, deployment.slots, Standing::Up)))
+                    .collect();
+                gateway
+            })
+            .collect();
+        let engine = |_| {
+            Engine::new(
+                deployment.slots,
+                72,
+                deployment.kv_tokens,
+                deployment.step_ms,
+                deployment.read_per_ms,
+            )
+        };
+        Simulation {
+            now: 0.0,
+            router,
+            chance: Pcg32::seed_from_u64(seed),
+            engines: (0..deployment.executors).map(engine).collect(),
+            stepping: vec![false; deployment.executors],
+            gateways,
+            service: service.unwrap(),
+            by_id: ids.iter().copied().zip(0..).collect(),
+            ids,
+            own_out: vec![vec![0; deployment.executors]; nodes],
+            events: BinaryHeap::new(),
+            payload: BTreeMap::new(),
+            number: 0,
+            live: Vec::new(),
+            batch_waiting: VecDeque::new(),
+            report: Report {
+                classes: vec![Tally::default(); deployment.classes.len()],
+                sent: vec![0; deployment.executors],
+                ..Report::default()
+            },
+            subject_asked: BTreeMap::new(),
+            home_sent: BTreeMap::new(),
+            deployment: deployment.clone(),
+        }
+    }
+
+    fn at(&mut self, at: f64, event: Event) {
+        self.number += 1;
+        self.events.push(Reverse(((at * 1e6) as u64, self.number)));
+        self.payload.insert(self.number, event);
+    }
+
+    fn moment(&self) -> Moment {
+        Moment(1_000_000_000 + (self.now * 1e6) as u64)
+    }
+
+    fn run(mut self, seed: u64) -> Report {
+        let end = self.deployment.seconds * 1000.0;
+        let mut workload = Workload::new(&self.deployment.classes, seed);
+        for arrival in workload.draw(end) {
+            let at = arrival.at;
+            let node = self.chance.random_range(0..self.deployment.nodes);
+            let class = &self.deployment.classes[arrival.class];
+            let tries_left = class.retries;
+            let attempts = Attempts::new(class.kind, class.max_attempts);
+            self.live.push(Live::new(arrival, node, tries_left, attempts, false));
+            self.at(at, Event::Arrive(self.live.len() - 1));
+        }
+        if self.deployment.batch_nodes > 0 {
+            self.batch_waiting = workload.batch(self.deployment.batch_items_per_s, end).into();
+            for node in self.deployment.nodes..self.deployment.nodes + self.deployment.batch_nodes {
+                self.at(node as f64 * 0.7, Event::BatchTurn { node });
+            }
+        }
+        if self.deployment.neighbours_tell {
+            self.at(100.0, Event::Tell);
+        }
+        while let Some(Reverse((at, number))) = self.events.pop() {
+            self.now = at as f64 / 1e6;
+            if self.now > end + 10_000.0 {
+                break;
+            }
+            let event = self.payload.remove(&number).unwrap();
+            self.handle(event, end);
+        }
+        self.finish()
+    }
+
+    fn handle(&mut self, event: Event, end: f64) {
+        match event {
+            Event::Arrive(request) => self.choose(request),
+            Event::AtExecutor { executor, request } => self.at_executor(executor, request),
+            Event::StepEnds { executor } => self.step_ends(executor),
+            Event::Back { request, made, load } => self.back(request, made, load),
+            Event::Full { request } => self.ended(request, Outcome::NotExecuted),
+            Event::Dead { request } => self.ended(request, Outcome::NeverSent),
+            Event::Refused { request } => {
+                self.live[request].node = self.chance.random_range(0..self.deployment.nodes);
+                self.choose(request);
+            }
+            Event::BatchTurn { node } => {
+                self.batch_turn(node);
+                if self.now < end {
+                    self.at(self.now + 5.0, Event::BatchTurn { node });
+                }
+            }
+            Event::Tell => self.tell(end),
+        }
+    }
+
+    fn tell(&mut self, end: f64) {
+        let now = self.moment();
+        for executor in 0..self.engines.len() {
+            let all: u32 = self.own_out.iter().map(|out| out[executor]).sum();
+            for node in 0..self.gateways.len() {
+                let others = f64::from(all - self.own_out[node][executor]);
+                self.gateways[node].told(now, self.ids[executor], others);
+            }
+        }
+        if self.now < end {
+            self.at(self.now + 250.0, Event::Tell);
+        }
+    }
+
+    fn is_dark(&self, executor: usize) -> bool {
+        let at = self.now / 1000.0;
+        self.deployment.dark.iter().any(|(dark, from, to)| *dark == executor && at >= *from && at < *to)
+    }
+
+    fn request<'a>(&self, live: &'a Live) -> Request<'a> {
+        let class = live.arrival.class;
+        let class = if live.batch { &Class::batch() } else { &self.deployment.classes[class] };
+        let waited = self.now - live.arrival.at;
+        Request {
+            kind: class.kind,
+            model: Some(ModelKey(1)),
+            tokens: Some(live.arrival.tokens),
+            parts: live.arrival.parts,
+            excluded: &live.excluded,
+            objective: Span::millis(class.aim_ms as u64),
+            waited: Span((waited * 1e6) as u64),
+            deadline_left: Span(((class.deadline_ms - waited).max(0.0) * 1e6) as u64),
+            committed: live.attempts.may_have_run(),
+            batch: live.batch,
+            ..Request::to(self.service)
+        }
+    }
+
+    fn choose(&mut self, number: usize) {
+        let (now, node) = (self.moment(), self.live[number].node);
+        let chosen = match self.router {
+            Router::Gateway(_) => {
+                let live = &self.live[number];
+                let request = self.request(live);
+                let choice = self.gateways[node].choose(now, &request);
+                match choice {
+                    Choice::Send { executor, .. } => {
+                        let token = self.gateways[node].started(now, executor, &request);
+                        self.live[number].token = token;
+                        self.by_id[&executor]
+                    }
+                    Choice::Refuse { retry_after } | Choice::Nobody { retry_after } => {
+                        return self.refused(number, retry_after.as_secs() * 1000.0);
+                    }
+                }
+            }
+            _ => self.baseline(number),
+        };
+        self.send(number, chosen);
+    }
+
+    fn send(&mut self, number: usize, executor: usize) {
+        self.report.sent[executor] += 1;
+        let node = self.live[number].node;
+        self.own_out[node][executor] += 1;
+        let live = &mut self.live[number];
+        live.executor = executor;
+        live.excluded.push(self.ids[executor]);
+        if live.arrival.class == 1 && !live.batch {
+            *self.home_sent.entry(executor).or_insert(0) += 1;
+        }
+        self.at(self.now + NET_MS, Event::AtExecutor { executor, request: number });
+    }
+
+    fn baseline(&mut self, number: usize) -> usize {
+        let live = &self.live[number];
+        let out = &self.own_out[live.node];
+        let free: Vec<usize> =
+            (0..self.engines.len()).filter(|n| !live.excluded.contains(&self.ids[*n])).collect();
+        let any = free[self.chance.random_range(0..free.len())];
+        match self.router {
+            Router::LeastOutstanding => {
+                let least = free.iter().map(|n| out[*n]).min().unwrap();
+                let ties: Vec<usize> = free.iter().copied().filter(|n| out[*n] == least).collect();
+                ties[self.chance.random_range(0..ties.len())]
+            }
+            Router::TwoChoices => {
+                let other = free[self.chance.random_range(0..free.len())];
+                if out[other] < out[any] { other } else { any }
+            }
+            Router::BoundedPrefixHash => {
+                let Some(part) = live.arrival.parts.shared().last() else { return any };
+                let mean = f64::from(out.iter().sum::<u32>() + 1) / out.len() as f64;
+                let mut order = free;
+                order.sort_by_key(|n| Reverse(rendezvous(part.chain, *n as u64)));
+                let fits = |n: &&usize| f64::from(out[**n]) < (1.25 * mean).ceil();
+                *order.iter().find(fits).unwrap_or(&order[0])
+            }
+            Router::AllSeeing => {
+                let free = free.into_iter().filter(|n| !self.is_dark(*n));
+                let wait = |n: &usize| {
+                    let kept = self.engines[*n].kept(&live.arrival.parts);
+                    let unread = f64::from(live.arrival.tokens.prompt.saturating_sub(kept));
+                    ((self.engines[*n].backlog_ms() + unread / 128.0) * 1000.0) as u64
+                };
+                free.min_by_key(wait).unwrap_or(any)
+            }
+            _ => any,
+        }
+    }
+
+    fn refused(&mut self, number: usize, after_ms: f64) {
+        let places = self.engines.len() * self.deployment.slots;
+        let taken: usize = self.engines.iter().map(|e| e.running()).sum();
+        if taken * 2 < places && self.engines.iter().all(|e| e.waiting() == 0) {
+            self.report.false_refusals += 1;
+        }
+        let class = self.deployment.classes[self.live[number].arrival.class].clone();
+        let live = &mut self.live[number];
+        let left = class.deadline_ms - (self.now - live.arrival.at);
+        if live.tries_left == 0 || left < 10.0 {
+            live.over = true;
+            self.report.classes[live.arrival.class].refused += 1;
+            return;
+        }
+        live.tries_left -= 1;
+        live.excluded.clear();
+        live.attempts = Attempts::new(class.kind, class.max_attempts);
+        self.at(self.now + after_ms.min(left / 3.0) + 2.0, Event::Refused { request: number });
+    }
+
+    fn at_executor(&mut self, executor: usize, number: usize) {
+        let (now, live) = (self.now, &self.live[number]);
+        if self.is_dark(executor) {
+            self.report.sent_to_dark += 1;
+            return self.at(now + NET_MS, Event::Dead { request: number });
+        }
+        let job = Job::new(number, &live.arrival);
+        if !self.engines[executor].take(job) {
+            return self.at(now + NET_MS, Event::Full { request: number });
+        }
+        if !self.stepping[executor] {
+            self.begin_step(executor);
+        }
+    }
+
+    fn begin_step(&mut self, executor: usize) {
+        let step = self.engines[executor].begin_step();
+        self.stepping[executor] = step.is_some();
+        if let Some(ms) = step {
+            self.at(self.now + ms, Event::StepEnds { executor });
+        }
+    }
+
+    fn step_ends(&mut self, executor: usize) {
+        let made = self.engines[executor].end_step();
+        let engine = &self.engines[executor];
+        let (running, waiting) = (engine.running() as u32, engine.waiting() as u32);
+        let load = ServerLoad { running, waiting, slots: self.deployment.slots as u32 };
+        for (request, made) in made {
+            self.at(self.now + NET_MS, Event::Back { request, made, load });
+        }
+        self.begin_step(executor);
+    }
+
+    fn back(&mut self, number: usize, made: Made, load: ServerLoad) {
+        let (now, moment) = (self.now, self.moment());
+        let live = &mut self.live[number];
+        let gateway = &mut self.gateways[live.node];
+        if live.first.is_none() {
+            live.first = Some(now);
+            if let Some(token) = live.token {
+                gateway.head(moment, token, Some(load));
+            }
+        } else if now - live.last > 250.0 {
+            live.paused = true;
+        }
+        live.last = now;
+        if let Some(token) = live.token {
+            gateway.progress(moment, token);
+        }
+        if made == Made::Last {
+            self.own_out[live.node][live.executor] -= 1;
+            if let Some(token) = live.token.take() {
+                gateway.finished(moment, token, Outcome::Served);
+            }
+            self.served(number);
+        }
+    }
+
+    fn served(&mut self, number: usize) {
+        let live = &mut self.live[number];
+        live.over = true;
+        if live.batch {
+            self.report.batch_done += 1;
+            return;
+        }
+        let class = &self.deployment.classes[live.arrival.class];
+        let first = live.first.unwrap_or(live.last) - live.arrival.at;
+        let tally = &mut self.report.classes[live.arrival.class];
+        tally.first_ms.push(first);
+        tally.paused += u32::from(live.paused);
+        let in_time = first <= class.aim_ms && !live.paused;
+        if in_time { tally.in_time += 1 } else { tally.late += 1 }
+    }
+
+    fn ended(&mut self, number: usize, outcome: Outcome) {
+        let moment = self.moment();
+        let live = &mut self.live[number];
+        self.own_out[live.node][live.executor] -= 1;
+        if let Some(token) = live.token.take() {
+            self.gateways[live.node].finished(moment, token, outcome);
+        }
+        if live.batch {
+            let arrival = live.arrival.clone();
+            self.batch_waiting.push_front(arrival);
+            return;
+        }
+        match live.attempts.ended(outcome) {
+            Next::Retry | Next::Resume => self.choose(number),
+            Next::Finish(FinalAnswer::Refused) => self.refused(number, 100.0),
+            Next::Finish(_) => {
+                live.over = true;
+                self.report.classes[live.arrival.class].failed += 1;
+            }
+        }
+    }
+
+    fn batch_turn(&mut self, node: usize) {
+        let now = self.moment();
+        for _ in 0..16 {
+            if self.batch_waiting.front().is_none_or(|item| item.at > self.now) {
+                return;
+            }
+            let arrival = self.batch_waiting.front().unwrap().clone();
+            let item = BatchItem {
+                service: self.service,
+                model: Some(ModelKey(1)),
+                tokens: Some(arrival.tokens),
+                parts: arrival.parts,
+                excluded: &[],
+                urgency: 0.0,
+            };
+            let Some(id) = self.gateways[node].batch_room(now, &item) else { return };
+            self.batch_waiting.pop_front();
+            let token = self.gateways[node].started(now, id, &item.as_request());
+            let attempts = Attempts::new(Kind::ResumableStream, 3);
+            let mut live = Live::new(arrival, node, 0, attempts, true);
+            live.token = token;
+            self.live.push(live);
+            self.send(self.live.len() - 1, self.by_id[&id]);
+        }
+    }
+
+    fn finish(mut self) -> Report {
+        for live in self.live.iter().filter(|live| !live.batch) {
+            let class = &self.deployment.classes[live.arrival.class];
+            let tally = &mut self.report.classes[live.arrival.class];
+            tally.asked += 1;
+            let first = live.first.filter(|_| live.over).map(|first| first - live.arrival.at);
+            let in_time = first.is_some_and(|first| first <= class.aim_ms && !live.paused);
+            let worth = if in_time { 1.0 } else { first.map_or(0.0, |_| 0.3) };
+            tally.earned.push((live.arrival.tokens.prompt + 10 * live.arrival.tokens.out, worth));
+            if !live.over {
+                tally.failed += 1;
+            }
+            if live.arrival.class == 1 {
+                let served = live.first.is_some() && live.over;
+                let subject = self.subject_asked.entry(live.arrival.subject).or_default();
+                (subject.0, subject.1) = (subject.0 + 1, subject.1 + u32::from(served));
+            }
+        }
+        let often: Vec<_> = self.subject_asked.values().filter(|(asked, _, _)| *asked >= 4).collect();
+        self.report.subjects = (often.len(), often.iter().filter(|(_, served, _)| *served == 0).count());
+        let mut seen = std::collections::BTreeSet::new();
+        let mut reads: Vec<(u64, u64)> = self.engines.iter().flat_map(|e| e.reads.iter().copied()).collect();
+        reads.sort_unstable();
+        for (chain, tokens) in reads {
+            self.report.shared_read += tokens;
+            if !seen.insert(chain) {
+                self.report.shared_reread += tokens;
+            }
+        }
+        self.report.work = self.engines.iter().map(|engine| engine.work).collect();
+        let moment = self.moment();
+        let view = |id: &ExecutorId| self.gateways[0].view(moment, *id).unwrap().lane;
+        self.report.lanes = self.ids.iter().map(view).collect();
+        let most = self.home_sent.values().max().copied().unwrap_or(0);
+        let all: u32 = self.home_sent.values().sum();
+        self.report.most_of_one_home = f64::from(most) / f64::from(all.max(1));
+        for gateway in &self.gateways[..self.deployment.nodes] {
+            let one = gateway.decisions();
+            let sum = &mut self.report.decisions;
+            sum.by_pick += one.by_pick;
+            sum.by_kept += one.by_kept;
+            sum.by_home += one.by_home;
+            sum.out_of_lane += one.out_of_lane;
+            sum.queued += one.queued;
+            sum.in_doubt += one.in_doubt;
+            sum.refused += one.refused;
+            sum.nobody += one.nobody;
+        }
+        self.report
+    }
+}
+
+impl Live {
+    fn new(arrival: Arrival, node: usize, tries_left: u32, attempts: Attempts, batch: bool) -> Live {
+        Live {
+            arrival,
+            node,
+            tries_left,
+            attempts,
+            excluded: Vec::new(),
+            executor: 0,
+            token: None,
+            first: None,
+            last: 0.0,
+            paused: false,
+            over: false,
+            batch,
+        }
+    }
+}
+
+fn descriptor(seed: u64, number: usize, slots: usize, standing: Standing) -> Descriptor<'static> {
+    let instance: &'static str = Box::leak(format!("i-{seed:x}-{number}").into_boxed_str());
+    Descriptor {
+        instance,
+        service: "katalogizator",
+        address: ([10, 0, 0, number as u8], 8080).into(),
+        zone: ZoneKey(number as u64 % 4),
+        slots: slots as u32,
+        standing,
+        models: &[ModelKey(1)],
+    }
+}
--- a/crates/sizing/src/lanes.rs
+++ b/crates/sizing/src/lanes.rs
@@ -4,16 +4,28 @@
 /// of the hashes: every node that knows the same executors makes the same lanes. What does not divide evenly goes
 /// to the later lanes. The lane of each, in the order given; all 0 where there are fewer executors than lanes.
 pub fn lanes_by_hash(hashes: &[u64], lanes: usize) -> Vec<usize> {
-    let lanes = lanes.max(1);
+    lanes_by_share(hashes, &vec![1.0; lanes.max(1)])
+}
+
+/// As [`lanes_by_hash`], with lanes of unequal number: each gets its entry of `shares` (in any unit) of all, rounded
+/// down so that the rest goes to the later lanes, and at least one. All 0 where there are fewer executors than lanes, or a share is not above 0 or no number.
+pub fn lanes_by_share(hashes: &[u64], shares: &[f64]) -> Vec<usize> {
     let mut assigned = vec![0; hashes.len()];
-    if hashes.len() < lanes {
+    let sound = shares.iter().all(|share| share.is_finite() && *share > 0.0);
+    let whole: f64 = shares.iter().sum();
+    if hashes.len() < shares.len() || !sound || !whole.is_finite() {
         return assigned;
     }
     let mut order: Vec<usize> = (0..hashes.len()).collect();
     order.sort_unstable_by_key(|&at| (hashes[at], at));
-    for (rank, at) in order.into_iter().enumerate() {
-        // The first rank of lane l is l * n / lanes, rounded down.
-        assigned[at] = (0..lanes).rfind(|lane| lane * hashes.len() / lanes <= rank).unwrap_or(0);
+    let (mut from, mut summed) = (0, 0.0);
+    for (lane, share) in shares.iter().enumerate() {
+        summed += share;
+        // The trace makes up for sums like 0.1 + 0.2; room is left for one in each lane that follows.
+        let due = (summed / whole * hashes.len() as f64 + 1e-9) as usize;
+        let until = due.max(from + 1).min(hashes.len() - (shares.len() - 1 - lane));
+        order[from..until].iter().for_each(|&at| assigned[at] = lane);
+        from = until;
     }
     assigned
 }
--- a/crates/sizing/src/lib.rs
+++ b/crates/sizing/src/lib.rs
@@ -6,7 +6,7 @@
 //!
 //! * [`Sample`]: the sizes of the last requests;
 //! * [`CutOffs`]: the interval bounds that equalise summed work per share of capacity, and the lane of a size;
-//! * [`lanes_by_hash`]: which executor is in which lane, the same on every node;
+//! * [`lanes_by_hash`], [`lanes_by_share`]: which executor is in which lane, the same on every node;
 //! * [`weight`], [`pick`]: the weighted pick inside a lane;
 //! * [`fixed_hash`], [`mixed`], [`rendezvous`]: hashes that agree between processes.
 //!
@@ -30,6 +30,6 @@
 
 pub use cut_offs::CutOffs;
 pub use hash::{fixed_hash, mixed, rendezvous};
-pub use lanes::{lanes_by_hash, share_of_lanes};
+pub use lanes::{lanes_by_hash, lanes_by_share, share_of_lanes};
 pub use pick::{Candidate, FLOOR, pick, weight};
 pub use sample::{Entry, Sample};
--- a/crates/sizing/tests/sizing.rs
+++ b/crates/sizing/tests/sizing.rs
@@ -1,7 +1,8 @@
 //! SITA-E: the sample, the cut-offs, the lanes and the pick.
 
 use grebeusher_sizing::{
-    Candidate, CutOffs, FLOOR, Sample, fixed_hash, lanes_by_hash, pick, rendezvous, share_of_lanes, weight,
+    Candidate, CutOffs, FLOOR, Sample, fixed_hash, lanes_by_hash, lanes_by_share, pick, rendezvous,
+    share_of_lanes, weight,
 };
 use proptest::prelude::*;
 use rand::{Rng, SeedableRng};
@@ -90,6 +91,28 @@
     assert_eq!(counts, due);
 }
 
+#[rstest]
+#[case(18, &[1.0, 3.0], &[4, 14])]
+#[case(9, &[1.0, 3.0], &[2, 7])]
+#[case(3, &[1.0, 3.0], &[1, 2])]
+#[case(2, &[1.0, 3.0], &[1, 1])]
+#[case(10, &[1.0, 0.01, 0.01], &[8, 1, 1])]
+#[case(10, &[0.01, 0.01, 1.0], &[1, 1, 8])]
+#[case(1, &[1.0, 3.0], &[1, 0])]
+#[case(5, &[1.0, 0.0], &[5, 0])]
+#[case(5, &[1.0, f64::NAN], &[5, 0])]
+fn lanes_are_by_share_with_one_in_each_at_least(
+    #[case] count: u64,
+    #[case] shares: &[f64],
+    #[case] due: &[usize],
+) {
+    let hashes: Vec<u64> = (0..count).map(|n| fixed_hash(&format!("i-{n}"))).collect();
+    let assigned = lanes_by_share(&hashes, shares);
+    let counts: Vec<usize> =
+        (0..due.len()).map(|lane| assigned.iter().filter(|at| **at == lane).count()).collect();
+    assert_eq!(counts, due);
+}
+
 #[test]
 fn every_node_makes_the_same_lanes_and_one_that_goes_moves_at_most_one_other() {
     let hashes: Vec<u64> = (0..18).map(|n| fixed_hash(&format!("i-{n}"))).collect();
