--- a/crates/archive/tests/batches/submission.rs
+++ b/crates/archive/tests/batches/submission.rs
@@ -126,6 +126,18 @@
     format!(r#"{{"batch_items":[{}]}}"#, items.join(","))
 }
 
+#[rstest]
+#[case::as_many_as_may_be(64, 10, true)]
+#[case::too_many(65, 10, false)]
+#[case::as_large_as_may_be(4, 4_000, true)]
+#[case::too_large(4, 4_100, false)]
+fn headers_are_bounded(#[case] count: usize, #[case] value_bytes: usize, #[case] is_proper: bool) {
+    let value = "x".repeat(value_bytes);
+    let headers: Vec<String> = (0..count).map(|number| format!(r#""X-{number}":"{value}""#)).collect();
+    let body = one_item("header_map", &format!("{{{}}}", headers.join(",")));
+    assert_eq!(read(&body).is_ok(), is_proper);
+}
+
 #[test]
 fn two_hundred_items_are_taken_and_no_more() {
     assert_eq!(read(&items(200, |place| place)).expect("a proper submission").items.len(), 200);
@@ -161,6 +173,23 @@
     assert!(Submission::deserialize_bin(&submission.serialize_bin()).is_err());
 }
 
+#[test]
+fn more_items_than_a_job_may_have_are_not_read_from_the_log() {
+    assert!(Submission::deserialize_bin(&submission("j", 200).serialize_bin()).is_ok());
+    assert!(Submission::deserialize_bin(&submission("j", 201).serialize_bin()).is_err());
+}
+
+#[test]
+fn a_number_that_is_too_large_is_refused() {
+    let mut submission = submission("j", 1);
+    submission.items[0].token_count = u64::MAX;
+    let mut bytes = submission.serialize_bin();
+    assert_eq!(Submission::deserialize_bin(&bytes).expect("whole"), submission);
+    assert_eq!(bytes.pop(), Some(1), "the 64th bit");
+    assert!(Submission::deserialize_bin(&[&bytes[..], &[2]].concat()).is_err(), "a 65th");
+    assert!(Submission::deserialize_bin(&[&bytes[..], &[0x81, 0]].concat()).is_err(), "an eleventh byte");
+}
+
 #[test]
 fn the_binary_form_is_little_more_than_its_contents() {
     let submission = submission("j", 40);
