--- a/crates/quorum/tests/elections.rs
+++ b/crates/quorum/tests/elections.rs
@@ -232,6 +232,18 @@
     assert_eq!(world.newest_term(), term);
 }
 
+#[test]
+fn a_follower_that_only_the_owner_cannot_reach_does_not_disturb() {
+    let (mut world, owner, others) = three(26);
+    let term = world.newest_term();
+    // When a follower and the owner hear nothing of each other, while the third one hears both
+    world.part(owner, others[0]);
+    world.run(Span::millis(5_000));
+    // Then the third one holds to the owner, whose lease holds by it
+    assert_eq!(world.owner(), Some(owner));
+    assert_eq!(world.newest_term(), term);
+}
+
 #[test]
 fn messages_of_others_are_dropped() {
     // Given an owner of a term far ahead, in a part that was founded otherwise
--- /dev/null
+++ b/crates/quorum/tests/rules.rs
@@ -0,0 +1,388 @@
+//! Single rules of a replica, message by message: what it promises, and what it must not.
+
+use grebeusher_quorum::{
+    Append, AppendReply, Blob, Body, Candidacy, Entry, Group, HardState, Index, Message, Outcome, Payload,
+    Position, Replica, ReplicaId, Restored, Stamp, Term, Timing, VoteReply, Write,
+};
+use grebeusher_time::{Moment, Span};
+use rstest::rstest;
+
+const ME: ReplicaId = ReplicaId(1);
+const SECOND: ReplicaId = ReplicaId(2);
+const THIRD: ReplicaId = ReplicaId(3);
+
+const TIMING: Timing = Timing {
+    heartbeat: Span::millis(20),
+    election_min: Span::millis(200),
+    election_max: Span::millis(400),
+    lease: Span::millis(150),
+};
+
+fn group() -> Group {
+    Group::of([ME, SECOND, THIRD])
+}
+
+fn entry(index: u64, term: u64) -> Entry {
+    let payload = match index {
+        1 => Payload::Group(group()),
+        _ => Payload::Command(Blob::from(vec![index as u8, term as u8])),
+    };
+    Entry { index: Index(index), term: Term(term), payload }
+}
+
+fn position(index: u64, term: u64) -> Position {
+    Position { term: Term(term), index: Index(index) }
+}
+
+/// A replica, its disk as the program would keep it, and the time.
+struct Bench {
+    replica: Replica,
+    disk: Restored,
+    now: Moment,
+}
+
+impl Bench {
+    /// A replica in `term` whose log has entries of these terms; it was started long ago.
+    fn new(term: u64, terms: &[u64]) -> Bench {
+        let entries = (1..).zip(terms).map(|(index, term)| entry(index, *term)).collect();
+        let founding = Some(group().founding());
+        let hard = HardState { term: Term(term), voted: None, founding, commit: Index(0) };
+        let disk = Restored { hard, snapshot: None, entries };
+        let replica = Replica::new(ME, disk.clone(), TIMING, 1, Moment(0));
+        Bench { replica, disk, now: Moment(1_000_000_000) }
+    }
+
+    /// A message arrives; all that comes of it is synced. What the replica sends.
+    fn receive(&mut self, from: ReplicaId, term: u64, body: Body) -> Vec<Message> {
+        let founding = group().founding();
+        let message = Message { from, to: ME, founding, term: Term(term), body };
+        self.replica.receive(self.now, from, message);
+        self.work()
+    }
+
+    fn work(&mut self) -> Vec<Message> {
+        let mut sent = Vec::new();
+        while self.replica.has_ready() {
+            let ready = self.replica.take_ready();
+            ready.writes.into_iter().for_each(|write| match write {
+                Write::Hard(hard) => self.disk.hard = hard,
+                Write::Entries(entries) => {
+                    self.disk.entries.retain(|entry| entry.index < entries[0].index);
+                    self.disk.entries.extend(entries);
+                }
+                Write::Snapshot { .. } => unreachable!("there are none here"),
+            });
+            self.replica.synced();
+            sent.extend(ready.ahead.into_iter().chain(ready.messages).map(|(_, message)| message));
+        }
+        sent
+    }
+
+    /// The process ends and starts again, long ago.
+    fn restart(&mut self) {
+        self.replica = Replica::new(ME, self.disk.clone(), TIMING, 1, self.now);
+        self.now = self.now + Span::millis(1_000);
+    }
+
+    fn hear_owner(&mut self, owner: ReplicaId, term: u64) -> Vec<Message> {
+        self.append(owner, term, position(1, 1), 0, Vec::new())
+    }
+
+    fn append(
+        &mut self,
+        owner: ReplicaId,
+        term: u64,
+        previous: Position,
+        commit: u64,
+        entries: Vec<Entry>,
+    ) -> Vec<Message> {
+        let append = Append { previous, commit: Index(commit), sent: Stamp(7), entries };
+        self.receive(owner, term, Body::Append(append))
+    }
+
+    fn vote(&mut self, candidate: ReplicaId, term: u64, last: Position, handed_over: bool) -> Option<bool> {
+        let sent = self.receive(candidate, term, Body::Vote(Candidacy { last, handed_over }));
+        granted(&sent)
+    }
+
+    fn pre_vote(&mut self, candidate: ReplicaId, term: u64, last: Position) -> Option<bool> {
+        let sent = self.receive(candidate, term, Body::PreVote(Candidacy { last, handed_over: false }));
+        granted(&sent)
+    }
+
+    /// Becomes owner of the next term by the vote of the second one.
+    fn become_owner(&mut self) -> u64 {
+        self.now = self.now.max(self.replica.next_wake());
+        self.replica.tick(self.now);
+        self.work();
+        let term = self.replica.term().0 + 1;
+        self.receive(SECOND, term, Body::PreVoteReply(VoteReply { granted: true }));
+        self.receive(SECOND, term, Body::VoteReply(VoteReply { granted: true }));
+        assert!(self.replica.is_owner());
+        term
+    }
+
+    fn matched(&mut self, from: ReplicaId, term: u64, index: u64) {
+        let outcome = Outcome::Matched(Index(index));
+        let sent = Stamp(self.now.0);
+        self.receive(from, term, Body::AppendReply(AppendReply { outcome, sent }));
+    }
+}
+
+fn granted(sent: &[Message]) -> Option<bool> {
+    sent.iter().find_map(|message| match &message.body {
+        Body::VoteReply(reply) | Body::PreVoteReply(reply) => Some(reply.granted),
+        _ => None,
+    })
+}
+
+fn outcome(sent: &[Message]) -> Option<Outcome> {
+    sent.iter().find_map(|message| match &message.body {
+        Body::AppendReply(reply) => Some(reply.outcome),
+        _ => None,
+    })
+}
+
+#[rstest]
+#[case::an_equal_log(position(3, 2), true)]
+#[case::a_longer_log(position(4, 2), true)]
+#[case::a_later_term(position(2, 3), true)]
+#[case::a_shorter_log(position(2, 2), false)]
+#[case::an_earlier_term(position(9, 1), false)]
+fn a_vote_goes_to_a_log_that_has_at_least_as_much(#[case] last: Position, #[case] expected: bool) {
+    assert_eq!(Bench::new(3, &[1, 2, 2]).vote(SECOND, 4, last, false), Some(expected));
+    assert_eq!(Bench::new(3, &[1, 2, 2]).pre_vote(SECOND, 4, last), Some(expected));
+}
+
+#[test]
+fn a_term_has_one_vote_also_after_a_restart() {
+    // Given a vote in term 4
+    let mut bench = Bench::new(3, &[1]);
+    assert_eq!(bench.vote(SECOND, 4, position(1, 1), false), Some(true));
+    // Then another candidate of the term gets none, and the same one gets it again
+    assert_eq!(bench.vote(THIRD, 4, position(9, 3), false), Some(false));
+    assert_eq!(bench.vote(SECOND, 4, position(1, 1), false), Some(true));
+    // Also after a restart
+    bench.restart();
+    assert_eq!(bench.vote(THIRD, 4, position(9, 3), false), Some(false));
+    assert_eq!(bench.vote(SECOND, 4, position(1, 1), false), Some(true));
+    // And the next term has a vote of its own; an older one has none
+    assert_eq!(bench.vote(THIRD, 5, position(9, 3), false), Some(true));
+    assert_eq!(bench.vote(SECOND, 4, position(1, 1), false), Some(false));
+}
+
+#[test]
+fn a_term_that_was_adopted_is_kept_over_a_restart() {
+    // Given a replica that refused a vote in term 9, and so knows of it
+    let mut bench = Bench::new(3, &[1, 3]);
+    assert_eq!(bench.vote(SECOND, 9, position(1, 1), false), Some(false));
+    bench.restart();
+    // Then an owner of an older term is refused after the restart too
+    let sent = bench.hear_owner(THIRD, 8);
+    assert_eq!(outcome(&sent), Some(Outcome::Outdated));
+    assert_eq!(bench.replica.term(), Term(9));
+}
+
+#[test]
+fn a_voter_that_hears_an_owner_helps_nobody_else() {
+    // Given a voter that has just heard of an owner
+    let mut bench = Bench::new(3, &[1]);
+    bench.hear_owner(SECOND, 3);
+    // Then it votes for nobody, not even for a later term, and adopts no term, for the whole span
+    for _ in 0..2 {
+        assert_eq!(bench.pre_vote(THIRD, 4, position(9, 3)), Some(false));
+        assert_eq!(bench.vote(THIRD, 4, position(9, 3), false), None);
+        assert_eq!(bench.replica.term(), Term(3));
+        bench.now = bench.now + Span::millis(199);
+    }
+    // But for one to whom the owner has handed over, which gave up its lease for that
+    assert_eq!(bench.vote(THIRD, 4, position(9, 3), true), Some(true));
+}
+
+#[test]
+fn a_voter_that_was_just_started_helps_nobody() {
+    let mut bench = Bench::new(3, &[1]);
+    bench.restart();
+    bench.now = bench.now - Span::millis(801);
+    assert_eq!(bench.pre_vote(THIRD, 4, position(9, 3)), Some(false));
+    assert_eq!(bench.vote(THIRD, 4, position(9, 3), false), None);
+    bench.now = bench.now + Span::millis(2);
+    assert_eq!(bench.pre_vote(THIRD, 4, position(9, 3)), Some(true));
+    assert_eq!(bench.vote(THIRD, 4, position(9, 3), false), Some(true));
+}
+
+#[test]
+fn a_pre_vote_promises_nothing() {
+    let mut bench = Bench::new(3, &[1]);
+    let before = bench.disk.clone();
+    assert_eq!(bench.pre_vote(SECOND, 4, position(1, 1)), Some(true));
+    assert_eq!(bench.pre_vote(THIRD, 4, position(1, 1)), Some(true));
+    assert_eq!(bench.disk, before);
+    assert_eq!(bench.replica.term(), Term(3));
+}
+
+#[test]
+fn an_entry_of_an_older_term_is_decided_by_one_of_the_owners_own() {
+    // Given an owner of a later term with an old entry that no quorum had
+    let mut bench = Bench::new(3, &[1, 2]);
+    let term = bench.become_owner();
+    // When a quorum has the old entry, it is not decided: another owner may still replace it
+    bench.matched(SECOND, term, 2);
+    assert_eq!(bench.replica.commit_index(), Index(0));
+    assert!(!bench.replica.lease_holds(bench.now), "what it does not know to be decided can't be read");
+    // Then it is decided with the owner's first entry
+    bench.matched(SECOND, term, 3);
+    assert_eq!(bench.replica.commit_index(), Index(3));
+    assert!(bench.replica.lease_holds(bench.now));
+}
+
+#[test]
+fn what_the_owner_has_not_synced_does_not_count() {
+    // Given an owner that writes a command, and a follower that already has it
+    let mut bench = Bench::new(3, &[1]);
+    let term = bench.become_owner();
+    bench.matched(SECOND, term, 2);
+    bench.replica.propose(bench.now, vec![1]).expect("it is the owner");
+    let ready = bench.replica.take_ready();
+    assert!(ready.must_sync && ready.ahead.iter().any(|(to, _)| *to == SECOND));
+    let founding = group().founding();
+    let reply = AppendReply { outcome: Outcome::Matched(Index(3)), sent: Stamp(0) };
+    let message =
+        Message { from: SECOND, to: ME, founding, term: Term(term), body: Body::AppendReply(reply) };
+    bench.replica.receive(bench.now, SECOND, message);
+    // Then it is not decided before the owner's own sync
+    assert_eq!(bench.replica.commit_index(), Index(2));
+    bench.replica.synced();
+    assert_eq!(bench.replica.commit_index(), Index(3));
+}
+
+#[test]
+fn entries_follow_on_what_is_the_same_only() {
+    let mut bench = Bench::new(3, &[1, 2, 2]);
+    // Given an append after an entry of another term, or after one that is missing: it is refused with a hint
+    let sent = bench.append(SECOND, 4, position(3, 3), 0, vec![entry(4, 4)]);
+    assert_eq!(outcome(&sent), Some(Outcome::Conflict { refused: Index(3), hint: Index(2) }));
+    let sent = bench.append(SECOND, 4, position(7, 1), 0, vec![entry(8, 4)]);
+    assert_eq!(outcome(&sent), Some(Outcome::Conflict { refused: Index(7), hint: Index(1) }));
+    assert_eq!(bench.replica.last(), position(3, 2));
+    // When it fits, it replaces what differs
+    let sent = bench.append(SECOND, 4, position(1, 1), 0, vec![entry(2, 3), entry(3, 4)]);
+    assert_eq!(outcome(&sent), Some(Outcome::Matched(Index(3))));
+    assert_eq!(bench.disk.entries, [entry(1, 1), entry(2, 3), entry(3, 4)]);
+    // And an old one that arrives late takes nothing away
+    bench.append(SECOND, 4, position(1, 1), 0, vec![entry(2, 3)]);
+    assert_eq!(bench.replica.last(), position(3, 4));
+}
+
+#[test]
+fn what_is_decided_is_never_taken_back() {
+    // Given a follower that knows three entries to be decided
+    let mut bench = Bench::new(3, &[1, 2, 2]);
+    bench.append(SECOND, 3, position(3, 2), 3, Vec::new());
+    assert_eq!(bench.replica.commit_index(), Index(3));
+    // When somebody claims otherwise, which no owner does
+    bench.append(THIRD, 4, position(1, 1), 0, vec![entry(2, 3)]);
+    // Then it keeps them
+    assert_eq!(bench.disk.entries, [entry(1, 1), entry(2, 2), entry(3, 2)]);
+}
+
+#[test]
+fn only_what_is_known_to_be_the_same_is_decided() {
+    // Given a follower with entries beyond those that the owner has compared
+    let mut bench = Bench::new(3, &[1, 2, 2]);
+    // When the owner, which has decided more, sends a heartbeat after the first
+    bench.append(SECOND, 4, position(1, 1), 9, Vec::new());
+    // Then only that one is
+    assert_eq!(bench.replica.commit_index(), Index(1));
+}
+
+#[test]
+fn a_term_has_one_owner() {
+    // Given a follower that knows the owner of its term
+    let mut bench = Bench::new(3, &[1]);
+    bench.hear_owner(SECOND, 4);
+    // Then another one that claims to be it is not answered, nor believed
+    let sent = bench.append(THIRD, 4, position(1, 1), 0, vec![entry(2, 4)]);
+    assert!(sent.is_empty());
+    assert_eq!(bench.replica.owner_hint(), Some(SECOND));
+    // Nor is one believed by the owner itself
+    let mut bench = Bench::new(3, &[1]);
+    let term = bench.become_owner();
+    assert!(bench.append(THIRD, term, position(1, 1), 0, vec![entry(2, term)]).is_empty());
+    assert!(bench.replica.is_owner());
+}
+
+#[test]
+fn promises_on_disk_count_on_nothing_that_follows_them() {
+    // Given a follower that has entries that are not decided
+    let mut bench = Bench::new(3, &[1, 2, 2]);
+    // When a new owner replaces them and tells in the same message that it has decided them
+    let append = Append {
+        previous: position(1, 1),
+        commit: Index(3),
+        sent: Stamp(7),
+        entries: vec![entry(2, 4), entry(3, 4)],
+    };
+    let founding = group().founding();
+    let message = Message { from: SECOND, to: ME, founding, term: Term(4), body: Body::Append(append) };
+    bench.replica.receive(bench.now, SECOND, message);
+    let ready = bench.replica.take_ready();
+    // Then the promises, which come first, don't call the old entries decided if power goes in between
+    let Some(Write::Hard(hard)) = ready.writes.first() else { panic!("{:?}", ready.writes) };
+    assert!(hard.commit <= Index(1), "{hard:?}");
+}
+
+#[test]
+fn only_the_owner_tells_a_voter_to_take_over() {
+    let mut bench = Bench::new(3, &[1]);
+    bench.hear_owner(SECOND, 3);
+    // Given a call to take over from somebody else, or of an older term
+    assert!(bench.receive(THIRD, 3, Body::TakeOver).is_empty());
+    assert!(bench.receive(SECOND, 2, Body::TakeOver).is_empty());
+    assert_eq!(bench.replica.term(), Term(3));
+    // When the owner calls, it stands at once, and says why
+    let sent = bench.receive(SECOND, 3, Body::TakeOver);
+    let handed_over =
+        |message: &Message| matches!(message.body, Body::Vote(Candidacy { handed_over: true, .. }));
+    assert!(sent.iter().all(handed_over) && sent.len() == 2);
+    assert_eq!(bench.disk.hard.voted, Some(ME));
+}
+
+#[test]
+fn an_election_by_time_is_not_one_by_handing_over() {
+    // Given a voter whose owner is silent
+    let mut bench = Bench::new(3, &[1]);
+    bench.replica.tick(bench.now);
+    let asked = bench.work();
+    assert!(asked.iter().all(|message| matches!(message.body, Body::PreVote(_))) && asked.len() == 2);
+    // When one more would vote for it
+    let sent = bench.receive(SECOND, 4, Body::PreVoteReply(VoteReply { granted: true }));
+    // Then it stands as one who has to wait for leases
+    let waits = |message: &Message| matches!(message.body, Body::Vote(Candidacy { handed_over: false, .. }));
+    assert!(sent.iter().all(waits) && sent.len() == 2);
+}
+
+#[test]
+fn an_empty_replica_listens_to_owners_only() {
+    // Given a replica with nothing on disk
+    let mut replica = Replica::new(ME, Restored::default(), TIMING, 1, Moment(0));
+    let now = Moment(1_000_000_000);
+    let founding = group().founding();
+    let last = position(9, 3);
+    let candidacy = Candidacy { last, handed_over: true };
+    // When it is asked for its vote
+    for body in [Body::Vote(candidacy), Body::PreVote(candidacy), Body::TakeOver] {
+        replica.receive(now, SECOND, Message { from: SECOND, to: ME, founding, term: Term(4), body });
+    }
+    // Then it says nothing and writes nothing
+    assert!(!replica.has_ready());
+    // And an owner's message tells it where it belongs
+    let append =
+        Append { previous: position(0, 0), commit: Index(1), sent: Stamp(0), entries: vec![entry(1, 1)] };
+    replica.receive(
+        now,
+        SECOND,
+        Message { from: SECOND, to: ME, founding, term: Term(4), body: Body::Append(append) },
+    );
+    assert_eq!((replica.founding(), replica.last()), (Some(founding), position(1, 1)));
+}
