--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -77,6 +77,11 @@
         self.parts.shared_tokens()
     }
 
+    /// The last shared part of its prompt, for its model.
+    pub(crate) fn subject(&self) -> Option<u64> {
+        self.parts.shared().last().map(|part| part.chain ^ self.model_bits())
+    }
+
     pub(crate) fn model_bits(&self) -> u64 {
         self.model.map_or(0, |model| model.0)
     }
@@ -157,8 +162,8 @@
     /// Seconds in the queue.
     wait: f64,
     unread: u64,
-    /// How many times slower than usual its events come.
-    slowness: f64,
+    /// By how many seconds its first events come later than usual.
+    behind: f64,
     strength: f64,
 }
 
@@ -207,18 +212,18 @@
         self.refresh(now, request.service);
         let mut candidates = std::mem::take(&mut self.scratch);
         self.candidates(now, request, &mut candidates);
-        let choice = self.decide(request, &candidates);
+        let choice = self.decide(now, request, &candidates);
         self.scratch = candidates;
         choice
     }
 
-    fn decide(&mut self, request: &Request<'_>, candidates: &[Candidate]) -> Choice {
+    fn decide(&mut self, now: Moment, request: &Request<'_>, candidates: &[Candidate]) -> Choice {
         if candidates.is_empty() {
             self.decisions.nobody += 1;
             return Choice::Nobody { retry_after: NOBODY_RETRY };
         }
         let allowance = self.allowance(request);
-        if let Some(home) = self.by_parts(request, allowance, candidates) {
+        if let Some(home) = self.by_parts(now, request, allowance, candidates) {
             return self.send(home);
         }
         let home_only = self.policy.queue_at_home && request.stake() >= self.policy.least_stake;
@@ -288,39 +293,51 @@
 
     /// The exception: one of the lane that holds the prompt's shared parts, or the first of the last shared part's
     /// homes that has room to spare, or will have before the shared parts could be read anew elsewhere.
-    fn by_parts(&mut self, request: &Request<'_>, allowance: f64, candidates: &[Candidate]) -> Option<u32> {
+    fn by_parts(
+        &mut self,
+        now: Moment,
+        request: &Request<'_>,
+        allowance: f64,
+        candidates: &[Candidate],
+    ) -> Option<u32> {
         let stake = request.stake();
         if stake < self.policy.least_stake {
             return None;
         }
         let shared = request.parts.shared();
-        let key = shared.last()?.chain ^ request.model_bits();
-        let longest = allowance.min(f64::from(stake) / READ_PER_S);
+        let key = request.subject()?;
+        let patience = f64::from(stake) / READ_PER_S * self.policy.home_patience;
         let fitting = candidates.iter().filter(|c| c.sound && c.reachable && c.fits && c.in_lane);
         let spare = |c: &&Candidate| {
-            c.wait <= longest
-                && c.utilisation < self.policy.home_bound
-                && c.unread < self.policy.home_unread
-                && c.slowness < self.policy.home_slowness
+            c.utilisation < self.policy.home_bound
+                && c.wait <= allowance
+                && c.wait + c.unread as f64 / READ_PER_S + c.behind <= patience
         };
         let kept = |c: &Candidate| {
             let executor = self.executors[c.place as usize].1.as_ref();
             executor.map_or(0, |executor| executor.memory.kept(request.model_bits(), shared))
         };
-        let rank = |c: &Candidate| rendezvous(key, c.hash);
+        let mut order: Vec<&Candidate> = fitting.clone().collect();
+        order.sort_unstable_by_key(|c| std::cmp::Reverse(rendezvous(key, c.hash)));
+        let demand = self.demand.tokens_per_s(now, key) * f64::from(self.nodes);
+        let wanted = 1 + (demand / (READ_PER_S * self.policy.home_part)) as usize;
         let longest_kept = fitting.clone().filter(spare).map(kept).max().unwrap_or(0);
-        if longest_kept >= self.policy.least_stake {
-            let holders: Vec<Candidate> =
-                fitting.filter(|c| spare(c) && kept(c) == longest_kept).copied().collect();
-            let place = self.weighted(&holders)?;
-            self.decisions.by_kept += 1;
-            return Some(place);
+        let holds = longest_kept >= self.policy.least_stake;
+        let mut homes: Vec<Candidate> = Vec::with_capacity(wanted.min(order.len()));
+        if !holds || wanted > 1 {
+            homes.extend(order.iter().copied().take(wanted).filter(spare));
         }
-        let mut order: Vec<&Candidate> = fitting.collect();
-        order.sort_unstable_by_key(|c| std::cmp::Reverse(rank(c)));
-        let home = order.into_iter().take(self.policy.homes).find(spare)?.place;
-        self.decisions.by_home += 1;
-        Some(home)
+        if holds {
+            homes.extend(fitting.filter(|c| spare(c) && kept(c) == longest_kept).copied());
+            homes.sort_unstable_by_key(|c| c.place);
+            homes.dedup_by_key(|c| c.place);
+        } else if homes.is_empty() {
+            homes.extend(order.iter().copied().take(wanted.max(self.policy.homes)).find(spare));
+        }
+        let place = self.weighted(&homes)?;
+        let count = if holds { &mut self.decisions.by_kept } else { &mut self.decisions.by_home };
+        *count += 1;
+        Some(place)
     }
 
     /// Tokens of a request's prompt that an executor is believed to hold, and of these the ones that it has read.
@@ -374,7 +391,7 @@
                 known: executor.has_figure(now),
                 wait: (out + 1.0 - slots).max(0.0) * service.holds / slots,
                 unread: executor.unread,
-                slowness: executor.slowness(now),
+                behind: executor.behind(now),
                 strength: if executor.zone == self.zone { self.policy.near } else { 1.0 },
             });
         }
--- a/crates/gateway/src/executor.rs
+++ b/crates/gateway/src/executor.rs
@@ -70,12 +70,16 @@
     heard: Option<Others>,
     /// How many times longer the pauses between events were lately than over the whole service, and when.
     slower: (f64, Moment),
+    /// By how many seconds first events came later than usual, and when.
+    behind: (f64, Moment),
 }
 
 /// After so long a report says nothing of the present: about the time that a request runs.
 const REPORT_FADES: Span = Span::millis(1200);
 /// The pace of events says something for about as long as a long prompt is read.
 const PACE_FADES: Span = Span::millis(400);
+/// What waits to be read is read within about this time.
+const BEHIND_FADES: Span = Span::millis(1000);
 /// The part of the newest pause in an executor's pace.
 const NEWEST_PAUSE: f64 = 0.5;
 
@@ -101,6 +105,7 @@
             unread_batch: 0,
             heard: None,
             slower: (1.0, Moment(0)),
+            behind: (0.0, Moment(0)),
         }
     }
 
@@ -156,6 +161,18 @@
         ((times - 1.0) * fresh).max(0.0)
     }
 
+    /// A first event came so many seconds later than usual, beside what its own prompt took to read.
+    pub fn was_behind(&mut self, now: Moment, seconds: f64) {
+        let before = self.behind(now);
+        self.behind = (before + (seconds - before) * NEWEST_PAUSE, now);
+    }
+
+    /// By how many seconds first events come later than usual, by the last few.
+    pub fn behind(&self, now: Moment) -> f64 {
+        let (seconds, at) = self.behind;
+        (seconds * (1.0 - now.since(at).as_secs() / BEHIND_FADES.as_secs())).max(0.0)
+    }
+
     /// Whether it has the model that a request names.
     pub fn has_model(&self, model: Option<ModelKey>) -> bool {
         self.models.is_empty() || model.is_none_or(|model| self.models.contains(&model))
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -2,11 +2,13 @@
 
 use crate::attempts::Outcome;
 use crate::choose::{Candidate, Request};
+use crate::demand::Demand;
 use crate::executor::{Descriptor, Executor, Standing};
 use crate::headers::ServerLoad;
 use crate::health::Failure;
 use crate::ids::{AttemptToken, ExecutorId, ServiceId, ZoneKey};
 use crate::policy::Policy;
+use crate::prefix::READ_PER_S;
 use crate::service::{Service, ServiceSettings};
 use grebeusher_sizing::{lanes_by_share, share_of_lanes};
 use grebeusher_time::Moment;
@@ -107,6 +109,7 @@
     attempts: Vec<Attempt>,
     vacant_attempts: Vec<u32>,
     pub(crate) decisions: Decisions,
+    pub(crate) demand: Demand,
     pub(crate) scratch: Vec<Candidate>,
 }
 
@@ -126,6 +129,7 @@
             attempts: Vec::new(),
             vacant_attempts: Vec::new(),
             decisions: Decisions::default(),
+            demand: Demand::default(),
             scratch: Vec::new(),
         }
     }
@@ -294,6 +298,10 @@
         executor.unread_batch += if request.batch { unread } else { 0 };
         if request.stake() >= policy.least_stake {
             executor.memory.sent(now, request.model_bits(), request.parts.shared());
+            if let Some(subject) = request.subject() {
+                let own = request.tokens.map_or(0, |t| t.prompt.saturating_sub(request.stake()));
+                self.demand.sent(now, subject, own);
+            }
         }
         let place = match self.vacant_attempts.pop() {
             Some(place) => place,
@@ -330,17 +338,19 @@
     pub fn progress(&mut self, now: Moment, token: AttemptToken) {
         let Some(attempt) = self.open_mut(token) else { return };
         let (id, unread, batch) = (attempt.executor, std::mem::take(&mut attempt.unread), attempt.batch);
-        let before = attempt.event.replace(now);
-        let Some(executor) = self.executor_mut(id) else { return };
+        let (sent, before) = (attempt.sent, attempt.event.replace(now));
+        let known = self.executors.get_mut(id.place as usize).and_then(|(_, executor)| executor.as_mut());
+        let Some(executor) = known.filter(|executor| executor.id == id) else { return };
         executor.unread = executor.unread.saturating_sub(unread);
         executor.unread_batch = executor.unread_batch.saturating_sub(if batch { unread } else { 0 });
         let service = executor.service;
-        if let Some(before) = before {
-            let times = self.services[service.0 as usize].paused(now.since(before));
-            if let Some(executor) = self.executor_mut(id) {
-                executor.paced(now, times);
-            }
-        }
+        let service = &mut self.services[service.0 as usize];
+        let Some(before) = before else {
+            let late = service.began(now.since(sent).as_secs() - unread as f64 / READ_PER_S);
+            return executor.was_behind(now, late);
+        };
+        let times = service.paused(now.since(before));
+        executor.paced(now, times);
     }
 
     /// An attempt ended. A second call with the same token does nothing.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,9 +13,11 @@
 //! **The exception for prompts.** Inside the lane, and only where at least [`Policy::least_stake`] shared tokens
 //! are at stake, the executors that hold the longest prefix by this node's own sends come first, then the
 //! first few in the rendezvous order of the last shared part, which all nodes agree on without a word. Bound:
-//! only executors with room whose utilisation is below [`Policy::home_bound`] and that have little left to read
-//! are taken so; all else goes by the weighted pick, and nothing is refused or held for a home's sake. So a
-//! subject in demand spreads, and none waits for one executor.
+//! only executors whose utilisation is below [`Policy::home_bound`] are taken so, and only while the wait there is
+//! shorter than [`Policy::home_patience`] times the reading anew; all else goes by the weighted pick. A subject that
+//! would take more than [`Policy::home_part`] of an executor's reading has more homes. So a subject in demand spreads,
+//! and none waits for one executor. Where all are full, a request with a stake queues at a home only,
+//! as reading anew elsewhere delays all others.
 //!
 //! **Admission.** Refused is only what no executor can take, neither now nor within a part of the latency objective;
 //! the part is smaller for lower priorities. It is decided at once, and `retry_after` is when room is expected.
@@ -58,6 +60,7 @@
 
 mod attempts;
 mod choose;
+mod demand;
 mod executor;
 mod gateway;
 mod headers;
--- a/crates/gateway/src/policy.rs
+++ b/crates/gateway/src/policy.rs
@@ -25,11 +25,13 @@
     pub least_stake: u32,
     /// Utilisation from which on an executor is no home to anything.
     pub home_bound: f64,
-    /// Tokens that this node sent an executor and that it has not read yet, from which on it is no home.
-    pub home_unread: u64,
-    /// How many times slower than usual the events of own streams may come at a home: beyond, it reads too much.
-    pub home_slowness: f64,
-    /// How many executors of the rendezvous order are looked at as homes.
+    /// How many times as long as the shared parts take to read anew a request may have to wait at their home: for a
+    /// place, for what this node sent there and is not read yet, and beyond what is usual by its last requests.
+    pub home_patience: f64,
+    /// The part of its reading that an executor gives to one subject; one in more demand, by this node's sends and the
+    /// number of nodes, has as many more homes.
+    pub home_part: f64,
+    /// How many executors of the rendezvous order are looked at as homes of a subject in usual demand.
     pub homes: usize,
     /// Unread tokens of this node's that make an executor as good as full in the weighted pick.
     pub unread_full: u64,
@@ -68,8 +70,8 @@
             recompute: Span::millis(5000),
             least_stake: 1024,
             home_bound: 2.0,
-            home_unread: 48_000,
-            home_slowness: 3.0,
+            home_patience: 1.5,
+            home_part: 0.2,
             homes: 2,
             unread_full: 48_000,
             slow_weight: 0.25,
--- a/crates/gateway/src/service.rs
+++ b/crates/gateway/src/service.rs
@@ -28,6 +28,8 @@
     pub median: f64,
     /// How long an attempt lasts, in seconds.
     pub holds: f64,
+    /// From the send to the first event beside the reading of the prompt, in seconds.
+    pub first: f64,
     /// The pause between two events of a stream, in seconds.
     pub pause: f64,
     /// Tokens in memory per request when it is through.
@@ -57,6 +59,7 @@
             recut: Moment(0),
             median: 1.0,
             holds: HOLDS_AT_FIRST_S,
+            first: 0.0,
             pause: 0.0,
             request_tokens: 0.0,
             others: 0.0,
@@ -95,6 +98,14 @@
         self.holds += (took.as_secs() - self.holds) * NEWEST;
     }
 
+    /// A first event came `seconds` after the send, beside the reading of its prompt; returns by how much that is
+    /// more than usual.
+    pub fn began(&mut self, seconds: f64) -> f64 {
+        let more = seconds - self.first;
+        self.first += more * if self.first == 0.0 { 1.0 } else { NEWEST };
+        more
+    }
+
     /// A pause between two events of a stream; returns how many times the usual one it is.
     pub fn paused(&mut self, pause: Span) -> f64 {
         const MOST_TIMES: f64 = 10.0; // one long stall must not set the scale
