--- a/crates/tier/src/batch_front.rs
+++ b/crates/tier/src/batch_front.rs
@@ -11,6 +11,7 @@
 use grebeusher_transport::http;
 use nanoserde::SerBin;
 use std::rc::Rc;
+use tracing::debug;
 
 /// How many parts the batch jobs are cut into; the configuration is one more.
 pub const BATCH_PARTS: u8 = 3;
@@ -138,6 +139,9 @@
 
     /// The owner's reply to a batch call.
     pub fn batch_reply(&mut self, connection: usize, serial: u64, question: BatchQuestion, reply: Reply) {
+        if !matches!(reply, Reply::Answer { status: 200 | 202, .. }) {
+            debug!("a batch call ({question:?}) ends with {}", reply.name());
+        }
         let answer = match (question, reply) {
             (_, Reply::Answer { status: 429, body }) => {
                 http::answer(429, &[("Retry-After", TRY_AGAIN_S)], &body)
--- a/crates/tier/src/items.rs
+++ b/crates/tier/src/items.rs
@@ -10,6 +10,7 @@
 use grebeusher_time::{Moment, Span};
 use grebeusher_transport::headers::Headers;
 use rustc_hash::FxHashMap;
+use tracing::debug;
 
 /// How often items that wait look for room.
 const LOOK_EVERY: Span = Span::millis(15);
@@ -17,6 +18,8 @@
 const SILENT_FOR: Span = Span::millis(3000);
 /// What an executor is told of the time that an item has (milliseconds): items stand outside of time-outs.
 const ITEM_DEADLINE_MS: u64 = 30_000;
+/// How often the log tells how items get on.
+const TELL_EVERY: Span = Span::millis(500);
 /// Items that are begun in one turn of the loop, so that others have theirs.
 const BEGUN_AT_ONCE: usize = 16;
 
@@ -38,6 +41,7 @@
 pub struct ItemRuns {
     active: FxHashMap<u64, ActiveRun>,
     waking: bool,
+    told: Moment,
 }
 
 impl ItemRuns {
@@ -69,6 +73,7 @@
                 part.runner.tick(now);
             }
             self.begin_items(place);
+            self.tell_progress(place);
             self.cut_off_runs(place);
             self.propose_results(place);
             waits |= self.runner_wake(place).is_some();
@@ -80,6 +85,19 @@
         }
     }
 
+    /// A line of the log now and then on how the items of a part get on.
+    fn tell_progress(&mut self, place: usize) {
+        let now = self.now;
+        if now < self.items.told + TELL_EVERY {
+            return;
+        }
+        self.items.told = now;
+        let number = self.parts[place].part;
+        let Some(part) = self.batch_mut(place) else { return };
+        let (running, open) = (part.runner.running_count(), part.jobs().len());
+        debug!("part {number}: {running} items run, {open} jobs are kept");
+    }
+
     fn begin_items(&mut self, place: usize) {
         for _ in 0..BEGUN_AT_ONCE {
             let Some(order) = self.next_order(place) else { return };
--- a/crates/tier/src/messages.rs
+++ b/crates/tier/src/messages.rs
@@ -118,3 +118,17 @@
     /// A configuration, whole; version 0 and empty: none that is newer.
     Configuration { version: u64, body: Vec<u8> },
 }
+
+impl Reply {
+    /// What it is, for the log.
+    pub fn name(&self) -> String {
+        match self {
+            Reply::NotOwner { .. } => "no owner".to_owned(),
+            Reply::Unavailable => "unavailable".to_owned(),
+            Reply::Unclear => "unclear".to_owned(),
+            Reply::Done => "done".to_owned(),
+            Reply::Answer { status, .. } => status.to_string(),
+            Reply::Configuration { version, .. } => format!("configuration {version}"),
+        }
+    }
+}
