gateway: executors that fall silent are found, batch items have homes too

An executor that goes dark breaks no connection: it is found when nothing at all comes from it for several times what its service's requests take to show something, except after this node itself stood still. Batch items with long shared parts go to a home that has room. Dark executors no longer make a full service look half idle.

--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -206,6 +206,14 @@
 /// Below this part of all places a refusal would be a mistake whatever single estimates say.
 const HALF: f64 = 0.5;
 
+/// Whether fewer than half of the places are taken, of those that nothing speaks against if there are any.
+fn is_idle(candidates: &[Candidate]) -> bool {
+    let any_sound = candidates.iter().any(|c| c.sound);
+    let counted = candidates.iter().filter(|c| c.sound || !any_sound);
+    let (taken, count) = counted.fold((0.0, 0.0), |(taken, count), c| (taken + c.taken, count + 1.0));
+    taken < HALF * count
+}
+
 impl Gateway {
     /// Decides on a request, or on its next attempt.
     pub fn choose(&mut self, now: Moment, request: &Request<'_>) -> Choice {
@@ -238,7 +246,7 @@
             }
         }
         // Estimates may be off; a refusal while half of all is idle must not happen.
-        let idle = candidates.iter().map(|c| c.taken).sum::<f64>() < HALF * candidates.len() as f64;
+        let idle = is_idle(candidates);
         let reachable: Vec<Candidate> = candidates.iter().copied().filter(|c| c.reachable).collect();
         if (idle || request.committed)
             && let Some(chosen) = self.by_weight(Tier::Queue, &reachable)
@@ -270,7 +278,7 @@
         left * self.policy.queue_part / (1.0 + less_urgent)
     }
 
-    /// Picks among those that fit: by weight.
+    /// The ordinary path, and its fall-backs in the order of the tiers.
     fn by_weight(&mut self, tier: Tier, fitting: &[Candidate]) -> Option<u32> {
         let chosen = self.weighted(fitting)?;
         let count = match tier {
@@ -418,7 +426,11 @@
         self.scratch = candidates;
         let in_lane: Vec<Candidate> = fitting.iter().copied().filter(|c| c.in_lane).collect();
         let tier = if in_lane.is_empty() { Tier::OutOfLane } else { Tier::Lane };
-        let place = self.by_weight(tier, if in_lane.is_empty() { &fitting } else { &in_lane })?;
+        // Long shared parts have their homes here too, as far as these have room.
+        let place = match self.by_parts(now, &request, 0.0, &in_lane) {
+            Some(home) => home,
+            None => self.by_weight(tier, if in_lane.is_empty() { &fitting } else { &in_lane })?,
+        };
         self.executors[place as usize].1.as_ref().map(|executor| executor.id)
     }
 
--- a/crates/gateway/src/executor.rs
+++ b/crates/gateway/src/executor.rs
@@ -70,6 +70,8 @@
     heard: Option<Others>,
     /// How many times longer the pauses between events were lately than over the whole service, and when.
     slower: (f64, Moment),
+    /// When anything came from it.
+    pub heard_at: Moment,
     /// By how many seconds first events came later than usual, and when.
     behind: (f64, Moment),
 }
@@ -105,6 +107,7 @@
             unread_batch: 0,
             heard: None,
             slower: (1.0, Moment(0)),
+            heard_at: Moment(0),
             behind: (0.0, Moment(0)),
         }
     }
@@ -122,6 +125,7 @@
 
     /// An answer told its load. Returns what others have there, per slot.
     pub fn reported(&mut self, now: Moment, load: ServerLoad) -> f64 {
+        self.heard_at = now;
         let all = f64::from(load.running) + f64::from(load.waiting);
         let requests = (all - f64::from(self.open)).max(0.0);
         self.heard = Some(Others { at: now, requests });
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -11,7 +11,7 @@
 use crate::prefix::READ_PER_S;
 use crate::service::{Service, ServiceSettings};
 use grebeusher_sizing::{lanes_by_share, share_of_lanes};
-use grebeusher_time::Moment;
+use grebeusher_time::{Moment, Span};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg32;
 use rustc_hash::FxHashMap;
@@ -21,6 +21,11 @@
 /// Open attempts that are kept account of: more than any node has descriptors for.
 const MOST_OPEN: usize = 16_384;
 
+/// No executor is held for silent before this: several times the longest steps.
+const SILENCE: Span = Span::millis(500);
+/// Nor before so many times as long as its service's requests usually take to show something.
+const SILENCE_TIMES: f64 = 6.0;
+
 /// How requests were decided, counted since the start.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Decisions {
@@ -108,6 +113,8 @@
     by_service: FxHashMap<Arc<str>, ServiceId>,
     attempts: Vec<Attempt>,
     vacant_attempts: Vec<u32>,
+    reviewed: Moment,
+    woke: Moment,
     pub(crate) decisions: Decisions,
     pub(crate) demand: Demand,
     pub(crate) scratch: Vec<Candidate>,
@@ -128,6 +135,8 @@
             by_service: FxHashMap::default(),
             attempts: Vec::new(),
             vacant_attempts: Vec::new(),
+            reviewed: Moment(0),
+            woke: Moment(0),
             decisions: Decisions::default(),
             demand: Demand::default(),
             scratch: Vec::new(),
@@ -341,6 +350,7 @@
         let (sent, before) = (attempt.sent, attempt.event.replace(now));
         let known = self.executors.get_mut(id.place as usize).and_then(|(_, executor)| executor.as_mut());
         let Some(executor) = known.filter(|executor| executor.id == id) else { return };
+        executor.heard_at = now;
         executor.unread = executor.unread.saturating_sub(unread);
         executor.unread_batch = executor.unread_batch.saturating_sub(if batch { unread } else { 0 });
         let service = executor.service;
@@ -369,6 +379,7 @@
             Outcome::Served | Outcome::AnsweredOther => {
                 self.services[service].served(now.since(open.sent));
                 if let Some(executor) = self.executor_mut(open.executor) {
+                    executor.heard_at = now;
                     executor.health.succeeded();
                 }
             }
@@ -395,6 +406,29 @@
         }
     }
 
+    /// Looks for executors that fell silent; to be called every 100 ms or so. One from which nothing at all came for
+    /// far longer than its service's requests take to show something, while own requests are out there, is held to
+    /// have failed. That keeps new requests away; it ends none.
+    pub fn review(&mut self, now: Moment) {
+        let unseen = now.since(std::mem::replace(&mut self.reviewed, now));
+        if unseen > SILENCE {
+            // This node itself stood still: what came meanwhile is not read yet.
+            self.woke = now;
+        }
+        let mut silent: Vec<ExecutorId> = Vec::new();
+        for attempt in self.attempts.iter().filter_map(|attempt| attempt.open.as_ref()) {
+            let Some(executor) = self.executor(attempt.executor) else { continue };
+            let usual = self.services[executor.service.0 as usize].usual_silence();
+            let limit = SILENCE.max(usual * SILENCE_TIMES);
+            if now.since(executor.heard_at.max(attempt.sent).max(self.woke)) > limit
+                && !silent.contains(&attempt.executor)
+            {
+                silent.push(attempt.executor);
+            }
+        }
+        silent.into_iter().for_each(|id| self.failed(now, id, Failure::Silence));
+    }
+
     pub(crate) fn executor(&self, id: ExecutorId) -> Option<&Executor> {
         let (_, executor) = self.executors.get(id.place as usize)?;
         executor.as_ref().filter(|executor| executor.id == id)
--- a/crates/gateway/src/service.rs
+++ b/crates/gateway/src/service.rs
@@ -98,6 +98,11 @@
         self.holds += (took.as_secs() - self.holds) * NEWEST;
     }
 
+    /// How long a request usually shows nothing: until its first event, or whole where it has none.
+    pub fn usual_silence(&self) -> Span {
+        Span::secs(if self.first > 0.0 { self.first.max(self.pause) } else { self.holds })
+    }
+
     /// A first event came `seconds` after the send, beside the reading of its prompt; returns by how much that is
     /// more than usual.
     pub fn began(&mut self, seconds: f64) -> f64 {
--- a/crates/gateway/tests/choice.rs
+++ b/crates/gateway/tests/choice.rs
@@ -541,11 +541,92 @@
     assert!(slow < 400, "{slow}");
 }
 
+/// Two executors with a stream each, one of which falls silent at 100 ms; looked at every 100 ms until `until`.
+fn one_goes_dark(until: u64) -> (Gateway, Vec<ExecutorId>) {
+    let (mut gateway, service, ids) = node(2, 7);
+    let tokens: Vec<_> =
+        ids.iter().map(|id| gateway.started(START, *id, &sized(service, 9, 0)).unwrap()).collect();
+    gateway.review(START);
+    for ms in (20..=until).step_by(20) {
+        gateway.progress(at(ms), tokens[0]);
+        if ms <= 100 {
+            gateway.progress(at(ms), tokens[1]);
+        }
+        if ms % 100 == 0 {
+            gateway.review(at(ms));
+        }
+    }
+    (gateway, ids)
+}
+
+#[test]
+fn one_that_falls_silent_gets_nothing_more() {
+    let (gateway, ids) = one_goes_dark(600);
+    assert!(ids.iter().all(|id| !gateway.view(at(600), *id).unwrap().ejected));
+    let (gateway, ids) = one_goes_dark(1000);
+    let ejected: Vec<bool> = ids.iter().map(|id| gateway.view(at(1000), *id).unwrap().ejected).collect();
+    assert_eq!(ejected, [false, true]);
+}
+
+#[test]
+fn a_node_that_stood_still_holds_none_for_silent() {
+    // given a node that was frozen for ten seconds with requests out
+    let (mut gateway, ids) = one_goes_dark(100);
+    gateway.review(at(10_000));
+    // then what came meanwhile is read first
+    (1..=5).for_each(|n| gateway.review(at(10_000 + n * 100)));
+    assert!(ids.iter().all(|id| !gateway.view(at(10_500), *id).unwrap().ejected));
+    // and whoever is silent from then on is
+    (6..=8).for_each(|n| gateway.review(at(10_000 + n * 100)));
+    assert!(ids.iter().all(|id| gateway.view(at(10_800), *id).unwrap().ejected));
+}
+
+#[test]
+fn one_that_only_idles_is_not_silent() {
+    let (mut gateway, service, ids) = node(2, 7);
+    let token = gateway.started(START, ids[0], &sized(service, 9, 0)).unwrap();
+    gateway.finished(at(50), token, Outcome::Served);
+    (1..100).for_each(|n| gateway.review(at(n * 100)));
+    assert!(!gateway.view(at(9_900), ids[0]).unwrap().ejected);
+    // nor is it at the moment when it gets a request again
+    gateway.started(at(9_900), ids[0], &sized(service, 9, 0));
+    gateway.review(at(9_950));
+    gateway.review(at(10_000));
+    assert!(!gateway.view(at(10_000), ids[0]).unwrap().ejected);
+}
+
+#[test]
+fn batch_items_with_long_shared_parts_have_a_home_while_it_has_room() {
+    let (mut gateway, service, ids) = node(8, 3);
+    let parts = PromptParts::parse("a:13000,ffff:100").unwrap();
+    let long =
+        BatchItem { parts, tokens: Some(TokenCount { prompt: 13_100, out: 50 }), ..item(service, 0.0) };
+    let home = gateway.batch_room(START, &long).unwrap();
+    assert!((0..20).all(|_| gateway.batch_room(START, &long) == Some(home)));
+    fill(&mut gateway, START, home, 4, 0);
+    assert!(gateway.batch_room(START, &long).is_some_and(|id| id != home));
+    assert_eq!(ids.len(), 8);
+}
+
+#[test]
+fn full_executors_are_not_idle_because_others_are_dark() {
+    // given four of which three are dark and one is full
+    let (mut gateway, service, ids) = node(4, 7);
+    for n in 0..100 {
+        let token = gateway.started(at(n), ids[0], &sized(service, 9, 0)).unwrap();
+        gateway.finished(at(n + 100), token, Outcome::Served);
+    }
+    ids[1..].iter().for_each(|id| gateway.failed(at(300), *id, Failure::NotConnected));
+    fill(&mut gateway, at(300), ids[0], 4, 30);
+    ids[1..].iter().for_each(|id| fill(&mut gateway, at(300), *id, 4, 0));
+    assert!(matches!(gateway.choose(at(301), &sized(service, 9, 0)), Choice::Refuse { .. }));
+}
+
 proptest! {
     /// Whatever order things come in: no panic, nothing is ever sent to one that drains, accounts return to 0.
     #[test]
     fn any_order_of_events_keeps_the_accounts(
-        events in prop::collection::vec((0_u8..12, 0_usize..8, any::<u32>(), 0_u64..3000), 1..200),
+        events in prop::collection::vec((0_u8..14, 0_usize..8, any::<u32>(), 0_u64..3000), 1..200),
         seed in any::<u64>(),
     ) {
         let (mut gateway, service, _) = node(4, seed);
@@ -563,7 +644,8 @@
                     gateway.load(now, id, ServerLoad { running: value, waiting: value, slots: value });
                 },
                 5 => if let Some(id) = id { gateway.failed(now, id, Failure::Broken) },
-                6 => if let Some(id) = id { gateway.told(now, id, f64::from(value) * 1e30) },
+                6 => gateway.review(now),
+                10 => if let Some(id) = id { gateway.told(now, id, f64::from(value) * 1e30) },
                 7 => if !open.is_empty() {
                     let token = open.swap_remove(value as usize % open.len());
                     let outcome = [Outcome::Served, Outcome::NeverSent, Outcome::NotExecuted][which % 3];
