--- a/crates/quorum/src/replica/following.rs
+++ b/crates/quorum/src/replica/following.rs
@@ -65,7 +65,6 @@
             return;
         }
         if entry.index <= self.log.last().index {
-            self.output.note_change(entry.index);
             self.log.truncate(entry.index);
         }
         if entry.index == self.log.last().index.next() {
--- a/crates/quorum/tests/groups.rs
+++ b/crates/quorum/tests/groups.rs
@@ -179,6 +179,7 @@
     assert!(world.replica(heir).group().is_joint());
     // When the owner dies, and the new voter, whose log is too short to win, is back
     world.lose_power(owner);
+    world.run(Span::millis(20));
     world.heal();
     // Then it owns the part soon
     world.run_until(BOUND, "an owner", |world| world.owner() == Some(heir));
--- a/crates/quorum/tests/rules.rs
+++ b/crates/quorum/tests/rules.rs
@@ -286,6 +286,102 @@
     assert_eq!(bench.disk.entries, [entry(1, 1), entry(2, 2), entry(3, 2)]);
 }
 
+fn group_entry(index: u64, term: u64, group: Group) -> Entry {
+    Entry { index: Index(index), term: Term(term), payload: Payload::Group(group) }
+}
+
+#[test]
+fn a_group_that_is_taken_back_is_the_one_before_again() {
+    // Given a follower with a joint group that is not decided
+    let mut bench = Bench::new(3, &[1]);
+    let joint = Group { voters: vec![ReplicaId(7)], outgoing: group().voters };
+    bench.append(SECOND, 3, position(1, 1), 1, vec![group_entry(2, 3, joint.clone())]);
+    assert_eq!((bench.replica.group(), bench.replica.group_index()), (&joint, Index(2)));
+    // When another owner has something else there
+    bench.append(THIRD, 4, position(1, 1), 1, vec![entry(2, 4)]);
+    // Then the first group is in force again
+    assert_eq!((bench.replica.group(), bench.replica.group_index()), (&group(), Index(1)));
+}
+
+#[test]
+fn a_change_goes_on_when_its_joint_group_is_decided() {
+    // Given an owner that begins to remove the third one behind a command that is not decided
+    let mut bench = Bench::new(3, &[1]);
+    let term = bench.become_owner();
+    bench.matched(SECOND, term, 2);
+    bench.replica.propose(bench.now, vec![1]).expect("it is the owner");
+    bench.replica.change_group(bench.now, vec![ME, SECOND]).expect("nothing is under way");
+    bench.work();
+    assert!(bench.replica.group().is_joint());
+    // When the command is decided, the group is still joint
+    bench.matched(SECOND, term, 3);
+    assert_eq!((bench.replica.commit_index(), bench.replica.last()), (Index(3), position(4, term)));
+    // Then it is the new one after the joint one is decided
+    bench.matched(SECOND, term, 4);
+    assert_eq!(bench.replica.group(), &Group::of([ME, SECOND]));
+    assert_eq!(bench.replica.last(), position(5, term));
+}
+
+#[test]
+fn one_that_was_removed_gets_no_vote_from_who_knows_it() {
+    // Given a voter that knows a group without the third one to be decided
+    let mut bench = Bench::new(3, &[1]);
+    let smaller = Group::of([ME, SECOND]);
+    bench.append(SECOND, 3, position(1, 1), 2, vec![group_entry(2, 3, smaller)]);
+    bench.now = bench.now + Span::millis(1_000);
+    // When the third one, which has the entry and does not know that it is decided, would like to own the part
+    assert_eq!(bench.pre_vote(THIRD, 4, position(2, 3)), Some(false));
+    assert_eq!(bench.vote(THIRD, 4, position(2, 3), false), Some(false));
+    // Then only one that may know of a later group could
+    assert_eq!(bench.vote(THIRD, 5, position(3, 3), false), Some(true));
+}
+
+#[test]
+fn a_refusal_of_what_was_sent_long_ago_changes_nothing() {
+    // Given an owner whose follower has all of its log
+    let mut bench = Bench::new(3, &[1, 2, 2]);
+    let term = bench.become_owner();
+    bench.matched(SECOND, term, 4);
+    // When a refusal arrives late, or a second time
+    let outcome = Outcome::Conflict { refused: Index(3), hint: Index(1) };
+    let sent = bench.receive(SECOND, term, Body::AppendReply(AppendReply { outcome, sent: Stamp(0) }));
+    // Then nothing is sent anew
+    assert!(sent.is_empty(), "{sent:?}");
+}
+
+#[test]
+fn a_snapshot_stands_for_what_it_contains() {
+    // Given a follower with entries that are not known to be decided
+    let mut bench = Bench::new(3, &[1, 2, 2]);
+    let founding = group().founding();
+    // When it gets a snapshot that contains the second one, and hears that the third one is decided
+    let chunk = grebeusher_quorum::Chunk {
+        last: position(2, 2),
+        group: group(),
+        total: 3,
+        offset: 0,
+        bytes: Blob::from(vec![1, 2, 3]),
+        sent: Stamp(0),
+    };
+    let append = Append { previous: position(3, 2), commit: Index(3), sent: Stamp(0), entries: Vec::new() };
+    for body in [Body::Chunk(chunk), Body::Append(append)] {
+        bench.replica.receive(
+            bench.now,
+            SECOND,
+            Message { from: SECOND, to: ME, founding, term: Term(4), body },
+        );
+    }
+    // Then the application loads the snapshot, and applies what follows it only
+    let ready = bench.replica.take_ready();
+    assert_eq!(ready.restore.map(|restore| restore.index), Some(Index(2)));
+    assert_eq!(ready.committed.iter().map(|committed| committed.index).collect::<Vec<_>>(), [Index(3)]);
+    assert_eq!(ready.applied, Index(3));
+    let Some(Write::Snapshot { snapshot, entries, .. }) = ready.writes.first() else {
+        panic!("it is written")
+    };
+    assert_eq!((snapshot.last, entries.as_slice()), (position(2, 2), &[entry(3, 2)][..]));
+}
+
 #[test]
 fn only_what_is_known_to_be_the_same_is_decided() {
     // Given a follower with entries beyond those that the owner has compared
