Registry: cheaper repair under churn, news told on once, stories of executors, facts, cost and bytes

A node remembers its digests of the last 300 ms, so news under way start no repair. What a repair brought is told on by one node after a random wait. Two registers of one call number merge alike in any order. A node that is being filled compares with nobody else.

--- a/crates/registry/src/digest.rs
+++ b/crates/registry/src/digest.rs
@@ -34,6 +34,7 @@
 pub(crate) struct Digest {
     buckets: Vec<BTreeMap<u64, Item>>,
     sums: Vec<u64>,
+    total: u64,
 }
 
 /// What two nodes have to send each other.
@@ -53,7 +54,7 @@
 
 impl Digest {
     pub(crate) fn new() -> Digest {
-        Digest { buckets: (0..BUCKETS).map(|_| BTreeMap::new()).collect(), sums: vec![0; BUCKETS] }
+        Digest { buckets: (0..BUCKETS).map(|_| BTreeMap::new()).collect(), sums: vec![0; BUCKETS], total: 0 }
     }
 
     /// Records that the register of `key` now has this hash.
@@ -64,6 +65,7 @@
         let bucket = bucket_of(key_hash);
         if live {
             self.sums[bucket] ^= version;
+            self.total ^= version;
         }
         self.buckets[bucket].insert(key_hash, Item { version, key });
     }
@@ -78,11 +80,12 @@
             && item.version & LIVE != 0
         {
             self.sums[bucket] ^= item.version;
+            self.total ^= item.version;
         }
     }
 
     pub(crate) fn total(&self) -> u64 {
-        self.sums.iter().fold(0, |total, sum| total ^ sum)
+        self.total
     }
 
     pub(crate) fn sums(&self) -> &[u64] {
--- a/crates/registry/src/executor.rs
+++ b/crates/registry/src/executor.rs
@@ -65,24 +65,18 @@
         self.state != ExecutorState::Gone
     }
 
-    /// Of two registers of one executor the greater is the newer; the last part decides between equals.
+    /// Of two registers of one executor the greater is the newer. The last part decides between two that took one
+    /// call number in turn; the state is left out of it, as that goes its own way.
     fn order(&self) -> (u64, bool, u64) {
         let mut out = Writer::default();
-        self.write(&mut out);
+        Executor { state: ExecutorState::Up, ..self.clone() }.write(&mut out);
         (self.call_seq, self.silent, hash::of_bytes(&out.bytes))
     }
 
     /// Takes over what is newer in `other`. Whether anything changed.
     pub(crate) fn merge(&mut self, other: Executor) -> bool {
         let state = self.state.max(other.state);
-        let newer = if (self.call_seq, self.silent) == (other.call_seq, other.silent) {
-            // Only the state may differ, unless a call was taken twice.
-            let (mut left, mut right) = (self.clone(), other.clone());
-            (left.state, right.state) = (state, state);
-            right.order() > left.order()
-        } else {
-            (other.call_seq, other.silent) > (self.call_seq, self.silent)
-        };
+        let newer = other.order() > self.order();
         let changed = newer || state != self.state;
         if newer {
             *self = other;
--- a/crates/registry/src/executors.rs
+++ b/crates/registry/src/executors.rs
@@ -125,6 +125,7 @@
 impl Registry {
     /// Takes a heartbeat of an executor.
     pub fn heartbeat(&mut self, now: Moment, report: HeartbeatReport) -> HeartbeatEffect {
+        self.enter(now);
         let members = self.members.values().map(|entry| &entry.member);
         let isolated = self.is_isolated(now);
         let target = placement::heartbeat_target(&report.id, &report.zone, members).filter(|_| !isolated);
@@ -140,6 +141,7 @@
 
     /// Takes the last call of an executor.
     pub fn deregister(&mut self, now: Moment, id: &str) -> Answer {
+        self.enter(now);
         if id.is_empty() || id.len() > LONGEST_ID {
             return Answer::Now;
         }
@@ -162,6 +164,9 @@
             let fresh = register_of(report, &self.own_name);
             return self.take_new(now, fresh);
         };
+        if !told.exists() {
+            return;
+        }
         let latest = self.executors.entries.get(&report.id).map_or(told.call_seq, |entry| entry.latest_call);
         if report.call_seq <= latest {
             // Late. Only that it drains still counts, as it never goes back.
--- a/crates/registry/src/liveness.rs
+++ b/crates/registry/src/liveness.rs
@@ -35,6 +35,9 @@
 /// Between two events that say that the configuration is behind the same version.
 const CONFIGURATION_AGAIN: Span = Span::millis(200);
 
+/// How long after a change of the ring the watches are looked at, so that changes that come together share a look.
+const SOON: Span = Span::millis(1);
+
 /// What a watcher knows of one that it watches.
 struct Watch {
     name: String,
@@ -91,6 +94,11 @@
             .min()
     }
 
+    /// Finds its pace anew, as there are more to call.
+    pub(crate) fn replan_probes(&mut self) {
+        self.next_probe = None;
+    }
+
     /// Counts every silence from now on.
     pub(crate) fn restart(&mut self, now: Moment) {
         self.last_heard = None;
@@ -132,7 +140,7 @@
             watches.insert(place.id, watch);
         }
         self.liveness.watches = watches;
-        self.liveness.next_watch = Some(now);
+        self.liveness.next_watch = Some(now + SOON);
     }
 
     pub(crate) fn tick_liveness(&mut self, now: Moment) {
@@ -277,9 +285,7 @@
             }
             Some(_) => {}
         }
-        if heartbeat.digest != self.digest.total() {
-            self.start_repair(now, from);
-        }
+        self.compare_digests(now, from, heartbeat.digest, heartbeat.answer);
     }
 
     fn note_configuration(&mut self, now: Moment, peer: SocketAddrV4, version: u64) {
--- a/crates/registry/src/members.rs
+++ b/crates/registry/src/members.rs
@@ -3,7 +3,6 @@
 use crate::member::{Member, MemberState, NodeId};
 use crate::register::{Key, Register};
 use crate::registry::{Event, Registry};
-use crate::ring::Ring;
 use grebeusher_time::{Moment, Span};
 use rand::Rng;
 use std::net::SocketAddrV4;
@@ -82,11 +81,15 @@
         let state = member.state;
         let hash = Register::Member(member.clone()).hash();
         self.digest.set(Key::Member(name.clone()), hash, member.serves());
+        if changed_place {
+            self.ring.follow(&member, self.own);
+        }
         let entry = MemberEntry { member, changed: now, last_heard, doubts, last_doubt };
         self.members.insert(name.clone(), entry);
         self.count_facts(&name);
         if changed_place {
-            self.rebuild_ring(now);
+            self.rewatch(now);
+            self.liveness.replan_probes();
         }
         self.generation.members += 1;
         self.output.events.push(Event::MemberChanged { name, state });
@@ -107,11 +110,6 @@
         }
     }
 
-    pub(crate) fn rebuild_ring(&mut self, now: Moment) {
-        self.ring = Ring::new(self.members.values().map(|entry| &entry.member), self.own);
-        self.rewatch(now);
-    }
-
     /// Suspicion is this node's own view, so nobody is told.
     pub(crate) fn set_suspect(&mut self, name: &str, suspect: bool) {
         let (from, to) = match suspect {
--- a/crates/registry/src/message.rs
+++ b/crates/registry/src/message.rs
@@ -34,6 +34,8 @@
     pub digest: u64,
     /// The version of the configuration that it has; 0 for none.
     pub configuration_version: u64,
+    /// Whether it answers a heartbeat with another digest, so that the receiver sees who is behind.
+    pub answer: bool,
 }
 
 /// News on their way down the tree of relays.
@@ -144,6 +146,14 @@
     }
 }
 
+fn read_flag(input: &mut Reader<'_>) -> Result<bool, DecodeError> {
+    match input.u8()? {
+        0 => Ok(false),
+        1 => Ok(true),
+        tag => UnknownVariantSnafu { what: "a flag", tag }.fail(),
+    }
+}
+
 impl Wire for Heartbeat {
     fn write(&self, out: &mut Writer) {
         self.node.write(out);
@@ -151,6 +161,7 @@
         out.u64(self.status_version);
         out.u64(self.digest);
         out.u64(self.configuration_version);
+        out.u8(u8::from(self.answer));
     }
 
     fn read(input: &mut Reader<'_>) -> Result<Heartbeat, DecodeError> {
@@ -160,6 +171,7 @@
             status_version: input.u64()?,
             digest: input.u64()?,
             configuration_version: input.u64()?,
+            answer: read_flag(input)?,
         })
     }
 }
@@ -178,11 +190,7 @@
             origin: NodeId::read(input)?,
             incarnation: input.u64()?,
             sequence: input.u64()?,
-            confirm: match input.u8()? {
-                0 => false,
-                1 => true,
-                tag => return UnknownVariantSnafu { what: "a flag", tag }.fail(),
-            },
+            confirm: read_flag(input)?,
             registers: input.list("the registers of a relay", MOST_REGISTERS)?,
         })
     }
--- a/crates/registry/src/registry.rs
+++ b/crates/registry/src/registry.rs
@@ -156,7 +156,7 @@
 
     /// Takes a message in from the node at the internal address `from`.
     pub fn receive(&mut self, now: Moment, from: SocketAddrV4, message: Message) {
-        self.notice_freeze(now);
+        self.enter(now);
         if from == self.own_address {
             return;
         }
@@ -179,7 +179,7 @@
 
     /// Does what is due. To be called at [`Registry::next_wake`], and any time before.
     pub fn tick(&mut self, now: Moment) {
-        self.notice_freeze(now);
+        self.enter(now);
         self.tick_joining(now);
         self.tick_liveness(now);
         self.tick_executors(now);
@@ -283,6 +283,7 @@
         if payload.len() > LARGEST_FACTS {
             return Err(FactsTooLarge { length: payload.len() });
         }
+        self.enter(now);
         let counter = self.facts.get(&self.own_name).map_or(0, |facts| facts.counter) + 1;
         let incarnation = self.own_member().incarnation;
         self.put_facts(Facts { node: self.own_name.clone(), incarnation, counter, payload });
@@ -292,13 +293,15 @@
 
     /// Says that this node was asked to stop. It still serves, but executors are sent elsewhere.
     pub fn leave(&mut self, now: Moment) {
+        self.enter(now);
         self.change_own_state(now, MemberState::Leaving);
     }
 
     /// Says that this node stops now: to be called once, last.
     pub fn left(&mut self, now: Moment) {
+        self.enter(now);
         self.change_own_state(now, MemberState::Left);
-        self.flush_news(now);
+        self.flush_news();
     }
 
     /// The internal addresses to which this node passes on what the node `origin` tells all: its place in the tree
@@ -312,6 +315,10 @@
     }
 
     pub(crate) fn own_heartbeat(&self) -> Message {
+        self.heartbeat_message(false)
+    }
+
+    pub(crate) fn heartbeat_message(&self, answer: bool) -> Message {
         let own = self.own_member();
         Message::Heartbeat(Heartbeat {
             node: self.own,
@@ -319,6 +326,7 @@
             status_version: own.status_version,
             digest: self.digest.total(),
             configuration_version: self.configuration_version,
+            answer,
         })
     }
 
@@ -348,6 +356,12 @@
         self.digest.set(Key::Facts(node.to_owned()), Register::Facts(facts.clone()).hash(), live);
     }
 
+    /// To be called before anything changes.
+    pub(crate) fn enter(&mut self, now: Moment) {
+        self.notice_freeze(now);
+        self.repairs.record(now, self.digest.total());
+    }
+
     /// After a freeze all waits begin anew.
     fn notice_freeze(&mut self, now: Moment) {
         let late = now.since(self.expected);
--- a/crates/registry/src/relay.rs
+++ b/crates/registry/src/relay.rs
@@ -5,13 +5,24 @@
 use crate::message::{Message, REGISTERS_PER_MESSAGE, Relay};
 use crate::register::{Key, Register};
 use crate::registry::Registry;
-use grebeusher_time::Moment;
-use std::collections::{BTreeSet, HashMap};
+use grebeusher_time::{Moment, Span};
+use rand::Rng;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddrV4;
 
 /// From how many origins passed-on messages are remembered.
 const MOST_ORIGINS: usize = 2_048;
 
+/// What a repair brought is told on by each node that it reached after a random part of this span, unless it has come
+/// down a tree of relays by then. So mostly one node tells all, however many were repaired.
+const TELL_ON_WITHIN: Span = Span::millis(100);
+
+/// What is due within this span is told on together.
+const TELL_ON_TOGETHER: Span = Span::millis(30);
+
+/// How many registers wait to be told on at most; the others spread by repair alone.
+const MOST_TOLD_ON: usize = 1_024;
+
 /// The messages of one origin that were passed on: the highest number and, in bits, those just below it.
 struct Window {
     incarnation: u64,
@@ -52,11 +63,12 @@
     sequence: u64,
     news: BTreeSet<Key>,
     flush: Option<Moment>,
+    told_on: BTreeMap<Key, Moment>,
 }
 
 impl Relays {
     pub(crate) fn next_wake(&self) -> Option<Moment> {
-        self.flush
+        self.told_on.values().copied().chain(self.flush).min()
     }
 
     fn admit(&mut self, relay: &Relay) -> bool {
@@ -76,9 +88,31 @@
         self.relays.flush.get_or_insert(now + self.timings.batch);
     }
 
+    /// Has all nodes told of a register that a repair brought, if nobody else does.
+    pub(crate) fn tell_on(&mut self, now: Moment, key: Key) {
+        if self.relays.told_on.len() < MOST_TOLD_ON {
+            let wait = Span(self.random.random_range(0..=TELL_ON_WITHIN.0));
+            self.relays.told_on.entry(key).or_insert(now + wait);
+        }
+    }
+
+    fn tick_told_on(&mut self, now: Moment) {
+        if self.relays.told_on.values().all(|due| *due > now) {
+            return;
+        }
+        let soon = now + TELL_ON_TOGETHER;
+        let waiting = std::mem::take(&mut self.relays.told_on);
+        let (due, waiting): (BTreeMap<_, _>, BTreeMap<_, _>) =
+            waiting.into_iter().partition(|(_, due)| *due <= soon);
+        self.relays.told_on = waiting;
+        self.relays.news.extend(due.into_keys());
+        self.relays.flush = Some(now);
+    }
+
     pub(crate) fn tick_relays(&mut self, now: Moment) {
+        self.tick_told_on(now);
         if self.relays.flush.is_some_and(|flush| flush <= now) {
-            self.flush_news(now);
+            self.flush_news();
         }
         if self.relays.windows.len() > MOST_ORIGINS {
             let known = &self.digest;
@@ -86,7 +120,7 @@
         }
     }
 
-    pub(crate) fn flush_news(&mut self, _now: Moment) {
+    pub(crate) fn flush_news(&mut self) {
         self.relays.flush = None;
         let keys: Vec<Key> = std::mem::take(&mut self.relays.news).into_iter().collect();
         for registers in self.registers_in_messages(&keys) {
@@ -135,8 +169,12 @@
         if relay.origin == self.own {
             return;
         }
-        for register in relay.registers.iter().cloned() {
-            self.merge(now, register, Source::Relay);
+        for register in &relay.registers {
+            self.merge(now, register.clone(), Source::Relay);
+            let key = register.key();
+            if self.relays.told_on.contains_key(&key) && self.register(&key).as_ref() == Some(register) {
+                self.relays.told_on.remove(&key);
+            }
         }
         if relay.confirm {
             let origin = self.member_of(relay.origin).map_or(from, |entry| entry.member.address);
--- a/crates/registry/src/repair.rs
+++ b/crates/registry/src/repair.rs
@@ -8,7 +8,6 @@
 use crate::register::{Key, Register};
 use crate::registry::Registry;
 use grebeusher_time::{Moment, Span};
-use rand::Rng;
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddrV4;
 
@@ -21,6 +20,13 @@
 /// When the digests are compared again after a repair brought something.
 const COMPARE_AGAIN: Span = Span::millis(100);
 
+/// For how long a node remembers which digests it had: one that has such a digest is only behind by news that are
+/// still on their way to it.
+const NEWS_UNDER_WAY: Span = Span::millis(300);
+
+/// How many of its digests a node remembers.
+const MOST_PAST_DIGESTS: usize = 128;
+
 /// How long a node that another called dead has to refute it before it is believed.
 const REFUTATION: Span = Span::millis(600);
 
@@ -36,20 +42,23 @@
 /// How many messages of a transfer are sent in a batch.
 const TRANSFER_BATCH: usize = 4;
 
-/// How many nodes on average pass on what a repair brought them, so that the rest of their side learns it sooner.
-const TELLERS: f64 = 6.0;
-
-/// No more registers than this are passed on from one message.
-const MOST_TOLD_ON: usize = 160;
-
 /// A node that has just started is brought what all others know.
 const NEWCOMER: Span = Span::millis(3_000);
 
+/// For how long a node that has just started and is brought much compares with nobody else, who would bring the same.
+const FILLING: Span = Span::millis(150);
+
+/// A message with so many registers is part of much.
+const MUCH: usize = 32;
+
 /// The state of repairs.
 pub(crate) struct Repairs {
     started: Moment,
+    filling_until: Moment,
     tokens: f64,
     refilled: Moment,
+    /// Until when each digest was this node's.
+    past: VecDeque<(Moment, u64)>,
     compare_again: Option<(Moment, SocketAddrV4)>,
     held: BTreeMap<String, (Moment, Member)>,
     transfers: VecDeque<(SocketAddrV4, VecDeque<Key>)>,
@@ -60,8 +69,10 @@
     pub(crate) fn new(now: Moment) -> Repairs {
         Repairs {
             started: now,
+            filling_until: now,
             tokens: BURST,
             refilled: now,
+            past: VecDeque::new(),
             compare_again: None,
             held: BTreeMap::new(),
             transfers: VecDeque::new(),
@@ -76,6 +87,25 @@
         [again, held, transfer].into_iter().flatten().min()
     }
 
+    /// Notes the digest as it is now, before a change.
+    pub(crate) fn record(&mut self, now: Moment, digest: u64) {
+        match self.past.back_mut() {
+            Some((until, last)) if *last == digest => *until = now,
+            _ => self.past.push_back((now, digest)),
+        }
+        if self.past.len() > MOST_PAST_DIGESTS {
+            self.past.pop_front();
+        }
+    }
+
+    fn is_filling(&self, now: Moment) -> bool {
+        now < self.filling_until
+    }
+
+    fn had_lately(&self, now: Moment, digest: u64) -> bool {
+        self.past.iter().any(|(until, past)| *past == digest && now.since(*until) <= NEWS_UNDER_WAY)
+    }
+
     fn take_token(&mut self, now: Moment) -> bool {
         self.tokens = (self.tokens + now.since(self.refilled).as_secs() * REPAIRS_PER_SECOND).min(BURST);
         self.refilled = now;
@@ -88,6 +118,20 @@
 }
 
 impl Registry {
+    /// Compares digests with another node. Unless one of the two was lately where the other is now, they need repair;
+    /// the one who is behind can't see which of the two it is, so it answers with its own.
+    pub(crate) fn compare_digests(&mut self, now: Moment, peer: SocketAddrV4, theirs: u64, answer: bool) {
+        let expected = theirs == self.digest.total() || self.repairs.had_lately(now, theirs);
+        if expected || self.repairs.is_filling(now) {
+            return;
+        }
+        if answer {
+            self.start_repair(now, peer);
+        } else {
+            self.send(peer, self.heartbeat_message(true));
+        }
+    }
+
     pub(crate) fn start_repair(&mut self, now: Moment, peer: SocketAddrV4) {
         if self.repairs.take_token(now) {
             let sums = self.digest.sums().to_vec();
@@ -96,7 +140,8 @@
     }
 
     pub(crate) fn receive_buckets(&mut self, now: Moment, from: SocketAddrV4, sums: &[u64]) {
-        if sums.len() != BUCKETS || self.repairs.transfers.iter().any(|(to, _)| *to == from) {
+        let busy = self.repairs.is_filling(now) || self.repairs.transfers.iter().any(|(to, _)| *to == from);
+        if sums.len() != BUCKETS || busy {
             return;
         }
         let (mut complete, mut entries, mut lacking) = (0_u64, Vec::new(), Vec::new());
@@ -149,15 +194,17 @@
 
     pub(crate) fn receive_registers(&mut self, now: Moment, from: SocketAddrV4, registers: Vec<Register>) {
         let before = self.generation;
-        let few = registers.len() <= MOST_TOLD_ON && now.since(self.repairs.started) > NEWCOMER;
-        let chance = (TELLERS / self.ring.len().max(1) as f64).min(1.0);
-        let tell_on = few && self.random.random_bool(chance);
+        // What is news to an old node may be so to others on its side.
+        let tell_on = now.since(self.repairs.started) > NEWCOMER;
+        if !tell_on && registers.len() >= MUCH {
+            self.repairs.filling_until = now + FILLING;
+        }
         for register in registers {
             let key = register.key();
             let generation = self.generation;
             self.merge(now, register, Source::Peer(from));
             if tell_on && generation != self.generation {
-                self.announce(now, key);
+                self.tell_on(now, key);
             }
         }
         if before != self.generation {
--- a/crates/registry/src/ring.rs
+++ b/crates/registry/src/ring.rs
@@ -19,14 +19,23 @@
 }
 
 impl Ring {
-    pub(crate) fn new<'a>(members: impl Iterator<Item = &'a Member>, own: NodeId) -> Ring {
-        let mut places: Vec<Place> = members
-            .filter(|member| member.serves() || member.id() == own)
-            .map(|member| Place { id: member.id(), name: member.name.clone(), address: member.address })
-            .collect();
-        places.sort_by_key(|place| place.id);
-        let own = places.iter().position(|place| place.id == own).unwrap_or(0);
-        Ring { places, own }
+    /// Follows the register of a node: takes it in, moves it or leaves it out.
+    pub(crate) fn follow(&mut self, member: &Member, own: NodeId) {
+        let id = member.id();
+        let place = Place { id, name: member.name.clone(), address: member.address };
+        match (self.find(id), member.serves() || id == own) {
+            (Ok(index), true) => self.places[index] = place,
+            (Ok(index), false) => {
+                self.places.remove(index);
+            }
+            (Err(index), true) => self.places.insert(index, place),
+            (Err(_), false) => {}
+        }
+        self.own = self.find(own).unwrap_or(0);
+    }
+
+    fn find(&self, id: NodeId) -> Result<usize, usize> {
+        self.places.binary_search_by_key(&id, |place| place.id)
     }
 
     pub(crate) fn len(&self) -> usize {
@@ -59,7 +68,7 @@
     /// `fan_out * i + 1` on are the children of `i`. An origin that is not in the ring stands where it would.
     pub(crate) fn children(&self, origin: NodeId, fan_out: usize) -> impl Iterator<Item = &Place> {
         let length = self.places.len();
-        let (base, total) = match self.places.binary_search_by_key(&origin, |place| place.id) {
+        let (base, total) = match self.find(origin) {
             Ok(index) => (index, length),
             Err(index) => (index + length - 1, length + 1),
         };
--- a/crates/registry/tests/cuts.rs
+++ b/crates/registry/tests/cuts.rs
@@ -231,3 +231,22 @@
     let took = fleet.run_until(Span::millis(1_000), Fleet::all_know_all);
     assert!(took.is_some(), "its next life is not known");
 }
+
+#[test]
+fn a_node_that_is_falsely_called_dead_again_and_again_is_given_more_time() {
+    let mut fleet = Fleet::settled(14, 2);
+    fleet.forget_traffic();
+    for _ in 0..10 {
+        fleet.cut_off(&[5]);
+        fleet.run(Span::millis(2_200));
+        fleet.heal();
+        fleet.run(Span::millis(2_800));
+    }
+    let most = fleet.nodes.iter().map(fleet::Node::deaths_seen).max().unwrap_or(0);
+    assert!((1..=5).contains(&most), "a node saw {most} deaths");
+    // In calm times trust comes back.
+    fleet.run(Span::millis(25_000));
+    fleet.kill(5);
+    let took = fleet.run_until(Span::millis(4_000), Fleet::all_know_all);
+    assert!(took.is_some_and(|took| took <= Span::millis(2_000)), "took {took:?}");
+}
--- /dev/null
+++ b/crates/registry/tests/facts.rs
@@ -0,0 +1,72 @@
+//! Facts of nodes and versions of the configuration, as they are told along.
+
+mod fleet;
+
+use fleet::Fleet;
+use grebeusher_registry::{Event, LARGEST_FACTS};
+use grebeusher_time::Span;
+
+fn facts_everywhere(fleet: &Fleet, node: usize) -> Vec<Option<Vec<u8>>> {
+    let name = &fleet.nodes[node].name;
+    let of = |index: usize| fleet.registry(index).facts_of(name).map(|facts| facts.payload.clone());
+    fleet.running().into_iter().map(of).collect()
+}
+
+#[test]
+fn facts_reach_all_and_the_newest_stands() {
+    let mut fleet = Fleet::settled(14, 1);
+    for payload in [b"one".to_vec(), b"two".to_vec(), vec![7; LARGEST_FACTS]] {
+        let now = fleet.now;
+        fleet.with(5, |registry| registry.set_facts(now, payload.clone())).expect("small enough");
+        fleet.run(Span::millis(200));
+        assert!(facts_everywhere(&fleet, 5).iter().all(|held| held.as_ref() == Some(&payload)));
+    }
+    let now = fleet.now;
+    let refused = fleet.with(5, |registry| registry.set_facts(now, vec![0; LARGEST_FACTS + 1]));
+    assert!(refused.is_err());
+}
+
+#[test]
+fn facts_of_a_new_life_take_the_place_of_the_old_ones() {
+    let mut fleet = Fleet::settled(14, 1);
+    for _ in 0..5 {
+        let now = fleet.now;
+        fleet.with(5, |registry| registry.set_facts(now, b"old".to_vec())).expect("small enough");
+    }
+    fleet.run(Span::millis(200));
+    fleet.kill(5);
+    fleet.run(Span::millis(100));
+    fleet.start_with_clock_behind(5);
+    let now = fleet.now;
+    fleet.with(5, |registry| registry.set_facts(now, b"new".to_vec())).expect("small enough");
+    fleet.run(Span::millis(1_500));
+    assert!(facts_everywhere(&fleet, 5).iter().all(|held| held.as_deref() == Some(b"new")));
+}
+
+#[test]
+fn a_node_that_missed_facts_gets_them_by_repair() {
+    let mut fleet = Fleet::settled(14, 1);
+    fleet.cut_off(&[9]);
+    let now = fleet.now;
+    fleet.with(5, |registry| registry.set_facts(now, b"one".to_vec())).expect("small enough");
+    fleet.run(Span::millis(800));
+    fleet.heal();
+    fleet.run(Span::millis(1_000));
+    assert!(facts_everywhere(&fleet, 5).iter().all(|held| held.as_deref() == Some(b"one")));
+}
+
+#[test]
+fn who_has_an_older_configuration_hears_of_it_from_heartbeats() {
+    let mut fleet = Fleet::settled(14, 1);
+    (0..14).filter(|index| *index != 9).for_each(|index| {
+        fleet.with(index, |registry| registry.set_configuration_version(7));
+    });
+    fleet.forget_traffic();
+    fleet.run(Span::millis(900));
+    let behind = |index: usize| {
+        let is = |(_, event): &&(_, Event)| matches!(event, Event::ConfigurationBehind { version: 7, .. });
+        fleet.nodes[index].events.iter().filter(is).count()
+    };
+    assert!((1..=5).contains(&behind(9)), "{} events", behind(9));
+    assert!((0..14).filter(|index| *index != 9).all(|index| behind(index) == 0));
+}
--- a/crates/registry/tests/fleet/mod.rs
+++ b/crates/registry/tests/fleet/mod.rs
@@ -347,7 +347,9 @@
 
     /// The running node at an address.
     fn at(&self, address: SocketAddrV4) -> Option<usize> {
-        self.nodes.iter().position(|node| node.address == address && node.registry.is_some())
+        let [_, _, high, low] = address.ip().octets();
+        let index = (usize::from(high) * 250 + usize::from(low)).checked_sub(1)?;
+        self.nodes.get(index).filter(|node| node.address == address && node.registry.is_some()).map(|_| index)
     }
 
     fn follow(&mut self, index: usize) {
--- a/crates/registry/tests/start.rs
+++ b/crates/registry/tests/start.rs
@@ -145,3 +145,19 @@
     assert!(most < 1_200, "{most} messages");
     assert!(most_bytes < 400_000, "{most_bytes} bytes");
 }
+
+#[test]
+fn news_that_come_twice_are_passed_on_once() {
+    let mut fleet = Fleet::settled(78, 4);
+    let sent = |fleet: &Fleet| -> u64 { fleet.nodes.iter().map(|node| node.sent.messages).sum() };
+    let mut told = Vec::new();
+    for doubled in [0.0, 1.0] {
+        fleet.links.doubled = doubled;
+        fleet.forget_traffic();
+        let (start, now) = (sent(&fleet), fleet.now);
+        fleet.with(5, |registry| registry.set_facts(now, vec![doubled as u8])).expect("small enough");
+        fleet.run(Span::millis(300));
+        told.push(sent(&fleet) - start);
+    }
+    assert!(told[1] < told[0] + told[0] / 3, "{told:?} messages");
+}
