--- a/crates/archive/src/runner.rs
+++ b/crates/archive/src/runner.rs
@@ -213,7 +213,6 @@
             self.cut_off.push(run);
         }
         self.decided.retain(|(job, _)| job != id);
-        self.failures.retain(|(job, _)| job != id);
     }
 
     /// The item that is to run now in this room, if any.
--- a/crates/archive/tests/batches/running.rs
+++ b/crates/archive/tests/batches/running.rs
@@ -220,6 +220,7 @@
     assert_eq!((part.settle(), part.runner.take_cut_off()), (0, vec![]));
     assert!(part.runner.next_wake() <= Some(at(61_000)));
     part.pass(1);
+    assert_eq!(part.try_next(), None, "before the tick too");
     part.runner.tick(part.now);
     assert_eq!(part.try_next(), None);
     assert_eq!(part.settle(), 1);
@@ -318,6 +319,25 @@
     assert!(!again.iter().any(|entry| matches!(entry, Entry::Results(_))), "it is listed: {again:?}");
 }
 
+/// Entries of an earlier term that come back are none of this one's.
+#[test]
+fn what_an_earlier_term_proposed_is_not_proposed_again() {
+    let mut part = Part::with_job("j", 1);
+    let order = part.next();
+    part.event(&order, 0, "text");
+    part.end_run(&order, Outcome::Complete);
+    let entries = part.runner.take_proposals();
+    part.runner.begin(&part.jobs, part.now, 1_000_000);
+    let again = part.next();
+    for entry in entries {
+        part.runner.not_proposed(entry);
+    }
+    assert_eq!(part.runner.take_proposals(), []);
+    part.event(&again, 0, "text");
+    part.end_run(&again, Outcome::Complete);
+    assert_eq!(part.settle(), 1);
+}
+
 /// Of jobs that can be in time, the one due first; of jobs that are late, those after them.
 #[test]
 fn the_most_urgent_job_that_can_be_in_time_goes_first() {
