--- a/crates/quorum/src/disk/records.rs
+++ b/crates/quorum/src/disk/records.rs
@@ -70,12 +70,8 @@
 pub(super) struct Chain(u32);
 
 impl Chain {
-    /// The start of a generation's chain.
-    pub(super) fn of(generation: u64) -> Chain {
-        let mut hasher = crc32fast::Hasher::new();
-        hasher.update(&generation.to_le_bytes());
-        Chain(hasher.finalize())
-    }
+    /// The start of a chain. The first record holds the generation, so that all later checksums depend on it.
+    pub(super) const START: Chain = Chain(0);
 
     fn follow(self, content: &[u8]) -> Chain {
         let mut hasher = crc32fast::Hasher::new_with_initial(self.0);
--- a/crates/quorum/src/disk/store.rs
+++ b/crates/quorum/src/disk/store.rs
@@ -4,7 +4,6 @@
 use std::os::unix::fs::FileExt;
 use std::path::{Path, PathBuf};
 
-use nanoserde::DeBin;
 use snafu::{ResultExt, ensure};
 
 use super::error::{DamagedSnafu, IoSnafu, PoisonedSnafu, StoreError};
@@ -219,7 +218,7 @@
 ) -> Result<LogFile, StoreError> {
     let path = log_path(folder, generation);
     let mut bytes = Vec::new();
-    let chain = Chain::of(generation).write(&Record::Base { generation, hard, entries }, &mut bytes);
+    let chain = Chain::START.write(&Record::Base { generation, hard, entries }, &mut bytes);
     let file = files::replace(&path, &bytes)?;
     files::sync_folder(folder)?;
     Ok(LogFile { path, file, length: bytes.len() as u64, chain, dirty: false })
@@ -252,14 +251,11 @@
     Ok(Some(log))
 }
 
-/// The first record, which tells the generation that its own checksum starts with.
+/// The first record.
 fn read_base(content: &[u8]) -> Option<LogContent> {
-    // Length, checksum and the record's kind come before the generation.
-    let mut offset = 4 + 4 + 1;
-    let claimed = u64::de_bin(&mut offset, content).ok()?;
-    let (record, chain, size) = Chain::of(claimed).read(content)?;
+    let (record, chain, size) = Chain::START.read(content)?;
     match record {
-        Record::Base { generation, hard, entries } if generation == claimed => {
+        Record::Base { generation, hard, entries } => {
             Some(LogContent { generation, hard, entries, length: size as u64, chain, was_in_force: false })
         }
         _ => None,
--- a/crates/quorum/tests/disk.rs
+++ b/crates/quorum/tests/disk.rs
@@ -153,6 +153,7 @@
     assert!(possible.into_iter().any(|state| state == restored), "{restored:?}");
     // And it can be gone on with, and read again
     let (mut store, _) = Store::open(folder).expect("it is whole");
+    assert_eq!(read(folder, "log-1").len() as u64, store.log_bytes(), "the rest is cut off");
     let more = Write::Entries(vec![entry(restored.entries.len() as u64 + 1, 9, 9)]);
     store.write(std::slice::from_ref(&more)).expect("there is room");
     store.sync().expect("the disk works");
--- a/crates/quorum/tests/elections.rs
+++ b/crates/quorum/tests/elections.rs
@@ -311,6 +311,26 @@
     assert_eq!(world.machines[owner.0].application.state.commands, 2);
 }
 
+#[test]
+fn a_hand_over_to_a_voter_that_does_not_catch_up_is_called_off() {
+    let (mut world, owner, others) = three(27);
+    // Given a target that is off, and has not got all
+    world.lose_power(others[0]);
+    world.propose(owner);
+    let target = world.identity(others[0]);
+    world.call(owner, |replica, now| replica.hand_over(now, Some(target))).expect("it is a voter");
+    let refused = world.call(owner, |replica, now| replica.propose(now, vec![1; 9]));
+    assert_eq!(refused, Err(ProposeError::NotOwner { hint: Some(target) }));
+    let other = world.identity(others[1]);
+    let again = world.call(owner, |replica, now| replica.hand_over(now, Some(other)));
+    assert_eq!(again, Err(HandOverError::UnderWay));
+    // When the time for it is over
+    world.run(Span::millis(500));
+    // Then the owner goes on as before: the lease was never given up
+    assert_eq!(world.owner(), Some(owner));
+    assert!(world.call(owner, |replica, now| replica.propose(now, vec![1; 9])).is_ok());
+}
+
 #[test]
 fn an_ownership_is_handed_to_voters_only() {
     let (mut world, owner, others) = three(22);
--- a/crates/quorum/tests/groups.rs
+++ b/crates/quorum/tests/groups.rs
@@ -135,6 +135,22 @@
     assert!(heir != removed && heir != owner);
 }
 
+#[test]
+fn one_that_left_is_told_so_and_then_left_alone() {
+    let (mut world, owner) = start(11, 3, 1);
+    let left = world.others(&[owner, Site(3)])[0];
+    // When a voter is taken out of the group
+    let keep = world.others(&[left]);
+    world.change_to(&keep, BOUND);
+    world.run(Span::millis(100));
+    // Then it knows, has no timer, and is sent nothing more
+    assert_eq!(world.replica(left).next_wake(), Moment(u64::MAX));
+    let before = world.sent_to(left);
+    world.propose(owner);
+    world.run(Span::millis(1_000));
+    assert_eq!(world.sent_to(left), before);
+}
+
 #[test]
 fn a_learner_that_is_silent_is_given_up() {
     let (mut world, owner) = start(7, 3, 2);
--- a/crates/quorum/tests/rules.rs
+++ b/crates/quorum/tests/rules.rs
@@ -382,6 +382,43 @@
     assert_eq!((snapshot.last, entries.as_slice()), (position(2, 2), &[entry(3, 2)][..]));
 }
 
+#[test]
+fn pieces_of_different_snapshots_are_not_put_together() {
+    let mut bench = Bench::new(3, &[1]);
+    let piece = |index, offset, total| {
+        Body::Chunk(grebeusher_quorum::Chunk {
+            last: position(index, 3),
+            group: group(),
+            total,
+            offset,
+            bytes: Blob::from(vec![index as u8; 3]),
+            sent: Stamp(0),
+        })
+    };
+    let received = |sent: &[Message]| {
+        sent.iter().find_map(|message| match &message.body {
+            Body::ChunkReply(reply) => Some(reply.received),
+            _ => None,
+        })
+    };
+    // Given the first half of a snapshot
+    assert_eq!(received(&bench.receive(SECOND, 3, piece(5, 0, 6))), Some(3));
+    // When the second half of a newer one arrives, or of one by another owner
+    assert_eq!(received(&bench.receive(SECOND, 3, piece(6, 3, 6))), Some(0));
+    assert_eq!(received(&bench.receive(SECOND, 3, piece(6, 0, 6))), Some(3));
+    assert_eq!(received(&bench.receive(THIRD, 4, piece(6, 3, 6))), Some(0));
+    // Then it waits for the rest of the same one, and a piece that is there already adds nothing
+    assert_eq!(received(&bench.receive(THIRD, 4, piece(6, 0, 6))), Some(3));
+    assert_eq!(received(&bench.receive(THIRD, 4, piece(6, 0, 6))), Some(3));
+    assert_eq!(bench.replica.snapshot_index(), Index(0));
+    bench.replica.receive(bench.now, THIRD, {
+        let founding = group().founding();
+        Message { from: THIRD, to: ME, founding, term: Term(4), body: piece(6, 3, 6) }
+    });
+    let restore = bench.replica.take_ready().restore.expect("it is whole");
+    assert_eq!((restore.index, restore.bytes.len()), (Index(6), 6));
+}
+
 #[test]
 fn only_what_is_known_to_be_the_same_is_decided() {
     // Given a follower with entries beyond those that the owner has compared
--- a/crates/quorum/tests/snapshots.rs
+++ b/crates/quorum/tests/snapshots.rs
@@ -125,6 +125,49 @@
     assert!(bytes < 100_000, "{bytes} bytes to the dead");
 }
 
+#[test]
+fn a_follower_that_answers_nothing_is_sent_a_window_and_no_more() {
+    let mut world = World::new(9, 3, 0);
+    let owner = world.elect();
+    world.run(Span::millis(200));
+    let frozen = world.others(&[owner])[0];
+    // Given a follower that freezes
+    world.freeze(frozen);
+    let before = world.sent_to(frozen);
+    // When the others decide megabytes, in large commands and in many small ones
+    for size in [[100_000; 80], [100; 80]].concat() {
+        let mut bytes = world.fresh_command();
+        bytes.resize(size, 3);
+        world.propose_bytes(owner, bytes);
+        world.run(Span::millis(5));
+    }
+    // Then it has been sent a window
+    let bytes = world.sent_to(frozen).bytes - before.bytes;
+    assert!(bytes < 1_500_000, "{bytes} bytes to the frozen");
+    // And gets the rest when it wakes
+    world.wake(frozen);
+    world.settle(&[frozen], BOUND);
+}
+
+#[test]
+fn a_follower_that_was_never_there_is_not_sent_entries_again_and_again() {
+    let mut world = World::new(10, 3, 0);
+    let dead = Site(2);
+    world.lose_power(dead);
+    // Given an owner that has never heard of one of its followers
+    let owner = world.elect();
+    for _ in 0..3 {
+        let mut bytes = world.fresh_command();
+        bytes.resize(100_000, 3);
+        world.propose_bytes(owner, bytes);
+    }
+    // When seconds pass
+    world.run(Span::millis(3_000));
+    // Then it has been sent the entries hardly more than once
+    let bytes = world.sent_to(dead).bytes;
+    assert!(bytes < 600_000, "{bytes} bytes to the dead");
+}
+
 #[test]
 fn commands_in_great_number_go_out_in_bounded_messages() {
     let mut world = World::new(7, 3, 0);
