--- a/crates/quorum/tests/elections.rs
+++ b/crates/quorum/tests/elections.rs
@@ -232,6 +232,18 @@
     assert_eq!(world.newest_term(), term);
 }
 
+#[test]
+fn a_follower_that_only_the_owner_cannot_reach_does_not_disturb() {
+    let (mut world, owner, others) = three(26);
+    let term = world.newest_term();
+    // When a follower and the owner hear nothing of each other, while the third one hears both
+    world.part(owner, others[0]);
+    world.run(Span::millis(5_000));
+    // Then the third one holds to the owner, whose lease holds by it
+    assert_eq!(world.owner(), Some(owner));
+    assert_eq!(world.newest_term(), term);
+}
+
 #[test]
 fn messages_of_others_are_dropped() {
     // Given an owner of a term far ahead, in a part that was founded otherwise
@@ -299,6 +311,26 @@
     assert_eq!(world.machines[owner.0].application.state.commands, 2);
 }
 
+#[test]
+fn a_hand_over_to_a_voter_that_does_not_catch_up_is_called_off() {
+    let (mut world, owner, others) = three(27);
+    // Given a target that is off, and has not got all
+    world.lose_power(others[0]);
+    world.propose(owner);
+    let target = world.identity(others[0]);
+    world.call(owner, |replica, now| replica.hand_over(now, Some(target))).expect("it is a voter");
+    let refused = world.call(owner, |replica, now| replica.propose(now, vec![1; 9]));
+    assert_eq!(refused, Err(ProposeError::NotOwner { hint: Some(target) }));
+    let other = world.identity(others[1]);
+    let again = world.call(owner, |replica, now| replica.hand_over(now, Some(other)));
+    assert_eq!(again, Err(HandOverError::UnderWay));
+    // When the time for it is over
+    world.run(Span::millis(500));
+    // Then the owner goes on as before: the lease was never given up
+    assert_eq!(world.owner(), Some(owner));
+    assert!(world.call(owner, |replica, now| replica.propose(now, vec![1; 9])).is_ok());
+}
+
 #[test]
 fn an_ownership_is_handed_to_voters_only() {
     let (mut world, owner, others) = three(22);
--- a/crates/tier/src/batch_front.rs
+++ b/crates/tier/src/batch_front.rs
@@ -5,12 +5,14 @@
 use crate::exchange::{ClientRequest, names};
 use crate::messages::{Call, Reply, SubmitJob};
 use crate::node::Node;
+use crate::routing::STARTING_RETRY;
 use grebeusher_archive::{JobId, SubmissionHead, read_submission};
 use grebeusher_catalog::configuration::{Route, RouteType};
 use grebeusher_time::Span;
 use grebeusher_transport::http;
 use nanoserde::SerBin;
 use std::rc::Rc;
+use tracing::debug;
 
 /// How many parts the batch jobs are cut into; the configuration is one more.
 pub const BATCH_PARTS: u8 = 3;
@@ -41,7 +43,8 @@
     pub fn client_request(&mut self, connection: usize, request: ClientRequest) {
         let serial = self.serial(connection);
         let Some(active) = self.configuration.clone() else {
-            let answer = http::answer(503, &[("Retry-After", "0.3")], b"");
+            let seconds = format!("{:.1}", STARTING_RETRY.as_secs());
+            let answer = http::answer(503, &[("Retry-After", &seconds)], b"");
             return self.answer(connection, serial, answer);
         };
         let host = request.head.headers.get("Host").unwrap_or_default().to_owned();
@@ -138,6 +141,9 @@
 
     /// The owner's reply to a batch call.
     pub fn batch_reply(&mut self, connection: usize, serial: u64, question: BatchQuestion, reply: Reply) {
+        if !matches!(reply, Reply::Answer { status: 200 | 202, .. }) {
+            debug!("a batch call ({question:?}) ends with {}", reply.name());
+        }
         let answer = match (question, reply) {
             (_, Reply::Answer { status: 429, body }) => {
                 http::answer(429, &[("Retry-After", TRY_AGAIN_S)], &body)
--- a/crates/tier/src/items.rs
+++ b/crates/tier/src/items.rs
@@ -6,10 +6,12 @@
 use crate::timers::Timer;
 use crate::upstream::{CallOwner, Failure, UpstreamEvent};
 use grebeusher_archive::{EventReader, EventTaken, Outcome as RunOutcome, RunId, RunOrder};
+use grebeusher_catalog::configuration::RouteType;
 use grebeusher_gateway::{AttemptToken, Outcome, ServerLoad};
 use grebeusher_time::{Moment, Span};
 use grebeusher_transport::headers::Headers;
 use rustc_hash::FxHashMap;
+use tracing::debug;
 
 /// How often items that wait look for room.
 const LOOK_EVERY: Span = Span::millis(15);
@@ -17,6 +19,8 @@
 const SILENT_FOR: Span = Span::millis(3000);
 /// What an executor is told of the time that an item has (milliseconds): items stand outside of time-outs.
 const ITEM_DEADLINE_MS: u64 = 30_000;
+/// How often the log tells how items get on.
+const TELL_EVERY: Span = Span::millis(500);
 /// Items that are begun in one turn of the loop, so that others have theirs.
 const BEGUN_AT_ONCE: usize = 16;
 
@@ -38,6 +42,7 @@
 pub struct ItemRuns {
     active: FxHashMap<u64, ActiveRun>,
     waking: bool,
+    told: Moment,
 }
 
 impl ItemRuns {
@@ -69,10 +74,11 @@
                 part.runner.tick(now);
             }
             self.begin_items(place);
+            self.tell_progress(place);
             self.cut_off_runs(place);
             self.propose_results(place);
             waits |= self.runner_wake(place).is_some();
-            waits |= self.batch_mut(place).is_some_and(|part| !part.jobs().is_empty());
+            waits |= self.items_wait(place);
         }
         if waits && !self.items.waking {
             self.items.waking = true;
@@ -80,6 +86,28 @@
         }
     }
 
+    /// Whether any item of a part has still to be begun.
+    fn items_wait(&mut self, place: usize) -> bool {
+        let Some(active) = self.configuration.clone() else { return true };
+        let Some(part) = self.batch_mut(place) else { return false };
+        let routes = &active.routes.configuration().routes;
+        let bulk = routes.iter().filter(|route| route.route_type == RouteType::Bulk);
+        bulk.map(|route| part.runner.idle_tokens(route.name.as_str())).any(|tokens| tokens > 0)
+    }
+
+    /// A line of the log now and then on how the items of a part get on.
+    fn tell_progress(&mut self, place: usize) {
+        let now = self.now;
+        if now < self.items.told + TELL_EVERY {
+            return;
+        }
+        self.items.told = now;
+        let number = self.parts[place].part;
+        let Some(part) = self.batch_mut(place) else { return };
+        let (running, open) = (part.runner.running_count(), part.jobs().len());
+        debug!("part {number}: {running} items run, {open} jobs are kept");
+    }
+
     fn begin_items(&mut self, place: usize) {
         for _ in 0..BEGUN_AT_ONCE {
             let Some(order) = self.next_order(place) else { return };
@@ -92,7 +120,7 @@
         let active = self.configuration.clone()?;
         let mut rooms: Vec<(&str, bool)> = Vec::new();
         for route in &active.routes.configuration().routes {
-            if route.route_type == grebeusher_catalog::configuration::RouteType::Bulk {
+            if route.route_type == RouteType::Bulk {
                 let has_room = route
                     .traffic
                     .services()
