--- a/crates/simulation/src/clients.rs
+++ b/crates/simulation/src/clients.rs
@@ -3,7 +3,7 @@
 use crate::call::{HttpCall, Progress, request};
 use crate::content::{self, names};
 use crate::hub::{End, Happening, Owner};
-use crate::judge::{Judge, Kind, Rule};
+use crate::judge::{Judge, Kind, Listed, MadeItem, Rule};
 use crate::stage::{Class, Stage};
 use base64::Engine;
 use grebeusher_time::{Moment, Span};
@@ -87,7 +87,7 @@
     zone: usize,
     host_name: &'static str,
     prefix: &'static str,
-    items: Vec<(String, String, Vec<u8>, u64)>,
+    items: Vec<MadeItem>,
     state: JobState,
     made: Moment,
     accepted: bool,
@@ -123,6 +123,7 @@
     /// A place of clients in each zone.
     hosts: Vec<usize>,
     traffic: Traffic,
+    times: f64,
     /// When new requests end.
     until: Moment,
     tasks: BTreeMap<u64, Task>,
@@ -137,6 +138,7 @@
         Clients {
             hosts,
             traffic,
+            times: 1.0,
             until,
             tasks: BTreeMap::new(),
             ends: BTreeMap::new(),
@@ -151,6 +153,11 @@
         wake(stage, at, NEW_JOB, 0);
     }
 
+    /// So many times as many live requests as usual come from now on.
+    pub fn burst(&mut self, times: f64) {
+        self.times = times;
+    }
+
     /// Something can be done at an end.
     pub fn socket(&mut self, end: End, stage: &mut Stage<'_>) {
         if let Some(at) = self.idle.iter().position(|(_, other, ..)| *other == end) {
@@ -226,7 +233,7 @@
         if stage.now() >= self.until {
             return;
         }
-        let all = self.traffic.live_per_s + self.traffic.probes_per_s;
+        let all = self.traffic.live_per_s * self.times + self.traffic.probes_per_s;
         let probe = stage.hub.random.random_bool(self.traffic.probes_per_s / all);
         let drawn: f64 = stage.hub.random.random_range(1e-9..1.0);
         wake(stage, stage.now() + Span::secs(-drawn.ln() / all), ARRIVAL, 0);
@@ -459,12 +466,17 @@
         let (host_name, prefix) = BULK_ROUTES[stage.hub.random.random_range(0..BULK_ROUTES.len())];
         let count = stage.hub.random.random_range(1..16);
         let id = format!("{:016x}", content::hash(&[b"job", &number.to_le_bytes()]));
-        let items: Vec<(String, String, Vec<u8>, u64)> = (0..count)
+        let items: Vec<MadeItem> = (0..count)
             .map(|item: u64| {
                 let name =
                     format!("{:016x}", content::hash(&[b"item", &number.to_le_bytes(), &item.to_le_bytes()]));
                 let tokens = 100 + stage.hub.random.random_range(0..400);
-                (name, format!("{prefix}item-{number:x}-{item}"), vec![b'p'; 30 + item as usize], tokens)
+                MadeItem {
+                    id: name,
+                    path: format!("{prefix}item-{number:x}-{item}"),
+                    body: vec![b'p'; 30 + item as usize],
+                    tokens,
+                }
             })
             .collect();
         stage.judge.job_made(&id, prefix, &items);
@@ -562,8 +574,8 @@
                 self.job_failed(number, stage);
             }
             (JobCall::Body { item }, 200) => {
-                if call.body != job.items[item].2 {
-                    let what = format!("the body of item {} is another one", job.items[item].0);
+                if call.body != job.items[item].body {
+                    let what = format!("the body of item {} is another one", job.items[item].id);
                     stage.judge.breach(Rule::Mixed, now, what);
                 }
                 job.bodies = item + 1;
@@ -592,7 +604,7 @@
     fn page(&mut self, number: u64, from: usize, body: &[u8], stage: &mut Stage<'_>) -> Option<()> {
         let now = stage.now();
         let Some(Task::Job(job)) = self.tasks.get_mut(&number) else { return None };
-        let (total, results) = read_page(body)?;
+        let Page { total, results } = read_page(body)?;
         stage.judge.page_read(&job.id, from, &results, total, now);
         let reached = from + results.len();
         if job.state == JobState::LastRead {
@@ -622,7 +634,7 @@
         let now = stage.now();
         let Some(Task::Job(job)) = self.tasks.get_mut(&number) else { return };
         // Items of ended jobs need no body any more.
-        while job.bodies < job.items.len() && stage.judge.is_listed(&job.id, &job.items[job.bodies].0) {
+        while job.bodies < job.items.len() && stage.judge.is_listed(&job.id, &job.items[job.bodies].id) {
             job.bodies += 1;
         }
         if job.bodies >= job.items.len() || job.ends_at.is_some_and(|at| now >= at) || job.bodies > 3 {
@@ -640,7 +652,7 @@
             let items: Vec<String> = job
                 .items
                 .iter()
-                .map(|(id, path, body, tokens)| {
+                .map(|MadeItem { id, path, body, tokens }| {
                     let payload = base64::engine::general_purpose::STANDARD.encode(body);
                     format!(
                         "{{\"instance_id\":\"{id}\",\"path\":\"{path}\",\"header_map\":{{\"X-Grebeusher-Model-Name\":\"m\",\"X-Grebeusher-Token-Count\":\"{tokens},40\"}},\"payload\":\"{payload}\",\"token_count\":{tokens}}}"
@@ -664,15 +676,20 @@
             ("DELETE", request("DELETE", &target, &[host], b""), READ_MARGIN)
         }
         JobCall::Body { item } => {
-            let target = format!("/api/items/{}?instance_id={}", job.id, job.items[item].0);
+            let target = format!("/api/items/{}?instance_id={}", job.id, job.items[item].id);
             ("GET", request("GET", &target, &[host], b""), READ_MARGIN)
         }
     }
 }
 
+struct Page {
+    total: usize,
+    results: Vec<Listed>,
+}
+
 type Fields = HashMap<String, JsonValue>;
 
-fn read_page(body: &[u8]) -> Option<(usize, Vec<(String, String, String)>)> {
+fn read_page(body: &[u8]) -> Option<Page> {
     let value: JsonValue = std::str::from_utf8(body).ok()?.parse().ok()?;
     let fields: &Fields = value.get()?;
     let total: &f64 = fields.get("total")?.get()?;
@@ -681,9 +698,10 @@
     for entry in list {
         let entry: &Fields = entry.get()?;
         let text = |name: &str| entry.get(name).and_then(|value| value.get::<String>()).cloned();
-        results.push((text("instance_id")?, text("state")?, text("text").unwrap_or_default()));
+        let text_of = text("text").unwrap_or_default();
+        results.push(Listed { item: text("instance_id")?, state: text("state")?, text: text_of });
     }
-    Some((*total as usize, results))
+    Some(Page { total: *total as usize, results })
 }
 
 /// The platform's choice of a node for a new connection; probes go to any node that gets clients.
--- a/crates/simulation/src/fleet.rs
+++ b/crates/simulation/src/fleet.rs
@@ -57,6 +57,7 @@
     GraceOver { machine: usize, life: usize },
     Release { executors: Vec<usize>, gap: Span },
     Honest,
+    Usual,
     Strike { machine: usize, wipe: bool, for_s: f64 },
     FirstChange,
     Traffic,
@@ -558,6 +559,7 @@
                     self.executors.lie(number, Lies::default());
                 }
             }
+            Step::Usual => self.clients.burst(1.0),
             Step::Strike { machine, wipe, for_s } => self.strike(machine, true, wipe, for_s),
             Step::FirstChange => {
                 self.stage(|actors, stage| {
@@ -565,7 +567,12 @@
                     actors.operators.change(Change::Valid, stage);
                 });
             }
-            Step::Traffic => self.stage(|actors, stage| actors.clients.begin(stage.now(), stage)),
+            Step::Traffic => {
+                self.stage(|actors, stage| actors.clients.begin(stage.now(), stage));
+                if self.scenario.broken.hidden_cut {
+                    self.hide();
+                }
+            }
             Step::LastChange => {
                 self.stage(|actors, stage| actors.operators.change(Change::Valid, stage));
                 self.acknowledged = self.operators.acknowledged.len();
@@ -785,6 +792,11 @@
                 let executors = self.some_executors(share);
                 self.release(executors, Span::secs(gap_s));
             }
+            Fault::Burst { times, for_s } => {
+                self.note(&format!("{times:.1} times as many clients"));
+                self.clients.burst(times);
+                self.later(Span::secs(for_s), Step::Usual);
+            }
             Fault::AnswerLost { x, for_s } => {
                 self.note(&format!("executors lose {x:.2} of their answers"));
                 for (number, _) in self.executors.up() {
@@ -818,6 +830,18 @@
         self.later(Span::secs(for_s), Step::Heal { cut: number });
     }
 
+    /// Cuts a machine off without the rules knowing of it.
+    fn hide(&mut self) {
+        let Some(hidden) = self.machines.iter().find(|m| m.class == Class::Edge && !m.counted) else {
+            return;
+        };
+        let own = 1u128 << hidden.host;
+        let others = self.machines.iter().fold(0, |mask, m| mask | 1u128 << m.host) & !own;
+        let mut hub = self.hub.borrow_mut();
+        hub.cuts.push(Cut { number: 0, from: own, to: others, resets: false });
+        hub.cuts.push(Cut { number: 0, from: others, to: own, resets: false });
+    }
+
     /// A machine's process is killed, or its power is lost, perhaps with its disk; it comes back.
     fn strike(&mut self, machine: usize, power: bool, wipe: bool, for_s: f64) {
         if self.machines[machine].life.is_none() {
--- a/crates/simulation/src/judge.rs
+++ b/crates/simulation/src/judge.rs
@@ -160,6 +160,30 @@
     pub refused: bool,
 }
 
+/// An item as a client makes it up.
+#[derive(Clone, Debug)]
+pub struct MadeItem {
+    /// Its id.
+    pub id: String,
+    /// Its path.
+    pub path: String,
+    /// Its body.
+    pub body: Vec<u8>,
+    /// Its tokens.
+    pub tokens: u64,
+}
+
+/// A result as a page lists it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Listed {
+    /// The item.
+    pub item: String,
+    /// `complete` or `dead_letter`.
+    pub state: String,
+    /// Its text.
+    pub text: String,
+}
+
 /// An item of a batch job.
 #[derive(Debug)]
 struct Item {
@@ -179,7 +203,7 @@
     accepted: Option<Moment>,
     end_sent: Option<Moment>,
     end_acknowledged: Option<Moment>,
-    positions: Vec<(String, String, String)>,
+    positions: Vec<Listed>,
     read: Option<Moment>,
 }
 
@@ -629,9 +653,9 @@
     // --- batch jobs ---
 
     /// A client makes a batch job up.
-    pub fn job_made(&mut self, job: &str, route: &str, items: &[(String, String, Vec<u8>, u64)]) {
+    pub fn job_made(&mut self, job: &str, route: &str, items: &[MadeItem]) {
         self.jobs.insert(job.to_owned(), Job { route: route.to_owned(), ..Job::default() });
-        for (id, path, body, tokens) in items {
+        for MadeItem { id, path, body, tokens } in items {
             let item = Item {
                 job: job.to_owned(),
                 path: path.clone(),
@@ -746,14 +770,7 @@
     }
 
     /// A page of results is read.
-    pub fn page_read(
-        &mut self,
-        job: &str,
-        from: usize,
-        results: &[(String, String, String)],
-        total: usize,
-        at: Moment,
-    ) {
+    pub fn page_read(&mut self, job: &str, from: usize, results: &[Listed], total: usize, at: Moment) {
         let wanted = self.items.values().filter(|item| item.job == job).count();
         if total != wanted {
             self.breach(Rule::Mixed, at, format!("job {job} has {wanted} items, total is {total}"));
@@ -768,19 +785,21 @@
         }
     }
 
-    fn result_read(&mut self, job: &str, position: usize, result: &(String, String, String), at: Moment) {
-        let (id, state, text) = result;
+    fn result_read(&mut self, job: &str, position: usize, result: &Listed, at: Moment) {
+        let Listed { item: id, state, text } = result;
         self.check_result(job, id, state, text, at);
         let Some(found) = self.jobs.get_mut(job) else { return };
         match found.positions.get(position) {
             Some(before) if before != result => {
-                let what =
-                    format!("position {position} of {job} held {} {}, now {id} {state}", before.0, before.1);
+                let what = format!(
+                    "position {position} of {job} held {} {}, now {id} {state}",
+                    before.item, before.state
+                );
                 self.breach(Rule::Twice, at, what);
             }
             Some(_) => {}
             None if found.positions.len() == position => {
-                let twice = found.positions.iter().any(|(other, ..)| other == id);
+                let twice = found.positions.iter().any(|other| other.item == *id);
                 found.positions.push(result.clone());
                 self.counts.results += 1;
                 if twice {
@@ -838,7 +857,7 @@
 
     /// Whether an item was listed.
     pub fn is_listed(&self, job: &str, item: &str) -> bool {
-        self.jobs.get(job).is_some_and(|found| found.positions.iter().any(|(id, ..)| id == item))
+        self.jobs.get(job).is_some_and(|found| found.positions.iter().any(|listed| listed.item == item))
     }
 
     // --- the end ---
--- a/crates/simulation/src/scenario.rs
+++ b/crates/simulation/src/scenario.rs
@@ -170,6 +170,8 @@
     ExecutorCrash { share: f64, silent: bool },
     /// Executors are replaced one by one: the new one first, then the old one drains.
     Release { share: f64, gap_s: f64 },
+    /// More clients come for a time.
+    Burst { times: f64, for_s: f64 },
     /// Executors lose answers of what they ran.
     AnswerLost { x: f64, for_s: f64 },
     /// Executors break off answers, or send more than was asked.
@@ -196,8 +198,9 @@
 pub struct Broken {
     /// Syncs of disks only pretend.
     pub pretended_syncs: bool,
-    /// Frames between nodes other than those of quorums get lost in a quarter of the links: nothing confirms a drain there.
-    pub deaf_links: bool,
+    /// From the start of traffic an edge machine without a disk hears and says nothing to the other nodes, and the rules
+    /// don't know of it: as though it never heard of drains and changes, and all went on as if it had.
+    pub hidden_cut: bool,
 }
 
 /// Why a scenario can't be had.
--- a/crates/simulation/src/storm.rs
+++ b/crates/simulation/src/storm.rs
@@ -15,7 +15,7 @@
         return scenario;
     }
     let mut random = Pcg64::seed_from_u64(seed ^ STORM);
-    let count = random.random_range(1..9);
+    let count = random.random_range(1..14);
     let length = scenario.load.length_s;
     let zones = scenario.shape.zones.len();
     for _ in 0..count {
@@ -45,7 +45,7 @@
 fn fault(random: &mut Pcg64, zones: usize) -> Fault {
     let for_s = (random.random_range(0.4..5.0) * 10.0f64).round() / 10.0;
     let leader = random.random_bool(0.5);
-    match random.random_range(0..20) {
+    match random.random_range(0..21) {
         0 => Fault::NodeKill { on: on(random), leader, power: false, wipe: false, for_s: 0.6 },
         1 => Fault::NodeKill { on: on(random), leader, power: true, wipe: false, for_s },
         2 => Fault::NodeKill { on: on(random), leader, power: true, wipe: true, for_s },
@@ -83,6 +83,7 @@
         16 => Fault::Retire,
         17 => Fault::ExecutorCrash { share: 0.15, silent: random.random_bool(0.5) },
         18 => Fault::Release { share: 0.5, gap_s: 0.7 },
+        19 => Fault::Burst { times: 4.0, for_s },
         _ if random.random_bool(0.3) => Fault::Reset { on: on(random) },
         _ if random.random_bool(0.5) => Fault::AnswerLost { x: 0.04, for_s },
         _ => Fault::Garble { x: 0.05, surplus: random.random_bool(0.5), for_s },
--- a/crates/tier/src/control.rs
+++ b/crates/tier/src/control.rs
@@ -140,9 +140,7 @@
     ) {
         let answer = match (question, reply) {
             (_, Reply::Answer { status, body }) => http::answer(status, &[JSON], &body),
-            (OperatorQuestion::Show, Reply::Configuration { version, .. }) if version == 0 => {
-                http::answer(404, &[], b"")
-            }
+            (OperatorQuestion::Show, Reply::Configuration { version: 0, .. }) => http::answer(404, &[], b""),
             (OperatorQuestion::Show, Reply::Configuration { body, .. }) => http::answer(200, &[JSON], &body),
             (_, Reply::Unclear) => http::answer(504, &[], b""),
             _ => http::answer(503, &[("Retry-After", "0.1")], b""),
--- a/crates/tier/src/main.rs
+++ b/crates/tier/src/main.rs
@@ -5,7 +5,7 @@
 use grebeusher_tier::node::Node;
 use grebeusher_tier::start::{Start, read_settings};
 use grebeusher_tier::system::System;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::rc::Rc;
 use tracing::{Level, error};
@@ -49,7 +49,7 @@
     }
 }
 
-fn check(file: &PathBuf) -> ExitCode {
+fn check(file: &Path) -> ExitCode {
     match read_settings(file) {
         Ok(_) => ExitCode::SUCCESS,
         Err(error) => {
