gateway, sizing: tests for the guards that none failed without

One of them, which told dark executors apart when looking for idle places, made no difference and is gone.

--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -206,12 +206,9 @@
 /// Below this part of all places a refusal would be a mistake whatever single estimates say.
 const HALF: f64 = 0.5;
 
-/// Whether fewer than half of the places are taken, of those that nothing speaks against if there are any.
+/// Whether fewer than half of the places are taken.
 fn is_idle(candidates: &[Candidate]) -> bool {
-    let any_sound = candidates.iter().any(|c| c.sound);
-    let counted = candidates.iter().filter(|c| c.sound || !any_sound);
-    let (taken, count) = counted.fold((0.0, 0.0), |(taken, count), c| (taken + c.taken, count + 1.0));
-    taken < HALF * count
+    candidates.iter().map(|c| c.taken).sum::<f64>() < HALF * candidates.len() as f64
 }
 
 impl Gateway {
--- a/crates/gateway/tests/choice.rs
+++ b/crates/gateway/tests/choice.rs
@@ -201,6 +201,12 @@
     gateway.finished(at(5), first, Outcome::Served);
     gateway.finished(at(5), first, Outcome::Served);
     assert_eq!(gateway.view(at(5), ids[0]).unwrap().open, 1);
+    // nor does it end another that took its place in the books
+    let third = gateway.started(at(5), ids[0], &sized(service, 900, 10)).unwrap();
+    gateway.finished(at(5), first, Outcome::Served);
+    gateway.progress(at(5), first);
+    assert_eq!(gateway.view(at(5), ids[0]).unwrap().open, 2);
+    gateway.finished(at(6), third, Outcome::Served);
     gateway.finished(at(6), second, Outcome::ClientGone);
     assert_eq!(gateway.outstanding().count(), 0);
 }
@@ -219,6 +225,16 @@
     assert!((0..100).all(|_| sent(gateway.choose(at(1), &sized(service, 9, 0))) == Some(ids[1])));
 }
 
+#[test]
+fn a_report_counts_own_requests_once() {
+    let (mut gateway, service, ids) = node(1, 7);
+    for _ in 0..3 {
+        gateway.started(START, ids[0], &sized(service, 9, 0));
+    }
+    fill(&mut gateway, START, ids[0], 3, 1);
+    assert_eq!(gateway.view(START, ids[0]).unwrap().outstanding, 4.0);
+}
+
 #[test]
 fn a_report_fades_into_what_is_usual() {
     let (mut gateway, _, ids) = node(2, 7);
@@ -296,17 +312,24 @@
     assert!((0.3..=1.2).contains(&retry_after.as_secs()), "{retry_after:?}");
     // while one that may have run already waits rather than fail
     assert!(sent(gateway.choose(at(400), &Request { committed: true, ..urgent })).is_some());
+    // however long the queues are, and however little time it has
+    fill_all(&mut gateway, at(400), &ids, 4, 500);
+    let committed = Request { committed: true, deadline_left: Span::millis(100), ..urgent };
+    assert!(sent(gateway.choose(at(400), &committed)).is_some());
 }
 
-#[test]
-fn nothing_is_refused_while_half_of_all_places_are_free() {
-    // given a connection budget that is used up at one, and others that seem to have a full memory
+#[rstest]
+#[case::without_a_stake(170)]
+#[case::with_a_stake(13_000)]
+fn nothing_is_refused_while_half_of_all_places_are_free(#[case] shared: u32) {
+    // given executors with one of four places taken, and a memory that seems to be full by it
     let (mut gateway, service, ids) = node(4, 7);
     for id in &ids {
         gateway.started(START, *id, &sized(service, 99_000, 0));
     }
-    // when one comes that fits nowhere by tokens
-    assert!(sent(gateway.choose(START, &sized(service, 5_000, 0))).is_some());
+    // when one comes that fits nowhere by tokens, then an executor is still the better judge
+    assert!(sent(gateway.choose(START, &with_prefix(service, 1, shared.max(2_000)))).is_some());
+    assert!(sent(gateway.choose(START, &with_prefix(service, 1, shared))).is_some());
 }
 
 #[test]
@@ -350,6 +373,22 @@
     assert!(goes_there(&mut gateway, at(3700)));
 }
 
+#[test]
+fn one_that_fails_at_each_return_is_tried_every_few_seconds_only() {
+    // given one that failed whenever it was back
+    let (mut gateway, _, ids) = node(3, 7);
+    let out = |gateway: &Gateway, now| gateway.view(now, ids[1]).unwrap().ejected;
+    let mut now = START;
+    for _ in 0..5 {
+        gateway.failed(now, ids[1], Failure::NotConnected);
+        now = (1..10_000).map(|ms| now + Span::millis(ms)).find(|at| !out(&gateway, *at)).unwrap();
+    }
+    // then it stays out for longer than the memory of any single failure lasts, yet not for ever
+    gateway.failed(now, ids[1], Failure::NotConnected);
+    assert!(out(&gateway, now + Span::millis(3000)));
+    assert!(!out(&gateway, now + Span::millis(5000)));
+}
+
 #[test]
 fn failures_of_all_leave_none_out() {
     let (mut gateway, service, ids) = node(3, 7);
--- a/crates/sizing/tests/sizing.rs
+++ b/crates/sizing/tests/sizing.rs
@@ -54,6 +54,17 @@
     assert_eq!([100.0, 5000.0, 9000.0].map(|size| cut_offs.lane_of(size)), [0, 1, 1]);
 }
 
+#[test]
+fn the_work_is_summed_not_the_size() {
+    // given a thousand requests of alike work whose sizes rise steeply
+    let mut sample = Sample::new(1000);
+    (1..=1000).for_each(|n| drop(sample.saw(f64::from(n * n), 7.0)));
+    // when the cut-offs are computed for lanes of a half, a quarter and a quarter
+    let cut_offs = CutOffs::equalising(&sample, &[2.0, 1.0, 1.0], 50);
+    // then they part the requests by number
+    assert_eq!(cut_offs.bounds(), [500.0 * 500.0, 750.0 * 750.0]);
+}
+
 #[rstest]
 #[case::too_few(49, &[1.0, 1.0])]
 #[case::one_lane(100, &[1.0])]
