A whole tier on loopback in one command, with stand-in executors and a batch job

A newcomer could read about the tier but not see it work. grebeusher-demo starts ten processes of grebeusher-tier (four edge with a folder as disk, two without, four storage) and four stand-in executors on loopback addresses, sends a configuration, requests, streams and a batch job, kills the storage process that runs the job, lets an executor drain, and stops the rest by SIGTERM. Each step says what came back and fails when that is not what the protocol asks.

Rows of ports are reserved, so that several may run side by side; every process is ended when a step fails or the command is interrupted. The same is an integration test of the tier.

--- /dev/null
+++ b/crates/tier/tests/demo.rs
@@ -0,0 +1,93 @@
+//! A whole tier of real processes on loopback addresses, as the demonstration starts it.
+
+use grebeusher_catalog::settings::Settings;
+use grebeusher_demo::layout::{Layout, Machines};
+use grebeusher_demo::operator::{JOB_HOST, JOB_PART};
+use grebeusher_demo::{DemoError, Options, Summary, run};
+use grebeusher_tier::batch_front::part_of_host;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::time::Duration;
+
+/// Far more than the demonstration takes, for machines that are busy.
+const LIMIT: Duration = Duration::from_secs(90);
+
+fn options(program: impl Into<PathBuf>) -> Options {
+    let interrupted = Arc::new(AtomicBool::new(false));
+    Options { program: program.into(), machines: Machines::default(), limit: LIMIT, keep: false, interrupted }
+}
+
+fn told(options: &Options) -> (Result<Summary, DemoError>, String) {
+    let mut out = Vec::new();
+    let result = run(options, &mut out);
+    (result, String::from_utf8_lossy(&out).into_owned())
+}
+
+#[test]
+fn a_tier_serves_requests_and_a_batch_job_whose_owner_is_killed() {
+    // Given ten processes of the tier and four stand-in executors
+    let options = options(env!("CARGO_BIN_EXE_grebeusher-tier"));
+    // When the demonstration is run
+    let (result, table) = told(&options);
+    // Then all that was asked is served, the job is complete though its owner was killed, and the others end when told to
+    let summary = result.unwrap_or_else(|error| panic!("{error}\n{table}"));
+    assert_eq!(summary.requests_served, 30, "{table}");
+    assert_eq!(summary.items_complete, 48, "{table}");
+    assert_ne!(summary.killed, summary.next_owner, "{table}");
+    assert_eq!(summary.late_after_drain, 0, "{table}");
+    assert_eq!(summary.clean_exits, 9, "{table}");
+}
+
+#[test]
+fn a_process_that_ends_at_its_start_ends_the_demonstration() {
+    // Given a program that ends at once with a failure
+    let options = options("/bin/false");
+    // When the demonstration is run
+    let (result, _) = told(&options);
+    // Then it says which process ended, long before its time is over
+    assert!(matches!(result, Err(DemoError::Ended { .. })), "{result:?}");
+}
+
+#[test]
+fn a_program_that_is_not_there_is_named() {
+    // Given no program
+    let options = options("/nowhere/grebeusher-tier");
+    // When the demonstration is run
+    let (result, _) = told(&options);
+    // Then it names what it looked for
+    let Err(DemoError::NoProgram { path }) = result else { panic!("{result:?}") };
+    assert_eq!(path, Path::new("/nowhere/grebeusher-tier"));
+}
+
+#[test]
+fn an_interrupted_demonstration_ends() {
+    // Given a demonstration that is told to stop
+    let options = options(env!("CARGO_BIN_EXE_grebeusher-tier"));
+    options.interrupted.store(true, std::sync::atomic::Ordering::Relaxed);
+    // When it is run
+    let (result, _) = told(&options);
+    // Then it says so; its processes are ended as it goes
+    assert!(matches!(result, Err(DemoError::Interrupted)), "{result:?}");
+}
+
+#[test]
+fn the_settings_of_each_machine_are_right() {
+    // Given the machines of the demonstration
+    let layout = Layout::find(Machines::default()).expect("ports are free");
+    for machine in &layout.machines {
+        // When the settings of one are read
+        let read = Settings::read(&layout.settings(machine, Path::new("/disk")));
+        // Then nothing is wrong with them
+        let settings = read.unwrap_or_else(|error| panic!("{}: {error}", machine.name));
+        assert_eq!(settings.node_name.as_str(), machine.name);
+    }
+}
+
+#[test]
+fn the_part_of_the_jobs_is_the_one_that_the_demonstration_looks_at() {
+    // Given the host of the demonstration's job
+    // When its part is worked out
+    // Then it is the part whose owner is killed
+    assert_eq!(part_of_host(JOB_HOST), JOB_PART);
+}
