--- a/crates/quorum/tests/rules.rs
+++ b/crates/quorum/tests/rules.rs
@@ -171,6 +171,18 @@
     assert_eq!(bench.vote(SECOND, 4, position(1, 1), false), Some(false));
 }
 
+#[test]
+fn a_vote_in_a_term_that_is_known_already_is_kept_over_a_restart() {
+    // Given a replica that knows of term 4 by a candidate that got no vote
+    let mut bench = Bench::new(3, &[1, 3]);
+    assert_eq!(bench.vote(SECOND, 4, position(1, 1), false), Some(false));
+    // When another one gets it, and the replica restarts
+    assert_eq!(bench.vote(THIRD, 4, position(2, 3), false), Some(true));
+    bench.restart();
+    // Then the vote is still given away
+    assert_eq!(bench.vote(SECOND, 4, position(9, 3), false), Some(false));
+}
+
 #[test]
 fn a_term_that_was_adopted_is_kept_over_a_restart() {
     // Given a replica that refused a vote in term 9, and so knows of it
@@ -347,6 +359,12 @@
     let sent = bench.receive(SECOND, term, Body::AppendReply(AppendReply { outcome, sent: Stamp(0) }));
     // Then nothing is sent anew
     assert!(sent.is_empty(), "{sent:?}");
+    // And commands go on without waiting for an answer to each
+    for command in 1..=3 {
+        bench.replica.propose(bench.now, vec![command]).expect("it is the owner");
+        let sent = bench.work();
+        assert!(sent.iter().any(|message| message.to == SECOND), "command {command}: {sent:?}");
+    }
 }
 
 #[test]
