--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -19,6 +19,7 @@
 mod members;
 mod message;
 mod placement;
+mod recall;
 mod register;
 mod registry;
 mod relay;
--- /dev/null
+++ b/crates/registry/src/recall.rs
@@ -0,0 +1,44 @@
+//! What a node remembers of the executors over its own restart: a hint that saves waiting for their next heartbeats.
+
+use crate::codec::{Reader, Writer};
+use crate::error::{DecodeError, UnknownVariantSnafu};
+use crate::executor::Executor;
+use crate::registry::Registry;
+use grebeusher_time::Moment;
+
+/// The version of the form.
+const VERSION: u8 = 1;
+
+/// The most executors that are remembered.
+const MOST_REMEMBERED: usize = 4_096;
+
+impl Registry {
+    /// The executors that exist as far as is known, for [`Registry::recall`] of a later process of this node.
+    pub fn remember(&self) -> Vec<u8> {
+        let existing = self.executors().filter(|executor| executor.exists() && !executor.silent);
+        let executors: Vec<Executor> = existing.take(MOST_REMEMBERED).cloned().collect();
+        let mut out = Writer::default();
+        out.u8(VERSION);
+        out.list(&executors);
+        out.bytes
+    }
+
+    /// Takes over what an earlier process of this node remembered. It merges like what any node tells: each next
+    /// heartbeat of an executor is newer, and one that doesn't come leaves it silent.
+    ///
+    /// # Errors
+    /// The bytes are not in the form of [`Registry::remember`].
+    pub fn recall(&mut self, now: Moment, bytes: &[u8]) -> Result<usize, DecodeError> {
+        let mut input = Reader::new(bytes);
+        let version = input.u8()?;
+        if version != VERSION {
+            return UnknownVariantSnafu { what: "the form of remembered executors", tag: version }.fail();
+        }
+        let executors: Vec<Executor> = input.list("remembered executors", MOST_REMEMBERED)?;
+        let count = executors.len();
+        for executor in executors {
+            self.merge_executor(now, executor);
+        }
+        Ok(count)
+    }
+}
