--- a/crates/tier/src/calls.rs
+++ b/crates/tier/src/calls.rs
@@ -3,12 +3,15 @@
 use crate::messages::{Call, CallEnvelope, Channel, Reply, ReplyEnvelope};
 use crate::node::Node;
 use crate::timers::Timer;
+use grebeusher_registry::Class;
 use grebeusher_time::{Moment, Span};
-use nanoserde::SerBin;
+use nanoserde::{DeBin, SerBin};
 use std::net::SocketAddrV4;
 
 /// A node that has not answered by then is left for another one. Owners answer once a quorum has synced.
-const TRY_FOR: Span = Span::millis(450);
+const TRY_FOR: Span = Span::millis(400);
+/// A node that has left a call unanswered, and has said nothing since, is gone round for this long.
+const UNHEARD_FOR: Span = Span::millis(2500);
 /// The pause before a node is asked again when none owned the part.
 const NO_OWNER_PAUSE: Span = Span::millis(60);
 
@@ -25,6 +28,8 @@
     FirstConfiguration,
     /// A founding that a replica confirms.
     Founding { part: u8, voter: u64 },
+    /// Another node's call that this node passes on.
+    Forwarded { peer: SocketAddrV4, number: u64 },
     /// One part's word on whether a storage node is empty, for a question to all parts.
     Retire { gathering: u64 },
 }
@@ -56,6 +61,7 @@
     part: Option<u8>,
     to: Option<SocketAddrV4>,
     tried: Vec<SocketAddrV4>,
+    began: Moment,
     until: Moment,
     expires: Moment,
     /// Whether a node may have taken it without this node hearing so.
@@ -63,6 +69,37 @@
     continuation: Continuation,
 }
 
+/// Which way a call goes.
+enum CallRoute {
+    /// To the node that may answer it.
+    Direct(SocketAddrV4),
+    /// By way of a node that may reach the owner.
+    By(SocketAddrV4),
+    /// The part has no owner that is known: again after a pause.
+    Later,
+    /// No other node answers.
+    Nobody,
+}
+
+/// How long a call is held by its owner without anything being wrong.
+fn held_for(call: &Call) -> Span {
+    match call {
+        Call::ReadJob { hold_ms, .. } => Span::millis(u64::from(*hold_ms)),
+        // The relay tries more than one node.
+        Call::Forward { .. } => TRY_FOR,
+        _ => Span(0),
+    }
+}
+
+fn forwarded(pending: &PendingCall, now: Moment) -> Call {
+    let within = pending.until.since(now).0 / 1_000_000;
+    Call::Forward {
+        part: pending.part.unwrap_or_default(),
+        within_ms: u32::try_from(within).unwrap_or(u32::MAX),
+        call: SerBin::serialize_bin(&pending.call),
+    }
+}
+
 impl Node {
     /// Calls the owner of a part, wherever it is, until `until`.
     pub fn call_owner(&mut self, part: u8, call: Call, until: Moment, continuation: Continuation) {
@@ -71,6 +108,7 @@
             part: Some(part),
             to: None,
             tried: Vec::new(),
+            began: self.now,
             until,
             expires: until,
             unheard: false,
@@ -88,6 +126,7 @@
             part: None,
             to: Some(to),
             tried: Vec::new(),
+            began: self.now,
             until,
             expires: until,
             unheard: false,
@@ -105,29 +144,95 @@
         if now >= pending.until {
             return self.end_call(number, None);
         }
-        let part = pending.part;
-        let target = match pending.to {
-            Some(to) => Some(to),
-            None => part.and_then(|part| self.owner_candidate(part, &self.calls[&number].tried)),
-        };
+        let route = self.route_of(pending);
+        let nobody = matches!(route, CallRoute::Nobody);
         let Some(pending) = self.calls.get_mut(&number) else { return };
-        let Some(target) = target else {
-            // All were asked, or none is known yet: from the start, after a pause.
-            pending.tried.clear();
-            let again = now + NO_OWNER_PAUSE;
-            pending.expires = again;
-            self.alarms.set(again, Timer::CallRetry { number });
-            return;
+        let (target, call) = match route {
+            CallRoute::Direct(target) => (target, pending.call.clone()),
+            CallRoute::By(relay) => (relay, forwarded(pending, now)),
+            // Nobody can be reached: the client had better ask another node.
+            CallRoute::Nobody if pending.unheard => return self.end_call(number, None),
+            CallRoute::Nobody | CallRoute::Later => {
+                // All were asked, or none is known yet: from the start, after a pause.
+                pending.tried.clear();
+                pending.expires = now + NO_OWNER_PAUSE;
+                pending.unheard |= nobody && pending.part.is_some() && now >= pending.began + TRY_FOR;
+                self.alarms.set(now + NO_OWNER_PAUSE, Timer::CallRetry { number });
+                return;
+            }
         };
         pending.tried.push(target);
-        if part.is_some() {
+        if pending.part.is_some() {
             pending.to = None;
         }
-        pending.expires = (now + TRY_FOR).min(pending.until);
+        pending.expires = (now + TRY_FOR + held_for(&pending.call)).min(pending.until);
         let expires = pending.expires;
-        let envelope = CallEnvelope { number, call: pending.call.clone() };
         self.alarms.set(expires, Timer::CallExpires { number });
-        self.send_frame(target, Channel::Call, &SerBin::serialize_bin(&envelope));
+        self.send_frame(target, Channel::Call, &SerBin::serialize_bin(&CallEnvelope { number, call }));
+    }
+
+    /// Which way a call goes now.
+    fn route_of(&self, pending: &PendingCall) -> CallRoute {
+        let reachable = |address: &SocketAddrV4| !self.unheard.contains_key(address);
+        let Some(part) = pending.part else {
+            return pending.to.map_or(CallRoute::Nobody, CallRoute::Direct);
+        };
+        if let Some(to) = pending.to.filter(reachable) {
+            return CallRoute::Direct(to);
+        }
+        let untried = |address: &SocketAddrV4| !pending.tried.contains(address);
+        let owner = self.known_owner(part);
+        if let Some(owner) = owner.filter(|owner| reachable(owner) && untried(owner)) {
+            return CallRoute::Direct(owner);
+        }
+        let cut_off = owner.is_some_and(|owner| !reachable(&owner));
+        let may_pass_on = !matches!(pending.continuation, Continuation::Forwarded { .. });
+        if cut_off
+            && may_pass_on
+            && let Some(relay) = self.relay_candidate(&pending.tried)
+        {
+            return CallRoute::By(relay);
+        }
+        match self.owner_candidate(part, &pending.tried) {
+            Some(candidate) => CallRoute::Direct(candidate),
+            None if self.reaches_anybody() => CallRoute::Later,
+            None => CallRoute::Nobody,
+        }
+    }
+
+    /// A node that may reach an owner which this one can't: any edge node that answers.
+    fn relay_candidate(&self, tried: &[SocketAddrV4]) -> Option<SocketAddrV4> {
+        let edges = self.registry.live_members().filter(|member| member.class == Class::Edge);
+        let others = edges.map(|member| member.address).filter(|address| *address != self.internal_address);
+        let usable: Vec<SocketAddrV4> = others
+            .filter(|address| !tried.contains(address) && !self.unheard.contains_key(address))
+            .collect();
+        usable.get(self.now.0 as usize % usable.len().max(1)).copied()
+    }
+
+    fn reaches_anybody(&self) -> bool {
+        let mut others = self.registry.live_members().map(|member| member.address);
+        others.any(|address| address != self.internal_address && !self.unheard.contains_key(&address))
+    }
+
+    /// Passes a call of another node on to the owner of a part.
+    pub fn forward_call(&mut self, peer: SocketAddrV4, number: u64, part: u8, within_ms: u32, call: &[u8]) {
+        let Ok(call) = <Call as DeBin>::deserialize_bin(call) else { return };
+        let until = self.now + Span::millis(u64::from(within_ms));
+        self.call_owner(part, call, until, Continuation::Forwarded { peer, number });
+    }
+
+    /// A node has said something: it can be reached.
+    pub fn heard_from(&mut self, peer: SocketAddrV4) {
+        if !self.unheard.is_empty() {
+            self.unheard.remove(&peer);
+        }
+    }
+
+    /// Forgets which nodes left calls unanswered long ago.
+    pub fn sweep_unheard(&mut self) {
+        let now = self.now;
+        self.unheard.retain(|_, until| now < *until);
     }
 
     /// A call's time at one node is over.
@@ -138,6 +243,9 @@
             return;
         }
         pending.unheard = true;
+        if let Some(silent) = pending.tried.last() {
+            self.unheard.insert(*silent, now + UNHEARD_FOR);
+        }
         if pending.part.is_none() {
             return self.end_call(number, None);
         }
@@ -190,6 +298,7 @@
             Continuation::Configuration => self.fetched_configuration(reply, false),
             Continuation::FirstConfiguration => self.fetched_configuration(reply, true),
             Continuation::Founding { part, voter } => self.founding_reply(part, voter, &reply),
+            Continuation::Forwarded { peer, number } => self.reply(peer, number, reply),
             Continuation::Retire { gathering } => self.retire_reply(gathering, reply),
         }
     }
--- a/crates/tier/src/dispatch.rs
+++ b/crates/tier/src/dispatch.rs
@@ -11,6 +11,7 @@
 impl Node {
     /// A frame of another node, or of this one to itself.
     pub fn receive_frame(&mut self, from: SocketAddrV4, channel: Channel, payload: &[u8]) {
+        self.heard_from(from);
         match channel {
             Channel::Registry => {
                 if let Ok(message) = Message::decode(payload) {
@@ -44,6 +45,9 @@
             }
             Call::ReadItem { part, job, item } => self.read_item_at_owner(waiter, part, &job, &item),
             Call::EndJob { part, job } => self.end_at_owner(waiter, part, &job),
+            Call::Forward { part, within_ms, call } => {
+                self.forward_call(waiter.peer, waiter.number, part, within_ms, &call);
+            }
             Call::BeginRetire { part, node } => self.begin_retire_at_owner(waiter, part, &node),
             Call::ShowRetire { part, node } => self.show_retire_at_owner(waiter, part, &node),
         }
--- a/crates/tier/src/io.rs
+++ b/crates/tier/src/io.rs
@@ -56,6 +56,19 @@
     /// The disk refuses or is damaged.
     fn identity(&self, folder: &Path) -> Result<Identity, StoreError>;
 
+    /// What was kept as a hint under a name in `folder`: nothing if there is none that is whole. Nothing rests on it.
+    fn read_hint(&self, _folder: &Path, _name: &str) -> Option<Vec<u8>> {
+        None
+    }
+
+    /// Keeps a hint for a later process, in the stead of an earlier one of that name.
+    ///
+    /// # Errors
+    /// The disk refuses.
+    fn keep_hint(&self, _folder: &Path, _name: &str, _bytes: &[u8]) -> io::Result<()> {
+        Ok(())
+    }
+
     /// Opens the files of a part in `folder`, with what they hold.
     ///
     /// # Errors
--- a/crates/tier/src/items.rs
+++ b/crates/tier/src/items.rs
@@ -78,7 +78,7 @@
             self.cut_off_runs(place);
             self.propose_results(place);
             waits |= self.runner_wake(place).is_some();
-            waits |= self.items_wait(place);
+            waits |= self.configuration.is_none() || self.idle_tokens(place) > 0;
         }
         if waits && !self.items.waking {
             self.items.waking = true;
@@ -86,13 +86,13 @@
         }
     }
 
-    /// Whether any item of a part has still to be begun.
-    fn items_wait(&mut self, place: usize) -> bool {
-        let Some(active) = self.configuration.clone() else { return true };
-        let Some(part) = self.batch_mut(place) else { return false };
+    /// The tokens of a part's items that have still to be begun, on the routes that there are.
+    fn idle_tokens(&mut self, place: usize) -> u64 {
+        let Some(active) = self.configuration.clone() else { return 0 };
+        let Some(part) = self.batch_mut(place) else { return 0 };
         let routes = &active.routes.configuration().routes;
         let bulk = routes.iter().filter(|route| route.route_type == RouteType::Bulk);
-        bulk.map(|route| part.runner.idle_tokens(route.name.as_str())).any(|tokens| tokens > 0)
+        bulk.map(|route| part.runner.idle_tokens(route.name.as_str())).sum()
     }
 
     /// A line of the log now and then on how the items of a part get on.
@@ -104,8 +104,9 @@
         self.items.told = now;
         let number = self.parts[place].part;
         let Some(part) = self.batch_mut(place) else { return };
-        let (running, open) = (part.runner.running_count(), part.jobs().len());
-        debug!("part {number}: {running} items run, {open} jobs are kept");
+        let (running, kept) = (part.runner.running_count(), part.jobs().len());
+        let idle = self.idle_tokens(place);
+        debug!("part {number}: {running} items run, {idle} tokens wait, {kept} jobs are kept");
     }
 
     fn begin_items(&mut self, place: usize) {
--- a/crates/tier/src/lib.rs
+++ b/crates/tier/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod parts;
 pub mod peers;
 pub mod placement;
+pub mod remembered;
 pub mod routing;
 pub mod server;
 pub mod socket;
--- a/crates/tier/src/messages.rs
+++ b/crates/tier/src/messages.rs
@@ -79,6 +79,8 @@
     ReadItem { part: u8, job: String, item: String },
     /// Ends a job; for the owner of the part.
     EndJob { part: u8, job: String },
+    /// Passes a call, encoded, on to the owner of a part, for a node that can't reach it; within this many milliseconds.
+    Forward { part: u8, within_ms: u32, call: Vec<u8> },
     /// Asks the owner of a part to move its data off a storage node.
     BeginRetire { part: u8, node: String },
     /// Asks the owner of a part whether its data has left a storage node.
--- a/crates/tier/src/node.rs
+++ b/crates/tier/src/node.rs
@@ -9,6 +9,7 @@
 use crate::items::ItemRuns;
 use crate::parts::PartHost;
 use crate::peers::{IncomingLink, OutgoingLink};
+use crate::remembered::Remembered;
 use crate::routing::Routing;
 use crate::server::{Entrance, ServerConnection, first_limits};
 use crate::socket::Socket;
@@ -50,6 +51,8 @@
 
 /// How often slow housekeeping is done.
 pub const SWEEP_EVERY: Span = Span::millis(500);
+/// How often executors that have fallen silent are looked for.
+const REVIEW_EVERY: Span = Span::millis(100);
 /// The loop waits at most this long.
 const LONGEST_WAIT: Span = Span::millis(1000);
 
@@ -112,6 +115,7 @@
     pub(crate) http_limits: Limits,
     pub(crate) client_limits: ClientLimits,
     pub(crate) registry: Registry,
+    pub(crate) remembered: Remembered,
     pub(crate) told_waiters: FxHashMap<CallToken, (usize, u64)>,
     pub(crate) routing: Routing,
     pub(crate) routing_changed: bool,
@@ -120,6 +124,8 @@
     pub(crate) fetching: Option<Moment>,
     pub(crate) exchanges: Slab<Exchange>,
     pub(crate) calls: FxHashMap<u64, PendingCall>,
+    /// Nodes that left a call unanswered and have said nothing since.
+    pub(crate) unheard: FxHashMap<SocketAddrV4, Moment>,
     pub(crate) gatherings: FxHashMap<u64, RetireGathering>,
     pub(crate) identity: Option<ReplicaId>,
     pub(crate) parts: Vec<PartHost>,
@@ -163,6 +169,7 @@
             http_limits: first_limits(),
             client_limits: ClientLimits::default(),
             registry,
+            remembered: Remembered::default(),
             told_waiters: FxHashMap::default(),
             routing_changed: true,
             configuration: None,
@@ -170,6 +177,7 @@
             fetching: None,
             exchanges: Slab::new(),
             calls: FxHashMap::default(),
+            unheard: FxHashMap::default(),
             gatherings: FxHashMap::default(),
             identity,
             parts,
@@ -185,7 +193,9 @@
     fn set_first_timers(&mut self) {
         let now = self.now;
         self.alarms.set(now + SWEEP_EVERY, Timer::Sweep);
+        self.alarms.set(now + REVIEW_EVERY, Timer::ReviewExecutors);
         self.alarms.set(now + crate::parts::UPKEEP_EVERY, Timer::GroupUpkeep);
+        self.recall_executors();
         self.prove_configuration();
         if self.founder.is_some() {
             self.alarms.set(now + crate::founding::LOOK_EVERY, Timer::Found);
@@ -282,16 +292,25 @@
             Timer::Found => self.look_to_found(),
             Timer::GroupUpkeep => self.group_upkeep(),
             Timer::Sweep => self.sweep(),
+            Timer::ReviewExecutors => self.review_executors(),
             Timer::RunItems => self.run_items(),
             Timer::Exit => self.leave_for_good(),
         }
     }
 
+    fn review_executors(&mut self) {
+        let now = self.now;
+        self.alarms.set(now + REVIEW_EVERY, Timer::ReviewExecutors);
+        self.routing.gateway.review(now);
+    }
+
     fn sweep(&mut self) {
         self.alarms.set(self.now + SWEEP_EVERY, Timer::Sweep);
         self.sweep_servers();
         self.sweep_upstreams();
         self.sweep_links();
+        self.sweep_unheard();
+        self.remember_executors();
         self.look_to_exit();
     }
 
--- a/crates/tier/src/routing.rs
+++ b/crates/tier/src/routing.rs
@@ -25,6 +25,11 @@
 /// What a client is told to wait by a node that has just started.
 pub const STARTING_RETRY: Span = Span::millis(700);
 
+/// An owner of a batch part may have one of so many parts of an executor's connections.
+const OWNERS_SHARES: u32 = 3;
+/// By how much more than their number the edge nodes divide the connections, as owners have a third of them.
+const EDGE_SHARES: f64 = 1.5;
+
 /// Where an attempt goes.
 #[derive(Clone, Debug)]
 pub struct Candidate {
@@ -218,8 +223,18 @@
             self.routing.generation = generation;
             self.update_executors();
         }
+        self.routing.gateway.set_nodes(self.connection_shares());
+    }
+
+    /// Into how many parts an executor's connections are divided. The owners of batch parts, few and with most of the
+    /// requests in flight, have a third; the rest is for the edge nodes, whose requests are spread evenly.
+    fn connection_shares(&self) -> u32 {
+        if self.registry.own_member().class == Class::Storage {
+            return OWNERS_SHARES;
+        }
         let edges = self.registry.live_members().filter(|member| member.class == Class::Edge).count();
-        self.routing.gateway.set_nodes(u32::try_from(edges).unwrap_or(u32::MAX).max(1));
+        let shares = edges.max(1) as f64 * EDGE_SHARES;
+        shares.ceil() as u32
     }
 
     fn update_services(&mut self) {
--- a/crates/tier/src/status.rs
+++ b/crates/tier/src/status.rs
@@ -2,6 +2,7 @@
 
 use crate::node::Node;
 use crate::parts::Application;
+use grebeusher_registry::MemberState;
 use grebeusher_time::Span;
 use std::fmt::Write;
 
@@ -13,7 +14,14 @@
     pub fn is_ready(&self) -> bool {
         let proven = self.configuration_proven || self.now.0 >= PROOF_WAITS.0;
         let executors_known = self.registry.executors().next().is_some();
-        !self.stopping() && self.configuration.is_some() && proven && executors_known
+        let serves = self.configuration.is_some() && proven && executors_known;
+        !self.stopping() && serves && !self.is_isolated()
+    }
+
+    /// Whether no other node is heard though there were some: clients are better off elsewhere.
+    fn is_isolated(&self) -> bool {
+        let known = self.registry.members().filter(|member| member.state != MemberState::Left).count();
+        known > 1 && self.registry.live_members().count() <= 1
     }
 
     /// Members, executors, parts, owners and counters, a line each.
--- a/crates/tier/src/system.rs
+++ b/crates/tier/src/system.rs
@@ -10,6 +10,7 @@
 use grebeusher_transport::signals::Signals;
 use grebeusher_transport::socket;
 use rand::Rng;
+use std::fs::File;
 use std::io::{self, Read, Write as _};
 use std::net::{SocketAddrV4, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
@@ -77,6 +78,22 @@
         Identity::load_or_create(folder, self.random())
     }
 
+    fn read_hint(&self, folder: &Path, name: &str) -> Option<Vec<u8>> {
+        let bytes = std::fs::read(folder.join(name)).ok()?;
+        let (sum, content) = bytes.split_first_chunk::<4>()?;
+        (crc32fast::hash(content) == u32::from_le_bytes(*sum)).then(|| content.to_vec())
+    }
+
+    fn keep_hint(&self, folder: &Path, name: &str, bytes: &[u8]) -> io::Result<()> {
+        let next = folder.join(format!("{name}.next"));
+        let mut file = File::create(&next)?;
+        file.write_all(&crc32fast::hash(bytes).to_le_bytes())?;
+        file.write_all(bytes)?;
+        file.sync_data()?;
+        std::fs::rename(&next, folder.join(name))?;
+        File::open(folder)?.sync_all()
+    }
+
     fn open_store(&self, folder: &Path) -> Result<(Box<dyn PartStore>, Restored), StoreError> {
         let (store, restored) = Store::open(folder)?;
         Ok((Box::new(store), restored))
--- a/crates/tier/src/timers.rs
+++ b/crates/tier/src/timers.rs
@@ -23,6 +23,8 @@
     GroupUpkeep,
     /// Slow housekeeping.
     Sweep,
+    /// Executors that have fallen silent are looked for.
+    ReviewExecutors,
     /// Items are started where there is room.
     RunItems,
     /// The process ends at the latest.
