--- a/crates/archive/src/compact.rs
+++ b/crates/archive/src/compact.rs
@@ -5,6 +5,23 @@
 
 use nanoserde::{DeBin, DeBinErr, SerBin};
 
+use crate::shared::{SharedBytes, SharedText};
+
+/// What is read from shared bytes, and goes on referring to them for what is large in it.
+pub(crate) trait TakeShared: Sized {
+    /// Reads one at the offset, and moves that behind it.
+    fn take(offset: &mut usize, bytes: &SharedBytes) -> Result<Self, DeBinErr>;
+
+    /// Reads one from bytes that are not shared: it refers to a copy of them.
+    fn take_copied(offset: &mut usize, bytes: &[u8]) -> Result<Self, DeBinErr> {
+        let rest = bytes.get(*offset..).ok_or_else(|| malformed(*offset, 1, bytes))?;
+        let mut taken = 0;
+        let value = Self::take(&mut taken, &SharedBytes::from(rest))?;
+        *offset += taken;
+        Ok(value)
+    }
+}
+
 /// Elements that a list sets aside room for before it has read them.
 const TRUSTED_ELEMENTS: usize = 256;
 /// Bytes of the longest number: ten times seven bits hold 64.
@@ -69,6 +86,16 @@
     std::str::from_utf8(take_bytes(offset, bytes)?).map_err(|_| malformed(start, 0, bytes))
 }
 
+pub(crate) fn take_shared_bytes(offset: &mut usize, bytes: &SharedBytes) -> Result<SharedBytes, DeBinErr> {
+    let length = take_bytes(offset, bytes)?.len();
+    bytes.slice(*offset - length..*offset).ok_or_else(|| malformed(*offset, length, bytes))
+}
+
+pub(crate) fn take_shared_text(offset: &mut usize, bytes: &SharedBytes) -> Result<SharedText, DeBinErr> {
+    let start = *offset;
+    SharedText::new(take_shared_bytes(offset, bytes)?).map_err(|_| malformed(start, 0, bytes))
+}
+
 pub(crate) fn put_list<T: SerBin>(out: &mut Vec<u8>, list: &[T]) {
     put_number(out, list.len() as u64);
     for element in list {
@@ -81,6 +108,24 @@
     offset: &mut usize,
     bytes: &[u8],
     at_most: usize,
+) -> Result<Vec<T>, DeBinErr> {
+    take_elements(offset, bytes, at_most, |offset| T::de_bin(offset, bytes))
+}
+
+/// As [`take_list`], of elements that refer to the bytes.
+pub(crate) fn take_shared_list<T: TakeShared>(
+    offset: &mut usize,
+    bytes: &SharedBytes,
+    at_most: usize,
+) -> Result<Vec<T>, DeBinErr> {
+    take_elements(offset, bytes, at_most, |offset| T::take(offset, bytes))
+}
+
+fn take_elements<T>(
+    offset: &mut usize,
+    bytes: &[u8],
+    at_most: usize,
+    take: impl Fn(&mut usize) -> Result<T, DeBinErr>,
 ) -> Result<Vec<T>, DeBinErr> {
     let count: usize = take_small(offset, bytes)?;
     if count > at_most || count > bytes.len() - *offset {
@@ -88,7 +133,7 @@
     }
     let mut list = Vec::with_capacity(count.min(TRUSTED_ELEMENTS));
     for _ in 0..count {
-        list.push(T::de_bin(offset, bytes)?);
+        list.push(take(offset)?);
     }
     Ok(list)
 }
--- a/crates/archive/src/jobs/entry.rs
+++ b/crates/archive/src/jobs/entry.rs
@@ -3,10 +3,11 @@
 use nanoserde::{DeBin, DeBinErr, SerBin};
 
 use crate::compact::{
-    malformed, put_bytes, put_list, put_number, put_optional_number, take_byte, take_list, take_number,
-    take_optional_number, take_small, take_text,
+    TakeShared, malformed, put_bytes, put_list, put_number, put_optional_number, take_byte, take_list,
+    take_number, take_optional_number, take_shared_list, take_shared_text, take_small, take_text,
 };
 use crate::names::{ItemIndex, JobId};
+use crate::shared::{SharedBytes, SharedText};
 use crate::submission::{MAX_ITEMS, Submission};
 
 /// The most jobs that one entry speaks of.
@@ -57,7 +58,7 @@
     pub item: ItemIndex,
     pub state: ResultState,
     /// The data of all events in order, joined by line feeds.
-    pub text: String,
+    pub text: SharedText,
 }
 
 /// Ends of items of one job, in the order of their positions.
@@ -137,14 +138,30 @@
     }
 }
 
+impl Entry {
+    /// Reads an entry from the bytes that the log holds. Bodies and texts are not copied: they go on referring to them.
+    ///
+    /// # Errors
+    /// The bytes begin with no entry.
+    pub fn from_shared(bytes: &SharedBytes) -> Result<Entry, DeBinErr> {
+        Entry::take(&mut 0, bytes)
+    }
+}
+
 impl DeBin for Entry {
     fn de_bin(offset: &mut usize, bytes: &[u8]) -> Result<Entry, DeBinErr> {
+        Entry::take_copied(offset, bytes)
+    }
+}
+
+impl TakeShared for Entry {
+    fn take(offset: &mut usize, bytes: &SharedBytes) -> Result<Entry, DeBinErr> {
         match take_byte(offset, bytes)? {
             SUBMIT => Ok(Entry::Submit {
-                submission: Submission::de_bin(offset, bytes)?,
+                submission: Submission::take(offset, bytes)?,
                 terms: JobTerms::de_bin(offset, bytes)?,
             }),
-            RESULTS => take_list(offset, bytes, MAX_JOBS_IN_ENTRY).map(Entry::Results),
+            RESULTS => take_shared_list(offset, bytes, MAX_JOBS_IN_ENTRY).map(Entry::Results),
             PROGRESS => take_list(offset, bytes, MAX_JOBS_IN_ENTRY).map(Entry::Progress),
             ENDED => JobId::de_bin(offset, bytes).map(|job| Entry::Ended { job }),
             FORGET => take_list(offset, bytes, MAX_JOBS_IN_ENTRY).map(|jobs| Entry::Forget { jobs }),
@@ -206,12 +223,12 @@
     }
 }
 
-impl DeBin for ItemResult {
-    fn de_bin(offset: &mut usize, bytes: &[u8]) -> Result<ItemResult, DeBinErr> {
+impl TakeShared for ItemResult {
+    fn take(offset: &mut usize, bytes: &SharedBytes) -> Result<ItemResult, DeBinErr> {
         Ok(ItemResult {
             item: ItemIndex::de_bin(offset, bytes)?,
             state: ResultState::de_bin(offset, bytes)?,
-            text: take_text(offset, bytes)?.to_owned(),
+            text: take_shared_text(offset, bytes)?,
         })
     }
 }
@@ -223,9 +240,10 @@
     }
 }
 
-impl DeBin for JobResults {
-    fn de_bin(offset: &mut usize, bytes: &[u8]) -> Result<JobResults, DeBinErr> {
-        Ok(JobResults { job: JobId::de_bin(offset, bytes)?, results: take_list(offset, bytes, MAX_ITEMS)? })
+impl TakeShared for JobResults {
+    fn take(offset: &mut usize, bytes: &SharedBytes) -> Result<JobResults, DeBinErr> {
+        let job = JobId::de_bin(offset, bytes)?;
+        Ok(JobResults { job, results: take_shared_list(offset, bytes, MAX_ITEMS)? })
     }
 }
 
--- a/crates/archive/src/jobs/page.rs
+++ b/crates/archive/src/jobs/page.rs
@@ -1,6 +1,7 @@
 //! What readers of a job see.
 
 use super::entry::ResultState;
+use crate::shared::SharedText;
 
 /// The most bytes of an answer to a reader: 1 MB less some slack for its head.
 pub const MAX_PAGE_BYTES: usize = 1_000_000 - 4_096;
@@ -14,16 +15,16 @@
 pub struct Listing {
     item_id: Box<str>,
     state: ResultState,
-    text: Box<str>,
+    text: SharedText,
     /// The bytes of its JSON with a comma.
     json_bytes: usize,
 }
 
 impl Listing {
-    pub(super) fn new(item_id: String, state: ResultState, text: String) -> Listing {
+    pub(super) fn new(item_id: String, state: ResultState, text: SharedText) -> Listing {
         let json_bytes =
             RESULT_FRAME_BYTES + escaped_len(&item_id) + state.as_str().len() + escaped_len(&text);
-        Listing { item_id: item_id.into(), state, text: text.into(), json_bytes }
+        Listing { item_id: item_id.into(), state, text, json_bytes }
     }
 
     pub fn item_id(&self) -> &str {
@@ -36,7 +37,7 @@
 
     /// The data of all events in order, joined by line feeds.
     pub fn text(&self) -> &str {
-        &self.text
+        self.text.as_str()
     }
 
     pub(super) fn cost(&self) -> usize {
@@ -49,7 +50,7 @@
         out.push_str(r#"","state":""#);
         out.push_str(self.state.as_str());
         out.push_str(r#"","text":""#);
-        write_escaped(out, &self.text);
+        write_escaped(out, self.text());
         out.push_str(r#""}"#);
     }
 }
--- a/crates/archive/src/jobs/snapshot.rs
+++ b/crates/archive/src/jobs/snapshot.rs
@@ -10,10 +10,11 @@
 use super::job::{Job, JobParts, OpenItem, Progress};
 use super::page::Listing;
 use crate::compact::{
-    malformed, put_bytes, put_list, put_number, put_optional_number, take_byte, take_list,
-    take_optional_number, take_small, take_text,
+    TakeShared, malformed, put_bytes, put_list, put_number, put_optional_number, take_byte,
+    take_optional_number, take_shared_list, take_shared_text, take_small, take_text,
 };
 use crate::names::{JobId, is_name};
+use crate::shared::SharedBytes;
 use crate::submission::{ItemSpec, MAX_ITEMS};
 
 /// The form that is written. Readers refuse others.
@@ -37,13 +38,20 @@
 impl Jobs {
     /// The whole state. The same state gives the same bytes.
     pub fn to_snapshot(&self) -> Vec<u8> {
-        let mut out = vec![VERSION];
-        put_number(&mut out, self.jobs.len() as u64);
+        // What the jobs take in memory is more than what they take in bytes, so that nothing grows and is copied.
+        let mut out = Vec::with_capacity(self.cost);
+        self.write_snapshot(&mut out);
+        out
+    }
+
+    /// Puts the bytes of [`Jobs::to_snapshot`] behind others.
+    pub fn write_snapshot(&self, out: &mut Vec<u8>) {
+        out.push(VERSION);
+        put_number(out, self.jobs.len() as u64);
         for (id, job) in &self.jobs {
-            id.ser_bin(&mut out);
-            job.ser_bin(&mut out);
+            id.ser_bin(out);
+            job.ser_bin(out);
         }
-        out
     }
 
     /// The state that was written.
@@ -51,11 +59,19 @@
     /// # Errors
     /// When the bytes are not a whole snapshot of this version.
     pub fn from_snapshot(bytes: &[u8]) -> Result<Jobs, SnapshotError> {
+        Jobs::from_shared_snapshot(&SharedBytes::from(bytes))
+    }
+
+    /// The state that was written, which goes on referring to the bytes for bodies and texts.
+    ///
+    /// # Errors
+    /// As [`Jobs::from_snapshot`].
+    pub fn from_shared_snapshot(bytes: &SharedBytes) -> Result<Jobs, SnapshotError> {
         let malformed_at = |source| SnapshotError::Malformed { source };
         let mut offset = 0;
         let version = take_byte(&mut offset, bytes).map_err(malformed_at)?;
         ensure!(version == VERSION, OtherVersionSnafu { version });
-        let records: Vec<JobRecord> = take_list(&mut offset, bytes, MAX_JOBS).map_err(malformed_at)?;
+        let records: Vec<JobRecord> = take_shared_list(&mut offset, bytes, MAX_JOBS).map_err(malformed_at)?;
         ensure!(offset == bytes.len(), SurplusSnafu { bytes: bytes.len() - offset });
         let mut jobs = Jobs::new();
         for JobRecord { id, job } in records {
@@ -71,9 +87,9 @@
     job: Job,
 }
 
-impl DeBin for JobRecord {
-    fn de_bin(offset: &mut usize, bytes: &[u8]) -> Result<JobRecord, DeBinErr> {
-        Ok(JobRecord { id: JobId::de_bin(offset, bytes)?, job: Job::de_bin(offset, bytes)? })
+impl TakeShared for JobRecord {
+    fn take(offset: &mut usize, bytes: &SharedBytes) -> Result<JobRecord, DeBinErr> {
+        Ok(JobRecord { id: JobId::de_bin(offset, bytes)?, job: Job::take(offset, bytes)? })
     }
 }
 
@@ -95,16 +111,16 @@
     }
 }
 
-impl DeBin for Job {
-    fn de_bin(offset: &mut usize, bytes: &[u8]) -> Result<Job, DeBinErr> {
+impl TakeShared for Job {
+    fn take(offset: &mut usize, bytes: &SharedBytes) -> Result<Job, DeBinErr> {
         let route = take_text(offset, bytes)?.to_owned();
         let service = take_text(offset, bytes)?.to_owned();
         let host = take_text(offset, bytes)?.to_owned();
         let terms = JobTerms::de_bin(offset, bytes)?;
         let ended = bool::de_bin(offset, bytes)?;
-        let open: Vec<OpenRecord> = take_list(offset, bytes, MAX_ITEMS)?;
+        let open: Vec<OpenRecord> = take_shared_list(offset, bytes, MAX_ITEMS)?;
         let open: Vec<_> = open.into_iter().map(|record| record.0).collect();
-        let listed: Vec<Listing> = take_list(offset, bytes, MAX_ITEMS)?;
+        let listed: Vec<Listing> = take_shared_list(offset, bytes, MAX_ITEMS)?;
         if !is_sound(&open, &listed, ended) {
             return Err(malformed(*offset, 0, bytes));
         }
@@ -127,10 +143,10 @@
 
 struct OpenRecord(Option<Box<OpenItem>>);
 
-impl DeBin for OpenRecord {
-    fn de_bin(offset: &mut usize, bytes: &[u8]) -> Result<OpenRecord, DeBinErr> {
+impl TakeShared for OpenRecord {
+    fn take(offset: &mut usize, bytes: &SharedBytes) -> Result<OpenRecord, DeBinErr> {
         Ok(OpenRecord(match bool::de_bin(offset, bytes)? {
-            true => Some(Box::new(OpenItem::de_bin(offset, bytes)?)),
+            true => Some(Box::new(OpenItem::take(offset, bytes)?)),
             false => None,
         }))
     }
@@ -145,10 +161,10 @@
     }
 }
 
-impl DeBin for OpenItem {
-    fn de_bin(offset: &mut usize, bytes: &[u8]) -> Result<OpenItem, DeBinErr> {
+impl TakeShared for OpenItem {
+    fn take(offset: &mut usize, bytes: &SharedBytes) -> Result<OpenItem, DeBinErr> {
         Ok(OpenItem {
-            spec: ItemSpec::de_bin(offset, bytes)?,
+            spec: ItemSpec::take(offset, bytes)?,
             progress: Progress {
                 last_event: take_optional_number(offset, bytes)?,
                 text: take_text(offset, bytes)?.to_owned(),
@@ -166,13 +182,13 @@
     }
 }
 
-impl DeBin for Listing {
-    fn de_bin(offset: &mut usize, bytes: &[u8]) -> Result<Listing, DeBinErr> {
+impl TakeShared for Listing {
+    fn take(offset: &mut usize, bytes: &SharedBytes) -> Result<Listing, DeBinErr> {
         let id = take_text(offset, bytes)?;
         if !is_name(id) {
             return Err(malformed(*offset, 0, bytes));
         }
         let state = ResultState::de_bin(offset, bytes)?;
-        Ok(Listing::new(id.to_owned(), state, take_text(offset, bytes)?.to_owned()))
+        Ok(Listing::new(id.to_owned(), state, take_shared_text(offset, bytes)?))
     }
 }
--- a/crates/archive/src/lib.rs
+++ b/crates/archive/src/lib.rs
@@ -60,6 +60,7 @@
 mod names;
 mod owner;
 mod runner;
+mod shared;
 mod submission;
 
 pub use events::{Event, EventError, EventReader, MAX_EVENT_BYTES};
@@ -70,6 +71,7 @@
 pub use names::{ItemIndex, JobId, MAX_NAME_BYTES};
 pub use owner::{Admission, Owner};
 pub use runner::{EventTaken, MAX_TEXT_BYTES, Outcome, Room, RunId, RunOrder, Runner};
+pub use shared::{SharedBytes, SharedText};
 pub use submission::{
     Header, ItemSpec, MAX_HEADERS, MAX_ITEMS, Submission, SubmissionError, SubmissionHead, TOKEN_HEADER,
     Tokens, read_submission,
--- a/crates/archive/src/runner.rs
+++ b/crates/archive/src/runner.rs
@@ -13,6 +13,7 @@
     Applied, EndState, Entry, ItemProgress, ItemResult, JobResults, Jobs, MAX_JOBS_IN_ENTRY, ResultState,
 };
 use crate::names::{ItemIndex, JobId};
+use crate::shared::{SharedBytes, SharedText};
 use crate::submission::{Header, Tokens};
 use item::{ItemRun, Phase};
 use pace::Pace;
@@ -37,9 +38,9 @@
     /// The service at the time when the job was taken.
     pub service: String,
     pub host: String,
-    pub path: String,
+    pub path: SharedText,
     pub headers: Vec<Header>,
-    pub body: Vec<u8>,
+    pub body: SharedBytes,
     /// The run goes on after this event; none: from the first.
     pub last_event_id: Option<u64>,
     pub token_count: u64,
@@ -294,7 +295,7 @@
         let Some(job) = self.jobs.get_mut(&id) else { return };
         if let Some((text, started)) = job.complete(item) {
             self.pace.ran(now.since(started));
-            self.decided.push((id, ItemResult { item, state: ResultState::Complete, text }));
+            self.decided.push((id, ItemResult { item, state: ResultState::Complete, text: text.into() }));
         }
     }
 
@@ -464,7 +465,7 @@
 }
 
 fn dead_letter(item: ItemIndex) -> ItemResult {
-    ItemResult { item, state: ResultState::DeadLetter, text: String::new() }
+    ItemResult { item, state: ResultState::DeadLetter, text: SharedText::default() }
 }
 
 /// The room for each route as it was asked for in one turn.
--- /dev/null
+++ b/crates/archive/src/shared.rs
@@ -0,0 +1,148 @@
+//! Bytes that are referred to where they lie: a payload of the log and the state that it makes hold them once.
+
+use std::fmt;
+use std::ops::{Deref, Range};
+use std::sync::Arc;
+
+/// A piece of a buffer that others refer to as well. The buffer lives as long as any piece of it.
+#[derive(Clone, Default)]
+pub struct SharedBytes {
+    buffer: Arc<[u8]>,
+    /// Where the piece lies; always within the buffer.
+    range: Range<u32>,
+}
+
+impl SharedBytes {
+    /// The bytes.
+    pub fn as_slice(&self) -> &[u8] {
+        let range = self.range.start as usize..self.range.end as usize;
+        self.buffer.get(range).unwrap_or_default()
+    }
+
+    /// A piece of this one, if it holds it. An empty piece refers to no buffer and so keeps none alive.
+    pub fn slice(&self, range: Range<usize>) -> Option<SharedBytes> {
+        if range.start > range.end || range.end > self.len() {
+            return None;
+        }
+        if range.is_empty() {
+            return Some(SharedBytes::default());
+        }
+        // Both lie within the range of this piece, which fits.
+        let place = |offset: usize| self.range.start + offset as u32;
+        Some(SharedBytes { buffer: self.buffer.clone(), range: place(range.start)..place(range.end) })
+    }
+
+    /// All but the first `count` bytes; nothing if there are no more.
+    pub fn skip(&self, count: usize) -> SharedBytes {
+        self.slice(count..self.len()).unwrap_or_default()
+    }
+}
+
+impl From<Arc<[u8]>> for SharedBytes {
+    /// All of a buffer; of one of 4 GiB and more, which no entry or snapshot has, what lies before that.
+    fn from(buffer: Arc<[u8]>) -> SharedBytes {
+        let end = u32::try_from(buffer.len()).unwrap_or(u32::MAX);
+        SharedBytes { buffer, range: 0..end }
+    }
+}
+
+impl From<Vec<u8>> for SharedBytes {
+    fn from(bytes: Vec<u8>) -> SharedBytes {
+        SharedBytes::from(Arc::<[u8]>::from(bytes))
+    }
+}
+
+impl From<&[u8]> for SharedBytes {
+    fn from(bytes: &[u8]) -> SharedBytes {
+        SharedBytes::from(Arc::<[u8]>::from(bytes))
+    }
+}
+
+impl Deref for SharedBytes {
+    type Target = [u8];
+
+    fn deref(&self) -> &[u8] {
+        self.as_slice()
+    }
+}
+
+impl PartialEq for SharedBytes {
+    fn eq(&self, other: &SharedBytes) -> bool {
+        self.as_slice() == other.as_slice()
+    }
+}
+
+impl Eq for SharedBytes {}
+
+impl fmt::Debug for SharedBytes {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.as_slice().fmt(out)
+    }
+}
+
+/// Text in shared bytes, which were checked to be UTF-8.
+#[derive(Clone, Default, PartialEq, Eq)]
+pub struct SharedText(SharedBytes);
+
+impl SharedText {
+    /// The bytes as text.
+    ///
+    /// # Errors
+    /// They are no UTF-8.
+    pub fn new(bytes: SharedBytes) -> Result<SharedText, std::str::Utf8Error> {
+        std::str::from_utf8(&bytes)?;
+        Ok(SharedText(bytes))
+    }
+
+    /// The text. It was checked when it was made; the language wants it seen again, which costs less than writing it.
+    pub fn as_str(&self) -> &str {
+        std::str::from_utf8(&self.0).unwrap_or_default()
+    }
+
+    /// Its bytes.
+    pub fn as_bytes(&self) -> &[u8] {
+        &self.0
+    }
+
+    /// The number of its bytes.
+    pub fn len(&self) -> usize {
+        self.0.len()
+    }
+
+    /// Whether there is no text.
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+}
+
+impl From<String> for SharedText {
+    fn from(text: String) -> SharedText {
+        SharedText(SharedBytes::from(text.into_bytes()))
+    }
+}
+
+impl From<&str> for SharedText {
+    fn from(text: &str) -> SharedText {
+        SharedText(SharedBytes::from(text.as_bytes()))
+    }
+}
+
+impl Deref for SharedText {
+    type Target = str;
+
+    fn deref(&self) -> &str {
+        self.as_str()
+    }
+}
+
+impl fmt::Display for SharedText {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.as_str().fmt(out)
+    }
+}
+
+impl fmt::Debug for SharedText {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.as_str().fmt(out)
+    }
+}
--- a/crates/archive/src/submission.rs
+++ b/crates/archive/src/submission.rs
@@ -9,9 +9,11 @@
 pub use reading::{SubmissionError, SubmissionHead, read_submission};
 
 use crate::compact::{
-    malformed, put_bytes, put_list, put_number, take_bytes, take_list, take_number, take_text,
+    TakeShared, malformed, put_bytes, put_list, put_number, take_number, take_shared_bytes, take_shared_list,
+    take_shared_text, take_text,
 };
 use crate::names::{JobId, is_name};
+use crate::shared::{SharedBytes, SharedText};
 
 /// The most items in a job.
 pub const MAX_ITEMS: usize = 200;
@@ -23,21 +25,22 @@
 /// A header of an item, checked: the name is a token, the value has no control characters.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Header {
-    pub name: String,
-    pub value: String,
+    pub name: SharedText,
+    pub value: SharedText,
 }
 
-/// An item of a batch job: one request that is run later.
+/// An item of a batch job: one request that is run later. What is large in it may lie in the entry that it came by, which
+/// then stays in memory as long as the item.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ItemSpec {
     /// Its name, which is also the id of its attempts.
     pub id: String,
     /// The path of its request, from the first slash, with its query.
-    pub path: String,
+    pub path: SharedText,
     /// Its headers, without those that concern one connection and those that the tier sets itself.
     pub headers: Vec<Header>,
     /// The decoded body.
-    pub body: Vec<u8>,
+    pub body: SharedBytes,
     /// The prompt's tokens and the most that can come out.
     pub token_count: u64,
 }
@@ -102,10 +105,10 @@
     }
 }
 
-impl DeBin for Header {
-    fn de_bin(offset: &mut usize, bytes: &[u8]) -> Result<Header, DeBinErr> {
-        let name = take_text(offset, bytes)?.to_owned();
-        Ok(Header { name, value: take_text(offset, bytes)?.to_owned() })
+impl TakeShared for Header {
+    fn take(offset: &mut usize, bytes: &SharedBytes) -> Result<Header, DeBinErr> {
+        let name = take_shared_text(offset, bytes)?;
+        Ok(Header { name, value: take_shared_text(offset, bytes)? })
     }
 }
 
@@ -119,17 +122,17 @@
     }
 }
 
-impl DeBin for ItemSpec {
-    fn de_bin(offset: &mut usize, bytes: &[u8]) -> Result<ItemSpec, DeBinErr> {
+impl TakeShared for ItemSpec {
+    fn take(offset: &mut usize, bytes: &SharedBytes) -> Result<ItemSpec, DeBinErr> {
         let id = take_text(offset, bytes)?;
         if !is_name(id) {
             return Err(malformed(*offset, 0, bytes));
         }
         Ok(ItemSpec {
             id: id.to_owned(),
-            path: take_text(offset, bytes)?.to_owned(),
-            headers: take_list(offset, bytes, MAX_HEADERS)?,
-            body: take_bytes(offset, bytes)?.to_vec(),
+            path: take_shared_text(offset, bytes)?,
+            headers: take_shared_list(offset, bytes, MAX_HEADERS)?,
+            body: take_shared_bytes(offset, bytes)?,
             token_count: take_number(offset, bytes)?,
         })
     }
@@ -147,12 +150,19 @@
 
 impl DeBin for Submission {
     fn de_bin(offset: &mut usize, bytes: &[u8]) -> Result<Submission, DeBinErr> {
+        Submission::take_copied(offset, bytes)
+    }
+}
+
+/// The names outlive the items and are copied.
+impl TakeShared for Submission {
+    fn take(offset: &mut usize, bytes: &SharedBytes) -> Result<Submission, DeBinErr> {
         let submission = Submission {
             job: JobId::de_bin(offset, bytes)?,
             route: take_text(offset, bytes)?.to_owned(),
             service: take_text(offset, bytes)?.to_owned(),
             host: take_text(offset, bytes)?.to_owned(),
-            items: take_list(offset, bytes, MAX_ITEMS)?,
+            items: take_shared_list(offset, bytes, MAX_ITEMS)?,
         };
         match first_repeated(&submission.items) {
             Some(_) => Err(malformed(*offset, 0, bytes)),
--- a/crates/archive/src/submission/reading.rs
+++ b/crates/archive/src/submission/reading.rs
@@ -150,7 +150,7 @@
     let payload = take_string(item, &mut fields, "payload")?;
     let body = BASE64.decode(payload).context(ItemPayloadSnafu { item })?;
     let token_count = read_count(item, fields.get("token_count"))?;
-    Ok(ItemSpec { id, path, headers, body, token_count })
+    Ok(ItemSpec { id, path: path.into(), headers, body: body.into(), token_count })
 }
 
 fn take_string(item: usize, fields: &mut Fields, key: &'static str) -> Result<String, SubmissionError> {
@@ -179,11 +179,11 @@
         bytes += name.len() + value.len();
         ensure!(is_token(&name) && is_header_value(&value), ItemHeadersSnafu { item });
         if !DROPPED_HEADERS.iter().any(|dropped| name.eq_ignore_ascii_case(dropped)) {
-            headers.push(Header { name, value });
+            headers.push(Header { name: name.into(), value: value.into() });
         }
     }
     ensure!(headers.len() <= MAX_HEADERS && bytes <= MAX_HEADERS_BYTES, ItemHeadersSnafu { item });
-    headers.sort_unstable_by(|one, other| one.name.cmp(&other.name));
+    headers.sort_unstable_by(|one, other| one.name.as_bytes().cmp(other.name.as_bytes()));
     Ok(headers)
 }
 
--- a/crates/archive/tests/batches/main.rs
+++ b/crates/archive/tests/batches/main.rs
@@ -8,5 +8,6 @@
 mod replay;
 mod running;
 mod sample;
+mod sharing;
 mod storm;
 mod submission;
--- a/crates/archive/tests/batches/pages.rs
+++ b/crates/archive/tests/batches/pages.rs
@@ -122,7 +122,7 @@
 fn what_is_done_costs_less_and_what_is_forgotten_nothing() {
     let mut jobs = Jobs::new();
     let mut submission = submission("j", 2);
-    submission.items[0].body = vec![0; 100_000];
+    submission.items[0].body = vec![0; 100_000].into();
     jobs.apply(Entry::Submit { submission, terms: terms() });
     assert!(jobs.cost() > 100_000);
     jobs.apply(complete("j", 0, "text"));
--- a/crates/archive/tests/batches/quota.rs
+++ b/crates/archive/tests/batches/quota.rs
@@ -91,7 +91,7 @@
 fn jobs_that_memory_can_not_hold_are_refused() {
     let (mut jobs, mut owner) = (Jobs::new(), Owner::new(20_000));
     let mut large = submission("a", 1);
-    large.items[0].body = vec![0; 12_000];
+    large.items[0].body = vec![0; 12_000].into();
     assert_eq!(owner.admit(&jobs, &large, 0), Admission::Propose);
     let mut other = large.clone();
     other.job = job("b");
--- a/crates/archive/tests/batches/sample.rs
+++ b/crates/archive/tests/batches/sample.rs
@@ -17,12 +17,12 @@
 pub fn item(job: &str, place: usize, token_count: u64) -> ItemSpec {
     let id = format!("{job}-{place}");
     ItemSpec {
-        path: format!("/lots/3/{id}"),
+        path: format!("/lots/3/{id}").into(),
         headers: vec![Header {
             name: TOKEN_HEADER.into(),
-            value: format!("{},40", token_count.saturating_sub(40)),
+            value: format!("{},40", token_count.saturating_sub(40)).into(),
         }],
-        body: format!("body of {id}").into_bytes(),
+        body: format!("body of {id}").into_bytes().into(),
         token_count,
         id,
     }
--- /dev/null
+++ b/crates/archive/tests/batches/sharing.rs
@@ -0,0 +1,157 @@
+//! Memory: the jobs refer to what the log holds and copy none of it, and let it go when they are done with it.
+
+use std::sync::Arc;
+
+use grebeusher_archive::*;
+use nanoserde::SerBin;
+
+use crate::sample::*;
+
+/// The payload of an entry as a log holds it. A second count of it is a reference of the jobs.
+fn committed(jobs: &mut Jobs, entry: Entry) -> Arc<[u8]> {
+    let payload: Arc<[u8]> = entry.serialize_bin().into();
+    let read = Entry::from_shared(&SharedBytes::from(payload.clone())).expect("whole");
+    assert_eq!(read, entry);
+    jobs.apply(read);
+    payload
+}
+
+fn is_released(payload: &Arc<[u8]>) -> bool {
+    Arc::strong_count(payload) == 1
+}
+
+fn lies_in(piece: &[u8], payload: &Arc<[u8]>) -> bool {
+    payload.as_ptr_range().contains(&piece.as_ptr())
+}
+
+#[test]
+fn bodies_and_texts_lie_in_the_payloads() {
+    let mut jobs = Jobs::new();
+    let submission = committed(&mut jobs, submit("j", 2));
+    let results = committed(&mut jobs, complete("j", 0, "a text"));
+    let body = jobs.item_body(&job("j"), "j-1").expect("it waits");
+    assert_eq!(body, b"body of j-1");
+    assert!(lies_in(body, &submission));
+    let page = jobs.read(&job("j"), 0, MAX_PAGE_BYTES).expect("the job is known");
+    assert_eq!(page.results[0].text(), "a text");
+    assert!(lies_in(page.results[0].text().as_bytes(), &results));
+}
+
+#[test]
+fn a_submission_is_let_go_when_its_last_item_is_listed() {
+    let mut jobs = Jobs::new();
+    let submission = committed(&mut jobs, submit("j", 3));
+    for place in [2, 0] {
+        committed(&mut jobs, complete("j", place, "text"));
+        assert!(!is_released(&submission), "items wait");
+    }
+    committed(&mut jobs, complete("j", 1, "text"));
+    assert!(is_released(&submission));
+    assert_eq!(texts(&jobs, "j").len(), 3);
+}
+
+#[test]
+fn a_submission_is_let_go_when_its_job_is_ended() {
+    let mut jobs = Jobs::new();
+    let submission = committed(&mut jobs, submit("j", 3));
+    let results = committed(&mut jobs, complete("j", 0, "text"));
+    committed(&mut jobs, Entry::Ended { job: job("j") });
+    assert!(is_released(&submission));
+    assert!(!is_released(&results), "what is listed is still read");
+    committed(&mut jobs, Entry::Forget { jobs: vec![job("j")] });
+    assert!(is_released(&results));
+}
+
+#[test]
+fn what_changes_nothing_is_not_kept() {
+    let mut jobs = Jobs::new();
+    committed(&mut jobs, submit("j", 1));
+    assert!(is_released(&committed(&mut jobs, submit("j", 1))), "the job is known");
+    committed(&mut jobs, complete("j", 0, "text"));
+    assert!(is_released(&committed(&mut jobs, complete("j", 0, "another"))), "the item is listed");
+}
+
+#[test]
+fn a_result_without_text_keeps_nothing() {
+    let mut jobs = Jobs::new();
+    committed(&mut jobs, submit("j", 1));
+    let results = vec![result(0, ResultState::DeadLetter, "")];
+    let payload = committed(&mut jobs, Entry::Results(vec![JobResults { job: job("j"), results }]));
+    assert_eq!(texts(&jobs, "j").len(), 1);
+    assert!(is_released(&payload));
+}
+
+/// Unfinished texts grow piece by piece, so they are the jobs' own.
+#[test]
+fn progress_keeps_nothing() {
+    let mut jobs = Jobs::new();
+    committed(&mut jobs, submit("j", 1));
+    let events = Some(EventsPiece { after: None, last: 1, text: "begun".into() });
+    let progress = ItemProgress { job: job("j"), item: ItemIndex(0), failed_attempts: 1, events };
+    assert!(is_released(&committed(&mut jobs, Entry::Progress(vec![progress]))));
+}
+
+#[test]
+fn a_run_holds_the_body_as_long_as_it_is_under_way() {
+    let mut jobs = Jobs::new();
+    let submission = committed(&mut jobs, submit("j", 1));
+    let mut runner = Runner::new(7);
+    runner.begin(&jobs, at(0), 0);
+    let order = runner.next_item(&jobs, at(0), &any_room).expect("it may run");
+    assert!(lies_in(&order.body, &submission));
+    committed(&mut jobs, complete("j", 0, "text"));
+    assert!(!is_released(&submission));
+    drop(order);
+    assert!(is_released(&submission));
+}
+
+#[test]
+fn jobs_from_a_snapshot_lie_in_it_alone() {
+    let mut jobs = Jobs::new();
+    let submission = committed(&mut jobs, submit("j", 2));
+    let results = committed(&mut jobs, complete("j", 0, "a text"));
+    let snapshot: Arc<[u8]> = jobs.to_snapshot().into();
+    let restored = Jobs::from_shared_snapshot(&SharedBytes::from(snapshot.clone())).expect("whole");
+    assert_eq!(restored, jobs);
+    jobs = restored;
+    assert!(is_released(&submission) && is_released(&results));
+    assert!(lies_in(jobs.item_body(&job("j"), "j-1").expect("it waits"), &snapshot));
+    let page = jobs.read(&job("j"), 0, MAX_PAGE_BYTES).expect("the job is known");
+    assert!(lies_in(page.results[0].text().as_bytes(), &snapshot));
+    jobs.apply(Entry::Ended { job: job("j") });
+    jobs.apply(Entry::Forget { jobs: vec![job("j")] });
+    assert!(is_released(&snapshot));
+}
+
+#[test]
+fn a_snapshot_is_written_behind_what_is_there() {
+    let mut jobs = Jobs::new();
+    jobs.apply(submit("j", 2));
+    let mut bytes = vec![7];
+    jobs.write_snapshot(&mut bytes);
+    assert_eq!(bytes, [&[7][..], &jobs.to_snapshot()].concat());
+}
+
+#[test]
+fn pieces_lie_within_their_bytes() {
+    let bytes = SharedBytes::from(&b"0123456789"[..]);
+    let inner = bytes.slice(2..8).expect("it holds it");
+    assert_eq!(inner.as_slice(), b"234567");
+    assert_eq!(inner.slice(1..6).expect("it holds it").as_slice(), b"34567");
+    assert_eq!(inner.slice(1..7), None, "the buffer goes on, the piece doesn't");
+    #[expect(clippy::reversed_empty_ranges)]
+    let reversed = inner.slice(3..2);
+    assert_eq!(reversed, None);
+    assert_eq!(inner.skip(4).as_slice(), b"67");
+    assert!(inner.skip(6).is_empty() && inner.skip(7).is_empty());
+    assert_eq!(inner, SharedBytes::from(b"234567".to_vec()), "equal by what they hold");
+}
+
+#[test]
+fn text_is_checked_when_it_is_made() {
+    assert!(SharedText::new(SharedBytes::from(&b"\xc3"[..])).is_err());
+    let text = SharedText::new(SharedBytes::from("aé".as_bytes())).expect("text");
+    assert_eq!((text.as_str(), text.len()), ("aé", 3));
+    let cut = SharedBytes::from("aé".as_bytes()).slice(0..2).expect("it holds it");
+    assert!(SharedText::new(cut).is_err(), "cut within a character");
+}
--- a/crates/archive/tests/batches/storm.rs
+++ b/crates/archive/tests/batches/storm.rs
@@ -188,7 +188,7 @@
         let replica = &mut self.replicas[self.owner];
         while self.runs.len() < 8 + room {
             let Some(order) = replica.runner.next_item(&replica.jobs, self.now, &any_room) else { break };
-            assert_eq!(order.body, format!("body of {}", order.attempt_id).into_bytes());
+            assert_eq!(order.body.as_slice(), format!("body of {}", order.attempt_id).as_bytes());
             assert!(!replica.jobs.has_ended(&order.job), "UNASKED");
             let next = order.last_event_id.map_or(0, |last| last + 1);
             self.runs.push(Run { order, next, has_gap: false });
--- a/crates/archive/tests/batches/submission.rs
+++ b/crates/archive/tests/batches/submission.rs
@@ -47,14 +47,14 @@
         (first.id.as_str(), first.path.as_str(), first.token_count),
         ("e5b2", "/lots/3/91c4?x=1", 940)
     );
-    assert_eq!(first.body, [0xab, 0xcd, 0xef, 0x12, 0x34, 0x56, 0x78, 0x90]);
+    assert_eq!(first.body.as_slice(), [0xab, 0xcd, 0xef, 0x12, 0x34, 0x56, 0x78, 0x90]);
     let header = |name: &str, value: &str| Header { name: name.into(), value: value.into() };
     assert_eq!(
         first.headers,
         [header("X-A", "é"), header("X-B", "2 3")],
         "connection's headers are left out"
     );
-    assert_eq!(submission.items[1].body, b"");
+    assert_eq!(submission.items[1].body.as_slice(), b"");
     assert_eq!(submission.tokens(), 940);
 }
 
@@ -215,7 +215,7 @@
     ) {
         let mut submission = submission("j", bodies.len());
         for (item, body) in submission.items.iter_mut().zip(bodies) {
-            item.body = body;
+            item.body = body.into();
             item.token_count = tokens;
         }
         let bytes = submission.serialize_bin();
--- a/crates/quorum/src/blob.rs
+++ b/crates/quorum/src/blob.rs
@@ -6,7 +6,8 @@
 
 use crate::ids::short;
 
-/// Shared bytes: cheap to clone from the log into messages, writes and the application.
+/// Shared bytes: cheap to clone from the log into messages, writes and the application, which may keep them as they are
+/// (`Arc::from`) and so hold them once together with the log.
 #[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Blob(Arc<[u8]>);
 
@@ -45,6 +46,18 @@
     }
 }
 
+impl From<Arc<[u8]>> for Blob {
+    fn from(bytes: Arc<[u8]>) -> Blob {
+        Blob(bytes)
+    }
+}
+
+impl From<Blob> for Arc<[u8]> {
+    fn from(blob: Blob) -> Arc<[u8]> {
+        blob.0
+    }
+}
+
 impl AsRef<[u8]> for Blob {
     fn as_ref(&self) -> &[u8] {
         &self.0
--- a/crates/quorum/tests/codec.rs
+++ b/crates/quorum/tests/codec.rs
@@ -226,3 +226,14 @@
     let far = Message { term: Term(u64::MAX), ..message };
     assert!(matches!(decode(&encode(&far)), Err(DecodeError::Implausible)));
 }
+
+/// Memory: the application keeps the bytes of an entry as they are, and not a copy.
+#[test]
+fn a_blob_and_its_shared_bytes_are_one() {
+    let bytes: std::sync::Arc<[u8]> = vec![1, 2, 3].into();
+    let blob = Blob::from(bytes.clone());
+    assert_eq!(std::sync::Arc::strong_count(&bytes), 2);
+    let again = std::sync::Arc::<[u8]>::from(blob.clone());
+    assert!(std::sync::Arc::ptr_eq(&again, &bytes));
+    assert_eq!(blob.as_slice(), [1, 2, 3]);
+}
--- a/crates/tier/src/batch_part.rs
+++ b/crates/tier/src/batch_part.rs
@@ -5,12 +5,16 @@
 use crate::parts::{Application, Waiter, class_of_part};
 use crate::timers::Timer;
 use grebeusher_archive::{
-    Admission, Applied, Entry, JobId, JobTerms, Jobs, MAX_PAGE_BYTES, Owner, Runner, Submission,
+    Admission, Applied, Entry, JobId, JobTerms, Jobs, MAX_PAGE_BYTES, Owner, Runner, SharedBytes,
+    SnapshotError, Submission,
 };
+use grebeusher_quorum::Blob;
 use grebeusher_registry::MemberState;
 use grebeusher_time::{Moment, Span};
-use nanoserde::{DeBin, SerBin};
+use nanoserde::{DeBin, DeBinErr, SerBin};
+use snafu::{OptionExt, ResultExt, Snafu};
 use std::collections::BTreeSet;
+use std::sync::Arc;
 
 /// The tag of an entry of the jobs' state machine.
 const JOBS_ENTRY: u8 = 1;
@@ -38,10 +42,24 @@
     under_way: Vec<(JobId, Waiter)>,
 }
 
-#[derive(SerBin, DeBin)]
-struct Snapshot {
-    jobs: Vec<u8>,
-    retiring: Vec<String>,
+/// Why a part's snapshot can't be taken over.
+#[derive(Debug, Snafu)]
+pub enum RestoreError {
+    /// The frame is malformed.
+    #[snafu(display("the snapshot's frame is malformed"))]
+    Frame {
+        /// Where.
+        source: DeBinErr,
+    },
+    /// The frame says that there are more bytes than there are.
+    #[snafu(display("the snapshot is cut off"))]
+    CutOff,
+    /// The jobs can't be read.
+    #[snafu(display("the jobs: {source}"))]
+    Jobs {
+        /// Why.
+        source: SnapshotError,
+    },
 }
 
 impl BatchPart {
@@ -58,10 +76,34 @@
         }
     }
 
-    /// The whole state.
+    /// The whole state: the length of the jobs' snapshot, that snapshot, the names of nodes that are to be emptied. It is
+    /// written in one piece, as a second copy of all jobs would count at the peak of memory.
     pub fn snapshot(&self) -> Vec<u8> {
-        let retiring = self.retiring.iter().cloned().collect();
-        SerBin::serialize_bin(&Snapshot { jobs: self.jobs.to_snapshot(), retiring })
+        let mut bytes = Vec::with_capacity(self.jobs.cost());
+        0usize.ser_bin(&mut bytes);
+        let start = bytes.len();
+        self.jobs.write_snapshot(&mut bytes);
+        let length = (bytes.len() - start).serialize_bin();
+        bytes[..start].copy_from_slice(&length);
+        let retiring: Vec<String> = self.retiring.iter().cloned().collect();
+        retiring.ser_bin(&mut bytes);
+        bytes
+    }
+
+    /// Takes over a state that [`BatchPart::snapshot`] wrote. Bodies and texts are not copied: the jobs go on referring
+    /// to the bytes, and to nothing that they referred to before.
+    ///
+    /// # Errors
+    /// The bytes are no whole state; the part is as it was.
+    pub fn restore(&mut self, bytes: &SharedBytes) -> Result<(), RestoreError> {
+        let mut offset = 0;
+        let length = usize::de_bin(&mut offset, bytes).context(FrameSnafu)?;
+        let mut end = offset.checked_add(length).context(CutOffSnafu)?;
+        let jobs = bytes.slice(offset..end).context(CutOffSnafu)?;
+        let retiring: Vec<String> = DeBin::de_bin(&mut end, bytes).context(FrameSnafu)?;
+        self.jobs = Jobs::from_shared_snapshot(&jobs).context(JobsSnafu)?;
+        self.retiring = retiring.into_iter().collect();
+        Ok(())
     }
 
     /// The jobs.
@@ -75,6 +117,11 @@
     }
 }
 
+/// Bytes of the log, as the jobs may go on referring to them.
+pub(crate) fn shared(blob: Blob) -> SharedBytes {
+    SharedBytes::from(Arc::from(blob))
+}
+
 fn jobs_entry(entry: &Entry) -> Vec<u8> {
     let mut bytes = vec![JOBS_ENTRY];
     entry.ser_bin(&mut bytes);
@@ -90,14 +137,11 @@
         }
     }
 
-    pub(crate) fn restore_batch(&mut self, place: usize, bytes: &[u8]) -> Result<(), RunError> {
+    pub(crate) fn restore_batch(&mut self, place: usize, bytes: Blob) -> Result<(), RunError> {
         let (now, number) = (self.now, self.parts[place].part);
         let unreadable = |reason: String| RunError::State { part: number, reason };
-        let snapshot = <Snapshot as DeBin>::deserialize_bin(bytes).map_err(|e| unreadable(e.to_string()))?;
-        let jobs = Jobs::from_snapshot(&snapshot.jobs).map_err(|e| unreadable(e.to_string()))?;
         if let Some(part) = self.batch_mut(place) {
-            part.jobs = jobs;
-            part.retiring = snapshot.retiring.into_iter().collect();
+            part.restore(&shared(bytes)).map_err(|e| unreadable(e.to_string()))?;
             part.runner.adopt(&part.jobs, now);
         }
         Ok(())
@@ -106,14 +150,15 @@
     pub(crate) fn apply_batch(
         &mut self,
         place: usize,
-        bytes: &[u8],
+        payload: Blob,
         waiters: Vec<Waiter>,
     ) -> Result<(), RunError> {
         let (now, number) = (self.now, self.parts[place].part);
         let unreadable = |reason: String| RunError::State { part: number, reason };
-        let status = match bytes.split_first() {
-            Some((&JOBS_ENTRY, rest)) => {
-                let entry = <Entry as DeBin>::deserialize_bin(rest).map_err(|e| unreadable(e.to_string()))?;
+        let payload = shared(payload);
+        let status = match payload.split_first() {
+            Some((&JOBS_ENTRY, _)) => {
+                let entry = Entry::from_shared(&payload.skip(1)).map_err(|e| unreadable(e.to_string()))?;
                 let Some(part) = self.batch_mut(place) else { return Ok(()) };
                 let applied = part.jobs.apply(entry);
                 part.owner.applied(&applied);
--- a/crates/tier/src/parts.rs
+++ b/crates/tier/src/parts.rs
@@ -1,13 +1,13 @@
 //! The replicas of parts that this node holds: their disk, their messages, their applications, and the care of their groups.
 
-use crate::batch_part::BatchPart;
+use crate::batch_part::{BatchPart, shared};
 use crate::configuration_part::ConfigurationPart;
 use crate::io::{PartStore, World};
 use crate::messages::{Channel, QuorumEnvelope, Reply};
 use crate::node::{Node, RunError};
 use crate::placement::{Candidate, best_joiner};
 use crate::timers::Timer;
-use grebeusher_quorum::{Index, Replica, ReplicaId, Term, Timing};
+use grebeusher_quorum::{Blob, Index, Replica, ReplicaId, Term, Timing, Write};
 use grebeusher_registry::{Class, MemberState};
 use grebeusher_time::{Moment, Span};
 use nanoserde::{DeBin, SerBin};
@@ -102,6 +102,21 @@
         self.owns
     }
 
+    /// Lets the application refer to the snapshot of it that was just written, in the stead of the entries that it replaces:
+    /// otherwise these stayed in memory for the texts in them, beside a snapshot with the same texts. A snapshot of
+    /// another state than the application's, which came from the owner, is loaded later and not here.
+    fn refer_to_snapshot(&mut self, writes: &[Write]) {
+        let Application::Batch(batch) = &mut self.application else { return };
+        let of_this_state = writes.iter().find_map(|write| match write {
+            Write::Snapshot { snapshot, .. } if snapshot.last.index == self.applied => Some(&snapshot.bytes),
+            _ => None,
+        });
+        let Some(snapshot) = of_this_state else { return };
+        if let Err(error) = batch.restore(&shared(snapshot.clone())) {
+            warn!("part {}: its own snapshot can't be read: {error}", self.part);
+        }
+    }
+
     /// Proposes an entry whose commit answers a call.
     pub fn propose(&mut self, now: Moment, entry: Vec<u8>, waiter: Option<Waiter>) -> Option<Index> {
         let index = self.replica.propose(now, entry).ok()?;
@@ -147,6 +162,7 @@
             let host = &mut self.parts[place];
             let disk = |source| RunError::Disk { part, source };
             host.store.write(&ready.writes).map_err(disk)?;
+            host.refer_to_snapshot(&ready.writes);
             if ready.must_sync {
                 // What was already put on links for other parts need not wait for this disk.
                 host.store.sync().map_err(disk)?;
@@ -156,7 +172,7 @@
                 self.send_quorum(part, to, &message);
             }
             if let Some(restore) = ready.restore {
-                self.restore_part(place, restore.bytes.as_slice())?;
+                self.restore_part(place, restore.bytes)?;
                 self.parts[place].applied = restore.index;
             }
             for committed in ready.committed {
@@ -170,7 +186,7 @@
                     }
                     None => Vec::new(),
                 };
-                self.apply_to_part(place, committed.payload.as_slice(), waiters)?;
+                self.apply_to_part(place, committed.payload, waiters)?;
             }
             self.parts[place].applied = self.parts[place].applied.max(ready.applied);
             self.compact_part(place);
@@ -206,16 +222,16 @@
         }
     }
 
-    fn restore_part(&mut self, place: usize, bytes: &[u8]) -> Result<(), RunError> {
+    fn restore_part(&mut self, place: usize, bytes: Blob) -> Result<(), RunError> {
         match self.parts[place].application {
-            Application::Configuration(_) => self.restore_configuration(place, bytes),
+            Application::Configuration(_) => self.restore_configuration(place, bytes.as_slice()),
             Application::Batch(_) => self.restore_batch(place, bytes),
         }
     }
 
-    fn apply_to_part(&mut self, place: usize, entry: &[u8], waiters: Vec<Waiter>) -> Result<(), RunError> {
+    fn apply_to_part(&mut self, place: usize, entry: Blob, waiters: Vec<Waiter>) -> Result<(), RunError> {
         match self.parts[place].application {
-            Application::Configuration(_) => self.apply_configuration(place, entry, waiters),
+            Application::Configuration(_) => self.apply_configuration(place, entry.as_slice(), waiters),
             Application::Batch(_) => self.apply_batch(place, entry, waiters),
         }
     }
--- a/crates/tier/src/socket.rs
+++ b/crates/tier/src/socket.rs
@@ -7,10 +7,10 @@
 
 /// How much one turn of the loop reads from one connection, so that others have theirs.
 const MOST_READ_AT_ONCE: usize = 256 * 1024;
-/// The step by which a read grows the buffer.
+/// The most that one read takes. It goes to the stack first, so that a connection's buffer is only as large as what came.
 const READ_STEP: usize = 16 * 1024;
-/// An empty buffer keeps no more than this.
-const KEPT_CAPACITY: usize = 16 * 1024;
+/// An empty buffer keeps no more than this: most connections are idle at any time, and most heads are shorter.
+const KEPT_CAPACITY: usize = 2 * 1024;
 
 /// What a read found.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -83,14 +83,12 @@
     /// Reads what there is, up to a bound for one turn.
     pub fn read(&mut self) -> io::Result<Reading> {
         let mut bytes = 0;
+        let mut piece = [0; READ_STEP];
         while bytes < MOST_READ_AT_ONCE {
-            let filled = self.input.len();
-            self.input.resize(filled + READ_STEP, 0);
-            let read = self.stream.read(&mut self.input[filled..]);
-            self.input.truncate(filled + *read.as_ref().unwrap_or(&0));
-            match read {
+            match self.stream.read(&mut piece) {
                 Ok(0) => return Ok(Reading::Ended { bytes }),
                 Ok(count) => {
+                    self.input.extend_from_slice(&piece[..count]);
                     bytes += count;
                     if count < READ_STEP {
                         break;
--- a/crates/tier/src/start.rs
+++ b/crates/tier/src/start.rs
@@ -22,7 +22,16 @@
 /// The log of the configuration is written anew beyond this (bytes).
 const CONFIGURATION_LOG: usize = 2 * 1024 * 1024;
 /// The share of a disk that the log of one part may take before it is written anew.
+///
+/// The jobs refer to the entries in memory, so beside the log they cost next to nothing, and what a long log costs in excess
+/// are the bodies of items that are done: about a third of it, as texts are the longer ones and are kept for readers. A
+/// snapshot is a copy of all that is kept. While it is made it stands beside the log, and once more on its way to the disk:
+/// at that moment the part takes the log and two or three times the texts, and is smaller only after it. So at its peak
+/// a part takes least if the log is written anew as late as the disk and the memory bear, and the bound is no lower.
 const BATCH_LOG_SHARE: usize = 12;
+/// The share of the memory that the log of one part may take before it is written anew, where the disk would bear more.
+/// Three logs leave half of the memory, in which one of them after another can be written anew.
+const BATCH_LOG_MEMORY_SHARE: usize = 6;
 /// The share of the memory that the jobs of one part may take.
 const JOBS_MEMORY_SHARE: usize = 4;
 
@@ -161,6 +170,11 @@
     }
 }
 
+/// The bytes of a batch part's log beyond which it is written anew.
+fn batch_log_bytes(disk: usize, memory: usize) -> usize {
+    (disk / BATCH_LOG_SHARE).min(memory / BATCH_LOG_MEMORY_SHARE)
+}
+
 fn open_parts(
     settings: &Settings,
     world: &dyn World,
@@ -180,7 +194,7 @@
             (Application::Configuration(ConfigurationPart::default()), CONFIGURATION_LOG)
         } else {
             let jobs = BatchPart::new(memory / JOBS_MEMORY_SHARE, seed);
-            (Application::Batch(Box::new(jobs)), disk / BATCH_LOG_SHARE)
+            (Application::Batch(Box::new(jobs)), batch_log_bytes(disk, memory))
         };
         parts.push(PartHost::open(world, data, part, identity.id, application, compact_at, seed)?);
     }
--- /dev/null
+++ b/crates/tier/tests/batch_part.rs
@@ -0,0 +1,79 @@
+//! The state of a batch part in bytes: the form on disks stays, and what is restored refers to the bytes.
+
+use grebeusher_archive::{
+    Entry, Header, ItemSpec, JobId, JobTerms, Jobs, MAX_PAGE_BYTES, SharedBytes, Submission,
+};
+use grebeusher_tier::batch_part::{BatchPart, RestoreError};
+use nanoserde::SerBin;
+use std::sync::Arc;
+
+/// The frame as it was first written to disks.
+#[derive(SerBin)]
+struct Frame {
+    jobs: Vec<u8>,
+    retiring: Vec<String>,
+}
+
+fn jobs() -> Jobs {
+    let item = ItemSpec {
+        id: "a".into(),
+        path: "/lots/a".into(),
+        headers: vec![Header { name: "Accept".into(), value: "text/plain".into() }],
+        body: b"what is asked".to_vec().into(),
+        token_count: 30,
+    };
+    let submission = Submission {
+        job: JobId::new("j").expect("a name"),
+        route: "lots".into(),
+        service: "models".into(),
+        host: "lots.example".into(),
+        items: vec![item],
+    };
+    let mut jobs = Jobs::new();
+    jobs.apply(Entry::Submit { submission, terms: JobTerms::default() });
+    jobs
+}
+
+fn frame(jobs: &Jobs) -> Arc<[u8]> {
+    let frame = Frame { jobs: jobs.to_snapshot(), retiring: vec!["node-1".into(), "node-2".into()] };
+    frame.serialize_bin().into()
+}
+
+#[test]
+fn a_state_from_the_disk_is_taken_over_and_written_alike() {
+    let bytes = frame(&jobs());
+    let mut part = BatchPart::new(1 << 20, 1);
+    part.restore(&SharedBytes::from(bytes.clone())).expect("whole");
+    assert_eq!(part.jobs(), &jobs());
+    assert_eq!(part.snapshot(), bytes.to_vec());
+    let empty = Frame { jobs: Jobs::new().to_snapshot(), retiring: Vec::new() };
+    assert_eq!(BatchPart::new(1 << 20, 1).snapshot(), empty.serialize_bin());
+}
+
+#[test]
+fn a_restored_state_refers_to_the_bytes_and_to_no_earlier_ones() {
+    let (first, second) = (frame(&jobs()), frame(&jobs()));
+    let mut part = BatchPart::new(1 << 20, 1);
+    part.restore(&SharedBytes::from(first.clone())).expect("whole");
+    assert!(Arc::strong_count(&first) > 1);
+    part.restore(&SharedBytes::from(second.clone())).expect("whole");
+    assert_eq!(Arc::strong_count(&first), 1);
+    assert!(Arc::strong_count(&second) > 1);
+    let job = JobId::new("j").expect("a name");
+    assert_eq!(part.jobs().item_body(&job, "a"), Some(&b"what is asked"[..]));
+    assert_eq!(part.jobs().read(&job, 0, MAX_PAGE_BYTES).map(|page| page.total), Some(1));
+}
+
+#[test]
+fn a_state_that_is_cut_off_or_lies_about_its_length_is_refused_and_changes_nothing() {
+    let bytes = frame(&jobs());
+    let mut part = BatchPart::new(1 << 20, 1);
+    part.restore(&SharedBytes::from(bytes.clone())).expect("whole");
+    for end in 0..bytes.len() {
+        assert!(part.restore(&SharedBytes::from(&bytes[..end])).is_err(), "cut at {end}");
+    }
+    let mut long = bytes.to_vec();
+    long[..8].copy_from_slice(&u64::MAX.to_le_bytes());
+    assert!(matches!(part.restore(&SharedBytes::from(long)), Err(RestoreError::CutOff)));
+    assert_eq!(part.jobs(), &jobs());
+}
