--- a/crates/archive/src/runner/item.rs
+++ b/crates/archive/src/runner/item.rs
@@ -9,6 +9,9 @@
 pub const MAX_TEXT_BYTES: usize = 480_000;
 /// Runs in a row that don't follow on the last event, after which the item begins anew from the first.
 const MAX_MISFITS: u32 = 2;
+/// A text that is full grows by one part in so many, or by the event if that is more. Doubling would leave a half of many
+/// texts empty, and there are as many as items that run.
+const GROWTH_SHARE: usize = 8;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Phase {
@@ -70,6 +73,10 @@
         if !is_next || self.text.len() + data.len() >= MAX_TEXT_BYTES {
             return false;
         }
+        let needed = data.len() + usize::from(self.last_event.is_some());
+        if self.text.capacity() - self.text.len() < needed {
+            self.text.reserve_exact(needed.max(self.text.len() / GROWTH_SHARE));
+        }
         if self.last_event.is_some() {
             self.text.push('\n');
         }
--- a/crates/tier/src/socket.rs
+++ b/crates/tier/src/socket.rs
@@ -9,8 +9,6 @@
 const MOST_READ_AT_ONCE: usize = 256 * 1024;
 /// The most that one read takes. It goes to the stack first, so that a connection's buffer is only as large as what came.
 const READ_STEP: usize = 16 * 1024;
-/// An empty buffer keeps no more than this: most connections are idle at any time, and most heads are shorter.
-const KEPT_CAPACITY: usize = 2 * 1024;
 
 /// What a read found.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -21,7 +19,8 @@
     Ended { bytes: usize },
 }
 
-/// A non-blocking connection.
+/// A non-blocking connection. Its buffers take no memory while they are empty: connections are many, and most of them wait
+/// at any time.
 pub struct Socket {
     stream: Box<dyn Stream>,
     input: Vec<u8>,
@@ -110,8 +109,8 @@
     /// The first `count` bytes of the input are done with.
     pub fn consume(&mut self, count: usize) {
         self.input.drain(..count);
-        if self.input.is_empty() && self.input.capacity() > KEPT_CAPACITY {
-            self.input.shrink_to(KEPT_CAPACITY);
+        if self.input.is_empty() {
+            self.input = Vec::new();
         }
     }
 
@@ -123,11 +122,10 @@
     /// Gives back what `take_input` took, less what is done with.
     pub fn restore_input(&mut self, mut bytes: Vec<u8>, consumed: usize) {
         debug_assert!(self.input.is_empty());
-        bytes.drain(..consumed);
-        if bytes.is_empty() && bytes.capacity() > KEPT_CAPACITY {
-            bytes.shrink_to(KEPT_CAPACITY);
+        if consumed < bytes.len() {
+            bytes.drain(..consumed);
+            self.input = bytes;
         }
-        self.input = bytes;
     }
 
     /// Puts bytes behind what waits to be written; nothing is written yet.
@@ -155,11 +153,8 @@
             }
         }
         if self.written == self.output.len() {
-            self.output.clear();
+            self.output = Vec::new();
             self.written = 0;
-            if self.output.capacity() > KEPT_CAPACITY {
-                self.output.shrink_to(KEPT_CAPACITY);
-            }
         } else if self.written > MOST_READ_AT_ONCE {
             self.output.drain(..self.written);
             self.written = 0;
