--- a/crates/simulation/src/clients.rs
+++ b/crates/simulation/src/clients.rs
@@ -124,6 +124,8 @@
     hosts: Vec<usize>,
     traffic: Traffic,
     times: f64,
+    /// Batch jobs that were accepted: the hosts of the nodes that said so.
+    pub taken: Vec<usize>,
     /// When new requests end.
     until: Moment,
     tasks: BTreeMap<u64, Task>,
@@ -139,6 +141,7 @@
             hosts,
             traffic,
             times: 1.0,
+            taken: Vec::new(),
             until,
             tasks: BTreeMap::new(),
             ends: BTreeMap::new(),
@@ -557,6 +560,7 @@
                 job.accepted = true;
                 job.state = JobState::Reading;
                 stage.judge.job_accepted(&job.id, now);
+                self.taken.push(job.host);
                 wake(stage, now + READ_EVERY, AGAIN, number);
             }
             (JobCall::Submit, 429 | 503) => {
--- a/crates/simulation/src/fleet.rs
+++ b/crates/simulation/src/fleet.rs
@@ -6,7 +6,7 @@
 use crate::hub::{Cut, Happening, Hub, Owner, SharedHub};
 use crate::judge::{Bounds, Breach, Counts, Judge, Rule};
 use crate::operators::{Change, Operators, Wrong};
-use crate::scenario::{Closing, Fault, On, Scenario, Timed, WrongKind};
+use crate::scenario::{Closing, Fault, On, Scenario, Timed, When, WrongKind};
 use crate::stage::{CONTROL_PORT, Class, FRONTEND_PORT, INTERNAL_PORT, Machine, READINESS_PORT, Stage};
 use crate::world::{ProcessWorld, SharedDisk};
 use grebeusher_catalog::settings::Settings;
@@ -98,11 +98,14 @@
     steps: Vec<Step>,
     seeds: Vec<SocketAddrV4>,
     armed: Vec<Armed>,
+    armed_for_jobs: Vec<Armed>,
+    taken: usize,
     acknowledged: usize,
     emptied: usize,
     next_executor: usize,
     cuts: usize,
     closing: Option<(Moment, Moment)>,
+    closing_after: Span,
     over: bool,
     trace: Vec<String>,
     turns: u64,
@@ -151,11 +154,14 @@
             steps: Vec::new(),
             seeds: Vec::new(),
             armed: Vec::new(),
+            armed_for_jobs: Vec::new(),
+            taken: 0,
             acknowledged: 0,
             emptied: 0,
             next_executor: 0,
             cuts: 0,
             closing: None,
+            closing_after: Span(0),
             over: false,
             trace: Vec::new(),
             turns: 0,
@@ -212,7 +218,7 @@
         let ip = Ipv4Addr::new(10, 1 + zone as u8, 0, 10 + number as u8);
         let mut hub = self.hub.borrow_mut();
         let host = hub.add_host(ip, zone, Span(0));
-        let wall_offset_ms = hub.random.random_range(-40..40);
+        let wall_offset_ms = hub.random.random_range(-1500..1500);
         drop(hub);
         let kind = if class == Class::Edge { "edge" } else { "storage" };
         self.machines.push(Machine {
@@ -576,6 +582,9 @@
             Step::LastChange => {
                 self.stage(|actors, stage| actors.operators.change(Change::Valid, stage));
                 self.acknowledged = self.operators.acknowledged.len();
+                self.taken = self.clients.taken.len();
+                let after = self.hub.borrow_mut().random.random_range(5..400);
+                self.closing_after = Span::millis(after);
                 self.later(Span::millis(2), Step::Closing { armed: now });
             }
             Step::Closing { armed } => self.closing_step(armed),
@@ -694,6 +703,10 @@
                 self.armed.push(Armed { after, wipe, for_s });
                 self.stage(|actors, stage| actors.operators.change(Change::Valid, stage));
             }
+            Fault::AfterTakenKill { after_ms, for_s } => {
+                let after = Span::secs(after_ms / 1000.0);
+                self.armed_for_jobs.push(Armed { after, wipe: false, for_s });
+            }
             Fault::DiskSlow { on, times, for_s } => {
                 let Some(machine) = self.pick(if on == On::Edge { On::Core } else { on }, false) else {
                     return;
@@ -955,6 +968,14 @@
                 self.hardware[machine].disk.borrow_mut().wipe();
             }
         }
+        if self.closing.is_none() && self.clients.taken.len() > self.taken {
+            self.taken = self.clients.taken.len();
+            let host = self.clients.taken[self.taken - 1];
+            if !self.armed_for_jobs.is_empty() {
+                let armed = self.armed_for_jobs.remove(0);
+                self.arm(armed, host);
+            }
+        }
         if self.closing.is_some() || self.operators.acknowledged.len() == self.acknowledged {
             return;
         }
@@ -965,6 +986,10 @@
             return;
         }
         let armed = self.armed.remove(0);
+        self.arm(armed, host);
+    }
+
+    fn arm(&mut self, armed: Armed, host: usize) {
         let Some(machine) = self.machines.iter().position(|machine| machine.host == host) else { return };
         if self.may_lose(machine, armed.for_s) {
             self.later(armed.after, Step::Strike { machine, wipe: armed.wipe, for_s: armed.for_s });
@@ -974,11 +999,15 @@
     /// The final fault, as soon as the last change is acknowledged, or some seconds later.
     fn closing_step(&mut self, armed: Moment) {
         let now = self.now();
-        let acknowledged = self.operators.acknowledged.len() > self.acknowledged;
+        let struck = match self.scenario.closing_when {
+            When::Acknowledged => self.operators.acknowledged.len() > self.acknowledged,
+            When::Taken => self.clients.taken.len() > self.taken,
+            When::Timed => now.since(armed) >= self.closing_after,
+        };
         // Until then all that were lost have come back, and are whole.
         let whole = self.lost() == 0;
         let waited = now.since(armed);
-        if !((acknowledged && whole) || waited > Span::millis(9000)) {
+        if !((struck && whole) || waited > Span::millis(9000)) {
             return self.later(Span::millis(1), Step::Closing { armed });
         }
         let Some(closing) = self.scenario.closing else { return };
--- a/crates/simulation/src/scenario.rs
+++ b/crates/simulation/src/scenario.rs
@@ -21,6 +21,9 @@
     /// The final fault.
     #[serde(default)]
     pub closing: Option<Closing>,
+    /// What the final fault waits for.
+    #[serde(default)]
+    pub closing_when: When,
     /// Faults of the machines that no machine should have, to show that they are found.
     #[serde(default)]
     pub broken: Broken,
@@ -148,8 +151,10 @@
     AddNode { on: On },
     /// A machine is gone for good; an empty one comes later at another address.
     Replace { on: On, after_s: f64, planned: bool },
-    /// The machine that acknowledges the next change loses power right after.
+    /// A machine loses power right after it has acknowledged the next change.
     AfterAckKill { after_ms: f64, wipe: bool, for_s: f64 },
+    /// A machine loses power right after it has accepted a batch job.
+    AfterTakenKill { after_ms: f64, for_s: f64 },
     /// A disk takes longer.
     DiskSlow { on: On, times: f64, for_s: f64 },
     /// A counted machine is cut off from the other counted ones.
@@ -192,6 +197,19 @@
     WipeSomePowerOffAll,
 }
 
+/// What a final fault waits for.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum When {
+    /// A change was acknowledged.
+    #[default]
+    Acknowledged,
+    /// A batch job was accepted.
+    Taken,
+    /// A change was sent some time ago, acknowledged or not.
+    Timed,
+}
+
 /// What is taken out, to show that the rules notice.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
--- a/crates/simulation/src/storm.rs
+++ b/crates/simulation/src/storm.rs
@@ -1,7 +1,7 @@
 //! Storms: faults drawn from a seed, and the smallest part of them that still breaks a rule.
 
 use crate::fleet::{Report, run};
-use crate::scenario::{Closing, Fault, On, Scenario, Timed, WrongKind};
+use crate::scenario::{Closing, Fault, On, Scenario, Timed, When, WrongKind};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
 
@@ -22,6 +22,18 @@
         let at_s = (random.random_range(0.3..length * 0.8) * 1000.0f64).round() / 1000.0;
         scenario.faults.push(Timed { at_s, fault: fault(&mut random, zones) });
     }
+    // Changes, races and drains meet the troubles.
+    let meets = random.random_range(0..6);
+    for _ in 0..meets {
+        let near = scenario.faults[random.random_range(0..count)].at_s;
+        let at_s = ((near + random.random_range(0.0..3.0)) * 1000.0f64).round() / 1000.0;
+        let fault = match random.random_range(0..5) {
+            0 => Fault::Release { share: 0.2, gap_s: 0.3 },
+            1 => Fault::ConfigRace,
+            _ => Fault::ConfigChange,
+        };
+        scenario.faults.push(Timed { at_s, fault });
+    }
     scenario.faults.sort_by(|one, other| one.at_s.total_cmp(&other.at_s));
     if scenario.closing.is_none() && random.random_bool(0.5) {
         scenario.closing = Some(match random.random_range(0..4) {
@@ -30,6 +42,11 @@
             2 => Closing::WipeSome,
             _ => Closing::WipeSomePowerOffAll,
         });
+        scenario.closing_when = match random.random_range(0..3) {
+            0 => When::Acknowledged,
+            1 => When::Taken,
+            _ => When::Timed,
+        };
     }
     scenario
 }
@@ -45,7 +62,7 @@
 fn fault(random: &mut Pcg64, zones: usize) -> Fault {
     let for_s = (random.random_range(0.4..5.0) * 10.0f64).round() / 10.0;
     let leader = random.random_bool(0.5);
-    match random.random_range(0..21) {
+    match random.random_range(0..22) {
         0 => Fault::NodeKill { on: on(random), leader, power: false, wipe: false, for_s: 0.6 },
         1 => Fault::NodeKill { on: on(random), leader, power: true, wipe: false, for_s },
         2 => Fault::NodeKill { on: on(random), leader, power: true, wipe: true, for_s },
@@ -62,6 +79,7 @@
                 for_s,
             }
         }
+        20 => Fault::AfterTakenKill { after_ms: 1.0, for_s },
         9 => Fault::DiskSlow { on: on(random), times: 30.0, for_s },
         10 | 11 => {
             let (one_way, resets) = (random.random_bool(0.3), random.random_bool(0.3));
--- /dev/null
+++ b/crates/simulation/tests/lives.rs
@@ -0,0 +1,149 @@
+//! The lives that the design note tells, each in a whole fleet: given a fleet, when something happens, then what clients,
+//! executors and operators see.
+
+mod fleets;
+
+use fleets::{day_that_ends_with, day_with, expect_clean, expect_served, shape};
+use grebeusher_simulation::fleet::run;
+use grebeusher_simulation::scenario::{Closing, Fault, On, Timed, When, WrongKind};
+use rstest::rstest;
+
+#[test]
+fn a_calm_day_serves_everybody() {
+    // Given a fleet in which the operator only changes the configuration, when a day passes,
+    let report = day_with("four-zones", Fault::ConfigChange, 1);
+    // then all is served, and both versions were acknowledged.
+    expect_clean(&report);
+    expect_served(&report, 0.999);
+    assert_eq!(report.counts.acknowledged, 2);
+    assert!(report.counts.results > 10, "{:?}", report.counts);
+}
+
+#[rstest]
+#[case::all_lose_power(Closing::PowerOffAll)]
+#[case::all_are_killed(Closing::KillAll)]
+#[case::one_loses_its_disk(Closing::WipeSome)]
+#[case::one_loses_its_disk_and_all_others_power(Closing::WipeSomePowerOffAll)]
+fn configuration_and_jobs_outlive_a_final_fault(
+    #[case] closing: Closing,
+    #[values("four-zones", "five-cores")] name: &str,
+) {
+    // Given acknowledged changes and accepted jobs, when the final fault strikes right after one more change,
+    let report = day_that_ends_with(name, closing, 7);
+    // then all is read back, and service is back.
+    expect_clean(&report);
+    expect_served(&report, 0.5);
+    assert!(report.counts.acknowledged >= 2, "{:?}", report.counts);
+}
+
+#[rstest]
+#[case::taken(When::Taken)]
+#[case::timed(When::Timed)]
+fn a_job_outlives_a_loss_of_power_right_after_its_acceptance(#[case] when: When) {
+    // Given a fleet that has accepted jobs, when all lose power right after the last acceptance,
+    let mut scenario = shape("three-zones");
+    scenario.faults = vec![Timed { at_s: 1.0, fault: Fault::ConfigRace }];
+    scenario.closing = Some(Closing::PowerOffAll);
+    scenario.closing_when = when;
+    let report = run(&scenario, 11);
+    // then each job and each result that was read is read again.
+    expect_clean(&report);
+    assert!(report.counts.jobs > 3, "{:?}", report.counts);
+}
+
+#[test]
+fn executors_are_replaced_without_a_loss() {
+    // Given executors that each have an address that others may get later, when half of them are replaced in turn,
+    let report = day_with("three-zones", Fault::Release { share: 0.5, gap_s: 0.5 }, 3);
+    // then each was told that all know, and nothing reached one afterwards.
+    expect_clean(&report);
+    expect_served(&report, 0.99);
+    assert!(report.counts.drained >= 6, "{:?}", report.counts);
+}
+
+#[rstest]
+#[case::in_silence(true)]
+#[case::with_a_reset(false)]
+fn executors_crash(#[case] silent: bool) {
+    // Given executors at work, when some are gone from one moment to the next,
+    let report = day_with("four-zones", Fault::ExecutorCrash { share: 0.3, silent }, 5);
+    // then requests that may not run twice don't, and most are served.
+    expect_clean(&report);
+    expect_served(&report, 0.85);
+}
+
+#[rstest]
+#[case::lost(Fault::AnswerLost { x: 0.1, for_s: 4.0 })]
+#[case::cut(Fault::Garble { x: 0.1, surplus: false, for_s: 4.0 })]
+#[case::surplus(Fault::Garble { x: 0.1, surplus: true, for_s: 4.0 })]
+fn executors_lose_and_spoil_answers(#[case] fault: Fault) {
+    // Given executors that lie, when clients get answers, then none is another request's or half a one, and streams go on.
+    let report = day_with("four-zones", fault, 9);
+    expect_clean(&report);
+    expect_served(&report, 0.8);
+}
+
+#[rstest]
+#[case::process_of_the_owner(Fault::NodeKill { on: On::Core, leader: true, power: false, wipe: false, for_s: 0.6 })]
+#[case::power_of_the_owner(Fault::NodeKill { on: On::Core, leader: true, power: true, wipe: false, for_s: 3.0 })]
+#[case::disk_of_the_owner(Fault::NodeKill { on: On::Core, leader: true, power: true, wipe: true, for_s: 1.0 })]
+#[case::edge(Fault::NodeKill { on: On::Edge, leader: false, power: true, wipe: false, for_s: 2.0 })]
+#[case::store(Fault::NodeKill { on: On::Storage, leader: true, power: true, wipe: false, for_s: 2.0 })]
+#[case::disk_of_a_store(Fault::NodeKill { on: On::Storage, leader: true, power: true, wipe: true, for_s: 1.0 })]
+#[case::frozen_owner(Fault::NodeFreeze { on: On::Core, leader: true, for_s: 3.0 })]
+#[case::frozen_store(Fault::NodeFreeze { on: On::Storage, leader: true, for_s: 3.0 })]
+#[case::frozen_edge(Fault::NodeFreeze { on: On::Edge, leader: false, for_s: 3.0 })]
+#[case::terminated_in_turn(Fault::RollTerm { on: On::Edge, count: 4, gap_s: 1.0, remove: false })]
+#[case::stores_terminated(Fault::RollTerm { on: On::Storage, count: 2, gap_s: 1.0, remove: false })]
+#[case::removed(Fault::RollTerm { on: On::Edge, count: 1, gap_s: 1.0, remove: true })]
+#[case::added_edge(Fault::AddNode { on: On::Edge })]
+#[case::added_store(Fault::AddNode { on: On::Storage })]
+#[case::replaced(Fault::Replace { on: On::Core, after_s: 1.0, planned: false })]
+#[case::replaced_as_planned(Fault::Replace { on: On::Core, after_s: 1.0, planned: true })]
+#[case::replaced_store(Fault::Replace { on: On::Storage, after_s: 1.0, planned: false })]
+#[case::slow_disk(Fault::DiskSlow { on: On::Core, times: 30.0, for_s: 4.0 })]
+#[case::slow_disk_of_a_store(Fault::DiskSlow { on: On::Storage, times: 30.0, for_s: 4.0 })]
+#[case::owner_cut_off(Fault::Cut { on: On::Core, leader: true, one_way: false, resets: false, for_s: 4.0 })]
+#[case::owner_cut_off_one_way(Fault::Cut { on: On::Core, leader: true, one_way: true, resets: false, for_s: 4.0 })]
+#[case::owner_cut_off_with_resets(Fault::Cut { on: On::Core, leader: true, one_way: false, resets: true, for_s: 4.0 })]
+#[case::store_cut_off(Fault::Cut { on: On::Storage, leader: true, one_way: false, resets: false, for_s: 4.0 })]
+#[case::connections_reset(Fault::Reset { on: On::Edge })]
+#[case::killed_after_an_acknowledgement(Fault::AfterAckKill { after_ms: 0.5, wipe: false, for_s: 2.0 })]
+#[case::wiped_after_an_acknowledgement(Fault::AfterAckKill { after_ms: 0.5, wipe: true, for_s: 2.0 })]
+#[case::killed_after_an_acceptance(Fault::AfterTakenKill { after_ms: 0.5, for_s: 2.0 })]
+#[case::race(Fault::ConfigRace)]
+#[case::emptied(Fault::Retire)]
+#[case::burst(Fault::Burst { times: 8.0, for_s: 3.0 })]
+fn one_trouble_breaks_no_rule(#[case] fault: Fault, #[values("four-zones", "three-zones")] name: &str) {
+    // Given a fleet at work, when one thing goes wrong or is planned, then no rule is broken and most is served.
+    let report = day_with(name, fault, 21);
+    expect_clean(&report);
+    expect_served(&report, 0.8);
+}
+
+#[rstest]
+fn an_invalid_configuration_is_refused(
+    #[values(
+        WrongKind::CutShort,
+        WrongKind::UnknownService,
+        WrongKind::SamePlace,
+        WrongKind::NoTimeout,
+        WrongKind::OldVersion
+    )]
+    how: WrongKind,
+) {
+    // Given a configuration in force, when an invalid one is sent,
+    let report = day_with("three-zones", Fault::BadConfig { how }, 2);
+    // then it is not acknowledged, and the one before is read back.
+    expect_clean(&report);
+    assert_eq!(report.counts.acknowledged, 1);
+}
+
+#[test]
+fn a_zone_is_lost_with_nothing_that_counts_beyond_one_machine() {
+    // Given five zones of which each has two counted machines, two of which may be lost, when a zone is cut off,
+    let report = day_with("five-cores", Fault::ZoneCut { zone: 2, for_s: 4.0 }, 4);
+    // then the others go on.
+    expect_clean(&report);
+    expect_served(&report, 0.8);
+}
