grebeusher-tier show: members, executors, parts, terms, groups, jobs and configuration

An edge node's /api/status knows members and owners, but neither the batch parts' terms and groups nor any job, as storage nodes have no address that an operator can call. The owner of a part now answers for it (Call::ShowPart, behind /api/status/PART), under its lease, so that a part without a quorum is shown as one without an answer. The command asks a control address for both, and says in one line what is wrong. Its tests use a node of canned answers; the demonstration looks at the new owner's account of its job.

Help texts say what each command is for.

--- a/crates/demo/src/job.rs
+++ b/crates/demo/src/job.rs
@@ -51,6 +51,11 @@
         }
     }
 
+    /// Its id.
+    pub fn id(&self) -> &str {
+        &self.id
+    }
+
     /// How many items there are.
     pub fn items(&self) -> usize {
         self.items
--- a/crates/demo/src/story.rs
+++ b/crates/demo/src/story.rs
@@ -1,6 +1,6 @@
 //! What the demonstration does, step by step.
 
-use crate::client::{Call, call};
+use crate::client::{Answer, Call, call};
 use crate::error::{DemoError, FileSnafu};
 use crate::executors::Executor;
 use crate::job::Job;
@@ -278,6 +278,7 @@
         self.row("the next results after the kill came after", &milliseconds(gap))?;
         let next_owner = self.next_owner(address)?;
         self.check_results(&mut job, &results)?;
+        self.show_part(&job)?;
         job.end()?;
         self.row("the job is ended", "200")?;
         Ok((results.len(), killed, next_owner))
@@ -313,6 +314,21 @@
         self.row("results read again from the start", "the same at each position")
     }
 
+    /// The owner's own account of the job, as `grebeusher-tier show` prints it.
+    fn show_part(&mut self, job: &Job<'_>) -> Result<(), DemoError> {
+        let (controls, watch) = (self.controls(), self.watch.clone());
+        let target = format!("/api/status/{JOB_PART}");
+        let status = watch.until("the owner shows its part", || {
+            let answer = operator::ask(controls[0], "GET", &target, None, "");
+            Ok(answer.ok().filter(Answer::is_success).map(|answer| answer.text()))
+        })?;
+        let expected = format!("part {JOB_PART} job {}: {ITEMS} of {ITEMS} items listed, complete", job.id());
+        match status.lines().find(|line| **line == expected) {
+            Some(line) => self.row("its new owner shows", line),
+            None => Err(DemoError::Wrong { step: target, what: status }),
+        }
+    }
+
     fn kill_owner(&mut self) -> Result<(String, SocketAddrV4), DemoError> {
         let controls = self.controls();
         let watch = self.watch.clone();
--- a/crates/tier/src/calls.rs
+++ b/crates/tier/src/calls.rs
@@ -36,6 +36,8 @@
     Replace,
     /// `Configuration.Show`.
     Show,
+    /// The status of a part.
+    Part,
 }
 
 /// What a client asked about a batch job.
--- a/crates/tier/src/configuration.rs
+++ b/crates/tier/src/configuration.rs
@@ -64,7 +64,7 @@
             Err(error) => return warn!("configuration {version} can't be read: {error}"),
         };
         info!("configuration {version} in force");
-        self.client_limits = configuration.limits.clone();
+        self.client_limits = configuration.limits;
         self.http_limits.most_head = configuration.limits.max_header_bytes as usize;
         self.http_limits.most_body = configuration.limits.max_body_bytes as usize;
         let routes = Routes::new(configuration);
--- a/crates/tier/src/control.rs
+++ b/crates/tier/src/control.rs
@@ -13,13 +13,14 @@
 pub const CONFIGURATION_PART: u8 = 0;
 /// The operator goes on to another node after a second of silence; a configuration is settled by then, or the answer says
 /// that it is not known.
-const OPERATOR_WAITS: Span = Span::millis(950);
+pub(crate) const OPERATOR_WAITS: Span = Span::millis(950);
 /// A large configuration gets more, as its caller waits for longer.
 const OPERATOR_WAITS_LARGE: Span = Span::millis(1800);
 /// From this size on a configuration is large (bytes).
 const LARGE_CONFIGURATION: usize = 256 * 1024;
 
 const JSON: (&str, &str) = ("Content-Type", "application/json");
+const TEXT: (&str, &str) = ("Content-Type", "text/plain");
 
 /// A question that every batch part has to answer.
 pub struct RetireGathering {
@@ -62,6 +63,12 @@
                 let body = self.status_text();
                 self.answer(connection, serial, http::answer(200, &[], body.as_bytes()));
             }
+            ("GET", ["api", "status", part]) => match part.parse() {
+                Ok(part) if part <= crate::batch_front::BATCH_PARTS => {
+                    self.part_request(connection, serial, part)
+                }
+                _ => self.answer(connection, serial, http::answer(404, &[], b"")),
+            },
             _ => self.answer(connection, serial, http::answer(404, &[], b"")),
         }
     }
@@ -139,10 +146,9 @@
         reply: Reply,
     ) {
         let answer = match (question, reply) {
+            (OperatorQuestion::Part, Reply::Answer { status, body }) => http::answer(status, &[TEXT], &body),
             (_, Reply::Answer { status, body }) => http::answer(status, &[JSON], &body),
-            (OperatorQuestion::Show, Reply::Configuration { version, .. }) if version == 0 => {
-                http::answer(404, &[], b"")
-            }
+            (OperatorQuestion::Show, Reply::Configuration { version: 0, .. }) => http::answer(404, &[], b""),
             (OperatorQuestion::Show, Reply::Configuration { body, .. }) => http::answer(200, &[JSON], &body),
             (_, Reply::Unclear) => http::answer(504, &[], b""),
             _ => http::answer(503, &[("Retry-After", "0.1")], b""),
--- a/crates/tier/src/dispatch.rs
+++ b/crates/tier/src/dispatch.rs
@@ -46,6 +46,7 @@
             Call::EndJob { part, job } => self.end_at_owner(waiter, part, &job),
             Call::BeginRetire { part, node } => self.begin_retire_at_owner(waiter, part, &node),
             Call::ShowRetire { part, node } => self.show_retire_at_owner(waiter, part, &node),
+            Call::ShowPart { part } => self.show_part_at_owner(waiter, part),
         }
     }
 
--- a/crates/tier/src/main.rs
+++ b/crates/tier/src/main.rs
@@ -3,9 +3,12 @@
 use bpaf::{Parser, construct, positional, short};
 use grebeusher_tier::log_ring::LogRing;
 use grebeusher_tier::node::Node;
+use grebeusher_tier::show::status_of;
 use grebeusher_tier::start::{Start, read_settings};
 use grebeusher_tier::system::System;
-use std::path::PathBuf;
+use std::io::Write;
+use std::net::SocketAddrV4;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::rc::Rc;
 use tracing::{Level, error};
@@ -20,6 +23,8 @@
     Run { verbose: bool },
     /// Checks a settings file.
     Check { file: PathBuf },
+    /// Shows the status of a tier as a running node knows it.
+    Show { address: SocketAddrV4 },
 }
 
 fn command_line() -> bpaf::OptionParser<Command> {
@@ -28,7 +33,10 @@
         let verbose = verbose();
         construct!(Command::Run { verbose }).to_options().descr(help).command(name).help(help)
     };
-    let edge = run("edge", "Run a node that takes clients, executors and operators");
+    let edge = run(
+        "edge",
+        "Run a node that takes clients, executors and operators; with a disk it may keep the configuration",
+    );
     let storage = run("storage", "Run a node that keeps batch jobs and runs their items");
     let file = positional::<PathBuf>("FILE").help("The settings file");
     let check = construct!(Command::Check { file })
@@ -36,20 +44,48 @@
         .descr("Check a settings file")
         .command("check")
         .help("Check a settings file: one line names what is wrong");
-    construct!([edge, storage, check])
+    let address = positional::<SocketAddrV4>("ADDRESS")
+        .help("The control address of an edge node, such as 10.1.0.35:8146");
+    let show = construct!(Command::Show { address })
+        .to_options()
+        .descr(
+            "Show members, executors, parts with their owners, terms, groups and jobs, and the configuration in force, \
+             as the node at ADDRESS knows them",
+        )
+        .command("show")
+        .help("Show members, executors, parts, owners, terms, jobs and the configuration, as a running node knows them");
+    construct!([edge, storage, check, show])
         .to_options()
         .version(env!("CARGO_PKG_VERSION"))
-        .descr("A process of the serving tier. The settings file is named by GREBEUSHER_NODE_FILE.")
+        .descr(
+            "A process of the serving tier. `edge` and `storage` run a node by the settings file that the variable \
+             GREBEUSHER_NODE_FILE names: SIGTERM stops it in good order, SIGHUP has the file read anew.",
+        )
 }
 
 fn main() -> ExitCode {
     match command_line().run() {
         Command::Run { verbose } => run(verbose),
         Command::Check { file } => check(&file),
+        Command::Show { address } => show(address),
+    }
+}
+
+fn show(address: SocketAddrV4) -> ExitCode {
+    let written = match status_of(address) {
+        Ok(status) => std::io::stdout().write_all(status.as_bytes()).map_err(|error| error.to_string()),
+        Err(error) => Err(error.to_string()),
+    };
+    match written {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::FAILURE
+        }
     }
 }
 
-fn check(file: &PathBuf) -> ExitCode {
+fn check(file: &Path) -> ExitCode {
     match read_settings(file) {
         Ok(_) => ExitCode::SUCCESS,
         Err(error) => {
--- a/crates/tier/src/messages.rs
+++ b/crates/tier/src/messages.rs
@@ -83,6 +83,8 @@
     BeginRetire { part: u8, node: String },
     /// Asks the owner of a part whether its data has left a storage node.
     ShowRetire { part: u8, node: String },
+    /// What the owner of a part says of it, for operators.
+    ShowPart { part: u8 },
 }
 
 /// A batch job on its way to the owner of its part.
--- /dev/null
+++ b/crates/tier/src/part_status.rs
@@ -0,0 +1,80 @@
+//! What the owner of a part says of it, for operators: its term, its group, its jobs.
+
+use crate::calls::{Continuation, OperatorQuestion};
+use crate::control::OPERATOR_WAITS;
+use crate::messages::{Call, Reply};
+use crate::node::Node;
+use crate::parts::{Application, Waiter};
+use grebeusher_archive::Jobs;
+use std::fmt::Write;
+
+/// So many jobs get a line of their own; a status stays readable, and the reply small.
+const MOST_JOBS: usize = 500;
+
+impl Node {
+    /// The operator's question for a part, passed on to its owner.
+    pub fn part_request(&mut self, connection: usize, serial: u64, part: u8) {
+        let question = OperatorQuestion::Part;
+        let continuation = Continuation::Operator { connection, serial, question };
+        self.call_owner(part, Call::ShowPart { part }, self.now + OPERATOR_WAITS, continuation);
+    }
+
+    /// The owner's status of a part.
+    pub(crate) fn show_part_at_owner(&mut self, waiter: Waiter, part: u8) {
+        let Some(place) = self.owned_place(part, waiter) else { return };
+        let retiring = self.retiring_nodes(place);
+        let mut text = String::new();
+        // Writing to a string can't fail.
+        let _ = self.write_part(place, &retiring, &mut text);
+        self.reply(waiter.peer, waiter.number, Reply::Answer { status: 200, body: text.into_bytes() });
+    }
+
+    fn write_part(&self, place: usize, retiring: &[String], text: &mut String) -> std::fmt::Result {
+        let host = &self.parts[place];
+        let (part, replica) = (host.part, &host.replica);
+        let (term, commit, log) = (replica.term().0, replica.commit_index().0, replica.log_bytes());
+        writeln!(
+            text,
+            "part {part} owned by {} at term {term}: commit {commit}, log of {log} bytes",
+            self.settings.node_name.as_str()
+        )?;
+        let group = replica.group();
+        let changes = if group.is_joint() { " (the group is changing)" } else { "" };
+        for voter in group.members() {
+            match self.registry.member_by_replica(voter.0) {
+                Some(member) => {
+                    let (name, state, zone) = (&member.name, member.state, &member.zone);
+                    writeln!(
+                        text,
+                        "part {part} voter {name} {state:?} {zone} disk {:016x}{changes}",
+                        voter.0
+                    )?;
+                }
+                None => writeln!(text, "part {part} voter unknown disk {:016x}{changes}", voter.0)?,
+            }
+        }
+        for node in retiring {
+            writeln!(text, "part {part} is to leave {node}")?;
+        }
+        match &host.application {
+            Application::Batch(batch) => write_jobs(part, batch.jobs(), text),
+            Application::Configuration(_) => {
+                writeln!(text, "part {part} holds configuration {}", self.configuration_version())
+            }
+        }
+    }
+}
+
+fn write_jobs(part: u8, jobs: &Jobs, text: &mut String) -> std::fmt::Result {
+    writeln!(text, "part {part} holds {} jobs in about {} bytes", jobs.len(), jobs.cost())?;
+    for job in jobs.names().take(MOST_JOBS) {
+        let Some(status) = jobs.status(job) else { continue };
+        let state = match (status.has_ended, jobs.is_open(job)) {
+            (true, _) => "ended",
+            (false, true) => "open",
+            (false, false) => "complete",
+        };
+        writeln!(text, "part {part} job {job}: {} of {} items listed, {state}", status.listed, status.total)?;
+    }
+    Ok(())
+}
--- a/crates/tier/src/server.rs
+++ b/crates/tier/src/server.rs
@@ -169,7 +169,7 @@
     /// Reads a head. Whether there may be more to understand.
     fn server_head(&mut self, index: usize) -> Result<bool, Malformed> {
         let now = self.now;
-        let limits = self.http_limits.clone();
+        let limits = self.http_limits;
         let Some((socket, server)) = self.server_mut(index) else { return Ok(false) };
         if matches!(server.state, State::Idle) {
             server.state = State::Head;
@@ -193,7 +193,7 @@
     }
 
     fn server_body(&mut self, index: usize) -> Result<bool, Malformed> {
-        let limits = self.http_limits.clone();
+        let limits = self.http_limits;
         let Some((socket, server)) = self.server_mut(index) else { return Ok(false) };
         let State::Body { reader, body, .. } = &mut server.state else { return Ok(false) };
         if !reader.is_done() {
--- /dev/null
+++ b/crates/tier/tests/show.rs
@@ -0,0 +1,79 @@
+//! What `grebeusher-tier show` makes of the answers of a node, and of those that are none.
+
+use grebeusher_tier::batch_front::BATCH_PARTS;
+use grebeusher_tier::show::{ShowError, status_of};
+use rstest::rstest;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, SocketAddrV4, TcpListener};
+use std::thread::JoinHandle;
+
+/// A node that gives one answer for each request, then ends. Its address, and the paths that it was asked for.
+fn node(answers: Vec<String>) -> (SocketAddrV4, JoinHandle<Vec<String>>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let SocketAddr::V4(address) = listener.local_addr().expect("an address") else { unreachable!("IPv4") };
+    let asked = std::thread::spawn(move || {
+        let answer_one = |answer: String| {
+            let (mut stream, _) = listener.accept().expect("a caller");
+            let mut request = Vec::new();
+            while !request.ends_with(b"\r\n\r\n") {
+                let mut byte = [0];
+                stream.read_exact(&mut byte).expect("a whole request");
+                request.push(byte[0]);
+            }
+            stream.write_all(answer.as_bytes()).expect("an answer is taken");
+            let request = String::from_utf8(request).expect("text");
+            request.split(' ').nth(1).expect("a path").to_owned()
+        };
+        answers.into_iter().map(answer_one).collect()
+    });
+    (address, asked)
+}
+
+fn answer(status: u16, body: &str) -> String {
+    format!("HTTP/1.1 {status} Some\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+}
+
+#[test]
+fn a_node_and_the_owners_of_all_parts_are_shown() {
+    // Given a node that knows the owners of all parts but the last
+    let mut answers = vec![answer(200, "node edge-1\n")];
+    answers.extend((0..BATCH_PARTS).map(|part| answer(200, &format!("part {part} is well\n"))));
+    answers.push(answer(503, ""));
+    let (address, asked) = node(answers);
+    // When its status is asked for
+    let status = status_of(address).expect("a status");
+    // Then each line is there, and the part without an owner is named
+    let expected = "node edge-1\npart 0 is well\npart 1 is well\npart 2 is well\n\
+                    part 3: no owner answers (status 503)\n";
+    assert_eq!(status, expected);
+    let paths = asked.join().expect("a node");
+    let parts = ["/api/status", "/api/status/0", "/api/status/1", "/api/status/2", "/api/status/3"];
+    assert_eq!(paths, parts);
+}
+
+#[rstest]
+#[case::another_address_of_a_node(answer(404, ""))]
+#[case::half_a_body("HTTP/1.1 200 OK\r\nContent-Length: 40\r\n\r\nnode edge-1\n".to_owned())]
+#[case::half_a_head("HTTP/1.1 200 OK\r\nContent-".to_owned())]
+#[case::another_protocol("SSH-2.0-OpenSSH\r\n\r\n".to_owned())]
+#[case::nothing(String::new())]
+fn what_is_no_status_is_not_shown(#[case] answer: String) {
+    // Given something that gives this answer
+    let (address, _) = node(vec![answer]);
+    // When its status is asked for
+    let status = status_of(address);
+    // Then it is said that there is none
+    assert!(matches!(status, Err(ShowError::NoStatus { .. })), "{status:?}");
+}
+
+#[test]
+fn an_address_where_nobody_listens_is_named() {
+    // Given an address where nobody listens
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let SocketAddr::V4(address) = listener.local_addr().expect("an address") else { unreachable!("IPv4") };
+    drop(listener);
+    // When its status is asked for
+    let error = status_of(address).expect_err("nobody answers");
+    // Then the line begins with the address
+    assert!(error.to_string().starts_with(&address.to_string()), "{error}");
+}
