--- a/crates/tier/src/dispatch.rs
+++ b/crates/tier/src/dispatch.rs
@@ -37,6 +37,7 @@
             Call::Found { part, voters } => self.found_part(waiter, part, &voters),
             Call::ReplaceConfiguration { base, body } => self.replace_at_owner(waiter, base, body),
             Call::ShowConfiguration => self.show_at_owner(waiter),
+            Call::ShowPart { part } => self.show_part_at_owner(waiter, part),
             Call::FetchConfiguration { newer_than } => self.fetch_here(waiter, newer_than),
             Call::SubmitJob(call) => self.submit_at_owner(waiter, call),
             Call::ReadJob { part, job, resume_after, hold_ms } => {
@@ -46,7 +47,6 @@
             Call::EndJob { part, job } => self.end_at_owner(waiter, part, &job),
             Call::BeginRetire { part, node } => self.begin_retire_at_owner(waiter, part, &node),
             Call::ShowRetire { part, node } => self.show_retire_at_owner(waiter, part, &node),
-            Call::ShowPart { part } => self.show_part_at_owner(waiter, part),
         }
     }
 
--- a/crates/tier/src/messages.rs
+++ b/crates/tier/src/messages.rs
@@ -69,6 +69,8 @@
     ReplaceConfiguration { base: u64, body: Vec<u8> },
     /// The newest configuration, proven by the owner's lease.
     ShowConfiguration,
+    /// What the owner of a part says of it, for operators.
+    ShowPart { part: u8 },
     /// The newest configuration that the node knows, if it is newer than this version.
     FetchConfiguration { newer_than: u64 },
     /// Takes a batch job; for the owner of the part.
@@ -83,8 +85,6 @@
     BeginRetire { part: u8, node: String },
     /// Asks the owner of a part whether its data has left a storage node.
     ShowRetire { part: u8, node: String },
-    /// What the owner of a part says of it, for operators.
-    ShowPart { part: u8 },
 }
 
 /// A batch job on its way to the owner of its part.
