--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,13 @@
-.PHONY: build test lint run
+.PHONY: build demo test lint run
 
 build:
 	cargo build --release --locked
 
+# Starts a whole tier on loopback addresses and shows what it does.
+demo:
+	cargo build --release --locked -p grebeusher-tier -p grebeusher-demo
+	target/release/grebeusher-demo
+
 test:
 	cargo test --workspace --locked
 
