--- a/crates/tier/src/lib.rs
+++ b/crates/tier/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod parts;
 pub mod peers;
 pub mod placement;
+pub mod remembered;
 pub mod routing;
 pub mod server;
 pub mod show;
