Streams that pause for long go on at another executor; answers say when a connection ends

After three aims for pauses, 0.7 s at least, the stream is resumed elsewhere. A process that stops says Connection: close; the operator's limits bind clients alone.

--- a/crates/tier/src/exchange.rs
+++ b/crates/tier/src/exchange.rs
@@ -46,6 +46,11 @@
 const SILENT_OBJECTIVES: f64 = 4.0;
 /// It is never taken for silent sooner than this.
 const SILENT_AT_LEAST: Span = Span::millis(900);
+/// A resumable stream that pauses for this many of its aims for pauses goes on at another executor: the client gives it
+/// up after eight of them.
+const SILENT_PAUSES: f64 = 3.0;
+/// A pause is never taken for silence sooner than this.
+const PAUSE_AT_LEAST: Span = Span::millis(700);
 /// What a client is told to wait where nothing better is known (seconds).
 const RETRY_AFTER_S: &str = "0.2";
 
@@ -62,6 +67,8 @@
     connection: usize,
     flight: AttemptToken,
     status: u16,
+    /// When anything last came of it.
+    heard: Moment,
     head_seen: bool,
     /// An answer that is held until it is whole.
     held: Option<HeldAnswer>,
@@ -70,7 +77,7 @@
 }
 
 struct HeldAnswer {
-    head: Vec<u8>,
+    head: String,
     body: Vec<u8>,
 }
 
@@ -97,6 +104,17 @@
     client_last_event: Option<u64>,
 }
 
+impl Exchange {
+    /// How long an attempt may be silent before the request goes to another executor.
+    fn silence_borne(&self) -> Span {
+        let begun = self.attempt.as_ref().is_some_and(|attempt| attempt.head_seen);
+        match self.route.gap_aim_ms {
+            Some(gap_ms) if begun => PAUSE_AT_LEAST.max(Span::millis(gap_ms) * SILENT_PAUSES),
+            _ => SILENT_AT_LEAST.max(Span::millis(self.route.target_latency_ms) * SILENT_OBJECTIVES),
+        }
+    }
+}
+
 impl Node {
     /// A whole request has come that its route passes to an executor.
     pub fn begin_exchange(&mut self, client: usize, request: ClientRequest, route: Rc<Route>) {
@@ -193,8 +211,15 @@
         let attempt_id = exchange.request.head.headers.get(names::ATTEMPT_ID).unwrap_or_default().to_owned();
         match self.start_call(CallOwner::Exchange(index), &candidate.target, &attempt_id, &bytes) {
             Ok(connection) => {
-                let attempt =
-                    Attempt { connection, flight, status: 0, head_seen: false, held: None, refusal: None };
+                let attempt = Attempt {
+                    connection,
+                    flight,
+                    status: 0,
+                    heard: now,
+                    head_seen: false,
+                    held: None,
+                    refusal: None,
+                };
                 self.exchanges[index].attempt = Some(attempt);
                 self.watch_for_silence(index);
                 None
@@ -208,16 +233,14 @@
     }
 
     fn watch_for_silence(&mut self, index: usize) {
-        let now = self.now;
         let exchange = &self.exchanges[index];
-        if !exchange.kind.may_run_again() {
+        let Some(attempt) = exchange.attempt.as_ref().filter(|_| exchange.kind.may_run_again()) else {
             return;
-        }
-        let objective = Span::millis(exchange.route.target_latency_ms);
-        let silence = SILENT_AT_LEAST.max(objective * SILENT_OBJECTIVES);
+        };
+        let silent_at = attempt.heard + exchange.silence_borne();
         let timer =
             Timer::ExchangeSilence { exchange: index, serial: exchange.serial, attempt: exchange.begun };
-        self.alarms.set(now + silence, timer);
+        self.alarms.set(silent_at, timer);
     }
 
     /// Something came back from the executor.
@@ -239,6 +262,7 @@
         let Some(attempt) = &mut exchange.attempt else { return };
         attempt.status = status;
         attempt.head_seen = true;
+        attempt.heard = now;
         let load = headers.get(names::SERVER_LOAD).and_then(|text| ServerLoad::parse(text).ok());
         self.routing.gateway.head(now, attempt.flight, load);
         if status == 421 {
@@ -256,15 +280,18 @@
             self.abort_call(connection);
             return self.attempt_failed(index, Failure::BeforeHead);
         }
+        let mut head = answer_head(status, headers);
         if !success || exchange.route.route_type != RouteType::Streaming {
-            attempt.held = Some(HeldAnswer { head: answer_head(status, headers, None), body: Vec::new() });
+            attempt.held = Some(HeldAnswer { head, body: Vec::new() });
             return;
         }
         if !exchange.streaming {
             exchange.streaming = true;
-            let head = answer_head(status, headers, Some("Transfer-Encoding: chunked"));
             let (client, serial) = (exchange.client, exchange.client_serial);
-            self.write_client(client, serial, &head);
+            head += "Transfer-Encoding: chunked\r\n";
+            head += self.closing_line(client);
+            head += "\r\n";
+            self.write_client(client, serial, head.as_bytes());
         }
     }
 
@@ -275,6 +302,7 @@
         if attempt.refusal.is_some() {
             return;
         }
+        attempt.heard = now;
         self.routing.gateway.progress(now, attempt.flight);
         if let Some(held) = &mut attempt.held {
             held.body.extend_from_slice(bytes);
@@ -334,19 +362,21 @@
         }
     }
 
-    /// No byte has come for long: an idempotent request goes to another executor.
+    /// Looks whether an attempt has been silent for too long: an idempotent request then goes to another executor.
     pub fn exchange_silent(&mut self, index: usize, serial: u64, attempt_number: u32) {
+        let now = self.now;
         let Some(exchange) = self.exchanges.get_mut(index).filter(|e| e.serial == serial) else { return };
         if exchange.begun != attempt_number || exchange.begun >= exchange.route.max_attempts {
             return;
         }
         let Some(attempt) = &exchange.attempt else { return };
-        if attempt.head_seen {
-            return;
+        if now < attempt.heard + exchange.silence_borne() {
+            return self.watch_for_silence(index);
         }
         let connection = attempt.connection;
+        let failure = if attempt.head_seen { Failure::MidBody } else { Failure::BeforeHead };
         self.abort_call(connection);
-        self.attempt_failed(index, Failure::BeforeHead);
+        self.attempt_failed(index, failure);
     }
 
     /// The time of the client or of the route is over.
@@ -398,7 +428,9 @@
             return self.end_exchange(index, served);
         }
         let bytes = match (answer, held) {
-            (FinalAnswer::Nothing | FinalAnswer::Relay, Some(held)) => held_answer(held),
+            (FinalAnswer::Nothing | FinalAnswer::Relay, Some(held)) => {
+                held_answer(held, self.closing_line(client))
+            }
             (FinalAnswer::Refused, _) => http::answer(503, &[("Retry-After", RETRY_AFTER_S)], b""),
             (FinalAnswer::GatewayTimeout, _) => http::answer(504, &[], b""),
             (FinalAnswer::Cut, _) => return self.end_exchange(index, false),
@@ -463,20 +495,17 @@
     bytes
 }
 
-/// The head of an answer as the client gets it, without the empty line where the framing is still to come.
-fn answer_head(status: u16, headers: &Headers, framing: Option<&str>) -> Vec<u8> {
+/// The head of an answer as the client gets it, without its framing and the empty line.
+fn answer_head(status: u16, headers: &Headers) -> String {
     let mut text = format!("HTTP/1.1 {status} {}\r\n", http::reason(status));
     text += &headers.passed_on(&[]);
-    if let Some(framing) = framing {
-        text += framing;
-        text += "\r\n\r\n";
-    }
-    text.into_bytes()
+    text
 }
 
-fn held_answer(held: HeldAnswer) -> Vec<u8> {
-    let mut bytes = held.head;
-    bytes.extend_from_slice(format!("Content-Length: {}\r\n\r\n", held.body.len()).as_bytes());
+fn held_answer(held: HeldAnswer, closing_line: &str) -> Vec<u8> {
+    let mut head = held.head;
+    head += &format!("Content-Length: {}\r\n{closing_line}\r\n", held.body.len());
+    let mut bytes = head.into_bytes();
     bytes.extend_from_slice(&held.body);
     bytes
 }
--- a/crates/tier/src/server.rs
+++ b/crates/tier/src/server.rs
@@ -169,7 +169,7 @@
     /// Reads a head. Whether there may be more to understand.
     fn server_head(&mut self, index: usize) -> Result<bool, Malformed> {
         let now = self.now;
-        let limits = self.http_limits;
+        let limits = self.limits_at(index);
         let Some((socket, server)) = self.server_mut(index) else { return Ok(false) };
         if matches!(server.state, State::Idle) {
             server.state = State::Head;
@@ -193,7 +193,7 @@
     }
 
     fn server_body(&mut self, index: usize) -> Result<bool, Malformed> {
-        let limits = self.http_limits;
+        let limits = self.limits_at(index);
         let Some((socket, server)) = self.server_mut(index) else { return Ok(false) };
         let State::Body { reader, body, .. } = &mut server.state else { return Ok(false) };
         if !reader.is_done() {
@@ -224,6 +224,14 @@
         Ok(true)
     }
 
+    /// The bounds on a request: the operator's for clients, the program's own for executors and the operator.
+    fn limits_at(&mut self, index: usize) -> Limits {
+        match self.server_mut(index) {
+            Some((_, server)) if server.entrance == Entrance::Frontend => self.http_limits,
+            _ => first_limits(),
+        }
+    }
+
     fn refuse_malformed(&mut self, index: usize, status: u16) {
         self.counters.malformed += 1;
         let Some((socket, server)) = self.server_mut(index) else { return };
@@ -247,6 +255,15 @@
         self.client_answered(index, serial, true);
     }
 
+    /// The header line of an answer behind which its connection ends: the client asked for it, or this process is about to
+    /// end, and the client had better use another connection next.
+    pub fn closing_line(&mut self, index: usize) -> &'static str {
+        let stopping = self.stopping();
+        let Some((_, server)) = self.server_mut(index) else { return "" };
+        server.closes |= stopping;
+        if server.closes { "Connection: close\r\n" } else { "" }
+    }
+
     /// Puts bytes of an answer on their way.
     pub fn write_client(&mut self, index: usize, serial: u64, bytes: &[u8]) {
         if self.serial(index) != serial {
