--- a/crates/gateway/src/policy.rs
+++ b/crates/gateway/src/policy.rs
@@ -78,8 +78,8 @@
             near: 2.0,
             queue_at_home: true,
             queue_part: 0.4,
-            batch_reserve: (0.02, 0.06),
-            batch_unread: 6_000,
+            batch_reserve: (0.125, 0.5),
+            batch_unread: 2_000,
         }
     }
 }
