--- a/crates/tier/src/dispatch.rs
+++ b/crates/tier/src/dispatch.rs
@@ -38,6 +38,7 @@
             Call::Found { part, voters } => self.found_part(waiter, part, &voters),
             Call::ReplaceConfiguration { base, body } => self.replace_at_owner(waiter, base, body),
             Call::ShowConfiguration => self.show_at_owner(waiter),
+            Call::ShowPart { part } => self.show_part_at_owner(waiter, part),
             Call::FetchConfiguration { newer_than } => self.fetch_here(waiter, newer_than),
             Call::SubmitJob(call) => self.submit_at_owner(waiter, call),
             Call::ReadJob { part, job, resume_after, hold_ms } => {
