--- a/crates/simulation/src/executors.rs
+++ b/crates/simulation/src/executors.rs
@@ -94,6 +94,8 @@
     head: Option<(RequestHead, BodyReader, Vec<u8>)>,
     out: Vec<u8>,
     run: Option<u64>,
+    /// A surplus answer is still to come, in the place of the next one.
+    owes_surplus: bool,
     closes: bool,
 }
 
@@ -392,6 +394,10 @@
     }
 
     fn asked(&mut self, number: usize, end: End, asked: Asked, stage: &mut Stage<'_>) {
+        let connection = self.all[number].connections.get_mut(&end);
+        if connection.is_some_and(|connection| std::mem::take(&mut connection.owes_surplus)) {
+            self.write_surplus(number, end, stage);
+        }
         let live = &mut self.all[number];
         let headers = &asked.head.headers;
         let attempt = headers.get(names::ATTEMPT_ID).unwrap_or_default().to_owned();
@@ -571,14 +577,22 @@
         let end = live.runs.get(&run).map(|run| run.end);
         let surplus = stage.hub.random.random_bool(live.lies.surplus);
         if let (true, Some(end)) = (surplus, end) {
-            let seal = format!("{}.surplus", live.made.instance);
-            let further = [(names::SERVER_SEAL, seal.as_str()), (names::ATTEMPT_ID, "nobody")];
-            let bytes = http::answer(200, &further, b"bytes of no request");
-            self.write(number, end, &bytes, stage);
+            let late = stage.hub.random.random_bool(0.5);
+            match live.connections.get_mut(&end) {
+                Some(connection) if late => connection.owes_surplus = true,
+                _ => self.write_surplus(number, end, stage),
+            }
         }
         self.run_over(number, run, stage);
     }
 
+    fn write_surplus(&mut self, number: usize, end: End, stage: &mut Stage<'_>) {
+        let seal = format!("{}.surplus", self.all[number].made.instance);
+        let further = [(names::SERVER_SEAL, seal.as_str()), (names::ATTEMPT_ID, "nobody")];
+        let bytes = http::answer(200, &further, b"bytes of no request");
+        self.write(number, end, &bytes, stage);
+    }
+
     fn break_off(&mut self, number: usize, run: u64, stage: &mut Stage<'_>) {
         let live = &mut self.all[number];
         let Some(found) = live.runs.remove(&run) else { return };
--- a/crates/simulation/src/operators.rs
+++ b/crates/simulation/src/operators.rs
@@ -394,7 +394,7 @@
             "/draft/",
             "streaming",
             "model-a",
-            ",\"max_attempts\":1,\"resumable\":false,\"gap_aim_ms\":250",
+            ",\"max_attempts\":3,\"resumable\":false,\"gap_aim_ms\":250",
         ),
         route(
             "/suggest/",
@@ -403,7 +403,7 @@
             ",\"max_attempts\":2,\"resumable\":true,\"gap_aim_ms\":250",
         ),
         route("/look/", "idempotent", "plain", ",\"max_attempts\":2"),
-        route("/post/", "non_idempotent", "plain", ",\"max_attempts\":1"),
+        route("/post/", "non_idempotent", "plain", ",\"max_attempts\":3"),
         route("/moving/", "idempotent", moving, ",\"max_attempts\":2"),
         route(&format!("/v{number}/"), "idempotent", "plain", ",\"max_attempts\":2"),
     ];
