--- a/crates/quorum/src/lib.rs
+++ b/crates/quorum/src/lib.rs
@@ -97,7 +97,7 @@
 pub const MAX_SNAPSHOT: usize = 64 * 1024 * 1024;
 
 /// The entries of one message, in bytes; a single larger entry goes alone.
-pub const MAX_APPEND: usize = 256 * 1024;
+pub const MAX_APPEND: usize = 96 * 1024;
 
 /// The largest piece of a snapshot in one message, in bytes.
-pub const MAX_CHUNK: usize = 256 * 1024;
+pub const MAX_CHUNK: usize = 96 * 1024;
--- a/crates/quorum/src/log.rs
+++ b/crates/quorum/src/log.rs
@@ -8,7 +8,7 @@
 use crate::ids::{Index, Position, ReplicaId, Term};
 
 /// Entries that a snapshot contains stay in memory up to so many bytes, for followers that are a little behind.
-const RETAINED_BYTES: usize = 512 * 1024;
+const RETAINED_BYTES: usize = 8 * 1024 * 1024;
 
 /// Where a group came into force.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
--- a/crates/quorum/src/progress.rs
+++ b/crates/quorum/src/progress.rs
@@ -8,13 +8,13 @@
 use crate::ids::Index;
 
 /// Entries under way to one follower, in bytes, at most (one message beyond it may start).
-const WINDOW_BYTES: usize = 1024 * 1024;
+const WINDOW_BYTES: usize = 192 * 1024;
 
 /// Messages with entries under way to one follower, at most.
 const WINDOW_MESSAGES: usize = 64;
 
 /// A snapshot's bytes under way to one follower, at most.
-const SNAPSHOT_WINDOW: u64 = 4 * crate::MAX_CHUNK as u64;
+const SNAPSHOT_WINDOW: u64 = 2 * crate::MAX_CHUNK as u64;
 
 /// After so many heartbeats without a piece of the snapshot arriving, pieces are taken for lost.
 const STALLED_BEATS: u32 = 10;
--- a/crates/quorum/src/replica/mod.rs
+++ b/crates/quorum/src/replica/mod.rs
@@ -25,7 +25,7 @@
 use following::Assembly;
 
 /// The bytes of entries that may wait for a quorum.
-const MAX_UNCOMMITTED: usize = 16 * 1024 * 1024;
+const MAX_UNCOMMITTED: usize = 6 * 1024 * 1024;
 
 /// "Never", for a replica that waits for nothing but messages.
 const NEVER: Moment = Moment(u64::MAX);
--- a/crates/tier/src/calls.rs
+++ b/crates/tier/src/calls.rs
@@ -7,11 +7,16 @@
 use grebeusher_time::{Moment, Span};
 use nanoserde::{DeBin, SerBin};
 use std::net::SocketAddrV4;
+use tracing::debug;
 
 /// A node that has not answered by then is left for another one. Owners answer once a quorum has synced.
 const TRY_FOR: Span = Span::millis(400);
 /// A node that has left a call unanswered, and has said nothing since, is gone round for this long.
 const UNHEARD_FOR: Span = Span::millis(2500);
+/// A call that takes longer is told in the log.
+const SLOW_CALL: Span = Span::millis(250);
+/// What a large call gets at least of a link that others use too (bytes a second).
+const SLOWEST_BYTES_PER_S: u64 = 200_000;
 /// The pause before a node is asked again when none owned the part.
 const NO_OWNER_PAUSE: Span = Span::millis(60);
 
@@ -83,12 +88,17 @@
     Nobody,
 }
 
-/// How long a call is held by its owner without anything being wrong.
+/// How much longer than usual a call may take without anything being wrong: reads are held, and large calls need their
+/// time on links that many of them share. Guards against large calls being sent again and again while they wait in the
+/// queue of a link: what was meant to help then keeps the owner's link full for good.
 fn held_for(call: &Call) -> Span {
+    let on_the_way = |bytes: usize| Span(bytes as u64 * 1_000_000_000 / SLOWEST_BYTES_PER_S);
     match call {
         Call::ReadJob { hold_ms, .. } => Span::millis(u64::from(*hold_ms)),
+        Call::SubmitJob(submission) => on_the_way(submission.submission.len()),
+        Call::ReplaceConfiguration { body, .. } => on_the_way(body.len()),
         // The relay tries more than one node.
-        Call::Forward { .. } => TRY_FOR,
+        Call::Forward { call, .. } => TRY_FOR + on_the_way(call.len()),
         _ => Span(0),
     }
 }
@@ -288,6 +298,11 @@
 
     fn end_call(&mut self, number: u64, reply: Option<Reply>) {
         let Some(pending) = self.calls.remove(&number) else { return };
+        let took = self.now.since(pending.began);
+        if took > SLOW_CALL {
+            let (part, tries) = (pending.part, pending.tried.len());
+            debug!("a call to the owner of part {part:?} took {:.3} s, {tries} tries", took.as_secs());
+        }
         let unanswered = if pending.unheard { Reply::Unclear } else { Reply::Unavailable };
         let reply = reply.unwrap_or(unanswered);
         match pending.continuation {
--- a/crates/tier/src/parts.rs
+++ b/crates/tier/src/parts.rs
@@ -15,13 +15,16 @@
 use std::net::SocketAddrV4;
 use std::path::Path;
 use std::rc::Rc;
-use tracing::{info, warn};
+use tracing::{debug, info, warn};
 
 /// How often owners look after their groups.
 pub const UPKEEP_EVERY: Span = Span::millis(200);
-/// The part of `sync_time_s` that a voter may be absent before another takes its place: longer than a restart, and early
-/// enough for the other one to be whole in time.
-const ABSENT_SHARE: f64 = 0.4;
+/// A voter whose node is not there for this long makes room for another. Its node has then been silent for over two
+/// seconds; a group that waits for longer may meet the next loss without having been mended from the first.
+const ABSENT_FOR: Span = Span::millis(800);
+
+/// On a link below this, jobs and results on their way to the replicas hold heartbeats up for some hundred milliseconds.
+const SLOW_LINK_MBPS: f64 = 200.0;
 
 /// What a part keeps.
 pub enum Application {
@@ -40,6 +43,17 @@
     pub number: u64,
 }
 
+/// What a replica's care for its machine rests on.
+#[derive(Clone, Copy, Debug)]
+pub struct Tuning {
+    /// The log is written anew as a snapshot beyond this (bytes).
+    pub compact_at: usize,
+    /// The machine's own link.
+    pub link_mbps: f64,
+    /// For what is left to chance.
+    pub seed: u64,
+}
+
 /// A replica of a part on this node.
 pub struct PartHost {
     /// Which part.
@@ -58,6 +72,8 @@
     /// Whether the application acts as the owner's now.
     owns: bool,
     absent_since: BTreeMap<ReplicaId, Moment>,
+    told: (Term, Index),
+    told_at: Moment,
 }
 
 impl PartHost {
@@ -71,13 +87,13 @@
         part: u8,
         identity: ReplicaId,
         application: Application,
-        compact_at: usize,
-        seed: u64,
+        tuning: Tuning,
     ) -> Result<PartHost, RunError> {
         let folder = data.join(format!("part-{part}"));
         let (store, restored) =
             world.open_store(&folder).map_err(|source| RunError::Disk { part, source })?;
-        let replica = Replica::new(identity, restored, timing(part), seed, Moment(0));
+        let replica =
+            Replica::new(identity, restored, timing(part, tuning.link_mbps), tuning.seed, Moment(0));
         Ok(PartHost {
             part,
             replica,
@@ -86,9 +102,11 @@
             waiters: BTreeMap::new(),
             deferred: Vec::new(),
             applied: Index(0),
-            compact_at,
+            compact_at: tuning.compact_at,
             owns: false,
             absent_since: BTreeMap::new(),
+            told: (Term(0), Index(0)),
+            told_at: Moment(0),
         })
     }
 
@@ -127,10 +145,16 @@
 }
 
 /// The spans of a part's ownership. Reads need the lease, and the loss of an owner is noticed within `election_max`.
-fn timing(part: u8) -> Timing {
+fn timing(part: u8, link_mbps: f64) -> Timing {
     let configuration = part == crate::control::CONFIGURATION_PART;
-    // The configuration's replicas share their processor with the traffic, so they are given more time.
-    let (heartbeat, min, max) = if configuration { (100, 450, 800) } else { (80, 400, 750) };
+    let (heartbeat, min, max) = if configuration {
+        // The configuration's replicas share their processor with the traffic, so they are given more time.
+        (100, 450, 800)
+    } else if link_mbps < SLOW_LINK_MBPS {
+        (120, 1000, 1700)
+    } else {
+        (80, 400, 750)
+    };
     Timing {
         heartbeat: Span::millis(heartbeat),
         election_min: Span::millis(min),
@@ -330,6 +354,7 @@
     pub fn group_upkeep(&mut self) {
         self.alarms.set(self.now + UPKEEP_EVERY, Timer::GroupUpkeep);
         for place in 0..self.parts.len() {
+            self.tell_replica(place);
             if self.parts[place].owns {
                 self.upkeep_part(place);
                 self.forget_old_jobs(place);
@@ -337,6 +362,31 @@
         }
     }
 
+    /// A line of the log for each change of a replica's term or group.
+    fn tell_replica(&mut self, place: usize) {
+        let now = self.now;
+        let host = &mut self.parts[place];
+        let seen = (host.replica.term(), host.replica.group_index());
+        if host.told == seen && now < host.told_at + Span::millis(1000) {
+            return;
+        }
+        host.told = seen;
+        host.told_at = now;
+        let (part, term, commit, last) =
+            (host.part, host.replica.term().0, host.replica.commit_index().0, host.replica.last());
+        let group = host.replica.group();
+        let (voters, outgoing) = (group.voters.len(), group.outgoing.len());
+        let owner = host.replica.owner_hint().map_or(0, |owner| owner.0 % 10_000);
+        let own = host.replica.identity().0 % 10_000;
+        let names: Vec<u64> = group.members().map(|member| member.0 % 10_000).collect();
+        debug!(
+            "part {part} replica {own} term {term} commit {commit} last {} of term {} owner {owner} group {voters}+{outgoing} {names:?} log {}",
+            last.index.0,
+            last.term.0,
+            host.replica.log_bytes()
+        );
+    }
+
     fn upkeep_part(&mut self, place: usize) {
         let now = self.now;
         let wanted = self.group_size();
@@ -361,11 +411,10 @@
         }
         let absent = host.absent_since.clone();
         let retired = self.retiring_replicas(&retiring);
-        let absent_for = Span::secs(self.settings.bounds.sync_time_s * ABSENT_SHARE);
         let lost = |voter: &ReplicaId| {
             retired.contains(voter)
                 || self.superseded(*voter)
-                || absent.get(voter).is_some_and(|since| now.since(*since) >= absent_for)
+                || absent.get(voter).is_some_and(|since| now.since(*since) >= ABSENT_FOR)
         };
         let kept: Vec<ReplicaId> = group.voters.iter().copied().filter(|voter| !lost(voter)).collect();
         let mut voters = group.voters.clone();
--- a/crates/tier/src/peers.rs
+++ b/crates/tier/src/peers.rs
@@ -25,7 +25,8 @@
     address: SocketAddrV4,
     /// When bytes last moved, or nothing waited.
     moved: Moment,
-    waiting: usize,
+    /// Bytes that had been written then.
+    sent: u64,
     used: Moment,
 }
 
@@ -74,10 +75,11 @@
         if socket.flush().is_err() {
             return self.drop_link(index);
         }
-        if socket.waiting() < outgoing.waiting || socket.waiting() == 0 {
+        // By what was written, not by what waits: under load more is put on the link than goes out in a turn.
+        if socket.sent() > outgoing.sent || socket.waiting() == 0 {
             outgoing.moved = now;
         }
-        outgoing.waiting = socket.waiting();
+        outgoing.sent = socket.sent();
     }
 
     fn link_to(&mut self, to: SocketAddrV4) -> Option<usize> {
@@ -88,7 +90,7 @@
         if self.redial_after.get(&to).is_some_and(|&after| now < after) {
             return None;
         }
-        let outgoing = OutgoingLink { address: to, moved: now, waiting: 0, used: now };
+        let outgoing = OutgoingLink { address: to, moved: now, sent: 0, used: now };
         let added = self.add_connection(|world, key| Socket::dial(world, to, key), Role::Outgoing(outgoing));
         match added {
             Ok(index) => {
--- a/crates/tier/src/socket.rs
+++ b/crates/tier/src/socket.rs
@@ -26,6 +26,8 @@
     input: Vec<u8>,
     output: Vec<u8>,
     written: usize,
+    /// All bytes that the peer's side has taken.
+    sent: u64,
     /// Whether reading is held back, as whoever takes the bytes does not.
     paused: bool,
     connecting: bool,
@@ -40,6 +42,7 @@
             input: Vec::new(),
             output: Vec::new(),
             written: 0,
+            sent: 0,
             paused: false,
             connecting: false,
         })
@@ -53,6 +56,7 @@
             input: Vec::new(),
             output: Vec::new(),
             written: 0,
+            sent: 0,
             paused: false,
             connecting: true,
         })
@@ -133,6 +137,11 @@
         self.output.extend_from_slice(bytes);
     }
 
+    /// How many bytes were written in the connection's life.
+    pub fn sent(&self) -> u64 {
+        self.sent
+    }
+
     /// How many bytes wait to be written.
     pub fn waiting(&self) -> usize {
         self.output.len() - self.written
@@ -146,7 +155,10 @@
         while self.written < self.output.len() {
             match self.stream.write(&self.output[self.written..]) {
                 Ok(0) => return Err(ErrorKind::WriteZero.into()),
-                Ok(count) => self.written += count,
+                Ok(count) => {
+                    self.written += count;
+                    self.sent += count as u64;
+                }
                 Err(error) if error.kind() == ErrorKind::WouldBlock => break,
                 Err(error) if error.kind() == ErrorKind::Interrupted => {}
                 Err(error) => return Err(error),
--- a/crates/tier/src/start.rs
+++ b/crates/tier/src/start.rs
@@ -6,7 +6,7 @@
 use crate::control::CONFIGURATION_PART;
 use crate::io::{Listener, SharedWorld, World};
 use crate::node::{RunError, keys};
-use crate::parts::{Application, PartHost};
+use crate::parts::{Application, PartHost, Tuning};
 use grebeusher_catalog::settings::{MachineClass, Settings, SettingsError};
 use grebeusher_quorum::ReplicaId;
 use grebeusher_quorum::disk::StoreError;
@@ -196,7 +196,8 @@
             let jobs = BatchPart::new(memory / JOBS_MEMORY_SHARE, seed);
             (Application::Batch(Box::new(jobs)), batch_log_bytes(disk, memory))
         };
-        parts.push(PartHost::open(world, data, part, identity.id, application, compact_at, seed)?);
+        let tuning = Tuning { compact_at, link_mbps: settings.limits.link_mbps, seed };
+        parts.push(PartHost::open(world, data, part, identity.id, application, tuning)?);
     }
     Ok((Some(identity.id), parts))
 }
