--- a/crates/tier/src/batch_front.rs
+++ b/crates/tier/src/batch_front.rs
@@ -27,18 +27,43 @@
 /// A job that can't be taken now is best sent again after this long (seconds).
 const TRY_AGAIN_S: &str = "0.3";
 
-/// The part of a batch job: by a hash of its host, the only name that all calls about a job share.
-pub fn part_of_host(host: &str) -> u8 {
-    let name = host.split(':').next().unwrap_or(host).to_ascii_lowercase();
-    let hash = name
+/// From so many losses on that are borne at once, jobs are spread over the parts: an owner sends each byte to two replicas
+/// for each loss, and the link of one owner does not bear that for all jobs of a deployment. It must be the same at all nodes
+/// for ever, so it goes by a setting that all have.
+const SPREAD_FROM_LOSSES: u32 = 2;
+
+fn hash_of(text: &str) -> u64 {
+    let hash = text
         .bytes()
         .fold(0xcbf2_9ce4_8422_2325_u64, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(0x100_0000_01b3));
     // The low bits of this hash are its weakest.
-    let part = (hash >> 17) % u64::from(BATCH_PARTS);
+    hash >> 17
+}
+
+/// The part of a batch job: by a hash of its host, the only name that all calls about a job share; and of the job as well
+/// where jobs are spread.
+pub fn part_of_job(host: &str, job: &str, spread: bool) -> u8 {
+    let name = host.split(':').next().unwrap_or(host).to_ascii_lowercase();
+    let of_job = if spread { hash_of(job) } else { 0 };
+    let part = hash_of(&name).wrapping_add(of_job) % u64::from(BATCH_PARTS);
     1 + part as u8
 }
 
 impl Node {
+    fn spreads_jobs(&self) -> bool {
+        self.settings.fault_tolerance.machine_losses >= SPREAD_FROM_LOSSES
+    }
+
+    /// What may wait on a route at one owner: where jobs are spread each has its share, so that no two of them can together
+    /// admit more than the limit. A job may be refused at a full owner while others have room.
+    fn owners_limit(&self, queue_token_limit: u64) -> u64 {
+        match queue_token_limit {
+            0 => 0,
+            limit if self.spreads_jobs() => (limit / u64::from(BATCH_PARTS)).max(1),
+            limit => limit,
+        }
+    }
+
     /// A request of a client: a batch call, a batch job or a request for an executor.
     pub fn client_request(&mut self, connection: usize, request: ClientRequest) {
         let serial = self.serial(connection);
@@ -97,14 +122,14 @@
                 return self.answer(connection, serial, http::answer(400, &[], reason.as_bytes()));
             }
         };
-        let part = part_of_host(host);
+        let part = part_of_job(host, submission.job.as_str(), self.spreads_jobs());
         let call = Call::SubmitJob(SubmitJob {
             part,
             submission: SerBin::serialize_bin(&submission),
             completion_target_ms: route.completion_target_ms.unwrap_or(route.timeout_ms),
             retention_ms: route.retention_s.map_or(DEFAULT_RETENTION_MS, |seconds| (seconds * 1000.0) as u64),
             max_attempts: route.max_attempts,
-            queue_token_limit: route.queue_token_limit,
+            queue_token_limit: self.owners_limit(route.queue_token_limit),
         });
         let continuation = Continuation::Batch { connection, serial, question: BatchQuestion::Submit };
         self.call_owner(part, call, self.now + SUBMIT_WITHIN, continuation);
@@ -115,7 +140,7 @@
             query_value(&request.head.target, "resume_after").and_then(|text| text.parse().ok()).unwrap_or(0);
         let hold = request.head.headers.get(names::HOLD_MS).and_then(|text| text.trim().parse().ok());
         let hold_ms = hold.unwrap_or(0).min(MOST_HOLD_MS);
-        let part = part_of_host(host);
+        let part = part_of_job(host, job, self.spreads_jobs());
         let call = Call::ReadJob { part, job: job.to_owned(), resume_after, hold_ms: hold_ms as u32 };
         let until = self.now + CALL_WITHIN + Span::millis(hold_ms);
         let continuation = Continuation::Batch { connection, serial, question: BatchQuestion::Read };
@@ -126,14 +151,14 @@
         let Some(item) = query_value(&request.head.target, "instance_id") else {
             return self.answer(connection, serial, http::answer(400, &[], b""));
         };
-        let part = part_of_host(host);
+        let part = part_of_job(host, job, self.spreads_jobs());
         let call = Call::ReadItem { part, job: job.to_owned(), item: item.to_owned() };
         let continuation = Continuation::Batch { connection, serial, question: BatchQuestion::Read };
         self.call_owner(part, call, self.now + CALL_WITHIN, continuation);
     }
 
     fn end_job(&mut self, connection: usize, serial: u64, host: &str, job: &str) {
-        let part = part_of_host(host);
+        let part = part_of_job(host, job, self.spreads_jobs());
         let call = Call::EndJob { part, job: job.to_owned() };
         let continuation = Continuation::Batch { connection, serial, question: BatchQuestion::End };
         self.call_owner(part, call, self.now + CALL_WITHIN, continuation);
--- a/crates/tier/tests/demo.rs
+++ b/crates/tier/tests/demo.rs
@@ -4,7 +4,7 @@
 use grebeusher_demo::layout::{Layout, Machines};
 use grebeusher_demo::operator::{JOB_HOST, JOB_PART};
 use grebeusher_demo::{DemoError, Options, Summary, run};
-use grebeusher_tier::batch_front::part_of_host;
+use grebeusher_tier::batch_front::part_of_job;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
@@ -89,5 +89,5 @@
     // Given the host of the demonstration's job
     // When its part is worked out
     // Then it is the part whose owner is killed
-    assert_eq!(part_of_host(JOB_HOST), JOB_PART);
+    assert_eq!(part_of_job(JOB_HOST, "", false), JOB_PART);
 }
