Full-disk test: output by a pipe, so that a log file is not bound by its limit

The test's child runs under a limit on file sizes; where the whole run was sent to a file that had grown beyond it, the child's own lines failed. Equally strict.

--- a/crates/quorum/tests/disk.rs
+++ b/crates/quorum/tests/disk.rs
@@ -324,15 +324,16 @@
     // Given a process whose files may not grow beyond some blocks
     let folder = new_folder();
     let program = std::env::current_exe().expect("this program");
-    let status = Command::new("sh")
+    // Its output goes through a pipe: where this test's own output is a file, the limit would be that of the file too.
+    let output = Command::new("sh")
         .arg("-c")
         .arg("trap '' XFSZ; ulimit -f 40; exec \"$0\" a_full_disk_is_an_error --exact --nocapture a_full_disk_is_an_error_and_leaves_no_half_record")
         .arg(program)
         .env(FULL_DISK, folder.path())
-        .status()
+        .output()
         .expect("there is a shell");
     // Then it has seen the error, and what it could write after it
-    assert!(status.success());
+    assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
     assert_eq!(reopened(folder.path()).entries, [entry(1, 1, 100), entry(2, 1, 100)]);
 }
 
