Reread: one way to begin a call, one question an exchange asks, header names in one place

What stood twice in the tier: the two calls' pending state, the question before and after the choice, the socket's two beginnings, header names beside those of the exchange.

--- a/crates/tier/src/batch_front.rs
+++ b/crates/tier/src/batch_front.rs
@@ -2,7 +2,8 @@
 
 use crate::calls::{BatchQuestion, Continuation};
 use crate::control::{path_of, query_value};
-use crate::exchange::{ClientRequest, names};
+use crate::exchange::ClientRequest;
+use crate::header_names as names;
 use crate::messages::{Call, Reply, SubmitJob};
 use crate::node::Node;
 use crate::routing::STARTING_RETRY;
--- a/crates/tier/src/calls.rs
+++ b/crates/tier/src/calls.rs
@@ -115,28 +115,26 @@
 impl Node {
     /// Calls the owner of a part, wherever it is, until `until`.
     pub fn call_owner(&mut self, part: u8, call: Call, until: Moment, continuation: Continuation) {
-        let pending = PendingCall {
-            call,
-            part: Some(part),
-            to: None,
-            tried: Vec::new(),
-            began: self.now,
-            until,
-            expires: until,
-            unheard: false,
-            continuation,
-        };
-        let number = self.next_serial();
-        self.calls.insert(number, pending);
-        self.try_call(number);
+        self.begin_call(Some(part), None, call, until, continuation);
     }
 
     /// Calls one node.
     pub fn call_node(&mut self, to: SocketAddrV4, call: Call, until: Moment, continuation: Continuation) {
+        self.begin_call(None, Some(to), call, until, continuation);
+    }
+
+    fn begin_call(
+        &mut self,
+        part: Option<u8>,
+        to: Option<SocketAddrV4>,
+        call: Call,
+        until: Moment,
+        continuation: Continuation,
+    ) {
         let pending = PendingCall {
             call,
-            part: None,
-            to: Some(to),
+            part,
+            to,
             tried: Vec::new(),
             began: self.now,
             until,
--- a/crates/tier/src/control.rs
+++ b/crates/tier/src/control.rs
@@ -1,7 +1,8 @@
 //! The control plane's HTTP interface: heartbeats of executors, orders of the operator, the platform's checks.
 
 use crate::calls::{Continuation, OperatorQuestion};
-use crate::exchange::{ClientRequest, names};
+use crate::exchange::ClientRequest;
+use crate::header_names as names;
 use crate::messages::{Call, Reply};
 use crate::node::Node;
 use grebeusher_catalog::configuration::Configuration;
--- a/crates/tier/src/exchange.rs
+++ b/crates/tier/src/exchange.rs
@@ -1,6 +1,7 @@
 //! One client request on its way: the attempts at executors, and the one answer that the client gets.
 
 use crate::event_cutter::EventCutter;
+use crate::header_names as names;
 use crate::node::Node;
 use crate::routing::{Candidate, Hints, Question, RouteChoice};
 use crate::timers::Timer;
@@ -12,32 +13,6 @@
 use grebeusher_transport::http::{self, RequestHead};
 use std::rc::Rc;
 
-/// Names of the headers that the tier reads or writes.
-pub mod names {
-    /// The id of a client's try.
-    pub const ATTEMPT_ID: &str = "X-Grebeusher-Attempt-Id";
-    /// How long the client will wait, in milliseconds.
-    pub const DEADLINE_MS: &str = "X-Grebeusher-Deadline-Ms";
-    /// The incarnation that a request is meant for.
-    pub const TARGET_INSTANCE: &str = "X-Grebeusher-Target-Instance";
-    /// The executor's stamp on an answer.
-    pub const SERVER_SEAL: &str = "X-Grebeusher-Server-Seal";
-    /// The executor did not run the request.
-    pub const NOT_EXECUTED: &str = "X-Grebeusher-Not-Executed";
-    /// Running, waiting and slots of an executor.
-    pub const SERVER_LOAD: &str = "X-Grebeusher-Server-Load";
-    /// The last event that a reader has.
-    pub const LAST_EVENT_ID: &str = "Last-Event-Id";
-    /// Tokens of the prompt, and the most that come out.
-    pub const TOKEN_COUNT: &str = "X-Grebeusher-Token-Count";
-    /// The parts of a prompt.
-    pub const PROMPT_PREFIX: &str = "X-Grebeusher-Prompt-Prefix";
-    /// The longest that a read of results is held, in milliseconds.
-    pub const HOLD_MS: &str = "X-Grebeusher-Hold-Ms";
-    /// The version that a configuration builds on.
-    pub const BASE_VERSION: &str = "X-Grebeusher-Base-Version";
-}
-
 /// A deadline that the client doesn't name (milliseconds).
 const DEFAULT_DEADLINE_MS: u64 = 30_000;
 /// An attempt with less time than this has no sense.
@@ -105,6 +80,20 @@
 }
 
 impl Exchange {
+    /// What the gateway is asked.
+    fn question(&self) -> Question<'_> {
+        Question {
+            route: &self.route,
+            service: &self.service,
+            kind: self.kind,
+            hints: &self.hints,
+            accepted: self.accepted,
+            deadline: self.deadline,
+            tried: &self.tried,
+            committed: self.streaming || self.attempts.may_have_run(),
+        }
+    }
+
     /// How long an attempt may be silent before the request goes to another executor.
     fn silence_borne(&self) -> Span {
         let begun = self.attempt.as_ref().is_some_and(|attempt| attempt.head_seen);
@@ -165,17 +154,7 @@
             if now + LEAST_TIME >= exchange.deadline {
                 return self.give_up(index);
             }
-            let question = Question {
-                route: &exchange.route,
-                service: &exchange.service,
-                kind: exchange.kind,
-                hints: &exchange.hints,
-                accepted: exchange.accepted,
-                deadline: exchange.deadline,
-                tried: &exchange.tried,
-                committed: exchange.streaming || exchange.attempts.may_have_run(),
-            };
-            let candidate = match self.routing.choose(now, &question) {
+            let candidate = match self.routing.choose(now, &exchange.question()) {
                 RouteChoice::Send(candidate) => candidate,
                 RouteChoice::Refuse { retry_after } => return self.refuse(index, retry_after),
             };
@@ -191,16 +170,7 @@
     fn send_attempt(&mut self, index: usize, candidate: &Candidate) -> Option<Next> {
         let now = self.now;
         let exchange = &mut self.exchanges[index];
-        let question = Question {
-            route: &exchange.route,
-            service: &exchange.service,
-            kind: exchange.kind,
-            hints: &exchange.hints,
-            accepted: exchange.accepted,
-            deadline: exchange.deadline,
-            tried: &exchange.tried,
-            committed: false,
-        };
+        let question = exchange.question();
         let request = self.routing.request(now, &question);
         let Some(flight) = self.routing.gateway.started(now, candidate.executor, &request) else {
             return Some(exchange.attempts.ended(Outcome::NeverSent));
--- a/crates/tier/src/items.rs
+++ b/crates/tier/src/items.rs
@@ -1,6 +1,6 @@
 //! The owner of a part runs its items at executors, in the room that live requests leave.
 
-use crate::exchange::names;
+use crate::header_names as names;
 use crate::node::Node;
 use crate::routing::Hints;
 use crate::timers::Timer;
--- a/crates/tier/src/routing.rs
+++ b/crates/tier/src/routing.rs
@@ -1,6 +1,6 @@
 //! What the data plane's decisions are fed with: services of the configuration, executors of the registry, requests.
 
-use crate::exchange::names;
+use crate::header_names as names;
 use crate::node::Node;
 use crate::upstream::Target;
 use grebeusher_archive::RunOrder;
@@ -16,7 +16,6 @@
 use std::net::{SocketAddr, SocketAddrV4};
 use std::sync::Arc;
 
-const MODEL_NAME: &str = "X-Grebeusher-Model-Name";
 /// A service whose configuration names no bound gets this many connections, of all callers together.
 const DEFAULT_CONNECTIONS: u32 = 64;
 
@@ -62,7 +61,7 @@
     /// Reads the hints; what can't be read is as if it were not there.
     pub fn of(headers: &Headers) -> Hints {
         Hints {
-            model: headers.get(MODEL_NAME).map(ModelKey::of),
+            model: headers.get(names::MODEL_NAME).map(ModelKey::of),
             tokens: headers.get(names::TOKEN_COUNT).and_then(|text| TokenCount::parse(text).ok()),
             parts: headers
                 .get(names::PROMPT_PREFIX)
@@ -78,7 +77,7 @@
             found.map(|header| header.value.as_str())
         };
         Hints {
-            model: value(MODEL_NAME).map(ModelKey::of),
+            model: value(names::MODEL_NAME).map(ModelKey::of),
             tokens: value(names::TOKEN_COUNT).and_then(|text| TokenCount::parse(text).ok()),
             parts: value(names::PROMPT_PREFIX)
                 .and_then(|text| PromptParts::parse(text).ok())
--- a/crates/tier/src/socket.rs
+++ b/crates/tier/src/socket.rs
@@ -36,30 +36,24 @@
 impl Socket {
     /// Takes over an accepted connection.
     pub fn accepted(arrival: Box<dyn Accepted>, key: usize) -> io::Result<Socket> {
-        let stream = arrival.watch(key)?;
-        Ok(Socket {
-            stream,
-            input: Vec::new(),
-            output: Vec::new(),
-            written: 0,
-            sent: 0,
-            paused: false,
-            connecting: false,
-        })
+        Ok(Socket::over(arrival.watch(key)?, false))
     }
 
     /// Begins to connect.
     pub fn dial(world: &dyn World, address: SocketAddrV4, key: usize) -> io::Result<Socket> {
-        let stream = world.dial(address, key)?;
-        Ok(Socket {
+        Ok(Socket::over(world.dial(address, key)?, true))
+    }
+
+    fn over(stream: Box<dyn Stream>, connecting: bool) -> Socket {
+        Socket {
             stream,
             input: Vec::new(),
             output: Vec::new(),
             written: 0,
             sent: 0,
             paused: false,
-            connecting: true,
-        })
+            connecting,
+        }
     }
 
     /// Whether the connection is still coming up.
--- a/crates/tier/src/upstream.rs
+++ b/crates/tier/src/upstream.rs
@@ -1,5 +1,6 @@
 //! Connections to executors: a pool of idle ones, and what comes back on the busy ones.
 
+use crate::header_names as names;
 use crate::node::Node;
 use crate::socket::{Reading, Socket};
 use crate::timers::Timer;
@@ -19,8 +20,6 @@
 /// Reads of an answer are held back while its client has this much unwritten (bytes).
 pub const MOST_UNWRITTEN: usize = 256 * 1024;
 
-const ATTEMPT_ID: &str = "X-Grebeusher-Attempt-Id";
-
 /// Whose call a connection carries.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CallOwner {
@@ -268,7 +267,7 @@
             upstream.usable_until = now + KEEP_IDLE;
         }
         // An answer with another id belongs to an earlier request: it is read and dropped.
-        let surplus = head.headers.get(ATTEMPT_ID).is_some_and(|id| id != upstream.attempt_id);
+        let surplus = head.headers.get(names::ATTEMPT_ID).is_some_and(|id| id != upstream.attempt_id);
         upstream.state = State::Body { reader: BodyReader::new(framing), surplus };
         let owner = upstream.owner;
         if !surplus && let Some(owner) = owner {
