--- a/crates/tier/src/configuration.rs
+++ b/crates/tier/src/configuration.rs
@@ -22,7 +22,7 @@
     /// Its version.
     pub version: u64,
     /// Its bytes, exactly as the operator sent them.
-    pub body: Rc<Vec<u8>>,
+    pub body: Arc<[u8]>,
     /// Its routes.
     pub routes: Routes,
 }
@@ -55,7 +55,7 @@
 
 impl Node {
     /// Puts a committed configuration in force, if it is newer: within one life versions only rise.
-    pub fn activate_configuration(&mut self, version: u64, body: Rc<Vec<u8>>) {
+    pub fn activate_configuration(&mut self, version: u64, body: Arc<[u8]>) {
         if self.configuration.as_ref().is_some_and(|active| active.version >= version) {
             return;
         }
@@ -102,7 +102,7 @@
         if let Reply::Configuration { version, body } = reply
             && version > 0
         {
-            self.activate_configuration(version, Rc::new(body));
+            self.activate_configuration(version, Arc::from(body));
         }
     }
 
--- a/crates/tier/src/configuration_part.rs
+++ b/crates/tier/src/configuration_part.rs
@@ -68,7 +68,7 @@
         if version == 0 {
             return;
         }
-        let body = Node::shared(part.register.body());
+        let body = Arc::clone(part.register.body());
         self.activate_configuration(version, body);
     }
 
--- a/crates/tier/src/dispatch.rs
+++ b/crates/tier/src/dispatch.rs
@@ -69,7 +69,7 @@
     fn fetch_here(&mut self, waiter: Waiter, newer_than: u64) {
         let reply = match &self.configuration {
             Some(active) if active.version > newer_than => {
-                Reply::Configuration { version: active.version, body: active.body.as_ref().clone() }
+                Reply::Configuration { version: active.version, body: active.body.to_vec() }
             }
             _ => Reply::Configuration { version: 0, body: Vec::new() },
         };
--- /dev/null
+++ b/crates/tier/src/group_care.rs
@@ -0,0 +1,142 @@
+//! How owners look after the groups of their parts: voters that are gone make room for others.
+
+use crate::node::Node;
+use crate::parts::class_of_part;
+use crate::placement::{Candidate, next_voters};
+use crate::timers::Timer;
+use grebeusher_quorum::{Index, ReplicaId, Term};
+use grebeusher_registry::MemberState;
+use grebeusher_time::{Moment, Span};
+use std::collections::BTreeMap;
+use tracing::{debug, info, warn};
+
+/// How often owners look after their groups.
+pub const UPKEEP_EVERY: Span = Span::millis(200);
+/// A voter whose node is not there for this long makes room for another. Its node has then been silent for over two
+/// seconds; a group that waits for longer may meet the next loss without having been mended from the first.
+const ABSENT_FOR: Span = Span::millis(800);
+/// How often the log tells of a replica whose term and group stay.
+const TELL_EVERY: Span = Span::millis(1000);
+
+/// What is remembered for the care of one replica's group.
+#[derive(Debug, Default)]
+pub struct GroupCare {
+    /// Since when voters are absent, as this owner sees it.
+    absent_since: BTreeMap<ReplicaId, Moment>,
+    /// The term and group that the log was last told of.
+    told: (Term, Index),
+    told_at: Moment,
+}
+
+impl GroupCare {
+    /// Begins anew, as the ownership has ended.
+    pub fn forget_absences(&mut self) {
+        self.absent_since.clear();
+    }
+
+    /// The voters that none of the living has been for long.
+    fn absent(&mut self, now: Moment, voters: &[ReplicaId], alive: &[Candidate]) -> Vec<ReplicaId> {
+        let is_alive = |voter: &ReplicaId| alive.iter().any(|candidate| candidate.replica == voter.0);
+        self.absent_since.retain(|voter, _| voters.contains(voter) && !is_alive(voter));
+        for voter in voters.iter().filter(|voter| !is_alive(voter)) {
+            self.absent_since.entry(*voter).or_insert(now);
+        }
+        let long = self.absent_since.iter().filter(|(_, since)| now.since(**since) >= ABSENT_FOR);
+        long.map(|(voter, _)| *voter).collect()
+    }
+}
+
+/// The last digits of an identity, which tell the few of a group apart.
+fn short(replica: ReplicaId) -> u64 {
+    replica.0 % 10_000
+}
+
+impl Node {
+    /// Looks after the groups of the parts that this node owns.
+    pub fn group_upkeep(&mut self) {
+        self.alarms.set(self.now + UPKEEP_EVERY, Timer::GroupUpkeep);
+        for place in 0..self.parts.len() {
+            self.tell_replica(place);
+            if self.parts[place].owns() {
+                self.upkeep_part(place);
+                self.forget_old_jobs(place);
+            }
+        }
+    }
+
+    /// A line of the log for each change of a replica's term or group, and one a second.
+    fn tell_replica(&mut self, place: usize) {
+        let now = self.now;
+        let host = &mut self.parts[place];
+        let seen = (host.replica.term(), host.replica.group_index());
+        if host.care.told == seen && now < host.care.told_at + TELL_EVERY {
+            return;
+        }
+        host.care.told = seen;
+        host.care.told_at = now;
+        let (part, term, commit, last) =
+            (host.part, host.replica.term().0, host.replica.commit_index().0, host.replica.last());
+        let group = host.replica.group();
+        let (voters, outgoing) = (group.voters.len(), group.outgoing.len());
+        let owner = host.replica.owner_hint().map_or(0, short);
+        let own = short(host.replica.identity());
+        let names: Vec<u64> = group.members().map(short).collect();
+        debug!(
+            "part {part} replica {own} term {term} commit {commit} last {} of term {} owner {owner} group {voters}+{outgoing} {names:?} log {}",
+            last.index.0,
+            last.term.0,
+            host.replica.log_bytes()
+        );
+    }
+
+    /// Changes the group of a part that this node owns, if its voters call for it.
+    fn upkeep_part(&mut self, place: usize) {
+        let now = self.now;
+        let replica = &self.parts[place].replica;
+        if replica.group().is_joint() || replica.pending_change().is_some() {
+            return;
+        }
+        let voters = replica.group().voters.clone();
+        let alive = self.candidates(place);
+        let lost = self.lost_voters(place, &voters, &alive);
+        let wanted = self.group_size();
+        let Some(next) = next_voters(&voters, &lost, &alive, wanted, self.identity) else { return };
+        let part = self.parts[place].part;
+        info!("part {part}: the group changes from {voters:?} to {next:?}");
+        if let Err(error) = self.parts[place].replica.change_group(now, next) {
+            warn!("part {part}: the group can't change now: {error}");
+        }
+    }
+
+    /// The nodes that may hold a replica of a part.
+    fn candidates(&mut self, place: usize) -> Vec<Candidate> {
+        let class = class_of_part(self.parts[place].part);
+        let retiring = self.retiring_nodes(place);
+        let alive = self.registry.members().filter(|member| member.state == MemberState::Alive);
+        let alive = alive.filter(|member| member.class == class && !retiring.contains(&member.name));
+        alive.filter_map(Candidate::of).collect()
+    }
+
+    /// The voters that are to make room: their node is to be emptied, lost its disk, or has been absent for long.
+    fn lost_voters(&mut self, place: usize, voters: &[ReplicaId], alive: &[Candidate]) -> Vec<ReplicaId> {
+        let retiring = self.retiring_nodes(place);
+        let retired = self.retiring_replicas(&retiring);
+        let absent = self.parts[place].care.absent(self.now, voters, alive);
+        let lost = |voter: &&ReplicaId| {
+            retired.contains(voter) || absent.contains(voter) || self.superseded(**voter)
+        };
+        voters.iter().filter(lost).copied().collect()
+    }
+
+    /// Whether the node of a disk identity runs under another one now: the disk was lost.
+    fn superseded(&self, voter: ReplicaId) -> bool {
+        let Some(name) = self.replica_names.get(&voter.0) else { return false };
+        let Some(member) = self.registry.member(name) else { return false };
+        member.serves() && member.replica.is_some_and(|replica| replica != voter.0)
+    }
+
+    fn retiring_replicas(&self, retiring: &[String]) -> Vec<ReplicaId> {
+        let members = retiring.iter().filter_map(|name| self.registry.member(name));
+        members.filter_map(|member| member.replica).map(ReplicaId).collect()
+    }
+}
--- a/crates/tier/src/lib.rs
+++ b/crates/tier/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod event_cutter;
 pub mod exchange;
 pub mod founding;
+pub mod group_care;
 pub mod header_names;
 pub mod io;
 pub mod items;
--- a/crates/tier/src/node.rs
+++ b/crates/tier/src/node.rs
@@ -194,7 +194,7 @@
         let now = self.now;
         self.alarms.set(now + SWEEP_EVERY, Timer::Sweep);
         self.alarms.set(now + REVIEW_EVERY, Timer::ReviewExecutors);
-        self.alarms.set(now + crate::parts::UPKEEP_EVERY, Timer::GroupUpkeep);
+        self.alarms.set(now + crate::group_care::UPKEEP_EVERY, Timer::GroupUpkeep);
         self.recall_executors();
         self.prove_configuration();
         if self.founder.is_some() {
--- a/crates/tier/src/parts.rs
+++ b/crates/tier/src/parts.rs
@@ -2,26 +2,18 @@
 
 use crate::batch_part::{BatchPart, shared};
 use crate::configuration_part::ConfigurationPart;
+use crate::group_care::GroupCare;
 use crate::io::{PartStore, World};
 use crate::messages::{Channel, QuorumEnvelope, Reply};
 use crate::node::{Node, RunError};
-use crate::placement::{Candidate, best_joiner};
-use crate::timers::Timer;
 use grebeusher_quorum::{Blob, Index, Replica, ReplicaId, Term, Timing, Write};
-use grebeusher_registry::{Class, MemberState};
+use grebeusher_registry::Class;
 use grebeusher_time::{Moment, Span};
 use nanoserde::{DeBin, SerBin};
 use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
 use std::path::Path;
-use std::rc::Rc;
-use tracing::{debug, info, warn};
-
-/// How often owners look after their groups.
-pub const UPKEEP_EVERY: Span = Span::millis(200);
-/// A voter whose node is not there for this long makes room for another. Its node has then been silent for over two
-/// seconds; a group that waits for longer may meet the next loss without having been mended from the first.
-const ABSENT_FOR: Span = Span::millis(800);
+use tracing::{info, warn};
 
 /// On a link below this, jobs and results on their way to the replicas hold heartbeats up for some hundred milliseconds.
 const SLOW_LINK_MBPS: f64 = 200.0;
@@ -75,9 +67,7 @@
     most_log: usize,
     /// Whether the application acts as the owner's now.
     owns: bool,
-    absent_since: BTreeMap<ReplicaId, Moment>,
-    told: (Term, Index),
-    told_at: Moment,
+    pub(crate) care: GroupCare,
 }
 
 impl PartHost {
@@ -109,9 +99,7 @@
             compact_at: tuning.compact_at,
             most_log: tuning.most_log,
             owns: false,
-            absent_since: BTreeMap::new(),
-            told: (Term(0), Index(0)),
-            told_at: Moment(0),
+            care: GroupCare::default(),
         })
     }
 
@@ -298,7 +286,7 @@
             let waiters: Vec<Waiter> =
                 std::mem::take(&mut host.waiters).into_values().flat_map(|(_, waiters)| waiters).collect();
             let deferred = std::mem::take(&mut host.deferred);
-            host.absent_since.clear();
+            host.care.forget_absences();
             self.reply_unclear(waiters);
             for waiter in deferred {
                 self.reply(waiter.peer, waiter.number, Reply::Unavailable);
@@ -355,121 +343,6 @@
         addresses.get(self.now.0 as usize % addresses.len().max(1)).copied()
     }
 
-    /// Looks after the groups of the parts that this node owns.
-    pub fn group_upkeep(&mut self) {
-        self.alarms.set(self.now + UPKEEP_EVERY, Timer::GroupUpkeep);
-        for place in 0..self.parts.len() {
-            self.tell_replica(place);
-            if self.parts[place].owns {
-                self.upkeep_part(place);
-                self.forget_old_jobs(place);
-            }
-        }
-    }
-
-    /// A line of the log for each change of a replica's term or group.
-    fn tell_replica(&mut self, place: usize) {
-        let now = self.now;
-        let host = &mut self.parts[place];
-        let seen = (host.replica.term(), host.replica.group_index());
-        if host.told == seen && now < host.told_at + Span::millis(1000) {
-            return;
-        }
-        host.told = seen;
-        host.told_at = now;
-        let (part, term, commit, last) =
-            (host.part, host.replica.term().0, host.replica.commit_index().0, host.replica.last());
-        let group = host.replica.group();
-        let (voters, outgoing) = (group.voters.len(), group.outgoing.len());
-        let owner = host.replica.owner_hint().map_or(0, |owner| owner.0 % 10_000);
-        let own = host.replica.identity().0 % 10_000;
-        let names: Vec<u64> = group.members().map(|member| member.0 % 10_000).collect();
-        debug!(
-            "part {part} replica {own} term {term} commit {commit} last {} of term {} owner {owner} group {voters}+{outgoing} {names:?} log {}",
-            last.index.0,
-            last.term.0,
-            host.replica.log_bytes()
-        );
-    }
-
-    fn upkeep_part(&mut self, place: usize) {
-        let now = self.now;
-        let wanted = self.group_size();
-        let class = class_of_part(self.parts[place].part);
-        let retiring = self.retiring_nodes(place);
-        let group = self.parts[place].replica.group().clone();
-        if group.is_joint() || self.parts[place].replica.pending_change().is_some() {
-            return;
-        }
-        let alive: Vec<Candidate> = self
-            .registry
-            .members()
-            .filter(|member| member.class == class && member.state == MemberState::Alive)
-            .filter(|member| !retiring.contains(&member.name))
-            .filter_map(Candidate::of)
-            .collect();
-        let is_alive = |voter: &ReplicaId| alive.iter().any(|candidate| candidate.replica == voter.0);
-        let host = &mut self.parts[place];
-        host.absent_since.retain(|voter, _| group.voters.contains(voter) && !is_alive(voter));
-        for voter in group.voters.iter().filter(|voter| !is_alive(voter)) {
-            host.absent_since.entry(*voter).or_insert(now);
-        }
-        let absent = host.absent_since.clone();
-        let retired = self.retiring_replicas(&retiring);
-        let lost = |voter: &ReplicaId| {
-            retired.contains(voter)
-                || self.superseded(*voter)
-                || absent.get(voter).is_some_and(|since| now.since(*since) >= ABSENT_FOR)
-        };
-        let kept: Vec<ReplicaId> = group.voters.iter().copied().filter(|voter| !lost(voter)).collect();
-        let mut voters = group.voters.clone();
-        let joiners: Vec<Candidate> = alive
-            .iter()
-            .filter(|candidate| !group.voters.contains(&ReplicaId(candidate.replica)))
-            .cloned()
-            .collect();
-        let zones: Vec<String> = alive
-            .iter()
-            .filter(|candidate| kept.contains(&ReplicaId(candidate.replica)))
-            .map(|candidate| candidate.zone.clone())
-            .collect();
-        let joiner = best_joiner(&joiners, &zones).map(|candidate| ReplicaId(candidate.replica));
-        let dead = group.voters.iter().copied().find(|voter| lost(voter));
-        match (dead, joiner) {
-            (Some(dead), Some(joiner)) => {
-                voters.retain(|voter| *voter != dead);
-                voters.push(joiner);
-            }
-            // Nobody can step in: one that is leaving for good makes room where enough are left.
-            (Some(dead), None) if kept.len() >= wanted => voters.retain(|voter| *voter != dead),
-            (None, Some(joiner)) if group.voters.len() < wanted => voters.push(joiner),
-            (None, _) if group.voters.len() > wanted => {
-                let own = self.identity;
-                if let Some(surplus) = group.voters.iter().copied().rfind(|voter| Some(*voter) != own) {
-                    voters.retain(|voter| *voter != surplus);
-                }
-            }
-            _ => return,
-        }
-        let part = self.parts[place].part;
-        info!("part {part}: the group changes from {:?} to {voters:?}", group.voters);
-        if let Err(error) = self.parts[place].replica.change_group(now, voters) {
-            warn!("part {part}: the group can't change now: {error}");
-        }
-    }
-
-    /// Whether the node of a disk identity runs under another one now: the disk was lost.
-    fn superseded(&self, voter: ReplicaId) -> bool {
-        let Some(name) = self.replica_names.get(&voter.0) else { return false };
-        let Some(member) = self.registry.member(name) else { return false };
-        member.serves() && member.replica.is_some_and(|replica| replica != voter.0)
-    }
-
-    fn retiring_replicas(&self, retiring: &[String]) -> Vec<ReplicaId> {
-        let members = retiring.iter().filter_map(|name| self.registry.member(name));
-        members.filter_map(|member| member.replica).map(ReplicaId).collect()
-    }
-
     /// Gives the ownership of parts to others, as this process is about to end.
     pub fn hand_over_parts(&mut self) {
         let now = self.now;
@@ -498,11 +371,6 @@
         let owner = self.parts[place].replica.owner_hint()?;
         self.registry.member_by_replica(owner.0).map(|member| member.name.clone())
     }
-
-    /// Shares a body between what keeps it.
-    pub(crate) fn shared(bytes: &[u8]) -> Rc<Vec<u8>> {
-        Rc::new(bytes.to_vec())
-    }
 }
 
 /// The machines that hold a part.
