--- a/crates/tier/src/status.rs
+++ b/crates/tier/src/status.rs
@@ -2,7 +2,6 @@
 
 use crate::node::Node;
 use crate::parts::Application;
-use grebeusher_registry::MemberState;
 use grebeusher_time::Span;
 use std::fmt::Write;
 
@@ -10,18 +9,13 @@
 const PROOF_WAITS: Span = Span::millis(900);
 
 impl Node {
-    /// Whether the platform should send clients: a configuration proven by its owner, executors known, not stopping.
+    /// Whether the platform should send clients: a configuration proven by its owner, executors known, not stopping, and
+    /// not cut off from all other nodes, as clients are better off elsewhere then.
     pub fn is_ready(&self) -> bool {
         let proven = self.configuration_proven || self.now.0 >= PROOF_WAITS.0;
         let executors_known = self.registry.executors().next().is_some();
         let serves = self.configuration.is_some() && proven && executors_known;
-        !self.stopping() && serves && !self.is_isolated()
-    }
-
-    /// Whether no other node is heard though there were some: clients are better off elsewhere.
-    fn is_isolated(&self) -> bool {
-        let known = self.registry.members().filter(|member| member.state != MemberState::Left).count();
-        known > 1 && self.registry.live_members().count() <= 1
+        !self.stopping() && serves && !self.registry.is_isolated(self.now)
     }
 
     /// Members, executors, parts, owners and counters, a line each.
