--- a/crates/quorum/src/disk/files.rs
+++ b/crates/quorum/src/disk/files.rs
@@ -50,6 +50,15 @@
     Ok(file)
 }
 
+/// Takes away a file's content, if there is one. Not synced.
+pub(super) fn empty(path: &Path) -> Result<(), StoreError> {
+    match OpenOptions::new().write(true).open(path) {
+        Ok(file) => file.set_len(0).context(IoSnafu { action: "empty", path }),
+        Err(error) if error.kind() == ErrorKind::NotFound => Ok(()),
+        Err(error) => Err(error).context(IoSnafu { action: "open", path }),
+    }
+}
+
 /// Syncs a file as it is.
 pub(super) fn sync_file(path: &Path) -> Result<(), StoreError> {
     let file = File::open(path).context(IoSnafu { action: "open", path })?;
--- a/crates/quorum/src/disk/store.rs
+++ b/crates/quorum/src/disk/store.rs
@@ -106,6 +106,7 @@
         file.sync_all().context(IoSnafu { action: "sync", path: &path })?;
         files::sync_file(&slot_path(folder, generation))?;
         files::sync_folder(folder)?;
+        empty_other_generation(folder, generation)?;
         let log = LogFile { path, file, length: content.length, chain: content.chain, dirty: false };
         let restored = Restored { hard: content.hard, snapshot: slot.snapshot, entries: content.entries };
         Ok((Store { folder: folder.to_owned(), generation, log, poisoned: false }, restored))
@@ -185,10 +186,18 @@
         self.poisoned = false;
         self.generation = generation;
         self.log = log;
-        Ok(())
+        empty_other_generation(&self.folder, generation)
     }
 }
 
+/// Gives back the room of the generation beside the one in force, which is whole and synced: nothing goes back to it, and
+/// a disk need not hold each state twice but while one is written. Whether that lasts does not matter.
+fn empty_other_generation(folder: &Path, in_force: u64) -> Result<(), StoreError> {
+    let other = in_force + 1;
+    files::empty(&slot_path(folder, other))?;
+    files::empty(&log_path(folder, other))
+}
+
 fn to_record(write: &Write) -> Option<Record> {
     match write {
         Write::Hard(hard) => Some(Record::Hard(*hard)),
--- a/crates/tier/src/configuration.rs
+++ b/crates/tier/src/configuration.rs
@@ -42,9 +42,7 @@
 
     /// The route of a request.
     pub fn find(&self, host: &str, path: &str) -> Option<Rc<Route>> {
-        let found = self.table.find(host, path)?;
-        let index = self.table.configuration().routes.iter().position(|route| std::ptr::eq(route, found))?;
-        Some(self.shared[index].clone())
+        self.shared.get(self.table.find_index(host, path)?).cloned()
     }
 
     /// The whole configuration.
--- a/crates/tier/src/parts.rs
+++ b/crates/tier/src/parts.rs
@@ -2,6 +2,7 @@
 
 use crate::batch_part::{BatchPart, shared};
 use crate::configuration_part::ConfigurationPart;
+use crate::disk_room::DiskRoom;
 use crate::group_care::GroupCare;
 use crate::io::{PartStore, World};
 use crate::messages::{Channel, QuorumEnvelope, Reply};
@@ -38,10 +39,8 @@
 /// What a replica's care for its machine rests on.
 #[derive(Clone, Copy, Debug)]
 pub struct Tuning {
-    /// The log is written anew as a snapshot beyond this (bytes).
-    pub compact_at: usize,
-    /// The log never grows beyond this, however large the state is (bytes).
-    pub most_log: usize,
+    /// What the part may take of the disk.
+    pub room: DiskRoom,
     /// The machine's own link.
     pub link_mbps: f64,
     /// For what is left to chance.
@@ -62,9 +61,9 @@
     /// Calls that are judged anew after the next commit.
     pub deferred: Vec<Waiter>,
     applied: Index,
+    room: DiskRoom,
+    /// The log is written anew beyond this (bytes).
     compact_at: usize,
-    /// The log never grows beyond this (bytes).
-    most_log: usize,
     /// Whether the application acts as the owner's now.
     owns: bool,
     pub(crate) care: GroupCare,
@@ -96,8 +95,8 @@
             waiters: BTreeMap::new(),
             deferred: Vec::new(),
             applied: Index(0),
-            compact_at: tuning.compact_at,
-            most_log: tuning.most_log,
+            room: tuning.room,
+            compact_at: tuning.room.log_beside(0),
             owns: false,
             care: GroupCare::default(),
         })
@@ -189,6 +188,8 @@
                 self.send_quorum(part, to, &message);
             }
             if let Some(restore) = ready.restore {
+                let host = &mut self.parts[place];
+                host.compact_at = host.room.log_beside(restore.bytes.as_slice().len());
                 self.restore_part(place, restore.bytes)?;
                 self.parts[place].applied = restore.index;
             }
@@ -266,8 +267,7 @@
         if let Err(error) = host.replica.compact(host.applied, snapshot) {
             warn!("part {}: no snapshot of {size} bytes: {error}", host.part);
         }
-        // A state that has grown is not written anew for every little entry.
-        host.compact_at = host.compact_at.max(size.min(host.most_log));
+        host.compact_at = host.room.log_beside(size);
     }
 
     /// Begins or ends to act as the owner of a part.
--- a/crates/tier/src/start.rs
+++ b/crates/tier/src/start.rs
@@ -4,6 +4,7 @@
 use crate::batch_part::BatchPart;
 use crate::configuration_part::ConfigurationPart;
 use crate::control::CONFIGURATION_PART;
+use crate::disk_room::DiskRoom;
 use crate::io::{Listener, SharedWorld, World};
 use crate::node::{RunError, keys};
 use crate::parts::{Application, PartHost, Tuning};
@@ -19,27 +20,6 @@
 
 /// Descriptors that are kept for links, executors and the disk.
 const KEPT_DESCRIPTORS: u64 = 600;
-/// The log of the configuration is written anew beyond this (bytes).
-const CONFIGURATION_LOG: usize = 2 * 1024 * 1024;
-/// The share of a disk that the log of one part may take before it is written anew.
-///
-/// The jobs refer to the entries in memory, so beside the log they cost next to nothing, and what a long log costs in excess
-/// are the bodies of items that are done: about a third of it, as texts are the longer ones and are kept for readers. A
-/// snapshot is a copy of all that is kept. While it is made it stands beside the log, and once more on its way to the disk:
-/// at that moment the part takes the log and two or three times the texts, and is smaller only after it. So at its peak
-/// a part takes least if the log is written anew as late as the disk and the memory bear, and the bound is no lower.
-const BATCH_LOG_SHARE: usize = 12;
-/// The share of the memory that the log of one part may take before it is written anew, where the disk would bear more.
-/// Three logs leave half of the memory, in which one of them after another can be written anew.
-const BATCH_LOG_MEMORY_SHARE: usize = 6;
-/// The share of the memory that the jobs of one part may take.
-const JOBS_MEMORY_SHARE: usize = 4;
-
-/// Below this a disk must hold two snapshots of each part and little else (bytes).
-const SMALL_DISK: usize = 256 * 1024 * 1024;
-/// The share of a small disk that the log of one part may take. Found by `lipa-katalog-grown` (140 MB): with a twelfth, and
-/// logs that grow with the state, a store that holds replicas of all parts ran out of room within a minute.
-const SMALL_DISK_LOG_SHARE: usize = 48;
 
 /// What a process starts with.
 pub struct Start {
@@ -176,14 +156,6 @@
     }
 }
 
-/// The bytes of a batch part's log beyond which it is written anew.
-fn batch_log_bytes(disk: usize, memory: usize) -> usize {
-    if disk < SMALL_DISK {
-        return disk / SMALL_DISK_LOG_SHARE;
-    }
-    (disk / BATCH_LOG_SHARE).min(memory / BATCH_LOG_MEMORY_SHARE)
-}
-
 fn open_parts(
     settings: &Settings,
     world: &dyn World,
@@ -199,14 +171,14 @@
     let mut parts = Vec::new();
     for part in parts_of(&settings.machine_class) {
         let seed = seed.wrapping_add(u64::from(part) + 1);
-        let (application, compact_at) = if part == CONFIGURATION_PART {
-            (Application::Configuration(ConfigurationPart::default()), CONFIGURATION_LOG)
+        let (application, room) = if part == CONFIGURATION_PART {
+            let room = DiskRoom::of_configuration(disk);
+            (Application::Configuration(ConfigurationPart::default()), room)
         } else {
-            let jobs = BatchPart::new(memory / JOBS_MEMORY_SHARE, seed);
-            (Application::Batch(Box::new(jobs)), batch_log_bytes(disk, memory))
+            let room = DiskRoom::of_batch_part(disk, memory);
+            (Application::Batch(Box::new(BatchPart::new(room.most_jobs(memory), seed))), room)
         };
-        let most_log = if disk < SMALL_DISK { compact_at } else { usize::MAX };
-        let tuning = Tuning { compact_at, most_log, link_mbps: settings.limits.link_mbps, seed };
+        let tuning = Tuning { room, link_mbps: settings.limits.link_mbps, seed };
         parts.push(PartHost::open(world, data, part, identity.id, application, tuning)?);
     }
     Ok((Some(identity.id), parts))
