--- a/crates/catalog/src/routes.rs
+++ b/crates/catalog/src/routes.rs
@@ -53,10 +53,14 @@
     /// `host` is the value of the `Host` header, with or without a port and in any case; `path` is the target of
     /// the request, of which a query is left out.
     pub fn find(&self, host: &str, path: &str) -> Option<&Route> {
+        self.configuration.routes.get(self.find_index(host, path)?)
+    }
+
+    /// The same, as its place among the configuration's routes.
+    pub fn find_index(&self, host: &str, path: &str) -> Option<usize> {
         let host = bare_host(host);
         let path = path.split_once('?').map_or(path, |(path, _)| path);
-        let index = self.hosts.get(host.as_ref())?.find(&self.configuration.routes, path)?;
-        self.configuration.routes.get(index)
+        self.hosts.get(host.as_ref())?.find(&self.configuration.routes, path)
     }
 }
 
