Simulation: the fleet is split by job into a folder of small modules

What stood twice has one function: the choice of a victim or a later try (5 places), trouble of a machine for a time (5), bits of hosts (5), the end of traffic, lies of all executors.

Tests: all pass but a_guard_that_is_taken_out_is_found::case_2 (the hidden cut), which fails in the same way without this change.

--- /dev/null
+++ b/crates/simulation/src/fleet/build.rs
@@ -0,0 +1,185 @@
+//! How a fleet comes to be: its machines, its executors and the steps of its day.
+
+use super::step::Step;
+use super::{Fleet, Hardware};
+use crate::clients::{Clients, Traffic};
+use crate::disk::Disk;
+use crate::executors::{Executor, Executors};
+use crate::hub::Hub;
+use crate::judge::{Bounds, Judge};
+use crate::operators::Operators;
+use crate::scenario::{Scenario, Timed};
+use crate::stage::{Class, Machine};
+use grebeusher_time::{Moment, Span};
+use rand::Rng;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::rc::Rc;
+
+/// Traffic goes on for this long after the machines are back from a final fault.
+const AFTER_CLOSING: Span = Span::millis(18_000);
+/// What open batch jobs get after traffic.
+const FINISH: Span = Span::millis(4_000);
+/// What the last reads get.
+const LAST_READS: Span = Span::millis(10_000);
+
+impl Fleet {
+    pub(super) fn new(scenario: Scenario, seed: u64) -> Fleet {
+        let mut hub = Hub::new(seed);
+        hub.in_zone = Span::secs(scenario.shape.in_zone_ms / 1000.0);
+        hub.cross_zone = Span::secs(scenario.shape.cross_zone_ms / 1000.0);
+        let mut judge = Judge::new(Bounds::default());
+        judge.quota = scenario.load.quota;
+        let zones = scenario.shape.zones.len();
+        let client_hosts: Vec<usize> = (0..zones)
+            .map(|zone| hub.add_host(Ipv4Addr::new(10, 200, zone as u8, 1), zone, Span::millis(1)))
+            .collect();
+        let operator_host = hub.add_host(Ipv4Addr::new(10, 201, 0, 1), 0, Span::millis(1));
+        let load = &scenario.load;
+        let traffic = Traffic {
+            live_per_s: load.live_per_s,
+            jobs_per_s: load.jobs_per_s,
+            probes_per_s: load.probes_per_s,
+        };
+        let mut until = Span::secs(load.lead_s + load.length_s);
+        if scenario.closing.is_some() {
+            until = until + AFTER_CLOSING + Span::millis(3000);
+        }
+        let clients = Clients::new(client_hosts, traffic, Moment(0) + until);
+        let mut fleet = Fleet {
+            scenario,
+            hub: Rc::new(RefCell::new(hub)),
+            judge,
+            machines: Vec::new(),
+            hardware: Vec::new(),
+            nodes: BTreeMap::new(),
+            executors: Executors::default(),
+            clients,
+            operators: Operators::new(operator_host),
+            steps: Vec::new(),
+            seeds: Vec::new(),
+            armed: Vec::new(),
+            armed_for_jobs: Vec::new(),
+            taken: 0,
+            acknowledged: 0,
+            emptied: 0,
+            next_executor: 0,
+            cuts: 0,
+            closing: None,
+            closing_after: Span(0),
+            over: false,
+            trace: Vec::new(),
+            turns: 0,
+            digest: 0,
+        };
+        fleet.build(until);
+        fleet
+    }
+
+    fn build(&mut self, until: Span) {
+        let zones = self.scenario.shape.zones.clone();
+        for (zone, shape) in zones.iter().enumerate() {
+            for place in 0..shape.edge {
+                self.add_machine(Class::Edge, zone, place < shape.disks);
+            }
+            for _ in 0..shape.storage {
+                self.add_machine(Class::Storage, zone, true);
+            }
+        }
+        // Seeds are machines of different zones, where they can be.
+        let mut cores: Vec<&Machine> =
+            self.machines.iter().filter(|m| m.class == Class::Edge && m.counted).collect();
+        cores.sort_by_key(|machine| {
+            self.machines.iter().filter(|m| m.zone == machine.zone && m.host < machine.host).count()
+        });
+        self.seeds = cores.iter().take(3).map(|machine| machine.control()).collect();
+        for machine in 0..self.machines.len() {
+            let after = Span::millis(self.hub.borrow_mut().random.random_range(0..300));
+            self.later(after, Step::StartMachine { machine });
+        }
+        let services = ["model-a", "plain", "other"];
+        for service in services {
+            for place in 0..self.scenario.load.executors {
+                self.add_executor(service, place % zones.len(), None);
+            }
+        }
+        let lead = Span::secs(self.scenario.load.lead_s);
+        self.later(Span::millis(300), Step::FirstChange);
+        self.later(lead, Step::Traffic);
+        for Timed { at_s, fault } in self.scenario.faults.clone() {
+            self.later(lead + Span::secs(at_s), Step::Begin(fault));
+        }
+        let length = lead + Span::secs(self.scenario.load.length_s);
+        if self.scenario.closing.is_some() {
+            self.later(length, Step::LastChange);
+        }
+        let reads = until + FINISH;
+        self.later(reads, Step::LastReads);
+        self.later(reads + LAST_READS, Step::Over);
+    }
+
+    pub(super) fn add_machine(&mut self, class: Class, zone: usize, disk: bool) -> usize {
+        let number = self.machines.len();
+        let ip = Ipv4Addr::new(10, 1 + zone as u8, 0, 10 + number as u8);
+        let mut hub = self.hub.borrow_mut();
+        let host = hub.add_host(ip, zone, Span(0));
+        let wall_offset_ms = hub.random.random_range(-1500..1500);
+        drop(hub);
+        let kind = if class == Class::Edge { "edge" } else { "storage" };
+        self.machines.push(Machine {
+            name: format!("{kind}-{}-{number}", self.scenario.shape.zones[zone].name),
+            class,
+            zone,
+            host,
+            ip,
+            counted: disk,
+            life: None,
+            listed: true,
+            ready: false,
+        });
+        let mut empty = Disk::new(Span::secs(self.scenario.shape.sync_ms / 1000.0));
+        empty.pretends = self.scenario.broken.pretended_syncs;
+        self.hardware.push(Hardware {
+            disk: Rc::new(RefCell::new(empty)),
+            has_disk: disk,
+            settings: Rc::new(RefCell::new(String::new())),
+            wall_offset_ms,
+            stays: true,
+            lost_until: None,
+            started_before: false,
+        });
+        number
+    }
+
+    pub(super) fn add_executor(
+        &mut self,
+        service: &str,
+        zone: usize,
+        address: Option<SocketAddrV4>,
+    ) -> usize {
+        let number = self.next_executor;
+        self.next_executor += 1;
+        let reused = address.and_then(|address| self.hub.borrow().host_of(*address.ip()));
+        let (host, address) = match (reused, address) {
+            (Some(host), Some(address)) => (host, address),
+            _ => {
+                let ip = Ipv4Addr::new(10, 128, (number / 250) as u8, (number % 250) as u8);
+                let host = self.hub.borrow_mut().add_host(ip, zone, Span(0));
+                (host, SocketAddrV4::new(ip, 8080))
+            }
+        };
+        self.hub.borrow_mut().hosts[host].powered = true;
+        let made = Executor {
+            instance: format!("i-{number:04x}"),
+            service: service.to_owned(),
+            host,
+            address,
+            zone: self.scenario.shape.zones[zone].name.clone(),
+            zone_number: zone,
+            slots: self.scenario.load.slots,
+            queue: self.scenario.load.slots * 2,
+        };
+        self.stage(|fleet, stage| fleet.executors.start(made, stage))
+    }
+}
--- /dev/null
+++ b/crates/simulation/src/fleet/cuts.rs
@@ -0,0 +1,92 @@
+//! Cuts of links, and connections that are reset.
+
+use super::Fleet;
+use super::step::Step;
+use crate::hub::Cut;
+use crate::scenario::On;
+use crate::stage::{Class, Machine};
+use grebeusher_time::Span;
+
+impl Fleet {
+    /// Cuts a machine off from the counted ones for a time.
+    pub(super) fn cut_machine(&mut self, machine: usize, one_way: bool, resets: bool, for_s: f64) {
+        let own = 1u128 << self.machines[machine].host;
+        let others = self.hosts_where(|m| m.counted) & !own;
+        self.note(&format!(
+            "{} is cut off (one way: {one_way}, resets: {resets})",
+            self.machines[machine].name
+        ));
+        self.troubled(machine, for_s);
+        self.cut(own, others, one_way, resets, for_s);
+    }
+
+    /// Cuts a zone off for a time, unless more would be lost than may be.
+    pub(super) fn cut_zone(&mut self, zone: usize, for_s: f64) {
+        let inside: Vec<usize> =
+            (0..self.machines.len()).filter(|machine| self.machines[*machine].zone == zone).collect();
+        let counted: Vec<usize> =
+            inside.iter().copied().filter(|machine| self.machines[*machine].counted).collect();
+        if self.lost() + counted.len() > self.scenario.shape.losses as usize {
+            return;
+        }
+        self.note(&format!("zone {zone} is cut off"));
+        for machine in counted {
+            self.may_lose(machine, for_s);
+        }
+        for machine in inside {
+            self.troubled(machine, for_s);
+        }
+        let inside = self.hosts_where(|m| m.zone == zone);
+        let all = self.hosts_where(|_| true);
+        self.cut(inside, all & !inside, false, false, for_s);
+    }
+
+    fn cut(&mut self, from: u128, to: u128, one_way: bool, resets: bool, for_s: f64) {
+        let now = self.now();
+        self.cuts += 1;
+        let number = self.cuts;
+        let mut hub = self.hub.borrow_mut();
+        hub.cuts.push(Cut { number, from, to, resets });
+        if !one_way {
+            hub.cuts.push(Cut { number, from: to, to: from, resets });
+        }
+        drop(hub);
+        self.judge.core_event(now);
+        self.judge.link_trouble(now, now + Span::secs(for_s));
+        self.later(Span::secs(for_s), Step::Heal { cut: number });
+    }
+
+    pub(super) fn heal(&mut self, cut: usize) {
+        self.note("the cut is healed");
+        self.hub.borrow_mut().cuts.retain(|other| other.number != cut);
+        let now = self.now();
+        self.judge.core_event(now);
+    }
+
+    /// Cuts a machine off without the rules knowing of it.
+    pub(super) fn hide(&mut self) {
+        let Some(hidden) = self.machines.iter().find(|m| m.class == Class::Edge && !m.counted) else {
+            return;
+        };
+        let own = 1u128 << hidden.host;
+        let others = self.hosts_where(|_| true) & !own;
+        let mut hub = self.hub.borrow_mut();
+        hub.cuts.push(Cut { number: 0, from: own, to: others, resets: false });
+        hub.cuts.push(Cut { number: 0, from: others, to: own, resets: false });
+    }
+
+    /// Resets all connections of a machine.
+    pub(super) fn reset(&mut self, on: On) {
+        let Some(machine) = self.pick(on, false) else { return };
+        self.note(&format!("all connections of {} are reset", self.machines[machine].name));
+        self.touched(machine);
+        if let Some(life) = self.machines[machine].life {
+            self.hub.borrow_mut().reset_all(life);
+        }
+    }
+
+    /// The hosts of machines, a bit for each.
+    fn hosts_where(&self, fits: impl Fn(&Machine) -> bool) -> u128 {
+        self.machines.iter().filter(|m| fits(m)).fold(0, |mask, m| mask | 1u128 << m.host)
+    }
+}
--- /dev/null
+++ b/crates/simulation/src/fleet/faults.rs
@@ -0,0 +1,97 @@
+//! How each fault of a scenario begins.
+
+use super::step::Step;
+use super::{Armed, Fleet};
+use crate::executors::Lies;
+use crate::operators::{Change, Wrong};
+use crate::scenario::{Fault, On, WrongKind};
+use grebeusher_time::Span;
+
+impl Fleet {
+    pub(super) fn begin_fault(&mut self, fault: Fault) {
+        match fault.clone() {
+            Fault::NodeKill { on, leader, power, wipe, for_s } => {
+                if let Some(machine) = self.victim(on, leader, for_s, fault) {
+                    self.strike(machine, power, wipe, for_s);
+                }
+            }
+            Fault::NodeFreeze { on, leader, for_s } => {
+                if let Some(machine) = self.victim(on, leader, for_s, fault) {
+                    self.freeze(machine, for_s);
+                }
+            }
+            Fault::RollTerm { on, count, gap_s, remove } => self.roll(on, count, Span::secs(gap_s), remove),
+            Fault::AddNode { on } => self.add_node(on),
+            Fault::Replace { on, after_s, planned } => {
+                if let Some(machine) = self.victim(on, false, after_s + 1.0, fault) {
+                    self.replace(machine, after_s, planned);
+                }
+            }
+            Fault::AfterAckKill { after_ms, wipe, for_s } => {
+                let after = Span::secs(after_ms / 1000.0);
+                self.armed.push(Armed { after, wipe, for_s });
+                self.change(Change::Valid);
+            }
+            Fault::AfterTakenKill { after_ms, for_s } => {
+                let after = Span::secs(after_ms / 1000.0);
+                self.armed_for_jobs.push(Armed { after, wipe: false, for_s });
+            }
+            Fault::DiskSlow { on, times, for_s } => {
+                if let Some(machine) = self.victim(core_of(on), false, for_s, fault) {
+                    self.slow_disk(machine, times, for_s);
+                }
+            }
+            Fault::Cut { on, leader, one_way, resets, for_s } => {
+                if let Some(machine) = self.victim(core_of(on), leader, for_s, fault) {
+                    self.cut_machine(machine, one_way, resets, for_s);
+                }
+            }
+            Fault::ZoneCut { zone, for_s } => self.cut_zone(zone, for_s),
+            Fault::Reset { on } => self.reset(on),
+            Fault::ConfigChange => self.change(Change::Valid),
+            Fault::ConfigRace => self.change(Change::Race),
+            Fault::BadConfig { how } => self.change(Change::Wrong(wrong(how))),
+            Fault::Retire => self.retire(),
+            Fault::ExecutorCrash { share, silent } => self.crash_executors(share, silent),
+            Fault::Release { share, gap_s } => {
+                let executors = self.some_executors(share);
+                self.release(executors, Span::secs(gap_s));
+            }
+            Fault::Burst { times, for_s } => self.burst(times, for_s),
+            Fault::AnswerLost { x, for_s } => {
+                self.note(&format!("executors lose {x:.2} of their answers"));
+                self.lie_for(Lies { lost: x, ..Lies::default() }, for_s);
+            }
+            Fault::Garble { x, surplus, for_s } => {
+                self.note(&format!("executors spoil {x:.2} of their answers"));
+                self.lie_for(Lies { cut: x, surplus: if surplus { x } else { 0.0 }, lost: 0.0 }, for_s);
+            }
+        }
+    }
+
+    /// The operators change the configuration.
+    pub(super) fn change(&mut self, change: Change) {
+        self.stage(|actors, stage| actors.operators.change(change, stage));
+    }
+
+    fn burst(&mut self, times: f64, for_s: f64) {
+        self.note(&format!("{times:.1} times as many clients"));
+        self.clients.burst(times);
+        self.later(Span::secs(for_s), Step::Usual);
+    }
+}
+
+/// Faults of disks and links that are drawn for an edge machine are for one of the core.
+fn core_of(on: On) -> On {
+    if on == On::Edge { On::Core } else { on }
+}
+
+fn wrong(how: WrongKind) -> Wrong {
+    match how {
+        WrongKind::CutShort => Wrong::CutShort,
+        WrongKind::UnknownService => Wrong::UnknownService,
+        WrongKind::SamePlace => Wrong::SamePlace,
+        WrongKind::NoTimeout => Wrong::NoTimeout,
+        WrongKind::OldVersion => Wrong::OldVersion,
+    }
+}
--- /dev/null
+++ b/crates/simulation/src/fleet/strikes.rs
@@ -0,0 +1,58 @@
+//! Machines that are killed, lose their power or their disk, freeze, or have a slow disk.
+
+use super::Fleet;
+use super::step::Step;
+use grebeusher_time::Span;
+
+impl Fleet {
+    /// A machine's process is killed, or its power is lost, perhaps with its disk; it comes back.
+    pub(super) fn strike(&mut self, machine: usize, power: bool, wipe: bool, for_s: f64) {
+        if self.machines[machine].life.is_none() {
+            return;
+        }
+        let name = self.machines[machine].name.clone();
+        self.note(&format!("{name} is struck (power: {power}, disk lost: {wipe}) for {for_s:.1} s"));
+        self.touched(machine);
+        self.troubled(machine, for_s);
+        self.end_life(machine, power);
+        if wipe {
+            self.hardware[machine].disk.borrow_mut().wipe();
+        }
+        self.later(Span::secs(for_s), Step::StartMachine { machine });
+    }
+
+    /// A machine's process stands still for a time.
+    pub(super) fn freeze(&mut self, machine: usize, for_s: f64) {
+        let Some(life) = self.machines[machine].life else { return };
+        self.note(&format!("{} freezes for {for_s:.1} s", self.machines[machine].name));
+        self.touched(machine);
+        self.troubled(machine, for_s);
+        self.hub.borrow_mut().freeze(life, true);
+        self.later(Span::secs(for_s), Step::Thaw { machine });
+    }
+
+    pub(super) fn thaw(&mut self, machine: usize) {
+        if let Some(life) = self.machines[machine].life {
+            self.note(&format!("{} goes on", self.machines[machine].name));
+            self.hub.borrow_mut().freeze(life, false);
+            self.touched(machine);
+        }
+    }
+
+    /// A machine's disk takes so many times as long for a time.
+    pub(super) fn slow_disk(&mut self, machine: usize, times: f64, for_s: f64) {
+        self.note(&format!("the disk of {} takes {times:.0} times as long", self.machines[machine].name));
+        let now = self.now();
+        self.troubled(machine, for_s);
+        self.judge.core_slow(now, now + Span::secs(for_s));
+        let slow = Span::secs(self.scenario.shape.sync_ms * times / 1000.0);
+        self.hardware[machine].disk.borrow_mut().sync_takes = slow;
+        self.later(Span::secs(for_s), Step::Calm { machine });
+    }
+
+    pub(super) fn calm_disk(&mut self, machine: usize) {
+        let normal = Span::secs(self.scenario.shape.sync_ms / 1000.0);
+        self.hardware[machine].disk.borrow_mut().sync_takes = normal;
+        self.note(&format!("the disk of {} is fast again", self.machines[machine].name));
+    }
+}
