Simulation: the judge is split by rule into a folder of small modules

What stood twice has one function: whether stretches of trouble meet (8 places), which versions allow a run (live requests and items). A value that was computed and dropped is gone.

--- /dev/null
+++ b/crates/simulation/src/judge/configuration.rs
@@ -0,0 +1,150 @@
+//! Configurations: which are in force, and which requests were handled by.
+
+use super::{Judge, Rule};
+use grebeusher_time::Moment;
+use std::collections::BTreeMap;
+
+/// A configuration that was sent.
+#[derive(Clone, Debug)]
+pub struct Version {
+    /// Its number.
+    pub number: u64,
+    /// What it builds on.
+    pub base: u64,
+    /// Its bytes.
+    pub body: Vec<u8>,
+    /// The services of each prefix.
+    pub routes: BTreeMap<String, Vec<String>>,
+    /// Whether it is valid.
+    pub valid: bool,
+    /// When it was sent first.
+    pub sent: Moment,
+    /// When it was acknowledged.
+    pub acknowledged: Option<Moment>,
+    /// Whether it was refused for good.
+    pub refused: bool,
+}
+
+impl Version {
+    fn allows(&self, prefix: &str, service: &str) -> bool {
+        self.routes.get(prefix).is_some_and(|services| services.iter().any(|other| other == service))
+    }
+}
+
+impl Judge {
+    /// A configuration is sent for the first time.
+    pub fn version_sent(&mut self, version: Version) {
+        self.versions.push(version);
+    }
+
+    /// It is acknowledged.
+    pub fn version_acknowledged(&mut self, number: u64, base: u64, at: Moment) {
+        let twin = self.versions.iter().find(|version| {
+            version.base == base && version.number != number && version.acknowledged.is_some()
+        });
+        let twin = twin.map(|version| version.number);
+        let Some(version) = self.versions.iter_mut().find(|v| v.number == number && v.base == base) else {
+            return;
+        };
+        version.acknowledged.get_or_insert(at);
+        self.counts.acknowledged += 1;
+        if !version.valid {
+            self.breach(Rule::Config, at, format!("version {number} is invalid and was acknowledged"));
+        }
+        if let Some(twin) = twin {
+            self.breach(
+                Rule::Config,
+                at,
+                format!("versions {twin} and {number} on {base} were both acknowledged"),
+            );
+        }
+    }
+
+    /// It is refused for good.
+    pub fn version_refused(&mut self, number: u64, base: u64) {
+        if let Some(version) = self.versions.iter_mut().find(|v| v.number == number && v.base == base) {
+            version.refused = true;
+        }
+    }
+
+    /// The newest acknowledged version.
+    pub fn newest_acknowledged(&self) -> u64 {
+        self.versions.iter().filter(|v| v.acknowledged.is_some()).map(|v| v.number).max().unwrap_or(0)
+    }
+
+    /// What the operator reads back; nothing if it was told that there is none.
+    pub fn shown(&mut self, body: Option<&[u8]>, at: Moment, last: bool) -> Option<u64> {
+        let newest = self.newest_acknowledged();
+        let Some(body) = body else {
+            if newest > 0 && last {
+                self.breach(Rule::Lost, at, format!("version {newest} was acknowledged, and none is there"));
+            }
+            return None;
+        };
+        let Some(version) = self.versions.iter().find(|version| version.body == body).cloned() else {
+            self.breach(Rule::Config, at, "a configuration was read back that nobody sent".to_owned());
+            return None;
+        };
+        if version.refused || !version.valid {
+            let what = format!("version {} is in force though it was refused or invalid", version.number);
+            self.breach(Rule::Config, at, what);
+        }
+        if version.number < newest && last {
+            let what = format!("version {} was read back, {newest} was acknowledged", version.number);
+            self.breach(Rule::Config, at, what);
+        }
+        Some(version.number)
+    }
+
+    /// Nothing was read back in all the time that was given for it.
+    pub fn never_shown(&mut self, at: Moment) {
+        if self.newest_acknowledged() > 0 {
+            self.breach(Rule::Config, at, "the configuration could not be read back at the end".to_owned());
+        }
+    }
+
+    /// `newest` is the newest version that explains what was done with a request.
+    pub(super) fn check_version(
+        &mut self,
+        sent: Moment,
+        at: Moment,
+        host: usize,
+        life: Option<usize>,
+        newest: u64,
+        id: &str,
+    ) {
+        let bound = self.bounds.config_apply;
+        let due = self.versions.iter().filter(|version| {
+            version.number > newest
+                && version.acknowledged.is_some_and(|acknowledged| sent > acknowledged + bound)
+        });
+        if let Some(version) = due.map(|version| version.number).max()
+            && self.in_touch(host, sent - bound, at)
+        {
+            let what =
+                format!("{id} at host {host} was handled by version {newest} or older, {version} was due");
+            self.breach(Rule::Config, at, what);
+        }
+        let slack = self.bounds.downgrade_slack * 8.0;
+        let regress = life.and_then(|life| self.evidence.get(&life)).and_then(|seen| {
+            seen.iter()
+                .filter(|(when, number)| *number > newest && sent > *when + slack)
+                .map(|(_, number)| *number)
+                .max()
+        });
+        if let Some(version) = regress {
+            let what =
+                format!("{id} at host {host} was handled by version {newest} or older after {version}");
+            self.breach(Rule::Config, at, what);
+        }
+    }
+
+    /// The valid versions, sent by then, that give a service to a prefix.
+    pub(super) fn allowing(&self, prefix: &str, service: &str, at: Moment) -> Vec<u64> {
+        self.versions
+            .iter()
+            .filter(|version| version.valid && version.sent <= at && version.allows(prefix, service))
+            .map(|version| version.number)
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/simulation/src/judge/drains.rs
@@ -0,0 +1,64 @@
+//! Executors that leave.
+
+use super::requests::Arrival;
+use super::{Judge, Rule};
+use grebeusher_time::Moment;
+
+/// An executor's leave.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Leave {
+    at: Moment,
+    acknowledged: Option<Moment>,
+}
+
+impl Judge {
+    /// An executor says that it leaves.
+    pub fn leaves(&mut self, at: Moment) -> usize {
+        self.leaving.push(Leave { at, acknowledged: None });
+        self.leaving.len() - 1
+    }
+
+    /// A node acknowledges it.
+    pub fn drain_acknowledged(&mut self, instance: &str, leaving: usize, host: usize, at: Moment) {
+        if let Some(found) = self.leaving.get_mut(leaving) {
+            found.acknowledged.get_or_insert(at);
+            self.counts.drained += 1;
+        }
+        if self.in_touch(host, at, at) {
+            self.drained.entry(instance.to_owned()).or_insert(at);
+        }
+    }
+
+    /// A request may not reach an executor long after its leave was acknowledged.
+    pub(super) fn check_drain(&mut self, arrival: &Arrival<'_>) {
+        let Arrival { at, instance, attempt, .. } = *arrival;
+        if let Some(acknowledged) = self.drained.get(instance).copied()
+            && arrival.came > acknowledged + self.bounds.drain
+            && self.in_touch(arrival.from, acknowledged, arrival.came)
+        {
+            let what = format!(
+                "{attempt} reached {instance} {:.3} s after its drain was acknowledged",
+                arrival.came.since(acknowledged).as_secs()
+            );
+            self.breach(Rule::Drain, at, what);
+        }
+    }
+
+    /// Judges at the end how many of those that left in calm times were acknowledged in time.
+    pub(super) fn check_leaves(&mut self, at: Moment) {
+        let bound = self.bounds.ack;
+        let calm: Vec<Leave> = self
+            .leaving
+            .iter()
+            .copied()
+            .filter(|leave| leave.at + bound < at && self.all_calm(leave.at, leave.at + bound))
+            .collect();
+        let in_time = |leave: &Leave| leave.acknowledged.is_some_and(|told| told.since(leave.at) <= bound);
+        let late = calm.iter().filter(|leave| !in_time(leave)).count();
+        if late * 5 > calm.len() {
+            let what =
+                format!("{late} of {} executors left without an acknowledgement in calm times", calm.len());
+            self.breach(Rule::Acks, at, what);
+        }
+    }
+}
--- /dev/null
+++ b/crates/simulation/src/judge/requests.rs
@@ -0,0 +1,182 @@
+//! Live requests: what clients sent, what ran, and what was answered.
+
+use super::{Judge, Rule};
+use crate::content;
+use grebeusher_time::Moment;
+
+/// How a request may be repeated.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// Any number of times.
+    Idempotent,
+    /// Once.
+    Once,
+    /// A stream that may be taken up elsewhere.
+    Resumable,
+    /// A stream that may not.
+    Stream,
+}
+
+/// A try of a client.
+#[derive(Debug)]
+pub struct Try {
+    /// How it may be repeated.
+    pub kind: Kind,
+    /// Method and target.
+    pub line: String,
+    /// The prefix of its route.
+    pub prefix: String,
+    /// The bytes of its body, hashed.
+    pub body: u64,
+    /// When it was sent.
+    pub sent: Moment,
+    /// The host of the node.
+    pub host: usize,
+    /// The life of its process.
+    pub life: Option<usize>,
+    runs: u32,
+    refused: bool,
+    broken: bool,
+}
+
+/// A request that reaches an executor.
+pub struct Arrival<'a> {
+    /// When it begins to run.
+    pub at: Moment,
+    /// When it came.
+    pub came: Moment,
+    /// The executor.
+    pub instance: &'a str,
+    /// Its service.
+    pub service: &'a str,
+    /// The host that sent it.
+    pub from: usize,
+    /// The life of its process.
+    pub life: Option<usize>,
+    /// Method and target.
+    pub line: &'a str,
+    /// The id.
+    pub attempt: &'a str,
+    /// The bytes of its body.
+    pub body: &'a [u8],
+}
+
+impl Judge {
+    /// A client sends a try.
+    pub fn try_sent(&mut self, id: &str, sent: Try) {
+        self.counts.tries += 1;
+        self.tries.insert(id.to_owned(), sent);
+    }
+
+    /// A new try, as it is noted.
+    pub fn new_try(kind: Kind, line: &str, prefix: &str, body: &[u8], sent: Moment, host: usize) -> Try {
+        Try {
+            kind,
+            line: line.to_owned(),
+            prefix: prefix.to_owned(),
+            body: content::hash(&[body]),
+            sent,
+            host,
+            life: None,
+            runs: 0,
+            refused: false,
+            broken: false,
+        }
+    }
+
+    /// The client hears a promise that the try has not run.
+    pub fn try_refused(&mut self, id: &str, status: u16, at: Moment) {
+        let Some(found) = self.tries.get_mut(id) else { return };
+        found.refused = true;
+        let ran = found.runs > 0 && matches!(found.kind, Kind::Once | Kind::Stream);
+        if ran {
+            self.breach(Rule::Refused, at, format!("try {id} was answered {status} though it has run"));
+        }
+    }
+
+    /// The outcome of a request, for the share that is served.
+    pub fn request_over(&mut self, at: Moment, served: bool) {
+        if served {
+            self.counts.served += 1;
+        } else {
+            self.counts.unserved += 1;
+        }
+        self.served.push((at, served));
+    }
+
+    /// A try was read whole by its node, and the connection ended without an answer.
+    pub fn try_cut(&mut self, id: &str, sent: Moment, at: Moment, streamed: bool) {
+        let Some(found) = self.tries.get(id) else { return };
+        let host = found.host;
+        let stopping = self.was_stopping(host, sent);
+        let passed_on = found.runs > 0;
+        let late = at.since(sent) > self.bounds.loss_slack;
+        if stopping && !found.broken && (passed_on || late) && !streamed && self.only_planned(sent, at) {
+            self.breach(
+                Rule::Lost,
+                at,
+                format!("try {id} at host {host} ended without an answer during planned work"),
+            );
+        }
+    }
+
+    /// An executor breaks a try off by itself.
+    pub fn executor_broke(&mut self, id: &str) {
+        if let Some(found) = self.tries.get_mut(id) {
+            found.broken = true;
+        }
+    }
+
+    /// An executor begins to run a request.
+    pub fn runs(&mut self, arrival: &Arrival<'_>) {
+        self.counts.runs += 1;
+        self.check_drain(arrival);
+        let Arrival { at, instance, attempt, .. } = *arrival;
+        if self.items.contains_key(attempt) {
+            return self.item_runs(arrival);
+        }
+        let Some(found) = self.tries.get_mut(attempt) else {
+            return self.breach(Rule::Unasked, at, format!("{attempt} at {instance} was sent by no client"));
+        };
+        found.runs += 1;
+        let (runs, kind, refused) = (found.runs, found.kind, found.refused);
+        let (sent, prefix) = (found.sent, found.prefix.clone());
+        let changed = found.line != arrival.line || found.body != content::hash(&[arrival.body]);
+        if changed {
+            let what =
+                format!("{attempt} at {instance} was changed: `{}` for `{}`", arrival.line, found.line);
+            self.breach(Rule::Unasked, at, what);
+        }
+        if runs > 1 && matches!(kind, Kind::Once | Kind::Stream) {
+            self.breach(Rule::Twice, at, format!("{attempt} runs {runs} times, now at {instance}"));
+        }
+        if refused && matches!(kind, Kind::Once | Kind::Stream) {
+            self.breach(Rule::Refused, at, format!("{attempt} runs at {instance} after its refusal"));
+        }
+        self.check_route(arrival, sent, &prefix, attempt);
+    }
+
+    fn check_route(&mut self, arrival: &Arrival<'_>, sent: Moment, prefix: &str, attempt: &str) {
+        let (at, service) = (arrival.at, arrival.service);
+        let allowing = self.allowing(prefix, service, at);
+        let Some(newest) = allowing.iter().max().copied() else {
+            let what = format!("{attempt} ran at service {service}, which no version gives to {prefix}");
+            return self.breach(Rule::Route, at, what);
+        };
+        self.check_version(sent, at, arrival.from, arrival.life, newest, attempt);
+        if let (Some(life), Some(oldest)) = (arrival.life, allowing.iter().min()) {
+            self.evidence.entry(life).or_default().push((at, *oldest));
+        }
+    }
+
+    /// A node answers a request on a prefix with its own 404.
+    pub fn unrouted(&mut self, id: &str, at: Moment) {
+        let Some(found) = self.tries.get(id) else { return };
+        let (sent, host, life, prefix) = (found.sent, found.host, found.life, found.prefix.clone());
+        let lacking =
+            self.versions.iter().filter(|version| version.valid && !version.routes.contains_key(&prefix));
+        let newest =
+            lacking.filter(|version| version.sent <= at).map(|version| version.number).max().unwrap_or(0);
+        self.check_version(sent, at, host, life, newest, id);
+    }
+}
