--- a/crates/archive/src/submission/reading.rs
+++ b/crates/archive/src/submission/reading.rs
@@ -100,7 +100,7 @@
 pub fn read_submission(head: SubmissionHead, body: &[u8]) -> Result<Submission, SubmissionError> {
     ensure!(body.len() <= MAX_SUBMISSION_BYTES, TooLargeSnafu { bytes: body.len() });
     let text = std::str::from_utf8(body).context(NotTextSnafu)?;
-    ensure!(is_shallow(body), TooDeepSnafu);
+    ensure!(grebeusher_json::is_shallow(body, MAX_DEPTH), TooDeepSnafu);
     let JsonValue::Object(mut fields) = text.parse().context(NotJsonSnafu)? else {
         return NotAnObjectSnafu.fail();
     };
@@ -119,25 +119,6 @@
     Ok(Submission { job, route, service, host, items })
 }
 
-/// Whether no value stands in too many others. Looks at bytes only: they are UTF-8, and what counts is ASCII.
-fn is_shallow(body: &[u8]) -> bool {
-    let (mut depth, mut in_string, mut escaped) = (0usize, false, false);
-    for byte in body {
-        match byte {
-            _ if escaped => escaped = false,
-            b'\\' if in_string => escaped = true,
-            b'"' => in_string = !in_string,
-            b'{' | b'[' if !in_string => depth += 1,
-            b'}' | b']' if !in_string => depth = depth.saturating_sub(1),
-            _ => {}
-        }
-        if depth > MAX_DEPTH {
-            return false;
-        }
-    }
-    true
-}
-
 type Fields = HashMap<String, JsonValue>;
 
 fn read_item(item: usize, value: JsonValue) -> Result<ItemSpec, SubmissionError> {
--- a/crates/quorum/src/group.rs
+++ b/crates/quorum/src/group.rs
@@ -68,11 +68,9 @@
 
     /// The fingerprint of a founding with this group.
     pub fn founding(&self) -> Founding {
-        // FNV-1a over the identities, which are random themselves.
-        const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
-        const PRIME: u64 = 0x0000_0100_0000_01b3;
-        let bytes = self.voters.iter().flat_map(|voter| voter.0.to_le_bytes());
-        Founding(bytes.fold(OFFSET, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(PRIME)))
+        // The identities are random themselves.
+        let bytes: Vec<u8> = self.voters.iter().flat_map(|voter| voter.0.to_le_bytes()).collect();
+        Founding(grebeusher_hash::fixed_hash_of(&bytes))
     }
 
     /// Whether the lists are ordered, without repeats and of a size that is allowed.
--- a/crates/registry/src/report.rs
+++ b/crates/registry/src/report.rs
@@ -77,7 +77,7 @@
 
 fn read_object(body: &[u8]) -> Result<Fields, ReportError> {
     let text = std::str::from_utf8(body).or_else(|_| NotJsonSnafu.fail())?;
-    if !is_shallow(text) {
+    if !grebeusher_json::is_shallow(body, DEEPEST) {
         return NotJsonSnafu.fail();
     }
     match text.parse::<JsonValue>() {
@@ -86,25 +86,6 @@
     }
 }
 
-/// Whether brackets outside of texts nest no deeper than [`DEEPEST`].
-fn is_shallow(text: &str) -> bool {
-    let (mut depth, mut quoted, mut escaped) = (0_usize, false, false);
-    for byte in text.bytes() {
-        match byte {
-            _ if escaped => escaped = false,
-            b'\\' if quoted => escaped = true,
-            b'"' => quoted = !quoted,
-            b'{' | b'[' if !quoted => depth += 1,
-            b'}' | b']' if !quoted => depth = depth.saturating_sub(1),
-            _ => {}
-        }
-        if depth > DEEPEST {
-            return false;
-        }
-    }
-    true
-}
-
 fn text_of(value: &JsonValue, field: &'static str) -> Result<String, ReportError> {
     match value {
         JsonValue::String(text) if text.len() <= LONGEST_TEXT => Ok(text.clone()),
--- a/crates/tier/src/batch_front.rs
+++ b/crates/tier/src/batch_front.rs
@@ -9,6 +9,7 @@
 use crate::routing::STARTING_RETRY;
 use grebeusher_archive::{JobId, SubmissionHead, read_submission};
 use grebeusher_catalog::configuration::{Route, RouteType};
+use grebeusher_hash::fixed_hash;
 use grebeusher_time::Span;
 use grebeusher_transport::http;
 use nanoserde::SerBin;
@@ -34,11 +35,8 @@
 const SPREAD_FROM_LOSSES: u32 = 2;
 
 fn hash_of(text: &str) -> u64 {
-    let hash = text
-        .bytes()
-        .fold(0xcbf2_9ce4_8422_2325_u64, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(0x100_0000_01b3));
     // The low bits of this hash are its weakest.
-    hash >> 17
+    fixed_hash(text) >> 17
 }
 
 /// The part of a batch job: by a hash of its host, the only name that all calls about a job share; and of the job as well
