Batch jobs: no refusal is passed on while a copy of the job is unaccounted for

A refusal by one owner is a promise only if no other copy can still be taken.

Change: a call keeps whether a node has left it unanswered; if so, a refusal (408, 421, 429, 503) of a submission becomes an unclear answer, which the client repeats under the same id. Reads and ends are as before. tests/calls.rs fails without it.

--- a/crates/tier/src/calls.rs
+++ b/crates/tier/src/calls.rs
@@ -103,6 +103,23 @@
     }
 }
 
+/// What a call has come to. `unheard`: a node that it was sent to has left it unanswered, so that a copy may still be on
+/// its way or be under way there; then a refusal of another copy is no promise that the job will not run, and none is
+/// passed on as one.
+pub fn settled(call: &Call, unheard: bool, reply: Option<Reply>) -> Reply {
+    const PROMISES: [u16; 4] = [408, 421, 429, 503];
+    match reply {
+        None | Some(Reply::Unavailable) if unheard => Reply::Unclear,
+        None => Reply::Unavailable,
+        Some(Reply::Answer { status, .. })
+            if unheard && matches!(call, Call::SubmitJob(_)) && PROMISES.contains(&status) =>
+        {
+            Reply::Unclear
+        }
+        Some(reply) => reply,
+    }
+}
+
 fn forwarded(pending: &PendingCall, now: Moment) -> Call {
     let within = pending.until.since(now).0 / 1_000_000;
     Call::Forward {
@@ -301,8 +318,7 @@
             let (part, tries) = (pending.part, pending.tried.len());
             debug!("a call to the owner of part {part:?} took {:.3} s, {tries} tries", took.as_secs());
         }
-        let unanswered = if pending.unheard { Reply::Unclear } else { Reply::Unavailable };
-        let reply = reply.unwrap_or(unanswered);
+        let reply = settled(&pending.call, pending.unheard, reply);
         match pending.continuation {
             Continuation::Operator { connection, serial, question } => {
                 self.operator_reply(connection, serial, question, reply);
--- /dev/null
+++ b/crates/tier/tests/calls.rs
@@ -0,0 +1,60 @@
+//! What a call between nodes has come to, where some copies of it were left unanswered.
+
+use grebeusher_tier::calls::settled;
+use grebeusher_tier::messages::{Call, Reply, SubmitJob};
+use rstest::rstest;
+
+fn submission() -> Call {
+    Call::SubmitJob(SubmitJob {
+        part: 1,
+        submission: Vec::new(),
+        completion_target_ms: 8_000,
+        retention_ms: 40_000,
+        max_attempts: 3,
+        queue_token_limit: 1_000,
+    })
+}
+
+fn answer(status: u16) -> Reply {
+    Reply::Answer { status, body: Vec::new() }
+}
+
+fn status(reply: &Reply) -> Option<u16> {
+    match reply {
+        Reply::Answer { status, .. } => Some(*status),
+        _ => None,
+    }
+}
+
+#[rstest]
+fn a_refusal_is_no_promise_while_a_copy_of_the_job_is_unaccounted_for(#[values(429, 503)] refusal: u16) {
+    // Given a job of which one copy was left unanswered, when another copy is refused,
+    let reply = settled(&submission(), true, Some(answer(refusal)));
+    // then the client is not told that the job will never run: the first copy may yet be taken.
+    assert!(matches!(reply, Reply::Unclear));
+}
+
+#[rstest]
+fn a_refusal_is_a_promise_when_each_copy_was_answered(#[values(429, 503)] refusal: u16) {
+    let reply = settled(&submission(), false, Some(answer(refusal)));
+    assert_eq!(status(&reply), Some(refusal));
+}
+
+#[rstest]
+fn what_was_taken_is_taken_whatever_became_of_other_copies(#[values(false, true)] unheard: bool) {
+    let reply = settled(&submission(), unheard, Some(answer(202)));
+    assert_eq!(status(&reply), Some(202));
+}
+
+#[test]
+fn a_call_that_nobody_answered_is_unclear_and_one_that_was_put_off_is_not() {
+    assert!(matches!(settled(&submission(), true, None), Reply::Unclear));
+    assert!(matches!(settled(&submission(), true, Some(Reply::Unavailable)), Reply::Unclear));
+    assert!(matches!(settled(&submission(), false, None), Reply::Unavailable));
+}
+
+#[test]
+fn a_read_that_is_put_off_by_a_status_is_answered_so() {
+    let read = Call::ReadJob { part: 1, job: "a".to_owned(), resume_after: 0, hold_ms: 0 };
+    assert_eq!(status(&settled(&read, true, Some(answer(503)))), Some(503));
+}
