Simulation: the hidden cut takes two nodes, as one alone notices and is not ready

Cause: since a node that hears no other node at all is not ready, so clients no longer reach the one hidden node: a second guard covers the first. The check itself is unchanged (a storm must break a rule). Two hidden nodes hear each other, stay ready, and show the breach again, so the mutation is the stronger one now.

--- a/crates/simulation/src/fleet/cuts.rs
+++ b/crates/simulation/src/fleet/cuts.rs
@@ -63,16 +63,14 @@
         self.judge.core_event(now);
     }
 
-    /// Cuts a machine off without the rules knowing of it.
+    /// Cuts two machines off from the others without the rules knowing of it. One alone would notice and not be ready.
     pub(super) fn hide(&mut self) {
-        let Some(hidden) = self.machines.iter().find(|m| m.class == Class::Edge && !m.counted) else {
-            return;
-        };
-        let own = 1u128 << hidden.host;
-        let others = self.hosts_where(|_| true) & !own;
+        let without_disk = self.machines.iter().filter(|m| m.class == Class::Edge && !m.counted);
+        let hidden = without_disk.take(2).fold(0, |mask, m| mask | 1u128 << m.host);
+        let others = self.hosts_where(|_| true) & !hidden;
         let mut hub = self.hub.borrow_mut();
-        hub.cuts.push(Cut { number: 0, from: own, to: others, resets: false });
-        hub.cuts.push(Cut { number: 0, from: others, to: own, resets: false });
+        hub.cuts.push(Cut { number: 0, from: hidden, to: others, resets: false });
+        hub.cuts.push(Cut { number: 0, from: others, to: hidden, resets: false });
     }
 
     /// Resets all connections of a machine.
--- a/crates/simulation/src/scenario.rs
+++ b/crates/simulation/src/scenario.rs
@@ -216,8 +216,8 @@
 pub struct Broken {
     /// Syncs of disks only pretend.
     pub pretended_syncs: bool,
-    /// From the start of traffic an edge machine without a disk hears and says nothing to the other nodes, and the rules
-    /// don't know of it: as though it never heard of drains and changes, and all went on as if it had.
+    /// From the start of traffic two edge machines without a disk hear and say nothing to the other nodes, and the rules
+    /// don't know of it: as though they never heard of drains and changes, and all went on as if they had.
     pub hidden_cut: bool,
 }
 
--- a/crates/simulation/tests/storms.rs
+++ b/crates/simulation/tests/storms.rs
@@ -32,7 +32,7 @@
 
 #[rstest]
 #[case::syncs_that_pretend(Broken { pretended_syncs: true, ..Broken::default() })]
-#[case::a_node_that_nobody_reaches(Broken { hidden_cut: true, ..Broken::default() })]
+#[case::two_nodes_that_nobody_else_reaches(Broken { hidden_cut: true, ..Broken::default() })]
 fn a_guard_that_is_taken_out_is_found(#[case] broken: Broken) {
     // Given a fleet that lacks a guard, when there are storms, then one of them breaks a rule.
     let mut scenario = shape("four-zones");
