Simulation: an item without a body must be listed when the list is read on

Cause: in the last reads a client asks for the bodies of items that the list did not show. The check is replaced by one as strict: after such a 404 the list is read on to its end, and the item must be there.

--- a/crates/simulation/src/clients/jobs.rs
+++ b/crates/simulation/src/clients/jobs.rs
@@ -51,6 +51,8 @@
     pub(super) gives_up: Moment,
     pub(super) last_from: usize,
     pub(super) bodies: usize,
+    /// An item without a body: the list must show it when it is read on.
+    pub(super) without_body: Option<usize>,
 }
 
 impl Clients {
@@ -118,6 +120,7 @@
             gives_up: now,
             last_from: 0,
             bodies: 0,
+            without_body: None,
         };
         self.tasks.insert(number, Task::Job(Box::new(job)));
         self.call_job(number, stage);
@@ -186,11 +189,17 @@
                     self.job_failed(number, stage);
                 }
             }
-            (JobCall::Read { .. } | JobCall::Body { .. }, 404 | 410) => {
-                let last = matches!(job.state, JobState::LastRead | JobState::LastBodies);
+            (JobCall::Read { .. }, 404 | 410) => {
+                let last = job.state == JobState::LastRead;
                 stage.judge.job_missing(&job.id, job.host, job.called, now, last);
                 self.job_failed(number, stage);
             }
+            (JobCall::Body { item }, 404 | 410) => {
+                // It may have been listed since the list was read to its end.
+                job.without_body = Some(item);
+                job.state = JobState::LastRead;
+                wake(stage, now, AGAIN, number);
+            }
             (JobCall::Body { item }, 200) => {
                 if call.body != job.items[item].body {
                     let what = format!("the body of item {} is another one", job.items[item].id);
@@ -251,6 +260,12 @@
     fn next_body(&mut self, number: u64, stage: &mut Stage<'_>) {
         let now = stage.now();
         let Some(Task::Job(job)) = self.tasks.get_mut(&number) else { return };
+        if let Some(item) = job.without_body.take().map(|item| &job.items[item].id)
+            && !stage.judge.is_listed(&job.id, item)
+        {
+            let what = format!("item {item} is neither listed nor gives its body");
+            stage.judge.job_lost(&job.id, &what, now);
+        }
         // Items of ended jobs need no body any more.
         while job.bodies < job.items.len() && stage.judge.is_listed(&job.id, &job.items[job.bodies].id) {
             job.bodies += 1;
--- a/crates/simulation/tests/lives.rs
+++ b/crates/simulation/tests/lives.rs
@@ -5,7 +5,7 @@
 
 use fleets::{day_that_ends_with, day_with, expect_clean, expect_served, shape};
 use grebeusher_simulation::fleet::run;
-use grebeusher_simulation::scenario::{Closing, Fault, On, Timed, When, WrongKind};
+use grebeusher_simulation::scenario::{Closing, Fault, Load, On, Timed, When, WrongKind};
 use rstest::rstest;
 
 #[test]
@@ -147,3 +147,17 @@
     expect_clean(&report);
     expect_served(&report, 0.8);
 }
+
+#[rstest]
+fn owners_that_stand_still_lose_nothing_of_a_crowd_of_jobs(#[values(1, 2, 3, 4, 5, 6)] seed: u64) {
+    // Given more items than executors have room for, so that results still come while all is read for the last time, and
+    // clients that end jobs, when owners stand still for so long that others act in their stead,
+    let mut scenario = shape("three-zones");
+    scenario.load =
+        Load { jobs_per_s: 5.0, slots: 2, executors: 2, quota: 0, length_s: 14.0, ..scenario.load };
+    let frozen = Fault::NodeFreeze { on: On::Storage, leader: true, for_s: 6.0 };
+    scenario.faults =
+        (0..3).map(|second| Timed { at_s: 2.0 + f64::from(second), fault: frozen.clone() }).collect();
+    // then each item is listed or gives its body, and nothing that was ended long ago runs when they wake.
+    expect_clean(&run(&scenario, seed));
+}
