Pages of results are as long as the owner's link moves in a moment

Change: a page has at most what the owner's link moves in 25 ms (1 MB still from 320 Mbit/s on), and a read waits 300 ms longer for its page before it is tried again.

--- a/crates/tier/src/batch_part.rs
+++ b/crates/tier/src/batch_part.rs
@@ -2,11 +2,11 @@
 
 use crate::messages::{Reply, SubmitJob};
 use crate::node::{Node, RunError};
+use crate::page_size::most_page_bytes;
 use crate::parts::{Application, Waiter, class_of_part};
 use crate::timers::Timer;
 use grebeusher_archive::{
-    Admission, Applied, Entry, JobId, JobTerms, Jobs, MAX_PAGE_BYTES, Owner, Runner, SharedBytes,
-    SnapshotError, Submission,
+    Admission, Applied, Entry, JobId, JobTerms, Jobs, Owner, Runner, SharedBytes, SnapshotError, Submission,
 };
 use grebeusher_quorum::Blob;
 use grebeusher_registry::MemberState;
@@ -336,8 +336,9 @@
         if !self.parts[place].replica.lease_holds(self.now) {
             return self.reply(waiter.peer, waiter.number, Reply::Unavailable);
         }
+        let most_bytes = most_page_bytes(self.settings.limits.link_mbps);
         let Some(part) = self.batch_mut(place) else { return };
-        let reply = match part.jobs.read(job, resume_after, MAX_PAGE_BYTES) {
+        let reply = match part.jobs.read(job, resume_after, most_bytes) {
             Some(page) => Reply::Answer { status: 200, body: page.to_json().into_bytes() },
             None => Reply::Answer { status: 404, body: Vec::new() },
         };
--- a/crates/tier/src/calls.rs
+++ b/crates/tier/src/calls.rs
@@ -17,6 +17,8 @@
 const SLOW_CALL: Span = Span::millis(250);
 /// What a large call gets at least of a link that others use too (bytes a second).
 const SLOWEST_BYTES_PER_S: u64 = 200_000;
+/// What a page of results may take beside the time that a read is held: it waits behind those of other readers.
+const PAGE_WITHIN: Span = Span::millis(300);
 /// The pause before a node is asked again when none owned the part.
 const NO_OWNER_PAUSE: Span = Span::millis(60);
 
@@ -94,7 +96,7 @@
 fn held_for(call: &Call) -> Span {
     let on_the_way = |bytes: usize| Span(bytes as u64 * 1_000_000_000 / SLOWEST_BYTES_PER_S);
     match call {
-        Call::ReadJob { hold_ms, .. } => Span::millis(u64::from(*hold_ms)),
+        Call::ReadJob { hold_ms, .. } => Span::millis(u64::from(*hold_ms)) + PAGE_WITHIN,
         Call::SubmitJob(submission) => on_the_way(submission.submission.len()),
         Call::ReplaceConfiguration { body, .. } => on_the_way(body.len()),
         // The relay tries more than one node.
