--- /dev/null
+++ b/crates/simulation/src/executors/heartbeats.rs
@@ -0,0 +1,133 @@
+//! Heartbeats, drains and the end of an executor.
+
+use super::{
+    Executors, HEARTBEAT, HEARTBEAT_LATE, HEARTBEAT_WITHIN, LEAVE, LEFT, LINGERS, State, drop_call, wake,
+};
+use crate::call::{HttpCall, Progress, request};
+use crate::hub::Owner;
+use crate::stage::{Class, Stage};
+use grebeusher_time::Span;
+use rand::Rng;
+use std::net::SocketAddrV4;
+
+impl Executors {
+    pub(super) fn heartbeat(&mut self, number: usize, stage: &mut Stage<'_>) {
+        let live = &mut self.all[number];
+        if live.call.is_some() || live.deregistering {
+            return;
+        }
+        live.call_seq += 1;
+        let state = if live.state == State::Up { "up" } else { "draining" };
+        let made = &live.made;
+        let body = format!(
+            "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"config_version\":\"v1\",\"slot_count\":{},\"state\":\"{state}\",\"cold_left_ms\":0,\"call_seq\":{}}}",
+            made.service, made.address, made.zone, made.slots, live.call_seq
+        );
+        let path = format!("/api/Instances.Heartbeat/{}", made.instance);
+        self.call(number, &path, &body, false, stage);
+    }
+
+    pub(super) fn deregister(&mut self, number: usize, stage: &mut Stage<'_>) {
+        self.all[number].deregistering = true;
+        drop_call(&mut self.all[number], stage);
+        let path = format!("/api/Instances.Deregister/{}", self.all[number].made.instance);
+        self.call(number, &path, "{}", true, stage);
+        wake(stage, number, stage.now() + Span::millis(2500), LEFT, 0);
+    }
+
+    pub(super) fn call(&mut self, number: usize, path: &str, body: &str, last: bool, stage: &mut Stage<'_>) {
+        let live = &mut self.all[number];
+        let to = match live.target {
+            Some(target) => target,
+            None => {
+                let near = stage.hub.random.random_bool(0.7);
+                let edges = stage.machines.iter().filter(|m| m.class == Class::Edge && m.listed);
+                let edges: Vec<SocketAddrV4> = edges
+                    .filter(|m| !near || m.zone == live.made.zone_number)
+                    .map(|machine| machine.control())
+                    .collect();
+                let Some(pick) = edges.get(stage.hub.random.random_range(0..edges.len().max(1))) else {
+                    return wake(stage, number, stage.now() + Span::millis(300), HEARTBEAT, 0);
+                };
+                *pick
+            }
+        };
+        let end = stage.hub.dial(Owner::Executor(number), live.made.host, to, 0);
+        let host = to.to_string();
+        let headers =
+            [("Host", host.as_str()), ("Content-Type", "application/json"), ("Connection", "close")];
+        let bytes = request("POST", path, &headers, body.as_bytes());
+        live.calls += 1;
+        live.call = Some((HttpCall::new(end, "POST", bytes), to, last));
+        let calls = live.calls;
+        wake(stage, number, stage.now() + HEARTBEAT_WITHIN, HEARTBEAT_LATE, calls);
+    }
+
+    pub(super) fn call_advances(&mut self, number: usize, stage: &mut Stage<'_>) {
+        let Some((call, to, last)) = &mut self.all[number].call else { return };
+        let (to, last) = (*to, *last);
+        match call.advance(stage.hub) {
+            Progress::Pending => {}
+            Progress::Done if call.status.is_some_and(|status| (200..300).contains(&status)) => {
+                let target = heartbeat_target(&call.body);
+                let live = &mut self.all[number];
+                drop_call(live, stage);
+                live.target = target.or(Some(to));
+                self.acknowledged(number, to, last, stage);
+            }
+            _ => self.call_failed(number, stage),
+        }
+    }
+
+    pub(super) fn acknowledged(
+        &mut self,
+        number: usize,
+        by: SocketAddrV4,
+        last: bool,
+        stage: &mut Stage<'_>,
+    ) {
+        if last {
+            return self.leave(number, stage);
+        }
+        let live = &mut self.all[number];
+        if live.state == State::Draining && !live.acknowledged {
+            live.acknowledged = true;
+            if let (Some(leaving), Some(host)) = (live.leaving, stage.hub.host_of(*by.ip())) {
+                let now = stage.now();
+                stage.judge.drain_acknowledged(&live.made.instance, leaving, host, now);
+            }
+            let serves = stage.judge.bounds.drain + LINGERS;
+            return wake(stage, number, stage.now() + serves, LEAVE, 0);
+        }
+        if live.state == State::Up {
+            let jitter = stage.hub.random.random_range(0.9..1.1);
+            wake(stage, number, stage.now() + Span::millis(1200) * jitter, HEARTBEAT, 0);
+        }
+    }
+
+    pub(super) fn call_failed(&mut self, number: usize, stage: &mut Stage<'_>) {
+        let live = &mut self.all[number];
+        drop_call(live, stage);
+        live.target = None;
+        let pause = Span::millis(stage.hub.random.random_range(20..200));
+        let kind = if live.deregistering { LEAVE } else { HEARTBEAT };
+        wake(stage, number, stage.now() + pause, kind, 0);
+    }
+
+    pub(super) fn leave(&mut self, number: usize, stage: &mut Stage<'_>) {
+        let live = &self.all[number];
+        // Without an acknowledgement it ends all the same; with one, only after it has said that it is gone.
+        if live.acknowledged && !live.deregistering {
+            return;
+        }
+        self.crash(number, false, stage);
+    }
+}
+
+fn heartbeat_target(body: &[u8]) -> Option<SocketAddrV4> {
+    let text = std::str::from_utf8(body).ok()?;
+    let value: tinyjson::JsonValue = text.parse().ok()?;
+    let fields: &std::collections::HashMap<String, tinyjson::JsonValue> = value.get()?;
+    let target: &String = fields.get("heartbeat_target")?.get()?;
+    target.parse().ok()
+}
--- /dev/null
+++ b/crates/simulation/src/network/mod.rs
@@ -0,0 +1,116 @@
+//! Connections: opening, packets in order with delay, small windows, ends and resets.
+
+mod ends;
+mod opening;
+mod packets;
+mod sockets;
+
+use crate::hub::{End, Owner};
+use grebeusher_time::{Moment, Span};
+use grebeusher_transport::poller::Interest;
+use std::collections::VecDeque;
+use std::io::ErrorKind;
+use std::net::SocketAddrV4;
+
+/// What may be under way and unread in one direction, in bytes.
+const WINDOW: usize = 96 * 1024;
+/// Bytes that a link carries in a second.
+const BYTES_PER_S: f64 = 60e6;
+/// After this a packet that was lost is sent again.
+const RESEND_AFTER: Span = Span::millis(200);
+/// An opening packet is sent again after this, doubled each time.
+const REOPEN_AFTER: Span = Span::millis(1000);
+/// Opening packets that are sent in all.
+const MOST_OPENINGS: u32 = 5;
+
+/// An address that is listened at.
+pub struct Listening {
+    /// Whose it is.
+    pub owner: Owner,
+    /// Its host.
+    pub host: usize,
+    /// The key of its events, for processes.
+    pub key: usize,
+    /// Ends that wait to be taken in.
+    pub backlog: VecDeque<End>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    Opening,
+    Up,
+    Broken(ErrorKind),
+}
+
+enum Packet {
+    Data(Vec<u8>),
+    Fin,
+    Reset,
+}
+
+struct Flying {
+    sent: Moment,
+    at: Moment,
+    packet: Packet,
+}
+
+struct Side {
+    owner: Owner,
+    host: usize,
+    key: usize,
+    interest: Interest,
+    /// Whether whoever has it still holds it.
+    open: bool,
+    state: State,
+    inbox: Vec<u8>,
+    read: usize,
+    ended: bool,
+    /// What it has sent that has not arrived.
+    flight: VecDeque<Flying>,
+    flying: usize,
+    last_at: Moment,
+    fin_sent: bool,
+    notified: bool,
+}
+
+impl Side {
+    fn new(owner: Owner, host: usize, key: usize, state: State) -> Side {
+        Side {
+            owner,
+            host,
+            key,
+            interest: Interest::NONE,
+            open: true,
+            state,
+            inbox: Vec::new(),
+            read: 0,
+            ended: false,
+            flight: VecDeque::new(),
+            flying: 0,
+            last_at: Moment(0),
+            fin_sent: false,
+            notified: false,
+        }
+    }
+
+    fn unread(&self) -> usize {
+        self.inbox.len() - self.read
+    }
+}
+
+/// A connection.
+pub struct Connection {
+    sides: [Side; 2],
+    to: SocketAddrV4,
+}
+
+/// What a read of one that isn't a process finds.
+#[derive(Debug, Default)]
+pub struct Received {
+    /// The bytes.
+    pub bytes: Vec<u8>,
+    /// The other side has ended.
+    pub ended: bool,
+    /// The connection is broken.
+    pub broken: bool,
+}
