Hollow fleets: what standing by costs each node, counted in the in-memory fleet

Need: idle cost was known only as a guess. For it a process counts its turns, timers and frames by kind (`tier::traffic`), fleets without cuts may have more than 128 hosts, and machines beyond 200 get addresses in further nets.

Servers and networks are simulated.

--- a/crates/simulation/src/fleet/build.rs
+++ b/crates/simulation/src/fleet/build.rs
@@ -19,6 +19,8 @@
 
 /// Traffic goes on for this long after the machines are back from a final fault.
 const AFTER_CLOSING: Span = Span::millis(18_000);
+/// Machines with addresses in one net.
+const MACHINES_A_NET: usize = 200;
 /// What open batch jobs get after traffic.
 const FINISH: Span = Span::millis(4_000);
 /// What the last reads get.
@@ -72,6 +74,7 @@
             trace: Vec::new(),
             turns: 0,
             digest: 0,
+            meter: None,
         };
         fleet.build(until);
         fleet
@@ -121,7 +124,8 @@
 
     pub(super) fn add_machine(&mut self, class: Class, zone: usize, disk: bool) -> usize {
         let number = self.machines.len();
-        let ip = Ipv4Addr::new(10, 1 + zone as u8, 0, 10 + number as u8);
+        let (net, place) = ((number / MACHINES_A_NET) as u8, (number % MACHINES_A_NET) as u8);
+        let ip = Ipv4Addr::new(10, 1 + zone as u8, net, 10 + place);
         let mut hub = self.hub.borrow_mut();
         let host = hub.add_host(ip, zone, Span(0));
         let wall_offset_ms = hub.random.random_range(-1500..1500);
--- a/crates/simulation/src/fleet/lives.rs
+++ b/crates/simulation/src/fleet/lives.rs
@@ -1,6 +1,7 @@
 //! Processes: their turns, how they start and how they end.
 
 use super::Fleet;
+use super::hollow::Meter;
 use super::step::Step;
 use crate::judge::Rule;
 use crate::world::ProcessWorld;
@@ -17,7 +18,11 @@
         let Some(events) = self.hub.borrow_mut().begin_turn(process, stamp) else { return };
         let Some(node) = self.nodes.get_mut(&process) else { return };
         self.turns += 1;
+        let begun = self.meter.as_ref().map(|_| Meter::read());
         let turned = catch_unwind(AssertUnwindSafe(|| node.turn(&events)));
+        if let (Some(meter), Some(begun)) = (&mut self.meter, begun) {
+            meter.add(process, begun);
+        }
         let wakes = node.next_wake();
         let over = node.is_over();
         let mut hub = self.hub.borrow_mut();
--- a/crates/simulation/src/fleet/mod.rs
+++ b/crates/simulation/src/fleet/mod.rs
@@ -6,6 +6,7 @@
 mod departures;
 mod executor_faults;
 mod faults;
+pub mod hollow;
 mod lives;
 mod losses;
 mod orders;
@@ -92,6 +93,7 @@
     trace: Vec<String>,
     turns: u64,
     digest: u64,
+    meter: Option<hollow::Meter>,
 }
 
 /// Runs a scenario's storm of a seed.
--- a/crates/simulation/src/hub.rs
+++ b/crates/simulation/src/hub.rs
@@ -237,6 +237,10 @@
 
     /// Whether packets pass from one host to another.
     pub fn path(&self, from: usize, to: usize) -> Path {
+        if self.cuts.is_empty() {
+            // Fleets without cuts may have more hosts than a set of them has bits.
+            return Path::Open;
+        }
         let (from, to) = (1u128 << from, 1u128 << to);
         match self.cuts.iter().find(|cut| cut.from & from != 0 && cut.to & to != 0) {
             None => Path::Open,
--- a/crates/simulation/src/main.rs
+++ b/crates/simulation/src/main.rs
@@ -2,8 +2,10 @@
 
 use bpaf::{Parser, construct, long, positional};
 use grebeusher_simulation::fleet::Report;
+use grebeusher_simulation::fleet::hollow::Hollow;
 use grebeusher_simulation::scenario::Scenario;
 use grebeusher_simulation::storm::{drawn, shrink, storm};
+use grebeusher_time::Span;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::Instant;
@@ -13,6 +15,7 @@
     Storm { seed: u64, count: u64, file: PathBuf },
     Replay { file: PathBuf, seed: u64 },
     Shrink { file: PathBuf, seed: u64 },
+    Hollow { machines: usize, executors: usize, seed: u64, settle_s: f64, measure_s: f64 },
 }
 
 fn command_line() -> bpaf::OptionParser<Command> {
@@ -39,13 +42,38 @@
         .descr("Find the fewest faults that still break the rule")
         .command("shrink")
         .help("Find the fewest faults that still break the rule");
-    construct!([storms, replay, shrunk]).to_options().descr("A whole fleet of the serving tier in memory")
+    let hollow = hollow_command();
+    construct!([storms, replay, shrunk, hollow])
+        .to_options()
+        .descr("A whole fleet of the serving tier in memory")
+}
+
+fn hollow_command() -> impl Parser<Command> {
+    let machines = long("machines").help("Machines of the tier").argument::<usize>("COUNT").fallback(78);
+    let executors = long("executors").help("Executors").argument::<usize>("COUNT").fallback(64);
+    let seed = long("seed").help("The seed").argument::<u64>("SEED").fallback(1);
+    let settle_s =
+        long("settle").help("Seconds before anything is counted").argument::<f64>("SECONDS").fallback(15.0);
+    let measure_s =
+        long("measure").help("Seconds that are counted").argument::<f64>("SECONDS").fallback(20.0);
+    construct!(Command::Hollow { machines, executors, seed, settle_s, measure_s })
+        .to_options()
+        .descr("Count what standing by costs each node of a fleet without traffic")
+        .command("hollow")
+        .help("Count what standing by costs each node of a fleet without traffic")
 }
 
 fn main() -> ExitCode {
     let command = command_line().run();
+    if let Command::Hollow { machines, executors, seed, settle_s, measure_s } = command {
+        let (settle, measure) = (Span::secs(settle_s), Span::secs(measure_s));
+        println!("{machines} machines, {executors} executors, seed {seed}, {measure_s} s counted");
+        print!("{}", Hollow { machines, executors, seed, settle, measure }.run().to_text());
+        return ExitCode::SUCCESS;
+    }
     let file = match &command {
         Command::Storm { file, .. } | Command::Replay { file, .. } | Command::Shrink { file, .. } => file,
+        Command::Hollow { .. } => return ExitCode::SUCCESS,
     };
     let scenario = match Scenario::read(file) {
         Ok(scenario) => scenario,
@@ -70,6 +98,7 @@
                 ExitCode::SUCCESS
             }
         },
+        Command::Hollow { .. } => ExitCode::SUCCESS,
     }
 }
 
--- a/crates/tier/src/dispatch.rs
+++ b/crates/tier/src/dispatch.rs
@@ -80,6 +80,7 @@
     pub fn pump_registry(&mut self) {
         let now = self.now;
         if now >= self.registry.next_wake() {
+            self.traffic.registry_ticks += 1;
             self.registry.tick(now);
         }
         self.answer_told();
--- a/crates/tier/src/lib.rs
+++ b/crates/tier/src/lib.rs
@@ -36,4 +36,5 @@
 pub mod stop;
 pub mod system;
 pub mod timers;
+pub mod traffic;
 pub mod upstream;
--- a/crates/tier/src/node.rs
+++ b/crates/tier/src/node.rs
@@ -15,6 +15,7 @@
 use crate::socket::Socket;
 use crate::start::{Start, StartError};
 use crate::timers::Timer;
+use crate::traffic::Traffic;
 use crate::upstream::Upstream;
 use grebeusher_catalog::configuration::ClientLimits;
 use grebeusher_catalog::settings::Settings;
@@ -134,6 +135,7 @@
     /// Names of nodes by their disk identities, also former ones.
     pub(crate) replica_names: FxHashMap<u64, String>,
     pub(crate) counters: Counters,
+    pub(crate) traffic: Traffic,
     stopping_since: Option<Moment>,
     exit: bool,
 }
@@ -183,6 +185,7 @@
             parts,
             founder,
             counters: Counters::default(),
+            traffic: Traffic::default(),
             stopping_since: None,
             exit: false,
         };
@@ -223,6 +226,8 @@
     /// A disk fails: the process ends.
     pub fn turn(&mut self, events: &[Event]) -> Result<(), RunError> {
         self.now = self.world.now();
+        self.traffic.turns += 1;
+        self.traffic.turns_by_events += u64::from(!events.is_empty());
         for event in events {
             self.handle(*event);
         }
@@ -275,6 +280,7 @@
     }
 
     fn timer(&mut self, timer: Timer) {
+        self.traffic.timer(timer);
         match timer {
             Timer::ConnectExpires { connection, serial } => {
                 if self.serial(connection) == serial {
@@ -332,6 +338,11 @@
         self.hand_over_parts();
     }
 
+    /// What this process has done by itself, in numbers.
+    pub fn traffic(&self) -> &Traffic {
+        &self.traffic
+    }
+
     /// Whether the process is to end now.
     pub fn is_over(&self) -> bool {
         self.exit
--- a/crates/tier/src/parts.rs
+++ b/crates/tier/src/parts.rs
@@ -167,6 +167,7 @@
     fn pump_part(&mut self, place: usize) -> Result<(), RunError> {
         let now = self.now;
         if now >= self.parts[place].next_wake() {
+            self.traffic.part_ticks += 1;
             self.parts[place].replica.tick(now);
         }
         while self.parts[place].replica.has_ready() {
--- a/crates/tier/src/peers.rs
+++ b/crates/tier/src/peers.rs
@@ -54,6 +54,7 @@
             outgoing.moved = now;
         }
         socket.put(&link::encode_frame(channel as u8, payload));
+        self.traffic.sent(channel, payload);
         if !self.unflushed_links.contains(&index) {
             self.unflushed_links.push(index);
         }
@@ -215,6 +216,7 @@
             return;
         };
         if let Some(channel) = Channel::from_byte(frame.channel) {
+            self.traffic.received(channel, &frame.payload);
             self.receive_frame(peer, channel, &frame.payload);
         }
     }
