Idle: timers for running requests and replicas are set only where there are any

Change: the review begins with the first request or item under way and ends with the last; its first call comes at once, so that the gateway doesn't take the pause for a freeze. The upkeep of groups is set only on nodes with replicas.

--- a/crates/tier/src/node.rs
+++ b/crates/tier/src/node.rs
@@ -136,6 +136,8 @@
     pub(crate) replica_names: FxHashMap<u64, String>,
     pub(crate) counters: Counters,
     pub(crate) traffic: Traffic,
+    /// Whether a review of the executors is due.
+    reviewing: bool,
     stopping_since: Option<Moment>,
     exit: bool,
 }
@@ -186,6 +188,7 @@
             founder,
             counters: Counters::default(),
             traffic: Traffic::default(),
+            reviewing: false,
             stopping_since: None,
             exit: false,
         };
@@ -196,8 +199,9 @@
     fn set_first_timers(&mut self) {
         let now = self.now;
         self.alarms.set(now + SWEEP_EVERY, Timer::Sweep);
-        self.alarms.set(now + REVIEW_EVERY, Timer::ReviewExecutors);
-        self.alarms.set(now + crate::group_care::UPKEEP_EVERY, Timer::GroupUpkeep);
+        if !self.parts.is_empty() {
+            self.alarms.set(now + crate::group_care::UPKEEP_EVERY, Timer::GroupUpkeep);
+        }
         self.recall_executors();
         self.prove_configuration();
         if self.founder.is_some() {
@@ -241,6 +245,7 @@
         if std::mem::take(&mut self.routing_changed) {
             self.update_routing();
         }
+        self.begin_reviewing();
         self.flush_links();
         Ok(())
     }
@@ -305,9 +310,23 @@
     }
 
     fn review_executors(&mut self) {
-        let now = self.now;
-        self.alarms.set(now + REVIEW_EVERY, Timer::ReviewExecutors);
-        self.routing.gateway.review(now);
+        self.routing.gateway.review(self.now);
+        self.reviewing = self.runs_anything();
+        if self.reviewing {
+            self.alarms.set(self.now + REVIEW_EVERY, Timer::ReviewExecutors);
+        }
+    }
+
+    /// Executors are reviewed while anything runs on them: a node at rest does not wake for it. The first review tells the
+    /// gateway that the pause was no freeze.
+    fn begin_reviewing(&mut self) {
+        if !self.reviewing && self.runs_anything() {
+            self.review_executors();
+        }
+    }
+
+    fn runs_anything(&self) -> bool {
+        self.exchange_count() > 0 || self.items.count() > 0
     }
 
     fn sweep(&mut self) {
