Disk: files of a newer program are refused as such and left as they are

Need: versions mixed.

Change: marks (`GQS1`, `GQI1`) are kinds with a number; a whole slot or identity with a higher number, and a record whose checksum holds but which can't be decoded, are `StoreError::NewerForm`. Nothing is changed on such a disk. Form 1 stays as it was, byte by byte, so that disks in service are read.

--- a/crates/quorum/src/disk/identity.rs
+++ b/crates/quorum/src/disk/identity.rs
@@ -4,8 +4,9 @@
 
 use nanoserde::{DeBin, SerBin};
 
-use super::error::{DamagedSnafu, StoreError};
+use super::error::{DamagedSnafu, NewerFormSnafu, StoreError};
 use super::files;
+use super::form::{Form, MARK_BYTES};
 use crate::ids::ReplicaId;
 
 /// The identity of a disk.
@@ -16,22 +17,29 @@
     pub existed: bool,
 }
 
-/// "GQI1": marks an identity.
-const MARK: u32 = 0x3149_5147;
+/// "GQI1" marks an identity. In every form the last four bytes are the checksum of all before.
+const FORM: Form = Form { letters: *b"GQI", number: b'1' };
+
+/// The checksum.
+const CHECKSUM_BYTES: usize = 4;
 
 /// Mark, identity and checksum.
-const BYTES: usize = 4 + 8 + 4;
+const BYTES: usize = MARK_BYTES + 8 + CHECKSUM_BYTES;
 
 impl Identity {
     /// The identity in `folder`; if there is none, it becomes `random`, synced in both copies before it is returned.
     ///
     /// # Errors
     ///
-    /// When the disk refuses, or both copies are damaged though one was whole once: such a disk is to be wiped.
+    /// When the disk refuses, when a newer version of this program has written the identity, or when both copies are
+    /// damaged though one was whole once: such a disk is to be wiped.
     pub fn load_or_create(folder: &Path, random: u64) -> Result<Identity, StoreError> {
         files::create_folder(folder)?;
         let copies = [folder.join("identity-0"), folder.join("identity-1")];
         let contents = [files::read(&copies[0])?, files::read(&copies[1])?];
+        if let Some(newer) = contents.iter().position(|content| is_newer(content)) {
+            return NewerFormSnafu { what: "the identity", path: &copies[newer] }.fail();
+        }
         let known = contents.iter().find_map(|content| parse(content));
         let id = match known {
             Some(id) => id,
@@ -53,7 +61,7 @@
 
 fn form(id: ReplicaId) -> Vec<u8> {
     let mut bytes = Vec::with_capacity(BYTES);
-    MARK.ser_bin(&mut bytes);
+    bytes.extend_from_slice(&FORM.mark());
     id.ser_bin(&mut bytes);
     crc32fast::hash(&bytes).ser_bin(&mut bytes);
     bytes
@@ -61,7 +69,12 @@
 
 fn parse(bytes: &[u8]) -> Option<ReplicaId> {
     let content: &[u8; BYTES] = bytes.try_into().ok()?;
-    let mut offset = 4;
+    let mut offset = MARK_BYTES;
     let id = ReplicaId::de_bin(&mut offset, content).ok()?;
     (form(id) == content).then_some(id)
 }
+
+fn is_newer(bytes: &[u8]) -> bool {
+    let Some((content, checksum)) = bytes.split_last_chunk::<CHECKSUM_BYTES>() else { return false };
+    FORM.is_newer(content) && crc32fast::hash(content) == u32::from_le_bytes(*checksum)
+}
--- a/crates/quorum/src/disk/mod.rs
+++ b/crates/quorum/src/disk/mod.rs
@@ -8,6 +8,7 @@
 
 mod error;
 mod files;
+mod form;
 mod identity;
 mod records;
 mod slot;
--- a/crates/quorum/src/disk/records.rs
+++ b/crates/quorum/src/disk/records.rs
@@ -65,6 +65,10 @@
     }
 }
 
+/// A record that is whole but that this program can't read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct UnknownRecord;
+
 /// The running checksum of a generation's records.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct Chain(u32);
@@ -92,18 +96,28 @@
 
     /// Reads the record at the start of `bytes`: the record, the chain after it and its size. None if it is torn, or
     /// left over from something else.
-    pub(super) fn read(self, bytes: &[u8]) -> Option<(Record, Chain, usize)> {
+    ///
+    /// # Errors
+    ///
+    /// The record is whole and of no kind that this program knows: a newer one has written it, and it must not be
+    /// taken for a torn end.
+    pub(super) fn read(self, bytes: &[u8]) -> Result<Option<(Record, Chain, usize)>, UnknownRecord> {
+        let Some((content, next, end)) = self.whole(bytes) else { return Ok(None) };
+        let mut offset = 0;
+        match Record::de_bin(&mut offset, content) {
+            Ok(record) if offset == content.len() => Ok(Some((record, next, end))),
+            _ => Err(UnknownRecord),
+        }
+    }
+
+    /// The content of the record at the start of `bytes` if its checksum holds, the chain after it, and its size.
+    fn whole(self, bytes: &[u8]) -> Option<(&[u8], Chain, usize)> {
         let mut offset = 0;
         let length = u32::de_bin(&mut offset, bytes).ok()? as usize;
         let checksum = u32::de_bin(&mut offset, bytes).ok()?;
         let end = HEAD_BYTES.checked_add(length)?;
         let content = bytes.get(HEAD_BYTES..end)?;
         let next = self.follow(content);
-        if next.0 != checksum {
-            return None;
-        }
-        let mut offset = 0;
-        let record = Record::de_bin(&mut offset, content).ok()?;
-        (offset == content.len()).then_some((record, next, end))
+        (next.0 == checksum).then_some((content, next, end))
     }
 }
--- a/crates/quorum/src/disk/slot.rs
+++ b/crates/quorum/src/disk/slot.rs
@@ -2,6 +2,7 @@
 
 use nanoserde::{DeBin, SerBin};
 
+use super::form::{Form, MARK_BYTES};
 use crate::entry::Snapshot;
 
 /// What a slot holds.
@@ -11,8 +12,9 @@
     pub snapshot: Option<Snapshot>,
 }
 
-/// "GQS1": marks a slot, and the form of its content.
-const MARK: u32 = 0x3153_5147;
+/// "GQS1" marks a slot and the form of its content. In every form the checksum of the rest follows, so that a newer one
+/// can be told from a torn one. The log of a slot's generation has the slot's form.
+const FORM: Form = Form { letters: *b"GQS", number: b'1' };
 
 /// Mark and checksum.
 const HEAD_BYTES: usize = 8;
@@ -25,7 +27,7 @@
     pub(super) fn to_bytes(&self) -> Vec<u8> {
         let size = self.snapshot.as_ref().map_or(0, |snapshot| snapshot.bytes.len());
         let mut bytes = Vec::with_capacity(size + HEAD_ROOM);
-        MARK.ser_bin(&mut bytes);
+        bytes.extend_from_slice(&FORM.mark());
         0u32.ser_bin(&mut bytes);
         self.ser_bin(&mut bytes);
         let checksum = crc32fast::hash(&bytes[HEAD_BYTES..]);
@@ -33,17 +35,24 @@
         bytes
     }
 
+    /// Whether a slot's file is whole and of a newer form.
+    pub(super) fn is_newer(bytes: &[u8]) -> bool {
+        FORM.is_newer(bytes) && whole_content(bytes).is_some()
+    }
+
     /// Reads a slot's file; none if it is torn.
     pub(super) fn from_bytes(bytes: &[u8]) -> Option<Slot> {
-        let mut offset = 0;
-        let mark = u32::de_bin(&mut offset, bytes).ok()?;
-        let checksum = u32::de_bin(&mut offset, bytes).ok()?;
-        let content = bytes.get(offset..)?;
-        if mark != MARK || checksum != crc32fast::hash(content) {
-            return None;
-        }
+        let content = whole_content(bytes).filter(|_| FORM.is_this(bytes))?;
         let mut read = 0;
         let slot = Slot::de_bin(&mut read, content).ok()?;
         (read == content.len()).then_some(slot)
     }
 }
+
+/// What follows the mark and the checksum, if the checksum holds.
+fn whole_content(bytes: &[u8]) -> Option<&[u8]> {
+    let mut offset = MARK_BYTES;
+    let checksum = u32::de_bin(&mut offset, bytes).ok()?;
+    let content = bytes.get(offset..)?;
+    (checksum == crc32fast::hash(content)).then_some(content)
+}
--- a/crates/quorum/src/disk/store.rs
+++ b/crates/quorum/src/disk/store.rs
@@ -6,9 +6,9 @@
 
 use snafu::{ResultExt, ensure};
 
-use super::error::{DamagedSnafu, IoSnafu, PoisonedSnafu, StoreError};
+use super::error::{DamagedSnafu, IoSnafu, NewerFormSnafu, PoisonedSnafu, StoreError};
 use super::files;
-use super::records::{Chain, Record};
+use super::records::{Chain, Record, UnknownRecord};
 use super::slot::Slot;
 use crate::entry::{Entry, HardState, Restored, Snapshot, Write};
 
@@ -54,7 +54,7 @@
     ///
     /// # Errors
     ///
-    /// When the disk refuses, or what was synced once can't be read.
+    /// When the disk refuses, what was synced once can't be read, or a newer version of this program has written it.
     pub fn open(folder: &Path) -> Result<(Store, Restored), StoreError> {
         files::create_folder(folder)?;
         let slots = [read_slot(folder, 0)?, read_slot(folder, 1)?];
@@ -234,17 +234,21 @@
 }
 
 fn read_slot(folder: &Path, parity: u64) -> Result<Option<Slot>, StoreError> {
-    let content = files::read(&slot_path(folder, parity))?;
+    let path = slot_path(folder, parity);
+    let content = files::read(&path)?;
+    ensure!(!Slot::is_newer(&content), NewerFormSnafu { what: "the slot", path });
     Ok(Slot::from_bytes(&content).filter(|slot| slot.generation % 2 == parity))
 }
 
 fn read_log(folder: &Path, parity: u64) -> Result<Option<LogContent>, StoreError> {
     let path = log_path(folder, parity);
     let content = files::read(&path)?;
-    let Some(mut log) = read_base(&content).filter(|log| log.generation % 2 == parity) else {
+    let newer = |_: UnknownRecord| NewerFormSnafu { what: "a record of the log", path: &path }.build();
+    let base = read_base(&content).map_err(newer)?;
+    let Some(mut log) = base.filter(|log| log.generation % 2 == parity) else {
         return Ok(None);
     };
-    while let Some((record, chain, size)) = log.chain.read(&content[log.length as usize..]) {
+    while let Some((record, chain, size)) = log.chain.read(&content[log.length as usize..]).map_err(newer)? {
         match record {
             Record::Base { .. } => break,
             Record::Hard(hard) => log.hard = hard,
@@ -261,14 +265,13 @@
 }
 
 /// The first record.
-fn read_base(content: &[u8]) -> Option<LogContent> {
-    let (record, chain, size) = Chain::START.read(content)?;
-    match record {
-        Record::Base { generation, hard, entries } => {
+fn read_base(content: &[u8]) -> Result<Option<LogContent>, UnknownRecord> {
+    Ok(match Chain::START.read(content)? {
+        Some((Record::Base { generation, hard, entries }, chain, size)) => {
             Some(LogContent { generation, hard, entries, length: size as u64, chain, was_in_force: false })
         }
         _ => None,
-    }
+    })
 }
 
 /// Puts entries in the stead of everything from the first one's index on. Tells whether they follow on the rest.
--- /dev/null
+++ b/crates/quorum/tests/disk_forms.rs
@@ -0,0 +1,145 @@
+//! Versions of the files on disk: given a disk that a newer program has written, when this one opens it, then it refuses and
+//! changes nothing, as an older program must neither forget what was promised nor make a new identity over the old one.
+
+use std::collections::BTreeMap;
+use std::path::Path;
+
+use grebeusher_quorum::disk::{Identity, Store, StoreError};
+use grebeusher_quorum::{
+    Blob, Entry, Group, HardState, Index, Payload, Position, ReplicaId, Snapshot, Term, Write,
+};
+use rstest::rstest;
+
+/// Where a mark has the number of the form.
+const FORM_AT: usize = 3;
+/// The length and the checksum of a record of the log.
+const RECORD_HEAD: usize = 8;
+/// A kind of record that this program does not know.
+const UNKNOWN_KIND: u8 = 9;
+
+fn new_folder() -> tempfile::TempDir {
+    tempfile::tempdir_in("/dev/shm").or_else(|_| tempfile::tempdir()).expect("a folder")
+}
+
+/// A store in its first or second generation, with records after its snapshot.
+fn store_in(generation: u64) -> tempfile::TempDir {
+    let folder = new_folder();
+    let (mut store, _) = Store::open(folder.path()).expect("it is empty");
+    if generation == 2 {
+        let snapshot = Snapshot {
+            last: Position { term: Term(1), index: Index(9) },
+            group: Group::of([ReplicaId(1), ReplicaId(2)]),
+            bytes: Blob::from(vec![7; 20]),
+        };
+        let hard = HardState { term: Term(1), ..HardState::default() };
+        store.write(&[Write::Snapshot { snapshot, hard, entries: Vec::new() }]).expect("there is room");
+    }
+    let first = if generation == 2 { 10 } else { 1 };
+    let entry =
+        Entry { index: Index(first), term: Term(1), payload: Payload::Command(Blob::from(vec![1; 30])) };
+    store.write(&[Write::Entries(vec![entry])]).expect("there is room");
+    store.sync().expect("the disk works");
+    folder
+}
+
+fn contents(folder: &Path) -> BTreeMap<String, Vec<u8>> {
+    let files = std::fs::read_dir(folder).expect("it can be listed").map(|file| file.expect("it is there"));
+    files
+        .map(|file| {
+            let name = file.file_name().to_string_lossy().into_owned();
+            (name, std::fs::read(file.path()).expect("it can be read"))
+        })
+        .collect()
+}
+
+fn bend(folder: &Path, name: &str, act: impl FnOnce(&mut Vec<u8>)) {
+    let path = folder.join(name);
+    let mut bytes = std::fs::read(&path).expect("it can be read");
+    act(&mut bytes);
+    std::fs::write(path, bytes).expect("it can be written");
+}
+
+/// Adds a record of an unknown kind, under the right checksum.
+fn add_unknown_record(log: &mut Vec<u8>) {
+    let number = |bytes: &[u8]| u32::from_le_bytes(bytes.try_into().expect("four bytes"));
+    let (mut at, mut chain) = (0, 0);
+    while at < log.len() {
+        chain = number(&log[at + 4..at + RECORD_HEAD]);
+        at += RECORD_HEAD + number(&log[at..at + 4]) as usize;
+    }
+    let content = [UNKNOWN_KIND, 1, 2, 3];
+    let mut hasher = crc32fast::Hasher::new_with_initial(chain);
+    hasher.update(&(content.len() as u64).to_le_bytes());
+    hasher.update(&content);
+    log.extend_from_slice(&(content.len() as u32).to_le_bytes());
+    log.extend_from_slice(&hasher.finalize().to_le_bytes());
+    log.extend_from_slice(&content);
+}
+
+fn assert_refused_untouched(folder: &Path) {
+    let before = contents(folder);
+    let opened = Store::open(folder);
+    assert!(
+        matches!(opened, Err(StoreError::NewerForm { .. })),
+        "{:?}",
+        opened.map(|(_, restored)| restored)
+    );
+    assert_eq!(contents(folder), before);
+}
+
+#[rstest]
+#[case::first_generation(1, "slot-1")]
+#[case::second_generation(2, "slot-0")]
+fn a_slot_of_a_newer_form_is_refused(#[case] generation: u64, #[case] name: &str) {
+    // Given a slot in force that a newer program has written,
+    let folder = store_in(generation);
+    bend(folder.path(), name, |bytes| bytes[FORM_AT] += 1);
+    // when it is opened, then it is not taken for torn or damaged, and stays as it is.
+    assert_refused_untouched(folder.path());
+}
+
+#[rstest]
+#[case::first_generation(1, "log-1")]
+#[case::second_generation(2, "log-0")]
+fn a_whole_record_of_an_unknown_kind_is_no_torn_end(#[case] generation: u64, #[case] name: &str) {
+    // Given a log that a newer program went on with,
+    let folder = store_in(generation);
+    bend(folder.path(), name, add_unknown_record);
+    // when it is opened, then the record, which may hold what was acknowledged, is not cut off.
+    assert_refused_untouched(folder.path());
+}
+
+#[test]
+fn a_torn_slot_is_not_taken_for_a_newer_one() {
+    // Given a slot in force that is damaged in its mark and in its content,
+    let folder = store_in(2);
+    bend(folder.path(), "slot-0", |bytes| {
+        bytes[FORM_AT] += 1;
+        bytes[20] ^= 1;
+    });
+    // then the disk is said to be damaged, as before.
+    assert!(matches!(Store::open(folder.path()), Err(StoreError::Damaged { .. })));
+}
+
+#[rstest]
+#[case::first_copy(&["identity-0"])]
+#[case::second_copy(&["identity-1"])]
+#[case::both(&["identity-0", "identity-1"])]
+fn an_identity_of_a_newer_form_is_refused(#[case] names: &[&str]) {
+    // Given an identity that a newer program has written,
+    let folder = new_folder();
+    Identity::load_or_create(folder.path(), 42).expect("it is empty");
+    for name in names {
+        bend(folder.path(), name, |bytes| {
+            bytes[FORM_AT] += 1;
+            let end = bytes.len() - 4;
+            let checksum = crc32fast::hash(&bytes[..end]);
+            bytes[end..].copy_from_slice(&checksum.to_le_bytes());
+        });
+    }
+    let before = contents(folder.path());
+    // when it is read, then no other identity takes its place.
+    let read = Identity::load_or_create(folder.path(), 43);
+    assert!(matches!(read, Err(StoreError::NewerForm { .. })), "{read:?}");
+    assert_eq!(contents(folder.path()), before);
+}
