--- a/crates/tier/src/node.rs
+++ b/crates/tier/src/node.rs
@@ -15,6 +15,7 @@
 use crate::socket::Socket;
 use crate::start::{Start, StartError};
 use crate::timers::Timer;
+use crate::traffic::Traffic;
 use crate::upstream::Upstream;
 use grebeusher_catalog::configuration::ClientLimits;
 use grebeusher_catalog::settings::Settings;
@@ -134,6 +135,9 @@
     /// Names of nodes by their disk identities, also former ones.
     pub(crate) replica_names: FxHashMap<u64, String>,
     pub(crate) counters: Counters,
+    pub(crate) traffic: Traffic,
+    /// Whether a review of the executors is due.
+    reviewing: bool,
     stopping_since: Option<Moment>,
     exit: bool,
 }
@@ -183,6 +187,8 @@
             parts,
             founder,
             counters: Counters::default(),
+            traffic: Traffic::default(),
+            reviewing: false,
             stopping_since: None,
             exit: false,
         };
@@ -193,8 +199,9 @@
     fn set_first_timers(&mut self) {
         let now = self.now;
         self.alarms.set(now + SWEEP_EVERY, Timer::Sweep);
-        self.alarms.set(now + REVIEW_EVERY, Timer::ReviewExecutors);
-        self.alarms.set(now + crate::group_care::UPKEEP_EVERY, Timer::GroupUpkeep);
+        if !self.parts.is_empty() {
+            self.alarms.set(now + crate::group_care::UPKEEP_EVERY, Timer::GroupUpkeep);
+        }
         self.recall_executors();
         self.prove_configuration();
         if self.founder.is_some() {
@@ -223,6 +230,8 @@
     /// A disk fails: the process ends.
     pub fn turn(&mut self, events: &[Event]) -> Result<(), RunError> {
         self.now = self.world.now();
+        self.traffic.turns += 1;
+        self.traffic.turns_by_events += u64::from(!events.is_empty());
         for event in events {
             self.handle(*event);
         }
@@ -236,6 +245,7 @@
         if std::mem::take(&mut self.routing_changed) {
             self.update_routing();
         }
+        self.begin_reviewing();
         self.flush_links();
         Ok(())
     }
@@ -275,6 +285,7 @@
     }
 
     fn timer(&mut self, timer: Timer) {
+        self.traffic.timer(timer);
         match timer {
             Timer::ConnectExpires { connection, serial } => {
                 if self.serial(connection) == serial {
@@ -299,9 +310,23 @@
     }
 
     fn review_executors(&mut self) {
-        let now = self.now;
-        self.alarms.set(now + REVIEW_EVERY, Timer::ReviewExecutors);
-        self.routing.gateway.review(now);
+        self.routing.gateway.review(self.now);
+        self.reviewing = self.runs_anything();
+        if self.reviewing {
+            self.alarms.set(self.now + REVIEW_EVERY, Timer::ReviewExecutors);
+        }
+    }
+
+    /// Executors are reviewed while anything runs on them: a node at rest does not wake for it. The first review tells the
+    /// gateway that the pause was no freeze.
+    fn begin_reviewing(&mut self) {
+        if !self.reviewing && self.runs_anything() {
+            self.review_executors();
+        }
+    }
+
+    fn runs_anything(&self) -> bool {
+        self.exchange_count() > 0 || self.items.count() > 0
     }
 
     fn sweep(&mut self) {
@@ -332,6 +357,11 @@
         self.hand_over_parts();
     }
 
+    /// What this process has done by itself, in numbers.
+    pub fn traffic(&self) -> &Traffic {
+        &self.traffic
+    }
+
     /// Whether the process is to end now.
     pub fn is_over(&self) -> bool {
         self.exit
