SITA-E stands once: crates/sizing serves the tier and the older program

Need: cut-offs by equal summed size, the sample, the lanes and the weights stood in crates/sizing for the tier and again in crates/dispatch for the node.

Change: dispatch uses sizing. Its sample is Sample with an entry type of its own; cut-offs are CutOffs::at_sums, lanes lanes_in_order, weights weights() with the same floor. Where the two differ the caller says which way: the request that lies on a cut (Straddler), the executor that does not divide evenly (Remainder). The last draw stays the library's in the node and sizing's own in the tier, since one for both would change decisions of one. Tests of sizing are added, none is changed.

--- a/crates/dispatch/src/decide.rs
+++ b/crates/dispatch/src/decide.rs
@@ -23,10 +23,15 @@
 use crate::tariffs::{Allowance, Arrival, ColdStart, Effect, Ending, Listing, Report, Standing, Tariff};
 use crate::time::{Moment, Span};
 use crate::word::{MOST, Word, mark};
-use rand::{Rng, SeedableRng, seq::IndexedRandom};
+use grebeusher_sizing::{
+    Candidate as Weighed, CutOffs, FLOOR, Remainder, Straddler, lanes_in_order, rendezvous, weights,
+};
+use rand::{Rng, distr::weighted::WeightedIndex};
 use rand_pcg::Pcg32;
 use std::collections::{BTreeMap, VecDeque};
 
+mod promised;
+
 const BEAT: u64 = 0;
 const FOLLOW: u64 = 1;
 const FIRST_UNIT: u64 = 2;
@@ -37,6 +42,8 @@
 
 /// Progress is told at a steady pace: so many without a word are no chance.
 const SILENT_PACES: f64 = 2.5;
+/// The parts of the executors that are for short and for long work.
+const LANE_SHARES: [f64; 2] = [3.0, 1.0];
 /// Below this many sizes one lane holds every worker (design page).
 const FEWEST: usize = 50;
 /// What is sent is on its way to whoever counts it for so long at most, or they count it a little later than
@@ -242,6 +249,12 @@
 }
 
 impl Allotment {
+    /// This node's part of what a customer may send a second.
+    fn of(quota: f64, nodes: u64) -> Allotment {
+        // Traffic is uneven: twice the even part, or much that lies within the share is turned back.
+        Allotment { per_s: quota / nodes as f64 * 2.0, level: 0.0, at: Moment(0) }
+    }
+
     /// Counts one work unit and tells whether it is beyond the share.
     fn beyond(&mut self, now: Moment) -> bool {
         // Two seconds' worth may come at once: bursts shorter than that are no overuse. Where that is next to
@@ -269,6 +282,7 @@
     list: u16,
 }
 
+/// The decisions of one node, with all that it knows.
 pub struct Dispatcher<H: Host> {
     host: H,
     chance: Pcg32,
@@ -295,78 +309,12 @@
     follow_tries: u32,
     list_until: Option<Moment>,
     known: Known,
-    cut_offs: Vec<f64>,
+    cut_offs: CutOffs,
     recut: Moment,
 }
 
 impl<H: Host> Dispatcher<H> {
-    pub fn new(host: H, seed: u64, node: u64, nodes: u64, tariffs: Vec<Tariff>) -> Self {
-        Dispatcher {
-            host,
-            chance: Pcg32::seed_from_u64(seed),
-            node,
-            nodes: nodes.max(1),
-            zone: 0,
-            tariffs,
-            allowance: Allowance::default(),
-            cold: ColdStart::default(),
-            asks_list: false,
-            may_probe: false,
-            tells_start: false,
-            progress: None,
-            talk: Talk::default(),
-            allotments: Vec::new(),
-            executors: Vec::new(),
-            roster: Vec::new(),
-            out: 0,
-            work: BTreeMap::new(),
-            came: VecDeque::new(),
-            further: VecDeque::new(),
-            follow_tries: 0,
-            list_until: None,
-            known: Known::default(),
-            cut_offs: Vec::new(),
-            recut: Moment(0),
-        }
-    }
-
-    pub fn allowing(mut self, allowance: Allowance) -> Self {
-        self.allowance = allowance;
-        self
-    }
-
-    pub fn cold_starts(mut self, cold: ColdStart) -> Self {
-        self.cold = cold;
-        self
-    }
-
-    /// Whether the list must be asked for, executors may be probed, and what is told of running work.
-    pub fn noticing(mut self, asks_list: bool, probes: bool, starts: bool, progress: Option<Span>) -> Self {
-        (self.asks_list, self.may_probe) = (asks_list, probes);
-        (self.tells_start, self.progress) = (starts, progress.filter(|p| p.0 > 0));
-        self
-    }
-
-    /// Each customer's work units a second within its share, at all nodes together.
-    pub fn customers(mut self, quotas: &[f64]) -> Self {
-        // Traffic is uneven: twice the even part, or much that lies within the share is turned back.
-        let part = |q: &f64| Allotment { per_s: q / self.nodes as f64 * 2.0, level: 0.0, at: Moment(0) };
-        self.allotments = quotas.iter().map(part).collect();
-        self
-    }
-
-    /// Whether nodes may send each other words.
-    pub fn talking(mut self, peers: bool) -> Self {
-        self.talk.allowed = peers && self.nodes > 1;
-        self
-    }
-
-    /// The zone in which this node stands.
-    pub fn standing_in(mut self, zone: usize) -> Self {
-        self.zone = zone;
-        self
-    }
-
+    /// Begins: nothing may be told before.
     pub fn start(&mut self, now: Moment) {
         (self.recut, self.talk.heard, self.cold.from) = (now, now, now + self.cold.fall_window);
         // Nodes that start together must not beat together.
@@ -392,7 +340,7 @@
             self.executors.resize_with(self.executors.len().max(index + 1), new);
             let e = &mut self.executors[index];
             e.hash = fixed_hash(entry.name);
-            e.rank = mixed(e.hash ^ mixed(self.node.wrapping_add(1)));
+            e.rank = rendezvous(self.node.wrapping_add(1), e.hash);
             e.distance = (self.node % self.nodes + self.nodes - e.hash % self.nodes) % self.nodes;
             (e.standing, e.speaks) = (entry.standing, entry.speaks);
             (e.kind, e.zone, e.cell) = (entry.kind, entry.zone, entry.cell);
@@ -580,9 +528,9 @@
         // Paces and weights are above nothing, where their bits are in the order of their values.
         let strength = |e: &Executor| (e.pace.to_bits(), e.weight.to_bits(), e.hash);
         self.roster.sort_by_cached_key(|&i| strength(&self.executors[i]));
-        let first = (self.roster.len() * 3).div_ceil(4).min(self.roster.len().max(2) - 1); // never all
-        for (rank, &i) in self.roster.iter().enumerate() {
-            self.executors[i].lane = usize::from(rank >= first);
+        let lanes = lanes_in_order(self.roster.len(), &LANE_SHARES, Remainder::Earlier);
+        for (&i, lane) in self.roster.iter().zip(lanes) {
+            self.executors[i].lane = lane;
         }
         if self.talk.allowed {
             self.talk.order.clone_from(&self.roster);
@@ -611,17 +559,12 @@
     /// Cut-offs such that each lane's part of the summed size matches its part of the workers' paces.
     fn recompute_cut_offs(&mut self) {
         let sizes = self.known.weighs();
-        self.cut_offs.clear();
+        self.cut_offs = CutOffs::one_lane();
         if sizes.len() >= FEWEST && self.ready().any(|e| e.lane == 1) {
             // By the learnt paces, all one until known: by number alone a slow lane gets more than it can do.
             let pace = |lane: usize| self.ready().filter(|e| e.lane <= lane).map(|e| e.pace).sum::<f64>();
-            let due = sizes.iter().sum::<f64>() * pace(0) / pace(1);
-            let mut sum = 0.0;
-            let cut = sizes.iter().find(|&&s| {
-                sum += s;
-                sum >= due
-            });
-            self.cut_offs.extend(cut);
+            let due = sizes.iter().map(|entry| entry.size).sum::<f64>() * pace(0) / pace(1);
+            self.cut_offs = CutOffs::at_sums(&sizes, &[due], Straddler::Below);
         }
         // What an executor can do when warm: the pace of its kind over all that ran, and the most slots seen.
         let kinds = self.kinds();
@@ -665,9 +608,9 @@
     fn candidates(&self, now: Moment, work: &Work, few: bool) -> Vec<Candidate> {
         const FEW: usize = 3; // leaves the weighted pick its choice
         const MORE: usize = 4; // times as many: one of them has room unless nearly all are full
-        let lane = self.cut_offs.iter().filter(|&&cut| work.size > cut).count();
+        let lane = self.cut_offs.lane_of(work.size);
         let Tariff { kind, effect, .. } = self.tariffs[work.tariff];
-        let in_lane = |at: usize| self.cut_offs.is_empty() || self.executors[at].lane == lane;
+        let in_lane = |at: usize| self.cut_offs.lanes() == 1 || self.executors[at].lane == lane;
         let candidate = |&at: &usize| {
             let e = &self.executors[at];
             let able = now >= e.aside_until
@@ -724,7 +667,6 @@
 
     /// The design's choice, a weighted random pick in the lane of its size; whether any had room; the wait.
     fn pick(&mut self, now: Moment, unit: UnitId) -> Option<(ExecutorId, bool, f64)> {
-        const FLOOR: f64 = 0.1; // design page
         let work = self.work.get(&unit)?;
         let mut able = self.candidates(now, work, true);
         // What all have out is known as of a while ago, and all nodes know the same: the pick is among a
@@ -761,16 +703,15 @@
             let best = able.iter().map(rank).max();
             able.retain(|c| Some(rank(c)) == best);
         }
-        let weight = |load: f64| if load < 1.0 { (1.0 - load).max(FLOOR) } else { FLOOR / load };
-        let loads: Vec<f64> = able.iter().filter_map(|c| c.load.map(weight)).collect();
-        let mean = if loads.is_empty() { 1.0 } else { loads.iter().sum::<f64>() / loads.len() as f64 };
         // Utilisation is a share: what is idle counts by listed size and learnt pace. Where all are heard of
         // the own zone has no other preference: crossing costs, and a zone must not be left to itself.
         const NEARER: f64 = 3.0;
         let near = |e: &Executor| if known && e.zone == self.zone { NEARER } else { 1.0 };
         let strength = |e: &Executor| e.pace * e.weight * near(e);
-        let weight = |c: &Candidate| c.load.map_or(mean, weight) * strength(&self.executors[c.at]);
-        let chosen = able.choose_weighted(&mut self.chance, weight).ok()?;
+        let weigh =
+            |c: &Candidate| Weighed { utilisation: c.load, strength: strength(&self.executors[c.at]) };
+        let weighs = weights(&able.iter().map(weigh).collect::<Vec<_>>());
+        let chosen = &able[self.chance.sample(WeightedIndex::new(weighs).ok()?)];
         // With no room anywhere it waits where it goes: the least wait of all would promise too much.
         let wait = if any_room && !known { least_wait } else { chosen.wait.unwrap_or(0.0) };
         Some((ExecutorId(chosen.at), any_room, wait))
--- a/crates/dispatch/src/learnt.rs
+++ b/crates/dispatch/src/learnt.rs
@@ -1,7 +1,8 @@
 //! What a node knows of work and of the kinds of executors: what it has seen itself, and what others tell one that has
 //! seen little.
 
-use std::collections::{BTreeMap, VecDeque};
+use grebeusher_sizing::{Sample, SampleEntry};
+use std::collections::BTreeMap;
 
 /// The sizes that are kept (design page).
 const SAMPLE: usize = 1000;
@@ -33,9 +34,27 @@
     pub kinds: BTreeMap<usize, KindLearnt>,
 }
 
+/// What is kept of recent work.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Sized {
+    pub size: f64,
+    /// How long it runs on standard cores, in seconds.
+    run: f64,
+}
+
+impl SampleEntry for Sized {
+    fn size(&self) -> f64 {
+        self.size
+    }
+
+    fn work(&self) -> f64 {
+        self.size
+    }
+}
+
 pub(crate) struct Known {
-    /// Recent sized work: size, and how long it runs on standard cores. What was told comes before what was seen.
-    recent: VecDeque<(f64, f64)>,
+    /// Recent sized work. What was told comes before what was seen.
+    recent: Sample<Sized>,
     told: usize,
     told_kinds: BTreeMap<usize, KindLearnt>,
     pub median: f64,
@@ -45,7 +64,7 @@
 
 impl Default for Known {
     fn default() -> Known {
-        let (recent, told_kinds) = (VecDeque::new(), BTreeMap::new());
+        let (recent, told_kinds) = (Sample::of_last(SAMPLE), BTreeMap::new());
         Known { recent, told: 0, told_kinds, median: 1.0, mean: 1.0, mean_run: 1.0 }
     }
 }
@@ -57,23 +76,21 @@
     }
 
     pub fn saw(&mut self, size: f64, run: f64) {
-        self.recent.push_back((size, run));
-        if self.recent.len() > SAMPLE {
-            self.recent.pop_front();
-            self.told = self.told.saturating_sub(1);
+        let full = self.recent.is_full();
+        if self.recent.add(Sized { size, run }) {
+            self.told = self.told.saturating_sub(usize::from(full));
         }
     }
 
     /// Works out median and means anew; the sizes, smallest first.
-    pub fn weighs(&mut self) -> Vec<f64> {
-        let mut sizes: Vec<f64> = self.recent.iter().map(|(size, _)| *size).collect();
-        sizes.sort_by(f64::total_cmp);
-        if let Some(&middle) = sizes.get(sizes.len() / 2) {
-            let count = sizes.len() as f64;
-            (self.median, self.mean) = (middle, sizes.iter().sum::<f64>() / count);
-            self.mean_run = self.recent.iter().map(|(_, run)| run).sum::<f64>() / count;
+    pub fn weighs(&mut self) -> Vec<Sized> {
+        let sorted = self.recent.sorted();
+        if let Some(median) = self.recent.median() {
+            let count = sorted.len() as f64;
+            (self.median, self.mean) = (median, sorted.iter().map(|entry| entry.size).sum::<f64>() / count);
+            self.mean_run = self.recent.entries().map(|entry| entry.run).sum::<f64>() / count;
         }
-        sizes
+        sorted
     }
 
     /// What was told of a kind.
@@ -84,7 +101,8 @@
     /// The newest of the sizes that were seen here.
     pub fn own(&self) -> Vec<(f64, f64)> {
         const TELLS: usize = 120; // with the rest they fit a datagram of 1,200 bytes
-        self.recent.iter().skip(self.told).rev().take(TELLS).copied().collect()
+        let own = self.recent.entries().skip(self.told).rev();
+        own.take(TELLS).map(|entry| (entry.size, entry.run)).collect()
     }
 
     /// Another node told what it has seen; nonsense in it is passed over.
@@ -92,10 +110,7 @@
         const TOLD_S: f64 = 30.0; // counts for no more than what a node sees run in its first minute or so
         let sound = |value: f64| value > 0.0 && value.is_finite();
         for &(size, run) in learnt.sizes.iter().filter(|(size, run)| sound(*size) && sound(*run)) {
-            if self.recent.len() < SAMPLE {
-                self.recent.push_front((size, run));
-                self.told += 1;
-            }
+            self.told += usize::from(self.recent.add_older(Sized { size, run }));
         }
         let sound_kind = |told: &KindLearnt| sound(told.done) && sound(told.ran) && sound(told.slots);
         for (kind, told) in learnt.kinds.iter().filter(|(_, told)| sound_kind(told)) {
--- a/crates/sizing/src/cut_offs.rs
+++ b/crates/sizing/src/cut_offs.rs
@@ -1,11 +1,20 @@
 //! Where one lane's sizes end and the next one's begin.
 
-use crate::sample::Sample;
+use crate::sample::SampleEntry;
+
+/// The lane of a request whose work lies on both sides of what is due to a lane.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Straddler {
+    /// The lane below, whatever its part there.
+    Below,
+    /// The lane that has more than half of it.
+    ByHalf,
+}
 
 /// Bounds between lanes, smallest first: one fewer than there are lanes, or none while one lane holds all.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct CutOffs {
-    bounds: Vec<f64>,
+    pub(crate) bounds: Vec<f64>,
 }
 
 impl CutOffs {
@@ -14,30 +23,25 @@
         CutOffs::default()
     }
 
-    /// The bounds by which each lane's part of the sample's summed work matches its entry in `shares` (parts of
-    /// the capacity, in any unit, the lane of the smallest sizes first). One lane for all below `fewest` entries,
-    /// as a handful says nothing, and where a share is nothing or no number.
-    pub fn equalising(sample: &Sample, shares: &[f64], fewest: usize) -> CutOffs {
-        let whole: f64 = shares.iter().sum();
-        let sound = shares.len() > 1 && shares.iter().all(|share| share.is_finite() && *share > 0.0);
-        if sample.len() < fewest.max(1) || !sound || !whole.is_finite() {
+    /// The bounds below which lie these amounts of the summed work of requests sorted by size. One lane for all
+    /// where an amount is no number.
+    pub fn at_sums(sorted: &[impl SampleEntry], due: &[f64], straddler: Straddler) -> CutOffs {
+        if !due.iter().all(|due| due.is_finite()) {
             return CutOffs::one_lane();
         }
-        let sorted = sample.sorted();
-        let total: f64 = sorted.iter().map(|entry| entry.work).sum();
-        let mut entries = sorted.iter().peekable();
-        let (mut summed, mut due, mut bounds) = (0.0, 0.0, Vec::with_capacity(shares.len() - 1));
-        let mut bound = 0.0;
-        for share in &shares[..shares.len() - 1] {
-            due += total * share / whole;
-            // An entry belongs below the bound while more than half of it does.
-            while let Some(entry) = entries.next_if(|entry| summed + entry.work / 2.0 <= due) {
-                summed += entry.work;
-                bound = entry.size;
+        let belongs = |summed: f64, work: f64, due: f64| match straddler {
+            Straddler::Below => summed < due,
+            Straddler::ByHalf => summed + work / 2.0 <= due,
+        };
+        let (mut entries, mut summed, mut bound) = (sorted.iter().peekable(), 0.0, 0.0);
+        let bound_at = |&due: &f64| {
+            while let Some(entry) = entries.next_if(|entry| belongs(summed, entry.work(), due)) {
+                summed += entry.work();
+                bound = entry.size();
             }
-            bounds.push(bound);
-        }
-        CutOffs { bounds }
+            bound
+        };
+        CutOffs { bounds: due.iter().map(bound_at).collect() }
     }
 
     /// The lane of a size, from 0 for the smallest.
@@ -45,11 +49,6 @@
         self.bounds.iter().filter(|bound| size > **bound).count()
     }
 
-    /// The bounds, smallest first.
-    pub fn bounds(&self) -> &[f64] {
-        &self.bounds
-    }
-
     /// How many lanes the bounds make.
     pub fn lanes(&self) -> usize {
         self.bounds.len() + 1
--- a/crates/sizing/src/lib.rs
+++ b/crates/sizing/src/lib.rs
@@ -4,12 +4,17 @@
 //! load of the interval matches the lane's share of the capacity; inside a lane a random pick is weighted by what
 //! is left of each executor. This crate holds just that, for every program that routes by it:
 //!
-//! * [`Sample`]: the sizes of the last requests;
+//! * [`Sample`]: the sizes of the last requests, with what else a program keeps of each ([`SampleEntry`]);
 //! * [`CutOffs`]: the interval bounds that equalise summed work per share of capacity, and the lane of a size;
-//! * [`lanes_by_hash`], [`lanes_by_share`]: which executor is in which lane, the same on every node;
-//! * [`weight`], [`pick`]: the weighted pick inside a lane;
+//! * [`lanes_in_order`], [`lanes_by_hash`], [`lanes_by_share`]: which executor is in which lane, the same on every
+//!   node;
+//! * [`weight`], [`weights`], [`pick`]: the weighted pick inside a lane;
 //! * [`fixed_hash`], [`mixed`], [`rendezvous`]: hashes that agree between processes.
 //!
+//! Both programs use it: the tier through `grebeusher-gateway`, the node through `grebeusher-dispatch`. Where they
+//! differ the caller says which way: [`Straddler`] for cut-offs, [`Remainder`] for lanes. What the node uses stands in
+//! files that `policy` in `deploy/balancer.toml` names.
+//!
 //! ```
 //! use grebeusher_sizing::{CutOffs, Sample};
 //!
@@ -26,10 +31,16 @@
 mod hash;
 mod lanes;
 mod pick;
+mod places;
 mod sample;
+mod shares;
+mod weight;
 
-pub use cut_offs::CutOffs;
+pub use cut_offs::{CutOffs, Straddler};
 pub use hash::{fixed_hash, mixed, rendezvous};
-pub use lanes::{lanes_by_hash, lanes_by_share, share_of_lanes};
-pub use pick::{Candidate, FLOOR, pick, weight};
-pub use sample::{Entry, Sample};
+pub use lanes::{lanes_by_hash, lanes_by_share};
+pub use pick::pick;
+pub use places::{Remainder, lanes_in_order};
+pub use sample::{Entry, Sample, SampleEntry};
+pub use shares::share_of_lanes;
+pub use weight::{Candidate, FLOOR, weight, weights};
--- a/crates/sizing/tests/sizing.rs
+++ b/crates/sizing/tests/sizing.rs
@@ -1,8 +1,8 @@
 //! SITA-E: the sample, the cut-offs, the lanes and the pick.
 
 use grebeusher_sizing::{
-    Candidate, CutOffs, FLOOR, Sample, fixed_hash, lanes_by_hash, lanes_by_share, pick, rendezvous,
-    share_of_lanes, weight,
+    Candidate, CutOffs, FLOOR, Remainder, Sample, Straddler, fixed_hash, lanes_by_hash, lanes_by_share,
+    lanes_in_order, pick, rendezvous, share_of_lanes, weight,
 };
 use proptest::prelude::*;
 use rand::{Rng, SeedableRng};
@@ -39,6 +39,19 @@
     }
 }
 
+#[rstest]
+#[case::below(Straddler::Below, 7.0)]
+#[case::by_half(Straddler::ByHalf, 3.0)]
+fn who_calls_says_where_a_request_on_the_cut_belongs(#[case] straddler: Straddler, #[case] bound: f64) {
+    // given sizes of which the third lies on both sides of half of the sum, most of it above
+    let sorted = sample_of([9.0, 1.0, 3.0, 7.0, 2.0]).sorted();
+    // when the cut lies at half of the sum less a little
+    let cut_offs = CutOffs::at_sums(&sorted, &[9.4], straddler);
+    // then it is in the lane that the caller names
+    assert_eq!(cut_offs.bounds(), [bound]);
+    assert_eq!(CutOffs::at_sums(&sorted, &[f64::NAN], straddler), CutOffs::one_lane());
+}
+
 #[test]
 fn what_orders_the_lanes_may_differ_from_what_weighs() {
     // given large requests that cost little, since most of them is kept already
@@ -125,6 +138,31 @@
     assert_eq!(counts, due);
 }
 
+#[test]
+fn what_does_not_divide_evenly_goes_where_the_caller_says() {
+    for count in 2_usize..5000 {
+        let first = |remainder| {
+            lanes_in_order(count, &[3.0, 1.0], remainder).iter().filter(|lane| **lane == 0).count()
+        };
+        let most = count - 1;
+        assert_eq!(first(Remainder::Earlier), (count * 3).div_ceil(4).min(most));
+        assert_eq!(first(Remainder::Later), count * 3 / 4);
+    }
+    assert_eq!(lanes_in_order(1, &[3.0, 1.0], Remainder::Earlier), [0]);
+    assert!(lanes_in_order(0, &[3.0, 1.0], Remainder::Earlier).is_empty());
+}
+
+#[test]
+fn what_was_told_is_older_than_what_was_seen_and_never_takes_its_place() {
+    let mut sample = Sample::new(3);
+    sample.saw(2.0, 2.0);
+    let older = grebeusher_sizing::Entry { size: 1.0, work: 1.0 };
+    assert_eq!([older, older, older].map(|entry| sample.add_older(entry)), [true, true, false]);
+    assert!(sample.saw(3.0, 3.0));
+    let sizes: Vec<f64> = sample.entries().map(|entry| entry.size).collect();
+    assert_eq!(sizes, [1.0, 2.0, 3.0]);
+}
+
 #[test]
 fn every_node_makes_the_same_lanes_and_one_that_goes_moves_at_most_one_other() {
     let hashes: Vec<u64> = (0..18).map(|n| fixed_hash(&format!("i-{n}"))).collect();
