Gateway: an executor that was early or quick long ago is no longer held behind or slow

Cause: how far behind an executor's first events come, and how slow its events are, fades by one minus age over span. That was not floored at nothing, and the value may be negative (earlier or quicker than usual): beyond the span the product of the two rose with age. So a node that used an executor seldom held it for seconds behind, and did not take it for a home that keeps the prompt's shared parts; in the weighted pick it counted as taken by up to 0.9. Found by a story on popular prefixes in which all nodes left a home that nothing was wrong with; ruled out room, lanes, connections and health there.

Change: what is left of either is never below nothing.

--- a/crates/gateway/src/executor.rs
+++ b/crates/gateway/src/executor.rs
@@ -161,7 +161,8 @@
     /// By how many times its events come slower than usual; 0 where they do not, or nothing is known.
     pub fn slowness(&self, now: Moment) -> f64 {
         let (times, at) = self.slower;
-        let fresh = 1.0 - now.since(at).as_secs() / PACE_FADES.as_secs();
+        // What has faded is over: the quick of long ago must not count as slow.
+        let fresh = (1.0 - now.since(at).as_secs() / PACE_FADES.as_secs()).max(0.0);
         ((times - 1.0) * fresh).max(0.0)
     }
 
@@ -174,7 +175,9 @@
     /// By how many seconds first events come later than usual, by the last few.
     pub fn behind(&self, now: Moment) -> f64 {
         let (seconds, at) = self.behind;
-        (seconds * (1.0 - now.since(at).as_secs() / BEHIND_FADES.as_secs())).max(0.0)
+        // What has faded is over: one that was early long ago must not count as behind.
+        let fresh = (1.0 - now.since(at).as_secs() / BEHIND_FADES.as_secs()).max(0.0);
+        (seconds * fresh).max(0.0)
     }
 
     /// Whether it has the model that a request names.
--- a/crates/gateway/tests/choice.rs
+++ b/crates/gateway/tests/choice.rs
@@ -580,6 +580,41 @@
     assert!(slow < 400, "{slow}");
 }
 
+#[test]
+fn one_that_was_early_long_ago_is_not_behind_now() {
+    // given a subject's home, whose first event came sooner than by the reading of its prompt
+    let (mut gateway, service, _) = node(8, 3);
+    let request = with_prefix(service, 1, 13_000);
+    let home = sent(gateway.choose(START, &request)).unwrap();
+    let token = gateway.started(START, home, &request).unwrap();
+    gateway.progress(at(5), token);
+    gateway.finished(at(6), token, Outcome::Served);
+    // when nothing is heard of it for long, then it is the home as before
+    for seconds in [1, 2, 10, 60] {
+        assert_eq!(sent(gateway.choose(at(seconds * 1_000), &request)), Some(home), "{seconds}");
+    }
+}
+
+#[test]
+fn one_that_was_quick_long_ago_is_not_slow_now() {
+    // given two executors of which one's events came four times as fast
+    let (mut gateway, service, ids) = node(2, 7);
+    let tokens: Vec<_> =
+        ids.iter().map(|id| gateway.started(START, *id, &sized(service, 9, 0)).unwrap()).collect();
+    for n in 1..=40 {
+        gateway.progress(at(n * 20), tokens[0]);
+        if n % 4 == 0 {
+            gateway.progress(at(n * 20), tokens[1]);
+        }
+    }
+    tokens.iter().for_each(|token| gateway.finished(at(800), *token, Outcome::Served));
+    // when that is seconds ago, and both tell that they are idle, then both get as much
+    ids.iter().for_each(|id| fill(&mut gateway, at(9_000), *id, 0, 0));
+    let quick =
+        (0..1000).filter(|_| sent(gateway.choose(at(9_000), &sized(service, 9, 0))) == Some(ids[0])).count();
+    assert!((450..550).contains(&quick), "{quick}");
+}
+
 /// Two executors with a stream each, one of which falls silent at 100 ms; looked at every 100 ms until `until`.
 fn one_goes_dark(until: u64) -> (Gateway, Vec<ExecutorId>) {
     let (mut gateway, service, ids) = node(2, 7);
