Simulation: a report of many storms, with histograms of times and a plot

The fleet's stop-watch looks on from outside (owned_parts of a node is new and only reads); judged times come from what operators and executors saw.

--- a/crates/simulation/src/fleet/build.rs
+++ b/crates/simulation/src/fleet/build.rs
@@ -75,6 +75,7 @@
             trace: Vec::new(),
             turns: 0,
             digest: 0,
+            watch: super::watch::Watch::default(),
         };
         fleet.build(until);
         fleet
--- a/crates/simulation/src/fleet/closing.rs
+++ b/crates/simulation/src/fleet/closing.rs
@@ -61,6 +61,7 @@
                 self.strike(machine, power, wiped.contains(&machine), DOWN_S);
             }
         }
+        self.watch_closing(back);
         let contact = self.judge.bounds.contact;
         self.judge.core_slow(now, back + contact);
     }
--- a/crates/simulation/src/fleet/lives.rs
+++ b/crates/simulation/src/fleet/lives.rs
@@ -32,6 +32,7 @@
             &(process as u64).to_le_bytes(),
             &(events.len() as u64).to_le_bytes(),
         ]);
+        self.watch_turn(process);
         let why = match turned {
             Ok(Ok(())) if !over => return,
             Ok(Ok(())) => None,
@@ -66,6 +67,7 @@
 
     pub(super) fn end_life(&mut self, machine: usize, power_lost: bool) {
         let Some(life) = self.machines[machine].life.take() else { return };
+        self.watch_gone(life);
         let mut hub = self.hub.borrow_mut();
         hub.end_process(life, power_lost);
         let now = hub.now;
--- a/crates/simulation/src/fleet/mod.rs
+++ b/crates/simulation/src/fleet/mod.rs
@@ -12,6 +12,7 @@
 mod settings;
 mod step;
 mod strikes;
+mod watch;
 
 use crate::clients::Clients;
 use crate::executors::Executors;
@@ -20,6 +21,7 @@
 use crate::operators::Operators;
 use crate::scenario::Scenario;
 use crate::stage::{Machine, Stage};
+use crate::times::Times;
 use crate::world::SharedDisk;
 use grebeusher_tier::node::Node;
 use grebeusher_time::{Moment, Span};
@@ -28,6 +30,7 @@
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 use step::Step;
+use watch::Watch;
 
 /// Lines of a trace.
 const MOST_LINES: usize = 400;
@@ -43,6 +46,8 @@
     pub counts: Counts,
     /// What happened, in lines.
     pub trace: Vec<String>,
+    /// How long things took.
+    pub times: Times,
     /// Turns of loops.
     pub turns: u64,
     /// A hash over all that happened, the same whenever the same storm is run.
@@ -94,6 +99,7 @@
     trace: Vec<String>,
     turns: u64,
     digest: u64,
+    watch: Watch,
 }
 
 /// Runs a scenario's storm of a seed.
@@ -150,7 +156,10 @@
             self.hub.borrow_mut().end_process(life, true);
         }
         self.nodes.clear();
+        let mut times = std::mem::take(&mut self.watch.times);
+        times.taken.extend(self.judge.times());
         Report {
+            times,
             breaches: std::mem::take(&mut self.judge.breaches),
             counts: self.judge.counts,
             trace: std::mem::take(&mut self.trace),
--- a/crates/simulation/src/fleet/strikes.rs
+++ b/crates/simulation/src/fleet/strikes.rs
@@ -31,6 +31,7 @@
         self.touched(machine);
         self.troubled(machine, for_s);
         self.hub.borrow_mut().freeze(life, true);
+        self.watch_gone(life);
         self.later(Span::secs(for_s), Step::Thaw { machine });
     }
 
@@ -38,6 +39,7 @@
         if let Some(life) = self.machines[machine].life {
             self.note(&format!("{} goes on", self.machines[machine].name));
             self.hub.borrow_mut().freeze(life, false);
+            self.watch_thawed(life);
             self.touched(machine);
             let host = self.machines[machine].host;
             self.stage(|actors, stage| actors.clients.press_after_return(host, stage));
--- /dev/null
+++ b/crates/simulation/src/fleet/watch.rs
@@ -0,0 +1,106 @@
+//! The fleet's stop-watch: owners that are replaced, configurations that reach all nodes. It looks on and changes nothing.
+
+use super::Fleet;
+use crate::stage::Class;
+use crate::times::{Times, What};
+use grebeusher_time::Moment;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Parts of the tier: the configuration and three of batch jobs.
+const PARTS: usize = 4;
+
+/// What is under way.
+#[derive(Default)]
+pub(super) struct Watch {
+    pub(super) times: Times,
+    /// The life that owns each part.
+    owners: BTreeMap<u8, usize>,
+    /// Parts whose owner is gone: since when, and which life it was.
+    orphans: BTreeMap<u8, (Moment, usize)>,
+    /// Configurations on their way: the version, when it was acknowledged, and the lives that don't have it.
+    spreading: Vec<(u64, Moment, BTreeSet<usize>)>,
+    /// When the machines were back from a final fault, until each part has an owner.
+    back: Option<Moment>,
+}
+
+impl Fleet {
+    /// A process has had its turn.
+    pub(super) fn watch_turn(&mut self, life: usize) {
+        let now = self.now();
+        let Some(node) = self.nodes.get(&life) else { return };
+        for part in node.owned_parts() {
+            self.watch.owned(part, life, now);
+        }
+        let version = node.configuration_version();
+        let watch = &mut self.watch;
+        for (_, _, lives) in watch.spreading.iter_mut().filter(|(number, ..)| *number <= version) {
+            lives.remove(&life);
+        }
+        watch.note_applied(now);
+    }
+
+    /// A configuration was acknowledged.
+    pub(super) fn watch_acknowledged(&mut self, number: u64) {
+        let edges = self.machines.iter().filter(|machine| machine.class == Class::Edge);
+        let running = edges.filter_map(|machine| machine.life);
+        let has =
+            |life: &usize| self.nodes.get(life).is_some_and(|node| node.configuration_version() >= number);
+        let lives: BTreeSet<usize> = running.filter(|life| !has(life)).collect();
+        let now = self.now();
+        self.watch.spreading.push((number, now, lives));
+        self.watch.note_applied(now);
+    }
+
+    /// A life has ended or stands still.
+    pub(super) fn watch_gone(&mut self, life: usize) {
+        let now = self.now();
+        let watch = &mut self.watch;
+        let owned = watch.owners.extract_if(.., |_, owner| *owner == life);
+        let owned: Vec<u8> = owned.map(|(part, _)| part).collect();
+        for part in owned {
+            watch.orphans.entry(part).or_insert((now, life));
+        }
+        for (_, _, lives) in &mut watch.spreading {
+            lives.remove(&life);
+        }
+    }
+
+    /// A life goes on.
+    pub(super) fn watch_thawed(&mut self, life: usize) {
+        self.watch.orphans.retain(|_, (_, owner)| *owner != life);
+    }
+
+    /// A final fault strikes; the machines will be back then.
+    pub(super) fn watch_closing(&mut self, back: Moment) {
+        self.watch.back = Some(back);
+        self.watch.owners.clear();
+        self.watch.orphans.clear();
+        self.watch.spreading.clear();
+    }
+}
+
+impl Watch {
+    fn owned(&mut self, part: u8, life: usize, now: Moment) {
+        if self.owners.get(&part) == Some(&life) {
+            return;
+        }
+        match self.orphans.get(&part) {
+            // It was frozen, and does not know yet that others went on.
+            Some((_, owner)) if *owner == life => return,
+            Some((since, _)) => self.times.taken.push((What::OwnerReplaced, now.since(*since))),
+            None => {}
+        }
+        self.orphans.remove(&part);
+        self.owners.insert(part, life);
+        if let Some(back) = self.back.filter(|back| now > *back && self.owners.len() == PARTS) {
+            self.times.taken.push((What::QuorumBack, now.since(back)));
+            self.back = None;
+        }
+    }
+
+    fn note_applied(&mut self, now: Moment) {
+        for (_, since, _) in self.spreading.extract_if(.., |(_, _, lives)| lives.is_empty()) {
+            self.times.taken.push((What::Applied, now.since(since)));
+        }
+    }
+}
--- a/crates/simulation/src/judge/drains.rs
+++ b/crates/simulation/src/judge/drains.rs
@@ -7,8 +7,8 @@
 /// An executor's leave.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Leave {
-    at: Moment,
-    acknowledged: Option<Moment>,
+    pub(super) at: Moment,
+    pub(super) acknowledged: Option<Moment>,
 }
 
 impl Judge {
--- a/crates/simulation/src/judge/mod.rs
+++ b/crates/simulation/src/judge/mod.rs
@@ -10,6 +10,7 @@
 mod requests;
 mod results;
 mod rules;
+mod times;
 mod troubles;
 
 pub use batch::MadeItem;
@@ -75,6 +76,20 @@
     pub drained: u64,
 }
 
+impl Counts {
+    /// Adds those of another storm.
+    pub fn add(&mut self, other: &Counts) {
+        self.tries += other.tries;
+        self.served += other.served;
+        self.unserved += other.unserved;
+        self.runs += other.runs;
+        self.acknowledged += other.acknowledged;
+        self.jobs += other.jobs;
+        self.results += other.results;
+        self.drained += other.drained;
+    }
+}
+
 impl Judge {
     /// A judge who has seen nothing.
     pub fn new(bounds: Bounds) -> Judge {
--- a/crates/simulation/src/lib.rs
+++ b/crates/simulation/src/lib.rs
@@ -17,6 +17,7 @@
 //! - Beyond the operators' rules the judge asks what the design note promises: no read shows less than an earlier one did
 //!   (`STALE`), an acknowledged drain is known to all nodes in calm times (`UNTOLD`), and a node never goes back.
 
+pub mod bulk;
 pub mod call;
 pub mod clients;
 pub mod content;
@@ -30,4 +31,5 @@
 pub mod scenario;
 pub mod stage;
 pub mod storm;
+pub mod times;
 pub mod world;
--- a/crates/simulation/src/main.rs
+++ b/crates/simulation/src/main.rs
@@ -1,16 +1,17 @@
 //! `grebeusher-simulate`: storms in the in-memory fleet.
 
 use bpaf::{Parser, construct, long, positional};
+use grebeusher_simulation::bulk::Bulk;
 use grebeusher_simulation::fleet::Report;
 use grebeusher_simulation::scenario::Scenario;
 use grebeusher_simulation::storm::{drawn, shrink, storm};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::time::Instant;
 
 #[derive(Clone, Debug)]
 enum Command {
-    Storm { seed: u64, count: u64, file: PathBuf },
+    Storm { seed: u64, count: u64, plot: Option<PathBuf>, file: PathBuf },
     Replay { file: PathBuf, seed: u64 },
     Shrink { file: PathBuf, seed: u64 },
 }
@@ -19,8 +20,10 @@
     let file = || long("scenario").help("The scenario's file").argument::<PathBuf>("FILE");
     let seed = long("seed").help("The first seed").argument::<u64>("SEED").fallback(1);
     let count = long("count").help("How many seeds").argument::<u64>("COUNT").fallback(100);
+    let plot =
+        long("plot").help("Where a plot of the times goes, as SVG").argument::<PathBuf>("SVG").optional();
     let scenario = file();
-    let storms = construct!(Command::Storm { seed, count, file(scenario) })
+    let storms = construct!(Command::Storm { seed, count, plot, file(scenario) })
         .to_options()
         .descr("Run the storms of many seeds")
         .command("storm")
@@ -55,7 +58,7 @@
         }
     };
     match command {
-        Command::Storm { seed, count, .. } => storms(&scenario, seed, count),
+        Command::Storm { seed, count, plot, .. } => storms(&scenario, seed, count, plot.as_deref()),
         Command::Replay { seed, .. } => {
             println!("{}", drawn(&scenario, seed).to_toml());
             tell(&storm(&scenario, seed))
@@ -73,20 +76,13 @@
     }
 }
 
-fn storms(scenario: &Scenario, seed: u64, count: u64) -> ExitCode {
+fn storms(scenario: &Scenario, seed: u64, count: u64, plot: Option<&Path>) -> ExitCode {
     let begun = Instant::now();
-    let mut broken = 0;
-    let mut totals = grebeusher_simulation::judge::Counts::default();
+    let mut bulk = Bulk::new();
     for seed in seed..seed + count {
         let report = storm(scenario, seed);
-        totals.served += report.counts.served;
-        totals.unserved += report.counts.unserved;
-        totals.jobs += report.counts.jobs;
-        totals.results += report.counts.results;
-        totals.acknowledged += report.counts.acknowledged;
-        totals.drained += report.counts.drained;
+        bulk.add(&report);
         if let Some(first) = report.breaches.first() {
-            broken += 1;
             let seconds = first.at.0 as f64 / 1e9;
             println!(
                 "seed {seed}: {} at {seconds:.3}: {} ({} in all)",
@@ -96,16 +92,16 @@
             );
         }
     }
-    println!(
-        "{count} storms of {} from seed {seed}: {broken} with breaches, {:.1} s",
-        scenario.name,
-        begun.elapsed().as_secs_f64()
-    );
-    println!(
-        "{} requests served, {} not; {} jobs, {} results; {} versions acknowledged, {} drains",
-        totals.served, totals.unserved, totals.jobs, totals.results, totals.acknowledged, totals.drained
-    );
-    if broken == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+    let took = begun.elapsed().as_secs_f64();
+    print!("{} from seed {seed}, {took:.1} s: {}", scenario.name, bulk.text());
+    if let Some(path) = plot {
+        let title = format!("{count} storms of {}", scenario.name);
+        if let Err(error) = bulk.plot(path, &title) {
+            eprintln!("{error}");
+            return ExitCode::FAILURE;
+        }
+    }
+    if bulk.breaches() == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE }
 }
 
 fn tell(report: &Report) -> ExitCode {
--- /dev/null
+++ b/crates/simulation/src/times.rs
@@ -0,0 +1,44 @@
+//! How long things took in a storm.
+
+use grebeusher_time::Span;
+use std::fmt;
+
+/// What a time is of.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum What {
+    /// From the first sending of a configuration to its acknowledgement.
+    Acknowledged,
+    /// From the acknowledgement of a configuration until each edge node that ran then has it in force.
+    Applied,
+    /// From an executor's word that it leaves to the acknowledgement.
+    DrainTold,
+    /// From the end or the freeze of a part's owner until another node acts as owner.
+    OwnerReplaced,
+    /// From the return of the machines after a final fault until each part has an owner.
+    QuorumBack,
+}
+
+impl What {
+    /// All of them.
+    pub const ALL: [What; 5] =
+        [What::Acknowledged, What::Applied, What::DrainTold, What::OwnerReplaced, What::QuorumBack];
+}
+
+impl fmt::Display for What {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(match self {
+            What::Acknowledged => "configuration acknowledged",
+            What::Applied => "configuration applied everywhere",
+            What::DrainTold => "drain told",
+            What::OwnerReplaced => "owner replaced",
+            What::QuorumBack => "quorum back",
+        })
+    }
+}
+
+/// The times of a storm.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Times {
+    /// Each one that was taken.
+    pub taken: Vec<(What, Span)>,
+}
--- a/crates/tier/src/parts.rs
+++ b/crates/tier/src/parts.rs
@@ -314,6 +314,11 @@
         }
     }
 
+    /// The parts that this node acts as the owner of.
+    pub fn owned_parts(&self) -> impl Iterator<Item = u8> + '_ {
+        self.parts.iter().filter(|host| host.owns()).map(|host| host.part)
+    }
+
     /// The node that owns a part, by the highest term that any has told.
     pub fn known_owner(&self, part: u8) -> Option<SocketAddrV4> {
         let mut best: Option<(u64, SocketAddrV4)> = None;
