--- a/crates/simulation/src/fleet/hollow.rs
+++ b/crates/simulation/src/fleet/hollow.rs
@@ -80,6 +80,7 @@
         let part = |all: usize, zone: usize| all / ZONES + usize::from(zone < all % ZONES);
         let zones = (0..ZONES).map(|zone| ZoneShape {
             name: format!("zone-{zone}"),
+            region: "region".to_owned(),
             edge: part(edges, zone),
             disks: DISKS_A_ZONE,
             storage: part(storage, zone),
@@ -91,6 +92,7 @@
                 losses: 2,
                 in_zone_ms: 0.2,
                 cross_zone_ms: 0.5,
+                cross_region_ms: 10.0,
                 sync_ms: 0.5,
             },
             load: Load {
--- a/crates/simulation/src/judge/mod.rs
+++ b/crates/simulation/src/judge/mod.rs
@@ -10,6 +10,7 @@
 mod requests;
 mod results;
 mod rules;
+mod times;
 mod troubles;
 
 pub use batch::MadeItem;
@@ -40,6 +41,7 @@
     jobs: BTreeMap<String, Job>,
     items: FxHashMap<String, Item>,
     drained: FxHashMap<String, Moment>,
+    told: FxHashMap<String, Moment>,
     troubles: Vec<Trouble>,
     core_events: Vec<Moment>,
     core_slow: Vec<Stretch>,
@@ -74,6 +76,20 @@
     pub drained: u64,
 }
 
+impl Counts {
+    /// Adds those of another storm.
+    pub fn add(&mut self, other: &Counts) {
+        self.tries += other.tries;
+        self.served += other.served;
+        self.unserved += other.unserved;
+        self.runs += other.runs;
+        self.acknowledged += other.acknowledged;
+        self.jobs += other.jobs;
+        self.results += other.results;
+        self.drained += other.drained;
+    }
+}
+
 impl Judge {
     /// A judge who has seen nothing.
     pub fn new(bounds: Bounds) -> Judge {
@@ -85,6 +101,7 @@
             jobs: BTreeMap::new(),
             items: FxHashMap::default(),
             drained: FxHashMap::default(),
+            told: FxHashMap::default(),
             troubles: Vec::new(),
             core_events: Vec::new(),
             core_slow: Vec::new(),
