Drains: who has not confirmed is told again after 0.12 s

Need: on links that lose a fifth of all messages a drain is told and confirmed within its bound of 0.7 s by five tries at 0.15 s apart, which leaves a chance of some percent that one of 13 nodes has not confirmed. Six tries fit at 0.12 s.

Only nodes that have not confirmed are told again, so that a drain on sound links costs what it did; where confirmations take over 0.12 s it costs a quarter more.

--- a/crates/registry/src/settings.rs
+++ b/crates/registry/src/settings.rs
@@ -46,7 +46,7 @@
             join_retry: Span::millis(250),
             batch: Span::millis(40),
             urgent_batch: Span::millis(4),
-            confirm_retry: Span::millis(150),
+            confirm_retry: Span::millis(120),
             confirm_bound: Span::millis(700),
             executor_heartbeat: Span::millis(1_200),
             executor_retention: Span::millis(60_000),
