--- a/crates/registry/src/join.rs
+++ b/crates/registry/src/join.rs
@@ -100,6 +100,9 @@
         // The rest is taken from any of them, so that seeds need not serve everyone who starts.
         let helper =
             addresses.into_iter().filter(|address| *address != self.own_address).choose(&mut self.random);
-        self.start_repair(now, helper.unwrap_or(from));
+        // Each seed welcomes it, and each of their helpers would bring the same.
+        if self.repairs.begin_filling(now) {
+            self.start_repair(now, helper.unwrap_or(from));
+        }
     }
 }
--- a/crates/registry/src/repair.rs
+++ b/crates/registry/src/repair.rs
@@ -102,6 +102,15 @@
         now < self.filling_until
     }
 
+    /// From here on the node is brought much by one other. Whether it was not already.
+    pub(crate) fn begin_filling(&mut self, now: Moment) -> bool {
+        let begins = !self.is_filling(now);
+        if begins {
+            self.filling_until = now + FILLING;
+        }
+        begins
+    }
+
     fn had_lately(&self, now: Moment, digest: u64) -> bool {
         self.past.iter().any(|(until, past)| *past == digest && now.since(*until) <= NEWS_UNDER_WAY)
     }
