--- a/crates/simulation/src/fleet/mod.rs
+++ b/crates/simulation/src/fleet/mod.rs
@@ -13,6 +13,7 @@
 mod settings;
 mod step;
 mod strikes;
+pub mod wave;
 
 use crate::clients::Clients;
 use crate::executors::Executors;
