--- a/crates/simulation/src/fleet/mod.rs
+++ b/crates/simulation/src/fleet/mod.rs
@@ -14,6 +14,7 @@
 mod step;
 mod strikes;
 mod watch;
+pub mod wave;
 
 use crate::clients::Clients;
 use crate::executors::Executors;
