The module is split by concern: ten small files in place of one

Need: crates/dispatch/src/decide.rs held every decision in 1,080 lines.

Change: decide.rs keeps the state, the start and the beat; list, lanes, choice, placing, further, evidence, executor, work and talk hold a concern each, the longest 150 lines. What sizing's callers only say (Straddler, Remainder, Candidate) stands in terms.rs; dispatch names its vocabulary at the root of the crate. Functions moved whole; no test is changed.

Tests of dispatch, sizing, gateway and charter pass.

--- /dev/null
+++ b/crates/dispatch/src/decide/choice.rs
@@ -0,0 +1,148 @@
+//! Which executor: the weighted pick in the lane, whom it is among, and when a wait is too long.
+
+use super::{Dispatcher, executor::Executor, work::Work};
+use crate::{ExecutorId, Host, Moment, Span, Tariff, UnitId};
+use grebeusher_sizing::{Candidate as Weighed, FLOOR, weights};
+use rand::{Rng, distr::weighted::WeightedIndex};
+
+/// An executor that could take a work unit.
+struct Candidate {
+    at: usize,
+    in_lane: bool,
+    room: bool,
+    load: Option<f64>,
+    wait: Option<f64>,
+    /// Whether that is by what all nodes have out.
+    known: bool,
+    cold: bool,
+}
+
+impl<H: Host> Dispatcher<H> {
+    /// Those that a work unit may go to: of its lane, in the order in which this node uses them, a few and
+    /// one more for every two allocations out; or many of both lanes. A node that sends little uses few
+    /// and so hears of them. Guards against picks all through a large fleet, one unheard of after the other.
+    fn candidates(&self, now: Moment, work: &Work, few: bool) -> Vec<Candidate> {
+        const FEW: usize = 3; // leaves the weighted pick its choice
+        const MORE: usize = 4; // times as many: one of them has room unless nearly all are full
+        let lane = self.cut_offs.lane_of(work.size);
+        let Tariff { kind, effect, .. } = self.tariffs[work.tariff];
+        let in_lane = |at: usize| self.cut_offs.lanes() == 1 || self.executors[at].lane == lane;
+        let candidate = |&at: &usize| {
+            let e = &self.executors[at];
+            let able = now >= e.aside_until
+                && self.is_told(now, e)
+                && kind.is_none_or(|kind| kind == e.kind)
+                && self.repeats(now, effect, &work.allocations, e)
+                && !work.allocations.iter().any(|a| a.open && a.executor.0 == at)
+                && e.cold_admits(&self.cold, self.nodes, now, self.known.mean);
+            able.then(|| {
+                let over = e.filled(now).map(|filled| filled + work.slots - e.width());
+                let queue = over.map(|over| over.max(0.0) / e.width() * self.known.mean_run / e.pace);
+                Candidate {
+                    at,
+                    in_lane: in_lane(at),
+                    room: over.map_or_else(|| e.has_room(now), |over| over <= 0.0),
+                    load: e.load(now),
+                    wait: queue.or_else(|| e.wait(now)),
+                    known: over.is_some(),
+                    cold: e.cold_budget(&self.cold, now).is_some(),
+                }
+            })
+        };
+        let known = self.ready().any(|e| e.filled(now).is_some()); // where nodes talk all are heard of
+        let most = if known { self.roster.len() } else { FEW + self.out / 2 };
+        let lane = self.roster.iter().filter(|&&at| few && in_lane(at));
+        let mut found: Vec<Candidate> = lane.filter_map(candidate).take(most).collect();
+        if found.is_empty() {
+            // No worker of the lane can take it, or none of the few has room: those of both that can.
+            found.extend(self.roster.iter().filter_map(candidate).take(most * MORE));
+        }
+        // One that nothing was sent to lately is taken for as full as those of its lane that something was
+        // sent to. Guards against a node that sees little taking every executor for free. A longer wait may
+        // be that of an executor lost, and one alone may be slow: they tell nothing of others. Nor do
+        // the warm tell of a cold one, which few may use: its budget keeps it from being full.
+        const SILENT_S: f64 = 6.0;
+        const PART: f64 = 0.25; // of the slack may be waited: the estimate is of the past, the queue may grow
+        let spare = (work.slack(now) * PART).max(0.1);
+        for in_lane in [true, false] {
+            let known = found.iter().filter(|c| c.in_lane == in_lane).filter_map(|c| c.wait);
+            let waits: Vec<f64> = known.filter(|&wait| wait < SILENT_S).collect();
+            let mean = if waits.len() > 1 { waits.iter().sum::<f64>() / waits.len() as f64 } else { 0.0 };
+            for c in found.iter_mut().filter(|c| c.in_lane == in_lane && c.wait.is_none()) {
+                let mean = if c.cold { 0.0 } else { mean };
+                (c.wait, c.room) = (Some(mean), c.room && mean <= spare);
+            }
+        }
+        // One that failed this unit is not asked again while another is there: a crash looks idle at once.
+        let tried = |c: &Candidate| work.allocations.iter().any(|a| a.executor.0 == c.at);
+        if !found.iter().all(tried) {
+            found.retain(|c| !tried(c));
+        }
+        found
+    }
+
+    /// The design's choice, a weighted random pick in the lane of its size; whether any had room; the wait.
+    pub(super) fn pick(&mut self, now: Moment, unit: UnitId) -> Option<(ExecutorId, bool, f64)> {
+        let work = self.work.get(&unit)?;
+        let mut able = self.candidates(now, work, true);
+        // What all have out is known as of a while ago, and all nodes know the same: the pick is among a
+        // quarter at least, the shortest queues. Guards against a crowd at the few that had room then.
+        const PART: usize = 4;
+        let known = able.iter().any(|c| c.known);
+        // Own evidence does not show what others fill: at the floor of the weights it passes for full. Guards
+        // against queues in one lane while the other idles. Only where most were just heard of, and out of
+        // the lane only to one less than half used: late reports must not draw a crowd.
+        const FRESH: Span = Span::millis(1000); // what a report is an average over
+        let fresh = |e: &&Executor| e.reported.is_some_and(|at| now.since(at) < FRESH);
+        let hears = !known && self.ready().filter(fresh).count() * 2 > self.roster.len();
+        let below = |c: &Candidate| if c.in_lane { 1.0 - FLOOR } else { 0.5 };
+        // Nor does it show that own work waited long there: then others are looked at, unless a further place
+        // may be had. Guards against queues before the few that a node uses while their neighbours idle.
+        const BORNE: f64 = 0.1; // of the slack: the next one waits longer where a queue builds
+        let borne = if self.allowance.second_copies { f64::MAX } else { (work.slack(now) * BORNE).max(0.1) };
+        let brief = |c: &Candidate| known || c.wait.is_none_or(|wait| wait <= borne);
+        let free = |c: &Candidate| !hears || c.load.is_none_or(|load| load < below(c));
+        let open = |c: &Candidate| c.room && brief(c) && free(c);
+        let enough = if known { able.len().div_ceil(PART) } else { 1 };
+        if able.iter().filter(|c| open(c)).count() < enough {
+            able = self.candidates(now, work, false);
+        }
+        let any_room = able.iter().any(|c| c.room);
+        let least_wait = able.iter().filter_map(|c| c.wait).fold(f64::INFINITY, f64::min);
+        if known {
+            able.sort_by(|a, b| a.wait.unwrap_or(0.0).total_cmp(&b.wait.unwrap_or(0.0)));
+            able.truncate(able.iter().filter(|c| open(c)).count().max(able.len().div_ceil(PART)));
+        } else {
+            // First those with room, of these the not full, then those of the lane, then cold ones that may
+            // take some: the few nodes that warm one see little, and left to chance it would idle.
+            let rank = |c: &Candidate| (c.room, open(c), c.in_lane, c.room && c.cold);
+            let best = able.iter().map(rank).max();
+            able.retain(|c| Some(rank(c)) == best);
+        }
+        // Utilisation is a share: what is idle counts by listed size and learnt pace. Where all are heard of
+        // the own zone has no other preference: crossing costs, and a zone must not be left to itself.
+        const NEARER: f64 = 3.0;
+        let near = |e: &Executor| if known && e.zone == self.zone { NEARER } else { 1.0 };
+        let strength = |e: &Executor| e.pace * e.weight * near(e);
+        let weigh =
+            |c: &Candidate| Weighed { utilisation: c.load, strength: strength(&self.executors[c.at]) };
+        let weighs = weights(&able.iter().map(weigh).collect::<Vec<_>>());
+        let chosen = &able[self.chance.sample(WeightedIndex::new(weighs).ok()?)];
+        // With no room anywhere it waits where it goes: the least wait of all would promise too much.
+        let wait = if any_room && !known { least_wait } else { chosen.wait.unwrap_or(0.0) };
+        Some((ExecutorId(chosen.at), any_room, wait))
+    }
+
+    /// Whether a wait is too long to start with: the work unit would be late, and make others late. Waits
+    /// grow while a queue builds, so less than the slack is allowed: the less a tariff earns, the less;
+    /// and next to none beyond a customer's share. Guards against queues in which all is late.
+    pub(super) fn hopeless(&self, now: Moment, work: &Work, wait: f64) -> bool {
+        let best = self.tariffs.iter().map(|t| t.earnings).fold(0.0, f64::max);
+        let part = match self.tariffs[work.tariff].earnings / best {
+            _ if work.over_share => 0.0,
+            part if part.is_finite() => part,
+            _ => 1.0,
+        };
+        wait > (work.slack(now) * part).max(0.1)
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/decide/executor.rs
@@ -0,0 +1,145 @@
+//! What is known of one executor, and what own evidence says of its load, its wait and its room.
+
+use super::HEARD_WITHIN;
+use crate::{AllocationId, ColdStart, Moment, Span, Standing};
+
+/// An allocation that is still out, as its executor's record keeps it.
+pub(super) struct Flight {
+    pub(super) id: AllocationId,
+    pub(super) size: f64,
+    pub(super) slots: f64,
+    pub(super) sent: Moment,
+    /// By when word of its start should have come.
+    pub(super) word_due: Moment,
+    pub(super) started: Option<Moment>,
+    pub(super) heard: Moment,
+}
+
+/// All that is known of one executor.
+#[derive(Default)]
+pub(super) struct Executor {
+    pub(super) hash: u64,
+    pub(super) standing: Standing,
+    pub(super) speaks: bool,
+    pub(super) started: Option<Moment>,
+    /// The latest that this start can have been, as listed ones may be off: when it was heard of, at most.
+    pub(super) cold_from: Option<Moment>,
+    pub(super) kind: usize,
+    pub(super) zone: usize,
+    pub(super) cell: usize,
+    pub(super) weight: f64,
+    pub(super) lane: usize,
+    pub(super) utilisation: f64,
+    pub(super) reported: Option<Moment>,
+    /// Place in the order in which this node uses executors.
+    pub(super) rank: u64,
+    /// How many nodes come before this one among those that may warm it.
+    pub(super) distance: u64,
+    pub(super) asked: Moment,
+    /// Slots that own work has filled at once, and the most that were reported free: a report is noisy and
+    /// of a while ago, so room goes by the first, and what all nodes together may send by both.
+    pub(super) slots: f64,
+    pub(super) most_free: f64,
+    pub(super) flights: Vec<Flight>,
+    /// Slots that other nodes fill here, by their word, and when it came; and what this one told them last.
+    pub(super) others: Option<(Moment, f64)>,
+    pub(super) told: u8,
+    pub(super) answers: usize,
+    pub(super) reset: Option<Moment>,
+    pub(super) died: Option<Moment>,
+    /// Size of the own work that was answered, and the seconds that it held slots.
+    pub(super) done: f64,
+    pub(super) ran: f64,
+    /// Work a second of its kind when warm, on one slot and on all: a standard core until it has been seen.
+    pub(super) pace: f64,
+    pub(super) capacity: f64,
+    pub(super) aside_until: Moment,
+    pub(super) last_wait: f64,
+    pub(super) last_start: Moment,
+    /// When something was sent here while it was cold.
+    pub(super) cold_sent: Vec<Moment>,
+}
+
+impl Executor {
+    /// Slots that all nodes together have filled here or wait for, where they tell each other.
+    pub(super) fn filled(&self, now: Moment) -> Option<f64> {
+        const STALE: Span = Span::millis(1500); // a few words may get lost
+        // Before any report its width is a guess, by which all would look full.
+        let (_, others) = self.others.filter(|(at, _)| self.most_free > 0.0 && now.since(*at) < STALE)?;
+        Some(others + self.own_slots())
+    }
+
+    pub(super) fn own_slots(&self) -> f64 {
+        self.flights.iter().map(|f| f.slots).sum()
+    }
+
+    /// The most slots that it was seen to have.
+    pub(super) fn width(&self) -> f64 {
+        self.slots.max(self.most_free)
+    }
+
+    /// Utilisation as of now: the report is late, so own allocations sent since it was taken are added.
+    /// Guards against piling work on one idle-looking executor. `None` where nothing is known.
+    pub(super) fn load(&self, now: Moment) -> Option<f64> {
+        const LAG: Span = Span::millis(1000); // reports are averages over it: the newest sends are missing
+        const STALE: Span = Span::millis(6000); // after several usual report spans the figure says nothing
+        if let Some(filled) = self.filled(now) {
+            return Some(filled / self.width());
+        }
+        let own = self.flights.len() as f64 / self.slots;
+        match self.reported {
+            Some(at) if now.since(at) < STALE => {
+                let recent = self.flights.iter().filter(|f| f.sent > at - LAG).count();
+                Some((self.utilisation + recent as f64 / self.slots).max(own))
+            }
+            _ if own > 0.0 => Some(own),
+            _ => None,
+        }
+    }
+
+    /// Seconds that own allocations wait here for a slot: the age of the oldest that waits now, or what the
+    /// last one to start waited, which counts for less as it ages. `None` where nothing was sent lately.
+    pub(super) fn wait(&self, now: Moment) -> Option<f64> {
+        const HALVES_EVERY_S: f64 = 2.0; // about the run of a few work units, after which a queue is another
+        const STALE_S: f64 = 6.0; // as a report
+        let age = now.since(self.last_start).as_secs();
+        let past = (age < STALE_S).then(|| self.last_wait * 0.5_f64.powf(age / HALVES_EVERY_S));
+        past.into_iter().chain(self.oldest_wait(now)).reduce(f64::max)
+    }
+
+    fn oldest_wait(&self, now: Moment) -> Option<f64> {
+        let waiting = self.flights.iter().filter(|f| f.started.is_none() && f.word_due <= now);
+        waiting.map(|f| now.since(f.word_due).as_secs()).reduce(f64::max)
+    }
+
+    /// Whether own evidence leaves room here for one more. Late reports do not count: they would send all
+    /// nodes onto the few that look free.
+    pub(super) fn has_room(&self, now: Moment) -> bool {
+        const TOLD_WITHIN: f64 = 0.06; // seconds: a start is told within a round trip and a hand-shake
+        (self.flights.len() as f64) < self.slots
+            && self.oldest_wait(now).is_none_or(|wait| wait <= TOLD_WITHIN)
+    }
+
+    /// The work that all nodes together may send here within a window, while it is cold.
+    pub(super) fn cold_budget(&self, cold: &ColdStart, now: Moment) -> Option<f64> {
+        let started = self.cold_from.max(self.died).filter(|&at| now < at + cold.warm_within)?;
+        Some(cold.least(now.since(started)) * self.capacity * cold.fall_factor)
+    }
+
+    /// Whether a cold executor can take one more work unit, of `mean` size: it falls by their number more
+    /// than by their size. Its budget is split among as many nodes as get a unit each of it, one at least:
+    /// those nearest after its fixed hash; the others leave it alone until it is warm. Guards against all
+    /// nodes together pushing it over, and against one that idles since the few that may use it see little.
+    pub(super) fn cold_admits(&self, cold: &ColdStart, nodes: u64, now: Moment, mean: f64) -> bool {
+        const USED: f64 = 0.8; // of the budget: the rest covers one slower than its kind
+        const FIRST: usize = 3; // in flight before any answer: a long one must not keep all others out
+        let Some(units) = self.cold_budget(cold, now).map(|budget| budget * USED / mean) else { return true };
+        let owners = (units as u64).clamp(1, nodes);
+        let window = cold.fall_window + HEARD_WITHIN;
+        let sent = self.cold_sent.iter().filter(|&&at| now.since(at) <= window).count();
+        now >= cold.from
+            && self.distance < owners
+            && self.flights.len() < FIRST + self.answers
+            && (sent + 1) as f64 <= units / owners as f64
+    }
+}
--- a/crates/dispatch/src/decide/promised.rs
+++ b/crates/dispatch/src/decide/promised.rs
@@ -1,17 +1,15 @@
 //! A new node, and what it is told at its start of what is promised. Nothing is decided here.
 
-use super::{Allotment, Dispatcher, Talk};
-use crate::host::Host;
+use super::{Dispatcher, talk::Talk, work::Allotment};
 use crate::learnt::Known;
-use crate::tariffs::{Allowance, ColdStart, Tariff};
-use crate::time::{Moment, Span};
+use crate::{Allowance, ColdStart, Host, Moment, Span, Tariff};
 use grebeusher_sizing::CutOffs;
 use rand::SeedableRng;
 use rand_pcg::Pcg32;
 use std::collections::{BTreeMap, VecDeque};
 
 impl<H: Host> Dispatcher<H> {
-    /// A node, by its number among `nodes`, that knows nothing yet and has been promised nothing but the tariffs.
+    /// A node, by its number among `nodes`, that knows nothing yet.
     pub fn new(host: H, seed: u64, node: u64, nodes: u64, tariffs: Vec<Tariff>) -> Self {
         Dispatcher {
             host,
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -1,6 +1,7 @@
 //! The decisions of grebeusher and the vocabulary they are written in.
 //!
-//! [`decide`] holds every choice; the other modules only name things.
+//! [`decide`] and the files below it hold every choice, with the files of `grebeusher-sizing` that the tier shares; the
+//! other modules only name things.
 
 pub mod decide;
 pub mod host;
@@ -9,3 +10,10 @@
 pub mod tariffs;
 pub use grebeusher_time as time;
 pub mod word;
+
+pub use host::Host;
+pub use ids::{AllocationId, ExecutorId, UnitId};
+pub use tariffs::{
+    Allowance, Arrival, ColdStart, Effect, Ending, Further, Group, Listing, Report, Standing, Tariff,
+};
+pub use time::{Moment, Span};
--- a/crates/sizing/src/cut_offs.rs
+++ b/crates/sizing/src/cut_offs.rs
@@ -1,15 +1,7 @@
 //! Where one lane's sizes end and the next one's begin.
 
 use crate::sample::SampleEntry;
-
-/// The lane of a request whose work lies on both sides of what is due to a lane.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Straddler {
-    /// The lane below, whatever its part there.
-    Below,
-    /// The lane that has more than half of it.
-    ByHalf,
-}
+use crate::terms::Straddler;
 
 /// Bounds between lanes, smallest first: one fewer than there are lanes, or none while one lane holds all.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -23,8 +15,8 @@
         CutOffs::default()
     }
 
-    /// The bounds below which lie these amounts of the summed work of requests sorted by size. One lane for all
-    /// where an amount is no number.
+    /// The bounds below which lie these amounts of the summed work of requests sorted by size. One lane for
+    /// all where an amount is no number.
     pub fn at_sums(sorted: &[impl SampleEntry], due: &[f64], straddler: Straddler) -> CutOffs {
         if !due.iter().all(|due| due.is_finite()) {
             return CutOffs::one_lane();
--- a/crates/sizing/src/lanes.rs
+++ b/crates/sizing/src/lanes.rs
@@ -1,6 +1,7 @@
 //! Which executor is in which lane, where nothing but the hash of its id orders them.
 
-use crate::places::{Remainder, lanes_in_order};
+use crate::places::lanes_in_order;
+use crate::terms::Remainder;
 
 /// Cuts executors, given by the fixed hashes of their ids, into `lanes` runs of nearly equal number in the order
 /// of the hashes: every node that knows the same executors makes the same lanes. What does not divide evenly goes
--- a/crates/sizing/src/lib.rs
+++ b/crates/sizing/src/lib.rs
@@ -34,13 +34,15 @@
 mod places;
 mod sample;
 mod shares;
+mod terms;
 mod weight;
 
-pub use cut_offs::{CutOffs, Straddler};
+pub use cut_offs::CutOffs;
 pub use hash::{fixed_hash, mixed, rendezvous};
 pub use lanes::{lanes_by_hash, lanes_by_share};
 pub use pick::pick;
-pub use places::{Remainder, lanes_in_order};
+pub use places::lanes_in_order;
 pub use sample::{Entry, Sample, SampleEntry};
 pub use shares::share_of_lanes;
-pub use weight::{Candidate, FLOOR, weight, weights};
+pub use terms::{Candidate, Remainder, Straddler};
+pub use weight::{FLOOR, weight, weights};
--- a/crates/sizing/src/pick.rs
+++ b/crates/sizing/src/pick.rs
@@ -1,6 +1,7 @@
 //! The weighted random pick inside a lane.
 
-use crate::weight::{Candidate, weights};
+use crate::terms::Candidate;
+use crate::weight::weights;
 use rand::Rng;
 
 /// Picks one at random by [`weights`] and returns its place. `None` where there is nothing to pick.
--- a/crates/sizing/src/places.rs
+++ b/crates/sizing/src/places.rs
@@ -1,16 +1,9 @@
 //! How an order of executors is cut into lanes.
 
-/// Which lane gets an executor that lies on both sides of a cut.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Remainder {
-    /// The earlier of the two.
-    Earlier,
-    /// The later of the two.
-    Later,
-}
-
-/// The lane of each place in an order of `count` executors: each lane gets its entry of `shares` (in any unit) of
-/// all, and at least one. All 0 where there are fewer executors than lanes, or a share is not above 0 or no number.
+use crate::terms::Remainder;
+/// The lane of each place in an order of `count` executors: each lane gets its entry of `shares` (in any
+/// unit) of all, and at least one. All 0 where executors are fewer than lanes, or a share is not above 0 or
+/// no number.
 pub fn lanes_in_order(count: usize, shares: &[f64], remainder: Remainder) -> Vec<usize> {
     // Makes up for sums like 0.1 + 0.2.
     const TRACE: f64 = 1e-9;
--- a/crates/sizing/src/shares.rs
+++ b/crates/sizing/src/shares.rs
@@ -1,7 +1,8 @@
 //! Cut-offs by what each lane can do.
 
-use crate::cut_offs::{CutOffs, Straddler};
+use crate::cut_offs::CutOffs;
 use crate::sample::{Sample, SampleEntry};
+use crate::terms::Straddler;
 
 impl CutOffs {
     /// The bounds, smallest first.
--- a/crates/sizing/src/weight.rs
+++ b/crates/sizing/src/weight.rs
@@ -1,17 +1,9 @@
 //! What an executor counts for in the pick inside a lane.
 
+use crate::terms::Candidate;
 /// The least weight of one that may be picked: figures are late, and what is never picked is never heard of.
 pub const FLOOR: f64 = 0.1;
 
-/// What the pick has to know of an executor.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Candidate {
-    /// The part of it that is taken: 1 when full, more when requests wait there. `None` without a figure.
-    pub utilisation: Option<f64>,
-    /// By how much it counts beside that: 1, or its speed, its nearness. What is not above 0 is never picked.
-    pub strength: f64,
-}
-
 /// One minus the utilisation, [`FLOOR`] at least; less than that the more requests wait. A figure that is no
 /// number counts as full.
 pub fn weight(utilisation: f64) -> f64 {
