Owners of parts are read once for each change of the registry, not at each call

Need: known_owner decoded the facts of all nodes for each call and each part.

Change: OwnerIndex (crates/tier/src/owners.rs) keeps the owner of each part and reads the facts anew only when the registry's counters of nodes or facts have moved. A story holds it against new terms, a hand-over, a node that leaves and one that begins anew.

All tests of grebeusher-tier pass, the demo of real processes among them. Not measured: what it saves.

--- a/crates/tier/src/lib.rs
+++ b/crates/tier/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod log_ring;
 pub mod messages;
 pub mod node;
+pub mod owners;
 pub mod part_status;
 pub mod parts;
 pub mod peers;
--- a/crates/tier/src/node.rs
+++ b/crates/tier/src/node.rs
@@ -7,6 +7,7 @@
 use crate::founding::Founder;
 use crate::io::{Listener, SharedWorld, World};
 use crate::items::ItemRuns;
+use crate::owners::OwnerIndex;
 use crate::parts::PartHost;
 use crate::peers::{IncomingLink, OutgoingLink};
 use crate::remembered::Remembered;
@@ -118,6 +119,7 @@
     pub(crate) remembered: Remembered,
     pub(crate) told_waiters: FxHashMap<CallToken, (usize, u64)>,
     pub(crate) routing: Routing,
+    pub(crate) owners: OwnerIndex,
     pub(crate) routing_changed: bool,
     pub(crate) configuration: Option<Rc<ActiveConfiguration>>,
     pub(crate) configuration_proven: bool,
@@ -146,6 +148,7 @@
         let most_connections = listeners.most_connections;
         let mut node = Node {
             routing: Routing::new(settings.zone.as_str(), seed),
+            owners: OwnerIndex::default(),
             items: ItemRuns::default(),
             replica_names: FxHashMap::default(),
             internal_address: listeners.internal_address,
--- a/crates/tier/src/parts.rs
+++ b/crates/tier/src/parts.rs
@@ -7,6 +7,7 @@
 use crate::io::{PartStore, World};
 use crate::messages::{Channel, QuorumEnvelope, Reply};
 use crate::node::{Node, RunError};
+use crate::owners::{OwnedPart, OwnedParts};
 use grebeusher_quorum::{Blob, Index, Replica, ReplicaId, Term, Timing, Write};
 use grebeusher_registry::Class;
 use grebeusher_time::{Moment, Span};
@@ -316,18 +317,7 @@
 
     /// The node that owns a part, by the highest term that any has told.
     pub fn known_owner(&self, part: u8) -> Option<SocketAddrV4> {
-        let mut best: Option<(u64, SocketAddrV4)> = None;
-        for facts in self.registry.facts() {
-            let Ok(owned) = <OwnedParts as DeBin>::deserialize_bin(&facts.payload) else { continue };
-            let Some(owned) = owned.parts.iter().find(|owned| owned.part == part) else { continue };
-            let Some(member) = self.registry.member(&facts.node).filter(|member| member.serves()) else {
-                continue;
-            };
-            if member.incarnation == facts.incarnation && best.is_none_or(|(term, _)| owned.term > term) {
-                best = Some((owned.term, member.address));
-            }
-        }
-        best.map(|(_, address)| address)
+        self.owners.owner(&self.registry, part)
     }
 
     /// The next node to be asked for the owner of a part: the one that says it is, then any that holds a replica.
@@ -377,15 +367,3 @@
 pub fn class_of_part(part: u8) -> Class {
     if part == crate::control::CONFIGURATION_PART { Class::Edge } else { Class::Storage }
 }
-
-/// The facts that a node tells of itself: the parts that it owns.
-#[derive(Clone, Debug, Default, SerBin, DeBin)]
-struct OwnedParts {
-    parts: Vec<OwnedPart>,
-}
-
-#[derive(Clone, Debug, SerBin, DeBin)]
-struct OwnedPart {
-    part: u8,
-    term: u64,
-}
