Prefixes: the nodes share one sense of which are popular, and send them to the same homes

With 60 nodes one question in four seconds looked like four homes' demand, and each node stuck to where it had sent a prefix itself, so shared parts were read in many places.

Change: the gateway counts the prefixes of live first tries by `grebeusher-popularity`; the nodes tell their registers down the existing trees of relays (a channel of its own; 3,000 bytes a second at most); a prefix has as many homes as its whole rate needs, in the rendezvous order of its lane, half of the lane at most, and a home that is full for a moment keeps its place. Batch items and repeats don't count. `grebeusher-tier show` tells why requests went where they did, and what is popular where. Switch: `Policy::shared_prefixes`. The decisions about prompts moved to `homes.rs`.

--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -6,8 +6,7 @@
 use crate::headers::{PromptParts, TokenCount};
 use crate::ids::{ExecutorId, ModelKey, ServiceId};
 use crate::policy::TOKENS_PER_TOKEN_OUT;
-use crate::prefix::READ_PER_S;
-use grebeusher_sizing::{Candidate as Weighed, pick, rendezvous};
+use grebeusher_sizing::{Candidate as Weighed, pick};
 use grebeusher_time::{Moment, Span};
 use rand::Rng;
 use std::net::SocketAddr;
@@ -145,26 +144,26 @@
 /// An executor that is looked at.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Candidate {
-    place: u32,
-    hash: u64,
-    in_lane: bool,
+    pub(crate) place: u32,
+    pub(crate) hash: u64,
+    pub(crate) in_lane: bool,
     /// Neither silent nor ejected.
-    sound: bool,
-    room: bool,
+    pub(crate) sound: bool,
+    pub(crate) room: bool,
     /// Connections are left, and it did not say that it is full.
-    reachable: bool,
+    pub(crate) reachable: bool,
     /// Its memory has room for the request's tokens.
-    fits: bool,
-    utilisation: f64,
+    pub(crate) fits: bool,
+    pub(crate) utilisation: f64,
     /// The part of its places that is taken, 1 at most.
-    taken: f64,
-    known: bool,
+    pub(crate) taken: f64,
+    pub(crate) known: bool,
     /// Seconds in the queue.
-    wait: f64,
-    unread: u64,
+    pub(crate) wait: f64,
+    pub(crate) unread: u64,
     /// By how many seconds its first events come later than usual.
-    behind: f64,
-    strength: f64,
+    pub(crate) behind: f64,
+    pub(crate) strength: f64,
 }
 
 /// Which candidates are looked at, in this order.
@@ -289,62 +288,13 @@
     }
 
     /// The design's pick: at random by one minus the utilisation, floored.
-    fn weighted(&mut self, fitting: &[Candidate]) -> Option<u32> {
+    pub(crate) fn weighted(&mut self, fitting: &[Candidate]) -> Option<u32> {
         let weigh =
             |c: &Candidate| Weighed { utilisation: c.known.then_some(c.utilisation), strength: c.strength };
         let weighed: Vec<Weighed> = fitting.iter().map(weigh).collect();
         fitting.get(pick(&mut self.chance, &weighed)?).map(|c| c.place)
     }
 
-    /// The exception: one of the lane that holds the prompt's shared parts, or the first of the last shared part's
-    /// homes that has room to spare, or will have before the shared parts could be read anew elsewhere.
-    fn by_parts(
-        &mut self,
-        now: Moment,
-        request: &Request<'_>,
-        allowance: f64,
-        candidates: &[Candidate],
-    ) -> Option<u32> {
-        let stake = request.stake();
-        if stake < self.policy.least_stake {
-            return None;
-        }
-        let shared = request.parts.shared();
-        let key = request.subject()?;
-        let patience = f64::from(stake) / READ_PER_S * self.policy.home_patience;
-        let fitting = candidates.iter().filter(|c| c.sound && c.reachable && c.fits && c.in_lane);
-        let spare = |c: &&Candidate| {
-            c.utilisation < self.policy.home_bound
-                && c.wait <= allowance
-                && c.wait + c.unread as f64 / READ_PER_S + c.behind <= patience
-        };
-        let kept = |c: &Candidate| {
-            let executor = self.executors[c.place as usize].1.as_ref();
-            executor.map_or(0, |executor| executor.memory.kept(request.model_bits(), shared))
-        };
-        let mut order: Vec<&Candidate> = fitting.clone().collect();
-        order.sort_unstable_by_key(|c| std::cmp::Reverse(rendezvous(key, c.hash)));
-        let demand = self.demand.tokens_per_s(now, key) * f64::from(self.nodes);
-        let wanted = 1 + (demand / (READ_PER_S * self.policy.home_part)) as usize;
-        let longest_kept = fitting.clone().filter(spare).map(kept).max().unwrap_or(0);
-        let holds = longest_kept >= self.policy.least_stake;
-        let mut homes: Vec<Candidate> = Vec::with_capacity(wanted.min(order.len()));
-        if !holds || wanted > 1 {
-            homes.extend(order.iter().copied().take(wanted).filter(spare));
-        }
-        if holds {
-            homes.extend(fitting.filter(|c| spare(c) && kept(c) == longest_kept).copied());
-            homes.sort_unstable_by_key(|c| c.place);
-            homes.dedup_by_key(|c| c.place);
-        } else if homes.is_empty() {
-            homes.extend(order.iter().copied().take(wanted.max(self.policy.homes)).find(spare));
-        }
-        let place = self.weighted(&homes)?;
-        let count = if holds { &mut self.decisions.by_kept } else { &mut self.decisions.by_home };
-        *count += 1;
-        Some(place)
-    }
-
     /// Tokens of a request's prompt that an executor is believed to hold, and of these the ones that it has read.
     pub(crate) fn kept(&self, now: Moment, id: ExecutorId, request: &Request<'_>) -> (u32, u32) {
         let Some(executor) = self.executor(id) else { return (0, 0) };
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -8,8 +8,10 @@
 use crate::health::Failure;
 use crate::ids::{AttemptToken, ExecutorId, ServiceId, ZoneKey};
 use crate::policy::Policy;
+use crate::popular::Labels;
 use crate::prefix::READ_PER_S;
 use crate::service::{Service, ServiceSettings};
+use grebeusher_popularity::Popularity;
 use grebeusher_sizing::{lanes_by_share, share_of_lanes};
 use grebeusher_time::{Moment, Span};
 use rand::{Rng, SeedableRng};
@@ -35,6 +37,8 @@
     pub by_kept: u64,
     /// To a home in the rendezvous order of the last shared part.
     pub by_home: u64,
+    /// To the next of that order, as no home had room to spare.
+    pub by_next_home: u64,
     /// By a weighted pick outside the lane, as none in the lane had room.
     pub out_of_lane: u64,
     /// Into an executor's queue, as none had room.
@@ -117,6 +121,8 @@
     woke: Moment,
     pub(crate) decisions: Decisions,
     pub(crate) demand: Demand,
+    pub(crate) popularity: Option<Popularity>,
+    pub(crate) labels: Labels,
     pub(crate) scratch: Vec<Candidate>,
 }
 
@@ -139,6 +145,8 @@
             woke: Moment(0),
             decisions: Decisions::default(),
             demand: Demand::default(),
+            popularity: None,
+            labels: Labels::default(),
             scratch: Vec::new(),
         }
     }
@@ -300,6 +308,7 @@
             service.saw(now, size, work, tokens as f64, &policy);
         }
         service.best_priority = service.best_priority.min(request.priority);
+        let size = request.size(service.median);
         executor.open += 1;
         executor.open_batch += u32::from(request.batch);
         executor.open_tokens += tokens;
@@ -310,6 +319,7 @@
             if let Some(subject) = request.subject() {
                 let own = request.tokens.map_or(0, |t| t.prompt.saturating_sub(request.stake()));
                 self.demand.sent(now, subject, own);
+                self.count_prefix(now, request, size, own);
             }
         }
         let place = match self.vacant_attempts.pop() {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,13 +11,13 @@
 //! whoever holds its parts; work is what the cut-offs equalise and what admission counts.
 //!
 //! **The exception for prompts.** Inside the lane, and only where at least [`Policy::least_stake`] shared tokens
-//! are at stake, the executors that hold the longest prefix by this node's own sends come first, then the
-//! first few in the rendezvous order of the last shared part, which all nodes agree on without a word. Bound:
+//! are at stake, a request goes to a home of its shared parts: the first few in their rendezvous order, which all nodes agree
+//! on without a word. How many there are goes by demand over the whole tier, where the nodes share a sense of it
+//! ([`Gateway::share_prefixes`]); else by this node's own sends, and those that hold the parts by these come first. Bound:
 //! only executors whose utilisation is below [`Policy::home_bound`] are taken so, and only while the wait there is
-//! shorter than [`Policy::home_patience`] times the reading anew; all else goes by the weighted pick. A subject that
-//! would take more than [`Policy::home_part`] of an executor's reading has more homes. So a subject in demand spreads,
-//! and none waits for one executor. Where all are full, a request with a stake queues at a home only,
-//! as reading anew elsewhere delays all others.
+//! shorter than [`Policy::home_patience`] times the reading anew, and half of the lane at most; all else goes by the weighted
+//! pick. So a subject in demand spreads, and none waits for one executor. Where all are full, a request with a stake queues
+//! at a home only, as reading anew elsewhere delays all others.
 //!
 //! **Admission.** Refused is only what no executor can take, neither now nor within a part of the latency objective;
 //! the part is smaller for lower priorities. It is decided at once, and `retry_after` is when room is expected.
@@ -65,8 +65,10 @@
 mod gateway;
 mod headers;
 mod health;
+mod homes;
 mod ids;
 mod policy;
+mod popular;
 mod prefix;
 mod service;
 
@@ -78,4 +80,5 @@
 pub use health::Failure;
 pub use ids::{AttemptToken, ExecutorId, ModelKey, ServiceId, ZoneKey};
 pub use policy::{MOST_LANES, Policy, TOKENS_PER_TOKEN_OUT};
+pub use popular::PopularView;
 pub use service::ServiceSettings;
--- a/crates/gateway/src/policy.rs
+++ b/crates/gateway/src/policy.rs
@@ -33,6 +33,8 @@
     pub home_part: f64,
     /// How many executors of the rendezvous order are looked at as homes of a subject in usual demand.
     pub homes: usize,
+    /// Whether the nodes share one sense of which prefixes are popular; else each judges by its own sends.
+    pub shared_prefixes: bool,
     /// Unread tokens of this node's that make an executor as good as full in the weighted pick.
     pub unread_full: u64,
     /// How much of an executor counts as taken for each time that the events of own streams there come slower than
@@ -73,6 +75,7 @@
             home_patience: 1.5,
             home_part: 0.2,
             homes: 2,
+            shared_prefixes: true,
             unread_full: 48_000,
             slow_weight: 0.25,
             near: 2.0,
--- a/crates/gateway/src/service.rs
+++ b/crates/gateway/src/service.rs
@@ -16,6 +16,8 @@
 
 pub(crate) struct Service {
     pub name: Arc<str>,
+    /// Of its name, the same on every node.
+    pub hash: u64,
     pub settings: ServiceSettings,
     /// Places of its executors in the table.
     pub members: Vec<u32>,
@@ -50,6 +52,7 @@
     pub fn new(name: &str, policy: &Policy) -> Service {
         Service {
             name: Arc::from(name),
+            hash: grebeusher_sizing::fixed_hash(name),
             settings: ServiceSettings::default(),
             members: Vec::new(),
             lanes_stale: true,
--- a/crates/popularity/src/settings.rs
+++ b/crates/popularity/src/settings.rs
@@ -34,7 +34,7 @@
             tracked: 256,
             told: 12,
             least_period: Span::millis(2_000),
-            bytes_per_s: 4_000.0,
+            bytes_per_s: 3_000.0,
             home_tokens_per_s: 20_000.0,
             shrink_below: 0.7,
             shrink_after: Span::millis(10_000),
--- a/crates/registry/src/registry.rs
+++ b/crates/registry/src/registry.rs
@@ -310,6 +310,11 @@
         self.children(NodeId::of(origin))
     }
 
+    /// As [`Registry::relay_children`], by the id of the node; nothing where no live node has it.
+    pub fn relay_children_of(&self, origin: NodeId) -> Option<Vec<SocketAddrV4>> {
+        self.member_of(origin).filter(|entry| entry.member.serves()).map(|_| self.children(origin))
+    }
+
     pub(crate) fn send(&mut self, to: SocketAddrV4, message: Message) {
         self.output.messages.push((to, message));
     }
--- a/crates/registry/tests/cost.rs
+++ b/crates/registry/tests/cost.rs
@@ -3,6 +3,7 @@
 mod fleet;
 
 use fleet::{Fleet, next, report};
+use grebeusher_registry::NodeId;
 use grebeusher_time::Span;
 use rstest::rstest;
 
@@ -159,3 +160,26 @@
     let share = start.elapsed().as_secs_f64() / 10.0 / 78.0;
     println!("a node of 78 at rest took {:.4} % of a core, the simulation included", share * 100.0);
 }
+
+#[rstest]
+#[case(14)]
+#[case(360)]
+fn what_each_node_passes_on_down_the_trees_is_about_what_it_hears(#[case] count: usize) {
+    // Given a settled fleet in which each node tells all others something once
+    let fleet = Fleet::settled(count, 1);
+    let ids: Vec<_> = fleet.registry(0).members().map(|member| member.id()).collect();
+    assert_eq!(ids.len(), count);
+    let sent = |node: usize| -> usize {
+        let children = |id| fleet.registry(node).relay_children_of(id).expect("a live node").len();
+        ids.iter().copied().map(children).sum()
+    };
+    let sent: Vec<usize> = (0..count).map(sent).collect();
+    // Then each message reaches each other node once
+    assert_eq!(sent.iter().sum::<usize>(), count * (count - 1));
+    // And no node sends much more than comes in
+    let most = sent.into_iter().max().expect("a node");
+    println!("{count} nodes: the busiest sends {most}");
+    assert!(most <= count + count / 4, "{most}");
+    // And for a node that is not there nothing is passed on
+    assert_eq!(fleet.registry(0).relay_children_of(NodeId(7)), None);
+}
--- a/crates/tier/src/lib.rs
+++ b/crates/tier/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod parts;
 pub mod peers;
 pub mod placement;
+pub mod popularity;
 pub mod remembered;
 pub mod routing;
 pub mod server;
--- a/crates/tier/src/messages.rs
+++ b/crates/tier/src/messages.rs
@@ -14,6 +14,8 @@
     Call = 3,
     /// The reply to a call.
     Reply = 4,
+    /// What nodes tell of popular prefixes of prompts.
+    Popularity = 5,
 }
 
 impl Channel {
@@ -24,6 +26,7 @@
             2 => Channel::Quorum,
             3 => Channel::Call,
             4 => Channel::Reply,
+            5 => Channel::Popularity,
             _ => return None,
         })
     }
--- a/crates/tier/src/node.rs
+++ b/crates/tier/src/node.rs
@@ -116,6 +116,7 @@
     pub(crate) client_limits: ClientLimits,
     pub(crate) registry: Registry,
     pub(crate) remembered: Remembered,
+    pub(crate) popularity_written: Moment,
     pub(crate) told_waiters: FxHashMap<CallToken, (usize, u64)>,
     pub(crate) routing: Routing,
     pub(crate) routing_changed: bool,
@@ -170,6 +171,7 @@
             client_limits: ClientLimits::default(),
             registry,
             remembered: Remembered::default(),
+            popularity_written: Moment(0),
             told_waiters: FxHashMap::default(),
             routing_changed: true,
             configuration: None,
@@ -196,6 +198,7 @@
         self.alarms.set(now + REVIEW_EVERY, Timer::ReviewExecutors);
         self.alarms.set(now + crate::group_care::UPKEEP_EVERY, Timer::GroupUpkeep);
         self.recall_executors();
+        self.begin_popularity();
         self.prove_configuration();
         if self.founder.is_some() {
             self.alarms.set(now + crate::founding::LOOK_EVERY, Timer::Found);
@@ -302,6 +305,7 @@
         let now = self.now;
         self.alarms.set(now + REVIEW_EVERY, Timer::ReviewExecutors);
         self.routing.gateway.review(now);
+        self.tell_popularity();
     }
 
     fn sweep(&mut self) {
@@ -311,6 +315,7 @@
         self.sweep_links();
         self.sweep_unheard();
         self.remember_executors();
+        self.remember_popularity();
         self.look_to_exit();
     }
 
--- a/crates/tier/src/routing.rs
+++ b/crates/tier/src/routing.rs
@@ -223,6 +223,10 @@
             self.update_executors();
         }
         self.routing.gateway.set_nodes(self.connection_shares());
+        let nodes = self.registry.live_members().count();
+        if let Some(popularity) = self.routing.gateway.popularity_mut() {
+            popularity.set_nodes(nodes);
+        }
     }
 
     /// Into how many parts an executor's connections are divided. The owners of batch parts, few and with most of the
--- a/crates/tier/src/status.rs
+++ b/crates/tier/src/status.rs
@@ -66,6 +66,7 @@
             counters.malformed,
             self.exchange_count(),
             self.items.count(),
-        )
+        )?;
+        self.write_choices(text)
     }
 }
