--- a/crates/tier/src/node.rs
+++ b/crates/tier/src/node.rs
@@ -118,6 +118,7 @@
     pub(crate) client_limits: ClientLimits,
     pub(crate) registry: Registry,
     pub(crate) remembered: Remembered,
+    pub(crate) popularity_written: Moment,
     pub(crate) told_waiters: FxHashMap<CallToken, (usize, u64)>,
     pub(crate) routing: Routing,
     pub(crate) owners: OwnerIndex,
@@ -177,6 +178,7 @@
             client_limits: ClientLimits::default(),
             registry,
             remembered: Remembered::default(),
+            popularity_written: Moment(0),
             told_waiters: FxHashMap::default(),
             routing_changed: true,
             configuration: None,
@@ -206,6 +208,7 @@
             self.alarms.set(now + crate::group_care::UPKEEP_EVERY, Timer::GroupUpkeep);
         }
         self.recall_executors();
+        self.begin_popularity();
         self.prove_configuration();
         if self.founder.is_some() {
             self.alarms.set(now + crate::founding::LOOK_EVERY, Timer::Found);
@@ -339,6 +342,8 @@
         self.sweep_links();
         self.sweep_unheard();
         self.remember_executors();
+        self.tell_popularity();
+        self.remember_popularity();
         self.look_to_exit();
     }
 
--- a/crates/tier/src/traffic.rs
+++ b/crates/tier/src/traffic.rs
@@ -5,7 +5,7 @@
 use crate::timers::Timer;
 
 /// The kinds of frames: the registry's messages in the order of their tags, then the other channels.
-pub const FRAME_KINDS: [&str; 15] = [
+pub const FRAME_KINDS: [&str; 16] = [
     "join",
     "welcome",
     "heartbeat",
@@ -21,6 +21,7 @@
     "quorum",
     "call",
     "reply",
+    "popularity",
 ];
 
 /// The kinds of timers that a process sets.
@@ -91,6 +92,7 @@
         Channel::Quorum => REGISTRY_KINDS,
         Channel::Call => REGISTRY_KINDS + 1,
         Channel::Reply => REGISTRY_KINDS + 2,
+        Channel::Popularity => REGISTRY_KINDS + 3,
     };
     tallies[kind].frames += 1;
     tallies[kind].bytes += payload.len() as u64;
