Registry: the look at all executors asks a set of the nodes that serve

Cause: twice a second each executor's node was looked up by name in the ordered members, which grows with executors times the logarithm of the nodes.

Change: the names of the nodes that serve are gathered once a look.

Tests: registry `drains` 26 and `executors` 15, simulation `lives` 83, `hollow` 4 and `wave` 2 passed.

--- a/crates/registry/src/executors.rs
+++ b/crates/registry/src/executors.rs
@@ -6,7 +6,7 @@
 use crate::registry::{Answer, Event, HeartbeatEffect, Registry};
 use crate::report::HeartbeatReport;
 use grebeusher_time::{Moment, Span};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, HashSet, VecDeque};
 
 /// Between two looks at all executors.
 const SCAN: Span = Span::millis(500);
@@ -289,10 +289,13 @@
         self.executors.next_scan = now + SCAN;
         let bound = self.timings.executor_silence();
         let retention = self.timings.executor_retention;
+        // Few nodes see to many executors, so that a look at each of them costs more than one at each node.
+        let members = self.members.values().map(|entry| &entry.member);
+        let serving: HashSet<&str> =
+            members.filter(|member| member.serves()).map(|member| member.name.as_str()).collect();
         let (mut silent, mut shown_anew, mut over) = (Vec::new(), Vec::new(), Vec::new());
         for (id, entry) in &mut self.executors.entries {
-            let owner = self.members.get(&entry.shown.heard_by);
-            let owner_lives = owner.is_some_and(|owner| owner.member.serves());
+            let owner_lives = serving.contains(entry.shown.heard_by.as_str());
             let own = entry.shown.heard_by == self.own_name;
             let was_silent = entry.shown.silent;
             if own && !was_silent && entry.shown.exists() && now.since(entry.last_beat) > bound {
