Simulation: witnesses and long tables show leases left out and versions that fall

After each 202 and each page with news two other nodes are asked for the job at once; after each acknowledged change each node is asked for the configuration; a node that is back without its disk is probed for three seconds while its replica learns; tables have 60 routes that nobody asks for, so that a log of them does not fit one message.

--- a/crates/simulation/src/clients/jobs.rs
+++ b/crates/simulation/src/clients/jobs.rs
@@ -186,7 +186,9 @@
                 job.state = JobState::Reading;
                 stage.judge.job_accepted(&job.id, now);
                 self.taken.push(job.host);
+                let (id, host_name, zone) = (job.id.clone(), job.host_name, job.zone);
                 wake(stage, now + READ_EVERY, AGAIN, number);
+                self.ask_witnesses(&id, host_name, zone, stage);
             }
             (JobCall::Submit, 429 | 503) => {
                 stage.judge.job_refused(&job.id);
@@ -249,6 +251,7 @@
             }
             return Some(());
         }
+        let news = reached > job.position;
         job.position = job.position.max(reached);
         job.checks = !job.checks && !results.is_empty() && stage.hub.random.random_bool(READ_AGAIN);
         if job.checks {
@@ -258,6 +261,10 @@
         } else {
             wake(stage, now + READ_EVERY, AGAIN, number);
         }
+        if news {
+            let (id, host_name, zone) = (job.id.clone(), job.host_name, job.zone);
+            self.ask_witnesses(&id, host_name, zone, stage);
+        }
         Some(())
     }
 
--- a/crates/simulation/src/clients/mod.rs
+++ b/crates/simulation/src/clients/mod.rs
@@ -5,6 +5,7 @@
 mod jobs;
 mod live;
 mod pressed;
+mod witness;
 
 use crate::call::Progress;
 use crate::hub::{End, Happening, Owner};
@@ -17,6 +18,7 @@
 use rand::Rng;
 use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
+use witness::Witness;
 
 const ARRIVAL: u64 = 0;
 const NEW_JOB: u64 = 1;
@@ -43,6 +45,7 @@
 enum Task {
     Live(Box<Live>),
     Job(Box<Job>),
+    Witness(Box<Witness>),
 }
 
 /// How much the clients do.
@@ -158,6 +161,7 @@
         let call = match self.tasks.get_mut(&number) {
             Some(Task::Live(live)) => live.call.as_mut(),
             Some(Task::Job(job)) => job.call.as_mut(),
+            Some(Task::Witness(witness)) => witness.call.as_mut(),
             None => None,
         };
         let Some(call) = call else { return };
@@ -166,6 +170,7 @@
             (Progress::Pending, _) => {}
             (_, Some(Task::Live(_))) => self.live_answered(number, progress, stage),
             (_, Some(Task::Job(_))) => self.job_answered(number, progress, stage),
+            (_, Some(Task::Witness(_))) => self.witness_answered(number, progress, stage),
             _ => {}
         }
     }
@@ -175,6 +180,7 @@
         let (gives_up, end) = match self.tasks.get(&number) {
             Some(Task::Live(live)) => (live.gives_up, live.call.as_ref().map(|call| call.end)),
             Some(Task::Job(job)) => (job.gives_up, job.call.as_ref().map(|call| call.end)),
+            Some(Task::Witness(witness)) => (witness.gives_up, witness.call.as_ref().map(|call| call.end)),
             None => return,
         };
         let Some(end) = end.filter(|_| now >= gives_up) else { return };
@@ -190,6 +196,7 @@
             Some(Task::Live(live)) if now < live.until => self.try_failed(number, stage),
             Some(Task::Live(_)) => self.live_over(number, false, stage),
             Some(Task::Job(_)) => self.job_failed(number, stage),
+            Some(Task::Witness(_)) => drop(self.tasks.remove(&number)),
             None => {}
         }
     }
@@ -198,6 +205,7 @@
         let call = match self.tasks.get_mut(&number) {
             Some(Task::Live(live)) => live.call.take(),
             Some(Task::Job(job)) => job.call.take(),
+            Some(Task::Witness(witness)) => witness.call.take(),
             None => None,
         };
         if let Some(call) = call {
--- a/crates/simulation/src/clients/pressed.rs
+++ b/crates/simulation/src/clients/pressed.rs
@@ -26,6 +26,8 @@
 const AFTER_CHANGE: u64 = 30;
 /// Probes to a node that is back.
 const AFTER_RETURN: u64 = 30;
+/// Probes to a node that is back without its disk, and learns all anew.
+const AFTER_WIPE: u64 = 300;
 
 impl Clients {
     /// A drain of an executor of a service was acknowledged: requests for the service go to all nodes at once.
@@ -54,6 +56,14 @@
         }
     }
 
+    /// A node is back without its disk: its replica is told of all changes again, the oldest first.
+    pub fn press_after_wipe(&mut self, host: usize, stage: &mut Stage<'_>) {
+        let newest = stage.judge.newest_acknowledged();
+        for to in fronts(stage, |machine| machine.host == host) {
+            self.press(&format!("/v{newest}/"), Kind::Idempotent, to, AFTER_WIPE, Span::millis(10), stage);
+        }
+    }
+
     /// Requests go to a node that is about to be stopped.
     pub fn press_before_stop(&mut self, host: usize, stage: &mut Stage<'_>) {
         for to in fronts(stage, |machine| machine.host == host) {
@@ -91,7 +101,7 @@
 }
 
 /// The nodes that get clients and that fit.
-fn fronts(stage: &Stage<'_>, fits: impl Fn(&Machine) -> bool) -> Vec<(usize, SocketAddrV4)> {
+pub(super) fn fronts(stage: &Stage<'_>, fits: impl Fn(&Machine) -> bool) -> Vec<(usize, SocketAddrV4)> {
     let ready = stage.machines.iter().filter(|m| m.class == Class::Edge && m.listed && m.life.is_some());
     ready.filter(|m| fits(m)).map(|machine| (machine.host, machine.frontend())).collect()
 }
--- a/crates/simulation/src/fleet/build.rs
+++ b/crates/simulation/src/fleet/build.rs
@@ -39,6 +39,7 @@
             .collect();
         let operator_host = hub.add_host(Ipv4Addr::new(10, 201, 0, 1), 0, Span::millis(1));
         let load = &scenario.load;
+        let ballast = load.ballast_routes;
         let traffic = Traffic {
             live_per_s: load.live_per_s,
             jobs_per_s: load.jobs_per_s,
@@ -58,7 +59,7 @@
             nodes: BTreeMap::new(),
             executors: Executors::default(),
             clients,
-            operators: Operators::new(operator_host),
+            operators: Operators::new(operator_host, ballast),
             steps: Vec::new(),
             seeds: Vec::new(),
             armed: Vec::new(),
@@ -152,6 +153,7 @@
             stays: true,
             lost_until: None,
             started_before: false,
+            wiped: false,
         });
         number
     }
--- a/crates/simulation/src/fleet/lives.rs
+++ b/crates/simulation/src/fleet/lives.rs
@@ -129,6 +129,10 @@
             let name = self.machines[machine].name.clone();
             self.note(&format!("{name} starts"));
             self.start_machine(machine);
+            if std::mem::take(&mut self.hardware[machine].wiped) {
+                let host = self.machines[machine].host;
+                self.stage(|actors, stage| actors.clients.press_after_wipe(host, stage));
+            }
         }
     }
 }
--- a/crates/simulation/src/fleet/mod.rs
+++ b/crates/simulation/src/fleet/mod.rs
@@ -63,6 +63,8 @@
     stays: bool,
     lost_until: Option<Moment>,
     started_before: bool,
+    /// Whether its disk was lost since it ran last.
+    wiped: bool,
 }
 
 struct Armed {
--- a/crates/simulation/src/fleet/orders.rs
+++ b/crates/simulation/src/fleet/orders.rs
@@ -67,6 +67,7 @@
         let (version, host) = self.operators.acknowledged[self.acknowledged - 1];
         self.note(&format!("version {version} is acknowledged by host {host}"));
         self.stage(|actors, stage| actors.clients.press_after_change(version, stage));
+        self.stage(|actors, stage| actors.operators.peek_everywhere(stage));
         self.watch_acknowledged(version);
         if !self.armed.is_empty() {
             let armed = self.armed.remove(0);
--- a/crates/simulation/src/fleet/strikes.rs
+++ b/crates/simulation/src/fleet/strikes.rs
@@ -20,6 +20,7 @@
         self.end_life(machine, power);
         if wipe {
             self.hardware[machine].disk.borrow_mut().wipe();
+            self.hardware[machine].wiped = true;
         }
         self.later(Span::secs(for_s), Step::StartMachine { machine });
     }
--- a/crates/simulation/src/operators.rs
+++ b/crates/simulation/src/operators.rs
@@ -40,6 +40,10 @@
     },
     /// A read in between, that a stale owner must not answer.
     Peek,
+    /// The same by way of one node.
+    PeekAt {
+        node: SocketAddrV4,
+    },
     Retire {
         node: String,
         begins: bool,
@@ -90,6 +94,7 @@
 /// The operators, and the platform.
 pub struct Operators {
     host: usize,
+    ballast: usize,
     tasks: BTreeMap<u64, Task>,
     ends: BTreeMap<End, u64>,
     next: u64,
@@ -107,10 +112,11 @@
 }
 
 impl Operators {
-    /// Operators at a place.
-    pub fn new(host: usize) -> Operators {
+    /// Operators at a place, who send so many routes that nobody asks for.
+    pub fn new(host: usize, ballast: usize) -> Operators {
         Operators {
             host,
+            ballast,
             tasks: BTreeMap::new(),
             ends: BTreeMap::new(),
             next: 8,
@@ -135,12 +141,23 @@
         self.add(Order::Peek, Vec::new(), Span(0), stage);
     }
 
+    /// A change was acknowledged: each node is asked for the configuration at once.
+    pub fn peek_everywhere(&mut self, stage: &mut Stage<'_>) {
+        let nodes = stage.machines.iter().filter(|m| m.class == Class::Edge && m.listed && m.life.is_some());
+        let nodes: Vec<SocketAddrV4> = nodes.map(|machine| machine.control()).collect();
+        for node in nodes {
+            self.add(Order::PeekAt { node }, Vec::new(), Span(0), stage);
+        }
+    }
+
     /// Sends a change, once no other is under way.
     pub fn change(&mut self, change: Change, stage: &mut Stage<'_>) {
-        let busy = self
-            .tasks
-            .values()
-            .any(|task| !matches!(task.order, Order::Ready { .. } | Order::Retire { .. } | Order::Peek));
+        let busy = self.tasks.values().any(|task| {
+            !matches!(
+                task.order,
+                Order::Ready { .. } | Order::Retire { .. } | Order::Peek | Order::PeekAt { .. }
+            )
+        });
         if busy {
             if self.waiting.len() < 6 {
                 self.waiting.push(change);
@@ -162,7 +179,7 @@
         let step = stage.hub.random.random_range(1..4);
         self.highest = self.highest.max(base) + step;
         let number = if wrong == Some(Wrong::OldVersion) { base } else { self.highest };
-        let routes = routes(number, base);
+        let routes = routes(number, base, self.ballast);
         let body = configuration(number, &routes, wrong, stage.judge.quota);
         let now = stage.now();
         let known =
@@ -223,6 +240,7 @@
         let Some(task) = self.tasks.get_mut(&number) else { return };
         let to = match &task.order {
             Order::Ready { machine } => Some(stage.machines[*machine].readiness()),
+            Order::PeekAt { node } => Some(*node),
             _ => {
                 let nodes = stage.machines.iter().filter(|m| m.class == Class::Edge && m.listed);
                 let nodes: Vec<SocketAddrV4> = nodes.map(|machine| machine.control()).collect();
@@ -241,7 +259,9 @@
                     vec![(names::BASE_VERSION, base_text.as_str())],
                 )
             }
-            Order::Show { .. } | Order::Peek => ("GET", "/api/Configuration.Show".to_owned(), Vec::new()),
+            Order::Show { .. } | Order::Peek | Order::PeekAt { .. } => {
+                ("GET", "/api/Configuration.Show".to_owned(), Vec::new())
+            }
             Order::Retire { node, begins: true } => ("POST", format!("/api/Retire.Begin/{node}"), Vec::new()),
             Order::Retire { node, begins: false } => ("GET", format!("/api/Retire.Show/{node}"), Vec::new()),
             Order::Ready { .. } => ("GET", "/api/readiness".to_owned(), Vec::new()),
@@ -324,7 +344,7 @@
                     stage.machines[machine].ready = missed == 0;
                 }
             }
-            (Order::Peek, status) => {
+            (Order::Peek | Order::PeekAt { .. }, status) => {
                 let sent = task.since;
                 self.tasks.remove(&number);
                 if status == Some(200) {
@@ -412,7 +432,7 @@
 }
 
 /// The routes of a version: one moves from service to service, some come and go.
-fn routes(number: u64, base: u64) -> Vec<RouteLine> {
+fn routes(number: u64, base: u64, ballast: usize) -> Vec<RouteLine> {
     let route = |prefix: &str, kind, service, further: &str| RouteLine {
         host: LIVE_HOST,
         prefix: prefix.to_owned(),
@@ -442,6 +462,9 @@
     if base > 0 && base != number {
         routes.push(route(&format!("/v{base}/"), "idempotent", "plain", ",\"max_attempts\":2"));
     }
+    for place in 0..ballast {
+        routes.push(route(&format!("/ballast{place}/"), "idempotent", "plain", ",\"max_attempts\":2"));
+    }
     for (host, prefix) in BULK_ROUTES {
         let further = ",\"max_attempts\":3,\"completion_target_ms\":10000,\"retention_s\":60";
         routes.push(RouteLine { host, ..route(prefix, "bulk", "model-a", further) });
--- a/crates/simulation/src/scenario.rs
+++ b/crates/simulation/src/scenario.rs
@@ -92,6 +92,8 @@
     pub slots: usize,
     /// The limit of waiting tokens on each bulk route.
     pub quota: u64,
+    /// Routes that nobody asks for. Real tables are long, so that a log of them does not fit one message between nodes.
+    pub ballast_routes: usize,
 }
 
 impl Default for Load {
@@ -105,6 +107,7 @@
             executors: 4,
             slots: 8,
             quota: 20_000,
+            ballast_routes: 60,
         }
     }
 }
--- a/crates/simulation/tests/fleets/mod.rs
+++ b/crates/simulation/tests/fleets/mod.rs
@@ -10,7 +10,14 @@
 pub fn shape(name: &str) -> Scenario {
     let path = Path::new(env!("CARGO_MANIFEST_DIR")).join(format!("../../deploy/simulation/{name}.toml"));
     let mut scenario = Scenario::read(&path).expect("the file is there and right");
-    scenario.load = Load { length_s: 8.0, lead_s: 6.0, live_per_s: 20.0, jobs_per_s: 1.5, ..Load::default() };
+    scenario.load = Load {
+        length_s: 8.0,
+        lead_s: 6.0,
+        live_per_s: 20.0,
+        jobs_per_s: 1.5,
+        ballast_routes: 0,
+        ..Load::default()
+    };
     scenario
 }
 
