Links: one that has not come up after 0.2 s is dialled anew, not after 0.6 to 1.2 s

Cause: after a loss of all power nodes start within 0.3 s of each other and dial machines that are not there yet. Excluded: disks (read within 50 ms), elections.

Change: a link has an alarm of its own 0.2 s after it is dialled, and the next frame then dials at once.

--- a/crates/tier/src/node.rs
+++ b/crates/tier/src/node.rs
@@ -285,6 +285,7 @@
             Timer::ExchangeSilence { exchange, serial, attempt } => {
                 self.exchange_silent(exchange, serial, attempt);
             }
+            Timer::LinkExpires { connection, serial } => self.link_expired(connection, serial),
             Timer::ItemSilence { run } => self.item_silent(run),
             Timer::CallExpires { number } => self.call_expired(number),
             Timer::CallRetry { number } => self.call_retry(number),
--- a/crates/tier/src/peers.rs
+++ b/crates/tier/src/peers.rs
@@ -4,13 +4,17 @@
 use crate::messages::Channel;
 use crate::node::{Node, Role};
 use crate::socket::{Reading, Socket};
+use crate::timers::Timer;
 use grebeusher_time::{Moment, Span};
 use grebeusher_transport::link::{self, Frame, FrameDecoder, Hello};
 use std::net::SocketAddrV4;
 use tracing::debug;
 
-/// A link that has not come up by then is given up, with all that waits on it.
-const CONNECT_WITHIN: Span = Span::millis(600);
+/// A link that has not come up by then is given up, with all that waits on it, and dialled anew at the next frame. A
+/// packet that opens a connection and finds no machine is sent again only after a second, so that waiting longer than
+/// a round trip takes gains nothing: after a loss of all power nodes that start a moment apart would not hear of each
+/// other for that second.
+const CONNECT_WITHIN: Span = Span::millis(200);
 /// Bytes that a peer has not taken for this long show that it can't be reached: the link is begun anew.
 const STUCK_FOR: Span = Span::millis(1500);
 /// A link that nothing was sent on for this long is closed.
@@ -95,6 +99,8 @@
         match added {
             Ok(index) => {
                 self.links.insert(to, index);
+                let serial = self.serial(index);
+                self.alarms.set(now + CONNECT_WITHIN, Timer::LinkExpires { connection: index, serial });
                 let hello = link::encode_hello(&Hello::new(self.internal_address));
                 if let Some((socket, _)) = self.outgoing_mut(index) {
                     socket.put(&hello);
@@ -108,6 +114,17 @@
         }
     }
 
+    /// A link that should have come up by now is given up. It was waited for long enough: the next frame dials anew.
+    pub fn link_expired(&mut self, index: usize, serial: u64) {
+        if self.serial(index) != serial {
+            return;
+        }
+        let Some((socket, _)) = self.outgoing_mut(index) else { return };
+        if socket.is_connecting() {
+            self.close(index);
+        }
+    }
+
     fn drop_link(&mut self, index: usize) {
         let now = self.now;
         if let Some((_, outgoing)) = self.outgoing_mut(index) {
@@ -148,8 +165,7 @@
         for &index in self.links.values() {
             let Some(connection) = self.connections.get(index) else { continue };
             let Role::Outgoing(outgoing) = &connection.role else { continue };
-            let stuck_for = if connection.socket.is_connecting() { CONNECT_WITHIN } else { STUCK_FOR };
-            let stuck = connection.socket.waiting() > 0 && now.since(outgoing.moved) > stuck_for;
+            let stuck = connection.socket.waiting() > 0 && now.since(outgoing.moved) > STUCK_FOR;
             if stuck || now.since(outgoing.used) > IDLE_FOR {
                 over.push(index);
             }
--- a/crates/tier/src/timers.rs
+++ b/crates/tier/src/timers.rs
@@ -5,6 +5,8 @@
 pub enum Timer {
     /// A connection to an executor should have come up.
     ConnectExpires { connection: usize, serial: u64 },
+    /// A link to another node should have come up.
+    LinkExpires { connection: usize, serial: u64 },
     /// An exchange's deadline.
     ExchangeDeadline { exchange: usize, serial: u64 },
     /// An exchange waits for a first event or an answer for suspiciously long.
