Prefixes: the shared sense is off as shipped, since batch items came later at one site

Why items come later is not found yet.

Change: `Policy::shared_prefixes` is false by default: nothing is told, counted or written then.

--- a/crates/gateway/src/policy.rs
+++ b/crates/gateway/src/policy.rs
@@ -34,6 +34,7 @@
     /// How many executors of the rendezvous order are looked at as homes of a subject in usual demand.
     pub homes: usize,
     /// Whether the nodes share one sense of which prefixes are popular; else each judges by its own sends.
+    /// Off: at lipa-katalog-grown batch items came later with it, whatever the seed.
     pub shared_prefixes: bool,
     /// Unread tokens of this node's that make an executor as good as full in the weighted pick.
     pub unread_full: u64,
@@ -75,7 +76,7 @@
             home_patience: 1.5,
             home_part: 0.2,
             homes: 2,
-            shared_prefixes: true,
+            shared_prefixes: false,
             unread_full: 48_000,
             slow_weight: 0.25,
             near: 2.0,
