Simulation: the test of forgotten links has seeds that fail without the mend

Cause: the witnesses draw more from each seed, so the five seeds of before passed without the time-out of links too. With it left out on a scratch copy all five of the new ones fail, with it all pass (servers simulated).

--- a/crates/simulation/tests/lives.rs
+++ b/crates/simulation/tests/lives.rs
@@ -145,7 +145,7 @@
 }
 
 #[rstest]
-fn links_that_were_forgotten_on_the_way_are_begun_anew(#[values(30, 35, 54, 65, 73)] seed: u64) {
+fn links_that_were_forgotten_on_the_way_are_begun_anew(#[values(8, 19, 32, 48, 83)] seed: u64) {
     // Given machines whose idle connections something on the way has forgotten without a word,
     let mut scenario = shape("four-zones");
     let drop = |at_s| Timed { at_s, fault: Fault::IdleDrop { on: On::Edge } };
