A stopping process takes only what it can finish, and answers who waits at its end

Change: from 2.4 s after SIGTERM a request is taken only if it is surely over before the exit (a stream: all its time; a whole answer: its usual time), else 503 with Retry-After before anything is sent; calls to other nodes likewise; at the exit whole answers that are still awaited end with 504; nothing is read any more in the last turn; each answer of a stopping node says that its connection ends.

--- a/crates/simulation/src/clients/live.rs
+++ b/crates/simulation/src/clients/live.rs
@@ -162,7 +162,7 @@
                     return self.live_over(number, true, stage);
                 }
                 if !whole && let Some(sent) = call.sent {
-                    stage.judge.try_cut(&live.attempt, sent, now, streamed);
+                    stage.judge.try_cut(&live.attempt, sent, now, live.until);
                 }
             }
             (Some(404), Progress::Done) => {
@@ -178,7 +178,7 @@
             (Some(_), Progress::Done) => {}
             _ => {
                 if let Some(sent) = call.sent {
-                    stage.judge.try_cut(&live.attempt, sent, now, false);
+                    stage.judge.try_cut(&live.attempt, sent, now, live.until);
                 }
             }
         }
--- a/crates/simulation/src/clients/pressed.rs
+++ b/crates/simulation/src/clients/pressed.rs
@@ -1,6 +1,6 @@
 //! Requests that come just when a node may be behind: after a drain or a change was acknowledged, and after a node is back.
 
-use super::{Clients, PRESSED, wake};
+use super::{Clients, LIVE_ROUTES, PRESSED, wake};
 use crate::judge::Kind;
 use crate::stage::{Class, Machine, Stage};
 use grebeusher_time::Span;
@@ -28,6 +28,8 @@
 const AFTER_RETURN: u64 = 30;
 /// Probes to a node that is back without its disk, and learns all anew.
 const AFTER_WIPE: u64 = 300;
+/// Between two requests on a route to a node that stops.
+const WHILE_STOPPING_EVERY: Span = Span::millis(400);
 
 impl Clients {
     /// A drain of an executor of a service was acknowledged: requests for the service go to all nodes at once.
@@ -73,6 +75,16 @@
         }
     }
 
+    /// Requests go on coming to a node that was told to stop, as where the platform has no other one.
+    pub fn press_while_stopping(&mut self, host: usize, grace: Span, stage: &mut Stage<'_>) {
+        let count = (grace.0 / WHILE_STOPPING_EVERY.0).max(1);
+        for to in fronts(stage, |machine| machine.host == host) {
+            for (prefix, kind) in LIVE_ROUTES {
+                self.press(prefix, kind, to, count, WHILE_STOPPING_EVERY, stage);
+            }
+        }
+    }
+
     fn press(
         &mut self,
         prefix: &str,
--- a/crates/simulation/src/judge/troubles.rs
+++ b/crates/simulation/src/judge/troubles.rs
@@ -75,13 +75,12 @@
             && !self.core_slow.iter().any(|slow| slow.meets(asked))
     }
 
-    /// Whether a host's process was stopping, by a planned work, when a request was sent to it.
-    pub(super) fn was_stopping(&self, host: usize, sent: Moment) -> bool {
+    /// When a host's process was told to stop, by a planned work, whose end it was near when a request was sent to it.
+    pub(super) fn stopping_since(&self, host: usize, sent: Moment) -> Option<Moment> {
         let within = self.bounds.grace + AFTER_GRACE;
-        self.troubles.iter().any(|trouble| {
-            let from = trouble.stretch.from;
-            trouble.host == host && trouble.planned && sent >= from && sent <= from + within
-        })
+        let stops = self.troubles.iter().filter(|trouble| trouble.host == host && trouble.planned);
+        let told = stops.map(|trouble| trouble.stretch.from);
+        told.filter(|told| sent >= *told && sent <= *told + within).max()
     }
 
     fn has_trouble(&self, from: Moment, until: Moment, of: impl Fn(&Trouble) -> bool) -> bool {
--- a/crates/simulation/tests/lives.rs
+++ b/crates/simulation/tests/lives.rs
@@ -156,6 +156,22 @@
     expect_clean(&run(&scenario, seed));
 }
 
+#[rstest]
+fn a_node_that_stops_loses_nothing_though_requests_go_on_coming(
+    #[values("four-zones", "two-zones")] name: &str,
+    #[values(1, 2, 3)] seed: u64,
+) {
+    // Given executors that need seconds for a stream, when nodes are stopped while the platform goes on sending requests
+    // to them, as it does where it has no others,
+    let mut scenario = shape(name);
+    scenario.load.length_s = 14.0;
+    let stopped = Fault::RollTermBusy { on: On::Edge, count: 3, gap_s: 0.5 };
+    let slow = Fault::ExecutorGrey { share: 1.0, x: 0.5, how: Grey::Slow, for_s: 12.0 };
+    scenario.faults = vec![Timed { at_s: 1.0, fault: slow }, Timed { at_s: 1.5, fault: stopped }];
+    // then none of what they take ends without its answer.
+    expect_clean(&run(&scenario, seed));
+}
+
 #[rstest]
 fn an_invalid_configuration_is_refused(
     #[values(
--- a/crates/tier/src/batch_front.rs
+++ b/crates/tier/src/batch_front.rs
@@ -88,6 +88,9 @@
         if route.route_type == RouteType::Bulk {
             return self.submit_job(connection, serial, &host, &route, request);
         }
+        if self.refuse_if_too_late(connection, &request, &route) {
+            return;
+        }
         if request.head.headers.get(names::ATTEMPT_ID).is_none() {
             return self.answer(connection, serial, http::answer(400, &[], b""));
         }
@@ -121,6 +124,9 @@
                 return self.answer(connection, serial, http::answer(400, &[], reason.as_bytes()));
             }
         };
+        if self.refuse_call_if_too_late(connection, SUBMIT_WITHIN) {
+            return;
+        }
         let part = part_of_job(host, submission.job.as_str(), self.spreads_jobs());
         let call = Call::SubmitJob(SubmitJob {
             part,
@@ -139,17 +145,23 @@
             query_value(&request.head.target, "resume_after").and_then(|text| text.parse().ok()).unwrap_or(0);
         let hold = request.head.headers.get(names::HOLD_MS).and_then(|text| text.trim().parse().ok());
         let hold_ms = hold.unwrap_or(0).min(MOST_HOLD_MS);
+        let within = CALL_WITHIN + Span::millis(hold_ms);
+        if self.refuse_call_if_too_late(connection, within) {
+            return;
+        }
         let part = part_of_job(host, job, self.spreads_jobs());
         let call = Call::ReadJob { part, job: job.to_owned(), resume_after, hold_ms: hold_ms as u32 };
-        let until = self.now + CALL_WITHIN + Span::millis(hold_ms);
         let continuation = Continuation::Batch { connection, serial, question: BatchQuestion::Read };
-        self.call_owner(part, call, until, continuation);
+        self.call_owner(part, call, self.now + within, continuation);
     }
 
     fn read_item(&mut self, connection: usize, serial: u64, host: &str, job: &str, request: &ClientRequest) {
         let Some(item) = query_value(&request.head.target, "instance_id") else {
             return self.answer(connection, serial, http::answer(400, &[], b""));
         };
+        if self.refuse_call_if_too_late(connection, CALL_WITHIN) {
+            return;
+        }
         let part = part_of_job(host, job, self.spreads_jobs());
         let call = Call::ReadItem { part, job: job.to_owned(), item: item.to_owned() };
         let continuation = Continuation::Batch { connection, serial, question: BatchQuestion::Read };
@@ -157,6 +169,9 @@
     }
 
     fn end_job(&mut self, connection: usize, serial: u64, host: &str, job: &str) {
+        if self.refuse_call_if_too_late(connection, CALL_WITHIN) {
+            return;
+        }
         let part = part_of_job(host, job, self.spreads_jobs());
         let call = Call::EndJob { part, job: job.to_owned() };
         let continuation = Continuation::Batch { connection, serial, question: BatchQuestion::End };
--- a/crates/tier/src/control.rs
+++ b/crates/tier/src/control.rs
@@ -126,6 +126,9 @@
         }
         let large = request.body.len() > LARGE_CONFIGURATION;
         let waits = if large { OPERATOR_WAITS_LARGE } else { OPERATOR_WAITS };
+        if self.refuse_call_if_too_late(connection, waits) {
+            return;
+        }
         let call = Call::ReplaceConfiguration { base, body: request.body };
         let question = OperatorQuestion::Replace;
         let continuation = Continuation::Operator { connection, serial, question };
@@ -133,6 +136,9 @@
     }
 
     fn show(&mut self, connection: usize, serial: u64) {
+        if self.refuse_call_if_too_late(connection, OPERATOR_WAITS) {
+            return;
+        }
         let question = OperatorQuestion::Show;
         let continuation = Continuation::Operator { connection, serial, question };
         self.call_owner(CONFIGURATION_PART, Call::ShowConfiguration, self.now + OPERATOR_WAITS, continuation);
@@ -161,6 +167,9 @@
         if !self.knows_storage_node(node) {
             return self.answer(connection, serial, http::answer(404, &[], b""));
         }
+        if self.refuse_call_if_too_late(connection, OPERATOR_WAITS) {
+            return;
+        }
         let parts = self.batch_parts();
         let gathering =
             RetireGathering { connection, serial, begins, waiting: parts.len(), status: 200, complete: true };
--- a/crates/tier/src/exchange.rs
+++ b/crates/tier/src/exchange.rs
@@ -104,13 +104,17 @@
     }
 }
 
+/// How long a request may take, by its client and its route.
+pub fn time_allowed(headers: &Headers, route: &Route) -> Span {
+    let asked_ms = headers.get(names::DEADLINE_MS).and_then(|text| text.trim().parse().ok());
+    Span::millis(asked_ms.unwrap_or(DEFAULT_DEADLINE_MS).min(route.timeout_ms))
+}
+
 impl Node {
     /// A whole request has come that its route passes to an executor.
     pub fn begin_exchange(&mut self, client: usize, request: ClientRequest, route: Rc<Route>) {
         let now = self.now;
         let headers = &request.head.headers;
-        let asked_ms = headers.get(names::DEADLINE_MS).and_then(|text| text.trim().parse().ok());
-        let wait_ms = asked_ms.unwrap_or(DEFAULT_DEADLINE_MS).min(route.timeout_ms);
         let client_last_event = headers.get(names::LAST_EVENT_ID).and_then(|text| text.trim().parse().ok());
         let kind = match route.route_type {
             RouteType::Idempotent => Kind::Idempotent,
@@ -119,7 +123,7 @@
         };
         let service = route.pick_service(self.random_point()).as_str().to_owned();
         let serial = self.next_serial();
-        let deadline = now + Span::millis(wait_ms);
+        let deadline = now + time_allowed(headers, &route);
         let exchange = Exchange {
             serial,
             client,
@@ -357,7 +361,7 @@
     }
 
     /// The last answer to a request whose time is over.
-    fn give_up(&mut self, index: usize) {
+    pub(crate) fn give_up(&mut self, index: usize) {
         let now = self.now;
         let exchange = &mut self.exchanges[index];
         let answer = match exchange.attempt.take() {
@@ -380,7 +384,7 @@
         let (client, serial) = (exchange.client, exchange.client_serial);
         let seconds = format!("{:.3}", retry_after.as_secs());
         self.counters.refused += 1;
-        self.write_client(client, serial, &http::answer(503, &[("Retry-After", &seconds)], b""));
+        self.write_own_answer(client, serial, http::answer(503, &[("Retry-After", &seconds)], b""));
         self.end_exchange(index, true);
     }
 
@@ -398,16 +402,14 @@
             return self.end_exchange(index, served);
         }
         let bytes = match (answer, held) {
-            (FinalAnswer::Nothing | FinalAnswer::Relay, Some(held)) => {
-                held_answer(held, self.closing_line(client))
-            }
+            (FinalAnswer::Nothing | FinalAnswer::Relay, Some(held)) => held_answer(held),
             (FinalAnswer::Refused, _) => http::answer(503, &[("Retry-After", RETRY_AFTER_S)], b""),
             (FinalAnswer::GatewayTimeout, _) => http::answer(504, &[], b""),
             (FinalAnswer::Cut, _) => return self.end_exchange(index, false),
             _ => http::answer(502, &[], b""),
         };
         self.counters.failed += u64::from(!matches!(answer, FinalAnswer::Nothing | FinalAnswer::Relay));
-        self.write_client(client, serial, &bytes);
+        self.write_own_answer(client, serial, bytes);
         self.end_exchange(index, true);
     }
 
@@ -472,9 +474,9 @@
     text
 }
 
-fn held_answer(held: HeldAnswer, closing_line: &str) -> Vec<u8> {
+fn held_answer(held: HeldAnswer) -> Vec<u8> {
     let mut head = held.head;
-    head += &format!("Content-Length: {}\r\n{closing_line}\r\n", held.body.len());
+    head += &format!("Content-Length: {}\r\n\r\n", held.body.len());
     let mut bytes = head.into_bytes();
     bytes.extend_from_slice(&held.body);
     bytes
--- a/crates/tier/src/node.rs
+++ b/crates/tier/src/node.rs
@@ -15,6 +15,7 @@
 use crate::server::{Entrance, ServerConnection, first_limits};
 use crate::socket::Socket;
 use crate::start::{Start, StartError};
+use crate::stop::Departure;
 use crate::timers::Timer;
 use crate::traffic::Traffic;
 use crate::upstream::Upstream;
@@ -141,8 +142,9 @@
     pub(crate) traffic: Traffic,
     /// Whether a review of the executors is due.
     reviewing: bool,
-    stopping_since: Option<Moment>,
-    exit: bool,
+    /// Set once the process was told to stop.
+    pub(crate) departure: Option<Departure>,
+    pub(crate) exit: bool,
 }
 
 impl Node {
@@ -194,7 +196,7 @@
             counters: Counters::default(),
             traffic: Traffic::default(),
             reviewing: false,
-            stopping_since: None,
+            departure: None,
             exit: false,
         };
         node.set_first_timers();
@@ -244,7 +246,10 @@
         while let Some(timer) = self.alarms.due(self.now) {
             self.timer(timer);
         }
-        self.serve_waiting_input();
+        // Nothing is begun any more by a process that ends with this turn.
+        if !self.exit {
+            self.serve_waiting_input();
+        }
         self.pump_registry();
         self.pump_parts()?;
         self.pump_registry();
@@ -353,19 +358,11 @@
         if signalled.reload {
             self.reload_settings();
         }
-        if signalled.stop && self.stopping_since.is_none() {
-            self.stopping_since = Some(self.now);
+        if signalled.stop && self.departure.is_none() {
             self.begin_to_stop();
         }
     }
 
-    fn begin_to_stop(&mut self) {
-        let grace = Span::secs(self.settings.bounds.grace_period_s) - crate::stop::EXIT_MARGIN;
-        self.alarms.set(self.now + grace, Timer::Exit);
-        self.registry.leave(self.now);
-        self.hand_over_parts();
-    }
-
     /// What this process has done by itself, in numbers.
     pub fn traffic(&self) -> &Traffic {
         &self.traffic
@@ -378,24 +375,7 @@
 
     /// Whether the process was told to stop.
     pub fn stopping(&self) -> bool {
-        self.stopping_since.is_some()
-    }
-
-    fn look_to_exit(&mut self) {
-        let Some(since) = self.stopping_since else { return };
-        if self.now.since(since) < crate::stop::SERVES_ON_FOR {
-            return;
-        }
-        self.close_idle_servers();
-        if self.busy_servers() == 0 && self.exchange_count() == 0 {
-            self.leave_for_good();
-        }
-    }
-
-    /// The last turn: the others hear that this process has left, so that nobody waits for it.
-    fn leave_for_good(&mut self) {
-        self.registry.left(self.now);
-        self.exit = true;
+        self.departure.is_some()
     }
 
     /// Adds a connection that `open` makes under the key that it is given. Its place.
--- a/crates/tier/src/server.rs
+++ b/crates/tier/src/server.rs
@@ -3,7 +3,7 @@
 
 use crate::exchange::ClientRequest;
 use crate::io::Accepted;
-use crate::node::{Node, Role};
+use crate::node::{Connection, Node, Role};
 use crate::socket::{Reading, Socket};
 use crate::upstream::MOST_UNWRITTEN;
 use grebeusher_time::{Moment, Span};
@@ -36,6 +36,15 @@
     Ending,
 }
 
+/// What a client, executor or operator waits for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Waiting {
+    /// The end of an exchange.
+    Exchange(usize),
+    /// The reply to a call, on the connection at a place.
+    Call(usize),
+}
+
 /// The server's part of a connection.
 pub struct ServerConnection {
     entrance: Entrance,
@@ -239,7 +248,7 @@
         server.closes = true;
         server.state = State::Busy { exchange: None };
         let serial = self.serial(index);
-        self.answer(index, serial, http::answer(status, &[("Connection", "close")], b""));
+        self.answer(index, serial, http::answer(status, &[], b""));
     }
 
     /// An exchange has the client's request.
@@ -251,10 +260,21 @@
 
     /// Answers a request whole.
     pub fn answer(&mut self, index: usize, serial: u64, bytes: Vec<u8>) {
-        self.write_client(index, serial, &bytes);
+        self.write_own_answer(index, serial, bytes);
         self.client_answered(index, serial, true);
     }
 
+    /// Puts a whole answer of this node's own on its way; it says so where the connection ends behind it.
+    pub fn write_own_answer(&mut self, index: usize, serial: u64, mut bytes: Vec<u8>) {
+        if self.serial(index) != serial {
+            return;
+        }
+        if !self.closing_line(index).is_empty() {
+            http::add_header(&mut bytes, http::CLOSE);
+        }
+        self.write_client(index, serial, &bytes);
+    }
+
     /// The header line of an answer behind which its connection ends: the client asked for it, or this process is about to
     /// end, and the client had better use another connection next.
     pub fn closing_line(&mut self, index: usize) -> &'static str {
@@ -359,21 +379,37 @@
 
     /// Closes connections of clients that rest; for a process that is about to end.
     pub fn close_idle_servers(&mut self) {
-        let rests = |connection: &crate::node::Connection| {
-            matches!(&connection.role, Role::Server(ServerConnection { state: State::Idle, .. }))
-        };
-        let idle: Vec<usize> =
-            self.connections.iter().filter(|(_, c)| rests(c)).map(|(index, _)| index).collect();
+        let idle = self.connections.iter().filter(|(_, connection)| server_rests(connection) == Some(true));
+        let idle: Vec<usize> = idle.map(|(index, _)| index).collect();
         idle.into_iter().for_each(|index| self.close(index));
     }
 
     /// How many requests of any kind are being read or answered.
     pub fn busy_servers(&self) -> usize {
-        let busy = |connection: &crate::node::Connection| matches!(&connection.role, Role::Server(server) if !matches!(server.state, State::Idle));
-        self.connections.iter().filter(|(_, connection)| busy(connection)).count()
+        let all = self.connections.iter();
+        all.filter(|(_, connection)| server_rests(connection) == Some(false)).count()
+    }
+
+    /// Whose requests are being answered.
+    pub fn waiting_clients(&self) -> Vec<Waiting> {
+        let waiting = self.connections.iter().filter_map(|(index, connection)| {
+            let Role::Server(ServerConnection { state: State::Busy { exchange }, .. }) = &connection.role
+            else {
+                return None;
+            };
+            Some(exchange.map_or(Waiting::Call(index), Waiting::Exchange))
+        });
+        waiting.collect()
     }
 }
 
+/// Whether a server connection rests: no request is under way, and none was read that waits for its turn. `None` for
+/// other connections.
+fn server_rests(connection: &Connection) -> Option<bool> {
+    let Role::Server(server) = &connection.role else { return None };
+    Some(matches!(server.state, State::Idle) && connection.socket.input().is_empty())
+}
+
 /// The limits on heads and bodies before a configuration says others.
 pub fn first_limits() -> Limits {
     Limits { most_head: 64 * 1024, most_headers: 96, most_body: 8 * 1024 * 1024 }
--- a/crates/tier/src/stop.rs
+++ b/crates/tier/src/stop.rs
@@ -1,16 +1,150 @@
 //! How a process ends: not ready at once, then serving on until the platform sends nobody any more, then what is open.
+//!
+//! Where the platform has no other node in reach it goes on sending requests to one that stops, until its end. A stopping
+//! process therefore takes only what it can still finish: see [`Departure::takes`].
 
+use crate::exchange::{ClientRequest, time_allowed};
 use crate::node::Node;
+use crate::server::Waiting;
+use grebeusher_catalog::configuration::{Route, RouteType};
 use grebeusher_catalog::settings::Settings;
-use grebeusher_time::Span;
+use grebeusher_time::{Moment, Span};
+use grebeusher_transport::http;
 use tracing::warn;
 
 /// The platform misses a node after two checks, a second apart; until then it sends new connections.
-pub const SERVES_ON_FOR: Span = Span::millis(2600);
-/// The process ends this long before it would be killed.
-pub const EXIT_MARGIN: Span = Span::millis(500);
+const SERVES_ON_FOR: Span = Span::millis(2600);
+/// Every request that is read in this time is taken. The operators bear that a request is cut which was sent in the first
+/// three seconds and still ran in the last sixth of the grace period; the rest is for its way here and a late signal.
+const TAKES_ALL_FOR: Span = Span::millis(2400);
+/// The process ends this long before it would be killed, or this part of the grace period before, whichever is shorter.
+const EXIT_MARGIN: Span = Span::millis(500);
+const EXIT_MARGIN_SHARE: f64 = 0.125;
+/// What is left between the last moment of a request's time and the end, for its answer to leave.
+const ANSWER_MARGIN: Span = Span::millis(150);
+/// An answer that is sent whole takes mostly less than this many latency objectives, and never counts as shorter than
+/// `USUAL_AT_LEAST`. One that takes longer all the same hears 504 at the end.
+const USUAL_OBJECTIVES: f64 = 4.0;
+const USUAL_AT_LEAST: Span = Span::millis(1000);
+/// What a refused client is told to wait: another node serves it at once (seconds).
+const RETRY_ELSEWHERE_S: &str = "0.1";
+
+/// The end of a process that was told to stop.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Departure {
+    since: Moment,
+    exits_at: Moment,
+}
+
+impl Departure {
+    /// A process that was told to stop at `since`, and would be killed `grace` later.
+    pub fn new(since: Moment, grace: Span) -> Departure {
+        let margin = EXIT_MARGIN.min(grace * EXIT_MARGIN_SHARE);
+        Departure { since, exits_at: since + (grace - margin) }
+    }
+
+    /// When the process ends at the latest.
+    pub fn exits_at(&self) -> Moment {
+        self.exits_at
+    }
+
+    /// Whether the process may end as soon as nothing is under way.
+    pub fn may_exit(&self, now: Moment) -> bool {
+        now.since(self.since) >= SERVES_ON_FOR
+    }
+
+    /// Whether something that lasts `longest` from now on is surely over when the process ends.
+    pub fn outlasts(&self, now: Moment, longest: Span) -> bool {
+        now + longest + ANSWER_MARGIN <= self.exits_at
+    }
+
+    /// Whether a request that is read now is still taken: any at first, later those that are over in time. A stream must
+    /// be, whatever happens, as nothing can complete it once its head is out; of a whole answer the usual time counts.
+    pub fn takes(&self, now: Moment, route: &Route, time_left: Span) -> bool {
+        if now.since(self.since) < TAKES_ALL_FOR {
+            return true;
+        }
+        let longest = match route.route_type {
+            RouteType::Streaming => time_left,
+            _ => {
+                let usual = Span::millis(route.target_latency_ms) * USUAL_OBJECTIVES;
+                time_left.min(USUAL_AT_LEAST.max(usual))
+            }
+        };
+        self.outlasts(now, longest)
+    }
+}
 
 impl Node {
+    /// Begins to stop: nobody is to be sent here any more, and others take over what this process owns.
+    pub(crate) fn begin_to_stop(&mut self) {
+        let departure = Departure::new(self.now, Span::secs(self.settings.bounds.grace_period_s));
+        self.departure = Some(departure);
+        self.alarms.set(departure.exits_at(), crate::timers::Timer::Exit);
+        self.registry.leave(self.now);
+        self.hand_over_parts();
+    }
+
+    /// Refuses a client's request that would not be over before this process ends; whether it did. Nothing of it has left
+    /// this node, so that the refusal is a promise.
+    pub(crate) fn refuse_if_too_late(
+        &mut self,
+        connection: usize,
+        request: &ClientRequest,
+        route: &Route,
+    ) -> bool {
+        let Some(departure) = self.departure else { return false };
+        let time_left = time_allowed(&request.head.headers, route);
+        if departure.takes(self.now, route, time_left) {
+            return false;
+        }
+        self.counters.refused += 1;
+        self.refuse_here(connection);
+        true
+    }
+
+    /// Refuses a call that would wait for another node for up to `longest` if this process may end before; whether it did.
+    pub(crate) fn refuse_call_if_too_late(&mut self, connection: usize, longest: Span) -> bool {
+        if self.departure.is_none_or(|departure| departure.outlasts(self.now, longest)) {
+            return false;
+        }
+        self.refuse_here(connection);
+        true
+    }
+
+    fn refuse_here(&mut self, connection: usize) {
+        let serial = self.serial(connection);
+        self.answer(connection, serial, http::answer(503, &[("Retry-After", RETRY_ELSEWHERE_S)], b""));
+    }
+
+    /// Ends the process once nothing is under way any more.
+    pub(crate) fn look_to_exit(&mut self) {
+        if !self.departure.is_some_and(|departure| departure.may_exit(self.now)) {
+            return;
+        }
+        self.close_idle_servers();
+        if self.busy_servers() == 0 && self.exchange_count() == 0 {
+            self.leave_for_good();
+        }
+    }
+
+    /// The last turn: who still waits gets an answer, and the others hear that this process has left, so that nobody waits
+    /// for it.
+    pub(crate) fn leave_for_good(&mut self) {
+        for waiting in self.waiting_clients() {
+            match waiting {
+                Waiting::Exchange(exchange) => self.give_up(exchange),
+                // What was asked of another node may have been done there.
+                Waiting::Call(connection) => {
+                    let serial = self.serial(connection);
+                    self.answer(connection, serial, http::answer(504, &[], b""));
+                }
+            }
+        }
+        self.registry.left(self.now);
+        self.exit = true;
+    }
+
     /// Reads the settings file anew. One that can't be read changes nothing.
     pub fn reload_settings(&mut self) {
         let read = self.world.settings().map_err(|error| error.to_string());
--- /dev/null
+++ b/crates/tier/tests/stop.rs
@@ -0,0 +1,77 @@
+//! What a process that was told to stop still takes on.
+
+use grebeusher_catalog::configuration::{Configuration, Route};
+use grebeusher_tier::stop::Departure;
+use grebeusher_time::{Moment, Span};
+use rstest::rstest;
+
+const GRACE: Span = Span::millis(8000);
+
+fn told_to_stop() -> Departure {
+    Departure::new(Moment(0), GRACE)
+}
+
+/// A route of a type with an objective of 200 ms and a time-out of 6 s.
+fn route(route_type: &str) -> Route {
+    let text = format!(
+        r#"{{"config_version":1,"service_list":[{{"name":"s","health_path":"/health","max_connections":8}}],
+            "route_table":[{{"name":"r","hostname":"h.example","path_prefix":"/p/","route_type":"{route_type}",
+            "timeout_ms":6000,"target_latency_ms":200,"service":"s"}}]}}"#
+    );
+    Configuration::read(text.as_bytes()).expect("a valid configuration").routes.remove(0)
+}
+
+fn at_ms(ms: u64) -> Moment {
+    Moment(0) + Span::millis(ms)
+}
+
+#[rstest]
+fn all_that_comes_before_the_platform_knows_is_taken(
+    #[values("streaming", "idempotent", "non_idempotent")] route_type: &str,
+    #[values(0, 1200, 2399)] ms: u64,
+) {
+    // Given a process that was told to stop a moment ago, when a request of any length comes, then it is taken.
+    assert!(told_to_stop().takes(at_ms(ms), &route(route_type), Span::millis(6000)));
+}
+
+#[rstest]
+#[case::its_whole_time_fits(2500, 4800, true)]
+#[case::it_may_outlast_the_process(2500, 5000, false)]
+#[case::a_short_one_fits_later(5000, 2300, true)]
+#[case::a_short_one_that_does_not(5200, 2300, false)]
+#[case::nothing_fits_at_the_end(7400, 10, false)]
+fn a_stream_is_taken_later_only_if_all_its_time_fits(
+    #[case] ms: u64,
+    #[case] left_ms: u64,
+    #[case] taken: bool,
+) {
+    // Given 7.5 s from SIGTERM to the exit, when a stream comes that may take as long as its time, then it is taken if
+    // that is over before the exit: once its head is out nothing but its end completes it.
+    assert_eq!(told_to_stop().takes(at_ms(ms), &route("streaming"), Span::millis(left_ms)), taken);
+}
+
+#[rstest]
+fn a_whole_answer_is_awaited_for_its_usual_time(#[values("idempotent", "non_idempotent")] route_type: &str) {
+    // Given requests whose answers are sent whole, so that one which takes too long can still hear 504, when one comes
+    // with much more time than it usually needs, then its usual time decides.
+    let route = route(route_type);
+    assert!(told_to_stop().takes(at_ms(6300), &route, Span::millis(6000)));
+    assert!(!told_to_stop().takes(at_ms(6400), &route, Span::millis(6000)));
+}
+
+#[rstest]
+#[case::of_the_usual_length(8000, 7500)]
+#[case::short(2000, 1750)]
+#[case::none(0, 0)]
+fn the_exit_is_never_far_before_the_kill(#[case] grace_ms: u64, #[case] exit_ms: u64) {
+    // Given a grace period, then the exit lies within its last sixth, in which the operators bear a cut.
+    let departure = Departure::new(Moment(0), Span::millis(grace_ms));
+    assert_eq!(departure.exits_at(), at_ms(exit_ms));
+    assert!(departure.exits_at() >= Moment(0) + Span::millis(grace_ms) * (5.0 / 6.0));
+}
+
+#[test]
+fn it_may_go_early_once_the_platform_has_missed_it() {
+    assert!(!told_to_stop().may_exit(at_ms(2500)));
+    assert!(told_to_stop().may_exit(at_ms(2600)));
+}
--- a/crates/transport/src/http.rs
+++ b/crates/transport/src/http.rs
@@ -249,6 +249,14 @@
 /// The header, as name and value, of the last message on a connection.
 pub const CLOSE: (&str, &str) = ("Connection", "close");
 
+/// Adds a header, as name and value, to a whole message that begins with its head.
+pub fn add_header(message: &mut Vec<u8>, (name, value): (&str, &str)) {
+    let Some(first_line) = message.windows(2).position(|pair| pair == b"\r\n") else { return };
+    let line = format!("{name}: {value}\r\n");
+    let at = first_line + 2;
+    message.splice(at..at, line.into_bytes());
+}
+
 /// Writes an answer with its length and further headers, as name and value.
 pub fn answer(status: u16, further: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
     let mut text = format!("HTTP/1.1 {status} {}\r\n", reason(status));
