A leave is acknowledged only when more of the core has it than may be lost

Cause: a drain was acknowledged after 700 ms whether anybody had confirmed or not, also by a node that was cut off or had just started, and what nobody had confirmed within 2 s counted as told (so that the next call was acknowledged at once). Change: the calls of a leaving executor wait for confirmations of losses + 1 machines of the core (and zones), the node's own among them; with fewer the call is answered 503 after the bound, so that the executor calls another node. A table without room acknowledges nothing either. The test of a node alone now says for which deployments it holds, beside one for the others.

--- a/crates/registry/src/confirmation.rs
+++ b/crates/registry/src/confirmation.rs
@@ -1,9 +1,15 @@
-//! Drains: a call is answered when every live node has confirmed what it said, or after a bound.
+//! Drains: a call is acknowledged when every live node has confirmed what it said, or after a bound; and never before it is
+//! kept by more machines of the core than may be lost.
+//!
+//! An acknowledgement binds all nodes that are in touch with the core, also those that the node which gives it can't reach
+//! or holds for dead: they learn of the drain from a machine of the core that has it. At least one of those that confirmed
+//! is none of the lost ones, and so in touch with them. A node that is cut off hears no confirmations and acknowledges
+//! nothing: the executor then calls another node.
 
 use crate::message::{Message, Relay};
 use crate::register::Key;
 use crate::registry::{Answer, CallToken, Registry};
-use crate::{ExecutorState, Register, Timings};
+use crate::{Class, ExecutorState, Losses, Member, Register, Timings};
 use grebeusher_time::{Moment, Span};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddrV4;
@@ -15,11 +21,40 @@
 struct Telling {
     relay: Relay,
     outstanding: BTreeSet<SocketAddrV4>,
+    copies: Copies,
     calls: Vec<CallToken>,
     started: Moment,
     next_retry: Moment,
 }
 
+/// The machines of the core that have some news.
+#[derive(Default)]
+struct Copies {
+    machines: BTreeSet<SocketAddrV4>,
+    zones: BTreeSet<String>,
+}
+
+impl Copies {
+    fn note(&mut self, member: &Member) {
+        self.machines.insert(member.address);
+        self.zones.insert(member.zone.clone());
+    }
+
+    /// Whether one of them is left, and knows the news, whatever is lost.
+    fn outlast(&self, losses: Losses) -> bool {
+        self.machines.len() > losses.machines && self.zones.len() > losses.zones
+    }
+}
+
+/// How a call of an executor that waited ends.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct SettledCalls {
+    /// To be acknowledged.
+    pub told: Vec<CallToken>,
+    /// Too few machines have confirmed: not to be acknowledged, so that the executor calls another node.
+    pub untold: Vec<CallToken>,
+}
+
 /// The state of drains.
 #[derive(Default)]
 pub(crate) struct Confirmations {
@@ -48,23 +83,25 @@
 
 impl Registry {
     /// The calls that may be answered now. To be asked after each message and tick; each call is named once.
-    pub fn told(&mut self, now: Moment) -> Vec<CallToken> {
-        let bound = self.timings.confirm_bound;
-        let mut told = Vec::new();
+    pub fn settled_calls(&mut self, now: Moment) -> SettledCalls {
+        let (bound, losses) = (self.timings.confirm_bound, self.losses);
+        let mut settled = SettledCalls::default();
         for telling in &mut self.confirmations.tellings {
-            if telling.is_over(now, bound) {
-                told.append(&mut telling.calls);
+            if telling.is_told(now, bound, losses) {
+                settled.told.append(&mut telling.calls);
+            } else if telling.is_late(now, bound) {
+                settled.untold.append(&mut telling.calls);
             }
         }
-        told
+        settled
     }
 
     /// Has everyone told of an executor that takes no more requests; the call waits for that.
     pub(crate) fn tell_all(&mut self, now: Moment, id: &str, state: ExecutorState) -> Answer {
-        let bound = self.timings.confirm_bound;
+        let (bound, losses) = (self.timings.confirm_bound, self.losses);
         let tellings = &mut self.confirmations.tellings;
         let under_way = tellings.iter_mut().find(|telling| telling.covers(id, state));
-        if under_way.as_ref().is_some_and(|telling| telling.is_over(now, bound)) {
+        if under_way.as_ref().is_some_and(|telling| telling.is_told(now, bound, losses)) {
             return Answer::Now;
         }
         self.confirmations.next_token += 1;
@@ -80,12 +117,15 @@
     }
 
     pub(crate) fn receive_confirm(&mut self, from: SocketAddrV4, incarnation: u64, sequence: u64) {
+        let core_member = self.by_address.get(&from).and_then(|name| self.member(name)).cloned();
+        let core_member = core_member.filter(|member| self.is_core(member));
         let telling =
             self.confirmations.tellings.iter_mut().find(|telling| {
                 (telling.relay.incarnation, telling.relay.sequence) == (incarnation, sequence)
             });
         if let Some(telling) = telling {
             telling.outstanding.remove(&from);
+            core_member.iter().for_each(|member| telling.copies.note(member));
         }
         self.settle_tellings();
     }
@@ -127,16 +167,27 @@
             self.pass_on(&relay);
             let outstanding = self.ring.others().map(|place| place.address).collect();
             let next_retry = now + self.timings.confirm_retry;
-            let telling = Telling { relay, outstanding, calls, started: now, next_retry };
+            let mut copies = Copies::default();
+            if self.is_core(self.own_member()) {
+                copies.note(self.own_member());
+            }
+            let telling = Telling { relay, outstanding, copies, calls, started: now, next_retry };
             self.confirmations.tellings.push(telling);
         }
     }
 
-    /// Lets go of what everyone has confirmed and whose calls were named.
+    /// Whether a node is a machine of the core: an edge node with a disk, or where no disk is known any edge node.
+    fn is_core(&self, member: &Member) -> bool {
+        let has_disk = |member: &Member| member.class == Class::Edge && member.replica.is_some();
+        has_disk(member) || (member.class == Class::Edge && !self.members().any(has_disk))
+    }
+
+    /// Lets go of what everyone has confirmed, or was told for long enough, and whose calls were named.
     fn settle_tellings(&mut self) {
+        let losses = self.losses;
         let tellings = std::mem::take(&mut self.confirmations.tellings);
         for telling in tellings {
-            if telling.outstanding.is_empty() {
+            if telling.outstanding.is_empty() && telling.copies.outlast(losses) {
                 let executors = telling.relay.registers.iter().filter_map(Register::as_executor);
                 executors.for_each(|told| self.executors.set_told(&told.id, told.state));
             }
@@ -148,9 +199,14 @@
 }
 
 impl Telling {
-    /// Whether its calls may be answered.
-    fn is_over(&self, now: Moment, bound: Span) -> bool {
-        self.outstanding.is_empty() || now.since(self.started) >= bound
+    /// Whether its calls may be acknowledged.
+    fn is_told(&self, now: Moment, bound: Span, losses: Losses) -> bool {
+        self.copies.outlast(losses) && (self.outstanding.is_empty() || self.is_late(now, bound))
+    }
+
+    /// Whether its calls wait no longer.
+    fn is_late(&self, now: Moment, bound: Span) -> bool {
+        now.since(self.started) >= bound
     }
 
     fn covers(&self, id: &str, state: ExecutorState) -> bool {
--- a/crates/registry/src/executors.rs
+++ b/crates/registry/src/executors.rs
@@ -143,7 +143,7 @@
     pub fn deregister(&mut self, now: Moment, id: &str) -> Answer {
         self.enter(now);
         if id.is_empty() || id.len() > LONGEST_ID {
-            return Answer::Now;
+            return Answer::Never;
         }
         if self.executors.tombstones.get(id).is_some_and(|executor| !executor.exists()) {
             return Answer::Now;
@@ -151,7 +151,7 @@
         let known = self.executors.told(id).unwrap_or_else(|| unknown_executor(id, &self.own_name));
         let gone = Executor { state: ExecutorState::Gone, ..known };
         if !self.put_executor(now, gone) {
-            return Answer::Now;
+            return Answer::Never;
         }
         let told =
             self.executors.entries.get(id).is_some_and(|entry| entry.told_state == ExecutorState::Gone);
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -28,6 +28,7 @@
 mod ring;
 mod settings;
 
+pub use confirmation::SettledCalls;
 pub use digest::Summary;
 pub use error::{DecodeError, ReportError};
 pub use executor::{Executor, ExecutorState, Model};
@@ -37,4 +38,4 @@
 pub use register::Register;
 pub use registry::{Answer, CallToken, Event, Generation, HeartbeatEffect, Output, Registry};
 pub use report::{HeartbeatReport, LARGEST_REPORT};
-pub use settings::{Settings, Timings};
+pub use settings::{Losses, Settings, Timings};
--- a/crates/registry/src/registry.rs
+++ b/crates/registry/src/registry.rs
@@ -12,7 +12,7 @@
 use crate::relay::Relays;
 use crate::repair::Repairs;
 use crate::ring::Ring;
-use crate::{Executor, Facts, FactsTooLarge, LARGEST_FACTS, Settings, Timings};
+use crate::{Executor, Facts, FactsTooLarge, LARGEST_FACTS, Losses, Settings, Timings};
 use grebeusher_time::{Moment, Span};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -26,6 +26,7 @@
 /// Who is there, as one node knows it.
 pub struct Registry {
     pub(crate) timings: Timings,
+    pub(crate) losses: Losses,
     pub(crate) random: Pcg64Mcg,
     pub(crate) own: NodeId,
     pub(crate) own_name: String,
@@ -105,7 +106,9 @@
 pub enum Answer {
     /// At once.
     Now,
-    /// When [`Registry::told`] names the token.
+    /// Not at all: this node has no room for the executor.
+    Never,
+    /// When [`Registry::settled_calls`] names the token.
     WhenTold(CallToken),
 }
 
@@ -121,7 +124,7 @@
 impl Registry {
     /// A node that has just started and knows only itself and its seeds. Equal seeds of chance give equal runs.
     pub fn new(settings: Settings, seed: u64, now: Moment) -> Registry {
-        let Settings { mut member, seeds, timings } = settings;
+        let Settings { mut member, seeds, timings, losses } = settings;
         member.state = MemberState::Alive;
         let own = member.id();
         let own_address = member.address;
@@ -147,6 +150,7 @@
             output: Output::default(),
             expected: now,
             timings,
+            losses,
             random,
         };
         registry.put_member(now, member);
--- a/crates/registry/src/settings.rs
+++ b/crates/registry/src/settings.rs
@@ -71,4 +71,15 @@
     pub seeds: Vec<SocketAddrV4>,
     /// The bounds.
     pub timings: Timings,
+    /// What may be lost at once.
+    pub losses: Losses,
+}
+
+/// What of the core may be lost at once while all promises hold: machines, or whole zones.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Losses {
+    /// Machines of the core.
+    pub machines: usize,
+    /// Zones.
+    pub zones: usize,
 }
--- a/crates/registry/tests/drains.rs
+++ b/crates/registry/tests/drains.rs
@@ -3,7 +3,7 @@
 mod fleet;
 
 use fleet::{Fleet, draining, next, report};
-use grebeusher_registry::{Answer, ExecutorState, HeartbeatReport};
+use grebeusher_registry::{Answer, ExecutorState, HeartbeatReport, Losses};
 use grebeusher_time::Span;
 use rstest::rstest;
 
@@ -224,8 +224,9 @@
 }
 
 #[test]
-fn a_node_alone_answers_at_once() {
+fn a_node_alone_answers_at_once_where_no_loss_is_borne() {
     let mut fleet = Fleet::new(1, 1);
+    fleet.bear(Losses::default());
     fleet.start(0);
     let first = report("i-1", 0);
     fleet.heartbeat(0, &first);
@@ -233,3 +234,82 @@
     fleet.run(Span::millis(10));
     assert!(fleet.is_told(0, answer));
 }
+
+/// Calls of an executor that leaves go to a node, again and again for some seconds; whether one was acknowledged.
+fn is_ever_acknowledged(fleet: &mut Fleet, index: usize, first: &HeartbeatReport, ends: bool) -> bool {
+    let mut call = draining(first);
+    for _ in 0..10 {
+        let answer =
+            if ends { fleet.deregister(index, &first.id) } else { fleet.heartbeat(index, &call).answer };
+        fleet.run(Span::millis(900));
+        if fleet.is_told(index, answer) {
+            return true;
+        }
+        assert!(fleet.is_turned_away(index, answer), "a call is left without an answer");
+        call = next(&call);
+    }
+    false
+}
+
+#[rstest]
+#[case::alone(&[5], 1)]
+#[case::alone_without_a_disk(&[13], 1)]
+#[case::with_others_without_a_disk(&[5, 12, 13], 1)]
+#[case::with_another_machine_of_the_core(&[4, 5, 13], 2)]
+fn a_node_on_the_lesser_side_of_a_cut_acknowledges_no_leave(
+    #[case] side: &[usize],
+    #[case] machines: usize,
+    #[values(false, true)] ends: bool,
+) {
+    // Given a fleet of which so many machines of the core may be lost, and nodes that are cut off with that many at most,
+    let mut fleet = Fleet::new(22, 4);
+    fleet.bear(Losses { machines, zones: 0 });
+    fleet.start_all(Span::millis(300));
+    fleet.run(Span::millis(6_000));
+    let first = report("i-1", 0);
+    fleet.heartbeat(side[0], &first);
+    fleet.run(Span::millis(500));
+    fleet.cut_off(side);
+    // when an executor leaves there, also once they hold all others for dead, then that is never acknowledged,
+    assert!(!is_ever_acknowledged(&mut fleet, side[0], &first, ends));
+    // as the others can't know of it; and it is as soon as they do.
+    fleet.heal();
+    assert!(is_ever_acknowledged(&mut fleet, side[0], &first, ends));
+}
+
+#[test]
+fn a_drain_that_was_told_in_vain_is_told_anew() {
+    // Given a node that was cut off while it told of a drain, for longer than it insists,
+    let (mut fleet, first) = with_executor(14, 3);
+    fleet.cut_off(&[5]);
+    let drain = draining(&first);
+    fleet.heartbeat(5, &drain);
+    fleet.run(Span::millis(4_000));
+    // when the call comes again, then it waits again: nobody has confirmed anything.
+    let answer = fleet.heartbeat(5, &next(&drain)).answer;
+    assert!(matches!(answer, Answer::WhenTold(_)), "{answer:?}");
+}
+
+#[test]
+fn a_node_that_has_just_started_acknowledges_no_leave_by_itself() {
+    // Given a node that knows nobody yet, when an executor leaves there,
+    let (mut fleet, first) = with_executor(14, 3);
+    fleet.kill(6);
+    fleet.run(Span::millis(2_500));
+    fleet.cut_off(&[6]);
+    fleet.start(6);
+    // then that is not acknowledged.
+    assert!(!is_ever_acknowledged(&mut fleet, 6, &first, false));
+}
+
+#[test]
+fn a_leave_is_acknowledged_while_as_many_are_lost_as_may_be() {
+    // Given a fleet with one machine of the core down and one edge node cut off,
+    let (mut fleet, first) = with_executor(14, 3);
+    fleet.kill(2);
+    fleet.cut_off(&[13]);
+    // when an executor leaves, then its call is acknowledged when the bound is over.
+    let answer = fleet.heartbeat(5, &draining(&first)).answer;
+    let took = fleet.run_until(Span::millis(1_000), |fleet| fleet.is_told(5, answer));
+    assert!(took.is_some_and(|took| took <= Span::millis(710)), "took {took:?}");
+}
--- a/crates/registry/tests/fleet/mod.rs
+++ b/crates/registry/tests/fleet/mod.rs
@@ -3,8 +3,8 @@
 #![allow(dead_code)]
 
 use grebeusher_registry::{
-    Answer, CallToken, Class, Event, Executor, ExecutorState, HeartbeatEffect, HeartbeatReport, Member,
-    MemberState, Message, Registry, Settings, Timings,
+    Answer, CallToken, Class, Event, Executor, ExecutorState, HeartbeatEffect, HeartbeatReport, Losses,
+    Member, MemberState, Message, Registry, Settings, Timings,
 };
 use grebeusher_time::{Moment, Span};
 use rand::{Rng, SeedableRng};
@@ -47,6 +47,7 @@
     pub received: Traffic,
     pub to_nobody: u64,
     pub told: BTreeMap<CallToken, Moment>,
+    pub untold: BTreeMap<CallToken, Moment>,
     pub events: Vec<(Moment, Event)>,
     waiting: Vec<(SocketAddrV4, Message)>,
     wake: Option<Moment>,
@@ -98,7 +99,12 @@
         bootstrap: true,
         state: MemberState::Alive,
     };
-    Settings { member, seeds: seeds.iter().map(|seed| address(*seed)).collect(), timings: Timings::default() }
+    Settings {
+        member,
+        seeds: seeds.iter().map(|seed| address(*seed)).collect(),
+        timings: Timings::default(),
+        losses: Losses { machines: 1, zones: 0 },
+    }
 }
 
 impl Fleet {
@@ -155,6 +161,7 @@
         node.frozen = false;
         node.wake = None;
         node.told.clear();
+        node.untold.clear();
         self.follow(index);
     }
 
@@ -256,10 +263,25 @@
     pub fn is_told(&self, index: usize, answer: Answer) -> bool {
         match answer {
             Answer::Now => true,
+            Answer::Never => false,
             Answer::WhenTold(token) => self.nodes[index].told.contains_key(&token),
         }
     }
 
+    /// Whether a call was answered without an acknowledgement.
+    pub fn is_turned_away(&self, index: usize, answer: Answer) -> bool {
+        match answer {
+            Answer::Now => false,
+            Answer::Never => true,
+            Answer::WhenTold(token) => self.nodes[index].untold.contains_key(&token),
+        }
+    }
+
+    /// Says what may be lost at once, to nodes that start from now on.
+    pub fn bear(&mut self, losses: Losses) {
+        self.nodes.iter_mut().for_each(|node| node.settings.losses = losses);
+    }
+
     /// The nodes that run.
     pub fn running(&self) -> Vec<usize> {
         (0..self.nodes.len()).filter(|index| self.nodes[*index].registry.is_some()).collect()
@@ -358,8 +380,9 @@
         let Some(registry) = &mut node.registry else {
             return;
         };
-        let told = registry.told(now);
-        node.told.extend(told.into_iter().map(|token| (token, now)));
+        let settled = registry.settled_calls(now);
+        node.told.extend(settled.told.into_iter().map(|token| (token, now)));
+        node.untold.extend(settled.untold.into_iter().map(|token| (token, now)));
         let output = registry.take_output();
         node.events.extend(output.events.into_iter().map(|event| (now, event)));
         let wake = registry.next_wake().max(now + Span(1));
@@ -408,6 +431,7 @@
             received: Traffic::default(),
             to_nobody: 0,
             told: BTreeMap::new(),
+            untold: BTreeMap::new(),
             events: Vec::new(),
             waiting: Vec::new(),
             wake: None,
--- a/crates/registry/tests/wire.rs
+++ b/crates/registry/tests/wire.rs
@@ -1,8 +1,8 @@
 //! Messages: their binary form, and bytes that are none.
 
 use grebeusher_registry::{
-    Class, DecodeError, Executor, ExecutorState, Facts, Heartbeat, LARGEST_MESSAGE, Member, MemberState,
-    Message, Model, NodeId, Register, Registry, Relay, Settings, Summary, Timings,
+    Class, DecodeError, Executor, ExecutorState, Facts, Heartbeat, LARGEST_MESSAGE, Losses, Member,
+    MemberState, Message, Model, NodeId, Register, Registry, Relay, Settings, Summary, Timings,
 };
 use grebeusher_time::Moment;
 use nanoserde::{DeBin, SerBin};
@@ -149,7 +149,8 @@
         bootstrap: true,
         state: MemberState::Alive,
     };
-    let settings = Settings { member, seeds: Vec::new(), timings: Timings::default() };
+    let settings =
+        Settings { member, seeds: Vec::new(), timings: Timings::default(), losses: Losses::default() };
     Registry::new(settings, 1, Moment(1_000_000_000))
 }
 
@@ -196,7 +197,7 @@
             let from = SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, from + 1), 7_660);
             registry.receive(now, from, message);
             registry.tick(now);
-            registry.told(now);
+            registry.settled_calls(now);
             for (_, message) in registry.take_output().messages {
                 prop_assert!(message.encode().len() <= LARGEST_MESSAGE);
             }
--- a/crates/tier/src/control.rs
+++ b/crates/tier/src/control.rs
@@ -80,6 +80,7 @@
                 let effect = self.registry.heartbeat(self.now, report);
                 match effect.answer {
                     Answer::Now => self.answer_heartbeat(connection, serial, effect.heartbeat_target),
+                    Answer::Never => self.not_acknowledged(connection, serial),
                     Answer::WhenTold(token) => drop(self.told_waiters.insert(token, (connection, serial))),
                 }
             }
@@ -99,6 +100,7 @@
     fn deregister(&mut self, connection: usize, serial: u64, id: &str) {
         match self.registry.deregister(self.now, id) {
             Answer::Now => self.answer(connection, serial, http::answer(200, &[JSON], b"{}")),
+            Answer::Never => self.not_acknowledged(connection, serial),
             Answer::WhenTold(token) => drop(self.told_waiters.insert(token, (connection, serial))),
         }
         self.routing_changed = true;
@@ -106,11 +108,22 @@
 
     /// Calls whose news every node has by now, or that have waited for long enough, are answered.
     pub fn answer_told(&mut self) {
-        for token in self.registry.told(self.now) {
+        let settled = self.registry.settled_calls(self.now);
+        for token in settled.told {
             if let Some((connection, serial)) = self.told_waiters.remove(&token) {
                 self.answer(connection, serial, http::answer(200, &[JSON], b"{}"));
             }
         }
+        for token in settled.untold {
+            if let Some((connection, serial)) = self.told_waiters.remove(&token) {
+                self.not_acknowledged(connection, serial);
+            }
+        }
+    }
+
+    /// An executor whose call this node can't vouch for goes on to another node.
+    fn not_acknowledged(&mut self, connection: usize, serial: u64) {
+        self.answer(connection, serial, http::answer(503, &[], b""));
     }
 
     fn replace(&mut self, connection: usize, serial: u64, request: ClientRequest) {
--- a/crates/tier/src/start.rs
+++ b/crates/tier/src/start.rs
@@ -11,7 +11,7 @@
 use grebeusher_catalog::settings::{MachineClass, Settings, SettingsError};
 use grebeusher_quorum::ReplicaId;
 use grebeusher_quorum::disk::StoreError;
-use grebeusher_registry::{Class, Member, MemberState, Registry, Timings};
+use grebeusher_registry::{Class, Losses, Member, MemberState, Registry, Timings};
 use grebeusher_time::{Moment, Span};
 use snafu::{ResultExt, Snafu};
 use std::io;
@@ -209,7 +209,11 @@
     };
     let timings = Timings { executor_heartbeat: Span::millis(settings.heartbeat_ms), ..Timings::default() };
     let seeds = seed_addresses(settings);
-    Registry::new(grebeusher_registry::Settings { member, seeds, timings }, seed, Moment(0))
+    let losses = Losses {
+        machines: settings.fault_tolerance.machine_losses as usize,
+        zones: settings.fault_tolerance.zones as usize,
+    };
+    Registry::new(grebeusher_registry::Settings { member, seeds, timings, losses }, seed, Moment(0))
 }
 
 /// The internal addresses of the seeds: all machines use the same ports.
