--- a/crates/simulation/src/executors/heartbeats.rs
+++ b/crates/simulation/src/executors/heartbeats.rs
@@ -1,7 +1,8 @@
 //! Heartbeats, drains and the end of an executor.
 
 use super::{
-    Executors, HEARTBEAT, HEARTBEAT_LATE, HEARTBEAT_WITHIN, LEAVE, LEFT, LINGERS, State, drop_call, wake,
+    Executors, HEARTBEAT, HEARTBEAT_LATE, HEARTBEAT_WITHIN, LEAVE, LEFT, LINGERS, State, drop_call,
+    ends_without_draining, wake,
 };
 use crate::call::{HttpCall, Progress, request};
 use crate::hub::Owner;
@@ -10,6 +11,9 @@
 use rand::Rng;
 use std::net::SocketAddrV4;
 
+/// Of those that don't leave, one of so many calls the lure first.
+const LURED_EVERY: usize = 3;
+
 impl Executors {
     pub(super) fn heartbeat(&mut self, number: usize, stage: &mut Stage<'_>) {
         let live = &mut self.all[number];
@@ -32,12 +36,23 @@
         drop_call(&mut self.all[number], stage);
         let path = format!("/api/Instances.Deregister/{}", self.all[number].made.instance);
         self.call(number, &path, "{}", true, stage);
-        wake(stage, number, stage.now() + Span::millis(2500), LEFT, 0);
+        if !ends_without_draining(number) {
+            wake(stage, number, stage.now() + Span::millis(2500), LEFT, 0);
+        }
+    }
+
+    /// The node that a call goes to first while there is a lure.
+    fn lure_for(&mut self, number: usize) -> Option<SocketAddrV4> {
+        let lure = self.lure?;
+        let live = &mut self.all[number];
+        let concerned = live.state == State::Draining || number.is_multiple_of(LURED_EVERY);
+        (concerned && std::mem::replace(&mut live.lured, false)).then_some(lure)
     }
 
     pub(super) fn call(&mut self, number: usize, path: &str, body: &str, last: bool, stage: &mut Stage<'_>) {
+        let lure = self.lure_for(number);
         let live = &mut self.all[number];
-        let to = match live.target {
+        let to = match lure.or(live.target) {
             Some(target) => target,
             None => {
                 let near = stage.hub.random.random_bool(0.7);
@@ -72,33 +87,29 @@
                 let target = heartbeat_target(&call.body);
                 let live = &mut self.all[number];
                 drop_call(live, stage);
+                live.lured = true;
                 live.target = target.or(Some(to));
-                self.acknowledged(number, to, last, stage);
+                self.acknowledged(number, last, stage);
             }
             _ => self.call_failed(number, stage),
         }
     }
 
-    pub(super) fn acknowledged(
-        &mut self,
-        number: usize,
-        by: SocketAddrV4,
-        last: bool,
-        stage: &mut Stage<'_>,
-    ) {
-        if last {
-            return self.leave(number, stage);
-        }
+    pub(super) fn acknowledged(&mut self, number: usize, last: bool, stage: &mut Stage<'_>) {
         let live = &mut self.all[number];
         if live.state == State::Draining && !live.acknowledged {
             live.acknowledged = true;
-            if let (Some(leaving), Some(host)) = (live.leaving, stage.hub.host_of(*by.ip())) {
+            if let Some(leaving) = live.leaving {
                 let now = stage.now();
-                stage.judge.drain_acknowledged(&live.made.instance, leaving, host, now);
+                stage.judge.drain_acknowledged(&live.made.instance, leaving, now);
                 self.told.push(live.made.service.clone());
             }
             let serves = stage.judge.bounds.drain + LINGERS;
-            return wake(stage, number, stage.now() + serves, LEAVE, 0);
+            let next = if last { LEFT } else { LEAVE };
+            return wake(stage, number, stage.now() + serves, next, 0);
+        }
+        if last {
+            return self.leave(number, stage);
         }
         if live.state == State::Up {
             let jitter = stage.hub.random.random_range(0.9..1.1);
--- a/crates/simulation/src/executors/mod.rs
+++ b/crates/simulation/src/executors/mod.rs
@@ -95,6 +95,8 @@
     leaving: Option<usize>,
     acknowledged: bool,
     deregistering: bool,
+    /// Whether its next call goes to the lure, if there is one.
+    lured: bool,
 }
 
 #[derive(Default)]
@@ -130,6 +132,8 @@
     all: Vec<Live>,
     /// The services of executors whose leave was acknowledged since this was last looked at.
     pub told: Vec<String>,
+    /// The node that those which leave, and some of the others, call first.
+    pub lure: Option<SocketAddrV4>,
 }
 
 impl Executors {
@@ -154,6 +158,7 @@
             leaving: None,
             acknowledged: false,
             deregistering: false,
+            lured: true,
         });
         let first = stage.now() + Span::millis(stage.hub.random.random_range(0..1200));
         wake(stage, number, first, HEARTBEAT, 0);
@@ -190,7 +195,8 @@
         live.state = State::Draining;
         live.leaving = Some(stage.judge.leaves(stage.hub.now));
         drop_call(live, stage);
-        wake(stage, number, stage.now(), HEARTBEAT, 0);
+        let first = if ends_without_draining(number) { LEAVE } else { HEARTBEAT };
+        wake(stage, number, stage.now(), first, 0);
         wake(stage, number, stage.now() + LEAVES_ANYWAY, LEFT, 0);
     }
 
@@ -256,6 +262,11 @@
     }
 }
 
+/// Some never say that they drain: they send their last call first, and serve on behind it.
+fn ends_without_draining(number: usize) -> bool {
+    number % 3 == 2
+}
+
 fn drop_call(live: &mut Live, stage: &mut Stage<'_>) {
     if let Some((call, ..)) = live.call.take() {
         stage.hub.close(call.end);
--- a/crates/simulation/src/fleet/cuts.rs
+++ b/crates/simulation/src/fleet/cuts.rs
@@ -3,7 +3,7 @@
 use super::Fleet;
 use super::step::Step;
 use crate::hub::Cut;
-use crate::scenario::On;
+use crate::scenario::{CutFrom, Fault, On};
 use crate::stage::{Class, Machine};
 use grebeusher_time::Span;
 
@@ -20,6 +20,47 @@
         self.cut(own, others, one_way, resets, for_s);
     }
 
+    /// Cuts several machines off for a time, unless more would be lost than may be.
+    pub(super) fn isolate(&mut self, fault: Fault) {
+        let Fault::Isolation { on, count, from, lure, for_s } = fault.clone() else { return };
+        let side = match from {
+            CutFrom::Halves => self.half_of_counted(on),
+            CutFrom::Counted | CutFrom::All => self.victims(on, count, for_s),
+        };
+        let Some(side) = side else { return self.postpone(fault) };
+        let names: Vec<&str> = side.iter().map(|machine| self.machines[*machine].name.as_str()).collect();
+        self.note(&format!("{} are cut off from {from:?} for {for_s:.1} s", names.join(", ")));
+        if from == CutFrom::Halves {
+            // Nothing is lost, and nobody is in touch.
+            let now = self.now();
+            self.judge.core_slow(now, now + Span::secs(for_s));
+        }
+        for machine in &side {
+            self.troubled(*machine, for_s);
+        }
+        if lure {
+            self.executors.lure = side
+                .iter()
+                .find(|machine| self.machines[**machine].class == Class::Edge)
+                .map(|machine| self.machines[*machine].control());
+        }
+        let inside = side.iter().fold(0, |mask, machine| mask | 1u128 << self.machines[*machine].host);
+        let others = match from {
+            CutFrom::All => self.hosts_where(|_| true),
+            CutFrom::Counted | CutFrom::Halves => self.hosts_where(|machine| machine.counted),
+        };
+        self.cut(inside, others & !inside, false, false, for_s);
+    }
+
+    /// Half of the counted machines of a class.
+    fn half_of_counted(&self, on: On) -> Option<Vec<usize>> {
+        let class = if on == On::Storage { Class::Storage } else { Class::Edge };
+        let counted: Vec<usize> = (0..self.machines.len())
+            .filter(|machine| self.machines[*machine].counted && self.machines[*machine].class == class)
+            .collect();
+        Some(counted[..counted.len() / 2].to_vec())
+    }
+
     /// Cuts a zone off for a time, unless more would be lost than may be.
     pub(super) fn cut_zone(&mut self, zone: usize, for_s: f64) {
         let inside: Vec<usize> =
@@ -61,6 +102,7 @@
         let healed: Vec<Cut> =
             self.hub.borrow().cuts.iter().filter(|other| other.number == cut).cloned().collect();
         self.hub.borrow_mut().cuts.retain(|other| other.number != cut);
+        self.executors.lure = None;
         let hosts: Vec<usize> = self.machines.iter().map(|machine| machine.host).collect();
         for host in hosts.into_iter().filter(|host| healed.iter().any(|cut| cut.from & (1 << host) != 0)) {
             self.stage(|actors, stage| actors.clients.press_after_return(host, stage));
--- a/crates/simulation/src/fleet/faults.rs
+++ b/crates/simulation/src/fleet/faults.rs
@@ -46,6 +46,7 @@
                     self.cut_machine(machine, one_way, resets, for_s);
                 }
             }
+            Fault::Isolation { .. } => self.isolate(fault),
             Fault::ZoneCut { zone, for_s } => self.cut_zone(zone, for_s),
             Fault::Reset { on } => self.reset(on),
             Fault::ConfigChange => self.change(Change::Valid),
--- a/crates/simulation/src/fleet/losses.rs
+++ b/crates/simulation/src/fleet/losses.rs
@@ -7,6 +7,9 @@
 use grebeusher_time::Span;
 use rand::seq::IndexedRandom;
 
+/// How often a further machine is drawn for each that is wanted, as some are drawn twice.
+const PICKS: usize = 4;
+
 impl Fleet {
     /// Counted machines that are lost now.
     pub(super) fn lost(&self) -> usize {
@@ -60,8 +63,23 @@
         Some(machine)
     }
 
+    /// So many machines for a fault that takes them for a time; none if that were more than may be lost now.
+    pub(super) fn victims(&mut self, on: On, count: usize, for_s: f64) -> Option<Vec<usize>> {
+        let mut victims = vec![self.pick(on, true)?];
+        for _ in 0..count * PICKS {
+            let further = self.pick(on, false).filter(|machine| !victims.contains(machine));
+            victims.extend(further.filter(|_| victims.len() < count));
+        }
+        let counted = victims.iter().filter(|machine| self.machines[**machine].counted).count();
+        if self.lost() + counted > self.scenario.shape.losses as usize {
+            return None;
+        }
+        victims.iter().for_each(|machine| drop(self.may_lose(*machine, for_s)));
+        Some(victims)
+    }
+
     /// Tries a fault again a little later, if there is time.
-    fn postpone(&mut self, fault: Fault) {
+    pub(super) fn postpone(&mut self, fault: Fault) {
         if self.now() + Span::millis(1000) < self.traffic_ends() {
             self.later(Span::millis(500), Step::Begin(fault));
         }
--- a/crates/simulation/src/judge/drains.rs
+++ b/crates/simulation/src/judge/drains.rs
@@ -18,16 +18,14 @@
         self.leaving.len() - 1
     }
 
-    /// A node acknowledges it.
-    pub fn drain_acknowledged(&mut self, instance: &str, leaving: usize, host: usize, at: Moment) {
+    /// A node acknowledges it. That binds also where this node is in no touch with the others.
+    pub fn drain_acknowledged(&mut self, instance: &str, leaving: usize, at: Moment) {
         if let Some(found) = self.leaving.get_mut(leaving) {
             found.acknowledged.get_or_insert(at);
             self.counts.drained += 1;
         }
         self.told.entry(instance.to_owned()).or_insert(at);
-        if self.in_touch(host, at, at) {
-            self.drained.entry(instance.to_owned()).or_insert(at);
-        }
+        self.drained.entry(instance.to_owned()).or_insert(at);
     }
 
     /// In calm times no request that was sent after the acknowledgement of a drain reaches the executor: all nodes have
--- a/crates/simulation/src/scenario.rs
+++ b/crates/simulation/src/scenario.rs
@@ -2,7 +2,7 @@
 
 mod trouble;
 
-pub use trouble::{Fault, Grey, On, WrongKind};
+pub use trouble::{CutFrom, Fault, Grey, On, WrongKind};
 
 use serde::{Deserialize, Serialize};
 use snafu::{ResultExt, Snafu};
--- a/crates/simulation/src/scenario/trouble.rs
+++ b/crates/simulation/src/scenario/trouble.rs
@@ -48,6 +48,18 @@
     OldVersion,
 }
 
+/// What machines are cut off from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum CutFrom {
+    /// The other counted machines: all others reach both sides.
+    Counted,
+    /// All other machines of the system.
+    All,
+    /// The counted machines are cut into two halves, however many may be lost; all others reach both.
+    Halves,
+}
+
 /// One trouble or planned work.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(tag = "kind", rename_all = "snake_case")]
@@ -70,6 +82,8 @@
     DiskSlow { on: On, times: f64, for_s: f64 },
     /// A counted machine is cut off from the other counted ones.
     Cut { on: On, leader: bool, one_way: bool, resets: bool, for_s: f64 },
+    /// Machines are cut off for a time, all others reach each other; perhaps executors that leave call one of them first.
+    Isolation { on: On, count: usize, from: CutFrom, lure: bool, for_s: f64 },
     /// A zone is cut off from the others.
     ZoneCut { zone: usize, for_s: f64 },
     /// All connections of a machine are reset.
--- a/crates/simulation/src/storm.rs
+++ b/crates/simulation/src/storm.rs
@@ -1,7 +1,7 @@
 //! Storms: faults drawn from a seed, and the smallest part of them that still breaks a rule.
 
 use crate::fleet::{Report, run};
-use crate::scenario::{Closing, Fault, Grey, On, Scenario, Timed, When, WrongKind};
+use crate::scenario::{Closing, CutFrom, Fault, Grey, On, Scenario, Timed, When, WrongKind};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
 
@@ -62,7 +62,7 @@
 fn fault(random: &mut Pcg64, zones: usize) -> Fault {
     let for_s = (random.random_range(0.4..5.0) * 10.0f64).round() / 10.0;
     let leader = random.random_bool(0.5);
-    match random.random_range(0..31) {
+    match random.random_range(0..33) {
         0 => Fault::NodeKill { on: on(random), leader, power: false, wipe: false, for_s: 0.6 },
         1 => Fault::NodeKill { on: on(random), leader, power: true, wipe: false, for_s },
         2 => Fault::NodeKill { on: on(random), leader, power: true, wipe: true, for_s },
@@ -112,6 +112,16 @@
         29 => Fault::ExecutorGrey { share: 0.15, x: 1.0, how: grey(random), for_s },
         30 if random.random_bool(0.3) => Fault::ExecutorFalselyIll { share: 0.15, for_s },
         30 => Fault::ExecutorFlap { share: 0.15, times: random.random_range(1..5), gap_s: 1.0 },
+        31 | 32 => {
+            let from = [CutFrom::Counted, CutFrom::All, CutFrom::All, CutFrom::Halves];
+            Fault::Isolation {
+                on: on(random),
+                count: random.random_range(1..3),
+                from: from[random.random_range(0..from.len())],
+                lure: random.random_bool(0.5),
+                for_s: (random.random_range(1.0..12.0) * 10.0f64).round() / 10.0,
+            }
+        }
         _ if random.random_bool(0.3) => Fault::Reset { on: on(random) },
         _ if random.random_bool(0.5) => Fault::AnswerLost { x: 0.04, for_s },
         _ => Fault::Garble { x: 0.05, surplus: random.random_bool(0.5), for_s },
--- a/crates/simulation/tests/lives.rs
+++ b/crates/simulation/tests/lives.rs
@@ -5,7 +5,7 @@
 
 use fleets::{day_that_ends_with, day_with, expect_clean, expect_served, shape};
 use grebeusher_simulation::fleet::run;
-use grebeusher_simulation::scenario::{Closing, Fault, Grey, Load, On, Timed, When, WrongKind};
+use grebeusher_simulation::scenario::{Closing, CutFrom, Fault, Grey, Load, On, Timed, When, WrongKind};
 use rstest::rstest;
 
 #[test]
@@ -172,6 +172,23 @@
     expect_clean(&run(&scenario, seed));
 }
 
+#[rstest]
+fn executors_that_leave_by_way_of_a_node_that_is_cut_off_get_no_requests(
+    #[values(CutFrom::Counted, CutFrom::All)] from: CutFrom,
+    #[values("four-zones", "five-cores")] name: &str,
+    #[values(1, 2, 3)] seed: u64,
+) {
+    // Given an owner that is cut off for twelve seconds and that executors call first, when some leave long after the
+    // others are in touch again,
+    let mut scenario = shape(name);
+    scenario.load = Load { length_s: 18.0, live_per_s: 60.0, ..scenario.load };
+    let cut = Fault::Isolation { on: On::Core, count: 1, from, lure: true, for_s: 12.0 };
+    let leave = |at_s| Timed { at_s, fault: Fault::Release { share: 0.3, gap_s: 0.1 } };
+    scenario.faults = vec![Timed { at_s: 1.0, fault: cut }, leave(4.5), leave(7.5)];
+    // then no request reaches one long after its leave was acknowledged, by whichever node.
+    expect_clean(&run(&scenario, seed));
+}
+
 #[rstest]
 fn an_invalid_configuration_is_refused(
     #[values(
