Leases and signs of life go by a look at the clock after the question was read

Cause: a turn reads the clock and then its sockets; a process that stands still between the two judged its lease, and noted an owner's sign of life, by the time before. Change: Node::clock; owned_place, answer_read and receive_quorum use it. A voter that noted an owner's message too early would have voted for another one within the owner's lease. Simulation: a process that is frozen goes on with the clock that it read before.

--- a/crates/simulation/src/hub.rs
+++ b/crates/simulation/src/hub.rs
@@ -94,6 +94,11 @@
     pub alive: bool,
     /// Whether it stands still.
     pub frozen: bool,
+    /// Since when.
+    frozen_at: Moment,
+    /// What it read from its clock just before it was frozen, between that and its sockets: the turn in which it goes on
+    /// begins with this.
+    pub(crate) clock_before_freeze: Option<Moment>,
     /// How far its time of day is off, in milliseconds.
     pub wall_offset_ms: i64,
     /// Signals that it has not taken yet.
@@ -279,6 +284,8 @@
             started: self.now,
             alive: true,
             frozen: false,
+            frozen_at: Moment(0),
+            clock_before_freeze: None,
             wall_offset_ms,
             stop: false,
             reload: false,
@@ -374,9 +381,15 @@
 
     /// Stops or continues a process.
     pub fn freeze(&mut self, process: usize, frozen: bool) {
-        self.processes[process].frozen = frozen;
+        let now = self.now;
+        let state = &mut self.processes[process];
+        let was_frozen = std::mem::replace(&mut state.frozen, frozen);
+        if frozen && !was_frozen {
+            state.frozen_at = now;
+        }
         if !frozen {
-            self.processes[process].turns_at = None;
+            state.clock_before_freeze = was_frozen.then_some(state.frozen_at);
+            state.turns_at = None;
             self.turn_process(process, self.now);
         }
     }
--- a/crates/simulation/src/world.rs
+++ b/crates/simulation/src/world.rs
@@ -32,8 +32,10 @@
 
 impl World for ProcessWorld {
     fn now(&self) -> Moment {
-        let hub = self.hub.borrow();
-        Moment(hub.local_now().since(hub.processes[self.process].started).0)
+        let mut hub = self.hub.borrow_mut();
+        let now = hub.local_now();
+        let process = &mut hub.processes[self.process];
+        Moment(process.clock_before_freeze.take().unwrap_or(now).since(process.started).0)
     }
 
     fn wall_ms(&self) -> u64 {
--- a/crates/simulation/tests/lives.rs
+++ b/crates/simulation/tests/lives.rs
@@ -229,3 +229,20 @@
     // then each item is listed or gives its body, and nothing that was ended long ago runs when they wake.
     expect_clean(&run(&scenario, seed));
 }
+
+#[rstest]
+fn an_owner_that_stood_still_after_a_look_at_its_clock_shows_nothing_old(
+    #[values("four-zones", "five-cores")] name: &str,
+    #[values(1, 2, 3, 4)] seed: u64,
+) {
+    // Given an owner that stands still between its look at the clock and its sockets, when the configuration changes
+    // meanwhile and is read by way of it just as it goes on,
+    let mut scenario = shape(name);
+    scenario.load = Load { length_s: 10.0, reads_per_s: 20.0, ..scenario.load };
+    let frozen = Fault::NodeFreeze { on: On::Core, leader: true, for_s: 3.0 };
+    let change = |at_s| Timed { at_s, fault: Fault::ConfigChange };
+    scenario.faults =
+        vec![Timed { at_s: 1.0, fault: frozen }, change(2.8), change(3.3), change(3.6), change(3.9)];
+    // then it knows that its lease is over.
+    expect_clean(&run(&scenario, seed));
+}
--- a/crates/tier/src/batch_part.rs
+++ b/crates/tier/src/batch_part.rs
@@ -333,7 +333,7 @@
 
     fn answer_read(&mut self, place: usize, waiter: Waiter, job: &JobId, resume_after: usize) {
         // The lease may have ended while the read was held.
-        if !self.parts[place].replica.lease_holds(self.now) {
+        if !self.parts[place].replica.lease_holds(self.clock()) {
             return self.reply(waiter.peer, waiter.number, Reply::Unavailable);
         }
         let most_bytes = most_page_bytes(self.settings.limits.link_mbps);
--- a/crates/tier/src/configuration_part.rs
+++ b/crates/tier/src/configuration_part.rs
@@ -113,7 +113,7 @@
 
     /// The place of a part that this node owns under a lease; otherwise the caller is told who may.
     pub(crate) fn owned_place(&mut self, part: u8, waiter: Waiter) -> Option<usize> {
-        let now = self.now;
+        let now = self.clock();
         let Some(place) = self.parts.iter().position(|host| host.part == part) else {
             self.reply(waiter.peer, waiter.number, Reply::NotOwner { owner: None });
             return None;
--- a/crates/tier/src/node.rs
+++ b/crates/tier/src/node.rs
@@ -457,6 +457,13 @@
         listener.as_deref()
     }
 
+    /// The clock as it is now. `now` is what it was at the start of the turn, and the process may have stood still since:
+    /// whatever proves something to somebody (a lease to a reader, a sign of life of an owner to the other candidates) goes
+    /// by a look at the clock that is later than the question or the message.
+    pub(crate) fn clock(&self) -> Moment {
+        self.world.now()
+    }
+
     /// A number in 0..1.
     pub(crate) fn random_point(&mut self) -> f64 {
         self.random.random()
--- a/crates/tier/src/parts.rs
+++ b/crates/tier/src/parts.rs
@@ -230,7 +230,7 @@
             return;
         }
         let Ok(message) = grebeusher_quorum::decode(&envelope.message) else { return };
-        let now = self.now;
+        let now = self.clock();
         if let Some(host) = self.parts.iter_mut().find(|host| host.part == envelope.part) {
             host.replica.receive(now, ReplicaId(envelope.from), message);
         }
