Calls between nodes have numbers that no other life of a process gives

Cause: calls were numbered from 1 in each life of a process, so that a reply to a call of a former life at the same address could end a call of the new one: an answer to the wrong caller, and a 202 for a job that nobody kept. Change: CallNumber, from a number that is drawn for each life; exchanges are known to connections by place and serial; a connection on which an executor answered before it had the whole request is not used again; items are begun under a lease only.

--- a/crates/tier/src/calls.rs
+++ b/crates/tier/src/calls.rs
@@ -1,6 +1,6 @@
 //! Calls between nodes: a number, a time limit, and another node when one does not answer or does not own the part.
 
-use crate::messages::{Call, CallEnvelope, Channel, Reply, ReplyEnvelope};
+use crate::messages::{Call, CallEnvelope, CallNumber, Channel, Reply, ReplyEnvelope};
 use crate::node::Node;
 use crate::timers::Timer;
 use grebeusher_registry::Class;
@@ -36,7 +36,7 @@
     /// A founding that a replica confirms.
     Founding { part: u8, voter: u64 },
     /// Another node's call that this node passes on.
-    Forwarded { peer: SocketAddrV4, number: u64 },
+    Forwarded { peer: SocketAddrV4, number: CallNumber },
     /// One part's word on whether a storage node is empty, for a question to all parts.
     Retire { gathering: u64 },
 }
@@ -161,13 +161,13 @@
             unheard: false,
             continuation,
         };
-        let number = self.next_serial();
+        let number = self.call_numbers.next_number();
         self.calls.insert(number, pending);
         self.try_call(number);
     }
 
     /// Sends a call to the next node that may answer it.
-    pub fn try_call(&mut self, number: u64) {
+    pub fn try_call(&mut self, number: CallNumber) {
         let now = self.now;
         let Some(pending) = self.calls.get(&number) else { return };
         if now >= pending.until {
@@ -245,7 +245,14 @@
     }
 
     /// Passes a call of another node on to the owner of a part.
-    pub fn forward_call(&mut self, peer: SocketAddrV4, number: u64, part: u8, within_ms: u32, call: &[u8]) {
+    pub fn forward_call(
+        &mut self,
+        peer: SocketAddrV4,
+        number: CallNumber,
+        part: u8,
+        within_ms: u32,
+        call: &[u8],
+    ) {
         let Ok(call) = <Call as DeBin>::deserialize_bin(call) else { return };
         let until = self.now + Span::millis(u64::from(within_ms));
         self.call_owner(part, call, until, Continuation::Forwarded { peer, number });
@@ -265,7 +272,7 @@
     }
 
     /// A call's time at one node is over.
-    pub fn call_expired(&mut self, number: u64) {
+    pub fn call_expired(&mut self, number: CallNumber) {
         let now = self.now;
         let Some(pending) = self.calls.get_mut(&number) else { return };
         if now < pending.expires {
@@ -307,13 +314,13 @@
     }
 
     /// A pause before another try is over.
-    pub fn call_retry(&mut self, number: u64) {
+    pub fn call_retry(&mut self, number: CallNumber) {
         if self.calls.get(&number).is_some_and(|pending| self.now >= pending.expires) {
             self.try_call(number);
         }
     }
 
-    fn end_call(&mut self, number: u64, reply: Option<Reply>) {
+    fn end_call(&mut self, number: CallNumber, reply: Option<Reply>) {
         let Some(pending) = self.calls.remove(&number) else { return };
         let took = self.now.since(pending.began);
         if took > SLOW_CALL {
@@ -337,7 +344,7 @@
     }
 
     /// Replies to a node's call.
-    pub fn reply(&mut self, to: SocketAddrV4, number: u64, reply: Reply) {
+    pub fn reply(&mut self, to: SocketAddrV4, number: CallNumber, reply: Reply) {
         let envelope = ReplyEnvelope { number, reply };
         self.send_frame(to, Channel::Reply, &SerBin::serialize_bin(&envelope));
     }
--- a/crates/tier/src/exchange.rs
+++ b/crates/tier/src/exchange.rs
@@ -56,6 +56,13 @@
     body: Vec<u8>,
 }
 
+/// One exchange of a life of the process: its place, and a serial that no other exchange has, as places are used again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ExchangeKey {
+    place: usize,
+    serial: u64,
+}
+
 /// One client request.
 pub struct Exchange {
     serial: u64,
@@ -183,7 +190,8 @@
         exchange.begun += 1;
         let bytes = executor_request(exchange, &candidate.target, now);
         let attempt_id = exchange.request.head.headers.get(names::ATTEMPT_ID).unwrap_or_default().to_owned();
-        match self.start_call(CallOwner::Exchange(index), &candidate.target, &attempt_id, &bytes) {
+        let owner = CallOwner::Exchange(ExchangeKey { place: index, serial: exchange.serial });
+        match self.start_call(owner, &candidate.target, &attempt_id, &bytes) {
             Ok(connection) => {
                 let attempt = Attempt {
                     connection,
@@ -218,8 +226,9 @@
     }
 
     /// Something came back from the executor.
-    pub fn exchange_event(&mut self, index: usize, event: UpstreamEvent<'_>) {
-        if !self.exchanges.contains(index) {
+    pub fn exchange_event(&mut self, key: ExchangeKey, event: UpstreamEvent<'_>) {
+        let index = key.place;
+        if self.exchanges.get(index).is_none_or(|exchange| exchange.serial != key.serial) {
             return;
         }
         match event {
--- a/crates/tier/src/items.rs
+++ b/crates/tier/src/items.rs
@@ -73,7 +73,10 @@
             if let Some(part) = self.batch_mut(place) {
                 part.runner.tick(now);
             }
-            self.begin_items(place);
+            // An owner that wakes from a freeze still believes that it is one.
+            if self.parts[place].replica.lease_holds(self.clock()) {
+                self.begin_items(place);
+            }
             self.tell_progress(place);
             self.cut_off_runs(place);
             self.propose_results(place);
--- a/crates/tier/src/messages.rs
+++ b/crates/tier/src/messages.rs
@@ -45,11 +45,36 @@
     pub message: Vec<u8>,
 }
 
+/// The number of a call, which its reply carries. It is unique over all lives of all processes at an address, as replies may
+/// come late, after the process that called has ended and another one has its address.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, SerBin, DeBin)]
+pub struct CallNumber(pub u64);
+
+/// Gives out the numbers of a process's calls.
+#[derive(Debug)]
+pub struct CallNumbers {
+    next: u64,
+}
+
+impl CallNumbers {
+    /// Begins at a number that was drawn for this life of the process, out of so many that two lives never meet.
+    pub fn starting_at(drawn: u64) -> CallNumbers {
+        CallNumbers { next: drawn }
+    }
+
+    /// The number of the next call.
+    pub fn next_number(&mut self) -> CallNumber {
+        let number = CallNumber(self.next);
+        self.next = self.next.wrapping_add(1);
+        number
+    }
+}
+
 /// A call with the number that its reply will carry.
 #[derive(Clone, Debug, SerBin, DeBin)]
 pub struct CallEnvelope {
-    /// Unique among the caller's calls.
-    pub number: u64,
+    /// Of this call of the sender.
+    pub number: CallNumber,
     /// What is asked.
     pub call: Call,
 }
@@ -58,7 +83,7 @@
 #[derive(Clone, Debug, SerBin, DeBin)]
 pub struct ReplyEnvelope {
     /// The number of the call.
-    pub number: u64,
+    pub number: CallNumber,
     /// What is answered.
     pub reply: Reply,
 }
--- a/crates/tier/src/node.rs
+++ b/crates/tier/src/node.rs
@@ -7,6 +7,7 @@
 use crate::founding::Founder;
 use crate::io::{Listener, SharedWorld, World};
 use crate::items::ItemRuns;
+use crate::messages::{CallNumber, CallNumbers};
 use crate::owners::OwnerIndex;
 use crate::parts::PartHost;
 use crate::peers::{IncomingLink, OutgoingLink};
@@ -128,7 +129,8 @@
     pub(crate) configuration_proven: bool,
     pub(crate) fetching: Option<Moment>,
     pub(crate) exchanges: Slab<Exchange>,
-    pub(crate) calls: FxHashMap<u64, PendingCall>,
+    pub(crate) call_numbers: CallNumbers,
+    pub(crate) calls: FxHashMap<CallNumber, PendingCall>,
     /// Nodes that left a call unanswered and have said nothing since.
     pub(crate) unheard: FxHashMap<SocketAddrV4, Moment>,
     pub(crate) gatherings: FxHashMap<u64, RetireGathering>,
@@ -152,6 +154,7 @@
     pub fn new(start: Start) -> Result<Node, StartError> {
         let Start { settings, world, listeners, registry, identity, parts, seed } = start;
         let founder = Founder::for_settings(&settings);
+        let call_numbers = CallNumbers::starting_at(world.random());
         let most_connections = listeners.most_connections;
         let mut node = Node {
             routing: Routing::new(settings.zone.as_str(), seed),
@@ -187,6 +190,7 @@
             configuration_proven: false,
             fetching: None,
             exchanges: Slab::new(),
+            call_numbers,
             calls: FxHashMap::default(),
             unheard: FxHashMap::default(),
             gatherings: FxHashMap::default(),
--- a/crates/tier/src/parts.rs
+++ b/crates/tier/src/parts.rs
@@ -5,7 +5,7 @@
 use crate::disk_room::DiskRoom;
 use crate::group_care::GroupCare;
 use crate::io::{PartStore, World};
-use crate::messages::{Channel, QuorumEnvelope, Reply};
+use crate::messages::{CallNumber, Channel, QuorumEnvelope, Reply};
 use crate::node::{Node, RunError};
 use crate::owners::{OwnedPart, OwnedParts};
 use grebeusher_quorum::{Blob, Index, Replica, ReplicaId, Term, Timing, Write};
@@ -34,7 +34,7 @@
     /// The calling node.
     pub peer: SocketAddrV4,
     /// The number of its call.
-    pub number: u64,
+    pub number: CallNumber,
 }
 
 /// What a replica's care for its machine rests on.
--- a/crates/tier/src/timers.rs
+++ b/crates/tier/src/timers.rs
@@ -1,5 +1,7 @@
 //! What falls due in a node.
 
+use crate::messages::CallNumber;
+
 /// One timer of the loop. Serials guard against places that were given to another thing meanwhile.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Timer {
@@ -14,9 +16,9 @@
     /// An item's run is silent for too long.
     ItemSilence { run: u64 },
     /// A call to another node should have been answered.
-    CallExpires { number: u64 },
+    CallExpires { number: CallNumber },
     /// A call is to be tried at another node.
-    CallRetry { number: u64 },
+    CallRetry { number: CallNumber },
     /// A read that was held for a result is answered.
     HeldReadExpires { read: u64 },
     /// The founder of the parts looks whether it can found.
--- a/crates/tier/src/upstream.rs
+++ b/crates/tier/src/upstream.rs
@@ -1,5 +1,6 @@
 //! Connections to executors: a pool of idle ones, and what comes back on the busy ones.
 
+use crate::exchange::ExchangeKey;
 use crate::header_names as names;
 use crate::node::Node;
 use crate::socket::{Reading, Socket};
@@ -23,8 +24,8 @@
 /// Whose call a connection carries.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CallOwner {
-    /// A client's request, by its place among the exchanges.
-    Exchange(usize),
+    /// A client's request.
+    Exchange(ExchangeKey),
     /// An item of a batch job, by the number of its run.
     Item(u64),
 }
@@ -309,7 +310,7 @@
     }
 
     fn upstream_answer_done(&mut self, index: usize) {
-        let Some((_, upstream)) = self.upstream_mut(index) else { return };
+        let Some((socket, upstream)) = self.upstream_mut(index) else { return };
         if let State::Body { surplus: true, .. } = upstream.state {
             upstream.state = State::AwaitingHead;
             if upstream.closes {
@@ -320,7 +321,8 @@
         upstream.state = State::Idle;
         let owner = upstream.owner.take();
         let instance = upstream.target.instance.clone();
-        if upstream.closes {
+        // An executor may answer before it has read the whole request, and then wait for the rest of it.
+        if upstream.closes || socket.waiting() > 0 {
             self.close(index);
         } else {
             self.idle_upstreams.entry(instance).or_default().push(index);
@@ -362,7 +364,7 @@
 
     fn deliver(&mut self, owner: CallOwner, event: UpstreamEvent<'_>) {
         match owner {
-            CallOwner::Exchange(exchange) => self.exchange_event(exchange, event),
+            CallOwner::Exchange(key) => self.exchange_event(key, event),
             CallOwner::Item(run) => self.item_event(run, event),
         }
     }
