A change that is too old to be remembered gets no clear answer, never a refusal

Cause: the register remembers 512 taken changes; the repeat of an older one was refused with 412 though it had been taken.

--- a/crates/catalog/src/register/answer.rs
+++ b/crates/catalog/src/register/answer.rs
@@ -25,13 +25,13 @@
 }
 
 impl Verdict {
-    /// The answer that follows at once; none while the change is to be proposed or is undecided.
+    /// The answer that follows at once; none while the change is to be proposed or is undecided, or if none is known.
     pub const fn answer(self) -> Option<Answer> {
         match self {
             Verdict::AlreadyTaken => Some(Answer::Acknowledged),
             Verdict::OtherVersionIsCurrent => Some(Answer::OtherVersion),
             Verdict::NotAbove => Some(Answer::Invalid),
-            Verdict::Take | Verdict::Undecided => None,
+            Verdict::Take | Verdict::Undecided | Verdict::TooOld => None,
         }
     }
 }
--- a/crates/catalog/src/register/mod.rs
+++ b/crates/catalog/src/register/mod.rs
@@ -23,7 +23,7 @@
 pub use snapshot::SnapshotError;
 
 /// How many taken changes are remembered, so that one sent again is known. A call is repeated for seconds, and
-/// there are few changes a second at most.
+/// there are few changes a second at most. A repeat of an older one gets no clear answer ([`Verdict::TooOld`]).
 pub const MAX_HISTORY: usize = 512;
 
 /// The configuration in force, and the changes that led to it.
@@ -46,6 +46,8 @@
     AlreadyTaken,
     /// Another version than its base is current; this is committed.
     OtherVersionIsCurrent,
+    /// It may have been taken before the oldest change that is remembered, or not: nothing can be said of it.
+    TooOld,
     /// It builds on the current version but its own isn't above it: invalid.
     NotAbove,
     /// A change is proposed and not yet committed, and it decides this one (it may be the same). Judge anew once
@@ -93,6 +95,8 @@
     pub fn judge(&self, change: &Change, pending: &Pending) -> Verdict {
         if self.was_taken(change) {
             Verdict::AlreadyTaken
+        } else if self.may_be_forgotten(change) {
+            Verdict::TooOld
         } else if change.base < self.version {
             Verdict::OtherVersionIsCurrent
         } else if change.version <= change.base {
@@ -124,6 +128,12 @@
         Applied::Taken
     }
 
+    /// Whether a change that is not remembered may have been taken all the same, before the oldest one that is.
+    fn may_be_forgotten(&self, change: &Change) -> bool {
+        let oldest_base = self.history.front().map_or(0, |oldest| oldest.base);
+        change.base < change.version && change.version <= oldest_base
+    }
+
     /// Versions rise along the history, so it is searched by halves.
     fn was_taken(&self, change: &Change) -> bool {
         let found = self.history.binary_search_by_key(&change.version, |taken| taken.version);
--- a/crates/tier/src/configuration_part.rs
+++ b/crates/tier/src/configuration_part.rs
@@ -96,8 +96,10 @@
             }
             Verdict::Undecided => host.deferred.push(waiter),
             verdict => {
-                let status = verdict.answer().map_or(503, |answer| answer.status());
-                self.reply(waiter.peer, waiter.number, Reply::Answer { status, body: b"{}".to_vec() });
+                let answer = verdict.answer().map(|answer| answer.status());
+                let reply =
+                    answer.map_or(Reply::Unclear, |status| Reply::Answer { status, body: b"{}".to_vec() });
+                self.reply(waiter.peer, waiter.number, reply);
             }
         }
     }
