Executors known only from a disk are not relied on when nodes count as in touch

Cause: the hint on disk names executors that said they leave within the two seconds before a loss of all power; one that sends no draining heartbeat but Deregister calls no more, and stood as up until 3.9 s after the restart, while nodes count as in touch after 3 s (contact_ms).

--- a/crates/registry/src/executors.rs
+++ b/crates/registry/src/executors.rs
@@ -36,6 +36,8 @@
     quiet_since: Option<Moment>,
     /// The state that this node has told everyone, with confirmation.
     told_state: ExecutorState,
+    /// Whether all that is known of it is what an earlier process of this node kept on its disk.
+    recalled: bool,
 }
 
 impl Entry {
@@ -47,6 +49,7 @@
             orphan_since: None,
             quiet_since: None,
             told_state: ExecutorState::Up,
+            recalled: false,
             shown: executor,
         }
     }
@@ -59,6 +62,7 @@
         if executor.heard_by != self.shown.heard_by {
             self.last_beat = now;
         }
+        self.recalled &= executor.call_seq <= self.latest_call;
         self.latest_call = self.latest_call.max(executor.call_seq);
         self.told_silent = executor.silent;
         self.orphan_since = None;
@@ -113,6 +117,17 @@
         }
     }
 
+    /// Notes that an executor is known from the disk only.
+    pub(crate) fn set_recalled(&mut self, id: &str) {
+        if let Some(entry) = self.entries.get_mut(id) {
+            entry.recalled = true;
+        }
+    }
+
+    pub(crate) fn is_only_recalled(&self, id: &str) -> bool {
+        self.entries.get(id).is_some_and(|entry| entry.recalled && entry.shown.silent)
+    }
+
     /// Leaves a span out of all waits.
     pub(crate) fn shift(&mut self, by: Span) {
         for entry in self.entries.values_mut() {
@@ -187,6 +202,7 @@
         if let Some(entry) = self.executors.entries.get_mut(&id) {
             entry.latest_call = entry.latest_call.max(fresh.call_seq);
             entry.last_beat = now;
+            entry.recalled = false;
         }
     }
 
@@ -287,7 +303,8 @@
             return;
         }
         self.executors.next_scan = now + SCAN;
-        let bound = self.timings.executor_silence();
+        let (heard_bound, recalled_bound) =
+            (self.timings.executor_silence(), self.timings.recalled_executor_silence());
         let retention = self.timings.executor_retention;
         // Few nodes see to many executors, so that a look at each of them costs more than one at each node.
         let members = self.members.values().map(|entry| &entry.member);
@@ -298,6 +315,7 @@
             let owner_lives = serving.contains(entry.shown.heard_by.as_str());
             let own = entry.shown.heard_by == self.own_name;
             let was_silent = entry.shown.silent;
+            let bound = if entry.recalled { recalled_bound } else { heard_bound };
             if own && !was_silent && entry.shown.exists() && now.since(entry.last_beat) > bound {
                 silent.push(id.clone());
             }
--- a/crates/registry/src/recall.rs
+++ b/crates/registry/src/recall.rs
@@ -23,6 +23,12 @@
         out.bytes
     }
 
+    /// Whether an executor is known only from an earlier process of this node, and has not been heard for so long since that
+    /// it may have said meanwhile that it leaves.
+    pub fn is_only_recalled(&self, id: &str) -> bool {
+        self.executors.is_only_recalled(id)
+    }
+
     /// Takes over what an earlier process of this node remembered. It merges like what any node tells: each next
     /// heartbeat of an executor is newer, and one that doesn't come leaves it silent.
     ///
@@ -37,7 +43,11 @@
         let executors: Vec<Executor> = input.list("remembered executors", MOST_REMEMBERED)?;
         let count = executors.len();
         for executor in executors {
+            let (id, known) = (executor.id.clone(), self.executor(&executor.id).is_some());
             self.merge_executor(now, executor);
+            if !known {
+                self.executors.set_recalled(&id);
+            }
         }
         Ok(count)
     }
--- a/crates/registry/tests/executors.rs
+++ b/crates/registry/tests/executors.rs
@@ -271,3 +271,37 @@
         && executor.call_seq == 40));
     assert!(fleet.all_show_same_executors());
 }
+
+/// A fleet whose nodes all restart, the first of them with what it had kept of an executor.
+fn restarted_with_a_hint() -> (Fleet, HeartbeatReport) {
+    let mut fleet = Fleet::settled(14, 1);
+    let first = report("i-1", 0);
+    fleet.heartbeat(4, &first);
+    fleet.run(Span::millis(200));
+    let kept = fleet.registry(4).remember();
+    (0..14).for_each(|index| fleet.kill(index));
+    (0..14).for_each(|index| fleet.start(index));
+    let now = fleet.now;
+    fleet.with(4, |registry| registry.recall(now, &kept)).expect("what was kept can be read");
+    (fleet, first)
+}
+
+#[test]
+fn an_executor_that_is_only_remembered_is_not_relied_on_for_as_long_as_nodes_need_to_be_in_touch() {
+    // Given a tier that has lost all power, with an executor on a disk which had meanwhile said that it leaves,
+    let (mut fleet, _) = restarted_with_a_hint();
+    fleet.run(Span::millis(2_000));
+    assert!(shown(&fleet, 4, "i-1").is_some_and(|executor| !executor.silent));
+    // when it does not call again, then nothing is sent to it by the time that nodes count as in touch.
+    fleet.run(Span::millis(1_000));
+    assert!(fleet.registry(4).is_only_recalled("i-1"));
+    assert!(all_show(&fleet, "i-1", |executor| executor.silent));
+}
+
+#[test]
+fn an_executor_that_is_remembered_and_calls_again_is_relied_on() {
+    let (mut fleet, mut last) = restarted_with_a_hint();
+    beat_on(&mut fleet, 4, &mut last, 3);
+    assert!(!fleet.registry(4).is_only_recalled("i-1"));
+    assert!(all_show(&fleet, "i-1", |executor| !executor.silent));
+}
