Retirements rest on what all owners say; spares that don't catch up are passed over

Cause, by reading: an edge node that was cut off or had just started answered 404 to an order about a machine it had not heard of; 409 counted machines that are away for a moment as gone; complete was said while the group without the machine was not yet decided, or rested on a voter that is away or that nobody can name (a former identity of the emptied machine), so that the next loss could leave no quorum; a spare that lives and never catches up was chosen again and again; a stopping owner whose heir did not take over kept the part until its end. Change: crates/tier/src/retire.rs (out of control.rs and batch_part.rs): 404 only if the owners of all parts say so, 503 while a machine may return, complete only when the decided group's voters all live elsewhere; GroupCare passes over who was waited for in vain; hand-overs are tried again, to voters that stay.

--- a/crates/quorum/src/replica/change.rs
+++ b/crates/quorum/src/replica/change.rs
@@ -174,14 +174,27 @@
         Ok(target)
     }
 
-    /// The voter that is furthest, of equals the one that answered last.
-    fn best_heir(&self) -> Option<ReplicaId> {
-        let followers = &self.ownership()?.followers;
+    /// Whether the ownership is being handed over.
+    pub fn is_handing_over(&self) -> bool {
+        self.ownership().is_some_and(|ownership| ownership.hand_over.is_some())
+    }
+
+    /// The voters that could take the ownership over, the one that is furthest first, of equals the one that answered last;
+    /// none where this replica is not the owner.
+    pub fn heirs(&self) -> Vec<ReplicaId> {
+        let Some(ownership) = self.ownership() else { return Vec::new() };
         let rank = |voter: &ReplicaId| {
-            followers.get(voter).map_or((Index(0), None), |follower| (follower.matched, follower.answered))
+            let follower = ownership.followers.get(voter);
+            follower.map_or((Index(0), None), |follower| (follower.matched, follower.answered))
         };
         let others = self.group().voters.iter().filter(|voter| **voter != self.identity);
-        others.copied().max_by_key(rank)
+        let mut heirs: Vec<ReplicaId> = others.copied().collect();
+        heirs.sort_by_key(|voter| std::cmp::Reverse(rank(voter)));
+        heirs
+    }
+
+    fn best_heir(&self) -> Option<ReplicaId> {
+        self.heirs().first().copied()
     }
 
     /// Tells the target to take over once it has everything. From then on the lease is over for the rest of the term.
--- a/crates/registry/src/registry.rs
+++ b/crates/registry/src/registry.rs
@@ -226,6 +226,11 @@
         Some(&self.members.get(name)?.member)
     }
 
+    /// Since when this node holds the node of this name for what it is now.
+    pub fn state_since(&self, name: &str) -> Option<Moment> {
+        Some(self.members.get(name)?.changed)
+    }
+
     /// The node with this disk; of two the one that runs, then the later one.
     pub fn member_by_replica(&self, replica: u64) -> Option<&Member> {
         self.members()
--- a/crates/simulation/tests/judge.rs
+++ b/crates/simulation/tests/judge.rs
@@ -228,7 +228,7 @@
     // Another machine is in trouble, so that only the operators' rule binds.
     judge.trouble(4, at(9_000), at(9_500), false);
     let leaving = judge.leaves(at(9_000));
-    judge.drain_acknowledged("i-1", leaving, 3, at(10_000));
+    judge.drain_acknowledged("i-1", leaving, at(10_000));
     sent(&mut judge, "x", Kind::Once, 11_900);
     runs(&mut judge, "x", "plain", 11_950);
     assert_eq!(rules(&judge), []);
@@ -241,7 +241,7 @@
 fn a_request_that_was_sent_after_all_should_know_of_a_drain() {
     let mut judge = judge();
     let leaving = judge.leaves(at(9_000));
-    judge.drain_acknowledged("i-1", leaving, 3, at(10_000));
+    judge.drain_acknowledged("i-1", leaving, at(10_000));
     // One that was under way is let through,
     sent(&mut judge, "x", Kind::Once, 9_999);
     runs(&mut judge, "x", "plain", 10_010);
@@ -257,7 +257,7 @@
     let mut judge = judge();
     judge.trouble(4, at(8_000), at(9_500), false);
     let leaving = judge.leaves(at(9_000));
-    judge.drain_acknowledged("i-1", leaving, 3, at(10_000));
+    judge.drain_acknowledged("i-1", leaving, at(10_000));
     sent(&mut judge, "y", Kind::Once, 10_001);
     runs(&mut judge, "y", "plain", 10_010);
     assert_eq!(rules(&judge), []);
--- a/crates/tier/src/batch_part.rs
+++ b/crates/tier/src/batch_part.rs
@@ -3,13 +3,12 @@
 use crate::messages::{Reply, SubmitJob};
 use crate::node::{Node, RunError};
 use crate::page_size::most_page_bytes;
-use crate::parts::{Application, Waiter, class_of_part};
+use crate::parts::{Application, Waiter};
 use crate::timers::Timer;
 use grebeusher_archive::{
     Admission, Applied, Entry, JobId, JobTerms, Jobs, Owner, Runner, SharedBytes, SnapshotError, Submission,
 };
 use grebeusher_quorum::Blob;
-use grebeusher_registry::MemberState;
 use grebeusher_time::{Moment, Span};
 use nanoserde::{DeBin, DeBinErr, SerBin};
 use snafu::{OptionExt, ResultExt, Snafu};
@@ -19,7 +18,7 @@
 /// The tag of an entry of the jobs' state machine.
 const JOBS_ENTRY: u8 = 1;
 /// The tag of an entry that says that a node is to be emptied.
-const RETIRE_ENTRY: u8 = 2;
+pub(crate) const RETIRE_ENTRY: u8 = 2;
 
 /// A read that waits for a result.
 struct HeldRead {
@@ -33,7 +32,7 @@
 pub struct BatchPart {
     jobs: Jobs,
     /// Nodes that are to be emptied, by name.
-    retiring: BTreeSet<String>,
+    pub(crate) retiring: BTreeSet<String>,
     owner: Owner,
     most_cost: usize,
     pub(crate) runner: Runner,
@@ -390,55 +389,6 @@
         }
     }
 
-    pub(crate) fn begin_retire_at_owner(&mut self, waiter: Waiter, number: u8, node: &str) {
-        let now = self.now;
-        let Some(place) = self.owned_place(number, waiter) else { return };
-        let class = class_of_part(number);
-        let wanted = self.group_size();
-        let Some(part) = self.batch_mut(place) else { return };
-        if part.retiring.contains(node) {
-            return self.reply(waiter.peer, waiter.number, Reply::Done);
-        }
-        let retiring = part.retiring.clone();
-        let remain = self.registry.members().filter(|member| {
-            member.class == class
-                && matches!(member.state, MemberState::Alive | MemberState::Suspect)
-                && member.replica.is_some()
-                && member.name != node
-                && !retiring.contains(&member.name)
-        });
-        if remain.count() < wanted {
-            return self.reply(waiter.peer, waiter.number, Reply::Answer { status: 409, body: Vec::new() });
-        }
-        let mut entry = vec![RETIRE_ENTRY];
-        entry.extend_from_slice(node.as_bytes());
-        if self.parts[place].propose(now, entry, Some(waiter)).is_none() {
-            self.reply(waiter.peer, waiter.number, Reply::Unavailable);
-        }
-    }
-
-    /// 200: the part's data has left the node; 202: not yet.
-    pub(crate) fn show_retire_at_owner(&mut self, waiter: Waiter, number: u8, node: &str) {
-        let Some(place) = self.owned_place(number, waiter) else { return };
-        let replica = self.registry.member(node).and_then(|member| member.replica);
-        let group = self.parts[place].replica.group().clone();
-        let Some(part) = self.batch_mut(place) else { return };
-        let asked = part.retiring.contains(node);
-        let there = replica.is_some_and(|replica| group.names(grebeusher_quorum::ReplicaId(replica)));
-        let settled = !group.is_joint() && self.parts[place].replica.pending_change().is_none();
-        let reply = if asked && !there && settled {
-            Reply::Done
-        } else {
-            Reply::Answer { status: 202, body: Vec::new() }
-        };
-        self.reply(waiter.peer, waiter.number, reply);
-    }
-
-    /// The nodes that a part's data is to leave.
-    pub(crate) fn retiring_nodes(&mut self, place: usize) -> Vec<String> {
-        self.batch_mut(place).map(|part| part.retiring.iter().cloned().collect()).unwrap_or_default()
-    }
-
     /// When an owner's runner next has something to do by itself.
     pub(crate) fn runner_wake(&self, place: usize) -> Option<Moment> {
         match &self.parts.get(place)?.application {
--- a/crates/tier/src/calls.rs
+++ b/crates/tier/src/calls.rs
@@ -339,7 +339,7 @@
             Continuation::FirstConfiguration => self.fetched_configuration(reply, true),
             Continuation::Founding { part, voter } => self.founding_reply(part, voter, &reply),
             Continuation::Forwarded { peer, number } => self.reply(peer, number, reply),
-            Continuation::Retire { gathering } => self.retire_reply(gathering, reply),
+            Continuation::Retire { gathering } => self.retire_reply(gathering, &reply),
         }
     }
 
--- a/crates/tier/src/control.rs
+++ b/crates/tier/src/control.rs
@@ -5,6 +5,7 @@
 use crate::header_names as names;
 use crate::messages::{Call, Reply};
 use crate::node::Node;
+use crate::retire::RetireQuestion;
 use grebeusher_catalog::configuration::Configuration;
 use grebeusher_registry::{Answer, HeartbeatReport};
 use grebeusher_time::Span;
@@ -20,20 +21,9 @@
 /// From this size on a configuration is large (bytes).
 const LARGE_CONFIGURATION: usize = 256 * 1024;
 
-const JSON: (&str, &str) = ("Content-Type", "application/json");
+pub(crate) const JSON: (&str, &str) = ("Content-Type", "application/json");
 const TEXT: (&str, &str) = ("Content-Type", "text/plain");
 
-/// A question that every batch part has to answer.
-pub struct RetireGathering {
-    connection: usize,
-    serial: u64,
-    begins: bool,
-    waiting: usize,
-    /// The worst status so far.
-    status: u16,
-    complete: bool,
-}
-
 impl Node {
     /// The platform's check.
     pub fn readiness_request(&mut self, connection: usize, request: &ClientRequest) {
@@ -57,8 +47,12 @@
             ("POST", ["api", "Instances.Deregister", id]) => self.deregister(connection, serial, id),
             ("POST", ["api", "Configuration.Replace"]) => self.replace(connection, serial, request),
             ("GET", ["api", "Configuration.Show"]) => self.show(connection, serial),
-            ("POST", ["api", "Retire.Begin", node]) => self.retire(connection, serial, node, true),
-            ("GET", ["api", "Retire.Show", node]) => self.retire(connection, serial, node, false),
+            ("POST", ["api", "Retire.Begin", node]) => {
+                self.retire(connection, serial, node, RetireQuestion::Begin)
+            }
+            ("GET", ["api", "Retire.Show", node]) => {
+                self.retire(connection, serial, node, RetireQuestion::Show)
+            }
             ("GET", ["api", "readiness"]) => self.readiness_request(connection, &request),
             ("GET", ["api", "status"]) => {
                 let body = self.status_text();
@@ -175,51 +169,6 @@
         };
         self.answer(connection, serial, answer);
     }
-
-    fn retire(&mut self, connection: usize, serial: u64, node: &str, begins: bool) {
-        if !self.knows_storage_node(node) {
-            return self.answer(connection, serial, http::answer(404, &[], b""));
-        }
-        if self.refuse_call_if_too_late(connection, OPERATOR_WAITS) {
-            return;
-        }
-        let parts = self.batch_parts();
-        let gathering =
-            RetireGathering { connection, serial, begins, waiting: parts.len(), status: 200, complete: true };
-        let number = self.next_serial();
-        self.gatherings.insert(number, gathering);
-        for part in parts {
-            let node = node.to_owned();
-            let call =
-                if begins { Call::BeginRetire { part, node } } else { Call::ShowRetire { part, node } };
-            let until = self.now + OPERATOR_WAITS;
-            self.call_owner(part, call, until, Continuation::Retire { gathering: number });
-        }
-    }
-
-    /// One part has said something about a storage node that is to be emptied.
-    pub fn retire_reply(&mut self, number: u64, reply: Reply) {
-        let Some(gathering) = self.gatherings.get_mut(&number) else { return };
-        gathering.waiting -= 1;
-        match reply {
-            Reply::Done => {}
-            Reply::Answer { status: 202, .. } => gathering.complete = false,
-            Reply::Answer { status, .. } => gathering.status = gathering.status.max(status),
-            _ => gathering.status = gathering.status.max(503),
-        }
-        if gathering.waiting > 0 {
-            return;
-        }
-        let Some(gathering) = self.gatherings.remove(&number) else { return };
-        let state = if gathering.complete { "complete" } else { "active" };
-        let body = if gathering.begins || gathering.status != 200 {
-            "{}".to_owned()
-        } else {
-            format!("{{\"state\":\"{state}\"}}")
-        };
-        let answer = http::answer(gathering.status, &[JSON], body.as_bytes());
-        self.answer(gathering.connection, gathering.serial, answer);
-    }
 }
 
 /// The path of a request's target, without its query.
--- a/crates/tier/src/dispatch.rs
+++ b/crates/tier/src/dispatch.rs
@@ -114,9 +114,4 @@
     pub fn batch_parts(&self) -> Vec<u8> {
         (1..=crate::batch_front::BATCH_PARTS).collect()
     }
-
-    /// Whether a name is that of a machine that keeps data, dead ones of late included.
-    pub fn knows_storage_node(&self, name: &str) -> bool {
-        self.registry.member(name).is_some_and(|member| member.class == grebeusher_registry::Class::Storage)
-    }
 }
--- a/crates/tier/src/group_care.rs
+++ b/crates/tier/src/group_care.rs
@@ -15,6 +15,8 @@
 /// A voter whose node is not there for this long makes room for another. Its node has then been silent for over two
 /// seconds; a group that waits for longer may meet the next loss without having been mended from the first.
 const ABSENT_FOR: Span = Span::millis(800);
+/// A node that a change of a group waited for in vain is passed over for this long, while there are others.
+const PASSED_OVER_FOR: Span = Span::millis(10_000);
 /// How often the log tells of a replica whose term and group stay.
 const TELL_EVERY: Span = Span::millis(1000);
 
@@ -23,6 +25,10 @@
 pub struct GroupCare {
     /// Since when voters are absent, as this owner sees it.
     absent_since: BTreeMap<ReplicaId, Moment>,
+    /// The nodes that the change which was begun last takes in.
+    joining: Vec<ReplicaId>,
+    /// Nodes that changes waited for in vain, and until when they are passed over.
+    passed_over: BTreeMap<ReplicaId, Moment>,
     /// The term and group that the log was last told of.
     told: (Term, Index),
     told_at: Moment,
@@ -32,6 +38,32 @@
     /// Begins anew, as the ownership has ended.
     pub fn forget_absences(&mut self) {
         self.absent_since.clear();
+        self.joining.clear();
+        self.passed_over.clear();
+    }
+
+    /// A change to these voters is begun.
+    pub fn begun(&mut self, voters: &[ReplicaId], next: &[ReplicaId]) {
+        self.joining = next.iter().copied().filter(|voter| !voters.contains(voter)).collect();
+    }
+
+    /// No change is under way: a node that the last one was to take in and that is no voter did not catch up, though it
+    /// lives. Guards against waiting for it again and again while others could step in.
+    pub fn settle(&mut self, now: Moment, voters: &[ReplicaId]) {
+        let in_vain = std::mem::take(&mut self.joining).into_iter().filter(|node| !voters.contains(node));
+        self.passed_over.extend(in_vain.map(|node| (node, now + PASSED_OVER_FOR)));
+        self.passed_over.retain(|_, until| now < *until);
+    }
+
+    /// The candidates without those that are passed over; all of them if no other could join the voters.
+    pub fn usable(&self, voters: &[ReplicaId], alive: Vec<Candidate>) -> Vec<Candidate> {
+        let replica = |candidate: &Candidate| ReplicaId(candidate.replica);
+        let is_voter = |candidate: &Candidate| voters.contains(&replica(candidate));
+        let kept = |candidate: &&Candidate| {
+            is_voter(candidate) || !self.passed_over.contains_key(&replica(candidate))
+        };
+        let usable: Vec<Candidate> = alive.iter().filter(kept).cloned().collect();
+        if usable.iter().all(is_voter) { alive } else { usable }
     }
 
     /// The voters that none of the living has been for long.
@@ -62,6 +94,10 @@
                 self.forget_old_jobs(place);
             }
         }
+        if self.stopping() {
+            // An heir that did not take over, or one that handed the part back, must not keep it here until the end.
+            self.hand_over_parts();
+        }
     }
 
     /// A line of the log for each change of a replica's term or group, and one a second.
@@ -97,12 +133,15 @@
             return;
         }
         let voters = replica.group().voters.clone();
+        self.parts[place].care.settle(now, &voters);
         let alive = self.candidates(place);
+        let alive = self.parts[place].care.usable(&voters, alive);
         let lost = self.lost_voters(place, &voters, &alive);
         let wanted = self.group_size();
         let Some(next) = next_voters(&voters, &lost, &alive, wanted, self.identity) else { return };
         let part = self.parts[place].part;
         info!("part {part}: the group changes from {voters:?} to {next:?}");
+        self.parts[place].care.begun(&voters, &next);
         if let Err(error) = self.parts[place].replica.change_group(now, next) {
             warn!("part {part}: the group can't change now: {error}");
         }
--- a/crates/tier/src/lib.rs
+++ b/crates/tier/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod placement;
 pub mod popularity;
 pub mod remembered;
+pub mod retire;
 pub mod routing;
 pub mod server;
 pub mod show;
--- a/crates/tier/src/node.rs
+++ b/crates/tier/src/node.rs
@@ -2,7 +2,6 @@
 
 use crate::calls::PendingCall;
 use crate::configuration::ActiveConfiguration;
-use crate::control::RetireGathering;
 use crate::exchange::Exchange;
 use crate::founding::Founder;
 use crate::io::{Listener, SharedWorld, World};
@@ -12,6 +11,7 @@
 use crate::parts::PartHost;
 use crate::peers::{IncomingLink, OutgoingLink};
 use crate::remembered::Remembered;
+use crate::retire::RetireGathering;
 use crate::routing::Routing;
 use crate::server::{Entrance, ServerConnection, first_limits};
 use crate::socket::Socket;
--- a/crates/tier/src/parts.rs
+++ b/crates/tier/src/parts.rs
@@ -9,7 +9,7 @@
 use crate::node::{Node, RunError};
 use crate::owners::{OwnedPart, OwnedParts};
 use grebeusher_quorum::{Blob, Index, Replica, ReplicaId, Term, Timing, Write};
-use grebeusher_registry::Class;
+use grebeusher_registry::{Class, MemberState};
 use grebeusher_time::{Moment, Span};
 use nanoserde::{DeBin, SerBin};
 use std::collections::BTreeMap;
@@ -343,15 +343,26 @@
     pub fn hand_over_parts(&mut self) {
         let now = self.now;
         for place in 0..self.parts.len() {
-            if self.parts[place].owns {
-                self.checkpoint_batch(place);
-                if let Err(error) = self.parts[place].replica.hand_over(now, None) {
-                    warn!("part {}: not handed over: {error}", self.parts[place].part);
-                }
+            if !self.parts[place].owns || self.parts[place].replica.is_handing_over() {
+                continue;
+            }
+            self.checkpoint_batch(place);
+            let heir = self.staying_heir(place);
+            if let Err(error) = self.parts[place].replica.hand_over(now, heir) {
+                warn!("part {}: not handed over: {error}", self.parts[place].part);
             }
         }
     }
 
+    /// The voter that is furthest of those whose nodes run and are not about to end, if there is one.
+    fn staying_heir(&self, place: usize) -> Option<ReplicaId> {
+        let stays = |heir: &ReplicaId| {
+            let member = self.registry.member_by_replica(heir.0);
+            member.is_some_and(|member| member.state == MemberState::Alive)
+        };
+        self.parts[place].replica.heirs().into_iter().find(stays)
+    }
+
     /// The internal address of the node with a disk identity.
     pub fn address_of_replica(&self, replica: u64) -> Option<SocketAddrV4> {
         self.registry.member_by_replica(replica).map(|member| member.address)
--- /dev/null
+++ b/crates/tier/src/retire.rs
@@ -0,0 +1,259 @@
+//! Emptying a storage machine: the operator's calls at an edge node, and what the owner of each batch part says to them.
+//!
+//! A refusal rests on what the proven owners of all parts say, not on what one node has heard of the others: a node that was
+//! cut off or has just started knows few machines. Whoever can't be sure says 503.
+
+use crate::batch_part::RETIRE_ENTRY;
+use crate::calls::Continuation;
+use crate::control::{JSON, OPERATOR_WAITS};
+use crate::messages::{Call, Reply};
+use crate::node::Node;
+use crate::parts::{Waiter, class_of_part};
+use grebeusher_quorum::{Replica, ReplicaId};
+use grebeusher_registry::{Class, MemberState};
+use grebeusher_time::Span;
+use grebeusher_transport::http;
+use tracing::info;
+
+/// A machine that is away for less than this may be back: it counts neither as there nor as gone.
+const MAY_RETURN_WITHIN: Span = Span::millis(20_000);
+
+/// What the operator asks about a storage machine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RetireQuestion {
+    /// `Retire.Begin`.
+    Begin,
+    /// `Retire.Show`.
+    Show,
+}
+
+/// What the owner of one part says.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PartVerdict {
+    /// The order is taken, or the part's data has left the machine.
+    Done,
+    /// The part's data is still there.
+    NotYet,
+    /// The owner knows no such machine.
+    Unknown,
+    /// Too few machines would be left.
+    TooFew,
+    /// Nothing, or nothing for sure.
+    Unsure,
+}
+
+impl PartVerdict {
+    /// The verdict that a reply carries.
+    pub fn of(reply: &Reply) -> PartVerdict {
+        match reply {
+            Reply::Done | Reply::Answer { status: 200, .. } => PartVerdict::Done,
+            Reply::Answer { status: 202, .. } => PartVerdict::NotYet,
+            Reply::Answer { status: 404, .. } => PartVerdict::Unknown,
+            Reply::Answer { status: 409, .. } => PartVerdict::TooFew,
+            _ => PartVerdict::Unsure,
+        }
+    }
+}
+
+/// What the verdicts of all parts come to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RetireOutcome {
+    /// The order is taken.
+    Taken,
+    /// The machine is being emptied.
+    Active,
+    /// The machine is empty.
+    Complete,
+    /// There is no such machine.
+    NoSuchMachine,
+    /// Too few machines would be left.
+    TooFew,
+    /// It is to be asked again.
+    Unsure,
+}
+
+/// What the verdicts of all parts come to. `known_here`: whether this node has heard of the machine itself.
+pub fn gathered(question: RetireQuestion, verdicts: &[PartVerdict], known_here: bool) -> RetireOutcome {
+    let any = |wanted: PartVerdict| verdicts.contains(&wanted);
+    let all = |wanted: PartVerdict| verdicts.iter().all(|verdict| *verdict == wanted);
+    if any(PartVerdict::Unsure) || verdicts.is_empty() {
+        return RetireOutcome::Unsure;
+    }
+    if all(PartVerdict::Unknown) && !known_here {
+        return RetireOutcome::NoSuchMachine;
+    }
+    if any(PartVerdict::Unknown) {
+        return RetireOutcome::Unsure;
+    }
+    if any(PartVerdict::TooFew) {
+        return RetireOutcome::TooFew;
+    }
+    match question {
+        RetireQuestion::Begin => RetireOutcome::Taken,
+        RetireQuestion::Show if all(PartVerdict::Done) => RetireOutcome::Complete,
+        RetireQuestion::Show => RetireOutcome::Active,
+    }
+}
+
+/// A question that every batch part has to answer.
+pub struct RetireGathering {
+    connection: usize,
+    serial: u64,
+    question: RetireQuestion,
+    known_here: bool,
+    parts: usize,
+    verdicts: Vec<PartVerdict>,
+}
+
+/// How many machines would be left for a part.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Remaining {
+    there: usize,
+    /// Of those that are away for a short time.
+    may_return: usize,
+}
+
+impl Node {
+    /// An operator's call about a storage machine.
+    pub(crate) fn retire(&mut self, connection: usize, serial: u64, node: &str, question: RetireQuestion) {
+        if self.refuse_call_if_too_late(connection, OPERATOR_WAITS) {
+            return;
+        }
+        let parts = self.batch_parts();
+        let known_here = self.knows_storage_node(node);
+        let gathering = RetireGathering {
+            connection,
+            serial,
+            question,
+            known_here,
+            parts: parts.len(),
+            verdicts: Vec::new(),
+        };
+        let number = self.next_serial();
+        self.gatherings.insert(number, gathering);
+        for part in parts {
+            let node = node.to_owned();
+            let call = match question {
+                RetireQuestion::Begin => Call::BeginRetire { part, node },
+                RetireQuestion::Show => Call::ShowRetire { part, node },
+            };
+            let until = self.now + OPERATOR_WAITS;
+            self.call_owner(part, call, until, Continuation::Retire { gathering: number });
+        }
+    }
+
+    /// One part has said something about a storage machine that is to be emptied.
+    pub fn retire_reply(&mut self, number: u64, reply: &Reply) {
+        let Some(gathering) = self.gatherings.get_mut(&number) else { return };
+        gathering.verdicts.push(PartVerdict::of(reply));
+        if gathering.verdicts.len() < gathering.parts {
+            return;
+        }
+        let Some(gathering) = self.gatherings.remove(&number) else { return };
+        let outcome = gathered(gathering.question, &gathering.verdicts, gathering.known_here);
+        let (status, body): (u16, &[u8]) = match outcome {
+            RetireOutcome::Taken => (200, b"{}"),
+            RetireOutcome::Active => (200, b"{\"state\":\"active\"}"),
+            RetireOutcome::Complete => (200, b"{\"state\":\"complete\"}"),
+            RetireOutcome::NoSuchMachine => (404, b"{}"),
+            RetireOutcome::TooFew => (409, b"{}"),
+            RetireOutcome::Unsure => (503, b"{}"),
+        };
+        self.answer(gathering.connection, gathering.serial, http::answer(status, &[JSON], body));
+    }
+
+    /// Whether a name is that of a machine that keeps data, dead ones of late included.
+    fn knows_storage_node(&self, name: &str) -> bool {
+        self.registry.member(name).is_some_and(|member| member.class == Class::Storage)
+    }
+
+    pub(crate) fn begin_retire_at_owner(&mut self, waiter: Waiter, number: u8, node: &str) {
+        let now = self.now;
+        let Some(place) = self.owned_place(number, waiter) else { return };
+        let refused = |status| Reply::Answer { status, body: Vec::new() };
+        let Some(part) = self.batch_mut(place) else { return };
+        if part.retiring.contains(node) {
+            return self.reply(waiter.peer, waiter.number, Reply::Done);
+        }
+        if !self.knows_storage_node(node) {
+            return self.reply(waiter.peer, waiter.number, refused(404));
+        }
+        let wanted = self.group_size();
+        let remaining = self.remaining_without(place, node);
+        if remaining.there < wanted {
+            let may_be_enough = remaining.there + remaining.may_return >= wanted;
+            let reply = if may_be_enough { Reply::Unavailable } else { refused(409) };
+            return self.reply(waiter.peer, waiter.number, reply);
+        }
+        let mut entry = vec![RETIRE_ENTRY];
+        entry.extend_from_slice(node.as_bytes());
+        if self.parts[place].propose(now, entry, Some(waiter)).is_none() {
+            self.reply(waiter.peer, waiter.number, Reply::Unavailable);
+        }
+    }
+
+    /// The machines that could hold a part when one more is emptied.
+    fn remaining_without(&mut self, place: usize, node: &str) -> Remaining {
+        let class = class_of_part(self.parts[place].part);
+        let retiring = self.retiring_nodes(place);
+        let others = self.registry.members().filter(|member| {
+            member.class == class
+                && member.replica.is_some()
+                && member.name != node
+                && !retiring.contains(&member.name)
+        });
+        let mut remaining = Remaining { there: 0, may_return: 0 };
+        for member in others {
+            let since = self.registry.state_since(&member.name).unwrap_or(self.now);
+            match member.state {
+                MemberState::Alive | MemberState::Suspect => remaining.there += 1,
+                _ if self.now.since(since) < MAY_RETURN_WITHIN => remaining.may_return += 1,
+                _ => {}
+            }
+        }
+        remaining
+    }
+
+    /// 200: the part's data has left the node; 202: not yet.
+    pub(crate) fn show_retire_at_owner(&mut self, waiter: Waiter, number: u8, node: &str) {
+        let Some(place) = self.owned_place(number, waiter) else { return };
+        let asked = self.retiring_nodes(place).iter().any(|retiring| retiring == node);
+        let known = asked || self.knows_storage_node(node);
+        let reply = if asked && self.is_whole_without(place, node) {
+            info!("part {number}: nothing is left on {node}");
+            Reply::Done
+        } else if known {
+            Reply::Answer { status: 202, body: Vec::new() }
+        } else {
+            Reply::Answer { status: 404, body: Vec::new() }
+        };
+        self.reply(waiter.peer, waiter.number, reply);
+    }
+
+    /// Whether a part's group stands without a node as if that had never been there: the group that does not name it is
+    /// decided, so that each committed entry is on a quorum of it, and all its voters are living nodes. A voter that nobody
+    /// can name, or whose node is away, may be a former identity of that node or a loss that has still to be mended: with
+    /// the machine gone the next loss might leave no quorum.
+    fn is_whole_without(&self, place: usize, node: &str) -> bool {
+        let replica = &self.parts[place].replica;
+        let lives_elsewhere = |voter: &ReplicaId| {
+            let member = self.registry.member_by_replica(voter.0);
+            member.is_some_and(|member| member.serves() && member.name != node)
+        };
+        is_settled(replica)
+            && replica.group().voters.len() >= self.group_size()
+            && replica.group().voters.iter().all(lives_elsewhere)
+    }
+
+    /// The nodes that a part's data is to leave.
+    pub(crate) fn retiring_nodes(&mut self, place: usize) -> Vec<String> {
+        self.batch_mut(place).map(|part| part.retiring.iter().cloned().collect()).unwrap_or_default()
+    }
+}
+
+/// Whether the newest group of a replica is a plain one that is decided, and no other is on its way.
+fn is_settled(replica: &Replica) -> bool {
+    !replica.group().is_joint()
+        && replica.pending_change().is_none()
+        && replica.commit_index() >= replica.group_index()
+}
--- /dev/null
+++ b/crates/tier/tests/retire.rs
@@ -0,0 +1,54 @@
+//! What an operator hears about a machine that is to be emptied, from what the owners of the parts say.
+
+use grebeusher_tier::messages::Reply;
+use grebeusher_tier::retire::{PartVerdict, RetireOutcome, RetireQuestion, gathered};
+use rstest::rstest;
+
+use PartVerdict::{Done, NotYet, TooFew, Unknown, Unsure};
+
+#[rstest]
+#[case::all_take_it([Done, Done, Done], RetireOutcome::Taken)]
+#[case::one_says_nothing([Done, Unsure, Done], RetireOutcome::Unsure)]
+#[case::none_knows_it([Unknown, Unknown, Unknown], RetireOutcome::NoSuchMachine)]
+#[case::one_does_not_know_it_yet([Done, Unknown, Done], RetireOutcome::Unsure)]
+#[case::one_does_not_know_it_and_one_is_silent([Unknown, Unknown, Unsure], RetireOutcome::Unsure)]
+#[case::too_few_are_left([TooFew, TooFew, TooFew], RetireOutcome::TooFew)]
+#[case::one_counts_too_few([Done, TooFew, Done], RetireOutcome::TooFew)]
+#[case::too_few_and_silence([TooFew, Unsure, TooFew], RetireOutcome::Unsure)]
+fn a_begin_is_taken_or_refused_only_if_all_owners_have_spoken(
+    #[case] verdicts: [PartVerdict; 3],
+    #[case] outcome: RetireOutcome,
+) {
+    assert_eq!(gathered(RetireQuestion::Begin, &verdicts, false), outcome);
+}
+
+#[rstest]
+#[case::all_are_done([Done, Done, Done], RetireOutcome::Complete)]
+#[case::one_is_not([Done, Done, NotYet], RetireOutcome::Active)]
+#[case::one_says_nothing([Done, Done, Unsure], RetireOutcome::Unsure)]
+#[case::one_knows_nothing([Done, Done, Unknown], RetireOutcome::Unsure)]
+fn a_machine_is_empty_only_if_all_owners_say_so(
+    #[case] verdicts: [PartVerdict; 3],
+    #[case] outcome: RetireOutcome,
+) {
+    assert_eq!(gathered(RetireQuestion::Show, &verdicts, true), outcome);
+}
+
+#[rstest]
+fn a_machine_that_this_node_has_heard_of_exists(
+    #[values(RetireQuestion::Begin, RetireQuestion::Show)] question: RetireQuestion,
+) {
+    assert_eq!(gathered(question, &[Unknown; 3], true), RetireOutcome::Unsure);
+}
+
+#[rstest]
+#[case::unclear(Reply::Unclear, Unsure)]
+#[case::unavailable(Reply::Unavailable, Unsure)]
+#[case::committed(Reply::Answer { status: 200, body: Vec::new() }, Done)]
+#[case::still_there(Reply::Answer { status: 202, body: Vec::new() }, NotYet)]
+#[case::unknown(Reply::Answer { status: 404, body: Vec::new() }, Unknown)]
+#[case::too_few(Reply::Answer { status: 409, body: Vec::new() }, TooFew)]
+#[case::anything_else(Reply::Answer { status: 500, body: Vec::new() }, Unsure)]
+fn a_reply_is_read_as_what_it_says(#[case] reply: Reply, #[case] verdict: PartVerdict) {
+    assert_eq!(PartVerdict::of(&reply), verdict);
+}
