--- a/crates/tier/src/calls.rs
+++ b/crates/tier/src/calls.rs
@@ -2,6 +2,7 @@
 
 use crate::messages::{Call, CallEnvelope, CallNumber, Channel, Reply, ReplyEnvelope};
 use crate::node::Node;
+use crate::promises::is_promise;
 use crate::timers::Timer;
 use grebeusher_registry::Class;
 use grebeusher_time::{Moment, Span};
@@ -109,12 +110,11 @@
 /// its way or be under way there; then a refusal of another copy is no promise that the job will not run, and none is
 /// passed on as one.
 pub fn settled(call: &Call, unheard: bool, reply: Option<Reply>) -> Reply {
-    const PROMISES: [u16; 4] = [408, 421, 429, 503];
     match reply {
         None | Some(Reply::Unavailable) if unheard => Reply::Unclear,
         None => Reply::Unavailable,
         Some(Reply::Answer { status, .. })
-            if unheard && matches!(call, Call::SubmitJob(_)) && PROMISES.contains(&status) =>
+            if unheard && matches!(call, Call::SubmitJob(_)) && is_promise(status) =>
         {
             Reply::Unclear
         }
--- a/crates/tier/src/exchange.rs
+++ b/crates/tier/src/exchange.rs
@@ -3,6 +3,7 @@
 use crate::event_cutter::EventCutter;
 use crate::header_names as names;
 use crate::node::Node;
+use crate::promises::is_promise;
 use crate::routing::{Candidate, Hints, Question, RouteChoice};
 use crate::timers::Timer;
 use crate::upstream::{CallOwner, Failure, MOST_UNWRITTEN, Target, UpstreamEvent};
@@ -52,6 +53,7 @@
 }
 
 struct HeldAnswer {
+    status: u16,
     head: String,
     body: Vec<u8>,
 }
@@ -265,7 +267,7 @@
         }
         let mut head = answer_head(status, headers);
         if !success || exchange.route.route_type != RouteType::Streaming {
-            attempt.held = Some(HeldAnswer { head, body: Vec::new() });
+            attempt.held = Some(HeldAnswer { status, head, body: Vec::new() });
             return;
         }
         if !exchange.streaming {
@@ -410,7 +412,12 @@
             }
             return self.end_exchange(index, served);
         }
+        let may_run_again = exchange.kind.may_run_again();
         let bytes = match (answer, held) {
+            // The executor did not say that it has not run the request, and the client would take the status for that.
+            (FinalAnswer::Relay, Some(held)) if is_promise(held.status) && !may_run_again => {
+                http::answer(502, &[], b"")
+            }
             (FinalAnswer::Nothing | FinalAnswer::Relay, Some(held)) => held_answer(held),
             (FinalAnswer::Refused, _) => http::answer(503, &[("Retry-After", RETRY_AFTER_S)], b""),
             (FinalAnswer::GatewayTimeout, _) => http::answer(504, &[], b""),
--- a/crates/tier/src/lib.rs
+++ b/crates/tier/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod peers;
 pub mod placement;
 pub mod popularity;
+pub mod promises;
 pub mod remembered;
 pub mod retire;
 pub mod routing;
