--- a/crates/quorum/src/replica/change.rs
+++ b/crates/quorum/src/replica/change.rs
@@ -61,6 +61,11 @@
         Some(&change.voters)
     }
 
+    /// Whether the newest group is a plain one that is decided, and no other is on its way.
+    pub fn is_settled(&self) -> bool {
+        !self.group().is_joint() && self.pending_change().is_none() && self.commit >= self.log.group_index()
+    }
+
     /// Puts the joint group in force once all learners are nearly where the owner is.
     pub(super) fn check_change(&mut self) {
         let Some(ownership) = self.ownership() else { return };
--- a/crates/quorum/tests/groups.rs
+++ b/crates/quorum/tests/groups.rs
@@ -235,3 +235,78 @@
     world.run(Span::millis(100));
     assert_eq!(world.oracle.commands(), before);
 }
+
+/// The machines of the group whose disks have lasted longest.
+fn oldest(world: &World, ages: &[usize], count: usize) -> Vec<Site> {
+    let group = world.oracle.decided_group();
+    let mut sites: Vec<Site> = group.voters.iter().filter_map(|voter| world.site_of(*voter)).collect();
+    sites.sort_by_key(|site| ages[site.0]);
+    sites.truncate(count);
+    sites
+}
+
+#[rstest]
+#[case::three_voters_and_no_spare(3, 0, 1)]
+#[case::three_voters_and_a_spare(3, 1, 1)]
+#[case::five_voters(5, 0, 2)]
+#[case::five_voters_and_three_spares(5, 3, 2)]
+fn the_oldest_disks_are_lost_while_all_others_lose_power_again_and_again(
+    #[case] voters: usize,
+    #[case] spares: usize,
+    #[case] losses: usize,
+) {
+    let (mut world, _) = start(7, voters, spares);
+    let mut ages: Vec<usize> = vec![0; voters + spares];
+    let mut commands = 20;
+    for round in 1..=8 {
+        // Given a group that is whole, and a command that was just acknowledged
+        let owner = world.elect();
+        world.propose(owner);
+        world.run(Span::millis(60));
+        commands += 1;
+        // When as many disks are lost as may be, the oldest, and all other machines lose power at that moment
+        let wiped = oldest(&world, &ages, losses);
+        let all = world.sites();
+        all.iter().for_each(|site| world.lose_power(*site));
+        wiped.iter().for_each(|site| world.wipe(*site));
+        // And come back in any order, the empty ones first
+        let others = world.others(&wiped);
+        for site in wiped.iter().chain(&others) {
+            world.start(*site);
+            ages[site.0] = if wiped.contains(site) { round } else { ages[site.0] };
+        }
+        // Then the empty ones are taken in anew, and nothing is lost
+        let members: Vec<Site> = all.into_iter().take(voters).collect();
+        world.change_to(&members, Span::millis(6_000));
+        let leader = world.elect();
+        assert_eq!(world.machines[leader.0].application.state.commands, commands, "round {round}");
+    }
+}
+
+#[rstest]
+fn the_next_disk_is_lost_in_each_moment_of_a_repair(
+    #[values(0, 1, 2, 4, 8, 16, 32, 64)] after_ms: u64,
+    #[values(1, 2, 3, 4, 5, 6)] seed: u64,
+) {
+    // Given five voters, of which two may be lost, and a disk that is lost and being replaced by a spare
+    let (mut world, owner) = start(seed, 5, 1);
+    let others = world.others(&[owner]);
+    let (first, second, spare) = (others[0], others[1], Site(5));
+    world.wipe(first);
+    let keep: Vec<Site> = world.others(&[first]);
+    change(&mut world, owner, &keep).expect("nothing is under way");
+    // When a second one is lost in the middle of it: the owner's, or another's
+    world.run(Span::millis(after_ms));
+    let lost = if seed % 2 == 0 { owner } else { second };
+    world.lose_power(lost);
+    world.wipe(lost);
+    // Then the others decide on, and the group gets whole without both
+    world.start(lost);
+    let members: Vec<Site> =
+        world.sites().into_iter().filter(|site| *site != first || *site == spare).collect();
+    world.change_to(&members, Span::millis(8_000));
+    let leader = world.elect();
+    world.propose(leader);
+    world.run(Span::millis(100));
+    assert_eq!(world.machines[leader.0].application.state.commands, 21);
+}
--- a/crates/quorum/tests/snapshots.rs
+++ b/crates/quorum/tests/snapshots.rs
@@ -4,10 +4,14 @@
 
 use grebeusher_quorum::{CompactError, Index};
 use grebeusher_time::Span;
+use rstest::rstest;
 use world::{Site, World};
 
 const BOUND: Span = Span::millis(3_000);
 
+/// The entries that an owner keeps for those a little behind, and a snapshot, in bytes.
+const MOST_KEPT: u64 = 2 * 1024 * 1024;
+
 /// More than the entries that an owner keeps for those a little behind.
 fn move_far_ahead(world: &mut World) {
     for _ in 0..40 {
@@ -200,3 +204,73 @@
     assert_eq!(compact(&mut world, applied), Ok(()));
     assert_eq!(compact(&mut world, applied), Err(CompactError::Outdated { snapshot: applied }));
 }
+
+#[rstest]
+#[case(10)]
+#[case(100)]
+#[case(1_000)]
+#[case(5_000)]
+fn catching_up_takes_as_long_after_many_changes_as_after_few(#[case] changes: u64) {
+    // Given a member that was away while so many small changes were made, which snapshots have taken the place of
+    let mut world = World::new(9, 3, 0);
+    world.compact_every = 50;
+    let owner = world.elect();
+    let behind = world.others(&[owner])[0];
+    world.lose_power(behind);
+    for _ in 0..changes {
+        let owner = world.elect();
+        world.propose(owner);
+        world.run(Span::millis(5));
+    }
+    // When it is back, then it has all of them within a blink, however many they were
+    world.start(behind);
+    let before = world.sent_to(behind).bytes;
+    world.settle(&[behind], Span::millis(400));
+    assert_eq!(world.machines[behind.0].application.state.commands, changes);
+    let bytes = world.sent_to(behind).bytes - before;
+    assert!(bytes < MOST_KEPT, "{changes} changes: {bytes} bytes");
+    // And the log that it keeps is bounded
+    assert!(world.replica(behind).last().index.0 - world.replica(behind).snapshot_index().0 <= 150);
+}
+
+#[test]
+fn a_receiver_that_restarts_again_and_again_gets_there_while_changes_go_on() {
+    let (mut world, behind) = one_far_behind(10);
+    let owner = world.elect();
+    world.network.slow.insert((owner, behind), Span::millis(20));
+    // When it restarts with a part of the snapshot each time, and the others go on
+    for _ in 0..8 {
+        world.start(behind);
+        for _ in 0..6 {
+            let owner = world.elect();
+            world.propose(owner);
+            world.run(Span::millis(20));
+        }
+        world.lose_power(behind);
+    }
+    // Then it has everything as soon as it stays
+    world.start(behind);
+    world.settle(&[behind], Span::millis(6_000));
+}
+
+#[rstest]
+fn a_member_that_was_restored_by_a_snapshot_leads_with_all_that_is_committed(
+    #[values(1, 2, 3, 4, 5)] seed: u64,
+) {
+    // Given a member that has just been restored by a snapshot of the owner's
+    let (mut world, behind) = one_far_behind(seed);
+    world.start(behind);
+    world.settle(&[behind], BOUND);
+    let commands = world.machines[behind.0].application.state.commands;
+    // When the other two lose power, one of them for good, so that it is needed for each decision
+    let owner = world.elect();
+    let third = world.others(&[owner, behind])[0];
+    world.lose_power(owner);
+    world.lose_power(third);
+    world.start(third);
+    // Then whoever leads has all of it, and the oracle finds nothing that was taken back
+    let leader = world.elect();
+    world.propose(leader);
+    world.run(Span::millis(100));
+    assert_eq!(world.machines[leader.0].application.state.commands, commands + 1);
+}
--- a/crates/simulation/src/fleet/build.rs
+++ b/crates/simulation/src/fleet/build.rs
@@ -158,6 +158,7 @@
             lost_until: None,
             started_before: false,
             wiped: false,
+            empty: false,
         });
         number
     }
--- a/crates/simulation/src/fleet/departures.rs
+++ b/crates/simulation/src/fleet/departures.rs
@@ -67,6 +67,7 @@
         let counted = self.machines[machine].counted;
         let name = self.machines[machine].name.clone();
         let new = self.add_machine(class, zone, counted);
+        self.hardware[new].empty = true;
         self.note(&format!("{name} is replaced by {} (planned: {planned})", self.machines[new].name));
         if planned {
             self.start_machine(new);
--- a/crates/simulation/src/fleet/lives.rs
+++ b/crates/simulation/src/fleet/lives.rs
@@ -119,6 +119,10 @@
         match started {
             Ok(node) => {
                 self.nodes.insert(life, node);
+                let empty = std::mem::take(&mut self.hardware[machine].empty);
+                if empty && self.machines[machine].counted {
+                    self.watch_empty_disk(machine);
+                }
                 let mut hub = self.hub.borrow_mut();
                 hub.end_turn(life);
                 let now = hub.now;
--- a/crates/simulation/src/fleet/losses.rs
+++ b/crates/simulation/src/fleet/losses.rs
@@ -74,7 +74,9 @@
         if self.lost() + counted > self.scenario.shape.losses as usize {
             return None;
         }
-        victims.iter().for_each(|machine| drop(self.may_lose(*machine, for_s)));
+        for machine in &victims {
+            self.may_lose(*machine, for_s);
+        }
         Some(victims)
     }
 
--- a/crates/simulation/src/fleet/mod.rs
+++ b/crates/simulation/src/fleet/mod.rs
@@ -67,6 +67,8 @@
     started_before: bool,
     /// Whether its disk was lost since it ran last.
     wiped: bool,
+    /// Whether it starts next with an empty disk in a tier that is there.
+    empty: bool,
 }
 
 struct Armed {
--- a/crates/simulation/src/fleet/strikes.rs
+++ b/crates/simulation/src/fleet/strikes.rs
@@ -21,6 +21,7 @@
         if wipe {
             self.hardware[machine].disk.borrow_mut().wipe();
             self.hardware[machine].wiped = true;
+            self.hardware[machine].empty = true;
         }
         self.later(Span::secs(for_s), Step::StartMachine { machine });
     }
--- a/crates/simulation/src/fleet/watch.rs
+++ b/crates/simulation/src/fleet/watch.rs
@@ -3,7 +3,9 @@
 use super::Fleet;
 use crate::stage::Class;
 use crate::times::{Times, What};
-use grebeusher_time::Moment;
+use grebeusher_quorum::ReplicaId;
+use grebeusher_tier::node::Node;
+use grebeusher_time::{Moment, Span};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Parts of the tier: the configuration and three of batch jobs.
@@ -19,6 +21,8 @@
     orphans: BTreeMap<u8, (Moment, usize)>,
     /// Configurations on their way: the version, when it was acknowledged, and the lives that don't have it.
     spreading: Vec<(u64, Moment, BTreeSet<usize>)>,
+    /// Classes of machines of which one came with an empty disk, and when, until their groups are whole.
+    repairing: Vec<(Class, Moment)>,
     /// When the machines were back from a final fault, until each part has an owner.
     back: Option<Moment>,
 }
@@ -37,6 +41,39 @@
             lives.remove(&life);
         }
         watch.note_applied(now);
+        self.watch_repairs();
+    }
+
+    /// A machine that counts starts with an empty disk.
+    pub(super) fn watch_empty_disk(&mut self, machine: usize) {
+        let class = self.machines[machine].class;
+        let now = self.now();
+        self.watch.repairing.push((class, now));
+    }
+
+    fn watch_repairs(&mut self) {
+        if self.watch.repairing.is_empty() {
+            return;
+        }
+        let now = self.now();
+        for class in [Class::Edge, Class::Storage] {
+            if self.groups_are_whole(class) {
+                let whole = self.watch.repairing.extract_if(.., |(of, _)| *of == class);
+                let times: Vec<Span> = whole.map(|(_, since)| now.since(since)).collect();
+                self.watch.times.taken.extend(times.into_iter().map(|time| (What::GroupWhole, time)));
+            }
+        }
+    }
+
+    /// Whether each part of a class has an owner whose group is decided and names only disks of running machines.
+    fn groups_are_whole(&self, class: Class) -> bool {
+        let parts = if class == Class::Edge { 0..1 } else { 1..PARTS as u8 };
+        let running: BTreeSet<ReplicaId> = self.nodes.values().filter_map(Node::replica_id).collect();
+        parts.into_iter().all(|part| {
+            let owner = self.watch.owners.get(&part).and_then(|life| self.nodes.get(life));
+            let voters = owner.and_then(|node| node.settled_voters(part));
+            voters.is_some_and(|voters| voters.iter().all(|voter| running.contains(voter)))
+        })
     }
 
     /// A configuration was acknowledged.
--- a/crates/simulation/src/times.rs
+++ b/crates/simulation/src/times.rs
@@ -16,12 +16,21 @@
     OwnerReplaced,
     /// From the return of the machines after a final fault until each part has an owner.
     QuorumBack,
+    /// From the return of a machine whose disk was lost, or the start of its successor, until the groups of all parts that it
+    /// may hold are decided and name only disks of running machines: the next loss may be borne from then on.
+    GroupWhole,
 }
 
 impl What {
     /// All of them.
-    pub const ALL: [What; 5] =
-        [What::Acknowledged, What::Applied, What::DrainTold, What::OwnerReplaced, What::QuorumBack];
+    pub const ALL: [What; 6] = [
+        What::Acknowledged,
+        What::Applied,
+        What::DrainTold,
+        What::OwnerReplaced,
+        What::QuorumBack,
+        What::GroupWhole,
+    ];
 }
 
 impl fmt::Display for What {
@@ -32,6 +41,7 @@
             What::DrainTold => "drain told",
             What::OwnerReplaced => "owner replaced",
             What::QuorumBack => "quorum back",
+            What::GroupWhole => "group whole",
         })
     }
 }
--- a/crates/simulation/tests/lives.rs
+++ b/crates/simulation/tests/lives.rs
@@ -6,8 +6,13 @@
 use fleets::{day_that_ends_with, day_with, expect_clean, expect_served, shape};
 use grebeusher_simulation::fleet::run;
 use grebeusher_simulation::scenario::{Closing, CutFrom, Fault, Grey, Load, On, Timed, When, WrongKind};
+use grebeusher_simulation::times::What;
+use grebeusher_time::Span;
 use rstest::rstest;
 
+/// A machine that is back counts as lost for this long (`sync_time_s`).
+const SYNC_TIME: Span = Span::millis(5000);
+
 #[test]
 fn a_calm_day_serves_everybody() {
     // Given a fleet in which the operator only changes the configuration, when a day passes,
@@ -246,3 +251,30 @@
     // then it knows that its lease is over.
     expect_clean(&run(&scenario, seed));
 }
+
+#[rstest]
+fn the_next_loss_may_be_borne_before_a_returned_machine_counts_again(
+    #[values("four-zones", "three-zones", "five-cores", "two-regions")] name: &str,
+    #[values(1, 2, 3)] seed: u64,
+) {
+    // Given a tier with jobs, when disks are lost and machines are replaced one after the other, by plan and without,
+    let mut scenario = shape(name);
+    scenario.load.length_s = 34.0;
+    let wiped = |on| Fault::NodeKill { on, leader: true, power: true, wipe: true, for_s: 1.0 };
+    let replaced = |on, planned| Fault::Replace { on, after_s: 2.0, planned };
+    let faults = [
+        (1.0, wiped(On::Core)),
+        (2.0, wiped(On::Storage)),
+        (11.0, replaced(On::Storage, false)),
+        (19.0, replaced(On::Core, true)),
+        (26.0, replaced(On::Storage, true)),
+    ];
+    scenario.faults = faults.map(|(at_s, fault)| Timed { at_s, fault }).to_vec();
+    let report = run(&scenario, seed);
+    expect_clean(&report);
+    // then the groups of all parts are whole again within the time for which the machine counts as lost.
+    let whole = report.times.taken.iter().filter(|(what, _)| *what == What::GroupWhole);
+    let times: Vec<Span> = whole.map(|(_, time)| *time).collect();
+    assert!(times.len() >= 4, "{} repairs of {name}", times.len());
+    assert!(times.iter().all(|time| *time < SYNC_TIME), "{times:?}");
+}
--- a/crates/tier/src/parts.rs
+++ b/crates/tier/src/parts.rs
@@ -321,6 +321,17 @@
         self.parts.iter().filter(|host| host.owns()).map(|host| host.part)
     }
 
+    /// The voters of a part that this node owns, if their group is decided and no other one is on its way.
+    pub fn settled_voters(&self, part: u8) -> Option<&[ReplicaId]> {
+        let host = self.parts.iter().find(|host| host.part == part && host.owns())?;
+        host.replica.is_settled().then(|| host.replica.group().voters.as_slice())
+    }
+
+    /// The identity of this node's disk.
+    pub fn replica_id(&self) -> Option<ReplicaId> {
+        self.identity
+    }
+
     /// The node that owns a part, by the highest term that any has told.
     pub fn known_owner(&self, part: u8) -> Option<SocketAddrV4> {
         self.owners.owner(&self.registry, part)
--- a/crates/tier/src/retire.rs
+++ b/crates/tier/src/retire.rs
@@ -9,7 +9,7 @@
 use crate::messages::{Call, Reply};
 use crate::node::Node;
 use crate::parts::{Waiter, class_of_part};
-use grebeusher_quorum::{Replica, ReplicaId};
+use grebeusher_quorum::ReplicaId;
 use grebeusher_registry::{Class, MemberState};
 use grebeusher_time::Span;
 use grebeusher_transport::http;
@@ -240,7 +240,7 @@
             let member = self.registry.member_by_replica(voter.0);
             member.is_some_and(|member| member.serves() && member.name != node)
         };
-        is_settled(replica)
+        replica.is_settled()
             && replica.group().voters.len() >= self.group_size()
             && replica.group().voters.iter().all(lives_elsewhere)
     }
@@ -250,10 +250,3 @@
         self.batch_mut(place).map(|part| part.retiring.iter().cloned().collect()).unwrap_or_default()
     }
 }
-
-/// Whether the newest group of a replica is a plain one that is decided, and no other is on its way.
-fn is_settled(replica: &Replica) -> bool {
-    !replica.group().is_joint()
-        && replica.pending_change().is_none()
-        && replica.commit_index() >= replica.group_index()
-}
