--- a/crates/quorum/src/progress.rs
+++ b/crates/quorum/src/progress.rs
@@ -203,6 +203,11 @@
         }
     }
 
+    /// Whether its log is known to agree, and nothing is under way to it.
+    pub(crate) fn is_at_rest(&self) -> bool {
+        matches!(&self.flow, Flow::Pipeline { flights, .. } if flights.is_empty())
+    }
+
     /// Whether entries go to it as they come.
     pub(crate) fn is_pipelined(&self) -> bool {
         matches!(self.flow, Flow::Pipeline { .. })
--- a/crates/quorum/src/replica/sending.rs
+++ b/crates/quorum/src/replica/sending.rs
@@ -48,7 +48,9 @@
                 false => beat.then(|| self.heartbeat(empty)),
             };
         }
-        let Some(previous) = self.position_before(follower.next) else {
+        let Some(previous) =
+            self.position_before(follower.next).filter(|_| !self.snapshot_is_shorter(follower))
+        else {
             return self.start_transfer(follower);
         };
         if has_news && may_send {
@@ -65,7 +67,19 @@
         None
     }
 
-    /// The follower needs what the log no longer has.
+    /// Whether a follower that is known to be behind the snapshot gets there by fewer bytes with the snapshot than with the
+    /// entries that the log still has. After hundreds of changes of a large configuration these are many times longer, and
+    /// each of them has to be applied.
+    fn snapshot_is_shorter(&self, follower: &Progress) -> bool {
+        let Some(snapshot) = self.log.snapshot().filter(|_| follower.is_at_rest()) else { return false };
+        if follower.matched >= snapshot.last.index {
+            return false;
+        }
+        self.log.bytes_between(follower.matched, snapshot.last.index)
+            > snapshot.bytes.len() + crate::MAX_APPEND
+    }
+
+    /// The follower needs what the log no longer has, or gets it sooner so.
     fn start_transfer(&self, follower: &mut Progress) -> Option<Body> {
         follower.start_snapshot(self.log.snapshot()?.clone());
         let Flow::Snapshot(transfer) = &mut follower.flow else { return None };
--- a/crates/tier/src/calls.rs
+++ b/crates/tier/src/calls.rs
@@ -283,6 +283,9 @@
             self.unheard.insert(*silent, now + UNHEARD_FOR);
         }
         if pending.part.is_none() {
+            let silent = pending.tried.last().copied();
+            // A link that was idle may have been forgotten on the way, and the system takes a while to notice.
+            silent.into_iter().for_each(|silent| self.close_link_to(silent));
             return self.end_call(number, None);
         }
         self.try_call(number);
--- a/crates/tier/src/configuration.rs
+++ b/crates/tier/src/configuration.rs
@@ -13,7 +13,7 @@
 use tracing::{info, warn};
 
 /// A peer that tells of a newer configuration hands it over within this.
-const FETCH_WITHIN: Span = Span::millis(400);
+const FETCH_WITHIN: Span = Span::millis(300);
 /// A node that starts asks the owner for this long; then what peers say has to do.
 const PROOF_WITHIN: Span = Span::millis(2500);
 
--- a/crates/tier/src/configuration_part.rs
+++ b/crates/tier/src/configuration_part.rs
@@ -53,7 +53,6 @@
         for waiter in waiters {
             self.reply(waiter.peer, waiter.number, Reply::Answer { status, body: b"{}".to_vec() });
         }
-        self.serve_committed(place);
         // Calls that this change decided are judged by their nodes anew.
         for waiter in std::mem::take(&mut self.parts[place].deferred) {
             self.reply(waiter.peer, waiter.number, Reply::Unavailable);
@@ -61,8 +60,9 @@
         Ok(())
     }
 
-    /// Puts the newest committed configuration in force here; the relays take it to the others.
-    fn serve_committed(&mut self, place: usize) {
+    /// Puts the newest committed configuration in force here; the relays take it to the others. Once for all that was
+    /// committed in a turn: a member that catches up on hundreds of changes reads one configuration, not each of them.
+    pub(crate) fn serve_committed(&mut self, place: usize) {
         let Application::Configuration(part) = &self.parts[place].application else { return };
         let version = part.register.version();
         if version == 0 {
--- a/crates/tier/src/parts.rs
+++ b/crates/tier/src/parts.rs
@@ -195,6 +195,7 @@
                 self.restore_part(place, restore.bytes)?;
                 self.parts[place].applied = restore.index;
             }
+            let changed = !ready.committed.is_empty();
             for committed in ready.committed {
                 let host = &mut self.parts[place];
                 host.applied = committed.index;
@@ -208,6 +209,9 @@
                 };
                 self.apply_to_part(place, committed.payload, waiters)?;
             }
+            if changed {
+                self.serve_committed(place);
+            }
             self.parts[place].applied = self.parts[place].applied.max(ready.applied);
             self.compact_part(place);
         }
--- a/crates/tier/src/peers.rs
+++ b/crates/tier/src/peers.rs
@@ -155,6 +155,13 @@
         }
     }
 
+    /// Closes the link to a node: the next frame dials anew.
+    pub(crate) fn close_link_to(&mut self, address: SocketAddrV4) {
+        if let Some(&index) = self.links.get(&address) {
+            self.close(index);
+        }
+    }
+
     fn drop_link(&mut self, index: usize) {
         let now = self.now;
         if let Some((_, outgoing)) = self.outgoing_mut(index) {
