--- a/crates/simulation/src/bulk.rs
+++ b/crates/simulation/src/bulk.rs
@@ -14,12 +14,13 @@
 /// Decimal digits of a time.
 const DIGITS: u8 = 3;
 const SIZE: (u32, u32) = (900, 480);
-const COLOURS: [RGBColor; 5] = [
+const COLOURS: [RGBColor; 6] = [
     RGBColor(30, 140, 60),
     RGBColor(30, 90, 200),
     RGBColor(220, 140, 20),
     RGBColor(200, 40, 40),
     RGBColor(130, 60, 160),
+    RGBColor(120, 90, 30),
 ];
 /// The quantiles of the plot, in thousandths.
 const QUANTILES: std::ops::RangeInclusive<u32> = 1..=999;
