--- a/crates/quorum/tests/rules.rs
+++ b/crates/quorum/tests/rules.rs
@@ -223,6 +223,18 @@
     assert_eq!(bench.vote(THIRD, 4, position(9, 3), false), Some(true));
 }
 
+#[test]
+fn an_empty_replica_that_knows_its_founding_votes_for_nobody() {
+    // Given a replica whose disk was lost, and that has heard an owner since
+    let mut bench = Bench::new(2, &[]);
+    bench.hear_owner(SECOND, 2);
+    bench.now = bench.now + Span::millis(1_000);
+    // When a candidate asks for its vote, with however little in its log, then it gets none
+    assert_eq!(bench.pre_vote(THIRD, 3, position(0, 0)), Some(false));
+    assert_eq!(bench.vote(THIRD, 3, position(0, 0), false), Some(false));
+    assert_eq!(bench.vote(THIRD, 4, position(9, 9), true), Some(false));
+}
+
 #[test]
 fn a_pre_vote_promises_nothing() {
     let mut bench = Bench::new(3, &[1]);
