--- a/crates/quorum/tests/groups.rs
+++ b/crates/quorum/tests/groups.rs
@@ -297,7 +297,7 @@
     change(&mut world, owner, &keep).expect("nothing is under way");
     // When a second one is lost in the middle of it: the owner's, or another's
     world.run(Span::millis(after_ms));
-    let lost = if seed % 2 == 0 { owner } else { second };
+    let lost = if seed.is_multiple_of(2) { owner } else { second };
     world.lose_power(lost);
     world.wipe(lost);
     // Then the others decide on, and the group gets whole without both
