--- a/crates/quorum/src/replica/ownership.rs
+++ b/crates/quorum/src/replica/ownership.rs
@@ -55,6 +55,17 @@
         settled && (alone || contact.is_some_and(|contact| now < contact + self.timing.lease))
     }
 
+    /// Up to where each voter has the log on its disk, as far as this owner knows; nothing where it is none.
+    pub fn copies(&self) -> Vec<(ReplicaId, Index)> {
+        let Some(ownership) = self.ownership() else { return Vec::new() };
+        let synced = |voter: ReplicaId| match ownership.followers.get(&voter) {
+            _ if voter == self.identity => self.output.synced,
+            Some(follower) => follower.matched,
+            None => Index(0),
+        };
+        self.group().members().map(|voter| (voter, synced(voter))).collect()
+    }
+
     pub(super) fn tick_owner(&mut self) {
         if self.lost_quorum() {
             self.follow(self.hard.term, None);
--- a/crates/registry/src/registry.rs
+++ b/crates/registry/src/registry.rs
@@ -279,6 +279,11 @@
         self.configuration_version
     }
 
+    /// Says what may be lost at once, as the operator has changed it.
+    pub fn set_losses(&mut self, losses: Losses) {
+        self.losses = losses;
+    }
+
     /// Says which configuration this node has. Its heartbeats carry the version on.
     pub fn set_configuration_version(&mut self, version: u64) {
         self.configuration_version = version;
--- a/crates/simulation/tests/control.rs
+++ b/crates/simulation/tests/control.rs
@@ -51,7 +51,9 @@
 }
 
 #[rstest]
-fn jobs_under_way_at_an_owner_that_stands_still_are_accepted_only_if_they_are_kept(#[values(1, 2, 3, 4, 5, 6)] seed: u64) {
+fn jobs_under_way_at_an_owner_that_stands_still_are_accepted_only_if_they_are_kept(
+    #[values(1, 2, 3, 4, 5, 6)] seed: u64,
+) {
     // Given many jobs under way between regions, when their owner stands still just long enough for another one to take the
     // same places of the log, and hears of that all at once,
     let frozen = Fault::NodeFreeze { on: On::Storage, leader: true, for_s: 1.6 };
--- /dev/null
+++ b/crates/tier/src/copies.rs
@@ -0,0 +1,83 @@
+//! How many copies of a part there are, and a warning where one machine holds the only one.
+
+use crate::node::Node;
+use grebeusher_quorum::{Index, ReplicaId};
+use grebeusher_time::{Moment, Span};
+use tracing::warn;
+
+/// A lone copy that lasts for less is one that others are just about to follow.
+const WARN_AFTER: Span = Span::millis(1500);
+/// Between two warnings of the same.
+const WARN_EVERY: Span = Span::millis(5000);
+
+/// Up to where a voter has the log of a part on its disk.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PartCopy {
+    /// The voter.
+    pub voter: ReplicaId,
+    /// The last entry that it has, as far as the owner knows.
+    pub synced: Index,
+    /// Whether its node runs, as far as is known.
+    pub lives: bool,
+}
+
+/// The voter that alone of those that run has all that is committed, where the group has others.
+pub fn sole_holder(copies: &[PartCopy], commit: Index) -> Option<ReplicaId> {
+    let mut holders = copies.iter().filter(|copy| copy.lives && copy.synced >= commit);
+    match (holders.next(), holders.next()) {
+        (Some(only), None) if copies.len() > 1 => Some(only.voter),
+        _ => None,
+    }
+}
+
+/// Since when a part has had only one copy, and when that was last told.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct LoneCopy {
+    since: Option<Moment>,
+    told: Option<Moment>,
+}
+
+impl LoneCopy {
+    /// Looks at the part again; whether it is to be told now.
+    pub fn look(&mut self, now: Moment, is_alone: bool) -> bool {
+        if !is_alone {
+            *self = LoneCopy::default();
+            return false;
+        }
+        let lasts = now.since(*self.since.get_or_insert(now)) >= WARN_AFTER;
+        let due = self.told.is_none_or(|told| now.since(told) >= WARN_EVERY);
+        if lasts && due {
+            self.told = Some(now);
+        }
+        lasts && due
+    }
+}
+
+impl Node {
+    /// The copies of a part that this node owns.
+    pub(crate) fn copies(&self, place: usize) -> Vec<PartCopy> {
+        let lives =
+            |voter: ReplicaId| self.registry.member_by_replica(voter.0).is_some_and(|member| member.serves());
+        let copies = self.parts[place].replica.copies().into_iter();
+        copies.map(|(voter, synced)| PartCopy { voter, synced, lives: lives(voter) }).collect()
+    }
+
+    /// The name of the machine that holds the only copy of a part that this node owns, if one does.
+    pub(crate) fn sole_holder(&self, place: usize) -> Option<String> {
+        let holder = sole_holder(&self.copies(place), self.parts[place].replica.commit_index())?;
+        let member = self.registry.member_by_replica(holder.0);
+        Some(member.map_or_else(|| format!("disk {:016x}", holder.0), |member| member.name.clone()))
+    }
+
+    /// Warns in the log where one machine holds the only copy of a part for long.
+    pub(crate) fn warn_of_lone_copy(&mut self, place: usize) {
+        let now = self.now;
+        let holder = self.sole_holder(place);
+        let host = &mut self.parts[place];
+        if host.care.lone_copy.look(now, holder.is_some())
+            && let Some(holder) = holder
+        {
+            warn!("part {}: {holder} holds the only copy of all that is committed", host.part);
+        }
+    }
+}
--- a/crates/tier/src/group_care.rs
+++ b/crates/tier/src/group_care.rs
@@ -1,5 +1,6 @@
 //! How owners look after the groups of their parts: voters that are gone make room for others.
 
+use crate::copies::LoneCopy;
 use crate::node::Node;
 use crate::parts::class_of_part;
 use crate::placement::{Candidate, next_voters};
@@ -29,6 +30,7 @@
     joining: Vec<ReplicaId>,
     /// Nodes that changes waited for in vain, and until when they are passed over.
     passed_over: BTreeMap<ReplicaId, Moment>,
+    pub(crate) lone_copy: LoneCopy,
     /// The term and group that the log was last told of.
     told: (Term, Index),
     told_at: Moment,
@@ -40,6 +42,7 @@
         self.absent_since.clear();
         self.joining.clear();
         self.passed_over.clear();
+        self.lone_copy = LoneCopy::default();
     }
 
     /// A change to these voters is begun.
@@ -91,6 +94,7 @@
             self.tell_replica(place);
             if self.parts[place].owns() {
                 self.upkeep_part(place);
+                self.warn_of_lone_copy(place);
                 self.forget_old_jobs(place);
             }
         }
--- a/crates/tier/src/lib.rs
+++ b/crates/tier/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod configuration;
 pub mod configuration_part;
 pub mod control;
+pub mod copies;
 pub mod disk_room;
 pub mod dispatch;
 pub mod event_cutter;
--- a/crates/tier/src/part_status.rs
+++ b/crates/tier/src/part_status.rs
@@ -40,19 +40,22 @@
         )?;
         let group = replica.group();
         let changes = if group.is_joint() { " (the group is changing)" } else { "" };
-        for voter in group.members() {
-            match self.registry.member_by_replica(voter.0) {
+        for copy in self.copies(place) {
+            let (disk, synced) = (copy.voter.0, copy.synced.0);
+            match self.registry.member_by_replica(disk) {
                 Some(member) => {
                     let (name, state, zone) = (&member.name, member.state, &member.zone);
                     writeln!(
                         text,
-                        "part {part} voter {name} {state:?} {zone} disk {:016x}{changes}",
-                        voter.0
+                        "part {part} voter {name} {state:?} {zone} disk {disk:016x} has {synced}{changes}"
                     )?;
                 }
-                None => writeln!(text, "part {part} voter unknown disk {:016x}{changes}", voter.0)?,
+                None => writeln!(text, "part {part} voter unknown disk {disk:016x} has {synced}{changes}")?,
             }
         }
+        if let Some(holder) = self.sole_holder(place) {
+            writeln!(text, "part {part} WARNING: {holder} holds the only copy of all that is committed")?;
+        }
         for node in retiring {
             writeln!(text, "part {part} is to leave {node}")?;
         }
--- a/crates/tier/src/start.rs
+++ b/crates/tier/src/start.rs
@@ -209,13 +209,16 @@
     };
     let timings = Timings { executor_heartbeat: Span::millis(settings.heartbeat_ms), ..Timings::default() };
     let seeds = seed_addresses(settings);
-    let losses = Losses {
-        machines: settings.fault_tolerance.machine_losses as usize,
-        zones: settings.fault_tolerance.zones as usize,
-    };
+    let losses = losses_of(settings);
     Registry::new(grebeusher_registry::Settings { member, seeds, timings, losses }, seed, Moment(0))
 }
 
+/// What of the core may be lost at once.
+pub fn losses_of(settings: &Settings) -> Losses {
+    let borne = settings.fault_tolerance;
+    Losses { machines: borne.machine_losses as usize, zones: borne.zones as usize }
+}
+
 /// The internal addresses of the seeds: all machines use the same ports.
 pub fn seed_addresses(settings: &Settings) -> Vec<SocketAddrV4> {
     let port = settings.internal_ports.first;
--- a/crates/tier/src/stop.rs
+++ b/crates/tier/src/stop.rs
@@ -6,6 +6,7 @@
 use crate::exchange::{ClientRequest, time_allowed};
 use crate::node::Node;
 use crate::server::Waiting;
+use crate::start::losses_of;
 use grebeusher_catalog::configuration::{Route, RouteType};
 use grebeusher_catalog::settings::Settings;
 use grebeusher_time::{Moment, Span};
@@ -154,6 +155,7 @@
                 self.settings.bounds = settings.bounds;
                 self.settings.seed_nodes = settings.seed_nodes;
                 self.settings.fault_tolerance = settings.fault_tolerance;
+                self.registry.set_losses(losses_of(&self.settings));
             }
             Err(error) => warn!("the settings file is left as it was read: {error}"),
         }
--- /dev/null
+++ b/crates/tier/tests/copies.rs
@@ -0,0 +1,40 @@
+//! Which machine holds the only copy of a part, and when that is told.
+
+use grebeusher_quorum::{Index, ReplicaId};
+use grebeusher_tier::copies::{LoneCopy, PartCopy, sole_holder};
+use grebeusher_time::{Moment, Span};
+use rstest::rstest;
+
+/// Voters 1, 2 and so on, each with the last entry that it has; none for one whose node is away.
+fn copies(synced: &[Option<u64>]) -> Vec<PartCopy> {
+    let copy = |(voter, synced): (u64, &Option<u64>)| PartCopy {
+        voter: ReplicaId(voter),
+        synced: Index(synced.unwrap_or(9)),
+        lives: synced.is_some(),
+    };
+    (1..).zip(synced).map(copy).collect()
+}
+
+#[rstest]
+#[case::all_have_it(&[Some(9), Some(9), Some(10)], None)]
+#[case::two_have_it(&[Some(9), Some(8), Some(10)], None)]
+#[case::one_has_it(&[Some(3), Some(9), Some(8)], Some(2))]
+#[case::another_is_away(&[Some(9), None, Some(8)], Some(1))]
+#[case::the_group_is_one(&[Some(9)], None)]
+#[case::none_that_lives(&[None, Some(8), Some(8)], None)]
+fn a_sole_holder_is_named(#[case] synced: &[Option<u64>], #[case] holder: Option<u64>) {
+    assert_eq!(sole_holder(&copies(synced), Index(9)), holder.map(ReplicaId));
+}
+
+#[test]
+fn a_lone_copy_is_told_once_it_lasts_and_then_now_and_then() {
+    let at = |ms| Moment(0) + Span::millis(ms);
+    let mut lone = LoneCopy::default();
+    // A moment is nothing: followers answer a little later than the owner has synced.
+    assert!(!lone.look(at(0), true) && !lone.look(at(1_400), true));
+    assert!(lone.look(at(1_600), true));
+    assert!(!lone.look(at(3_000), true));
+    assert!(lone.look(at(6_600), true));
+    // When there are two again, all begins anew.
+    assert!(!lone.look(at(6_700), false) && !lone.look(at(6_800), true));
+}
