A 412 is no answer while another copy of the change may still be taken

Cause, by reading: a change on a base that is not there yet is refused by one copy of the call, and the other, on a slow link, may be taken once the base is: a configuration in force that was refused.

--- a/crates/tier/src/calls.rs
+++ b/crates/tier/src/calls.rs
@@ -107,21 +107,27 @@
 }
 
 /// What a call has come to. `unheard`: a node that it was sent to has left it unanswered, so that a copy may still be on
-/// its way or be under way there; then a refusal of another copy is no promise that the job will not run, and none is
-/// passed on as one.
+/// its way or be under way there; then a refusal of another copy is no promise that the job will not run, or that the change
+/// will not be taken, and none is passed on as one.
 pub fn settled(call: &Call, unheard: bool, reply: Option<Reply>) -> Reply {
     match reply {
         None | Some(Reply::Unavailable) if unheard => Reply::Unclear,
         None => Reply::Unavailable,
-        Some(Reply::Answer { status, .. })
-            if unheard && matches!(call, Call::SubmitJob(_)) && is_promise(status) =>
-        {
-            Reply::Unclear
-        }
+        Some(Reply::Answer { status, .. }) if unheard && is_open_refusal(call, status) => Reply::Unclear,
         Some(reply) => reply,
     }
 }
 
+/// Whether a refusal says nothing of another copy of the call. A change that builds on a version which is not there yet is
+/// refused, and might be taken a moment later.
+fn is_open_refusal(call: &Call, status: u16) -> bool {
+    match call {
+        Call::SubmitJob(_) => is_promise(status),
+        Call::ReplaceConfiguration { .. } => status == 412,
+        _ => false,
+    }
+}
+
 fn forwarded(pending: &PendingCall, now: Moment) -> Call {
     let within = pending.until.since(now).0 / 1_000_000;
     Call::Forward {
--- a/crates/tier/tests/calls.rs
+++ b/crates/tier/tests/calls.rs
@@ -58,3 +58,21 @@
     let read = Call::ReadJob { part: 1, job: "a".to_owned(), resume_after: 0, hold_ms: 0 };
     assert_eq!(status(&settled(&read, true, Some(answer(503)))), Some(503));
 }
+
+#[rstest]
+#[case::lost_race_with_a_copy_on_its_way(412, true, None)]
+#[case::lost_race(412, false, Some(412))]
+#[case::invalid(400, true, Some(400))]
+#[case::taken(200, true, Some(200))]
+fn a_change_is_refused_only_if_no_copy_of_it_can_be_taken(
+    #[case] answered: u16,
+    #[case] unheard: bool,
+    #[case] expected: Option<u16>,
+) {
+    // Given a change of which one copy may still be on its way, when the owner refuses another copy because of its base,
+    let change = Call::ReplaceConfiguration { base: 5, body: Vec::new() };
+    let reply = settled(&change, unheard, Some(answer(answered)));
+    // then nothing is known: the base may be there by the time that the first copy comes.
+    assert_eq!(status(&reply), expected);
+    assert_eq!(matches!(reply, Reply::Unclear), expected.is_none());
+}
