--- a/crates/simulation/src/fleet/faults.rs
+++ b/crates/simulation/src/fleet/faults.rs
@@ -51,6 +51,12 @@
             Fault::Reset { on } => self.reset(on),
             Fault::ConfigChange => self.change(Change::Valid),
             Fault::ConfigRace => self.change(Change::Race),
+            Fault::ConfigSameNumber => self.change(Change::SameNumber),
+            Fault::AckLost { x, for_s } => {
+                self.note(&format!("{x:.2} of the answers to orders are lost"));
+                self.operators.lost_answers = x;
+                self.later(Span::secs(for_s), Step::AnswersArrive);
+            }
             Fault::BadConfig { how } => self.change(Change::Wrong(wrong(how))),
             Fault::Retire => self.retire(),
             Fault::ExecutorCrash { share, silent } => self.crash_executors(share, silent),
--- a/crates/simulation/src/judge/configuration.rs
+++ b/crates/simulation/src/judge/configuration.rs
@@ -23,9 +23,26 @@
     pub acknowledged: Option<Moment>,
     /// Whether it was refused for good.
     pub refused: bool,
+    /// Whether it was acknowledged by an answer that was lost on its way.
+    pub taken: bool,
+}
+
+/// An order of the operator: what makes a change the same one when it is sent again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SentOrder<'a> {
+    /// Its number.
+    pub number: u64,
+    /// What it builds on.
+    pub base: u64,
+    /// Its bytes.
+    pub body: &'a [u8],
 }
 
 impl Version {
+    fn is(&self, order: SentOrder<'_>) -> bool {
+        (self.number, self.base, self.body.as_slice()) == (order.number, order.base, order.body)
+    }
+
     fn allows(&self, prefix: &str, service: &str) -> bool {
         self.routes.get(prefix).is_some_and(|services| services.iter().any(|other| other == service))
     }
@@ -38,19 +55,22 @@
     }
 
     /// It is acknowledged.
-    pub fn version_acknowledged(&mut self, number: u64, base: u64, at: Moment) {
+    pub fn version_acknowledged(&mut self, order: SentOrder<'_>, at: Moment) {
+        let SentOrder { number, base, .. } = order;
         let twin = self.versions.iter().find(|version| {
-            version.base == base && version.number != number && version.acknowledged.is_some()
+            version.base == base && !version.is(order) && (version.acknowledged.is_some() || version.taken)
         });
         let twin = twin.map(|version| version.number);
-        let Some(version) = self.versions.iter_mut().find(|v| v.number == number && v.base == base) else {
-            return;
-        };
+        let Some(version) = self.versions.iter_mut().find(|version| version.is(order)) else { return };
         version.acknowledged.get_or_insert(at);
+        let (valid, refused) = (version.valid, version.refused);
         self.counts.acknowledged += 1;
-        if !version.valid {
+        if !valid {
             self.breach(Rule::Config, at, format!("version {number} is invalid and was acknowledged"));
         }
+        if refused {
+            self.breach(Rule::Config, at, format!("version {number} was refused and then acknowledged"));
+        }
         if let Some(twin) = twin {
             self.breach(
                 Rule::Config,
@@ -60,10 +80,20 @@
         }
     }
 
+    /// It is acknowledged by an answer that gets lost on its way.
+    pub fn version_taken(&mut self, order: SentOrder<'_>) {
+        if let Some(version) = self.versions.iter_mut().find(|version| version.is(order)) {
+            version.taken = true;
+        }
+    }
+
     /// It is refused for good.
-    pub fn version_refused(&mut self, number: u64, base: u64) {
-        if let Some(version) = self.versions.iter_mut().find(|v| v.number == number && v.base == base) {
-            version.refused = true;
+    pub fn version_refused(&mut self, order: SentOrder<'_>, at: Moment) {
+        let Some(version) = self.versions.iter_mut().find(|version| version.is(order)) else { return };
+        version.refused = true;
+        if version.taken || version.acknowledged.is_some() {
+            let what = format!("version {} was refused when it was sent again", order.number);
+            self.breach(Rule::Config, at, what);
         }
     }
 
--- a/crates/simulation/src/judge/mod.rs
+++ b/crates/simulation/src/judge/mod.rs
@@ -15,7 +15,7 @@
 
 pub use batch::MadeItem;
 pub use bounds::Bounds;
-pub use configuration::Version;
+pub use configuration::{SentOrder, Version};
 pub use requests::{Arrival, Kind, Try};
 pub use results::Listed;
 pub use rules::{Breach, Rule};
--- a/crates/simulation/src/operators.rs
+++ b/crates/simulation/src/operators.rs
@@ -4,7 +4,7 @@
 use crate::clients::{BULK_ROUTES, LIVE_HOST};
 use crate::content::names;
 use crate::hub::{End, Happening, Owner};
-use crate::judge::Version;
+use crate::judge::{SentOrder, Version};
 use crate::scenario::Load;
 use crate::stage::{Class, Stage};
 use grebeusher_time::{Moment, Span};
@@ -62,6 +62,8 @@
     call: Option<HttpCall>,
     called: Moment,
     to: Option<SocketAddrV4>,
+    /// Whether an answer to it was lost on its way: then no time is due any more.
+    answer_lost: bool,
 }
 
 /// How a configuration is wrong.
@@ -86,6 +88,8 @@
     Valid,
     /// Two on top of the same version.
     Race,
+    /// The same under one number.
+    SameNumber,
     /// An invalid one.
     Wrong(Wrong),
 }
@@ -110,6 +114,8 @@
     pub emptied: Vec<String>,
     shown: bool,
     waiting: Vec<Change>,
+    /// The share of answers to orders that are lost on their way.
+    pub lost_answers: f64,
 }
 
 impl Operators {
@@ -129,6 +135,7 @@
             emptied: Vec::new(),
             shown: false,
             waiting: Vec::new(),
+            lost_answers: 0.0,
         }
     }
 
@@ -170,21 +177,30 @@
             return;
         }
         match change {
-            Change::Valid => self.send_version(None, stage),
+            Change::Valid => self.send_next_version(None, stage),
             Change::Race => {
-                self.send_version(None, stage);
-                self.send_version(None, stage);
+                self.send_next_version(None, stage);
+                self.send_next_version(None, stage);
             }
-            Change::Wrong(wrong) => self.send_version(Some(wrong), stage),
+            Change::SameNumber => {
+                self.send_next_version(None, stage);
+                self.send_version(self.highest, self.ballast + 1, None, stage);
+            }
+            Change::Wrong(wrong) => self.send_next_version(Some(wrong), stage),
         }
     }
 
-    fn send_version(&mut self, wrong: Option<Wrong>, stage: &mut Stage<'_>) {
+    fn send_next_version(&mut self, wrong: Option<Wrong>, stage: &mut Stage<'_>) {
         let base = self.known;
         let step = stage.hub.random.random_range(1..4);
         self.highest = self.highest.max(base) + step;
         let number = if wrong == Some(Wrong::OldVersion) { base } else { self.highest };
-        let routes = routes(number, base, self.ballast);
+        self.send_version(number, self.ballast, wrong, stage);
+    }
+
+    fn send_version(&mut self, number: u64, ballast: usize, wrong: Option<Wrong>, stage: &mut Stage<'_>) {
+        let base = self.known;
+        let routes = routes(number, base, ballast);
         let body = configuration(number, &routes, wrong, stage.judge.quota);
         let now = stage.now();
         let known =
@@ -199,6 +215,7 @@
             sent: now,
             acknowledged: None,
             refused: false,
+            taken: false,
         });
         self.add(Order::Replace { number, base, valid }, body, SENDS_FOR, stage);
     }
@@ -235,6 +252,7 @@
             call: None,
             called: now,
             to: None,
+            answer_lost: false,
         };
         self.tasks.insert(self.next, task);
         self.send(self.next, stage);
@@ -295,9 +313,25 @@
         let status = call.status.filter(|_| progress == Progress::Done);
         let body = std::mem::take(&mut call.body);
         self.end_call(number, stage);
+        let status = if self.loses_answer(number, status, stage) { None } else { status };
         self.answered(number, status, &body, stage);
     }
 
+    /// Whether the answer to an order gets lost on its way.
+    fn loses_answer(&mut self, number: u64, status: Option<u16>, stage: &mut Stage<'_>) -> bool {
+        let Some(task) = self.tasks.get_mut(&number) else { return false };
+        let is_order = matches!(task.order, Order::Replace { .. } | Order::Retire { begins: true, .. });
+        if !is_order || self.lost_answers == 0.0 || !stage.hub.random.random_bool(self.lost_answers) {
+            return false;
+        }
+        task.answer_lost = true;
+        if let (Order::Replace { number, base, .. }, Some(200)) = (&task.order, status) {
+            let order = SentOrder { number: *number, base: *base, body: &task.body };
+            stage.judge.version_taken(order);
+        }
+        true
+    }
+
     fn end_call(&mut self, number: u64, stage: &mut Stage<'_>) {
         if let Some(call) = self.tasks.get_mut(&number).and_then(|task| task.call.take()) {
             self.ends.remove(&call.end);
@@ -357,17 +391,21 @@
                 }
             }
             (Order::Replace { number: version, base, .. }, Some(200)) => {
-                let since = task.since;
+                let (since, answer_lost) = (task.since, task.answer_lost);
+                let body = std::mem::take(&mut task.body);
                 self.tasks.remove(&number);
                 self.known = self.known.max(version);
-                stage.judge.version_acknowledged(version, base, now);
-                stage.judge.unacknowledged(&format!("version {version}"), since, now);
+                stage.judge.version_acknowledged(SentOrder { number: version, base, body: &body }, now);
+                if !answer_lost {
+                    stage.judge.unacknowledged(&format!("version {version}"), since, now);
+                }
                 self.acknowledged.push((version, host));
                 self.next_change(stage);
             }
             (Order::Replace { number: version, base, .. }, Some(400 | 409 | 412 | 413 | 422)) => {
+                let body = std::mem::take(&mut task.body);
                 self.tasks.remove(&number);
-                stage.judge.version_refused(version, base);
+                stage.judge.version_refused(SentOrder { number: version, base, body: &body }, now);
                 // Another version is in force, perhaps: it is read before the next change.
                 self.add(Order::Show { last: false }, Vec::new(), SENDS_FOR, stage);
             }
@@ -405,9 +443,11 @@
         let Some(task) = self.tasks.get_mut(&number) else { return };
         task.others += 1;
         if now >= task.until {
-            let (order, since) = (task.order.clone(), task.since);
+            let (order, since, answer_lost) = (task.order.clone(), task.since, task.answer_lost);
             self.tasks.remove(&number);
-            if let Order::Replace { number: version, valid: true, .. } = order {
+            if let Order::Replace { number: version, valid: true, .. } = order
+                && !answer_lost
+            {
                 stage.judge.unacknowledged(&format!("version {version}"), since, now);
             }
             if !matches!(order, Order::Show { .. }) {
--- a/crates/simulation/src/scenario/trouble.rs
+++ b/crates/simulation/src/scenario/trouble.rs
@@ -92,6 +92,10 @@
     ConfigChange,
     /// Two changes on the same version.
     ConfigRace,
+    /// Two changes on the same version under one number.
+    ConfigSameNumber,
+    /// A share of the answers to the operator's orders is lost on its way.
+    AckLost { x: f64, for_s: f64 },
     /// An invalid change.
     BadConfig { how: WrongKind },
     /// A storage machine is to be emptied; then it is removed.
--- a/crates/simulation/src/storm.rs
+++ b/crates/simulation/src/storm.rs
@@ -62,7 +62,7 @@
 fn fault(random: &mut Pcg64, zones: usize) -> Fault {
     let for_s = (random.random_range(0.4..5.0) * 10.0f64).round() / 10.0;
     let leader = random.random_bool(0.5);
-    match random.random_range(0..33) {
+    match random.random_range(0..35) {
         0 => Fault::NodeKill { on: on(random), leader, power: false, wipe: false, for_s: 0.6 },
         1 => Fault::NodeKill { on: on(random), leader, power: true, wipe: false, for_s },
         2 => Fault::NodeKill { on: on(random), leader, power: true, wipe: true, for_s },
@@ -122,6 +122,8 @@
                 for_s: (random.random_range(1.0..12.0) * 10.0f64).round() / 10.0,
             }
         }
+        33 => Fault::AckLost { x: 0.9, for_s },
+        34 => Fault::ConfigSameNumber,
         _ if random.random_bool(0.3) => Fault::Reset { on: on(random) },
         _ if random.random_bool(0.5) => Fault::AnswerLost { x: 0.04, for_s },
         _ => Fault::Garble { x: 0.05, surplus: random.random_bool(0.5), for_s },
--- a/crates/simulation/tests/control.rs
+++ b/crates/simulation/tests/control.rs
@@ -139,3 +139,26 @@
     expect_clean(&report);
     assert!(report.counts.acknowledged >= 250, "{:?}", report.counts);
 }
+
+#[rstest]
+fn an_order_whose_answer_was_lost_is_acknowledged_again_or_left_open(
+    #[values("four-zones", "five-cores", "two-regions")] name: &str,
+    #[values(1, 2, 3)] seed: u64,
+) {
+    // Given operators whose answers are nearly all lost, and who send the same again by way of other nodes, when the owner is
+    // killed, frozen and cut off, and orders race for one number,
+    let killed = Fault::NodeKill { on: On::Core, leader: true, power: true, wipe: false, for_s: 2.0 };
+    let frozen = Fault::NodeFreeze { on: On::Core, leader: true, for_s: 3.0 };
+    let mut faults = vec![(0.8, Fault::AckLost { x: 0.9, for_s: 22.0 }), (1.5, killed), (9.0, frozen)];
+    faults.push((16.5, owner_cut_off(On::Core, CutFrom::Counted, 4.0)));
+    for step in 0..20 {
+        let at_s = 1.0 + f64::from(step);
+        faults.push((at_s, if step % 3 == 0 { Fault::ConfigSameNumber } else { Fault::ConfigRace }));
+    }
+    let mut scenario = day(name, 26.0, &faults);
+    scenario.closing = Some(Closing::WipeSomePowerOffAll);
+    let report = run(&scenario, seed);
+    // then no order that was taken is refused, and of two on one version or number one at most is confirmed.
+    expect_clean(&report);
+    assert!(report.counts.acknowledged >= 4, "{:?}", report.counts);
+}
--- a/crates/simulation/tests/judge.rs
+++ b/crates/simulation/tests/judge.rs
@@ -1,7 +1,9 @@
 //! Each rule is noticed when it is broken, and only then.
 
 use grebeusher_simulation::content;
-use grebeusher_simulation::judge::{Arrival, Bounds, Judge, Kind, Listed, MadeItem, Rule, Version};
+use grebeusher_simulation::judge::{
+    Arrival, Bounds, Judge, Kind, Listed, MadeItem, Rule, SentOrder, Version,
+};
 use grebeusher_time::{Moment, Span};
 use std::collections::BTreeMap;
 
@@ -15,14 +17,29 @@
         ("/bulk1/".to_owned(), vec!["model-a".to_owned()]),
     ]);
     let body = format!("version {number} on {base}").into_bytes();
-    Version { number, base, body, routes, valid: true, sent: at(sent), acknowledged: None, refused: false }
+    Version {
+        number,
+        base,
+        body,
+        routes,
+        valid: true,
+        sent: at(sent),
+        acknowledged: None,
+        refused: false,
+        taken: false,
+    }
+}
+
+fn acknowledged(judge: &mut Judge, number: u64, base: u64, ms: u64) {
+    let body = format!("version {number} on {base}").into_bytes();
+    judge.version_acknowledged(SentOrder { number, base, body: &body }, at(ms));
 }
 
 fn judge() -> Judge {
     let mut judge = Judge::new(Bounds::default());
     judge.quota = 1000;
     judge.version_sent(version(1, 0, "plain", 0));
-    judge.version_acknowledged(1, 0, at(10));
+    acknowledged(&mut judge, 1, 0, 10);
     judge
 }
 
@@ -130,7 +147,7 @@
 fn an_old_version_long_after_a_new_one_is_acknowledged() {
     let mut judge = judge();
     judge.version_sent(version(2, 1, "other", 10_000));
-    judge.version_acknowledged(2, 1, at(10_100));
+    acknowledged(&mut judge, 2, 1, 10_100);
     sent(&mut judge, "early", Kind::Once, 11_000);
     runs(&mut judge, "early", "plain", 11_001);
     assert_eq!(rules(&judge), []);
@@ -143,7 +160,7 @@
 fn a_machine_in_trouble_may_be_late() {
     let mut judge = judge();
     judge.version_sent(version(2, 1, "other", 10_000));
-    judge.version_acknowledged(2, 1, at(10_100));
+    acknowledged(&mut judge, 2, 1, 10_100);
     judge.trouble(3, at(10_000), at(11_000), false);
     sent(&mut judge, "late", Kind::Once, 12_200);
     runs(&mut judge, "late", "plain", 12_201);
@@ -181,7 +198,7 @@
 fn a_read_of_the_configuration_that_is_older_than_what_was_acknowledged() {
     let mut judge = judge();
     judge.version_sent(version(2, 1, "other", 10_000));
-    judge.version_acknowledged(2, 1, at(10_100));
+    acknowledged(&mut judge, 2, 1, 10_100);
     // A read that was under way at the acknowledgement may show either.
     judge.peeked(b"version 1 on 0", at(10_050), at(10_200));
     judge.peeked(b"version 2 on 1", at(10_150), at(10_200));
@@ -195,8 +212,8 @@
     let mut judge = judge();
     judge.version_sent(version(2, 1, "other", 10_000));
     judge.version_sent(version(3, 1, "other", 10_000));
-    judge.version_acknowledged(2, 1, at(10_100));
-    judge.version_acknowledged(3, 1, at(10_100));
+    acknowledged(&mut judge, 2, 1, 10_100);
+    acknowledged(&mut judge, 3, 1, 10_100);
     assert_eq!(rules(&judge), [Rule::Config]);
 }
 
@@ -204,7 +221,7 @@
 fn what_is_read_back_must_be_the_newest_that_was_acknowledged() {
     let mut judge = judge();
     judge.version_sent(version(2, 1, "other", 10_000));
-    judge.version_acknowledged(2, 1, at(10_100));
+    acknowledged(&mut judge, 2, 1, 10_100);
     judge.shown(Some(b"version 1 on 0"), at(60_000), true);
     assert_eq!(rules(&judge), [Rule::Config]);
     judge.shown(None, at(60_000), true);
@@ -217,7 +234,7 @@
 fn a_refused_change_in_force() {
     let mut judge = judge();
     judge.version_sent(version(2, 1, "other", 10_000));
-    judge.version_refused(2, 1);
+    judge.version_refused(SentOrder { number: 2, base: 1, body: b"version 2 on 1" }, at(11_000));
     judge.shown(Some(b"version 2 on 1"), at(60_000), true);
     assert_eq!(rules(&judge), [Rule::Config]);
 }
@@ -365,3 +382,25 @@
     judge.close(Some((at(10_000), at(12_000))), at(60_000));
     assert_eq!(rules(&judge), [Rule::Recover]);
 }
+
+#[test]
+fn an_order_that_was_taken_and_is_refused_when_it_comes_again() {
+    let mut judge = judge();
+    let order = SentOrder { number: 2, base: 1, body: b"version 2 on 1" };
+    judge.version_sent(version(2, 1, "other", 10_000));
+    judge.version_taken(order);
+    judge.version_refused(order, at(11_000));
+    assert_eq!(rules(&judge), [Rule::Config]);
+}
+
+#[test]
+fn two_changes_under_one_number() {
+    let mut judge = judge();
+    let twin = Version { body: b"another".to_vec(), ..version(2, 1, "other", 10_000) };
+    judge.version_sent(version(2, 1, "other", 10_000));
+    judge.version_sent(twin);
+    acknowledged(&mut judge, 2, 1, 10_100);
+    assert_eq!(rules(&judge), []);
+    judge.version_acknowledged(SentOrder { number: 2, base: 1, body: b"another" }, at(10_200));
+    assert_eq!(rules(&judge), [Rule::Config]);
+}
