--- a/crates/simulation/src/fleet/build.rs
+++ b/crates/simulation/src/fleet/build.rs
@@ -159,6 +159,7 @@
             started_before: false,
             wiped: false,
             empty: false,
+            replaced: false,
         });
         number
     }
--- a/crates/simulation/src/fleet/departures.rs
+++ b/crates/simulation/src/fleet/departures.rs
@@ -23,10 +23,21 @@
     pub(super) fn retire(&mut self) {
         let Some(machine) = self.pick(On::Storage, false) else { return };
         let name = self.machines[machine].name.clone();
+        if self.staying_stores() <= 2 * self.scenario.shape.losses as usize + 1 {
+            return self.note(&format!("{name} is not emptied: too few would stay"));
+        }
         self.note(&format!("{name} is to be emptied"));
         self.stage(|actors, stage| actors.operators.retire(&name, stage));
     }
 
+    /// Storage machines that stay, as the platform knows: the tier counts one that is about to be replaced by plan too, and
+    /// would have another emptied beside it.
+    fn staying_stores(&self) -> usize {
+        let stores =
+            (0..self.machines.len()).filter(|machine| self.machines[*machine].class == Class::Storage);
+        stores.filter(|machine| self.hardware[*machine].stays && !self.hardware[*machine].replaced).count()
+    }
+
     /// Some machines get SIGTERM, one after the other.
     pub(super) fn roll(&mut self, on: On, count: usize, gap: Span, remove: bool) {
         let machines = self.chosen_to_roll(on, count, remove);
@@ -70,6 +81,7 @@
         self.hardware[new].empty = true;
         self.note(&format!("{name} is replaced by {} (planned: {planned})", self.machines[new].name));
         if planned {
+            self.hardware[machine].replaced = true;
             self.start_machine(new);
             let machines = vec![machine];
             self.later(Span::secs(after_s), Step::Terminate { machines, gap: Span(0), remove: true });
--- a/crates/simulation/src/fleet/mod.rs
+++ b/crates/simulation/src/fleet/mod.rs
@@ -69,6 +69,8 @@
     wiped: bool,
     /// Whether it starts next with an empty disk in a tier that is there.
     empty: bool,
+    /// Whether a successor is there and it is about to be removed.
+    replaced: bool,
 }
 
 struct Armed {
