--- a/crates/simulation/src/executors/mod.rs
+++ b/crates/simulation/src/executors/mod.rs
@@ -200,8 +200,16 @@
         wake(stage, number, stage.now() + LEAVES_ANYWAY, LEFT, 0);
     }
 
-    /// One crashes: its connections are reset, or it falls silent.
-    pub fn crash(&mut self, number: usize, silent: bool, stage: &mut Stage<'_>) {
+    /// One is made to fail: of one that was leaving no acknowledgement is due any more.
+    pub fn fail(&mut self, number: usize, silent: bool, stage: &mut Stage<'_>) {
+        if let Some(leaving) = self.all[number].leaving.take() {
+            stage.judge.leaves_no_more(leaving);
+        }
+        self.crash(number, silent, stage);
+    }
+
+    /// One is gone: its connections are reset, or it falls silent.
+    fn crash(&mut self, number: usize, silent: bool, stage: &mut Stage<'_>) {
         let live = &mut self.all[number];
         if live.state == State::Gone {
             return;
--- a/crates/simulation/src/fleet/executor_faults.rs
+++ b/crates/simulation/src/fleet/executor_faults.rs
@@ -41,7 +41,7 @@
         for number in self.some_executors(share) {
             let made = self.executors.made(number).clone();
             self.note(&format!("{} crashes (silent: {silent})", made.instance));
-            self.stage(|actors, stage| actors.executors.crash(number, silent, stage));
+            self.stage(|actors, stage| actors.executors.fail(number, silent, stage));
             self.add_executor(&made.service, made.zone_number, None);
         }
     }
@@ -62,7 +62,7 @@
         }
         for number in &executors {
             self.note(&format!("{} goes down", self.executors.made(*number).instance));
-            self.stage(|actors, stage| actors.executors.crash(*number, false, stage));
+            self.stage(|actors, stage| actors.executors.fail(*number, false, stage));
         }
         self.later(gap * 0.5, Step::Again { executors, times: times - 1, gap });
     }
