--- /dev/null
+++ b/crates/archive/src/fair_share.rs
@@ -0,0 +1,58 @@
+//! How the owners of the parts share the room that executors have for items. Each owner finds room by itself; one that has
+//! many runs hears of room more often, and would keep what it has while the queue of another fills up.
+
+use std::collections::BTreeMap;
+
+use grebeusher_time::{Moment, Span};
+
+/// What an owner tells is true for about this long: some times the pause between two of its messages.
+const FRESH_FOR: Span = Span::millis(600);
+/// Runs beyond its share that an owner may have, so that all of them together can grow into new room. At 12 owners' messages
+/// a second a few hundred places are taken within a second.
+const HEADROOM: f64 = 24.0;
+/// The same as a part of its share.
+const HEADROOM_SHARE: f64 = 0.1;
+
+/// Items of one part.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct PartLoad {
+    /// Those that run.
+    pub running: u32,
+    /// Those that wait for room.
+    pub waiting: u32,
+}
+
+impl PartLoad {
+    fn wanted(self) -> f64 {
+        f64::from(self.running) + f64::from(self.waiting)
+    }
+}
+
+/// What the owners of the other parts told last.
+#[derive(Clone, Debug, Default)]
+pub struct FairShare {
+    others: BTreeMap<u8, (PartLoad, Moment)>,
+}
+
+impl FairShare {
+    /// The owner of another part told its load.
+    pub fn told(&mut self, now: Moment, part: u8, load: PartLoad) {
+        self.others.insert(part, (load, now));
+    }
+
+    /// Whether a part with this load may begin a further item: always, while no other part has items that wait; else up to
+    /// its share of all runs, by how many items each part has, and a little beyond.
+    pub fn may_begin(&self, now: Moment, part: u8, own: PartLoad) -> bool {
+        let fresh = |(other, (load, at)): (&u8, &(PartLoad, Moment))| {
+            (*other != part && now.since(*at) < FRESH_FOR).then_some(*load)
+        };
+        let others: Vec<PartLoad> = self.others.iter().filter_map(fresh).collect();
+        if others.iter().all(|other| other.waiting == 0) {
+            return true;
+        }
+        let running = others.iter().fold(f64::from(own.running), |sum, other| sum + f64::from(other.running));
+        let wanted = others.iter().fold(own.wanted(), |sum, other| sum + other.wanted());
+        let share = running * own.wanted() / wanted.max(1.0);
+        f64::from(own.running) < share * (1.0 + HEADROOM_SHARE) + HEADROOM
+    }
+}
--- a/crates/archive/src/lib.rs
+++ b/crates/archive/src/lib.rs
@@ -56,6 +56,7 @@
 
 mod compact;
 mod events;
+mod fair_share;
 mod jobs;
 mod names;
 mod owner;
@@ -64,6 +65,7 @@
 mod submission;
 
 pub use events::{Event, EventError, EventReader, MAX_EVENT_BYTES};
+pub use fair_share::{FairShare, PartLoad};
 pub use jobs::{
     Applied, EndState, Entry, EventsPiece, ItemProgress, ItemResult, JobResults, JobStatus, JobTerms, Jobs,
     Listing, MAX_PAGE_BYTES, OpenItem, Page, Progress, ResultState, SnapshotError,
--- a/crates/archive/src/runner.rs
+++ b/crates/archive/src/runner.rs
@@ -9,6 +9,7 @@
 
 use grebeusher_time::{Moment, Span};
 
+use crate::fair_share::PartLoad;
 use crate::jobs::{
     Applied, EndState, Entry, ItemProgress, ItemResult, JobResults, Jobs, MAX_JOBS_IN_ENTRY, ResultState,
 };
@@ -457,6 +458,13 @@
         self.runs.len()
     }
 
+    /// How many items run, and how many could if there were room.
+    pub fn load(&self) -> PartLoad {
+        let count = |items: usize| u32::try_from(items).unwrap_or(u32::MAX);
+        let waiting = self.jobs.values().map(JobRun::ready_count).sum();
+        PartLoad { running: count(self.runs.len()), waiting: count(waiting) }
+    }
+
     /// The tokens of a route's items that are neither running nor decided.
     pub fn idle_tokens(&self, route: &str) -> u64 {
         let jobs = self.jobs.values().filter(|job| job.route() == route);
--- a/crates/archive/src/runner/schedule.rs
+++ b/crates/archive/src/runner/schedule.rs
@@ -88,6 +88,10 @@
         !self.ready.is_empty()
     }
 
+    pub fn ready_count(&self) -> usize {
+        self.ready.len()
+    }
+
     pub fn is_given_up(&self, now: Moment) -> bool {
         now >= self.given_up
     }
--- /dev/null
+++ b/crates/archive/tests/fair_share.rs
@@ -0,0 +1,56 @@
+//! How owners of parts share the room for items.
+
+use grebeusher_archive::{FairShare, PartLoad};
+use grebeusher_time::{Moment, Span};
+use rstest::rstest;
+
+const NOW: Moment = Moment(5_000_000_000);
+
+fn load(running: u32, waiting: u32) -> PartLoad {
+    PartLoad { running, waiting }
+}
+
+fn beside(others: &[(u8, PartLoad)]) -> FairShare {
+    let mut shares = FairShare::default();
+    others.iter().for_each(|(part, load)| shares.told(NOW, *part, *load));
+    shares
+}
+
+#[test]
+fn a_part_takes_all_room_while_nothing_else_waits() {
+    // Given other parts whose items all run, when a part has many runs, then it may begin more.
+    let shares = beside(&[(2, load(100, 0)), (3, load(100, 0))]);
+    assert!(shares.may_begin(NOW, 1, load(800, 400)));
+    assert!(FairShare::default().may_begin(NOW, 1, load(800, 400)));
+}
+
+#[test]
+fn a_part_with_few_items_left_leaves_room_to_one_with_a_long_queue() {
+    // Given a part with 61 runs and 700 items that wait, when another one has 415 runs and few items left,
+    let shares = beside(&[(2, load(61, 700))]);
+    // then that one begins none until its share is its own, and the first begins at once.
+    assert!(!shares.may_begin(NOW, 3, load(415, 60)));
+    assert!(beside(&[(3, load(415, 60))]).may_begin(NOW, 2, load(61, 700)));
+}
+
+#[rstest]
+#[case::from_nothing(0)]
+#[case::when_busy(200)]
+fn parts_alike_grow_together_into_new_room(#[case] running: u32) {
+    // Given three parts alike, when there is room, then each may begin more beside the others.
+    let alike = load(running, 500);
+    assert!(beside(&[(2, alike), (3, alike)]).may_begin(NOW, 1, alike));
+}
+
+#[test]
+fn what_an_owner_told_long_ago_holds_nobody_back() {
+    // Given an owner that told of a long queue and was heard of no more, when others go on, then they take its room.
+    let shares = beside(&[(2, load(61, 700))]);
+    assert!(shares.may_begin(NOW + Span::millis(1000), 3, load(415, 60)));
+}
+
+#[test]
+fn a_part_is_not_held_back_by_what_it_told_itself() {
+    let shares = beside(&[(1, load(10, 900))]);
+    assert!(shares.may_begin(NOW, 1, load(400, 900)));
+}
--- a/crates/tier/src/dispatch.rs
+++ b/crates/tier/src/dispatch.rs
@@ -20,6 +20,7 @@
             }
             Channel::Quorum => self.receive_quorum(payload),
             Channel::Popularity => self.receive_popularity(payload),
+            Channel::BatchLoad => self.receive_batch_load(payload),
             Channel::Call => {
                 if let Ok(envelope) = <CallEnvelope as DeBin>::deserialize_bin(payload) {
                     self.receive_call(from, envelope);
--- a/crates/tier/src/items.rs
+++ b/crates/tier/src/items.rs
@@ -5,12 +5,13 @@
 use crate::routing::Hints;
 use crate::timers::Timer;
 use crate::upstream::{CallOwner, Failure, UpstreamEvent};
-use grebeusher_archive::{EventReader, EventTaken, Outcome as RunOutcome, RunId, RunOrder};
+use grebeusher_archive::{EventReader, EventTaken, FairShare, Outcome as RunOutcome, RunId, RunOrder};
 use grebeusher_catalog::configuration::RouteType;
 use grebeusher_gateway::{AttemptToken, Outcome, ServerLoad};
 use grebeusher_time::{Moment, Span};
 use grebeusher_transport::headers::Headers;
 use rustc_hash::FxHashMap;
+use std::collections::BTreeMap;
 use tracing::debug;
 
 /// How often items that wait look for room.
@@ -43,6 +44,10 @@
     active: FxHashMap<u64, ActiveRun>,
     waking: bool,
     told: Moment,
+    /// What the owners of other parts tell.
+    pub(crate) shares: FairShare,
+    /// When the load of each owned part was told last.
+    pub(crate) load_told: BTreeMap<u8, Moment>,
 }
 
 impl ItemRuns {
@@ -77,6 +82,7 @@
             if self.parts[place].replica.lease_holds(self.clock()) {
                 self.begin_items(place);
             }
+            self.tell_batch_load(place);
             self.tell_progress(place);
             self.cut_off_runs(place);
             self.propose_results(place);
@@ -114,6 +120,9 @@
 
     fn begin_items(&mut self, place: usize) {
         for _ in 0..BEGUN_AT_ONCE {
+            if !self.has_fair_share(place) {
+                return;
+            }
             let Some(order) = self.next_order(place) else { return };
             self.begin_item(place, order);
         }
--- a/crates/tier/src/lib.rs
+++ b/crates/tier/src/lib.rs
@@ -5,6 +5,7 @@
 //! settings say what is there.
 
 pub mod batch_front;
+pub mod batch_load;
 pub mod batch_part;
 pub mod calls;
 pub mod configuration;
--- a/crates/tier/src/messages.rs
+++ b/crates/tier/src/messages.rs
@@ -16,6 +16,8 @@
     Reply = 4,
     /// What nodes tell of popular prefixes of prompts.
     Popularity = 5,
+    /// What owners of batch parts tell each other of their items.
+    BatchLoad = 6,
 }
 
 impl Channel {
@@ -27,6 +29,7 @@
             3 => Channel::Call,
             4 => Channel::Reply,
             5 => Channel::Popularity,
+            6 => Channel::BatchLoad,
             _ => return None,
         })
     }
@@ -45,6 +48,17 @@
     pub message: Vec<u8>,
 }
 
+/// The items of a part, as its owner tells the owners of the others.
+#[derive(Clone, Copy, Debug, SerBin, DeBin)]
+pub struct BatchLoad {
+    /// The part.
+    pub part: u8,
+    /// Items that run.
+    pub running: u32,
+    /// Items that wait for room.
+    pub waiting: u32,
+}
+
 /// The number of a call, which its reply carries. It is unique over all lives of all processes at an address, as replies may
 /// come late, after the process that called has ended and another one has its address.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, SerBin, DeBin)]
--- a/crates/tier/src/traffic.rs
+++ b/crates/tier/src/traffic.rs
@@ -5,7 +5,7 @@
 use crate::timers::Timer;
 
 /// The kinds of frames: the registry's messages in the order of their tags, then the other channels.
-pub const FRAME_KINDS: [&str; 16] = [
+pub const FRAME_KINDS: [&str; 17] = [
     "join",
     "welcome",
     "heartbeat",
@@ -22,6 +22,7 @@
     "call",
     "reply",
     "popularity",
+    "batch_load",
 ];
 
 /// The kinds of timers that a process sets.
@@ -94,6 +95,7 @@
         Channel::Call => REGISTRY_KINDS + 1,
         Channel::Reply => REGISTRY_KINDS + 2,
         Channel::Popularity => REGISTRY_KINDS + 3,
+        Channel::BatchLoad => REGISTRY_KINDS + 4,
     };
     tallies[kind].frames += 1;
     tallies[kind].bytes += payload.len() as u64;
