In-memory fleet: storage machines with narrow links, and jobs that crowd them

Shape.storage_link_mbps gives stores wires that all of their connections share; Load.item_bytes sizes the items.

--- a/crates/simulation/src/clients/jobs.rs
+++ b/crates/simulation/src/clients/jobs.rs
@@ -99,7 +99,7 @@
                 MadeItem {
                     id: name,
                     path: format!("{prefix}item-{number:x}-{item}"),
-                    body: vec![b'p'; 30 + item as usize],
+                    body: vec![b'p'; self.traffic.item_bytes + item as usize],
                     tokens,
                 }
             })
--- a/crates/simulation/src/clients/mod.rs
+++ b/crates/simulation/src/clients/mod.rs
@@ -55,6 +55,8 @@
     pub live_per_s: f64,
     /// Batch jobs a second.
     pub jobs_per_s: f64,
+    /// Bytes of each item's body, beside a few.
+    pub item_bytes: usize,
     /// Probes a second of which configuration is in force.
     pub probes_per_s: f64,
 }
--- a/crates/simulation/src/fleet/build.rs
+++ b/crates/simulation/src/fleet/build.rs
@@ -5,7 +5,7 @@
 use crate::clients::{Clients, Traffic};
 use crate::disk::Disk;
 use crate::executors::{Executor, Executors};
-use crate::hub::Hub;
+use crate::hub::{HostLink, Hub};
 use crate::judge::{Bounds, Judge};
 use crate::operators::Operators;
 use crate::scenario::{Scenario, Shape, Timed};
@@ -44,6 +44,7 @@
         let traffic = Traffic {
             live_per_s: load.live_per_s,
             jobs_per_s: load.jobs_per_s,
+            item_bytes: load.item_bytes,
             probes_per_s: load.probes_per_s,
         };
         let mut until = Span::secs(load.lead_s + load.length_s);
@@ -133,6 +134,9 @@
         let ip = Ipv4Addr::new(10, 1 + zone as u8, net, 10 + place);
         let mut hub = self.hub.borrow_mut();
         let host = hub.add_host(ip, zone, Span(0));
+        if class == Class::Storage {
+            hub.hosts[host].link = self.scenario.shape.storage_link_mbps.map(HostLink::new);
+        }
         let wall_offset_ms = hub.random.random_range(-1500..1500);
         drop(hub);
         let kind = if class == Class::Edge { "edge" } else { "storage" };
--- a/crates/simulation/src/fleet/hollow.rs
+++ b/crates/simulation/src/fleet/hollow.rs
@@ -93,6 +93,7 @@
                 in_zone_ms: 0.2,
                 cross_zone_ms: 0.5,
                 cross_region_ms: 10.0,
+                storage_link_mbps: None,
                 sync_ms: 0.5,
             },
             load: Load {
--- a/crates/simulation/src/hub.rs
+++ b/crates/simulation/src/hub.rs
@@ -81,6 +81,39 @@
     pub powered: bool,
     /// What its wires add to each packet's way.
     pub delay: Span,
+    /// How many bytes go through its wires in a second, and when they are free; without a bound if there is none.
+    pub link: Option<HostLink>,
+}
+
+/// The wires of a host, which all of its connections share; either direction passes packets in their order.
+#[derive(Clone, Copy, Debug)]
+pub struct HostLink {
+    bytes_per_s: f64,
+    out_free: Moment,
+    in_free: Moment,
+}
+
+impl HostLink {
+    /// Wires of so many megabits a second.
+    pub fn new(mbps: f64) -> HostLink {
+        HostLink { bytes_per_s: mbps * 1e6 / 8.0, out_free: Moment(0), in_free: Moment(0) }
+    }
+
+    fn pass(&self, free: Moment, at: Moment, bytes: usize) -> Moment {
+        free.max(at) + Span::secs(bytes as f64 / self.bytes_per_s)
+    }
+
+    /// When bytes that are sent at a moment have left.
+    pub fn leave(&mut self, at: Moment, bytes: usize) -> Moment {
+        self.out_free = self.pass(self.out_free, at, bytes);
+        self.out_free
+    }
+
+    /// When bytes that come at a moment are in.
+    pub fn arrive(&mut self, at: Moment, bytes: usize) -> Moment {
+        self.in_free = self.pass(self.in_free, at, bytes);
+        self.in_free
+    }
 }
 
 /// A life of a process, as the kernel knows it.
@@ -215,7 +248,7 @@
 
     /// Adds a host with power.
     pub fn add_host(&mut self, ip: Ipv4Addr, zone: usize, delay: Span) -> usize {
-        self.hosts.push(Host { ip, zone, slowed: 1.0, powered: true, delay });
+        self.hosts.push(Host { ip, zone, slowed: 1.0, powered: true, delay, link: None });
         self.by_ip.insert(ip, self.hosts.len() - 1);
         self.hosts.len() - 1
     }
--- a/crates/simulation/src/network/packets.rs
+++ b/crates/simulation/src/network/packets.rs
@@ -14,9 +14,11 @@
         let sent = self.local_now();
         let length = if let Packet::Data(bytes) = &packet { bytes.len() } else { 0 };
         let transfer = Span::secs(length as f64 / BYTES_PER_S);
+        let left = self.hosts[from].link.as_mut().map_or(sent, |link| link.leave(sent, length));
+        let come = self.hosts[to].link.as_mut().map_or(left + way, |link| link.arrive(left + way, length));
         let Some(found) = self.connections.get_mut(&end.connection()) else { return };
         let side = &mut found.sides[end.side()];
-        let at = (sent + way).max(side.last_at) + transfer;
+        let at = come.max(side.last_at) + transfer;
         side.last_at = at;
         side.flight.push_back(Flying { sent, at, packet });
         self.schedule(at, Happening::Arrival { connection: end.connection(), side: end.side() });
--- a/crates/simulation/src/scenario.rs
+++ b/crates/simulation/src/scenario.rs
@@ -53,6 +53,9 @@
     /// What a sync takes, in milliseconds.
     #[serde(default = "sync_ms")]
     pub sync_ms: f64,
+    /// What the link of a storage machine carries, in megabits a second; without a bound if there is none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub storage_link_mbps: Option<f64>,
 }
 
 /// The machines of a zone.
@@ -92,6 +95,8 @@
     pub slots: usize,
     /// The limit of waiting tokens on each bulk route.
     pub quota: u64,
+    /// Bytes of each item's body, beside a few.
+    pub item_bytes: usize,
     /// Routes that nobody asks for. Real tables are long, so that a log of them does not fit one message between nodes.
     pub ballast_routes: usize,
     /// Reads a second of the configuration by an operator.
@@ -109,6 +114,7 @@
             executors: 4,
             slots: 8,
             quota: 20_000,
+            item_bytes: 30,
             ballast_routes: 60,
             reads_per_s: 4.0,
         }
--- /dev/null
+++ b/crates/simulation/tests/narrow_links.rs
@@ -0,0 +1,31 @@
+//! Storage machines whose links carry not much more than the batch jobs need.
+
+mod fleets;
+
+use fleets::{expect_clean, shape};
+use grebeusher_simulation::fleet::{Report, run};
+use grebeusher_simulation::scenario::{Fault, Load, On, Timed};
+
+/// Jobs of some 130 KB come, more than fit what may wait, over stores with links of 20 Mbit/s; the owner of a part is killed
+/// meanwhile.
+fn crowded_day(seed: u64) -> Report {
+    let mut scenario = shape("five-cores");
+    scenario.shape.storage_link_mbps = Some(20.0);
+    scenario.load =
+        Load { jobs_per_s: 60.0, item_bytes: 12000, quota: 8000, live_per_s: 5.0, ..scenario.load };
+    let fault = Fault::NodeKill { on: On::Storage, leader: true, power: true, wipe: false, for_s: 1.0 };
+    scenario.faults = vec![Timed { at_s: 2.0, fault }];
+    run(&scenario, seed)
+}
+
+#[test]
+fn jobs_that_are_refused_and_come_again_leave_the_links_to_those_that_are_taken() {
+    for seed in 1..=2 {
+        // Given clients that hand in three times what fits, when they send again what is refused, and an owner is killed,
+        let report = crowded_day(seed);
+        // then no part stays without an owner, and what fits is taken. With bodies in each copy 37 jobs were, and results
+        // could not be read at the end.
+        expect_clean(&report);
+        assert!(report.counts.jobs > 150, "{:?}", report.counts);
+    }
+}
