Only parts that have items are spread over owners, and never to a machine that is to be emptied

A part without items costs its owner nothing, and a hand-over interrupts what runs: of two or more that have items the one with the fewest runs goes.

--- a/crates/tier/src/batch_load.rs
+++ b/crates/tier/src/batch_load.rs
@@ -49,7 +49,8 @@
         self.items.shares.may_begin(self.now, part, load)
     }
 
-    fn batch_load(&mut self, place: usize) -> PartLoad {
+    /// The items of a part, if this node runs them.
+    pub(crate) fn batch_load(&mut self, place: usize) -> PartLoad {
         self.batch_mut(place).map_or(PartLoad::default(), |part| part.runner.load())
     }
 }
--- a/crates/tier/src/owner_balance.rs
+++ b/crates/tier/src/owner_balance.rs
@@ -4,6 +4,7 @@
 
 use crate::batch_front::BATCH_PARTS;
 use crate::node::Node;
+use grebeusher_archive::PartLoad;
 use grebeusher_quorum::ReplicaId;
 use grebeusher_registry::MemberState;
 use grebeusher_time::{Moment, Span};
@@ -33,17 +34,22 @@
 }
 
 impl Node {
-    /// Hands one batch part to a voter whose node owns none or fewer, where this node owns several.
+    /// Hands one batch part to a voter whose node owns none or fewer, where this node owns several that have items.
     pub(crate) fn spread_ownership(&mut self) {
         let now = self.now;
         if self.stopping() || now < self.spread_after {
             return;
         }
-        let owned: Vec<usize> = (0..self.parts.len()).filter(|place| self.owns_batch_part(*place)).collect();
+        let places = (0..self.parts.len()).filter(|place| self.owns_batch_part(*place));
+        let mut owned: Vec<usize> = places.collect();
+        // Parts without items cost their owner nothing.
+        owned.retain(|place| self.batch_load(*place) != PartLoad::default());
         if owned.len() < 2 {
             return;
         }
-        for place in owned.iter().copied().rev() {
+        // A hand-over interrupts what runs: the one with the fewest runs goes.
+        owned.sort_by_key(|place| self.batch_load(*place).running);
+        for place in owned.iter().copied() {
             if self.may_hand_over(place, now)
                 && let Some(heir) = relieving_heir(owned.len(), &self.heirs_of(place))
             {
@@ -64,12 +70,14 @@
         since && host.replica.is_settled() && !host.replica.is_handing_over()
     }
 
-    /// The living voters of a part, the one that is furthest first.
-    fn heirs_of(&self, place: usize) -> Vec<Heir> {
+    /// The living voters of a part whose nodes are not to be emptied, the one that is furthest first.
+    fn heirs_of(&mut self, place: usize) -> Vec<Heir> {
+        let retiring = self.retiring_nodes(place);
         let heir = |replica: ReplicaId| {
             let member = self.registry.member_by_replica(replica.0)?;
             let owned = self.owners.count_of(&self.registry, member.address, 1..=BATCH_PARTS);
-            (member.state == MemberState::Alive).then_some(Heir { replica, owned })
+            let stays = member.state == MemberState::Alive && !retiring.contains(&member.name);
+            stays.then_some(Heir { replica, owned })
         };
         self.parts[place].replica.heirs().into_iter().filter_map(heir).collect()
     }
