In-memory fleet: the whole core is killed at one moment, also in the storms

Fault::HerdKill kills all counted processes at once, which are back with their disks; drawn for one storm in ten, apart from the rest, so that the storms of a seed stay as they were but for it. A test with changes and jobs under way on two shapes, three seeds each: nothing acknowledged is lost or shown older.

--- a/crates/simulation/src/fleet/faults.rs
+++ b/crates/simulation/src/fleet/faults.rs
@@ -16,6 +16,7 @@
                     self.strike(machine, power, wipe, for_s);
                 }
             }
+            Fault::HerdKill { for_s } => self.kill_core(for_s),
             Fault::NodeFreeze { on, leader, for_s } => {
                 if let Some(machine) = self.victim(on, leader, for_s, fault) {
                     self.freeze(machine, for_s);
--- a/crates/simulation/src/fleet/strikes.rs
+++ b/crates/simulation/src/fleet/strikes.rs
@@ -26,6 +26,17 @@
         self.later(Span::secs(for_s), Step::StartMachine { machine });
     }
 
+    /// All processes of the core are killed at once. No disk is lost by it.
+    pub(super) fn kill_core(&mut self, for_s: f64) {
+        self.note("all of the core is killed");
+        let counted: Vec<usize> =
+            (0..self.machines.len()).filter(|machine| self.machines[*machine].counted).collect();
+        counted.into_iter().for_each(|machine| self.strike(machine, false, false, for_s));
+        let now = self.now();
+        let contact = self.judge.bounds.contact;
+        self.judge.core_slow(now, now + Span::secs(for_s) + contact);
+    }
+
     /// A machine's process stands still for a time.
     pub(super) fn freeze(&mut self, machine: usize, for_s: f64) {
         let Some(life) = self.machines[machine].life else { return };
--- a/crates/simulation/src/scenario/trouble.rs
+++ b/crates/simulation/src/scenario/trouble.rs
@@ -110,6 +110,8 @@
     ConfigSeries { count: usize },
     /// A machine's processor takes longer for all that it does.
     NodeSlow { on: On, times: f64, for_s: f64 },
+    /// All processes of the core, whatever may be lost, are killed at the same moment and come back with their disks.
+    HerdKill { for_s: f64 },
     /// A disk takes no more writes for a time.
     DiskFull { on: On, for_s: f64 },
     /// Something between the machines forgets the connections of one that are idle: what is sent on them from then on is
--- a/crates/simulation/src/storm.rs
+++ b/crates/simulation/src/storm.rs
@@ -7,6 +7,8 @@
 
 /// Keeps what is drawn apart from what the fleet draws.
 const STORM: u64 = 0x5707_0000;
+/// The same for what strikes the whole core.
+const HERD: u64 = 0x6865_7264;
 
 /// A scenario with faults drawn from a seed, where it names none.
 pub fn drawn(scenario: &Scenario, seed: u64) -> Scenario {
@@ -34,6 +36,12 @@
         };
         scenario.faults.push(Timed { at_s, fault });
     }
+    // Drawn apart, so that the storms of a seed stay as they were but for this.
+    let mut herd = Pcg64::seed_from_u64(seed ^ HERD);
+    if herd.random_bool(0.1) {
+        let at_s = (herd.random_range(0.3..length * 0.8) * 1000.0f64).round() / 1000.0;
+        scenario.faults.push(Timed { at_s, fault: Fault::HerdKill { for_s: 0.8 } });
+    }
     scenario.faults.sort_by(|one, other| one.at_s.total_cmp(&other.at_s));
     if scenario.closing.is_none() && random.random_bool(0.5) {
         scenario.closing = Some(match random.random_range(0..4) {
--- a/crates/simulation/tests/control.rs
+++ b/crates/simulation/tests/control.rs
@@ -104,6 +104,24 @@
     expect_clean(&run(&scenario, seed));
 }
 
+#[rstest]
+fn the_whole_core_may_be_killed_at_one_moment_while_changes_and_jobs_are_under_way(
+    #[values("four-zones", "five-cores")] name: &str,
+    #[values(1, 2, 3)] seed: u64,
+) {
+    // Given orders and jobs at any moment, when all of the core is killed at once, twice, and is back within a second,
+    let killed = Fault::HerdKill { for_s: 0.8 };
+    let mut faults = vec![(2.0, killed.clone()), (7.5, killed)];
+    faults.extend((0..9).map(|step| (1.0 + f64::from(step) * 0.97, Fault::ConfigRace)));
+    let mut scenario = day(name, 13.0, &faults);
+    scenario.load = Load { jobs_per_s: 8.0, quota: 0, reads_per_s: 15.0, ..scenario.load };
+    let report = run(&scenario, seed);
+    // then what was acknowledged is there, nothing older is shown, and jobs are taken again.
+    expect_clean(&report);
+    assert!(report.counts.jobs > 30, "{:?}", report.counts);
+    assert!(report.counts.acknowledged > 5, "{:?}", report.counts);
+}
+
 #[rstest]
 fn an_owner_that_is_killed_while_it_is_cut_off_starts_with_nothing_old(
     #[values("four-zones", "five-cores")] name: &str,
