The late refusal of an offer is no answer to the job that was sent

Found by reading the change: both went under one number, so that a 429 to a first, slow offer could reach the client as a promise after the second was wanted and the job was on its way. The whole job has a number of its own.

--- a/crates/tier/src/calls.rs
+++ b/crates/tier/src/calls.rs
@@ -265,13 +265,16 @@
         self.send_frame(target, Channel::Call, &SerBin::serialize_bin(&CallEnvelope { number, call }));
     }
 
-    /// An owner wants the job that it was offered: now it gets the bodies, the way that the offer went.
-    fn send_wanted(&mut self, number: CallNumber, owner: SocketAddrV4) {
-        let Some(pending) = self.calls.get_mut(&number) else { return };
-        let Sent::Offer { relayed } = pending.sent else { return };
+    /// An owner wants the job that it was offered: now it gets the bodies, the way that the offer went. The call goes on
+    /// under another number. Guards against the late refusal of an offer being taken for one of the job, which may be taken.
+    fn send_wanted(&mut self, offered: CallNumber, owner: SocketAddrV4) {
+        let Some(mut pending) = self.calls.remove(&offered) else { return };
+        let whole = self.call_numbers.next_number();
+        let relayed = pending.sent == Sent::Offer { relayed: true };
         pending.sent = Sent::Whole;
         let call = pending.call.clone();
-        self.send_call(number, owner, relayed, call);
+        self.calls.insert(whole, pending);
+        self.send_call(whole, owner, relayed, call);
     }
 
     /// Which way a call goes now.
@@ -395,9 +398,7 @@
                 self.call_later(number, REFUSED_PAUSE);
             }
             Reply::Unavailable if pending.part.is_some() => self.call_later(number, NO_OWNER_PAUSE),
-            Reply::Wanted if pending.part.is_some() && !matches!(pending.call, Call::OfferJob(_)) => {
-                self.send_wanted(number, from);
-            }
+            Reply::Wanted if matches!(pending.sent, Sent::Offer { .. }) => self.send_wanted(number, from),
             reply => self.end_call(number, Some(reply)),
         }
     }
--- a/crates/tier/tests/offers.rs
+++ b/crates/tier/tests/offers.rs
@@ -95,6 +95,24 @@
     assert_eq!(status_of(&single.take(client)), Some(202));
 }
 
+#[rstest]
+fn the_late_refusal_of_an_offer_is_no_answer_to_the_job(#[values(429, 503)] status: u16) {
+    // Given a job that was offered twice, as the first offer was left unanswered, and sent whole as it was wanted then,
+    let (mut single, client) = handed_in(20_000);
+    let first = offers(&single.take_calls())[0];
+    single.pass(Span::millis(600));
+    let second = *offers(&single.take_calls()).last().expect("it was offered again");
+    single.reply(second, Reply::Wanted);
+    let sent = bodies(&single.take_calls());
+    assert_eq!(sent.len(), 1);
+    // when the answer to an offer comes late and refuses it,
+    single.reply(first, answer(status));
+    // then the client hears nothing of it, as the job may be taken; and hears that it was.
+    assert_eq!(status_of(&single.take(client)), None);
+    single.reply(sent[0], answer(202));
+    assert_eq!(status_of(&single.take(client)), Some(202));
+}
+
 #[rstest]
 #[case::lost_by_its_owner(Reply::Unclear)]
 #[case::refused(Reply::Answer { status: 429, body: Vec::new() })]
