--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -6,6 +6,7 @@
 mod dropped_route;
 mod executor;
 mod fleet;
+mod foreign_route;
 mod http;
 mod raised_tolerance;
 mod slow_reader;
@@ -40,6 +41,7 @@
     match case.as_str() {
         "cut-stream" => cut_stream::run(&setting),
         "dropped-route" => dropped_route::run(&setting),
+        "foreign-route" => foreign_route::run(&setting),
         "raised-tolerance" => raised_tolerance::run(&setting),
         "slow-reader" => slow_reader::run(&setting),
         "stale-quota" => stale_quota::run(&setting),
