--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -2,7 +2,7 @@
 # Runs the case against the programs of the deploy file's build, after review/build.sh. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 folder=$(mktemp -d) || exit 2
-target/review/release/grebeusher-review-standin foreign-route target/release/grebeusher-tier review/1 "$folder" &
+target/review/release/grebeusher-review-standin lost-results target/release/grebeusher-tier review/1 "$folder" &
 driver=$!
 trap 'kill $driver 2>/dev/null' INT TERM
 wait $driver
--- a/review/standin/src/executor.rs
+++ b/review/standin/src/executor.rs
@@ -23,6 +23,7 @@
 }
 
 const SLOTS: usize = 24;
+const EVENT_BYTES: usize = 110;
 
 impl Executor {
     /// `ID SERVICE ADDRESS ZONE CONTROL,.. HEARTBEAT_MS LOG`
@@ -128,6 +129,9 @@
                 self.note(&format!("answered {attempt} with {count} bytes"));
                 Some(())
             }
+            [_, "text", work_ms, events, ..] => {
+                self.text(connection, &seal, &attempt, work_ms.parse().ok()?, events.parse().ok()?)
+            }
             [_, "item", work_ms, ..] => self.item(connection, &seal, &attempt, work_ms.parse().ok()?, body),
             _ => connection.send(format!("HTTP/1.1 404 Not Found\r\n{seal}Content-Length: 0\r\n\r\n").as_bytes()).ok(),
         }
@@ -149,6 +153,20 @@
         None
     }
 
+    /// An item of a batch job: so many events of the largest size that the site's sheet names.
+    fn text(&self, connection: &mut Connection, seal: &str, attempt: &str, work_ms: u64, events: usize) -> Option<()> {
+        thread::sleep(Duration::from_millis(work_ms));
+        let data = "w".repeat(EVENT_BYTES);
+        let body: String = (1..=events).map(|event| format!("id: {event}\ndata: {data}\n\n")).collect();
+        let text = format!(
+            "HTTP/1.1 200 OK\r\n{seal}Content-Type: text/event-stream\r\nContent-Length: {}\r\n\r\n{body}",
+            body.len()
+        );
+        connection.send(text.as_bytes()).ok()?;
+        self.note(&format!("finished {attempt}"));
+        Some(())
+    }
+
     /// An item of a batch job: one event.
     fn item(&self, connection: &mut Connection, seal: &str, attempt: &str, work_ms: u64, body: &[u8]) -> Option<()> {
         self.items.fetch_add(1, Ordering::Relaxed);
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -8,6 +8,7 @@
 mod fleet;
 mod foreign_route;
 mod http;
+mod lost_results;
 mod raised_tolerance;
 mod slow_reader;
 mod stale_quota;
@@ -42,6 +43,7 @@
         "cut-stream" => cut_stream::run(&setting),
         "dropped-route" => dropped_route::run(&setting),
         "foreign-route" => foreign_route::run(&setting),
+        "lost-results" => lost_results::run(&setting),
         "raised-tolerance" => raised_tolerance::run(&setting),
         "slow-reader" => slow_reader::run(&setting),
         "stale-quota" => stale_quota::run(&setting),
