--- a/review/standin/src/executor.rs
+++ b/review/standin/src/executor.rs
@@ -4,10 +4,13 @@
 use std::fs::{File, OpenOptions};
 use std::io::Write;
 use std::net::{SocketAddr, TcpListener};
-use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex};
+use std::ops::Range;
+use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// Names the variable with the start of the driver's record.
+pub const RECORD_START: &str = "REVIEW_RECORD_START_MS";
 
 pub struct Executor {
     id: String,
@@ -18,11 +21,21 @@
     heartbeat: Duration,
     /// What was run, a line each; also read by the driver.
     log: Mutex<File>,
-    /// Runs of items so far.
-    items: AtomicUsize,
+    /// When the driver's record begins, in milliseconds since 1970.
+    start_ms: u128,
+    places: Mutex<Places>,
+    freed: Condvar,
+}
+
+/// What runs and what waits.
+#[derive(Default)]
+struct Places {
+    running: usize,
+    waiting: usize,
 }
 
 const SLOTS: usize = 24;
+const QUEUE: usize = 72;
 const EVENT_BYTES: usize = 110;
 
 impl Executor {
@@ -37,7 +50,9 @@
             control: control.split(',').filter_map(|one| one.parse().ok()).collect(),
             heartbeat: Duration::from_millis(heartbeat.parse().ok()?),
             log: Mutex::new(OpenOptions::new().create(true).append(true).open(log).ok()?),
-            items: AtomicUsize::new(0),
+            start_ms: std::env::var(RECORD_START).ok()?.parse().ok()?,
+            places: Mutex::default(),
+            freed: Condvar::new(),
         })
     }
 
@@ -54,8 +69,10 @@
     }
 
     fn note(&self, line: &str) {
+        let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis();
+        let at = now.saturating_sub(self.start_ms);
         if let Ok(mut log) = self.log.lock() {
-            let _ = log.write_all(format!("{} {line}\n", self.id).as_bytes());
+            let _ = log.write_all(format!("{} {at:>6} ms {line}\n", self.id).as_bytes());
         }
     }
 
@@ -112,20 +129,81 @@
         if head.get("x-grebeusher-target-instance").is_some_and(|target| target != self.id) {
             return connection.send(refused("421 Misdirected Request").as_bytes()).ok();
         }
+        let target = head.first_line.split(' ').nth(1).unwrap_or_default().to_owned();
+        if head.first_line.starts_with("GET ") {
+            return self.tell(connection, &target);
+        }
         if attempt.is_empty() {
             return connection.send(refused("400 Bad Request").as_bytes()).ok();
         }
-        let target = head.first_line.split(' ').nth(1).unwrap_or_default().to_owned();
+        let Some(load) = self.take_place() else {
+            return connection.send(refused("503 Service Unavailable").as_bytes()).ok();
+        };
+        let done = self.run_request(connection, head, body, &attempt, &target, &load);
+        if let Ok(mut places) = self.places.lock() {
+            places.running -= 1;
+        }
+        self.freed.notify_one();
+        done
+    }
+
+    /// Waits for a slot; the load then, as an answer tells it. `None` if too many wait.
+    fn take_place(&self) -> Option<String> {
+        let mut places = self.places.lock().ok()?;
+        if places.running >= SLOTS {
+            if places.waiting >= QUEUE {
+                return None;
+            }
+            places.waiting += 1;
+            while places.running >= SLOTS {
+                places = self.freed.wait(places).ok()?;
+            }
+            places.waiting -= 1;
+        }
+        places.running += 1;
+        Some(format!("{},{},{SLOTS}", places.running, places.waiting))
+    }
+
+    /// Health and load.
+    fn tell(&self, connection: &mut Connection, target: &str) -> Option<()> {
+        let (running, waiting) = self.places.lock().map(|places| (places.running, places.waiting)).ok()?;
+        let load = format!(
+            "X-Grebeusher-Instance-Id: {}\r\nX-Grebeusher-Server-Load: {running},{waiting},{SLOTS}\r\n",
+            self.id
+        );
+        let body = match target {
+            "/health" => String::new(),
+            "/api/report" => format!(
+                "{{\"pipeline_stage\":\"both\",\"models\":[],\"utilization\":false,\"call_seq\":0,\"queued_count\":{waiting},\"active_count\":{running},\"kv_used\":0,\"kv_total\":400843,\"open_handles\":0}}"
+            ),
+            _ => return connection.send(b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n").ok(),
+        };
+        connection
+            .send(format!("HTTP/1.1 200 OK\r\n{load}Content-Length: {}\r\n\r\n{body}", body.len()).as_bytes())
+            .ok()
+    }
+
+    fn run_request(
+        &self,
+        connection: &mut Connection,
+        head: &Head,
+        body: &[u8],
+        attempt: &str,
+        target: &str,
+        load: &str,
+    ) -> Option<()> {
+        let after: usize = head.get("last-event-id").and_then(|text| text.trim().parse().ok()).unwrap_or(0);
+        let host = head.get("host").unwrap_or("-");
         let words: Vec<&str> = target.trim_matches('/').split('/').collect();
-        self.note(&format!("runs {attempt} {target}"));
+        self.note(&format!("runs {attempt} of {host}{target} after event {after}"));
         let seal = format!(
-            "X-Grebeusher-Attempt-Id: {attempt}\r\nX-Grebeusher-Server-Seal: {}.{}\r\nX-Grebeusher-Server-Load: 1,0,{SLOTS}\r\n",
+            "X-Grebeusher-Attempt-Id: {attempt}\r\nX-Grebeusher-Server-Seal: {}.{}\r\nX-Grebeusher-Server-Load: {load}\r\n",
             self.id,
             std::process::id()
         );
         match words.as_slice() {
             [_, "stream", events, pause_ms] => {
-                self.stream(connection, &seal, &attempt, events.parse().ok()?, pause_ms.parse().ok()?)
+                self.stream(connection, &seal, attempt, after..events.parse().ok()?, pause_ms.parse().ok()?)
             }
             [_, "bytes", count] => {
                 let count: usize = count.parse().ok()?;
@@ -137,9 +215,11 @@
                 Some(())
             }
             [_, "text", work_ms, events, ..] => {
-                self.text(connection, &seal, &attempt, work_ms.parse().ok()?, events.parse().ok()?)
+                self.text(connection, &seal, attempt, work_ms.parse().ok()?, after..events.parse().ok()?)
+            }
+            [_, "item", work_ms, ..] => {
+                self.item(connection, &seal, attempt, work_ms.parse().ok()?, after, body)
             }
-            [_, "item", work_ms, ..] => self.item(connection, &seal, &attempt, work_ms.parse().ok()?, body),
             _ => connection
                 .send(format!("HTTP/1.1 404 Not Found\r\n{seal}Content-Length: 0\r\n\r\n").as_bytes())
                 .ok(),
@@ -152,20 +232,21 @@
         connection: &mut Connection,
         seal: &str,
         attempt: &str,
-        events: usize,
+        events: Range<usize>,
         pause_ms: u64,
     ) -> Option<()> {
         let head =
             format!("HTTP/1.1 200 OK\r\n{seal}Content-Type: text/event-stream\r\nConnection: close\r\n\r\n");
         connection.send(head.as_bytes()).ok()?;
-        for event in 1..=events {
+        let last = events.end;
+        for event in events.start + 1..=last {
             connection.send(format!("id: {event}\ndata: first-{event} ").as_bytes()).ok()?;
             self.note(&format!("half {event} of {attempt}"));
             thread::sleep(Duration::from_millis(pause_ms));
             connection.send(format!("second-{event}\n\n").as_bytes()).ok()?;
             thread::sleep(Duration::from_millis(pause_ms));
         }
-        self.note(&format!("answered {attempt} with {events} events"));
+        self.note(&format!("answered {attempt} with {last} events"));
         // Dropped by the caller: the connection ends.
         None
     }
@@ -177,11 +258,12 @@
         seal: &str,
         attempt: &str,
         work_ms: u64,
-        events: usize,
+        events: Range<usize>,
     ) -> Option<()> {
-        thread::sleep(Duration::from_millis(work_ms));
+        self.work(connection, attempt, work_ms)?;
         let data = "w".repeat(EVENT_BYTES);
-        let body: String = (1..=events).map(|event| format!("id: {event}\ndata: {data}\n\n")).collect();
+        let body: String =
+            (events.start + 1..=events.end).map(|event| format!("id: {event}\ndata: {data}\n\n")).collect();
         let text = format!(
             "HTTP/1.1 200 OK\r\n{seal}Content-Type: text/event-stream\r\nContent-Length: {}\r\n\r\n{body}",
             body.len()
@@ -191,6 +273,19 @@
         Some(())
     }
 
+    /// Works so long; `None` if the caller closes the connection meanwhile: the request is dropped.
+    fn work(&self, connection: &Connection, attempt: &str, work_ms: u64) -> Option<()> {
+        let until = Instant::now() + Duration::from_millis(work_ms);
+        while Instant::now() < until {
+            thread::sleep(until.saturating_duration_since(Instant::now()).min(Duration::from_millis(25)));
+            if connection.is_closed_by_peer() {
+                self.note(&format!("drops {attempt}, its caller has closed the connection"));
+                return None;
+            }
+        }
+        Some(())
+    }
+
     /// An item of a batch job: one event.
     fn item(
         &self,
@@ -198,11 +293,14 @@
         seal: &str,
         attempt: &str,
         work_ms: u64,
+        after: usize,
         body: &[u8],
     ) -> Option<()> {
-        self.items.fetch_add(1, Ordering::Relaxed);
-        thread::sleep(Duration::from_millis(work_ms));
-        let event = format!("id: 1\ndata: done {attempt} {}\n\n", body.len());
+        self.work(connection, attempt, work_ms)?;
+        let event = match after {
+            0 => format!("id: 1\ndata: done {attempt} {}\n\n", body.len()),
+            _ => String::new(),
+        };
         let text = format!(
             "HTTP/1.1 200 OK\r\n{seal}Content-Type: text/event-stream\r\nContent-Length: {}\r\n\r\n{event}",
             event.len()
--- a/review/standin/src/fleet.rs
+++ b/review/standin/src/fleet.rs
@@ -9,7 +9,7 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 pub const SIGHUP: i32 = 1;
 pub const SIGTERM: i32 = 15;
@@ -21,11 +21,13 @@
 pub struct Record {
     file: File,
     start: Instant,
+    start_ms: u128,
 }
 
 impl Record {
     pub fn open(path: &Path) -> std::io::Result<Record> {
-        Ok(Record { file: File::create(path)?, start: Instant::now() })
+        let start_ms = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis();
+        Ok(Record { file: File::create(path)?, start: Instant::now(), start_ms })
     }
 
     pub fn note(&mut self, line: &str) {
@@ -119,7 +121,13 @@
     }
 
     /// Writes the settings file of a machine, which bears the loss of `losses` machines. Its name and its address.
-    pub fn write_settings(&self, class: &str, at: usize, losses: u32) -> Outcome<(String, Ipv4Addr)> {
+    pub fn write_settings(
+        &self,
+        class: &str,
+        at: usize,
+        losses: u32,
+        bootstrap: bool,
+    ) -> Outcome<(String, Ipv4Addr)> {
         let ip = self.ip(class, at);
         let zone = ZONES[at % ZONES.len()];
         let name = format!("{class}-{zone}-{}", 1 + at / ZONES.len());
@@ -139,7 +147,7 @@
             "{{\"node_name\":\"{name}\",\"role\":\"{class}\",\"machine_class\":\"{class}\",\"served_roles\":[{roles}],\
              \"ip_address\":\"{ip}\",\"zone\":\"{zone}\",\"region\":\"region\",\
              \"zones\":{{\"zone-a\":\"region\",\"zone-b\":\"region\",\"zone-c\":\"region\"}},\
-             \"bindings\":{bindings},\"internal_ports\":[{},{}],\"seed_nodes\":[{}],\"bootstrap\":true,\
+             \"bindings\":{bindings},\"internal_ports\":[{},{}],\"seed_nodes\":[{}],\"bootstrap\":{bootstrap},\
              \"quorum_member\":true,\"limits\":{{\"cpu_share\":{share},\"cpu_cores\":1,\"memory_mb\":{memory},\
              \"file_descriptors\":{descriptors},\"link_mbps\":{link:.1},\"disk_mb\":{disk}}},\"data_path\":\"{}\",\
              \"discovery\":\"self_register\",\"entry_mode\":\"virtual_ip\",\"heartbeat_ms\":{HEARTBEAT_MS},\
@@ -162,7 +170,7 @@
 
     /// Starts one process of the tier, by the command of the deploy file.
     fn start_machine(&mut self, class: &str, at: usize) -> Outcome<Machine> {
-        let (name, ip) = self.write_settings(class, at, 1)?;
+        let (name, ip) = self.write_settings(class, at, 1, true)?;
         let log = File::options().create(true).append(true).open(self.folder.join(format!("{name}.log")));
         let child = Command::new(&self.tier)
             .arg(class)
@@ -220,6 +228,7 @@
                     &control.join(","),
                 ])
                 .args([&HEARTBEAT_MS.to_string(), &self.executor_log().display().to_string()])
+                .env(crate::executor::RECORD_START, self.record.start_ms.to_string())
                 .stdin(Stdio::null())
                 .stdout(Stdio::null())
                 .stderr(Stdio::null())
@@ -246,6 +255,7 @@
         let body = format!(
             "{{\"config_version\":{version},\"route_table\":[{routes}],\"service_list\":[{services}],\"limits\":{limits}}}"
         );
+        self.record.note(&format!("operator sends on top of version {base}: {body}"));
         let base = base.to_string();
         let headers = [
             ("Host", "c"),
@@ -260,6 +270,10 @@
             at += 1;
             let status = http::call(self.control_of(edge), &bytes, Duration::from_secs(1))
                 .map_or(0, |a| a.head.status());
+            // A call of the operator ends at once on these.
+            if [400, 409, 412, 413, 422].contains(&status) {
+                return Err(CantRun(format!("the configuration was answered {status}")));
+            }
             if status == 200 {
                 self.record.note(&format!(
                     "configuration {version} on {base} acknowledged by {}",
--- a/review/standin/src/http.rs
+++ b/review/standin/src/http.rs
@@ -159,6 +159,20 @@
         Answer { head, body, end }
     }
 
+    /// Whether the other side has closed; bytes that have come stay.
+    pub fn is_closed_by_peer(&self) -> bool {
+        let mut byte = [0];
+        if self.stream.set_nonblocking(true).is_err() {
+            return true;
+        }
+        let peeked = self.stream.peek(&mut byte);
+        let _ = self.stream.set_nonblocking(false);
+        match peeked {
+            Ok(count) => count == 0,
+            Err(error) => error.kind() != io::ErrorKind::WouldBlock,
+        }
+    }
+
     pub fn send(&mut self, bytes: &[u8]) -> io::Result<()> {
         self.stream.write_all(bytes)
     }
--- a/review/standin/src/lost_results.rs
+++ b/review/standin/src/lost_results.rs
@@ -16,8 +16,9 @@
 const WORK_MS: u64 = 100;
 /// Of so many bytes of data each: the means that the sheet of the site names.
 const EVENTS: usize = 42;
-const EXECUTORS: usize = 6;
-const FREEZE: Duration = Duration::from_millis(3200);
+/// As on the sheet of the site, with 24 slots each.
+const EXECUTORS: usize = 18;
+const FREEZE: Duration = Duration::from_millis(3150);
 const RETENTION_S: u64 = 40;
 /// Past `finish_s` (10 s), and past the time from which an item may be given up.
 const WATCHED: Duration = Duration::from_secs(RETENTION_S + 5);
--- a/review/standin/src/raised_tolerance.rs
+++ b/review/standin/src/raised_tolerance.rs
@@ -1,5 +1,5 @@
-//! The operator begins to raise what the deployment bears, machine by machine: the settings file of one edge machine changes
-//! and it gets SIGHUP. Batch jobs that were taken before must be found there as anywhere else.
+//! The operator raises what the deployment bears: the settings files of all machines change, and the first of them, an edge
+//! machine, gets SIGHUP. Batch jobs that were taken before must be found there as anywhere else.
 
 use crate::fleet::{CantRun, Fleet, Outcome, SIGHUP, signal};
 use crate::http;
@@ -84,9 +84,13 @@
     fleet.record.note(&format!("{name} shows all {JOBS} jobs, each with all its {ITEMS} results complete"));
 
     if setting.trouble {
-        fleet.write_settings("edge", CHANGED, 2)?;
+        for at in 0..MACHINES {
+            fleet.write_settings("edge", at, 2, false)?;
+            fleet.write_settings("storage", at, 2, false)?;
+        }
+        fleet.record.note("fault_tolerance.machine_losses is 2 now in the settings file of every machine");
         signal(fleet.edges[CHANGED].child.id(), SIGHUP);
-        fleet.record.note(&format!("fault_tolerance.machine_losses of {name} is 2 now, SIGHUP to it"));
+        fleet.record.note(&format!("SIGHUP to {name}, the first machine of ten"));
     }
     thread::sleep(SETTLE + CONTACT);
 
--- a/review/standin/src/stale_quota.rs
+++ b/review/standin/src/stale_quota.rs
@@ -11,7 +11,7 @@
 const NEW_LIMIT: u64 = 10_000;
 const ITEMS: u64 = 50;
 const ITEM_TOKENS: u64 = 1000;
-const FREEZE: Duration = Duration::from_millis(3200);
+const FREEZE: Duration = Duration::from_millis(3150);
 const CONFIG_APPLY: Duration = Duration::from_millis(2000);
 const EXECUTORS: usize = 3;
 
