--- a/crates/tier/src/batch/items.rs
+++ b/crates/tier/src/batch/items.rs
@@ -201,6 +201,17 @@
         });
         match begun {
             Ok(connection) => {
+                debug!(
+                    partition = self.partitions[index].partition,
+                    job = order.job.as_str(),
+                    item = order.attempt_id,
+                    host = order.host,
+                    path = order.path.as_str(),
+                    route = order.route,
+                    executor = %candidate.target.instance,
+                    version = active.version,
+                    "item starts"
+                );
                 let run = ActiveRun {
                     index,
                     run: order.run,
