--- a/crates/batch/src/admission.rs
+++ b/crates/batch/src/admission.rs
@@ -5,6 +5,7 @@
 
 use crate::jobs::{Applied, Jobs};
 use crate::names::JobId;
+use crate::runner::{JobOrigin, JobRoute};
 use crate::submission::Submission;
 
 /// What becomes of a submission.
@@ -33,8 +34,8 @@
 pub struct AdmissionRequest<'a> {
     /// The job.
     pub job: &'a JobId,
-    /// The name of its route.
-    pub route: &'a str,
+    /// The route that it counts on.
+    pub route: JobRoute<'a>,
     /// The tokens of all its items.
     pub tokens: u64,
     /// The most tokens that may wait on the route; 0: no limit.
@@ -46,20 +47,28 @@
     /// Whether the job is known.
     fn contains(&self, job: &JobId) -> bool;
 
-    /// The tokens of a route's items that are neither listed nor of a job that has ended.
-    fn waiting_tokens(&self, route: &str) -> u64;
+    /// The route that a job counts on.
+    fn route_of<'o>(&self, origin: JobOrigin<'o>) -> JobRoute<'o>;
+
+    /// The tokens of the items that are neither listed nor of a job that has ended, of the jobs that count on a route.
+    fn waiting_tokens(&self, route: &JobRoute<'_>) -> u64;
 
     /// About the bytes that all jobs take in memory.
     fn cost(&self) -> usize;
 }
 
+/// Jobs alone, without a configuration: they count by the names that their routes had when they were submitted.
 impl CommittedJobs for Jobs {
     fn contains(&self, job: &JobId) -> bool {
         self.contains(job)
     }
 
-    fn waiting_tokens(&self, route: &str) -> u64 {
-        self.waiting_tokens(route)
+    fn route_of<'o>(&self, origin: JobOrigin<'o>) -> JobRoute<'o> {
+        JobRoute { index: None, name: origin.route }
+    }
+
+    fn waiting_tokens(&self, route: &JobRoute<'_>) -> u64 {
+        self.waiting_tokens(route.name)
     }
 
     fn cost(&self) -> usize {
@@ -77,13 +86,22 @@
     pending_cost: usize,
 }
 
+/// A job that is not applied yet, and what its route is found by: the configuration may change meanwhile.
 #[derive(Clone, Debug)]
 struct PendingJob {
     route: String,
+    host: String,
+    path: String,
     tokens: u64,
     cost: usize,
 }
 
+impl PendingJob {
+    fn origin(&self) -> JobOrigin<'_> {
+        JobOrigin { route: &self.route, host: &self.host, path: &self.path }
+    }
+}
+
 impl AdmissionControl {
     /// Admission to a partition whose jobs may take about `max_cost` bytes of memory.
     pub fn new(max_cost: usize) -> AdmissionControl {
@@ -98,7 +116,7 @@
         if self.pending.contains_key(request.job) {
             return Admission::Pending;
         }
-        let waiting = self.waiting_tokens(jobs, request.route);
+        let waiting = self.waiting_tokens(jobs, &request.route);
         let limit = request.queue_token_limit;
         if limit > 0 && waiting.saturating_add(request.tokens) > limit {
             return Admission::QueueFull { waiting, limit };
@@ -115,8 +133,9 @@
         queue_token_limit: u64,
     ) -> Admission {
         let tokens = submission.tokens();
-        let request =
-            AdmissionRequest { job: &submission.job, route: &submission.route, tokens, queue_token_limit };
+        let origin = JobOrigin::of(submission);
+        let route = jobs.route_of(origin);
+        let request = AdmissionRequest { job: &submission.job, route, tokens, queue_token_limit };
         let admission = self.check(jobs, &request);
         if admission != Admission::Propose {
             return admission;
@@ -126,15 +145,23 @@
         if used.saturating_add(cost) > self.max_cost {
             return Admission::OutOfMemory;
         }
-        let pending = PendingJob { route: submission.route.clone(), tokens, cost };
+        let JobOrigin { route, host, path } = origin;
+        let pending = PendingJob {
+            route: route.to_owned(),
+            host: host.to_owned(),
+            path: path.to_owned(),
+            tokens,
+            cost,
+        };
         self.pending.insert(submission.job.clone(), pending);
         self.pending_cost = self.pending_cost.saturating_add(cost);
         Admission::Propose
     }
 
     /// The tokens that wait on a route, those of pending jobs included.
-    pub fn waiting_tokens(&self, jobs: &impl CommittedJobs, route: &str) -> u64 {
-        let pending = self.pending.values().filter(|job| job.route == route);
+    pub fn waiting_tokens(&self, jobs: &impl CommittedJobs, route: &JobRoute<'_>) -> u64 {
+        let counts = |job: &&PendingJob| jobs.route_of(job.origin()).shares_quota_with(route);
+        let pending = self.pending.values().filter(counts);
         pending.fold(jobs.waiting_tokens(route), |sum, job| sum.saturating_add(job.tokens))
     }
 
--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -15,6 +15,17 @@
 //! ```
 //! use grebeusher_batch::*;
 //! use grebeusher_time::Instant;
+//! use std::rc::Rc;
+//!
+//! /// The configuration in force: one bulk route.
+//! #[derive(Debug)]
+//! struct OneRoute;
+//!
+//! impl RouteLookup for OneRoute {
+//!     fn bulk_route(&self, host: &str, path: &str) -> Option<RouteIndex> {
+//!         (host == "lots.example" && path.starts_with("/lots/")).then_some(RouteIndex(0))
+//!     }
+//! }
 //!
 //! let now = Instant(0);
 //! let head = SubmissionHead {
@@ -30,6 +41,7 @@
 //!
 //! // The leader admits the job, proposes it, applies it once it is committed, and answers 202.
 //! let (mut jobs, mut admission, mut runner) = (Jobs::new(), AdmissionControl::new(1 << 20), Runner::new(1));
+//! runner.set_routes(&jobs, Rc::new(OneRoute));
 //! runner.start_leading(&jobs, now, 0);
 //! assert_eq!(admission.admit(&jobs, &submission, 1_000), Admission::Propose);
 //! let settings = JobSettings { completion_target_ms: 8_000, retention_ms: 60_000, ..JobSettings::default() };
@@ -39,7 +51,7 @@
 //! assert_eq!(jobs.item_body(&job, "a"), Some(&[0xab, 0xcd][..]));
 //!
 //! // An executor has capacity: the item is sent there, and its stream is read.
-//! let order = runner.next_item(&jobs, now, &|_: &str| Some(10_000)).expect("an item");
+//! let order = runner.next_item(&jobs, now, &|_: RouteIndex| Some(10_000)).expect("an item");
 //! let mut events = EventReader::new();
 //! events
 //!     .push(b"id: 0\ndata: one\n\nid: 1\ndata: two\n\n", |event| {
@@ -82,7 +94,8 @@
 };
 pub use names::{ItemIndex, JobId, MAX_NAME_BYTES};
 pub use runner::{
-    Capacity, EventDisposition, JobOrigin, MAX_TEXT_BYTES, RoutedJobs, RunId, RunOrder, RunOutcome, Runner,
+    Capacity, EventDisposition, JobOrigin, JobRoute, MAX_TEXT_BYTES, RouteIndex, RouteLookup, RoutedJobs,
+    RunId, RunOrder, RunOutcome, Runner,
 };
 pub use shared_bytes::{SharedBytes, SharedText};
 pub use submission::{
--- a/crates/batch/src/runner.rs
+++ b/crates/batch/src/runner.rs
@@ -3,7 +3,7 @@
 //!
 //! [`Runner`] owns the state. Each concern extends it in a module of its own: `leadership` begins and ends the runs of
 //! a term, `dispatch` starts items, `run_reports` takes events and outcomes, `abandonment` gives items up, `proposals`
-//! makes log entries, `renamed_routes` follows the names of routes.
+//! makes log entries, `routes` tells which route a job and an item belong to.
 
 mod abandonment;
 mod backoff;
@@ -13,12 +13,14 @@
 mod leadership;
 mod priority;
 mod proposals;
-mod renamed_routes;
+mod routes;
 mod run;
 mod run_duration;
 mod run_reports;
+mod waiting_items;
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, HashMap};
+use std::rc::Rc;
 
 use grebeusher_time::Instant;
 
@@ -31,7 +33,7 @@
 use run_duration::RunDurationEstimate;
 
 pub use item_run::MAX_TEXT_BYTES;
-pub use renamed_routes::{JobOrigin, RoutedJobs};
+pub use routes::{JobOrigin, JobRoute, RouteIndex, RouteLookup, RoutedJobs};
 pub use run::{Capacity, EventDisposition, RunId, RunOrder, RunOutcome};
 
 /// The bytes of text after which results go into a further entry.
@@ -60,8 +62,8 @@
     first_seen: BTreeMap<JobId, Instant>,
     /// The jobs with items that are not listed; empty unless leading.
     jobs: BTreeMap<JobId, JobRun>,
-    /// Those of `jobs` whose route has another name now than when they were accepted.
-    renamed: BTreeSet<JobId>,
+    /// The routes of the configuration in force.
+    routes: Rc<dyn RouteLookup>,
     /// The runs in progress. Each is of an item in `jobs` that is running.
     runs: HashMap<RunId, ItemKey>,
     last_run: u64,
@@ -78,13 +80,13 @@
 }
 
 impl Runner {
-    /// A runner that runs nothing yet. `seed` determines the jitter of backoffs.
+    /// A runner that runs nothing yet and knows no routes. `seed` determines the jitter of backoffs.
     pub fn new(seed: u64) -> Runner {
         Runner {
             is_leader: false,
             first_seen: BTreeMap::new(),
             jobs: BTreeMap::new(),
-            renamed: BTreeSet::new(),
+            routes: Rc::new(()),
             runs: HashMap::new(),
             last_run: 0,
             turns: 0,
@@ -124,9 +126,8 @@
     }
 
     /// The tokens of a route's items that are neither running nor finished.
-    pub fn idle_tokens(&self, route: &str) -> u64 {
-        let jobs = self.jobs.values().filter(|job| job.route() == route);
-        jobs.fold(0, |sum, job| sum.saturating_add(job.idle_tokens()))
+    pub fn idle_tokens(&self, route: RouteIndex) -> u64 {
+        self.jobs.values().fold(0, |sum, job| sum.saturating_add(job.idle_tokens(route)))
     }
 
     fn running(&mut self, run: RunId) -> Option<&mut ItemRun> {
--- a/crates/batch/src/runner/abandonment.rs
+++ b/crates/batch/src/runner/abandonment.rs
@@ -1,8 +1,8 @@
-//! What is given up: items past their retention, items of removed routes, and jobs that nobody may ask for any longer.
+//! What is given up: items past their retention, items without a route, and jobs that nobody may ask for any longer.
 
 use grebeusher_time::{Duration, Instant};
 
-use super::item_run::Phase;
+use super::item_run::{ItemRun, Phase};
 use super::run_reports::dead_letter;
 use super::{PendingResult, Runner};
 use crate::jobs::{Jobs, MAX_JOBS_IN_ENTRY};
@@ -14,28 +14,21 @@
         let late = self.jobs.iter().filter(|(_, job)| job.is_given_up(now));
         let late: Vec<JobId> = late.map(|(id, _)| id.clone()).collect();
         for id in late {
-            self.give_up_job(&id);
+            self.give_up_items(&id, |_| true);
         }
     }
 
-    /// The route is no longer in the committed configuration: its items are given up for good.
-    pub fn route_removed(&mut self, route: &str) {
-        self.retain_routes(|other| other != route);
-    }
-
-    /// Gives up the items of all routes that are no longer in the committed configuration, for good. To be called when
-    /// it changes and after [`Runner::start_leading`].
-    pub fn retain_routes(&mut self, is_configured: impl Fn(&str) -> bool) {
-        let removed = self.jobs.iter().filter(|(_, job)| !is_configured(job.route()));
-        let removed: Vec<JobId> = removed.map(|(id, _)| id.clone()).collect();
-        for id in removed {
-            self.give_up_job(&id);
+    /// Gives up the items that match no route of the configuration in force, for good.
+    pub fn give_up_unrouted(&mut self) {
+        let ids: Vec<JobId> = self.jobs.keys().cloned().collect();
+        for id in ids {
+            self.give_up_items(&id, |item| item.route.is_none());
         }
     }
 
-    fn give_up_job(&mut self, id: &JobId) {
+    fn give_up_items(&mut self, id: &JobId, is_given_up: impl Fn(&ItemRun) -> bool) {
         let Some(job) = self.jobs.get_mut(id) else { return };
-        for (item, phase) in job.finish_all() {
+        for (item, phase) in job.give_up(is_given_up) {
             if let Phase::Running(run) = phase {
                 self.cancel(run);
             }
--- a/crates/batch/src/runner/dispatch.rs
+++ b/crates/batch/src/runner/dispatch.rs
@@ -2,8 +2,8 @@
 
 use grebeusher_time::Instant;
 
-use super::job_run::JobRun;
 use super::priority::Turn;
+use super::routes::RouteIndex;
 use super::run::{Capacity, RunId, RunOrder};
 use super::{ItemKey, Runner};
 use crate::jobs::{Job, Jobs, OpenItem};
@@ -17,8 +17,7 @@
         }
         let turn = Turn::of(self.turns);
         let expected = self.run_duration.expected();
-        let mut routes = RouteCapacities { capacity, known: Vec::new() };
-        let eligible = self.jobs.iter().filter(|(_, job)| !job.is_given_up(now) && routes.have_for(job));
+        let eligible = self.jobs.iter().filter(|(_, job)| !job.is_given_up(now) && job.fits(capacity));
         let first = eligible.min_by_key(|(_, job)| job.priority(now, expected, turn));
         let id = first.map(|(id, _)| id.clone())?;
         self.start_item(jobs, &id, now, capacity)
@@ -34,9 +33,7 @@
         let job = jobs.job(id)?;
         let run = RunId(self.last_run + 1);
         let job_run = self.jobs.get_mut(id)?;
-        let route = job_run.route().to_owned();
-        let max_tokens = capacity.tokens_for(&route)?;
-        let item = job_run.start(max_tokens, run, now, self.turns)?;
+        let item = job_run.start(capacity, run, now, self.turns)?;
         let Some(open) = job.open_item(item) else {
             job_run.remove(item);
             return None;
@@ -45,16 +42,18 @@
         self.last_run += 1;
         self.turns += 1;
         self.runs.insert(run, ItemKey { job: id.clone(), item });
-        Some(RunOrder { route, last_event_id, ..run_order(run, id, item, job, open) })
+        Some(RunOrder { last_event_id, ..run_order(run, id, item, job, open) })
     }
 
     /// The tokens of the item of a route that would run next if there were capacity for any. Without capacity reserved
     /// for it, large items would wait behind small ones for ever.
-    pub fn next_item_tokens(&self, route: &str, now: Instant) -> Option<u64> {
+    pub fn next_item_tokens(&self, route: RouteIndex, now: Instant) -> Option<u64> {
         let expected = self.run_duration.expected();
-        let jobs = self.jobs.values().filter(|job| job.route() == route && !job.is_given_up(now));
-        let ready =
-            jobs.filter_map(|job| Some((job.priority(now, expected, Turn::Urgency), job.largest_ready()?)));
+        let jobs = self.jobs.values().filter(|job| !job.is_given_up(now));
+        let ready = jobs.filter_map(|job| {
+            let tokens = job.largest_ready(route)?;
+            Some((job.priority(now, expected, Turn::Urgency), tokens))
+        });
         ready.min_by_key(|(priority, _)| *priority).map(|(_, tokens)| tokens)
     }
 }
@@ -67,7 +66,6 @@
         job: id.clone(),
         item,
         attempt_id: spec.id.clone(),
-        route: job.route().to_owned(),
         service: job.service().to_owned(),
         host: job.host().to_owned(),
         path: spec.path.clone(),
@@ -78,31 +76,3 @@
         tokens: spec.tokens(),
     }
 }
-
-/// The capacity of each route, asked for once in a turn.
-struct RouteCapacities<'a, C> {
-    capacity: &'a C,
-    /// Routes are few.
-    known: Vec<RouteCapacity>,
-}
-
-struct RouteCapacity {
-    route: String,
-    tokens: Option<u64>,
-}
-
-impl<C: Capacity> RouteCapacities<'_, C> {
-    /// Whether an item of the job may run now.
-    fn have_for(&mut self, job: &JobRun) -> bool {
-        job.has_ready() && self.tokens_for(job.route()).is_some_and(|tokens| job.fits(tokens))
-    }
-
-    fn tokens_for(&mut self, route: &str) -> Option<u64> {
-        if let Some(known) = self.known.iter().find(|known| known.route == route) {
-            return known.tokens;
-        }
-        let tokens = self.capacity.tokens_for(route);
-        self.known.push(RouteCapacity { route: route.to_owned(), tokens });
-        tokens
-    }
-}
--- a/crates/batch/src/runner/item_run.rs
+++ b/crates/batch/src/runner/item_run.rs
@@ -3,7 +3,10 @@
 use grebeusher_time::Instant;
 
 use super::RunId;
+use super::routes::RouteIndex;
+use super::waiting_items::WaitingItem;
 use crate::jobs::{EventChunk, OpenItem};
+use crate::names::ItemIndex;
 
 /// The largest text of an item, so that a result fits a reader's response with every byte escaped as a pair.
 pub const MAX_TEXT_BYTES: usize = 480_000;
@@ -43,6 +46,8 @@
 #[derive(Debug)]
 pub(super) struct ItemRun {
     pub phase: Phase,
+    /// The route that its request matches. Without one it may not run.
+    pub route: Option<RouteIndex>,
     pub tokens: u64,
     /// When its last run started.
     pub started_at: Instant,
@@ -61,6 +66,7 @@
         let progress = &open.progress;
         ItemRun {
             phase: Phase::Ready,
+            route: None,
             tokens: open.spec.token_count,
             started_at: Instant::default(),
             failed_attempts: progress.failed_attempts,
@@ -76,6 +82,13 @@
         self.last_event
     }
 
+    /// The item as it waits for capacity, if it does and matches a route.
+    pub fn waiting(&self, index: ItemIndex) -> Option<WaitingItem> {
+        let route = self.route?;
+        let waits = matches!(self.phase, Phase::Ready | Phase::BackingOff(_));
+        waits.then_some(WaitingItem { route, tokens: self.tokens, index })
+    }
+
     /// Appends the event if it is the next one. The first event of a run from the start may have any id.
     pub fn append_event(&mut self, id: u64, data: &str) -> bool {
         let is_next = self.last_event.is_none_or(|last| last.checked_add(1) == Some(id));
--- a/crates/batch/src/runner/job_run.rs
+++ b/crates/batch/src/runner/job_run.rs
@@ -1,6 +1,5 @@
 //! One job as its leader runs it.
 
-use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 
 use grebeusher_time::{Duration, DurationExt, Instant};
@@ -8,15 +7,15 @@
 use super::RunId;
 use super::item_run::{ItemRun, Phase};
 use super::priority::{Priority, Turn};
+use super::routes::{RouteIndex, RouteLookup};
+use super::run::Capacity;
+use super::waiting_items::WaitingItems;
 use crate::jobs::{ItemProgress, Job};
 use crate::names::{ItemIndex, JobId};
 
 /// The retention of a route that names none: its items are not given up.
 const UNLIMITED_RETENTION: Duration = Duration::from_nanos(u64::MAX);
 
-/// Orders items that may run: the largest first, as they take longest and have the most value.
-type ReadyKey = (Reverse<u64>, ItemIndex);
-
 /// An item that has just been finished.
 pub(super) struct FinishedItem {
     pub text: String,
@@ -26,8 +25,8 @@
 
 #[derive(Debug)]
 pub(super) struct JobRun {
-    /// The name that its route has now.
-    route: String,
+    /// The route that its quota counts on: that of its first item that is not listed.
+    route: Option<RouteIndex>,
     max_attempts: u32,
     due: Instant,
     /// From then on the items may be given up.
@@ -36,12 +35,10 @@
     last_turn: u64,
     /// The items that are not listed.
     items: BTreeMap<ItemIndex, ItemRun>,
-    /// Those of `items` in [`Phase::Ready`].
-    ready: BTreeSet<ReadyKey>,
+    /// Those of `items` that are ready or backing off and match a route.
+    waiting: WaitingItems,
     /// Those of `items` in [`Phase::BackingOff`], by the end of the backoff.
     backing_off: BTreeSet<(Instant, ItemIndex)>,
-    /// The tokens of the items that are ready or backing off.
-    idle_tokens: u64,
     /// How many of `items` are in [`Phase::Finished`].
     finished: usize,
 }
@@ -51,6 +48,7 @@
     /// only moves the time when the job is due. Giving up goes by what was seen, which is never too old.
     pub fn new(
         job: &Job,
+        routes: &dyn RouteLookup,
         first_seen: Instant,
         age_by_wall_clock: Duration,
         now: Instant,
@@ -65,44 +63,64 @@
         let by_wall_clock = if is_credible { age_by_wall_clock } else { Duration::default() };
         let age = now.since(first_seen).max(by_wall_clock) + millis(settings.age_at_acceptance_ms);
         let mut run = JobRun {
-            route: job.route().to_owned(),
+            route: None,
             max_attempts: settings.max_attempts,
             due: (now + millis(settings.completion_target_ms)) - age,
             given_up_at: first_seen + retention,
             last_turn: turn,
-            items: BTreeMap::new(),
-            ready: BTreeSet::new(),
+            items: job.open_items().map(|(index, open)| (index, ItemRun::new(open))).collect(),
+            waiting: WaitingItems::default(),
             backing_off: BTreeSet::new(),
-            idle_tokens: 0,
             finished: 0,
         };
-        for (index, open) in job.open_items() {
-            run.ready.insert((Reverse(open.spec.token_count), index));
-            run.idle_tokens = run.idle_tokens.saturating_add(open.spec.token_count);
-            run.items.insert(index, ItemRun::new(open));
-        }
+        run.assign_routes(job, routes);
         run
     }
 
-    pub fn route(&self) -> &str {
-        &self.route
+    /// The route that its quota counts on.
+    pub fn route(&self) -> Option<RouteIndex> {
+        self.route
     }
 
-    /// Its route has this name now.
-    pub fn assign_route(&mut self, route: String) {
-        self.route = route;
+    /// Each item belongs to the route that its request matches among these.
+    pub fn assign_routes(&mut self, job: &Job, routes: &dyn RouteLookup) {
+        for (index, item) in &mut self.items {
+            let open = job.open_item(*index);
+            item.route = open.and_then(|open| routes.bulk_route(job.host(), &open.spec.path));
+        }
+        self.route = self.items.values().next().and_then(|item| item.route);
+        self.collect_waiting();
+    }
+
+    /// Collects anew which items wait.
+    fn collect_waiting(&mut self) {
+        self.waiting.clear();
+        self.backing_off.clear();
+        for (index, item) in &self.items {
+            if let Phase::BackingOff(until) = item.phase {
+                self.backing_off.insert((until, *index));
+            }
+            let Some(waiting) = item.waiting(*index) else { continue };
+            self.waiting.add(waiting);
+            if item.phase == Phase::Ready {
+                self.waiting.ready(waiting);
+            }
+        }
     }
 
     pub fn is_empty(&self) -> bool {
         self.items.is_empty()
     }
 
-    pub fn has_ready(&self) -> bool {
-        !self.ready.is_empty()
+    /// How many items may run now if there were capacity.
+    pub fn ready_count(&self) -> usize {
+        self.waiting.ready_count()
     }
 
-    pub fn ready_count(&self) -> usize {
-        self.ready.len()
+    /// How many items match no route and wait for one.
+    pub fn unrouted_count(&self) -> usize {
+        let waits = |item: &&ItemRun| matches!(item.phase, Phase::Ready | Phase::BackingOff(_));
+        self.items.values().filter(waits).filter(|item| item.route.is_none()).count()
     }
 
     pub fn is_given_up(&self, now: Instant) -> bool {
@@ -136,44 +154,48 @@
             self.backing_off.pop_first();
             if let Some(item) = self.items.get_mut(&index) {
                 item.phase = Phase::Ready;
-                self.ready.insert((Reverse(item.tokens), index));
+                if let Some(waiting) = item.waiting(index) {
+                    self.waiting.ready(waiting);
+                }
             }
         }
     }
 
-    /// Whether an item may run that has no more than these tokens.
-    pub fn fits(&self, max_tokens: u64) -> bool {
-        self.largest_within(max_tokens).is_some()
+    /// Whether an item may run now within the capacity of its route.
+    pub fn fits(&self, capacity: &impl Capacity) -> bool {
+        self.waiting.largest_within(capacity).is_some()
     }
 
-    /// The tokens of the largest item that may run.
-    pub fn largest_ready(&self) -> Option<u64> {
-        self.ready.first().map(|(Reverse(tokens), _)| *tokens)
-    }
-
-    fn largest_within(&self, max_tokens: u64) -> Option<ReadyKey> {
-        self.ready.range((Reverse(max_tokens), ItemIndex(0))..).next().copied()
+    /// The tokens of the largest item of a route that may run.
+    pub fn largest_ready(&self, route: RouteIndex) -> Option<u64> {
+        self.waiting.largest_ready(route)
     }
 
     /// Starts the largest item that fits.
-    pub fn start(&mut self, max_tokens: u64, run: RunId, now: Instant, turn: u64) -> Option<ItemIndex> {
-        let key = self.largest_within(max_tokens)?;
-        self.ready.remove(&key);
-        let (_, index) = key;
-        let item = self.items.get_mut(&index)?;
+    pub fn start(
+        &mut self,
+        capacity: &impl Capacity,
+        run: RunId,
+        now: Instant,
+        turn: u64,
+    ) -> Option<ItemIndex> {
+        let largest = self.waiting.largest_within(capacity)?;
+        let item = self.items.get_mut(&largest.index)?;
+        self.waiting.remove(largest);
         item.phase = Phase::Running(run);
-        self.idle_tokens = self.idle_tokens.saturating_sub(item.tokens);
         item.started_at = now;
         self.last_turn = turn + 1;
-        Some(index)
+        Some(largest.index)
     }
 
     /// Puts a running item off until then.
     pub fn back_off(&mut self, index: ItemIndex, until: Instant) {
         if let Some(item) = self.items.get_mut(&index) {
             item.phase = Phase::BackingOff(until);
-            self.idle_tokens = self.idle_tokens.saturating_add(item.tokens);
             self.backing_off.insert((until, index));
+            if let Some(waiting) = item.waiting(index) {
+                self.waiting.add(waiting);
+            }
         }
     }
 
@@ -190,34 +212,31 @@
         self.items.get_mut(&index).is_some_and(|item| item.count_failure() >= max_attempts)
     }
 
-    /// Finishes all items that are not. Returns their phases before.
-    pub fn finish_all(&mut self) -> Vec<(ItemIndex, Phase)> {
-        self.ready.clear();
-        self.backing_off.clear();
-        self.idle_tokens = 0;
-        self.finished = self.items.len();
+    /// Finishes the items that are given up and not finished. Returns their phases before.
+    pub fn give_up(&mut self, is_given_up: impl Fn(&ItemRun) -> bool) -> Vec<(ItemIndex, Phase)> {
         let unfinished = self.items.iter_mut().filter(|(_, item)| item.phase != Phase::Finished);
-        unfinished
-            .map(|(index, item)| {
-                let phase = item.phase;
-                drop(item.finish());
-                (*index, phase)
-            })
-            .collect()
+        let given_up = unfinished.filter(|(_, item)| is_given_up(item)).map(|(index, item)| {
+            let phase = item.phase;
+            drop(item.finish());
+            (*index, phase)
+        });
+        let given_up: Vec<(ItemIndex, Phase)> = given_up.collect();
+        self.finished += given_up.len();
+        self.collect_waiting();
+        given_up
     }
 
     /// Removes an item that is listed. Returns its phase before.
     pub fn remove(&mut self, index: ItemIndex) -> Option<Phase> {
         let item = self.items.remove(&index)?;
+        if let Some(waiting) = item.waiting(index) {
+            self.waiting.remove(waiting);
+        }
         match item.phase {
-            Phase::Ready => drop(self.ready.remove(&(Reverse(item.tokens), index))),
             Phase::BackingOff(until) => drop(self.backing_off.remove(&(until, index))),
-            Phase::Running(_) => {}
+            Phase::Ready | Phase::Running(_) => {}
             Phase::Finished => self.finished -= 1,
         }
-        if matches!(item.phase, Phase::Ready | Phase::BackingOff(_)) {
-            self.idle_tokens = self.idle_tokens.saturating_sub(item.tokens);
-        }
         Some(item.phase)
     }
 
@@ -254,8 +273,9 @@
         Some(backoff_end.map_or(self.given_up_at, |until| until.min(self.given_up_at)))
     }
 
-    pub fn idle_tokens(&self) -> u64 {
-        self.idle_tokens
+    /// The tokens of a route's items that are neither running nor finished.
+    pub fn idle_tokens(&self, route: RouteIndex) -> u64 {
+        self.waiting.idle_tokens(route)
     }
 }
 
--- a/crates/batch/src/runner/leadership.rs
+++ b/crates/batch/src/runner/leadership.rs
@@ -40,7 +40,6 @@
     fn cancel_all(&mut self) {
         self.cancelled.extend(self.runs.drain().map(|(run, _)| run));
         self.jobs.clear();
-        self.renamed.clear();
         self.results.clear();
         self.failures.clear();
     }
@@ -48,7 +47,7 @@
     fn add_job(&mut self, jobs: &Jobs, id: &JobId, now: Instant, age_by_wall_clock: Duration) {
         let Some(job) = jobs.job(id) else { return };
         let first_seen = self.first_seen.get(id).copied().unwrap_or(now);
-        let run = JobRun::new(job, first_seen, age_by_wall_clock, now, self.turns);
+        let run = JobRun::new(job, &*self.routes, first_seen, age_by_wall_clock, now, self.turns);
         self.jobs.insert(id.clone(), run);
     }
 
@@ -82,7 +81,6 @@
         let phase = job.remove(item);
         if job.is_empty() {
             self.jobs.remove(id);
-            self.renamed.remove(id);
         }
         if let Some(Phase::Running(run)) = phase {
             self.cancel(run);
@@ -91,7 +89,6 @@
 
     fn remove_job(&mut self, id: &JobId) {
         let Some(job) = self.jobs.remove(id) else { return };
-        self.renamed.remove(id);
         for run in job.runs() {
             self.cancel(run);
         }
--- a/crates/batch/src/runner/run.rs
+++ b/crates/batch/src/runner/run.rs
@@ -1,5 +1,6 @@
 //! Runs of items: what the leader orders, and how it is told of the outcome.
 
+use super::routes::RouteIndex;
 use crate::names::{ItemIndex, JobId};
 use crate::shared_bytes::{SharedBytes, SharedText};
 use crate::submission::{Header, Tokens};
@@ -19,11 +20,9 @@
     pub item: ItemIndex,
     /// The id of the attempt, which is the item's name.
     pub attempt_id: String,
-    /// The route's name. The service is looked up by it in the active configuration.
-    pub route: String,
     /// The service at the time when the job was accepted.
     pub service: String,
-    /// The host of the request.
+    /// The host of the request. With the path it says which route, and so which service, the item goes to.
     pub host: String,
     /// The path of the request with its query.
     pub path: SharedText,
@@ -72,11 +71,11 @@
 /// The capacity that executors have for items now.
 pub trait Capacity {
     /// The most tokens that an item of the route may have to run now; `None`: no item of it may.
-    fn tokens_for(&self, route: &str) -> Option<u64>;
+    fn tokens_for(&self, route: RouteIndex) -> Option<u64>;
 }
 
-impl<F: Fn(&str) -> Option<u64>> Capacity for F {
-    fn tokens_for(&self, route: &str) -> Option<u64> {
+impl<F: Fn(RouteIndex) -> Option<u64>> Capacity for F {
+    fn tokens_for(&self, route: RouteIndex) -> Option<u64> {
         self(route)
     }
 }
--- a/crates/batch/tests/batches/abandonment.rs
+++ b/crates/batch/tests/batches/abandonment.rs
@@ -41,15 +41,16 @@
 fn the_items_of_a_removed_route_are_given_up() {
     let mut partition = Partition::with_job("j", 2);
     partition
-        .commit(Entry::Submit { submission: submission_on("r-other", "k", &[100]), settings: settings() });
+        .commit(Entry::Submit { submission: submission_on(OTHER_ROUTE, "k", &[100]), settings: settings() });
     let order = partition.next();
     assert_eq!(order.job, job("j"));
-    partition.runner.route_removed(ROUTE);
+    partition.set_prefixes(&[OTHER_PREFIX]);
+    partition.runner.give_up_unrouted();
     partition.settle();
     assert_eq!(partition.runner.take_cancelled(), [order.run]);
     assert_eq!(texts(&partition.jobs, "j").len(), 2);
     assert_eq!(partition.next().job, job("k"), "others run on");
-    partition.runner.retain_routes(|_| true);
+    partition.runner.give_up_unrouted();
     assert_eq!(partition.settle(), 0);
 }
 
--- a/crates/batch/tests/batches/admission.rs
+++ b/crates/batch/tests/batches/admission.rs
@@ -20,7 +20,7 @@
     let full = Admission::QueueFull { waiting: 600, limit: 1_000 };
     assert_eq!(admission.admit(&jobs, &submission("b", 5), 1_000), full);
     assert_eq!(admission.admit(&jobs, &submission("c", 4), 1_000), Admission::Propose, "just fits");
-    assert_eq!(admission.waiting_tokens(&jobs, ROUTE), 1_000);
+    assert_eq!(admission.waiting_tokens(&jobs, &JobRoute { index: None, name: ROUTE }), 1_000);
 }
 
 #[test]
@@ -28,7 +28,7 @@
     let (mut jobs, mut admission) = (Jobs::new(), admission_control());
     admission.admit(&jobs, &submission("a", 6), 1_000);
     apply(&mut jobs, &mut admission, submit("a", 6));
-    assert_eq!(admission.waiting_tokens(&jobs, ROUTE), 600);
+    assert_eq!(admission.waiting_tokens(&jobs, &JobRoute { index: None, name: ROUTE }), 600);
 }
 
 #[test]
--- a/crates/batch/tests/batches/leader_change.rs
+++ b/crates/batch/tests/batches/leader_change.rs
@@ -8,7 +8,7 @@
 
 /// The same log on another replica, which takes over.
 fn successor(of: &Partition, log: &[Entry], wall_ms: u64) -> Partition {
-    let mut partition = Partition { jobs: Jobs::new(), runner: Runner::new(8), now: of.now };
+    let mut partition = Partition { jobs: Jobs::new(), runner: runner(8), now: of.now };
     for entry in log {
         partition.commit(entry.clone());
     }
@@ -185,7 +185,7 @@
     jobs.apply(Entry::Submit { submission: submission("a-newer", 1), settings: newer });
     jobs.apply(submit("b-older", 1));
     let jobs = Jobs::from_snapshot(&jobs.to_snapshot()).expect("whole");
-    let mut new = Partition { jobs, runner: Runner::new(1), now: old.now };
+    let mut new = Partition { jobs, runner: runner(1), now: old.now };
     new.runner.start_leading(&new.jobs, new.now, 1_004_000);
     assert_eq!([new.next().job, new.next().job], ["b-older", "a-newer"].map(job));
 }
@@ -211,7 +211,7 @@
     partition.commit(complete("done", 0, "text"));
     partition.pass(119_999);
     assert_eq!(partition.runner.expired_jobs(&partition.jobs, partition.now, status), []);
-    let mut late = Partition { jobs: partition.jobs.clone(), runner: Runner::new(1), now: partition.now };
+    let mut late = Partition { jobs: partition.jobs.clone(), runner: runner(1), now: partition.now };
     late.runner.track_jobs(&late.jobs, late.now);
     partition.pass(1);
     late.pass(1);
--- a/crates/batch/tests/batches/memory_sharing.rs
+++ b/crates/batch/tests/batches/memory_sharing.rs
@@ -95,7 +95,7 @@
 fn a_run_refers_to_its_body_until_it_ends() {
     let mut jobs = Jobs::new();
     let submission = committed(&mut jobs, submit("j", 1));
-    let mut runner = Runner::new(7);
+    let mut runner = runner(7);
     runner.start_leading(&jobs, at(0), 0);
     let order = runner.next_item(&jobs, at(0), &any_capacity).expect("it may run");
     assert!(refers_to(&order.body, &submission));
--- a/crates/batch/tests/batches/partition.rs
+++ b/crates/batch/tests/batches/partition.rs
@@ -1,5 +1,7 @@
 //! One partition with one leader, whose proposals are committed at once.
 
+use std::rc::Rc;
+
 use grebeusher_batch::*;
 use grebeusher_time::Instant;
 
@@ -13,7 +15,7 @@
 
 impl Partition {
     pub fn led() -> Partition {
-        let mut partition = Partition { jobs: Jobs::new(), runner: Runner::new(7), now: at(1_000) };
+        let mut partition = Partition { jobs: Jobs::new(), runner: runner(7), now: at(1_000) };
         partition.runner.start_leading(&partition.jobs, partition.now, 1_000_000);
         partition
     }
@@ -24,6 +26,11 @@
         partition
     }
 
+    /// Another configuration is in force, with these prefixes.
+    pub fn set_prefixes(&mut self, prefixes: &[&'static str]) {
+        self.runner.set_routes(&self.jobs, Rc::new(Prefixes(prefixes.to_vec())));
+    }
+
     pub fn commit(&mut self, entry: Entry) -> Applied {
         let applied = self.jobs.apply(entry);
         self.runner.applied(&self.jobs, &applied, self.now);
--- a/crates/batch/tests/batches/random_faults.rs
+++ b/crates/batch/tests/batches/random_faults.rs
@@ -79,8 +79,7 @@
 
 impl Storm {
     fn new(seed: u64) -> Storm {
-        let replica =
-            |number| Replica { jobs: Jobs::new(), runner: Runner::new(seed * 10 + number), applied: 0 };
+        let replica = |number| Replica { jobs: Jobs::new(), runner: runner(seed * 10 + number), applied: 0 };
         let mut storm = Storm {
             dice: Dice(seed),
             now: at(1_000),
@@ -125,7 +124,7 @@
     fn restore(&mut self, number: usize) {
         let replica = &mut self.replicas[number];
         replica.jobs = Jobs::from_snapshot(&replica.jobs.to_snapshot()).expect("whole");
-        replica.runner = Runner::new(self.now.0);
+        replica.runner = runner(self.now.0);
         replica.runner.track_jobs(&replica.jobs, self.now);
     }
 
--- a/crates/batch/tests/batches/running.rs
+++ b/crates/batch/tests/batches/running.rs
@@ -12,7 +12,7 @@
     let order = partition.next();
     let spec = item("j", 0, 100);
     assert_eq!((order.attempt_id.as_str(), order.path.as_str()), ("j-0", "/lots/3/j-0"));
-    assert_eq!((order.host.as_str(), order.route.as_str()), ("lots.example", ROUTE));
+    assert_eq!(order.host.as_str(), "lots.example");
     assert_eq!((order.headers, order.body, order.last_event_id), (spec.headers, spec.body, None));
     assert_eq!((order.token_count, order.tokens), (100, Tokens { prompt: 60, output: 40 }));
     assert_eq!(partition.try_next(), None, "it runs once at a time");
--- a/crates/batch/tests/batches/scheduling.rs
+++ b/crates/batch/tests/batches/scheduling.rs
@@ -49,7 +49,7 @@
     let mut partition = Partition::led();
     let submission = submission_on(ROUTE, "j", &[100, 900, 500, 500]);
     partition.commit(Entry::Submit { submission, settings: settings() });
-    let room = |tokens| move |_: &str| Some(tokens);
+    let room = |tokens| move |_: RouteIndex| Some(tokens);
     let mut next = |tokens| {
         let order = partition.runner.next_item(&partition.jobs, partition.now, &room(tokens));
         order.map(|order| order.item.0)
@@ -81,8 +81,8 @@
     let mut lines = Vec::new();
     loop {
         lines.push((
-            partition.runner.next_item_tokens(ROUTE, partition.now),
-            partition.runner.next_item_tokens("r-other", partition.now),
+            partition.runner.next_item_tokens(INDEX, partition.now),
+            partition.runner.next_item_tokens(OTHER_INDEX, partition.now),
         ));
         if partition.try_next().is_none() {
             break;
@@ -95,8 +95,8 @@
 fn a_route_without_capacity_blocks_no_other() {
     let mut partition = Partition::with_job("j", 1);
     let settings = JobSettings { completion_target_ms: 50_000, ..settings() };
-    partition.commit(Entry::Submit { submission: submission_on("r-other", "k", &[100]), settings });
-    let room = |route: &str| (route == "r-other").then_some(1_000);
+    partition.commit(Entry::Submit { submission: submission_on(OTHER_ROUTE, "k", &[100]), settings });
+    let room = |route: RouteIndex| (route == OTHER_INDEX).then_some(1_000);
     let order = partition.runner.next_item(&partition.jobs, partition.now, &room);
     assert_eq!(order.map(|order| order.job), Some(job("k")));
     assert_eq!(partition.runner.next_item(&partition.jobs, partition.now, &room), None);
@@ -105,19 +105,20 @@
 #[test]
 fn idle_tokens_are_counted() {
     let mut partition = Partition::with_job("j", 3);
-    assert_eq!((partition.runner.idle_tokens(ROUTE), partition.runner.idle_tokens("r-other")), (300, 0));
+    assert_eq!((partition.runner.idle_tokens(INDEX), partition.runner.idle_tokens(OTHER_INDEX)), (300, 0));
     let order = partition.next();
-    assert_eq!(partition.runner.idle_tokens(ROUTE), 200);
+    assert_eq!(partition.runner.idle_tokens(INDEX), 200);
     partition.end_run(&order, RunOutcome::NotExecuted);
-    assert_eq!(partition.runner.idle_tokens(ROUTE), 300);
+    assert_eq!(partition.runner.idle_tokens(INDEX), 300);
     partition.commit(complete("j", order.item.0, "the predecessor's"));
-    assert_eq!(partition.runner.idle_tokens(ROUTE), 200, "listed while it paused");
+    assert_eq!(partition.runner.idle_tokens(INDEX), 200, "listed while it paused");
     let order = partition.next();
     partition.event(&order, 0, "text");
     partition.end_run(&order, RunOutcome::Complete);
-    assert_eq!(partition.runner.idle_tokens(ROUTE), 100);
-    partition.runner.route_removed(ROUTE);
-    assert_eq!((partition.runner.idle_tokens(ROUTE), partition.runner.next_wake()), (0, None));
+    assert_eq!(partition.runner.idle_tokens(INDEX), 100);
+    partition.set_prefixes(&[OTHER_PREFIX]);
+    partition.runner.give_up_unrouted();
+    assert_eq!((partition.runner.idle_tokens(INDEX), partition.runner.next_wake()), (0, None));
 }
 
 /// While anything is undecided there is a moment to look again, and none once all is decided.
--- a/crates/simulation/src/clients/mod.rs
+++ b/crates/simulation/src/clients/mod.rs
@@ -42,6 +42,9 @@
 pub const BULK_ROUTES: [(&str, &str); 3] =
     [("bulk-one.example", "/bulk1/"), ("bulk-two.example", "/bulk2/"), ("bulk-three.example", "/bulk3/")];
 
+/// The bulk route that the operators put in the place of the first one: host and prefix. Clients don't ask for it.
+pub const OTHER_BULK_ROUTE: (&str, &str) = ("bulk-other.example", "/bulk-other/");
+
 enum Task {
     Live(Box<Live>),
     Job(Box<Job>),
--- a/crates/simulation/src/configurations.rs
+++ b/crates/simulation/src/configurations.rs
@@ -1,6 +1,6 @@
 //! The configurations that operators send.
 
-use crate::clients::{BULK_ROUTES, LIVE_HOST};
+use crate::clients::{BULK_ROUTES, LIVE_HOST, OTHER_BULK_ROUTE};
 
 /// How a configuration is wrong.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -17,6 +17,18 @@
     OldVersion,
 }
 
+/// What the operators have done with the first bulk route.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum FirstBulkRoute {
+    /// It is there.
+    #[default]
+    Present,
+    /// It is removed, and a route of another host, prefix and service has its name.
+    Replaced,
+    /// The other route keeps the name; it is there again under another one.
+    Renamed,
+}
+
 /// A route of a configuration.
 pub struct RouteLine {
     host: &'static str,
@@ -29,7 +41,7 @@
 }
 
 /// The routes of a version: one moves from service to service, some come and go.
-pub fn routes(number: u64, base: u64, ballast: usize) -> Vec<RouteLine> {
+pub fn routes(number: u64, base: u64, ballast: usize, first_bulk: FirstBulkRoute) -> Vec<RouteLine> {
     let route = |prefix: &str, kind, service, further: &str| RouteLine {
         host: LIVE_HOST,
         prefix: prefix.to_owned(),
@@ -62,9 +74,19 @@
     for place in 0..ballast {
         routes.push(route(&format!("/ballast{place}/"), "idempotent", "plain", ",\"max_attempts\":2"));
     }
-    for (host, prefix) in BULK_ROUTES {
-        let further = ",\"max_attempts\":3,\"completion_target_ms\":10000,\"retention_s\":60";
-        routes.push(RouteLine { host, ..route(prefix, "bulk", "model-a", further) });
+    let further = ",\"max_attempts\":3,\"completion_target_ms\":10000,\"retention_s\":60";
+    let bulk = |host, prefix, service| RouteLine { host, ..route(prefix, "bulk", service, further) };
+    for (place, (host, prefix)) in BULK_ROUTES.into_iter().enumerate() {
+        // The name of a route follows from its place.
+        routes.push(match first_bulk {
+            FirstBulkRoute::Replaced | FirstBulkRoute::Renamed if place == 0 => {
+                bulk(OTHER_BULK_ROUTE.0, OTHER_BULK_ROUTE.1, "other")
+            }
+            _ => bulk(host, prefix, "model-a"),
+        });
+    }
+    if first_bulk == FirstBulkRoute::Renamed {
+        routes.push(bulk(BULK_ROUTES[0].0, BULK_ROUTES[0].1, "model-a"));
     }
     routes
 }
--- a/crates/simulation/src/fleet/faults.rs
+++ b/crates/simulation/src/fleet/faults.rs
@@ -2,7 +2,7 @@
 
 use super::step::Step;
 use super::{Armed, Fleet};
-use crate::configurations::Wrong;
+use crate::configurations::{FirstBulkRoute, Wrong};
 use crate::executors::Lies;
 use crate::operators::Change;
 use crate::scenario::{Fault, On, WrongKind};
@@ -55,6 +55,11 @@
             Fault::ZoneCut { zone, for_s } => self.cut_zone(zone, for_s),
             Fault::Reset { on } => self.reset(on),
             Fault::ConfigChange => self.change(Change::Valid),
+            Fault::RouteReplaced { for_s } => {
+                self.note("another route has the name of the first bulk route");
+                self.change(Change::FirstBulkRoute(FirstBulkRoute::Replaced));
+                self.later(Duration::from_seconds(for_s), Step::RouteIsBack);
+            }
             Fault::ConfigRace => self.change(Change::Race),
             Fault::ConfigSameNumber => self.change(Change::SameNumber),
             Fault::AckLost { x, for_s } => {
--- a/crates/simulation/src/fleet/step.rs
+++ b/crates/simulation/src/fleet/step.rs
@@ -1,6 +1,7 @@
 //! The steps of a storm, each at its moment.
 
 use super::Fleet;
+use crate::configurations::FirstBulkRoute;
 use crate::executors::Lies;
 use crate::operators::Change;
 use crate::scenario::Fault;
@@ -19,6 +20,7 @@
     Release { executors: Vec<usize>, gap: Duration },
     Honest,
     AnswersArrive,
+    RouteIsBack,
     Quick { machine: usize },
     Room { machine: usize },
     Flap { executors: Vec<usize>, times: usize, gap: Duration },
@@ -47,6 +49,7 @@
             Step::Release { executors, gap } => self.release(executors, gap),
             Step::Honest => self.all_lie(Lies::default()),
             Step::AnswersArrive => self.operators.lost_answers = 0.0,
+            Step::RouteIsBack => self.change(Change::FirstBulkRoute(FirstBulkRoute::Renamed)),
             Step::Quick { machine } => self.quick(machine),
             Step::Room { machine } => self.room(machine),
             Step::Flap { executors, times, gap } => self.flap(executors, times, gap),
--- a/crates/simulation/src/judge/batch.rs
+++ b/crates/simulation/src/judge/batch.rs
@@ -124,7 +124,7 @@
     }
 
     pub(super) fn item_runs(&mut self, arrival: &Arrival<'_>) {
-        let Arrival { at, instance, attempt, .. } = *arrival;
+        let Arrival { at, instance, attempt, from, life, .. } = *arrival;
         let Some(item) = self.items.get(attempt) else { return };
         let line = format!("POST {}", item.path);
         let (job, changed) =
@@ -146,10 +146,13 @@
         if ended {
             self.breach(Rule::Unasked, at, format!("item {attempt} runs long after its job {job} was ended"));
         }
-        if self.allowing(&prefix, arrival.service, at).is_empty() {
-            let what =
-                format!("item {attempt} ran at {}, which no version gives to {prefix}", arrival.service);
-            self.breach(Rule::Route, at, what);
+        match self.allowing(&prefix, arrival.service, at).into_iter().max() {
+            Some(newest) => self.check_version(at, at, from, life, newest, attempt),
+            None => {
+                let what =
+                    format!("item {attempt} ran at {}, which no version gives to {prefix}", arrival.service);
+                self.breach(Rule::Route, at, what);
+            }
         }
     }
 
--- a/crates/simulation/src/operators.rs
+++ b/crates/simulation/src/operators.rs
@@ -1,7 +1,7 @@
 //! Operators and the platform: configurations, retirements, the last Show, and the checks of readiness.
 
 use crate::call::{HttpCall, Progress, request};
-use crate::configurations::{Wrong, configuration, routes};
+use crate::configurations::{FirstBulkRoute, Wrong, configuration, routes};
 use crate::content::names;
 use crate::hub::{End, Happening, Owner};
 use crate::judge::{SentOrder, Version};
@@ -77,12 +77,15 @@
     SameNumber,
     /// An invalid one.
     Wrong(Wrong),
+    /// A valid one, which changes the first bulk route.
+    FirstBulkRoute(FirstBulkRoute),
 }
 
 /// The operators, and the platform.
 pub struct Operators {
     host: usize,
     ballast: usize,
+    first_bulk: FirstBulkRoute,
     /// Between two reads of the configuration while changes come and go.
     peek_every: Option<Duration>,
     tasks: BTreeMap<u64, Task>,
@@ -109,6 +112,7 @@
         Operators {
             host,
             ballast: load.ballast_routes,
+            first_bulk: FirstBulkRoute::default(),
             peek_every: (load.reads_per_s > 0.0).then(|| Duration::from_seconds(1.0 / load.reads_per_s)),
             tasks: BTreeMap::new(),
             ends: BTreeMap::new(),
@@ -172,6 +176,10 @@
                 self.send_version(self.highest, self.ballast + 1, None, stage);
             }
             Change::Wrong(wrong) => self.send_next_version(Some(wrong), stage),
+            Change::FirstBulkRoute(first_bulk) => {
+                self.first_bulk = first_bulk;
+                self.send_next_version(None, stage);
+            }
         }
     }
 
@@ -185,7 +193,7 @@
 
     fn send_version(&mut self, number: u64, ballast: usize, wrong: Option<Wrong>, stage: &mut Stage<'_>) {
         let base = self.known;
-        let routes = routes(number, base, ballast);
+        let routes = routes(number, base, ballast, self.first_bulk);
         let body = configuration(number, &routes, wrong, stage.judge.quota);
         let now = stage.now();
         let known =
--- a/crates/simulation/src/scenario/trouble.rs
+++ b/crates/simulation/src/scenario/trouble.rs
@@ -109,6 +109,9 @@
     Reset { on: On },
     /// A valid change.
     ConfigChange,
+    /// A bulk route is removed, and its name given to a route of another host and service; after a time it is back under
+    /// another name.
+    RouteReplaced { for_s: f64 },
     /// Two changes on the same version.
     ConfigRace,
     /// Two changes on the same version under one number.
--- a/crates/tier/src/batch/items.rs
+++ b/crates/tier/src/batch/items.rs
@@ -11,8 +11,7 @@
 use crate::requests::upstream::UpstreamEvent;
 use crate::requests::upstream_connection::{Failure, UpstreamUser};
 use crate::runtime::timers::Timer;
-use grebeusher_batch::{EventDisposition, EventReader, RunId, RunOrder, RunOutcome};
-use grebeusher_configuration::configuration::RouteType;
+use grebeusher_batch::{EventDisposition, EventReader, RouteIndex, RunId, RunOrder, RunOutcome};
 use grebeusher_gateway::{AttemptOutcome, AttemptToken, ServerLoad};
 use grebeusher_time::{Duration, Instant};
 use grebeusher_transport::headers::Headers;
@@ -103,9 +102,7 @@
     fn idle_tokens(&mut self, index: usize) -> u64 {
         let Some(active) = self.configuration.active().cloned() else { return 0 };
         let Some(partition) = self.batch_mut(index) else { return 0 };
-        let routes = &active.routes.configuration().routes;
-        let bulk = routes.iter().filter(|route| route.route_type == RouteType::Bulk);
-        bulk.map(|route| partition.runner().idle_tokens(route.name.as_str())).sum()
+        active.routes.bulk_routes().map(|(route, _)| partition.runner().idle_tokens(route)).sum()
     }
 
     /// Logs now and then how the items of a partition progress.
@@ -118,8 +115,9 @@
         let number = self.partitions[index].partition;
         let Some(partition) = self.batch_mut(index) else { return };
         let (running, kept) = (partition.runner().running_count(), partition.jobs().len());
+        let unrouted = partition.runner().unrouted_count();
         let idle = self.idle_tokens(index);
-        debug!(partition = number, running, waiting_tokens = idle, jobs = kept, "items running");
+        debug!(partition = number, running, waiting_tokens = idle, unrouted, jobs = kept, "items running");
     }
 
     fn begin_items(&mut self, index: usize) {
@@ -160,18 +158,14 @@
     fn next_order(&mut self, index: usize) -> Option<RunOrder> {
         let now = self.now;
         let active = self.configuration.active().cloned()?;
-        let mut rooms: Vec<(&str, bool)> = Vec::new();
-        for route in &active.routes.configuration().routes {
-            if route.route_type == RouteType::Bulk {
-                let has_room = route
-                    .traffic
-                    .services()
-                    .any(|service| self.requests.routing.has_batch_room(now, service.as_str()));
-                rooms.push((route.name.as_str(), has_room));
+        let mut with_room: Vec<RouteIndex> = Vec::new();
+        for (index, route) in active.routes.bulk_routes() {
+            let mut services = route.traffic.services();
+            if services.any(|service| self.requests.routing.has_batch_room(now, service.as_str())) {
+                with_room.push(index);
             }
         }
-        let room =
-            |name: &str| rooms.iter().find(|(route, has_room)| *route == name && *has_room).map(|_| u64::MAX);
+        let room = |route: RouteIndex| with_room.contains(&route).then_some(u64::MAX);
         let (jobs, runner) = self.batch_mut(index)?.jobs_and_runner();
         runner.next_item(jobs, now, &room)
     }
@@ -180,8 +174,7 @@
         let now = self.now;
         let point = self.random_point();
         let Some(active) = self.configuration.active().cloned() else { return };
-        let routes = &active.routes.configuration().routes;
-        let route = routes.iter().find(|route| route.name.as_str() == order.route);
+        let route = active.routes.bulk(&order.host, &order.path);
         let hints = Hints::of_item(&order);
         let chosen = route.and_then(|route| {
             self.requests.routing.choose_for_item(now, route.pick_service(point).as_str(), &hints)
@@ -207,7 +200,7 @@
                     item = order.attempt_id,
                     host = order.host,
                     path = order.path.as_str(),
-                    route = order.route,
+                    route = route.map(|route| route.name.as_str()),
                     executor = %candidate.target.instance,
                     version = active.version,
                     "item starts"
--- a/crates/tier/src/batch/leader.rs
+++ b/crates/tier/src/batch/leader.rs
@@ -4,14 +4,15 @@
 
 use crate::batch::page_size::max_page_bytes;
 use crate::batch::partition::{
-    BatchPartition, JOBS_ENTRY, LeftBehind, PendingRead, RETIRE_ENTRY, jobs_entry, not_found, route_name_in,
-    shared,
+    BatchPartition, JOBS_ENTRY, LeftBehind, PendingRead, RETIRE_ENTRY, jobs_entry, not_found, shared,
 };
 use crate::control::partition_host::{Application, Waiter};
 use crate::links::messages::{OfferJob, Reply, SubmitJob};
 use crate::node::{Node, RunError};
 use crate::runtime::timers::Timer;
-use grebeusher_batch::{Admission, Applied, EndOutcome, Entry, JobId, JobOrigin, JobSettings, Submission};
+use grebeusher_batch::{
+    Admission, Applied, EndOutcome, Entry, JobId, JobOrigin, JobRoute, JobSettings, Submission,
+};
 use grebeusher_quorum::Blob;
 use grebeusher_time::{Duration, DurationExt, Instant};
 use nanoserde::DeBin;
@@ -53,9 +54,8 @@
         let status = match payload.split_first() {
             Some((&JOBS_ENTRY, _)) => {
                 let entry = Entry::from_shared(&payload.skip(1)).map_err(|e| unreadable(e.to_string()))?;
-                let active = self.configuration.active().cloned();
                 let Some(partition) = self.batch_mut(index) else { return Ok(()) };
-                let applied = partition.apply(entry, active.as_deref(), now);
+                let applied = partition.apply(entry, now);
                 self.after_applied(index, &applied)
             }
             Some((&RETIRE_ENTRY, name)) => {
@@ -109,18 +109,17 @@
         }
         self.cut_off_runs(index);
         if leads {
-            self.assign_routes_of_jobs();
+            self.set_routes_of_jobs();
             self.wake_items();
         }
     }
 
-    /// The configuration or a leadership has changed: the jobs that this node runs are assigned to the routes that there are
-    /// now.
-    pub(crate) fn assign_routes_of_jobs(&mut self) {
+    /// The configuration or a leadership has changed: the jobs that this node runs belong to the routes that there are now.
+    pub(crate) fn set_routes_of_jobs(&mut self) {
         let Some(active) = self.configuration.active().cloned() else { return };
         for index in 0..self.partitions.len() {
             if let Some(partition) = self.batch_mut(index) {
-                partition.assign_routes(&active);
+                partition.set_routes(active.routes.clone());
             }
         }
     }
@@ -171,8 +170,8 @@
         };
         if let Some(active) = self.configuration.active() {
             // The node that took the job may serve by an older configuration.
-            let current =
-                JobOrigin::of_submission(&submission).and_then(|origin| route_name_in(active)(&origin));
+            let JobOrigin { host, path, .. } = JobOrigin::of(&submission);
+            let current = active.routes.bulk(host, path).map(|route| route.name.as_str().to_owned());
             submission.route = current.unwrap_or(submission.route);
         }
         let job = submission.job.clone();
@@ -206,11 +205,14 @@
     /// again.
     pub(crate) fn offered_to_leader(&mut self, waiter: Waiter, offer: &OfferJob) {
         let Some(index) = self.led_index(offer.partition, waiter) else { return };
+        let routes = self.offered_routes(&offer.route);
         let Some(partition) = self.batch_mut(index) else { return };
         let Some(job) = JobId::new(&offer.job) else {
             return self.reply(waiter.peer, waiter.number, answer(400));
         };
-        let reply = match partition.check_offer(&job, offer) {
+        let checked = routes.iter().map(|route| partition.check_offer(&job, offer, *route));
+        let admission = checked.reduce(|one, other| if one == Admission::Propose { one } else { other });
+        let reply = match admission.unwrap_or(Admission::Propose) {
             Admission::AlreadyAccepted => answer(202),
             Admission::Pending => return partition.wait_for_submission(job, waiter),
             Admission::QueueFull { .. } => answer(429),
@@ -220,6 +222,18 @@
         self.reply(waiter.peer, waiter.number, reply);
     }
 
+    /// The routes that a job may count on which is offered with the name of its route alone.
+    fn offered_routes<'a>(&self, name: &'a str) -> Vec<JobRoute<'a>> {
+        let active = self.configuration.active();
+        let named = active.into_iter().flat_map(|active| active.routes.bulk_named(name));
+        let mut routes: Vec<JobRoute<'a>> =
+            named.map(|index| JobRoute { index: Some(index), name }).collect();
+        if routes.is_empty() {
+            routes.push(JobRoute { index: None, name });
+        }
+        routes
+    }
+
     pub(crate) fn read_at_leader(
         &mut self,
         waiter: Waiter,
--- a/crates/tier/src/batch/partition.rs
+++ b/crates/tier/src/batch/partition.rs
@@ -3,18 +3,19 @@
 //! A [`BatchPartition`] owns the jobs (changed by committed entries only), admission and runner (used by the leader only), and the
 //! calls that wait for a result or a commit. What it decides it returns; [`leader`](crate::batch::leader) proposes and replies.
 
-use crate::control::active_configuration::ActiveConfiguration;
+use crate::control::active_configuration::Routes;
 use crate::control::partition_host::Waiter;
 use crate::links::messages::{OfferJob, Reply};
 use grebeusher_batch::{
-    Admission, AdmissionControl, AdmissionRequest, Applied, Entry, JobId, JobOrigin, Jobs, RoutedJobs,
-    Runner, SharedBytes, SnapshotError, Submission,
+    Admission, AdmissionControl, AdmissionRequest, Applied, Entry, JobId, JobRoute, Jobs, RoutedJobs, Runner,
+    SharedBytes, SnapshotError, Submission,
 };
 use grebeusher_quorum::Blob;
 use grebeusher_time::Instant;
 use nanoserde::{DeBin, DeBinErr, SerBin};
 use snafu::{OptionExt, ResultExt, Snafu};
 use std::collections::BTreeSet;
+use std::rc::Rc;
 use std::sync::Arc;
 
 /// The tag of an entry of the jobs' state machine.
@@ -145,24 +146,16 @@
     }
 
     /// Applies a committed entry of the jobs.
-    pub(crate) fn apply(
-        &mut self,
-        entry: Entry,
-        active: Option<&ActiveConfiguration>,
-        now: Instant,
-    ) -> Applied {
+    pub(crate) fn apply(&mut self, entry: Entry, now: Instant) -> Applied {
         let applied = self.jobs.apply(entry);
         self.admission.applied(&applied);
         self.runner.applied(&self.jobs, &applied, now);
-        if let (Applied::Submitted { job, .. }, Some(active)) = (&applied, active) {
-            self.runner.assign_route(&self.jobs, job, route_name_in(active));
-        }
         applied
     }
 
-    /// The jobs that this replica runs are assigned to the routes of a configuration.
-    pub(crate) fn assign_routes(&mut self, active: &ActiveConfiguration) {
-        self.runner.assign_routes(&self.jobs, route_name_in(active));
+    /// Another configuration is in force.
+    pub(crate) fn set_routes(&mut self, routes: Rc<Routes>) {
+        self.runner.set_routes(&self.jobs, routes);
     }
 
     /// This replica becomes the partition's leader, or is it no longer.
@@ -180,9 +173,9 @@
         }
     }
 
-    /// What would become of a job that is offered by its name and size.
-    pub(crate) fn check_offer(&self, job: &JobId, offer: &OfferJob) -> Admission {
-        let OfferJob { route, tokens, queue_token_limit, .. } = offer;
+    /// What would become of a job that is offered by its name and size, if it counts on this route.
+    pub(crate) fn check_offer(&self, job: &JobId, offer: &OfferJob, route: JobRoute<'_>) -> Admission {
+        let OfferJob { tokens, queue_token_limit, .. } = offer;
         let request = AdmissionRequest { job, route, tokens: *tokens, queue_token_limit: *queue_token_limit };
         let committed = RoutedJobs { jobs: &self.jobs, runner: &self.runner };
         self.admission.check(&committed, &request)
@@ -273,8 +266,3 @@
     entry.ser_bin(&mut bytes);
     bytes
 }
-
-/// Names the route of a configuration that a job belongs to.
-pub(crate) fn route_name_in(active: &ActiveConfiguration) -> impl Fn(&JobOrigin<'_>) -> Option<String> {
-    |origin| active.routes.of_job(origin).map(|route| route.name.as_str().to_owned())
-}
--- a/crates/tier/src/control/active_configuration.rs
+++ b/crates/tier/src/control/active_configuration.rs
@@ -7,11 +7,12 @@
 use crate::links::calls::Continuation;
 use crate::links::messages::{Call, Reply};
 use crate::node::Node;
-use grebeusher_batch::JobOrigin;
+use grebeusher_batch::{RouteIndex, RouteLookup};
 use grebeusher_configuration::configuration::{ClientLimits, Configuration, Route, RouteType};
 use grebeusher_configuration::routes::RouteTable;
 use grebeusher_time::{Duration, Instant};
 use grebeusher_transport::http::Limits;
+use std::fmt;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -29,7 +30,7 @@
     /// Its bytes, exactly as the operator sent them.
     pub body: Arc<[u8]>,
     /// Its routes.
-    pub routes: Routes,
+    pub routes: Rc<Routes>,
 }
 
 /// The routes of a configuration, shared with the requests that are under way.
@@ -51,17 +52,26 @@
         self.shared.get(self.table.find_index(host, path)?).cloned()
     }
 
-    /// The bulk route that a batch job belongs to: the one that its items' requests match, else the one that has the name of
-    /// the job's route. Guards against accepted jobs that nobody runs, because their route was given another name.
-    pub fn of_job(&self, origin: &JobOrigin<'_>) -> Option<&Rc<Route>> {
-        let is_bulk = |route: &&Rc<Route>| route.route_type == RouteType::Bulk;
-        let by_path =
-            self.table.find_index(origin.host, origin.path).and_then(|index| self.shared.get(index));
-        by_path.filter(is_bulk).or_else(|| self.named(origin.route).filter(is_bulk))
+    /// The bulk route that the request of an item matches. Guards against items at the service of another route, which an
+    /// item's request must not reach, whatever the routes are called.
+    pub fn bulk(&self, host: &str, path: &str) -> Option<&Rc<Route>> {
+        self.at(self.bulk_route(host, path)?)
     }
 
-    fn named(&self, name: &str) -> Option<&Rc<Route>> {
-        self.shared.iter().find(|route| route.name.as_str() == name)
+    /// A route by its index.
+    pub fn at(&self, index: RouteIndex) -> Option<&Rc<Route>> {
+        self.shared.get(index.0)
+    }
+
+    /// The bulk routes of this name. Several may have it.
+    pub fn bulk_named(&self, name: &str) -> impl Iterator<Item = RouteIndex> {
+        self.bulk_routes().filter(move |(_, route)| route.name.as_str() == name).map(|(index, _)| index)
+    }
+
+    /// All bulk routes.
+    pub fn bulk_routes(&self) -> impl Iterator<Item = (RouteIndex, &Rc<Route>)> {
+        let routes = self.shared.iter().enumerate().map(|(index, route)| (RouteIndex(index), route));
+        routes.filter(|(_, route)| route.route_type == RouteType::Bulk)
     }
 
     /// The complete configuration.
@@ -70,6 +80,19 @@
     }
 }
 
+impl RouteLookup for Routes {
+    fn bulk_route(&self, host: &str, path: &str) -> Option<RouteIndex> {
+        let index = self.table.find_index(host, path).map(RouteIndex)?;
+        self.at(index).filter(|route| route.route_type == RouteType::Bulk).map(|_| index)
+    }
+}
+
+impl fmt::Debug for Routes {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        out.debug_struct("Routes").field("count", &self.shared.len()).finish_non_exhaustive()
+    }
+}
+
 /// The configuration that this node serves by.
 pub(crate) struct ServedConfiguration {
     active: Option<Rc<ActiveConfiguration>>,
@@ -156,7 +179,7 @@
         self.client_limits = limits;
         self.http_limits.most_head = limits.max_header_bytes as usize;
         self.http_limits.most_body = limits.max_body_bytes as usize;
-        let routes = Routes::new(configuration);
+        let routes = Rc::new(Routes::new(configuration));
         self.active = Some(Rc::new(ActiveConfiguration { version, body, routes }));
         true
     }
@@ -177,7 +200,7 @@
         if self.configuration.activate(version, body) {
             self.registry.set_configuration_version(version);
             self.routing_changed = true;
-            self.assign_routes_of_jobs();
+            self.set_routes_of_jobs();
         }
     }
 
--- a/crates/tier/tests/job_routes.rs
+++ b/crates/tier/tests/job_routes.rs
@@ -1,6 +1,6 @@
-//! Which route of a configuration an accepted batch job belongs to.
+//! Which route of a configuration the items of an accepted batch job belong to.
 
-use grebeusher_batch::JobOrigin;
+use grebeusher_batch::{RouteIndex, RouteLookup};
 use grebeusher_configuration::configuration::Configuration;
 use grebeusher_tier::control::active_configuration::Routes;
 
@@ -21,39 +21,65 @@
     Routes::new(Configuration::read(text.as_bytes()).expect("a proper configuration"))
 }
 
-fn origin(route: &str) -> JobOrigin<'_> {
-    JobOrigin { route, host: "lots.example", path: "/lots/1" }
-}
-
-fn name_of(routes: &Routes, origin: &JobOrigin<'_>) -> Option<String> {
-    routes.of_job(origin).map(|route| route.name.as_str().to_owned())
+/// The name of the bulk route that an item of `lots.example` below `/lots/` belongs to.
+fn name_of(routes: &Routes) -> Option<String> {
+    routes.bulk("lots.example", "/lots/1").map(|route| route.name.as_str().to_owned())
 }
 
 #[test]
-fn a_job_belongs_to_the_route_that_its_requests_match_whatever_its_name() {
+fn an_item_belongs_to_the_route_that_its_request_matches_whatever_its_name() {
     // Given a route that was renamed, and its old name on a route of another kind,
     let renamed = routes(&[
         route("new", "lots.example", "/lots/", "bulk"),
         route("old", "lots.example", "/look/", "idempotent"),
     ]);
-    // then a job of the old name belongs to the renamed route,
-    assert_eq!(name_of(&renamed, &origin("old")).as_deref(), Some("new"));
-    // also where the old name is that of another bulk route now.
+    // then an item belongs to the renamed route,
+    assert_eq!(name_of(&renamed).as_deref(), Some("new"));
+    // also where the old name is that of another bulk route now,
     let swapped = routes(&[
-        route("new", "lots.example", "/lots/", "bulk"),
         route("old", "lots.example", "/other/", "bulk"),
+        route("new", "lots.example", "/lots/", "bulk"),
     ]);
-    assert_eq!(name_of(&swapped, &origin("old")).as_deref(), Some("new"));
+    assert_eq!(name_of(&swapped).as_deref(), Some("new"));
+    // and where another route before it has the same name.
+    let alike = routes(&[
+        route("lots", "films.example", "/films/", "bulk"),
+        route("lots", "lots.example", "/lots/", "bulk"),
+    ]);
+    assert_eq!(alike.bulk_route("lots.example", "/lots/1"), Some(RouteIndex(1)));
 }
 
+/// ROUTE: guards against items at the service of another route that has the name of theirs.
 #[test]
-fn a_job_follows_the_name_of_its_route_where_its_requests_match_none() {
-    let moved = routes(&[route("lots", "lots.example", "/moved/", "bulk")]);
-    assert_eq!(name_of(&moved, &origin("lots")).as_deref(), Some("lots"));
+fn an_item_belongs_to_no_route_where_its_request_matches_none() {
+    for (host, prefix) in
+        [("films.example", "/films/"), ("lots.example", "/moved/"), ("films.example", "/lots/")]
+    {
+        assert_eq!(name_of(&routes(&[route("lots", host, prefix, "bulk")])), None, "{host}{prefix}");
+    }
 }
 
 #[test]
 fn a_job_belongs_to_no_route_for_live_requests() {
     let live = routes(&[route("lots", "lots.example", "/lots/", "idempotent")]);
-    assert_eq!(name_of(&live, &origin("lots")), None);
+    assert_eq!(name_of(&live), None);
+}
+
+#[test]
+fn an_item_below_the_prefix_of_a_live_route_belongs_to_no_shorter_bulk_route() {
+    let split = routes(&[
+        route("lots", "lots.example", "/", "bulk"),
+        route("live", "lots.example", "/lots/", "idempotent"),
+    ]);
+    assert_eq!(name_of(&split), None);
+}
+
+#[test]
+fn bulk_routes_of_one_name_are_all_found_by_it() {
+    let alike = routes(&[
+        route("lots", "films.example", "/films/", "bulk"),
+        route("lots", "lots.example", "/look/", "idempotent"),
+        route("lots", "lots.example", "/lots/", "bulk"),
+    ]);
+    assert_eq!(alike.bulk_named("lots").collect::<Vec<RouteIndex>>(), [RouteIndex(0), RouteIndex(2)]);
 }
