Tokens that wait by a route's name are summed when asked for

Quotas go by the routes that jobs match, so the leader no longer asks for this sum, and it need not be kept with each entry applied.

--- a/crates/batch/src/jobs.rs
+++ b/crates/batch/src/jobs.rs
@@ -72,8 +72,6 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Jobs {
     jobs: BTreeMap<JobId, Job>,
-    /// The tokens that wait on each route; routes on which none wait are left out.
-    waiting: BTreeMap<String, u64>,
     /// About the bytes that all jobs take in memory.
     cost: usize,
 }
@@ -101,7 +99,7 @@
             return Applied::Submitted { job: id, already: true };
         }
         let job = Job::new(submission, settings);
-        self.add_to_sums(&job);
+        self.cost = self.cost.saturating_add(job.cost());
         self.jobs.insert(id.clone(), job);
         Applied::Submitted { job: id, already: false }
     }
@@ -147,50 +145,22 @@
                 continue;
             }
             if let Some(job) = self.jobs.remove(&id) {
-                self.subtract_from_sums(&job);
+                self.cost = self.cost.saturating_sub(job.cost());
                 forgotten.push(id);
             }
         }
         Applied::Forgotten(forgotten)
     }
 
-    /// Changes a job and keeps the sums right.
+    /// Changes a job and keeps the sum of costs right.
     fn change<T>(&mut self, id: &JobId, change: impl FnOnce(&mut Job) -> T) -> Option<T> {
         let job = self.jobs.get_mut(id)?;
-        let (tokens, cost) = (job.waiting_tokens(), job.cost());
+        let cost = job.cost();
         let result = change(job);
-        let freed = tokens.saturating_sub(job.waiting_tokens());
         self.cost = self.cost.saturating_sub(cost).saturating_add(job.cost());
-        let route = job.route().to_owned();
-        self.subtract_waiting(&route, freed);
         Some(result)
     }
 
-    fn add_to_sums(&mut self, job: &Job) {
-        self.cost = self.cost.saturating_add(job.cost());
-        if job.waiting_tokens() > 0 {
-            let waiting = self.waiting.entry(job.route().to_owned()).or_default();
-            *waiting = waiting.saturating_add(job.waiting_tokens());
-        }
-    }
-
-    fn subtract_from_sums(&mut self, job: &Job) {
-        self.cost = self.cost.saturating_sub(job.cost());
-        self.subtract_waiting(job.route(), job.waiting_tokens());
-    }
-
-    fn subtract_waiting(&mut self, route: &str, tokens: u64) {
-        if tokens == 0 {
-            return;
-        }
-        if let Some(waiting) = self.waiting.get_mut(route) {
-            *waiting = waiting.saturating_sub(tokens);
-            if *waiting == 0 {
-                self.waiting.remove(route);
-            }
-        }
-    }
-
     /// The results of a job from position `resume_after` on, as many as fit a response of `max_bytes`, and at least one
     /// if there is one. `None` if there is no such job.
     pub fn read(&self, job: &JobId, resume_after: usize, max_bytes: usize) -> Option<Page<'_>> {
@@ -222,9 +192,11 @@
         self.jobs.get(job).is_some_and(Job::has_ended)
     }
 
-    /// The tokens of a route's items that are neither listed nor of a job that has ended.
+    /// The tokens of the items that are neither listed nor of a job that has ended, of the jobs whose route had this
+    /// name when they were submitted.
     pub fn waiting_tokens(&self, route: &str) -> u64 {
-        self.waiting.get(route).copied().unwrap_or(0)
+        let jobs = self.jobs.values().filter(|job| job.route() == route);
+        jobs.map(Job::waiting_tokens).fold(0, u64::saturating_add)
     }
 
     /// About the bytes that all jobs take in memory.
--- a/crates/batch/src/jobs/snapshot.rs
+++ b/crates/batch/src/jobs/snapshot.rs
@@ -88,7 +88,7 @@
         ensure!(offset == bytes.len(), SurplusSnafu { bytes: bytes.len() - offset });
         let mut jobs = Jobs::new();
         for JobRecord { id, job } in records {
-            jobs.add_to_sums(&job);
+            jobs.cost = jobs.cost.saturating_add(job.cost());
             ensure!(jobs.jobs.insert(id, job).is_none(), JobTwiceSnafu);
         }
         Ok(jobs)
