--- a/crates/batch/src/runner.rs
+++ b/crates/batch/src/runner.rs
@@ -30,6 +30,7 @@
 use backoff::BackoffJitter;
 use item_run::ItemRun;
 use job_run::JobRun;
+use routes::NoRoutes;
 use run_duration::RunDurationEstimate;
 
 pub use item_run::MAX_TEXT_BYTES;
@@ -86,7 +87,7 @@
             is_leader: false,
             first_seen: BTreeMap::new(),
             jobs: BTreeMap::new(),
-            routes: Rc::new(()),
+            routes: Rc::new(NoRoutes),
             runs: HashMap::new(),
             last_run: 0,
             turns: 0,
--- a/crates/batch/src/runner/job_run.rs
+++ b/crates/batch/src/runner/job_run.rs
@@ -25,7 +25,7 @@
 
 #[derive(Debug)]
 pub(super) struct JobRun {
-    /// The route that its quota counts on: that of its first item that is not listed.
+    /// The route that its quota counts on: that of its first item that was not listed when the configuration came.
     route: Option<RouteIndex>,
     max_attempts: u32,
     due: Instant,
--- a/crates/batch/src/runner/routes.rs
+++ b/crates/batch/src/runner/routes.rs
@@ -23,8 +23,11 @@
     fn bulk_route(&self, host: &str, path: &str) -> Option<RouteIndex>;
 }
 
-/// No routes, as before the first configuration.
-impl RouteLookup for () {
+/// What is known before the first configuration.
+#[derive(Debug)]
+pub(super) struct NoRoutes;
+
+impl RouteLookup for NoRoutes {
     fn bulk_route(&self, _host: &str, _path: &str) -> Option<RouteIndex> {
         None
     }
