Log when results are not proposed, and how many wait, for each led partition

Nothing in the log told apart whether the entries were refused while the leadership was handed over, refused because too much was uncommitted, taken and lost with a term, or never proposed because nobody woke the runner.

- "results not proposed" once per stretch of refusals, with the error and whether a hand-over is under way; "results proposed again" with its length.
PartitionHost::propose returns the error that it dropped.
- "items running" has `finished` (results that are not listed) and `unproposed` (results that are not in the log).
It is written by the maintenance of the groups, for each partition: before, the time of the last line was shared by all partitions of a node, so that the second one had a line only by chance, and none came once all items were finished.

--- a/crates/batch/src/runner.rs
+++ b/crates/batch/src/runner.rs
@@ -119,6 +119,21 @@
         self.runs.len()
     }
 
+    /// How many items are not listed; none unless leading.
+    pub fn unlisted_count(&self) -> usize {
+        self.jobs.values().map(JobRun::unlisted_count).sum()
+    }
+
+    /// How many items have a result that is not listed, proposed or not.
+    pub fn finished_count(&self) -> usize {
+        self.jobs.values().map(JobRun::finished_count).sum()
+    }
+
+    /// How many results wait to be proposed.
+    pub fn unproposed_count(&self) -> usize {
+        self.results.len()
+    }
+
     /// How many items run, and how many could if there were capacity.
     pub fn load(&self) -> PartitionLoad {
         let count = |items: usize| u32::try_from(items).unwrap_or(u32::MAX);
--- a/crates/batch/src/runner/job_run.rs
+++ b/crates/batch/src/runner/job_run.rs
@@ -112,6 +112,16 @@
         self.items.is_empty()
     }
 
+    /// How many items are not listed.
+    pub fn unlisted_count(&self) -> usize {
+        self.items.len()
+    }
+
+    /// How many items have a result that is not listed.
+    pub fn finished_count(&self) -> usize {
+        self.finished
+    }
+
     /// How many items may run now if there were capacity.
     pub fn ready_count(&self) -> usize {
         self.waiting.ready_count()
--- a/crates/tier/src/batch/items.rs
+++ b/crates/tier/src/batch/items.rs
@@ -26,8 +26,6 @@
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(3000);
 /// What an executor is told of the time that an item has (milliseconds): items stand outside of time-outs.
 const ITEM_DEADLINE_MS: u64 = 30_000;
-/// How often the progress of items is logged.
-const LOG_INTERVAL: Duration = Duration::from_millis(500);
 /// Items that are begun in one turn of the loop, so that others have theirs.
 const BEGUN_AT_ONCE: usize = 16;
 
@@ -49,7 +47,6 @@
 pub struct ItemRuns {
     active: FxHashMap<u64, ActiveRun>,
     waking: bool,
-    reported: Instant,
     load_reports: LoadReports,
 }
 
@@ -86,7 +83,6 @@
                 self.begin_items(index);
             }
             self.report_load(index);
-            self.log_progress(index);
             self.cut_off_runs(index);
             self.propose_results(index);
             waits |= self.runner_wake(index).is_some();
@@ -105,19 +101,25 @@
         active.routes.bulk_routes().map(|(route, _)| partition.runner().idle_tokens(route)).sum()
     }
 
-    /// Logs now and then how the items of a partition progress.
-    fn log_progress(&mut self, index: usize) {
-        let now = self.now;
-        if now < self.items.reported + LOG_INTERVAL {
+    /// Logs now and then how the items of a led partition progress, as long as some are not listed.
+    pub(crate) fn log_items(&mut self, index: usize) {
+        let (now, number) = (self.now, self.partitions[index].partition);
+        let waiting_tokens = self.idle_tokens(index);
+        let Some(partition) = self.batch_mut(index) else { return };
+        if partition.runner().unlisted_count() == 0 || !partition.take_log_due(now) {
             return;
         }
-        self.items.reported = now;
-        let number = self.partitions[index].partition;
-        let Some(partition) = self.batch_mut(index) else { return };
-        let (running, kept) = (partition.runner().running_count(), partition.jobs().len());
-        let unrouted = partition.runner().unrouted_count();
-        let idle = self.idle_tokens(index);
-        debug!(partition = number, running, waiting_tokens = idle, unrouted, jobs = kept, "items running");
+        let runner = partition.runner();
+        debug!(
+            partition = number,
+            running = runner.running_count(),
+            waiting_tokens,
+            unrouted = runner.unrouted_count(),
+            finished = runner.finished_count(),
+            unproposed = runner.unproposed_count(),
+            jobs = partition.jobs().len(),
+            "items running"
+        );
     }
 
     fn begin_items(&mut self, index: usize) {
--- a/crates/tier/src/batch/leader.rs
+++ b/crates/tier/src/batch/leader.rs
@@ -13,10 +13,11 @@
 use grebeusher_batch::{
     Admission, Applied, EndOutcome, Entry, JobId, JobOrigin, JobRoute, JobSettings, Submission,
 };
-use grebeusher_quorum::Blob;
+use grebeusher_quorum::{Blob, ProposeError};
 use grebeusher_time::{Duration, DurationExt, Instant};
 use nanoserde::DeBin;
 use std::collections::BTreeSet;
+use tracing::info;
 
 /// A reply without content.
 fn answer(status: u16) -> Reply {
@@ -130,7 +131,7 @@
         while let Some(entry) =
             self.batch_mut(index).and_then(|partition| partition.runner_mut().checkpoint())
         {
-            if self.partitions[index].propose(now, jobs_entry(&entry), None).is_none() {
+            if self.partitions[index].propose(now, jobs_entry(&entry), None).is_err() {
                 return;
             }
         }
@@ -141,7 +142,9 @@
         let now = self.now;
         let Some(partition) = self.batch_mut(index) else { return };
         for entry in partition.runner_mut().take_proposals() {
-            if self.partitions[index].propose(now, jobs_entry(&entry), None).is_none() {
+            let proposed = self.partitions[index].propose(now, jobs_entry(&entry), None);
+            self.log_refusals(index, proposed.as_ref().err());
+            if proposed.is_err() {
                 if let Some(partition) = self.batch_mut(index) {
                     partition.runner_mut().not_proposed(entry);
                 }
@@ -150,6 +153,25 @@
         }
     }
 
+    /// Logs the first proposal of results that is refused, and the first one that is taken after it.
+    fn log_refusals(&mut self, index: usize, refused: Option<&ProposeError>) {
+        let now = self.now;
+        let host = &mut self.partitions[index];
+        let (number, transferring) = (host.partition, host.replica.is_transferring_leadership());
+        let Application::Batch(partition) = &mut host.application else { return };
+        match refused {
+            Some(error) if partition.refusals.refused(now) => {
+                info!(partition = number, %error, transferring, "results not proposed");
+            }
+            Some(_) => {}
+            None => {
+                if let Some(duration) = partition.refusals.taken(now) {
+                    info!(partition = number, seconds = duration.seconds(), "results proposed again");
+                }
+            }
+        }
+    }
+
     /// Forgets jobs that nobody may ask for any longer.
     pub(crate) fn forget_old_jobs(&mut self, index: usize) {
         let now = self.now;
@@ -158,7 +180,8 @@
         let Some(partition) = self.batch_mut(index) else { return };
         let jobs = partition.runner().expired_jobs(partition.jobs(), now, status);
         if !jobs.is_empty() {
-            self.partitions[index].propose(now, jobs_entry(&Entry::Forget { jobs }), None);
+            // Refused, it is proposed again when the groups are next maintained.
+            let _ = self.partitions[index].propose(now, jobs_entry(&Entry::Forget { jobs }), None);
         }
     }
 
@@ -191,7 +214,7 @@
                     ..JobSettings::default()
                 };
                 let entry = jobs_entry(&Entry::Submit { submission, settings });
-                if self.partitions[index].propose(now, entry, Some(waiter)).is_none() {
+                if self.partitions[index].propose(now, entry, Some(waiter)).is_err() {
                     if let Some(partition) = self.batch_mut(index) {
                         partition.not_proposed(&job);
                     }
@@ -302,7 +325,7 @@
         let Some(job) = JobId::new(job).filter(|job| partition.knows(job)) else {
             return self.reply(waiter.peer, waiter.number, not_found());
         };
-        if self.partitions[index].propose(now, jobs_entry(&Entry::Ended { job }), Some(waiter)).is_none() {
+        if self.partitions[index].propose(now, jobs_entry(&Entry::Ended { job }), Some(waiter)).is_err() {
             self.reply(waiter.peer, waiter.number, Reply::Unavailable);
         }
     }
--- a/crates/tier/src/batch/mod.rs
+++ b/crates/tier/src/batch/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! [`api`] checks calls and passes them to the leader of the job's partition, where [`leader`] answers them by the state that
 //! [`partition`] keeps; [`items`] runs the items of led partitions, and [`load_report`] tells the other leaders how many there
-//! are.
+//! are. [`refusals`] tells for how long a leader could propose nothing.
 
 pub mod api;
 pub mod items;
@@ -10,3 +10,4 @@
 pub mod load_report;
 pub mod page_size;
 pub mod partition;
+mod refusals;
--- a/crates/tier/src/batch/partition.rs
+++ b/crates/tier/src/batch/partition.rs
@@ -3,6 +3,7 @@
 //! A [`BatchPartition`] owns the jobs (changed by committed entries only), admission and runner (used by the leader only), and the
 //! calls that wait for a result or a commit. What it decides it returns; [`leader`](crate::batch::leader) proposes and replies.
 
+use crate::batch::refusals::RefusalPeriod;
 use crate::control::active_configuration::Routes;
 use crate::control::partition_host::Waiter;
 use crate::links::messages::{OfferJob, Reply};
@@ -11,7 +12,7 @@
     SharedBytes, SnapshotError, Submission,
 };
 use grebeusher_quorum::Blob;
-use grebeusher_time::Instant;
+use grebeusher_time::{Duration, Instant};
 use nanoserde::{DeBin, DeBinErr, SerBin};
 use snafu::{OptionExt, ResultExt, Snafu};
 use std::collections::BTreeSet;
@@ -23,6 +24,9 @@
 /// The tag of an entry that says that a node is to be emptied.
 pub(crate) const RETIRE_ENTRY: u8 = 2;
 
+/// How often the progress of items is logged.
+const LOG_INTERVAL: Duration = Duration::from_millis(500);
+
 /// A read that waits for a result.
 pub(crate) struct PendingRead {
     /// Its number.
@@ -54,6 +58,9 @@
     pending_reads: Vec<PendingRead>,
     /// Submissions by the jobs whose proposals settle them.
     pending_submissions: Vec<(JobId, Waiter)>,
+    /// Since when the leader can't propose what items come to.
+    pub(crate) refusals: RefusalPeriod,
+    logged_at: Instant,
 }
 
 /// Why a partition's snapshot can't be taken over.
@@ -87,6 +94,8 @@
             runner: Runner::new(seed),
             pending_reads: Vec::new(),
             pending_submissions: Vec::new(),
+            refusals: RefusalPeriod::default(),
+            logged_at: Instant::default(),
         }
     }
 
@@ -161,6 +170,7 @@
     /// This replica becomes the partition's leader, or is it no longer.
     pub(crate) fn leader_changed(&mut self, leads: bool, now: Instant, wall_ms: u64) -> LeftBehind {
         self.admission = AdmissionControl::new(self.max_cost);
+        self.refusals = RefusalPeriod::default();
         if leads {
             self.runner.start_leading(&self.jobs, now, wall_ms);
         } else {
@@ -173,6 +183,15 @@
         }
     }
 
+    /// Whether the progress of the items is to be logged. Notes that it is.
+    pub(crate) fn take_log_due(&mut self, now: Instant) -> bool {
+        let is_due = now >= self.logged_at + LOG_INTERVAL;
+        if is_due {
+            self.logged_at = now;
+        }
+        is_due
+    }
+
     /// What would become of a job that is offered by its name and size, if it counts on this route.
     pub(crate) fn check_offer(&self, job: &JobId, offer: &OfferJob, route: JobRoute<'_>) -> Admission {
         let OfferJob { tokens, queue_token_limit, .. } = offer;
--- a/crates/tier/src/control/configuration_partition.rs
+++ b/crates/tier/src/control/configuration_partition.rs
@@ -109,7 +109,7 @@
             Verdict::Accept => {
                 partition.pending.propose(change);
                 let entry = Entry::new(base, configuration.version, Arc::from(body));
-                if host.propose(now, entry.encode(), Some(waiter)).is_none() {
+                if host.propose(now, entry.encode(), Some(waiter)).is_err() {
                     if let Application::Configuration(partition) = &mut host.application {
                         partition.pending.applied(&change);
                     }
--- a/crates/tier/src/control/membership_maintenance.rs
+++ b/crates/tier/src/control/membership_maintenance.rs
@@ -111,6 +111,7 @@
                 self.maintain_group(index);
                 warn_of_sole_replica(&mut self.partitions[index], &self.registry, self.now);
                 self.forget_old_jobs(index);
+                self.log_items(index);
             }
         }
         if !self.stopping() {
--- a/crates/tier/src/control/partition_host.rs
+++ b/crates/tier/src/control/partition_host.rs
@@ -11,7 +11,7 @@
 use crate::node::RunError;
 use crate::runtime::io::{PartitionStore, World};
 use grebeusher_batch::PartitionLoad;
-use grebeusher_quorum::{Index, Replica, ReplicaId, Term, Timing, Write};
+use grebeusher_quorum::{Index, ProposeError, Replica, ReplicaId, Term, Timing, Write};
 use grebeusher_registry::{Class, MemberState, Registry};
 use grebeusher_time::{Duration, Instant};
 use std::collections::BTreeMap;
@@ -186,11 +186,19 @@
     }
 
     /// Proposes an entry whose commit answers a call.
-    pub fn propose(&mut self, now: Instant, entry: Vec<u8>, waiter: Option<Waiter>) -> Option<Index> {
-        let index = self.replica.propose(now, entry).ok()?;
+    ///
+    /// # Errors
+    /// The replica does not take it. Nothing is proposed, and the call is not answered here.
+    pub fn propose(
+        &mut self,
+        now: Instant,
+        entry: Vec<u8>,
+        waiter: Option<Waiter>,
+    ) -> Result<Index, ProposeError> {
+        let index = self.replica.propose(now, entry)?;
         let term = self.replica.term();
         self.waiters.entry(index).or_insert((term, Vec::new())).1.extend(waiter);
-        Some(index)
+        Ok(index)
     }
 
     /// Writes the log anew as a snapshot of the application's state where it has grown beyond its bound.
--- a/crates/tier/src/control/retire.rs
+++ b/crates/tier/src/control/retire.rs
@@ -210,7 +210,7 @@
         }
         let mut entry = vec![RETIRE_ENTRY];
         entry.extend_from_slice(node.as_bytes());
-        if self.partitions[index].propose(now, entry, Some(waiter)).is_none() {
+        if self.partitions[index].propose(now, entry, Some(waiter)).is_err() {
             self.reply(waiter.peer, waiter.number, Reply::Unavailable);
         }
     }
