Results behind a refused entry stay in the runner and are proposed again

Cause: Runner::take_proposals handed out all results in several entries; propose_results gave the first one back that the log refused and dropped the others. Their items stayed finished, so nothing ran, listed or gave them up until another leader came. The log refuses while the leadership is handed over, for 0.8 s where the machine that is to take it stands still; results collect meanwhile, and over 512 KB of them are several entries, so some were dropped at each retry, every 15 ms.

Why this works: a result leaves the runner only in the entry that is about to be proposed (next_proposal, one at a time), and a refused entry goes back before all others; nothing else is in anybody's hands. Counts of failures went the same way and stay now, too. As results are kept where they were dropped, no item starts while 6 MiB of them wait: a log that takes little for long would otherwise fill the leader's memory.

Same cause looked for: every caller of propose. Submissions release their reservation, changes of the configuration withdraw theirs, retirements and ends answer 503, forgotten jobs are proposed again 0.2 s later.

--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -62,7 +62,7 @@
 //! runner.run_ended(order.run, RunOutcome::Complete, now);
 //!
 //! // The result is proposed, and readers see it once it is committed.
-//! for entry in runner.take_proposals() {
+//! while let Some(entry) = runner.next_proposal() {
 //!     let applied = jobs.apply(entry);
 //!     runner.applied(&jobs, &applied, now);
 //! }
--- a/crates/batch/src/runner.rs
+++ b/crates/batch/src/runner.rs
@@ -3,7 +3,7 @@
 //!
 //! [`Runner`] owns the state. Each concern extends it in a module of its own: `leadership` begins and ends the runs of
 //! a term, `dispatch` starts items, `run_reports` takes events and outcomes, `abandonment` gives items up, `proposals`
-//! makes log entries, `routes` tells which route a job and an item belong to.
+//! makes log entries (`unproposed_results` keeps what goes into them), `routes` tells which route a job and an item belong to.
 
 mod abandonment;
 mod backoff;
@@ -17,29 +17,27 @@
 mod run;
 mod run_duration;
 mod run_reports;
+mod unproposed_results;
 mod waiting_items;
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::rc::Rc;
 
 use grebeusher_time::Instant;
 
 use crate::fair_share::PartitionLoad;
-use crate::jobs::ItemResult;
 use crate::names::{ItemIndex, JobId};
 use backoff::BackoffJitter;
 use item_run::ItemRun;
 use job_run::JobRun;
 use routes::NoRoutes;
 use run_duration::RunDurationEstimate;
+use unproposed_results::UnproposedResults;
 
 pub use item_run::MAX_TEXT_BYTES;
 pub use routes::{JobOrigin, JobRoute, RouteIndex, RouteLookup, RoutedJobs};
 pub use run::{Capacity, EventDisposition, RunId, RunOrder, RunOutcome};
 
-/// The bytes of text after which results go into a further entry.
-const MAX_ENTRY_TEXT_BYTES: usize = 512 << 10;
-
 /// The item that a run belongs to.
 #[derive(Clone, Debug)]
 struct ItemKey {
@@ -47,13 +45,6 @@
     item: ItemIndex,
 }
 
-/// A result that is not applied yet.
-#[derive(Clone, Debug)]
-struct PendingResult {
-    job: JobId,
-    result: ItemResult,
-}
-
 /// What the leader of a partition knows of its items. It exists on each replica, as each tracks the ages of jobs; it
 /// runs items only between [`Runner::start_leading`] and [`Runner::stop_leading`].
 #[derive(Debug)]
@@ -71,9 +62,9 @@
     /// Counts the items started, for the fair turns.
     turns: u64,
     /// Results to be proposed.
-    results: Vec<PendingResult>,
+    results: UnproposedResults,
     /// Items with a new count of failures to be proposed.
-    failures: Vec<ItemKey>,
+    failures: VecDeque<ItemKey>,
     /// Runs whose connections are to be closed.
     cancelled: Vec<RunId>,
     jitter: BackoffJitter,
@@ -91,8 +82,8 @@
             runs: HashMap::new(),
             last_run: 0,
             turns: 0,
-            results: Vec::new(),
-            failures: Vec::new(),
+            results: UnproposedResults::default(),
+            failures: VecDeque::new(),
             cancelled: Vec::new(),
             jitter: BackoffJitter::new(seed),
             run_duration: RunDurationEstimate::default(),
@@ -129,11 +120,6 @@
         self.jobs.values().map(JobRun::finished_count).sum()
     }
 
-    /// How many results wait to be proposed.
-    pub fn unproposed_count(&self) -> usize {
-        self.results.len()
-    }
-
     /// How many items run, and how many could if there were capacity.
     pub fn load(&self) -> PartitionLoad {
         let count = |items: usize| u32::try_from(items).unwrap_or(u32::MAX);
--- a/crates/batch/src/runner/abandonment.rs
+++ b/crates/batch/src/runner/abandonment.rs
@@ -2,9 +2,10 @@
 
 use grebeusher_time::{Duration, Instant};
 
+use super::Runner;
 use super::item_run::{ItemRun, Phase};
 use super::run_reports::dead_letter;
-use super::{PendingResult, Runner};
+use super::unproposed_results::PendingResult;
 use crate::jobs::{Jobs, MAX_JOBS_IN_ENTRY};
 use crate::names::JobId;
 
--- a/crates/batch/src/runner/dispatch.rs
+++ b/crates/batch/src/runner/dispatch.rs
@@ -9,9 +9,16 @@
 use crate::jobs::{Job, Jobs, OpenItem};
 use crate::names::{ItemIndex, JobId};
 
+/// With so many bytes of results that the log does not take, no item starts: its result would only add to them. As much
+/// again may wait for a quorum.
+const MAX_UNPROPOSED_TEXT_BYTES: usize = 6 << 20;
+
 impl Runner {
-    /// The item that is to run now within this capacity, if any.
+    /// The item that is to run now within this capacity, if any. None starts while many results wait to be proposed.
     pub fn next_item(&mut self, jobs: &Jobs, now: Instant, capacity: &impl Capacity) -> Option<RunOrder> {
+        if self.results.text_bytes() >= MAX_UNPROPOSED_TEXT_BYTES {
+            return None;
+        }
         for job in self.jobs.values_mut() {
             job.end_backoffs(now);
         }
--- a/crates/batch/src/runner/leadership.rs
+++ b/crates/batch/src/runner/leadership.rs
@@ -92,6 +92,6 @@
         for run in job.runs() {
             self.cancel(run);
         }
-        self.results.retain(|pending| pending.job != *id);
+        self.results.remove_job(id);
     }
 }
--- a/crates/batch/src/runner/proposals.rs
+++ b/crates/batch/src/runner/proposals.rs
@@ -1,28 +1,29 @@
 //! Log entries that the leader proposes: results, counts of failures, and checkpoints of unfinished texts.
 
-use super::{ItemKey, MAX_ENTRY_TEXT_BYTES, PendingResult, Runner};
+use super::unproposed_results::{MAX_ENTRY_TEXT_BYTES, PendingResult};
+use super::{ItemKey, Runner};
 use crate::jobs::{Entry, ItemProgress, JobResults, MAX_JOBS_IN_ENTRY};
 
 impl Runner {
-    /// What is to be proposed: the results of all items that finished since the last call, in few entries, and counts
-    /// of failures. If an entry can't be committed, see [`Runner::not_proposed`].
-    pub fn take_proposals(&mut self) -> Vec<Entry> {
-        let mut entries = Vec::new();
-        let mut batch = ResultBatch::default();
-        for pending in std::mem::take(&mut self.results) {
-            if batch.is_full(pending.result.text.len()) {
-                entries.push(Entry::Results(std::mem::take(&mut batch).jobs));
-            }
-            batch.add(pending);
+    /// The next entry to be proposed: results of items that have finished, as many as fit one, and after all results
+    /// the counts of failures. `None` if nothing is to be proposed.
+    ///
+    /// Only what is in the entry leaves the runner. If the log does not take it, see [`Runner::not_proposed`].
+    pub fn next_proposal(&mut self) -> Option<Entry> {
+        let results = self.results.take_entry();
+        if !results.is_empty() {
+            return Some(Entry::Results(results));
         }
-        if !batch.jobs.is_empty() {
-            entries.push(Entry::Results(batch.jobs));
+        self.next_failures()
+    }
+
+    fn next_failures(&mut self) -> Option<Entry> {
+        let mut progress = Vec::new();
+        while progress.len() < MAX_JOBS_IN_ENTRY {
+            let Some(key) = self.failures.pop_front() else { break };
+            progress.extend(self.failure_progress(key));
         }
-        let failures = std::mem::take(&mut self.failures);
-        let progress: Vec<ItemProgress> =
-            failures.into_iter().filter_map(|key| self.failure_progress(key)).collect();
-        entries.extend(progress.chunks(MAX_JOBS_IN_ENTRY).map(|chunk| Entry::Progress(chunk.to_vec())));
-        entries
+        (!progress.is_empty()).then_some(Entry::Progress(progress))
     }
 
     fn failure_progress(&self, key: ItemKey) -> Option<ItemProgress> {
@@ -30,18 +31,29 @@
         Some(ItemProgress { job: key.job, item: key.item, failed_attempts, events: None })
     }
 
-    /// An entry of [`Runner::take_proposals`] can never be committed, although this replica still leads: its results
-    /// are proposed again.
+    /// Whether something is to be proposed. As long as it is, nothing else need happen for [`Runner::next_proposal`]
+    /// to be called again.
+    pub fn has_proposals(&self) -> bool {
+        !self.results.is_empty() || !self.failures.is_empty()
+    }
+
+    /// How many results wait to be proposed.
+    pub fn unproposed_count(&self) -> usize {
+        self.results.len()
+    }
+
+    /// The entry that [`Runner::next_proposal`] returned last can never be committed, although this replica still
+    /// leads: it is proposed again, before all others.
     pub fn not_proposed(&mut self, entry: Entry) {
         if !self.is_leader {
             return;
         }
         match entry {
-            Entry::Results(batches) => batches.into_iter().for_each(|batch| self.propose_again(batch)),
+            Entry::Results(batches) => batches.into_iter().rev().for_each(|batch| self.propose_again(batch)),
             Entry::Progress(items) => {
-                let keys =
-                    items.into_iter().map(|progress| ItemKey { job: progress.job, item: progress.item });
-                self.failures.extend(keys);
+                for progress in items.into_iter().rev() {
+                    self.failures.push_front(ItemKey { job: progress.job, item: progress.item });
+                }
             }
             Entry::Submit { .. } | Entry::Ended { .. } | Entry::Forget { .. } => {}
         }
@@ -51,7 +63,7 @@
         let JobResults { job, results } = batch;
         let Some(run) = self.jobs.get(&job) else { return };
         let unlisted = results.into_iter().filter(|result| run.is_finished(result.item));
-        self.results.extend(unlisted.map(|result| PendingResult { job: job.clone(), result }));
+        self.results.put_back(unlisted.map(|result| PendingResult { job: job.clone(), result }));
     }
 
     /// Unfinished texts as far as they are not committed, for a planned change of the leader: the next one resumes from
@@ -71,27 +83,3 @@
         (!progress.is_empty()).then_some(Entry::Progress(progress))
     }
 }
-
-/// The results of one entry as they are collected.
-#[derive(Default)]
-struct ResultBatch {
-    jobs: Vec<JobResults>,
-    text_bytes: usize,
-}
-
-impl ResultBatch {
-    fn is_full(&self, more_text_bytes: usize) -> bool {
-        let is_long = self.text_bytes > 0 && self.text_bytes + more_text_bytes > MAX_ENTRY_TEXT_BYTES;
-        is_long || self.jobs.len() >= MAX_JOBS_IN_ENTRY
-    }
-
-    /// Results of one job share its name.
-    fn add(&mut self, pending: PendingResult) {
-        let PendingResult { job, result } = pending;
-        self.text_bytes += result.text.len();
-        match self.jobs.iter_mut().find(|batch| batch.job == job) {
-            Some(batch) => batch.results.push(result),
-            None => self.jobs.push(JobResults { job, results: vec![result] }),
-        }
-    }
-}
--- a/crates/batch/src/runner/run_reports.rs
+++ b/crates/batch/src/runner/run_reports.rs
@@ -2,10 +2,11 @@
 
 use grebeusher_time::Instant;
 
+use super::Runner;
 use super::backoff::{self, Backoff};
 use super::item_run::ItemRun;
 use super::run::{EventDisposition, RunId, RunOutcome};
-use super::{PendingResult, Runner};
+use super::unproposed_results::PendingResult;
 use crate::jobs::{ItemResult, ResultState};
 use crate::names::ItemIndex;
 use crate::shared_bytes::SharedText;
@@ -57,7 +58,7 @@
         if job.count_failure(key.item) {
             return self.give_up_item(run);
         }
-        self.failures.push(key);
+        self.failures.push_back(key);
         self.back_off(run, backoff::FAILED, now);
     }
 
--- a/crates/batch/tests/batches/fixture.rs
+++ b/crates/batch/tests/batches/fixture.rs
@@ -114,3 +114,8 @@
 pub fn any_capacity(_: RouteIndex) -> Option<u64> {
     Some(u64::MAX)
 }
+
+/// All that the runner would propose, if the log takes it.
+pub fn proposals(runner: &mut Runner) -> Vec<Entry> {
+    std::iter::from_fn(|| runner.next_proposal()).collect()
+}
--- a/crates/batch/tests/batches/leader_change.rs
+++ b/crates/batch/tests/batches/leader_change.rs
@@ -42,7 +42,7 @@
     old.end_run(&order, RunOutcome::Complete);
     let running = Partition::with_job("k", 1).next();
     old.runner.stop_leading();
-    assert_eq!(old.runner.take_proposals(), []);
+    assert_eq!(proposals(&mut old.runner), []);
     assert_eq!((old.try_next(), old.runner.take_cancelled(), old.runner.is_leader()), (None, vec![], false));
     old.end_run(&running, RunOutcome::Complete);
     let mut new = successor(&old, &[submit("j", 1)], 1_000_000);
@@ -85,7 +85,7 @@
     let mut log = vec![submit("j", 1)];
     let order = old.next();
     old.end_run(&order, RunOutcome::Failed500);
-    for entry in old.runner.take_proposals() {
+    for entry in proposals(&mut old.runner) {
         log.push(entry.clone());
         old.commit(entry);
     }
--- a/crates/batch/tests/batches/partition.rs
+++ b/crates/batch/tests/batches/partition.rs
@@ -39,7 +39,7 @@
 
     /// Commits all that the runner proposes; how many entries those were.
     pub fn settle(&mut self) -> usize {
-        let entries = self.runner.take_proposals();
+        let entries = proposals(&mut self.runner);
         let count = entries.len();
         for entry in entries {
             self.commit(entry);
--- a/crates/batch/tests/batches/random_faults.rs
+++ b/crates/batch/tests/batches/random_faults.rs
@@ -149,7 +149,7 @@
     }
 
     fn propose(&mut self) {
-        let entries = self.replicas[self.leader].runner.take_proposals();
+        let entries = proposals(&mut self.replicas[self.leader].runner);
         for entry in entries {
             if self.dice.one_in(10) {
                 self.replicas[self.leader].runner.not_proposed(entry);
--- a/crates/simulation/src/clients/jobs.rs
+++ b/crates/simulation/src/clients/jobs.rs
@@ -83,7 +83,7 @@
     }
 
     pub(super) fn new_job(&mut self, stage: &mut Stage<'_>) {
-        if stage.now() >= self.until {
+        if stage.now() >= self.until.min(self.traffic.jobs_until) {
             return;
         }
         wake_for_next(stage, self.traffic.jobs_per_s, NEW_JOB);
@@ -98,7 +98,10 @@
                 let tokens = 100 + stage.hub.random.random_range(0..400);
                 MadeItem {
                     id: name,
-                    path: format!("{prefix}item-{number:x}-{item}"),
+                    path: content::padded_path(
+                        &format!("{prefix}item-{number:x}-{item}"),
+                        self.traffic.event_bytes,
+                    ),
                     body: vec![b'p'; self.traffic.item_bytes + item as usize],
                     tokens,
                 }
@@ -253,6 +256,7 @@
                 stage.judge.job_lost(&job.id, "a result that had been read is not there", now);
             }
             if results.is_empty() || reached >= total {
+                stage.judge.job_read_to_its_end(&job.id, now);
                 job.state = JobState::LastBodies;
                 self.next_body(number, stage);
             } else {
--- a/crates/simulation/src/clients/mod.rs
+++ b/crates/simulation/src/clients/mod.rs
@@ -58,8 +58,12 @@
     pub live_per_s: f64,
     /// Batch jobs a second.
     pub jobs_per_s: f64,
+    /// When no further batch jobs come.
+    pub jobs_until: Instant,
     /// Bytes of each item's body, beside a few.
     pub item_bytes: usize,
+    /// Bytes of each event of an item, beside a few.
+    pub event_bytes: usize,
     /// Probes a second of which configuration is in force.
     pub probes_per_s: f64,
 }
--- a/crates/simulation/src/content.rs
+++ b/crates/simulation/src/content.rs
@@ -46,10 +46,19 @@
     2 + (hash(&[b"events", path.as_bytes()]) >> 20) % 14
 }
 
+/// Stands between a path and the bytes that each event of its stream is longer by.
+const PADDING_MARK: &str = "-padded-";
+
+/// The path of a request whose stream has events that are longer by so many bytes.
+pub fn padded_path(path: &str, bytes: usize) -> String {
+    if bytes == 0 { path.to_owned() } else { format!("{path}{PADDING_MARK}{bytes}") }
+}
+
 /// The data of an event.
 pub fn event_data(path: &str, event: u64) -> String {
     let word = hash(&[b"event", path.as_bytes(), &event.to_le_bytes()]);
-    format!("piece {event} of {path} {word:016x}")
+    let padding = path.rsplit_once(PADDING_MARK).and_then(|(_, bytes)| bytes.parse().ok()).unwrap_or(0);
+    format!("piece {event} of {path} {word:016x}{}", "x".repeat(padding))
 }
 
 /// An event as it goes over the wire.
--- a/crates/simulation/src/executors/answers.rs
+++ b/crates/simulation/src/executors/answers.rs
@@ -22,7 +22,7 @@
             let further = [(names::SERVER_SEAL, seal.as_str()), (names::ATTEMPT_ID, attempt.as_str())];
             let bytes = http::answer(422, &further, b"");
             self.write(number, end, &bytes, stage);
-            stage.judge.item_finished(&attempt);
+            stage.judge.item_finished(&attempt, stage.now());
             return self.run_over(number, run_number, stage);
         }
         if stage.hub.random.random_bool(lies.lost) {
@@ -78,7 +78,7 @@
         }
         if done {
             if item {
-                stage.judge.item_finished(&attempt);
+                stage.judge.item_finished(&attempt, stage.now());
             }
             return self.run_over(number, run_number, stage);
         }
--- a/crates/simulation/src/fleet/build.rs
+++ b/crates/simulation/src/fleet/build.rs
@@ -8,7 +8,7 @@
 use crate::hub::{HostLink, Hub};
 use crate::judge::{Bounds, Judge};
 use crate::operators::Operators;
-use crate::scenario::{Scenario, Shape, Timed};
+use crate::scenario::{Load, Scenario, Shape, Timed};
 use crate::stage::{Class, Machine};
 use grebeusher_time::{Duration, DurationExt, Instant};
 use rand::Rng;
@@ -26,6 +26,12 @@
 /// What the last reads get.
 const LAST_READS: Duration = Duration::from_millis(10_000);
 
+/// When no further batch jobs come.
+fn jobs_until(load: &Load) -> Instant {
+    let begin = Instant(0) + Duration::from_seconds(load.lead_s);
+    load.jobs_for_s.map_or(Instant(u64::MAX), |seconds| begin + Duration::from_seconds(seconds))
+}
+
 impl Fleet {
     pub(super) fn new(scenario: Scenario, seed: u64) -> Fleet {
         let mut hub = Hub::new(seed);
@@ -44,7 +50,9 @@
         let traffic = Traffic {
             live_per_s: load.live_per_s,
             jobs_per_s: load.jobs_per_s,
+            jobs_until: jobs_until(load),
             item_bytes: load.item_bytes,
+            event_bytes: load.event_bytes,
             probes_per_s: load.probes_per_s,
         };
         let mut until = Duration::from_seconds(load.lead_s + load.length_s);
--- a/crates/simulation/src/judge/batch.rs
+++ b/crates/simulation/src/judge/batch.rs
@@ -28,6 +28,10 @@
     pub(super) body: u64,
     pub(super) tokens: u64,
     pub(super) finished: bool,
+    /// When it last came to an executor.
+    pub(super) came_at: Option<Instant>,
+    /// When an executor last came to the end of it.
+    pub(super) finished_at: Option<Instant>,
     /// Answers of 500 that executors gave to it.
     pub(super) failures: u32,
 }
@@ -58,6 +62,8 @@
                 body: content::hash(&[body]),
                 tokens: *tokens,
                 finished: false,
+                came_at: None,
+                finished_at: None,
                 failures: 0,
             };
             self.items.insert(id.clone(), item);
@@ -125,7 +131,8 @@
 
     pub(super) fn item_runs(&mut self, arrival: &Arrival<'_>) {
         let Arrival { at, instance, attempt, from, life, .. } = *arrival;
-        let Some(item) = self.items.get(attempt) else { return };
+        let Some(item) = self.items.get_mut(attempt) else { return };
+        item.came_at = Some(at);
         let line = format!("POST {}", item.path);
         let (job, changed) =
             (item.job.clone(), line != arrival.line || item.body != content::hash(&[arrival.body]));
@@ -157,9 +164,10 @@
     }
 
     /// An executor has come to the end of an item.
-    pub fn item_finished(&mut self, item: &str) {
+    pub fn item_finished(&mut self, item: &str, at: Instant) {
         if let Some(found) = self.items.get_mut(item) {
             found.finished = true;
+            found.finished_at = Some(at);
         }
     }
 
--- a/crates/simulation/src/judge/closing.rs
+++ b/crates/simulation/src/judge/closing.rs
@@ -1,5 +1,6 @@
 //! What only the whole shows.
 
+use super::batch::Item;
 use super::{Judge, Rule};
 use grebeusher_time::{Duration, Instant};
 
@@ -7,6 +8,8 @@
 const IN_SERVICE: f64 = 0.25;
 /// An item of a job that was accepted so long before the end of a storm has run by then.
 const ITEMS_TIMEOUT: Duration = Duration::from_millis(12_000);
+/// An item that an executor has finished is listed within this, in calm times.
+const LISTING_TIMEOUT: Duration = Duration::from_millis(5000);
 /// So few requests after a final fault tell nothing.
 const TOO_FEW: usize = 20;
 
@@ -38,6 +41,29 @@
         }
     }
 
+    /// All that is listed of a job was read. Each of its items that an executor finished a while ago is listed, unless there was
+    /// trouble since, or the client ended the job.
+    pub fn job_read_to_its_end(&mut self, job: &str, at: Instant) {
+        let is_open =
+            self.jobs.get(job).is_some_and(|found| found.accepted.is_some() && found.end_sent.is_none());
+        if !is_open || !self.all_calm(at - LISTING_TIMEOUT, at) {
+            return;
+        }
+        let listed = |id: &str| self.is_listed(job, id);
+        let has_ended = |item: &Item| {
+            let finished = item.finished_at.filter(|finished| Some(*finished) >= item.came_at);
+            finished.is_some_and(|finished| at.since(finished) > LISTING_TIMEOUT)
+        };
+        let unlisted =
+            self.items.iter().filter(|(id, item)| item.job == job && has_ended(item) && !listed(id));
+        let mut left: Vec<String> =
+            unlisted.map(|(id, _)| format!("item {id} of job {job} has run and is not listed")).collect();
+        left.sort_unstable();
+        for what in left {
+            self.breach(Rule::Lost, at, what);
+        }
+    }
+
     fn check_recovery(&mut self, struck: Instant, back: Instant, at: Instant) {
         let recovered = back + self.bounds.recovery;
         let (before, _) = self.share_served(|ended| ended < struck);
--- a/crates/simulation/src/scenario.rs
+++ b/crates/simulation/src/scenario.rs
@@ -87,6 +87,9 @@
     pub live_per_s: f64,
     /// Batch jobs a second.
     pub jobs_per_s: f64,
+    /// Seconds from the start of traffic in which batch jobs come; all of them if there is none.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub jobs_for_s: Option<f64>,
     /// Probes a second of which configuration is in force.
     pub probes_per_s: f64,
     /// Executors of each service.
@@ -97,6 +100,8 @@
     pub quota: u64,
     /// Bytes of each item's body, beside a few.
     pub item_bytes: usize,
+    /// Bytes of each event of an item, beside a few.
+    pub event_bytes: usize,
     /// Routes that nobody asks for. Real tables are long, so that a log of them does not fit one message between nodes.
     pub ballast_routes: usize,
     /// Reads a second of the configuration by an operator.
@@ -110,11 +115,13 @@
             lead_s: 8.0,
             live_per_s: 25.0,
             jobs_per_s: 1.0,
+            jobs_for_s: None,
             probes_per_s: 8.0,
             executors: 4,
             slots: 8,
             quota: 20_000,
             item_bytes: 30,
+            event_bytes: 0,
             ballast_routes: 60,
             reads_per_s: 4.0,
         }
--- a/crates/simulation/tests/judge.rs
+++ b/crates/simulation/tests/judge.rs
@@ -306,6 +306,35 @@
     assert!(rules(&judge).contains(&Rule::Mixed));
 }
 
+#[test]
+fn an_item_that_has_run_and_is_not_listed() {
+    // Given a job whose items have run, when it is read to its end long after and only one is listed,
+    let job_that_has_run = || {
+        let mut judge = judge();
+        with_job(&mut judge);
+        judge.job_accepted("job", at(100));
+        ["a", "b"].into_iter().for_each(|item| judge.item_finished(item, at(1000)));
+        judge.page_read("job", 0, &[complete("a")], 2, at(20_000), at(20_001));
+        judge
+    };
+    let mut judge = job_that_has_run();
+    judge.job_read_to_its_end("job", at(20_001));
+    assert_eq!(rules(&judge), [Rule::Lost]);
+    // and none where it was read soon after, a machine was in trouble just before, the client ended the job, or all are listed.
+    for excuse in ["soon", "trouble", "ended", "listed"] {
+        let mut judge = job_that_has_run();
+        let mut read = 20_001;
+        match excuse {
+            "soon" => read = 5000,
+            "trouble" => judge.trouble(7, at(16_000), at(16_000), false),
+            "ended" => judge.job_end_sent("job", at(200)),
+            _ => judge.page_read("job", 1, &[complete("b")], 2, at(20_000), at(20_001)),
+        }
+        judge.job_read_to_its_end("job", at(read));
+        assert_eq!(rules(&judge), [], "{excuse}");
+    }
+}
+
 #[test]
 fn an_accepted_item_that_no_executor_ever_finishes() {
     // Given a job that was accepted long before the end, when none of its items was finished or listed by then,
@@ -320,7 +349,7 @@
         with_job(&mut judge);
         judge.job_accepted("job", at(if excuse == "late" { 15_000 } else { 100 }));
         match excuse {
-            "finished" => ["a", "b"].into_iter().for_each(|item| judge.item_finished(item)),
+            "finished" => ["a", "b"].into_iter().for_each(|item| judge.item_finished(item, at(19_000))),
             "ended" => judge.job_end_sent("job", at(200)),
             _ => {}
         }
--- a/crates/tier/src/batch/leader.rs
+++ b/crates/tier/src/batch/leader.rs
@@ -140,8 +140,8 @@
     /// Proposes what the items have come to.
     pub(crate) fn propose_results(&mut self, index: usize) {
         let now = self.now;
-        let Some(partition) = self.batch_mut(index) else { return };
-        for entry in partition.runner_mut().take_proposals() {
+        let next = |node: &mut Node| node.batch_mut(index)?.runner_mut().next_proposal();
+        while let Some(entry) = next(self) {
             let proposed = self.partitions[index].propose(now, jobs_entry(&entry), None);
             self.log_refusals(index, proposed.as_ref().err());
             if proposed.is_err() {
