A refused result is proposed again though nothing else is to be done

Cause: propose_results is called from run_items alone, and that asked to be woken only while an item waits for room, a backoff or its retention. A runner whose items have all finished had no wake left, although the log had refused their results.

--- a/crates/simulation/tests/unproposed_results.rs
+++ b/crates/simulation/tests/unproposed_results.rs
@@ -32,3 +32,11 @@
     expect_clean(&report);
     assert!(report.counts.results > 200, "{:?}", report.counts);
 }
+
+/// Guards against results that are refused once all items have finished, and that nothing proposes again (LOST).
+#[rstest]
+fn results_of_a_leader_that_has_nothing_else_to_do_are_listed(#[values(30, 65, 106, 129)] seed: u64) {
+    let report = run(&day(0.4, 0), seed);
+    expect_clean(&report);
+    assert!(report.counts.results > 100, "{:?}", report.counts);
+}
--- a/crates/tier/src/batch/items.rs
+++ b/crates/tier/src/batch/items.rs
@@ -85,7 +85,7 @@
             self.report_load(index);
             self.cut_off_runs(index);
             self.propose_results(index);
-            waits |= self.runner_wake(index).is_some();
+            waits |= self.runner_wake(index).is_some() || self.has_proposals(index);
             waits |= self.configuration.active().is_none() || self.idle_tokens(index) > 0;
         }
         if waits && !self.items.waking {
--- a/crates/tier/src/batch/leader.rs
+++ b/crates/tier/src/batch/leader.rs
@@ -153,6 +153,11 @@
         }
     }
 
+    /// Whether what the items have come to is still to be proposed, as the log has refused it.
+    pub(crate) fn has_proposals(&mut self, index: usize) -> bool {
+        self.batch_mut(index).is_some_and(|partition| partition.runner().has_proposals())
+    }
+
     /// Logs the first proposal of results that is refused, and the first one that is taken after it.
     fn log_refusals(&mut self, index: usize, refused: Option<&ProposeError>) {
         let now = self.now;
