A checkpoint that the log refuses is made again

What came back by not_proposed was even counted as a failure to be proposed.

Now a refused checkpoint takes its note back, if it is still the newest. Both kinds of proposals go by one function, which gives a refused entry back; "unfinished texts not proposed" says when.

Test: batch leader_change, the_checkpoint_after_a_refused_one_has_its_texts_too (fails with checkpoint_refused taken out, as the former code); a guard.

--- a/crates/batch/src/runner/item_run.rs
+++ b/crates/batch/src/runner/item_run.rs
@@ -157,4 +157,15 @@
             events: EventChunk { after, last, text },
         })
     }
+
+    /// The events of the last checkpoint were not proposed: the next one has them again. Otherwise its events would follow
+    /// some that are not committed, and the next leader would resume from before both.
+    pub fn checkpoint_refused(&mut self, events: &EventChunk) {
+        let Committed::UpTo { last_event, bytes } = self.committed else { return };
+        if last_event == Some(events.last) {
+            let separator = usize::from(events.after.is_some());
+            let bytes = bytes.saturating_sub(events.text.len() + separator);
+            self.committed = Committed::UpTo { last_event: events.after, bytes };
+        }
+    }
 }
--- a/crates/batch/src/runner/proposals.rs
+++ b/crates/batch/src/runner/proposals.rs
@@ -42,19 +42,16 @@
         self.results.len()
     }
 
-    /// The entry that [`Runner::next_proposal`] returned last can never be committed, although this replica still
-    /// leads: it is proposed again, before all others.
+    /// The entry that [`Runner::next_proposal`] or [`Runner::checkpoint`] returned last can never be committed, although
+    /// this replica still leads. Results and counts are proposed again, before all others; texts are in the next
+    /// checkpoint.
     pub fn not_proposed(&mut self, entry: Entry) {
         if !self.is_leader {
             return;
         }
         match entry {
             Entry::Results(batches) => batches.into_iter().rev().for_each(|batch| self.propose_again(batch)),
-            Entry::Progress(items) => {
-                for progress in items.into_iter().rev() {
-                    self.failures.push_front(ItemKey { job: progress.job, item: progress.item });
-                }
-            }
+            Entry::Progress(items) => items.into_iter().rev().for_each(|item| self.progress_again(item)),
             Entry::Submit { .. } | Entry::Ended { .. } | Entry::Forget { .. } => {}
         }
     }
@@ -66,8 +63,17 @@
         self.results.put_back(unlisted.map(|result| PendingResult { job: job.clone(), result }));
     }
 
+    fn progress_again(&mut self, progress: ItemProgress) {
+        let ItemProgress { job, item, events, .. } = progress;
+        let Some(events) = events else { return self.failures.push_front(ItemKey { job, item }) };
+        if let Some(run) = self.jobs.get_mut(&job).and_then(|run| run.item_mut(item)) {
+            run.checkpoint_refused(&events);
+        }
+    }
+
     /// Unfinished texts as far as they are not committed, for a planned change of the leader: the next one resumes from
-    /// there. To be called until it returns `None`; what was returned counts as committed.
+    /// there. To be called until it returns `None`; what was returned counts as committed. If the log does not take it,
+    /// see [`Runner::not_proposed`].
     pub fn checkpoint(&mut self) -> Option<Entry> {
         let mut progress = Vec::new();
         let mut text_bytes = 0;
--- a/crates/batch/tests/batches/leader_change.rs
+++ b/crates/batch/tests/batches/leader_change.rs
@@ -102,6 +102,35 @@
     }
 }
 
+/// A checkpoint that the log refuses counts as not made: the next one must not leave a gap, or the successor resumes from
+/// before both and runs again what executors have done.
+#[test]
+fn the_checkpoint_after_a_refused_one_has_its_texts_too() {
+    let mut old = Partition::with_job("j", 1);
+    let order = old.next();
+    let mut log = vec![submit("j", 1)];
+    old.event(&order, 0, "a");
+    let taken = old.runner.checkpoint().expect("text is unfinished");
+    log.push(taken.clone());
+    old.commit(taken);
+    for (id, data) in [(1, "b"), (2, "c")] {
+        old.event(&order, id, data);
+        let refused = old.runner.checkpoint().expect("an event more");
+        old.runner.not_proposed(refused);
+    }
+    let again = old.runner.checkpoint().expect("nothing of it was taken");
+    assert_eq!(old.runner.checkpoint(), None, "nothing new");
+    assert!(!old.runner.has_proposals(), "no failure was counted");
+    log.push(again.clone());
+    old.commit(again);
+    let mut new = successor(&old, &log, 1_000_000);
+    let resumed = new.next();
+    assert_eq!(resumed.last_event_id, Some(2));
+    new.end_run(&resumed, RunOutcome::Complete);
+    new.settle();
+    assert_eq!(texts(&new.jobs, "j")[0].2, "a\nb\nc");
+}
+
 /// ORDER: the successor continues from what is committed, with `Last-Event-Id`.
 #[test]
 fn the_successor_resumes_from_a_checkpoint() {
--- a/crates/tier/src/batch/leader.rs
+++ b/crates/tier/src/batch/leader.rs
@@ -127,11 +127,11 @@
 
     /// Proposes unfinished texts, so that the next leader goes on from there.
     pub(crate) fn checkpoint_batch(&mut self, index: usize) {
-        let now = self.now;
         while let Some(entry) =
             self.batch_mut(index).and_then(|partition| partition.runner_mut().checkpoint())
         {
-            if self.partitions[index].propose(now, jobs_entry(&entry), None).is_err() {
+            if let Err(error) = self.propose_for_runner(index, entry) {
+                info!(partition = self.partitions[index].partition, %error, "unfinished texts not proposed");
                 return;
             }
         }
@@ -139,20 +139,28 @@
 
     /// Proposes what the items have come to.
     pub(crate) fn propose_results(&mut self, index: usize) {
-        let now = self.now;
-        let next = |node: &mut Node| node.batch_mut(index)?.runner_mut().next_proposal();
-        while let Some(entry) = next(self) {
-            let proposed = self.partitions[index].propose(now, jobs_entry(&entry), None);
+        while let Some(entry) =
+            self.batch_mut(index).and_then(|partition| partition.runner_mut().next_proposal())
+        {
+            let proposed = self.propose_for_runner(index, entry);
             self.log_refusals(index, proposed.as_ref().err());
             if proposed.is_err() {
-                if let Some(partition) = self.batch_mut(index) {
-                    partition.runner_mut().not_proposed(entry);
-                }
                 return;
             }
         }
     }
 
+    /// Proposes an entry of the runner, which gets it back if it is refused.
+    fn propose_for_runner(&mut self, index: usize, entry: Entry) -> Result<(), ProposeError> {
+        let proposed = self.partitions[index].propose(self.now, jobs_entry(&entry), None);
+        if proposed.is_err()
+            && let Some(partition) = self.batch_mut(index)
+        {
+            partition.runner_mut().not_proposed(entry);
+        }
+        proposed.map(drop)
+    }
+
     /// Whether what the items have come to is still to be proposed, as the log has refused it.
     pub(crate) fn has_proposals(&mut self, index: usize) -> bool {
         self.batch_mut(index).is_some_and(|partition| partition.runner().has_proposals())
