A refused change of a group excludes none of its candidates

A leader noted the nodes that a change of its group takes in before it asked the replica for the change; refused (a hand-over is under way), the note stayed, and 0.2 s later these nodes passed for candidates that did not catch up, so that for 10 s others were preferred to them, though nobody had waited for them.

The note is taken only if the replica takes the change.

Test: membership_maintenance, a_candidate_of_a_refused_change_is_not_excluded (fails without the guard); a guard. change_begun became change_requested, which is given the outcome; its tests pass Ok(()).

--- a/crates/tier/src/control/membership_maintenance.rs
+++ b/crates/tier/src/control/membership_maintenance.rs
@@ -10,7 +10,7 @@
 use crate::control::replica_status::{SoleReplicaWarning, warn_of_sole_replica};
 use crate::node::Node;
 use crate::runtime::timers::Timer;
-use grebeusher_quorum::{Index, ReplicaId, Term};
+use grebeusher_quorum::{ChangeError, Index, ReplicaId, Term};
 use grebeusher_registry::{MemberState, Registry};
 use grebeusher_time::{Duration, Instant};
 use std::collections::BTreeMap;
@@ -50,9 +50,17 @@
         self.sole_replica_warning = SoleReplicaWarning::default();
     }
 
-    /// A change to these voters is begun.
-    pub fn change_begun(&mut self, voters: &[ReplicaId], next: &[ReplicaId]) {
-        self.joining = next.iter().copied().filter(|voter| !voters.contains(voter)).collect();
+    /// The replica was asked to change its group to these voters. Guards against the exclusion of nodes that a refused change
+    /// never waited for.
+    pub fn change_requested(
+        &mut self,
+        voters: &[ReplicaId],
+        next: &[ReplicaId],
+        outcome: Result<(), ChangeError>,
+    ) {
+        if outcome.is_ok() {
+            self.joining = next.iter().copied().filter(|voter| !voters.contains(voter)).collect();
+        }
     }
 
     /// No change is under way: a node that the last one was to take in and that is no voter did not catch up, though it
@@ -151,8 +159,10 @@
         let Some(next) = next_voters(&voters, &lost, &alive, wanted, self.identity) else { return };
         let partition = self.partitions[index].partition;
         info!(partition, from = ?voters, to = ?next, "group change begins");
-        self.partitions[index].maintenance.change_begun(&voters, &next);
-        if let Err(error) = self.partitions[index].replica.change_group(now, next) {
+        let host = &mut self.partitions[index];
+        let outcome = host.replica.change_group(now, next.clone());
+        host.maintenance.change_requested(&voters, &next, outcome);
+        if let Err(error) = outcome {
             warn!(partition, %error, "group change refused");
         }
     }
--- a/crates/tier/tests/membership_maintenance.rs
+++ b/crates/tier/tests/membership_maintenance.rs
@@ -1,6 +1,6 @@
 //! Which nodes a leader takes into a group when a change waited for one in vain.
 
-use grebeusher_quorum::ReplicaId;
+use grebeusher_quorum::{ChangeError, ReplicaId};
 use grebeusher_tier::control::membership_maintenance::MembershipMaintenance;
 use grebeusher_tier::control::replica_placement::{Candidate, next_voters};
 use grebeusher_time::{Duration, Instant};
@@ -29,7 +29,7 @@
     let mut maintenance = MembershipMaintenance::default();
     assert_eq!(next(&maintenance, alive.clone()), Some(ids(&[1, 2, 5])));
     // when the change that waited for it was given up,
-    maintenance.change_begun(&ids(&[1, 2, 3]), &ids(&[1, 2, 5]));
+    maintenance.change_requested(&ids(&[1, 2, 3]), &ids(&[1, 2, 5]), Ok(()));
     maintenance.change_ended(NOW, &ids(&[1, 2, 3]));
     // then the other one steps in,
     assert_eq!(next(&maintenance, alive.clone()), Some(ids(&[1, 2, 4])));
@@ -42,7 +42,18 @@
 fn the_only_candidate_is_retried_at_once() {
     let alive = vec![node(1, "a"), node(2, "b"), node(5, "c")];
     let mut maintenance = MembershipMaintenance::default();
-    maintenance.change_begun(&ids(&[1, 2, 3]), &ids(&[1, 2, 5]));
+    maintenance.change_requested(&ids(&[1, 2, 3]), &ids(&[1, 2, 5]), Ok(()));
+    maintenance.change_ended(NOW, &ids(&[1, 2, 3]));
+    assert_eq!(next(&maintenance, alive), Some(ids(&[1, 2, 5])));
+}
+
+/// A change is refused while the leadership is handed over: no candidate has had its time to catch up.
+#[test]
+fn a_candidate_of_a_refused_change_is_not_excluded() {
+    let alive = vec![node(1, "a"), node(2, "b"), node(4, "b"), node(5, "c")];
+    let mut maintenance = MembershipMaintenance::default();
+    let refused = Err(ChangeError::InProgress);
+    maintenance.change_requested(&ids(&[1, 2, 3]), &ids(&[1, 2, 5]), refused);
     maintenance.change_ended(NOW, &ids(&[1, 2, 3]));
     assert_eq!(next(&maintenance, alive), Some(ids(&[1, 2, 5])));
 }
@@ -51,7 +62,7 @@
 fn a_candidate_that_joined_is_not_excluded() {
     let alive = vec![node(1, "a"), node(2, "b"), node(4, "b"), node(5, "c")];
     let mut maintenance = MembershipMaintenance::default();
-    maintenance.change_begun(&ids(&[1, 2, 3]), &ids(&[1, 2, 5]));
+    maintenance.change_requested(&ids(&[1, 2, 3]), &ids(&[1, 2, 5]), Ok(()));
     maintenance.change_ended(NOW, &ids(&[1, 2, 5]));
     assert_eq!(next(&maintenance, alive), Some(ids(&[1, 2, 5])));
 }
