--- a/crates/batch/src/runner.rs
+++ b/crates/batch/src/runner.rs
@@ -3,7 +3,8 @@
 //!
 //! [`Runner`] owns the state. Each concern extends it in a module of its own: `leadership` begins and ends the runs of
 //! a term, `dispatch` starts items, `run_reports` takes events and outcomes, `abandonment` gives items up, `proposals`
-//! makes log entries (`unproposed_results` keeps what goes into them), `routes` tells which route a job and an item belong to.
+//! makes log entries, `unproposed_results` keeps the results until they are in one, `routes` tells which route a job
+//! and an item belong to.
 
 mod abandonment;
 mod backoff;
--- a/crates/batch/src/runner/proposals.rs
+++ b/crates/batch/src/runner/proposals.rs
@@ -31,8 +31,8 @@
         Some(ItemProgress { job: key.job, item: key.item, failed_attempts, events: None })
     }
 
-    /// Whether something is to be proposed. As long as it is, nothing else need happen for [`Runner::next_proposal`]
-    /// to be called again.
+    /// Whether something is to be proposed. If the log refuses it, [`Runner::next_proposal`] is to be called again after
+    /// a while, even when nothing else happens.
     pub fn has_proposals(&self) -> bool {
         !self.results.is_empty() || !self.failures.is_empty()
     }
--- a/crates/tier/src/batch/partition.rs
+++ b/crates/tier/src/batch/partition.rs
@@ -58,7 +58,7 @@
     pending_reads: Vec<PendingRead>,
     /// Submissions by the jobs whose proposals settle them.
     pending_submissions: Vec<(JobId, Waiter)>,
-    /// Since when the leader can't propose what items come to.
+    /// Since when the log takes no results.
     pub(crate) refusals: RefusalPeriod,
     logged_at: Instant,
 }
