Read again: what waits is asked in one place, and log lines are made when due

- PartitionHost::propose returned an index that nobody used.
- runner_wake gave a time that was only asked for whether it is there, beside has_proposals; runner_waits answers both.
- The leader summed up waiting tokens and items every 0.2 s for a line that it writes every 0.5 s; it asks first whether the line is due, and whether there are items by the jobs that the runner keeps.
- What waits, ready or backing off, was asked in ItemRun::waiting and again in JobRun::unrouted_count.
- The judgement over the routes of an offer stood in the leader's replies; it belongs to BatchPartition::check_offer.
- The in-memory judge asked in three places whether a job is accepted and its end not asked for.

The guard whose text moved is noticed by its test as before.

--- a/crates/batch/src/runner.rs
+++ b/crates/batch/src/runner.rs
@@ -111,9 +111,9 @@
         self.runs.len()
     }
 
-    /// How many items are not listed; none unless leading.
-    pub fn unlisted_count(&self) -> usize {
-        self.jobs.values().map(JobRun::unlisted_count).sum()
+    /// Whether items are not listed; none unless leading.
+    pub fn has_unlisted_items(&self) -> bool {
+        !self.jobs.is_empty()
     }
 
     /// How many items have a result that is not listed, proposed or not.
--- a/crates/batch/src/runner/item_run.rs
+++ b/crates/batch/src/runner/item_run.rs
@@ -82,11 +82,15 @@
         self.last_event
     }
 
+    /// Whether the item may run, now or after a backoff.
+    pub fn waits(&self) -> bool {
+        matches!(self.phase, Phase::Ready | Phase::BackingOff(_))
+    }
+
     /// The item as it waits for capacity, if it does and matches a route.
     pub fn waiting(&self, index: ItemIndex) -> Option<WaitingItem> {
         let route = self.route?;
-        let waits = matches!(self.phase, Phase::Ready | Phase::BackingOff(_));
-        waits.then_some(WaitingItem { route, tokens: self.tokens, index })
+        self.waits().then_some(WaitingItem { route, tokens: self.tokens, index })
     }
 
     /// Appends the event if it is the next one. The first event of a run from the start may have any id.
--- a/crates/batch/src/runner/job_run.rs
+++ b/crates/batch/src/runner/job_run.rs
@@ -112,11 +112,6 @@
         self.items.is_empty()
     }
 
-    /// How many items are not listed.
-    pub fn unlisted_count(&self) -> usize {
-        self.items.len()
-    }
-
     /// How many items have a result that is not listed.
     pub fn finished_count(&self) -> usize {
         self.finished
@@ -129,8 +124,7 @@
 
     /// How many items match no route and wait for one.
     pub fn unrouted_count(&self) -> usize {
-        let waits = |item: &&ItemRun| matches!(item.phase, Phase::Ready | Phase::BackingOff(_));
-        self.items.values().filter(waits).filter(|item| item.route.is_none()).count()
+        self.items.values().filter(|item| item.waits() && item.route.is_none()).count()
     }
 
     pub fn is_given_up(&self, now: Instant) -> bool {
--- a/crates/simulation/src/judge/batch.rs
+++ b/crates/simulation/src/judge/batch.rs
@@ -51,6 +51,13 @@
     pub(super) seen: Vec<(Instant, usize)>,
 }
 
+impl Job {
+    /// Whether it was accepted, and its client has not asked for its end.
+    pub(super) fn is_open(&self) -> bool {
+        self.accepted.is_some() && self.end_sent.is_none()
+    }
+}
+
 impl Judge {
     /// A client makes a batch job up.
     pub fn job_made(&mut self, job: &str, route: &str, items: &[MadeItem]) {
@@ -97,7 +104,7 @@
     }
 
     fn check_quota(&mut self, route: &str, at: Instant) {
-        let counted = |job: &Job| job.route == route && job.accepted.is_some() && job.end_sent.is_none();
+        let counted = |job: &Job| job.route == route && job.is_open();
         let open: BTreeSet<&String> =
             self.jobs.iter().filter(|(_, job)| counted(job)).map(|(id, _)| id).collect();
         let waiting: u64 = self
--- a/crates/simulation/src/judge/closing.rs
+++ b/crates/simulation/src/judge/closing.rs
@@ -1,6 +1,6 @@
 //! What only the whole shows.
 
-use super::batch::Item;
+use super::batch::{Item, Job};
 use super::{Judge, Rule};
 use grebeusher_time::{Duration, Instant};
 
@@ -29,8 +29,7 @@
         let is_owed = |id: &String| {
             let job = self.jobs.get(id);
             job.is_some_and(|job| {
-                job.end_sent.is_none()
-                    && job.accepted.is_some_and(|accepted| at.since(accepted) > ITEMS_TIMEOUT)
+                job.is_open() && job.accepted.is_some_and(|accepted| at.since(accepted) > ITEMS_TIMEOUT)
             })
         };
         let unfinished = self.items.iter().filter(|(_, item)| !item.finished && is_owed(&item.job));
@@ -44,8 +43,7 @@
     /// All that is listed of a job was read. Each of its items that an executor finished a while ago is listed, unless there was
     /// trouble since, or the client ended the job.
     pub fn job_read_to_its_end(&mut self, job: &str, at: Instant) {
-        let is_open =
-            self.jobs.get(job).is_some_and(|found| found.accepted.is_some() && found.end_sent.is_none());
+        let is_open = self.jobs.get(job).is_some_and(Job::is_open);
         if !is_open || !self.all_calm(at - LISTING_TIMEOUT, at) {
             return;
         }
--- a/crates/tier/src/batch/items.rs
+++ b/crates/tier/src/batch/items.rs
@@ -85,7 +85,7 @@
             self.report_load(index);
             self.cut_off_runs(index);
             self.propose_results(index);
-            waits |= self.runner_wake(index).is_some() || self.has_proposals(index);
+            waits |= self.runner_waits(index);
             waits |= self.configuration.active().is_none() || self.idle_tokens(index) > 0;
         }
         if waits && !self.items.waking {
@@ -104,11 +104,12 @@
     /// Logs now and then how the items of a led partition progress, as long as some are not listed.
     pub(crate) fn log_items(&mut self, index: usize) {
         let (now, number) = (self.now, self.partitions[index].partition);
-        let waiting_tokens = self.idle_tokens(index);
         let Some(partition) = self.batch_mut(index) else { return };
-        if partition.runner().unlisted_count() == 0 || !partition.take_log_due(now) {
+        if !partition.runner().has_unlisted_items() || !partition.take_log_due(now) {
             return;
         }
+        let waiting_tokens = self.idle_tokens(index);
+        let Some(partition) = self.batch_mut(index) else { return };
         let runner = partition.runner();
         debug!(
             partition = number,
--- a/crates/tier/src/batch/leader.rs
+++ b/crates/tier/src/batch/leader.rs
@@ -14,7 +14,7 @@
     Admission, Applied, EndOutcome, Entry, JobId, JobOrigin, JobRoute, JobSettings, Submission,
 };
 use grebeusher_quorum::{Blob, ProposeError};
-use grebeusher_time::{Duration, DurationExt, Instant};
+use grebeusher_time::{Duration, DurationExt};
 use nanoserde::DeBin;
 use std::collections::BTreeSet;
 use tracing::info;
@@ -158,12 +158,7 @@
         {
             partition.runner_mut().not_proposed(entry);
         }
-        proposed.map(drop)
-    }
-
-    /// Whether what the items have come to is still to be proposed, as the log has refused it.
-    pub(crate) fn has_proposals(&mut self, index: usize) -> bool {
-        self.batch_mut(index).is_some_and(|partition| partition.runner().has_proposals())
+        proposed
     }
 
     /// Logs the first proposal of results that is refused, and the first one that is taken after it.
@@ -246,9 +241,7 @@
         let Some(job) = JobId::new(&offer.job) else {
             return self.reply(waiter.peer, waiter.number, answer(400));
         };
-        let checked = routes.iter().map(|route| partition.check_offer(&job, offer, *route));
-        let admission = checked.reduce(|one, other| if one == Admission::Propose { one } else { other });
-        let reply = match admission.unwrap_or(Admission::Propose) {
+        let reply = match partition.check_offer(&job, offer, &routes) {
             Admission::AlreadyAccepted => answer(202),
             Admission::Pending => return partition.wait_for_submission(job, waiter),
             Admission::QueueFull { .. } => answer(429),
@@ -343,11 +336,12 @@
         }
     }
 
-    /// When a leader's runner next has something to do by itself.
-    pub(crate) fn runner_wake(&self, index: usize) -> Option<Instant> {
-        match &self.partitions.get(index)?.application {
-            Application::Batch(partition) if self.partitions[index].leads() => partition.runner().next_wake(),
-            _ => None,
-        }
+    /// Whether the runner of a led partition has something to do later by itself: a backoff ends, a job is given up, or the
+    /// log has refused what it proposed.
+    pub(crate) fn runner_waits(&self, index: usize) -> bool {
+        let host = &self.partitions[index];
+        let Application::Batch(partition) = &host.application else { return false };
+        let runner = partition.runner();
+        host.leads() && (runner.next_wake().is_some() || runner.has_proposals())
     }
 }
--- a/crates/tier/src/batch/partition.rs
+++ b/crates/tier/src/batch/partition.rs
@@ -192,12 +192,17 @@
         is_due
     }
 
-    /// What would become of a job that is offered by its name and size, if it counts on this route.
-    pub(crate) fn check_offer(&self, job: &JobId, offer: &OfferJob, route: JobRoute<'_>) -> Admission {
-        let OfferJob { tokens, queue_token_limit, .. } = offer;
-        let request = AdmissionRequest { job, route, tokens: *tokens, queue_token_limit: *queue_token_limit };
+    /// What would become of a job that is offered by its name and size, if it counts on one of these routes: it is wanted
+    /// if it fits any.
+    pub(crate) fn check_offer(&self, job: &JobId, offer: &OfferJob, routes: &[JobRoute<'_>]) -> Admission {
+        let OfferJob { tokens, queue_token_limit, .. } = *offer;
         let committed = RoutedJobs { jobs: &self.jobs, runner: &self.runner };
-        self.admission.check(&committed, &request)
+        let checked = routes.iter().map(|&route| {
+            let request = AdmissionRequest { job, route, tokens, queue_token_limit };
+            self.admission.check(&committed, &request)
+        });
+        let best = checked.reduce(|one, other| if one == Admission::Propose { one } else { other });
+        best.unwrap_or(Admission::Propose)
     }
 
     /// Decides on a job, and reserves quota and memory for one that is to be proposed.
--- a/crates/tier/src/control/partition_host.rs
+++ b/crates/tier/src/control/partition_host.rs
@@ -194,11 +194,11 @@
         now: Instant,
         entry: Vec<u8>,
         waiter: Option<Waiter>,
-    ) -> Result<Index, ProposeError> {
+    ) -> Result<(), ProposeError> {
         let index = self.replica.propose(now, entry)?;
         let term = self.replica.term();
         self.waiters.entry(index).or_insert((term, Vec::new())).1.extend(waiter);
-        Ok(index)
+        Ok(())
     }
 
     /// Writes the log anew as a snapshot of the application's state where it has grown beyond its bound.
