--- a/crates/tier/src/control/api.rs
+++ b/crates/tier/src/control/api.rs
@@ -13,6 +13,7 @@
 use grebeusher_time::Duration;
 use grebeusher_transport::http;
 use rustc_hash::FxHashMap;
+use tracing::warn;
 
 /// The partition that holds the configuration.
 pub const CONFIGURATION_PARTITION: u8 = 0;
@@ -24,6 +25,9 @@
 /// From this size on a configuration is large (bytes).
 const LARGE_CONFIGURATION: usize = 256 * 1024;
 
+/// As much of the path of an unknown call is logged (characters).
+const MAX_LOGGED_PATH: usize = 80;
+
 pub(crate) const JSON: (&str, &str) = ("Content-Type", "application/json");
 const TEXT: (&str, &str) = ("Content-Type", "text/plain");
 
@@ -85,7 +89,11 @@
                 }
                 _ => self.answer(connection, serial, http::answer(404, &[], b"")),
             },
-            _ => self.answer(connection, serial, http::answer(404, &[], b"")),
+            (method, _) => {
+                let path: String = path.chars().take(MAX_LOGGED_PATH).collect();
+                warn!(method, path, "unknown call refused");
+                self.answer(connection, serial, http::answer(404, &[], b""));
+            }
         }
     }
 
