--- a/crates/simulation/src/executors/mod.rs
+++ b/crates/simulation/src/executors/mod.rs
@@ -1,11 +1,14 @@
 //! Stand-in executors: batches of slots with a queue, prompts and tokens that take time, heartbeats, drains, and lies.
 
 mod answers;
+mod flaws;
 mod grey;
 mod heartbeats;
 mod runs;
 mod serving;
 
+pub use flaws::VersionFlaw;
+
 use crate::call::HttpCall;
 use crate::hub::{End, Owner};
 use crate::scenario::Grey;
@@ -65,6 +68,8 @@
     pub instance: String,
     /// Its service.
     pub service: String,
+    /// The version of its software.
+    pub version: String,
     /// Its host.
     pub host: usize,
     /// Its address.
@@ -83,6 +88,8 @@
     made: Executor,
     state: State,
     lies: Lies,
+    /// How its version is bad, and since when it runs.
+    flaw: Option<(VersionFlaw, Instant)>,
     connections: BTreeMap<End, ServerConnection>,
     waiting: VecDeque<(End, Instant, Asked)>,
     runs: BTreeMap<u64, Run>,
@@ -146,6 +153,7 @@
             made,
             state: State::Up,
             lies: Lies::default(),
+            flaw: None,
             connections: BTreeMap::new(),
             waiting: VecDeque::new(),
             runs: BTreeMap::new(),
--- a/crates/simulation/src/executors/runs.rs
+++ b/crates/simulation/src/executors/runs.rs
@@ -29,6 +29,7 @@
             came,
             instance: &live.made.instance,
             service: &live.made.service,
+            version: &live.made.version,
             from,
             life: stage.machines.iter().find(|machine| machine.host == from).and_then(|m| m.life),
             line: &format!("{} {path}", asked.head.method),
@@ -50,7 +51,10 @@
             let drawn: f64 = stage.hub.random.random_range(0.0..1.0);
             Duration::from_seconds(0.003 - 0.02 * (1.0 - drawn).max(1e-6).ln())
         };
-        let failure = self.all[number].lies.failure(stage);
+        let failure = match self.version_failure(number, &path, stage) {
+            Some(failure) => Some(failure),
+            None => self.all[number].lies.failure(stage),
+        };
         let slowed = if failure == Some(Grey::Slow) { SLOW_TIMES } else { 1.0 };
         let live = &mut self.all[number];
         let run = live.next_run;
--- a/crates/simulation/src/fleet/build.rs
+++ b/crates/simulation/src/fleet/build.rs
@@ -80,6 +80,7 @@
             emptied: 0,
             wipe_after_retire: None,
             next_executor: 0,
+            rollouts: super::rollouts::Rollouts::default(),
             cuts: 0,
             closing: None,
             closing_after: Duration::from_nanos(0),
@@ -176,11 +177,24 @@
         number
     }
 
+    /// Adds an executor of the version in force.
     pub(super) fn add_executor(
         &mut self,
         service: &str,
         zone: usize,
         address: Option<SocketAddrV4>,
+    ) -> usize {
+        let version = self.rollouts.version_of(service);
+        self.add_executor_of(service, &version, zone, address)
+    }
+
+    /// Adds an executor of a version.
+    pub(super) fn add_executor_of(
+        &mut self,
+        service: &str,
+        version: &str,
+        zone: usize,
+        address: Option<SocketAddrV4>,
     ) -> usize {
         let number = self.next_executor;
         self.next_executor += 1;
@@ -197,6 +211,7 @@
         let made = Executor {
             instance: format!("i-{number:04x}"),
             service: service.to_owned(),
+            version: version.to_owned(),
             host,
             address,
             zone: self.scenario.shape.zones[zone].name.clone(),
--- a/crates/simulation/src/fleet/executor_faults.rs
+++ b/crates/simulation/src/fleet/executor_faults.rs
@@ -27,7 +27,7 @@
             // A draining executor still has its address.
             !self.hub.borrow().listeners.contains_key(address)
         });
-        let new = self.add_executor(&made.service, made.zone_number, address);
+        let new = self.add_executor_of(&made.service, &made.version, made.zone_number, address);
         let instance = self.executors.made(new).instance.clone();
         self.note(&format!("{instance} comes, {} drains", made.instance));
         self.stage(|actors, stage| actors.executors.drain(number, stage));
@@ -42,7 +42,7 @@
             let made = self.executors.made(number).clone();
             self.note(&format!("{} crashes (silent: {silent})", made.instance));
             self.stage(|actors, stage| actors.executors.fail(number, silent, stage));
-            self.add_executor(&made.service, made.zone_number, None);
+            self.add_executor_of(&made.service, &made.version, made.zone_number, None);
         }
     }
 
@@ -71,7 +71,12 @@
         let mut again = Vec::new();
         for number in executors {
             let made = self.executors.made(number).clone();
-            again.push(self.add_executor(&made.service, made.zone_number, Some(made.address)));
+            again.push(self.add_executor_of(
+                &made.service,
+                &made.version,
+                made.zone_number,
+                Some(made.address),
+            ));
         }
         self.later(gap.scaled(0.5), Step::Flap { executors: again, times, gap });
     }
--- a/crates/simulation/src/fleet/faults.rs
+++ b/crates/simulation/src/fleet/faults.rs
@@ -105,6 +105,7 @@
                 self.flap(executors, times, Duration::from_seconds(gap_s));
             }
             Fault::Burst { times, for_s } => self.burst(times, for_s),
+            Fault::Rollout { flaw, x, late_s, ramp_s } => self.begin_rollout(flaw, x, late_s, ramp_s),
             Fault::AnswerLost { x, for_s } => {
                 self.note(&format!("executors lose {x:.2} of their answers"));
                 self.lie_for(Lies { lost: x, ..Lies::default() }, for_s);
--- a/crates/simulation/src/fleet/mod.rs
+++ b/crates/simulation/src/fleet/mod.rs
@@ -10,6 +10,7 @@
 mod lives;
 mod losses;
 mod orders;
+mod rollouts;
 mod settings;
 mod step;
 mod strikes;
@@ -100,6 +101,7 @@
     /// When a machine was emptied and removed, another one loses its disk for so long.
     wipe_after_retire: Option<f64>,
     next_executor: usize,
+    rollouts: rollouts::Rollouts,
     cuts: usize,
     closing: Option<(Instant, Instant)>,
     closing_after: Duration,
--- a/crates/simulation/src/fleet/orders.rs
+++ b/crates/simulation/src/fleet/orders.rs
@@ -8,6 +8,7 @@
     /// Faults that wait for an acknowledgement, and machines that are empty.
     pub(super) fn look_at_orders(&mut self) {
         self.remove_emptied();
+        self.follow_rollouts();
         self.press_after_drains();
         if self.closing.is_some() {
             return;
--- a/crates/simulation/src/judge/bounds.rs
+++ b/crates/simulation/src/judge/bounds.rs
@@ -29,6 +29,12 @@
     pub sync_time: Duration,
     /// A core that is unstable may make configurations late by so much.
     pub max_stretch: Duration,
+    /// The share of a service's requests that a bad version may get during its roll-out,
+    pub exposure_share: f64,
+    /// and so many beside.
+    pub exposure_slack: u64,
+    /// From the 50th bad answer of a version on until nothing is sent to it.
+    pub rollback: Duration,
 }
 
 impl Default for Bounds {
@@ -46,6 +52,9 @@
             loss_slack: Duration::from_millis(200),
             sync_time: Duration::from_millis(5000),
             max_stretch: Duration::from_millis(5000),
+            exposure_share: 0.1,
+            exposure_slack: 50,
+            rollback: Duration::from_millis(5000),
         }
     }
 }
--- a/crates/simulation/src/judge/closing.rs
+++ b/crates/simulation/src/judge/closing.rs
@@ -20,6 +20,7 @@
             self.check_recovery(struck, back, at);
         }
         self.check_leaves(at);
+        self.check_exposure(at);
         self.check_items_have_run(at);
     }
 
--- a/crates/simulation/src/judge/mod.rs
+++ b/crates/simulation/src/judge/mod.rs
@@ -9,6 +9,7 @@
 mod drains;
 mod requests;
 mod results;
+mod rollouts;
 mod rules;
 mod times;
 mod troubles;
@@ -18,6 +19,7 @@
 pub use configuration::{SentOrder, Version};
 pub use requests::{Arrival, Kind, Try};
 pub use results::Listed;
+pub use rollouts::ShownRollout;
 pub use rules::{Breach, Rule};
 
 use batch::{Item, Job};
@@ -53,6 +55,7 @@
     pub counts: Counts,
     served: Vec<(Instant, bool)>,
     leaving: Vec<Leave>,
+    rollouts: Vec<rollouts::Rollout>,
 }
 
 /// What happened in a storm, in numbers.
@@ -74,6 +77,14 @@
     pub results: u64,
     /// Executors that left with an acknowledgement.
     pub drained: u64,
+    /// Roll-outs that were acknowledged.
+    pub rollouts: u64,
+    /// Of these, complete.
+    pub completed: u64,
+    /// Of these, reverted.
+    pub reverted: u64,
+    /// Runs at executors of a version while it was rolled out.
+    pub new_version_runs: u64,
 }
 
 impl Counts {
@@ -87,6 +98,10 @@
         self.jobs += other.jobs;
         self.results += other.results;
         self.drained += other.drained;
+        self.rollouts += other.rollouts;
+        self.completed += other.completed;
+        self.reverted += other.reverted;
+        self.new_version_runs += other.new_version_runs;
     }
 }
 
@@ -111,6 +126,7 @@
             counts: Counts::default(),
             served: Vec::new(),
             leaving: Vec::new(),
+            rollouts: Vec::new(),
         }
     }
 
--- a/crates/simulation/src/judge/requests.rs
+++ b/crates/simulation/src/judge/requests.rs
@@ -54,6 +54,8 @@
     pub instance: &'a str,
     /// Its service.
     pub service: &'a str,
+    /// The version of its software.
+    pub version: &'a str,
     /// The host that sent it.
     pub from: usize,
     /// The life of its process.
@@ -139,6 +141,7 @@
     pub fn runs(&mut self, arrival: &Arrival<'_>) {
         self.counts.runs += 1;
         self.check_drain(arrival);
+        self.check_version_of_executor(arrival);
         let Arrival { at, instance, attempt, .. } = *arrival;
         if self.items.contains_key(attempt) {
             return self.item_runs(arrival);
--- a/crates/simulation/src/judge/rules.rs
+++ b/crates/simulation/src/judge/rules.rs
@@ -32,6 +32,8 @@
     Acks,
     /// A process ended by itself.
     Fault,
+    /// A bad version gets more requests than the operators bear.
+    Exposure,
     /// Stricter than the operators' rules, by the design note: reads come from a leader under its lease, so none shows less
     /// than an earlier one did.
     Stale,
--- a/crates/simulation/src/scenario.rs
+++ b/crates/simulation/src/scenario.rs
@@ -2,7 +2,7 @@
 
 mod trouble;
 
-pub use trouble::{CutFrom, Fault, Grey, On, WrongKind};
+pub use trouble::{CutFrom, Fault, Flaw, Grey, On, WrongKind};
 
 use serde::{Deserialize, Serialize};
 use snafu::{ResultExt, Snafu};
@@ -207,6 +207,11 @@
         toml::from_str(&text).context(TextSnafu { path })
     }
 
+    /// Whether versions of services are rolled out.
+    pub fn has_rollouts(&self) -> bool {
+        self.faults.iter().any(|timed| matches!(timed.fault, Fault::Rollout { .. }))
+    }
+
     /// As a file.
     pub fn to_toml(&self) -> String {
         toml::to_string(self).unwrap_or_default()
--- a/crates/simulation/src/scenario/trouble.rs
+++ b/crates/simulation/src/scenario/trouble.rs
@@ -60,6 +60,22 @@
     Halves,
 }
 
+/// How the new version of a service is bad.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Flaw {
+    /// It answers a share of its requests with 500.
+    Errors,
+    /// It takes eight times as long for a share of them.
+    Slow,
+    /// It answers 500 while half of its slots are taken.
+    UnderLoad,
+    /// It answers 500 on one route only.
+    OneRoute,
+    /// It answers 500 from some seconds after the start of its executors on.
+    Late,
+}
+
 /// One trouble or planned work.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(tag = "kind", rename_all = "snake_case")]
@@ -153,4 +169,16 @@
     AnswerLost { x: f64, for_s: f64 },
     /// Executors break off answers, or send more than was asked.
     Garble { x: f64, surplus: bool, for_s: f64 },
+    /// The operators roll out a new version of the first service; its executors come when the order is acknowledged.
+    Rollout {
+        /// How it is bad; nothing for a good version.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        flaw: Option<Flaw>,
+        /// The share of its requests that fail.
+        x: f64,
+        /// When a version that is bad late begins to fail, in seconds from the start of its executors.
+        late_s: f64,
+        /// The time for it, in seconds.
+        ramp_s: f64,
+    },
 }
