Orders to roll a version out are kept by a quorum, and their versions get no request

Now partition 0 keeps the order before its 200; an order sent again is acknowledged again, another one beside it is refused with 409, an unknown service with 404. Nodes ask the leader only while they see such executors or a roll-out is under way.

Disks without roll-outs are read and written byte for byte as before. Failed try: the first question at the start was set as a timer at time 0, which turned for ever in virtual time. Stages, evidence and verdict are not there yet: a roll-out stays active.

--- a/crates/configuration/src/settings/model.rs
+++ b/crates/configuration/src/settings/model.rs
@@ -92,6 +92,8 @@
     Stream,
     /// Model executors.
     Engine,
+    /// New versions of services.
+    Rollout,
     /// A set that this version doesn't know.
     Other(String),
 }
--- a/crates/configuration/src/settings/parse.rs
+++ b/crates/configuration/src/settings/parse.rs
@@ -65,6 +65,7 @@
         "batch" => Contract::Batch,
         "stream" => Contract::Stream,
         "engine" => Contract::Engine,
+        "rollout" => Contract::Rollout,
         other => Contract::Other(other.to_owned()),
     }
 }
--- a/crates/configuration/tests/stable_words.rs
+++ b/crates/configuration/tests/stable_words.rs
@@ -561,6 +561,7 @@
         Contract::Batch => "batch",
         Contract::Stream => "stream",
         Contract::Engine => "engine",
+        Contract::Rollout => "rollout",
         Contract::Other(word) => word,
     }
 }
@@ -610,6 +611,7 @@
         Contract::Batch,
         Contract::Stream,
         Contract::Engine,
+        Contract::Rollout,
         Contract::Other("later".to_owned()),
     ];
     for contract in all {
--- /dev/null
+++ b/crates/rollout/tests/state.rs
@@ -0,0 +1,142 @@
+//! The replicated state: orders that come again, and stages that only go on.
+
+use grebeusher_rollout::{Applied, Entry, Permission, RolloutOrder, Rollouts, Stage, Verdict, VersionPolicy};
+use rstest::rstest;
+
+fn order(target: &str) -> RolloutOrder {
+    RolloutOrder { service: "s".to_owned(), target_version: target.to_owned(), ramp_ms: 15_000 }
+}
+
+fn begin(target: &str) -> Entry {
+    Entry::Begin { order: order(target), in_force: String::new() }
+}
+
+fn advance(target: &str, stage: Stage) -> Entry {
+    Entry::Advance { service: "s".to_owned(), target_version: target.to_owned(), stage, elapsed_ms: 1 }
+}
+
+fn canary() -> Stage {
+    Stage::Canary { instances: vec!["i-1".to_owned()] }
+}
+
+/// `v1` is in force, and then come these entries, each of which changes the state.
+fn after(entries: &[Entry]) -> Rollouts {
+    let mut rollouts = Rollouts::default();
+    let first = Entry::VersionInForce { service: "s".to_owned(), version: "v1".to_owned() };
+    for entry in [first].iter().chain(entries) {
+        assert_eq!(rollouts.apply(entry.clone()), Applied::Accepted, "{entry:?}");
+    }
+    rollouts
+}
+
+fn completed() -> Vec<Entry> {
+    let stages = [canary(), Stage::Partial, Stage::Shifted, Stage::Complete];
+    [begin("v2")].into_iter().chain(stages.map(|stage| advance("v2", stage))).collect()
+}
+
+fn reverted() -> Vec<Entry> {
+    vec![begin("v2"), advance("v2", canary()), advance("v2", Stage::Reverted)]
+}
+
+#[rstest]
+#[case::first(vec![], "v2", Verdict::Accept)]
+#[case::under_way(vec![begin("v2")], "v2", Verdict::AlreadyAccepted)]
+#[case::another_under_way(vec![begin("v2")], "v3", Verdict::OtherUnderWay)]
+#[case::in_force(vec![], "v1", Verdict::InForce)]
+#[case::complete(completed(), "v2", Verdict::AlreadyAccepted)]
+#[case::reverted(reverted(), "v2", Verdict::AlreadyAccepted)]
+#[case::the_next(completed(), "v3", Verdict::Accept)]
+#[case::back_to_the_first(completed(), "v1", Verdict::Accept)]
+#[case::after_a_revert(reverted(), "v3", Verdict::Accept)]
+#[case::repeated_much_later([reverted(), vec![begin("v3")]].concat(), "v2", Verdict::AlreadyAccepted)]
+fn an_order_is_judged_by_what_is_committed(
+    #[case] before: Vec<Entry>,
+    #[case] target: &str,
+    #[case] verdict: Verdict,
+) {
+    assert_eq!(after(&before).judge(&order(target)), verdict);
+}
+
+/// Guards against a version that was reverted and is active again, and against a repeated order that starts anew.
+#[rstest]
+#[case::order_again(reverted(), begin("v2"), Applied::AlreadyAccepted)]
+#[case::another_order_beside_it(vec![begin("v2")], begin("v3"), Applied::Conflict)]
+#[case::stage_after_the_revert(reverted(), advance("v2", Stage::Partial), Applied::Conflict)]
+#[case::revert_after_the_end(completed(), advance("v2", Stage::Reverted), Applied::Conflict)]
+#[case::stage_left_out(vec![begin("v2")], advance("v2", Stage::Partial), Applied::Conflict)]
+#[case::stage_again(vec![begin("v2"), advance("v2", canary())], advance("v2", canary()), Applied::AlreadyAccepted)]
+#[case::stage_of_another_target(vec![begin("v2")], advance("v3", canary()), Applied::Conflict)]
+#[case::stage_without_an_order(vec![], advance("v2", canary()), Applied::Conflict)]
+#[case::version_in_force_again(
+    vec![],
+    Entry::VersionInForce { service: "s".to_owned(), version: "v1".to_owned() },
+    Applied::AlreadyAccepted
+)]
+#[case::another_version_in_force(
+    vec![],
+    Entry::VersionInForce { service: "s".to_owned(), version: "v9".to_owned() },
+    Applied::Conflict
+)]
+fn an_entry_that_comes_late_or_twice_changes_nothing(
+    #[case] before: Vec<Entry>,
+    #[case] entry: Entry,
+    #[case] applied: Applied,
+) {
+    let mut rollouts = after(&before);
+    let unchanged = rollouts.clone();
+    assert_eq!(rollouts.apply(entry), applied);
+    assert_eq!(rollouts, unchanged);
+}
+
+#[test]
+fn a_canary_that_is_gone_may_be_replaced() {
+    let other = Stage::Canary { instances: vec!["i-2".to_owned()] };
+    let rollouts = after(&[begin("v2"), advance("v2", canary()), advance("v2", other.clone())]);
+    assert_eq!(rollouts.service("s").and_then(|s| s.active_rollout()).map(|r| &r.stage), Some(&other));
+}
+
+#[test]
+fn the_target_is_in_force_when_the_roll_out_is_complete() {
+    assert_eq!(after(&completed()).version_in_force("s"), Some("v2"));
+    assert_eq!(after(&reverted()).version_in_force("s"), Some("v1"));
+}
+
+#[test]
+fn a_state_is_read_as_it_was_written() {
+    let rollouts = after(&completed());
+    assert_eq!(Rollouts::decode(&rollouts.encode()).expect("whole"), rollouts);
+}
+
+#[rstest]
+#[case::in_force("s", "v1", Permission::InForce)]
+#[case::ordered("s", "v2", Permission::Withheld)]
+#[case::unheard_of("s", "v3", Permission::Withheld)]
+#[case::unknown_service("t", "v1", Permission::Unrestricted)]
+fn a_node_permits_the_version_in_force_alone(
+    #[case] service: &str,
+    #[case] version: &str,
+    #[case] permission: Permission,
+) {
+    let mut policy = VersionPolicy::new();
+    assert!(policy.update(after(&[begin("v2")])));
+    assert_eq!(policy.permission(service, version), permission);
+}
+
+/// Guards against an order for a service whose version nobody knows, by which its target would get requests.
+#[test]
+fn the_target_of_an_order_is_withheld_though_the_version_in_force_is_unknown() {
+    let mut rollouts = Rollouts::default();
+    rollouts.apply(begin("v2"));
+    let mut policy = VersionPolicy::new();
+    policy.update(rollouts);
+    assert_eq!(policy.permission("s", "v2"), Permission::Withheld);
+    assert_eq!(policy.permission("s", "v1"), Permission::Unrestricted);
+}
+
+#[test]
+fn an_older_state_never_takes_the_place_of_a_newer_one() {
+    let mut policy = VersionPolicy::new();
+    assert!(policy.update(after(&reverted())));
+    assert!(!policy.update(after(&[begin("v2"), advance("v2", canary())])));
+    assert_eq!(policy.stage("s"), Some(&Stage::Reverted));
+}
--- a/crates/simulation/src/fleet/build.rs
+++ b/crates/simulation/src/fleet/build.rs
@@ -75,6 +75,7 @@
             seeds: Vec::new(),
             armed: Vec::new(),
             armed_for_jobs: Vec::new(),
+            armed_for_rollouts: Vec::new(),
             taken: 0,
             acknowledged: 0,
             emptied: 0,
--- a/crates/simulation/src/fleet/faults.rs
+++ b/crates/simulation/src/fleet/faults.rs
@@ -41,6 +41,10 @@
                 let after = Duration::from_seconds(after_ms / 1000.0);
                 self.armed_for_jobs.push(Armed { after, wipe: false, for_s });
             }
+            Fault::AfterRolloutKill { after_ms, wipe, for_s } => {
+                let after = Duration::from_seconds(after_ms / 1000.0);
+                self.armed_for_rollouts.push(Armed { after, wipe, for_s });
+            }
             Fault::DiskSlow { on, times, for_s } => {
                 if let Some(machine) = self.victim(core_of(on), false, for_s, fault) {
                     self.slow_disk(machine, times, for_s);
--- a/crates/simulation/src/fleet/mod.rs
+++ b/crates/simulation/src/fleet/mod.rs
@@ -95,6 +95,7 @@
     seeds: Vec<SocketAddrV4>,
     armed: Vec<Armed>,
     armed_for_jobs: Vec<Armed>,
+    armed_for_rollouts: Vec<Armed>,
     taken: usize,
     acknowledged: usize,
     emptied: usize,
--- a/crates/simulation/src/fleet/orders.rs
+++ b/crates/simulation/src/fleet/orders.rs
@@ -76,7 +76,7 @@
         }
     }
 
-    fn arm(&mut self, armed: Armed, host: usize) {
+    pub(super) fn arm(&mut self, armed: Armed, host: usize) {
         let Some(machine) = self.machines.iter().position(|machine| machine.host == host) else { return };
         if self.may_lose(machine, armed.for_s) {
             self.later(armed.after, Step::Strike { machine, wipe: armed.wipe, for_s: armed.for_s });
--- a/crates/simulation/src/fleet/rollouts.rs
+++ b/crates/simulation/src/fleet/rollouts.rs
@@ -48,8 +48,12 @@
 
     /// What the operators have heard of roll-outs takes effect.
     pub(super) fn follow_rollouts(&mut self) {
-        for order in std::mem::take(&mut self.operators.rollouts_begun) {
+        for (order, host) in std::mem::take(&mut self.operators.rollouts_begun) {
             self.start_version(&order);
+            if !self.armed_for_rollouts.is_empty() {
+                let armed = self.armed_for_rollouts.remove(0);
+                self.arm(armed, host);
+            }
         }
         for (order, state) in std::mem::take(&mut self.operators.rollouts_ended) {
             self.note(&format!("the roll-out of {} to {} is {state:?}", order.service, order.target));
--- a/crates/simulation/src/operators.rs
+++ b/crates/simulation/src/operators.rs
@@ -116,8 +116,8 @@
     pub acknowledged: Vec<(u64, usize)>,
     /// Machines that are empty now.
     pub emptied: Vec<String>,
-    /// Roll-outs that were acknowledged since this was last looked at.
-    pub rollouts_begun: Vec<RolloutOrder>,
+    /// Roll-outs that were acknowledged since this was last looked at, each with the machine's host.
+    pub rollouts_begun: Vec<(RolloutOrder, usize)>,
     /// Roll-outs whose end was shown since this was last looked at.
     pub rollouts_ended: Vec<(RolloutOrder, RolloutState)>,
     acknowledged_rollouts: Vec<RolloutOrder>,
@@ -452,7 +452,7 @@
                 if !answer_lost {
                     stage.judge.unacknowledged(&order.to_string(), since, now);
                 }
-                self.rollout_begun(order, stage);
+                self.rollout_begun(order, host, stage);
             }
             (Order::ShowRollout { .. }, Some(status @ (200 | 404))) => {
                 self.rollout_shown(number, status, body, now, stage);
--- a/crates/simulation/src/operators/rollouts.rs
+++ b/crates/simulation/src/operators/rollouts.rs
@@ -63,9 +63,9 @@
     }
 
     /// An order is acknowledged: from now on the operators ask how far it is.
-    pub(super) fn rollout_begun(&mut self, order: RolloutOrder, stage: &mut Stage<'_>) {
+    pub(super) fn rollout_begun(&mut self, order: RolloutOrder, host: usize, stage: &mut Stage<'_>) {
         stage.judge.rollout_acknowledged(&order);
-        self.rollouts_begun.push(order.clone());
+        self.rollouts_begun.push((order.clone(), host));
         self.acknowledged_rollouts.push(order.clone());
         self.add(Order::ShowRollout { order, last: false }, Vec::new(), SEND_DURATION, stage);
     }
--- a/crates/tier/src/control/api.rs
+++ b/crates/tier/src/control/api.rs
@@ -78,6 +78,8 @@
             ("GET", ["api", "Retire.Show", node]) => {
                 self.retire(connection, serial, node, RetireQuestion::Show);
             }
+            ("POST", ["api", "Rollouts.Begin"]) => self.begin_rollout(connection, serial, &request.body),
+            ("GET", ["api", "Rollouts.Show", service]) => self.show_rollout(connection, serial, service),
             ("GET", ["api", "readiness"]) => self.readiness_request(connection, &request),
             ("GET", ["api", "status"]) => {
                 let body = self.status_text();
--- a/crates/tier/src/control/configuration_partition.rs
+++ b/crates/tier/src/control/configuration_partition.rs
@@ -1,6 +1,7 @@
-//! Partition 0: the operator's configuration, changed by compare-and-set.
+//! Partition 0: the operator's configuration, changed by compare-and-set, and the versions of its services.
 //!
-//! [`ConfigurationPartition`] owns the replicated register and the changes that are proposed and not yet committed.
+//! [`ConfigurationPartition`] owns the replicated register and the changes that are proposed and not yet committed, and the
+//! replicated state of roll-outs. What is done about these is up to [`rollouts`](crate::control::rollouts).
 
 use crate::control::api::CONFIGURATION_PARTITION;
 use crate::control::partition_host::{Application, Waiter};
@@ -8,6 +9,7 @@
 use crate::node::{Node, RunError};
 use grebeusher_configuration::configuration::Configuration;
 use grebeusher_configuration::register::{BodyHash, Change, ConfigurationRegister, Entry, Pending, Verdict};
+use grebeusher_rollout::{Applied, ENTRY_FORMAT, Entry as RolloutEntry, Rollouts};
 use std::fmt::Display;
 use std::sync::Arc;
 
@@ -16,39 +18,103 @@
 pub struct ConfigurationPartition {
     register: ConfigurationRegister,
     pending: Pending,
+    rollouts: Rollouts,
+    /// Entries on roll-outs that this leader has proposed and that are not applied yet.
+    pending_rollouts: usize,
 }
 
+/// The first byte of a snapshot with the state of roll-outs. One without begins with the register's own format, which is
+/// another.
+const SNAPSHOT_WITH_ROLLOUTS: u8 = 2;
+/// The length of the length that follows (bytes).
+const LENGTH_BYTES: usize = 4;
+
 impl ConfigurationPartition {
-    /// The complete state.
+    /// The complete state: the state of roll-outs with its length, if there is any, and the register.
     pub fn snapshot(&self) -> Vec<u8> {
-        self.register.encode()
+        let register = self.register.encode();
+        if self.rollouts.is_empty() {
+            return register;
+        }
+        let rollouts = self.rollouts.encode();
+        let length = u32::try_from(rollouts.len()).unwrap_or(u32::MAX);
+        [&[SNAPSHOT_WITH_ROLLOUTS], &length.to_le_bytes()[..], &rollouts, &register].concat()
     }
 
     /// What was under way belongs to another leadership.
     pub fn leader_changed(&mut self) {
         self.pending.clear();
+        self.pending_rollouts = 0;
     }
 
     /// Takes the state of a snapshot.
-    fn restore(&mut self, bytes: &[u8]) -> Result<(), RunError> {
-        self.register = ConfigurationRegister::decode(bytes).map_err(unreadable)?;
-        self.pending.clear();
+    ///
+    /// # Errors
+    /// The bytes can't be read.
+    pub fn restore(&mut self, bytes: &[u8]) -> Result<(), RunError> {
+        let (rollouts, register) = split_snapshot(bytes)?;
+        self.rollouts = rollouts;
+        self.register = ConfigurationRegister::decode(register).map_err(unreadable)?;
+        self.leader_changed();
         Ok(())
     }
 
     /// Applies a committed entry; the HTTP status that its caller gets.
-    fn apply(&mut self, entry: &[u8]) -> Result<u16, RunError> {
+    ///
+    /// # Errors
+    /// The entry can't be read.
+    pub fn apply(&mut self, entry: &[u8]) -> Result<u16, RunError> {
+        if entry.first() == Some(&ENTRY_FORMAT) {
+            let entry = RolloutEntry::decode(entry).map_err(unreadable)?;
+            self.pending_rollouts = self.pending_rollouts.saturating_sub(1);
+            return Ok(status_of(self.rollouts.apply(entry)));
+        }
         let entry = Entry::decode(entry).map_err(unreadable)?;
         self.pending.applied(entry.change());
         Ok(self.register.apply(&entry).answer().status())
     }
 
+    /// The versions of all services, by what is committed.
+    pub fn rollouts(&self) -> &Rollouts {
+        &self.rollouts
+    }
+
+    /// Whether an entry on roll-outs is proposed and not applied yet.
+    pub(crate) fn has_pending_rollouts(&self) -> bool {
+        self.pending_rollouts > 0
+    }
+
+    /// An entry on roll-outs was proposed.
+    pub(crate) fn rollout_proposed(&mut self) {
+        self.pending_rollouts += 1;
+    }
+
     /// The newest committed configuration as a reply; version 0 and empty before there is one.
     fn newest(&self) -> Reply {
         Reply::Configuration { version: self.register.version(), body: self.register.body().to_vec() }
     }
 }
 
+/// The state of roll-outs in a snapshot, and the bytes of the register.
+fn split_snapshot(bytes: &[u8]) -> Result<(Rollouts, &[u8]), RunError> {
+    if bytes.first() != Some(&SNAPSHOT_WITH_ROLLOUTS) {
+        return Ok((Rollouts::default(), bytes));
+    }
+    let cut_off = || unreadable("the snapshot is cut off");
+    let (length, rest) = bytes[1..].split_first_chunk::<LENGTH_BYTES>().ok_or_else(cut_off)?;
+    let length = u32::from_le_bytes(*length) as usize;
+    let (rollouts, register) = rest.split_at_checked(length).ok_or_else(cut_off)?;
+    Ok((Rollouts::decode(rollouts).map_err(|error| unreadable(format!("{error:?}")))?, register))
+}
+
+/// The HTTP status of the call whose entry on a roll-out was applied.
+fn status_of(applied: Applied) -> u16 {
+    match applied {
+        Applied::Accepted | Applied::AlreadyAccepted => 200,
+        Applied::Conflict => 409,
+    }
+}
+
 fn unreadable(error: impl Display) -> RunError {
     RunError::State { partition: CONFIGURATION_PARTITION, reason: error.to_string() }
 }
@@ -57,6 +123,8 @@
     pub(crate) fn restore_configuration(&mut self, index: usize, bytes: &[u8]) -> Result<(), RunError> {
         if let Application::Configuration(partition) = &mut self.partitions[index].application {
             partition.restore(bytes)?;
+            let rollouts = partition.rollouts.clone();
+            self.versions_changed(rollouts);
         }
         self.serve_committed(index);
         Ok(())
@@ -71,7 +139,12 @@
         let Application::Configuration(partition) = &mut self.partitions[index].application else {
             return Ok(());
         };
+        let revision = partition.rollouts.revision();
         let status = partition.apply(entry)?;
+        let rollouts = (partition.rollouts.revision() != revision).then(|| partition.rollouts.clone());
+        if let Some(rollouts) = rollouts {
+            self.versions_changed(rollouts);
+        }
         for waiter in waiters {
             self.reply(waiter.peer, waiter.number, Reply::Answer { status, body: b"{}".to_vec() });
         }
--- a/crates/tier/src/control/membership_maintenance.rs
+++ b/crates/tier/src/control/membership_maintenance.rs
@@ -117,6 +117,7 @@
             log_replica(&mut self.partitions[index], self.now);
             if self.partitions[index].leads() {
                 self.maintain_group(index);
+                self.maintain_rollouts(index);
                 warn_of_sole_replica(&mut self.partitions[index], &self.registry, self.now);
                 self.forget_old_jobs(index);
                 self.log_items(index);
--- a/crates/tier/src/control/mod.rs
+++ b/crates/tier/src/control/mod.rs
@@ -26,4 +26,5 @@
 pub mod replica_placement;
 pub mod replica_status;
 pub mod retire;
+pub mod rollouts;
 pub mod status;
--- a/crates/tier/src/links/calls/continuation.rs
+++ b/crates/tier/src/links/calls/continuation.rs
@@ -19,6 +19,8 @@
     Forwarded { peer: SocketAddrV4, number: CallNumber },
     /// One partition's verdict on a storage node that is to be emptied, for a request to all partitions.
     Retire { request: u64 },
+    /// The versions of all services for this node itself.
+    Rollouts,
 }
 
 /// What the operator asked.
@@ -30,6 +32,8 @@
     Show,
     /// The status of a partition.
     Partition,
+    /// `Rollouts.Begin` or `Rollouts.Show`.
+    Rollout,
 }
 
 /// What a client asked about a batch job.
--- a/crates/tier/src/links/dispatch.rs
+++ b/crates/tier/src/links/dispatch.rs
@@ -162,6 +162,7 @@
             Continuation::Bootstrap { partition, voter } => self.bootstrap_reply(partition, voter, &reply),
             Continuation::Forwarded { peer, number } => self.reply(peer, number, reply),
             Continuation::Retire { request } => self.retire_reply(request, &reply),
+            Continuation::Rollouts => self.rollouts_synced(&reply),
         }
     }
 
@@ -193,6 +194,9 @@
             }
             Call::BeginRetire { partition, node } => self.begin_retire_at_leader(waiter, partition, &node),
             Call::ShowRetire { partition, node } => self.show_retire_at_leader(waiter, partition, &node),
+            Call::BeginRollout(order) => self.begin_rollout_at_leader(waiter, order),
+            Call::ShowRollout { service } => self.show_rollout_at_leader(waiter, &service),
+            Call::SyncRollouts(sync) => self.sync_rollouts_at_leader(waiter, &sync),
         }
     }
 
--- a/crates/tier/src/links/messages.rs
+++ b/crates/tier/src/links/messages.rs
@@ -1,5 +1,6 @@
 //! The messages between nodes other than those of the registry and the replicas: calls and their replies.
 
+use grebeusher_rollout::RolloutOrder;
 use nanoserde::{DeBin, SerBin};
 
 /// The channel that a frame on a link belongs to.
@@ -185,6 +186,26 @@
     },
     /// Asks the leader of a partition whether it wants a batch job, before its bodies are sent, and what became of it if they were.
     OfferJob(OfferJob),
+    /// Takes an operator's order to roll a version out; for the leader of the configuration.
+    BeginRollout(RolloutOrder),
+    /// How far the roll-out of a service is; for the leader of the configuration.
+    ShowRollout {
+        /// The service.
+        service: String,
+    },
+    /// The versions of all services, if they have changed; for the leader of the configuration.
+    SyncRollouts(SyncRollouts),
+}
+
+/// A node asks for the versions of all services, and says what it has seen of those that are rolled out.
+#[derive(Clone, Debug, SerBin, DeBin)]
+pub struct SyncRollouts {
+    /// The name of the node.
+    pub node: String,
+    /// The revision that it has; 0 for none.
+    pub revision: u64,
+    /// What it has seen, as `grebeusher-rollout` encodes it; empty while no service is rolled out.
+    pub report: Vec<u8>,
 }
 
 /// A batch job by its name and size. The bodies go only to a leader that wants them: on a link that is full, copies of them
@@ -250,6 +271,8 @@
     },
     /// The job that was offered is not here: it is to be sent complete.
     Wanted,
+    /// The versions of all services, as `grebeusher-rollout` encodes them.
+    Rollouts(Vec<u8>),
 }
 
 impl Reply {
@@ -263,6 +286,7 @@
             Reply::Answer { status, .. } => status.to_string(),
             Reply::Configuration { version, .. } => format!("configuration {version}"),
             Reply::Wanted => "wanted".to_owned(),
+            Reply::Rollouts(_) => "rollouts".to_owned(),
         }
     }
 }
--- a/crates/tier/src/node.rs
+++ b/crates/tier/src/node.rs
@@ -13,6 +13,7 @@
 use crate::control::partition_host::PartitionHost;
 use crate::control::replica_names::ReplicaNames;
 use crate::control::retire::RetireRequests;
+use crate::control::rollouts::RolloutSync;
 use crate::links::calls::PendingCalls;
 use crate::links::connections::{ConnectionTable, Role};
 use crate::links::messages::{CallNumbers, Channel};
@@ -26,7 +27,7 @@
 use crate::runtime::stop::GracefulShutdown;
 use crate::runtime::timers::Timer;
 use crate::runtime::traffic::Traffic;
-use grebeusher_configuration::settings::Settings;
+use grebeusher_configuration::settings::{Contract, Settings};
 use grebeusher_quorum::ReplicaId;
 use grebeusher_registry::Registry;
 use grebeusher_time::{Duration, Instant};
@@ -79,6 +80,7 @@
     pub(crate) configuration: ServedConfiguration,
     pub(crate) calls: PendingCalls,
     pub(crate) retire_requests: RetireRequests,
+    pub(crate) rollouts: RolloutSync,
     pub(crate) identity: Option<ReplicaId>,
     pub(crate) partitions: Vec<PartitionHost>,
     pub(crate) bootstrapper: Option<Bootstrapper>,
@@ -98,6 +100,7 @@
         let Start { settings, world, listeners, registry, identity, partitions, seed } = start;
         let bootstrapper = Bootstrapper::for_settings(&settings);
         let calls = PendingCalls::new(CallNumbers::starting_at(world.random()));
+        let rollouts = RolloutSync::new(settings.has_contract(&Contract::Rollout));
         let mut node = Node {
             requests: Requests::new(listeners.clients, Routing::new(settings.zone.as_str(), seed)),
             leaders: LeaderIndex::default(),
@@ -119,6 +122,7 @@
             configuration: ServedConfiguration::new(first_limits()),
             calls,
             retire_requests: RetireRequests::default(),
+            rollouts,
             identity,
             partitions,
             bootstrapper,
@@ -147,6 +151,7 @@
         self.popularity =
             PrefixPopularity::start(now, &mut self.requests.routing, &self.registry, &*self.world, folder);
         self.prove_configuration();
+        self.prove_versions();
         if self.bootstrapper.is_some() {
             self.alarms.set(now + crate::control::bootstrap::POLL_INTERVAL, Timer::Bootstrap);
         }
@@ -257,6 +262,7 @@
             Timer::PendingReadExpires { read } => self.pending_read_expired(read),
             Timer::Bootstrap => self.drive_bootstrap(),
             Timer::MaintainGroups => self.maintain_groups(),
+            Timer::SyncRollouts => self.sync_rollouts(),
             Timer::Sweep => self.sweep(),
             Timer::ReviewExecutors => self.review_executors(),
             Timer::RunItems => self.run_items(),
@@ -282,9 +288,11 @@
     /// Routes by what has changed in the registry and in the configuration.
     fn update_routing(&mut self) {
         let active = self.configuration.active().cloned();
-        for gone in self.requests.routing.update(&self.registry, active.as_deref()) {
+        let permissions = self.rollouts.permissions(self.now);
+        for gone in self.requests.routing.update(&self.registry, active.as_deref(), &permissions) {
             self.connections.close_idle(&gone);
         }
+        self.schedule_rollout_sync();
     }
 
     fn review_executors(&mut self) {
--- a/crates/tier/src/requests/mod.rs
+++ b/crates/tier/src/requests/mod.rs
@@ -3,7 +3,7 @@
 //! `plane` has the type that owns their state, and `dispatch` alone joins it with the other planes in `impl Node`.
 //! [`server`] accepts connections and writes answers, [`server_connection`] is one of them as it reads requests, [`exchange`] is
 //! one request with its attempts, [`upstream`] sends calls to executors over [`upstream_connection`]s, and [`routing`] asks the `gateway` crate which
-//! executor is next. [`prefix_popularity`] shares which beginnings of prompts are popular.
+//! executor is next, of those that [`version_permissions`] lets through. [`prefix_popularity`] shares which beginnings of prompts are popular.
 
 pub(crate) mod dispatch;
 pub mod event_buffer;
@@ -17,3 +17,4 @@
 pub mod server_connection;
 pub mod upstream;
 pub mod upstream_connection;
+pub mod version_permissions;
--- a/crates/tier/src/requests/routing.rs
+++ b/crates/tier/src/requests/routing.rs
@@ -6,6 +6,7 @@
 use crate::control::active_configuration::ActiveConfiguration;
 use crate::requests::header_names as names;
 use crate::requests::upstream_connection::Target;
+use crate::requests::version_permissions::{SeenVersions, VersionPermissions};
 use grebeusher_batch::RunOrder;
 use grebeusher_configuration::configuration::Route;
 use grebeusher_gateway::{
@@ -115,6 +116,10 @@
     pub gateway: Gateway,
     known: FxHashMap<String, ExecutorId>,
     generation: u64,
+    /// The revision of the versions of services by which the executors were taken over, and whether proof was awaited.
+    versions: (u64, bool),
+    /// Whether executors that are up have a version that gets nothing.
+    sees_withheld: bool,
     configured: u64,
 }
 
@@ -125,6 +130,8 @@
             gateway: Gateway::new(grebeusher_gateway::GatewayConfig::default(), ZoneKey::of(zone), seed),
             known: FxHashMap::default(),
             generation: 0,
+            versions: (0, false),
+            sees_withheld: false,
             configured: 0,
         }
     }
@@ -216,15 +223,22 @@
     }
 
     /// Takes over what has changed in the registry and in the configuration. Returns the executors that are gone.
-    pub fn update(&mut self, registry: &Registry, active: Option<&ActiveConfiguration>) -> Vec<String> {
+    pub fn update(
+        &mut self,
+        registry: &Registry,
+        active: Option<&ActiveConfiguration>,
+        permissions: &VersionPermissions<'_>,
+    ) -> Vec<String> {
         if let Some(active) = active {
             self.update_services(active);
         }
         let generation = registry.generation().executors;
         let mut gone = Vec::new();
-        if self.generation != generation {
+        let versions = (permissions.policy.revision(), permissions.awaits_proof);
+        if self.generation != generation || self.versions != versions {
             self.generation = generation;
-            gone = self.update_executors(registry);
+            self.versions = versions;
+            gone = self.update_executors(registry, permissions);
         }
         self.gateway.set_nodes(connection_shares(registry));
         let nodes = registry.live_members().count();
@@ -251,9 +265,22 @@
         }
     }
 
-    fn update_executors(&mut self, registry: &Registry) -> Vec<String> {
+    /// Whether executors that are up have a version that gets nothing.
+    pub fn sees_withheld_executors(&self) -> bool {
+        self.sees_withheld
+    }
+
+    fn update_executors(&mut self, registry: &Registry, permissions: &VersionPermissions<'_>) -> Vec<String> {
         let gone = self.remove_executors_that_are_gone(registry);
+        let seen = SeenVersions::of(registry);
+        self.sees_withheld = false;
         for executor in registry.executors().filter(|executor| executor.exists()) {
+            let is_permitted = permissions.permits(executor, &seen);
+            self.sees_withheld |= !is_permitted && takes_requests(executor);
+            // One that got requests before finishes them.
+            if !is_permitted && !self.known.contains_key(&executor.report.id) {
+                continue;
+            }
             let models: Vec<ModelKey> =
                 executor.report.models.iter().map(|model| ModelKey::of(&model.name)).collect();
             let id = self.gateway.upsert(&ExecutorDescriptor {
@@ -262,7 +289,7 @@
                 address: address_of(executor),
                 zone: ZoneKey::of(&executor.report.zone),
                 slots: executor.report.slot_count,
-                state: state_of(executor, registry),
+                state: if is_permitted { state_of(executor, registry) } else { ExecutorState::Draining },
                 models: &models,
             });
             if !self.known.contains_key(&executor.report.id) {
@@ -295,6 +322,11 @@
     shares.ceil() as u32
 }
 
+/// Whether an executor would get requests if its version were in force.
+fn takes_requests(executor: &Executor) -> bool {
+    executor.report.state == RegisteredState::Up && !executor.unresponsive
+}
+
 /// The state of an executor as the gateway takes it.
 fn state_of(executor: &Executor, registry: &Registry) -> ExecutorState {
     match executor.report.state {
--- a/crates/tier/src/runtime/timers.rs
+++ b/crates/tier/src/runtime/timers.rs
@@ -59,6 +59,8 @@
     Bootstrap,
     /// Leaders look after their groups.
     MaintainGroups,
+    /// The node asks which versions of services get requests.
+    SyncRollouts,
     /// Slow housekeeping.
     Sweep,
     /// Executors that have fallen silent are looked for.
--- a/crates/tier/tests/single_node/mod.rs
+++ b/crates/tier/tests/single_node/mod.rs
@@ -38,14 +38,14 @@
     calls: Vec<(CallNumber, Call)>,
 }
 
-fn settings() -> String {
+fn settings(contracts: &str) -> String {
     format!(
         r#"{{"node_name":"edge-1","role":"edge","machine_class":"edge","served_roles":["edge","controller"],
         "ip_address":"{NODE}","zone":"a","region":"r","zones":{{"a":"r"}},
         "bindings":{{"frontend":"{NODE}:8144","readiness":"{NODE}:8140","control_plane":"{NODE}:8146"}},
         "internal_ports":[7660,7675],"seed_nodes":["{}:8146"],"bootstrap":false,"quorum_member":false,
         "limits":{{"cpu_share":0.5,"cpu_cores":1,"memory_mb":260,"file_descriptors":4100,"link_mbps":1000.0}},
-        "heartbeat_ms":1200,"contracts":["base"],"fault_tolerance":{{"machine_losses":0,"zones":0,"region_losses":0}},
+        "heartbeat_ms":1200,"contracts":[{contracts}],"fault_tolerance":{{"machine_losses":0,"zones":0,"region_losses":0}},
         "bounds":{{"grace_period_s":8,"drain_timeout_ms":2000}}}}"#,
         PEER.ip()
     )
@@ -108,15 +108,25 @@
     /// A node that knows its configuration and nobody but a peer.
     pub fn with_configuration(seed: u64) -> SingleNode {
         let mut single = SingleNode::without_configuration(seed);
-        let number = single.next_call(|call| matches!(call, Call::ShowConfiguration));
-        single.reply(number, Reply::Configuration { version: 1, body: configuration() });
+        single.learn_configuration();
         single
     }
 
+    /// The peer replies with the configuration that the node asks for at its start.
+    pub fn learn_configuration(&mut self) {
+        let number = self.next_call(|call| matches!(call, Call::ShowConfiguration));
+        self.reply(number, Reply::Configuration { version: 1, body: configuration() });
+    }
+
     /// A node that has just started and asks its peer for the configuration.
     pub fn without_configuration(seed: u64) -> SingleNode {
+        SingleNode::under_contracts(r#""base""#, seed)
+    }
+
+    /// The same where these rules are in force.
+    pub fn under_contracts(contracts: &str, seed: u64) -> SingleNode {
         let network = Network::shared(seed);
-        let world = TestWorld { network: network.clone(), settings: settings() };
+        let world = TestWorld { network: network.clone(), settings: settings(contracts) };
         let settings = Settings::read(&world.settings).expect("right settings");
         let start = Start::open(settings, Rc::new(world)).expect("nothing is missing");
         let node = Node::new(start).expect("nothing is missing");
@@ -153,9 +163,20 @@
 
     /// A heartbeat of an executor; what the node answers.
     pub fn executor_calls(&mut self, number: u8, call_seq: u64, state: &str) -> Vec<u8> {
+        self.executor_of_version_calls(number, "v1", call_seq, state)
+    }
+
+    /// The same of an executor with this version.
+    pub fn executor_of_version_calls(
+        &mut self,
+        number: u8,
+        version: &str,
+        call_seq: u64,
+        state: &str,
+    ) -> Vec<u8> {
         let address = executor(number);
         let body = format!(
-            r#"{{"service":"s","address":"{address}","zone":"a","config_version":"v1","slot_count":8,"state":"{state}","cold_left_ms":0,"call_seq":{call_seq}}}"#
+            r#"{{"service":"s","address":"{address}","zone":"a","config_version":"{version}","slot_count":8,"state":"{state}","cold_left_ms":0,"call_seq":{call_seq}}}"#
         );
         let head = format!(
             "POST /api/Instances.Heartbeat/i-{number} HTTP/1.1\r\nHost: n\r\nContent-Length: {}\r\n\r\n",
--- a/crates/tier/tests/stable_bytes.rs
+++ b/crates/tier/tests/stable_bytes.rs
@@ -1,10 +1,11 @@
 //! Bytes written by earlier versions that this one must read and write unchanged: what nodes say to each other beside the
 //! registry's and the replicas' own messages.
 
+use grebeusher_rollout::RolloutOrder;
 use grebeusher_tier::control::leader_index::{LedPartition, LedPartitions};
 use grebeusher_tier::links::messages::{
     BatchLoad, Call, CallEnvelope, CallNumber, Channel, OfferJob, QuorumEnvelope, Reply, ReplyEnvelope,
-    SubmitJob,
+    SubmitJob, SyncRollouts,
 };
 use nanoserde::{DeBin, SerBin};
 use rstest::rstest;
@@ -46,6 +47,9 @@
         Call::BeginRetire { .. } => 10,
         Call::ShowRetire { .. } => 11,
         Call::OfferJob(_) => 12,
+        Call::BeginRollout(_) => 13,
+        Call::ShowRollout { .. } => 14,
+        Call::SyncRollouts(_) => 15,
     }
 }
 
@@ -59,6 +63,7 @@
         Reply::Answer { .. } => 4,
         Reply::Configuration { .. } => 5,
         Reply::Wanted => 6,
+        Reply::Rollouts(_) => 7,
     }
 }
 
@@ -113,6 +118,15 @@
     }),
     "0c000603000000000000006a6f62040000000000000062756c6b08070605040302010000000000000000"
 )]
+#[case::begin_rollout(
+    Call::BeginRollout(RolloutOrder { service: "s".to_owned(), target_version: "v2".to_owned(), ramp_ms: 15_000 }),
+    "0d0001000000000000007302000000000000007632983a000000000000"
+)]
+#[case::show_rollout(Call::ShowRollout { service: "s".to_owned() }, "0e00010000000000000073")]
+#[case::sync_rollouts(
+    Call::SyncRollouts(SyncRollouts { node: "edge-1".to_owned(), revision: 0x0102_0304_0506_0708, report: vec![0xab] }),
+    "0f000600000000000000656467652d3108070605040302010100000000000000ab"
+)]
 fn a_call_keeps_its_bytes(#[case] call: Call, #[case] pinned: &str) {
     assert_pinned(&call, pinned);
     assert_eq!(call.serialize_bin()[..2], number_of_call(&call).to_le_bytes());
@@ -131,6 +145,7 @@
 )]
 #[case::no_configuration(Reply::Configuration { version: 0, body: Vec::new() }, "050000000000000000000000000000000000")]
 #[case::wanted(Reply::Wanted, "0600")]
+#[case::rollouts(Reply::Rollouts(vec![0xab, 0x00]), "07000200000000000000ab00")]
 fn a_reply_keeps_its_bytes(#[case] reply: Reply, #[case] pinned: &str) {
     assert_pinned(&reply, pinned);
     assert_eq!(reply.serialize_bin()[..2], number_of_reply(&reply).to_le_bytes());
