Nodes ask for the versions of services until they know them

Cause: a node that was answered before the leader had noted a version took that for proof and asked no more; when executors of two versions came it knew of none which was in force and used neither. It asks every second now while a service's version is unknown. Test: a_node_asks_until_it_knows_the_version_of_each_service (failed before: one question only).

--- a/crates/tier/src/control/rollouts.rs
+++ b/crates/tier/src/control/rollouts.rs
@@ -2,7 +2,7 @@
 //! learns which versions get requests.
 //!
 //! [`RolloutSync`] owns what this node knows. A node asks the leader when it starts, while it sees executors whose version is
-//! not in force, and while a roll-out is under way; in between nothing is sent. Replicas of the configuration also hear of each
+//! not in force or of whose service it knows none, and while a roll-out is under way; in between nothing is sent. Replicas of the configuration also hear of each
 //! change by their log.
 
 use crate::control::api::{CONFIGURATION_PARTITION, OPERATOR_TIMEOUT};
@@ -23,7 +23,7 @@
 
 /// Between two questions to the leader while a roll-out is under way, or before its first answer.
 const SYNC_INTERVAL: Duration = Duration::from_millis(300);
-/// The same while executors have a version that nobody ordered.
+/// The same while executors have a version that nobody ordered, or that of their service is unknown.
 const IDLE_SYNC_INTERVAL: Duration = Duration::from_millis(1000);
 /// The leader answers within this.
 const SYNC_TIMEOUT: Duration = Duration::from_millis(900);
@@ -62,12 +62,12 @@
     }
 
     /// When the leader is to be asked next, from now on; `None`: there is nothing to ask.
-    fn interval(&self, sees_withheld: bool) -> Option<Duration> {
+    fn interval(&self, has_versions_in_question: bool) -> Option<Duration> {
         let has_active_rollout = self.policy.state().is_some_and(Rollouts::has_active_rollout);
         if has_active_rollout || (self.enforced && !self.proven) {
             Some(SYNC_INTERVAL)
         } else {
-            sees_withheld.then_some(IDLE_SYNC_INTERVAL)
+            has_versions_in_question.then_some(IDLE_SYNC_INTERVAL)
         }
     }
 }
@@ -229,8 +229,8 @@
 
     /// Has the leader asked soon, if there is anything to ask.
     pub(crate) fn schedule_rollout_sync(&mut self) {
-        let sees_withheld = self.requests.routing.sees_withheld_executors();
-        let Some(interval) = self.rollouts.interval(sees_withheld) else { return };
+        let has_versions_in_question = self.requests.routing.has_versions_in_question();
+        let Some(interval) = self.rollouts.interval(has_versions_in_question) else { return };
         if self.rollouts.is_scheduled || self.stopping() {
             return;
         }
--- a/crates/tier/src/requests/routing.rs
+++ b/crates/tier/src/requests/routing.rs
@@ -118,8 +118,8 @@
     generation: u64,
     /// The revision of the versions of services by which the executors were taken over, and whether proof was awaited.
     versions: (u64, bool),
-    /// Whether executors that are up have a version that gets nothing.
-    sees_withheld: bool,
+    /// Whether the leader may know more of the versions of executors that are up.
+    has_versions_in_question: bool,
     configured: u64,
 }
 
@@ -131,7 +131,7 @@
             known: FxHashMap::default(),
             generation: 0,
             versions: (0, false),
-            sees_withheld: false,
+            has_versions_in_question: false,
             configured: 0,
         }
     }
@@ -265,18 +265,18 @@
         }
     }
 
-    /// Whether executors that are up have a version that gets nothing.
-    pub fn sees_withheld_executors(&self) -> bool {
-        self.sees_withheld
+    /// Whether the leader may know more of the versions of executors that are up.
+    pub fn has_versions_in_question(&self) -> bool {
+        self.has_versions_in_question
     }
 
     fn update_executors(&mut self, registry: &Registry, permissions: &VersionPermissions<'_>) -> Vec<String> {
         let gone = self.remove_executors_that_are_gone(registry);
         let seen = SeenVersions::of(registry);
-        self.sees_withheld = false;
+        self.has_versions_in_question = false;
         for executor in registry.executors().filter(|executor| executor.exists()) {
             let is_permitted = permissions.permits(executor, &seen);
-            self.sees_withheld |= !is_permitted && takes_requests(executor);
+            self.has_versions_in_question |= takes_requests(executor) && permissions.is_in_question(executor);
             // One that got requests before finishes them.
             if !is_permitted && !self.known.contains_key(&executor.report.id) {
                 continue;
--- a/crates/tier/src/requests/version_permissions.rs
+++ b/crates/tier/src/requests/version_permissions.rs
@@ -37,6 +37,16 @@
 }
 
 impl VersionPermissions<'_> {
+    /// Whether the leader may know more of an executor's version than this node: it has a version that is not in force, or
+    /// that of its service is unknown.
+    pub fn is_in_question(&self, executor: &Executor) -> bool {
+        match self.policy.permission(&executor.report.service, &executor.report.config_version) {
+            Permission::InForce => false,
+            Permission::Withheld => true,
+            Permission::Unrestricted => self.enforced,
+        }
+    }
+
     /// Whether an executor may get new requests. Of a service whose version in force is unknown it may if all executors have
     /// the same version, and the leader had time to answer.
     pub fn permits(&self, executor: &Executor, seen: &SeenVersions<'_>) -> bool {
--- a/crates/tier/tests/rollouts.rs
+++ b/crates/tier/tests/rollouts.rs
@@ -92,6 +92,25 @@
     assert!(single.take_calls().iter().any(|(_, call)| is_sync(call)));
 }
 
+/// Guards against a node that was answered before a version was noted and asks no more: it would refuse all requests when
+/// executors of another version come.
+#[test]
+fn a_node_asks_until_it_knows_the_version_of_each_service() {
+    let mut single = SingleNode::under_contracts(CONTRACTS, 1);
+    single.learn_configuration();
+    let number = single.next_call(is_sync);
+    single.reply(number, Reply::Done);
+    beat(&mut single, &["v1"], 1);
+    single.pass(LONG);
+    beat(&mut single, &["v1"], 2);
+    // Those before it have timed out.
+    let newest = single.take_calls().into_iter().rev().find(|(_, call)| is_sync(call));
+    let (number, _) = newest.expect("the node asks again");
+    single.reply(number, Reply::Rollouts(first_version().encode()));
+    beat(&mut single, &["v1", "v2"], 3);
+    assert_eq!(instance_of(&mut single, "one").as_deref(), Some("i-1"));
+}
+
 #[rstest]
 #[case::alike(&["v1", "v1"], true)]
 #[case::not_alike(&["v1", "v2"], false)]
