A roll-out whose time is over without a verdict is reverted

While stages and verdict are not built, an order that was taken would stay active for good, and each later order for its service would be refused with 409.

--- a/crates/simulation/tests/rollouts.rs
+++ b/crates/simulation/tests/rollouts.rs
@@ -94,3 +94,19 @@
     }
     expect_kept(&scenario, seed);
 }
+
+/// Guards against a roll-out that stays active for good, so that no other one of its service can begin.
+#[rstest]
+fn a_roll_out_without_a_verdict_is_reverted_in_its_time(
+    #[values("three-zones", "four-zones", "five-cores")] shape_name: &str,
+    #[values(1, 2, 3)] seed: u64,
+) {
+    let next = Fault::Rollout { flaw: None, x: 0.0, late_s: 0.0, ramp_s: 6.0 };
+    let mut scenario = day(shape_name, &[(15.5, next)]);
+    scenario.load.length_s = 26.0;
+    let report = run(&scenario, seed);
+    expect_clean(&report);
+    let counts = report.counts;
+    assert_eq!((counts.rollouts, counts.reverted), (2, 2), "{counts:?}\n{}", report.trace.join("\n"));
+    assert_eq!(counts.new_version_runs, 0, "{counts:?}");
+}
--- a/crates/tier/src/control/rollouts.rs
+++ b/crates/tier/src/control/rollouts.rs
@@ -14,8 +14,10 @@
 use crate::requests::version_permissions::VersionPermissions;
 use crate::runtime::timers::Timer;
 use grebeusher_registry::{Executor, Registry};
-use grebeusher_rollout::{Entry, RolloutOrder, Rollouts, ServiceVersions, Stage, Verdict, VersionPolicy};
-use grebeusher_time::{Duration, Instant};
+use grebeusher_rollout::{
+    Entry, Rollout, RolloutOrder, Rollouts, ServiceVersions, Stage, Verdict, VersionPolicy,
+};
+use grebeusher_time::{Duration, DurationExt, Instant};
 use grebeusher_transport::http;
 use std::collections::BTreeMap;
 use tinyjson::JsonValue;
@@ -32,8 +34,13 @@
 /// A leader has heard of most executors by then, so that it can tell which version they have.
 const OBSERVATION_DURATION: Duration = Duration::from_millis(1500);
 
+/// The share of its time after which a roll-out without a verdict is reverted; the rest is for the operators to hear of it.
+const VERDICT_SHARE: f64 = 0.9;
+
 /// What a node knows of versions, and when it asks for more.
 pub(crate) struct RolloutSync {
+    /// When this node first heard of the stage that each active roll-out is at.
+    stages: BTreeMap<String, StageStart>,
     /// Whether versions without an order are withheld: the deployment is held to the rules of roll-outs.
     enforced: bool,
     policy: VersionPolicy,
@@ -43,10 +50,18 @@
     is_asking: bool,
 }
 
+/// When a node first heard of a stage.
+struct StageStart {
+    target_version: String,
+    stage: Stage,
+    at: Instant,
+}
+
 impl RolloutSync {
     /// Nothing is known yet.
     pub fn new(enforced: bool) -> RolloutSync {
         RolloutSync {
+            stages: BTreeMap::new(),
             enforced,
             policy: VersionPolicy::new(),
             proven: false,
@@ -61,6 +76,55 @@
         VersionPermissions { policy: &self.policy, enforced: self.enforced, awaits_proof }
     }
 
+    /// Takes a state over if it is newer. Whether it is.
+    fn update(&mut self, now: Instant, rollouts: Rollouts) -> bool {
+        let is_newer = self.policy.update(rollouts);
+        if is_newer {
+            self.note_stages(now);
+        }
+        is_newer
+    }
+
+    fn note_stages(&mut self, now: Instant) {
+        let services = self.policy.state().map(Rollouts::services).unwrap_or_default();
+        self.stages.retain(|service, _| services.iter().any(|versions| versions.service == *service));
+        for versions in services {
+            let Some(Rollout { target_version, stage, .. }) = versions.active_rollout() else {
+                self.stages.remove(&versions.service);
+                continue;
+            };
+            let known = self.stages.get(&versions.service);
+            if known.is_none_or(|known| known.target_version != *target_version || known.stage != *stage) {
+                let start =
+                    StageStart { target_version: target_version.clone(), stage: stage.clone(), at: now };
+                self.stages.insert(versions.service.clone(), start);
+            }
+        }
+    }
+
+    /// How long ago the order of an active roll-out was taken, as far as this node knows: not the time in which it did not run.
+    fn elapsed(&self, now: Instant, service: &str, rollout: &Rollout) -> Duration {
+        let here = self.stages.get(service).map(|start| now.since(start.at)).unwrap_or_default();
+        Duration::from_millis(rollout.elapsed_ms) + here
+    }
+
+    /// The entry that ends a roll-out whose time is over: the version before it stays in force.
+    fn next_expired(&self, now: Instant) -> Option<Entry> {
+        let services = self.policy.state().map(Rollouts::services).unwrap_or_default();
+        let mut expired = services.iter().filter_map(|versions| {
+            let rollout = versions.active_rollout()?;
+            let elapsed = self.elapsed(now, &versions.service, rollout);
+            let is_over = elapsed >= Duration::from_millis(rollout.ramp_ms).scaled(VERDICT_SHARE);
+            is_over.then(|| Entry::Advance {
+                service: versions.service.clone(),
+                target_version: rollout.target_version.clone(),
+                stage: Stage::Reverted,
+                elapsed_ms: u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX),
+            })
+        });
+        expired.next()
+    }
+
     /// When the leader is to be asked next, from now on; `None`: there is nothing to ask.
     fn interval(&self, has_versions_in_question: bool) -> Option<Duration> {
         let has_active_rollout = self.policy.state().is_some_and(Rollouts::has_active_rollout);
@@ -149,24 +213,28 @@
         self.reply(waiter.peer, waiter.number, reply);
     }
 
-    /// What the leader of the configuration does by itself: it notes which version of each service is in force.
+    /// What the leader of the configuration does by itself: it notes which version of each service is in force, and ends
+    /// roll-outs whose time is over.
     pub(crate) fn maintain_rollouts(&mut self, index: usize) {
-        if !self.rollouts.enforced || !self.partitions[index].leads() {
-            return;
-        }
-        let observed = self.partitions[index].leader_since().map(|since| self.now.since(since));
         let Some(partition) = self.configuration_partition(index) else { return };
-        if partition.has_pending_rollouts() || observed.is_none_or(|observed| observed < OBSERVATION_DURATION)
-        {
+        if partition.has_pending_rollouts() {
             return;
         }
-        if let Some(entry) = self.next_version_in_force(partition.rollouts()) {
+        let entry = match self.rollouts.next_expired(self.now) {
+            Some(entry) => Some(entry),
+            None => self.next_version_in_force(index, partition.rollouts()),
+        };
+        if let Some(entry) = entry {
             self.propose_rollout_entry(index, &entry, None);
         }
     }
 
     /// The version of a configured service that is not noted yet.
-    fn next_version_in_force(&self, rollouts: &Rollouts) -> Option<Entry> {
+    fn next_version_in_force(&self, index: usize, rollouts: &Rollouts) -> Option<Entry> {
+        let leader_since = self.partitions[index].leader_since()?;
+        if !self.rollouts.enforced || self.now.since(leader_since) < OBSERVATION_DURATION {
+            return None;
+        }
         let active = self.configuration.active()?;
         let services = active.routes.configuration().services.iter().map(|service| service.name.as_str());
         let unknown = services.filter(|service| rollouts.service(service).is_none());
@@ -208,7 +276,7 @@
     /// The versions of services have changed, by the log or by what the leader says.
     pub(crate) fn versions_changed(&mut self, rollouts: Rollouts) {
         let revision = rollouts.revision();
-        if !self.rollouts.policy.update(rollouts) {
+        if !self.rollouts.update(self.now, rollouts) {
             return;
         }
         self.routing_changed = true;
