In-memory judge: a roll-out that a later order has replaced is not lost

Rollouts.Show names the newest roll-out of a service only. It tells a later order that was sent from any other target now; anything else is LOST as before.

--- a/crates/simulation/src/judge/mod.rs
+++ b/crates/simulation/src/judge/mod.rs
@@ -19,7 +19,7 @@
 pub use configuration::{SentOrder, Version};
 pub use requests::{Arrival, Kind, Try};
 pub use results::Listed;
-pub use rollouts::ShownRollout;
+pub use rollouts::{RolloutNews, ShownRollout};
 pub use rules::{Breach, Rule};
 
 use batch::{Item, Job};
--- a/crates/simulation/src/judge/rollouts.rs
+++ b/crates/simulation/src/judge/rollouts.rs
@@ -28,6 +28,17 @@
     is_bad_since: Option<Instant>,
 }
 
+/// What follows from what a node shows of a roll-out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RolloutNews {
+    /// Nothing that was not known.
+    Nothing,
+    /// It has ended like this.
+    Ended(RolloutState),
+    /// A later order of its service has taken its place.
+    Superseded,
+}
+
 /// What a node shows of a roll-out.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ShownRollout {
@@ -61,34 +72,38 @@
         }
     }
 
-    /// A node shows how far a roll-out is that was acknowledged. Returns its end, when it is shown for the first time.
-    pub fn rollout_shown(
-        &mut self,
-        order: &RolloutOrder,
-        shown: &ShownRollout,
-        at: Instant,
-    ) -> Option<RolloutState> {
-        let found = self.rollouts.iter_mut().find(|rollout| rollout.order == *order)?;
-        let ended = found.ended;
+    /// A node shows how far a roll-out is that was acknowledged. An end is news when it is shown for the first time.
+    pub fn rollout_shown(&mut self, order: &RolloutOrder, shown: &ShownRollout, at: Instant) -> RolloutNews {
+        let is_later = |later: &Rollout, sent: Instant| {
+            later.order.is(&order.service, &shown.target) && later.sent > sent
+        };
+        let Some(index) = self.rollouts.iter().position(|rollout| rollout.order == *order) else {
+            return RolloutNews::Nothing;
+        };
+        let sent = self.rollouts[index].sent;
+        if shown.state.is_some() && self.rollouts.iter().any(|later| is_later(later, sent)) {
+            return RolloutNews::Superseded;
+        }
+        let ended = self.rollouts[index].ended;
         let Some(state) = shown.state else {
             self.breach(Rule::Lost, at, format!("the roll-out of {} is not known any more", order.service));
-            return None;
+            return RolloutNews::Nothing;
         };
         if shown.target != order.target || ended.is_some_and(|ended| ended != state) {
             let what = format!("the roll-out {order:?} was {ended:?} and is shown as {shown:?}");
             self.breach(Rule::Lost, at, what);
-            return None;
+            return RolloutNews::Nothing;
         }
         if state == RolloutState::Active || ended.is_some() {
-            return None;
+            return RolloutNews::Nothing;
         }
-        found.ended = Some(state);
+        self.rollouts[index].ended = Some(state);
         match state {
             RolloutState::Complete => self.counts.completed += 1,
             RolloutState::Reverted => self.counts.reverted += 1,
             RolloutState::Active => {}
         }
-        Some(state)
+        RolloutNews::Ended(state)
     }
 
     /// A version gave a bad answer by its own fault.
--- a/crates/simulation/src/operators/rollouts.rs
+++ b/crates/simulation/src/operators/rollouts.rs
@@ -1,7 +1,7 @@
 //! Orders to roll a version out, and the questions how far they are.
 
 use super::{Operators, Order, SEND_DURATION};
-use crate::judge::ShownRollout;
+use crate::judge::{RolloutNews, ShownRollout};
 use crate::stage::Stage;
 use grebeusher_time::{Duration, DurationExt, Instant};
 use std::fmt;
@@ -83,17 +83,19 @@
         else {
             return;
         };
-        let ended = stage.judge.rollout_shown(&order, &read_shown(status, body), now);
+        let news = stage.judge.rollout_shown(&order, &read_shown(status, body), now);
         if last {
             self.tasks.remove(&number);
             return;
         }
-        match ended {
-            Some(state) => {
+        match news {
+            RolloutNews::Ended(state) => {
                 self.tasks.remove(&number);
                 self.rollouts_ended.push((order, state));
             }
-            None => super::wake(stage, now + SHOW_INTERVAL, super::AGAIN, number),
+            // Only the newest is shown. Its executors stay, as the operators never hear of its end.
+            RolloutNews::Superseded => drop(self.tasks.remove(&number)),
+            RolloutNews::Nothing => super::wake(stage, now + SHOW_INTERVAL, super::AGAIN, number),
         }
     }
 
