--- a/crates/rollout/src/entry.rs
+++ b/crates/rollout/src/entry.rs
@@ -24,6 +24,8 @@
         order: RolloutOrder,
         /// The version in force, if that was not known before; empty if nobody knows it.
         in_force: String,
+        /// When the order was taken, by the leader's time of day (milliseconds since 1970).
+        begun_ms: u64,
     },
     /// A roll-out that is under way goes to another stage.
     Advance {
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -20,9 +20,9 @@
 //! let mut rollouts = Rollouts::default();
 //! let in_force = Entry::VersionInForce { service: "catalogue".into(), version: "v1".into() };
 //! assert_eq!(rollouts.apply(in_force), Applied::Accepted);
-//! assert_eq!(rollouts.apply(Entry::Begin { order: order.clone(), in_force: "v1".into() }), Applied::Accepted);
+//! assert_eq!(rollouts.apply(Entry::Begin { order: order.clone(), in_force: "v1".into(), begun_ms: 0 }), Applied::Accepted);
 //! // Sent again, as its acknowledgement was lost.
-//! assert_eq!(rollouts.apply(Entry::Begin { order, in_force: "v1".into() }), Applied::AlreadyAccepted);
+//! assert_eq!(rollouts.apply(Entry::Begin { order, in_force: "v1".into(), begun_ms: 0 }), Applied::AlreadyAccepted);
 //! assert_eq!(rollouts.version_in_force("catalogue"), Some("v1"));
 //! # Ok::<(), grebeusher_rollout::OrderError>(())
 //! ```
--- a/crates/rollout/src/state.rs
+++ b/crates/rollout/src/state.rs
@@ -66,6 +66,8 @@
     pub stage: Stage,
     /// How long after the order this stage began (milliseconds).
     pub elapsed_ms: u64,
+    /// When the order was taken, by that leader's time of day (milliseconds since 1970). Clocks may differ and be set.
+    pub begun_ms: u64,
 }
 
 /// The versions of a service.
@@ -183,7 +185,7 @@
     pub fn apply(&mut self, entry: Entry) -> Applied {
         let applied = match entry {
             Entry::VersionInForce { service, version } => self.apply_version_in_force(&service, version),
-            Entry::Begin { order, in_force } => self.apply_begin(order, in_force),
+            Entry::Begin { order, in_force, begun_ms } => self.apply_begin(order, in_force, begun_ms),
             Entry::Advance { service, target_version, stage, elapsed_ms } => {
                 self.apply_advance(&service, &target_version, stage, elapsed_ms)
             }
@@ -204,7 +206,7 @@
         Applied::Accepted
     }
 
-    fn apply_begin(&mut self, order: RolloutOrder, in_force: String) -> Applied {
+    fn apply_begin(&mut self, order: RolloutOrder, in_force: String, begun_ms: u64) -> Applied {
         match self.judge(&order) {
             Verdict::Accept => {}
             Verdict::AlreadyAccepted => return Applied::AlreadyAccepted,
@@ -219,6 +221,7 @@
             ramp_ms: order.ramp_ms,
             stage: Stage::Accepted,
             elapsed_ms: 0,
+            begun_ms,
         };
         if let Some(before) = versions.rollout.replace(rollout) {
             versions.ended.push(before.target_version);
--- a/crates/rollout/tests/state.rs
+++ b/crates/rollout/tests/state.rs
@@ -8,7 +8,7 @@
 }
 
 fn begin(target: &str) -> Entry {
-    Entry::Begin { order: order(target), in_force: String::new() }
+    Entry::Begin { order: order(target), in_force: String::new(), begun_ms: 0 }
 }
 
 fn advance(target: &str, stage: Stage) -> Entry {
--- a/crates/simulation/tests/rollouts.rs
+++ b/crates/simulation/tests/rollouts.rs
@@ -110,3 +110,16 @@
     assert_eq!((counts.rollouts, counts.reverted), (2, 2), "{counts:?}\n{}", report.trace.join("\n"));
     assert_eq!(counts.new_version_runs, 0, "{counts:?}");
 }
+
+/// Guards against a roll-out whose time begins anew when the core has lost its processes.
+#[rstest]
+fn a_roll_out_is_reverted_in_its_time_though_the_core_was_killed(
+    #[values("four-zones", "five-cores")] shape_name: &str,
+    #[values(1, 2, 3)] seed: u64,
+) {
+    let mut scenario = day(shape_name, &[(10.0, Fault::HerdKill { for_s: 0.8 })]);
+    scenario.load.length_s = 17.0;
+    let report = run(&scenario, seed);
+    expect_clean(&report);
+    assert_eq!(report.counts.reverted, 1, "{:?}\n{}", report.counts, report.trace.join("\n"));
+}
--- a/crates/tier/src/control/rollouts.rs
+++ b/crates/tier/src/control/rollouts.rs
@@ -50,6 +50,15 @@
     is_asking: bool,
 }
 
+/// The time by both clocks of a node.
+#[derive(Clone, Copy, Debug)]
+struct NodeTime {
+    /// Since the start of the process.
+    now: Instant,
+    /// The time of day (milliseconds since 1970).
+    wall_ms: u64,
+}
+
 /// When a node first heard of a stage.
 struct StageStart {
     target_version: String,
@@ -102,18 +111,20 @@
         }
     }
 
-    /// How long ago the order of an active roll-out was taken, as far as this node knows: not the time in which it did not run.
-    fn elapsed(&self, now: Instant, service: &str, rollout: &Rollout) -> Duration {
-        let here = self.stages.get(service).map(|start| now.since(start.at)).unwrap_or_default();
-        Duration::from_millis(rollout.elapsed_ms) + here
+    /// How long ago the order of an active roll-out was taken. The steady clock leaves out the time in which this node did not
+    /// run, and the time of day may be set: the longer of the two counts.
+    fn elapsed(&self, time: NodeTime, service: &str, rollout: &Rollout) -> Duration {
+        let here = self.stages.get(service).map(|start| time.now.since(start.at)).unwrap_or_default();
+        let by_steady_clock = Duration::from_millis(rollout.elapsed_ms) + here;
+        by_steady_clock.max(Duration::from_millis(time.wall_ms.saturating_sub(rollout.begun_ms)))
     }
 
     /// The entry that ends a roll-out whose time is over: the version before it stays in force.
-    fn next_expired(&self, now: Instant) -> Option<Entry> {
+    fn next_expired(&self, time: NodeTime) -> Option<Entry> {
         let services = self.policy.state().map(Rollouts::services).unwrap_or_default();
         let mut expired = services.iter().filter_map(|versions| {
             let rollout = versions.active_rollout()?;
-            let elapsed = self.elapsed(now, &versions.service, rollout);
+            let elapsed = self.elapsed(time, &versions.service, rollout);
             let is_over = elapsed >= Duration::from_millis(rollout.ramp_ms).scaled(VERDICT_SHARE);
             is_over.then(|| Entry::Advance {
                 service: versions.service.clone(),
@@ -186,7 +197,8 @@
             Some(true) => {}
         }
         let in_force = prevalent_version(&self.registry, &order.service, Some(&order.target_version));
-        let entry = Entry::Begin { order, in_force: in_force.unwrap_or_default() };
+        let begun_ms = self.wall_ms();
+        let entry = Entry::Begin { order, in_force: in_force.unwrap_or_default(), begun_ms };
         if !self.propose_rollout_entry(index, &entry, Some(waiter)) {
             self.reply(waiter.peer, waiter.number, Reply::Unavailable);
         }
@@ -220,7 +232,7 @@
         if partition.has_pending_rollouts() {
             return;
         }
-        let entry = match self.rollouts.next_expired(self.now) {
+        let entry = match self.rollouts.next_expired(NodeTime { now: self.now, wall_ms: self.wall_ms() }) {
             Some(entry) => Some(entry),
             None => self.next_version_in_force(index, partition.rollouts()),
         };
