Roll-outs only where their contract is in force; nodes serve 0.9 s after their start

Read again: without the contract nodes go by no versions, so an order would have been acknowledged and not honoured; it is answered 404 with the reason. A node that started while the core was away refused for up to 2.5 s though the platform sends it clients after 0.9 s.

--- a/crates/tier/src/control/rollouts.rs
+++ b/crates/tier/src/control/rollouts.rs
@@ -29,8 +29,9 @@
 const IDLE_SYNC_INTERVAL: Duration = Duration::from_millis(1000);
 /// The leader answers within this.
 const SYNC_TIMEOUT: Duration = Duration::from_millis(900);
-/// A node that has just started waits this long for the leader's answer; then what it sees must do.
-const PROOF_TIMEOUT: Duration = Duration::from_millis(2500);
+/// A node that has just started waits this long for the leader's answer; then what it sees must do. The platform sends it
+/// clients from then on.
+const PROOF_TIMEOUT: Duration = Duration::from_millis(900);
 /// A leader has heard of most executors by then, so that it can tell which version they have.
 const OBSERVATION_DURATION: Duration = Duration::from_millis(1500);
 
@@ -148,8 +149,12 @@
 }
 
 impl Node {
-    /// An operator's order.
+    /// An operator's order. Where the rules of roll-outs are not in force nodes go by no versions, so none is taken.
     pub(crate) fn begin_rollout(&mut self, connection: usize, serial: u64, body: &[u8]) {
+        if !self.rollouts.enforced {
+            let reason = b"the contract `rollout` is not in force";
+            return self.answer(connection, serial, http::answer(404, &[], reason));
+        }
         let order = match RolloutOrder::read(body) {
             Ok(order) => order,
             Err(invalid) => {
@@ -249,9 +254,11 @@
         }
         let active = self.configuration.active()?;
         let services = active.routes.configuration().services.iter().map(|service| service.name.as_str());
-        let unknown = services.filter(|service| rollouts.service(service).is_none());
+        let unknown = services.filter(|service| rollouts.version_in_force(service).is_none());
         let mut found = unknown.filter_map(|service| {
-            let version = prevalent_version(&self.registry, service, None)?;
+            let rollout = rollouts.service(service).and_then(|versions| versions.rollout.as_ref());
+            let target = rollout.map(|rollout| rollout.target_version.as_str());
+            let version = prevalent_version(&self.registry, service, target)?;
             Some(Entry::VersionInForce { service: service.to_owned(), version })
         });
         found.next()
--- a/crates/tier/tests/rollouts.rs
+++ b/crates/tier/tests/rollouts.rs
@@ -152,6 +152,13 @@
     assert_eq!(instances, [Some("i-1".to_owned()), Some("i-2".to_owned())]);
 }
 
+#[test]
+fn an_order_is_refused_where_the_rules_of_roll_outs_are_not_in_force() {
+    let mut single = SingleNode::with_configuration(1);
+    let line = order(&mut single, ORDER);
+    assert_eq!(status_of(&single.take(line)), Some(404));
+}
+
 /// An order at the node's control plane; the connection.
 fn order(single: &mut SingleNode, body: &str) -> single_node::network::Line {
     let line = single.connect(8146);
