--- a/crates/rollout/src/entry.rs
+++ b/crates/rollout/src/entry.rs
@@ -1,7 +1,6 @@
 //! The log entries that change the state of roll-outs.
 
 use crate::order::RolloutOrder;
-use crate::state::Stage;
 use nanoserde::{DeBin, SerBin};
 use snafu::Snafu;
 
@@ -27,16 +26,12 @@
         /// When the order was taken, by the leader's time of day (milliseconds since 1970).
         begun_ms: u64,
     },
-    /// A roll-out that is under way goes to another stage.
-    Advance {
+    /// A roll-out that is under way ends: the version before it stays in force.
+    Revert {
         /// The service.
         service: String,
-        /// The version that it is to have.
+        /// The version that it was to have.
         target_version: String,
-        /// The stage.
-        stage: Stage,
-        /// How long after the order (milliseconds), by the leader's clock.
-        elapsed_ms: u64,
     },
 }
 
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! Executors of the new version come beside those of the version in force. Which version may get requests is replicated
 //! state, so it doesn't follow from what a node happens to see: without an order no other version gets any, and an order
-//! by itself permits none.
+//! by itself permits none. Nothing permits a new version yet: a roll-out is reverted when its time is over.
 //!
 //! - [`RolloutOrder`] is the operator's order, read from JSON.
 //! - [`Rollouts`] is the replicated state machine: which version of each service is in force, and how far its roll-out is.
@@ -38,4 +38,4 @@
 pub use entry::{ENTRY_FORMAT, Entry, EntryError};
 pub use order::{OrderError, RolloutOrder};
 pub use policy::{Permission, VersionPolicy};
-pub use state::{Applied, Rollout, Rollouts, ServiceVersions, Stage, Verdict};
+pub use state::{Applied, Rollout, RolloutState, Rollouts, ServiceVersions, Verdict};
--- a/crates/rollout/src/policy.rs
+++ b/crates/rollout/src/policy.rs
@@ -2,7 +2,7 @@
 //!
 //! A node that hasn't heard of an order refuses its executors all the same, as their version is not the one in force.
 
-use crate::state::{Rollouts, ServiceVersions, Stage};
+use crate::state::{Rollouts, ServiceVersions};
 
 /// Whether an executor gets requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -65,9 +65,4 @@
         let is_target = versions.rollout.as_ref().is_some_and(|rollout| rollout.target_version == version);
         if is_target { Permission::Withheld } else { Permission::Unrestricted }
     }
-
-    /// How far the roll-out of a service is.
-    pub fn stage(&self, service: &str) -> Option<&Stage> {
-        self.service(service)?.rollout.as_ref().map(|rollout| &rollout.stage)
-    }
 }
--- a/crates/rollout/src/state.rs
+++ b/crates/rollout/src/state.rs
@@ -1,7 +1,7 @@
 //! The replicated state: the version in force of each service, and how far its roll-out is.
 //!
-//! The same entries in the same order give the same state at every replica. A stage only ever follows from an earlier one, so
-//! that an entry which comes late or twice changes nothing.
+//! The same entries in the same order give the same state at every replica. A roll-out that is over never becomes active again,
+//! so that an entry which comes late or twice changes nothing.
 
 use crate::entry::Entry;
 use crate::order::RolloutOrder;
@@ -11,50 +11,14 @@
 const MAX_ENDED: usize = 64;
 
 /// How far a roll-out is.
-#[derive(Clone, Debug, PartialEq, Eq, SerBin, DeBin)]
-pub enum Stage {
+#[derive(Clone, Copy, Debug, PartialEq, Eq, SerBin, DeBin)]
+pub enum RolloutState {
     /// The order is kept. No executor of the new version gets a request.
-    Accepted,
-    /// A small share of the requests goes to a few executors of the new version.
-    Canary {
-        /// Their instance ids.
-        instances: Vec<String>,
-    },
-    /// A larger share goes to all executors of the new version.
-    Partial,
-    /// All new requests go to the new version; the one before it finishes what it has.
-    Shifted,
-    /// The new version is in force.
-    Complete,
-    /// The version before it stays in force.
+    Active,
+    /// It is over, and the version before it stays in force.
     Reverted,
 }
 
-impl Stage {
-    /// The stages in their order.
-    fn rank(&self) -> u8 {
-        match self {
-            Stage::Accepted => 0,
-            Stage::Canary { .. } => 1,
-            Stage::Partial => 2,
-            Stage::Shifted => 3,
-            Stage::Complete | Stage::Reverted => 4,
-        }
-    }
-
-    /// Whether the roll-out is over.
-    pub fn is_final(&self) -> bool {
-        matches!(self, Stage::Complete | Stage::Reverted)
-    }
-
-    /// Whether another stage may follow. The executors of a canary may be replaced by others.
-    fn may_become(&self, next: &Stage) -> bool {
-        let replaces_canary = matches!((self, next), (Stage::Canary { .. }, Stage::Canary { .. }));
-        let follows = next.rank() == self.rank() + 1 || *next == Stage::Reverted;
-        !self.is_final() && (replaces_canary || follows)
-    }
-}
-
 /// The roll-out of a service.
 #[derive(Clone, Debug, PartialEq, Eq, SerBin, DeBin)]
 pub struct Rollout {
@@ -62,12 +26,10 @@
     pub target_version: String,
     /// The time for it (milliseconds).
     pub ramp_ms: u64,
-    /// How far it is.
-    pub stage: Stage,
-    /// How long after the order this stage began (milliseconds).
-    pub elapsed_ms: u64,
     /// When the order was taken, by that leader's time of day (milliseconds since 1970). Clocks may differ and be set.
     pub begun_ms: u64,
+    /// How far it is.
+    pub state: RolloutState,
 }
 
 /// The versions of a service.
@@ -95,7 +57,7 @@
 
     /// The roll-out that is under way.
     pub fn active_rollout(&self) -> Option<&Rollout> {
-        self.rollout.as_ref().filter(|rollout| !rollout.stage.is_final())
+        self.rollout.as_ref().filter(|rollout| rollout.state == RolloutState::Active)
     }
 
     fn was_ordered(&self, target: &str) -> bool {
@@ -186,9 +148,7 @@
         let applied = match entry {
             Entry::VersionInForce { service, version } => self.apply_version_in_force(&service, version),
             Entry::Begin { order, in_force, begun_ms } => self.apply_begin(order, in_force, begun_ms),
-            Entry::Advance { service, target_version, stage, elapsed_ms } => {
-                self.apply_advance(&service, &target_version, stage, elapsed_ms)
-            }
+            Entry::Revert { service, target_version } => self.apply_revert(&service, &target_version),
         };
         self.revision += u64::from(applied == Applied::Accepted);
         applied
@@ -219,9 +179,8 @@
         let rollout = Rollout {
             target_version: order.target_version,
             ramp_ms: order.ramp_ms,
-            stage: Stage::Accepted,
-            elapsed_ms: 0,
             begun_ms,
+            state: RolloutState::Active,
         };
         if let Some(before) = versions.rollout.replace(rollout) {
             versions.ended.push(before.target_version);
@@ -231,25 +190,16 @@
         Applied::Accepted
     }
 
-    fn apply_advance(&mut self, service: &str, target: &str, stage: Stage, elapsed_ms: u64) -> Applied {
+    fn apply_revert(&mut self, service: &str, target: &str) -> Applied {
         let Ok(position) = self.position(service) else { return Applied::Conflict };
-        let versions = &mut self.services[position];
-        let Some(rollout) = versions.rollout.as_mut().filter(|rollout| rollout.target_version == target)
-        else {
+        let rollout = self.services[position].rollout.as_mut();
+        let Some(rollout) = rollout.filter(|rollout| rollout.target_version == target) else {
             return Applied::Conflict;
         };
-        if rollout.stage == stage {
-            return Applied::AlreadyAccepted;
+        match std::mem::replace(&mut rollout.state, RolloutState::Reverted) {
+            RolloutState::Active => Applied::Accepted,
+            RolloutState::Reverted => Applied::AlreadyAccepted,
         }
-        if !rollout.stage.may_become(&stage) {
-            return Applied::Conflict;
-        }
-        if stage == Stage::Complete {
-            versions.in_force = target.to_owned();
-        }
-        rollout.stage = stage;
-        rollout.elapsed_ms = elapsed_ms;
-        Applied::Accepted
     }
 
     fn position(&self, service: &str) -> Result<usize, usize> {
--- a/crates/tier/src/control/mod.rs
+++ b/crates/tier/src/control/mod.rs
@@ -26,5 +26,6 @@
 pub mod replica_placement;
 pub mod replica_status;
 pub mod retire;
+pub(crate) mod rollout_sync;
 pub mod rollouts;
 pub mod status;
--- a/crates/tier/src/control/status.rs
+++ b/crates/tier/src/control/status.rs
@@ -4,6 +4,7 @@
 use crate::control::partition_host::Application;
 use crate::node::Node;
 use crate::requests::prefix_popularity::write_choices;
+use grebeusher_rollout::{Rollout, ServiceVersions};
 use grebeusher_time::{Duration, DurationExt};
 use std::fmt::{self, Write};
 
@@ -35,6 +36,7 @@
         self.write_members(text)?;
         self.write_partitions(text)?;
         self.write_executors(text)?;
+        self.write_versions(text)?;
         self.write_counters(text)?;
         write_choices(&self.requests.routing, text)
     }
@@ -79,6 +81,16 @@
         Ok(())
     }
 
+    fn write_versions(&self, text: &mut String) -> fmt::Result {
+        for ServiceVersions { service, in_force, rollout, .. } in self.rollouts.services() {
+            writeln!(text, "service {service} version {in_force}")?;
+            if let Some(Rollout { target_version, state, .. }) = rollout {
+                writeln!(text, "service {service} roll-out to {target_version} {state:?}")?;
+            }
+        }
+        Ok(())
+    }
+
     fn write_counters(&self, text: &mut String) -> fmt::Result {
         let counters = &self.requests.counters;
         writeln!(
--- a/crates/tier/src/node.rs
+++ b/crates/tier/src/node.rs
@@ -13,7 +13,7 @@
 use crate::control::partition_host::PartitionHost;
 use crate::control::replica_names::ReplicaNames;
 use crate::control::retire::RetireRequests;
-use crate::control::rollouts::RolloutSync;
+use crate::control::rollout_sync::RolloutSync;
 use crate::links::calls::PendingCalls;
 use crate::links::connections::{ConnectionTable, Role};
 use crate::links::messages::{CallNumbers, Channel};
