--- a/crates/tier/src/control/rollouts.rs
+++ b/crates/tier/src/control/rollouts.rs
@@ -1,7 +1,6 @@
 //! New versions of services: the operator's orders, and what the leader of the configuration does about them.
 //!
-//! The state is that of the configuration's partition. How other nodes learn of it is up to
-//! [`rollout_sync`](crate::control::rollout_sync).
+//! The state is that of the configuration's partition. How other nodes learn of it is up to `rollout_sync`.
 
 use crate::control::api::{CONFIGURATION_PARTITION, OPERATOR_TIMEOUT};
 use crate::control::configuration_partition::ConfigurationPartition;
