--- a/crates/simulation/tests/rollouts.rs
+++ b/crates/simulation/tests/rollouts.rs
@@ -123,3 +123,13 @@
     expect_clean(&report);
     assert_eq!(report.counts.reverted, 1, "{:?}\n{}", report.counts, report.trace.join("\n"));
 }
+
+/// Guards against an order that is acknowledged before a quorum has it (LOST).
+#[rstest]
+fn an_order_taken_by_a_leader_that_is_cut_off_is_acknowledged_only_if_it_is_kept(
+    #[values("four-zones", "five-cores")] shape_name: &str,
+    #[values(1, 2, 3, 4)] seed: u64,
+) {
+    let cut = Fault::Cut { on: On::Core, leader: true, one_way: false, resets: false, for_s: 4.0 };
+    expect_kept(&day(shape_name, &[(1.95, cut)]), seed);
+}
