Roll-outs read again: nothing on the wire that nobody reads, one look at a version

Behaviour as it is. SyncRollouts carried the node's name and a report that no code read; the call has not landed yet, so it loses them before its bytes are pinned for good. The policy keeps the empty state where it kept none.

--- a/crates/rollout/src/policy.rs
+++ b/crates/rollout/src/policy.rs
@@ -2,7 +2,7 @@
 //!
 //! A node that hasn't heard of an order refuses its executors all the same, as their version is not the one in force.
 
-use crate::state::{Rollouts, ServiceVersions};
+use crate::state::Rollouts;
 
 /// Whether an executor gets requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -18,8 +18,8 @@
 /// Which versions a node permits.
 #[derive(Debug, Default)]
 pub struct VersionPolicy {
-    /// None before the first state has come.
-    state: Option<Rollouts>,
+    /// Empty before the first state has come.
+    state: Rollouts,
 }
 
 impl VersionPolicy {
@@ -28,33 +28,28 @@
         VersionPolicy::default()
     }
 
-    /// The newest state; none before the first one has come.
-    pub fn state(&self) -> Option<&Rollouts> {
-        self.state.as_ref()
+    /// The newest state; empty before the first one has come.
+    pub fn state(&self) -> &Rollouts {
+        &self.state
     }
 
     /// The revision of the newest state; 0 if there is none.
     pub fn revision(&self) -> u64 {
-        self.state.as_ref().map_or(0, Rollouts::revision)
+        self.state.revision()
     }
 
     /// Takes a state over if it is newer. Whether it is.
     pub fn update(&mut self, state: Rollouts) -> bool {
-        let is_newer = self.state.as_ref().is_none_or(|known| known.revision() < state.revision());
+        let is_newer = self.state.revision() < state.revision();
         if is_newer {
-            self.state = Some(state);
+            self.state = state;
         }
         is_newer
     }
 
-    /// What is known of a service.
-    pub fn service(&self, name: &str) -> Option<&ServiceVersions> {
-        self.state.as_ref()?.service(name)
-    }
-
     /// Whether executors of a version may get requests.
     pub fn permission(&self, service: &str, version: &str) -> Permission {
-        let Some(versions) = self.service(service) else { return Permission::Unrestricted };
+        let Some(versions) = self.state.service(service) else { return Permission::Unrestricted };
         if versions.in_force == version {
             return Permission::InForce;
         }
--- a/crates/rollout/tests/state.rs
+++ b/crates/rollout/tests/state.rs
@@ -118,5 +118,5 @@
     let mut policy = VersionPolicy::new();
     assert!(policy.update(after(&reverted())));
     assert!(!policy.update(after(&[begin("v2")])));
-    assert!(policy.state().is_some_and(|state| !state.has_active_rollout()));
+    assert!(!policy.state().has_active_rollout());
 }
--- a/crates/simulation/src/fleet/rollouts.rs
+++ b/crates/simulation/src/fleet/rollouts.rs
@@ -2,7 +2,7 @@
 
 use super::Fleet;
 use super::step::Step;
-use crate::executors::VersionFlaw;
+use crate::executors::{Executor, VersionFlaw};
 use crate::operators::{RolloutOrder, RolloutState};
 use crate::scenario::Flaw;
 use grebeusher_time::{Duration, DurationExt};
@@ -73,15 +73,8 @@
         let RolloutOrder { service, target, .. } = order;
         self.note(&format!("the executors of {service} {target} come"));
         let flaw = self.rollouts.flaws.get(&(service.clone(), target.clone())).copied();
-        let beside: Vec<usize> = self
-            .executors
-            .up()
-            .into_iter()
-            .filter_map(|(_, made)| {
-                (made.service == *service && made.version != *target).then_some(made.zone_number)
-            })
-            .collect();
-        for zone in beside {
+        let beside = self.executors_up(service, |version| version != target);
+        for zone in beside.into_iter().map(|(_, made)| made.zone_number) {
             let number = self.add_executor_of(service, target, zone, None);
             if let Some(flaw) = flaw {
                 let begun = self.now();
@@ -93,31 +86,21 @@
     /// The roll-out is complete: the executors of all other versions end at once.
     fn stop_other_versions(&mut self, order: &RolloutOrder) {
         self.rollouts.in_force.insert(order.service.clone(), order.target.clone());
-        let others: Vec<usize> = self
-            .executors
-            .up()
-            .into_iter()
-            .filter_map(|(number, made)| {
-                (made.service == order.service && made.version != order.target).then_some(number)
-            })
-            .collect();
-        for number in others {
+        for (number, _) in self.executors_up(&order.service, |version| version != order.target) {
             self.stage(|actors, stage| actors.executors.fail(number, false, stage));
         }
     }
 
     /// The executors of a version leave.
     pub(super) fn drain_version(&mut self, service: &str, version: &str) {
-        let leaving: Vec<usize> = self
-            .executors
-            .up()
-            .into_iter()
-            .filter_map(|(number, made)| {
-                (made.service == service && made.version == version).then_some(number)
-            })
-            .collect();
-        for number in leaving {
+        for (number, _) in self.executors_up(service, |other| other == version) {
             self.stage(|actors, stage| actors.executors.drain(number, stage));
         }
     }
+
+    /// The executors of a service that are up and have a version that is wanted, by number.
+    fn executors_up(&self, service: &str, is_wanted: impl Fn(&str) -> bool) -> Vec<(usize, Executor)> {
+        let is_of = |made: &Executor| made.service == service && is_wanted(&made.version);
+        self.executors.up().into_iter().filter(|(_, made)| is_of(made)).collect()
+    }
 }
--- a/crates/tier/src/control/rollout_sync.rs
+++ b/crates/tier/src/control/rollout_sync.rs
@@ -6,7 +6,7 @@
 
 use crate::control::api::CONFIGURATION_PARTITION;
 use crate::links::calls::Continuation;
-use crate::links::messages::{Call, Reply, SyncRollouts};
+use crate::links::messages::{Call, Reply};
 use crate::node::Node;
 use crate::requests::version_permissions::VersionPermissions;
 use crate::runtime::timers::Timer;
@@ -81,7 +81,7 @@
 
     /// The versions of all services, as far as they are known.
     pub fn services(&self) -> &[ServiceVersions] {
-        self.policy.state().map(Rollouts::services).unwrap_or_default()
+        self.policy.state().services()
     }
 
     /// Takes a state over if it is newer. Whether it is.
@@ -95,7 +95,7 @@
 
     fn note_active_rollouts(&mut self, now: Instant) {
         let mut before = std::mem::take(&mut self.first_heard);
-        let services = self.policy.state().map(Rollouts::services).unwrap_or_default();
+        let services = self.policy.state().services();
         for versions in services {
             let Some(Rollout { target_version, .. }) = versions.active_rollout() else { continue };
             let known =
@@ -130,7 +130,7 @@
 
     /// When the leader is to be asked next, from now on; `None`: there is nothing to ask.
     fn interval(&self, has_versions_in_question: bool) -> Option<Duration> {
-        let has_active_rollout = self.policy.state().is_some_and(Rollouts::has_active_rollout);
+        let has_active_rollout = self.policy.state().has_active_rollout();
         if has_active_rollout || (self.enforced && !self.proven) {
             Some(SYNC_INTERVAL)
         } else {
@@ -182,11 +182,7 @@
             return;
         }
         self.rollouts.is_asking = true;
-        let call = Call::SyncRollouts(SyncRollouts {
-            node: self.settings.node_name.as_str().to_owned(),
-            revision: self.rollouts.policy.revision(),
-            report: Vec::new(),
-        });
+        let call = Call::SyncRollouts { newer_than: self.rollouts.policy.revision() };
         let until = self.now + SYNC_TIMEOUT;
         self.call_leader(CONFIGURATION_PARTITION, call, until, Continuation::Rollouts);
     }
--- a/crates/tier/src/control/rollouts.rs
+++ b/crates/tier/src/control/rollouts.rs
@@ -7,7 +7,7 @@
 use crate::control::partition_host::{Application, Waiter};
 use crate::control::rollout_sync::NodeTime;
 use crate::links::calls::{Continuation, OperatorQuestion};
-use crate::links::messages::{Call, Reply, SyncRollouts};
+use crate::links::messages::{Call, Reply};
 use crate::node::Node;
 use grebeusher_registry::{Executor, Registry};
 use grebeusher_rollout::{Entry, RolloutOrder, RolloutState, Rollouts, ServiceVersions, Verdict};
@@ -93,11 +93,11 @@
     }
 
     /// A node asks for the versions of all services.
-    pub(crate) fn sync_rollouts_at_leader(&mut self, waiter: Waiter, sync: &SyncRollouts) {
+    pub(crate) fn sync_rollouts_at_leader(&mut self, waiter: Waiter, newer_than: u64) {
         let Some(index) = self.led_index(CONFIGURATION_PARTITION, waiter) else { return };
         let Some(partition) = self.configuration_partition(index) else { return };
         let rollouts = partition.rollouts();
-        let is_newer = rollouts.revision() > sync.revision;
+        let is_newer = rollouts.revision() > newer_than;
         let reply = if is_newer { Reply::Rollouts(rollouts.encode()) } else { Reply::Done };
         self.reply(waiter.peer, waiter.number, reply);
     }
--- a/crates/tier/src/links/dispatch.rs
+++ b/crates/tier/src/links/dispatch.rs
@@ -196,7 +196,7 @@
             Call::ShowRetire { partition, node } => self.show_retire_at_leader(waiter, partition, &node),
             Call::BeginRollout(order) => self.begin_rollout_at_leader(waiter, order),
             Call::ShowRollout { service } => self.show_rollout_at_leader(waiter, &service),
-            Call::SyncRollouts(sync) => self.sync_rollouts_at_leader(waiter, &sync),
+            Call::SyncRollouts { newer_than } => self.sync_rollouts_at_leader(waiter, newer_than),
         }
     }
 
--- a/crates/tier/src/links/messages.rs
+++ b/crates/tier/src/links/messages.rs
@@ -193,19 +193,11 @@
         /// The service.
         service: String,
     },
-    /// The versions of all services, if they have changed; for the leader of the configuration.
-    SyncRollouts(SyncRollouts),
-}
-
-/// A node asks for the versions of all services, and says what it has seen of those that are rolled out.
-#[derive(Clone, Debug, SerBin, DeBin)]
-pub struct SyncRollouts {
-    /// The name of the node.
-    pub node: String,
-    /// The revision that it has; 0 for none.
-    pub revision: u64,
-    /// What it has seen, as `grebeusher-rollout` encodes it; empty while no service is rolled out.
-    pub report: Vec<u8>,
+    /// The versions of all services, if they have changed since this revision; for the leader of the configuration.
+    SyncRollouts {
+        /// The revision that the caller has; 0 for none.
+        newer_than: u64,
+    },
 }
 
 /// A batch job by its name and size. The bodies go only to a leader that wants them: on a link that is full, copies of them
--- a/crates/tier/src/requests/routing.rs
+++ b/crates/tier/src/requests/routing.rs
@@ -6,7 +6,7 @@
 use crate::control::active_configuration::ActiveConfiguration;
 use crate::requests::header_names as names;
 use crate::requests::upstream_connection::Target;
-use crate::requests::version_permissions::{SeenVersions, VersionPermissions};
+use crate::requests::version_permissions::{VersionPermissions, VersionVerdict};
 use grebeusher_batch::RunOrder;
 use grebeusher_configuration::configuration::Route;
 use grebeusher_gateway::{
@@ -272,11 +272,11 @@
 
     fn update_executors(&mut self, registry: &Registry, permissions: &VersionPermissions<'_>) -> Vec<String> {
         let gone = self.remove_executors_that_are_gone(registry);
-        let seen = SeenVersions::of(registry);
+        let seen = permissions.seen(registry);
         self.has_versions_in_question = false;
         for executor in registry.executors().filter(|executor| executor.exists()) {
-            let is_permitted = permissions.permits(executor, &seen);
-            self.has_versions_in_question |= takes_requests(executor) && permissions.is_in_question(executor);
+            let VersionVerdict { is_permitted, is_in_question } = permissions.verdict(executor, &seen);
+            self.has_versions_in_question |= is_in_question && takes_requests(executor);
             // One that got requests before finishes them.
             if !is_permitted && !self.known.contains_key(&executor.report.id) {
                 continue;
--- a/crates/tier/src/requests/version_permissions.rs
+++ b/crates/tier/src/requests/version_permissions.rs
@@ -17,9 +17,17 @@
 /// The versions that the executors of each service have: the one, or that there are several.
 pub struct SeenVersions<'a>(FxHashMap<&'a str, Option<&'a str>>);
 
+/// What becomes of an executor by its version.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct VersionVerdict {
+    /// Whether it may get new requests.
+    pub is_permitted: bool,
+    /// Whether the leader may know more of it than this node: its version is not in force, or that of its service is unknown.
+    pub is_in_question: bool,
+}
+
 impl<'a> SeenVersions<'a> {
-    /// The versions of all executors that exist.
-    pub fn of(registry: &'a Registry) -> SeenVersions<'a> {
+    fn of(registry: &'a Registry) -> SeenVersions<'a> {
         let mut seen: FxHashMap<&str, Option<&str>> = FxHashMap::default();
         for executor in registry.executors().filter(|executor| executor.exists()) {
             let version = executor.report.config_version.as_str();
@@ -37,27 +45,23 @@
 }
 
 impl VersionPermissions<'_> {
-    /// Whether the leader may know more of an executor's version than this node: it has a version that is not in force, or
-    /// that of its service is unknown.
-    pub fn is_in_question(&self, executor: &Executor) -> bool {
-        match self.policy.permission(&executor.report.service, &executor.report.config_version) {
-            Permission::InForce => false,
-            Permission::Withheld => true,
-            Permission::Unrestricted => self.enforced,
-        }
+    /// The versions of all executors that exist; none where they decide nothing.
+    pub fn seen<'r>(&self, registry: &'r Registry) -> SeenVersions<'r> {
+        if self.enforced { SeenVersions::of(registry) } else { SeenVersions(FxHashMap::default()) }
     }
 
-    /// Whether an executor may get new requests. Of a service whose version in force is unknown it may if all executors have
-    /// the same version, and the leader had time to answer.
-    pub fn permits(&self, executor: &Executor, seen: &SeenVersions<'_>) -> bool {
+    /// What becomes of an executor. Of a service whose version in force is unknown it is permitted if all executors have the
+    /// same version, and the leader had time to answer.
+    pub fn verdict(&self, executor: &Executor, seen: &SeenVersions<'_>) -> VersionVerdict {
         let report = &executor.report;
-        match self.policy.permission(&report.service, &report.config_version) {
-            Permission::InForce => true,
-            Permission::Withheld => false,
+        let is_permitted = match self.policy.permission(&report.service, &report.config_version) {
+            Permission::InForce => return VersionVerdict { is_permitted: true, is_in_question: false },
+            Permission::Withheld => return VersionVerdict { is_permitted: false, is_in_question: true },
             Permission::Unrestricted if self.enforced => {
                 !self.awaits_proof && seen.are_alike(&report.service)
             }
             Permission::Unrestricted => true,
-        }
+        };
+        VersionVerdict { is_permitted, is_in_question: self.enforced }
     }
 }
--- a/crates/tier/tests/rollouts.rs
+++ b/crates/tier/tests/rollouts.rs
@@ -13,7 +13,7 @@
 const LONG: Duration = Duration::from_millis(3000);
 
 fn is_sync(call: &Call) -> bool {
-    matches!(call, Call::SyncRollouts(_))
+    matches!(call, Call::SyncRollouts { .. })
 }
 
 /// `v1` of the service is in force.
--- a/crates/tier/tests/stable_bytes.rs
+++ b/crates/tier/tests/stable_bytes.rs
@@ -5,7 +5,7 @@
 use grebeusher_tier::control::leader_index::{LedPartition, LedPartitions};
 use grebeusher_tier::links::messages::{
     BatchLoad, Call, CallEnvelope, CallNumber, Channel, OfferJob, QuorumEnvelope, Reply, ReplyEnvelope,
-    SubmitJob, SyncRollouts,
+    SubmitJob,
 };
 use nanoserde::{DeBin, SerBin};
 use rstest::rstest;
@@ -49,7 +49,7 @@
         Call::OfferJob(_) => 12,
         Call::BeginRollout(_) => 13,
         Call::ShowRollout { .. } => 14,
-        Call::SyncRollouts(_) => 15,
+        Call::SyncRollouts { .. } => 15,
     }
 }
 
@@ -123,10 +123,7 @@
     "0d0001000000000000007302000000000000007632983a000000000000"
 )]
 #[case::show_rollout(Call::ShowRollout { service: "s".to_owned() }, "0e00010000000000000073")]
-#[case::sync_rollouts(
-    Call::SyncRollouts(SyncRollouts { node: "edge-1".to_owned(), revision: 0x0102_0304_0506_0708, report: vec![0xab] }),
-    "0f000600000000000000656467652d3108070605040302010100000000000000ab"
-)]
+#[case::sync_rollouts(Call::SyncRollouts { newer_than: 0x0102_0304_0506_0708 }, "0f000807060504030201")]
 fn a_call_keeps_its_bytes(#[case] call: Call, #[case] pinned: &str) {
     assert_pinned(&call, pinned);
     assert_eq!(call.serialize_bin()[..2], number_of_call(&call).to_le_bytes());
