Log why items are given up, how their runs end, and which responses are surplus

Nothing in the logs told the incident's hypotheses apart: an item that is listed dead_letter left no line. The runner now records what it gives up with the cause (failed attempts with count and maximum, a 422, the end of the retention with the age by this replica, no route), and the leader writes it as a warning. The log lines of items have a module of their own.

--- a/crates/batch/src/jobs.rs
+++ b/crates/batch/src/jobs.rs
@@ -227,6 +227,11 @@
         self.jobs.keys()
     }
 
+    /// The id of an open item. `None` if the job is unknown, or the item has a result or never existed.
+    pub fn open_item_id(&self, job: &JobId, item: ItemIndex) -> Option<&str> {
+        Some(&self.job(job)?.open_item(item)?.spec.id)
+    }
+
     pub(crate) fn job(&self, job: &JobId) -> Option<&Job> {
         self.jobs.get(job)
     }
--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -94,8 +94,8 @@
 };
 pub use names::{ItemIndex, JobId, MAX_ID_BYTES};
 pub use runner::{
-    Capacity, EventDisposition, JobOrigin, JobRoute, MAX_TEXT_BYTES, RouteIndex, RouteLookup, RoutedJobs,
-    RunId, RunOutcome, RunRequest, Runner,
+    Capacity, EventDisposition, GiveUpCause, GivenUp, JobOrigin, JobRoute, MAX_TEXT_BYTES, RouteIndex,
+    RouteLookup, RoutedJobs, RunId, RunOutcome, RunRequest, Runner,
 };
 pub use shared_bytes::{SharedBytes, SharedText};
 pub use submission::{
--- a/crates/batch/src/runner.rs
+++ b/crates/batch/src/runner.rs
@@ -4,7 +4,7 @@
 //!
 //! [`Runner`] owns the state. Each concern extends it in a module of its own: `leadership` starts and ends the terms of
 //! a leader, `dispatch` starts items, `run_reports` processes events and outcomes, `abandonment` gives up items,
-//! `proposals` creates log entries, `unproposed_results` holds results until they are proposed, and `routes` determines
+//! `given_up` records which and why, `proposals` creates log entries, `unproposed_results` holds results until they are proposed, and `routes` determines
 //! the routes of jobs and items.
 //!
 //! A run is one attempt to execute an item. An item is open until its result is committed or its job has ended.
@@ -12,6 +12,7 @@
 mod abandonment;
 mod backoff;
 mod dispatch;
+mod given_up;
 mod item_run;
 mod job_run;
 mod leadership;
@@ -38,6 +39,7 @@
 use run_duration::RunDurationEstimate;
 use unproposed_results::UnproposedResults;
 
+pub use given_up::{GiveUpCause, GivenUp};
 pub use item_run::MAX_TEXT_BYTES;
 pub use routes::{JobOrigin, JobRoute, RouteIndex, RouteLookup, RoutedJobs};
 pub use run::{Capacity, EventDisposition, RunId, RunOutcome, RunRequest};
@@ -73,6 +75,8 @@
     changed_failure_counts: VecDeque<ItemKey>,
     /// Runs whose connections have to be closed.
     cancelled: Vec<RunId>,
+    /// What was given up since the caller last took the list.
+    given_up: Vec<GivenUp>,
     jitter: BackoffJitter,
     run_duration: RunDurationEstimate,
 }
@@ -91,6 +95,7 @@
             unproposed_results: UnproposedResults::default(),
             changed_failure_counts: VecDeque::new(),
             cancelled: Vec::new(),
+            given_up: Vec::new(),
             jitter: BackoffJitter::new(seed),
             run_duration: RunDurationEstimate::default(),
         }
--- a/crates/batch/src/runner/abandonment.rs
+++ b/crates/batch/src/runner/abandonment.rs
@@ -1,9 +1,10 @@
 //! Gives up items past their retention and items without a route, and determines the jobs whose results are no longer
 //! served.
 
-use grebeusher_time::{Duration, Instant};
+use grebeusher_time::{Duration, DurationExt, Instant};
 
 use super::Runner;
+use super::given_up::{GiveUpCause, GivenUp};
 use super::item_run::{ItemRun, Phase};
 use super::run_reports::dead_letter;
 use super::unproposed_results::PendingResult;
@@ -17,7 +18,9 @@
         let expired = self.jobs.iter().filter(|(_, job)| job.is_past_retention(now));
         let expired: Vec<JobId> = expired.map(|(id, _)| id.clone()).collect();
         for id in expired {
-            self.give_up_items(&id, |_| true);
+            let age = self.first_seen.get(&id).map_or(Duration::default(), |seen_at| now.since(*seen_at));
+            let cause = GiveUpCause::RetentionOver { age_ms: age.nanos() / 1_000_000 };
+            self.give_up_items(&id, cause, |_| true);
         }
     }
 
@@ -25,14 +28,19 @@
     pub fn give_up_unrouted(&mut self) {
         let ids: Vec<JobId> = self.jobs.keys().cloned().collect();
         for id in ids {
-            self.give_up_items(&id, |item| item.route.is_none());
+            self.give_up_items(&id, GiveUpCause::NoRoute, |item| item.route.is_none());
         }
     }
 
     /// Gives up the unfinished items of a job for which `selects` returns true.
-    fn give_up_items(&mut self, id: &JobId, selects: impl Fn(&ItemRun) -> bool) {
+    fn give_up_items(&mut self, id: &JobId, cause: GiveUpCause, selects: impl Fn(&ItemRun) -> bool) {
         let Some(job) = self.jobs.get_mut(id) else { return };
-        for (item, phase) in job.give_up(selects) {
+        let given_up = job.give_up(selects);
+        if let Some((first_item, _)) = given_up.first() {
+            let (job, first_item, item_count) = (id.clone(), *first_item, given_up.len());
+            self.given_up.push(GivenUp { job, first_item, item_count, cause });
+        }
+        for (item, phase) in given_up {
             if let Phase::Running(run) = phase {
                 self.cancel(run);
             }
--- a/crates/batch/src/runner/job_run.rs
+++ b/crates/batch/src/runner/job_run.rs
@@ -5,6 +5,7 @@
 use grebeusher_time::{Duration, DurationExt, Instant};
 
 use super::RunId;
+use super::given_up::GiveUpCause;
 use super::item_run::{ItemRun, Phase};
 use super::priority::{Priority, Turn};
 use super::routes::{RouteIndex, RouteLookup};
@@ -218,10 +219,11 @@
         Some(FinishedItem { text: item.finish(), started_at: item.started_at })
     }
 
-    /// Counts a 500 response. Returns whether the item has reached its maximum number of attempts.
-    pub fn count_failure(&mut self, index: ItemIndex) -> bool {
-        let max_attempts = self.max_attempts;
-        self.items.get_mut(&index).is_some_and(|item| item.count_failure() >= max_attempts)
+    /// Counts a 500 response. Returns why the item is to be given up, if it has reached its maximum number of attempts.
+    pub fn count_failure(&mut self, index: ItemIndex) -> Option<GiveUpCause> {
+        let failed = self.items.get_mut(&index)?.count_failure();
+        let max = self.max_attempts;
+        (failed >= max).then_some(GiveUpCause::FailedAttempts { failed, max })
     }
 
     /// Finishes the unfinished items for which `selects` returns true. Returns them with their previous phases.
--- a/crates/batch/src/runner/run_reports.rs
+++ b/crates/batch/src/runner/run_reports.rs
@@ -5,6 +5,7 @@
 
 use super::Runner;
 use super::backoff::{self, Backoff};
+use super::given_up::{GiveUpCause, GivenUp};
 use super::item_run::ItemRun;
 use super::run::{EventDisposition, RunId, RunOutcome};
 use super::unproposed_results::PendingResult;
@@ -33,7 +34,7 @@
             RunOutcome::NotExecuted | RunOutcome::Misdirected => {
                 self.back_off(run, backoff::NOT_EXECUTED, now);
             }
-            RunOutcome::Rejected422 => self.give_up_item(run),
+            RunOutcome::Rejected422 => self.give_up_item(run, GiveUpCause::Rejected),
             RunOutcome::Failed500 => self.count_failure(run, now),
         }
     }
@@ -46,18 +47,20 @@
         self.unproposed_results.push(PendingResult { job: key.job, result });
     }
 
-    fn give_up_item(&mut self, run: RunId) {
+    fn give_up_item(&mut self, run: RunId, cause: GiveUpCause) {
         let Some(key) = self.runs.remove(&run) else { return };
         let Some(job) = self.jobs.get_mut(&key.job) else { return };
         job.finish(key.item);
+        let (id, first_item) = (key.job.clone(), key.item);
+        self.given_up.push(GivenUp { job: id, first_item, item_count: 1, cause });
         self.unproposed_results.push(PendingResult { result: dead_letter(key.item), job: key.job });
     }
 
     fn count_failure(&mut self, run: RunId, now: Instant) {
         let Some(key) = self.runs.get(&run).cloned() else { return };
         let Some(job) = self.jobs.get_mut(&key.job) else { return };
-        if job.count_failure(key.item) {
-            return self.give_up_item(run);
+        if let Some(cause) = job.count_failure(key.item) {
+            return self.give_up_item(run, cause);
         }
         self.changed_failure_counts.push_back(key);
         self.back_off(run, backoff::FAILED, now);
--- a/crates/batch/tests/batches/abandonment.rs
+++ b/crates/batch/tests/batches/abandonment.rs
@@ -22,8 +22,12 @@
     assert_eq!(partition.runner.take_cancelled(), [request.run]);
     assert!(listed_results(&partition.jobs, "j").iter().all(|result| result.1 == ResultState::DeadLetter));
     assert_eq!(listed_results(&partition.jobs, "j").len(), 2);
+    let cause = GiveUpCause::RetentionOver { age_ms: 60_000 };
+    let given_up = GivenUp { job: job("j"), first_item: ItemIndex(0), item_count: 2, cause };
+    assert_eq!(partition.runner.take_given_up(), [given_up]);
     partition.runner.give_up_expired_items(partition.now);
     assert_eq!(partition.commit_proposals(), 0);
+    assert_eq!(partition.runner.take_given_up(), []);
 }
 
 #[test]
@@ -46,6 +50,9 @@
     assert_eq!(request.job, job("j"));
     partition.set_prefixes(&[OTHER_PREFIX]);
     partition.runner.give_up_unrouted();
+    let given_up =
+        GivenUp { job: job("j"), first_item: ItemIndex(0), item_count: 2, cause: GiveUpCause::NoRoute };
+    assert_eq!(partition.runner.take_given_up(), [given_up]);
     partition.commit_proposals();
     assert_eq!(partition.runner.take_cancelled(), [request.run]);
     assert_eq!(listed_results(&partition.jobs, "j").len(), 2);
--- a/crates/batch/tests/batches/retries.rs
+++ b/crates/batch/tests/batches/retries.rs
@@ -65,6 +65,19 @@
         );
     }
     assert_eq!(listed_results(&partition.jobs, "j")[0].1, ResultState::DeadLetter);
+    let cause = GiveUpCause::FailedAttempts { failed: 3, max: 3 };
+    let given_up = GivenUp { job: job("j"), first_item: ItemIndex(0), item_count: 1, cause };
+    assert_eq!(partition.runner.take_given_up(), [given_up]);
+}
+
+#[test]
+fn a_rejected_item_is_given_up_with_its_cause() {
+    let mut partition = Partition::with_job("j", 1);
+    let request = partition.next();
+    partition.end_run(&request, RunOutcome::Rejected422);
+    let given_up =
+        GivenUp { job: job("j"), first_item: ItemIndex(0), item_count: 1, cause: GiveUpCause::Rejected };
+    assert_eq!(partition.runner.take_given_up(), [given_up]);
 }
 
 /// Guards against counting broken streams, rejections and misdirected requests as failed attempts.
--- a/crates/tier/src/batch/items.rs
+++ b/crates/tier/src/batch/items.rs
@@ -19,7 +19,7 @@
 use nanoserde::SerBin;
 use rustc_hash::FxHashMap;
 use std::net::SocketAddrV4;
-use tracing::debug;
+use std::sync::Arc;
 
 /// The interval at which the node checks whether an executor has capacity for a waiting item.
 const POLL_INTERVAL: Duration = Duration::from_millis(15);
@@ -34,10 +34,17 @@
 const MAX_STARTS_PER_TURN: usize = 16;
 
 /// An item that is running at an executor.
-struct ActiveRun {
+pub(super) struct ActiveRun {
     /// The index of the item's partition among the node's partitions.
-    partition_index: usize,
-    run_id: RunId,
+    pub(super) partition_index: usize,
+    pub(super) run_id: RunId,
+    /// The id of the item, for the log.
+    pub(super) item_id: String,
+    /// The instance id of the executor, for the log.
+    pub(super) executor: Arc<str>,
+    /// The serial number of the connection, for the log.
+    pub(super) connection_serial: u64,
+    pub(super) started_at: Instant,
     /// The gateway's token of the attempt at the executor.
     attempt: AttemptToken,
     /// The index of the connection to the executor.
@@ -45,7 +52,7 @@
     /// The decoder of the events in the response.
     reader: EventReader,
     /// The HTTP status of the response; 0 until its head has arrived.
-    status: u16,
+    pub(super) status: u16,
     /// Whether the response says that the executor did not run the item.
     not_executed: bool,
     /// Whether the response has the header `X-Grebeusher-Server-Seal`, with which executors mark their answers.
@@ -93,6 +100,7 @@
             if let Some(partition) = self.batch_partition_mut(index) {
                 partition.runner_mut().give_up_expired_items(now);
             }
+            self.log_given_up(index);
             // A leader whose process was suspended may have been replaced without knowing it yet.
             if self.partitions[index].replica.lease_holds(self.clock()) {
                 self.start_items(index);
@@ -111,35 +119,12 @@
 
     /// The total tokens of a partition's items that have not started yet, on the routes of the current
     /// configuration.
-    fn unstarted_tokens(&mut self, index: usize) -> u64 {
+    pub(super) fn unstarted_tokens(&mut self, index: usize) -> u64 {
         let Some(active) = self.configuration.active().cloned() else { return 0 };
         let Some(partition) = self.batch_partition_mut(index) else { return 0 };
         active.routes.bulk_routes().map(|(route, _)| partition.runner().queued_tokens(route)).sum()
     }
 
-    /// Logs the progress of a led partition's items at an interval, as long as the results of some are not
-    /// listed yet.
-    pub(crate) fn log_item_progress(&mut self, index: usize) {
-        let (now, partition_number) = (self.now, self.partitions[index].partition);
-        let Some(partition) = self.batch_partition_mut(index) else { return };
-        if !partition.runner().has_open_items() || !partition.take_progress_log_due(now) {
-            return;
-        }
-        let waiting_tokens = self.unstarted_tokens(index);
-        let Some(partition) = self.batch_partition_mut(index) else { return };
-        let runner = partition.runner();
-        debug!(
-            partition = partition_number,
-            running = runner.running_count(),
-            waiting_tokens,
-            unrouted = runner.unrouted_count(),
-            finished = runner.finished_count(),
-            unproposed = runner.unproposed_count(),
-            jobs = partition.jobs().len(),
-            "items running"
-        );
-    }
-
     /// Starts items of a led partition while its share and the executors' capacity allow it.
     fn start_items(&mut self, index: usize) {
         for _ in 0..MAX_STARTS_PER_TURN {
@@ -219,20 +204,13 @@
         });
         match started {
             Ok(connection) => {
-                debug!(
-                    partition = self.partitions[index].partition,
-                    job = order.job.as_str(),
-                    item = order.attempt_id,
-                    host = order.host,
-                    path = order.path.as_str(),
-                    route = route.map(|route| route.name.as_str()),
-                    executor = %candidate.target.instance,
-                    version = active.version,
-                    "item starts"
-                );
                 let run = ActiveRun {
                     partition_index: index,
                     run_id: order.run,
+                    item_id: order.attempt_id.clone(),
+                    executor: candidate.target.instance.clone(),
+                    connection_serial: self.connections.serial(connection),
+                    started_at: now,
                     attempt,
                     connection,
                     reader: EventReader::new(),
@@ -241,6 +219,8 @@
                     sealed: false,
                     last_activity: now,
                 };
+                let route_name = route.map(|route| route.name.as_str());
+                self.log_run_start(&run, &order, route_name, active.version);
                 self.items.active.insert(key, run);
                 self.alarms.set(now + SILENCE_TIMEOUT, Timer::ItemResponseTimeout { run: key });
             }
@@ -257,6 +237,7 @@
         if let Some(partition) = self.batch_partition_mut(index) {
             partition.runner_mut().run_ended(run, outcome, now);
         }
+        self.log_given_up(index);
         self.wake_items();
     }
 
@@ -338,6 +319,7 @@
     fn finish_run(&mut self, key: u64, attempt_outcome: AttemptOutcome, run_outcome: RunOutcome) {
         let now = self.now;
         let Some(active) = self.items.active.remove(&key) else { return };
+        self.log_run_end(&active, run_outcome);
         self.requests.routing.gateway.attempt_finished(now, active.attempt, attempt_outcome);
         self.end_run(active.partition_index, active.run_id, run_outcome);
     }
--- a/crates/tier/src/requests/dispatch.rs
+++ b/crates/tier/src/requests/dispatch.rs
@@ -11,6 +11,7 @@
 use crate::requests::server_connection::ListenerKind;
 use crate::requests::upstream::{CallEvent, close_failed};
 use crate::requests::upstream_connection::{CallOwner, Parsed, ResponseEnd};
+use tracing::debug;
 
 /// The most connections that a listener accepts in one iteration of the event loop.
 const MAX_ACCEPTS_PER_ITERATION: usize = 64;
@@ -154,6 +155,7 @@
             let consumed = match parsed {
                 Ok(Parsed::Incomplete) => break,
                 Ok(Parsed::Unexpected) => {
+                    debug!(executor = %upstream.instance(), connection = serial, "surplus bytes on an idle connection");
                     self.connections.close(index);
                     break;
                 }
@@ -163,6 +165,10 @@
                 }
                 Ok(Parsed::Interim { consumed }) => consumed,
                 Ok(Parsed::Head { consumed, owner, head, is_complete }) => {
+                    if owner.is_none() {
+                        let (executor, status) = (upstream.instance(), head.status);
+                        debug!(%executor, connection = serial, status, "surplus response dropped");
+                    }
                     if let Some(owner) = owner {
                         self.deliver(owner, CallEvent::Head { status: head.status, headers: &head.headers });
                     }
