--- a/crates/simulation/src/executors/mod.rs
+++ b/crates/simulation/src/executors/mod.rs
@@ -4,6 +4,7 @@
 mod flaws;
 mod grey;
 mod heartbeats;
+mod repeats;
 mod runs;
 mod serving;
 
@@ -55,6 +56,8 @@
     pub cut: f64,
     /// The share of answers that bytes of another answer follow.
     pub surplus: f64,
+    /// The share of answers that are sent twice, the copy in the place of the next answer on the connection.
+    pub repeated: f64,
     /// The share of requests that fail, and how.
     pub grey: Option<(Grey, f64)>,
     /// Whether it says that it is ill.
@@ -114,6 +117,10 @@
     run: Option<u64>,
     /// A surplus answer is still to come, in the place of the next one.
     owes_surplus: bool,
+    /// What has been sent of the current answer, if it may be repeated.
+    answer: Vec<u8>,
+    /// Copies of earlier answers, which precede the next answer.
+    late_copies: Vec<u8>,
     closes: bool,
 }
 
--- a/crates/simulation/src/executors/runs.rs
+++ b/crates/simulation/src/executors/runs.rs
@@ -101,6 +101,7 @@
         if let Some(connection) = live.connections.get_mut(&found.end) {
             connection.run = None;
         }
+        self.answer_complete(number, found.end, stage);
         self.next_waiting(number, stage);
         while self.next_request(number, found.end, stage) {}
     }
--- a/crates/simulation/src/executors/serving.rs
+++ b/crates/simulation/src/executors/serving.rs
@@ -55,6 +55,7 @@
         if connection.is_some_and(|connection| std::mem::take(&mut connection.owes_surplus)) {
             self.write_surplus(number, end, stage);
         }
+        self.write_late_copies(number, end, stage);
         let live = &mut self.all[number];
         let headers = &asked.head.headers;
         let attempt = headers.get(names::ATTEMPT_ID).unwrap_or_default().to_owned();
@@ -77,7 +78,8 @@
         if let Some(status) = refused {
             let further = [(names::NOT_EXECUTED, "1"), (names::ATTEMPT_ID, attempt.as_str())];
             let bytes = http::answer(status, &further, b"");
-            return self.write(number, end, &bytes, stage);
+            self.write(number, end, &bytes, stage);
+            return self.answer_complete(number, end, stage);
         }
         let now = stage.now();
         if live.runs.len() < live.made.slots {
@@ -100,6 +102,7 @@
     }
 
     pub(super) fn write(&mut self, number: usize, end: End, bytes: &[u8], stage: &mut Stage<'_>) {
+        self.keep_for_repeat(number, end, bytes);
         if let Some(connection) = self.all[number].connections.get_mut(&end) {
             connection.out.extend_from_slice(bytes);
             flush(connection, end, stage);
@@ -107,7 +110,7 @@
     }
 }
 
-fn flush(connection: &mut ServerConnection, end: End, stage: &mut Stage<'_>) {
+pub(super) fn flush(connection: &mut ServerConnection, end: End, stage: &mut Stage<'_>) {
     while !connection.out.is_empty() {
         match stage.hub.write(end, &connection.out) {
             Ok(count) => drop(connection.out.drain(..count)),
--- a/crates/simulation/src/scenario/trouble.rs
+++ b/crates/simulation/src/scenario/trouble.rs
@@ -169,6 +169,9 @@
     AnswerLost { x: f64, for_s: f64 },
     /// Executors break off answers, or send more than was asked.
     Garble { x: f64, surplus: bool, for_s: f64 },
+    /// Executors send a share `x` of their answers twice. The copy has the id and status of the answer, and comes in the place
+    /// of the next answer on its connection. A share `failures` of the requests fails, in the way `how`.
+    RepeatedAnswers { x: f64, failures: f64, how: Grey, for_s: f64 },
     /// A machine loses power right after it has acknowledged the next order to roll a version out.
     AfterRolloutKill { after_ms: f64, wipe: bool, for_s: f64 },
     /// The operators roll out a new version of the first service; its executors come when the order is acknowledged.
