A call uses no connection to an executor that has carried a call with its id

Callers saw an item of a batch job listed as dead_letter before its retention was over and before max_attempts 500 responses (MIXED).

Cause: an executor may send a response twice, the copy in the place of the next one on the connection. Copies are told apart by X-Grebeusher-Attempt-Id, but all runs of an item, and all attempts of a request, have one id. A later run of the item on the same connection took the copy for its own response: one 500 counted twice, and from then on each response counted for the next run.

The protocol has nothing else by which two runs could be told apart, so they must not share a connection. A connection that is passed over stays in the pool for other calls; a new one is opened only if no other is idle.

--- a/crates/tier/src/links/connections.rs
+++ b/crates/tier/src/links/connections.rs
@@ -179,16 +179,28 @@
         self.idle_upstreams.entry(instance).or_default().push(index);
     }
 
-    /// Takes a usable connection to an executor out of the pool. Expired ones that it finds are closed.
-    pub fn take_idle(&mut self, instance: &Arc<str>, now: Instant) -> Option<usize> {
-        loop {
-            let index = self.idle_upstreams.get_mut(instance)?.pop()?;
-            let is_usable = self.upstream_mut(index).is_some_and(|(_, upstream)| upstream.is_usable(now));
+    /// Takes a connection to an executor out of the pool that is usable for a call with this attempt id. Expired
+    /// ones that it finds are closed.
+    pub fn take_idle(&mut self, instance: &Arc<str>, attempt_id: &str, now: Instant) -> Option<usize> {
+        let mut indices = self.idle_upstreams.remove(instance)?;
+        let mut taken = None;
+        for position in (0..indices.len()).rev() {
+            let index = indices[position];
+            let upstream = self.upstream_mut(index).map(|(_, upstream)| upstream);
+            let usable = upstream.filter(|upstream| upstream.is_usable(now));
+            if usable.as_ref().is_some_and(|upstream| !upstream.can_carry(attempt_id)) {
+                continue;
+            }
+            let is_usable = usable.is_some();
+            indices.remove(position);
             if is_usable {
-                return Some(index);
+                taken = Some(index);
+                break;
             }
             self.close(index);
         }
+        self.idle_upstreams.insert(instance.clone(), indices);
+        taken
     }
 
     /// Closes the idle connections to an executor.
--- a/crates/tier/src/requests/mod.rs
+++ b/crates/tier/src/requests/mod.rs
@@ -4,10 +4,11 @@
 //!   in `impl Node`.
 //! - [`server`] accepts connections and writes responses; [`server_connection`] parses the requests of one connection.
 //! - [`exchange`] is one client request with its attempts at executors.
-//! - [`upstream`] sends calls to executors on [`upstream_connection`]s.
+//! - [`upstream`] sends calls to executors on [`upstream_connection`]s; `attempt_ids` remembers which calls one has carried.
 //! - [`routing`] asks the `gateway` crate for an executor; [`version_permissions`] says which executors it may use.
 //! - [`prefix_popularity`] shares with the other nodes which prompt prefixes are popular.
 
+mod attempt_ids;
 pub(crate) mod dispatch;
 pub mod event_buffer;
 pub mod exchange;
--- a/crates/tier/src/requests/upstream.rs
+++ b/crates/tier/src/requests/upstream.rs
@@ -36,7 +36,8 @@
 }
 
 impl Requests {
-    /// Sends a request to an executor, on an idle connection if there is one. Returns the index of the connection.
+    /// Sends a request to an executor, on an idle connection if there is one that has carried no call with this attempt id.
+    /// Returns the index of the connection.
     ///
     /// # Errors
     /// `CallFailure::NeverSent` if no connection could be opened, `CallFailure::BeforeHead` if an idle connection broke after a
@@ -49,7 +50,7 @@
         attempt_id: &str,
         request: &[u8],
     ) -> Result<usize, CallFailure> {
-        while let Some(index) = context.connections.take_idle(&target.instance, context.now) {
+        while let Some(index) = context.connections.take_idle(&target.instance, attempt_id, context.now) {
             let Some((socket, upstream)) = context.connections.upstream_mut(index) else { continue };
             upstream.start_call(owner, attempt_id);
             socket.append_output(request);
--- a/crates/tier/src/requests/upstream_connection.rs
+++ b/crates/tier/src/requests/upstream_connection.rs
@@ -1,5 +1,6 @@
 //! One connection to an executor: a state machine that parses the responses. `requests/dispatch.rs` delivers them.
 
+use crate::requests::attempt_ids::AttemptIds;
 use crate::requests::exchange::ExchangeKey;
 use crate::requests::header_names as names;
 use grebeusher_time::{Duration, DurationExt, Instant};
@@ -86,6 +87,8 @@
     owner: Option<CallOwner>,
     /// The attempt id of the current call; a response with another one is stale.
     attempt_id: String,
+    /// The attempt ids of this call and earlier ones on the connection.
+    carried_ids: AttemptIds,
     /// The time until which the connection may be used while it is idle.
     usable_until: Instant,
     /// Whether the connection has to be closed after the current response.
@@ -100,11 +103,14 @@
         attempt_id: &str,
         now: Instant,
     ) -> UpstreamConnection {
+        let mut carried_ids = AttemptIds::default();
+        carried_ids.push(attempt_id);
         UpstreamConnection {
             target,
             state: State::Connecting,
             owner: Some(owner),
             attempt_id: attempt_id.to_owned(),
+            carried_ids,
             usable_until: now + DEFAULT_IDLE_TIMEOUT,
             must_close: false,
         }
@@ -114,9 +120,17 @@
     pub(crate) fn start_call(&mut self, owner: CallOwner, attempt_id: &str) {
         self.owner = Some(owner);
         attempt_id.clone_into(&mut self.attempt_id);
+        self.carried_ids.push(attempt_id);
         self.state = State::AwaitingHead;
     }
 
+    /// Whether a call with this attempt id can be told apart from the earlier calls on the connection. An executor may send a
+    /// response twice, and all attempts of a request and all runs of an item have the same id: a late response to an earlier
+    /// call would be taken for the response to this one.
+    pub(crate) fn can_carry(&self, attempt_id: &str) -> bool {
+        !self.carried_ids.contains(attempt_id)
+    }
+
     /// Whether the connection is still being opened.
     pub(crate) fn is_connecting(&self) -> bool {
         matches!(self.state, State::Connecting)
