--- a/crates/tier/src/links/connections.rs
+++ b/crates/tier/src/links/connections.rs
@@ -182,25 +182,15 @@
     /// Takes a connection to an executor out of the pool that is usable for a call with this attempt id. Expired
     /// ones that it finds are closed.
     pub fn take_idle(&mut self, instance: &Arc<str>, attempt_id: &str, now: Instant) -> Option<usize> {
-        let mut indices = self.idle_upstreams.remove(instance)?;
-        let mut taken = None;
+        let indices = self.idle_upstreams.get_mut(instance)?;
         for position in (0..indices.len()).rev() {
-            let index = indices[position];
-            let upstream = self.upstream_mut(index).map(|(_, upstream)| upstream);
-            let usable = upstream.filter(|upstream| upstream.is_usable(now));
-            if usable.as_ref().is_some_and(|upstream| !upstream.can_carry(attempt_id)) {
-                continue;
+            match usable_upstream(&self.entries, indices[position], now) {
+                Some(upstream) if upstream.can_carry(attempt_id) => return Some(indices.remove(position)),
+                Some(_) => {}
+                None => drop(self.entries.try_remove(indices.remove(position))),
             }
-            let is_usable = usable.is_some();
-            indices.remove(position);
-            if is_usable {
-                taken = Some(index);
-                break;
-            }
-            self.close(index);
         }
-        self.idle_upstreams.insert(instance.clone(), indices);
-        taken
+        None
     }
 
     /// Closes the idle connections to an executor.
@@ -221,3 +211,11 @@
         self.idle_upstreams.retain(|_, indices| !indices.is_empty());
     }
 }
+
+/// The connection to an executor at an index, unless it has expired.
+fn usable_upstream(entries: &Slab<Connection>, index: usize, now: Instant) -> Option<&UpstreamConnection> {
+    match &entries.get(index)?.role {
+        Role::Upstream(upstream) => Some(upstream).filter(|upstream| upstream.is_usable(now)),
+        _ => None,
+    }
+}
