The age of a job counts from a time that was read after its entry

A process that is suspended within a turn (SIGSTOP, a paused machine, a spent quota) reads what came meanwhile in the same turn, so that a job was seen before its client had sent it. Where the replica is or becomes the leader, retention ended too early by that time.

Change: both read the clock when they apply. first_seen is again never before the first submission, also after a suspension.

--- a/crates/tier/src/batch/leader.rs
+++ b/crates/tier/src/batch/leader.rs
@@ -39,7 +39,8 @@
 
     /// Restores a batch partition from a snapshot.
     pub(crate) fn restore_batch(&mut self, index: usize, bytes: Blob) -> Result<(), RunError> {
-        let (now, partition_number) = (self.now, self.partitions[index].partition);
+        // Jobs must not count as older than they are, and the process may have been suspended since the turn began.
+        let (now, partition_number) = (self.clock(), self.partitions[index].partition);
         let unreadable = |reason: String| RunError::State { partition: partition_number, reason };
         if let Some(partition) = self.batch_partition_mut(index) {
             partition.restore(&shared_bytes(bytes)).map_err(|e| unreadable(e.to_string()))?;
@@ -55,7 +56,8 @@
         payload: Blob,
         waiters: Vec<Waiter>,
     ) -> Result<(), RunError> {
-        let (now, partition_number) = (self.now, self.partitions[index].partition);
+        // As for a snapshot, the job of the entry must not count as older than it is.
+        let (now, partition_number) = (self.clock(), self.partitions[index].partition);
         let unreadable = |reason: String| RunError::State { partition: partition_number, reason };
         let payload = shared_bytes(payload);
         let status = match payload.split_first() {
--- a/crates/tier/tests/single_node/network.rs
+++ b/crates/tier/tests/single_node/network.rs
@@ -40,6 +40,8 @@
     now: Instant,
     /// The last random number.
     random: u64,
+    /// For how long the process is suspended after it has read the clock the next time.
+    suspension: Option<Duration>,
     /// Whether SIGTERM is pending.
     stop: bool,
     /// The key and the connections to be accepted of each listener.
@@ -65,6 +67,11 @@
         self.now = self.now + span;
     }
 
+    /// Suspends the process once it has read the clock, which it does at the start of a turn of its event loop.
+    pub fn suspend_after_next_clock_read(&mut self, span: Duration) {
+        self.suspension = Some(span);
+    }
+
     /// Sends SIGTERM to the node.
     pub fn stop(&mut self) {
         self.stop = true;
@@ -160,7 +167,12 @@
 
 impl World for TestWorld {
     fn now(&self) -> Instant {
-        self.network.borrow().now
+        let mut network = self.network.borrow_mut();
+        let read = network.now;
+        if let Some(span) = network.suspension.take() {
+            network.advance(span);
+        }
+        read
     }
 
     fn wall_ms(&self) -> u64 {
