--- a/crates/simulation/tests/fleets/mod.rs
+++ b/crates/simulation/tests/fleets/mod.rs
@@ -6,10 +6,15 @@
 use grebeusher_simulation::scenario::{Closing, Fault, Load, Scenario, Timed};
 use std::path::Path;
 
+/// The scenario of a file.
+pub fn scenario_file(name: &str) -> Scenario {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join(format!("../../deploy/simulation/{name}.toml"));
+    Scenario::read(&path).expect("the file is there and right")
+}
+
 /// The scenario file of a shape, with a short day.
 pub fn shape(name: &str) -> Scenario {
-    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join(format!("../../deploy/simulation/{name}.toml"));
-    let mut scenario = Scenario::read(&path).expect("the file is there and right");
+    let mut scenario = scenario_file(name);
     scenario.load = Load {
         length_s: 8.0,
         lead_s: 6.0,
--- a/crates/simulation/tests/repeated_answers.rs
+++ b/crates/simulation/tests/repeated_answers.rs
@@ -2,7 +2,7 @@
 
 mod fleets;
 
-use fleets::{expect_clean, shape};
+use fleets::{expect_clean, scenario_file, shape};
 use grebeusher_simulation::fleet::run;
 use grebeusher_simulation::scenario::{Fault, Grey, Load, Scenario, Timed};
 use rstest::rstest;
@@ -25,3 +25,23 @@
     expect_clean(&report);
     assert!(report.counts.results > 20, "{:?}", report.counts);
 }
+
+/// The same with refusals, which promise that the request never runs (REFUSED, TWICE, ORDER).
+#[rstest]
+fn repeated_refusals_break_no_promise(
+    #[values(Grey::Shed, Grey::Busy, Grey::Reset, Grey::Slow)] how: Grey,
+    #[values(1, 2, 3, 4)] seed: u64,
+) {
+    let report = run(&day(0.5, how), seed);
+    expect_clean(&report);
+}
+
+/// The same while leaders and machines are lost in turn, configurations change and executors are replaced.
+#[rstest]
+fn repeated_answers_beside_other_faults_break_nothing(
+    #[values(780_001, 780_003, 780_005, 780_012)] seed: u64,
+) {
+    let report = run(&scenario_file("repeated-answers"), seed);
+    expect_clean(&report);
+    assert!(report.counts.results > 50, "{:?}", report.counts);
+}
