--- a/crates/demo/src/executors.rs
+++ b/crates/demo/src/executors.rs
@@ -1,6 +1,7 @@
 //! Stand-in executors: small servers that speak the published protocol. They greet, and they say the words of a body as a
 //! stream of events with rising ids, going on after `Last-Event-Id`.
 
+use crate::answer_faults::AnswerFaults;
 use crate::client::{Call, LIMITS, call};
 use crate::error::{DemoError, ExecutorSnafu};
 use crate::layout::{DRAIN_TIMEOUT_MS, HEARTBEAT_MS, Layout};
@@ -53,11 +54,14 @@
     counts: Counts,
     running: AtomicUsize,
     connections: AtomicUsize,
+    accepted: AtomicU64,
     call_seq: AtomicU64,
     draining: AtomicBool,
     drain_asked: Mutex<Option<Instant>>,
     drain_acknowledged: Mutex<Option<Instant>>,
     stop: AtomicBool,
+    /// What it does wrong, if anything.
+    answer_faults: Option<Arc<AnswerFaults>>,
 }
 
 /// A stand-in executor. It ends when it goes out of scope.
@@ -75,6 +79,19 @@
         index: usize,
         address: SocketAddrV4,
         controls: Vec<SocketAddrV4>,
+    ) -> Result<Executor, DemoError> {
+        Executor::with_faults(index, address, controls, None)
+    }
+
+    /// As [`Executor::start`]; a share of its answers is wrong.
+    ///
+    /// # Errors
+    /// Its address can't be listened at.
+    pub fn with_faults(
+        index: usize,
+        address: SocketAddrV4,
+        controls: Vec<SocketAddrV4>,
+        answer_faults: Option<Arc<AnswerFaults>>,
     ) -> Result<Executor, DemoError> {
         let listener = TcpListener::bind(address).context(ExecutorSnafu)?;
         listener.set_nonblocking(true).context(ExecutorSnafu)?;
@@ -86,6 +103,8 @@
             counts: Counts::default(),
             running: AtomicUsize::new(0),
             connections: AtomicUsize::new(0),
+            accepted: AtomicU64::new(0),
+            answer_faults,
             call_seq: AtomicU64::new(0),
             draining: AtomicBool::new(false),
             drain_asked: Mutex::new(None),
@@ -115,6 +134,11 @@
         &self.shared.counts
     }
 
+    /// The connections that it has accepted so far.
+    pub fn accepted(&self) -> u64 {
+        self.shared.accepted.load(Ordering::Relaxed)
+    }
+
     /// From now on its heartbeats say `draining`.
     pub fn drain(&self) {
         at(&self.shared.drain_asked).get_or_insert_with(Instant::now);
@@ -227,10 +251,11 @@
             Ok(_) if shared.connections.load(Ordering::Relaxed) >= MAX_CONNECTIONS => {}
             Ok((stream, _)) => {
                 shared.connections.fetch_add(1, Ordering::Relaxed);
+                shared.accepted.fetch_add(1, Ordering::Relaxed);
                 let shared = shared.clone();
                 threads.push(std::thread::spawn(move || {
                     // A connection that fails is over; so is its request.
-                    let _ = Connection { shared: &shared, stream, bytes: Vec::new() }.serve();
+                    let _ = Connection::new(&shared, stream).serve();
                     shared.connections.fetch_sub(1, Ordering::Relaxed);
                 }));
             }
@@ -248,9 +273,17 @@
     shared: &'a Shared,
     stream: TcpStream,
     bytes: Vec<u8>,
+    /// What was sent of the current answer, if answers may be repeated.
+    answer: Vec<u8>,
+    /// Copies of earlier answers, which precede the next one.
+    late_copies: Vec<u8>,
 }
 
 impl Connection<'_> {
+    fn new(shared: &Shared, stream: TcpStream) -> Connection<'_> {
+        Connection { shared, stream, bytes: Vec::new(), answer: Vec::new(), late_copies: Vec::new() }
+    }
+
     fn serve(&mut self) -> io::Result<()> {
         self.stream.set_nonblocking(false)?;
         self.stream.set_nodelay(true)?;
@@ -258,6 +291,7 @@
         self.stream.set_write_timeout(Some(Duration::from_secs(2)))?;
         while let Some(request) = self.next_request()? {
             self.answer(&request)?;
+            self.keep_copy();
             if request.headers.closes || self.shared.draining.load(Ordering::Relaxed) {
                 break;
             }
@@ -295,6 +329,24 @@
         }
     }
 
+    /// Sends a part of the current answer, after the copies of earlier ones.
+    fn send(&mut self, bytes: &[u8]) -> io::Result<()> {
+        let copies = std::mem::take(&mut self.late_copies);
+        self.stream.write_all(&copies)?;
+        if self.shared.answer_faults.is_some() {
+            self.answer.extend_from_slice(bytes);
+        }
+        self.stream.write_all(bytes)
+    }
+
+    /// Keeps a copy of the answer that was just sent, if it is to be sent again.
+    fn keep_copy(&mut self) {
+        let answer = std::mem::take(&mut self.answer);
+        if self.shared.answer_faults.as_ref().is_some_and(|faults| faults.repeats_next()) {
+            self.late_copies = answer;
+        }
+    }
+
     fn answer(&mut self, request: &Request) -> io::Result<()> {
         let shared = self.shared;
         if request.method == "GET" && request.target == "/health" {
@@ -303,11 +355,11 @@
                 ("X-Grebeusher-Instance-Id", shared.id.as_str()),
                 ("X-Grebeusher-Server-Load", &load(shared)),
             ];
-            return self.stream.write_all(&answer(status, &headers, b""));
+            return self.send(&answer(status, &headers, b""));
         }
         if request.method == "GET" && request.target == "/api/report" {
             let headers = [("Content-Type", "application/json")];
-            return self.stream.write_all(&answer(200, &headers, report(shared).as_bytes()));
+            return self.send(&answer(200, &headers, report(shared).as_bytes()));
         }
         let Some(attempt) = request.headers.get("X-Grebeusher-Attempt-Id") else {
             return self.refuse(400, "");
@@ -335,7 +387,7 @@
             ("X-Grebeusher-Attempt-Id", attempt),
             ("X-Grebeusher-Server-Load", &load),
         ];
-        self.stream.write_all(&answer(status, &headers, b""))
+        self.send(&answer(status, &headers, b""))
     }
 
     fn run(&mut self, request: &Request, attempt: &str) -> io::Result<()> {
@@ -356,11 +408,15 @@
         if shared.draining.load(Ordering::Relaxed) {
             headers.push(http::CLOSE);
         }
+        if shared.answer_faults.as_ref().is_some_and(|faults| faults.fails_next(attempt)) {
+            std::thread::sleep(GREETING_TAKES);
+            return self.send(&answer(500, &headers, b""));
+        }
         let body = String::from_utf8_lossy(&request.body);
         if request.target.starts_with(GREETING_PREFIX) {
             std::thread::sleep(GREETING_TAKES);
             headers.push(("Content-Type", "text/plain"));
-            return self.stream.write_all(&answer(200, &headers, format!("hello, {body}").as_bytes()));
+            return self.send(&answer(200, &headers, format!("hello, {body}").as_bytes()));
         }
         let last_event = request.headers.get("Last-Event-Id").and_then(|id| id.trim().parse::<usize>().ok());
         if last_event.is_some() {
@@ -377,13 +433,13 @@
             head += &format!("{name}: {value}\r\n");
         }
         head += "\r\n";
-        self.stream.write_all(head.as_bytes())?;
+        self.send(head.as_bytes())?;
         for (index, word) in body.split_whitespace().enumerate().skip(skipped) {
             std::thread::sleep(EVENT_INTERVAL);
             let event = format!("id: {}\ndata: {word}\n\n", index + 1);
-            self.stream.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes())?;
+            self.send(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes())?;
         }
-        self.stream.write_all(b"0\r\n\r\n")
+        self.send(b"0\r\n\r\n")
     }
 
     fn count_late(&self) {
--- a/crates/demo/src/job.rs
+++ b/crates/demo/src/job.rs
@@ -23,6 +23,7 @@
 pub struct Job<'a> {
     watch: &'a Watch,
     frontends: &'a [SocketAddrV4],
+    number: u64,
     id: String,
     items: usize,
     turn: usize,
@@ -42,12 +43,20 @@
 impl<'a> Job<'a> {
     /// A job of so many items that is not handed in yet.
     pub fn new(watch: &'a Watch, frontends: &'a [SocketAddrV4], items: usize) -> Job<'a> {
+        let mut job = Job::numbered(watch, frontends, 0, items);
+        job.id = format!("{:016x}", 0x00d3_0000_u64 + u64::from(std::process::id()));
+        job
+    }
+
+    /// As [`Job::new`]; the ids of the job and its items follow from `number`.
+    pub fn numbered(watch: &'a Watch, frontends: &'a [SocketAddrV4], number: u64, items: usize) -> Job<'a> {
         Job {
             watch,
             frontends,
-            id: format!("{:016x}", 0x00d3_0000_u64 + u64::from(std::process::id())),
+            number,
+            id: format!("{:016x}", (1 << 48) + number),
             items,
-            turn: 0,
+            turn: number as usize,
         }
     }
 
@@ -101,19 +110,29 @@
     /// The results that do not hold exactly the words of their item, or come twice.
     pub fn faults(&self, results: &[ItemResult]) -> usize {
         let right = |index: usize| {
-            let (id, text) = (item_id(index), words(index).join("\n"));
+            let (id, text) = (self.item_id(index), self.text(index));
             let own = || results.iter().filter(|result| result.id == id);
             own().count() == 1 && own().all(|result| result.state == "complete" && result.text == text)
         };
         (0..self.items).filter(|index| !right(*index)).count()
     }
 
+    /// The id of an item.
+    pub fn item_id(&self, index: usize) -> String {
+        format!("{:016x}", (self.number << 16) + index as u64)
+    }
+
+    /// The whole text of an item.
+    pub fn text(&self, index: usize) -> String {
+        words(index).join("\n")
+    }
+
     fn body(&self) -> String {
         let item = |index: usize| {
             let payload = STANDARD.encode(words(index).join(" "));
             format!(
                 r#"{{"instance_id":"{}","path":"{JOB_PREFIX}item/{index}","header_map":{{"X-Grebeusher-Token-Count":"20,{WORDS_PER_ITEM}"}},"payload":"{payload}","token_count":{TOKENS_PER_ITEM}}}"#,
-                item_id(index)
+                self.item_id(index)
             )
         };
         let items: Vec<String> = (0..self.items).map(item).collect();
@@ -149,10 +168,6 @@
     }
 }
 
-fn item_id(index: usize) -> String {
-    format!("{index:016x}")
-}
-
 fn words(index: usize) -> Vec<String> {
     (1..=WORDS_PER_ITEM).map(|word| format!("item{index}word{word}")).collect()
 }
--- a/crates/demo/src/layout.rs
+++ b/crates/demo/src/layout.rs
@@ -16,7 +16,7 @@
 /// The last number of the first machine's loopback address.
 const FIRST_MACHINE: u8 = 11;
 /// The last number of the first stand-in executor's loopback address.
-const FIRST_EXECUTOR: u8 = 61;
+const FIRST_EXECUTOR: u8 = 231;
 /// The zones that machines are spread over in turn.
 const ZONES: [&str; 3] = ["north", "east", "south"];
 /// From SIGTERM to the latest exit of a process, in seconds.
@@ -132,8 +132,9 @@
         ZONES[index % ZONES.len()]
     }
 
-    /// The text of a machine's settings file; `folder` is its disk.
-    pub fn settings(&self, machine: &Machine, folder: &Path) -> String {
+    /// The text of a machine's settings file; `folder` is its disk. `bootstrap` is true when the whole tier starts for the first
+    /// time.
+    pub fn settings(&self, machine: &Machine, folder: &Path, bootstrap: bool) -> String {
         let is_storage = machine.kind == MachineKind::Storage;
         let (class, served) =
             if is_storage { ("storage", "\"storage\"") } else { ("edge", "\"edge\", \"controller\"") };
@@ -160,7 +161,7 @@
   "bindings": {{{bindings}}},
   "internal_ports": [{first_internal}, {last_internal}],
   "seed_nodes": [{seeds}],
-  "bootstrap": true, "quorum_member": {has_disk}, {disk}
+  "bootstrap": {bootstrap}, "quorum_member": {has_disk}, {disk}
   "limits": {{"cpu_share": 1.0, "cpu_cores": 1, "memory_mb": 256, "file_descriptors": 1024, "link_mbps": 1000.0{disk_mb}}},
   "heartbeat_ms": {HEARTBEAT_MS},
   "contracts": ["base", "drain", "config", "batch", "stream"],
--- a/crates/demo/src/lib.rs
+++ b/crates/demo/src/lib.rs
@@ -3,6 +3,7 @@
 //!
 //! Everything is bounded: processes, threads, requests and time. Whatever happens, no process stays behind.
 
+pub mod answer_faults;
 pub mod client;
 pub mod error;
 pub mod executors;
@@ -11,6 +12,7 @@
 pub mod operator;
 pub mod processes;
 pub mod requests;
+pub mod soak;
 pub mod story;
 pub mod table;
 pub mod watch;
--- a/crates/tier/tests/demo.rs
+++ b/crates/tier/tests/demo.rs
@@ -84,7 +84,7 @@
     let layout = Layout::find(Machines::default()).expect("ports are free");
     for machine in &layout.machines {
         // When the settings of one are read
-        let read = Settings::read(&layout.settings(machine, Path::new("/disk")));
+        let read = Settings::read(&layout.settings(machine, Path::new("/disk"), true));
         // Then they are valid
         let settings = read.unwrap_or_else(|error| panic!("{}: {error}", machine.name));
         assert_eq!(settings.node_name.as_str(), machine.name);
