--- a/crates/batch/src/runner.rs
+++ b/crates/batch/src/runner.rs
@@ -4,8 +4,8 @@
 //!
 //! [`Runner`] owns the state. Each concern extends it in a module of its own: `leadership` starts and ends the terms of
 //! a leader, `dispatch` starts items, `run_reports` processes events and outcomes, `abandonment` gives up items,
-//! `given_up` records which and why, `proposals` creates log entries, `unproposed_results` holds results until they are proposed, and `routes` determines
-//! the routes of jobs and items.
+//! `given_up` records which and why, `proposals` creates log entries, `unproposed_results` holds results until they are
+//! proposed, and `routes` determines the routes of jobs and items.
 //!
 //! A run is one attempt to execute an item. An item is open until its result is committed or its job has ended.
 
--- a/crates/tier/src/batch/mod.rs
+++ b/crates/tier/src/batch/mod.rs
@@ -4,8 +4,8 @@
 //! [`api`] checks clients' requests and forwards them to the leader of the job's partition, where [`leader`]
 //! answers them from the state in [`partition`]. [`items`] runs the items of the partitions that this node
 //! leads, and [`load_report`] tells the leaders of the other partitions how many items are running and
-//! waiting. `item_log` writes the log lines about items, [`page_size`] limits the pages of results, and `refusals` notes since when the log of a partition
-//! has rejected results.
+//! waiting. `item_log` writes the log lines about items, [`page_size`] limits the pages of results, and
+//! `refusals` notes since when the log of a partition has rejected results.
 
 pub mod api;
 mod item_log;
