A response with a status out of range is no response

Any other status out of range was relayed too.

Cause: the parser takes any three digits for a status, and nothing behind `http::response_head` asked whether they are one (RFC 9110, 15: 100 to 599).

Statuses at the ends of the range, other forms of the status line and interim responses were handled before and keep their tests.

Fix: `response_head` refuses such a head as malformed.

--- a/crates/transport/src/http.rs
+++ b/crates/transport/src/http.rs
@@ -2,7 +2,7 @@
 //! on piece by piece are read in [`crate::body`].
 
 use std::mem::MaybeUninit;
-use std::ops::Range;
+use std::ops::{Range, RangeInclusive};
 
 pub use crate::body::{BodyReader, Framing, Progress, request_framing, response_framing};
 pub use crate::headers::Headers;
@@ -11,6 +11,8 @@
 pub const MAX_HEADERS_LIMIT: usize = 256;
 /// A chunk's size line is a few hex digits and perhaps an extension. In bytes.
 pub(crate) const MAX_CHUNK_LINE: usize = 256;
+/// The statuses that a response can have (RFC 9110, 15).
+const STATUSES: RangeInclusive<u16> = 100..=599;
 
 /// How large a message may be.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -48,7 +50,7 @@
 /// The status and the headers of a response.
 #[derive(Clone, Debug)]
 pub struct ResponseHead {
-    /// Three digits.
+    /// From 100 to 599.
     pub status: u16,
     /// The headers in their order.
     pub headers: Headers,
@@ -77,7 +79,7 @@
 /// A response with its whole body.
 #[derive(Debug)]
 pub struct Response {
-    /// Three digits.
+    /// From 200 to 599.
     pub status: u16,
     /// The headers in their order.
     pub headers: Headers,
@@ -96,15 +98,17 @@
     Ok(Some((RequestHead { method: method.to_owned(), target: target.to_owned(), headers }, length)))
 }
 
-/// The head of the first response of the bytes, be it an interim one, and how many bytes it has.
+/// The head of the first response of the bytes, be it an interim one, and how many bytes it has. The parser takes any three
+/// digits for a status; a status out of range is refused here, as nothing says how such a response is framed.
 pub fn response_head(bytes: &[u8], limits: &Limits) -> Result<Option<(ResponseHead, usize)>, Malformed> {
     let mut lines = [const { MaybeUninit::uninit() }; MAX_HEADERS_LIMIT];
     let mut parsed = httparse::Response::new(&mut []);
     let config = httparse::ParserConfig::default();
     let read = config.parse_response_with_uninit_headers(&mut parsed, bytes, limits.room(&mut lines));
     let Some(length) = head_length(read, bytes, limits)? else { return Ok(None) };
+    let status = parsed.code.filter(|status| STATUSES.contains(status)).ok_or(Malformed(400))?;
     let headers = Headers::read(parsed.headers, parsed.version);
-    Ok(Some((ResponseHead { status: parsed.code.unwrap_or(0), headers }, length)))
+    Ok(Some((ResponseHead { status, headers }, length)))
 }
 
 fn head_length(
--- a/crates/transport/tests/heads.rs
+++ b/crates/transport/tests/heads.rs
@@ -89,6 +89,20 @@
     assert_eq!(response_framing(200, lines, "GET"), Err(Malformed(status)));
 }
 
+#[rstest]
+fn a_status_out_of_range_is_refused(#[values(0, 1, 99, 600, 999)] status: u16) {
+    let head = format!("HTTP/1.1 {status:03} Words\r\nContent-Length: 0\r\n\r\n");
+    assert_eq!(http::response_head(head.as_bytes(), &LIMITS).map(|_| ()), Err(Malformed(400)));
+    assert_eq!(http::response(head.as_bytes(), &LIMITS).map(|_| ()), Err(Malformed(400)));
+}
+
+#[rstest]
+fn a_status_at_an_end_of_the_range_is_read(#[values(100, 199, 200, 599)] status: u16) {
+    let head = format!("HTTP/1.1 {status} Words\r\n\r\n");
+    let (head, _) = http::response_head(head.as_bytes(), &LIMITS).expect("a head").expect("whole");
+    assert_eq!(head.status, status);
+}
+
 #[test]
 fn a_head_is_none_until_it_is_whole() {
     let whole = b"PUT /a?b=c HTTP/1.1\r\nHost: x\r\nX-A: 1\r\n\r\n";
