A reset that a write has reported is no end of the stream

Callers saw: an executor answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection while the upload was still being written. The client got that part as a complete answer (MIXED).

Cause: Linux keeps the bytes that arrived before a reset and reports the reset once, to whichever call comes first. A node writes to an executor before it reads; when the write has taken the error, the read behind it finds the end of the stream, and a body that lasts until the end of the connection counted as complete.

The fake network of `single_node` could not show it, as its reset cleared the unread bytes and failed every later call; it now does as Linux does.

Fix: `Socket` keeps the first failure, and a read that finds the end of the stream afterwards returns it. This holds for every connection of the tier.

--- a/crates/tier/src/links/socket.rs
+++ b/crates/tier/src/links/socket.rs
@@ -43,6 +43,8 @@
     paused: bool,
     /// Whether the connection is not established yet.
     connecting: bool,
+    /// The error by which the connection failed. The system reports it only once.
+    failure: Option<ErrorKind>,
 }
 
 impl Socket {
@@ -70,6 +72,7 @@
             sent: 0,
             paused: false,
             connecting,
+            failure: None,
         }
     }
 
@@ -95,12 +98,18 @@
     }
 
     /// Reads the bytes that have arrived, up to the limit for one turn of the event loop.
+    ///
+    /// # Errors
+    /// The connection has failed; the bytes that arrived before are read first. Linux keeps them, but reports the failure only
+    /// once: after a write has failed, a read finds the end of the stream, as if the peer had closed its side in order.
     pub fn read(&mut self) -> io::Result<ReadOutcome> {
         let mut bytes = 0;
         let mut chunk = [0; READ_CHUNK_BYTES];
         while bytes < MAX_READ_BYTES {
             match self.stream.read(&mut chunk) {
-                Ok(0) => return Ok(ReadOutcome::Ended { bytes }),
+                Ok(0) => {
+                    return self.failure.map_or(Ok(ReadOutcome::Ended { bytes }), |kind| Err(kind.into()));
+                }
                 Ok(count) => {
                     self.input.extend_from_slice(&chunk[..count]);
                     bytes += count;
@@ -110,7 +119,10 @@
                 }
                 Err(error) if error.kind() == ErrorKind::WouldBlock => break,
                 Err(error) if error.kind() == ErrorKind::Interrupted => {}
-                Err(error) => return Err(error),
+                Err(error) => {
+                    self.failure = Some(error.kind());
+                    return Err(error);
+                }
             }
         }
         Ok(ReadOutcome::Open { bytes })
@@ -160,6 +172,9 @@
     }
 
     /// Writes as much of the output as the connection accepts now.
+    ///
+    /// # Errors
+    /// The connection has failed, or the peer takes no more bytes. What it has sent before may still be read.
     pub fn flush(&mut self) -> io::Result<()> {
         if self.connecting {
             return Ok(());
@@ -173,7 +188,10 @@
                 }
                 Err(error) if error.kind() == ErrorKind::WouldBlock => break,
                 Err(error) if error.kind() == ErrorKind::Interrupted => {}
-                Err(error) => return Err(error),
+                Err(error) => {
+                    self.note_failed_write(error.kind());
+                    return Err(error);
+                }
             }
         }
         if self.written == self.output.len() {
@@ -186,6 +204,14 @@
         self.update_interest()
     }
 
+    /// Notes the error of a failed write. `BrokenPipe` is none of the connection's: the peer had ended its side in order, so
+    /// that all of its bytes have arrived, or an earlier call has reported the failure.
+    fn note_failed_write(&mut self, kind: ErrorKind) {
+        if kind != ErrorKind::BrokenPipe {
+            self.failure = Some(kind);
+        }
+    }
+
     /// Stops reading (`paused`), or resumes it.
     pub fn set_paused(&mut self, paused: bool) -> io::Result<()> {
         self.paused = paused;
--- a/crates/tier/tests/broken_answers.rs
+++ b/crates/tier/tests/broken_answers.rs
@@ -2,6 +2,8 @@
 
 mod single_node;
 
+use grebeusher_time::Duration;
+use grebeusher_transport::http::{self, Limits};
 use rstest::rstest;
 use single_node::network::ConnectionId;
 use single_node::{ROUTE_TYPES, SingleNode, answer, status_of};
@@ -9,7 +11,12 @@
 /// The id of the request.
 const ID: &str = "one";
 
-/// A client's request that the node has sent to an executor.
+/// The limits of a client.
+const LIMITS: Limits = Limits { most_head: 1024, most_headers: 16, most_body: 1024 };
+/// The upload of a client.
+const UPLOAD: &[u8] = &[b'u'; 3000];
+
+/// A client's request that the node sends to an executor.
 struct Sent {
     harness: SingleNode,
     client: ConnectionId,
@@ -38,6 +45,45 @@
         Sent { harness, client, executor }
     }
 
+    /// Sends an upload of which the executor takes only so many bytes, with its head.
+    fn over_a_full_connection(route: &str, taken: usize) -> Sent {
+        let mut harness = SingleNode::with_executors(1);
+        harness.network.borrow_mut().connects_at_once = false;
+        let client = harness.client(route, ID, UPLOAD);
+        let executor = harness.executor_connection().expect("the node connects to the executor");
+        harness.network.borrow_mut().limit(executor, Some(taken));
+        harness.network.borrow_mut().answer_dial(executor, true);
+        harness.turn();
+        assert!(harness.take(executor).len() <= taken);
+        Sent { harness, client, executor }
+    }
+
+    /// Ends the executor's side of the connection in a way.
+    fn end(&mut self, ending: Ending) {
+        let mut network = self.harness.network.borrow_mut();
+        match ending {
+            Ending::InOrder => network.end(self.executor),
+            Ending::Reset => network.reset(self.executor),
+            Ending::InOrderThenReset => {
+                network.end(self.executor);
+                network.reset(self.executor);
+            }
+        }
+    }
+
+    /// Sends bytes as the executor and ends the connection, at once or when the node has read them. Returns what the client has
+    /// received by then.
+    fn respond_and_end(&mut self, bytes: &[u8], ending: Ending, at_once: bool) -> Vec<u8> {
+        self.harness.network.borrow_mut().send(self.executor, bytes);
+        if !at_once {
+            self.harness.turn();
+            self.harness.advance(Duration::from_millis(60));
+        }
+        self.end(ending);
+        self.harness.turn();
+        self.harness.take(self.client)
+    }
+
     /// Sends bytes as the executor. Returns what the client has received by then.
     fn respond(&mut self, bytes: &[u8]) -> Vec<u8> {
         self.harness.send(self.executor, bytes);
@@ -45,6 +91,42 @@
     }
 }
 
+/// How an executor ends a connection.
+#[derive(Clone, Copy, Debug)]
+enum Ending {
+    InOrder,
+    Reset,
+    InOrderThenReset,
+}
+
+/// How an executor frames the body of an answer.
+#[derive(Clone, Copy, Debug)]
+enum Framing {
+    UntilClose,
+    UntilCloseOldVersion,
+    Length,
+    Chunked,
+}
+
+use Framing::*;
+
+/// The body of an answer, which the executor may not send to its end.
+const BODY: &str = "id: 1\ndata: word\n\nid: 2\ndata: end\n\n";
+
+/// Encodes a complete answer with a seal and this framing.
+fn framed(framing: Framing, status: u16) -> Vec<u8> {
+    let version = if matches!(framing, UntilCloseOldVersion) { "HTTP/1.0" } else { "HTTP/1.1" };
+    let length = BODY.len();
+    let (line, body) = match framing {
+        UntilClose | UntilCloseOldVersion => (String::new(), BODY.to_owned()),
+        Length => (format!("Content-Length: {length}\r\n"), BODY.to_owned()),
+        Chunked => {
+            ("Transfer-Encoding: chunked\r\n".to_owned(), format!("{length:x}\r\n{BODY}\r\n0\r\n\r\n"))
+        }
+    };
+    format!("{version} {status} Some\r\nX-Grebeusher-Server-Seal: seal\r\n{line}\r\n{body}").into_bytes()
+}
+
 /// Encodes an answer with a seal and this status line.
 fn sealed(status_line: &str) -> Vec<u8> {
     let headers = "X-Grebeusher-Server-Seal: seal\r\nContent-Length: 4\r\n";
@@ -137,3 +219,71 @@
         assert!(!text_of(&received).contains("X-Interim"), "{route}: {}", text_of(&received));
     }
 }
+
+/// Whether the client has a complete answer with a status of success, by the framing that it sees.
+fn is_complete_success(received: &[u8]) -> bool {
+    let response = http::response(received, &LIMITS).expect("the node's answers are well-formed");
+    response.is_some_and(|(response, _)| (200..300).contains(&response.status))
+}
+
+/// The bytes of the request that an executor takes: the whole upload, half of it, a part of the head, or its first byte.
+const TAKEN: [usize; 4] = [100_000, 1500, 20, 1];
+
+/// Guards against a part that counts as a complete answer because the reset was reported to a write of the upload (MIXED).
+#[rstest]
+fn a_part_of_an_answer_before_a_reset_is_no_complete_answer(
+    #[values("idempotent", "non_idempotent", "streaming", "resumable")] route: &str,
+    #[values(UntilClose, UntilCloseOldVersion, Length, Chunked)] framing: Framing,
+    #[values(false, true)] at_once: bool,
+) {
+    let whole = framed(framing, 200);
+    // Where the framing does not tell the end, all of the bytes may be a part.
+    let most = if matches!(framing, Length | Chunked) { whole.len() - 1 } else { whole.len() };
+    for taken in TAKEN {
+        for sent_bytes in 0..=most {
+            let mut sent = Sent::over_a_full_connection(route, taken);
+            let received = sent.respond_and_end(&whole[..sent_bytes], Ending::Reset, at_once);
+            let text = text_of(&received);
+            assert!(!is_complete_success(&received), "{taken} taken, {sent_bytes} sent: {text}");
+            let has_failed = status_of(&received) == Some(502) || sent.harness.is_closed(sent.client);
+            let may_run_again = ["idempotent", "resumable"].contains(&route);
+            assert!(has_failed || may_run_again, "{taken} taken, {sent_bytes} sent: {text}");
+        }
+    }
+}
+
+/// An executor may answer before it has read the request, and then reset the connection: what is complete by its own framing
+/// reaches the client.
+#[rstest]
+fn a_complete_answer_before_a_reset_reaches_the_client(
+    #[values("idempotent", "non_idempotent", "streaming", "resumable")] route: &str,
+    #[values(Length, Chunked)] framing: Framing,
+    #[values(200, 413, 422)] status: u16,
+    #[values(false, true)] at_once: bool,
+    #[values(Ending::Reset, Ending::InOrderThenReset, Ending::InOrder)] ending: Ending,
+) {
+    for taken in TAKEN {
+        let mut sent = Sent::over_a_full_connection(route, taken);
+        let received = sent.respond_and_end(&framed(framing, status), ending, at_once);
+        let text = text_of(&received);
+        assert_eq!(status_of(&received), Some(status), "{taken} taken: {text}");
+        assert!(text.contains("data: end"), "{taken} taken: {text}");
+        assert_eq!(is_complete_success(&received), status == 200, "{taken} taken: {text}");
+    }
+}
+
+/// The end of a connection in order completes a body without a length, also when a reset follows.
+#[rstest]
+fn an_end_in_order_completes_an_answer_without_a_length(
+    #[values("idempotent", "non_idempotent", "streaming", "resumable")] route: &str,
+    #[values(UntilClose, UntilCloseOldVersion)] framing: Framing,
+    #[values(false, true)] at_once: bool,
+    #[values(Ending::InOrder, Ending::InOrderThenReset)] ending: Ending,
+) {
+    for taken in TAKEN {
+        let mut sent = Sent::over_a_full_connection(route, taken);
+        let received = sent.respond_and_end(&framed(framing, 200), ending, at_once);
+        assert!(is_complete_success(&received), "{taken} taken: {}", text_of(&received));
+        assert!(text_of(&received).contains("data: end"), "{taken} taken: {}", text_of(&received));
+    }
+}
--- a/crates/tier/tests/single_node/network.rs
+++ b/crates/tier/tests/single_node/network.rs
@@ -29,6 +29,8 @@
     from_node: Vec<u8>,
     peer_ended: bool,
     reset: bool,
+    /// The failure of the connection, until a read or write of the node has reported it.
+    unreported_failure: Option<ErrorKind>,
     closed_by_node: bool,
     /// How many more bytes the node may write before its writes block; `None` if unlimited.
     write_limit: Option<usize>,
@@ -106,11 +108,13 @@
         self.connections[connection_id.0].peer_ended = true;
     }
 
-    /// Resets a connection: the bytes that the node has not read yet are lost.
+    /// Resets a connection. As on Linux, the node can still read the bytes that have arrived, and the failure is reported once,
+    /// by the next write, or by the next read if there are no more bytes.
     pub fn reset(&mut self, connection_id: ConnectionId) {
         let connection = &mut self.connections[connection_id.0];
         connection.reset = true;
-        connection.to_node.clear();
+        let kind = if connection.peer_ended { ErrorKind::BrokenPipe } else { ErrorKind::ConnectionReset };
+        connection.unreported_failure = Some(kind);
     }
 
     /// Limits how many more bytes the node may write on a connection.
@@ -142,15 +146,31 @@
 }
 
 impl Connection {
+    /// The result of a read when there are no bytes.
+    fn read_nothing(&mut self) -> io::Result<usize> {
+        if self.peer_ended {
+            return Ok(0);
+        }
+        match self.unreported_failure.take() {
+            Some(kind) => Err(kind.into()),
+            None if self.reset => Ok(0),
+            None => Err(ErrorKind::WouldBlock.into()),
+        }
+    }
+
     fn event(&self) -> Option<Event> {
         let (key, interest) = (self.key?, self.interest?);
         if self.closed_by_node {
             return None;
         }
-        let has_input = !self.to_node.is_empty() || self.peer_ended || self.reset;
+        if self.reset {
+            let is_polled = interest.readable || interest.writable;
+            return is_polled.then_some(Event { key, readable: true, writable: true });
+        }
+        let has_input = !self.to_node.is_empty() || self.peer_ended;
         let readable = interest.readable && self.established && has_input;
         let may_write = self.write_limit != Some(0);
-        let writable = interest.writable && (self.refused || self.reset || (self.established && may_write));
+        let writable = interest.writable && (self.refused || (self.established && may_write));
         (readable || writable).then_some(Event { key, readable, writable })
     }
 }
@@ -252,12 +272,9 @@
 impl Stream for TestStream {
     fn read(&mut self, bytes: &mut [u8]) -> io::Result<usize> {
         let connection = &mut self.0.borrow_mut().connections[self.1];
-        if connection.reset {
-            return Err(ErrorKind::ConnectionReset.into());
-        }
         let count = bytes.len().min(connection.to_node.len());
         if count == 0 {
-            return if connection.peer_ended { Ok(0) } else { Err(ErrorKind::WouldBlock.into()) };
+            return connection.read_nothing();
         }
         for (target, byte) in bytes.iter_mut().zip(connection.to_node.drain(..count)) {
             *target = byte;
@@ -268,7 +285,7 @@
     fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
         let connection = &mut self.0.borrow_mut().connections[self.1];
         if connection.reset {
-            return Err(ErrorKind::ConnectionReset.into());
+            return Err(connection.unreported_failure.take().unwrap_or(ErrorKind::BrokenPipe).into());
         }
         let count = connection.write_limit.map_or(bytes.len(), |limit| limit.min(bytes.len()));
         if count == 0 {
