A line feed alone ends no line in the head of a response

Callers saw: in an answer's head the name of a field held a control byte, and the client got a 200 with a body that was not the executor's. Every other blank, control byte, separator and high byte in a name was refused with 502 before; those cases are kept as tests.

Cause: the control byte was a line feed in front of the name. The parser takes a line feed alone for the end of a line, so that the empty line in front of the name ended the head: the rest of the head, its length among it, was read as the body.

Fix: `response_head`, where all heads of responses are read, refuses a head in which a line ends with a line feed alone. RFC 9112, 2.2 leaves this to the recipient. Requests are read as before.

--- a/crates/tier/tests/broken_answers.rs
+++ b/crates/tier/tests/broken_answers.rs
@@ -287,3 +287,57 @@
         assert!(text_of(&received).contains("data: end"), "{taken} taken: {}", text_of(&received));
     }
 }
+
+/// Encodes a complete answer with a header line whose name is `name`, behind one header line and before the others.
+fn with_header_name(name: &[u8], framing: &str) -> Vec<u8> {
+    let mut bytes = b"HTTP/1.1 200 OK\r\nX-Grebeusher-Server-Seal: seal\r\n".to_vec();
+    bytes.extend_from_slice(name);
+    bytes.extend_from_slice(format!(": value\r\n{framing}\r\nbody").as_bytes());
+    bytes
+}
+
+/// Whether a byte may be in the name of a field (RFC 9110, 5.6.2).
+fn is_token(byte: u8) -> bool {
+    byte.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(&byte)
+}
+
+/// Every byte that no name may hold, but the colon, which ends a name.
+#[rstest]
+fn an_answer_with_another_byte_in_the_name_of_a_field_reaches_no_client(
+    #[values(0, 3, 6)] position: usize,
+    #[values("idempotent", "non_idempotent", "streaming", "resumable")] route: &str,
+    #[values("Content-Length: 4\r\n", "")] framing: &str,
+) {
+    for byte in (0..=u8::MAX).filter(|byte| !is_token(*byte) && *byte != b':') {
+        let mut name = b"X-Name".to_vec();
+        name.insert(position, byte);
+        let mut sent = Sent::over_a_new_connection(route, 1);
+        sent.harness.send(sent.executor, &with_header_name(&name, framing));
+        sent.harness.end(sent.executor);
+        let received = sent.harness.take(sent.client);
+        assert_eq!(status_of(&received), Some(502), "byte {byte:#04x}: {}", text_of(&received));
+        assert!(!text_of(&received).contains("seal"), "byte {byte:#04x}: {}", text_of(&received));
+    }
+}
+
+#[rstest]
+#[case::empty_name(b"", "Content-Length: 4\r\n")]
+#[case::no_name_and_no_colon(b"X-Name\r\nY", "Content-Length: 4\r\n")]
+#[case::blank_before_the_colon_of_the_length(b"X-Name", "Content-Length : 4\r\n")]
+#[case::blank_before_the_colon_of_the_coding(b"X-Name", "Transfer-Encoding : chunked\r\n")]
+#[case::blank_before_the_name_of_the_length(b"X-Name", " Content-Length: 4\r\n")]
+#[case::tab_before_the_name_of_the_length(b"X-Name", "\tContent-Length: 4\r\n")]
+#[case::control_byte_in_a_value(b"X-Other: a\x01b\r\nX-Name", "Content-Length: 4\r\n")]
+#[case::zero_in_a_value(b"X-Other: a\0b\r\nX-Name", "Content-Length: 4\r\n")]
+#[case::delete_in_a_value(b"X-Other: a\x7fb\r\nX-Name", "Content-Length: 4\r\n")]
+#[case::return_in_a_value(b"X-Other: a\rb\r\nX-Name", "Content-Length: 4\r\n")]
+fn an_answer_with_a_broken_field_reaches_no_client(#[case] name: &[u8], #[case] framing: &str) {
+    for route in ROUTE_TYPES {
+        let mut sent = Sent::over_a_new_connection(route, 1);
+        sent.harness.send(sent.executor, &with_header_name(name, framing));
+        sent.harness.end(sent.executor);
+        let received = sent.harness.take(sent.client);
+        assert_eq!(status_of(&received), Some(502), "{route}: {}", text_of(&received));
+        assert!(!text_of(&received).contains("seal"), "{route}: {}", text_of(&received));
+    }
+}
--- a/crates/tier/tests/broken_answers_processes.rs
+++ b/crates/tier/tests/broken_answers_processes.rs
@@ -38,6 +38,8 @@
     StatusZero,
     /// It reads the request and answers with a blank in the name of a field.
     BlankInName,
+    /// It reads the request and answers with a line feed before the name of a field.
+    LineFeedInName,
     /// It answers before it has read the upload: a part of a body without a length, and a reset at once.
     ResetAtOnce,
     /// The same, and a reset after a moment.
@@ -52,8 +54,16 @@
 
 use Behaviour::*;
 
-const BEHAVIOURS: [Behaviour; 7] =
-    [StatusZero, BlankInName, ResetAtOnce, ResetLater, ResetWithinChunks, EarlyRefusal, EndInOrder];
+const BEHAVIOURS: [Behaviour; 8] = [
+    StatusZero,
+    BlankInName,
+    LineFeedInName,
+    ResetAtOnce,
+    ResetLater,
+    ResetWithinChunks,
+    EarlyRefusal,
+    EndInOrder,
+];
 
 impl Behaviour {
     fn from_path(path: &str) -> Option<Behaviour> {
@@ -61,7 +71,7 @@
     }
 
     fn reads_upload(self) -> bool {
-        matches!(self, StatusZero | BlankInName | EndInOrder)
+        matches!(self, StatusZero | BlankInName | LineFeedInName | EndInOrder)
     }
 
     /// The bytes that the executor sends.
@@ -73,6 +83,9 @@
             BlankInName => {
                 format!("HTTP/1.1 200 OK\r\n{seal}X Name: v\r\nContent-Length: {length}\r\n\r\n{BODY}")
             }
+            LineFeedInName => {
+                format!("HTTP/1.1 200 OK\r\n{seal}\nX-Name: v\r\nContent-Length: {length}\r\n\r\n{BODY}")
+            }
             ResetAtOnce | ResetLater | EndInOrder => format!("HTTP/1.1 200 OK\r\n{seal}\r\n{BODY}"),
             ResetWithinChunks => {
                 format!("HTTP/1.1 200 OK\r\n{seal}Transfer-Encoding: chunked\r\n\r\n{length:x}\r\n{BODY}\r\n")
--- a/crates/transport/src/http.rs
+++ b/crates/transport/src/http.rs
@@ -106,11 +106,20 @@
     let config = httparse::ParserConfig::default();
     let read = config.parse_response_with_uninit_headers(&mut parsed, bytes, limits.room(&mut lines));
     let Some(length) = head_length(read, bytes, limits)? else { return Ok(None) };
+    if has_bare_line_feed(&bytes[..length]) {
+        return Err(Malformed(400));
+    }
     let status = parsed.code.filter(|status| STATUSES.contains(status)).ok_or(Malformed(400))?;
     let headers = Headers::read(parsed.headers, parsed.version);
     Ok(Some((ResponseHead { status, headers }, length)))
 }
 
+/// Whether a line ends with a line feed alone. The parser takes it for the end of a line (RFC 9112, 2.2 allows both), but in a
+/// broken head it may be a byte of a field's name: the lines behind it would be read as the body.
+fn has_bare_line_feed(head: &[u8]) -> bool {
+    head.first() == Some(&b'\n') || head.windows(2).any(|pair| pair[1] == b'\n' && pair[0] != b'\r')
+}
+
 fn head_length(
     parsed: httparse::Result<usize>,
     bytes: &[u8],
--- a/crates/transport/tests/heads.rs
+++ b/crates/transport/tests/heads.rs
@@ -103,6 +103,18 @@
     assert_eq!(head.status, status);
 }
 
+#[rstest]
+#[case::before_a_name("HTTP/1.1 200 OK\r\nX-A: 1\r\n\nX-B: 2\r\n\r\n")]
+#[case::behind_the_status("HTTP/1.1 200 OK\nX-A: 1\r\n\r\n")]
+#[case::behind_the_code("HTTP/1.1 200\nX-A: 1\r\n\r\n")]
+#[case::behind_a_value("HTTP/1.1 200 OK\r\nX-A: 1\nX-B: 2\r\n\r\n")]
+#[case::behind_the_last_value("HTTP/1.1 200 OK\r\nX-A: 1\n\r\n")]
+#[case::at_the_end("HTTP/1.1 200 OK\r\nX-A: 1\r\n\n")]
+#[case::before_the_status("\nHTTP/1.1 200 OK\r\nX-A: 1\r\n\r\n")]
+fn a_line_feed_alone_ends_no_line_of_a_response(#[case] head: &str) {
+    assert_eq!(http::response_head(head.as_bytes(), &LIMITS).map(|_| ()), Err(Malformed(400)));
+}
+
 #[test]
 fn a_head_is_none_until_it_is_whole() {
     let whole = b"PUT /a?b=c HTTP/1.1\r\nHost: x\r\nX-A: 1\r\n\r\n";
