A response that changes the protocol is no response

Callers saw: nothing was reported; found while looking at the interim statuses. An executor that answered 101, which no request of a node asks for, and then sent bytes of another protocol: where these looked like an answer, the client got it as one (MIXED); where they did not come, the client waited until its deadline.

Cause: 101 counted as an interim response, which the final one follows. What follows a 101 is not HTTP (RFC 9110, 15.2.2).

Evidence: `broken_answers`, four kinds of routes, with and without such bytes: 8 of 8 cases failed; 1 more in `heads`. Other interim statuses are dropped as before.

Fix: `response_head` refuses 101 as it refuses a status out of range. Requests with `Upgrade` reach no executor with it, as it concerns the connection only.

--- a/crates/tier/tests/broken_answers.rs
+++ b/crates/tier/tests/broken_answers.rs
@@ -288,6 +288,23 @@
     }
 }
 
+/// No request asks for another protocol, so an executor can't change to one. What follows a 101 is no HTTP.
+#[rstest]
+fn an_answer_that_changes_the_protocol_reaches_no_client(
+    #[values("idempotent", "non_idempotent", "streaming", "resumable")] route: &str,
+    #[values(false, true)] an_answer_follows: bool,
+) {
+    let mut sent = Sent::over_a_new_connection(route, 1);
+    let mut bytes =
+        b"HTTP/1.1 101 Switching Protocols\r\nUpgrade: other\r\nConnection: upgrade\r\n\r\n".to_vec();
+    if an_answer_follows {
+        bytes.extend_from_slice(&answer(ID, "of another protocol"));
+    }
+    let received = sent.respond(&bytes);
+    assert_eq!(status_of(&received), Some(502), "{}", text_of(&received));
+    assert!(sent.harness.is_closed(sent.executor));
+}
+
 /// Encodes a complete answer with a header line whose name is `name`, behind one header line and before the others.
 fn with_header_name(name: &[u8], framing: &str) -> Vec<u8> {
     let mut bytes = b"HTTP/1.1 200 OK\r\nX-Grebeusher-Server-Seal: seal\r\n".to_vec();
--- a/crates/transport/src/http.rs
+++ b/crates/transport/src/http.rs
@@ -13,6 +13,8 @@
 pub(crate) const MAX_CHUNK_LINE: usize = 256;
 /// The statuses that a response can have (RFC 9110, 15).
 const STATUSES: RangeInclusive<u16> = 100..=599;
+/// What follows it is of another protocol (RFC 9110, 15.2.2).
+const SWITCHING_PROTOCOLS: u16 = 101;
 
 /// How large a message may be.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -99,7 +101,8 @@
 }
 
 /// The head of the first response of the bytes, be it an interim one, and how many bytes it has. The parser takes any three
-/// digits for a status; a status out of range is refused here, as nothing says how such a response is framed.
+/// digits for a status; a status out of range is refused here, as nothing says how such a response is framed. So is 101: no
+/// request of a node asks for another protocol.
 pub fn response_head(bytes: &[u8], limits: &Limits) -> Result<Option<(ResponseHead, usize)>, Malformed> {
     let mut lines = [const { MaybeUninit::uninit() }; MAX_HEADERS_LIMIT];
     let mut parsed = httparse::Response::new(&mut []);
@@ -109,7 +112,8 @@
     if has_bare_line_feed(&bytes[..length]) {
         return Err(Malformed(400));
     }
-    let status = parsed.code.filter(|status| STATUSES.contains(status)).ok_or(Malformed(400))?;
+    let is_possible = |status: &u16| STATUSES.contains(status) && *status != SWITCHING_PROTOCOLS;
+    let status = parsed.code.filter(is_possible).ok_or(Malformed(400))?;
     let headers = Headers::read(parsed.headers, parsed.version);
     Ok(Some((ResponseHead { status, headers }, length)))
 }
--- a/crates/transport/tests/heads.rs
+++ b/crates/transport/tests/heads.rs
@@ -90,7 +90,7 @@
 }
 
 #[rstest]
-fn a_status_out_of_range_is_refused(#[values(0, 1, 99, 600, 999)] status: u16) {
+fn a_status_that_no_response_can_have_is_refused(#[values(0, 1, 99, 101, 600, 999)] status: u16) {
     let head = format!("HTTP/1.1 {status:03} Words\r\nContent-Length: 0\r\n\r\n");
     assert_eq!(http::response_head(head.as_bytes(), &LIMITS).map(|_| ()), Err(Malformed(400)));
     assert_eq!(http::response(head.as_bytes(), &LIMITS).map(|_| ()), Err(Malformed(400)));
