Simulation: connections fail as on Linux

A reset cleared what was unread and made every later read and write fail; on Linux unread bytes stay, and the failure is told once, to whichever call comes first.

Change: a broken side keeps its unread bytes and reports its failure once, to the next write or, when nothing is left, to the next read; after that writes get `BrokenPipe` and reads the end of the stream. The poller says readable and writable of it. A reset behind an end in order is `BrokenPipe` at once. Callers of the fleet read what is left, and take a failed write for a broken connection.

--- a/crates/simulation/src/call.rs
+++ b/crates/simulation/src/call.rs
@@ -71,18 +71,10 @@
 
     /// Writes and reads what goes now.
     pub fn advance(&mut self, hub: &mut Hub) -> Progress {
-        match hub.connected(self.end) {
-            Ok(true) => {}
-            Ok(false) => return Progress::Pending,
-            Err(_) => return Progress::Failed,
-        }
-        while self.written < self.request.len() {
-            match hub.write(self.end, &self.request[self.written..]) {
-                Ok(count) => self.written += count,
-                Err(error) if error.kind() == ErrorKind::WouldBlock => break,
-                Err(_) => break,
-            }
+        if matches!(hub.connected(self.end), Ok(false)) {
+            return Progress::Pending;
         }
+        let is_write_failed = self.write(hub);
         if self.written == self.request.len() && self.sent.is_none() {
             self.sent = Some(hub.now);
         }
@@ -93,7 +85,7 @@
             Some(true) => return Progress::Done,
             Some(false) => {}
         }
-        if received.broken {
+        if received.broken || is_write_failed {
             return Progress::Failed;
         }
         if received.ended {
@@ -103,6 +95,17 @@
         Progress::Pending
     }
 
+    /// Writes what goes now. Returns whether the connection has failed, which a read no longer tells then.
+    fn write(&mut self, hub: &mut Hub) -> bool {
+        while self.written < self.request.len() {
+            match hub.write(self.end, &self.request[self.written..]) {
+                Ok(count) => self.written += count,
+                Err(error) => return error.kind() != ErrorKind::WouldBlock,
+            }
+        }
+        false
+    }
+
     /// Whether the answer is whole; `None` if it is none.
     fn understand(&mut self) -> Option<bool> {
         while self.reader.is_none() {
--- a/crates/simulation/src/network/mod.rs
+++ b/crates/simulation/src/network/mod.rs
@@ -1,4 +1,5 @@
-//! Connections: opening, packets in order with delay, small windows, ends and resets.
+//! Connections: opening, packets in order with delay, small windows, ends and resets. They fail as on Linux: what arrived before
+//! can still be read, and the failure is reported once, to the next write, or to the next read when nothing is left.
 
 mod ends;
 mod opening;
@@ -9,7 +10,7 @@
 use grebeusher_time::{Duration, Instant};
 use grebeusher_transport::poller::Interest;
 use std::collections::VecDeque;
-use std::io::ErrorKind;
+use std::io::{self, ErrorKind};
 use std::net::SocketAddrV4;
 
 /// What may be under way and unread in one direction, in bytes.
@@ -62,6 +63,8 @@
     /// Whether whoever has it still holds it.
     open: bool,
     state: State,
+    /// The failure of a broken connection, until a call has reported it.
+    unreported_failure: Option<ErrorKind>,
     inbox: Vec<u8>,
     read: usize,
     ended: bool,
@@ -84,6 +87,7 @@
             interest: Interest::NONE,
             open: true,
             state,
+            unreported_failure: None,
             inbox: Vec::new(),
             read: 0,
             ended: false,
@@ -105,6 +109,30 @@
     fn unread(&self) -> usize {
         self.inbox.len() - self.read
     }
+
+    /// The connection has failed. One that the other side had ended before fails as a pipe whose reader is gone.
+    fn fail(&mut self, kind: ErrorKind) {
+        if matches!(self.state, State::Broken(_)) {
+            return;
+        }
+        let is_reset_after_end = self.ended && kind == ErrorKind::ConnectionReset;
+        self.state = State::Broken(kind);
+        self.unreported_failure = Some(if is_reset_after_end { ErrorKind::BrokenPipe } else { kind });
+        self.flight.clear();
+        self.flying = 0;
+    }
+
+    /// The result of a read when nothing is left to read.
+    fn read_nothing(&mut self) -> io::Result<usize> {
+        if self.ended {
+            return Ok(0);
+        }
+        match (self.unreported_failure.take(), self.state) {
+            (Some(kind), _) => Err(kind.into()),
+            (None, State::Broken(_)) => Ok(0),
+            (None, _) => Err(ErrorKind::WouldBlock.into()),
+        }
+    }
 }
 
 /// A connection.
--- a/crates/simulation/src/network/packets.rs
+++ b/crates/simulation/src/network/packets.rs
@@ -79,12 +79,7 @@
 
     pub(super) fn break_side(&mut self, connection: u64, side: usize, kind: ErrorKind) {
         let Some(found) = self.connections.get_mut(&connection) else { return };
-        let broken = &mut found.sides[side];
-        broken.state = State::Broken(kind);
-        broken.inbox.clear();
-        broken.read = 0;
-        broken.flight.clear();
-        broken.flying = 0;
+        found.sides[side].fail(kind);
         self.notify(End::new(connection, side));
         self.forget_if_over(connection);
     }
--- a/crates/simulation/src/network/sockets.rs
+++ b/crates/simulation/src/network/sockets.rs
@@ -41,10 +41,13 @@
         if !side.open || side.key == 0 {
             return None;
         }
-        let broken = matches!(side.state, State::Broken(_));
-        let readable = side.interest.readable && (side.unread() > 0 || side.ended || broken);
+        if matches!(side.state, State::Broken(_)) {
+            let is_polled = side.interest != Interest::NONE;
+            return is_polled.then_some(Event { key: side.key, readable: true, writable: true });
+        }
+        let readable = side.interest.readable && (side.unread() > 0 || side.ended);
         let room = side.state == State::Up && side.flying + other.unread() < WINDOW;
-        let writable = side.interest.writable && (room || broken);
+        let writable = side.interest.writable && room;
         (readable || writable).then_some(Event { key: side.key, readable, writable })
     }
 
@@ -87,16 +90,13 @@
     /// Reads as a socket does.
     ///
     /// # Errors
-    /// `WouldBlock`, or the connection is broken.
+    /// `WouldBlock`, or the connection is broken and nothing is left to read; later reads find the end of the stream.
     pub fn read(&mut self, end: End, bytes: &mut [u8]) -> io::Result<usize> {
         let found = self.connections.get_mut(&end.connection()).ok_or(ErrorKind::NotConnected)?;
         let side = &mut found.sides[end.side()];
-        if let State::Broken(kind) = side.state {
-            return Err(kind.into());
-        }
         let count = side.unread().min(bytes.len());
         if count == 0 {
-            return if side.ended { Ok(0) } else { Err(ErrorKind::WouldBlock.into()) };
+            return side.read_nothing();
         }
         bytes[..count].copy_from_slice(&side.inbox[side.read..side.read + count]);
         side.read += count;
@@ -131,13 +131,15 @@
     /// Writes as a socket does.
     ///
     /// # Errors
-    /// `WouldBlock`, or the connection is broken.
+    /// `WouldBlock`, or the connection is broken; `BrokenPipe` if that was reported before.
     pub fn write(&mut self, end: End, bytes: &[u8]) -> io::Result<usize> {
         let found = self.connections.get_mut(&end.connection()).ok_or(ErrorKind::NotConnected)?;
         let other_unread = found.sides[1 - end.side()].unread();
         let side = &mut found.sides[end.side()];
         match side.state {
-            State::Broken(kind) => return Err(kind.into()),
+            State::Broken(_) => {
+                return Err(side.unreported_failure.take().unwrap_or(ErrorKind::BrokenPipe).into());
+            }
             State::Opening => return Err(ErrorKind::WouldBlock.into()),
             State::Up if side.fin_sent => return Err(ErrorKind::BrokenPipe.into()),
             State::Up => {}
