Simulation: executors whose answers are broken

`broken_answers` is a fault of scenarios, placed by hand: a share of the executors' answers has a status that there is not, an odd byte in the name of a field, or a part of a body without a length and a reset. A long upload (`load.upload_bytes`) gets the part before it is read. The judge needs nothing new: a client that takes such an answer for one finds another body or another event (MIXED, ORDER).

--- a/crates/simulation/src/clients/live.rs
+++ b/crates/simulation/src/clients/live.rs
@@ -62,7 +62,7 @@
         stage: &mut Stage<'_>,
     ) {
         let number = self.new_number();
-        let length = stage.hub.random.random_range(0..3000);
+        let length = self.traffic.upload_bytes + stage.hub.random.random_range(0..3000);
         let method = if kind == Kind::Idempotent { "GET" } else { "POST" };
         let body = if method == "GET" { Vec::new() } else { vec![b'a' + (number % 26) as u8; length] };
         let wait = if matches!(kind, Kind::Stream | Kind::Resumable) { 6000 } else { 4000 };
--- a/crates/simulation/src/clients/mod.rs
+++ b/crates/simulation/src/clients/mod.rs
@@ -60,6 +60,8 @@
     pub jobs_per_s: f64,
     /// When no further batch jobs come.
     pub jobs_until: Instant,
+    /// Bytes of the body of each live request with a body, beside up to 3,000.
+    pub upload_bytes: usize,
     /// Bytes of each item's body, beside a few.
     pub item_bytes: usize,
     /// Bytes of each event of an item, beside a few.
--- a/crates/simulation/src/executors/answers.rs
+++ b/crates/simulation/src/executors/answers.rs
@@ -11,6 +11,9 @@
 impl Executors {
     #[expect(clippy::too_many_lines, reason = "one arm for each kind of answer")]
     pub(super) fn step(&mut self, number: usize, run_number: u64, stage: &mut Stage<'_>) {
+        if self.breaks_answer(number, run_number, stage) {
+            return;
+        }
         let live = &mut self.all[number];
         let active = live.runs.len();
         let lies = live.lies;
--- a/crates/simulation/src/executors/mod.rs
+++ b/crates/simulation/src/executors/mod.rs
@@ -1,6 +1,7 @@
 //! Stand-in executors: batches of slots with a queue, prompts and tokens that take time, heartbeats, drains, and lies.
 
 mod answers;
+mod broken;
 mod flaws;
 mod grey;
 mod heartbeats;
@@ -12,7 +13,7 @@
 
 use crate::call::HttpCall;
 use crate::hub::{End, Owner};
-use crate::scenario::Grey;
+use crate::scenario::{BrokenAnswer, Grey};
 use crate::stage::Stage;
 use grebeusher_time::{Duration, Instant};
 use grebeusher_transport::body::BodyReader;
@@ -58,6 +59,8 @@
     pub surplus: f64,
     /// The share of answers that are sent twice, the copy in the place of the next answer on the connection.
     pub repeated: f64,
+    /// How answers are broken, and the share of those that are.
+    pub broken: Option<(BrokenAnswer, f64)>,
     /// The share of requests that fail, and how.
     pub grey: Option<(Grey, f64)>,
     /// Whether it says that it is ill.
--- a/crates/simulation/src/executors/serving.rs
+++ b/crates/simulation/src/executors/serving.rs
@@ -29,10 +29,15 @@
             let Ok(Some((head, length))) = http::request_head(&connection.input, &LIMITS) else {
                 return false;
             };
+            if self.breaks_upload(number, end, &head.headers, stage) {
+                return false;
+            }
+            let Some(connection) = self.all[number].connections.get_mut(&end) else { return false };
             connection.input.drain(..length);
             let Ok(framing) = body::request_framing(&head.headers) else { return false };
             connection.head = Some((head, BodyReader::new(framing), Vec::new()));
         }
+        let Some(connection) = self.all[number].connections.get_mut(&end) else { return false };
         let Some((_, reader, content)) = &mut connection.head else { return false };
         if !reader.is_done() {
             let Ok(consumed) = reader.read_with(&connection.input, |bytes| content.extend_from_slice(bytes))
--- a/crates/simulation/src/fleet/build.rs
+++ b/crates/simulation/src/fleet/build.rs
@@ -32,6 +32,19 @@
     load.jobs_for_s.map_or(Instant(u64::MAX), |seconds| begin + Duration::from_seconds(seconds))
 }
 
+/// How much the clients do.
+fn traffic(load: &Load) -> Traffic {
+    Traffic {
+        live_per_s: load.live_per_s,
+        jobs_per_s: load.jobs_per_s,
+        jobs_until: jobs_until(load),
+        upload_bytes: load.upload_bytes,
+        item_bytes: load.item_bytes,
+        event_bytes: load.event_bytes,
+        probes_per_s: load.probes_per_s,
+    }
+}
+
 impl Fleet {
     pub(super) fn new(scenario: Scenario, seed: u64) -> Fleet {
         let mut hub = Hub::new(seed);
@@ -47,19 +60,11 @@
             .collect();
         let operator_host = hub.add_host(Ipv4Addr::new(10, 201, 0, 1), 0, Duration::from_millis(1));
         let load = &scenario.load;
-        let traffic = Traffic {
-            live_per_s: load.live_per_s,
-            jobs_per_s: load.jobs_per_s,
-            jobs_until: jobs_until(load),
-            item_bytes: load.item_bytes,
-            event_bytes: load.event_bytes,
-            probes_per_s: load.probes_per_s,
-        };
         let mut until = Duration::from_seconds(load.lead_s + load.length_s);
         if scenario.closing.is_some() {
             until = until + CLOSING_DURATION + Duration::from_millis(3000);
         }
-        let clients = Clients::new(client_hosts, traffic, Instant(0) + until);
+        let clients = Clients::new(client_hosts, traffic(load), Instant(0) + until);
         let operators = Operators::new(operator_host, load);
         let mut fleet = Fleet {
             scenario,
--- a/crates/simulation/src/fleet/faults.rs
+++ b/crates/simulation/src/fleet/faults.rs
@@ -118,6 +118,10 @@
                 self.note(&format!("executors send {x:.2} of their answers twice"));
                 self.lie_for(Lies { repeated: x, grey: Some((how, failures)), ..Lies::default() }, for_s);
             }
+            Fault::BrokenAnswers { x, how, for_s } => {
+                self.note(&format!("executors break {x:.2} of their answers: {how:?}"));
+                self.lie_for(Lies { broken: Some((how, x)), ..Lies::default() }, for_s);
+            }
             Fault::Garble { x, surplus, for_s } => {
                 self.note(&format!("executors spoil {x:.2} of their answers"));
                 self.lie_for(
--- a/crates/simulation/src/network/ends.rs
+++ b/crates/simulation/src/network/ends.rs
@@ -22,6 +22,17 @@
 
     /// Closes an end: with a reset if there are unread bytes.
     pub fn close(&mut self, end: End) {
+        let found = self.connections.get(&end.connection());
+        let has_unread = found.is_some_and(|found| found.sides[end.side()].unread() > 0);
+        self.close_end(end, has_unread);
+    }
+
+    /// Closes an end with a reset behind what was sent.
+    pub fn abort(&mut self, end: End) {
+        self.close_end(end, true);
+    }
+
+    fn close_end(&mut self, end: End, resets: bool) {
         let Some(found) = self.connections.get_mut(&end.connection()) else { return };
         let taken = found.sides[1].open;
         let side = &mut found.sides[end.side()];
@@ -29,9 +40,8 @@
             return;
         }
         side.open = false;
-        let unread = side.unread() > 0;
         match side.state {
-            State::Up if unread => self.send(end, Packet::Reset),
+            State::Up if resets => self.send(end, Packet::Reset),
             State::Up if !side.fin_sent => {
                 side.fin_sent = true;
                 self.send(end, Packet::Fin);
--- a/crates/simulation/src/scenario.rs
+++ b/crates/simulation/src/scenario.rs
@@ -2,7 +2,7 @@
 
 mod trouble;
 
-pub use trouble::{CutFrom, Fault, Flaw, Grey, On, WrongKind};
+pub use trouble::{BrokenAnswer, CutFrom, Fault, Flaw, Grey, On, WrongKind};
 
 use serde::{Deserialize, Serialize};
 use snafu::{ResultExt, Snafu};
@@ -98,6 +98,8 @@
     pub slots: usize,
     /// The limit of waiting tokens on each bulk route.
     pub quota: u64,
+    /// Bytes of the body of each live request with a body, beside up to 3,000.
+    pub upload_bytes: usize,
     /// Bytes of each item's body, beside a few.
     pub item_bytes: usize,
     /// Bytes of each event of an item, beside a few.
@@ -120,6 +122,7 @@
             executors: 4,
             slots: 8,
             quota: 20_000,
+            upload_bytes: 0,
             item_bytes: 30,
             event_bytes: 0,
             ballast_routes: 60,
--- a/crates/simulation/src/scenario/trouble.rs
+++ b/crates/simulation/src/scenario/trouble.rs
@@ -32,6 +32,18 @@
     Slow,
 }
 
+/// How an executor's answer is broken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum BrokenAnswer {
+    /// Its status is none that an answer can have.
+    Status,
+    /// The name of a field holds a blank, a control byte or a high byte.
+    FieldName,
+    /// Its body has no length, and a reset follows a part of it. A long upload is answered so before it is read.
+    Reset,
+}
+
 /// How an invalid configuration is wrong.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -172,6 +184,8 @@
     /// Executors send a share `x` of their answers twice. The copy has the id and status of the answer, and comes in the place
     /// of the next answer on its connection. A share `failures` of the requests fails, in the way `how`.
     RepeatedAnswers { x: f64, failures: f64, how: Grey, for_s: f64 },
+    /// Executors send a share `x` of their answers broken.
+    BrokenAnswers { x: f64, how: BrokenAnswer, for_s: f64 },
     /// A machine loses power right after it has acknowledged the next order to roll a version out.
     AfterRolloutKill { after_ms: f64, wipe: bool, for_s: f64 },
     /// The operators roll out a new version of the first service; its executors come when the order is acknowledged.
