Soaks: executors send broken answers, and clients send long uploads

Reason: the soaks of real processes had neither an answer whose framing is broken nor a request that is still being written when its answer comes, so that the incident's faults could not show there.

Change: a tenth of the executors' answers in a soak has a status that there is not, an odd byte in front of a field's name, or a part of a body without a length and a reset; a tenth of the uploads gets the part before it is read. Every sixth live request is an upload of 3.5 MB. Bytes that are no answer are a breach (MIXED); before they counted as an answer that did not come.

--- a/crates/demo/src/executors.rs
+++ b/crates/demo/src/executors.rs
@@ -1,13 +1,14 @@
 //! Stand-in executors: small servers that speak the published protocol. They greet, and they say the words of a body as a
 //! stream of events with rising ids, going on after `Last-Event-Id`.
 
-use crate::answer_faults::AnswerFaults;
+use crate::answer_faults::{AnswerFaults, BrokenAnswer};
 use crate::client::{Call, LIMITS, call};
 use crate::error::{DemoError, ExecutorSnafu};
 use crate::layout::{DRAIN_TIMEOUT_MS, HEARTBEAT_MS, Layout};
 use crate::operator::{GREETING_PREFIX, SERVICE};
-use grebeusher_transport::http::{self, Request, answer};
+use grebeusher_transport::http::{self, Request, RequestHead, answer};
 use snafu::ResultExt;
+use socket2::SockRef;
 use std::io::{self, Read, Write};
 use std::net::{SocketAddrV4, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
@@ -28,6 +29,8 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 /// Idle connections are closed after this; `Keep-Alive` tells so.
 const IDLE_S: u64 = 10;
+/// An upload with a longer body may be answered before its body is read, in bytes.
+const MIN_UPLOAD: usize = 1024 * 1024;
 /// A heartbeat is acknowledged within this, or the next node is called.
 const ACKNOWLEDGEMENT_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -302,7 +305,14 @@
     /// The next whole request; `None` when the connection is to end.
     fn next_request(&mut self) -> io::Result<Option<Request>> {
         let began = Instant::now();
+        let mut has_begun = false;
         loop {
+            if !has_begun && let Ok(Some((head, _))) = http::request_head(&self.bytes, &LIMITS) {
+                has_begun = true;
+                if self.breaks_upload(&head)? {
+                    return Ok(None);
+                }
+            }
             match http::request(&self.bytes, &LIMITS) {
                 Ok(Some((request, length))) => {
                     self.bytes.drain(..length);
@@ -408,6 +418,9 @@
         if shared.draining.load(Ordering::Relaxed) {
             headers.push(http::CLOSE);
         }
+        if let Some(broken) = shared.answer_faults.as_ref().and_then(|faults| faults.breaks_next()) {
+            return self.send_broken(broken, attempt, &seal);
+        }
         if shared.answer_faults.as_ref().is_some_and(|faults| faults.fails_next(attempt)) {
             std::thread::sleep(GREETING_TAKES);
             return self.send(&answer(500, &headers, b""));
@@ -425,6 +438,44 @@
         self.stream_words(&headers, &body, last_event.unwrap_or(0))
     }
 
+    /// Whether an upload is answered before it is read, with a part of an answer and a reset.
+    fn breaks_upload(&mut self, head: &RequestHead) -> io::Result<bool> {
+        let Some(faults) = &self.shared.answer_faults else { return Ok(false) };
+        let length = head.headers.get("Content-Length").and_then(|length| length.parse().ok()).unwrap_or(0);
+        if length < MIN_UPLOAD || !faults.breaks_upload() {
+            return Ok(false);
+        }
+        let attempt = head.headers.get("X-Grebeusher-Attempt-Id").unwrap_or_default();
+        self.send_part_and_reset(attempt, "early")?;
+        Ok(true)
+    }
+
+    /// Sends a broken answer. The error ends the connection.
+    fn send_broken(&mut self, broken: BrokenAnswer, attempt: &str, seal: &str) -> io::Result<()> {
+        const REST: &str = "Content-Length: 8\r\n\r\nnot this";
+        let own = format!("X-Grebeusher-Attempt-Id: {attempt}\r\nX-Grebeusher-Server-Seal: {seal}\r\n");
+        match broken {
+            BrokenAnswer::Status(status) => {
+                self.stream.write_all(format!("HTTP/1.1 {status} Some\r\n{own}{REST}").as_bytes())?;
+            }
+            BrokenAnswer::FieldName(byte) => {
+                let head = format!("HTTP/1.1 200 OK\r\n{own}{byte}X-Name: value\r\n{REST}");
+                self.stream.write_all(head.as_bytes())?;
+            }
+            BrokenAnswer::Reset => self.send_part_and_reset(attempt, seal)?,
+        }
+        Err(io::ErrorKind::ConnectionAborted.into())
+    }
+
+    /// Sends a part of an answer without a length. The connection is reset when it is closed.
+    fn send_part_and_reset(&mut self, attempt: &str, seal: &str) -> io::Result<()> {
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nX-Grebeusher-Attempt-Id: {attempt}\r\nX-Grebeusher-Server-Seal: {seal}\r\n\r\nhello, "
+        );
+        self.stream.write_all(head.as_bytes())?;
+        SockRef::from(&self.stream).set_linger(Some(Duration::ZERO))
+    }
+
     /// One event for each word of the body, without the first `skipped`.
     fn stream_words(&mut self, headers: &[(&str, &str)], body: &str, skipped: usize) -> io::Result<()> {
         let mut head =
--- a/crates/demo/src/soak.rs
+++ b/crates/demo/src/soak.rs
@@ -1,6 +1,6 @@
 //! A soak: a tier of real processes serves live requests and batch jobs while processes are suspended, stopped, killed and
-//! started again, settings are reloaded, configurations change, and executors fail and send answers twice. What happens follows
-//! from a seed; when exactly, from the machine.
+//! started again, settings are reloaded, configurations change, and executors fail, send answers twice and send broken answers. What
+//! happens follows from a seed; when exactly, from the machine.
 
 mod disturbances;
 mod jobs;
@@ -30,6 +30,8 @@
 const SETTLE_TIMEOUT: Duration = Duration::from_secs(40);
 /// How long the tier may take to start.
 const START_TIMEOUT: Duration = Duration::from_secs(30);
+/// The share of the executors' answers that are broken.
+const BROKEN_ANSWERS: f64 = 0.1;
 /// The pause between two looks at the processes.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -63,6 +65,8 @@
     pub given_up: u64,
     /// Answers that executors chose to send twice.
     pub repeated: u64,
+    /// Answers that executors broke.
+    pub broken: u64,
     /// Connections that executors accepted.
     pub connections: u64,
     /// What was done to the tier, by kind.
@@ -83,7 +87,8 @@
         TempDir::with_prefix("grebeusher-soak-").context(FileSnafu { path: std::env::temp_dir() })?;
     let mut random = Pcg64::seed_from_u64(options.seed);
     let (failures, repeats) = (random.random_range(0.2..0.6), random.random_range(0.5..1.0));
-    let mut tier = Tier::start(options, &folder, AnswerFaults::new(options.seed, failures, repeats))?;
+    let faults = AnswerFaults::new(options.seed, failures, repeats, BROKEN_ANSWERS);
+    let mut tier = Tier::start(options, &folder, faults)?;
     let limit = START_TIMEOUT + options.length + SETTLE_TIMEOUT;
     let watch = Watch::new(limit, Arc::new(AtomicBool::new(false)));
     tier.configure(&watch)?;
@@ -103,6 +108,7 @@
         process.must_run()?;
     }
     report.repeated = tier.faults.repeated();
+    report.broken = tier.faults.broken();
     report.connections = tier.executors.iter().map(Executor::accepted).sum();
     folder.disable_cleanup(options.keep && !report.breaches.is_empty());
     if options.keep && !report.breaches.is_empty() {
--- a/crates/demo/src/soak/live.rs
+++ b/crates/demo/src/soak/live.rs
@@ -18,6 +18,10 @@
 const DEADLINE: Duration = Duration::from_millis(4_000);
 /// The pause between two requests.
 const PAUSE: Duration = Duration::from_millis(15);
+/// Of so many requests one is an upload.
+const UPLOAD_INTERVAL: usize = 6;
+/// More than the sockets' buffers take while an executor reads nothing.
+const UPLOAD_BYTES: usize = 3_500_000;
 
 /// The clients' threads.
 pub(super) struct LiveClients {
@@ -77,8 +81,11 @@
             match self.exchange(&mut stream, &mut bytes) {
                 Ok(response) if !response.headers.closes => std::thread::sleep(PAUSE),
                 Ok(_) => return,
-                Err(_) => {
+                Err(error) => {
                     self.seen.unserved += 1;
+                    if error.kind() == ErrorKind::InvalidData {
+                        self.seen.breaches.push("MIXED: a client got bytes that are no answer".to_owned());
+                    }
                     return;
                 }
             }
@@ -87,7 +94,7 @@
 
     fn exchange(&mut self, stream: &mut TcpStream, bytes: &mut Vec<u8>) -> io::Result<Response> {
         let id = format!("{:016x}", (2_u64 << 48) + ((self.number as u64) << 32) + self.sent as u64);
-        let name = format!("client {} request {}", self.number, self.sent);
+        let name = self.request_body();
         let request = format!(
             "POST {GREETING_PREFIX}{id} HTTP/1.1\r\nHost: {LIVE_HOST}\r\nX-Grebeusher-Attempt-Id: {id}\r\n\
              X-Grebeusher-Deadline-Ms: {}\r\nContent-Length: {}\r\n\r\n{name}",
@@ -104,6 +111,14 @@
         Ok(response)
     }
 
+    fn request_body(&self) -> String {
+        let mut body = format!("client {} request {}", self.number, self.sent);
+        if self.sent.is_multiple_of(UPLOAD_INTERVAL) {
+            body.extend(std::iter::repeat_n('.', UPLOAD_BYTES));
+        }
+        body
+    }
+
     fn check(&mut self, id: &str, name: &str, response: &Response) {
         let is_other = response.headers.get("X-Grebeusher-Attempt-Id").is_some_and(|echoed| echoed != id);
         if is_other {
@@ -118,8 +133,9 @@
         if is_right && has_seal {
             self.seen.served += 1;
         } else {
-            let body = String::from_utf8_lossy(&response.body);
-            self.seen.breaches.push(format!("MIXED: {id} got the body {body:?}"));
+            let length = response.body.len();
+            let start = String::from_utf8_lossy(&response.body[..length.min(80)]);
+            self.seen.breaches.push(format!("MIXED: {id} got a body of {length} bytes: {start:?}"));
         }
     }
 }
--- a/crates/demo/src/soak_main.rs
+++ b/crates/demo/src/soak_main.rs
@@ -42,7 +42,7 @@
         .version(env!("CARGO_PKG_VERSION"))
         .descr(
             "Starts a serving tier of several processes on loopback addresses, and disturbs it while clients send live \
-             requests and batch jobs to executors that fail and send answers twice. Exits with 1 if a rule was broken.",
+             requests and batch jobs to executors that fail, send answers twice and send broken answers. Exits with 1 if a rule was broken.",
         )
 }
 
@@ -85,7 +85,7 @@
 
 fn print_report(seed: u64, report: &SoakReport) {
     println!(
-        "seed {seed}: {} breaches; {} served, {} not; {} jobs, {} complete, {} given up; {} answers twice; {} connections; {:?}",
+        "seed {seed}: {} breaches; {} served, {} not; {} jobs, {} complete, {} given up; {} answers twice, {} broken; {} connections; {:?}",
         report.breaches.len(),
         report.served,
         report.unserved,
@@ -93,6 +93,7 @@
         report.complete,
         report.given_up,
         report.repeated,
+        report.broken,
         report.connections,
         report.disturbances
     );
