Demo: one module waits for the nodes of a tier that was started

The story, the soak and the new test of real processes each waited for listeners and for readiness on their own; the lists of control and frontend addresses stood three times. They are `start_up::{until_listening, until_ready}` and methods of `Layout` now. Both programs look for the tier's program by one function.

--- a/crates/demo/src/layout.rs
+++ b/crates/demo/src/layout.rs
@@ -112,6 +112,16 @@
         self.machines.iter().filter(|machine| machine.kind != MachineKind::Storage)
     }
 
+    /// The control addresses of all edge machines.
+    pub fn controls(&self) -> Vec<SocketAddrV4> {
+        self.edges().map(|machine| self.control(machine)).collect()
+    }
+
+    /// Where all edge machines take clients.
+    pub fn frontends(&self) -> Vec<SocketAddrV4> {
+        self.edges().map(|machine| self.frontend(machine)).collect()
+    }
+
     /// Where a machine takes clients.
     pub fn frontend(&self, machine: &Machine) -> SocketAddrV4 {
         SocketAddrV4::new(machine.address, self.first_port)
--- a/crates/demo/src/lib.rs
+++ b/crates/demo/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod processes;
 pub mod requests;
 pub mod soak;
+pub mod start_up;
 pub mod story;
 pub mod table;
 pub mod watch;
--- a/crates/demo/src/main.rs
+++ b/crates/demo/src/main.rs
@@ -2,6 +2,7 @@
 
 use bpaf::{Parser, construct, long};
 use grebeusher_demo::layout::Machines;
+use grebeusher_demo::processes::program_beside;
 use grebeusher_demo::{DemoError, Options, run};
 use signal_hook::consts::{SIGINT, SIGTERM};
 use std::path::PathBuf;
@@ -10,8 +11,6 @@
 use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
-/// The name of the tier's program.
-const PROGRAM: &str = "grebeusher-tier";
 /// What the whole may take unless the command line says otherwise, in seconds.
 const LIMIT_S: u64 = 29;
 
@@ -53,9 +52,8 @@
         // Without it the signal ends the demonstration at once, as it would any program.
         let _ = signal_hook::flag::register(signal, interrupted.clone());
     }
-    let beside = || std::env::current_exe().unwrap_or_default().with_file_name(PROGRAM);
     let options = Options {
-        program: arguments.program.clone().unwrap_or_else(beside),
+        program: arguments.program.clone().unwrap_or_else(program_beside),
         machines: Machines::default(),
         limit: Duration::from_secs(arguments.limit_s),
         keep: arguments.keep,
--- a/crates/demo/src/processes.rs
+++ b/crates/demo/src/processes.rs
@@ -12,9 +12,16 @@
 const SETTINGS_FILE: &str = "GREBEUSHER_NODE_FILE";
 /// The name of the settings file in the folder of a machine.
 const SETTINGS_NAME: &str = "settings.json";
+/// The name of the tier's program.
+const PROGRAM: &str = "grebeusher-tier";
 /// So much of the end of a log is told.
 const TOLD_OF_LOG: usize = 600;
 
+/// The path of the tier's program: beside the running one.
+pub fn program_beside() -> PathBuf {
+    std::env::current_exe().unwrap_or_default().with_file_name(PROGRAM)
+}
+
 /// A process of the tier.
 pub struct Process {
     /// Its machine.
--- a/crates/demo/src/soak.rs
+++ b/crates/demo/src/soak.rs
@@ -9,9 +9,10 @@
 use crate::answer_faults::AnswerFaults;
 use crate::error::{DemoError, FileSnafu};
 use crate::executors::Executor;
-use crate::layout::{Layout, Machine, Machines};
+use crate::layout::{Layout, Machines};
 use crate::operator::{self, VERSION, configuration};
 use crate::processes::Process;
+use crate::start_up::{until_listening, until_ready};
 use crate::watch::Watch;
 use disturbances::Disturbances;
 use jobs::JobClients;
@@ -19,7 +20,6 @@
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
 use snafu::ResultExt;
-use std::net::{SocketAddrV4, TcpStream};
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -94,7 +94,7 @@
     tier.configure(&watch)?;
 
     let stop = Arc::new(AtomicBool::new(false));
-    let frontends = tier.frontends();
+    let frontends = tier.layout.frontends();
     let live = LiveClients::start(&frontends, &stop);
     let jobs = JobClients::start(&frontends, options.seed, &watch, &tier.faults, &stop);
     let disturbances = Disturbances::new(random, options.length);
@@ -137,39 +137,21 @@
             tier.processes.push(process);
         }
         for (index, address) in tier.layout.executors.clone().into_iter().enumerate() {
-            let executor = Executor::with_faults(index, address, tier.controls(), Some(tier.faults.clone()))?;
+            let executor =
+                Executor::with_faults(index, address, tier.layout.controls(), Some(tier.faults.clone()))?;
             tier.executors.push(executor);
         }
         Ok(tier)
     }
 
-    fn controls(&self) -> Vec<SocketAddrV4> {
-        self.layout.edges().map(|machine| self.layout.control(machine)).collect()
-    }
-
-    fn frontends(&self) -> Vec<SocketAddrV4> {
-        self.layout.edges().map(|machine| self.layout.frontend(machine)).collect()
-    }
-
     /// Gives the tier its first configuration, and waits until every node is ready.
     fn configure(&mut self, watch: &Watch) -> Result<(), DemoError> {
-        let edges: Vec<Machine> = self.layout.edges().cloned().collect();
-        for edge in &edges {
-            let control = self.layout.control(edge);
-            watch.until("nodes listen", || Ok(TcpStream::connect(control).ok()))?;
-        }
-        let (status, _) = operator::replace(watch, &self.controls(), 0, &configuration(self.version))?;
+        until_listening(watch, &self.layout, || Ok(()))?;
+        let (status, _) = operator::replace(watch, &self.layout.controls(), 0, &configuration(self.version))?;
         if status != 200 {
             let what = format!("status {status}");
             return Err(DemoError::Wrong { step: "the first configuration".to_owned(), what });
         }
-        for edge in &edges {
-            let readiness = self.layout.readiness(edge);
-            watch.until("nodes are ready", || {
-                let answer = operator::ask(readiness, "GET", "/api/readiness", None, "");
-                Ok(answer.ok().filter(crate::client::Answer::is_success))
-            })?;
-        }
-        Ok(())
+        until_ready(watch, &self.layout, || Ok(()))
     }
 }
--- a/crates/demo/src/soak/disturbances.rs
+++ b/crates/demo/src/soak/disturbances.rs
@@ -20,25 +20,39 @@
 /// A process has to exit within this time of SIGTERM.
 const EXIT_TIMEOUT: Duration = Duration::from_secs(GRACE_PERIOD_S + 3);
 
-/// What is done to a process.
+/// A disturbance of the tier.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Kind {
+    /// Something is done to a process.
+    Process(Signal),
+    /// The configuration is changed.
+    Configure,
+}
+
+/// What is done to a process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Signal {
     Suspend,
     Terminate,
     Kill,
     Reload,
-    Configure,
 }
 
 impl Kind {
-    const ALL: [Kind; 5] = [Kind::Suspend, Kind::Terminate, Kind::Kill, Kind::Reload, Kind::Configure];
+    const ALL: [Kind; 5] = [
+        Kind::Process(Signal::Suspend),
+        Kind::Process(Signal::Terminate),
+        Kind::Process(Signal::Kill),
+        Kind::Process(Signal::Reload),
+        Kind::Configure,
+    ];
 
     fn name(self) -> &'static str {
         match self {
-            Kind::Suspend => "suspended",
-            Kind::Terminate => "terminated",
-            Kind::Kill => "killed",
-            Kind::Reload => "reloaded",
+            Kind::Process(Signal::Suspend) => "suspended",
+            Kind::Process(Signal::Terminate) => "terminated",
+            Kind::Process(Signal::Kill) => "killed",
+            Kind::Process(Signal::Reload) => "reloaded",
             Kind::Configure => "configured",
         }
     }
@@ -102,35 +116,48 @@
         let kind = Kind::ALL[self.random.random_range(0..Kind::ALL.len())];
         let index = self.random.random_range(0..tier.processes.len());
         let outage = Duration::from_millis(self.random.random_range(OUTAGE_MS));
-        if kind == Kind::Configure {
-            self.configure(tier);
-            return Ok(());
+        let is_done = match kind {
+            Kind::Configure => self.configure(tier),
+            Kind::Process(signal) => self.disturb(tier, index, signal, outage)?,
+        };
+        if is_done {
+            *self.counts.entry(kind.name()).or_default() += 1;
         }
+        Ok(())
+    }
+
+    /// Does something to a process. Returns whether it could be done now.
+    fn disturb(
+        &mut self,
+        tier: &mut Tier,
+        index: usize,
+        signal: Signal,
+        outage: Duration,
+    ) -> Result<bool, DemoError> {
         if !self.may_disturb(tier, index) {
-            return Ok(());
+            return Ok(false);
         }
         let process = &mut tier.processes[index];
-        if matches!(kind, Kind::Terminate | Kind::Reload) && !process.handles_signals() {
-            return Ok(());
+        if matches!(signal, Signal::Terminate | Signal::Reload) && !process.handles_signals() {
+            return Ok(false);
         }
         let until = Instant::now() + outage;
-        match kind {
-            Kind::Reload | Kind::Configure => process.reload()?,
-            Kind::Suspend => {
+        match signal {
+            Signal::Reload => process.reload()?,
+            Signal::Suspend => {
                 process.suspend()?;
                 self.disturbed.insert(index, Disturbed::SuspendedUntil(until));
             }
-            Kind::Terminate => {
+            Signal::Terminate => {
                 process.terminate()?;
                 self.disturbed.insert(index, Disturbed::Exiting(Instant::now() + EXIT_TIMEOUT));
             }
-            Kind::Kill => {
+            Signal::Kill => {
                 process.kill()?;
                 self.disturbed.insert(index, Disturbed::DownUntil(until));
             }
         }
-        *self.counts.entry(kind.name()).or_default() += 1;
-        Ok(())
+        Ok(true)
     }
 
     fn may_disturb(&self, tier: &Tier, index: usize) -> bool {
@@ -140,16 +167,16 @@
         has_room && !self.disturbed.contains_key(&index)
     }
 
-    /// Sends the next version once, to any node. A version that is not clearly taken is followed by the same one.
-    fn configure(&mut self, tier: &mut Tier) {
-        let controls = tier.controls();
+    /// Sends the next version once, to any node. A version that is not clearly taken is followed by the same one. Returns
+    /// whether it was taken.
+    fn configure(&mut self, tier: &mut Tier) -> bool {
+        let controls = tier.layout.controls();
         let control = controls[self.random.random_range(0..controls.len())];
         let body = configuration(tier.version + 1);
         let answer = ask(control, "POST", "/api/Configuration.Replace", Some(tier.version), &body);
-        if answer.as_ref().is_ok_and(Answer::is_success) {
-            tier.version += 1;
-            *self.counts.entry(Kind::Configure.name()).or_default() += 1;
-        }
+        let is_taken = answer.as_ref().is_ok_and(Answer::is_success);
+        tier.version += u64::from(is_taken);
+        is_taken
     }
 
     /// Ends the disturbances whose time is over.
--- a/crates/demo/src/soak_main.rs
+++ b/crates/demo/src/soak_main.rs
@@ -2,13 +2,12 @@
 
 use bpaf::{Parser, construct, long};
 use grebeusher_demo::layout::Machines;
+use grebeusher_demo::processes::program_beside;
 use grebeusher_demo::soak::{SoakOptions, SoakReport, soak};
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::Duration;
 
-/// The name of the tier's program.
-const PROGRAM: &str = "grebeusher-tier";
 /// How long a tier is disturbed unless the command line says otherwise, in seconds.
 const LENGTH_S: u64 = 8;
 
@@ -57,7 +56,6 @@
 
 /// Soaks one tier and prints what came of it. Returns whether all rules were kept.
 fn soak_seed(arguments: &Arguments, seed: u64) -> bool {
-    let beside = || std::env::current_exe().unwrap_or_default().with_file_name(PROGRAM);
     let machines = Machines {
         edge_with_disk: 3,
         edge: arguments.edge,
@@ -65,7 +63,7 @@
         executors: arguments.executors,
     };
     let options = SoakOptions {
-        program: arguments.program.clone().unwrap_or_else(beside),
+        program: arguments.program.clone().unwrap_or_else(program_beside),
         machines,
         seed,
         length: Duration::from_secs(arguments.length_s),
--- a/crates/demo/src/story.rs
+++ b/crates/demo/src/story.rs
@@ -8,6 +8,7 @@
 use crate::operator::{self, JOB_PARTITION, LIVE_HOST, STREAM_PREFIX, VERSION, configuration};
 use crate::processes::Process;
 use crate::requests::{Served, greet, stream};
+use crate::start_up::{until_listening, until_ready};
 use crate::table::{Table, milliseconds};
 use crate::watch::Watch;
 use snafu::ResultExt;
@@ -106,20 +107,12 @@
         Ok(())
     }
 
-    fn controls(&self) -> Vec<SocketAddrV4> {
-        self.layout.edges().map(|machine| self.layout.control(machine)).collect()
-    }
-
-    fn frontends(&self) -> Vec<SocketAddrV4> {
-        self.layout.edges().map(|machine| self.layout.frontend(machine)).collect()
-    }
-
     fn start(&mut self, options: &Options, folder: &TempDir) -> Result<(), DemoError> {
         for machine in self.layout.machines.clone() {
             let process = Process::start(&options.program, &self.layout, &machine, folder.path())?;
             self.processes.push(process);
         }
-        let controls = self.controls();
+        let controls = self.layout.controls();
         for (index, address) in self.layout.executors.clone().into_iter().enumerate() {
             self.executors.push(Executor::start(index, address, controls.clone())?);
         }
@@ -135,9 +128,13 @@
     }
 
     fn tell(&mut self) -> Result<Told, DemoError> {
-        self.await_listeners()?;
+        let watch = self.watch.clone();
+        let layout = self.layout.clone();
+        until_listening(&watch, &layout, || self.all_run())?;
         self.configure()?;
-        self.await_readiness()?;
+        until_ready(&watch, &layout, || self.all_run())?;
+        let nodes = layout.edges().count();
+        self.row("edge nodes say that they are ready", &format!("{nodes} of {nodes}"))?;
         let requests_served = self.serve_requests()?;
         self.misdirect()?;
         let (items_complete, killed, next_leader) = self.run_job()?;
@@ -150,20 +147,8 @@
         self.processes.iter_mut().try_for_each(Process::must_run)
     }
 
-    /// Guards against waiting for processes that ended at their start.
-    fn await_listeners(&mut self) -> Result<(), DemoError> {
-        let watch = self.watch.clone();
-        for control in self.controls() {
-            watch.until("processes listen", || {
-                self.all_run()?;
-                Ok(operator::ask(control, "GET", "/api/status", None, "").ok().map(drop))
-            })?;
-        }
-        Ok(())
-    }
-
     fn configure(&mut self) -> Result<(), DemoError> {
-        let controls = self.controls();
+        let controls = self.layout.controls();
         let first = configuration(VERSION);
         let (status, tries) = operator::replace(&self.watch, &controls, 0, &first)?;
         self.expect("Configuration.Replace on top of 0", status, 200, &format!(", try {tries}"))?;
@@ -190,30 +175,8 @@
         self.row(step, &format!("{status}{more}"))
     }
 
-    fn await_readiness(&mut self) -> Result<(), DemoError> {
-        let waiting: Vec<SocketAddrV4> =
-            self.layout.edges().map(|machine| self.layout.readiness(machine)).collect();
-        for address in &waiting {
-            let watch = self.watch.clone();
-            watch.until("edge nodes become ready", || {
-                self.all_run()?;
-                let asked = Call {
-                    address: *address,
-                    method: "GET",
-                    target: "/api/readiness",
-                    host: "tier",
-                    headers: Vec::new(),
-                    body: b"",
-                    within: Duration::from_secs(1),
-                };
-                Ok(call(&asked).ok().filter(|answer| answer.status == 200).map(drop))
-            })?;
-        }
-        self.row("edge nodes say that they are ready", &format!("{} of {}", waiting.len(), waiting.len()))
-    }
-
     fn serve_requests(&mut self) -> Result<usize, DemoError> {
-        let frontends = self.frontends();
+        let frontends = self.layout.frontends();
         let greetings = greet(&self.watch, &frontends, GREETINGS)?;
         self.row("idempotent requests, each to the next node", &told(&greetings, &greetings.whole))?;
         let streams = stream(&self.watch, &frontends, STREAMS)?;
@@ -249,7 +212,7 @@
     /// A job whose leader is killed in the middle, when an executor begins to drain too. How many items are complete, and
     /// the names of both leaders.
     fn run_job(&mut self) -> Result<(usize, String, String), DemoError> {
-        let (watch, frontends) = (self.watch.clone(), self.frontends());
+        let (watch, frontends) = (self.watch.clone(), self.layout.frontends());
         let mut job = Job::new(&watch, &frontends, ITEMS);
         let tries = job.submit()?;
         self.row(&format!("a batch job of {ITEMS} items"), &format!("202, try {tries}"))?;
@@ -316,7 +279,7 @@
 
     /// The leader's own account of the job, as `grebeusher-tier show` prints it.
     fn show_partition(&mut self, job: &Job<'_>) -> Result<(), DemoError> {
-        let (controls, watch) = (self.controls(), self.watch.clone());
+        let (controls, watch) = (self.layout.controls(), self.watch.clone());
         let target = format!("/api/status/{JOB_PARTITION}");
         let status = watch.until("the leader shows its part", || {
             let answer = operator::ask(controls[0], "GET", &target, None, "");
@@ -331,7 +294,7 @@
     }
 
     fn kill_leader(&mut self) -> Result<(String, SocketAddrV4), DemoError> {
-        let controls = self.controls();
+        let controls = self.layout.controls();
         let watch = self.watch.clone();
         let leader = watch
             .until("the job's part has a leader", || Ok(operator::leader_of(&controls, JOB_PARTITION)))?;
@@ -348,7 +311,7 @@
     }
 
     fn next_leader(&mut self, before: SocketAddrV4) -> Result<String, DemoError> {
-        let controls = self.controls();
+        let controls = self.layout.controls();
         let watch = self.watch.clone();
         let leader = watch.until("the job's part has another leader", || {
             Ok(operator::leader_of(&controls, JOB_PARTITION).filter(|leader| *leader != before))
--- a/crates/tier/tests/broken_answers_processes.rs
+++ b/crates/tier/tests/broken_answers_processes.rs
@@ -4,6 +4,7 @@
 use grebeusher_demo::layout::{Layout, Machine, Machines};
 use grebeusher_demo::operator;
 use grebeusher_demo::processes::Process;
+use grebeusher_demo::start_up::until_listening;
 use grebeusher_demo::watch::Watch;
 use std::io::{self, Read, Write};
 use std::net::{SocketAddrV4, TcpListener, TcpStream};
@@ -217,16 +218,14 @@
         let program = Path::new(env!("CARGO_BIN_EXE_grebeusher-tier"));
         let start = |machine: &Machine| Process::start(program, &layout, machine, folder.path());
         let processes = layout.machines.iter().map(|machine| start(machine).expect("a process")).collect();
-        let controls: Vec<SocketAddrV4> = layout.edges().map(|edge| layout.control(edge)).collect();
+        let controls = layout.controls();
         let executor = BrokenExecutor::start(layout.executors[0], controls.clone());
         let watch = Watch::new(TIME_LIMIT, Arc::new(AtomicBool::new(false)));
-        for control in &controls {
-            watch.until("nodes listen", || Ok(TcpStream::connect(control).ok())).expect("in time");
-        }
+        until_listening(&watch, &layout, || Ok(())).expect("in time");
         let (status, _) = operator::replace(&watch, &controls, 0, &configuration()).expect("in time");
         assert_eq!(status, 200);
         let tier = Tier { _folder: folder, layout, _processes: processes, _executor: executor };
-        for node in tier.frontends() {
+        for node in tier.layout.frontends() {
             let answered = |answer: &Answer| answer.status == 413;
             let try_once = || Ok(tier.send(node, ROUTES[0], EarlyRefusal, 0).ok().filter(answered));
             watch.until("nodes know the executor", try_once).expect("in time");
@@ -234,10 +233,6 @@
         tier
     }
 
-    fn frontends(&self) -> Vec<SocketAddrV4> {
-        self.layout.edges().map(|edge| self.layout.frontend(edge)).collect()
-    }
-
     fn send(
         &self,
         node: SocketAddrV4,
@@ -270,7 +265,7 @@
     let mut wrong = Vec::new();
     let mut number = 0;
     for _ in 0..REPETITIONS {
-        for node in tier.frontends() {
+        for node in tier.layout.frontends() {
             for (route, behaviour) in ROUTES.iter().flat_map(|route| BEHAVIOURS.map(|it| (route, it))) {
                 number += 1;
                 let result = tier.send(node, route, behaviour, number);
