--- a/crates/tier/tests/broken_answers.rs
+++ b/crates/tier/tests/broken_answers.rs
@@ -58,6 +58,18 @@
         Sent { harness, client, executor }
     }
 
+    /// The same on a connection that has carried an earlier request.
+    fn over_a_full_used_connection(route: &str, taken: usize) -> Sent {
+        let Sent { mut harness, client, executor } = Sent::over_a_new_connection("idempotent", 1);
+        harness.send(executor, &answer(ID, "earlier"));
+        assert_eq!(status_of(&harness.take(client)), Some(200));
+        harness.network.borrow_mut().limit(executor, Some(taken));
+        let client = harness.client(route, "two", UPLOAD);
+        assert_eq!(harness.executor_connection(), None, "the idle connection is used");
+        assert!(harness.take(executor).len() <= taken);
+        Sent { harness, client, executor }
+    }
+
     /// Ends the executor's side of the connection in a way.
     fn end(&mut self, ending: Ending) {
         let mut network = self.harness.network.borrow_mut();
@@ -235,13 +247,18 @@
     #[values("idempotent", "non_idempotent", "streaming", "resumable")] route: &str,
     #[values(UntilClose, UntilCloseOldVersion, Length, Chunked)] framing: Framing,
     #[values(false, true)] at_once: bool,
+    #[values(false, true)] on_a_used_connection: bool,
 ) {
     let whole = framed(framing, 200);
     // Where the framing does not tell the end, all of the bytes may be a part.
     let most = if matches!(framing, Length | Chunked) { whole.len() - 1 } else { whole.len() };
     for taken in TAKEN {
         for sent_bytes in 0..=most {
-            let mut sent = Sent::over_a_full_connection(route, taken);
+            let mut sent = if on_a_used_connection {
+                Sent::over_a_full_used_connection(route, taken)
+            } else {
+                Sent::over_a_full_connection(route, taken)
+            };
             let received = sent.respond_and_end(&whole[..sent_bytes], Ending::Reset, at_once);
             let text = text_of(&received);
             assert!(!is_complete_success(&received), "{taken} taken, {sent_bytes} sent: {text}");
