The check of line ends in a response's head is one pass over its lines

Each line has to end with a carriage return and a line feed; the first byte is no special case any more.

Test: every control byte in a value of a field, not only four of them.

--- a/crates/tier/tests/broken_answers.rs
+++ b/crates/tier/tests/broken_answers.rs
@@ -375,3 +375,20 @@
         assert!(!text_of(&received).contains("seal"), "{route}: {}", text_of(&received));
     }
 }
+
+/// Every byte that no value of a field may hold (RFC 9110, 5.5), in the middle of one.
+#[rstest]
+fn an_answer_with_a_control_byte_in_a_value_reaches_no_client(
+    #[values("idempotent", "non_idempotent", "streaming", "resumable")] route: &str,
+    #[values("Content-Length: 4\r\n", "")] framing: &str,
+) {
+    for byte in (0..=0x1f).chain([0x7f]).filter(|byte| *byte != b'\t') {
+        let mut sent = Sent::over_a_new_connection(route, 1);
+        let fields = [b"X-Other: a".as_slice(), &[byte], b"b\r\nX-Name"].concat();
+        sent.harness.send(sent.executor, &with_header_name(&fields, framing));
+        sent.harness.end(sent.executor);
+        let received = sent.harness.take(sent.client);
+        assert_eq!(status_of(&received), Some(502), "byte {byte:#04x}: {}", text_of(&received));
+        assert!(!text_of(&received).contains("seal"), "byte {byte:#04x}: {}", text_of(&received));
+    }
+}
--- a/crates/transport/src/http.rs
+++ b/crates/transport/src/http.rs
@@ -121,7 +121,7 @@
 /// Whether a line ends with a line feed alone. The parser takes it for the end of a line (RFC 9112, 2.2 allows both), but in a
 /// broken head it may be a byte of a field's name: the lines behind it would be read as the body.
 fn has_bare_line_feed(head: &[u8]) -> bool {
-    head.first() == Some(&b'\n') || head.windows(2).any(|pair| pair[1] == b'\n' && pair[0] != b'\r')
+    head.split_inclusive(|byte| *byte == b'\n').any(|line| !line.ends_with(b"\r\n"))
 }
 
 fn head_length(
